--- /dev/null
+++ b/oleanderhitch/__init__.py
@@ -0,0 +1,1 @@
+"""Schedule agent programs between callers and endpoints."""
--- /dev/null
+++ b/oleanderhitch/connection/caller/__init__.py
@@ -0,0 +1,1 @@
+"""Serve callers over HTTP."""
--- /dev/null
+++ b/oleanderhitch/connection/endpoint/__init__.py
@@ -0,0 +1,1 @@
+"""Stream requests to endpoints over HTTP."""
--- /dev/null
+++ b/oleanderhitch/connection/peer/__init__.py
@@ -0,0 +1,1 @@
+"""Carry messages between the system's own processes."""
--- /dev/null
+++ b/oleanderhitch/process/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Provide the binaries, one command a file."""
--- /dev/null
+++ b/oleanderhitch/process/groups/__init__.py
@@ -0,0 +1,1 @@
+"""Run replicated groups and call them from other processes."""
--- /dev/null
+++ b/oleanderhitch/process/mailbox.py
@@ -0,0 +1,60 @@
+"""Provide the addresses that tasks send messages to."""
+
+from datetime import timedelta
+from typing import Protocol
+
+from gevent import queue as gevent_queue
+
+from oleanderhitch.exceptions import UnavailableError
+
+MAILBOX_CAPACITY_MESSAGES = 10_000
+
+
+class MailboxFullError(UnavailableError):
+    """Signal that a task has more waiting messages than it may hold."""
+
+
+class Address(Protocol):
+    """Accept messages for a task."""
+
+    def send(self, message: object) -> None:
+        """Queue a message; raise MailboxFullError when there is no room."""
+
+
+class Mailbox:
+    """Hold the messages that one task has yet to handle."""
+
+    def __init__(self, name: str, capacity_messages: int) -> None:
+        self._name = name
+        self._queue: gevent_queue.Queue = gevent_queue.Queue(capacity_messages)
+
+    @property
+    def n_waiting(self) -> int:
+        """Return the number of messages that wait."""
+        return int(self._queue.qsize())
+
+    def send(self, message: object) -> None:
+        """Queue a message; raise MailboxFullError when there is no room."""
+        try:
+            self._queue.put_nowait(message)
+        except gevent_queue.Full:
+            raise MailboxFullError(
+                f"mailbox {self._name} holds its maximum of "
+                f"{self._queue.maxsize} messages; slow the sender down"
+            ) from None
+
+    def receive(self, timeout: timedelta | None = None) -> object | None:
+        """Return the next message, or None when the timeout passes first."""
+        seconds = None if timeout is None else max(0.0, timeout.total_seconds())
+        try:
+            message: object = self._queue.get(timeout=seconds)
+        except gevent_queue.Empty:
+            return None
+        return message
+
+
+def make_mailbox(
+    name: str, capacity_messages: int = MAILBOX_CAPACITY_MESSAGES
+) -> Mailbox:
+    """Return an empty mailbox."""
+    return Mailbox(name, capacity_messages)
--- /dev/null
+++ b/oleanderhitch/process/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Queue requests for the endpoints of a pool."""
--- /dev/null
+++ b/oleanderhitch/program/ids.py
@@ -0,0 +1,7 @@
+"""Name the identifiers of a program."""
+
+from typing import NewType
+
+AccountId = NewType("AccountId", str)
+ProgramId = NewType("ProgramId", str)
+SequenceNumber = NewType("SequenceNumber", int)
--- /dev/null
+++ b/oleanderhitch/program/states.py
@@ -0,0 +1,36 @@
+"""Name the states of a program and the reasons for its end."""
+
+from enum import Enum
+
+
+class EndReason(Enum):
+    """Say why a program ended."""
+
+    FINISHED = "finished"
+    GIVEN_UP = "given_up"
+    TURN_LIMIT = "turn_limit"
+    SILENT = "silent"
+    LOOPING = "looping"
+
+
+class Progress(Enum):
+    """Say how far a recorded request has come."""
+
+    BEGUN = "begun"
+    ATTEMPTED = "attempted"
+    ENDED = "ended"
+
+
+class Refusal(Enum):
+    """Say why a program's record refused a command."""
+
+    UNKNOWN_PROGRAM = "unknown_program"
+    UNKNOWN_REQUEST = "unknown_request"
+    PROGRAM_EXISTS = "program_exists"
+    PROGRAM_ENDED = "program_ended"
+    SEQUENCE_OUT_OF_ORDER = "sequence_out_of_order"
+    PREVIOUS_CALL_OPEN = "previous_call_open"
+    REQUEST_ID_REUSED = "request_id_reused"
+    BUDGET_EXCEEDED = "budget_exceeded"
+    REQUEST_CLOSED = "request_closed"
+    REPEAT_NOT_ALLOWED = "repeat_not_allowed"
--- /dev/null
+++ b/oleanderhitch/request/ids.py
@@ -0,0 +1,7 @@
+"""Name the identifiers of a request."""
+
+from typing import NewType
+
+RequestId = NewType("RequestId", str)
+AttemptNumber = NewType("AttemptNumber", int)
+PermitId = NewType("PermitId", str)
--- /dev/null
+++ b/oleanderhitch/version/ids.py
@@ -0,0 +1,13 @@
+"""Name the identifiers that a configuration declares."""
+
+from typing import NewType
+
+ConfigurationVersion = NewType("ConfigurationVersion", int)
+DataCentreName = NewType("DataCentreName", str)
+DocumentName = NewType("DocumentName", str)
+EndpointId = NewType("EndpointId", str)
+ModelName = NewType("ModelName", str)
+PoolId = NewType("PoolId", str)
+PublishId = NewType("PublishId", str)
+RegionName = NewType("RegionName", str)
+ServiceName = NewType("ServiceName", str)
--- /dev/null
+++ b/standins/connection/__init__.py
@@ -0,0 +1,1 @@
+"""Serve the HTTP interfaces of the stand-ins."""
--- /dev/null
+++ b/standins/process/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Provide the stand-in binaries, one command a file."""
--- /dev/null
+++ b/tests/connection/test_codec.py
@@ -0,0 +1,50 @@
+"""Test that the codec keeps messages intact and refuses what it does not know."""
+
+from datetime import UTC, datetime, timedelta
+
+import msgpack
+import pytest
+
+from oleanderhitch.connection.codec import make_codec
+from oleanderhitch.connection.exceptions import MalformedFrameError
+from oleanderhitch.program.ids import AccountId, ProgramId
+from oleanderhitch.program.messages import MESSAGES, EndProgram, StartProgram
+from oleanderhitch.program.states import EndReason
+
+START = StartProgram(
+    ProgramId("p"),
+    AccountId("a"),
+    None,
+    1000,
+    140,
+    timedelta(minutes=5),
+    datetime(2026, 1, 1, tzinfo=UTC),
+)
+
+
+def test_round_trip_in_pieces():
+    """Guard against a message that changes on its way or a split frame."""
+    codec = make_codec(MESSAGES)
+    end = EndProgram(ProgramId("p"), EndReason.FINISHED, START.at)
+    data = codec.encode(START) + codec.encode(end)
+    decoder = codec.make_decoder()
+    received = []
+    for position in range(len(data)):
+        received.extend(decoder.feed(data[position : position + 1]))
+    assert received == [START, end]
+
+
+@pytest.mark.parametrize(
+    "frame",
+    [
+        msgpack.packb(["Nobody", {}]),
+        msgpack.packb(["EndProgram", {"program": "p"}]),
+        msgpack.packb(["EndProgram", {"program": "p", "reason": "x", "at": 0.0}]),
+        msgpack.packb("text"),
+        b"\xc1",
+    ],
+)
+def test_refuses_malformed_frames(frame):
+    """Guard against a bad frame that reaches decision code."""
+    with pytest.raises(MalformedFrameError):
+        make_codec(MESSAGES).decode(frame)
