--- /dev/null
+++ b/oleanderhitch/process/scheduling/messages.py
@@ -0,0 +1,131 @@
+"""Define the messages and effects of a pool's queue."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+from oleanderhitch.process.ids import NodeId
+from oleanderhitch.program.ids import AccountId, ProgramId
+from oleanderhitch.request.ids import PermitId, RequestId
+from oleanderhitch.version.ids import EndpointId, PoolId
+
+
+@dataclass(frozen=True, slots=True)
+class EnqueueRequest:
+    """Ask for a slot at an endpoint of the pool.
+
+    Times are relative, so that hosts need not agree on the time of day.
+    """
+
+    pool: PoolId
+    request: RequestId
+    program: ProgramId
+    account: AccountId
+    node: NodeId
+    is_idempotent: bool
+    n_turns: int
+    attained_tokens: int
+    prompt_tokens: int
+    max_output_tokens: int
+    holders: tuple[EndpointId, ...]
+    excluded: tuple[EndpointId, ...]
+    time_to_deadline: timedelta
+    waited: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class WithdrawRequest:
+    """Take a request out of the queue."""
+
+    pool: PoolId
+    request: RequestId
+
+
+@dataclass(frozen=True, slots=True)
+class ReleaseSlot:
+    """Give a slot back with what was observed of the endpoint."""
+
+    pool: PoolId
+    permit: PermitId
+    endpoint: EndpointId
+    is_success: bool
+    n_output_tokens: int
+    n_computed_prompt_tokens: int
+    first_token: timedelta | None
+    duration: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class HoldSlot:
+    """Tell a new owner of the pool about an attempt that already runs."""
+
+    pool: PoolId
+    permit: PermitId
+    request: RequestId
+    program: ProgramId
+    account: AccountId
+    node: NodeId
+    endpoint: EndpointId
+    running_for: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReported:
+    """Bring an endpoint's own, lagging report of its load."""
+
+    endpoint: EndpointId
+    n_running: int
+    n_waiting: int
+    age: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointOffer:
+    """Describe an endpoint that the pool may use."""
+
+    endpoint: EndpointId
+    n_slots: int
+    cache_tokens: int
+    is_leaving: bool
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointsChanged:
+    """Replace the set of endpoints of the pool."""
+
+    offers: tuple[EndpointOffer, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class GrantSlot:
+    """Permit one attempt at an endpoint."""
+
+    pool: PoolId
+    node: NodeId
+    request: RequestId
+    endpoint: EndpointId
+    permit: PermitId
+    priority: int
+    is_hedge: bool
+
+
+@dataclass(frozen=True, slots=True)
+class RefuseRequest:
+    """Refuse a request that will not be queued any longer."""
+
+    pool: PoolId
+    node: NodeId
+    request: RequestId
+    reason: str
+    retry_after: timedelta
+
+
+MESSAGES: tuple[type, ...] = (
+    EnqueueRequest,
+    WithdrawRequest,
+    ReleaseSlot,
+    HoldSlot,
+    LoadReported,
+    EndpointsChanged,
+    GrantSlot,
+    RefuseRequest,
+)
--- a/oleanderhitch/request/messages.py
+++ b/oleanderhitch/request/messages.py
@@ -68,8 +68,9 @@
     """Bring a permit for one attempt at an endpoint."""
 
     endpoint: EndpointId
-    address: str
     permit: PermitId
+    priority: int
+    is_hedge: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -180,7 +181,7 @@
 
     attempt: AttemptNumber
     endpoint: EndpointId
-    address: str
+    priority: int
     begun: Begun
     answered: bytes
 
