Granted slots of a pool first come, first served

Cause: the request path needs a pool queue to be wired in. Conclusion: correct but simple; ordering and health follow.

--- a/oleanderhitch/process/scheduling/messages.py
+++ b/oleanderhitch/process/scheduling/messages.py
@@ -68,6 +68,13 @@
     running_for: timedelta
 
 
+@dataclass(frozen=True, slots=True)
+class NodeGone:
+    """Tell that a node's lease has expired; its requests and permits are void."""
+
+    node: NodeId
+
+
 @dataclass(frozen=True, slots=True)
 class LoadReported:
     """Bring an endpoint's own, lagging report of its load."""
@@ -124,6 +131,7 @@
     WithdrawRequest,
     ReleaseSlot,
     HoldSlot,
+    NodeGone,
     LoadReported,
     EndpointsChanged,
     GrantSlot,
--- /dev/null
+++ b/tests/process/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decisions of a pool's queue."""
--- /dev/null
+++ b/tests/process/scheduling/test_core.py
@@ -0,0 +1,68 @@
+"""Guard the pool queue against leaked slots and work for leaving endpoints."""
+
+from oleanderhitch.process.scheduling.core import handle
+from oleanderhitch.process.scheduling.messages import (
+    GrantSlot,
+    NodeGone,
+    RefuseRequest,
+    WithdrawRequest,
+)
+from tests.process.scheduling.builders import at, enqueue, hold, offers, pool, release
+
+
+def test_release_grants_the_next_request():
+    """A slot that is given back must not stay idle while a request waits."""
+    state = pool()
+    handle(offers(), state, at(0))
+    (grant,) = handle(enqueue("r1"), state, at(0))
+    assert handle(enqueue("r2"), state, at(0)) == []
+    (second,) = handle(release(grant), state, at(1))
+    assert second.request == "r2"
+
+
+def test_leaving_endpoint_gets_nothing():
+    """An endpoint that drains must get no new work."""
+    state = pool()
+    handle(offers(e1=4, leaving=("e1",)), state, at(0))
+    assert handle(enqueue("r1"), state, at(0)) == []
+
+
+def test_gone_node_gives_its_slots_back():
+    """The permits of a dead node must not be lost until a restart."""
+    state = pool()
+    handle(offers(), state, at(0))
+    handle(enqueue("r1"), state, at(0))
+    handle(enqueue("r2", node="entry-2"), state, at(0))
+    (grant,) = handle(NodeGone("entry-1"), state, at(1))
+    assert grant.request == "r2"
+
+
+def test_hold_rebuilds_the_counts_once():
+    """A new owner told twice about one attempt must count it once."""
+    old, new = pool(seed=1), pool(seed=2)
+    handle(offers(e1=2), old, at(0))
+    sent = enqueue("r1")
+    (grant,) = handle(sent, old, at(0))
+    for _ in range(2):
+        handle(hold(grant, sent), new, at(1))
+    handle(offers(e1=2), new, at(1))
+    effects = [handle(enqueue(f"n{i}"), new, at(1)) for i in range(3)]
+    assert [len(e) for e in effects] == [1, 0, 0]
+
+
+def test_full_queue_refuses():
+    """The queue must stay bounded when no endpoint is free."""
+    state = pool(n_waiting_limit=1)
+    handle(enqueue("r1"), state, at(0))
+    (refusal,) = handle(enqueue("r2"), state, at(0))
+    assert isinstance(refusal, RefuseRequest)
+
+
+def test_withdrawn_request_is_not_granted():
+    """A request whose caller has gone must take no slot."""
+    state = pool()
+    handle(enqueue("r1"), state, at(0))
+    handle(WithdrawRequest("pool", "r1"), state, at(0))
+    handle(enqueue("r2"), state, at(0))
+    effects = handle(offers(), state, at(1))
+    assert [e.request for e in effects if isinstance(e, GrantSlot)] == ["r2"]
