Completed the decisions of a program's record

The first core knew order and single attempts only. The record now covers budgets with sub-agents, hedges and doubtful usage, closing and rerunning of requests, ends, expiry, releases and forgetting. Budget, attempts, outcomes, ordering, ends and releases are modules of their own; history is reached through a store protocol, with a store in memory.

--- /dev/null
+++ b/oleanderhitch/program/budget.py
@@ -0,0 +1,61 @@
+"""Reserve and settle the tokens of programs and their sub-agents."""
+
+from oleanderhitch.program.entries import ProgramEntry, ShardState
+from oleanderhitch.program.messages import Refused
+from oleanderhitch.program.states import Refusal
+
+
+def get_free_tokens(state: ShardState, entry: ProgramEntry) -> int:
+    """Return the tokens that are neither spent nor reserved.
+
+    An ended child has given its remainder back, so that it can only charge what
+    its ancestors have left.
+    """
+    free = entry.budget_tokens - entry.spent_tokens - entry.reserved_tokens
+    parent = state.find_parent(entry)
+    if entry.end_reason is None or parent is None:
+        return free
+    return min(free, get_free_tokens(state, parent))
+
+
+def reserve(state: ShardState, entry: ProgramEntry, tokens: int) -> Refused | None:
+    """Reserve tokens, or return the refusal when they are not left."""
+    free = get_free_tokens(state, entry)
+    if tokens > free:
+        return Refused(
+            Refusal.BUDGET_EXCEEDED,
+            f"{tokens} tokens were asked for and {free} of "
+            f"{entry.budget_tokens} are left in program {entry.program}",
+        )
+    _move(state, entry, -tokens, 0)
+    return None
+
+
+def settle(
+    state: ShardState, entry: ProgramEntry, released_tokens: int, spent_tokens: int
+) -> None:
+    """Turn a reservation into spend.
+
+    An endpoint may report more than was reserved; what exceeds the budget is
+    counted as overrun, never as spend.
+    """
+    limit = released_tokens + get_free_tokens(state, entry)
+    charged = max(0, min(spent_tokens, limit))
+    entry.overrun_tokens += max(0, spent_tokens - charged)
+    _move(state, entry, released_tokens, charged)
+
+
+def return_grant(state: ShardState, entry: ProgramEntry) -> None:
+    """Give the remainder of an ended child's budget back to its parent."""
+    parent = state.find_parent(entry)
+    if parent is not None:
+        released = entry.budget_tokens - entry.reserved_tokens
+        _move(state, parent, released, entry.spent_tokens)
+
+
+def _move(state: ShardState, entry: ProgramEntry, released: int, spent: int) -> None:
+    entry.reserved_tokens -= released
+    entry.spent_tokens += spent
+    parent = state.find_parent(entry)
+    if entry.end_reason is not None and parent is not None:
+        _move(state, parent, released, spent)
--- a/oleanderhitch/program/core.py
+++ b/oleanderhitch/program/core.py
@@ -4,83 +4,56 @@
 same commands by itself; the time of a command is part of the command.
 """
 
-from dataclasses import dataclass, field
-from datetime import datetime, timedelta
+from datetime import timedelta
 from functools import singledispatch
 
-from oleanderhitch.process.ids import NodeId
-from oleanderhitch.program.ids import AccountId, ProgramId, SequenceNumber
+from oleanderhitch.program.attempts import fail_attempt, record_attempt
+from oleanderhitch.program.budget import reserve
+from oleanderhitch.program.checks import find_parent_id, find_program_id_fault
+from oleanderhitch.program.ends import end_program, expire_programs
+from oleanderhitch.program.entries import ProgramEntry, ShardState, touch
+from oleanderhitch.program.history import (
+    HistoryStore,
+    get_turns,
+    make_memory_history,
+)
+from oleanderhitch.program.ids import ProgramId
 from oleanderhitch.program.messages import (
     BeginRequest,
-    Begun,
+    CloseRequest,
+    ConfirmRelease,
     Done,
     EndProgram,
+    ExpirePrograms,
+    FailAttempt,
     FinishRequest,
+    GetHistory,
     GetOutcome,
     GetProgram,
+    History,
+    ListReleases,
     ProgramSummary,
     RecordAttempt,
     Refused,
-    RequestRecord,
     StartProgram,
-    Turn,
 )
-from oleanderhitch.program.states import EndReason, Progress, Refusal
-from oleanderhitch.request.ids import RequestId
-from oleanderhitch.request.states import Outcome
-from oleanderhitch.version.ids import EndpointId
-
-
-@dataclass(slots=True)
-class RequestEntry:
-    """Hold what is recorded of one request."""
-
-    request: RequestId
-    sequence: SequenceNumber
-    node: NodeId
-    is_idempotent: bool
-    digest: str
-    content: bytes
-    reserved_tokens: int
-    n_attempts: int = 0
-    outcome: Outcome | None = None
-    answer: bytes = b""
-
-
-@dataclass(slots=True)
-class ProgramEntry:
-    """Hold what is recorded of one program."""
-
-    program: ProgramId
-    account: AccountId
-    parent: ProgramId | None
-    budget_tokens: int
-    n_turns_limit: int
-    silence_limit: timedelta
-    last_active_at: datetime
-    spent_tokens: int = 0
-    reserved_tokens: int = 0
-    end_reason: EndReason | None = None
-    requests: dict[RequestId, RequestEntry] = field(default_factory=dict)
-    turns: list[Turn] = field(default_factory=list)
-    holders: dict[EndpointId, None] = field(default_factory=dict)
-
-    @property
-    def next_sequence(self) -> SequenceNumber:
-        """Return the sequence number that the next new call must carry."""
-        return SequenceNumber(len(self.requests) + 1)
-
-
-@dataclass(slots=True)
-class ShardState:
-    """Hold the programs of one shard."""
+from oleanderhitch.program.ordering import begin_request
+from oleanderhitch.program.outcomes import close_request, finish_request, get_record
+from oleanderhitch.program.releases import confirm_release, list_releases
+from oleanderhitch.program.states import Refusal
 
-    programs: dict[ProgramId, ProgramEntry] = field(default_factory=dict)
+# Callers retry for at most some minutes after their program ended. A longer
+# time costs memory: 200 programs end per second at the design scale.
+RETENTION = timedelta(minutes=5)
 
 
-def make_shard_state() -> ShardState:
-    """Return a shard without programs."""
-    return ShardState()
+def make_shard_state(
+    history: HistoryStore | None = None, retention: timedelta = RETENTION
+) -> ShardState:
+    """Return a shard without programs; without a store, history is in memory."""
+    if history is None:
+        history = make_memory_history()
+    return ShardState(history, retention)
 
 
 @singledispatch
@@ -91,17 +64,27 @@
 
 @apply.register
 def _(command: StartProgram, state: ShardState) -> object:
-    if command.program in state.programs:
-        return Refused(Refusal.PROGRAM_EXISTS, f"program {command.program} exists")
-    state.programs[command.program] = ProgramEntry(
+    known = state.programs.get(command.program)
+    if known is not None:
+        return _repeat_start(known, command)
+    refusal = _find_start_refusal(command) or _grant_budget(state, command)
+    if refusal is not None:
+        return refusal
+    entry = ProgramEntry(
         command.program,
         command.account,
         command.parent,
         command.budget_tokens,
         command.n_turns_limit,
+        command.n_repeats_limit,
         command.silence_limit,
         command.at,
     )
+    state.programs[command.program] = entry
+    parent = state.find_parent(entry)
+    if parent is not None:
+        parent.children[command.program] = None
+        touch(state, parent, command.at)
     return Done()
 
 
@@ -110,61 +93,39 @@
     entry = state.programs.get(command.program)
     if entry is None:
         return _refuse_unknown_program(command.program)
-    known = entry.requests.get(command.request)
-    if known is not None:
-        return _repeat_request(entry, known, command)
-    refusal = _find_begin_refusal(entry, command)
-    if refusal is not None:
-        return refusal
-    entry.reserved_tokens += command.reserved_tokens
-    entry.last_active_at = command.at
-    entry.requests[command.request] = RequestEntry(
-        command.request,
-        command.sequence,
-        command.node,
-        command.is_idempotent,
-        command.digest,
-        command.content,
-        command.reserved_tokens,
-    )
-    return Begun(tuple(entry.turns), entry.spent_tokens, tuple(entry.holders))
+    return begin_request(state, entry, command)
 
 
 @apply.register
 def _(command: RecordAttempt, state: ShardState) -> object:
-    found = _find_request(state, command.program, command.request)
-    if isinstance(found, Refused):
-        return found
-    entry, known = found
-    if known.outcome is not None:
-        return Refused(Refusal.REQUEST_CLOSED, f"request {command.request} has ended")
-    if known.n_attempts and not known.is_idempotent:
-        return Refused(
-            Refusal.REPEAT_NOT_ALLOWED,
-            f"request {command.request} is not idempotent and has an attempt",
-        )
-    known.n_attempts += 1
-    if command.holds_cache:
-        entry.holders[command.endpoint] = None
-    return Done()
+    entry = state.programs.get(command.program)
+    if entry is None:
+        return _refuse_unknown_program(command.program)
+    return record_attempt(state, entry, command)
+
+
+@apply.register
+def _(command: FailAttempt, state: ShardState) -> object:
+    entry = state.programs.get(command.program)
+    if entry is None:
+        return _refuse_unknown_program(command.program)
+    return fail_attempt(state, entry, command)
 
 
 @apply.register
 def _(command: FinishRequest, state: ShardState) -> object:
-    found = _find_request(state, command.program, command.request)
-    if isinstance(found, Refused):
-        return found
-    entry, known = found
-    if known.outcome is not None:
-        return Refused(Refusal.REQUEST_CLOSED, f"request {command.request} has ended")
-    known.outcome = command.outcome
-    known.answer = command.answer
-    entry.reserved_tokens -= known.reserved_tokens
-    entry.spent_tokens += command.spent_tokens
-    entry.last_active_at = command.at
-    if command.outcome is Outcome.COMPLETED:
-        entry.turns.append(Turn(known.sequence, known.content, command.answer))
-    return Done()
+    entry = state.programs.get(command.program)
+    if entry is None:
+        return _refuse_unknown_program(command.program)
+    return finish_request(state, entry, command)
+
+
+@apply.register
+def _(command: CloseRequest, state: ShardState) -> object:
+    entry = state.programs.get(command.program)
+    if entry is None:
+        return _refuse_unknown_program(command.program)
+    return close_request(state, entry, command)
 
 
 @apply.register
@@ -172,7 +133,26 @@
     entry = state.programs.get(command.program)
     if entry is None:
         return _refuse_unknown_program(command.program)
-    entry.end_reason = entry.end_reason or command.reason
+    end_program(state, entry, command.reason, command.at)
+    return Done()
+
+
+@apply.register
+def _(command: ConfirmRelease, state: ShardState) -> object:
+    entry = state.programs.get(command.program)
+    if entry is None:
+        return Done()
+    if entry.end_reason is None:
+        return Refused(
+            Refusal.PROGRAM_RUNNING, f"program {command.program} has not ended"
+        )
+    confirm_release(entry, command.endpoint, command.number)
+    return Done()
+
+
+@apply.register
+def _(command: ExpirePrograms, state: ShardState) -> object:
+    expire_programs(state, command.at)
     return Done()
 
 
@@ -181,90 +161,91 @@
     entry = state.programs.get(command.program)
     if entry is None:
         return _refuse_unknown_program(command.program)
+    known = entry.open_request
     return ProgramSummary(
         entry.program,
         entry.account,
         entry.parent,
         entry.next_sequence,
-        len(entry.turns),
+        entry.n_turns,
         entry.budget_tokens,
         entry.reserved_tokens,
         entry.spent_tokens,
         entry.end_reason,
+        None if known is None else known.request,
+        entry.overrun_tokens,
     )
 
 
 @apply.register
 def _(command: GetOutcome, state: ShardState) -> object:
-    found = _find_request(state, command.program, command.request)
-    if isinstance(found, Refused):
-        return found
-    entry, known = found
-    return _make_record(entry, known)
+    entry = state.programs.get(command.program)
+    if entry is None:
+        return _refuse_unknown_program(command.program)
+    return get_record(state, entry, command.request)
 
 
-def _refuse_unknown_program(program: ProgramId) -> Refused:
-    return Refused(Refusal.UNKNOWN_PROGRAM, f"program {program} is not known")
+@apply.register
+def _(command: GetHistory, state: ShardState) -> object:
+    if command.program not in state.programs:
+        return _refuse_unknown_program(command.program)
+    return History(get_turns(state.history, command.program))
 
 
-def _find_request(
-    state: ShardState, program: ProgramId, request: RequestId
-) -> tuple[ProgramEntry, RequestEntry] | Refused:
-    entry = state.programs.get(program)
-    if entry is None:
-        return _refuse_unknown_program(program)
-    known = entry.requests.get(request)
-    if known is None:
-        return Refused(Refusal.UNKNOWN_REQUEST, f"request {request} is not known")
-    return entry, known
+@apply.register
+def _(command: ListReleases, state: ShardState) -> object:
+    return list_releases(state)
 
 
-def _repeat_request(
-    entry: ProgramEntry, known: RequestEntry, command: BeginRequest
-) -> object:
-    if known.digest != command.digest:
-        return Refused(
-            Refusal.REQUEST_ID_REUSED,
-            f"request {command.request} was sent before with another body",
-        )
-    return _make_record(entry, known)
+def _refuse_unknown_program(program: ProgramId) -> Refused:
+    return Refused(Refusal.UNKNOWN_PROGRAM, f"program {program} is not known")
 
 
-def _find_begin_refusal(entry: ProgramEntry, command: BeginRequest) -> Refused | None:
-    if entry.end_reason is not None:
-        return Refused(Refusal.PROGRAM_ENDED, f"program {command.program} has ended")
-    if command.sequence != entry.next_sequence:
-        return Refused(
-            Refusal.SEQUENCE_OUT_OF_ORDER,
-            f"expected sequence number {entry.next_sequence}, got {command.sequence}",
-        )
-    if any(known.outcome is None for known in entry.requests.values()):
+def _repeat_start(known: ProgramEntry, command: StartProgram) -> object:
+    """Accept the same start again: its first answer may have been lost."""
+    recorded = StartProgram(
+        known.program,
+        known.account,
+        known.parent,
+        known.budget_tokens,
+        known.n_turns_limit,
+        known.silence_limit,
+        command.at,
+        known.n_repeats_limit,
+    )
+    if recorded == command:
+        return Done()
+    return Refused(
+        Refusal.PROGRAM_EXISTS,
+        f"program {command.program} exists with another account or other limits",
+    )
+
+
+def _find_start_refusal(command: StartProgram) -> Refused | None:
+    fault = find_program_id_fault(command.program)
+    if fault is None and command.parent != find_parent_id(command.program):
+        fault = "of a sub-agent must be '<parent>/<name>', that of a root has no '/'"
+    if fault is not None:
         return Refused(
-            Refusal.PREVIOUS_CALL_OPEN, "the call before this one has not ended"
+            Refusal.INVALID_COMMAND, f"program id {command.program[:80]!r} {fault}"
         )
-    committed = entry.spent_tokens + entry.reserved_tokens + command.reserved_tokens
-    if committed > entry.budget_tokens:
+    if min(command.budget_tokens, command.n_turns_limit, command.n_repeats_limit) < 1:
         return Refused(
-            Refusal.BUDGET_EXCEEDED,
-            f"the call may take {command.reserved_tokens} tokens; "
-            f"{entry.budget_tokens - entry.spent_tokens - entry.reserved_tokens} "
-            "are left",
+            Refusal.INVALID_COMMAND,
+            "budget, turn limit and repeat limit must be at least 1, got "
+            f"{command.budget_tokens}, {command.n_turns_limit} and "
+            f"{command.n_repeats_limit}",
         )
     return None
 
 
-def _make_record(entry: ProgramEntry, known: RequestEntry) -> RequestRecord:
-    progress = Progress.ATTEMPTED if known.n_attempts else Progress.BEGUN
-    if known.outcome is not None:
-        progress = Progress.ENDED
-    return RequestRecord(
-        entry.program,
-        known.request,
-        known.sequence,
-        known.node,
-        progress,
-        known.outcome,
-        known.answer,
-        known.n_attempts,
-        known.is_idempotent,
-    )
+def _grant_budget(state: ShardState, command: StartProgram) -> Refused | None:
+    """Reserve a sub-agent's whole budget on its parent."""
+    if command.parent is None:
+        return None
+    parent = state.programs.get(command.parent)
+    if parent is None or parent.account != command.account:
+        return _refuse_unknown_program(command.parent)
+    if parent.end_reason is not None:
+        return Refused(Refusal.PROGRAM_ENDED, f"program {command.parent} has ended")
+    return reserve(state, parent, command.budget_tokens)
--- /dev/null
+++ b/oleanderhitch/program/ends.py
@@ -0,0 +1,94 @@
+"""Decide when programs end and when they are forgotten."""
+
+from datetime import datetime
+
+from oleanderhitch.program.budget import return_grant
+from oleanderhitch.program.entries import ProgramEntry, ShardState
+from oleanderhitch.program.outcomes import end_interrupted, resolve_request
+from oleanderhitch.program.states import EndReason
+
+# A long call is not silence; its own deadline ends it well before this. Only a
+# call whose node is gone and that nobody asks for again stays open longer.
+OPEN_REQUEST_FACTOR = 2
+
+
+def end_program(
+    state: ShardState, entry: ProgramEntry, reason: EndReason, at: datetime
+) -> None:
+    """End a program after its sub-agents; the first reason stays.
+
+    An open request keeps its node and its reservation until it ends.
+    """
+    if entry.end_reason is not None:
+        return
+    for child in _list_children(state, entry):
+        end_program(state, child, EndReason.PARENT_ENDED, at)
+    entry.end_reason = reason
+    entry.ended_at = at
+    return_grant(state, entry)
+    known = entry.open_request
+    if known is not None and known.is_interrupted:
+        end_interrupted(state, entry, known)
+
+
+def expire_programs(state: ShardState, at: datetime) -> None:
+    """End silent programs, close what nobody finishes, forget what is done."""
+    for entry in list(state.programs.values()):
+        if _is_silent(entry, at):
+            end_program(state, entry, EndReason.SILENT, at)
+        if entry.end_reason is not None and _is_abandoned(entry, at):
+            _close_abandoned(state, entry)
+    # Children come after their parents, and a parent stays for its children.
+    for entry in reversed(list(state.programs.values())):
+        if _is_forgettable(state, entry, at):
+            _forget(state, entry)
+
+
+def is_expiry_due(state: ShardState, at: datetime) -> bool:
+    """Return whether expiring programs now would change the shard."""
+    return any(
+        _is_silent(entry, at)
+        or (entry.end_reason is not None and _is_abandoned(entry, at))
+        or _is_forgettable(state, entry, at)
+        for entry in state.programs.values()
+    )
+
+
+def _list_children(state: ShardState, entry: ProgramEntry) -> list[ProgramEntry]:
+    return [state.programs[child] for child in entry.children]
+
+
+def _is_silent(entry: ProgramEntry, at: datetime) -> bool:
+    if entry.end_reason is not None:
+        return False
+    known = entry.open_request
+    if known is not None and not known.is_interrupted:
+        return _is_abandoned(entry, at)
+    return at - entry.last_active_at > entry.silence_limit
+
+
+def _is_abandoned(entry: ProgramEntry, at: datetime) -> bool:
+    if entry.open_request is None:
+        return False
+    return at - entry.last_active_at > OPEN_REQUEST_FACTOR * entry.silence_limit
+
+
+def _close_abandoned(state: ShardState, entry: ProgramEntry) -> None:
+    if entry.open_request is not None:
+        resolve_request(state, entry, entry.open_request)
+
+
+def _is_forgettable(state: ShardState, entry: ProgramEntry, at: datetime) -> bool:
+    if entry.ended_at is None or entry.open_request is not None:
+        return False
+    if entry.holders or entry.children:
+        return False
+    return at - entry.ended_at > state.retention
+
+
+def _forget(state: ShardState, entry: ProgramEntry) -> None:
+    del state.programs[entry.program]
+    state.history.forget(entry.program)
+    parent = state.find_parent(entry)
+    if parent is not None:
+        parent.children.pop(entry.program, None)
--- /dev/null
+++ b/oleanderhitch/program/entries.py
@@ -0,0 +1,115 @@
+"""Define what a shard holds in memory of its programs."""
+
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+
+from oleanderhitch.process.ids import NodeId
+from oleanderhitch.program.history import HistoryStore
+from oleanderhitch.program.ids import AccountId, ProgramId, RunId, SequenceNumber
+from oleanderhitch.program.states import AttemptState, EndReason
+from oleanderhitch.request.ids import AttemptNumber, RequestId
+from oleanderhitch.version.ids import EndpointId
+
+
+@dataclass(slots=True)
+class AttemptEntry:
+    """Hold what is recorded of one attempt."""
+
+    endpoint: EndpointId | None
+    reserved_tokens: int
+    state: AttemptState
+
+
+@dataclass(slots=True)
+class RequestEntry:
+    """Hold what is recorded of the request that has no outcome yet.
+
+    The spare tokens are reserved and not yet taken by an attempt. The attempts
+    are those of the current run; earlier runs of idempotent work are settled.
+    """
+
+    request: RequestId
+    sequence: SequenceNumber
+    node: NodeId
+    run: RunId
+    is_idempotent: bool
+    digest: str
+    content: bytes
+    spare_tokens: int
+    attempts: dict[AttemptNumber, AttemptEntry] = field(default_factory=dict)
+    n_attempts: int = 0
+    endpoints: dict[EndpointId, None] = field(default_factory=dict)
+    is_interrupted: bool = False
+    past_runs: dict[RunId, None] = field(default_factory=dict)
+
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether an endpoint may have executed the request."""
+        return bool(self.past_runs) or any(
+            attempt.state is not AttemptState.NOT_SENT
+            for attempt in self.attempts.values()
+        )
+
+
+@dataclass(slots=True)
+class ProgramEntry:
+    """Hold what is recorded of one program.
+
+    While a child runs, its whole budget is part of its parent's reserved
+    tokens. After its end, only what its open request has reserved stays there.
+    """
+
+    program: ProgramId
+    account: AccountId
+    parent: ProgramId | None
+    budget_tokens: int
+    n_turns_limit: int
+    n_repeats_limit: int
+    silence_limit: timedelta
+    last_active_at: datetime
+    spent_tokens: int = 0
+    reserved_tokens: int = 0
+    overrun_tokens: int = 0
+    history_bytes: int = 0
+    n_ordered: int = 0
+    n_turns: int = 0
+    n_not_run: int = 0
+    n_repeats: int = 0
+    last_content_hash: bytes = b""
+    end_reason: EndReason | None = None
+    ended_at: datetime | None = None
+    open_request: RequestEntry | None = None
+    children: dict[ProgramId, None] = field(default_factory=dict)
+    holders: dict[EndpointId, int] = field(default_factory=dict)
+    released: dict[EndpointId, None] = field(default_factory=dict)
+    n_holds: int = 0
+
+    @property
+    def next_sequence(self) -> SequenceNumber:
+        """Return the sequence number that the next new call must carry."""
+        n_taken = self.n_ordered + (self.open_request is not None)
+        return SequenceNumber(n_taken + 1)
+
+
+@dataclass(slots=True)
+class ShardState:
+    """Hold the programs of one shard."""
+
+    history: HistoryStore
+    retention: timedelta
+    programs: dict[ProgramId, ProgramEntry] = field(default_factory=dict)
+
+    def find_parent(self, entry: ProgramEntry) -> ProgramEntry | None:
+        """Return the entry of a program's parent, or None for a root."""
+        return None if entry.parent is None else self.programs.get(entry.parent)
+
+
+def touch(state: ShardState, entry: ProgramEntry, at: datetime) -> None:
+    """Note activity of a program, which is activity of its ancestors too.
+
+    A parent is silent while it waits for its sub-agents; it must not expire.
+    """
+    current: ProgramEntry | None = entry
+    while current is not None:
+        current.last_active_at = max(current.last_active_at, at)
+        current = state.find_parent(current)
--- /dev/null
+++ b/oleanderhitch/program/history.py
@@ -0,0 +1,109 @@
+"""Define where ended requests and the turns of programs are kept.
+
+Decision code reaches a store through the protocol only, so that the same
+decisions run with the history in memory or in a file.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Protocol
+
+from oleanderhitch.process.ids import NodeId
+from oleanderhitch.program.ids import ProgramId, RunId, SequenceNumber
+from oleanderhitch.program.messages import RequestRecord, Turn
+from oleanderhitch.program.states import Progress
+from oleanderhitch.request.ids import RequestId
+from oleanderhitch.request.states import Outcome
+from oleanderhitch.version.ids import EndpointId
+
+
+@dataclass(frozen=True, slots=True)
+class EndedRequest:
+    """Hold what stays recorded of a request that has its outcome.
+
+    The content is kept for completed requests only: it is part of a turn.
+    """
+
+    program: ProgramId
+    request: RequestId
+    sequence: SequenceNumber
+    node: NodeId
+    run: RunId
+    is_idempotent: bool
+    digest: str
+    content: bytes
+    outcome: Outcome
+    answer: bytes
+    n_attempts: int
+    endpoints: tuple[EndpointId, ...]
+    was_closed: bool
+
+
+class HistoryStore(Protocol):
+    """Keep the ended requests of programs in the order they ended."""
+
+    def append(self, record: EndedRequest) -> None:
+        """Add a record to its program."""
+
+    def find(self, program: ProgramId, request: RequestId) -> EndedRequest | None:
+        """Return the record of a request, or None when it has not ended."""
+
+    def read(self, program: ProgramId) -> Iterator[EndedRequest]:
+        """Yield the records of a program in order."""
+
+    def forget(self, program: ProgramId) -> None:
+        """Drop the records of a program."""
+
+
+class MemoryHistory:
+    """Keep the records in memory."""
+
+    def __init__(self) -> None:
+        self._records: dict[ProgramId, dict[RequestId, EndedRequest]] = {}
+
+    def append(self, record: EndedRequest) -> None:
+        """Add a record to its program."""
+        self._records.setdefault(record.program, {})[record.request] = record
+
+    def find(self, program: ProgramId, request: RequestId) -> EndedRequest | None:
+        """Return the record of a request, or None when it has not ended."""
+        return self._records.get(program, {}).get(request)
+
+    def read(self, program: ProgramId) -> Iterator[EndedRequest]:
+        """Yield the records of a program in order."""
+        yield from self._records.get(program, {}).values()
+
+    def forget(self, program: ProgramId) -> None:
+        """Drop the records of a program."""
+        self._records.pop(program, None)
+
+
+def make_memory_history() -> HistoryStore:
+    """Return an empty store in memory."""
+    return MemoryHistory()
+
+
+def get_turns(store: HistoryStore, program: ProgramId) -> tuple[Turn, ...]:
+    """Return the completed calls of a program in order."""
+    return tuple(
+        Turn(record.sequence, record.content, record.answer)
+        for record in store.read(program)
+        if record.outcome is Outcome.COMPLETED
+    )
+
+
+def make_ended_record(ended: EndedRequest) -> RequestRecord:
+    """Return the answer to a lookup of an ended request."""
+    return RequestRecord(
+        ended.program,
+        ended.request,
+        ended.sequence,
+        ended.node,
+        Progress.ENDED,
+        ended.outcome,
+        ended.answer,
+        ended.n_attempts,
+        ended.is_idempotent,
+        ended.run,
+        ended.endpoints,
+    )
--- a/oleanderhitch/program/messages.py
+++ b/oleanderhitch/program/messages.py
@@ -4,12 +4,17 @@
 from datetime import datetime, timedelta
 
 from oleanderhitch.process.ids import NodeId
-from oleanderhitch.program.ids import AccountId, ProgramId, SequenceNumber
+from oleanderhitch.program.ids import AccountId, ProgramId, RunId, SequenceNumber
 from oleanderhitch.program.states import EndReason, Progress, Refusal
 from oleanderhitch.request.ids import AttemptNumber, RequestId
 from oleanderhitch.request.states import Outcome
 from oleanderhitch.version.ids import EndpointId
 
+# Polling tools repeat a call a few times; an agent that sends the same content
+# ten times in a row has stopped making progress.
+N_REPEATS_LIMIT = 10
+NO_RUN = RunId("")
+
 
 @dataclass(frozen=True, slots=True)
 class StartProgram:
@@ -22,11 +27,16 @@
     n_turns_limit: int
     silence_limit: timedelta
     at: datetime
+    n_repeats_limit: int = N_REPEATS_LIMIT
 
 
 @dataclass(frozen=True, slots=True)
 class BeginRequest:
-    """Record a call in order and reserve its worst case spend."""
+    """Record a call in order and reserve its worst case spend.
+
+    The run names one request task, so that a resent command is told apart from
+    a command of another task that serves the same request.
+    """
 
     program: ProgramId
     request: RequestId
@@ -37,6 +47,7 @@
     content: bytes
     digest: str
     at: datetime
+    run: RunId = NO_RUN
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,11 +61,15 @@
     reserved_tokens: int
     holds_cache: bool
     at: datetime
+    run: RunId = NO_RUN
 
 
 @dataclass(frozen=True, slots=True)
 class FailAttempt:
-    """Record that an attempt ended without an answer."""
+    """Record that an attempt ended without an answer.
+
+    A node that cannot tell the spend gives the attempt's whole reservation.
+    """
 
     program: ProgramId
     request: RequestId
@@ -62,11 +77,16 @@
     was_sent: bool
     spent_tokens: int
     at: datetime
+    run: RunId = NO_RUN
 
 
 @dataclass(frozen=True, slots=True)
 class FinishRequest:
-    """Record the outcome of a call and settle its spend."""
+    """Record the outcome of a call and settle its spend.
+
+    The spend is that of the attempt that gave the answer; other attempts that
+    have not failed count with their whole reservation.
+    """
 
     program: ProgramId
     request: RequestId
@@ -74,15 +94,21 @@
     answer: bytes
     spent_tokens: int
     at: datetime
+    run: RunId = NO_RUN
+    attempt: AttemptNumber | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class CloseRequest:
-    """Resolve a call whose node is gone: not run without an attempt."""
+    """Resolve a call whose node is gone: not run without an attempt.
+
+    With a run, the call is closed only while that run holds it.
+    """
 
     program: ProgramId
     request: RequestId
     at: datetime
+    run: RunId | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,11 +122,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfirmRelease:
-    """Record that an engine holds no memory for an ended program."""
+    """Record that an engine holds no memory for an ended program.
+
+    With a number, a release that was listed again since stays listed.
+    """
 
     program: ProgramId
     endpoint: EndpointId
     at: datetime
+    number: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -181,6 +211,8 @@
     answer: bytes
     n_attempts: int
     is_idempotent: bool
+    run: RunId = NO_RUN
+    endpoints: tuple[EndpointId, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -196,6 +228,8 @@
     reserved_tokens: int
     spent_tokens: int
     end_reason: EndReason | None
+    open_request: RequestId | None = None
+    overrun_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -211,6 +245,7 @@
 
     program: ProgramId
     endpoint: EndpointId
+    number: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -220,7 +255,7 @@
     releases: tuple[Release, ...]
 
 
-MESSAGES: tuple[type, ...] = (
+COMMANDS: tuple[type, ...] = (
     StartProgram,
     BeginRequest,
     RecordAttempt,
@@ -230,10 +265,14 @@
     EndProgram,
     ConfirmRelease,
     ExpirePrograms,
+)
+READS: tuple[type, ...] = (
     GetProgram,
     GetOutcome,
     GetHistory,
     ListReleases,
+)
+RESULTS: tuple[type, ...] = (
     Done,
     Refused,
     Begun,
@@ -242,3 +281,4 @@
     History,
     Releases,
 )
+MESSAGES: tuple[type, ...] = COMMANDS + READS + RESULTS
--- a/oleanderhitch/program/states.py
+++ b/oleanderhitch/program/states.py
@@ -11,6 +11,7 @@
     TURN_LIMIT = "turn_limit"
     SILENT = "silent"
     LOOPING = "looping"
+    PARENT_ENDED = "parent_ended"
 
 
 class Progress(Enum):
@@ -18,9 +19,18 @@
 
     BEGUN = "begun"
     ATTEMPTED = "attempted"
+    INTERRUPTED = "interrupted"
     ENDED = "ended"
 
 
+class AttemptState(Enum):
+    """Say what is recorded of one attempt of a request."""
+
+    RUNNING = "running"
+    NOT_SENT = "not_sent"
+    LOST = "lost"
+
+
 class Refusal(Enum):
     """Say why a program's record refused a command."""
 
@@ -34,3 +44,8 @@
     BUDGET_EXCEEDED = "budget_exceeded"
     REQUEST_CLOSED = "request_closed"
     REPEAT_NOT_ALLOWED = "repeat_not_allowed"
+    ATTEMPT_RECORDED = "attempt_recorded"
+    SUPERSEDED = "superseded"
+    HISTORY_FULL = "history_full"
+    PROGRAM_RUNNING = "program_running"
+    INVALID_COMMAND = "invalid_command"
--- /dev/null
+++ b/tests/program/__init__.py
@@ -0,0 +1,1 @@
+"""Test the record of programs."""
