Added stand-ins for model engines and plain services

Cause: demo and tests need endpoints that answer, stall and break on request. Change: an engine with continuous batching, a prefix cache, late cache events, lagging load reports, orders with and without the fencing check, and a service that counts how often each key ran. Both take the faults slow, silent, die_mid_stream and drop_answer. Decisions stand apart from HTTP.

--- /dev/null
+++ b/standins/connection/engine_http.py
@@ -0,0 +1,222 @@
+"""Serve a model engine's HTTP interface."""
+
+import json
+import uuid
+from collections.abc import Iterator
+from functools import singledispatch
+from typing import Any
+
+import bottle
+
+from oleanderhitch.process.mailbox import Address, Mailbox, make_mailbox
+from standins.connection.replies import (
+    ANSWER_TIMEOUT,
+    add_common_routes,
+    ask,
+    break_connection,
+    read_json,
+    wait_for_hang_up,
+    write_answer,
+)
+from standins.request.ids import StandinProgramId, StreamId
+from standins.request.messages import (
+    Accepted,
+    ApplyOrder,
+    AttachStream,
+    CancelStream,
+    DetachStream,
+    ExportCache,
+    GetCacheEvents,
+    GetCachePrograms,
+    GetLoad,
+    GetOrders,
+    ImportCache,
+    Piece,
+    ReleaseProgram,
+    StreamLost,
+    SubmitStream,
+    Usage,
+)
+from standins.request.states import FaultKind, OrderKind
+from standins.request.text import Messages
+
+
+def make_engine_app(engine: Address) -> bottle.Bottle:
+    """Return the application that serves an engine."""
+    app = bottle.Bottle()
+    add_common_routes(app, engine)
+    _add_stream_routes(app, engine)
+    _add_cache_routes(app, engine)
+    _add_order_routes(app, engine)
+    return app
+
+
+def _add_stream_routes(app: bottle.Bottle, engine: Address) -> None:
+    @app.post("/v1/chat/completions")
+    def _() -> Any:
+        body = read_json()
+        stream = StreamId(str(body.get("stream_id") or uuid.uuid4().hex))
+        reply = make_mailbox("stream")
+        submit = SubmitStream(
+            stream,
+            StandinProgramId(str(body.get("program", ""))),
+            str(body.get("model", "")),
+            _read_messages(body),
+            max(1, int(body.get("max_tokens", 16))),
+            int(body.get("priority", 0)),
+            reply,
+        )
+        return _serve_stream(engine, stream, submit, reply)
+
+    @app.get("/v1/streams/<stream>")
+    def _(stream: str) -> Any:
+        reply = make_mailbox("stream")
+        offset = int(bottle.request.query.get("offset", "0"))
+        attach = AttachStream(StreamId(stream), offset, reply)
+        return _serve_stream(engine, StreamId(stream), attach, reply)
+
+    @app.delete("/v1/streams/<stream>")
+    def _(stream: str) -> str:
+        cancel = lambda reply: CancelStream(StreamId(stream), reply)  # noqa: E731
+        return write_answer(ask(engine, cancel))
+
+
+def _add_cache_routes(app: bottle.Bottle, engine: Address) -> None:
+    @app.get("/v1/load")
+    def _() -> str:
+        return write_answer(ask(engine, GetLoad))
+
+    @app.get("/v1/cache/events")
+    def _() -> str:
+        after = int(bottle.request.query.get("after", "0"))
+        return write_answer(ask(engine, lambda reply: GetCacheEvents(after, reply)))
+
+    @app.get("/v1/cache/programs")
+    def _() -> str:
+        return write_answer(ask(engine, GetCachePrograms))
+
+    @app.post("/v1/cache/release")
+    def _() -> str:
+        program = _read_program(read_json())
+        return write_answer(ask(engine, lambda reply: ReleaseProgram(program, reply)))
+
+    @app.post("/v1/kv/export")
+    def _() -> str:
+        program = _read_program(read_json())
+        return write_answer(ask(engine, lambda reply: ExportCache(program, reply)))
+
+    @app.post("/v1/kv/import")
+    def _() -> str:
+        body = read_json()
+        program = _read_program(body)
+        messages = _read_messages(body)
+        return write_answer(
+            ask(engine, lambda reply: ImportCache(program, messages, reply))
+        )
+
+
+def _add_order_routes(app: bottle.Bottle, engine: Address) -> None:
+    @app.post("/v1/orders")
+    def _() -> str:
+        body = read_json()
+        try:
+            kind = OrderKind(body.get("kind"))
+        except ValueError:
+            bottle.abort(400, f"order kind {body.get('kind')!r} is not known")
+        number = int(body.get("fencing_number", 0))
+        name = str(body.get("name", ""))
+        return write_answer(
+            ask(engine, lambda reply: ApplyOrder(number, kind, name, reply))
+        )
+
+    @app.get("/v1/orders")
+    def _() -> str:
+        return write_answer(ask(engine, GetOrders))
+
+
+def _serve_stream(
+    engine: Address, stream: StreamId, first: object, reply: Mailbox
+) -> Any:
+    engine.send(first)
+    accepted = reply.receive(ANSWER_TIMEOUT)
+    if not isinstance(accepted, Accepted):
+        return write_answer(accepted)
+    if accepted.fault is FaultKind.DROP_ANSWER:
+        _wait_for_end(reply)
+        break_connection()
+        return ""
+    bottle.response.content_type = "text/event-stream"
+    bottle.response.set_header("X-Stream-Id", stream)
+    return _write_events(engine, stream, accepted, reply)
+
+
+def _wait_for_end(reply: Mailbox) -> None:
+    while isinstance(reply.receive(ANSWER_TIMEOUT), Piece):
+        pass
+
+
+def _write_events(
+    engine: Address, stream: StreamId, accepted: Accepted, reply: Mailbox
+) -> Iterator[bytes]:
+    is_silent = accepted.fault is FaultKind.SILENT
+    n_pieces = 0
+    try:
+        while True:
+            if is_silent and n_pieces >= accepted.after_pieces:
+                wait_for_hang_up()
+                return
+            message = reply.receive()
+            if isinstance(message, StreamLost):
+                break_connection()
+                return
+            n_pieces += 1
+            yield format_event(message, stream)
+            if isinstance(message, Usage):
+                yield b"data: [DONE]\n\n"
+                return
+    finally:
+        engine.send(DetachStream(stream, reply))
+
+
+@singledispatch
+def format_event(message: object, stream: StreamId) -> bytes:
+    """Return the server-sent event of a stream's message."""
+    raise TypeError(f"stream has no message {type(message).__name__}")
+
+
+@format_event.register
+def _(message: Piece, stream: StreamId) -> bytes:
+    return _encode_event(
+        {
+            "id": stream,
+            "offset": message.offset,
+            "choices": [{"delta": {"content": message.text}}],
+        }
+    )
+
+
+@format_event.register
+def _(message: Usage, stream: StreamId) -> bytes:
+    return _encode_event(
+        {
+            "id": stream,
+            "usage": {
+                "prompt_tokens": message.prompt_tokens,
+                "cached_tokens": message.cached_tokens,
+                "completion_tokens": message.completion_tokens,
+            },
+        }
+    )
+
+
+def _encode_event(body: dict[str, object]) -> bytes:
+    return b"data: " + json.dumps(body).encode() + b"\n\n"
+
+
+def _read_messages(body: dict[str, Any]) -> Messages:
+    messages = body.get("messages", [])
+    return tuple((str(m["role"]), str(m["content"])) for m in messages)
+
+
+def _read_program(body: dict[str, Any]) -> StandinProgramId:
+    return StandinProgramId(str(body.get("program", "")))
--- /dev/null
+++ b/standins/connection/replies.py
@@ -0,0 +1,92 @@
+"""Ask a stand-in's task and break connections on purpose."""
+
+import json
+import socket
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+import bottle
+from gevent.pywsgi import WSGIHandler
+
+from oleanderhitch.process.mailbox import Address, Mailbox, make_mailbox
+from standins.request.messages import Answer, SetFault
+from standins.request.states import FaultKind
+
+_SOCKET_KEY = "standins.socket"
+ANSWER_TIMEOUT = timedelta(seconds=10)
+
+
+class SocketHandler(WSGIHandler):  # type: ignore[misc]
+    """Give handlers access to their socket, so that they can break it."""
+
+    def get_environ(self) -> dict[str, Any]:
+        """Return the environment with the socket in it."""
+        environ: dict[str, Any] = super().get_environ()
+        environ[_SOCKET_KEY] = self.socket
+        return environ
+
+
+def break_connection() -> None:
+    """Close the connection of the current request without an answer."""
+    bottle.request.environ[_SOCKET_KEY].shutdown(socket.SHUT_RDWR)
+
+
+def wait_for_hang_up() -> None:
+    """Send nothing more until the client closes the connection."""
+    bottle.request.environ[_SOCKET_KEY].recv(1)
+
+
+def ask(address: Address, make_message: Callable[[Mailbox], object]) -> object:
+    """Send a message that carries a reply mailbox and return the first reply."""
+    reply = make_mailbox("reply")
+    address.send(make_message(reply))
+    return reply.receive(ANSWER_TIMEOUT)
+
+
+def write_answer(answer: object) -> str:
+    """Return the body of an answer and set its status."""
+    if not isinstance(answer, Answer):
+        bottle.response.status = 503
+        return json.dumps({"error": "the stand-in did not answer in time"})
+    bottle.response.status = answer.status
+    bottle.response.content_type = "application/json"
+    return json.dumps(answer.body)
+
+
+def read_json() -> dict[str, Any]:
+    """Return the request's JSON object; abort with 400 on anything else."""
+    try:
+        body = json.load(bottle.request.body)
+    except ValueError:
+        body = None
+    if isinstance(body, dict):
+        return body
+    raise bottle.HTTPError(400, "the body must be a JSON object")
+
+
+def add_common_routes(app: bottle.Bottle, address: Address) -> None:
+    """Serve the health check and the faults of both stand-ins."""
+
+    @app.get("/healthz")
+    def _() -> str:
+        return "ok\n"
+
+    @app.post("/v1/faults")
+    def _() -> dict[str, object]:
+        body = read_json()
+        try:
+            kind = FaultKind(body.get("kind"))
+        except ValueError:
+            kinds = ", ".join(known.value for known in FaultKind)
+            bottle.abort(400, f"kind must be one of {kinds}")
+        n_requests = body.get("n_requests")
+        address.send(
+            SetFault(
+                kind,
+                float(body.get("factor", 1.0)),
+                None if n_requests is None else int(n_requests),
+                int(body.get("after_pieces", 0)),
+            )
+        )
+        return {"kind": kind.value}
--- /dev/null
+++ b/standins/connection/service_http.py
@@ -0,0 +1,75 @@
+"""Serve a plain service's HTTP interface."""
+
+import uuid
+from functools import singledispatch
+from typing import Any
+
+import bottle
+import gevent
+
+from oleanderhitch.process.mailbox import Address
+from standins.connection.replies import (
+    add_common_routes,
+    ask,
+    break_connection,
+    wait_for_hang_up,
+    write_answer,
+)
+from standins.process.service.core import Ran
+from standins.request.ids import IdempotencyKey, OperationName
+from standins.request.messages import Answer, GetByKey, GetCounts, RunOperation
+from standins.request.states import FaultKind
+
+
+def make_service_app(service: Address) -> bottle.Bottle:
+    """Return the application that serves a plain service."""
+    app = bottle.Bottle()
+    add_common_routes(app, service)
+
+    @app.post("/v1/operations/<operation>")
+    def _(operation: str) -> Any:
+        key = bottle.request.get_header("Idempotency-Key") or uuid.uuid4().hex
+        body = bottle.request.body.read()
+        ran = ask(
+            service,
+            lambda reply: RunOperation(
+                OperationName(operation), IdempotencyKey(key), body, reply
+            ),
+        )
+        return _write_result(ran)
+
+    @app.get("/v1/operations/by-key/<key>")
+    def _(key: str) -> str:
+        get = lambda reply: GetByKey(IdempotencyKey(key), reply)  # noqa: E731
+        return write_answer(ask(service, get))
+
+    @app.get("/v1/counts")
+    def _() -> str:
+        return write_answer(ask(service, GetCounts))
+
+    return app
+
+
+@singledispatch
+def _write_result(result: object) -> Any:
+    return write_answer(result)
+
+
+@_write_result.register
+def _(result: Ran) -> Any:
+    gevent.sleep(result.duration.total_seconds())
+    if result.fault.kind is FaultKind.SILENT:
+        wait_for_hang_up()
+    if result.fault.kind in (FaultKind.DROP_ANSWER, FaultKind.SILENT):
+        break_connection()
+        return ""
+    if result.fault.kind is FaultKind.DIE_MID_STREAM:
+        return _write_half(result.answer)
+    return write_answer(result.answer)
+
+
+def _write_half(answer: Answer) -> Any:
+    body = write_answer(answer).encode()
+    bottle.response.set_header("Content-Length", str(len(body)))
+    yield body[: len(body) // 2]
+    break_connection()
--- /dev/null
+++ b/standins/process/commands/service.py
@@ -0,0 +1,18 @@
+"""Start the service stand-in."""
+
+import sys
+
+from standins.process.runtime import prepare_gevent
+
+
+def main() -> None:
+    """Run the service stand-in until SIGTERM."""
+    prepare_gevent()
+    # Modules that open sockets are imported after the patch only.
+    from standins.process.service.command import run
+
+    sys.exit(run())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/process/engine/__init__.py
@@ -0,0 +1,1 @@
+"""Run a model engine's batch, cache and orders."""
--- /dev/null
+++ b/standins/process/engine/cache.py
@@ -0,0 +1,101 @@
+"""Keep the prefixes of programs in limited memory and number its changes."""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+
+from standins.request.ids import StandinProgramId
+from standins.request.text import Messages, count_prompt_tokens
+
+# Consumers poll more often than this many changes accumulate in a demo.
+N_EVENTS_KEPT = 10_000
+
+
+@dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """Hold one numbered change of the cache."""
+
+    number: int
+    program: StandinProgramId
+    kind: str
+    at: datetime
+
+
+@dataclass(slots=True)
+class PrefixCache:
+    """Hold the prefixes in order of last use."""
+
+    capacity_tokens: int
+    lag: timedelta
+    n_between_gaps: int
+    prefixes: OrderedDict[StandinProgramId, Messages] = field(
+        default_factory=OrderedDict
+    )
+    n_tokens: int = 0
+    n_events: int = 0
+    events: list[CacheEvent] = field(default_factory=list)
+
+
+def count_cached_tokens(
+    cache: PrefixCache, program: StandinProgramId, messages: Messages
+) -> int:
+    """Return how many leading tokens of a prompt need no computing."""
+    prefix = cache.prefixes.get(program, ())
+    n_equal = 0
+    for stored, wanted in zip(prefix, messages, strict=False):
+        if stored != wanted:
+            break
+        n_equal += 1
+    return count_prompt_tokens(messages[:n_equal])
+
+
+def store_prefix(
+    cache: PrefixCache, program: StandinProgramId, messages: Messages, now: datetime
+) -> None:
+    """Keep a prefix and evict the programs that were used least recently."""
+    n_tokens = count_prompt_tokens(messages)
+    _drop(cache, program)
+    if n_tokens > cache.capacity_tokens:
+        _add_event(cache, program, "evicted", now)
+        return
+    cache.prefixes[program] = messages
+    cache.n_tokens += n_tokens
+    _add_event(cache, program, "stored", now)
+    while cache.n_tokens > cache.capacity_tokens:
+        oldest = next(iter(cache.prefixes))
+        _drop(cache, oldest)
+        _add_event(cache, oldest, "evicted", now)
+
+
+def release_prefix(
+    cache: PrefixCache, program: StandinProgramId, now: datetime
+) -> None:
+    """Free the memory of a program; freeing it again changes nothing."""
+    if program in cache.prefixes:
+        _drop(cache, program)
+        _add_event(cache, program, "evicted", now)
+
+
+def list_events(
+    cache: PrefixCache, after: int, now: datetime
+) -> tuple[list[CacheEvent], int]:
+    """Return the events that are old enough to show and the last number."""
+    visible = [event for event in cache.events if event.at <= now - cache.lag]
+    last = visible[-1].number if visible else 0
+    return [event for event in visible if event.number > after], last
+
+
+def _drop(cache: PrefixCache, program: StandinProgramId) -> None:
+    messages = cache.prefixes.pop(program, None)
+    if messages is not None:
+        cache.n_tokens -= count_prompt_tokens(messages)
+
+
+def _add_event(
+    cache: PrefixCache, program: StandinProgramId, kind: str, now: datetime
+) -> None:
+    cache.n_events += 1
+    if cache.n_between_gaps and cache.n_events % cache.n_between_gaps == 0:
+        return
+    cache.events.append(CacheEvent(cache.n_events, program, kind, now))
+    del cache.events[:-N_EVENTS_KEPT]
--- /dev/null
+++ b/standins/process/engine/orders.py
@@ -0,0 +1,76 @@
+"""Apply orders, with or without a check of the fencing number."""
+
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+
+from standins.request.messages import ApplyOrder
+from standins.request.states import OrderKind
+
+
+@dataclass(slots=True)
+class Loaded:
+    """Hold what is loaded, and what is being loaded until when."""
+
+    model: str
+    checks_fencing: bool
+    load_time: timedelta
+    version: str = ""
+    role: str = "mixed"
+    adapters: list[str] = field(default_factory=list)
+    fencing_number: int = 0
+    n_applied: int = 0
+    loading: str = ""
+    loaded_at: datetime | None = None
+
+
+def apply_order(
+    loaded: Loaded, order: ApplyOrder, now: datetime
+) -> tuple[int, dict[str, object]]:
+    """Return the status and body that answer an order."""
+    settle_loading(loaded, now)
+    if loaded.checks_fencing and order.fencing_number < loaded.fencing_number:
+        error = f"fencing number {order.fencing_number} is older than"
+        return 409, {
+            "error": f"{error} {loaded.fencing_number}",
+            "fencing_number": loaded.fencing_number,
+        }
+    loaded.fencing_number = order.fencing_number
+    loaded.n_applied += 1
+    _change(loaded, order.kind, order.name, now)
+    return 200, describe(loaded, now)
+
+
+def _change(loaded: Loaded, kind: OrderKind, name: str, now: datetime) -> None:
+    if kind is OrderKind.LOAD_MODEL and name != loaded.model:
+        loaded.loading = name
+        loaded.loaded_at = now + loaded.load_time
+        settle_loading(loaded, now)
+    elif kind is OrderKind.LOAD_ADAPTER and name not in loaded.adapters:
+        loaded.adapters.append(name)
+    elif kind is OrderKind.LOAD_VERSION:
+        loaded.version = name
+    elif kind is OrderKind.SET_ROLE:
+        loaded.role = name
+
+
+def settle_loading(loaded: Loaded, now: datetime) -> None:
+    """Switch to the model whose weights have arrived."""
+    if loaded.loaded_at is not None and now >= loaded.loaded_at:
+        loaded.model = loaded.loading
+        loaded.loading = ""
+        loaded.loaded_at = None
+        loaded.adapters.clear()
+
+
+def describe(loaded: Loaded, now: datetime) -> dict[str, object]:
+    """Return what a read back shows."""
+    settle_loading(loaded, now)
+    return {
+        "model": loaded.model,
+        "loading": loaded.loading,
+        "version": loaded.version,
+        "role": loaded.role,
+        "adapters": list(loaded.adapters),
+        "fencing_number": loaded.fencing_number,
+        "n_applied": loaded.n_applied,
+    }
--- /dev/null
+++ b/standins/process/engine/state.py
@@ -0,0 +1,96 @@
+"""Hold the state of a model engine."""
+
+from collections import deque
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+
+from oleanderhitch.process.mailbox import Address
+from standins.process.engine.cache import PrefixCache
+from standins.process.engine.orders import Loaded
+from standins.process.faults import Fault, FaultPlan
+from standins.request.ids import StandinProgramId, StreamId
+from standins.request.states import StreamPhase
+from standins.request.text import CHARACTERS_PER_TOKEN, Messages
+
+
+@dataclass(frozen=True, slots=True)
+class EngineSettings:
+    """Hold what the command line sets."""
+
+    endpoint: str = "engine"
+    model: str = "standin"
+    prefill_tokens_per_s: float = 20_000.0
+    token_time: timedelta = timedelta(milliseconds=10)
+    n_slots: int = 16
+    cache_tokens: int = 1_000_000
+    checks_fencing: bool = True
+    load_lag: timedelta = timedelta(seconds=2)
+    event_lag: timedelta = timedelta(milliseconds=500)
+    n_events_between_gaps: int = 10
+    load_time: timedelta = timedelta(milliseconds=500)
+
+
+@dataclass(slots=True)
+class Stream:
+    """Hold one stream; its text follows from the seed and the start."""
+
+    stream: StreamId
+    program: StandinProgramId
+    messages: Messages
+    seed: str
+    start: int
+    max_tokens: int
+    priority: int
+    number: int
+    fault: Fault
+    subscribers: list[Address]
+    phase: StreamPhase = StreamPhase.WAITING
+    n_tokens: int = 0
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+    ready_at: datetime | None = None
+    ended_at: datetime | None = None
+
+    @property
+    def n_characters(self) -> int:
+        """Return the number of characters generated so far."""
+        return self.n_tokens * CHARACTERS_PER_TOKEN
+
+
+@dataclass(frozen=True, slots=True)
+class LoadSample:
+    """Hold the load at one moment."""
+
+    at: datetime
+    n_running: int
+    n_waiting: int
+
+
+@dataclass(slots=True)
+class EngineState:
+    """Hold everything that the engine's task owns."""
+
+    settings: EngineSettings
+    cache: PrefixCache
+    loaded: Loaded
+    faults: FaultPlan = field(default_factory=FaultPlan)
+    streams: dict[StreamId, Stream] = field(default_factory=dict)
+    waiting: list[Stream] = field(default_factory=list)
+    running: list[Stream] = field(default_factory=list)
+    ended: deque[Stream] = field(default_factory=deque)
+    samples: deque[LoadSample] = field(default_factory=deque)
+    n_submitted: int = 0
+    n_steps: int = 0
+    prefill_free_at: datetime | None = None
+    next_step_at: datetime | None = None
+
+
+def make_engine_state(settings: EngineSettings) -> EngineState:
+    """Return an engine without streams that has its model loaded."""
+    return EngineState(
+        settings,
+        PrefixCache(
+            settings.cache_tokens, settings.event_lag, settings.n_events_between_gaps
+        ),
+        Loaded(settings.model, settings.checks_fencing, settings.load_time),
+    )
--- /dev/null
+++ b/standins/process/engine/task.py
@@ -0,0 +1,60 @@
+"""Run an engine's batch in one greenlet that owns its state."""
+
+from datetime import timedelta
+
+import gevent
+
+from oleanderhitch.process.clock import Clock
+from oleanderhitch.process.mailbox import Mailbox, MailboxFullError, make_mailbox
+from standins.process.engine.batch import step
+from standins.process.engine.core import handle
+from standins.process.engine.state import (
+    EngineSettings,
+    EngineState,
+    make_engine_state,
+)
+from standins.request.messages import Post
+
+
+class EngineTask:
+    """Handle messages between the steps of the batch."""
+
+    def __init__(self, state: EngineState, clock: Clock, mailbox: Mailbox) -> None:
+        self._state = state
+        self._clock = clock
+        self._mailbox = mailbox
+
+    def send(self, message: object) -> None:
+        """Queue a message; raise MailboxFullError when there is no room."""
+        self._mailbox.send(message)
+
+    def start(self) -> None:
+        """Start the batch."""
+        gevent.spawn(self._run)
+
+    def _run(self) -> None:
+        while True:
+            message = self._mailbox.receive(self._get_wait())
+            if message is not None:
+                self._perform(handle(message, self._state, self._clock.now()))
+            next_step_at = self._state.next_step_at
+            if next_step_at is not None and self._clock.now() >= next_step_at:
+                self._perform(step(self._state, self._clock.now()))
+
+    def _get_wait(self) -> timedelta | None:
+        if self._state.next_step_at is None:
+            return None
+        return max(timedelta(0), self._state.next_step_at - self._clock.now())
+
+    def _perform(self, effects: list[Post]) -> None:
+        for effect in effects:
+            try:
+                effect.address.send(effect.message)
+            except MailboxFullError:
+                # A connection that reads too slowly resumes at its offset.
+                continue
+
+
+def make_engine_task(settings: EngineSettings, clock: Clock) -> EngineTask:
+    """Return an engine that is not started yet."""
+    return EngineTask(make_engine_state(settings), clock, make_mailbox("engine"))
--- /dev/null
+++ b/standins/process/service/__init__.py
@@ -0,0 +1,1 @@
+"""Run a plain service's operations."""
--- /dev/null
+++ b/standins/process/service/core.py
@@ -0,0 +1,119 @@
+"""Decide what a plain service answers; it does not remove doubled calls."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+from functools import singledispatch
+
+import xxhash
+
+from standins.process.faults import Fault, FaultPlan, set_fault, take_fault
+from standins.request.ids import IdempotencyKey, OperationName
+from standins.request.messages import (
+    Answer,
+    GetByKey,
+    GetCounts,
+    Post,
+    RunOperation,
+    SetFault,
+)
+from standins.request.states import FaultKind
+
+# These two operations let a test see how refusals and server errors travel.
+REJECT_OPERATION = OperationName("reject")
+CRASH_OPERATION = OperationName("crash")
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceSettings:
+    """Hold what the command line sets."""
+
+    service: str = "service"
+    operation_time: timedelta = timedelta(milliseconds=20)
+    answers_by_key: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Ran:
+    """Say that an operation ran, and when and how to answer."""
+
+    answer: Answer
+    duration: timedelta
+    fault: Fault
+
+
+@dataclass(slots=True)
+class ServiceState:
+    """Hold everything that the service's task owns."""
+
+    settings: ServiceSettings
+    faults: FaultPlan = field(default_factory=FaultPlan)
+    operations: Counter[OperationName] = field(default_factory=Counter)
+    keys: Counter[IdempotencyKey] = field(default_factory=Counter)
+    answers: dict[IdempotencyKey, Answer] = field(default_factory=dict)
+
+
+def make_service_state(settings: ServiceSettings) -> ServiceState:
+    """Return a service that has run nothing."""
+    return ServiceState(settings)
+
+
+@singledispatch
+def handle(message: object, state: ServiceState, now: datetime) -> list[Post]:
+    """Handle one message and return what to send."""
+    raise TypeError(f"service has no message {type(message).__name__}")
+
+
+@handle.register
+def _(message: SetFault, state: ServiceState, now: datetime) -> list[Post]:
+    set_fault(state.faults, message)
+    return []
+
+
+@handle.register
+def _(message: RunOperation, state: ServiceState, now: datetime) -> list[Post]:
+    fault = take_fault(state.faults)
+    state.operations[message.operation] += 1
+    state.keys[message.key] += 1
+    answer = _make_answer(message, state)
+    state.answers.setdefault(message.key, answer)
+    is_slow = fault.kind is FaultKind.SLOW
+    factor = fault.factor if is_slow else 1.0
+    return [
+        Post(message.reply, Ran(answer, state.settings.operation_time * factor, fault))
+    ]
+
+
+@handle.register
+def _(message: GetByKey, state: ServiceState, now: datetime) -> list[Post]:
+    stored = state.answers.get(message.key)
+    if not state.settings.answers_by_key:
+        error = "this service does not answer by key"
+        return [Post(message.reply, Answer(501, {"error": error}))]
+    if stored is None:
+        error = f"key {message.key} never ran"
+        return [Post(message.reply, Answer(404, {"error": error}))]
+    return [Post(message.reply, stored)]
+
+
+@handle.register
+def _(message: GetCounts, state: ServiceState, now: datetime) -> list[Post]:
+    body: dict[str, object] = {
+        "operations": dict(state.operations),
+        "keys": dict(state.keys),
+    }
+    return [Post(message.reply, Answer(200, body))]
+
+
+def _make_answer(message: RunOperation, state: ServiceState) -> Answer:
+    body: dict[str, object] = {
+        "service": state.settings.service,
+        "operation": message.operation,
+        "key": message.key,
+        "digest": xxhash.xxh64_hexdigest(message.body),
+    }
+    if message.operation == REJECT_OPERATION:
+        return Answer(422, {**body, "error": "the operation rejects its input"})
+    if message.operation == CRASH_OPERATION:
+        return Answer(500, {**body, "error": "the operation crashed"})
+    return Answer(200, body)
--- /dev/null
+++ b/standins/process/serving.py
@@ -0,0 +1,43 @@
+"""Serve a stand-in until SIGTERM, then let its requests finish."""
+
+import signal
+
+import bottle
+import gevent
+import logbook
+from gevent.event import Event
+from gevent.pywsgi import WSGIServer
+
+from oleanderhitch.exceptions import InvalidInputError
+from standins.connection.replies import SocketHandler
+
+DRAIN_TIMEOUT_S = 30
+_LOG = logbook.Logger("standin")
+
+
+def parse_listen(listen: str) -> tuple[str, int]:
+    """Return the address and port of `IP:PORT`; raise InvalidInputError."""
+    address, _, port = listen.rpartition(":")
+    if not address or not port.isdigit():
+        raise InvalidInputError(
+            f"--listen is {listen!r}; give an IP address and a port as 127.0.0.1:8100"
+        )
+    return address, int(port)
+
+
+def make_server(app: bottle.Bottle, listen: str) -> WSGIServer:
+    """Return a server that is not started yet."""
+    return WSGIServer(parse_listen(listen), app, log=None, handler_class=SocketHandler)
+
+
+def serve_until_signal(server: WSGIServer, name: str) -> None:
+    """Serve until SIGTERM or SIGINT and wait for the requests in progress."""
+    logbook.StderrHandler(level=logbook.INFO).push_application()
+    stopping = Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, stopping.set)
+    server.start()
+    _LOG.info("{} listens on {}:{}", name, server.server_host, server.server_port)
+    stopping.wait()
+    _LOG.info("{} stops; running requests may finish", name)
+    server.stop(timeout=DRAIN_TIMEOUT_S)
