--- /dev/null
+++ b/oleanderhitch/connection/caller/parsing.py
@@ -0,0 +1,160 @@
+"""Turn HTTP requests of callers into typed calls."""
+
+import json
+import uuid
+from collections.abc import Mapping
+from datetime import timedelta
+from typing import Any
+
+import xxhash
+
+from oleanderhitch.connection.caller.exceptions import CallRefusedError
+from oleanderhitch.process.intake.messages import CallerCall
+from oleanderhitch.program.ids import AccountId, ProgramId, SequenceNumber
+from oleanderhitch.request.ids import RequestId
+from oleanderhitch.request.messages import ModelWork, ServiceWork, Work
+from oleanderhitch.request.states import Reason
+
+BODY_LIMIT_BYTES = 1024 * 1024
+DEADLINE_DEFAULT_MS = 60_000
+DEADLINE_LIMIT_MS = 3_600_000
+OUTPUT_DEFAULT_TOKENS = 512
+OUTPUT_LIMIT_TOKENS = 32_768
+ROLES = ("system", "user", "assistant", "tool")
+
+Headers = Mapping[str, str]
+
+
+def parse_model_call(headers: Headers, body: bytes) -> tuple[CallerCall, bool]:
+    """Return the call and whether to stream; raise CallRefusedError."""
+    document = parse_json_object(body)
+    model = _get_text(document, "model")
+    messages = _get_messages(document)
+    max_tokens = get_whole_number(
+        document, "max_tokens", OUTPUT_DEFAULT_TOKENS, 1, OUTPUT_LIMIT_TOKENS
+    )
+    is_streamed = document.get("stream", False)
+    if not isinstance(is_streamed, bool):
+        raise _bad("stream", "true or false", is_streamed)
+    work = ModelWork(model, messages, max_tokens)
+    return _make_call(headers, work, body), is_streamed
+
+
+def parse_service_call(
+    headers: Headers, service: str, operation: str, body: bytes
+) -> CallerCall:
+    """Return the call of a plain service; raise CallRefusedError."""
+    _check_size(body)
+    return _make_call(headers, ServiceWork(service, operation, body), body)
+
+
+def parse_json_object(body: bytes) -> dict[str, Any]:
+    """Return the JSON object of a body; raise CallRefusedError."""
+    _check_size(body)
+    try:
+        document = json.loads(body or b"{}")
+    except ValueError as error:
+        raise CallRefusedError(
+            Reason.BAD_REQUEST, f"body is not JSON: {error}"
+        ) from None
+    if not isinstance(document, dict):
+        raise CallRefusedError(
+            Reason.BAD_REQUEST,
+            f"body must be a JSON object, got {type(document).__name__}",
+        )
+    return document
+
+
+def get_header(headers: Headers, name: str) -> str:
+    """Return a header that must be there; raise CallRefusedError."""
+    value = headers.get(name, "")
+    if not value:
+        raise CallRefusedError(Reason.BAD_REQUEST, f"header {name} is missing")
+    return value
+
+
+def get_whole_number(
+    document: Mapping[str, Any], name: str, default: int, least: int, most: int
+) -> int:
+    """Return a bounded whole number of a body; raise CallRefusedError."""
+    value = document.get(name, default)
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise _bad(name, "a whole number", value)
+    if not least <= value <= most:
+        raise _bad(name, f"a whole number from {least} to {most}", value)
+    return value
+
+
+def _make_call(headers: Headers, work: Work, body: bytes) -> CallerCall:
+    return CallerCall(
+        RequestId(headers.get("Idempotency-Key") or uuid.uuid4().hex),
+        AccountId(get_header(headers, "X-Account")),
+        ProgramId(get_header(headers, "X-Program")),
+        SequenceNumber(_get_header_number(headers, "X-Sequence", None)),
+        work,
+        xxhash.xxh3_128_hexdigest(repr(type(work)).encode() + body),
+        _get_time_limit(headers),
+        {"traceparent": headers.get("traceparent", "")},
+    )
+
+
+def _get_time_limit(headers: Headers) -> timedelta:
+    number = _get_header_number(headers, "X-Deadline-Ms", DEADLINE_DEFAULT_MS)
+    if number > DEADLINE_LIMIT_MS:
+        raise CallRefusedError(
+            Reason.BAD_REQUEST,
+            f"header X-Deadline-Ms must be at most {DEADLINE_LIMIT_MS}, got {number}",
+        )
+    return timedelta(milliseconds=number)
+
+
+def _get_header_number(headers: Headers, name: str, default: int | None) -> int:
+    text = headers.get(name, "")
+    if not text and default is not None:
+        return default
+    if not text.isascii() or not text.isdigit() or int(text) == 0:
+        raise CallRefusedError(
+            Reason.BAD_REQUEST,
+            f"header {name} must be a whole number from 1, got {text!r}",
+        )
+    return int(text)
+
+
+def _check_size(body: bytes) -> None:
+    if len(body) > BODY_LIMIT_BYTES:
+        raise CallRefusedError(
+            Reason.BODY_TOO_LARGE,
+            f"body is larger than {BODY_LIMIT_BYTES} bytes; send only the new turn",
+        )
+
+
+def _get_text(document: Mapping[str, Any], name: str) -> str:
+    value = document.get(name)
+    if not isinstance(value, str) or not value:
+        raise _bad(name, "a text that is not empty", value)
+    return value
+
+
+def _get_messages(document: Mapping[str, Any]) -> tuple[dict[str, str], ...]:
+    value = document.get("messages")
+    if not isinstance(value, list) or not value:
+        raise _bad("messages", "a list that is not empty", value)
+    return tuple(_get_message(message) for message in value)
+
+
+def _get_message(message: object) -> dict[str, str]:
+    if not isinstance(message, dict):
+        raise _bad("messages", "objects with role and content", message)
+    role = message.get("role")
+    content = message.get("content")
+    if role not in ROLES:
+        raise _bad("role", f"one of {', '.join(ROLES)}", role)
+    if not isinstance(content, str):
+        raise _bad("content", "a text", content)
+    return {"role": role, "content": content}
+
+
+def _bad(name: str, expected: str, got: object) -> CallRefusedError:
+    return CallRefusedError(
+        Reason.BAD_REQUEST, f"{name} must be {expected}, got {str(got)[:80]!r}"
+    )
--- /dev/null
+++ b/oleanderhitch/connection/caller/programs.py
@@ -0,0 +1,197 @@
+"""Serve the callers' requests about programs and outcomes."""
+
+import uuid
+from collections.abc import Callable, Mapping
+from datetime import timedelta
+from functools import singledispatch
+
+from oleanderhitch.connection.caller.exceptions import CallRefusedError
+from oleanderhitch.connection.caller.parsing import (
+    get_header,
+    get_whole_number,
+    parse_json_object,
+)
+from oleanderhitch.connection.codec import Codec
+from oleanderhitch.process.address import Address
+from oleanderhitch.process.clock import Clock
+from oleanderhitch.process.groups.client.messages import GroupResult, SubmitToGroup
+from oleanderhitch.process.ids import GroupId
+from oleanderhitch.process.intake.messages import GetProgramTerms, ProgramTerms
+from oleanderhitch.process.mailbox import make_mailbox
+from oleanderhitch.program.checks import find_program_id_fault
+from oleanderhitch.program.ids import AccountId, ProgramId
+from oleanderhitch.program.messages import (
+    Done,
+    EndProgram,
+    GetOutcome,
+    GetProgram,
+    ProgramSummary,
+    Refused,
+    RequestRecord,
+    StartProgram,
+)
+from oleanderhitch.program.states import EndReason
+from oleanderhitch.request.ids import RequestId
+from oleanderhitch.request.messages import AnswerCaller
+from oleanderhitch.request.states import Outcome, Reason
+
+STATE_TIMEOUT = timedelta(seconds=5)
+BUDGET_LIMIT_TOKENS = 1_000_000_000
+END_REASONS = {reason.value: reason for reason in EndReason}
+
+Headers = Mapping[str, str]
+GetGroup = Callable[[ProgramId], GroupId]
+
+
+class ProgramFront:
+    """Carry out requests about programs, each in the caller's own greenlet."""
+
+    def __init__(
+        self,
+        groups: Address,
+        intake: Address,
+        codec: Codec,
+        get_group: GetGroup,
+        clock: Clock,
+    ) -> None:
+        self._groups = groups
+        self._intake = intake
+        self._codec = codec
+        self._get_group = get_group
+        self._clock = clock
+
+    def start_program(self, headers: Headers, body: bytes) -> ProgramSummary:
+        """Return the new program's summary; raise CallRefusedError."""
+        account = AccountId(get_header(headers, "X-Account"))
+        document = parse_json_object(body)
+        parent = _get_program_id(document.get("parent"))
+        program = _get_program_id(document.get("program")) or _make_id(parent)
+        budget = None
+        if "budget_tokens" in document:
+            budget = get_whole_number(
+                document, "budget_tokens", 0, 1, BUDGET_LIMIT_TOKENS
+            )
+        terms = self._get_terms(account, budget)
+        command = StartProgram(
+            program,
+            account,
+            parent,
+            terms.budget_tokens,
+            terms.n_turns_limit,
+            terms.silence_limit,
+            self._clock.now(),
+        )
+        _check_result(self._submit(program, command, False))
+        return self._get_summary(account, program)
+
+    def get_program(self, headers: Headers, name: str) -> ProgramSummary:
+        """Return a program's summary; raise CallRefusedError."""
+        return self._get_summary(AccountId(get_header(headers, "X-Account")), name)
+
+    def end_program(self, headers: Headers, name: str) -> ProgramSummary:
+        """End a program and return its summary; raise CallRefusedError."""
+        account = AccountId(get_header(headers, "X-Account"))
+        summary = self._get_summary(account, name)
+        given = headers.get("X-End-Reason", EndReason.FINISHED.value)
+        reason = END_REASONS.get(given)
+        if reason not in (EndReason.FINISHED, EndReason.GIVEN_UP):
+            raise CallRefusedError(
+                Reason.BAD_REQUEST,
+                f"header X-End-Reason must be finished or given_up, got {given!r}",
+            )
+        command = EndProgram(summary.program, reason, self._clock.now())
+        _check_result(self._submit(summary.program, command, False))
+        return self._get_summary(account, name)
+
+    def get_outcome(self, headers: Headers, request: str) -> RequestRecord:
+        """Return what is recorded of a request; raise CallRefusedError."""
+        account = AccountId(get_header(headers, "X-Account"))
+        program = ProgramId(get_header(headers, "X-Program"))
+        self._get_summary(account, program)
+        query = GetOutcome(program, RequestId(request))
+        result = self._submit(program, query, True)
+        if isinstance(result, RequestRecord):
+            return result
+        _check_result(result)
+        raise CallRefusedError(Reason.STATE_UNAVAILABLE, "unexpected answer")
+
+    def _get_summary(self, account: AccountId, name: str) -> ProgramSummary:
+        program = _get_program_id(name)
+        assert program is not None
+        result = self._submit(program, GetProgram(program), True)
+        if isinstance(result, ProgramSummary) and result.account == account:
+            return result
+        if not isinstance(result, ProgramSummary):
+            _check_result(result)
+        raise CallRefusedError(
+            Reason.UNKNOWN_PROGRAM, f"account {account} has no program {program}"
+        )
+
+    def _get_terms(self, account: AccountId, budget: int | None) -> ProgramTerms:
+        mailbox = make_mailbox("terms")
+        self._intake.send(GetProgramTerms(account, budget, mailbox))
+        answer = mailbox.receive(STATE_TIMEOUT)
+        if isinstance(answer, ProgramTerms):
+            return answer
+        if isinstance(answer, AnswerCaller):
+            raise CallRefusedError(
+                answer.reason, answer.detail, answer.outcome, answer.retry_after
+            )
+        raise CallRefusedError(Reason.STATE_UNAVAILABLE, "intake does not answer")
+
+    def _submit(self, program: ProgramId, command: object, is_read: bool) -> object:
+        mailbox = make_mailbox("program")
+        self._groups.send(
+            SubmitToGroup(
+                self._get_group(program),
+                self._codec.encode(command),
+                is_read,
+                STATE_TIMEOUT,
+                "program",
+                mailbox,
+            )
+        )
+        result = mailbox.receive(STATE_TIMEOUT * 2)
+        if isinstance(result, GroupResult):
+            return self._codec.decode(result.body)
+        raise CallRefusedError(
+            Reason.STATE_UNAVAILABLE,
+            "the program's shard does not answer; repeat the request",
+            Outcome.UNKNOWN,
+            timedelta(seconds=1),
+        )
+
+
+def _make_id(parent: ProgramId | None) -> ProgramId:
+    name = uuid.uuid4().hex
+    return ProgramId(name if parent is None else f"{parent}/{name}")
+
+
+def _get_program_id(value: object) -> ProgramId | None:
+    if value is None:
+        return None
+    if not isinstance(value, str):
+        raise CallRefusedError(
+            Reason.BAD_REQUEST, f"program must be a text, got {type(value).__name__}"
+        )
+    fault = find_program_id_fault(value)
+    if fault is not None:
+        raise CallRefusedError(Reason.BAD_REQUEST, f"program id {value[:80]!r} {fault}")
+    return ProgramId(value)
+
+
+@singledispatch
+def _check_result(result: object) -> None:
+    raise CallRefusedError(
+        Reason.STATE_UNAVAILABLE, f"unexpected answer {type(result).__name__}"
+    )
+
+
+@_check_result.register
+def _(result: Done) -> None:
+    return None
+
+
+@_check_result.register
+def _(result: Refused) -> None:
+    raise CallRefusedError(Reason(result.reason.value), result.detail)
--- /dev/null
+++ b/oleanderhitch/connection/caller/rendering.py
@@ -0,0 +1,167 @@
+"""Turn answers into the JSON documents and events that callers receive."""
+
+import json
+from datetime import timedelta
+from functools import singledispatch
+from typing import Any
+
+from oleanderhitch.process.intake.messages import CallerCall
+from oleanderhitch.program.messages import ProgramSummary, RequestRecord
+from oleanderhitch.request.ids import RequestId
+from oleanderhitch.request.messages import AnswerCaller, ModelWork, ServiceWork
+from oleanderhitch.request.states import Outcome, Reason
+
+HTTP_STATUS = {
+    Reason.OK: 200,
+    Reason.BAD_REQUEST: 400,
+    Reason.BODY_TOO_LARGE: 413,
+    Reason.NOT_FOUND: 404,
+    Reason.UNKNOWN_MODEL: 404,
+    Reason.UNKNOWN_SERVICE: 404,
+    Reason.UNKNOWN_PROGRAM: 404,
+    Reason.UNKNOWN_REQUEST: 404,
+    Reason.PROGRAM_EXISTS: 409,
+    Reason.PROGRAM_ENDED: 409,
+    Reason.SEQUENCE_OUT_OF_ORDER: 409,
+    Reason.PREVIOUS_CALL_OPEN: 409,
+    Reason.REQUEST_ID_REUSED: 409,
+    Reason.REQUEST_IN_PROGRESS: 409,
+    Reason.REPEAT_NOT_ALLOWED: 409,
+    Reason.REQUEST_CLOSED: 409,
+    Reason.BUDGET_EXCEEDED: 402,
+    Reason.ATTEMPT_RECORDED: 409,
+    Reason.SUPERSEDED: 409,
+    Reason.HISTORY_FULL: 413,
+    Reason.PROGRAM_RUNNING: 409,
+    Reason.INVALID_COMMAND: 400,
+    Reason.LIMIT_EXCEEDED: 429,
+    Reason.PLACEMENT_NOT_ALLOWED: 403,
+    Reason.POOL_REFUSED: 503,
+    Reason.DEADLINE_EXCEEDED: 504,
+    Reason.STATE_UNAVAILABLE: 503,
+    Reason.NO_LEASE: 503,
+    Reason.SHUTTING_DOWN: 503,
+    Reason.ENDPOINT_FAILED: 502,
+    Reason.ENDPOINT_REFUSED: 502,
+    Reason.ANSWER_LOST: 502,
+}
+
+
+def get_http_status(answer: AnswerCaller) -> int:
+    """Return the HTTP status of an answer."""
+    if answer.outcome is Outcome.COMPLETED:
+        return 200
+    return HTTP_STATUS[answer.reason] if answer.reason is not Reason.OK else 502
+
+
+def render_error(
+    reason: Reason,
+    detail: str,
+    outcome: Outcome,
+    retry_after: timedelta | None = None,
+    request: RequestId | None = None,
+) -> dict[str, Any]:
+    """Return the documented JSON form of an error."""
+    retry_after_ms = None
+    if retry_after is not None:
+        retry_after_ms = round(retry_after.total_seconds() * 1000)
+    return {
+        "error": {
+            "code": reason.value,
+            "message": detail,
+            "outcome": outcome.value,
+            "retry_after_ms": retry_after_ms,
+            "request": request,
+        }
+    }
+
+
+def render_failure(call: CallerCall, answer: AnswerCaller) -> dict[str, Any]:
+    """Return the JSON form of an answer that is not completed."""
+    reason = answer.reason
+    detail = answer.detail
+    if answer.is_replay:
+        reason = Reason.ENDPOINT_FAILED
+        detail = f"the recorded outcome of this request is {answer.outcome.value}"
+    document = render_error(
+        reason, detail, answer.outcome, answer.retry_after, call.request
+    )
+    if answer.answer:
+        document["partial"] = answer.answer.decode(errors="replace")
+    return document
+
+
+@singledispatch
+def render_answer(work: object, call: CallerCall, answer: AnswerCaller) -> bytes:
+    """Return the body of a completed answer."""
+    raise TypeError(f"no answer form for {type(work).__name__}")
+
+
+@render_answer.register
+def _(work: ModelWork, call: CallerCall, answer: AnswerCaller) -> bytes:
+    content = answer.answer.decode(errors="replace")
+    document = {
+        "id": call.request,
+        "object": "chat.completion",
+        "model": work.model,
+        "choices": [
+            {
+                "index": 0,
+                "message": {"role": "assistant", "content": content},
+                "finish_reason": "stop",
+            }
+        ],
+        "outcome": answer.outcome.value,
+        "is_replay": answer.is_replay,
+    }
+    return json.dumps(document).encode()
+
+
+@render_answer.register
+def _(work: ServiceWork, call: CallerCall, answer: AnswerCaller) -> bytes:
+    return answer.answer
+
+
+def render_chunk(call: CallerCall, model: str, text: str) -> bytes:
+    """Return the event of a piece of a streamed answer."""
+    return render_event(
+        {
+            "id": call.request,
+            "object": "chat.completion.chunk",
+            "model": model,
+            "choices": [{"index": 0, "delta": {"content": text}}],
+        }
+    )
+
+
+def render_event(document: dict[str, Any]) -> bytes:
+    """Return a server-sent event."""
+    return b"data: " + json.dumps(document).encode() + b"\n\n"
+
+
+def render_program(summary: ProgramSummary) -> dict[str, Any]:
+    """Return the JSON form of a program's summary."""
+    return {
+        "program": summary.program,
+        "account": summary.account,
+        "parent": summary.parent,
+        "next_sequence": summary.next_sequence,
+        "n_turns": summary.n_turns,
+        "budget_tokens": summary.budget_tokens,
+        "reserved_tokens": summary.reserved_tokens,
+        "spent_tokens": summary.spent_tokens,
+        "end_reason": None if summary.end_reason is None else summary.end_reason.value,
+    }
+
+
+def render_record(record: RequestRecord) -> dict[str, Any]:
+    """Return the JSON form of a request's record."""
+    return {
+        "request": record.request,
+        "program": record.program,
+        "sequence": record.sequence,
+        "progress": record.progress.value,
+        "outcome": None if record.outcome is None else record.outcome.value,
+        "n_attempts": record.n_attempts,
+        "answer": record.answer.decode(errors="replace"),
+    }
--- /dev/null
+++ b/oleanderhitch/connection/peer/server.py
@@ -0,0 +1,67 @@
+"""Accept peer streams."""
+
+import gevent
+import logbook
+from gevent import socket
+from gevent.server import StreamServer
+
+from oleanderhitch.connection.codec import Codec
+from oleanderhitch.connection.ids import HostAddress
+from oleanderhitch.connection.peer.addresses import parse_address
+from oleanderhitch.connection.peer.handshake import Identity
+from oleanderhitch.connection.peer.stream import Deliver, PeerStream, StreamTiming
+from oleanderhitch.exceptions import OleanderhitchError
+from oleanderhitch.process.mailbox import make_mailbox
+from oleanderhitch.process.messages import StopTask
+
+log = logbook.Logger("peer")
+
+
+class PeerServer:
+    """Own the listening socket and one greenlet per accepted stream."""
+
+    def __init__(
+        self,
+        listen: HostAddress,
+        codec: Codec,
+        identity: Identity,
+        deliver: Deliver,
+        timing: StreamTiming,
+    ) -> None:
+        self._codec = codec
+        self._identity = identity
+        self._deliver = deliver
+        self._timing = timing
+        self._server = StreamServer(parse_address(listen), self._serve)
+
+    def start(self) -> None:
+        """Listen for peers."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Close the listening socket and every stream."""
+        self._server.stop(timeout=1)
+
+    def _serve(self, accepted: socket.socket, remote: object) -> None:
+        stream = PeerStream(accepted, self._codec, self._identity, self._timing)
+        outgoing = make_mailbox(f"peer {remote}")
+        try:
+            peer = stream.accept()
+            stream.run(peer, outgoing, self._deliver)
+        except OleanderhitchError as error:
+            log.info("stream from {} ended: {}", remote, error)
+        except gevent.GreenletExit:
+            outgoing.send(StopTask())
+        finally:
+            stream.close()
+
+
+def make_peer_server(
+    listen: HostAddress,
+    codec: Codec,
+    identity: Identity,
+    deliver: Deliver,
+    timing: StreamTiming | None = None,
+) -> PeerServer:
+    """Return a server that is not started yet."""
+    return PeerServer(listen, codec, identity, deliver, timing or StreamTiming())
--- /dev/null
+++ b/oleanderhitch/connection/registry.py
@@ -0,0 +1,17 @@
+"""Collect the message types that cross processes into one codec."""
+
+from oleanderhitch.connection.codec import Codec, make_codec
+from oleanderhitch.connection.peer import messages as peer
+from oleanderhitch.process.groups import messages as groups
+from oleanderhitch.process.scheduling import messages as scheduling
+from oleanderhitch.program import messages as program
+from oleanderhitch.request import messages as request
+
+MODULES = (peer, groups, scheduling, program, request)
+
+
+def make_project_codec() -> Codec:
+    """Return the codec that every process of the system uses."""
+    return make_codec(
+        message_type for module in MODULES for message_type in module.MESSAGES
+    )
--- /dev/null
+++ b/oleanderhitch/process/groups/client/__init__.py
@@ -0,0 +1,1 @@
+"""Call replicated groups from any process."""
--- /dev/null
+++ b/oleanderhitch/process/groups/client/core.py
@@ -0,0 +1,170 @@
+"""Decide which store a call goes to and when it is sent again."""
+
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+from functools import singledispatch
+from itertools import count
+
+from oleanderhitch.connection.ids import HostAddress
+from oleanderhitch.connection.peer.messages import LinkDown
+from oleanderhitch.process.groups.client.messages import (
+    GroupResult,
+    GroupTimedOut,
+    ReplyToCaller,
+    SendToStore,
+    SubmitToGroup,
+)
+from oleanderhitch.process.groups.messages import (
+    GroupAnswer,
+    GroupCall,
+    GroupRedirect,
+    GroupUncertain,
+)
+from oleanderhitch.process.ids import CallId, GroupId, NodeId, ReplicaId
+from oleanderhitch.process.messages import Tick
+
+# A leader answers within a few milliseconds; a call that waits longer than this
+# has probably met a store that is gone or cut off.
+RESEND_AFTER = timedelta(milliseconds=400)
+# While a group has no leader, every store redirects at once; the pause keeps
+# the client from asking in a tight loop.
+REDIRECT_PAUSE = timedelta(milliseconds=50)
+
+
+@dataclass(slots=True)
+class PendingCall:
+    """Hold a call that is not answered yet."""
+
+    submit: SubmitToGroup
+    call: GroupCall
+    expires_at: datetime
+    sent_at: datetime
+    resend_at: datetime
+    store: HostAddress
+
+
+@dataclass(slots=True)
+class ClientState:
+    """Hold the calls under way and the last known leader of each group."""
+
+    stores: dict[NodeId, HostAddress]
+    leaders: dict[GroupId, HostAddress] = field(default_factory=dict)
+    pending: dict[CallId, PendingCall] = field(default_factory=dict)
+    call_ids: count[int] = field(default_factory=lambda: count(1))
+
+
+def make_client_state(stores: dict[NodeId, HostAddress]) -> ClientState:
+    """Return a client that knows the stores and no leader."""
+    return ClientState(dict(stores))
+
+
+def get_node(replica: ReplicaId) -> NodeId:
+    """Return the node that runs a replica."""
+    return NodeId(replica.partition("#")[0])
+
+
+@singledispatch
+def handle(message: object, state: ClientState, now: datetime) -> list[object]:
+    """Return the effects of a message."""
+    raise TypeError(f"group client has no message {type(message).__name__}")
+
+
+@handle.register
+def _(message: SubmitToGroup, state: ClientState, now: datetime) -> list[object]:
+    call = GroupCall(
+        CallId(next(state.call_ids)), message.group, message.body, message.is_read
+    )
+    store = state.leaders.get(message.group) or next(iter(state.stores.values()))
+    pending = PendingCall(
+        message, call, now + message.timeout, now, now + RESEND_AFTER, store
+    )
+    state.pending[call.call] = pending
+    return [SendToStore(store, call)]
+
+
+@handle.register
+def _(message: GroupAnswer, state: ClientState, now: datetime) -> list[object]:
+    pending = state.pending.pop(message.call, None)
+    if pending is None:
+        return []
+    state.leaders[pending.call.group] = pending.store
+    result = GroupResult(pending.submit.tag, message.body)
+    return [ReplyToCaller(pending.submit.reply, result)]
+
+
+@handle.register
+def _(message: GroupRedirect, state: ClientState, now: datetime) -> list[object]:
+    pending = state.pending.get(message.call)
+    if pending is None:
+        return []
+    hinted = None
+    if message.leader is not None:
+        hinted = state.stores.get(get_node(message.leader))
+    if hinted is not None and hinted != pending.store:
+        state.leaders[pending.call.group] = hinted
+        return _send(pending, hinted, now)
+    state.leaders.pop(pending.call.group, None)
+    pending.store = _get_next_store(state, pending.store)
+    pending.resend_at = now + REDIRECT_PAUSE
+    return []
+
+
+@handle.register
+def _(message: GroupUncertain, state: ClientState, now: datetime) -> list[object]:
+    pending = state.pending.get(message.call)
+    if pending is not None:
+        pending.resend_at = now + REDIRECT_PAUSE
+        pending.store = _get_next_store(state, pending.store)
+    return []
+
+
+@handle.register
+def _(message: LinkDown, state: ClientState, now: datetime) -> list[object]:
+    for group in [g for g, store in state.leaders.items() if store == message.peer]:
+        del state.leaders[group]
+    for pending in state.pending.values():
+        if pending.store == message.peer:
+            pending.store = _get_next_store(state, message.peer)
+            pending.resend_at = min(pending.resend_at, now + REDIRECT_PAUSE)
+    return []
+
+
+@handle.register
+def _(message: Tick, state: ClientState, now: datetime) -> list[object]:
+    effects: list[object] = []
+    for pending in list(state.pending.values()):
+        if now >= pending.expires_at:
+            del state.pending[pending.call.call]
+            timed_out = GroupTimedOut(
+                pending.submit.tag,
+                f"group {pending.call.group} did not answer within "
+                f"{pending.submit.timeout.total_seconds():.1f} s",
+            )
+            effects.append(ReplyToCaller(pending.submit.reply, timed_out))
+        elif now >= pending.resend_at:
+            effects.extend(_resend(pending, state, now))
+    return effects
+
+
+def _resend(pending: PendingCall, state: ClientState, now: datetime) -> list[object]:
+    leader = state.leaders.get(pending.call.group)
+    if leader is None or leader == pending.store:
+        # The store that was asked last stayed silent, or it redirected and the
+        # next one is chosen already.
+        silent = pending.resend_at - pending.sent_at >= RESEND_AFTER
+        leader = _get_next_store(state, pending.store) if silent else pending.store
+        state.leaders.pop(pending.call.group, None)
+    return _send(pending, leader, now)
+
+
+def _send(pending: PendingCall, store: HostAddress, now: datetime) -> list[object]:
+    pending.store = store
+    pending.sent_at = now
+    pending.resend_at = now + RESEND_AFTER
+    return [SendToStore(store, pending.call)]
+
+
+def _get_next_store(state: ClientState, store: HostAddress) -> HostAddress:
+    stores = list(state.stores.values())
+    position = stores.index(store) if store in stores else -1
+    return stores[(position + 1) % len(stores)]
--- /dev/null
+++ b/oleanderhitch/process/groups/client/messages.py
@@ -0,0 +1,57 @@
+"""Define the messages and effects of the client of replicated groups."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+from oleanderhitch.connection.ids import HostAddress
+from oleanderhitch.process.address import Address
+from oleanderhitch.process.groups.messages import GroupCall
+from oleanderhitch.process.ids import GroupId
+
+
+@dataclass(frozen=True, slots=True)
+class SubmitToGroup:
+    """Ask for a call to be carried to the group's leader.
+
+    The call is sent again until it is answered or the timeout passes, so the
+    command must be one that the group may receive twice.
+    """
+
+    group: GroupId
+    body: bytes
+    is_read: bool
+    timeout: timedelta
+    tag: str
+    reply: Address
+
+
+@dataclass(frozen=True, slots=True)
+class GroupResult:
+    """Bring the encoded result of a call."""
+
+    tag: str
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class GroupTimedOut:
+    """Say that a call was not answered in time; it may have taken effect."""
+
+    tag: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class SendToStore:
+    """Send a call to a store."""
+
+    store: HostAddress
+    call: GroupCall
+
+
+@dataclass(frozen=True, slots=True)
+class ReplyToCaller:
+    """Send a result to the task that asked."""
+
+    reply: Address
+    message: GroupResult | GroupTimedOut
--- a/oleanderhitch/process/groups/messages.py
+++ b/oleanderhitch/process/groups/messages.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass
 
+from oleanderhitch.process.address import Address
 from oleanderhitch.process.ids import CallId, GroupId, ReplicaId
-from oleanderhitch.process.mailbox import Address
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/oleanderhitch/process/intake/__init__.py
@@ -0,0 +1,1 @@
+"""Admit calls and keep track of the requests in progress."""
--- /dev/null
+++ b/oleanderhitch/process/intake/core.py
@@ -0,0 +1,296 @@
+"""Decide which calls an entry host takes on."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from datetime import UTC, datetime, timedelta
+from functools import singledispatch
+
+from oleanderhitch.process.address import Address
+from oleanderhitch.process.ids import NodeId
+from oleanderhitch.process.intake.messages import (
+    BeginDrain,
+    CallerCall,
+    CheckNode,
+    ConfigurationInstalled,
+    Drained,
+    GetProgramTerms,
+    GetReadiness,
+    LeaseRenewed,
+    ProgramTerms,
+    Readiness,
+    RequestEnded,
+    SendAnswer,
+    StartRequest,
+    SubmitCall,
+)
+from oleanderhitch.program.ids import AccountId
+from oleanderhitch.request.ids import RequestId
+from oleanderhitch.request.messages import (
+    AnswerCaller,
+    Call,
+    ModelWork,
+    OwnerChecked,
+    ServiceWork,
+    Work,
+)
+from oleanderhitch.request.states import Outcome, Reason
+from oleanderhitch.version.configuration import AccountRules, Configuration, Pool
+from oleanderhitch.version.exceptions import UndeclaredNameError
+from oleanderhitch.version.ids import DataCentreName, OperationName, ServiceName
+
+RETRY_AFTER = timedelta(seconds=1)
+# Chat templates add a few tokens around each message.
+TEMPLATE_TOKENS = 16
+NEVER = datetime.min.replace(tzinfo=UTC)
+
+
+@dataclass(slots=True)
+class IntakeState:
+    """Hold what an entry host needs to take on a call."""
+
+    node: NodeId
+    data_centre: DataCentreName
+    configuration: Configuration | None = None
+    lease_until: datetime = NEVER
+    live_nodes: frozenset[NodeId] = frozenset()
+    requests: set[RequestId] = field(default_factory=set)
+    drain_reply: Address | None = None
+
+
+def make_intake_state(node: NodeId, data_centre: DataCentreName) -> IntakeState:
+    """Return an intake that has no configuration and no lease yet."""
+    return IntakeState(node, data_centre)
+
+
+@singledispatch
+def handle(message: object, state: IntakeState, now: datetime) -> list[object]:
+    """Return the effects of a message."""
+    raise TypeError(f"intake has no message {type(message).__name__}")
+
+
+@handle.register
+def _(message: SubmitCall, state: IntakeState, now: datetime) -> list[object]:
+    result = _admit(message.call, state, now)
+    if isinstance(result, AnswerCaller):
+        return [SendAnswer(message.reply, result)]
+    state.requests.add(result.request)
+    return [StartRequest(result, message.reply)]
+
+
+@handle.register
+def _(message: GetProgramTerms, state: IntakeState, now: datetime) -> list[object]:
+    refusal = _find_pause(state, now)
+    rules = refusal or _find_rules(state, message.account)
+    if isinstance(rules, AnswerCaller):
+        return [SendAnswer(message.reply, rules)]
+    budget = rules.budget_tokens
+    if message.budget_tokens is not None:
+        budget = min(budget, message.budget_tokens)
+    terms = ProgramTerms(budget, rules.n_turns_limit, rules.silence_limit)
+    return [SendAnswer(message.reply, terms)]
+
+
+@handle.register
+def _(message: CheckNode, state: IntakeState, now: datetime) -> list[object]:
+    # A request of this host that still ran would not have been admitted again,
+    # so a record under this host's own name is left from an ended task.
+    is_gone = message.node == state.node or message.node not in state.live_nodes
+    return [SendAnswer(message.reply, OwnerChecked(is_gone))]
+
+
+@handle.register
+def _(
+    message: ConfigurationInstalled, state: IntakeState, now: datetime
+) -> list[object]:
+    state.configuration = message.configuration
+    return []
+
+
+@handle.register
+def _(message: LeaseRenewed, state: IntakeState, now: datetime) -> list[object]:
+    state.lease_until = message.valid_until
+    state.live_nodes = message.live_nodes
+    return []
+
+
+@handle.register
+def _(message: RequestEnded, state: IntakeState, now: datetime) -> list[object]:
+    state.requests.discard(message.request)
+    return _report_drained(state)
+
+
+@handle.register
+def _(message: BeginDrain, state: IntakeState, now: datetime) -> list[object]:
+    state.drain_reply = message.reply
+    return _report_drained(state)
+
+
+@handle.register
+def _(message: GetReadiness, state: IntakeState, now: datetime) -> list[object]:
+    pause = _find_pause(state, now)
+    detail = "accepting calls" if pause is None else pause.detail
+    readiness = Readiness(pause is None, detail, len(state.requests))
+    return [SendAnswer(message.reply, readiness)]
+
+
+def _report_drained(state: IntakeState) -> list[object]:
+    if state.drain_reply is None or state.requests:
+        return []
+    return [SendAnswer(state.drain_reply, Drained())]
+
+
+def _admit(call: CallerCall, state: IntakeState, now: datetime) -> Call | AnswerCaller:
+    refusal = _find_pause(state, now)
+    if refusal is not None:
+        return refusal
+    if call.request in state.requests:
+        return AnswerCaller(
+            Outcome.UNKNOWN,
+            b"",
+            Reason.REQUEST_IN_PROGRESS,
+            "this request is in progress; ask for its outcome later",
+            RETRY_AFTER,
+        )
+    rules = _find_rules(state, call.account)
+    if isinstance(rules, AnswerCaller):
+        return rules
+    pool = _find_pool(state, call.work, rules)
+    if isinstance(pool, AnswerCaller):
+        return pool
+    return _make_call(call, pool, rules, state, now)
+
+
+def _make_call(
+    call: CallerCall,
+    pool: Pool,
+    rules: AccountRules,
+    state: IntakeState,
+    now: datetime,
+) -> Call:
+    assert state.configuration is not None
+    excluded = tuple(
+        endpoint.id
+        for endpoint in pool.endpoints
+        if not rules.may_run_in(endpoint.data_centre)
+    )
+    return Call(
+        call.request,
+        call.account,
+        call.program,
+        call.sequence,
+        pool.id,
+        call.work,
+        is_idempotent(call.work, state.configuration),
+        estimate_tokens(call.work),
+        call.digest,
+        now + call.time_limit,
+        excluded,
+        call.trace,
+    )
+
+
+def _find_pause(state: IntakeState, now: datetime) -> AnswerCaller | None:
+    if state.drain_reply is not None:
+        return _refuse(Reason.SHUTTING_DOWN, "this host is shutting down")
+    if state.configuration is None:
+        return _refuse(Reason.NO_LEASE, "this host has no configuration yet")
+    if now >= state.lease_until:
+        # Rules may have changed without this host's knowledge.
+        return _refuse(
+            Reason.NO_LEASE, "this host has lost touch with the configuration group"
+        )
+    return None
+
+
+def _refuse(
+    reason: Reason, detail: str, retry_after: timedelta | None = RETRY_AFTER
+) -> AnswerCaller:
+    return AnswerCaller(Outcome.NOT_RUN, b"", reason, detail, retry_after)
+
+
+def _find_rules(state: IntakeState, account: AccountId) -> AccountRules | AnswerCaller:
+    assert state.configuration is not None
+    try:
+        return state.configuration.get_account_rules(account)
+    except UndeclaredNameError as error:
+        return _refuse(Reason.PLACEMENT_NOT_ALLOWED, str(error), None)
+
+
+def _find_pool(
+    state: IntakeState, work: Work, rules: AccountRules
+) -> Pool | AnswerCaller:
+    configuration = state.configuration
+    assert configuration is not None
+    name, unknown = get_pool_name(work)
+    pools = _order_pools(configuration.list_pools(name), state)
+    if not pools:
+        return _refuse(unknown, f"no endpoint serves {name!r}", None)
+    for pool in pools:
+        if any(rules.may_run_in(endpoint.data_centre) for endpoint in pool.endpoints):
+            return pool
+    return _refuse(
+        Reason.PLACEMENT_NOT_ALLOWED,
+        f"work of account {rules.account} may not run where {name!r} is served",
+        None,
+    )
+
+
+def _order_pools(pools: Sequence[Pool], state: IntakeState) -> list[Pool]:
+    """Return the pools, those of this host's region first."""
+    assert state.configuration is not None
+    region = state.configuration.data_centres.get(state.data_centre)
+    return sorted(pools, key=lambda pool: pool.region != region)
+
+
+@singledispatch
+def get_pool_name(work: object) -> tuple[str, Reason]:
+    """Return the name that pools serve and the reason when there is none."""
+    raise TypeError(f"no pool for {type(work).__name__}")
+
+
+@get_pool_name.register
+def _(work: ModelWork) -> tuple[str, Reason]:
+    return work.model, Reason.UNKNOWN_MODEL
+
+
+@get_pool_name.register
+def _(work: ServiceWork) -> tuple[str, Reason]:
+    return work.service, Reason.UNKNOWN_SERVICE
+
+
+@singledispatch
+def is_idempotent(work: object, configuration: Configuration) -> bool:
+    """Return whether the work may run more than once."""
+    raise TypeError(f"no repeat rule for {type(work).__name__}")
+
+
+@is_idempotent.register
+def _(work: ModelWork, configuration: Configuration) -> bool:
+    return True
+
+
+@is_idempotent.register
+def _(work: ServiceWork, configuration: Configuration) -> bool:
+    return configuration.is_idempotent(
+        ServiceName(work.service), OperationName(work.operation)
+    )
+
+
+@singledispatch
+def estimate_tokens(work: object) -> int:
+    """Return the most tokens that the new turn may add, history apart."""
+    raise TypeError(f"no token estimate for {type(work).__name__}")
+
+
+@estimate_tokens.register
+def _(work: ModelWork) -> int:
+    # A token has one byte at least, so bytes bound the prompt from above.
+    prompt = sum(
+        len(message["content"].encode()) + TEMPLATE_TOKENS for message in work.messages
+    )
+    return prompt + work.max_tokens
+
+
+@estimate_tokens.register
+def _(work: ServiceWork) -> int:
+    return 0
--- /dev/null
+++ b/oleanderhitch/process/intake/messages.py
@@ -0,0 +1,126 @@
+"""Define the messages and effects of the intake of an entry host."""
+
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+
+from oleanderhitch.process.address import Address
+from oleanderhitch.process.ids import NodeId
+from oleanderhitch.program.ids import AccountId, ProgramId, SequenceNumber
+from oleanderhitch.request.ids import RequestId
+from oleanderhitch.request.messages import AnswerCaller, Call, Work
+from oleanderhitch.version.configuration import Configuration
+
+
+@dataclass(frozen=True, slots=True)
+class CallerCall:
+    """Hold a call as its caller stated it."""
+
+    request: RequestId
+    account: AccountId
+    program: ProgramId
+    sequence: SequenceNumber
+    work: Work
+    digest: str
+    time_limit: timedelta
+    trace: dict[str, str] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class SubmitCall:
+    """Ask for a call to be served; chunks and the answer go to the address."""
+
+    call: CallerCall
+    reply: Address
+
+
+@dataclass(frozen=True, slots=True)
+class ProgramTerms:
+    """Hold the limits that a new program gets."""
+
+    budget_tokens: int
+    n_turns_limit: int
+    silence_limit: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class GetProgramTerms:
+    """Ask whether an account may start a program and with which limits."""
+
+    account: AccountId
+    budget_tokens: int | None
+    reply: Address
+
+
+@dataclass(frozen=True, slots=True)
+class CheckNode:
+    """Ask whether a node that began a request may still be working on it."""
+
+    request: RequestId
+    node: NodeId
+    reply: Address
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationInstalled:
+    """Bring a newer configuration."""
+
+    configuration: Configuration
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseRenewed:
+    """Bring the time until which new work may start, and the gone nodes."""
+
+    valid_until: datetime
+    live_nodes: frozenset[NodeId]
+
+
+@dataclass(frozen=True, slots=True)
+class RequestEnded:
+    """Bring the news that a request task ended."""
+
+    request: RequestId
+
+
+@dataclass(frozen=True, slots=True)
+class BeginDrain:
+    """Ask for no new work and for word when the last request has ended."""
+
+    reply: Address
+
+
+@dataclass(frozen=True, slots=True)
+class Drained:
+    """Say that no request is in progress any more."""
+
+
+@dataclass(frozen=True, slots=True)
+class GetReadiness:
+    """Ask whether new work is accepted."""
+
+    reply: Address
+
+
+@dataclass(frozen=True, slots=True)
+class Readiness:
+    """Say whether new work is accepted, and what is in progress."""
+
+    is_ready: bool
+    detail: str
+    n_requests: int
+
+
+@dataclass(frozen=True, slots=True)
+class StartRequest:
+    """Start a request task."""
+
+    call: Call
+    reply: Address
+
+
+@dataclass(frozen=True, slots=True)
+class SendAnswer:
+    """Send a message to the address that asked."""
+
+    reply: Address
+    message: AnswerCaller | ProgramTerms | Readiness | Drained | object
--- a/oleanderhitch/process/mailbox.py
+++ b/oleanderhitch/process/mailbox.py
@@ -1,26 +1,15 @@
 """Provide the addresses that tasks send messages to."""
 
 from datetime import timedelta
-from typing import Protocol
 
 from gevent import queue as gevent_queue
 
-from oleanderhitch.exceptions import UnavailableError
+from oleanderhitch.process.address import Address as Address
+from oleanderhitch.process.address import MailboxFullError as MailboxFullError
 
 MAILBOX_CAPACITY_MESSAGES = 10_000
 
 
-class MailboxFullError(UnavailableError):
-    """Signal that a task has more waiting messages than it may hold."""
-
-
-class Address(Protocol):
-    """Accept messages for a task."""
-
-    def send(self, message: object) -> None:
-        """Queue a message; raise MailboxFullError when there is no room."""
-
-
 class Mailbox:
     """Hold the messages that one task has yet to handle."""
 
--- /dev/null
+++ b/oleanderhitch/process/routing/task.py
@@ -0,0 +1,133 @@
+"""Run the pool router with its queues and its links to other entry hosts."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+from functools import singledispatch
+
+from oleanderhitch.connection.ids import HostAddress
+from oleanderhitch.connection.peer.link import PeerLink
+from oleanderhitch.process.clock import Clock
+from oleanderhitch.process.ids import NodeId
+from oleanderhitch.process.routing.core import RouterState, handle, make_router_state
+from oleanderhitch.process.routing.messages import (
+    LinkNodes,
+    NotifyRequest,
+    PoolAnswered,
+    ReportStatus,
+    SendToNode,
+    SendToPool,
+)
+from oleanderhitch.process.routing.states import PoolRole
+from oleanderhitch.process.scheduling.core import PoolState, make_pool
+from oleanderhitch.process.scheduling.core import handle as handle_pool
+from oleanderhitch.process.scheduling.messages import GrantSlot, RefuseRequest
+from oleanderhitch.process.scheduling.settings import PoolSettings
+from oleanderhitch.process.task import Task, make_task
+from oleanderhitch.version.ids import PoolId
+
+POOL_TICK_INTERVAL = timedelta(milliseconds=100)
+
+MakeLink = Callable[[HostAddress], PeerLink]
+
+
+@dataclass(slots=True)
+class RouterResources:
+    """Hold what the router task alone uses: queues and links."""
+
+    clock: Clock
+    make_link: MakeLink
+    settings: PoolSettings
+    random_source: random.Random
+    pools: dict[tuple[PoolId, PoolRole], Task[PoolState]] = field(default_factory=dict)
+    links: dict[NodeId, PeerLink] = field(default_factory=dict)
+    router: Task[RouterState] | None = None
+
+
+def make_pool_router(
+    node: NodeId,
+    make_link: MakeLink,
+    settings: PoolSettings,
+    clock: Clock,
+    random_source: random.Random,
+) -> Task[RouterState]:
+    """Return a router that is not started yet."""
+    resources = RouterResources(clock, make_link, settings, random_source)
+
+    def perform(effect: object) -> None:
+        perform_effect(effect, resources)
+
+    task = make_task("pool router", make_router_state(node), handle, perform, clock)
+    resources.router = task
+    return task
+
+
+@singledispatch
+def perform_effect(effect: object, resources: RouterResources) -> None:
+    """Perform an effect of the router."""
+    raise TypeError(f"pool router has no effect {type(effect).__name__}")
+
+
+@perform_effect.register
+def _(effect: SendToPool, resources: RouterResources) -> None:
+    key = (effect.pool, effect.role)
+    pool = resources.pools.get(key)
+    if pool is None:
+        pool = _start_pool(effect.pool, effect.role, resources)
+        resources.pools[key] = pool
+    pool.send(effect.message)
+
+
+@perform_effect.register
+def _(effect: SendToNode, resources: RouterResources) -> None:
+    link = resources.links.get(effect.node)
+    if link is not None:
+        link.send(effect.message)
+
+
+@perform_effect.register
+def _(effect: LinkNodes, resources: RouterResources) -> None:
+    for node, link in list(resources.links.items()):
+        if effect.addresses.get(node) != link.peer:
+            link.stop()
+            del resources.links[node]
+    for node, address in effect.addresses.items():
+        if node not in resources.links:
+            link = resources.make_link(address)
+            link.start()
+            resources.links[node] = link
+
+
+@perform_effect.register
+def _(effect: NotifyRequest, resources: RouterResources) -> None:
+    effect.reply.send(effect.message)
+
+
+@perform_effect.register
+def _(effect: ReportStatus, resources: RouterResources) -> None:
+    effect.reply.send(effect.status)
+
+
+def _start_pool(
+    pool: PoolId, role: PoolRole, resources: RouterResources
+) -> Task[PoolState]:
+    router = resources.router
+    assert router is not None
+
+    def perform(effect: object) -> None:
+        assert isinstance(effect, GrantSlot | RefuseRequest)
+        router.send(PoolAnswered(role, effect))
+
+    source = random.Random(resources.random_source.getrandbits(64))
+    state = make_pool(pool, resources.settings, source)
+    task = make_task(
+        f"queue {pool} {role.value}",
+        state,
+        handle_pool,
+        perform,
+        resources.clock,
+        POOL_TICK_INTERVAL,
+    )
+    task.start()
+    return task
--- a/oleanderhitch/program/entries.py
+++ b/oleanderhitch/program/entries.py
@@ -83,6 +83,7 @@
     holders: dict[EndpointId, int] = field(default_factory=dict)
     released: dict[EndpointId, None] = field(default_factory=dict)
     n_holds: int = 0
+    context_tokens: int = 0
 
     @property
     def next_sequence(self) -> SequenceNumber:
--- a/oleanderhitch/program/messages.py
+++ b/oleanderhitch/program/messages.py
@@ -34,6 +34,9 @@
 class BeginRequest:
     """Record a call in order and reserve its worst case spend.
 
+    The reservation covers the new turn; the shard adds the tokens of the
+    history, which only it knows, when the call uses it.
+
     The run names one request task, so that a resent command is told apart from
     a command of another task that serves the same request.
     """
@@ -48,6 +51,8 @@
     digest: str
     at: datetime
     run: RunId = NO_RUN
+    account: AccountId | None = None
+    uses_history: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,7 +90,8 @@
     """Record the outcome of a call and settle its spend.
 
     The spend is that of the attempt that gave the answer; other attempts that
-    have not failed count with their whole reservation.
+    have not failed count with their whole reservation. The context is the size
+    of the prompt and answer, which the next call's prompt begins with.
     """
 
     program: ProgramId
@@ -96,6 +102,7 @@
     at: datetime
     run: RunId = NO_RUN
     attempt: AttemptNumber | None = None
+    context_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -196,6 +203,7 @@
     history: tuple[Turn, ...]
     attained_tokens: int
     holders: tuple[EndpointId, ...]
+    reserved_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/oleanderhitch/program/ordering.py
+++ b/oleanderhitch/program/ordering.py
@@ -26,6 +26,11 @@
     state: ShardState, entry: ProgramEntry, command: BeginRequest
 ) -> object:
     """Record a call in order, or return what is recorded of its request id."""
+    if command.account not in (None, entry.account):
+        return Refused(
+            Refusal.UNKNOWN_PROGRAM,
+            f"account {command.account} has no program {command.program}",
+        )
     known = entry.open_request
     if known is not None and known.request == command.request:
         return _repeat_open(state, entry, known, command)
@@ -38,7 +43,7 @@
         _find_size_refusal(entry, command)
         or _find_order_refusal(entry, command)
         or _end_when_due(state, entry, command)
-        or reserve(state, entry, command.reserved_tokens)
+        or reserve(state, entry, _get_reserved_tokens(entry, command))
     )
     if refusal is not None:
         return refusal
@@ -52,10 +57,15 @@
         command.is_idempotent,
         command.digest,
         command.content,
-        command.reserved_tokens,
+        _get_reserved_tokens(entry, command),
     )
     touch(state, entry, command.at)
-    return _make_begun(state, entry)
+    return _make_begun(state, entry, command)
+
+
+def _get_reserved_tokens(entry: ProgramEntry, command: BeginRequest) -> int:
+    history = entry.context_tokens if command.uses_history else 0
+    return history + command.reserved_tokens
 
 
 def _repeat_open(
@@ -71,7 +81,7 @@
         return _run_again(state, entry, known, command)
     is_resent = command.run == known.run != NO_RUN
     if is_resent and not known.is_interrupted:
-        return _make_begun(state, entry)
+        return _make_begun(state, entry, command)
     return make_open_record(entry, known)
 
 
@@ -81,20 +91,22 @@
     known: RequestEntry,
     command: BeginRequest,
 ) -> object:
-    refusal = reserve(state, entry, command.reserved_tokens)
+    reserved = _get_reserved_tokens(entry, command)
+    refusal = reserve(state, entry, reserved)
     if refusal is not None:
         return refusal
     known.node = command.node
     known.run = command.run
-    known.spare_tokens = command.reserved_tokens
+    known.spare_tokens = reserved
     known.is_interrupted = False
     touch(state, entry, command.at)
-    return _make_begun(state, entry)
+    return _make_begun(state, entry, command)
 
 
-def _make_begun(state: ShardState, entry: ProgramEntry) -> Begun:
+def _make_begun(state: ShardState, entry: ProgramEntry, command: BeginRequest) -> Begun:
     history = get_turns(state.history, entry.program)
-    return Begun(history, entry.spent_tokens, tuple(entry.holders))
+    reserved = _get_reserved_tokens(entry, command)
+    return Begun(history, entry.spent_tokens, tuple(entry.holders), reserved)
 
 
 def _refuse_reused(command: BeginRequest) -> Refused:
--- a/oleanderhitch/program/outcomes.py
+++ b/oleanderhitch/program/outcomes.py
@@ -45,6 +45,8 @@
     settle(state, entry, _get_reserved_tokens(known), max(0, spent) + doubtful)
     touch(state, entry, command.at)
     _end_request(state, entry, known, command.outcome, command.answer, False)
+    if command.context_tokens:
+        entry.context_tokens = command.context_tokens
     return Done()
 
 
--- /dev/null
+++ b/oleanderhitch/request/core.py
@@ -0,0 +1,563 @@
+"""Decide the course of one request from its record to its answer."""
+
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+from functools import singledispatch
+
+from oleanderhitch.process.messages import Tick
+from oleanderhitch.program.ids import RunId
+from oleanderhitch.program.messages import NO_RUN, Begun, Refused, RequestRecord
+from oleanderhitch.request.ids import AttemptNumber, PermitId
+from oleanderhitch.request.messages import (
+    AnswerCaller,
+    AttemptRecorded,
+    AttemptRefused,
+    BeginAnswered,
+    Call,
+    CancelAttempt,
+    CheckOwner,
+    ChunkReceived,
+    CloseAnswered,
+    Dispatch,
+    EndTask,
+    EnqueueCall,
+    FinishRecorded,
+    FinishRefused,
+    LookupAnswered,
+    LookUpCall,
+    OwnerChecked,
+    RelayChunk,
+    ReleasePermit,
+    ShardUnreachable,
+    SlotGranted,
+    SlotRefused,
+    Start,
+    StreamEnded,
+    StreamFailed,
+    SubmitAttempt,
+    SubmitBegin,
+    SubmitClose,
+    SubmitFailedAttempt,
+    SubmitFinish,
+    WithdrawCall,
+)
+from oleanderhitch.request.states import Outcome, Phase, Reason
+from oleanderhitch.version.ids import EndpointId
+
+# A third endpoint that fails as well points at the request, not the endpoints.
+ATTEMPT_LIMIT = 3
+# The outcome of a request is recorded in the background for this long after
+# its caller was answered without it.
+FINISH_RETRY_LIMIT = timedelta(minutes=10)
+FINISH_RETRY_PAUSE = timedelta(milliseconds=200)
+RETRY_AFTER_UNAVAILABLE = timedelta(seconds=1)
+
+
+@dataclass(slots=True)
+class Attempt:
+    """Hold one attempt that is under way."""
+
+    number: AttemptNumber
+    endpoint: EndpointId
+    permit: PermitId
+    priority: int
+    started_at: datetime
+    first_token: timedelta | None = None
+    is_dispatched: bool = False
+    base: int = 0
+
+
+@dataclass(slots=True)
+class RequestState:
+    """Hold the course of one request."""
+
+    call: Call
+    phase: Phase = Phase.BEGIN
+    begun: Begun | None = None
+    owner_run: RunId = NO_RUN
+    n_attempts: int = 0
+    attempts: dict[AttemptNumber, Attempt] = field(default_factory=dict)
+    relaying: AttemptNumber | None = None
+    answer: bytearray = field(default_factory=bytearray)
+    excluded: tuple[EndpointId, ...] = ()
+    was_sent: bool = False
+    # Attempts that were recorded, or may have been, and were never sent.
+    unsent: tuple[SubmitFailedAttempt, ...] = ()
+    answered: AttemptNumber | None = None
+    finish: tuple[object, ...] = ()
+    finish_until: datetime | None = None
+    retry_finish_at: datetime | None = None
+    pending_answer: AnswerCaller | None = None
+
+
+def make_request_state(call: Call) -> RequestState:
+    """Return the state of a request that has not started."""
+    return RequestState(call, excluded=call.excluded)
+
+
+@singledispatch
+def handle(message: object, state: RequestState, now: datetime) -> list[object]:
+    """Return the effects of a message."""
+    raise TypeError(f"request has no message {type(message).__name__}")
+
+
+@handle.register
+def _(message: Start, state: RequestState, now: datetime) -> list[object]:
+    return [SubmitBegin()]
+
+
+@handle.register
+def _(message: BeginAnswered, state: RequestState, now: datetime) -> list[object]:
+    if state.phase is not Phase.BEGIN:
+        return []
+    return _continue_begin(message.result, state, now)
+
+
+@singledispatch
+def _continue_begin(result: object, state: RequestState, now: datetime) -> list[object]:
+    raise TypeError(f"begin has no result {type(result).__name__}")
+
+
+@_continue_begin.register
+def _(result: Begun, state: RequestState, now: datetime) -> list[object]:
+    state.begun = result
+    return _enqueue(state)
+
+
+@_continue_begin.register
+def _(result: RequestRecord, state: RequestState, now: datetime) -> list[object]:
+    if result.outcome is None:
+        state.phase = Phase.OWNER_CHECK
+        state.owner_run = result.run
+        return [CheckOwner(result.node)]
+    answer = AnswerCaller(result.outcome, result.answer, Reason.OK, is_replay=True)
+    return _end(state, answer)
+
+
+@_continue_begin.register
+def _(result: Refused, state: RequestState, now: datetime) -> list[object]:
+    reason = Reason(result.reason.value)
+    return _end(state, AnswerCaller(Outcome.NOT_RUN, b"", reason, result.detail))
+
+
+@handle.register
+def _(message: OwnerChecked, state: RequestState, now: datetime) -> list[object]:
+    if state.phase is not Phase.OWNER_CHECK:
+        return []
+    if message.is_gone:
+        return [SubmitClose(state.owner_run)]
+    answer = AnswerCaller(
+        Outcome.UNKNOWN,
+        b"",
+        Reason.REQUEST_IN_PROGRESS,
+        "another host works on this request; ask for its outcome later",
+        RETRY_AFTER_UNAVAILABLE,
+    )
+    return _end(state, answer)
+
+
+@handle.register
+def _(message: CloseAnswered, state: RequestState, now: datetime) -> list[object]:
+    if state.phase is not Phase.OWNER_CHECK:
+        return []
+    state.phase = Phase.BEGIN
+    return [SubmitBegin()]
+
+
+@handle.register
+def _(message: SlotGranted, state: RequestState, now: datetime) -> list[object]:
+    number = AttemptNumber(state.n_attempts + 1)
+    attempt = Attempt(number, message.endpoint, message.permit, message.priority, now)
+    if not _is_slot_wanted(message, state):
+        return [_make_release(attempt, False, now)]
+    state.n_attempts += 1
+    state.attempts[number] = attempt
+    record = SubmitAttempt(number, message.endpoint, _get_reserved_tokens(state))
+    if not state.call.is_idempotent:
+        # The record must be durable before the first byte goes out: after a
+        # crash nobody else may send the call again.
+        state.phase = Phase.ATTEMPT_RECORD
+        return [record]
+    state.phase = Phase.ANSWER
+    return [record, _dispatch(state, attempt)]
+
+
+def _is_slot_wanted(message: SlotGranted, state: RequestState) -> bool:
+    if not message.is_hedge:
+        return state.phase is Phase.SLOT
+    is_waiting = state.phase is Phase.ANSWER and state.relaying is None
+    return is_waiting and state.call.is_idempotent
+
+
+@handle.register
+def _(message: SlotRefused, state: RequestState, now: datetime) -> list[object]:
+    if state.phase is not Phase.SLOT:
+        return []
+    outcome = Outcome.FAILED if state.was_sent else Outcome.NOT_RUN
+    return _finish(
+        state,
+        now,
+        outcome,
+        Reason.POOL_REFUSED,
+        message.reason,
+        retry_after=message.retry_after,
+    )
+
+
+@handle.register
+def _(message: AttemptRecorded, state: RequestState, now: datetime) -> list[object]:
+    attempt = state.attempts.get(message.attempt)
+    if attempt is None or attempt.is_dispatched:
+        return []
+    state.phase = Phase.ANSWER
+    return [_dispatch(state, attempt)]
+
+
+@handle.register
+def _(message: AttemptRefused, state: RequestState, now: datetime) -> list[object]:
+    if message.attempt not in state.attempts:
+        return []
+    if state.phase is Phase.ATTEMPT_RECORD:
+        outcome = Outcome.UNKNOWN if state.was_sent else Outcome.NOT_RUN
+        return _release_all(state, now) + _finish(
+            state, now, outcome, message.reason, message.detail
+        )
+    if state.phase is not Phase.ANSWER:
+        return []
+    state.was_sent = True
+    cancels: list[object] = [CancelAttempt(number) for number in state.attempts]
+    return [
+        *cancels,
+        *_release_all(state, now),
+        *_finish(
+            state,
+            now,
+            Outcome.FAILED,
+            message.reason,
+            message.detail,
+            spent_tokens=_get_reserved_tokens(state),
+        ),
+    ]
+
+
+@handle.register
+def _(message: ChunkReceived, state: RequestState, now: datetime) -> list[object]:
+    attempt = state.attempts.get(message.attempt)
+    if attempt is None or state.phase is not Phase.ANSWER:
+        return []
+    effects = _choose(state, attempt, now)
+    if state.relaying != message.attempt:
+        return effects
+    if attempt.first_token is None:
+        attempt.first_token = now - attempt.started_at
+    n_known = len(state.answer) - attempt.base - message.offset
+    if n_known < 0:
+        lost = StreamFailed(
+            message.attempt, True, False, f"answer misses {-n_known} bytes"
+        )
+        return [*effects, CancelAttempt(message.attempt), *handle(lost, state, now)]
+    data = message.data[n_known:]
+    if not data:
+        return effects
+    state.answer += data
+    effects.append(RelayChunk(data))
+    return effects
+
+
+@handle.register
+def _(message: StreamEnded, state: RequestState, now: datetime) -> list[object]:
+    attempt = state.attempts.get(message.attempt)
+    if attempt is None or state.phase is not Phase.ANSWER:
+        return []
+    effects = _choose(state, attempt, now)
+    if state.relaying != message.attempt:
+        return effects
+    del state.attempts[message.attempt]
+    release = ReleasePermit(
+        attempt.permit,
+        attempt.endpoint,
+        True,
+        message.completion_tokens,
+        max(0, message.prompt_tokens - message.cached_tokens),
+        attempt.first_token,
+        now - attempt.started_at,
+    )
+    spent = message.prompt_tokens + message.completion_tokens
+    state.answered = message.attempt
+    finish = _finish(
+        state,
+        now,
+        Outcome.COMPLETED,
+        Reason.OK,
+        spent_tokens=spent,
+        context_tokens=spent,
+    )
+    return [*effects, release, *finish]
+
+
+@handle.register
+def _(message: StreamFailed, state: RequestState, now: datetime) -> list[object]:
+    attempt = state.attempts.pop(message.attempt, None)
+    if attempt is None or state.phase is not Phase.ANSWER:
+        return []
+    state.was_sent = state.was_sent or message.was_sent
+    state.excluded = (*state.excluded, attempt.endpoint)
+    failed = _make_failed(state, message.attempt, message.was_sent)
+    if not message.was_sent:
+        state.unsent = (*state.unsent, failed)
+    effects: list[object] = [_make_release(attempt, False, now), failed]
+    if state.relaying == message.attempt:
+        state.relaying = None
+    if state.attempts:
+        return effects
+    if message.is_final:
+        detail = message.reason
+        return effects + _finish(
+            state, now, Outcome.FAILED, Reason.ENDPOINT_REFUSED, detail
+        )
+    if message.was_sent and not state.call.is_idempotent:
+        state.phase = Phase.LOOKUP
+        return [*effects, LookUpCall(attempt.endpoint)]
+    if state.n_attempts < ATTEMPT_LIMIT and now < state.call.deadline:
+        return effects + _enqueue(state)
+    outcome = Outcome.FAILED if state.was_sent else Outcome.NOT_RUN
+    return effects + _finish(
+        state, now, outcome, Reason.ENDPOINT_FAILED, message.reason
+    )
+
+
+@handle.register
+def _(message: LookupAnswered, state: RequestState, now: datetime) -> list[object]:
+    if state.phase is not Phase.LOOKUP:
+        return []
+    if message.is_known:
+        state.answer = bytearray(message.answer)
+        return _finish(state, now, Outcome.COMPLETED, Reason.OK)
+    return _finish(
+        state,
+        now,
+        Outcome.UNKNOWN,
+        Reason.ANSWER_LOST,
+        "the endpoint got the call and its answer was lost; do not repeat it blindly",
+    )
+
+
+@handle.register
+def _(message: FinishRecorded, state: RequestState, now: datetime) -> list[object]:
+    if state.phase is not Phase.FINISH_RECORD:
+        return []
+    state.phase = Phase.ENDED
+    if state.pending_answer is None:
+        return [EndTask()]
+    return [state.pending_answer, EndTask()]
+
+
+@handle.register
+def _(message: FinishRefused, state: RequestState, now: datetime) -> list[object]:
+    if state.phase is not Phase.FINISH_RECORD:
+        return []
+    if message.is_retryable:
+        # The record of an attempt that was not sent arrives before the next
+        # try at the latest.
+        state.retry_finish_at = now + FINISH_RETRY_PAUSE
+        return []
+    state.phase = Phase.ENDED
+    if state.pending_answer is None:
+        return [EndTask()]
+    answer = AnswerCaller(
+        Outcome.UNKNOWN,
+        state.pending_answer.answer,
+        Reason.REQUEST_CLOSED,
+        f"another host closed this request: {message.reason}",
+    )
+    return [answer, EndTask()]
+
+
+@handle.register
+def _(message: ShardUnreachable, state: RequestState, now: datetime) -> list[object]:
+    return _continue_unreachable(state, now, message.reason)
+
+
+@handle.register
+def _(message: Tick, state: RequestState, now: datetime) -> list[object]:
+    if state.retry_finish_at is not None and now >= state.retry_finish_at:
+        state.retry_finish_at = None
+        return list(state.finish)
+    if now < state.call.deadline:
+        return []
+    if state.phase is Phase.SLOT:
+        outcome = Outcome.FAILED if state.was_sent else Outcome.NOT_RUN
+        return [
+            WithdrawCall(),
+            *_finish(state, now, outcome, Reason.DEADLINE_EXCEEDED, "no slot in time"),
+        ]
+    if state.phase is Phase.ANSWER:
+        state.was_sent = True
+        is_unknown = not state.call.is_idempotent
+        cancels: list[object] = [CancelAttempt(number) for number in state.attempts]
+        return [
+            *cancels,
+            *_release_all(state, now),
+            *_finish(
+                state,
+                now,
+                Outcome.UNKNOWN if is_unknown else Outcome.FAILED,
+                Reason.DEADLINE_EXCEEDED,
+                "the answer is not whole at the deadline",
+                spent_tokens=_get_reserved_tokens(state),
+            ),
+        ]
+    return []
+
+
+def _continue_unreachable(
+    state: RequestState, now: datetime, reason: str
+) -> list[object]:
+    if state.phase is Phase.FINISH_RECORD:
+        return _retry_finish(state, now, reason)
+    if state.phase in (Phase.BEGIN, Phase.OWNER_CHECK, Phase.ATTEMPT_RECORD):
+        # This node has sent nothing and from here on never will, so "not run"
+        # is true even if the record of the call took effect.
+        state.unsent = tuple(
+            _make_failed(state, number, False) for number in state.attempts
+        )
+        effects = _release_all(state, now)
+        return effects + _finish(
+            state,
+            now,
+            Outcome.NOT_RUN,
+            Reason.STATE_UNAVAILABLE,
+            reason,
+            retry_after=RETRY_AFTER_UNAVAILABLE,
+            answer_first=True,
+        )
+    return []
+
+
+def _retry_finish(state: RequestState, now: datetime, reason: str) -> list[object]:
+    effects: list[object] = []
+    if state.pending_answer is not None:
+        answer = state.pending_answer
+        if answer.outcome is Outcome.COMPLETED:
+            # A turn that is not on a majority's disks may be lost, so the
+            # caller must not build on it.
+            answer = AnswerCaller(
+                Outcome.UNKNOWN,
+                answer.answer,
+                Reason.STATE_UNAVAILABLE,
+                reason,
+                RETRY_AFTER_UNAVAILABLE,
+            )
+        effects.append(answer)
+        state.pending_answer = None
+    if state.finish_until is not None and now >= state.finish_until:
+        state.phase = Phase.ENDED
+        return [*effects, EndTask()]
+    return [*effects, *state.finish]
+
+
+def _enqueue(state: RequestState) -> list[object]:
+    assert state.begun is not None
+    state.phase = Phase.SLOT
+    history = sum(len(turn.content) + len(turn.answer) for turn in state.begun.history)
+    return [
+        EnqueueCall(
+            len(state.begun.history),
+            state.begun.attained_tokens,
+            history + len(state.answer),
+            state.begun.holders,
+            state.excluded,
+        )
+    ]
+
+
+def _dispatch(state: RequestState, attempt: Attempt) -> Dispatch:
+    assert state.begun is not None
+    attempt.is_dispatched = True
+    attempt.base = len(state.answer)
+    return Dispatch(
+        attempt.number,
+        attempt.endpoint,
+        attempt.priority,
+        state.begun.history,
+        bytes(state.answer),
+    )
+
+
+def _choose(state: RequestState, attempt: Attempt, now: datetime) -> list[object]:
+    """Relay the first attempt that answers and cancel the others."""
+    if state.relaying is not None:
+        return []
+    state.relaying = attempt.number
+    effects: list[object] = []
+    for other in list(state.attempts.values()):
+        if other.number != attempt.number:
+            del state.attempts[other.number]
+            effects += [
+                CancelAttempt(other.number),
+                _make_release(other, True, now),
+                _make_failed(state, other.number, True),
+            ]
+    return effects
+
+
+def _make_release(attempt: Attempt, is_success: bool, now: datetime) -> ReleasePermit:
+    return ReleasePermit(
+        attempt.permit,
+        attempt.endpoint,
+        is_success,
+        0,
+        0,
+        attempt.first_token,
+        now - attempt.started_at,
+    )
+
+
+def _make_failed(
+    state: RequestState, attempt: AttemptNumber, was_sent: bool
+) -> SubmitFailedAttempt:
+    # The engine's usage report is lost with the answer, so the whole
+    # reservation counts as spent.
+    spent = _get_reserved_tokens(state) if was_sent else 0
+    return SubmitFailedAttempt(attempt, was_sent, spent)
+
+
+def _get_reserved_tokens(state: RequestState) -> int:
+    return 0 if state.begun is None else state.begun.reserved_tokens
+
+
+def _release_all(state: RequestState, now: datetime) -> list[object]:
+    releases: list[object] = [
+        _make_release(attempt, False, now) for attempt in state.attempts.values()
+    ]
+    state.attempts.clear()
+    return releases
+
+
+def _finish(
+    state: RequestState,
+    now: datetime,
+    outcome: Outcome,
+    reason: Reason,
+    detail: str = "",
+    spent_tokens: int = 0,
+    retry_after: timedelta | None = None,
+    answer_first: bool = False,
+    context_tokens: int = 0,
+) -> list[object]:
+    """Record the outcome, then answer; the other way round if answer_first."""
+    answer = bytes(state.answer)
+    state.phase = Phase.FINISH_RECORD
+    finish = SubmitFinish(outcome, answer, spent_tokens, context_tokens, state.answered)
+    state.finish = (*state.unsent, finish)
+    state.finish_until = now + FINISH_RETRY_LIMIT
+    to_caller = AnswerCaller(outcome, answer, reason, detail, retry_after)
+    if answer_first:
+        return [to_caller, *state.finish]
+    state.pending_answer = to_caller
+    return [finish]
+
+
+def _end(state: RequestState, answer: AnswerCaller) -> list[object]:
+    state.phase = Phase.ENDED
+    return [answer, EndTask()]
--- a/oleanderhitch/request/messages.py
+++ b/oleanderhitch/request/messages.py
@@ -3,10 +3,11 @@
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 
-from oleanderhitch.program.ids import AccountId, ProgramId, SequenceNumber
-from oleanderhitch.program.messages import Begun, Refused, RequestRecord
+from oleanderhitch.process.ids import NodeId
+from oleanderhitch.program.ids import AccountId, ProgramId, RunId, SequenceNumber
+from oleanderhitch.program.messages import Begun, Refused, RequestRecord, Turn
 from oleanderhitch.request.ids import AttemptNumber, PermitId, RequestId
-from oleanderhitch.request.states import Outcome
+from oleanderhitch.request.states import Outcome, Reason
 from oleanderhitch.version.ids import EndpointId, PoolId
 
 
@@ -45,9 +46,12 @@
     reserved_tokens: int
     digest: str
     deadline: datetime
+    excluded: tuple[EndpointId, ...] = ()
     trace: dict[str, str] = field(default_factory=dict)
 
 
+MESSAGES: tuple[type, ...] = (ModelWork, ServiceWork)
+
 # Messages that a request task receives.
 
 
@@ -92,7 +96,9 @@
 class AttemptRefused:
     """Bring the shard's refusal to record the attempt."""
 
-    reason: str
+    attempt: AttemptNumber
+    reason: Reason
+    detail: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,8 +143,31 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CallerGone:
-    """Bring the news that the caller closed its connection."""
+class FinishRefused:
+    """Bring the shard's refusal to record the outcome."""
+
+    reason: str
+    is_retryable: bool
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerChecked:
+    """Say whether the node that began the call may still be working on it."""
+
+    is_gone: bool
+
+
+@dataclass(frozen=True, slots=True)
+class CloseAnswered:
+    """Bring the news that a call of a lost node is closed."""
+
+
+@dataclass(frozen=True, slots=True)
+class LookupAnswered:
+    """Bring what the endpoint knows of a call whose answer was lost."""
+
+    is_known: bool
+    answer: bytes
 
 
 # Effects that a request core asks for.
@@ -149,22 +178,43 @@
     """Record the call in its program's shard."""
 
 
+@dataclass(frozen=True, slots=True)
+class CheckOwner:
+    """Ask whether a node that began the same call is gone."""
+
+    node: NodeId
+
+
+@dataclass(frozen=True, slots=True)
+class SubmitClose:
+    """Close the call in the name of a node that is gone."""
+
+    run: RunId
+
+
 @dataclass(frozen=True, slots=True)
 class EnqueueCall:
     """Ask the pool's owner for a slot."""
 
+    n_turns: int
     attained_tokens: int
-    history_tokens: int
+    history_bytes: int
     holders: tuple[EndpointId, ...]
     excluded: tuple[EndpointId, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class WithdrawCall:
+    """Take the call out of the pool's queue."""
+
+
 @dataclass(frozen=True, slots=True)
 class SubmitAttempt:
     """Record an attempt in the shard."""
 
     attempt: AttemptNumber
     endpoint: EndpointId
+    reserved_tokens: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -173,6 +223,7 @@
 
     attempt: AttemptNumber
     was_sent: bool
+    spent_tokens: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -182,7 +233,7 @@
     attempt: AttemptNumber
     endpoint: EndpointId
     priority: int
-    begun: Begun
+    history: tuple[Turn, ...]
     answered: bytes
 
 
@@ -193,6 +244,13 @@
     attempt: AttemptNumber
 
 
+@dataclass(frozen=True, slots=True)
+class LookUpCall:
+    """Ask an endpoint by idempotency key whether a call ran."""
+
+    endpoint: EndpointId
+
+
 @dataclass(frozen=True, slots=True)
 class RelayChunk:
     """Pass a piece of the answer on to the caller."""
@@ -207,6 +265,8 @@
     outcome: Outcome
     answer: bytes
     spent_tokens: int
+    context_tokens: int
+    attempt: AttemptNumber | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -216,25 +276,20 @@
     permit: PermitId
     endpoint: EndpointId
     is_success: bool
-    n_tokens: int
-    prefill_tokens: int
+    n_output_tokens: int
+    n_computed_prompt_tokens: int
     first_token: timedelta | None
     duration: timedelta
 
 
-@dataclass(frozen=True, slots=True)
-class WithdrawCall:
-    """Take the call out of the pool's queue."""
-
-
 @dataclass(frozen=True, slots=True)
 class AnswerCaller:
-    """End the caller's answer; a refusal carries a reason and retry time."""
+    """End the caller's answer with its outcome."""
 
     outcome: Outcome
     answer: bytes
-    code: str = ""
-    reason: str = ""
+    reason: Reason
+    detail: str = ""
     retry_after: timedelta | None = None
     is_replay: bool = False
 
