--- /dev/null
+++ b/oleanderhitch/process/groups/placement.py
@@ -0,0 +1,87 @@
+"""Place the replicas of groups on disk hosts."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+import xxhash
+
+from oleanderhitch.connection.ids import HostAddress
+from oleanderhitch.connection.peer.addresses import parse_address
+from oleanderhitch.exceptions import InvalidInputError
+from oleanderhitch.process.ids import GroupId, NodeId
+from oleanderhitch.program.ids import ProgramId
+from oleanderhitch.program.sharding import get_shard
+from oleanderhitch.version.ids import DataCentreName
+
+CONFIGURATION_GROUP = GroupId("configuration")
+N_CONFIGURATION_REPLICAS = 5
+N_SHARD_REPLICAS = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Store:
+    """Describe a disk host."""
+
+    node: NodeId
+    address: HostAddress
+    data_centre: DataCentreName
+
+
+def parse_stores(text: str) -> tuple[Store, ...]:
+    """Return the disk hosts of a setting; raise InvalidInputError."""
+    stores = tuple(_parse_store(part) for part in text.split(",") if part.strip())
+    nodes = [store.node for store in stores]
+    if len(set(nodes)) != len(nodes):
+        raise InvalidInputError(f"stores name a node twice: {text!r}")
+    return stores
+
+
+def list_groups(n_shards: int) -> list[GroupId]:
+    """Return the groups of a deployment."""
+    shards = [make_shard_group(shard) for shard in range(n_shards)]
+    return [CONFIGURATION_GROUP, *shards]
+
+
+def make_shard_group(shard: int) -> GroupId:
+    """Return the group that replicates a program shard."""
+    return GroupId(f"programs-{shard}")
+
+
+def get_program_group(program: ProgramId, n_shards: int) -> GroupId:
+    """Return the group that holds a program; raise InvalidInputError."""
+    return make_shard_group(get_shard(program, n_shards))
+
+
+def choose_replicas(group: GroupId, stores: Sequence[Store]) -> tuple[NodeId, ...]:
+    """Return the disk hosts of a new group, in different data centres if possible."""
+    n_replicas = N_SHARD_REPLICAS
+    if group == CONFIGURATION_GROUP:
+        n_replicas = N_CONFIGURATION_REPLICAS
+    ranked = sorted(stores, key=lambda store: _get_weight(group, store), reverse=True)
+    chosen: list[Store] = []
+    while ranked and len(chosen) < n_replicas:
+        used = {store.data_centre for store in chosen}
+        following = next(
+            (store for store in ranked if store.data_centre not in used), ranked[0]
+        )
+        ranked.remove(following)
+        chosen.append(following)
+    if len(chosen) % 2 == 0 and len(chosen) > N_SHARD_REPLICAS - 1:
+        # A fourth voter raises the majority without letting another one fail.
+        chosen.pop()
+    return tuple(store.node for store in chosen)
+
+
+def _get_weight(group: GroupId, store: Store) -> int:
+    return xxhash.xxh3_64_intdigest(f"{group}|{store.node}".encode())
+
+
+def _parse_store(text: str) -> Store:
+    node, has_node, rest = text.strip().partition("=")
+    address, has_data_centre, data_centre = rest.partition("@")
+    if not (has_node and node and has_data_centre and data_centre):
+        raise InvalidInputError(
+            f"store {text.strip()!r} must have the form NAME=IP:PORT@DATA_CENTRE"
+        )
+    parse_address(HostAddress(address))
+    return Store(NodeId(node), HostAddress(address), DataCentreName(data_centre))
--- /dev/null
+++ b/oleanderhitch/process/settings.py
@@ -0,0 +1,108 @@
+"""Define the settings that all processes of the system share."""
+
+from pathlib import Path
+from typing import Annotated
+
+from pydantic import AfterValidator, Field
+from pydantic_settings import BaseSettings, SettingsConfigDict
+
+from oleanderhitch.connection.ids import HostAddress
+from oleanderhitch.connection.peer.addresses import parse_address
+from oleanderhitch.exceptions import InvalidInputError
+from oleanderhitch.process.groups.placement import Store, parse_stores
+
+KEY_LEAST_BYTES = 16
+
+
+def _check_address(value: str) -> str:
+    try:
+        parse_address(HostAddress(value))
+    except InvalidInputError as error:
+        raise ValueError(str(error)) from None
+    return value
+
+
+def _check_stores(value: str) -> str:
+    try:
+        parse_stores(value)
+    except InvalidInputError as error:
+        raise ValueError(str(error)) from None
+    return value
+
+
+def _check_key_file(value: Path) -> Path:
+    if not value.is_file():
+        raise ValueError(f"there is no file {value}; write the shared key to it")
+    if len(value.read_bytes().strip()) < KEY_LEAST_BYTES:
+        raise ValueError(f"{value} must hold a key of {KEY_LEAST_BYTES} bytes or more")
+    return value
+
+
+ListenAddress = Annotated[str, AfterValidator(_check_address)]
+StoreList = Annotated[str, AfterValidator(_check_stores)]
+KeyFile = Annotated[Path, AfterValidator(_check_key_file)]
+
+
+class ProcessSettings(BaseSettings):
+    """Hold what every process is told by flags and environment."""
+
+    model_config = SettingsConfigDict(env_prefix="OLEANDERHITCH_", extra="ignore")
+
+    node: str = Field(description="name of this node, unique in the deployment")
+    data_centre: str = Field(description="data centre that this host stands in")
+    key_file: KeyFile = Field(
+        description="file with the key that all nodes and operators share"
+    )
+    stores: StoreList = Field(
+        "",
+        description="disk hosts as NAME=IP:PORT@DATA_CENTRE, separated by commas",
+    )
+    n_shards: int = Field(
+        8, ge=1, le=4096, description="number of program shards; the same everywhere"
+    )
+    log_level: str = Field("INFO", description="least level of log lines")
+    traces_dir: Path | None = Field(
+        None, description="directory for traces as JSON lines; none without it"
+    )
+    trace_ratio: float = Field(
+        0.01, ge=0.0, le=1.0, description="share of requests that are traced"
+    )
+
+    def get_key(self) -> bytes:
+        """Return the shared key."""
+        return self.key_file.read_bytes().strip()
+
+    def get_stores(self) -> tuple[Store, ...]:
+        """Return the disk hosts in the order of the setting."""
+        return parse_stores(self.stores)
+
+
+class EntrySettings(ProcessSettings):
+    """Hold the settings of an entry host."""
+
+    listen: ListenAddress = Field(
+        "127.0.0.1:8000", description="address for callers over HTTP"
+    )
+    peer_listen: ListenAddress = Field(
+        "127.0.0.1:8100", description="address for other nodes"
+    )
+    data_dir: Path | None = Field(
+        None,
+        description="data directory of the store inside this process; "
+        "needed without stores",
+    )
+    drain_timeout_s: float = Field(
+        600.0, gt=0, description="longest wait for running requests at a stop"
+    )
+
+
+class StoreSettings(ProcessSettings):
+    """Hold the settings of a disk host."""
+
+    peer_listen: ListenAddress = Field(
+        "127.0.0.1:7000", description="address for other nodes"
+    )
+    status_listen: ListenAddress = Field(
+        "127.0.0.1:7500", description="address for health and metrics over HTTP"
+    )
+    data_dir: Path = Field(description="data directory for all durable state")
