Carried the program shard as a replicated application

The first attempt owns the reservation of its begin: an idempotent call is sent before its attempt record arrives, and a hedge recorded first must not take that reservation.

--- /dev/null
+++ b/oleanderhitch/program/application.py
@@ -0,0 +1,83 @@
+"""Carry a program shard in a replicated group."""
+
+from datetime import datetime, timedelta
+
+from oleanderhitch.connection.codec import Codec
+from oleanderhitch.connection.exceptions import MalformedFrameError
+from oleanderhitch.process.groups.application import Application
+from oleanderhitch.program.core import RETENTION, apply, make_shard_state
+from oleanderhitch.program.ends import is_expiry_due
+from oleanderhitch.program.entries import ShardState
+from oleanderhitch.program.history import HistoryStore
+from oleanderhitch.program.messages import COMMANDS, READS, ExpirePrograms, Refused
+from oleanderhitch.program.snapshot import (
+    encode_snapshot,
+    make_snapshot_codec,
+    restore_snapshot,
+)
+from oleanderhitch.program.states import Refusal
+
+EXPIRY_INTERVAL = timedelta(seconds=10)
+
+
+class ProgramApplication:
+    """Decode commands, apply them and encode their results."""
+
+    def __init__(self, codec: Codec, state: ShardState) -> None:
+        self._codec = codec
+        self._snapshot_codec = make_snapshot_codec()
+        self._state = state
+        self._next_expiry_check_at: datetime | None = None
+
+    def apply(self, command: bytes) -> bytes:
+        """Return the encoded result of a committed command.
+
+        A malformed command is refused, on each replica alike.
+        """
+        return self._answer(command, COMMANDS)
+
+    def read(self, query: bytes) -> bytes:
+        """Return the encoded answer to a read."""
+        return self._answer(query, READS)
+
+    def take_snapshot(self) -> bytes:
+        """Return the whole shard with the turns of its programs."""
+        return encode_snapshot(self._state, self._snapshot_codec)
+
+    def restore_snapshot(self, data: bytes) -> None:
+        """Replace the whole shard; raise SnapshotError for damaged data."""
+        restore_snapshot(self._state, data, self._snapshot_codec)
+
+    def make_leader_commands(self, now: datetime) -> list[bytes]:
+        """Return an expiry command when a program is due for it."""
+        due_at = self._next_expiry_check_at
+        if due_at is not None and now < due_at:
+            return []
+        self._next_expiry_check_at = now + EXPIRY_INTERVAL
+        if not is_expiry_due(self._state, now):
+            return []
+        return [self._codec.encode(ExpirePrograms(now))]
+
+    def _answer(self, body: bytes, accepted: tuple[type, ...]) -> bytes:
+        try:
+            message = self._codec.decode(body)
+        except MalformedFrameError as error:
+            return self._refuse(f"malformed command: {error}")
+        if not isinstance(message, accepted):
+            return self._refuse(f"{type(message).__name__} is not accepted here")
+        return self._codec.encode(apply(message, self._state))
+
+    def _refuse(self, detail: str) -> bytes:
+        return self._codec.encode(Refused(Refusal.INVALID_COMMAND, detail))
+
+
+def make_program_application(
+    codec: Codec,
+    history: HistoryStore | None = None,
+    retention: timedelta = RETENTION,
+) -> Application:
+    """Return the application of one shard; the codec must know MESSAGES.
+
+    Without a store, history stays in memory.
+    """
+    return ProgramApplication(codec, make_shard_state(history, retention))
--- a/oleanderhitch/program/attempts.py
+++ b/oleanderhitch/program/attempts.py
@@ -2,6 +2,7 @@
 
 from oleanderhitch.program.budget import reserve, settle
 from oleanderhitch.program.entries import (
+    FIRST_ATTEMPT,
     AttemptEntry,
     ProgramEntry,
     RequestEntry,
@@ -27,7 +28,7 @@
     if isinstance(known, Refused):
         _note_holder(entry, command)
         return known
-    attempt = known.attempts.get(command.attempt)
+    attempt = known.find_attempt(command.attempt)
     if attempt is not None:
         return _repeat_attempt(entry, attempt, command)
     _note_holder(entry, command)
@@ -51,11 +52,11 @@
         if command.was_sent:
             reopen_releases(entry)
         return known
-    attempt = known.attempts.get(command.attempt)
+    attempt = known.find_attempt(command.attempt)
     if attempt is None:
         # Blocks the attempt's own record when that arrives later.
-        attempt = AttemptEntry(None, 0, AttemptState.RUNNING)
-        known.attempts[command.attempt] = attempt
+        attempt = AttemptEntry(command.attempt, None, 0, AttemptState.RUNNING)
+        known.attempts.append(attempt)
     target = AttemptState.LOST if command.was_sent else AttemptState.NOT_SENT
     if attempt.state is target:
         return Done()
@@ -135,12 +136,23 @@
     known: RequestEntry,
     command: RecordAttempt,
 ) -> Refused | None:
-    """Give the attempt the request's spare reservation and reserve the rest."""
-    missing = max(0, command.reserved_tokens - known.spare_tokens)
+    """Give the attempt the request's spare reservation and reserve the rest.
+
+    The reservation of the begin belongs to the first attempt, which may be sent
+    before its record arrives.
+    """
+    is_spare = command.attempt == FIRST_ATTEMPT or known.has_first_attempt
+    spare = known.spare_tokens if is_spare else 0
+    missing = max(0, command.reserved_tokens - spare)
     refusal = reserve(state, entry, missing)
     if refusal is None:
-        known.attempts[command.attempt] = AttemptEntry(
-            command.endpoint, known.spare_tokens + missing, AttemptState.RUNNING
+        known.spare_tokens -= spare
+        known.attempts.append(
+            AttemptEntry(
+                command.attempt,
+                command.endpoint,
+                spare + missing,
+                AttemptState.RUNNING,
+            )
         )
-        known.spare_tokens = 0
     return refusal
--- a/oleanderhitch/program/entries.py
+++ b/oleanderhitch/program/entries.py
@@ -10,11 +10,15 @@
 from oleanderhitch.request.ids import AttemptNumber, RequestId
 from oleanderhitch.version.ids import EndpointId
 
+# Each run counts its attempts from here.
+FIRST_ATTEMPT = AttemptNumber(1)
+
 
 @dataclass(slots=True)
 class AttemptEntry:
     """Hold what is recorded of one attempt."""
 
+    number: AttemptNumber
     endpoint: EndpointId | None
     reserved_tokens: int
     state: AttemptState
@@ -36,19 +40,44 @@
     digest: str
     content: bytes
     spare_tokens: int
-    attempts: dict[AttemptNumber, AttemptEntry] = field(default_factory=dict)
+    attempts: list[AttemptEntry] = field(default_factory=list)
     n_attempts: int = 0
     endpoints: dict[EndpointId, None] = field(default_factory=dict)
     is_interrupted: bool = False
     past_runs: dict[RunId, None] = field(default_factory=dict)
 
+    @property
+    def running(self) -> list[AttemptEntry]:
+        """Return the attempts of the current run that have not failed."""
+        return [a for a in self.attempts if a.state is AttemptState.RUNNING]
+
+    @property
+    def reserved_tokens(self) -> int:
+        """Return what the request has reserved and not yet settled."""
+        running = sum(attempt.reserved_tokens for attempt in self.running)
+        return self.spare_tokens + running
+
+    @property
+    def has_sent_attempt(self) -> bool:
+        """Return whether the current run may have reached an endpoint."""
+        return any(a.state is not AttemptState.NOT_SENT for a in self.attempts)
+
     @property
     def may_have_run(self) -> bool:
-        """Return whether an endpoint may have executed the request."""
-        return bool(self.past_runs) or any(
-            attempt.state is not AttemptState.NOT_SENT
-            for attempt in self.attempts.values()
-        )
+        """Return whether an endpoint may have executed the request in any run."""
+        return bool(self.past_runs) or self.has_sent_attempt
+
+    @property
+    def has_first_attempt(self) -> bool:
+        """Return whether the first attempt of the current run is recorded."""
+        return self.find_attempt(FIRST_ATTEMPT) is not None
+
+    def find_attempt(self, number: AttemptNumber) -> AttemptEntry | None:
+        """Return an attempt of the current run, or None."""
+        for attempt in self.attempts:
+            if attempt.number == number:
+                return attempt
+        return None
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/oleanderhitch/program/history_file.py
@@ -0,0 +1,226 @@
+"""Keep ended requests in append-only files, with only references in memory.
+
+The files are a cache of the replicated log: a replica fills them again from its
+snapshot and the log after each start, so nothing here is synced. A shard writes
+one segment at a time. A full segment is rewritten into the current one when
+more than half of it belongs to forgotten programs.
+"""
+
+import os
+import struct
+from collections.abc import Iterator
+from pathlib import Path
+
+import xxhash
+
+from oleanderhitch.connection.codec import Codec, make_codec
+from oleanderhitch.connection.exceptions import MalformedFrameError
+from oleanderhitch.program.exceptions import (
+    HistoryCorruptError,
+    HistoryUnavailableError,
+)
+from oleanderhitch.program.history import EndedRequest
+from oleanderhitch.program.ids import ProgramId
+from oleanderhitch.request.ids import RequestId
+
+# Rewriting one segment delays the shard's commands by some ten milliseconds.
+SEGMENT_BYTES = 16 * 1024 * 1024
+# Length of program id and frame, checksum of both.
+_HEADER = struct.Struct("<HIQ")
+# Hash of the request id, segment, offset, length of the whole record.
+_REFERENCE = struct.Struct("<QIII")
+
+
+class _Segment:
+    """Own one file of records."""
+
+    def __init__(self, path: Path, number: int) -> None:
+        self.path = path
+        self.number = number
+        self.size_bytes = 0
+        self.dead_bytes = 0
+        self._descriptor = os.open(path, os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o600)
+
+    def append(self, record: bytes) -> int:
+        """Write a record and return its offset."""
+        offset = self.size_bytes
+        n_written = os.pwrite(self._descriptor, record, offset)
+        if n_written != len(record):
+            raise OSError(f"wrote {n_written} of {len(record)} bytes")
+        self.size_bytes += len(record)
+        return offset
+
+    def read(self, offset: int, length: int) -> bytes:
+        """Return bytes of the file."""
+        return os.pread(self._descriptor, length, offset)
+
+    def remove(self) -> None:
+        """Close and delete the file."""
+        os.close(self._descriptor)
+        self.path.unlink(missing_ok=True)
+
+
+class FileHistory:
+    """Keep the records of one shard in segments under a directory."""
+
+    def __init__(self, directory: Path, segment_bytes: int) -> None:
+        self._directory = directory
+        self._segment_bytes = segment_bytes
+        self._codec: Codec = make_codec([EndedRequest])
+        self._references: dict[ProgramId, bytearray] = {}
+        self._segments: dict[int, _Segment] = {}
+        self._current = self._open_segment(1)
+
+    @property
+    def size_bytes(self) -> int:
+        """Return the bytes that the segments take."""
+        return sum(segment.size_bytes for segment in self._segments.values())
+
+    def append(self, record: EndedRequest) -> None:
+        """Add a record; raise HistoryUnavailableError when it cannot be written."""
+        data = _pack(record.program, self._codec.encode(record))
+        reference = self._write(_hash_request(record.request), data)
+        self._references.setdefault(record.program, bytearray()).extend(reference)
+
+    def find(self, program: ProgramId, request: RequestId) -> EndedRequest | None:
+        """Return the record of a request, or None when it has not ended."""
+        wanted = _hash_request(request)
+        references = self._references.get(program, b"")
+        for request_hash, segment, offset, length in _REFERENCE.iter_unpack(references):
+            if request_hash == wanted:
+                record = self._read(program, segment, offset, length)
+                if record.request == request:
+                    return record
+        return None
+
+    def read(self, program: ProgramId) -> Iterator[EndedRequest]:
+        """Yield the records of a program in order."""
+        references = bytes(self._references.get(program, b""))
+        for _, segment, offset, length in _REFERENCE.iter_unpack(references):
+            yield self._read(program, segment, offset, length)
+
+    def forget(self, program: ProgramId) -> None:
+        """Drop the records of a program and rewrite at most one segment."""
+        references = self._references.pop(program, b"")
+        for _, segment, _, length in _REFERENCE.iter_unpack(references):
+            self._segments[segment].dead_bytes += length
+        self._remove_dead_segments()
+        for segment_entry in self._list_full_segments():
+            if segment_entry.dead_bytes * 2 > segment_entry.size_bytes:
+                self._rewrite(segment_entry)
+                return
+
+    def close(self) -> None:
+        """Delete the files."""
+        for segment in self._segments.values():
+            segment.remove()
+        self._segments.clear()
+        self._references.clear()
+
+    def _open_segment(self, number: int) -> _Segment:
+        path = self._directory / f"history-{number:08d}.segment"
+        try:
+            segment = _Segment(path, number)
+        except OSError as error:
+            raise HistoryUnavailableError(f"cannot open {path}: {error}") from error
+        self._segments[number] = segment
+        return segment
+
+    def _write(self, request_hash: int, data: bytes) -> bytes:
+        if self._current.size_bytes >= self._segment_bytes:
+            self._current = self._open_segment(self._current.number + 1)
+        segment = self._current
+        try:
+            offset = segment.append(data)
+        except OSError as error:
+            raise HistoryUnavailableError(
+                f"cannot write {segment.path}: {error}"
+            ) from error
+        return _REFERENCE.pack(request_hash, segment.number, offset, len(data))
+
+    def _read(
+        self, program: ProgramId, segment: int, offset: int, length: int
+    ) -> EndedRequest:
+        path = self._segments[segment].path
+        data = self._read_bytes(self._segments[segment], offset, length)
+        try:
+            key, frame = _unpack(data)
+            record = self._codec.decode(frame)
+        except (MalformedFrameError, ValueError, struct.error) as error:
+            raise HistoryCorruptError(
+                f"{path} at offset {offset}: {error}; restore this replica"
+            ) from error
+        if key != program or not isinstance(record, EndedRequest):
+            raise HistoryCorruptError(
+                f"{path} at offset {offset} holds a record of {key!r}, expected "
+                f"{program!r}; restore this replica"
+            )
+        return record
+
+    def _read_bytes(self, segment: _Segment, offset: int, length: int) -> bytes:
+        try:
+            return segment.read(offset, length)
+        except OSError as error:
+            raise HistoryUnavailableError(
+                f"cannot read {segment.path}: {error}"
+            ) from error
+
+    def _list_full_segments(self) -> list[_Segment]:
+        return [s for s in self._segments.values() if s is not self._current]
+
+    def _remove_dead_segments(self) -> None:
+        for segment in self._list_full_segments():
+            if segment.dead_bytes >= segment.size_bytes:
+                del self._segments[segment.number]
+                segment.remove()
+
+    def _rewrite(self, segment: _Segment) -> None:
+        """Copy what is alive in a segment, then delete it."""
+        for references in self._references.values():
+            for position in range(0, len(references), _REFERENCE.size):
+                request_hash, number, offset, length = _REFERENCE.unpack_from(
+                    references, position
+                )
+                if number != segment.number:
+                    continue
+                data = self._read_bytes(segment, offset, length)
+                reference = self._write(request_hash, data)
+                references[position : position + _REFERENCE.size] = reference
+        del self._segments[segment.number]
+        segment.remove()
+
+
+def make_file_history(
+    directory: Path, segment_bytes: int = SEGMENT_BYTES
+) -> FileHistory:
+    """Return an empty store and delete what an earlier process left there.
+
+    Raises HistoryUnavailableError when the directory cannot be used.
+    """
+    try:
+        directory.mkdir(parents=True, exist_ok=True)
+        for leftover in directory.glob("history-*.segment"):
+            leftover.unlink()
+    except OSError as error:
+        raise HistoryUnavailableError(f"cannot use {directory}: {error}") from error
+    return FileHistory(directory, segment_bytes)
+
+
+def _hash_request(request: RequestId) -> int:
+    return xxhash.xxh3_64_intdigest(request.encode())
+
+
+def _pack(program: ProgramId, frame: bytes) -> bytes:
+    key = program.encode()
+    checksum = xxhash.xxh3_64_intdigest(key + frame)
+    return _HEADER.pack(len(key), len(frame), checksum) + key + frame
+
+
+def _unpack(data: bytes) -> tuple[ProgramId, bytes]:
+    n_key, n_frame, checksum = _HEADER.unpack_from(data)
+    body = data[_HEADER.size :]
+    if len(body) != n_key + n_frame:
+        raise ValueError(f"record has {len(body)} bytes, expected {n_key + n_frame}")
+    if xxhash.xxh3_64_intdigest(body) != checksum:
+        raise ValueError("checksum does not match")
+    return ProgramId(body[:n_key].decode()), body[n_key:]
--- a/oleanderhitch/program/outcomes.py
+++ b/oleanderhitch/program/outcomes.py
@@ -4,7 +4,7 @@
 
 from oleanderhitch.program.budget import settle
 from oleanderhitch.program.entries import (
-    AttemptEntry,
+    FIRST_ATTEMPT,
     ProgramEntry,
     RequestEntry,
     ShardState,
@@ -19,8 +19,8 @@
     RequestRecord,
 )
 from oleanderhitch.program.releases import reopen_releases
-from oleanderhitch.program.states import AttemptState, Progress, Refusal
-from oleanderhitch.request.ids import AttemptNumber, RequestId
+from oleanderhitch.program.states import Progress, Refusal
+from oleanderhitch.request.ids import RequestId
 from oleanderhitch.request.states import Outcome
 
 # A program's history of up to 4 MiB and one answer fit in one 8 MiB frame.
@@ -42,7 +42,7 @@
         return _refuse_not_run(known)
     doubtful = _get_doubtful_tokens(known, command)
     spent = 0 if command.outcome is Outcome.NOT_RUN else command.spent_tokens
-    settle(state, entry, _get_reserved_tokens(known), max(0, spent) + doubtful)
+    settle(state, entry, known.reserved_tokens, max(0, spent) + doubtful)
     touch(state, entry, command.at)
     _end_request(state, entry, known, command.outcome, command.answer, False)
     return Done()
@@ -53,13 +53,10 @@
 ) -> object:
     """Resolve a request whose node is gone and return its record."""
     known = entry.open_request
-    if known is None or known.request != command.request:
-        ended = state.history.find(entry.program, command.request)
-        if ended is None:
-            return refuse_unknown_request(command.request)
-        return make_ended_record(ended)
-    if not known.is_interrupted and command.run in (None, known.run):
-        resolve_request(state, entry, known)
+    if known is not None and known.request == command.request:
+        is_holder = command.run in (None, known.run)
+        if is_holder and not known.is_interrupted:
+            resolve_request(state, entry, known)
     return get_record(state, entry, command.request)
 
 
@@ -72,12 +69,10 @@
     the lack of a record does not prove that it did not run.
     """
     if known.is_idempotent:
-        _interrupt(state, entry, known, _get_reserved_tokens(known))
-        if entry.end_reason is not None:
-            end_interrupted(state, entry, known)
+        _interrupt(state, entry, known, known.reserved_tokens)
         return
-    running = sum(attempt.reserved_tokens for attempt in _list_running(known))
-    settle(state, entry, _get_reserved_tokens(known), running)
+    running = known.reserved_tokens - known.spare_tokens
+    settle(state, entry, known.reserved_tokens, running)
     outcome = Outcome.UNKNOWN if known.may_have_run else Outcome.NOT_RUN
     _end_request(state, entry, known, outcome, b"", True)
 
@@ -135,7 +130,7 @@
             Refusal.SUPERSEDED,
             f"request {known.request} was closed while this node ran it",
         )
-    if command.outcome is Outcome.NOT_RUN and _has_sent_attempt(known):
+    if command.outcome is Outcome.NOT_RUN and known.has_sent_attempt:
         return _refuse_not_run(known)
     if len(command.answer) > ANSWER_LIMIT_BYTES:
         return Refused(
@@ -178,55 +173,30 @@
     )
 
 
-def _list_running(known: RequestEntry) -> list[AttemptEntry]:
-    return [
-        attempt
-        for attempt in known.attempts.values()
-        if attempt.state is AttemptState.RUNNING
-    ]
-
-
-def _has_sent_attempt(known: RequestEntry) -> bool:
-    return any(
-        attempt.state is not AttemptState.NOT_SENT
-        for attempt in known.attempts.values()
-    )
-
-
-def _get_reserved_tokens(known: RequestEntry) -> int:
-    running = sum(attempt.reserved_tokens for attempt in _list_running(known))
-    return known.spare_tokens + running
-
-
 def _get_doubtful_tokens(known: RequestEntry, command: FinishRequest) -> int:
     """Return the reservations of attempts whose usage nobody reported."""
-    running = {
-        number: attempt.reserved_tokens
-        for number, attempt in known.attempts.items()
-        if attempt.state is AttemptState.RUNNING
-    }
+    in_doubt = {a.number: a.reserved_tokens for a in known.running}
+    if known.is_idempotent and not known.has_first_attempt:
+        # The first attempt may have been sent before its record arrives.
+        in_doubt[FIRST_ATTEMPT] = known.spare_tokens
+    if command.outcome is Outcome.NOT_RUN:
+        return 0
     if command.outcome is Outcome.UNKNOWN:
-        return max(0, sum(running.values()) - max(0, command.spent_tokens))
-    answered = _find_answered_attempt(running, command.attempt)
-    return sum(tokens for number, tokens in running.items() if number != answered)
-
-
-def _find_answered_attempt(
-    running: dict[AttemptNumber, int], reported: AttemptNumber | None
-) -> AttemptNumber | None:
-    if reported is not None:
-        return reported
-    return max(running, default=None)
+        return max(0, sum(in_doubt.values()) - max(0, command.spent_tokens))
+    answered = command.attempt or max(in_doubt, default=None)
+    return sum(tokens for number, tokens in in_doubt.items() if number != answered)
 
 
 def _interrupt(
     state: ShardState, entry: ProgramEntry, known: RequestEntry, spent: int
 ) -> None:
-    settle(state, entry, _get_reserved_tokens(known), spent)
+    settle(state, entry, known.reserved_tokens, spent)
     known.spare_tokens = 0
     known.attempts.clear()
     known.past_runs[known.run] = None
     known.is_interrupted = True
+    if entry.end_reason is not None:
+        end_interrupted(state, entry, known)
 
 
 def _end_request(
