Split the pool queue into ordering, affinity, health, hedging and limits

Cause: first come, first served blocks short work behind long work, loses prefixes and keeps sending work to slowed endpoints. Change: ranks in seconds of seniority (fair share by account, attained service, ageing by construction), lanes per prefix holder with a bounded wait, an index of free slots by load, probation from own observations per token, hedges from a retry budget, refusal of what misses its deadline.

--- /dev/null
+++ b/oleanderhitch/process/scheduling/affinity.py
@@ -0,0 +1,74 @@
+"""Decide where a prefix is kept and how long a request waits for it."""
+
+from oleanderhitch.process.scheduling.messages import EnqueueRequest
+from oleanderhitch.process.scheduling.records import Endpoint, PoolState, Resident
+from oleanderhitch.process.scheduling.states import Health
+from oleanderhitch.program.ids import ProgramId
+
+
+def find_holder(
+    state: PoolState, enqueue: EnqueueRequest
+) -> tuple[Endpoint | None, int]:
+    """Return the healthy endpoint that holds most of the prefix, with its tokens."""
+    best: Endpoint | None = None
+    n_best = 0
+    for name in enqueue.holders:
+        endpoint = state.endpoints.get(name)
+        if endpoint is None or endpoint.health is not Health.HEALTHY:
+            continue
+        if name in enqueue.excluded:
+            continue
+        n_cached = _count_cached(endpoint, enqueue)
+        if n_cached > 0 and n_cached >= n_best:
+            best, n_best = endpoint, n_cached
+    return best, n_best
+
+
+def get_wait_s(state: PoolState, n_cached_tokens: int) -> float:
+    """Return how long the saved prefill is worth waiting for."""
+    saved_s = n_cached_tokens * state.averages.prefill_s_per_token
+    return min(
+        state.settings.affinity_wait_limit_s,
+        saved_s * state.settings.affinity_wait_factor,
+    )
+
+
+def remember_prefix(
+    state: PoolState,
+    endpoint: Endpoint,
+    program: ProgramId,
+    n_tokens: int,
+    now_s: float,
+) -> None:
+    """Record that an endpoint keeps a prefix, least recently used out first."""
+    if endpoint.cache_tokens <= 0:
+        return
+    known = endpoint.residents.pop(program, None)
+    if known is not None:
+        endpoint.resident_tokens -= known.n_tokens
+        n_tokens = max(n_tokens, known.n_tokens)
+    endpoint.residents[program] = Resident(n_tokens, now_s)
+    endpoint.resident_tokens += n_tokens
+    idle_since_s = now_s - state.settings.cache_idle_limit_s
+    while endpoint.residents:
+        oldest, resident = next(iter(endpoint.residents.items()))
+        is_full = endpoint.resident_tokens > endpoint.cache_tokens
+        if not is_full and resident.used_s >= idle_since_s:
+            return
+        del endpoint.residents[oldest]
+        endpoint.has_dropped_prefix = True
+        endpoint.resident_tokens -= resident.n_tokens
+
+
+def get_memory_load(endpoint: Endpoint) -> float:
+    """Return the part of an endpoint's prefix memory that is thought in use."""
+    if endpoint.cache_tokens <= 0:
+        return 0.0
+    return endpoint.resident_tokens / endpoint.cache_tokens
+
+
+def _count_cached(endpoint: Endpoint, enqueue: EnqueueRequest) -> int:
+    resident = endpoint.residents.get(enqueue.program)
+    if resident is not None:
+        return min(resident.n_tokens, enqueue.prompt_tokens)
+    return 0 if endpoint.has_dropped_prefix else enqueue.prompt_tokens
--- a/oleanderhitch/process/scheduling/core.py
+++ b/oleanderhitch/process/scheduling/core.py
@@ -1,13 +1,21 @@
 """Decide which waiting request gets which endpoint's slot."""
 
 from collections.abc import Iterator
-from dataclasses import dataclass, field
 from datetime import datetime
 from functools import singledispatch
 from random import Random
 
-from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.messages import Tick
+from oleanderhitch.process.scheduling import (
+    affinity,
+    dispatching,
+    health,
+    hedging,
+    limits,
+    ordering,
+    permits,
+    queueing,
+)
 from oleanderhitch.process.scheduling.messages import (
     EndpointOffer,
     EndpointsChanged,
@@ -20,52 +28,20 @@
     ReleaseSlot,
     WithdrawRequest,
 )
+from oleanderhitch.process.scheduling.records import Endpoint, Permit, PoolState
 from oleanderhitch.process.scheduling.settings import PoolSettings
-from oleanderhitch.request.ids import PermitId, RequestId
-from oleanderhitch.version.ids import EndpointId, PoolId
+from oleanderhitch.process.scheduling.states import Health
+from oleanderhitch.version.ids import PoolId
 
 Effect = GrantSlot | RefuseRequest
 
 
-@dataclass(slots=True)
-class Waiting:
-    """Hold a request that waits for a slot."""
-
-    enqueue: EnqueueRequest
-    deadline: datetime
-
-
-@dataclass(slots=True)
-class Permit:
-    """Hold one slot that is in use."""
-
-    permit: PermitId
-    request: RequestId
-    node: NodeId
-    endpoint: EndpointId
-
-
-@dataclass(slots=True)
-class PoolState:
-    """Hold the queue and the exact in-flight counts of one pool."""
-
-    pool: PoolId
-    settings: PoolSettings
-    random_source: Random
-    permit_prefix: str
-    n_permits: int = 0
-    waiting: dict[RequestId, Waiting] = field(default_factory=dict)
-    permits: dict[PermitId, Permit] = field(default_factory=dict)
-    offers: dict[EndpointId, EndpointOffer] = field(default_factory=dict)
-    n_in_flight: dict[EndpointId, int] = field(default_factory=dict)
-
-
 def make_pool(pool: PoolId, settings: PoolSettings, random_source: Random) -> PoolState:
     """Return a pool without endpoints."""
     # The prefix differs between the owners that a pool has over time, so that
     # a late release never frees a slot that another owner granted.
     prefix = f"{random_source.getrandbits(48):012x}"
-    return PoolState(pool, settings, random_source, prefix)
+    return PoolState(pool, settings, prefix)
 
 
 @singledispatch
@@ -76,113 +52,185 @@
 
 @handle.register
 def _(message: EnqueueRequest, state: PoolState, now: datetime) -> list[Effect]:
+    now_s = permits.get_seconds(now)
     if message.request in state.waiting:
         return []
-    if len(state.waiting) >= state.settings.n_waiting_limit:
-        return [_make_refusal(state, message, "queue is full")]
-    state.waiting[message.request] = Waiting(message, now + message.time_to_deadline)
-    return list(_grant_slots(state))
+    if message.request in state.attempts:
+        repeated = _repeat_grants(state, message, now_s)
+        if repeated:
+            return repeated
+    refusal = limits.find_refusal(state, message)
+    if refusal is not None:
+        return [limits.make_refusal(state, message, refusal)]
+    waiting, holder = queueing.add(state, message, now_s)
+    effects: list[Effect] = []
+    if holder is not None:
+        effects.extend(dispatching.fill_endpoint(state, holder, now_s))
+    if waiting.is_general:
+        effects.extend(dispatching.dispatch_general(state, now_s))
+    return effects
 
 
 @handle.register
 def _(message: WithdrawRequest, state: PoolState, now: datetime) -> list[Effect]:
-    state.waiting.pop(message.request, None)
+    queueing.withdraw(state, message.request)
     return []
 
 
 @handle.register
 def _(message: ReleaseSlot, state: PoolState, now: datetime) -> list[Effect]:
-    _return_permit(state, message.permit)
-    return list(_grant_slots(state))
+    now_s = permits.get_seconds(now)
+    permit = permits.give_back(state, message.permit, now_s)
+    if permit is None:
+        return []
+    endpoint = state.endpoints.get(permit.endpoint)
+    if endpoint is None:
+        return list(_dispatch(state, now_s))
+    if message.is_success:
+        hedging.earn_budget(state)
+        n_tokens = permit.prompt_tokens + message.n_output_tokens
+        affinity.remember_prefix(state, endpoint, permit.program, n_tokens, now_s)
+    health.observe(state, endpoint, message, now_s)
+    _judge(state, endpoint, now_s)
+    effects: list[Effect] = list(dispatching.fill_endpoint(state, endpoint, now_s))
+    effects.extend(_dispatch(state, now_s))
+    return effects
 
 
 @handle.register
 def _(message: HoldSlot, state: PoolState, now: datetime) -> list[Effect]:
-    if message.permit not in state.permits:
-        state.permits[message.permit] = Permit(
-            message.permit, message.request, message.node, message.endpoint
-        )
-        state.n_in_flight[message.endpoint] = (
-            state.n_in_flight.get(message.endpoint, 0) + 1
-        )
-    state.waiting.pop(message.request, None)
+    now_s = permits.get_seconds(now)
+    if message.permit in state.permits:
+        return []
+    queueing.withdraw(state, message.request)
+    permit = Permit(
+        message.permit,
+        message.request,
+        message.program,
+        message.account,
+        message.node,
+        message.endpoint,
+        now_s - message.running_for.total_seconds(),
+        ordering.charge_account(state, message.account, now_s),
+    )
+    permits.take(state, permit, now_s)
     return []
 
 
 @handle.register
 def _(message: NodeGone, state: PoolState, now: datetime) -> list[Effect]:
-    held = [p.permit for p in state.permits.values() if p.node == message.node]
-    for permit in held:
-        _return_permit(state, permit)
-    for request, entry in list(state.waiting.items()):
-        if entry.enqueue.node == message.node:
-            del state.waiting[request]
-    return list(_grant_slots(state))
+    now_s = permits.get_seconds(now)
+    for permit in list(state.permits.values()):
+        if permit.node == message.node:
+            permits.give_back(state, permit.permit, now_s)
+    for waiting in list(state.waiting.values()):
+        if waiting.enqueue.node == message.node:
+            queueing.withdraw(state, waiting.enqueue.request)
+    return list(_fill_all(state, now_s))
 
 
 @handle.register
 def _(message: LoadReported, state: PoolState, now: datetime) -> list[Effect]:
+    # The owner's own count is exact; an engine's report is older than it.
     return []
 
 
 @handle.register
 def _(message: EndpointsChanged, state: PoolState, now: datetime) -> list[Effect]:
-    state.offers = {offer.endpoint: offer for offer in message.offers}
-    return list(_grant_slots(state))
+    offered = {offer.endpoint: offer for offer in message.offers}
+    for name, endpoint in list(state.endpoints.items()):
+        if name not in offered:
+            _retire(state, endpoint)
+    for offer in message.offers:
+        _take_offer(state, offer)
+    state.n_slots = sum(
+        endpoint.n_slots
+        for endpoint in state.endpoints.values()
+        if endpoint.health is not Health.LEAVING
+    )
+    return list(_fill_all(state, permits.get_seconds(now)))
 
 
 @handle.register
 def _(message: Tick, state: PoolState, now: datetime) -> list[Effect]:
-    expired = [e.enqueue for e in state.waiting.values() if e.deadline <= now]
-    for enqueue in expired:
-        del state.waiting[enqueue.request]
-    return [_make_refusal(state, e, "deadline passed in the queue") for e in expired]
-
-
-def _make_refusal(
-    state: PoolState, enqueue: EnqueueRequest, reason: str
-) -> RefuseRequest:
-    return RefuseRequest(
-        state.pool,
-        enqueue.node,
-        enqueue.request,
-        reason,
-        state.settings.retry_after_full,
-    )
-
-
-def _return_permit(state: PoolState, permit: PermitId) -> None:
-    held = state.permits.pop(permit, None)
-    if held is not None:
-        state.n_in_flight[held.endpoint] -= 1
-
-
-def _grant_slots(state: PoolState) -> Iterator[GrantSlot]:
-    for entry in list(state.waiting.values()):
-        endpoint = _find_endpoint(state, entry.enqueue)
-        if endpoint is not None:
-            yield _grant(state, entry.enqueue, endpoint)
-
-
-def _find_endpoint(state: PoolState, enqueue: EnqueueRequest) -> EndpointId | None:
-    free = [
-        (state.n_in_flight.get(offer.endpoint, 0) / offer.n_slots, offer.endpoint)
-        for offer in state.offers.values()
-        if not offer.is_leaving
-        and offer.endpoint not in enqueue.excluded
-        and state.n_in_flight.get(offer.endpoint, 0) < offer.n_slots
+    now_s = permits.get_seconds(now)
+    effects: list[Effect] = [
+        limits.make_refusal(state, waiting.enqueue, limits.REASON_DEADLINE)
+        for waiting in queueing.remove_expired(state, now_s)
+    ]
+    ordering.forget_idle_accounts(state, now_s)
+    effects.extend(_dispatch(state, now_s))
+    return effects
+
+
+def _dispatch(state: PoolState, now_s: float) -> Iterator[Effect]:
+    permits.mark_long(state, now_s)
+    queueing.end_affinity_waits(state, now_s)
+    yield from dispatching.dispatch_general(state, now_s)
+    yield from dispatching.dispatch_hedges(state, now_s)
+
+
+def _fill_all(state: PoolState, now_s: float) -> Iterator[Effect]:
+    for endpoint in list(state.endpoints.values()):
+        yield from dispatching.fill_endpoint(state, endpoint, now_s)
+    yield from _dispatch(state, now_s)
+
+
+def _judge(state: PoolState, endpoint: Endpoint, now_s: float) -> None:
+    if endpoint.health is Health.PROBATION:
+        if health.has_recovered(state, endpoint):
+            health.end_probation(state, endpoint)
+            permits.refresh(state, endpoint)
+    elif health.should_probate(state, endpoint, now_s):
+        health.start_probation(state, endpoint, now_s)
+        permits.refresh(state, endpoint)
+        queueing.open_lane_to_all(state, endpoint)
+        hedging.nominate(state, endpoint)
+
+
+def _take_offer(state: PoolState, offer: EndpointOffer) -> None:
+    endpoint = permits.get_endpoint(state, offer.endpoint)
+    endpoint.n_slots = offer.n_slots
+    endpoint.cache_tokens = offer.cache_tokens
+    if offer.is_leaving:
+        _set_leaving(state, endpoint)
+    elif endpoint.health is Health.LEAVING:
+        endpoint.health = Health.HEALTHY
+    permits.refresh(state, endpoint)
+
+
+def _retire(state: PoolState, endpoint: Endpoint) -> None:
+    endpoint.n_slots = 0
+    _set_leaving(state, endpoint)
+    permits.refresh(state, endpoint)
+    if not endpoint.permits:
+        del state.endpoints[endpoint.endpoint]
+
+
+def _set_leaving(state: PoolState, endpoint: Endpoint) -> None:
+    health.end_probation(state, endpoint)
+    health.forget_pace(state, endpoint)
+    endpoint.health = Health.LEAVING
+    queueing.open_lane_to_all(state, endpoint)
+
+
+def _repeat_grants(
+    state: PoolState, enqueue: EnqueueRequest, now_s: float
+) -> list[Effect]:
+    # An enqueue that excludes an endpoint says that the attempt there ended;
+    # its release may have been lost with a connection.
+    for name in list(state.attempts[enqueue.request]):
+        if state.permits[name].endpoint in enqueue.excluded:
+            permits.give_back(state, name, now_s)
+    return [
+        GrantSlot(
+            state.pool,
+            enqueue.node,
+            enqueue.request,
+            state.permits[name].endpoint,
+            name,
+            dispatching.PRIORITY_IN_PROGRESS,
+            False,
+        )
+        for name in state.attempts.get(enqueue.request, ())[:1]
     ]
-    return min(free)[1] if free else None
-
-
-def _grant(
-    state: PoolState, enqueue: EnqueueRequest, endpoint: EndpointId
-) -> GrantSlot:
-    del state.waiting[enqueue.request]
-    state.n_permits += 1
-    permit = PermitId(f"{state.permit_prefix}-{state.n_permits}")
-    state.permits[permit] = Permit(permit, enqueue.request, enqueue.node, endpoint)
-    state.n_in_flight[endpoint] = state.n_in_flight.get(endpoint, 0) + 1
-    return GrantSlot(
-        state.pool, enqueue.node, enqueue.request, endpoint, permit, 0, False
-    )
--- /dev/null
+++ b/oleanderhitch/process/scheduling/dispatching.py
@@ -0,0 +1,178 @@
+"""Match waiting requests with free slots."""
+
+from collections.abc import Iterator
+
+from oleanderhitch.process.scheduling import (
+    affinity,
+    capacity,
+    health,
+    hedging,
+    lanes,
+    limits,
+    permits,
+    queueing,
+)
+from oleanderhitch.process.scheduling.lanes import Entry, Lane
+from oleanderhitch.process.scheduling.messages import GrantSlot
+from oleanderhitch.process.scheduling.records import Endpoint, PoolState, Waiting
+from oleanderhitch.process.scheduling.states import Health
+
+# Priorities given to engines; lower is served first.
+PRIORITY_IN_PROGRESS = 0
+PRIORITY_NEW = 1
+PRIORITY_LONG = 2
+
+# Free endpoints that are compared for one request; more hardly improve the
+# choice and would make its cost grow with the pool.
+N_COMPARED = 8
+# Requests passed over in one decision because they exclude every free endpoint.
+N_PASSED_OVER = 8
+
+
+def fill_endpoint(
+    state: PoolState, endpoint: Endpoint, now_s: float
+) -> Iterator[GrantSlot]:
+    """Grant an endpoint's free slots to those that wait for it or for any."""
+    while _can_take(state, endpoint, now_s):
+        found = _find_next(state, endpoint)
+        if found is None:
+            return
+        lane, entry = found
+        waiting = state.waiting[entry[2]]
+        if endpoint.endpoint in waiting.enqueue.excluded:
+            return
+        lanes.remove_first(lane, entry)
+        yield _grant(state, waiting, endpoint, now_s)
+
+
+def dispatch_general(state: PoolState, now_s: float) -> Iterator[GrantSlot]:
+    """Grant free slots anywhere to the requests that any endpoint may serve."""
+    passed_over: list[Entry] = []
+    while len(passed_over) < N_PASSED_OVER and _has_free_slot(state, now_s):
+        entry = _find_first(state, state.general)
+        if entry is None:
+            break
+        lanes.remove_first(state.general, entry)
+        waiting = state.waiting[entry[2]]
+        endpoint = _find_endpoint(state, waiting, now_s)
+        if endpoint is None:
+            passed_over.append(entry)
+            continue
+        yield _grant(state, waiting, endpoint, now_s)
+    for entry in passed_over:
+        lanes.push(state.general, entry, state.waiting[entry[2]].is_long)
+
+
+def dispatch_hedges(state: PoolState, now_s: float) -> Iterator[GrantSlot]:
+    """Start second attempts on slots that no waiting request can use."""
+    while state.hedge_candidates and state.free.mask:
+        if _find_first(state, state.general) is not None:
+            return
+        first = hedging.find_candidate(state, now_s)
+        if first is None:
+            return
+        endpoint = _find_hedge_endpoint(state, first.endpoint)
+        if endpoint is None:
+            return
+        state.hedge_candidates.popleft()
+        hedging.take_budget(state)
+        permit = permits.make_hedge_permit(state, first, endpoint, now_s)
+        yield GrantSlot(
+            state.pool,
+            permit.node,
+            permit.request,
+            permit.endpoint,
+            permit.permit,
+            PRIORITY_IN_PROGRESS,
+            True,
+        )
+
+
+def _grant(
+    state: PoolState, waiting: Waiting, endpoint: Endpoint, now_s: float
+) -> GrantSlot:
+    enqueue = waiting.enqueue
+    del state.waiting[enqueue.request]
+    if endpoint.health is Health.PROBATION:
+        _note_probe(state, endpoint, now_s)
+    permit = permits.make_permit(state, waiting, endpoint, now_s)
+    return GrantSlot(
+        state.pool,
+        enqueue.node,
+        enqueue.request,
+        endpoint.endpoint,
+        permit.permit,
+        _get_priority(waiting),
+        False,
+    )
+
+
+def _get_priority(waiting: Waiting) -> int:
+    if waiting.is_long:
+        return PRIORITY_LONG
+    return PRIORITY_IN_PROGRESS if waiting.enqueue.n_turns else PRIORITY_NEW
+
+
+def _note_probe(state: PoolState, endpoint: Endpoint, now_s: float) -> None:
+    endpoint.probed_s = now_s
+    # The one probed longest ago is always the first.
+    del state.probation[endpoint.endpoint]
+    state.probation[endpoint.endpoint] = None
+
+
+def _can_take(state: PoolState, endpoint: Endpoint, now_s: float) -> bool:
+    if endpoint.n_in_flight >= endpoint.n_slots:
+        return False
+    if endpoint.health is Health.PROBATION:
+        return health.is_probe_due(state, endpoint, now_s)
+    return endpoint.health is Health.HEALTHY
+
+
+def _has_free_slot(state: PoolState, now_s: float) -> bool:
+    return state.free.mask != 0 or _find_probe(state, now_s) is not None
+
+
+def _find_probe(state: PoolState, now_s: float) -> Endpoint | None:
+    for name in state.probation:
+        endpoint = state.endpoints[name]
+        return endpoint if _can_take(state, endpoint, now_s) else None
+    return None
+
+
+def _find_first(state: PoolState, lane: Lane) -> Entry | None:
+    return lanes.find_first(
+        lane, limits.takes_long(state), lambda entry: queueing.is_live(state, entry)
+    )
+
+
+def _find_next(state: PoolState, endpoint: Endpoint) -> tuple[Lane, Entry] | None:
+    own = _find_first(state, endpoint.lane)
+    general = _find_first(state, state.general)
+    if own is not None and (general is None or own <= general):
+        return endpoint.lane, own
+    return None if general is None else (state.general, general)
+
+
+def _find_endpoint(state: PoolState, waiting: Waiting, now_s: float) -> Endpoint | None:
+    excluded = waiting.enqueue.excluded
+    probe = _find_probe(state, now_s)
+    # A probe may be slow, so that it must be work that a hedge can rescue
+    # unless nothing else is free.
+    may_probe = waiting.enqueue.is_idempotent or not state.free.mask
+    if probe is not None and may_probe and probe.endpoint not in excluded:
+        return probe
+    names = capacity.list_least_loaded(state.free, N_COMPARED + len(excluded))
+    free = [state.endpoints[name] for name in names if name not in excluded]
+    return min(free, key=_get_cost, default=None)
+
+
+def _find_hedge_endpoint(state: PoolState, first: object) -> Endpoint | None:
+    for name in capacity.list_least_loaded(state.free, 2):
+        if name != first:
+            return state.endpoints[name]
+    return None
+
+
+def _get_cost(endpoint: Endpoint) -> float:
+    load = endpoint.n_in_flight / endpoint.n_slots
+    return load + affinity.get_memory_load(endpoint)
--- /dev/null
+++ b/oleanderhitch/process/scheduling/health.py
@@ -0,0 +1,138 @@
+"""Find endpoints that are slowed, from own observations of time per token."""
+
+from bisect import bisect_left, insort
+
+from oleanderhitch.process.scheduling.messages import ReleaseSlot
+from oleanderhitch.process.scheduling.records import Endpoint, PoolState
+from oleanderhitch.process.scheduling.states import Health
+
+# A median of fewer endpoints says nothing about which of them is slow.
+N_ENDPOINTS_TO_COMPARE = 3
+# Shorter answers are dominated by the time of a single batch step.
+N_TOKENS_TO_OBSERVE = 4
+AVERAGE_WEIGHT = 0.05
+
+
+def observe(
+    state: PoolState, endpoint: Endpoint, release: ReleaseSlot, now_s: float
+) -> None:
+    """Take in what an attempt shows of its endpoint and of the pool."""
+    _update_averages(state, release)
+    observation = _find_observation(release)
+    if observation is None or endpoint.health is Health.LEAVING:
+        return
+    n_tokens, seconds = observation
+    endpoint.observations.append((now_s, n_tokens, seconds))
+    _update_pace(state, endpoint, now_s)
+
+
+def should_probate(state: PoolState, endpoint: Endpoint, now_s: float) -> bool:
+    """Say whether recent observations are well above the pool's median."""
+    if endpoint.health is not Health.HEALTHY or not _has_room(state):
+        return False
+    recent = _list_recent(state, endpoint, now_s)
+    if len(recent) < state.settings.n_slow_observations:
+        return False
+    return _exceeds(state, endpoint, state.settings.slow_factor)
+
+
+def has_recovered(state: PoolState, endpoint: Endpoint) -> bool:
+    """Say whether the observations since the start of probation are normal."""
+    if len(endpoint.observations) < state.settings.n_recovery_observations:
+        return False
+    return not _exceeds(state, endpoint, state.settings.recovered_factor)
+
+
+def start_probation(state: PoolState, endpoint: Endpoint, now_s: float) -> None:
+    """Let an endpoint have single probes only."""
+    endpoint.health = Health.PROBATION
+    endpoint.probed_s = now_s
+    endpoint.observations.clear()
+    state.probation[endpoint.endpoint] = None
+
+
+def end_probation(state: PoolState, endpoint: Endpoint) -> None:
+    """Let an endpoint have its full share again."""
+    if endpoint.health is Health.PROBATION:
+        endpoint.health = Health.HEALTHY
+    state.probation.pop(endpoint.endpoint, None)
+
+
+def is_probe_due(state: PoolState, endpoint: Endpoint, now_s: float) -> bool:
+    """Say whether an endpoint on probation may get a probe."""
+    is_due = now_s - endpoint.probed_s >= state.settings.probe_interval_s
+    return is_due and endpoint.n_in_flight == 0
+
+
+def forget_pace(state: PoolState, endpoint: Endpoint) -> None:
+    """Take an endpoint out of the pool's median."""
+    if endpoint.pace is not None:
+        del state.paces[bisect_left(state.paces, endpoint.pace)]
+        endpoint.pace = None
+
+
+def find_median(state: PoolState) -> float | None:
+    """Return the lower median of seconds per token over the endpoints."""
+    if len(state.paces) < N_ENDPOINTS_TO_COMPARE:
+        return None
+    return state.paces[(len(state.paces) - 1) // 2]
+
+
+def _has_room(state: PoolState) -> bool:
+    n_known = len(state.endpoints)
+    if n_known < N_ENDPOINTS_TO_COMPARE:
+        return False
+    return len(state.probation) < max(1, int(state.settings.probation_limit * n_known))
+
+
+def _exceeds(state: PoolState, endpoint: Endpoint, factor: float) -> bool:
+    median = find_median(state)
+    if median is None or endpoint.pace is None:
+        return False
+    return endpoint.pace > factor * median
+
+
+def _find_observation(release: ReleaseSlot) -> tuple[int, float] | None:
+    seconds = release.duration.total_seconds()
+    if release.first_token is None:
+        # A plain service has no tokens; its whole calls are compared.
+        return (1, seconds) if release.is_success else None
+    if release.n_output_tokens < N_TOKENS_TO_OBSERVE:
+        return None
+    return release.n_output_tokens, seconds - release.first_token.total_seconds()
+
+
+def _list_recent(
+    state: PoolState, endpoint: Endpoint, now_s: float
+) -> list[tuple[float, int, float]]:
+    since_s = now_s - state.settings.slow_window_s
+    return [seen for seen in endpoint.observations if seen[0] >= since_s]
+
+
+def _update_pace(state: PoolState, endpoint: Endpoint, now_s: float) -> None:
+    recent = _list_recent(state, endpoint, now_s)
+    n_tokens = sum(seen[1] for seen in recent)
+    seconds = sum(seen[2] for seen in recent)
+    forget_pace(state, endpoint)
+    endpoint.pace = seconds / n_tokens
+    insort(state.paces, endpoint.pace)
+
+
+def _update_averages(state: PoolState, release: ReleaseSlot) -> None:
+    if not release.is_success:
+        return
+    averages = state.averages
+    averages.n_observed += 1
+    # The first observations replace the defaults quickly.
+    weight = max(AVERAGE_WEIGHT, 1.0 / averages.n_observed)
+    averages.slot_s += weight * (release.duration.total_seconds() - averages.slot_s)
+    averages.output_tokens += weight * (
+        release.n_output_tokens - averages.output_tokens
+    )
+    if release.first_token is not None and release.n_computed_prompt_tokens >= 32:
+        per_token = (
+            release.first_token.total_seconds() / release.n_computed_prompt_tokens
+        )
+        averages.prefill_s_per_token += weight * (
+            per_token - averages.prefill_s_per_token
+        )
--- /dev/null
+++ b/oleanderhitch/process/scheduling/hedging.py
@@ -0,0 +1,44 @@
+"""Limit repeated attempts: idempotent work, a budget, within the deadline."""
+
+from oleanderhitch.process.scheduling.records import Endpoint, Permit, PoolState
+
+
+def earn_budget(state: PoolState) -> None:
+    """Add the share of one success to the retry budget."""
+    state.retry_budget = min(
+        state.settings.retry_budget_limit,
+        state.retry_budget + state.settings.retry_budget_ratio,
+    )
+
+
+def take_budget(state: PoolState) -> bool:
+    """Spend one repeated attempt; return False when the budget is used up."""
+    if state.retry_budget < 1.0:
+        return False
+    state.retry_budget -= 1.0
+    return True
+
+
+def nominate(state: PoolState, endpoint: Endpoint) -> None:
+    """Name the attempts of a slowed endpoint as candidates for a hedge."""
+    if state.settings.hedges:
+        state.hedge_candidates.extend(endpoint.permits)
+
+
+def find_candidate(state: PoolState, now_s: float) -> Permit | None:
+    """Return the next running attempt that a second one may help."""
+    while state.hedge_candidates:
+        permit = state.permits.get(state.hedge_candidates[0])
+        if permit is not None and _may_hedge(state, permit, now_s):
+            return permit
+        state.hedge_candidates.popleft()
+    return None
+
+
+def _may_hedge(state: PoolState, permit: Permit, now_s: float) -> bool:
+    return (
+        permit.may_hedge
+        and len(state.attempts.get(permit.request, ())) == 1
+        and now_s < permit.deadline_s
+        and state.retry_budget >= 1.0
+    )
--- /dev/null
+++ b/oleanderhitch/process/scheduling/limits.py
@@ -0,0 +1,58 @@
+"""Refuse what cannot be served in time, and keep room for short work."""
+
+from datetime import timedelta
+
+from oleanderhitch.process.scheduling.messages import EnqueueRequest, RefuseRequest
+from oleanderhitch.process.scheduling.records import PoolState
+
+REASON_FULL = "queue is full"
+REASON_DEADLINE = "deadline cannot be met"
+REASON_RETRY_BUDGET = "retry budget is used up"
+
+
+def get_drain_s(state: PoolState) -> float:
+    """Return how long the requests that wait now take to get a slot."""
+    if state.n_slots == 0:
+        return 0.0
+    return len(state.waiting) * state.averages.slot_s / state.n_slots
+
+
+def find_refusal(state: PoolState, enqueue: EnqueueRequest) -> str | None:
+    """Return why a request cannot be queued, or None."""
+    settings = state.settings
+    if len(state.waiting) >= settings.n_waiting_limit:
+        return REASON_FULL
+    if enqueue.time_to_deadline <= timedelta(0):
+        return REASON_DEADLINE
+    if not settings.refuses_early:
+        return None
+    deadline_s = enqueue.time_to_deadline.total_seconds()
+    if get_drain_s(state) > settings.early_refusal_factor * deadline_s:
+        return REASON_DEADLINE
+    return None
+
+
+def make_refusal(
+    state: PoolState, enqueue: EnqueueRequest, reason: str
+) -> RefuseRequest:
+    """Return a refusal that says when the queue is likely to have room."""
+    retry_after_s = max(state.settings.retry_after_floor_s, get_drain_s(state))
+    return RefuseRequest(
+        state.pool,
+        enqueue.node,
+        enqueue.request,
+        reason,
+        timedelta(seconds=retry_after_s),
+    )
+
+
+def is_long_work(state: PoolState, n_uncached_tokens: int) -> bool:
+    """Say whether a request is known beforehand to hold its slot for long."""
+    prefill_s = n_uncached_tokens * state.averages.prefill_s_per_token
+    return prefill_s > state.settings.long_work_factor * state.averages.slot_s
+
+
+def takes_long(state: PoolState) -> bool:
+    """Say whether long work may take one more slot."""
+    limit = max(1, int((1.0 - state.settings.short_reserve) * state.n_slots))
+    return state.n_long < limit
--- /dev/null
+++ b/oleanderhitch/process/scheduling/permits.py
@@ -0,0 +1,138 @@
+"""Count the slots in use, exactly."""
+
+import heapq
+from datetime import datetime
+
+from oleanderhitch.process.scheduling import affinity, capacity, ordering
+from oleanderhitch.process.scheduling.records import (
+    Endpoint,
+    Permit,
+    PoolState,
+    Waiting,
+)
+from oleanderhitch.process.scheduling.states import Health
+from oleanderhitch.request.ids import PermitId
+from oleanderhitch.version.ids import EndpointId
+
+N_STALE_FLOOR = 64
+
+
+def get_seconds(now: datetime) -> float:
+    """Return a time as seconds, which cost less to compare than datetimes."""
+    return now.timestamp()
+
+
+def get_endpoint(state: PoolState, name: EndpointId) -> Endpoint:
+    """Return the record of an endpoint, which a held slot may be first to name."""
+    endpoint = state.endpoints.get(name)
+    if endpoint is None:
+        endpoint = state.endpoints[name] = Endpoint(name)
+    return endpoint
+
+
+def refresh(state: PoolState, endpoint: Endpoint) -> None:
+    """Bring the index of free slots in line with an endpoint."""
+    level = None
+    is_free = endpoint.n_in_flight < endpoint.n_slots
+    if is_free and endpoint.health is Health.HEALTHY:
+        level = capacity.get_level(endpoint.n_in_flight, endpoint.n_slots)
+    capacity.place(state.free, endpoint.endpoint, level)
+
+
+def make_permit(
+    state: PoolState, waiting: Waiting, endpoint: Endpoint, now_s: float
+) -> Permit:
+    """Take a slot for a waiting request."""
+    enqueue = waiting.enqueue
+    permit = Permit(
+        _next_permit_id(state),
+        enqueue.request,
+        enqueue.program,
+        enqueue.account,
+        enqueue.node,
+        endpoint.endpoint,
+        now_s,
+        waiting.charged_s,
+        waiting.deadline_s,
+        enqueue.prompt_tokens,
+        waiting.is_long,
+        enqueue.is_idempotent,
+    )
+    take(state, permit, now_s)
+    affinity.remember_prefix(
+        state, endpoint, enqueue.program, enqueue.prompt_tokens, now_s
+    )
+    return permit
+
+
+def make_hedge_permit(
+    state: PoolState, first: Permit, endpoint: Endpoint, now_s: float
+) -> Permit:
+    """Take a slot for a second attempt of a running request."""
+    permit = Permit(
+        _next_permit_id(state),
+        first.request,
+        first.program,
+        first.account,
+        first.node,
+        endpoint.endpoint,
+        now_s,
+        ordering.charge_account(state, first.account, now_s),
+        first.deadline_s,
+        first.prompt_tokens,
+        first.is_long,
+    )
+    take(state, permit, now_s)
+    return permit
+
+
+def take(state: PoolState, permit: Permit, now_s: float) -> None:
+    """Count a slot as in use."""
+    endpoint = get_endpoint(state, permit.endpoint)
+    state.permits[permit.permit] = permit
+    state.attempts.setdefault(permit.request, []).append(permit.permit)
+    endpoint.permits[permit.permit] = None
+    refresh(state, endpoint)
+    if permit.is_long:
+        state.n_long += 1
+        return
+    long_after_s = state.settings.long_work_factor * state.averages.slot_s
+    heapq.heappush(state.long_after, (permit.started_s + long_after_s, permit.permit))
+    if len(state.long_after) > N_STALE_FLOOR + 2 * len(state.permits):
+        state.long_after = [e for e in state.long_after if e[1] in state.permits]
+        heapq.heapify(state.long_after)
+
+
+def give_back(state: PoolState, name: PermitId, now_s: float) -> Permit | None:
+    """Count a slot as free; return the permit, or None when it is not held."""
+    permit = state.permits.pop(name, None)
+    if permit is None:
+        return None
+    attempts = state.attempts[permit.request]
+    attempts.remove(name)
+    if not attempts:
+        del state.attempts[permit.request]
+    endpoint = state.endpoints[permit.endpoint]
+    del endpoint.permits[name]
+    state.n_long -= permit.is_long
+    used_s = ordering.get_share_s(state, now_s - permit.started_s)
+    ordering.settle_account(state, permit.account, used_s - permit.charged_s)
+    if endpoint.n_slots == 0 and not endpoint.permits:
+        del state.endpoints[permit.endpoint]
+    else:
+        refresh(state, endpoint)
+    return permit
+
+
+def mark_long(state: PoolState, now_s: float) -> None:
+    """Count attempts that run far beyond the mean as long work."""
+    while state.long_after and state.long_after[0][0] <= now_s:
+        permit = state.permits.get(heapq.heappop(state.long_after)[1])
+        if permit is not None and not permit.is_long:
+            permit.is_long = True
+            state.n_long += 1
+
+
+def _next_permit_id(state: PoolState) -> PermitId:
+    state.n_permits += 1
+    return PermitId(f"{state.permit_prefix}-{state.n_permits}")
--- /dev/null
+++ b/oleanderhitch/process/scheduling/queueing.py
@@ -0,0 +1,109 @@
+"""Put requests into the queue and take them out."""
+
+import heapq
+
+from oleanderhitch.process.scheduling import affinity, lanes, limits, ordering
+from oleanderhitch.process.scheduling.lanes import Entry
+from oleanderhitch.process.scheduling.messages import EnqueueRequest
+from oleanderhitch.process.scheduling.records import Endpoint, PoolState, Waiting
+from oleanderhitch.request.ids import RequestId
+
+Timer = tuple[float, int, RequestId]
+
+
+def add(
+    state: PoolState, enqueue: EnqueueRequest, now_s: float
+) -> tuple[Waiting, Endpoint | None]:
+    """Queue a request; return its record and the endpoint it may wait for."""
+    holder, n_cached = affinity.find_holder(state, enqueue)
+    state.n_entries += 1
+    waiting = Waiting(
+        enqueue,
+        state.n_entries,
+        ordering.get_rank(state, enqueue, now_s),
+        now_s + enqueue.time_to_deadline.total_seconds(),
+        ordering.charge_account(state, enqueue.account, now_s),
+        limits.is_long_work(state, enqueue.prompt_tokens - n_cached),
+        False,
+    )
+    state.waiting[enqueue.request] = waiting
+    _push_timer(state, state.deadlines, waiting, waiting.deadline_s)
+    wait_s = 0.0
+    if holder is not None:
+        bonus_s = ordering.get_cached_bonus_s(state, n_cached)
+        _push(state, holder.lane, waiting, waiting.rank - bonus_s)
+        wait_s = affinity.get_wait_s(state, n_cached)
+        wait_s -= enqueue.waited.total_seconds()
+    if wait_s > 0.0:
+        _push_timer(state, state.affinity_ends, waiting, now_s + wait_s)
+    else:
+        open_to_all(state, waiting)
+    return waiting, holder
+
+
+def open_to_all(state: PoolState, waiting: Waiting) -> None:
+    """Let a request go to any endpoint from now on."""
+    if not waiting.is_general:
+        waiting.is_general = True
+        _push(state, state.general, waiting, waiting.rank)
+
+
+def open_lane_to_all(state: PoolState, endpoint: Endpoint) -> None:
+    """End the wait for an endpoint that gets no further work."""
+    for entry in (*endpoint.lane.short, *endpoint.lane.long):
+        if is_live(state, entry):
+            open_to_all(state, state.waiting[entry[2]])
+    endpoint.lane.short.clear()
+    endpoint.lane.long.clear()
+
+
+def end_affinity_waits(state: PoolState, now_s: float) -> bool:
+    """Open requests whose wait for a prefix is over; say whether there are any."""
+    has_any = False
+    while state.affinity_ends and state.affinity_ends[0][0] <= now_s:
+        _, number, request = heapq.heappop(state.affinity_ends)
+        waiting = state.waiting.get(request)
+        if waiting is not None and waiting.number == number:
+            open_to_all(state, waiting)
+            has_any = True
+    return has_any
+
+
+def remove_expired(state: PoolState, now_s: float) -> list[Waiting]:
+    """Take out the requests whose deadline has passed."""
+    expired = []
+    while state.deadlines and state.deadlines[0][0] <= now_s:
+        _, number, request = heapq.heappop(state.deadlines)
+        waiting = state.waiting.get(request)
+        if waiting is not None and waiting.number == number:
+            withdraw(state, request)
+            expired.append(waiting)
+    return expired
+
+
+def withdraw(state: PoolState, request: RequestId) -> None:
+    """Take a request out without a slot and return what its account was charged."""
+    waiting = state.waiting.pop(request, None)
+    if waiting is not None:
+        ordering.settle_account(state, waiting.enqueue.account, -waiting.charged_s)
+
+
+def is_live(state: PoolState, entry: Entry) -> bool:
+    """Say whether a lane's entry stands for a request that still waits."""
+    waiting = state.waiting.get(entry[2])
+    return waiting is not None and waiting.number == entry[1]
+
+
+def _push(state: PoolState, lane: lanes.Lane, waiting: Waiting, rank: float) -> None:
+    entry = (rank, waiting.number, waiting.enqueue.request)
+    lanes.push(lane, entry, waiting.is_long)
+    lanes.compact(lane, len(state.waiting), lambda entry: is_live(state, entry))
+
+
+def _push_timer(
+    state: PoolState, timers: list[Timer], waiting: Waiting, due_s: float
+) -> None:
+    heapq.heappush(timers, (due_s, waiting.number, waiting.enqueue.request))
+    if len(timers) > lanes.N_STALE_FLOOR + 2 * len(state.waiting):
+        timers[:] = [timer for timer in timers if is_live(state, timer)]
+        heapq.heapify(timers)
--- /dev/null
+++ b/oleanderhitch/process/scheduling/records.py
@@ -0,0 +1,131 @@
+"""Define what a pool's queue remembers."""
+
+from collections import OrderedDict, deque
+from dataclasses import dataclass, field
+
+from oleanderhitch.process.ids import NodeId
+from oleanderhitch.process.scheduling.capacity import FreeIndex
+from oleanderhitch.process.scheduling.lanes import Lane
+from oleanderhitch.process.scheduling.messages import EnqueueRequest
+from oleanderhitch.process.scheduling.settings import PoolSettings
+from oleanderhitch.process.scheduling.states import Health
+from oleanderhitch.program.ids import AccountId, ProgramId
+from oleanderhitch.request.ids import PermitId, RequestId
+from oleanderhitch.version.ids import EndpointId, PoolId
+
+
+@dataclass(slots=True)
+class Waiting:
+    """Hold a request that waits; times are seconds of the owner's clock."""
+
+    enqueue: EnqueueRequest
+    number: int
+    rank: float
+    deadline_s: float
+    charged_s: float
+    is_long: bool
+    is_general: bool
+
+
+@dataclass(slots=True)
+class Permit:
+    """Hold one slot that is in use."""
+
+    permit: PermitId
+    request: RequestId
+    program: ProgramId
+    account: AccountId
+    node: NodeId
+    endpoint: EndpointId
+    started_s: float
+    charged_s: float = 0.0
+    deadline_s: float = 0.0
+    prompt_tokens: int = 0
+    is_long: bool = False
+    may_hedge: bool = False
+
+
+@dataclass(slots=True)
+class Resident:
+    """Hold a prefix that an endpoint is thought to keep."""
+
+    n_tokens: int
+    used_s: float
+
+
+@dataclass(slots=True)
+class Endpoint:
+    """Hold an endpoint's slots, its waiting requests and what was observed."""
+
+    endpoint: EndpointId
+    n_slots: int = 0
+    cache_tokens: int = 0
+    health: Health = Health.LEAVING
+    permits: dict[PermitId, None] = field(default_factory=dict)
+    lane: Lane = field(default_factory=Lane)
+    residents: OrderedDict[ProgramId, Resident] = field(default_factory=OrderedDict)
+    resident_tokens: int = 0
+    # Until a prefix was dropped here, a holder that an entry names is believed:
+    # a new owner starts without knowledge of what endpoints keep.
+    has_dropped_prefix: bool = False
+    # Time of the observation, tokens, seconds.
+    observations: deque[tuple[float, int, float]] = field(
+        default_factory=lambda: deque(maxlen=8)
+    )
+    pace: float | None = None
+    probed_s: float = 0.0
+
+    @property
+    def n_in_flight(self) -> int:
+        """Return the exact number of slots in use."""
+        return len(self.permits)
+
+
+@dataclass(slots=True)
+class Account:
+    """Hold what an account has used of its fair share."""
+
+    finish_s: float = 0.0
+    n_active: int = 0
+
+
+@dataclass(slots=True)
+class Averages:
+    """Hold moving averages over the attempts of the pool."""
+
+    slot_s: float = 1.0
+    output_tokens: float = 100.0
+    prefill_s_per_token: float = 0.0002
+    n_observed: int = 0
+
+
+@dataclass(slots=True)
+class PoolState:
+    """Hold the queue, the exact in-flight counts and the health of one pool."""
+
+    pool: PoolId
+    settings: PoolSettings
+    permit_prefix: str
+    n_permits: int = 0
+    n_entries: int = 0
+    n_slots: int = 0
+    n_long: int = 0
+    n_active_accounts: int = 0
+    retry_budget: float = 8.0
+    waiting: dict[RequestId, Waiting] = field(default_factory=dict)
+    permits: dict[PermitId, Permit] = field(default_factory=dict)
+    attempts: dict[RequestId, list[PermitId]] = field(default_factory=dict)
+    endpoints: dict[EndpointId, Endpoint] = field(default_factory=dict)
+    accounts: dict[AccountId, Account] = field(default_factory=dict)
+    general: Lane = field(default_factory=Lane)
+    free: FreeIndex = field(default_factory=FreeIndex)
+    # Endpoints on probation, in the order in which they came there.
+    probation: dict[EndpointId, None] = field(default_factory=dict)
+    paces: list[float] = field(default_factory=list)
+    averages: Averages = field(default_factory=Averages)
+    # Time, number and request: when a wait for a prefix ends.
+    affinity_ends: list[tuple[float, int, RequestId]] = field(default_factory=list)
+    deadlines: list[tuple[float, int, RequestId]] = field(default_factory=list)
+    # Time and permit: when a running attempt counts as long work.
+    long_after: list[tuple[float, PermitId]] = field(default_factory=list)
+    hedge_candidates: deque[PermitId] = field(default_factory=deque)
--- a/oleanderhitch/process/scheduling/settings.py
+++ b/oleanderhitch/process/scheduling/settings.py
@@ -1,12 +1,56 @@
 """Define the settings of a pool's queue."""
 
 from dataclasses import dataclass
-from datetime import timedelta
 
 
 @dataclass(frozen=True, slots=True)
 class PoolSettings:
-    """Hold the limits and weights of one pool's queue."""
+    """Hold the limits and weights of one pool's queue.
 
+    Each rule can be turned off by itself; docs/measurements.md has the effect.
+    """
+
+    # Queue bounds and refusal.
     n_waiting_limit: int = 50_000
-    retry_after_full: timedelta = timedelta(seconds=2)
+    retry_after_floor_s: float = 1.0
+    refuses_early: bool = True
+    # A request may overtake the estimate by its rank, so that only an estimate
+    # that misses the deadline by this factor is taken as a certain miss.
+    early_refusal_factor: float = 2.0
+
+    # Order. All terms are seconds of seniority, so that a request is never
+    # passed by one that came later than the sum of the limits.
+    fair_share_limit_s: float = 20.0
+    attained_tokens_per_s: float = 4_000.0
+    attained_limit_s: float = 4.0
+    new_program_penalty_s: float = 10.0
+    # The queue is long when it holds this many requests per slot.
+    long_queue_per_slot: float = 0.25
+    cached_bonus_limit_s: float = 4.0
+
+    # Capacity that long work must leave free for short work.
+    short_reserve: float = 0.25
+    # Work counts as long from this many times the mean slot time on.
+    long_work_factor: float = 4.0
+
+    # Waiting for the endpoint that holds the prefix.
+    affinity_wait_limit_s: float = 8.0
+    # A prefill elsewhere also delays the prompts behind it and evicts prefixes
+    # of others, so that it costs more than the time of the request itself.
+    affinity_wait_factor: float = 4.0
+    # An idle prefix is taken as evicted after this time.
+    cache_idle_limit_s: float = 120.0
+
+    # Slowed endpoints.
+    slow_factor: float = 1.8
+    recovered_factor: float = 1.4
+    slow_window_s: float = 4.0
+    n_slow_observations: int = 3
+    n_recovery_observations: int = 2
+    probation_limit: float = 0.34
+    probe_interval_s: float = 2.0
+
+    # Hedges and retries.
+    hedges: bool = True
+    retry_budget_ratio: float = 0.1
+    retry_budget_limit: float = 32.0
