Added the configuration core with compare-and-set and its group application

Cause: operators of two offices publish with the same version number and resend after a lost answer.

Change: a publish names its base version and a publish id. One of two publishes on the same base wins, the other gets the accepted version, the records since its base and a difference. A resend gets the first answer. Records and answers are bounded. The content is checked by find_refusal at the leader before the log, not in apply, so that replicas of two releases apply the log alike.

--- /dev/null
+++ b/oleanderhitch/process/configuration/application.py
@@ -0,0 +1,189 @@
+"""Carry the configuration core in a replicated group."""
+
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+from datetime import datetime
+from functools import singledispatch
+
+from oleanderhitch.connection.codec import make_codec
+from oleanderhitch.connection.exceptions import MalformedFrameError
+from oleanderhitch.process.configuration import messages
+from oleanderhitch.process.configuration.core import (
+    ConfigurationState,
+    StoredAnswer,
+    apply,
+    make_accepted,
+    make_configuration_state,
+    read,
+)
+from oleanderhitch.process.configuration.messages import (
+    ConfigurationCallRefused,
+    Publish,
+    PublishRecord,
+    PublishRefused,
+)
+from oleanderhitch.process.mailbox import Address
+from oleanderhitch.version.checks import Fault
+from oleanderhitch.version.compile import compile_configuration
+from oleanderhitch.version.configuration import Configuration
+from oleanderhitch.version.documents import ConfigurationDocument, Document
+from oleanderhitch.version.exceptions import InvalidConfigurationError
+from oleanderhitch.version.ids import ConfigurationVersion, DocumentName
+
+# A snapshot is a sequence of frames, because at design scale it is larger than
+# one frame may be; the decoder takes it in pieces of this size.
+PIECE_BYTES = 1024 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationSnapshotHead:
+    """Begin a snapshot; documents, records and answers follow."""
+
+    version: ConfigurationVersion
+    removals: dict[DocumentName, ConfigurationVersion]
+
+
+SNAPSHOT_MESSAGES: tuple[type, ...] = (
+    ConfigurationSnapshotHead,
+    ConfigurationDocument,
+    PublishRecord,
+    StoredAnswer,
+)
+
+
+class ConfigurationApplication:
+    """Apply the commands of the configuration group.
+
+    The listener gets ConfigurationAccepted after each change and after a
+    snapshot was restored.
+    """
+
+    def __init__(self, state: ConfigurationState, listener: Address | None) -> None:
+        self._state = state
+        self._listener = listener
+        self._codec = make_codec(messages.MESSAGES)
+        self._snapshot_codec = make_codec(SNAPSHOT_MESSAGES)
+        self._checked: Configuration | None = None
+
+    def apply(self, command: bytes) -> bytes:
+        """Return the encoded result of a committed command."""
+        version = self._state.version
+        try:
+            answer = apply(self._codec.decode(command), self._state)
+        except (MalformedFrameError, TypeError) as error:
+            # A command that fails on every replica must not stop the group.
+            answer = ConfigurationCallRefused(str(error))
+        if self._state.version != version:
+            self._tell_listener()
+        return self._codec.encode(answer)
+
+    def read(self, query: bytes) -> bytes:
+        """Return the encoded answer to a read that changes nothing."""
+        try:
+            answer = read(self._codec.decode(query), self._state)
+        except (MalformedFrameError, TypeError) as error:
+            answer = ConfigurationCallRefused(str(error))
+        return self._codec.encode(answer)
+
+    def find_refusal(self, command: bytes) -> bytes | None:
+        """Return the encoded answer to a command that must not be proposed.
+
+        The leader calls this before it proposes. The checks stand here and not
+        in apply, so that a replica with other checks applies the log alike.
+        """
+        try:
+            message = self._codec.decode(command)
+        except MalformedFrameError as error:
+            return self._codec.encode(ConfigurationCallRefused(str(error)))
+        if not isinstance(message, Publish):
+            reason = f"{type(message).__name__} is not a command"
+            return self._codec.encode(ConfigurationCallRefused(reason))
+        faults = self._check(message)
+        if not faults:
+            return None
+        return self._codec.encode(PublishRefused(message.publish, tuple(faults)))
+
+    def take_snapshot(self) -> bytes:
+        """Return the whole state in encoded form."""
+        return b"".join(
+            self._snapshot_codec.encode(message)
+            for message in _list_snapshot(self._state)
+        )
+
+    def restore_snapshot(self, data: bytes) -> None:
+        """Replace the whole state by a snapshot."""
+        restored = make_configuration_state()
+        decoder = self._snapshot_codec.make_decoder()
+        for start in range(0, len(data), PIECE_BYTES):
+            for message in decoder.feed(data[start : start + PIECE_BYTES]):
+                _restore(message, restored)
+        self._state = restored
+        self._checked = None
+        self._tell_listener()
+
+    def make_leader_commands(self, now: datetime) -> list[bytes]:
+        """Return no command; configuration changes only on a publish."""
+        return []
+
+    def _check(self, publish: Publish) -> Sequence[Fault]:
+        state = self._state
+        is_resend = publish.publish in state.answers
+        if is_resend or publish.base_version != state.version:
+            return ()
+        documents: dict[DocumentName, Document] = {
+            name: document
+            for name, document in state.documents.items()
+            if name not in publish.removed
+        }
+        documents.update({draft.name: draft for draft in publish.documents})
+        try:
+            self._checked = compile_configuration(
+                state.version, tuple(documents.values()), self._checked
+            )
+        except InvalidConfigurationError as error:
+            return error.faults
+        return ()
+
+    def _tell_listener(self) -> None:
+        if self._listener is not None:
+            self._listener.send(make_accepted(self._state))
+
+
+def make_configuration_application(
+    listener: Address | None = None,
+) -> ConfigurationApplication:
+    """Return the application of the configuration group with an empty state."""
+    return ConfigurationApplication(make_configuration_state(), listener)
+
+
+def _list_snapshot(state: ConfigurationState) -> Iterator[object]:
+    yield ConfigurationSnapshotHead(state.version, dict(state.removals))
+    yield from state.documents.values()
+    yield from state.records
+    yield from state.answers.values()
+
+
+@singledispatch
+def _restore(message: object, state: ConfigurationState) -> None:
+    raise TypeError(f"snapshot has no message {type(message).__name__}")
+
+
+@_restore.register
+def _(message: ConfigurationSnapshotHead, state: ConfigurationState) -> None:
+    state.version = message.version
+    state.removals = message.removals
+
+
+@_restore.register
+def _(message: ConfigurationDocument, state: ConfigurationState) -> None:
+    state.documents[message.name] = message
+
+
+@_restore.register
+def _(message: PublishRecord, state: ConfigurationState) -> None:
+    state.records.append(message)
+
+
+@_restore.register
+def _(message: StoredAnswer, state: ConfigurationState) -> None:
+    state.answers[message.publish] = message
--- /dev/null
+++ b/oleanderhitch/process/configuration/core.py
@@ -0,0 +1,204 @@
+"""Decide which publish is accepted; every replica decides alike.
+
+Nothing here checks the content of documents: checks may differ between two
+releases, and a replica that replays its log under a newer release must not
+refuse what was accepted before. The leader checks before it proposes.
+"""
+
+import hashlib
+from dataclasses import dataclass, field
+from functools import singledispatch
+
+from oleanderhitch.process.configuration.messages import (
+    ConfigurationAccepted,
+    ConfigurationAnswer,
+    GetConfiguration,
+    GetPublishHistory,
+    Publish,
+    PublishConflict,
+    Published,
+    PublishHistory,
+    PublishIdReused,
+    PublishRecord,
+)
+from oleanderhitch.version.diff import diff_documents, truncate_lines
+from oleanderhitch.version.documents import ConfigurationDocument
+from oleanderhitch.version.ids import (
+    NO_VERSION,
+    ConfigurationVersion,
+    DocumentName,
+    PublishId,
+)
+
+# At 4,400 changes a day this is a day of answers for resends and two hours of
+# changes for conflicts. A resend after that meets a newer version and gets a
+# conflict; it is never applied twice.
+ANSWERS_LIMIT = 5_000
+RECORDS_LIMIT = 400
+RECORD_LIMIT_LINES = 20
+CONFLICT_LIMIT_LINES = 50
+CONFLICT_LIMIT_RECORDS = 20
+
+
+@dataclass(frozen=True, slots=True)
+class StoredAnswer:
+    """Hold the first answer to a publish and a digest of what was asked."""
+
+    publish: PublishId
+    digest: str
+    answer: Published | PublishConflict
+
+
+@dataclass(slots=True)
+class ConfigurationState:
+    """Hold the accepted documents and what is known of earlier publishes."""
+
+    version: ConfigurationVersion = NO_VERSION
+    documents: dict[DocumentName, ConfigurationDocument] = field(default_factory=dict)
+    removals: dict[DocumentName, ConfigurationVersion] = field(default_factory=dict)
+    records: list[PublishRecord] = field(default_factory=list)
+    answers: dict[PublishId, StoredAnswer] = field(default_factory=dict)
+
+
+def make_configuration_state() -> ConfigurationState:
+    """Return a state in which nothing is published yet."""
+    return ConfigurationState()
+
+
+@singledispatch
+def apply(command: object, state: ConfigurationState) -> object:
+    """Apply a command and return its result."""
+    raise TypeError(f"configuration group has no command {type(command).__name__}")
+
+
+@singledispatch
+def read(query: object, state: ConfigurationState) -> object:
+    """Return the answer to a read; it changes nothing."""
+    raise TypeError(f"configuration group has no read {type(query).__name__}")
+
+
+@apply.register
+def _(command: Publish, state: ConfigurationState) -> object:
+    digest = _make_digest(command)
+    known = state.answers.get(command.publish)
+    if known is not None:
+        if known.digest != digest:
+            return PublishIdReused(command.publish)
+        return known.answer
+    if command.base_version == state.version:
+        answer: Published | PublishConflict = _accept(command, state)
+    else:
+        answer = _make_conflict(command, state)
+    state.answers[command.publish] = StoredAnswer(command.publish, digest, answer)
+    while len(state.answers) > ANSWERS_LIMIT:
+        del state.answers[next(iter(state.answers))]
+    return answer
+
+
+@read.register
+def _(query: GetConfiguration, state: ConfigurationState) -> object:
+    documents, removed = list_changes(
+        state.documents, state.removals, after=query.after
+    )
+    return ConfigurationAnswer(state.version, documents, removed)
+
+
+@read.register
+def _(query: GetPublishHistory, state: ConfigurationState) -> object:
+    records = tuple(reversed(state.records))[: max(0, query.n_limit)]
+    return PublishHistory(state.version, records)
+
+
+def make_accepted(state: ConfigurationState) -> ConfigurationAccepted:
+    """Return the message that tells other tasks about the accepted version."""
+    return ConfigurationAccepted(
+        state.version,
+        tuple(state.documents.values()),
+        tuple(state.removals.items()),
+    )
+
+
+def list_changes(
+    documents: dict[DocumentName, ConfigurationDocument],
+    removals: dict[DocumentName, ConfigurationVersion],
+    after: ConfigurationVersion,
+) -> tuple[tuple[ConfigurationDocument, ...], tuple[DocumentName, ...]]:
+    """Return the documents changed and the names removed after a version."""
+    changed = tuple(doc for doc in documents.values() if doc.revision > after)
+    removed = tuple(name for name, version in removals.items() if version > after)
+    return changed, removed
+
+
+def _accept(command: Publish, state: ConfigurationState) -> Published:
+    removed = _list_removed(command, state)
+    drafts = [
+        draft
+        for draft in command.documents
+        if draft.content != _find_content(state, draft.name)
+    ]
+    if not removed and not drafts:
+        return Published(command.publish, state.version, command.at)
+    changes = truncate_lines(_list_differences(command, state), RECORD_LIMIT_LINES)
+    state.version = ConfigurationVersion(state.version + 1)
+    for name in removed:
+        del state.documents[name]
+        state.removals[name] = state.version
+    for draft in drafts:
+        state.removals.pop(draft.name, None)
+        state.documents[draft.name] = ConfigurationDocument(
+            draft.name, state.version, draft.content
+        )
+    state.records.append(
+        PublishRecord(
+            state.version, command.publish, command.author, command.at, changes
+        )
+    )
+    del state.records[:-RECORDS_LIMIT]
+    return Published(command.publish, state.version, command.at)
+
+
+def _make_conflict(command: Publish, state: ConfigurationState) -> PublishConflict:
+    later = [rec for rec in state.records if rec.version > command.base_version]
+    return PublishConflict(
+        command.publish,
+        state.version,
+        command.base_version,
+        tuple(later[-CONFLICT_LIMIT_RECORDS:]),
+        truncate_lines(_list_differences(command, state), CONFLICT_LIMIT_LINES),
+    )
+
+
+def _list_removed(command: Publish, state: ConfigurationState) -> list[DocumentName]:
+    written = {draft.name for draft in command.documents}
+    return [
+        name
+        for name in dict.fromkeys(command.removed)
+        if name in state.documents and name not in written
+    ]
+
+
+def _list_differences(command: Publish, state: ConfigurationState) -> list[str]:
+    lines: list[str] = []
+    for name in _list_removed(command, state):
+        lines.append(f"{name}: removed")
+    for draft in command.documents:
+        before = _find_content(state, draft.name)
+        lines.extend(
+            diff_documents(draft.name, before, draft.content, CONFLICT_LIMIT_LINES)
+        )
+    return lines
+
+
+def _find_content(state: ConfigurationState, name: DocumentName) -> str | None:
+    document = state.documents.get(name)
+    return None if document is None else document.content
+
+
+def _make_digest(command: Publish) -> str:
+    digest = hashlib.sha256(f"{command.base_version}".encode())
+    for name in command.removed:
+        digest.update(f"-{len(name)}:{name}".encode())
+    for draft in command.documents:
+        digest.update(f"+{len(draft.name)}:{draft.name}".encode())
+        digest.update(f"{len(draft.content)}:{draft.content}".encode())
+    return digest.hexdigest()
--- a/oleanderhitch/version/compile.py
+++ b/oleanderhitch/version/compile.py
@@ -1,6 +1,7 @@
 """Check documents and compile them into the form that the data path reads."""
 
 from collections.abc import Iterable, Iterator, Sequence
+from functools import singledispatch
 
 from oleanderhitch.version.checks import Fault, make_fault
 from oleanderhitch.version.configuration import (
@@ -199,5 +200,16 @@
     }
 
 
+@singledispatch
 def _get_pool_name(kind: EndpointKind) -> str:
-    return kind.model if isinstance(kind, ModelEngine) else kind.service
+    raise TypeError(f"no pool name for endpoint kind {type(kind).__name__}")
+
+
+@_get_pool_name.register
+def _(kind: ModelEngine) -> str:
+    return kind.model
+
+
+@_get_pool_name.register
+def _(kind: PlainService) -> str:
+    return kind.service
--- /dev/null
+++ b/tests/process/configuration/test_application.py
@@ -0,0 +1,101 @@
+"""Test that the configuration group survives snapshots and bad commands."""
+
+from datetime import UTC, datetime
+
+from oleanderhitch.connection.codec import make_codec
+from oleanderhitch.process.configuration.application import (
+    make_configuration_application,
+)
+from oleanderhitch.process.configuration.messages import (
+    MESSAGES,
+    ConfigurationCallRefused,
+    GetConfiguration,
+    GetPublishHistory,
+    Publish,
+    PublishConflict,
+    Published,
+    PublishRefused,
+)
+from tests.version.declarations import RULES, change, make_drafts
+
+CODEC = make_codec(MESSAGES)
+AT = datetime(2026, 1, 1, tzinfo=UTC)
+
+
+class Listener:
+    """Keep the versions that it was told."""
+
+    def __init__(self):
+        self.versions = []
+
+    def send(self, message):
+        """Note the version of the message."""
+        self.versions.append(message.version)
+
+
+def make_publish(publish, base, drafts, removed=()):
+    """Return an encoded publish."""
+    return CODEC.encode(Publish(publish, "split", base, drafts, removed, AT))
+
+
+def test_snapshot_keeps_everything():
+    """Guard against a restored replica that answers otherwise than before."""
+    listener = Listener()
+    application = make_configuration_application(listener)
+    commands = [
+        make_publish("p1", 0, make_drafts(rules__more={})),
+        make_publish("p2", 0, make_drafts()),
+        make_publish("p3", 1, (), ("rules.more",)),
+    ]
+    answers = [application.apply(command) for command in commands]
+    kinds = [type(CODEC.decode(answer)) for answer in answers]
+    assert kinds == [Published, PublishConflict, Published]
+    restored = make_configuration_application(listener)
+    restored.restore_snapshot(application.take_snapshot())
+    assert listener.versions == [1, 2, 2]
+    assert [restored.apply(command) for command in commands] == answers
+    for query in (GetConfiguration(0), GetConfiguration(1), GetPublishHistory(9)):
+        frame = CODEC.encode(query)
+        assert restored.read(frame) == application.read(frame)
+    assert restored.take_snapshot() == application.take_snapshot()
+
+
+def test_snapshot_larger_than_one_frame():
+    """Guard against a state at design scale that cannot be restored."""
+    application = make_configuration_application()
+    for number in range(12):
+        draft = make_drafts(None, None, **{f"rules__{number}": "x" * 900_000})
+        application.apply(make_publish(f"p{number}", number, draft))
+    restored = make_configuration_application()
+    restored.restore_snapshot(application.take_snapshot())
+    assert restored.take_snapshot() == application.take_snapshot()
+
+
+def test_faulty_documents_are_refused_before_the_log():
+    """Guard against an accepted version that no node can install."""
+    application = make_configuration_application()
+    rules = change(RULES, ("defaults", "budget_tokens"), 0)
+    command = make_publish("p1", 0, make_drafts(rules=rules))
+    refusal = CODEC.decode(application.find_refusal(command))
+    assert isinstance(refusal, PublishRefused)
+    assert [fault.check for fault in refusal.faults] == ["rules.E005"]
+    good = make_publish("p2", 0, make_drafts())
+    assert application.find_refusal(good) is None
+    application.apply(good)
+    assert application.find_refusal(good) is None
+    removal = make_publish("p3", 1, (), ("rules",))
+    refusal = CODEC.decode(application.find_refusal(removal))
+    assert "documents.E002" in {fault.check for fault in refusal.faults}
+
+
+def test_unknown_commands_do_not_stop_the_group():
+    """Guard against one malformed command that stops every replica."""
+    application = make_configuration_application()
+    for frame in (b"\xc1", CODEC.encode(GetConfiguration(0))):
+        for answer in (application.apply(frame), application.find_refusal(frame)):
+            assert isinstance(CODEC.decode(answer), ConfigurationCallRefused)
+    answer = application.read(make_publish("p", 0, make_drafts()))
+    assert isinstance(CODEC.decode(answer), ConfigurationCallRefused)
+    assert (
+        CODEC.decode(application.read(CODEC.encode(GetConfiguration(0)))).version == 0
+    )
--- /dev/null
+++ b/tests/process/configuration/test_core.py
@@ -0,0 +1,135 @@
+"""Test which publish wins and what a resend gets."""
+
+from datetime import UTC, datetime
+
+import pytest
+
+from oleanderhitch.process.configuration import core
+from oleanderhitch.process.configuration.core import (
+    apply,
+    make_configuration_state,
+    read,
+)
+from oleanderhitch.process.configuration.messages import (
+    GetConfiguration,
+    GetPublishHistory,
+    Publish,
+    PublishConflict,
+    Published,
+    PublishIdReused,
+)
+from oleanderhitch.version.documents import make_draft
+
+AT = datetime(2026, 1, 1, tzinfo=UTC)
+
+
+def make_publish(publish, base, removed=(), author="split", **documents):
+    """Return a publish of documents given as declarations."""
+    drafts = tuple(make_draft(name, value) for name, value in documents.items())
+    return Publish(publish, author, base, drafts, tuple(removed), AT)
+
+
+def test_one_of_two_offices_wins():
+    """Guard against two offices that both publish the same version number."""
+    state = make_configuration_state()
+    apply(make_publish("p0", 0, rules={"queues": [{"name": "a", "n": 1}]}), state)
+    first = apply(
+        make_publish("p1", 1, rules={"queues": [{"name": "a", "n": 2}]}), state
+    )
+    second = apply(
+        make_publish("p2", 1, rules={"queues": [{"name": "a", "n": 3}]}), state
+    )
+    assert first == Published("p1", 2, AT)
+    assert isinstance(second, PublishConflict)
+    assert second.accepted_version == 2
+    assert [record.publish for record in second.records] == ["p1"]
+    assert second.records[0].changes == ("rules: queues a n 1 -> 2",)
+    assert second.difference == ("rules: queues a n 2 -> 3",)
+    assert "2" in state.documents["rules"].content
+
+
+def test_resend_gets_the_first_answer():
+    """Guard against a resend after a lost answer that is applied or refused anew."""
+    state = make_configuration_state()
+    publish = make_publish("p1", 0, rules={"a": 1})
+    lost = make_publish("p2", 0, rules={"a": 2})
+    first, conflict = apply(publish, state), apply(lost, state)
+    apply(make_publish("p3", 1, rules={"a": 3}), state)
+    assert apply(publish, state) == first
+    assert apply(lost, state) == conflict
+    assert state.version == 2
+
+
+def test_reused_publish_id():
+    """Guard against answering for a publish that was never made."""
+    state = make_configuration_state()
+    apply(make_publish("p1", 0, rules={"a": 1}), state)
+    assert apply(make_publish("p1", 0, rules={"a": 2}), state) == PublishIdReused("p1")
+    assert state.version == 1
+
+
+def test_base_version_from_the_future():
+    """Guard against an operator with files of another deployment."""
+    state = make_configuration_state()
+    answer = apply(make_publish("p1", 7, rules={"a": 1}), state)
+    assert isinstance(answer, PublishConflict)
+    assert state.version == 0
+
+
+def test_publish_without_a_change_makes_no_version():
+    """Guard against versions that push documents to all nodes for nothing."""
+    state = make_configuration_state()
+    apply(make_publish("p1", 0, rules={"a": 1, "b": 2}), state)
+    assert apply(make_publish("p2", 1, rules={"b": 2, "a": 1}), state).version == 1
+    assert state.version == 1
+
+
+def test_removed_and_added_again():
+    """Guard against a node that keeps a removed document or loses a new one."""
+    state = make_configuration_state()
+    apply(make_publish("p1", 0, rules={}, more={"a": 1}), state)
+    apply(make_publish("p2", 1, removed=["more", "none"]), state)
+    answer = read(GetConfiguration(1), state)
+    assert (answer.version, answer.documents, answer.removed) == (2, (), ("more",))
+    apply(make_publish("p3", 2, more={"a": 1}), state)
+    answer = read(GetConfiguration(1), state)
+    assert [(doc.name, doc.revision) for doc in answer.documents] == [("more", 3)]
+    assert answer.removed == ()
+
+
+def test_only_later_documents_are_read():
+    """Guard against sending every document for a change in one."""
+    state = make_configuration_state()
+    apply(make_publish("p1", 0, a={}, b={}), state)
+    apply(make_publish("p2", 1, b={"x": 1}), state)
+    assert [doc.name for doc in read(GetConfiguration(1), state).documents] == ["b"]
+    assert len(read(GetConfiguration(0), state).documents) == 2
+
+
+def test_history_is_bounded_and_newest_first(monkeypatch):
+    """Guard against a state that grows with every change."""
+    monkeypatch.setattr(core, "RECORDS_LIMIT", 3)
+    monkeypatch.setattr(core, "ANSWERS_LIMIT", 4)
+    state = make_configuration_state()
+    for number in range(10):
+        apply(make_publish(f"p{number}", number, rules={"a": number}), state)
+    records = read(GetPublishHistory(100), state).records
+    assert [record.version for record in records] == [10, 9, 8]
+    assert list(state.answers) == ["p6", "p7", "p8", "p9"]
+
+
+def test_resend_after_its_answer_is_dropped(monkeypatch):
+    """Guard against applying an old publish twice once its answer is dropped."""
+    monkeypatch.setattr(core, "ANSWERS_LIMIT", 1)
+    state = make_configuration_state()
+    publish = make_publish("p0", 0, rules={"a": 0})
+    apply(publish, state)
+    apply(make_publish("p1", 1, rules={"a": 1}), state)
+    assert isinstance(apply(publish, state), PublishConflict)
+    assert state.version == 2
+
+
+def test_a_read_cannot_publish():
+    """Guard against a change that bypasses the log."""
+    with pytest.raises(TypeError):
+        read(make_publish("p1", 0, rules={}), make_configuration_state())
