Built the replicated log, its storage and the task of a group

Cause: everything durable rests on one log per group that survives crashes. Conclusion: ready to be wired into the store process.

--- /dev/null
+++ b/oleanderhitch/process/replication/__init__.py
@@ -0,0 +1,1 @@
+"""Decide and run the replicated log of one group."""
--- /dev/null
+++ b/oleanderhitch/process/replication/election.py
@@ -0,0 +1,187 @@
+"""Elect a leader: pre-vote, vote, and the leader's check of its majority."""
+
+from datetime import datetime
+
+from oleanderhitch.process.ids import ReplicaId, Term
+from oleanderhitch.process.replication.log_sync import (
+    append_as_leader,
+    broadcast_heartbeat,
+    make_progress,
+    replicate_to_all,
+)
+from oleanderhitch.process.replication.messages import (
+    HardState,
+    HardStatePersisted,
+    PreVoteReply,
+    PreVoteRequest,
+    VoteReply,
+    VoteRequest,
+)
+from oleanderhitch.process.replication.replica import ReplicaState, is_quorum
+from oleanderhitch.process.replication.roles import (
+    become_follower,
+    is_leader_recent,
+    reset_election_deadline,
+    send,
+    set_hard_state,
+    set_role,
+)
+from oleanderhitch.process.replication.states import EntryKind, Role
+
+
+def can_campaign(state: ReplicaState) -> bool:
+    """Tell whether this replica may stand for election."""
+    return state.is_voter and state.restoring is None
+
+
+def start_pre_vote(state: ReplicaState, now: datetime, out: list[object]) -> None:
+    """Ask whether an election could be won, without disturbing a leader."""
+    reset_election_deadline(state, now)
+    if not can_campaign(state):
+        return
+    state.heard_leader_at = None
+    set_role(state, Role.PRE_CANDIDATE, None, out)
+    state.votes = {state.replica}
+    if is_quorum(state.votes, state.membership):
+        start_election(state, now, False, out)
+        return
+    request = PreVoteRequest(
+        Term(state.term + 1), state.log.last_index, state.log.last_term
+    )
+    _ask_voters(state, request, out)
+
+
+def start_election(
+    state: ReplicaState, now: datetime, is_transfer: bool, out: list[object]
+) -> None:
+    """Stand for election in the next term."""
+    reset_election_deadline(state, now)
+    if not can_campaign(state):
+        return
+    set_hard_state(state, HardState(Term(state.term + 1), state.replica), out)
+    state.matched_index = 0
+    state.incoming = None
+    set_role(state, Role.CANDIDATE, None, out)
+    # The candidate's own vote counts once it is synced.
+    state.votes = set()
+    request = VoteRequest(
+        state.term, state.log.last_index, state.log.last_term, is_transfer
+    )
+    _ask_voters(state, request, out)
+
+
+def _ask_voters(state: ReplicaState, request: object, out: list[object]) -> None:
+    for voter in state.membership.voters:
+        if voter != state.replica:
+            send(state, voter, request, out)
+
+
+def handle_hard_state_synced(
+    state: ReplicaState, message: HardStatePersisted, now: datetime, out: list[object]
+) -> None:
+    """Release held messages and count the candidate's own vote."""
+    state.n_hard_states_in_writing -= 1
+    if state.n_hard_states_in_writing:
+        return
+    out.extend(state.held_messages)
+    state.held_messages.clear()
+    if state.role is Role.CANDIDATE and message.hard_state == state.hard_state:
+        count_vote(state, state.replica, now, out)
+
+
+def count_vote(
+    state: ReplicaState, voter: ReplicaId, now: datetime, out: list[object]
+) -> None:
+    """Count a vote of the current term; lead when it completes a majority."""
+    state.votes.add(voter)
+    if is_quorum(state.votes, state.membership):
+        _become_leader(state, now, out)
+
+
+def _become_leader(state: ReplicaState, now: datetime, out: list[object]) -> None:
+    state.heard_leader_at = None
+    set_role(state, Role.LEADER, state.replica, out)
+    state.reads.clear()
+    state.proposals.clear()
+    state.confirmed_round = state.round
+    update_followers(state, now)
+    # Entries of earlier terms are committed through this one.
+    entry = append_as_leader(state, EntryKind.EMPTY, b"", None, out)
+    state.term_start_index = entry.index
+    broadcast_heartbeat(state, now, out)
+    replicate_to_all(state, now, out)
+
+
+def update_followers(state: ReplicaState, now: datetime) -> None:
+    """Track exactly the other replicas of the newest membership."""
+    wanted = {*state.membership.voters, *state.membership.learners} - {state.replica}
+    for replica in set(state.progress) - wanted:
+        del state.progress[replica]
+    # Sorted, so that a run with the same seed sends in the same order.
+    for replica in sorted(wanted - set(state.progress)):
+        state.progress[replica] = make_progress(state, now)
+
+
+def check_quorum(state: ReplicaState, now: datetime, out: list[object]) -> None:
+    """Step down when a majority hasn't been heard for an election timeout."""
+    timeout = state.timing.election_timeout_max
+    heard = {
+        replica
+        for replica, progress in state.progress.items()
+        if now - progress.heard_at < timeout
+    }
+    heard.add(state.replica)
+    if not is_quorum(heard, state.membership):
+        become_follower(state, state.term, None, now, out)
+
+
+def _is_log_complete(
+    state: ReplicaState, message: PreVoteRequest | VoteRequest
+) -> bool:
+    asked = (message.last_term, message.last_index)
+    return asked >= (state.log.last_term, state.log.last_index)
+
+
+def answer_pre_vote(
+    state: ReplicaState,
+    candidate: ReplicaId,
+    message: PreVoteRequest,
+    now: datetime,
+    out: list[object],
+) -> None:
+    """Say whether a vote would be granted."""
+    is_granted = (
+        message.term > state.term
+        and state.role is not Role.LEADER
+        and not is_leader_recent(state, now)
+        and _is_log_complete(state, message)
+    )
+    term = message.term if is_granted else state.term
+    send(state, candidate, PreVoteReply(term, is_granted), out)
+
+
+def answer_vote(
+    state: ReplicaState,
+    candidate: ReplicaId,
+    message: VoteRequest,
+    now: datetime,
+    out: list[object],
+) -> None:
+    """Vote at most once per term, and only for a log that lacks nothing."""
+    is_disturbing = state.role is Role.LEADER or is_leader_recent(state, now)
+    if message.term > state.term and is_disturbing and not message.is_transfer:
+        # A replica that was removed or cut off must not depose a leader that
+        # its majority still hears.
+        return
+    if message.term > state.term:
+        become_follower(state, message.term, None, now, out)
+    is_granted = (
+        message.term == state.term
+        and state.hard_state.vote in (None, candidate)
+        and _is_log_complete(state, message)
+    )
+    if is_granted:
+        if state.hard_state.vote is None:
+            set_hard_state(state, HardState(state.term, candidate), out)
+        reset_election_deadline(state, now)
+    send(state, candidate, VoteReply(state.term, is_granted), out)
--- /dev/null
+++ b/oleanderhitch/process/replication/log.py
@@ -0,0 +1,96 @@
+"""Hold the part of a replica's log that is in memory."""
+
+from collections.abc import Iterable
+
+from oleanderhitch.process.ids import LogIndex, Term
+from oleanderhitch.process.replication.exceptions import LogInvariantError
+from oleanderhitch.process.replication.messages import LogEntry
+
+# What an entry takes in a frame besides its command, estimated from above.
+ENTRY_OVERHEAD_BYTES = 100
+
+
+class ReplicaLog:
+    """Hold consecutive entries after a base entry that is known by term only."""
+
+    def __init__(self, base_index: LogIndex, base_term: Term) -> None:
+        self._base_index = base_index
+        self._base_term = base_term
+        self._entries: list[LogEntry] = []
+
+    @property
+    def base_index(self) -> LogIndex:
+        """Return the index just before the first entry held."""
+        return self._base_index
+
+    @property
+    def last_index(self) -> LogIndex:
+        """Return the index of the last entry."""
+        return LogIndex(self._base_index + len(self._entries))
+
+    @property
+    def last_term(self) -> Term:
+        """Return the term of the last entry."""
+        return self._entries[-1].term if self._entries else self._base_term
+
+    def find_term(self, index: int) -> Term | None:
+        """Return the term of an entry, or None if it isn't held."""
+        if index == self._base_index:
+            return self._base_term
+        offset = index - self._base_index - 1
+        if 0 <= offset < len(self._entries):
+            return self._entries[offset].term
+        return None
+
+    def get_entry(self, index: int) -> LogEntry:
+        """Return an entry that is held; raise LogInvariantError otherwise."""
+        offset = index - self._base_index - 1
+        if not 0 <= offset < len(self._entries):
+            raise LogInvariantError(
+                f"entry {index} is not held; the log holds "
+                f"{self._base_index + 1} to {self.last_index}"
+            )
+        return self._entries[offset]
+
+    def get_entries(self, first_index: int, limit_bytes: int) -> tuple[LogEntry, ...]:
+        """Return entries from an index on: one, and more within the limit."""
+        chosen: list[LogEntry] = []
+        n_bytes = 0
+        for offset in range(first_index - self._base_index - 1, len(self._entries)):
+            entry = self._entries[offset]
+            n_bytes += len(entry.command) + ENTRY_OVERHEAD_BYTES
+            if chosen and n_bytes > limit_bytes:
+                break
+            chosen.append(entry)
+        return tuple(chosen)
+
+    def iterate_backwards(self) -> Iterable[LogEntry]:
+        """Return the entries held, newest first."""
+        return reversed(self._entries)
+
+    def append(self, entry: LogEntry) -> None:
+        """Add the next entry; raise LogInvariantError if it isn't the next."""
+        if entry.index != self.last_index + 1:
+            raise LogInvariantError(
+                f"entry {entry.index} does not follow entry {self.last_index}"
+            )
+        self._entries.append(entry)
+
+    def truncate(self, first_index: int) -> None:
+        """Remove the entries from an index on."""
+        del self._entries[max(0, first_index - self._base_index - 1) :]
+
+    def compact(self, index: int) -> None:
+        """Remove the entries up to an index that is held."""
+        if index <= self._base_index:
+            return
+        term = self.get_entry(index).term
+        del self._entries[: index - self._base_index]
+        self._base_index = LogIndex(index)
+        self._base_term = term
+
+    def reset(self, index: LogIndex, term: Term) -> None:
+        """Remove all entries and continue after the given one."""
+        self._entries.clear()
+        self._base_index = index
+        self._base_term = term
--- /dev/null
+++ b/oleanderhitch/process/replication/log_sync.py
@@ -0,0 +1,329 @@
+"""Copy the leader's log to the other replicas and find what is committed."""
+
+from datetime import datetime
+
+from oleanderhitch.process.ids import LogIndex, ReplicaId
+from oleanderhitch.process.replication.exceptions import LogInvariantError
+from oleanderhitch.process.replication.messages import (
+    AppendEntries,
+    AppendReply,
+    ApplyCommitted,
+    Heartbeat,
+    LogEntry,
+    Membership,
+    MembershipChanged,
+    PersistEntries,
+    ProposalCommitted,
+    TakeSnapshot,
+    TruncateLog,
+)
+from oleanderhitch.process.replication.replica import (
+    Progress,
+    ReplicaState,
+    adopt_newest_membership,
+)
+from oleanderhitch.process.replication.roles import send
+from oleanderhitch.process.replication.snapshots import start_snapshot
+from oleanderhitch.process.replication.states import EntryKind, ProgressMode, Role
+
+
+def append_as_leader(
+    state: ReplicaState,
+    kind: EntryKind,
+    command: bytes,
+    membership: Membership | None,
+    out: list[object],
+) -> LogEntry:
+    """Append one entry to the leader's own log."""
+    index = LogIndex(state.log.last_index + 1)
+    entry = LogEntry(index, state.term, kind, command, membership)
+    state.log.append(entry)
+    if membership is not None:
+        state.membership = membership
+        state.membership_index = index
+    out.append(PersistEntries((entry,), state.n_truncations))
+    return entry
+
+
+def make_progress(state: ReplicaState, now: datetime) -> Progress:
+    """Return the progress of a replica of which nothing is known."""
+    return Progress(state.log.last_index + 1, heard_at=now, advanced_at=now)
+
+
+def replicate(
+    state: ReplicaState, replica: ReplicaId, now: datetime, out: list[object]
+) -> None:
+    """Send what the replica lacks, as far as its window allows."""
+    progress = state.progress[replica]
+    if progress.mode is ProgressMode.PROBE and not progress.in_flight:
+        _send_probe(state, replica, progress, now, out)
+    while (
+        progress.mode is ProgressMode.REPLICATE
+        and progress.next_index <= state.log.last_index
+        and len(progress.in_flight) < state.limits.n_pipelined_appends
+    ):
+        previous_term = state.log.find_term(progress.next_index - 1)
+        if previous_term is None:
+            start_snapshot(state, replica, now, out)
+            return
+        entries = state.log.get_entries(progress.next_index, state.limits.append_bytes)
+        if not progress.in_flight:
+            progress.advanced_at = now
+        message = AppendEntries(
+            state.term,
+            LogIndex(progress.next_index - 1),
+            previous_term,
+            LogIndex(state.commit_index),
+            entries,
+        )
+        progress.next_index += len(entries)
+        progress.in_flight.append(progress.next_index - 1)
+        send(state, replica, message, out)
+
+
+def _send_probe(
+    state: ReplicaState,
+    replica: ReplicaId,
+    progress: Progress,
+    now: datetime,
+    out: list[object],
+) -> None:
+    previous_index = progress.next_index - 1
+    previous_term = state.log.find_term(previous_index)
+    if previous_term is None:
+        start_snapshot(state, replica, now, out)
+        return
+    progress.in_flight.append(previous_index)
+    progress.advanced_at = now
+    commit_index = LogIndex(min(state.commit_index, previous_index))
+    message = AppendEntries(
+        state.term, LogIndex(previous_index), previous_term, commit_index, ()
+    )
+    send(state, replica, message, out)
+
+
+def replicate_to_all(state: ReplicaState, now: datetime, out: list[object]) -> None:
+    """Send what each other replica lacks."""
+    for replica in state.progress:
+        replicate(state, replica, now, out)
+
+
+def broadcast_heartbeat(state: ReplicaState, now: datetime, out: list[object]) -> None:
+    """Begin a round that confirms that this replica still leads."""
+    state.round += 1
+    state.heartbeat_due_at = now + state.timing.heartbeat_interval
+    for replica, progress in state.progress.items():
+        commit_index = LogIndex(min(state.commit_index, progress.match_index))
+        message = Heartbeat(state.term, commit_index, state.round)
+        send(state, replica, message, out)
+
+
+def handle_append_reply(
+    state: ReplicaState,
+    replica: ReplicaId,
+    reply: AppendReply,
+    now: datetime,
+    out: list[object],
+) -> None:
+    """Record what a replica has synced, or look for where its log agrees."""
+    progress = state.progress[replica]
+    if reply.is_matched:
+        _record_match(progress, reply, now)
+    elif reply.previous_index > progress.match_index:
+        if progress.mode is ProgressMode.SNAPSHOT:
+            return
+        if (
+            progress.mode is ProgressMode.PROBE
+            and reply.previous_index != progress.next_index - 1
+        ):
+            return
+        progress.next_index = max(
+            progress.match_index + 1, min(reply.index + 1, reply.previous_index)
+        )
+        progress.mode = ProgressMode.PROBE
+        progress.in_flight.clear()
+    replicate(state, replica, now, out)
+
+
+def _record_match(progress: Progress, reply: AppendReply, now: datetime) -> None:
+    if reply.index > progress.match_index:
+        progress.match_index = reply.index
+        progress.advanced_at = now
+    snapshot = progress.snapshot
+    if progress.mode is ProgressMode.SNAPSHOT:
+        if snapshot is not None and reply.index < snapshot.index:
+            return
+        progress.snapshot = None
+        progress.mode = ProgressMode.REPLICATE
+        progress.in_flight.clear()
+        progress.next_index = progress.match_index + 1
+    elif progress.mode is ProgressMode.PROBE:
+        progress.mode = ProgressMode.REPLICATE
+        progress.in_flight.clear()
+    progress.next_index = max(progress.next_index, progress.match_index + 1)
+    while progress.in_flight and progress.in_flight[0] <= progress.match_index:
+        progress.in_flight.popleft()
+
+
+def retransmit(
+    state: ReplicaState, replica: ReplicaId, now: datetime, out: list[object]
+) -> None:
+    """Start over from what is known to match if nothing has moved for long."""
+    progress = state.progress[replica]
+    if now - progress.advanced_at < state.timing.retransmit_timeout:
+        return
+    if progress.mode is ProgressMode.SNAPSHOT or not progress.in_flight:
+        return
+    progress.in_flight.clear()
+    progress.mode = ProgressMode.PROBE
+    if progress.match_index:
+        progress.next_index = progress.match_index + 1
+    replicate(state, replica, now, out)
+
+
+def find_committable(state: ReplicaState) -> int:
+    """Return the highest index that more than half of the voters have synced."""
+    synced = []
+    for voter in state.membership.voters:
+        if voter == state.replica:
+            # Unsynced entries of the leader itself do not count either.
+            synced.append(state.persisted_index)
+        else:
+            progress = state.progress.get(voter)
+            synced.append(progress.match_index if progress else 0)
+    synced.sort(reverse=True)
+    return synced[len(synced) // 2] if synced else 0
+
+
+def advance_commit(state: ReplicaState, out: list[object]) -> bool:
+    """Commit what is synced on a majority; tell whether anything was."""
+    index = find_committable(state)
+    # An entry of an earlier term is committed only together with one of the
+    # current term: a majority alone does not protect it from a later leader.
+    if index <= state.commit_index or state.log.find_term(index) != state.term:
+        return False
+    apply_committed(state, index, out)
+    return True
+
+
+def apply_committed(state: ReplicaState, commit_index: int, out: list[object]) -> None:
+    """Apply the entries up to an index that is known to be committed."""
+    for index in range(state.commit_index + 1, commit_index + 1):
+        entry = state.log.get_entry(index)
+        if entry.kind is EntryKind.COMMAND:
+            out.append(ApplyCommitted(entry.index, entry.term, entry.command))
+        elif entry.membership is not None:
+            state.applied_membership = entry.membership
+            out.append(MembershipChanged(entry.membership))
+        proposal_id = state.proposals.pop(index, None)
+        if proposal_id is not None:
+            out.append(ProposalCommitted(proposal_id, entry.index))
+        state.commit_index = index
+    snapshot_index = 0 if state.snapshot is None else state.snapshot.index
+    n_entries = state.commit_index - snapshot_index
+    if n_entries >= state.limits.n_entries_per_snapshot:
+        request_snapshot(state, out)
+
+
+def request_snapshot(state: ReplicaState, out: list[object]) -> None:
+    """Ask for a snapshot of what is applied, unless one is being taken."""
+    snapshot_index = 0 if state.snapshot is None else state.snapshot.index
+    is_busy = state.snapshot_request is not None or state.restoring is not None
+    if is_busy or state.commit_index <= snapshot_index:
+        return
+    term = state.log.find_term(state.commit_index)
+    if term is None:
+        return
+    state.snapshot_request = TakeSnapshot(
+        LogIndex(state.commit_index), term, state.applied_membership
+    )
+    out.append(state.snapshot_request)
+
+
+def accept_entries(
+    state: ReplicaState, leader: ReplicaId, message: AppendEntries, out: list[object]
+) -> None:
+    """Store the leader's entries if they follow on what this replica has."""
+    previous_index = int(message.previous_index)
+    previous_term = message.previous_term
+    entries = message.entries
+    if previous_index < state.commit_index:
+        # Committed entries agree with the leader's; the rest follows on them.
+        entries = tuple(e for e in entries if e.index > state.commit_index)
+        previous_index = state.commit_index
+        committed_term = state.log.find_term(previous_index)
+        assert committed_term is not None
+        previous_term = committed_term
+    if state.log.find_term(previous_index) != previous_term:
+        hint = _find_agreement_hint(state, previous_index)
+        reply = AppendReply(state.term, False, LogIndex(hint), message.previous_index)
+        send(state, leader, reply, out)
+        return
+    new_entries = _store_entries(state, entries, out)
+    state.matched_index = max(state.matched_index, previous_index + len(entries))
+    commit_index = min(message.commit_index, state.matched_index)
+    if commit_index > state.commit_index:
+        apply_committed(state, commit_index, out)
+    if not new_entries:
+        send_match(state, leader, out)
+
+
+def _store_entries(
+    state: ReplicaState, entries: tuple[LogEntry, ...], out: list[object]
+) -> tuple[LogEntry, ...]:
+    n_known = 0
+    for entry in entries:
+        known_term = state.log.find_term(entry.index)
+        if known_term is None:
+            break
+        if known_term != entry.term:
+            _truncate(state, entry.index, out)
+            break
+        n_known += 1
+    new_entries = entries[n_known:]
+    for entry in new_entries:
+        state.log.append(entry)
+        if entry.membership is not None:
+            state.membership = entry.membership
+            state.membership_index = entry.index
+    if new_entries:
+        out.append(PersistEntries(new_entries, state.n_truncations))
+    return new_entries
+
+
+def _truncate(state: ReplicaState, first_index: LogIndex, out: list[object]) -> None:
+    if first_index <= state.commit_index:
+        raise LogInvariantError(
+            f"the leader asks to replace entry {first_index}, "
+            f"but entries up to {state.commit_index} are committed"
+        )
+    state.log.truncate(first_index)
+    state.n_truncations += 1
+    state.persisted_index = min(state.persisted_index, first_index - 1)
+    state.matched_index = min(state.matched_index, first_index - 1)
+    if state.membership_index >= first_index:
+        adopt_newest_membership(state)
+    out.append(TruncateLog(first_index))
+
+
+def _find_agreement_hint(state: ReplicaState, index: int) -> int:
+    """Return an index below which the logs may agree; skips whole terms."""
+    if index > state.log.last_index:
+        return state.log.last_index
+    term = state.log.find_term(index)
+    while index > state.commit_index and state.log.find_term(index) == term:
+        index -= 1
+    return index
+
+
+def send_match(state: ReplicaState, leader: ReplicaId, out: list[object]) -> None:
+    """Tell the leader up to where its log is synced here."""
+    index = LogIndex(min(state.matched_index, state.persisted_index))
+    send(state, leader, AppendReply(state.term, True, index, index), out)
+
+
+def handle_log_synced(state: ReplicaState, index: int, out: list[object]) -> None:
+    """Count synced entries, and tell the leader of them."""
+    state.persisted_index = max(state.persisted_index, index)
+    if state.role is Role.FOLLOWER and state.leader is not None and index:
+        send_match(state, state.leader, out)
--- /dev/null
+++ b/oleanderhitch/process/replication/reads.py
@@ -0,0 +1,72 @@
+"""Answer reads only after a majority has confirmed the leader once more.
+
+A round of heartbeats that begins after the read arrived proves that no newer
+leader existed then. No clock is involved, so neither a clock jump nor a
+partition can lead to a stale answer.
+"""
+
+from datetime import datetime
+
+from oleanderhitch.process.ids import ReplicaId
+from oleanderhitch.process.replication.log_sync import broadcast_heartbeat
+from oleanderhitch.process.replication.messages import ReadReady, ReadRejected
+from oleanderhitch.process.replication.replica import (
+    ReplicaState,
+    WaitingRead,
+    is_quorum,
+)
+from oleanderhitch.process.replication.states import Role
+
+
+def add_read(
+    state: ReplicaState, read_id: int, now: datetime, out: list[object]
+) -> None:
+    """Let a read wait for the next round, which all waiting reads share."""
+    if state.role is not Role.LEADER:
+        out.append(ReadRejected(read_id, state.leader))
+        return
+    is_round_open = state.confirmed_round < state.round and bool(state.reads)
+    state.reads.append(WaitingRead(read_id, state.round + 1))
+    if not is_round_open:
+        broadcast_heartbeat(state, now, out)
+    release_reads(state, now, out)
+
+
+def confirm_round(
+    state: ReplicaState,
+    replica: ReplicaId,
+    number: int,
+    now: datetime,
+    out: list[object],
+) -> None:
+    """Record that a replica still follows this leader."""
+    progress = state.progress[replica]
+    progress.acked_round = max(progress.acked_round, number)
+    if state.reads:
+        release_reads(state, now, out)
+
+
+def _find_confirmed_round(state: ReplicaState) -> int:
+    acked = sorted({p.acked_round for p in state.progress.values()}, reverse=True)
+    for number in (state.round, *acked):
+        confirming = {r for r, p in state.progress.items() if p.acked_round >= number}
+        if is_quorum({*confirming, state.replica}, state.membership):
+            return number
+    return 0
+
+
+def release_reads(state: ReplicaState, now: datetime, out: list[object]) -> None:
+    """Let the reads of confirmed rounds go, and begin a round for the others."""
+    if not state.reads or state.commit_index < state.term_start_index:
+        # Until its first own entry is committed, a new leader may not know the
+        # newest committed entries.
+        return
+    confirmed = max(state.confirmed_round, _find_confirmed_round(state))
+    state.confirmed_round = confirmed
+    ready = [read for read in state.reads if read.round <= confirmed]
+    state.reads = [read for read in state.reads if read.round > confirmed]
+    out.extend(ReadReady(read.read_id) for read in ready)
+    if confirmed >= state.round and state.reads:
+        broadcast_heartbeat(state, now, out)
+        if not state.progress:
+            release_reads(state, now, out)
--- /dev/null
+++ b/oleanderhitch/process/replication/replica.py
@@ -0,0 +1,197 @@
+"""Define the state of one replica."""
+
+from collections import deque
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+from random import Random
+
+from oleanderhitch.process.ids import GroupId, LogIndex, ReplicaId, Term
+from oleanderhitch.process.replication.log import ReplicaLog
+from oleanderhitch.process.replication.messages import (
+    ChangeMembership,
+    HardState,
+    LogEntry,
+    Membership,
+    SendToReplica,
+    Snapshot,
+    TakeSnapshot,
+)
+from oleanderhitch.process.replication.states import EntryKind, ProgressMode, Role
+
+
+@dataclass(frozen=True, slots=True)
+class Timing:
+    """Set the intervals of a group.
+
+    The first of two followers to time out does so about 0.9 s after the last
+    heartbeat; with the two voting rounds a new leader stands after about 1 s.
+    """
+
+    heartbeat_interval: timedelta = timedelta(milliseconds=250)
+    election_timeout_min: timedelta = timedelta(milliseconds=800)
+    election_timeout_max: timedelta = timedelta(milliseconds=1200)
+    # Longer than a slow sync, so that a busy follower gets nothing twice.
+    retransmit_timeout: timedelta = timedelta(milliseconds=500)
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """Bound what a replica sends at once and keeps."""
+
+    n_pipelined_appends: int = 4
+    append_bytes: int = 1024 * 1024
+    snapshot_chunk_bytes: int = 256 * 1024
+    n_entries_per_snapshot: int = 10_000
+    # Kept after a snapshot, so that a follower a little behind needs no snapshot.
+    n_trailing_entries: int = 1_000
+    # Beyond this many entries in doubt, a new proposal is rejected at once.
+    n_uncommitted_entries: int = 8_192
+
+
+@dataclass(slots=True)
+class Progress:
+    """Hold what the leader knows of one other replica."""
+
+    next_index: int
+    heard_at: datetime
+    advanced_at: datetime
+    mode: ProgressMode = ProgressMode.PROBE
+    match_index: int = 0
+    acked_round: int = 0
+    in_flight: deque[int] = field(default_factory=deque)
+    snapshot: Snapshot | None = None
+
+
+@dataclass(slots=True)
+class IncomingSnapshot:
+    """Collect the chunks of a snapshot."""
+
+    index: LogIndex
+    term: Term
+    membership: Membership
+    data: bytearray = field(default_factory=bytearray)
+
+
+@dataclass(frozen=True, slots=True)
+class WaitingRead:
+    """Hold a read until a heartbeat round after its arrival is confirmed."""
+
+    read_id: int
+    round: int
+
+
+@dataclass(slots=True)
+class ReplicaState:
+    """Hold everything one replica knows; exactly one task owns it."""
+
+    group: GroupId
+    replica: ReplicaId
+    random: Random
+    timing: Timing
+    limits: Limits
+    founding_membership: Membership
+    hard_state: HardState
+    log: ReplicaLog
+    snapshot: Snapshot | None
+    membership: Membership
+    membership_index: int
+    applied_membership: Membership
+    commit_index: int
+    persisted_index: int
+    role: Role = Role.FOLLOWER
+    leader: ReplicaId | None = None
+    fault: str = ""
+    seen_at: datetime | None = None
+    election_deadline: datetime | None = None
+    heard_leader_at: datetime | None = None
+    # Nothing leaves the replica while a hard state is being synced: a message
+    # must not rest on a term or a vote that a crash would undo.
+    n_hard_states_in_writing: int = 0
+    held_messages: list[SendToReplica] = field(default_factory=list)
+    # Counts removals of log entries, so that a late report on entries that
+    # were removed meanwhile is told from one on their replacements.
+    n_truncations: int = 0
+    votes: set[ReplicaId] = field(default_factory=set)
+    matched_index: int = 0
+    incoming: IncomingSnapshot | None = None
+    restoring: Snapshot | None = None
+    snapshot_request: TakeSnapshot | None = None
+    progress: dict[ReplicaId, Progress] = field(default_factory=dict)
+    term_start_index: int = 0
+    heartbeat_due_at: datetime | None = None
+    round: int = 0
+    confirmed_round: int = 0
+    reads: list[WaitingRead] = field(default_factory=list)
+    proposals: dict[int, int] = field(default_factory=dict)
+    change: ChangeMembership | None = None
+    transfer_target: ReplicaId | None = None
+    transfer_deadline: datetime | None = None
+
+    @property
+    def term(self) -> Term:
+        """Return the current term."""
+        return self.hard_state.term
+
+    @property
+    def is_voter(self) -> bool:
+        """Tell whether this replica votes in the newest membership it knows."""
+        return self.replica in self.membership.voters
+
+
+def is_quorum(replicas: set[ReplicaId], membership: Membership) -> bool:
+    """Tell whether the replicas hold more than half of the votes."""
+    n_votes = sum(voter in replicas for voter in membership.voters)
+    return n_votes * 2 > len(membership.voters)
+
+
+def adopt_newest_membership(state: ReplicaState) -> None:
+    """Use the last membership in the log, committed or not."""
+    for entry in state.log.iterate_backwards():
+        if entry.kind is EntryKind.MEMBERSHIP and entry.membership is not None:
+            state.membership = entry.membership
+            state.membership_index = entry.index
+            return
+    if state.snapshot is not None:
+        state.membership = state.snapshot.membership
+        state.membership_index = state.snapshot.index
+        return
+    state.membership = state.founding_membership
+    state.membership_index = 0
+
+
+def make_replica_state(
+    group: GroupId,
+    replica: ReplicaId,
+    membership: Membership,
+    random_source: Random,
+    timing: Timing,
+    limits: Limits,
+    hard_state: HardState,
+    snapshot: Snapshot | None,
+    entries: tuple[LogEntry, ...],
+) -> ReplicaState:
+    """Return the state of a replica as its storage last had it."""
+    base_index = LogIndex(0) if snapshot is None else snapshot.index
+    base_term = Term(0) if snapshot is None else snapshot.term
+    log = ReplicaLog(base_index, base_term)
+    for entry in entries:
+        log.append(entry)
+    applied = membership if snapshot is None else snapshot.membership
+    state = ReplicaState(
+        group=group,
+        replica=replica,
+        random=random_source,
+        timing=timing,
+        limits=limits,
+        founding_membership=membership,
+        hard_state=hard_state,
+        log=log,
+        snapshot=snapshot,
+        membership=applied,
+        membership_index=base_index,
+        applied_membership=applied,
+        commit_index=base_index,
+        persisted_index=log.last_index,
+    )
+    adopt_newest_membership(state)
+    return state
--- /dev/null
+++ b/oleanderhitch/process/replication/snapshots.py
@@ -0,0 +1,173 @@
+"""Send, receive and take snapshots."""
+
+from datetime import datetime
+
+from oleanderhitch.process.ids import LogIndex, ReplicaId
+from oleanderhitch.process.replication.messages import (
+    AppendReply,
+    InstallSnapshot,
+    InstallSnapshotReply,
+    RestoreSnapshot,
+    Snapshot,
+    SnapshotRestored,
+    SnapshotTaken,
+)
+from oleanderhitch.process.replication.replica import (
+    IncomingSnapshot,
+    Progress,
+    ReplicaState,
+    adopt_newest_membership,
+)
+from oleanderhitch.process.replication.roles import send
+from oleanderhitch.process.replication.states import ProgressMode
+
+
+def start_snapshot(
+    state: ReplicaState, replica: ReplicaId, now: datetime, out: list[object]
+) -> None:
+    """Send the newest snapshot to a replica that lacks compacted entries."""
+    progress = state.progress[replica]
+    if state.snapshot is None:
+        return
+    progress.mode = ProgressMode.SNAPSHOT
+    # The transfer keeps its snapshot when a newer one is taken meanwhile.
+    progress.snapshot = state.snapshot
+    progress.in_flight.clear()
+    send_chunk(state, replica, 0, now, out)
+
+
+def send_chunk(
+    state: ReplicaState,
+    replica: ReplicaId,
+    offset: int,
+    now: datetime,
+    out: list[object],
+) -> None:
+    """Send the chunk of the snapshot that begins at an offset."""
+    progress = state.progress[replica]
+    snapshot = progress.snapshot
+    if snapshot is None:
+        return
+    progress.advanced_at = now
+    data = snapshot.data[offset : offset + state.limits.snapshot_chunk_bytes]
+    message = InstallSnapshot(
+        state.term,
+        snapshot.index,
+        snapshot.term,
+        snapshot.membership,
+        offset,
+        data,
+        offset + len(data) >= len(snapshot.data),
+    )
+    send(state, replica, message, out)
+
+
+def handle_chunk_reply(
+    state: ReplicaState,
+    replica: ReplicaId,
+    reply: InstallSnapshotReply,
+    now: datetime,
+    out: list[object],
+) -> None:
+    """Send the chunk that the replica asks for."""
+    progress = state.progress[replica]
+    if _is_transfer_of(progress, reply.index):
+        send_chunk(state, replica, reply.next_offset, now, out)
+
+
+def _is_transfer_of(progress: Progress, index: LogIndex) -> bool:
+    return (
+        progress.mode is ProgressMode.SNAPSHOT
+        and progress.snapshot is not None
+        and progress.snapshot.index == index
+    )
+
+
+def resend_chunk(
+    state: ReplicaState, replica: ReplicaId, now: datetime, out: list[object]
+) -> None:
+    """Begin again after silence; the reply says where to continue."""
+    progress = state.progress[replica]
+    if now - progress.advanced_at < state.timing.retransmit_timeout:
+        return
+    if progress.mode is ProgressMode.SNAPSHOT:
+        send_chunk(state, replica, 0, now, out)
+
+
+def accept_chunk(
+    state: ReplicaState, leader: ReplicaId, message: InstallSnapshot, out: list[object]
+) -> None:
+    """Collect a chunk, and restore the snapshot once it is complete."""
+    if message.index <= state.commit_index:
+        state.matched_index = max(state.matched_index, state.commit_index)
+        index = LogIndex(min(state.matched_index, state.persisted_index))
+        send(state, leader, AppendReply(state.term, True, index, index), out)
+        return
+    incoming = state.incoming
+    if incoming is None or (incoming.index, incoming.term) != (
+        message.index,
+        message.snapshot_term,
+    ):
+        incoming = IncomingSnapshot(
+            message.index, message.snapshot_term, message.membership
+        )
+        state.incoming = incoming
+    if message.offset == len(incoming.data):
+        incoming.data.extend(message.data)
+        if message.is_last:
+            _restore(state, incoming, out)
+            return
+    reply = InstallSnapshotReply(state.term, message.index, len(incoming.data))
+    send(state, leader, reply, out)
+
+
+def _restore(
+    state: ReplicaState, incoming: IncomingSnapshot, out: list[object]
+) -> None:
+    snapshot = Snapshot(
+        incoming.index, incoming.term, incoming.membership, bytes(incoming.data)
+    )
+    state.incoming = None
+    state.restoring = snapshot
+    is_log_kept = state.log.find_term(snapshot.index) == snapshot.term
+    if not is_log_kept:
+        state.n_truncations += 1
+    out.append(RestoreSnapshot(snapshot, is_log_kept))
+
+
+def handle_snapshot_restored(
+    state: ReplicaState, message: SnapshotRestored, out: list[object]
+) -> None:
+    """Continue after the restored snapshot and tell the leader."""
+    snapshot = state.restoring
+    if snapshot is None or snapshot.index != message.index:
+        return
+    state.restoring = None
+    state.snapshot = snapshot
+    state.snapshot_request = None
+    if state.log.find_term(snapshot.index) == snapshot.term:
+        state.log.compact(snapshot.index)
+        state.persisted_index = max(state.persisted_index, snapshot.index)
+    else:
+        state.log.reset(snapshot.index, snapshot.term)
+        state.persisted_index = snapshot.index
+    state.commit_index = snapshot.index
+    state.applied_membership = snapshot.membership
+    adopt_newest_membership(state)
+    if state.leader is not None:
+        state.matched_index = max(state.matched_index, snapshot.index)
+        index = LogIndex(snapshot.index)
+        reply = AppendReply(state.term, True, index, index)
+        send(state, state.leader, reply, out)
+
+
+def handle_snapshot_taken(state: ReplicaState, message: SnapshotTaken) -> None:
+    """Drop the entries that the synced snapshot covers, but for a few."""
+    request = state.snapshot_request
+    if request is None or request.index != message.index:
+        return
+    state.snapshot_request = None
+    state.snapshot = Snapshot(
+        request.index, request.term, request.membership, message.data
+    )
+    state.log.compact(request.index - state.limits.n_trailing_entries)
--- /dev/null
+++ b/oleanderhitch/process/storage/files.py
@@ -0,0 +1,96 @@
+"""Read and write the files of a data directory."""
+
+import os
+import struct
+import zlib
+from pathlib import Path
+from urllib.parse import quote
+
+from oleanderhitch.connection.codec import make_codec
+from oleanderhitch.connection.exceptions import MalformedFrameError
+from oleanderhitch.process.ids import GroupId
+from oleanderhitch.process.replication.messages import Membership, Snapshot
+from oleanderhitch.process.storage.disk import Disk
+from oleanderhitch.process.storage.exceptions import CorruptSnapshotError
+
+SEGMENT_PATTERN = "log-*.wal"
+# Magic, checksum of the rest, bytes of the membership, index, term.
+SNAPSHOT_HEADER = struct.Struct("<4sIIQQ")
+SNAPSHOT_MAGIC = b"OLS1"
+
+_CODEC = make_codec((Membership,))
+
+
+def get_segment_path(directory: Path, number: int) -> Path:
+    """Return the path of a log segment."""
+    return directory / f"log-{number:012d}.wal"
+
+
+def get_segment_number(path: Path) -> int:
+    """Return the number of the segment at a path."""
+    return int(path.stem.removeprefix("log-"))
+
+
+def get_snapshot_path(directory: Path, group: GroupId) -> Path:
+    """Return the path of a group's snapshot."""
+    return directory / f"snapshot-{quote(group, safe='')}.bin"
+
+
+def sync_directory(directory: Path) -> None:
+    """Make created, renamed and removed names durable."""
+    descriptor = os.open(directory, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
+def write_atomically(path: Path, data: bytes, disk: Disk) -> None:
+    """Replace a file so that a crash leaves the old or the new content."""
+    temporary = path.with_suffix(".tmp")
+    descriptor = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+    try:
+        disk.append(descriptor, data)
+        disk.sync(descriptor)
+    finally:
+        os.close(descriptor)
+    temporary.rename(path)
+    sync_directory(path.parent)
+
+
+def write_snapshot(
+    directory: Path, group: GroupId, snapshot: Snapshot, disk: Disk
+) -> None:
+    """Make a snapshot durable in place of the group's last one."""
+    membership = _CODEC.encode(snapshot.membership)
+    rest = SNAPSHOT_HEADER.pack(
+        SNAPSHOT_MAGIC, 0, len(membership), snapshot.index, snapshot.term
+    )[8:]
+    checksum = zlib.crc32(snapshot.data, zlib.crc32(membership, zlib.crc32(rest)))
+    head = SNAPSHOT_MAGIC + struct.pack("<I", checksum)
+    data = b"".join((head, rest, membership, snapshot.data))
+    write_atomically(get_snapshot_path(directory, group), data, disk)
+
+
+def find_snapshot(directory: Path, group: GroupId) -> Snapshot | None:
+    """Return a group's snapshot; raise CorruptSnapshotError if damaged."""
+    path = get_snapshot_path(directory, group)
+    if not path.exists():
+        return None
+    data = path.read_bytes()
+    if len(data) < SNAPSHOT_HEADER.size:
+        raise CorruptSnapshotError(f"{path} is cut off after {len(data)} bytes")
+    magic, checksum, n_membership, index, term = SNAPSHOT_HEADER.unpack_from(data)
+    if magic != SNAPSHOT_MAGIC or zlib.crc32(data[8:]) != checksum:
+        raise CorruptSnapshotError(
+            f"{path} is damaged: the checksum of bytes 8 to {len(data)} is wrong; "
+            f"replace this replica from its peers "
+            f"(docs/operators/hosts-and-repair.md)"
+        )
+    body_at = SNAPSHOT_HEADER.size + n_membership
+    try:
+        membership = _CODEC.decode(data[SNAPSHOT_HEADER.size : body_at])
+    except MalformedFrameError as error:
+        raise CorruptSnapshotError(f"{path} is malformed: {error}") from None
+    assert isinstance(membership, Membership)
+    return Snapshot(index, term, membership, data[body_at:])
--- /dev/null
+++ b/oleanderhitch/process/storage/identity.py
@@ -0,0 +1,69 @@
+"""Name the replica that a data directory belongs to, and lock the directory."""
+
+import fcntl
+import json
+import os
+import uuid
+from pathlib import Path
+
+from oleanderhitch.process.ids import NodeId, ReplicaId
+from oleanderhitch.process.storage.disk import Disk
+from oleanderhitch.process.storage.exceptions import DirectoryInUseError, StorageError
+from oleanderhitch.process.storage.files import SEGMENT_PATTERN, write_atomically
+
+IDENTITY_FILE = "identity.json"
+LOCK_FILE = "lock"
+
+
+def make_replica_id(node: NodeId) -> ReplicaId:
+    """Return a replica id that no earlier data directory of the node had."""
+    return ReplicaId(f"{node}/{uuid.uuid4().hex[:12]}")
+
+
+def get_node(replica: ReplicaId) -> NodeId:
+    """Return the node that a replica runs on."""
+    return NodeId(replica.rpartition("/")[0])
+
+
+def lock_directory(directory: Path) -> int:
+    """Return the descriptor of the lock; raise DirectoryInUseError."""
+    descriptor = os.open(directory / LOCK_FILE, os.O_RDWR | os.O_CREAT, 0o600)
+    try:
+        fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError:
+        os.close(descriptor)
+        raise DirectoryInUseError(
+            f"data directory {directory} is in use by another process; "
+            f"stop that process or choose another directory"
+        ) from None
+    return descriptor
+
+
+def get_identity(directory: Path, node: NodeId, disk: Disk) -> ReplicaId:
+    """Return the directory's replica id, and make one for an empty directory.
+
+    A new disk gets a new id: under the old one it could vote a second time in a
+    term in which the lost disk had voted already.
+    """
+    path = directory / IDENTITY_FILE
+    if not path.exists():
+        if any(directory.glob(SEGMENT_PATTERN)):
+            raise StorageError(
+                f"{path} is missing but there is a log; "
+                f"replace this replica with an empty directory"
+            )
+        replica = make_replica_id(node)
+        text = json.dumps({"node": node, "replica": replica})
+        write_atomically(path, text.encode(), disk)
+        return replica
+    try:
+        identity = json.loads(path.read_text())
+        found, replica = identity["node"], ReplicaId(identity["replica"])
+    except (ValueError, KeyError, TypeError) as error:
+        raise StorageError(f"{path} is malformed: {error}") from None
+    if found != node:
+        raise StorageError(
+            f"data directory {directory} belongs to node {found}, not {node}; "
+            f"check the data directory and the node name in the settings"
+        )
+    return replica
--- /dev/null
+++ b/oleanderhitch/process/storage/log_files.py
@@ -0,0 +1,107 @@
+"""Read the segments of the log at startup."""
+
+import os
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+from oleanderhitch.process.storage.exceptions import CorruptLogError
+from oleanderhitch.process.storage.files import (
+    SEGMENT_PATTERN,
+    get_segment_number,
+    sync_directory,
+)
+from oleanderhitch.process.storage.messages import Record
+from oleanderhitch.process.storage.records import (
+    FRAME_HEADER,
+    FRAME_MAGIC,
+    decode_records,
+    find_frame,
+)
+
+NoteRecords = Callable[[int, list[Record], int], None]
+
+
+@dataclass(slots=True)
+class LogEnd:
+    """Tell where the log ends."""
+
+    segment: int = 0
+    n_bytes: int = 0
+    n_frames: int = 0
+
+
+def read_log(directory: Path, note: NoteRecords) -> LogEnd:
+    """Hand over all frames in order; cut a torn end off the last segment."""
+    end = LogEnd()
+    paths = sorted(directory.glob(SEGMENT_PATTERN))
+    for path in paths:
+        number = get_segment_number(path)
+        if end.segment and number != end.segment + 1:
+            raise CorruptLogError(
+                f"{path} follows segment {end.segment}, but segment "
+                f"{end.segment + 1} is missing"
+            )
+        end.segment = number
+        end.n_bytes = 0
+        _read_segment(path, path == paths[-1], end, note)
+    return end
+
+
+def _read_segment(path: Path, is_last: bool, end: LogEnd, note: NoteRecords) -> None:
+    data = path.read_bytes()
+    offset = 0
+    while offset < len(data):
+        try:
+            number, frame_end, records = _read_frame(data, offset, str(path))
+        except CorruptLogError:
+            if not is_last or _has_later_frame(data, offset):
+                raise
+            _cut(path, offset)
+            break
+        if end.n_frames and number != end.n_frames + 1:
+            raise CorruptLogError(
+                f"{path} has frame {number} at byte {offset}, "
+                f"expected frame {end.n_frames + 1}"
+            )
+        end.n_frames = number
+        note(end.segment, records, frame_end - offset)
+        offset = frame_end
+    end.n_bytes = offset
+
+
+def _read_frame(data: bytes, offset: int, name: str) -> tuple[int, int, list[Record]]:
+    frame = find_frame(data, offset)
+    if frame is None:
+        raise CorruptLogError(
+            f"{name} is damaged at byte {offset}: no whole frame begins there; "
+            f"replace this replica from its peers "
+            f"(docs/operators/hosts-and-repair.md)"
+        )
+    number, frame_end = frame
+    begin = offset + FRAME_HEADER.size
+    return number, frame_end, list(decode_records(data, begin, frame_end, name))
+
+
+def _has_later_frame(data: bytes, offset: int) -> bool:
+    """Tell whether a frame was written after the damaged one.
+
+    A frame is written only once the one before it is synced, so that a later
+    one proves that the damage isn't the torn end of a crash.
+    """
+    position = data.find(FRAME_MAGIC, offset + 1)
+    while position >= 0:
+        if find_frame(data, position) is not None:
+            return True
+        position = data.find(FRAME_MAGIC, position + 1)
+    return False
+
+
+def _cut(path: Path, n_bytes: int) -> None:
+    descriptor = os.open(path, os.O_WRONLY)
+    try:
+        os.ftruncate(descriptor, n_bytes)
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+    sync_directory(path.parent)
--- /dev/null
+++ b/oleanderhitch/process/storage/task.py
@@ -0,0 +1,272 @@
+"""Run the one task of a process that owns its data directory."""
+
+import os
+from dataclasses import dataclass
+from datetime import timedelta
+from functools import partial, singledispatch
+from pathlib import Path
+
+import gevent
+import logbook
+
+from oleanderhitch.process.clock import Clock
+from oleanderhitch.process.ids import GroupId, NodeId, ReplicaId
+from oleanderhitch.process.mailbox import Address, MailboxFullError
+from oleanderhitch.process.storage.core import (
+    Segment,
+    StorageLimits,
+    StorageState,
+    handle,
+    note_record,
+)
+from oleanderhitch.process.storage.disk import Disk, make_system_disk
+from oleanderhitch.process.storage.exceptions import CorruptLogError, StorageError
+from oleanderhitch.process.storage.files import (
+    find_snapshot,
+    get_segment_path,
+    sync_directory,
+    write_snapshot,
+)
+from oleanderhitch.process.storage.identity import get_identity, lock_directory
+from oleanderhitch.process.storage.log_files import LogEnd, read_log
+from oleanderhitch.process.storage.messages import (
+    BatchFailed,
+    BatchWritten,
+    DeleteSegments,
+    Record,
+    SendReply,
+    WriteBatch,
+)
+from oleanderhitch.process.storage.records import encode_frame
+from oleanderhitch.process.storage.recovery import (
+    Groups,
+    RecoveredGroup,
+    apply_record,
+    find_gap,
+    find_missing_record,
+)
+from oleanderhitch.process.task import Task, make_task
+
+# A group's request must never be dropped, or its log would have a gap; callers
+# are turned away long before this many wait.
+MAILBOX_CAPACITY_MESSAGES = 200_000
+REPLY_RETRY_INTERVAL = timedelta(milliseconds=10)
+
+
+@dataclass(slots=True)
+class LogWriter:
+    """Hold the open segment; one batch at a time writes to it."""
+
+    directory: Path
+    disk: Disk
+    descriptor: int
+    n_frames: int
+    batch: gevent.Greenlet | None = None
+
+
+@dataclass(slots=True)
+class Storage:
+    """Hold an open data directory and the task that owns it."""
+
+    replica: ReplicaId
+    groups: dict[GroupId, RecoveredGroup]
+    task: Task[StorageState]
+    writer: LogWriter
+    lock_descriptor: int
+
+    def send(self, message: object) -> None:
+        """Queue a request for the task."""
+        self.task.send(message)
+
+    def find_group(self, group: GroupId) -> RecoveredGroup:
+        """Return what was recovered of a group, empty if there is nothing."""
+        return self.groups.pop(group, RecoveredGroup())
+
+    def start(self) -> None:
+        """Start the task."""
+        self.task.start()
+
+    def close(self) -> None:
+        """End the task, close the files and give the directory free."""
+        self.task.stop()
+        self.task.join()
+        if self.writer.batch is not None:
+            self.writer.batch.join()
+        os.close(self.writer.descriptor)
+        os.close(self.lock_descriptor)
+
+
+def open_storage(
+    directory: Path,
+    node: NodeId,
+    clock: Clock,
+    limits: StorageLimits | None = None,
+    disk: Disk | None = None,
+) -> Storage:
+    """Open a data directory and recover its groups; raise StorageError."""
+    disk = disk or make_system_disk()
+    directory.mkdir(parents=True, exist_ok=True)
+    lock_descriptor = lock_directory(directory)
+    try:
+        replica = get_identity(directory, node, disk)
+        groups: Groups = {}
+        state = StorageState(limits or StorageLimits(), [])
+        end = read_log(directory, partial(_note_frame, state, groups))
+        writer = _open_writer(directory, disk, state, end)
+        _attach_snapshots(directory, state, groups, writer)
+    except OSError as error:
+        os.close(lock_descriptor)
+        raise StorageError(
+            f"data directory {directory} can't be used: {error}"
+        ) from error
+    except StorageError:
+        os.close(lock_descriptor)
+        raise
+    return _make_storage(replica, groups, state, writer, clock, lock_descriptor)
+
+
+def _make_storage(
+    replica: ReplicaId,
+    groups: Groups,
+    state: StorageState,
+    writer: LogWriter,
+    clock: Clock,
+    lock_descriptor: int,
+) -> Storage:
+    log = logbook.Logger("storage")
+
+    def perform(effect: object) -> None:
+        _perform(effect, writer, task, log)
+
+    task = make_task(
+        "storage",
+        state,
+        handle,
+        perform,
+        clock,
+        capacity_messages=MAILBOX_CAPACITY_MESSAGES,
+    )
+    return Storage(replica, groups, task, writer, lock_descriptor)
+
+
+def _note_frame(
+    state: StorageState,
+    groups: Groups,
+    segment_number: int,
+    records: list[Record],
+    n_bytes: int,
+) -> None:
+    if not state.segments or state.segments[-1].number != segment_number:
+        state.segments.append(Segment(segment_number))
+    segment = state.segments[-1]
+    segment.n_bytes += n_bytes
+    for record in records:
+        note_record(state, segment, record)
+        apply_record(record, groups)
+
+
+def _open_writer(
+    directory: Path, disk: Disk, state: StorageState, end: LogEnd
+) -> LogWriter:
+    number = max(end.segment, 1)
+    if not state.segments or state.segments[-1].number != number:
+        state.segments.append(Segment(number))
+    return LogWriter(directory, disk, _open_segment(directory, number), end.n_frames)
+
+
+def _open_segment(directory: Path, number: int) -> int:
+    path = get_segment_path(directory, number)
+    flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+    descriptor = os.open(path, flags, 0o600)
+    sync_directory(directory)
+    return descriptor
+
+
+def _attach_snapshots(
+    directory: Path, state: StorageState, groups: Groups, writer: LogWriter
+) -> None:
+    for group, found in groups.items():
+        found.snapshot = find_snapshot(directory, group)
+        missing = find_missing_record(group, found)
+        if missing is not None:
+            segment = state.segments[-1]
+            segment.n_bytes += _write_records(writer, (missing,))
+            note_record(state, segment, missing)
+            apply_record(missing, groups)
+        gap = find_gap(found)
+        if gap:
+            raise CorruptLogError(f"{directory}, group {group}: {gap}")
+
+
+def _write_records(writer: LogWriter, records: tuple[Record, ...]) -> int:
+    frame = encode_frame(writer.n_frames + 1, records)
+    writer.disk.append(writer.descriptor, frame)
+    writer.disk.sync(writer.descriptor)
+    writer.n_frames += 1
+    return len(frame)
+
+
+def _write_batch(writer: LogWriter, batch: WriteBatch) -> int:
+    """Make a batch durable; runs in a thread, never on the hub."""
+    if batch.is_new_segment:
+        os.close(writer.descriptor)
+        writer.descriptor = _open_segment(writer.directory, batch.segment)
+    if batch.snapshot is not None:
+        request = batch.snapshot
+        write_snapshot(writer.directory, request.group, request.snapshot, writer.disk)
+    return _write_records(writer, batch.records)
+
+
+@singledispatch
+def _perform(
+    effect: object, writer: LogWriter, task: Address, log: logbook.Logger
+) -> None:
+    raise StorageError(f"unknown effect {type(effect).__name__}")
+
+
+@_perform.register
+def _(
+    effect: WriteBatch, writer: LogWriter, task: Address, log: logbook.Logger
+) -> None:
+    writer.batch = gevent.spawn(_run_batch, effect, writer, task, log)
+
+
+def _run_batch(
+    batch: WriteBatch, writer: LogWriter, task: Address, log: logbook.Logger
+) -> None:
+    pool = gevent.get_hub().threadpool
+    try:
+        n_bytes = pool.apply(_write_batch, (writer, batch))
+    except OSError as error:
+        reason = (
+            f"can't write to {writer.directory}: {error}; this replica stops, "
+            f"free or replace the disk and start the process again"
+        )
+        log.error("{}", reason)
+        task.send(BatchFailed(reason))
+    else:
+        task.send(BatchWritten(n_bytes))
+
+
+@_perform.register
+def _(
+    effect: DeleteSegments, writer: LogWriter, task: Address, log: logbook.Logger
+) -> None:
+    try:
+        for number in effect.segments:
+            get_segment_path(writer.directory, number).unlink(missing_ok=True)
+    except OSError as error:
+        log.warning("can't remove old log segments: {}", error)
+
+
+@_perform.register
+def _(effect: SendReply, writer: LogWriter, task: Address, log: logbook.Logger) -> None:
+    _reply(effect.reply, effect.message)
+
+
+def _reply(reply: Address, message: object) -> None:
+    try:
+        reply.send(message)
+    except MailboxFullError:
+        # An acknowledgement that is lost would stop the group for good.
+        gevent.spawn_later(REPLY_RETRY_INTERVAL.total_seconds(), _reply, reply, message)
--- /dev/null
+++ b/tests/process/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of durable storage."""
