--- a/standins/connection/replies.py
+++ b/standins/connection/replies.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import bottle
+from gevent.event import Event
 from gevent.pywsgi import WSGIHandler
 
 from oleanderhitch.process.mailbox import Address, Mailbox, make_mailbox
@@ -17,6 +18,30 @@
 ANSWER_TIMEOUT = timedelta(seconds=10)
 
 
+class Progress:
+    """Count the requests in progress; kept connections without one are idle."""
+
+    def __init__(self) -> None:
+        self._n_requests = 0
+        self._idle = Event()
+        self._idle.set()
+
+    def start(self) -> None:
+        """Count a request."""
+        self._n_requests += 1
+        self._idle.clear()
+
+    def finish(self) -> None:
+        """Count a request as answered."""
+        self._n_requests -= 1
+        if self._n_requests == 0:
+            self._idle.set()
+
+    def wait(self, timeout: timedelta) -> bool:
+        """Wait until no request is in progress; return whether that is so."""
+        return bool(self._idle.wait(timeout.total_seconds()))
+
+
 class SocketHandler(WSGIHandler):  # type: ignore[misc]
     """Give handlers access to their socket, so that they can break it."""
 
@@ -26,6 +51,15 @@
         environ[_SOCKET_KEY] = self.socket
         return environ
 
+    def handle_one_response(self) -> None:
+        """Serve one request and count it while it is in progress."""
+        progress: Progress = self.server.progress
+        progress.start()
+        try:
+            super().handle_one_response()
+        finally:
+            progress.finish()
+
 
 def break_connection() -> None:
     """Close the connection of the current request without an answer."""
--- a/standins/process/engine/task.py
+++ b/standins/process/engine/task.py
@@ -4,8 +4,9 @@
 
 import gevent
 
+from oleanderhitch.exceptions import UnavailableError
 from oleanderhitch.process.clock import Clock
-from oleanderhitch.process.mailbox import Mailbox, MailboxFullError, make_mailbox
+from oleanderhitch.process.mailbox import Mailbox, make_mailbox
 from standins.process.engine.batch import step
 from standins.process.engine.core import handle
 from standins.process.engine.state import (
@@ -50,7 +51,7 @@
         for effect in effects:
             try:
                 effect.address.send(effect.message)
-            except MailboxFullError:
+            except UnavailableError:
                 # A connection that reads too slowly resumes at its offset.
                 continue
 
--- a/standins/process/service/command.py
+++ b/standins/process/service/command.py
@@ -15,7 +15,7 @@
     handle,
     make_service_state,
 )
-from standins.process.serving import make_server, serve_until_signal
+from standins.process.serving import log_to_stderr, make_server, serve_until_signal
 from standins.request.messages import Post
 
 
@@ -58,6 +58,7 @@
 
 def run() -> int:
     """Run the command line."""
+    log_to_stderr()
     application = Application("oleanderhitch-service-standin")
     command = ServiceCommand()
     application.add(command)
--- a/standins/process/serving.py
+++ b/standins/process/serving.py
@@ -1,6 +1,7 @@
 """Serve a stand-in until SIGTERM, then let its requests finish."""
 
 import signal
+from datetime import timedelta
 
 import bottle
 import gevent
@@ -9,9 +10,9 @@
 from gevent.pywsgi import WSGIServer
 
 from oleanderhitch.exceptions import InvalidInputError
-from standins.connection.replies import SocketHandler
+from standins.connection.replies import Progress, SocketHandler
 
-DRAIN_TIMEOUT_S = 30
+DRAIN_TIMEOUT = timedelta(seconds=30)
 _LOG = logbook.Logger("standin")
 
 
@@ -27,17 +28,31 @@
 
 def make_server(app: bottle.Bottle, listen: str) -> WSGIServer:
     """Return a server that is not started yet."""
-    return WSGIServer(parse_listen(listen), app, log=None, handler_class=SocketHandler)
+    server = WSGIServer(
+        parse_listen(listen), app, log=None, handler_class=SocketHandler
+    )
+    server.progress = Progress()
+    return server
 
 
 def serve_until_signal(server: WSGIServer, name: str) -> None:
     """Serve until SIGTERM or SIGINT and wait for the requests in progress."""
-    logbook.StderrHandler(level=logbook.INFO).push_application()
     stopping = Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
+    watchers = [
         gevent.signal_handler(number, stopping.set)
+        for number in (signal.SIGTERM, signal.SIGINT)
+    ]
     server.start()
     _LOG.info("{} listens on {}:{}", name, server.server_host, server.server_port)
     stopping.wait()
     _LOG.info("{} stops; running requests may finish", name)
-    server.stop(timeout=DRAIN_TIMEOUT_S)
+    server.close()
+    if not server.progress.wait(DRAIN_TIMEOUT):
+        _LOG.warning("{} interrupts requests after {}", name, DRAIN_TIMEOUT)
+    for watcher in watchers:
+        watcher.cancel()
+
+
+def log_to_stderr() -> None:
+    """Write log lines to standard error from now on."""
+    logbook.StderrHandler(level=logbook.INFO).push_application()
--- /dev/null
+++ b/tests/connection/endpoint/__init__.py
@@ -0,0 +1,1 @@
+"""Test connections to endpoints."""
--- /dev/null
+++ b/tests/connection/endpoint/calls.py
@@ -0,0 +1,116 @@
+"""Make calls at stand-ins and collect what they post."""
+
+import json
+from datetime import timedelta
+
+import urllib3
+
+from oleanderhitch.connection.endpoint.messages import EndpointCall, EndpointTimeouts
+from oleanderhitch.connection.endpoint.task import make_endpoint_stream
+from oleanderhitch.connection.endpoint.transport import make_pool_manager
+from oleanderhitch.process.mailbox import make_mailbox
+from oleanderhitch.request.messages import (
+    CancelAttempt,
+    ChunkReceived,
+    ModelWork,
+    ServiceWork,
+    StreamEnded,
+    StreamFailed,
+)
+from tests.standins.serving import CLOCK
+
+TIMEOUTS = EndpointTimeouts(
+    connect=timedelta(milliseconds=500),
+    first_byte=timedelta(milliseconds=300),
+    between_chunks=timedelta(milliseconds=100),
+    cancel=timedelta(milliseconds=500),
+)
+MODEL_WORK = ModelWork("standin", ({"role": "user", "content": "hello"},), 12)
+SERVICE_WORK = ServiceWork("payments", "pay", b"{}")
+
+
+def request_json(method, address, path, body=None):
+    """Return the JSON answer of a stand-in."""
+    response = urllib3.request(method, f"http://{address}{path}", json=body)
+    return response.json()
+
+
+def set_fault(address, kind, **options):
+    """Make a stand-in misbehave."""
+    request_json("POST", address, "/v1/faults", {"kind": kind, **options})
+
+
+class Attempt:
+    """Run one attempt and collect its messages."""
+
+    def __init__(self, address, work=MODEL_WORK, request="r1", **options):
+        limit_s = options.pop("deadline_s", 10)
+        fields = {
+            "attempt": 1,
+            "request": request,
+            "program": "p1",
+            "address": address,
+            "work": work,
+            "is_idempotent": True,
+            "priority": 0,
+            "deadline": CLOCK.now() + timedelta(seconds=limit_s),
+            **options,
+        }
+        self.call = EndpointCall(**fields)
+        self.mailbox = make_mailbox(request)
+        self.messages = []
+        self.stream = make_endpoint_stream(
+            self.call, self.mailbox, make_pool_manager(), TIMEOUTS, CLOCK
+        )
+        self.stream.start()
+
+    def receive(self):
+        """Collect the next message."""
+        message = self.mailbox.receive(timedelta(seconds=5))
+        assert message is not None, "no message within 5 s"
+        self.messages.append(message)
+        return message
+
+    def finish(self):
+        """Collect messages up to the last and return it."""
+        while True:
+            message = self.receive()
+            if isinstance(message, StreamEnded | StreamFailed):
+                return message
+
+    def cancel(self):
+        """Cancel the attempt and wait until its greenlet has ended."""
+        self.stream.send(CancelAttempt(self.call.attempt))
+        self.stream.join()
+
+    @property
+    def answer(self):
+        """Return the bytes received, checking their offsets."""
+        answer = b""
+        for message in self.messages:
+            if isinstance(message, ChunkReceived):
+                assert message.offset == len(answer), "offsets do not join"
+                answer += message.data
+        return answer
+
+
+def read_whole_answer(address, request="whole"):
+    """Return the answer that an undisturbed attempt gets."""
+    attempt = Attempt(address, request=request, program=request)
+    last = attempt.finish()
+    assert isinstance(last, StreamEnded), last
+    return attempt.answer
+
+
+def make_event(stream, offset, text):
+    """Return a server-sent event with a piece."""
+    choices = [{"delta": {"content": text}}]
+    body = {"id": stream, "offset": offset, "choices": choices}
+    return b"data: " + json.dumps(body).encode() + b"\n\n"
+
+
+def make_end(stream):
+    """Return the server-sent events that end a stream."""
+    usage = {"prompt_tokens": 1, "cached_tokens": 0, "completion_tokens": 2}
+    body = json.dumps({"id": stream, "usage": usage}).encode()
+    return b"data: " + body + b"\n\ndata: [DONE]\n\n"
--- /dev/null
+++ b/tests/connection/endpoint/test_model.py
@@ -0,0 +1,255 @@
+"""Test that an answer is whole and belongs to its request, whatever breaks."""
+
+import socket
+from datetime import timedelta
+
+import bottle
+import gevent
+import pytest
+
+from oleanderhitch.request.messages import (
+    ChunkReceived,
+    ModelWork,
+    StreamEnded,
+    StreamFailed,
+)
+from tests.connection.endpoint.calls import (
+    MODEL_WORK,
+    Attempt,
+    make_end,
+    make_event,
+    read_whole_answer,
+    request_json,
+    set_fault,
+)
+from tests.standins.serving import serve, serve_engine
+
+
+def find_free_address():
+    """Return a loopback address that nothing listens on."""
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{listener.getsockname()[1]}"
+
+
+def test_streams_chunks_then_usage():
+    """Guard against a chunk that is lost or an end without its usage."""
+    with serve_engine() as address:
+        attempt = Attempt(address)
+        assert attempt.finish() == StreamEnded(1, 2, 0, 12)
+        assert len(attempt.answer) == 48
+        assert len(attempt.messages) == 13
+
+
+def test_second_turn_uses_cached_prefix():
+    """Guard against usage that hides recomputed tokens."""
+    with serve_engine() as address:
+        first = Attempt(address)
+        first.finish()
+        prompt = (
+            *MODEL_WORK.messages,
+            {"role": "assistant", "content": first.answer.decode()},
+        )
+        work = ModelWork("standin", ({"role": "user", "content": "more"},), 3)
+        second = Attempt(address, work, "r2", prompt=prompt)
+        assert second.finish() == StreamEnded(1, 15, 14, 3)
+
+
+def test_continuation_joins_without_seam():
+    """Guard against text that is repeated or missing after a lost engine."""
+    with serve_engine() as first, serve_engine() as second:
+        whole = read_whole_answer(first)
+        for n_answered in (4, 20, 44):
+            attempt = Attempt(
+                second, request=f"r{n_answered}", answered=whole[:n_answered]
+            )
+            attempt.finish()
+            assert whole[:n_answered] + attempt.answer == whole
+
+
+def test_refused_connection_was_not_sent():
+    """Guard against a call called unknown although no byte went out."""
+    failure = Attempt(find_free_address()).finish()
+    assert not failure.was_sent
+    assert not failure.is_final
+
+
+def test_passed_deadline_sends_nothing():
+    """Guard against work that starts when nobody can use its answer."""
+    with serve_engine() as address:
+        failure = Attempt(address, deadline_s=-1).finish()
+        assert not failure.was_sent
+        assert request_json("GET", address, "/v1/cache/programs") == {"programs": []}
+
+
+def test_model_that_is_not_loaded_may_be_tried_elsewhere():
+    """Guard against a stale inventory that ends a request for good."""
+    with serve_engine(model="other") as address:
+        failure = Attempt(address).finish()
+        assert failure.was_sent
+        assert not failure.is_final
+        assert "404" in failure.reason
+
+
+@pytest.mark.parametrize("after_pieces", [0, 1, 5])
+def test_silent_connection_resumes_on_a_new_one(after_pieces):
+    """Guard against an engine given up for one silent connection."""
+    with serve_engine() as address:
+        whole = read_whole_answer(address)
+        set_fault(address, "silent", n_requests=1, after_pieces=after_pieces)
+        attempt = Attempt(address)
+        assert isinstance(attempt.finish(), StreamEnded)
+        assert attempt.answer == whole
+
+
+def test_dropped_answer_is_resumed():
+    """Guard against a finished answer that is computed twice."""
+    with serve_engine() as address:
+        whole = read_whole_answer(address)
+        set_fault(address, "drop_answer", n_requests=1)
+        attempt = Attempt(address)
+        assert isinstance(attempt.finish(), StreamEnded)
+        assert attempt.answer == whole
+
+
+def test_silent_engine_fails_the_attempt():
+    """Guard against a request that waits for a silent host until its deadline."""
+    with serve_engine() as address:
+        set_fault(address, "silent", after_pieces=1)
+        attempt = Attempt(address)
+        failure = attempt.finish()
+        assert failure.was_sent
+        assert not failure.is_final
+
+
+def test_lost_stream_keeps_what_arrived():
+    """Guard against chunks that vanish with the engine."""
+    with serve_engine() as address:
+        whole = read_whole_answer(address)
+        set_fault(address, "die_mid_stream", n_requests=1, after_pieces=4)
+        attempt = Attempt(address)
+        failure = attempt.finish()
+        assert isinstance(failure, StreamFailed)
+        assert failure.was_sent
+        assert attempt.answer == whole[:16]
+
+
+def test_slow_engine_still_answers():
+    """Guard against a slow engine that is taken for a silent one."""
+    with serve_engine() as address:
+        set_fault(address, "slow", factor=20)
+        assert isinstance(Attempt(address).finish(), StreamEnded)
+
+
+def test_cancel_frees_the_engine_and_posts_nothing_more():
+    """Guard against a late answer after a cancel and a slot that stays taken."""
+    with serve_engine(load_lag=timedelta(0)) as address:
+        work = ModelWork("standin", MODEL_WORK.messages, 2000)
+        attempt = Attempt(address, work)
+        assert isinstance(attempt.receive(), ChunkReceived)
+        attempt.cancel()
+        n_posted = attempt.mailbox.n_waiting
+        gevent.sleep(0.05)
+        assert attempt.mailbox.n_waiting == n_posted
+        assert request_json("GET", address, "/v1/load")["n_running"] == 0
+
+
+def serve_pieces(first, resumed):
+    """Return an engine application that sends fixed bytes."""
+    app = bottle.Bottle()
+    app.post("/v1/chat/completions")(lambda: iter(first))
+    app.get("/v1/streams/<stream>")(lambda stream: iter(resumed))
+    app.delete("/v1/streams/<stream>")(lambda stream: "")
+    return serve(app)
+
+
+def test_duplicates_by_offset_are_dropped():
+    """Guard against text that a resumed stream repeats."""
+    first = [make_event("r1.1", 0, "abcd"), make_event("r1.1", 4, "efgh")]
+    resumed = [
+        make_event("r1.1", 0, "abcd"),
+        make_event("r1.1", 2, "cdefghij"),
+        make_event("r1.1", 10, "kl"),
+        make_end("r1.1"),
+    ]
+    with serve_pieces(first, resumed) as address:
+        attempt = Attempt(address)
+        assert isinstance(attempt.finish(), StreamEnded)
+        assert attempt.answer == b"abcdefghijkl"
+
+
+def test_characters_of_several_bytes_keep_their_offsets():
+    """Guard against offsets in characters that are taken for bytes."""
+    first = [make_event("r1.1", 0, "žča"), make_event("r1.1", 3, "đ")]
+    resumed = [make_event("r1.1", 3, "đš"), make_end("r1.1")]
+    with serve_pieces(first, resumed) as address:
+        attempt = Attempt(address)
+        assert isinstance(attempt.finish(), StreamEnded)
+        assert attempt.answer.decode() == "žčađš"
+
+
+def test_missing_piece_is_fetched_by_resuming():
+    """Guard against an answer with a hole in it."""
+    first = [make_event("r1.1", 0, "ab"), make_event("r1.1", 4, "ef")]
+    resumed = [make_event("r1.1", 2, "cdef"), make_end("r1.1")]
+    with serve_pieces(first, resumed) as address:
+        attempt = Attempt(address)
+        assert isinstance(attempt.finish(), StreamEnded)
+        assert attempt.answer == b"abcdef"
+
+
+@pytest.mark.parametrize(
+    "crossed",
+    [
+        make_event("other.1", 0, "secret"),
+        make_end("other.1"),
+        b"data: not json\n\n",
+        b'data: {"id": "r1.1"}\n\n',
+    ],
+)
+def test_crossed_or_malformed_answer_never_arrives(crossed):
+    """Guard against the answer of another request."""
+    with serve_pieces([crossed], [crossed]) as address:
+        attempt = Attempt(address)
+        assert isinstance(attempt.finish(), StreamFailed)
+        assert attempt.answer == b""
+
+
+def test_end_without_usage_is_not_whole():
+    """Guard against a cut answer that is reported as whole."""
+    pieces = [make_event("r1.1", 0, "ab"), b"data: [DONE]\n\n"]
+    with serve_pieces(pieces, pieces) as address:
+        assert isinstance(Attempt(address).finish(), StreamFailed)
+
+
+def test_redirect_is_not_followed():
+    """Guard against a call that is sent a second time elsewhere."""
+    app = bottle.Bottle()
+    app.post("/v1/chat/completions")(lambda: bottle.redirect("/elsewhere", 307))
+    with serve(app) as address:
+        failure = Attempt(address).finish()
+        assert "307" in failure.reason
+        assert not failure.is_final
+
+
+def test_interleaved_attempts_keep_their_answers_apart():
+    """Guard against mixed answers while streams break and resume."""
+    with serve_engine() as address:
+        works = [
+            ModelWork("standin", ({"role": "user", "content": f"q{number}"},), 12)
+            for number in range(12)
+        ]
+        expected = []
+        for number, work in enumerate(works):
+            attempt = Attempt(address, work, f"e{number}", program=f"e{number}")
+            attempt.finish()
+            expected.append(attempt.answer)
+        set_fault(address, "silent", n_requests=6, after_pieces=3)
+        attempts = [
+            Attempt(address, work, f"r{number}", program=f"p{number}")
+            for number, work in enumerate(works)
+        ]
+        for attempt, answer in zip(attempts, expected, strict=True):
+            assert isinstance(attempt.finish(), StreamEnded)
+            assert attempt.answer == answer
+        assert len(set(expected)) == len(works)
--- /dev/null
+++ b/tests/connection/endpoint/test_service.py
@@ -0,0 +1,120 @@
+"""Test that calls of plain services run once and say truly what happened."""
+
+from datetime import timedelta
+
+import gevent
+import pytest
+
+from oleanderhitch.connection.endpoint.messages import (
+    LookUpOperation,
+    OperationFound,
+    OperationNotFound,
+)
+from oleanderhitch.connection.endpoint.task import start_operation_lookup
+from oleanderhitch.connection.endpoint.transport import make_pool_manager
+from oleanderhitch.process.mailbox import make_mailbox
+from oleanderhitch.request.messages import ServiceWork, StreamEnded, StreamFailed
+from tests.connection.endpoint.calls import (
+    SERVICE_WORK,
+    TIMEOUTS,
+    Attempt,
+    request_json,
+    set_fault,
+)
+from tests.standins.serving import CLOCK, serve_service
+
+
+def count_runs(address, key="r1"):
+    """Return how often a key ran."""
+    return request_json("GET", address, "/v1/counts")["keys"].get(key, 0)
+
+
+def look_up(address, request="r1", limit_s=1.0):
+    """Return what a look-up by key posts."""
+    mailbox = make_mailbox("lookup")
+    deadline = CLOCK.now() + timedelta(seconds=limit_s)
+    start_operation_lookup(
+        LookUpOperation(request, address, deadline),
+        mailbox,
+        make_pool_manager(),
+        TIMEOUTS,
+        CLOCK,
+    )
+    return mailbox.receive(timedelta(seconds=5))
+
+
+def call(address, work=SERVICE_WORK, **options):
+    """Return a finished attempt of a call that is not idempotent."""
+    attempt = Attempt(address, work, is_idempotent=False, **options)
+    attempt.finish()
+    return attempt
+
+
+def test_completed_call_brings_its_body():
+    """Guard against an answer without its body."""
+    with serve_service() as address:
+        attempt = call(address)
+        assert attempt.messages[-1] == StreamEnded(1, 0, 0, 0)
+        assert b'"key": "r1"' in attempt.answer
+        assert count_runs(address) == 1
+
+
+def test_rejection_is_final_and_brings_its_body():
+    """Guard against a rejected call that is tried at another service."""
+    with serve_service() as address:
+        attempt = call(address, ServiceWork("payments", "reject", b""))
+        assert attempt.messages[-1] == StreamFailed(
+            1, True, True, "endpoint answered with status 422"
+        )
+        assert b"rejects its input" in attempt.answer
+
+
+def test_server_error_is_not_final():
+    """Guard against a crash of the service that is taken for its answer."""
+    with serve_service() as address:
+        attempt = call(address, ServiceWork("payments", "crash", b""))
+        assert attempt.messages == [
+            StreamFailed(1, True, False, "endpoint answered with status 500")
+        ]
+
+
+@pytest.mark.parametrize("kind", ["drop_answer", "die_mid_stream"])
+def test_lost_answer_is_found_by_key_without_a_second_run(kind):
+    """Guard against a doubled call after a lost answer."""
+    with serve_service() as address:
+        set_fault(address, kind, n_requests=1)
+        attempt = call(address)
+        failure = attempt.messages[-1]
+        assert failure.was_sent
+        assert not failure.is_final
+        found = look_up(address)
+        assert isinstance(found, OperationFound)
+        assert found.status == 200
+        assert b'"key": "r1"' in found.body
+        assert count_runs(address) == 1
+
+
+def test_hanging_call_ends_at_its_deadline():
+    """Guard against a request that a hanging tool holds for ever."""
+    with serve_service() as address:
+        set_fault(address, "silent")
+        started_at = CLOCK.now()
+        attempt = call(address, deadline_s=0.3)
+        assert attempt.messages[-1].was_sent
+        assert CLOCK.now() - started_at < timedelta(seconds=1)
+        assert count_runs(address) == 1
+
+
+def test_look_up_waits_for_an_answer_that_comes_late():
+    """Guard against "unknown" for an operation that is still running."""
+    with serve_service() as address:
+        gevent.spawn_later(0.2, Attempt, address, SERVICE_WORK)
+        assert isinstance(look_up(address), OperationFound)
+
+
+@pytest.mark.parametrize("answers_by_key", [True, False])
+def test_look_up_without_an_answer_says_so(answers_by_key):
+    """Guard against an answer that is made up."""
+    with serve_service(answers_by_key=answers_by_key) as address:
+        found = look_up(address, "never", 0.15)
+        assert isinstance(found, OperationNotFound)
--- /dev/null
+++ b/tests/standins/test_engine.py
@@ -0,0 +1,197 @@
+"""Test that the engine stand-in behaves as the design page says."""
+
+from datetime import UTC, datetime, timedelta
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from oleanderhitch.process.mailbox import make_mailbox
+from standins.process.engine.batch import step
+from standins.process.engine.cache import (
+    PrefixCache,
+    count_cached_tokens,
+    list_events,
+    store_prefix,
+)
+from standins.process.engine.core import handle
+from standins.process.engine.state import EngineSettings, make_engine_state
+from standins.request.messages import (
+    Answer,
+    ApplyOrder,
+    GetCacheEvents,
+    GetLoad,
+    Piece,
+    ReleaseProgram,
+    SubmitStream,
+    Usage,
+)
+from standins.request.states import OrderKind
+from standins.request.text import make_text
+
+START = datetime(2026, 1, 1, tzinfo=UTC)
+PROMPT = (("user", "x" * 400),)
+
+
+class Driver:
+    """Drive an engine's decisions by a scripted clock."""
+
+    def __init__(self, **settings):
+        self.state = make_engine_state(EngineSettings(**settings))
+        self.now = START
+        self.received = {}
+
+    def send(self, message):
+        """Handle a message at the present time."""
+        self.deliver(handle(message, self.state, self.now))
+
+    def deliver(self, effects):
+        """Note what each address receives and when."""
+        for effect in effects:
+            key = id(effect.address)
+            self.received.setdefault(key, []).append((self.now, effect.message))
+
+    def submit(self, name, program="p", priority=0, n_tokens=4, messages=PROMPT):
+        """Start a stream and return its reply address."""
+        reply = make_mailbox(name)
+        self.send(
+            SubmitStream(name, program, "standin", messages, n_tokens, priority, reply)
+        )
+        return reply
+
+    def run(self):
+        """Step until nothing runs."""
+        while self.state.next_step_at is not None:
+            self.now = max(self.now, self.state.next_step_at)
+            self.deliver(step(self.state, self.now))
+
+    def list_received(self, reply, kind):
+        """Return the messages of a kind with the times they came."""
+        received = self.received.get(id(reply), [])
+        return [(at, message) for at, message in received if isinstance(message, kind)]
+
+    def ask(self, make_message):
+        """Return the body that answers a query."""
+        reply = make_mailbox("query")
+        self.send(make_message(reply))
+        return self.list_received(reply, Answer)[-1][1]
+
+
+def get_token_time(n_streams):
+    """Return the mean time between tokens with so many streams at once."""
+    driver = Driver(n_slots=32, prefill_tokens_per_s=1e9)
+    replies = [driver.submit(f"s{n}", f"p{n}", n_tokens=20) for n in range(n_streams)]
+    driver.run()
+    times = [at for at, _ in driver.list_received(replies[0], Piece)]
+    return (times[-1] - times[1]) / (len(times) - 2)
+
+
+def test_token_time_grows_with_the_batch():
+    """Guard against a benchmark engine on which load costs nothing."""
+    assert get_token_time(1) < get_token_time(8) < get_token_time(32)
+
+
+def test_priority_decides_among_the_waiting():
+    """Guard against an engine that serves in the order of arrival only."""
+    driver = Driver(n_slots=1)
+    replies = [driver.submit(f"s{n}", f"p{n}", priority=9 - n) for n in range(4)]
+    driver.run()
+    ends = [driver.list_received(reply, Usage)[0][0] for reply in replies]
+    assert ends[0] < ends[3] < ends[2] < ends[1]
+
+
+def test_prefill_takes_time_only_for_tokens_that_are_not_cached():
+    """Guard against a cache without effect."""
+    driver = Driver(prefill_tokens_per_s=1000.0)
+    first = driver.submit("s1")
+    driver.run()
+    usage = driver.list_received(first, Usage)[0][1]
+    assert usage == Usage(100, 0, 4)
+    assert driver.list_received(first, Piece)[0][0] - START == timedelta(seconds=0.1)
+    second_at = driver.now
+    second = driver.submit("s2")
+    driver.run()
+    assert driver.list_received(second, Usage)[0][1].cached_tokens == 100
+    assert driver.list_received(second, Piece)[0][0] == second_at
+
+
+@given(
+    st.lists(
+        st.tuples(st.sampled_from("abcdef"), st.integers(1, 60)),
+        min_size=1,
+        max_size=40,
+    )
+)
+def test_cache_never_exceeds_its_memory(stores):
+    """Guard against memory that is counted wrongly or never freed."""
+    cache = PrefixCache(50, timedelta(0), 0)
+    for program, n_tokens in stores:
+        store_prefix(cache, program, (("user", "x" * 4 * n_tokens),), START)
+        counted = sum(
+            count_cached_tokens(cache, name, prefix)
+            for name, prefix in cache.prefixes.items()
+        )
+        assert cache.n_tokens == counted <= 50
+    holders = set()
+    for event in list_events(cache, 0, START)[0]:
+        (holders.add if event.kind == "stored" else holders.discard)(event.program)
+    assert holders == set(cache.prefixes)
+
+
+def test_events_come_late_and_with_gaps():
+    """Guard against consumers that are only tested with perfect events."""
+    driver = Driver(n_events_between_gaps=3, event_lag=timedelta(seconds=1))
+    for number in range(6):
+        driver.submit(f"s{number}", f"p{number}")
+        driver.run()
+    query = lambda reply: GetCacheEvents(0, reply)  # noqa: E731
+    ended_at = driver.now
+    assert driver.ask(query).body["last"] < 5
+    driver.now = ended_at + timedelta(seconds=1)
+    numbers = [event["number"] for event in driver.ask(query).body["events"]]
+    assert numbers == [1, 2, 4, 5]
+
+
+def test_load_report_lags():
+    """Guard against schedulers that are only tested with fresh reports."""
+    driver = Driver(load_lag=timedelta(seconds=2))
+    driver.submit("s1", n_tokens=1000)
+    assert driver.ask(GetLoad).body["n_running"] == 0
+    driver.now += timedelta(seconds=2)
+    assert driver.ask(GetLoad).body == {
+        "n_running": 1,
+        "n_waiting": 0,
+        "age_ms": 2000,
+    }
+
+
+def order(driver, number, name):
+    """Return the status that answers an order."""
+    make = lambda reply: ApplyOrder(  # noqa: E731
+        number, OrderKind.LOAD_MODEL, name, reply
+    )
+    return driver.ask(make).status
+
+
+def test_fencing_check_refuses_old_orders_only_when_it_is_on():
+    """Guard against a fencing test that passes on an engine without the check."""
+    checking = Driver(checks_fencing=True)
+    assert [order(checking, n, "m") for n in (5, 4, 5, 6)] == [200, 409, 200, 200]
+    ignoring = Driver(checks_fencing=False)
+    assert [order(ignoring, n, "m") for n in (5, 4)] == [200, 200]
+
+
+def test_release_of_a_running_program_is_not_confirmed():
+    """Guard against a confirmed release whose stream stores the prefix again."""
+    driver = Driver()
+    driver.submit("s1")
+    release = lambda reply: ReleaseProgram("p", reply)  # noqa: E731
+    assert driver.ask(release).body == {"released": False}
+    driver.run()
+    assert driver.ask(release).body == {"released": True}
+    assert not driver.state.cache.prefixes
+
+
+@given(st.integers(0, 50), st.integers(0, 50))
+def test_text_at_a_position_depends_on_nothing_else(start, end):
+    """Guard against a seam where one engine continues another's answer."""
+    assert make_text("seed", start, end) == make_text("seed", 0, 50)[start:end]
