Measured the shipped decisions against three baselines

Cause: no rule of the queue has a figure yet. The fallback for a lost owner reduces the offers of each entry.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the shipped decisions against baselines of our own."""
--- /dev/null
+++ b/bench/process/__init__.py
@@ -0,0 +1,1 @@
+"""Hold what lives as long as a measurement."""
--- /dev/null
+++ b/bench/process/baselines.py
@@ -0,0 +1,85 @@
+"""Define the baselines: each sends a call to an endpoint's queue at once."""
+
+from collections.abc import Callable
+from random import Random
+
+from xxhash import xxh64_intdigest
+
+from bench.process.engine import Server
+from bench.process.loop import Loop
+from bench.request.calls import Attempt, Call
+from oleanderhitch.version.ids import EndpointId
+
+Choose = Callable[[Call, list[Server]], Server]
+
+REPORT_INTERVAL_S = 0.5
+REPORT_LAG_S = 2.0
+
+
+class Immediate:
+    """Send each call to the server that a rule chooses."""
+
+    def __init__(self, loop: Loop, servers: list[Server], choose: Choose) -> None:
+        self._loop = loop
+        self._servers = servers
+        self._leaving: set[EndpointId] = set()
+        self._choose = choose
+
+    def submit(self, call: Call) -> None:
+        """Send a call."""
+        usable = [s for s in self._servers if s.name not in self._leaving]
+        server = self._choose(call, usable)
+        server.send(Attempt(call, server.name, 0, self._loop.now_s, _end))
+
+    def leave(self, name: EndpointId) -> None:
+        """Send nothing more to a server."""
+        self._leaving.add(name)
+
+    def lose_owner(self) -> None:
+        """Do nothing, since these policies have no owner."""
+
+
+def _end(attempt: Attempt) -> None:
+    attempt.call.on_done(attempt.call, attempt)
+
+
+def make_round_robin(loop: Loop, servers: list[Server], random: Random) -> Immediate:
+    """Return a policy that takes servers in turn."""
+    n_sent = random.randrange(len(servers))
+
+    def choose(call: Call, usable: list[Server]) -> Server:
+        nonlocal n_sent
+        n_sent += 1
+        return usable[n_sent % len(usable)]
+
+    return Immediate(loop, servers, choose)
+
+
+def make_least_load(loop: Loop, servers: list[Server], random: Random) -> Immediate:
+    """Return a policy that takes the server with the lowest late report."""
+    reports: dict[EndpointId, int] = {}
+
+    def deliver(seen: dict[EndpointId, int]) -> None:
+        reports.update(seen)
+
+    def sample() -> None:
+        seen = {server.name: sum(server.load) for server in servers}
+        loop.call_in(REPORT_LAG_S, lambda: deliver(seen))
+        loop.call_in(REPORT_INTERVAL_S, sample)
+
+    def choose(call: Call, usable: list[Server]) -> Server:
+        return min(usable, key=lambda s: (reports.get(s.name, 0), random.random()))
+
+    sample()
+    return Immediate(loop, servers, choose)
+
+
+def make_affinity(loop: Loop, servers: list[Server], random: Random) -> Immediate:
+    """Return a policy that keeps each program at one server."""
+
+    def choose(call: Call, usable: list[Server]) -> Server:
+        return max(
+            usable, key=lambda s: xxh64_intdigest(f"{call.program}|{s.name}".encode())
+        )
+
+    return Immediate(loop, servers, choose)
--- /dev/null
+++ b/bench/process/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Run measurements."""
--- /dev/null
+++ b/bench/process/measures.py
@@ -0,0 +1,155 @@
+"""Compute the measures of one run."""
+
+from functools import singledispatch
+
+from bench.process.engine import EngineTiming
+from bench.process.scenarios import Deployment, Scenario
+from bench.program.run import Measured
+from bench.program.workload import (
+    RAMP_S,
+    ModelStep,
+    PauseStep,
+    ProgramPlan,
+    ServiceStep,
+    Step,
+    SubAgentStep,
+)
+from bench.request.calls import Call, Kind
+
+FIRST_TOKEN_TARGET_S = 0.61
+
+PROGRAM_P95 = "program latency p95"
+PROGRAM_P99 = "program latency p99"
+RECOMPUTED = "recomputed prefill"
+CREST = "first token in 0.61 s at crest"
+CREST_BOUND = "bound of capacity at crest"
+SHORT_WAIT = "wait of short work p99"
+REFUSALS = "refusals"
+FLOOR_P95 = "floor of program latency p95"
+SLOWED_P99 = "program p99, slowed to unslowed"
+
+UNITS = {
+    PROGRAM_P95: "s",
+    PROGRAM_P99: "s",
+    RECOMPUTED: "tokens",
+    CREST: "share",
+    CREST_BOUND: "share",
+    SHORT_WAIT: "s",
+    REFUSALS: "count",
+    FLOOR_P95: "s",
+    SLOWED_P99: "ratio",
+}
+
+
+def get_quantile(values: list[float], q: float) -> float:
+    """Return a quantile, 0 without values."""
+    if not values:
+        return 0.0
+    return sorted(values)[min(len(values) - 1, int(q * len(values)))]
+
+
+def compute(
+    deployment: Deployment, scenario: Scenario, measured: Measured
+) -> dict[str, float]:
+    """Return the measures of one run by name."""
+    latencies = [end - start for start, end in measured.programs]
+    calls = [call for call in measured.calls if call.kind is Kind.MODEL]
+    waits = [
+        call.started_s - call.submitted_s
+        for call in calls
+        if not call.is_straggler and call.started_s is not None
+    ]
+    values = {
+        PROGRAM_P95: get_quantile(latencies, 0.95),
+        PROGRAM_P99: get_quantile(latencies, 0.99),
+        RECOMPUTED: float(sum(call.recomputed_tokens for call in calls)),
+        SHORT_WAIT: get_quantile(waits, 0.99),
+        FLOOR_P95: get_quantile(_list_floors(deployment, measured), 0.95),
+        REFUSALS: float(sum(call.n_refusals for call in measured.calls)),
+    }
+    if scenario.demand.has_crest:
+        start_s, end_s = deployment.shape.crest_s
+        crest = [c for c in calls if start_s + RAMP_S <= c.submitted_s < end_s]
+        values[CREST] = _get_share_in_time(crest)
+        values[CREST_BOUND] = _get_bound(deployment, crest, end_s - start_s - RAMP_S)
+    return values
+
+
+def _get_share_in_time(calls: list[Call]) -> float:
+    n_in_time = sum(
+        call.first_token_s is not None
+        and call.first_token_s - call.submitted_s <= FIRST_TOKEN_TARGET_S
+        for call in calls
+    )
+    return n_in_time / max(1, len(calls))
+
+
+def _get_bound(deployment: Deployment, calls: list[Call], window_s: float) -> float:
+    """Return the share of calls that may get a first token in time at best.
+
+    Two bounds of any order of work: a prompt that takes longer by itself is
+    late, and the slots of unslowed engines serve only so much in the window.
+    """
+    timing = deployment.timing
+    in_time = [c for c in calls if _get_prefill_s(timing, c) <= FIRST_TOKEN_TARGET_S]
+    step_s = timing.get_step_s(timing.n_slots)
+    needed_s = sorted(
+        _get_prefill_s(timing, call) + call.output_tokens * step_s for call in in_time
+    )
+    slots_s = deployment.n_engines * timing.n_slots * (window_s + FIRST_TOKEN_TARGET_S)
+    prefill_s = deployment.n_engines * (window_s + FIRST_TOKEN_TARGET_S)
+    n_by_slots = _count_fitting(needed_s, slots_s)
+    n_by_prefill = _count_fitting(
+        sorted(_get_prefill_s(timing, call) for call in in_time), prefill_s
+    )
+    return min(n_by_slots, n_by_prefill) / max(1, len(calls))
+
+
+def _get_prefill_s(timing: EngineTiming, call: Call) -> float:
+    new_tokens = call.prompt_tokens - call.history_tokens
+    return timing.prefill_base_s + new_tokens / timing.prefill_tokens_per_s
+
+
+def _count_fitting(costs_s: list[float], available_s: float) -> int:
+    n_fitting = 0
+    for cost_s in costs_s:
+        available_s -= cost_s
+        if available_s < 0.0:
+            break
+        n_fitting += 1
+    return n_fitting
+
+
+def _list_floors(deployment: Deployment, measured: Measured) -> list[float]:
+    """Return how long each program takes with all endpoints to itself."""
+    return [_get_floor_s(deployment.timing, plan) for plan in measured.plans]
+
+
+def _get_floor_s(timing: EngineTiming, plan: ProgramPlan) -> float:
+    return sum(_get_step_floor_s(step, timing) for step in plan.steps)
+
+
+@singledispatch
+def _get_step_floor_s(step: Step, timing: EngineTiming) -> float:
+    raise TypeError(f"no step {type(step).__name__}")
+
+
+@_get_step_floor_s.register
+def _(step: PauseStep, timing: EngineTiming) -> float:
+    return step.seconds
+
+
+@_get_step_floor_s.register
+def _(step: ServiceStep, timing: EngineTiming) -> float:
+    return step.seconds
+
+
+@_get_step_floor_s.register
+def _(step: ModelStep, timing: EngineTiming) -> float:
+    prefill_s = timing.prefill_base_s + step.new_tokens / timing.prefill_tokens_per_s
+    return prefill_s + step.output_tokens * timing.get_step_s(1)
+
+
+@_get_step_floor_s.register
+def _(step: SubAgentStep, timing: EngineTiming) -> float:
+    return max(_get_floor_s(timing, plan) for plan in step.programs)
--- /dev/null
+++ b/bench/process/shipped.py
@@ -0,0 +1,226 @@
+"""Drive the shipped decision code against the stand-ins of a measurement."""
+
+from collections.abc import Iterable
+from datetime import timedelta
+from random import Random
+from typing import Protocol
+
+from bench.process.engine import Server
+from bench.process.loop import Loop
+from bench.request.calls import Attempt, Call, Kind
+from oleanderhitch.process.ids import NodeId
+from oleanderhitch.process.messages import Tick
+from oleanderhitch.process.scheduling.core import Effect, handle, make_pool
+from oleanderhitch.process.scheduling.fallback import reduce_offers
+from oleanderhitch.process.scheduling.messages import (
+    EndpointOffer,
+    EndpointsChanged,
+    EnqueueRequest,
+    GrantSlot,
+    HoldSlot,
+    RefuseRequest,
+    ReleaseSlot,
+)
+from oleanderhitch.process.scheduling.records import PoolState
+from oleanderhitch.process.scheduling.settings import PoolSettings
+from oleanderhitch.request.ids import PermitId, RequestId
+from oleanderhitch.version.ids import EndpointId, PoolId
+
+POOL = PoolId("measured")
+N_ENTRIES = 6
+TICK_S = 0.05
+# A new owner is named with the next renewal of the entries' leases.
+OWNER_GAP_S = 3.0
+MAX_OUTPUT_TOKENS = 4_096
+DEADLINE_S = 600.0
+
+
+class Policy(Protocol):
+    """Serve the calls of one pool."""
+
+    def submit(self, call: Call) -> None:
+        """Take a call."""
+
+    def leave(self, name: EndpointId) -> None:
+        """Send nothing more to a server."""
+
+    def lose_owner(self) -> None:
+        """Lose the process that owns the pool's queue."""
+
+
+class Shipped:
+    """Send messages to pool queues and perform their effects."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        servers: list[Server],
+        random: Random,
+        settings: PoolSettings,
+    ) -> None:
+        self._loop = loop
+        self._servers = {server.name: server for server in servers}
+        self._random = random
+        self._settings = settings
+        self._leaving: set[EndpointId] = set()
+        self._calls: dict[RequestId, Call] = {}
+        self._running: dict[PermitId, tuple[Attempt, PoolState | None]] = {}
+        self._owner: PoolState | None = self._make_owner(self._make_offers())
+        self._locals: list[PoolState] = []
+        self._tick()
+
+    def submit(self, call: Call) -> None:
+        """Ask the owner for a slot, or an entry's own queue without an owner."""
+        self._calls[call.request] = call
+        state = self._owner
+        if state is None:
+            state = self._random.choice(self._locals)
+        self._handle(state, self._make_enqueue(call))
+
+    def leave(self, name: EndpointId) -> None:
+        """Announce that a server is leaving."""
+        self._leaving.add(name)
+        for state in self._list_states():
+            self._handle(state, self._make_offers())
+
+    def lose_owner(self) -> None:
+        """Let entries choose locally until a new owner is rebuilt."""
+        waiting = [] if self._owner is None else list(self._owner.waiting)
+        self._owner = None
+        for permit, (attempt, _) in list(self._running.items()):
+            self._running[permit] = (attempt, None)
+        reduced = reduce_offers(self._make_offers(), N_ENTRIES)
+        self._locals = [self._make_owner(reduced) for _ in range(N_ENTRIES)]
+        for request in waiting:
+            self.submit(self._calls[request])
+        self._loop.call_in(OWNER_GAP_S, self._rebuild)
+
+    def _rebuild(self) -> None:
+        old, self._locals = self._locals, []
+        owner = self._make_owner(EndpointsChanged(()))
+        for permit, (attempt, _) in list(self._running.items()):
+            self._running[permit] = (attempt, owner)
+            self._handle(owner, self._make_hold(permit, attempt))
+        self._owner = owner
+        self._handle(owner, self._make_offers())
+        for state in old:
+            for request in list(state.waiting):
+                self.submit(self._calls[request])
+
+    def _make_owner(self, offers: EndpointsChanged) -> PoolState:
+        state = make_pool(POOL, self._settings, self._random)
+        self._handle(state, offers)
+        return state
+
+    def _list_states(self) -> list[PoolState]:
+        return self._locals if self._owner is None else [self._owner]
+
+    def _tick(self) -> None:
+        for state in self._list_states():
+            self._handle(state, Tick())
+        self._loop.call_in(TICK_S, self._tick)
+
+    def _handle(self, state: PoolState, message: object) -> None:
+        self._perform_all(state, handle(message, state, self._loop.now))
+
+    def _perform_all(self, state: PoolState, effects: Iterable[Effect]) -> None:
+        for effect in effects:
+            if isinstance(effect, GrantSlot):
+                self._dispatch(state, effect)
+            elif isinstance(effect, RefuseRequest):
+                self._retry_later(effect)
+
+    def _dispatch(self, state: PoolState, grant: GrantSlot) -> None:
+        call = self._calls[grant.request]
+        attempt = Attempt(
+            call,
+            grant.endpoint,
+            grant.priority,
+            self._loop.now_s,
+            self._end,
+            grant.permit,
+        )
+        if grant.is_hedge:
+            self._join(attempt)
+        self._running[grant.permit] = (attempt, state)
+        self._servers[grant.endpoint].send(attempt)
+
+    def _join(self, attempt: Attempt) -> None:
+        for other, _ in self._running.values():
+            if other.call is attempt.call:
+                other.others.append(attempt)
+                attempt.others.append(other)
+
+    def _retry_later(self, refusal: RefuseRequest) -> None:
+        call = self._calls[refusal.request]
+        call.n_refusals += 1
+        delay_s = refusal.retry_after.total_seconds()
+        self._loop.call_in(delay_s, lambda: self.submit(call))
+
+    def _end(self, attempt: Attempt) -> None:
+        for other in attempt.others:
+            if not other.is_cancelled:
+                self._servers[other.endpoint].cancel(other)
+                self._release(other, False)
+        del self._calls[attempt.call.request]
+        self._release(attempt, True)
+        attempt.call.on_done(attempt.call, attempt)
+
+    def _release(self, attempt: Attempt, is_success: bool) -> None:
+        assert attempt.permit is not None
+        _, state = self._running.pop(attempt.permit)
+        if state is None:
+            return
+        first_token = None
+        if attempt.first_token_s is not None:
+            first_token = timedelta(seconds=attempt.first_token_s - attempt.sent_s)
+        release = ReleaseSlot(
+            POOL,
+            attempt.permit,
+            attempt.endpoint,
+            is_success,
+            attempt.output_tokens,
+            attempt.computed_tokens,
+            first_token,
+            timedelta(seconds=self._loop.now_s - attempt.sent_s),
+        )
+        self._handle(state, release)
+
+    def _make_offers(self) -> EndpointsChanged:
+        return EndpointsChanged(
+            tuple(
+                EndpointOffer(name, s.n_slots, s.cache_tokens, name in self._leaving)
+                for name, s in self._servers.items()
+            )
+        )
+
+    def _make_enqueue(self, call: Call) -> EnqueueRequest:
+        return EnqueueRequest(
+            POOL,
+            call.request,
+            call.program,
+            call.account,
+            NodeId("entry"),
+            call.is_idempotent,
+            call.n_turns,
+            call.attained_tokens,
+            call.prompt_tokens,
+            MAX_OUTPUT_TOKENS if call.kind is Kind.MODEL else 0,
+            call.holders,
+            (),
+            timedelta(seconds=DEADLINE_S),
+            timedelta(seconds=self._loop.now_s - call.submitted_s),
+        )
+
+    def _make_hold(self, permit: PermitId, attempt: Attempt) -> HoldSlot:
+        call = attempt.call
+        return HoldSlot(
+            POOL,
+            permit,
+            call.request,
+            call.program,
+            call.account,
+            NodeId("entry"),
+            attempt.endpoint,
+            timedelta(seconds=self._loop.now_s - attempt.sent_s),
+        )
--- /dev/null
+++ b/bench/program/__init__.py
@@ -0,0 +1,1 @@
+"""Hold what lives for one measured program."""
--- /dev/null
+++ b/bench/request/__init__.py
@@ -0,0 +1,1 @@
+"""Hold what lives for one call of a measured program."""
--- /dev/null
+++ b/bench/request/calls.py
@@ -0,0 +1,65 @@
+"""Define a call of a measured program and its attempts."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from oleanderhitch.program.ids import AccountId, ProgramId
+from oleanderhitch.request.ids import PermitId, RequestId
+from oleanderhitch.version.ids import EndpointId
+
+
+class Kind(Enum):
+    """Say which pool serves a call."""
+
+    MODEL = "model"
+    SERVICE = "service"
+
+
+@dataclass(slots=True)
+class Call:
+    """Hold one call; a policy must not look at its output length or duration."""
+
+    request: RequestId
+    program: ProgramId
+    account: AccountId
+    kind: Kind
+    is_idempotent: bool
+    n_turns: int
+    attained_tokens: int
+    history_tokens: int
+    prompt_tokens: int
+    holders: tuple[EndpointId, ...]
+    submitted_s: float
+    on_done: Callable[["Call", "Attempt"], None]
+    # Hidden from policies.
+    output_tokens: int
+    service_s: float
+    is_straggler: bool
+    # Measured.
+    started_s: float | None = None
+    first_token_s: float | None = None
+    ended_s: float | None = None
+    recomputed_tokens: int = 0
+    n_refusals: int = 0
+
+
+@dataclass(slots=True)
+class Attempt:
+    """Hold one dispatch of a call to an endpoint."""
+
+    call: Call
+    endpoint: EndpointId
+    priority: int
+    sent_s: float
+    on_end: Callable[["Attempt"], None]
+    permit: PermitId | None = None
+    first_token_s: float | None = None
+    computed_tokens: int = 0
+    output_tokens: int = 0
+    # Prompt tokens still to compute; None before the prefix is looked up.
+    left_tokens: int | None = None
+    # Progress of the engine's batch at the first token; None before it.
+    joined_progress: float | None = None
+    is_cancelled: bool = False
+    others: list["Attempt"] = field(default_factory=list)
