--- a/oleanderhitch/process/groups/client/core.py
+++ b/oleanderhitch/process/groups/client/core.py
@@ -20,8 +20,9 @@
     GroupRedirect,
     GroupUncertain,
 )
-from oleanderhitch.process.ids import CallId, GroupId, NodeId, ReplicaId
+from oleanderhitch.process.ids import CallId, GroupId, NodeId
 from oleanderhitch.process.messages import Tick
+from oleanderhitch.process.storage.identity import get_node
 
 # A leader answers within a few milliseconds; a call that waits longer than this
 # has probably met a store that is gone or cut off.
@@ -58,11 +59,6 @@
     return ClientState(dict(stores))
 
 
-def get_node(replica: ReplicaId) -> NodeId:
-    """Return the node that runs a replica."""
-    return NodeId(replica.partition("#")[0])
-
-
 @singledispatch
 def handle(message: object, state: ClientState, now: datetime) -> list[object]:
     """Return the effects of a message."""
--- /dev/null
+++ b/oleanderhitch/process/groups/host.py
@@ -0,0 +1,162 @@
+"""Run this disk host's replicas of all groups and route messages to them."""
+
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field
+from functools import singledispatch
+from random import Random
+
+import logbook
+
+from oleanderhitch.connection.ids import HostAddress
+from oleanderhitch.connection.peer.messages import PeerMessage
+from oleanderhitch.process.address import Address
+from oleanderhitch.process.clock import Clock
+from oleanderhitch.process.groups.application import Application
+from oleanderhitch.process.groups.messages import (
+    GroupCall,
+    GroupRedirect,
+    LocalCall,
+    ReplicaEnvelope,
+)
+from oleanderhitch.process.groups.placement import Store, choose_replicas
+from oleanderhitch.process.ids import GroupId, NodeId
+from oleanderhitch.process.replication.messages import (
+    OPERATOR_REQUESTS,
+    LeadershipChanged,
+)
+from oleanderhitch.process.replication.task import (
+    GroupState,
+    OperatorCall,
+    make_group_task,
+)
+from oleanderhitch.process.storage.identity import get_node
+from oleanderhitch.process.storage.task import Storage
+from oleanderhitch.process.task import Task
+
+MakeApplication = Callable[[GroupId], Application]
+OnLeadership = Callable[[LeadershipChanged], None]
+
+log = logbook.Logger("groups")
+
+
+class EnvelopeTransport:
+    """Send replication messages to the node of the receiving replica."""
+
+    def __init__(
+        self, node: NodeId, links: Mapping[NodeId, Address], local: Address
+    ) -> None:
+        self._node = node
+        self._links = links
+        self._local = local
+
+    def send(self, message: object) -> None:
+        """Send an envelope; one to an unknown node is dropped."""
+        assert isinstance(message, ReplicaEnvelope)
+        node = get_node(message.receiver)
+        if node == self._node:
+            self._local.send(message)
+        elif node in self._links:
+            self._links[node].send(message)
+
+
+@dataclass(slots=True)
+class GroupHost:
+    """Hold the group tasks of one process."""
+
+    node: NodeId
+    stores: Sequence[Store]
+    storage: Storage
+    links: Mapping[NodeId, Address]
+    make_application: MakeApplication
+    clock: Clock
+    random_source: Random
+    known_groups: frozenset[GroupId]
+    listeners: Mapping[GroupId, OnLeadership]
+    groups: dict[GroupId, Task[GroupState]] = field(default_factory=dict)
+
+    def start(self) -> None:
+        """Start the storage and the groups that belong on this host."""
+        self.storage.start()
+        for group in sorted(self.known_groups):
+            is_placed = self.node in choose_replicas(group, self.stores)
+            if is_placed or group in self.storage.groups:
+                self.start_group(group)
+
+    def start_group(self, group: GroupId) -> Task[GroupState]:
+        """Start this host's replica of a group."""
+        task = make_group_task(
+            group,
+            self.node,
+            choose_replicas(group, self.stores),
+            self.storage,
+            self.make_application(group),
+            EnvelopeTransport(self.node, self.links, self),
+            self.clock,
+            Random(self.random_source.getrandbits(64)),
+            on_leadership=self.listeners.get(group),
+        )
+        self.groups[group] = task
+        task.start()
+        return task
+
+    def send(self, message: object) -> None:
+        """Hand an envelope of this process to the group it is for."""
+        assert isinstance(message, ReplicaEnvelope)
+        route(message, PeerMessage(self.node, message, self), self)
+
+    def stop(self) -> None:
+        """Stop all groups and close the storage."""
+        for task in self.groups.values():
+            task.stop()
+        for task in self.groups.values():
+            task.join()
+        self.storage.close()
+
+    def find_group(self, group: GroupId) -> Task[GroupState] | None:
+        """Return the task of a group, started if another host joins it to us."""
+        task = self.groups.get(group)
+        if task is None and group in self.known_groups:
+            task = self.start_group(group)
+        return task
+
+
+@singledispatch
+def route(message: object, delivery: PeerMessage, host: GroupHost) -> None:
+    """Hand a message of a peer to the task that it is for."""
+    log.warning("{} sent {}, which no part takes", delivery.node, type(message))
+
+
+@route.register
+def _(message: GroupCall, delivery: PeerMessage, host: GroupHost) -> None:
+    task = host.groups.get(message.group)
+    if task is None:
+        delivery.reply.send(GroupRedirect(message.call, None))
+    else:
+        task.send(LocalCall(message, delivery.reply))
+
+
+@route.register
+def _(message: ReplicaEnvelope, delivery: PeerMessage, host: GroupHost) -> None:
+    task = host.find_group(message.group)
+    if task is not None:
+        task.send(message)
+
+
+def _route_operator(message: object, delivery: PeerMessage, host: GroupHost) -> None:
+    group: GroupId = message.group  # type: ignore[attr-defined]
+    task = host.find_group(group)
+    if task is not None:
+        task.send(OperatorCall(message, delivery.reply))
+
+
+for _request in OPERATOR_REQUESTS:
+    route.register(_request, _route_operator)
+
+
+def make_links_by_node(
+    stores: Sequence[Store], links: Mapping[HostAddress, Address]
+) -> dict[NodeId, Address]:
+    """Return the links to stores by the name of their node."""
+    return {
+        store.node: links[store.address] for store in stores if store.address in links
+    }
--- a/oleanderhitch/process/intake/core.py
+++ b/oleanderhitch/process/intake/core.py
@@ -5,24 +5,37 @@
 from datetime import UTC, datetime, timedelta
 from functools import singledispatch
 
+from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.intake.messages import (
     BeginDrain,
     CallerCall,
     CheckNode,
-    ConfigurationInstalled,
     Drained,
     GetProgramTerms,
     GetReadiness,
-    LeaseRenewed,
     ProgramTerms,
     Readiness,
     RequestEnded,
+    RoutePools,
     SendAnswer,
     StartRequest,
     SubmitCall,
 )
+from oleanderhitch.process.membership.node.messages import (
+    ConfigurationCompiled,
+    MembershipView,
+    VersionInstalled,
+    WorkPermitted,
+    WorkStopped,
+)
+from oleanderhitch.process.routing.messages import (
+    NodesGone,
+    OwnersChanged,
+    PoolsChanged,
+)
+from oleanderhitch.process.scheduling.messages import EndpointOffer
 from oleanderhitch.program.ids import AccountId
 from oleanderhitch.request.ids import RequestId
 from oleanderhitch.request.messages import (
@@ -37,6 +50,7 @@
 from oleanderhitch.version.configuration import AccountRules, Configuration, Pool
 from oleanderhitch.version.exceptions import UndeclaredNameError
 from oleanderhitch.version.ids import DataCentreName, OperationName, ServiceName
+from oleanderhitch.version.states import HostRole
 
 RETRY_AFTER = timedelta(seconds=1)
 # Chat templates add a few tokens around each message.
@@ -100,19 +114,45 @@
 
 @handle.register
 def _(
-    message: ConfigurationInstalled, state: IntakeState, now: datetime
+    message: ConfigurationCompiled, state: IntakeState, now: datetime
 ) -> list[object]:
+    # From this message on every call is admitted under the new version, which
+    # is what the leader takes the reply to mean.
     state.configuration = message.configuration
+    installed = VersionInstalled(message.configuration.version)
+    return [SendAnswer(message.reply, installed), RoutePools(_make_pools(state))]
+
+
+@handle.register
+def _(message: WorkPermitted, state: IntakeState, now: datetime) -> list[object]:
+    state.lease_until = message.until
     return []
 
 
 @handle.register
-def _(message: LeaseRenewed, state: IntakeState, now: datetime) -> list[object]:
-    state.lease_until = message.valid_until
-    state.live_nodes = message.live_nodes
+def _(message: WorkStopped, state: IntakeState, now: datetime) -> list[object]:
+    state.lease_until = NEVER
     return []
 
 
+@handle.register
+def _(message: MembershipView, state: IntakeState, now: datetime) -> list[object]:
+    entries = {
+        row.node: HostAddress(str(row.address))
+        for row in message.nodes
+        if row.role is HostRole.ENTRY
+    }
+    gone = tuple(node for node in state.live_nodes if node not in entries)
+    state.live_nodes = frozenset(entries)
+    owners = {row.pool: row.owner for row in message.owners if row.owner is not None}
+    effects: list[object] = [RoutePools(OwnersChanged(owners, entries))]
+    if gone:
+        effects.append(RoutePools(NodesGone(gone)))
+    if state.configuration is not None:
+        effects.append(RoutePools(_make_pools(state)))
+    return effects
+
+
 @handle.register
 def _(message: RequestEnded, state: IntakeState, now: datetime) -> list[object]:
     state.requests.discard(message.request)
@@ -133,6 +173,23 @@
     return [SendAnswer(message.reply, readiness)]
 
 
+def _make_pools(state: IntakeState) -> PoolsChanged:
+    assert state.configuration is not None
+    offers = {
+        pool.id: tuple(
+            EndpointOffer(
+                endpoint.id,
+                endpoint.n_slots,
+                endpoint.cache_tokens,
+                endpoint.is_leaving,
+            )
+            for endpoint in pool.endpoints
+        )
+        for pool in state.configuration.pools.values()
+    }
+    return PoolsChanged(offers, max(1, len(state.live_nodes)))
+
+
 def _report_drained(state: IntakeState) -> list[object]:
     if state.drain_reply is None or state.requests:
         return []
@@ -184,6 +241,7 @@
         estimate_tokens(call.work),
         call.digest,
         now + call.time_limit,
+        state.configuration.endpoints,
         excluded,
         call.trace,
     )
--- a/oleanderhitch/process/intake/messages.py
+++ b/oleanderhitch/process/intake/messages.py
@@ -1,14 +1,18 @@
 """Define the messages and effects of the intake of an entry host."""
 
 from dataclasses import dataclass, field
-from datetime import datetime, timedelta
+from datetime import timedelta
 
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.program.ids import AccountId, ProgramId, SequenceNumber
 from oleanderhitch.request.ids import RequestId
-from oleanderhitch.request.messages import AnswerCaller, Call, Work
-from oleanderhitch.version.configuration import Configuration
+from oleanderhitch.process.routing.messages import (
+    NodesGone,
+    OwnersChanged,
+    PoolsChanged,
+)
+from oleanderhitch.request.messages import Call, Work
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,21 +64,6 @@
     reply: Address
 
 
-@dataclass(frozen=True, slots=True)
-class ConfigurationInstalled:
-    """Bring a newer configuration."""
-
-    configuration: Configuration
-
-
-@dataclass(frozen=True, slots=True)
-class LeaseRenewed:
-    """Bring the time until which new work may start, and the gone nodes."""
-
-    valid_until: datetime
-    live_nodes: frozenset[NodeId]
-
-
 @dataclass(frozen=True, slots=True)
 class RequestEnded:
     """Bring the news that a request task ended."""
@@ -123,4 +112,11 @@
     """Send a message to the address that asked."""
 
     reply: Address
-    message: AnswerCaller | ProgramTerms | Readiness | Drained | object
+    message: object
+
+
+@dataclass(frozen=True, slots=True)
+class RoutePools:
+    """Tell the pool router about pools, owners or lost nodes."""
+
+    message: PoolsChanged | OwnersChanged | NodesGone
--- a/oleanderhitch/process/routing/task.py
+++ b/oleanderhitch/process/routing/task.py
@@ -20,9 +20,10 @@
     SendToPool,
 )
 from oleanderhitch.process.routing.states import PoolRole
-from oleanderhitch.process.scheduling.core import PoolState, make_pool
 from oleanderhitch.process.scheduling.core import handle as handle_pool
+from oleanderhitch.process.scheduling.core import make_pool
 from oleanderhitch.process.scheduling.messages import GrantSlot, RefuseRequest
+from oleanderhitch.process.scheduling.records import PoolState
 from oleanderhitch.process.scheduling.settings import PoolSettings
 from oleanderhitch.process.task import Task, make_task
 from oleanderhitch.version.ids import PoolId
--- a/oleanderhitch/request/history.py
+++ b/oleanderhitch/request/history.py
@@ -1,42 +1,21 @@
 """Build the prompt of a model call from the turns before it."""
 
 from collections.abc import Callable
-from dataclasses import replace
 from functools import singledispatch
 
 from oleanderhitch.program.messages import Turn
-from oleanderhitch.request.messages import ModelWork, ServiceWork, Work
+from oleanderhitch.request.messages import ModelWork, ServiceWork
 
 Message = dict[str, str]
 DecodeWork = Callable[[bytes], object]
 
 
-@singledispatch
-def make_attempt_work(
-    work: object, history: tuple[Turn, ...], answered: bytes, decode: DecodeWork
-) -> Work:
-    """Return the work to send, with the history and the text already answered."""
-    raise TypeError(f"no attempt for {type(work).__name__}")
-
-
-@make_attempt_work.register
-def _(
-    work: ModelWork, history: tuple[Turn, ...], answered: bytes, decode: DecodeWork
-) -> Work:
+def make_prompt(history: tuple[Turn, ...], decode: DecodeWork) -> tuple[Message, ...]:
+    """Return the messages of a program's turns, oldest first."""
     messages: list[Message] = []
     for turn in history:
         messages += list_turn_messages(decode(turn.content), turn.answer)
-    messages += work.messages
-    if answered:
-        messages.append({"role": "assistant", "content": answered.decode()})
-    return replace(work, messages=tuple(messages))
-
-
-@make_attempt_work.register
-def _(
-    work: ServiceWork, history: tuple[Turn, ...], answered: bytes, decode: DecodeWork
-) -> Work:
-    return work
+    return tuple(messages)
 
 
 @singledispatch
--- a/oleanderhitch/request/messages.py
+++ b/oleanderhitch/request/messages.py
@@ -1,5 +1,6 @@
 """Define the messages of a request task and the effects of its decisions."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 
@@ -8,6 +9,7 @@
 from oleanderhitch.program.messages import Begun, Refused, RequestRecord, Turn
 from oleanderhitch.request.ids import AttemptNumber, PermitId, RequestId
 from oleanderhitch.request.states import Outcome, Reason
+from oleanderhitch.version.configuration import Endpoint
 from oleanderhitch.version.ids import EndpointId, PoolId
 
 
@@ -46,6 +48,7 @@
     reserved_tokens: int
     digest: str
     deadline: datetime
+    endpoints: Mapping[EndpointId, Endpoint]
     excluded: tuple[EndpointId, ...] = ()
     trace: dict[str, str] = field(default_factory=dict)
 
--- a/oleanderhitch/request/task.py
+++ b/oleanderhitch/request/task.py
@@ -29,7 +29,7 @@
     RecordAttempt,
 )
 from oleanderhitch.request.core import RequestState, handle, make_request_state
-from oleanderhitch.request.history import make_attempt_work
+from oleanderhitch.request.history import make_prompt
 from oleanderhitch.request.ids import AttemptNumber
 from oleanderhitch.request.messages import (
     AnswerCaller,
@@ -50,7 +50,6 @@
     SubmitFailedAttempt,
     SubmitFinish,
     WithdrawCall,
-    Work,
 )
 from oleanderhitch.request.results import ShardReplies
 from oleanderhitch.version.ids import EndpointId
@@ -70,11 +69,12 @@
         call: Call,
         attempt: AttemptNumber,
         endpoint: EndpointId,
-        work: Work,
+        prompt: tuple[dict[str, str], ...],
+        answered: bytes,
         priority: int,
         reply: Address,
     ) -> Address:
-        """Start an attempt; the returned address takes StopTask to cancel it."""
+        """Start an attempt; the returned address takes CancelAttempt."""
 
     def look_up(self, call: Call, endpoint: EndpointId, reply: Address) -> None:
         """Ask an endpoint for a call by idempotency key; LookupAnswered follows."""
@@ -274,14 +274,15 @@
 @perform_effect.register
 def _(effect: Dispatch, resources: RequestResources) -> None:
     services = resources.services
-    work = make_attempt_work(
-        resources.call.work, effect.history, effect.answered, services.codec.decode
-    )
+    prompt: tuple[dict[str, str], ...] = ()
+    if isinstance(resources.call.work, ModelWork):
+        prompt = make_prompt(effect.history, services.codec.decode)
     resources.streams[effect.attempt] = services.attempts.start(
         resources.call,
         effect.attempt,
         effect.endpoint,
-        work,
+        prompt,
+        effect.answered,
         effect.priority,
         resources.get_task(),
     )
