--- /dev/null
+++ b/oleanderhitch/process/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Lease nodes, push versions to them and name the owners of pools."""
--- /dev/null
+++ b/oleanderhitch/process/membership/node/__init__.py
@@ -0,0 +1,1 @@
+"""Keep the lease and the version of one node."""
