Counted prompts that engines have yet to compute

Change: an estimate of each endpoint's prefill backlog, engine priority by prompt tokens to compute, overflow to slowed endpoints while the queue costs more than their slowness, and entries that count their own running attempts while a pool has no owner.

--- a/bench/process/shipped.py
+++ b/bench/process/shipped.py
@@ -5,6 +5,8 @@
 from random import Random
 from typing import Protocol
 
+from xxhash import xxh64_intdigest
+
 from bench.process.engine import Server
 from bench.process.loop import Loop
 from bench.request.calls import Attempt, Call, Kind
@@ -64,7 +66,7 @@
         self._settings = settings
         self._leaving: set[EndpointId] = set()
         self._calls: dict[RequestId, Call] = {}
-        self._running: dict[PermitId, tuple[Attempt, PoolState | None]] = {}
+        self._running: dict[PermitId, tuple[Attempt, PoolState]] = {}
         self._owner: PoolState | None = self._make_owner(self._make_offers())
         self._locals: list[PoolState] = []
         self._tick()
@@ -72,10 +74,7 @@
     def submit(self, call: Call) -> None:
         """Ask the owner for a slot, or an entry's own queue without an owner."""
         self._calls[call.request] = call
-        state = self._owner
-        if state is None:
-            state = self._random.choice(self._locals)
-        self._handle(state, self._make_enqueue(call))
+        self._handle(self._get_state(call), self._make_enqueue(call))
 
     def leave(self, name: EndpointId) -> None:
         """Announce that a server is leaving."""
@@ -87,26 +86,34 @@
         """Let entries choose locally until a new owner is rebuilt."""
         waiting = [] if self._owner is None else list(self._owner.waiting)
         self._owner = None
-        for permit, (attempt, _) in list(self._running.items()):
-            self._running[permit] = (attempt, None)
-        reduced = reduce_offers(self._make_offers(), N_ENTRIES)
-        self._locals = [self._make_owner(reduced) for _ in range(N_ENTRIES)]
+        self._locals = [
+            self._make_owner(EndpointsChanged(())) for _ in range(N_ENTRIES)
+        ]
+        self._hold_running()
+        for state in self._locals:
+            self._handle(state, reduce_offers(self._make_offers(), N_ENTRIES))
         for request in waiting:
             self.submit(self._calls[request])
         self._loop.call_in(OWNER_GAP_S, self._rebuild)
 
     def _rebuild(self) -> None:
         old, self._locals = self._locals, []
-        owner = self._make_owner(EndpointsChanged(()))
-        for permit, (attempt, _) in list(self._running.items()):
-            self._running[permit] = (attempt, owner)
-            self._handle(owner, self._make_hold(permit, attempt))
-        self._owner = owner
-        self._handle(owner, self._make_offers())
+        self._owner = self._make_owner(EndpointsChanged(()))
+        self._hold_running()
+        self._handle(self._owner, self._make_offers())
         for state in old:
             for request in list(state.waiting):
                 self.submit(self._calls[request])
 
+    def _get_state(self, call: Call) -> PoolState:
+        return self._owner or self._locals[_get_entry(call)]
+
+    def _hold_running(self) -> None:
+        for permit, (attempt, _) in list(self._running.items()):
+            state = self._get_state(attempt.call)
+            self._running[permit] = (attempt, state)
+            self._handle(state, self._make_hold(permit, attempt))
+
     def _make_owner(self, offers: EndpointsChanged) -> PoolState:
         state = make_pool(POOL, self._settings, self._random)
         self._handle(state, offers)
@@ -169,8 +176,6 @@
     def _release(self, attempt: Attempt, is_success: bool) -> None:
         assert attempt.permit is not None
         _, state = self._running.pop(attempt.permit)
-        if state is None:
-            return
         first_token = None
         if attempt.first_token_s is not None:
             first_token = timedelta(seconds=attempt.first_token_s - attempt.sent_s)
@@ -200,7 +205,7 @@
             call.request,
             call.program,
             call.account,
-            NodeId("entry"),
+            NodeId(f"entry-{_get_entry(call)}"),
             call.is_idempotent,
             call.n_turns,
             call.attained_tokens,
@@ -220,7 +225,12 @@
             call.request,
             call.program,
             call.account,
-            NodeId("entry"),
+            NodeId(f"entry-{_get_entry(call)}"),
             attempt.endpoint,
             timedelta(seconds=self._loop.now_s - attempt.sent_s),
         )
+
+
+def _get_entry(call: Call) -> int:
+    # The load balancer may send each call to any entry.
+    return xxh64_intdigest(call.request.encode()) % N_ENTRIES
--- a/oleanderhitch/process/scheduling/affinity.py
+++ b/oleanderhitch/process/scheduling/affinity.py
@@ -60,6 +60,22 @@
         endpoint.resident_tokens -= resident.n_tokens
 
 
+def add_prefill(
+    state: PoolState, endpoint: Endpoint, n_tokens: int, now_s: float
+) -> None:
+    """Record the prompt tokens that an endpoint has to compute."""
+    seconds = n_tokens * state.averages.prefill_s_per_token
+    endpoint.prefilled_s = max(now_s, endpoint.prefilled_s) + seconds
+
+
+def get_cost_s(state: PoolState, endpoint: Endpoint, now_s: float) -> float:
+    """Return the seconds that a new prefix would lose at an endpoint."""
+    backlog_s = max(0.0, endpoint.prefilled_s - now_s)
+    batch_s = state.averages.slot_s * endpoint.n_in_flight / endpoint.n_slots
+    memory_s = state.settings.memory_weight_s * get_memory_load(endpoint)
+    return backlog_s + batch_s + memory_s
+
+
 def get_memory_load(endpoint: Endpoint) -> float:
     """Return the part of an endpoint's prefix memory that is thought in use."""
     if endpoint.cache_tokens <= 0:
--- a/oleanderhitch/process/scheduling/core.py
+++ b/oleanderhitch/process/scheduling/core.py
@@ -229,7 +229,7 @@
             enqueue.request,
             state.permits[name].endpoint,
             name,
-            dispatching.PRIORITY_IN_PROGRESS,
+            0,
             False,
         )
         for name in state.attempts.get(enqueue.request, ())[:1]
--- a/oleanderhitch/process/scheduling/dispatching.py
+++ b/oleanderhitch/process/scheduling/dispatching.py
@@ -1,6 +1,7 @@
 """Match waiting requests with free slots."""
 
 from collections.abc import Iterator
+from itertools import islice
 
 from oleanderhitch.process.scheduling import (
     affinity,
@@ -17,14 +18,16 @@
 from oleanderhitch.process.scheduling.records import Endpoint, PoolState, Waiting
 from oleanderhitch.process.scheduling.states import Health
 
-# Priorities given to engines; lower is served first.
-PRIORITY_IN_PROGRESS = 0
-PRIORITY_NEW = 1
-PRIORITY_LONG = 2
+# Engines serve a lower number first: a request's number grows with the
+# logarithm of the prompt tokens it has to compute, from this many on.
+N_TOKENS_OF_FIRST_PRIORITY = 1_024
+PRIORITY_LIMIT = 7
 
 # Free endpoints that are compared for one request; more hardly improve the
 # choice and would make its cost grow with the pool.
 N_COMPARED = 8
+# Endpoints on probation that are looked at in one decision.
+N_PROBED = 4
 # Requests passed over in one decision because they exclude every free endpoint.
 N_PASSED_OVER = 8
 
@@ -83,7 +86,7 @@
             permit.request,
             permit.endpoint,
             permit.permit,
-            PRIORITY_IN_PROGRESS,
+            _get_priority(permit.prompt_tokens),
             True,
         )
 
@@ -95,6 +98,9 @@
     del state.waiting[enqueue.request]
     if endpoint.health is Health.PROBATION:
         _note_probe(state, endpoint, now_s)
+    n_cached = waiting.n_cached_tokens if waiting.holder == endpoint.endpoint else 0
+    n_uncached = enqueue.prompt_tokens - n_cached
+    affinity.add_prefill(state, endpoint, n_uncached, now_s)
     permit = permits.make_permit(state, waiting, endpoint, now_s)
     return GrantSlot(
         state.pool,
@@ -102,15 +108,14 @@
         enqueue.request,
         endpoint.endpoint,
         permit.permit,
-        _get_priority(waiting),
+        _get_priority(n_uncached),
         False,
     )
 
 
-def _get_priority(waiting: Waiting) -> int:
-    if waiting.is_long:
-        return PRIORITY_LONG
-    return PRIORITY_IN_PROGRESS if waiting.enqueue.n_turns else PRIORITY_NEW
+def _get_priority(n_uncached_tokens: int) -> int:
+    n_units = n_uncached_tokens // N_TOKENS_OF_FIRST_PRIORITY
+    return min(PRIORITY_LIMIT, n_units.bit_length())
 
 
 def _note_probe(state: PoolState, endpoint: Endpoint, now_s: float) -> None:
@@ -124,7 +129,9 @@
     if endpoint.n_in_flight >= endpoint.n_slots:
         return False
     if endpoint.health is Health.PROBATION:
-        return health.is_probe_due(state, endpoint, now_s)
+        return health.is_probe_due(state, endpoint, now_s) or health.may_overflow(
+            state, endpoint
+        )
     return endpoint.health is Health.HEALTHY
 
 
@@ -133,9 +140,10 @@
 
 
 def _find_probe(state: PoolState, now_s: float) -> Endpoint | None:
-    for name in state.probation:
+    for name in islice(state.probation, N_PROBED):
         endpoint = state.endpoints[name]
-        return endpoint if _can_take(state, endpoint, now_s) else None
+        if _can_take(state, endpoint, now_s):
+            return endpoint
     return None
 
 
@@ -163,7 +171,11 @@
         return probe
     names = capacity.list_least_loaded(state.free, N_COMPARED + len(excluded))
     free = [state.endpoints[name] for name in names if name not in excluded]
-    return min(free, key=_get_cost, default=None)
+    return min(
+        free,
+        key=lambda endpoint: affinity.get_cost_s(state, endpoint, now_s),
+        default=None,
+    )
 
 
 def _find_hedge_endpoint(state: PoolState, first: object) -> Endpoint | None:
@@ -171,8 +183,3 @@
         if name != first:
             return state.endpoints[name]
     return None
-
-
-def _get_cost(endpoint: Endpoint) -> float:
-    load = endpoint.n_in_flight / endpoint.n_slots
-    return load + affinity.get_memory_load(endpoint)
--- a/oleanderhitch/process/scheduling/health.py
+++ b/oleanderhitch/process/scheduling/health.py
@@ -2,8 +2,9 @@
 
 from bisect import bisect_left, insort
 
+from oleanderhitch.process.scheduling import limits
 from oleanderhitch.process.scheduling.messages import ReleaseSlot
-from oleanderhitch.process.scheduling.records import Endpoint, PoolState
+from oleanderhitch.process.scheduling.records import Averages, Endpoint, PoolState
 from oleanderhitch.process.scheduling.states import Health
 
 # A median of fewer endpoints says nothing about which of them is slow.
@@ -11,6 +12,9 @@
 # Shorter answers are dominated by the time of a single batch step.
 N_TOKENS_TO_OBSERVE = 4
 AVERAGE_WEIGHT = 0.05
+N_PROMPT_TOKENS_TO_OBSERVE = 64
+PREFILL_WEIGHT_DOWN = 0.1
+PREFILL_WEIGHT_UP = 0.01
 
 
 def observe(
@@ -64,6 +68,17 @@
     return is_due and endpoint.n_in_flight == 0
 
 
+def may_overflow(state: PoolState, endpoint: Endpoint) -> bool:
+    """Say whether the queue costs more than an endpoint's slowness does."""
+    median = find_median(state)
+    if median is None or endpoint.pace is None or not median:
+        return False
+    slowness = max(1.0, endpoint.pace / median)
+    if endpoint.n_in_flight >= endpoint.n_slots / slowness:
+        return False
+    return limits.get_drain_s(state) > (slowness - 1.0) * state.averages.slot_s
+
+
 def forget_pace(state: PoolState, endpoint: Endpoint) -> None:
     """Take an endpoint out of the pool's median."""
     if endpoint.pace is not None:
@@ -129,10 +144,16 @@
     averages.output_tokens += weight * (
         release.n_output_tokens - averages.output_tokens
     )
-    if release.first_token is not None and release.n_computed_prompt_tokens >= 32:
-        per_token = (
-            release.first_token.total_seconds() / release.n_computed_prompt_tokens
-        )
-        averages.prefill_s_per_token += weight * (
-            per_token - averages.prefill_s_per_token
-        )
+    _update_prefill_rate(averages, release)
+
+
+def _update_prefill_rate(averages: Averages, release: ReleaseSlot) -> None:
+    n_tokens = release.n_computed_prompt_tokens
+    if release.first_token is None or n_tokens < N_PROMPT_TOKENS_TO_OBSERVE:
+        return
+    error = release.first_token.total_seconds() / n_tokens
+    error -= averages.prefill_s_per_token
+    # First tokens include time in the engine's own queue, so that the low
+    # observations are the ones that show the rate.
+    weight = PREFILL_WEIGHT_DOWN if error < 0.0 else PREFILL_WEIGHT_UP
+    averages.prefill_s_per_token += weight * error
--- a/oleanderhitch/process/scheduling/queueing.py
+++ b/oleanderhitch/process/scheduling/queueing.py
@@ -24,7 +24,8 @@
         now_s + enqueue.time_to_deadline.total_seconds(),
         ordering.charge_account(state, enqueue.account, now_s),
         limits.is_long_work(state, enqueue.prompt_tokens - n_cached),
-        False,
+        None if holder is None else holder.endpoint,
+        n_cached,
     )
     state.waiting[enqueue.request] = waiting
     _push_timer(state, state.deadlines, waiting, waiting.deadline_s)
--- a/oleanderhitch/process/scheduling/records.py
+++ b/oleanderhitch/process/scheduling/records.py
@@ -24,7 +24,9 @@
     deadline_s: float
     charged_s: float
     is_long: bool
-    is_general: bool
+    holder: EndpointId | None
+    n_cached_tokens: int
+    is_general: bool = False
 
 
 @dataclass(slots=True)
@@ -74,6 +76,8 @@
     )
     pace: float | None = None
     probed_s: float = 0.0
+    # When the prompts that were sent here are expected to be computed.
+    prefilled_s: float = 0.0
 
     @property
     def n_in_flight(self) -> int:
--- a/oleanderhitch/process/scheduling/settings.py
+++ b/oleanderhitch/process/scheduling/settings.py
@@ -41,6 +41,9 @@
     # An idle prefix is taken as evicted after this time.
     cache_idle_limit_s: float = 120.0
 
+    # What a full prefix memory counts when an endpoint is chosen.
+    memory_weight_s: float = 1.0
+
     # Slowed endpoints.
     slow_factor: float = 1.8
     recovered_factor: float = 1.4
