Assembled entry and store processes with checked settings

A request can now be admitted under a lease in an entry with its own store. The leader of the configuration group proves its leadership by a read, since nodes' leases must not come from a store that was cut off.

--- a/oleanderhitch/connection/caller/app.py
+++ b/oleanderhitch/connection/caller/app.py
@@ -54,19 +54,13 @@
     _add_call_routes(app, intake)
     _add_program_routes(app, programs)
     _add_status_routes(app, intake, get_metrics)
-    app.error_handler = _ErrorForms()
+    # Bottle's own errors, such as an unknown path, get the documented form too.
+    app.default_error_handler = _render_http_error
     return app
 
 
-class _ErrorForms(dict[int, Any]):
-    """Give bottle's own errors, such as an unknown path, the documented form."""
-
-    def get(self, key: int, default: Any = None) -> Any:
-        return _render_http_error
-
-
 def _render_http_error(error: bottle.HTTPError) -> str:
-    bottle.response.content_type = "application/json"
+    error.content_type = "application/json"
     reason = Reason.NOT_FOUND if error.status_code == 404 else Reason.BAD_REQUEST
     if error.status_code == 413:
         reason = Reason.BODY_TOO_LARGE
--- /dev/null
+++ b/oleanderhitch/connection/caller/server.py
@@ -0,0 +1,59 @@
+"""Listen for callers."""
+
+import bottle
+import logbook
+from gevent.pool import Pool
+from gevent.pywsgi import WSGIServer
+
+from oleanderhitch.connection.ids import HostAddress
+from oleanderhitch.connection.peer.addresses import parse_address
+
+# Callers hold their connection while a call waits and runs; at 128 MB for a
+# node this many open calls use about a third of it.
+CONNECTION_LIMIT = 2000
+STOP_TIMEOUT_S = 5
+
+log = logbook.Logger("caller")
+
+
+class _LineLog:
+    """Pass the server's error lines to the log."""
+
+    def write(self, text: str) -> None:
+        """Log a text that is not empty."""
+        if text.strip():
+            log.warning(text.strip())
+
+    def writelines(self, lines: list[str]) -> None:
+        """Log several texts."""
+        for line in lines:
+            self.write(line)
+
+    def flush(self) -> None:
+        """Do nothing; the log writes by itself."""
+
+
+class CallerServer:
+    """Own the listening socket for callers."""
+
+    def __init__(self, listen: HostAddress, app: bottle.Bottle) -> None:
+        self._server = WSGIServer(
+            parse_address(listen),
+            app,
+            spawn=Pool(CONNECTION_LIMIT),
+            log=None,
+            error_log=_LineLog(),
+        )
+
+    def start(self) -> None:
+        """Listen for callers."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Close the socket; answers on their way get a few seconds."""
+        self._server.stop(timeout=STOP_TIMEOUT_S)
+
+
+def make_caller_server(listen: HostAddress, app: bottle.Bottle) -> CallerServer:
+    """Return a server that is not started yet."""
+    return CallerServer(listen, app)
--- a/oleanderhitch/connection/registry.py
+++ b/oleanderhitch/connection/registry.py
@@ -2,12 +2,24 @@
 
 from oleanderhitch.connection.codec import Codec, make_codec
 from oleanderhitch.connection.peer import messages as peer
+from oleanderhitch.process.configuration import messages as configuration
 from oleanderhitch.process.groups import messages as groups
+from oleanderhitch.process.membership import messages as membership
+from oleanderhitch.process.replication import messages as replication
 from oleanderhitch.process.scheduling import messages as scheduling
 from oleanderhitch.program import messages as program
 from oleanderhitch.request import messages as request
 
-MODULES = (peer, groups, scheduling, program, request)
+MODULES = (
+    peer,
+    groups,
+    replication,
+    configuration,
+    membership,
+    scheduling,
+    program,
+    request,
+)
 
 
 def make_project_codec() -> Codec:
--- /dev/null
+++ b/oleanderhitch/process/commands/entry_command.py
@@ -0,0 +1,66 @@
+"""Define the command line of an entry host."""
+
+import logbook
+from cleo.commands.command import Command
+
+from oleanderhitch.connection.registry import make_project_codec
+from oleanderhitch.exceptions import OleanderhitchError
+from oleanderhitch.process.clock import make_system_clock
+from oleanderhitch.process.commands.options import (
+    make_options,
+    run_single_command,
+    run_with_settings,
+)
+from oleanderhitch.process.roles.entry import make_entry_parts
+from oleanderhitch.process.roles.links import make_store_access
+from oleanderhitch.process.runtime import make_stop_event, start_log
+from oleanderhitch.process.settings import EntrySettings
+
+EXIT_FAILED = 2
+EXIT_NOT_DRAINED = 3
+
+log = logbook.Logger("entry")
+
+
+class EntryCommand(Command):
+    """Run an entry host."""
+
+    name = "entry"
+    description = "Run an entry host: callers, admission, queues and dispatch."
+    options = make_options(EntrySettings)
+
+    def handle(self) -> int:
+        """Run until SIGTERM and return the exit code."""
+        return run_with_settings(self, EntrySettings, serve)
+
+
+def serve(settings: EntrySettings) -> int:
+    """Run an entry host with checked settings."""
+    start_log(settings.log_level)
+    stopping = make_stop_event()
+    codec = make_project_codec()
+    clock = make_system_clock()
+    try:
+        access = make_store_access(settings, codec, clock)
+        parts = make_entry_parts(settings, access, codec, clock)
+    except OleanderhitchError as error:
+        log.error("{}", error)
+        return EXIT_FAILED
+    access.start()
+    parts.start()
+    log.info("listens for callers on {}", settings.listen)
+    stopping.wait()
+    log.info("takes no new work and waits for running requests")
+    is_drained = parts.drain(settings.get_drain_timeout())
+    parts.stop()
+    access.stop()
+    if not is_drained:
+        log.error("requests were still running after {} s", settings.drain_timeout_s)
+        return EXIT_NOT_DRAINED
+    log.info("stopped with no request in progress")
+    return 0
+
+
+def run() -> int:
+    """Run the command line and return the exit code."""
+    return run_single_command("oleanderhitch-entry", EntryCommand())
--- a/oleanderhitch/process/commands/options.py
+++ b/oleanderhitch/process/commands/options.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Any, TypeVar
 
+from cleo.application import Application
 from cleo.commands.command import Command
 from cleo.helpers import option
 from cleo.io.inputs.option import Option
@@ -67,3 +68,13 @@
     if fault["type"] == "missing":
         return f"{flag}: is missing"
     return f"{flag}: {message}; got {fault['input']!r}"
+
+
+def run_single_command(program: str, command: Command) -> int:
+    """Run a program that has one command and return its exit code."""
+    application = Application(program)
+    application.add(command)
+    # cleo has no public setter for programs with a single command.
+    application._default_command = command.name or ""
+    application._single_command = True
+    return application.run()
--- /dev/null
+++ b/oleanderhitch/process/commands/store.py
@@ -0,0 +1,18 @@
+"""Start a disk host."""
+
+import sys
+
+from oleanderhitch.process.runtime import prepare_gevent
+
+
+def main() -> None:
+    """Run a store until SIGTERM."""
+    prepare_gevent()
+    # Modules that open sockets are imported after the patch only.
+    from oleanderhitch.process.commands.store_command import run
+
+    sys.exit(run())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/oleanderhitch/process/commands/store_command.py
@@ -0,0 +1,93 @@
+"""Define the command line of a disk host."""
+
+import random
+import uuid
+
+import logbook
+from cleo.commands.command import Command
+
+from oleanderhitch.connection.ids import HostAddress
+from oleanderhitch.connection.peer.handshake import Identity
+from oleanderhitch.connection.peer.link import make_peer_link
+from oleanderhitch.connection.peer.messages import PeerMessage
+from oleanderhitch.connection.peer.server import make_peer_server
+from oleanderhitch.connection.registry import make_project_codec
+from oleanderhitch.exceptions import OleanderhitchError
+from oleanderhitch.process.clock import make_system_clock
+from oleanderhitch.process.commands.options import (
+    make_options,
+    run_single_command,
+    run_with_settings,
+)
+from oleanderhitch.process.ids import NodeId
+from oleanderhitch.process.roles.store import StoreSite, make_store_parts
+from oleanderhitch.process.runtime import make_stop_event, start_log
+from oleanderhitch.process.settings import StoreSettings
+
+EXIT_FAILED = 2
+
+log = logbook.Logger("store")
+
+
+class StoreCommand(Command):
+    """Run a disk host."""
+
+    name = "store"
+    description = "Run a disk host: replicas of configuration and program shards."
+    options = make_options(StoreSettings)
+
+    def handle(self) -> int:
+        """Run until SIGTERM and return the exit code."""
+        return run_with_settings(self, StoreSettings, serve)
+
+
+def serve(settings: StoreSettings) -> int:
+    """Run a store with checked settings."""
+    start_log(settings.log_level)
+    stopping = make_stop_event()
+    codec = make_project_codec()
+    identity = Identity(NodeId(settings.node), settings.get_key())
+    stores = settings.get_stores()
+    links = {
+        store.node: make_peer_link(
+            store.address, codec, identity, _ignore_answer, _ignore_notice
+        )
+        for store in stores
+        if store.node != settings.node
+    }
+    site = StoreSite(identity.node, stores, settings.n_shards, settings.data_dir, links)
+    try:
+        parts = make_store_parts(
+            site, codec, make_system_clock(), random.Random(uuid.uuid4().int)
+        )
+    except OleanderhitchError as error:
+        log.error("{}", error)
+        return EXIT_FAILED
+    server = make_peer_server(
+        HostAddress(settings.peer_listen), codec, identity, parts.deliver
+    )
+    for link in links.values():
+        link.start()
+    parts.start()
+    server.start()
+    log.info("listens on {}", settings.peer_listen)
+    stopping.wait()
+    log.info("stops")
+    server.stop()
+    for link in links.values():
+        link.stop()
+    parts.stop()
+    return 0
+
+
+def _ignore_answer(delivery: PeerMessage) -> None:
+    log.warning("{} answered {}", delivery.node, type(delivery.message).__name__)
+
+
+def _ignore_notice(message: object) -> None:
+    """Take no action; replication notices a lost link by its own timeouts."""
+
+
+def run() -> int:
+    """Run the command line and return the exit code."""
+    return run_single_command("oleanderhitch-store", StoreCommand())
--- a/oleanderhitch/process/groups/client/core.py
+++ b/oleanderhitch/process/groups/client/core.py
@@ -3,10 +3,9 @@
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from functools import singledispatch
-from itertools import count
 
 from oleanderhitch.connection.ids import HostAddress
-from oleanderhitch.connection.peer.messages import LinkDown
+from oleanderhitch.connection.peer.messages import LinkDown, LinkUp
 from oleanderhitch.process.groups.client.messages import (
     GroupResult,
     GroupTimedOut,
@@ -51,7 +50,7 @@
     stores: dict[NodeId, HostAddress]
     leaders: dict[GroupId, HostAddress] = field(default_factory=dict)
     pending: dict[CallId, PendingCall] = field(default_factory=dict)
-    call_ids: count[int] = field(default_factory=lambda: count(1))
+    n_calls: int = 0
 
 
 def make_client_state(stores: dict[NodeId, HostAddress]) -> ClientState:
@@ -67,8 +66,9 @@
 
 @handle.register
 def _(message: SubmitToGroup, state: ClientState, now: datetime) -> list[object]:
+    state.n_calls += 1
     call = GroupCall(
-        CallId(next(state.call_ids)), message.group, message.body, message.is_read
+        CallId(state.n_calls), message.group, message.body, message.is_read
     )
     store = state.leaders.get(message.group) or next(iter(state.stores.values()))
     pending = PendingCall(
@@ -125,6 +125,11 @@
     return []
 
 
+@handle.register
+def _(message: LinkUp, state: ClientState, now: datetime) -> list[object]:
+    return []
+
+
 @handle.register
 def _(message: Tick, state: ClientState, now: datetime) -> list[object]:
     effects: list[object] = []
--- a/oleanderhitch/process/intake/messages.py
+++ b/oleanderhitch/process/intake/messages.py
@@ -5,13 +5,13 @@
 
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.ids import NodeId
-from oleanderhitch.program.ids import AccountId, ProgramId, SequenceNumber
-from oleanderhitch.request.ids import RequestId
 from oleanderhitch.process.routing.messages import (
     NodesGone,
     OwnersChanged,
     PoolsChanged,
 )
+from oleanderhitch.program.ids import AccountId, ProgramId, SequenceNumber
+from oleanderhitch.request.ids import RequestId
 from oleanderhitch.request.messages import Call, Work
 
 
--- /dev/null
+++ b/oleanderhitch/process/leadership/__init__.py
@@ -0,0 +1,1 @@
+"""Know until when this store leads the configuration group."""
--- /dev/null
+++ b/oleanderhitch/process/leadership/core.py
@@ -0,0 +1,124 @@
+"""Decide until when this store is sure to lead the configuration group.
+
+A read that the group answers proves that a majority heard this leader after the
+read was sent. Until the shortest election timeout has passed since then, that
+majority elects nobody else.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+from functools import singledispatch
+
+from oleanderhitch.process.groups.messages import (
+    GroupAnswer,
+    GroupRedirect,
+    GroupUncertain,
+)
+from oleanderhitch.process.ids import CallId, NodeId, Term
+from oleanderhitch.process.membership.messages import (
+    LeadershipConfirmed,
+    LeadershipGained,
+    LeadershipLost,
+)
+from oleanderhitch.process.messages import Tick
+from oleanderhitch.process.replication.messages import LeadershipChanged
+from oleanderhitch.process.replication.states import Role
+from oleanderhitch.process.storage.identity import get_node
+from oleanderhitch.version.addresses import HostPort
+
+# Clocks of two hosts may run at slightly different rates.
+CLOCK_RATE_MARGIN = timedelta(milliseconds=50)
+
+
+@dataclass(frozen=True, slots=True)
+class SendRead:
+    """Send a read to this store's replica of the group."""
+
+    call: CallId
+
+
+@dataclass(frozen=True, slots=True)
+class TellMembership:
+    """Tell the membership task."""
+
+    message: LeadershipGained | LeadershipConfirmed | LeadershipLost
+
+
+@dataclass(slots=True)
+class LeadershipState:
+    """Hold the reads that are to confirm the leadership."""
+
+    shortest_election: timedelta
+    addresses: dict[NodeId, HostPort]
+    term: Term | None = None
+    is_confirmed: bool = False
+    n_calls: int = 0
+    sent: dict[CallId, datetime] = field(default_factory=dict)
+
+
+def make_leadership_state(
+    shortest_election: timedelta, addresses: Mapping[NodeId, HostPort]
+) -> LeadershipState:
+    """Return the state of a store that does not lead."""
+    return LeadershipState(shortest_election, dict(addresses))
+
+
+@singledispatch
+def handle(message: object, state: LeadershipState, now: datetime) -> list[object]:
+    """Return the effects of a message."""
+    raise TypeError(f"leadership has no message {type(message).__name__}")
+
+
+@handle.register
+def _(
+    message: LeadershipChanged, state: LeadershipState, now: datetime
+) -> list[object]:
+    state.sent.clear()
+    state.is_confirmed = False
+    if message.role is Role.LEADER:
+        state.term = message.term
+        return [_send_read(state, now)]
+    state.term = None
+    leader = None
+    if message.leader is not None:
+        leader = state.addresses.get(get_node(message.leader))
+    return [TellMembership(LeadershipLost(leader))]
+
+
+@handle.register
+def _(message: Tick, state: LeadershipState, now: datetime) -> list[object]:
+    return [] if state.term is None else [_send_read(state, now)]
+
+
+@handle.register
+def _(message: GroupAnswer, state: LeadershipState, now: datetime) -> list[object]:
+    sent_at = state.sent.pop(message.call, None)
+    if sent_at is None or state.term is None:
+        return []
+    until = sent_at + state.shortest_election - CLOCK_RATE_MARGIN
+    if state.is_confirmed:
+        return [TellMembership(LeadershipConfirmed(state.term, until))]
+    state.is_confirmed = True
+    return [TellMembership(LeadershipGained(state.term, until))]
+
+
+@handle.register(GroupRedirect)
+@handle.register(GroupUncertain)
+def _(
+    message: GroupRedirect | GroupUncertain, state: LeadershipState, now: datetime
+) -> list[object]:
+    state.sent.pop(message.call, None)
+    return []
+
+
+def _send_read(state: LeadershipState, now: datetime) -> SendRead:
+    state.n_calls += 1
+    call = CallId(state.n_calls)
+    state.sent = {
+        number: at
+        for number, at in state.sent.items()
+        if now - at < state.shortest_election
+    }
+    state.sent[call] = now
+    return SendRead(call)
--- /dev/null
+++ b/oleanderhitch/process/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Reach a deployment from the operators' command line."""
--- /dev/null
+++ b/oleanderhitch/process/operators/client.py
@@ -0,0 +1,104 @@
+"""Ask the stores of a deployment on behalf of an operator."""
+
+from collections.abc import Sequence
+from datetime import timedelta
+
+from oleanderhitch.connection.codec import Codec
+from oleanderhitch.connection.ids import HostAddress
+from oleanderhitch.connection.peer.handshake import Identity
+from oleanderhitch.connection.peer.link import PeerLink, make_peer_link
+from oleanderhitch.connection.peer.messages import LinkDown, LinkUp, PeerMessage
+from oleanderhitch.process.clock import Clock
+from oleanderhitch.process.groups.client.core import ClientState
+from oleanderhitch.process.groups.client.messages import GroupResult, SubmitToGroup
+from oleanderhitch.process.groups.client.task import make_group_client
+from oleanderhitch.process.groups.messages import (
+    GroupAnswer,
+    GroupRedirect,
+    GroupUncertain,
+)
+from oleanderhitch.process.groups.placement import Store
+from oleanderhitch.process.ids import GroupId
+from oleanderhitch.process.mailbox import make_mailbox
+from oleanderhitch.process.operators.exceptions import DeploymentUnreachableError
+from oleanderhitch.process.task import Task
+
+# An election takes about a second, and the operator's call may fall into it.
+CALL_TIMEOUT = timedelta(seconds=5)
+ASK_TIMEOUT = timedelta(seconds=1)
+
+
+class OperatorClient:
+    """Hold the links to the stores while a command runs."""
+
+    def __init__(
+        self, stores: Sequence[Store], codec: Codec, identity: Identity, clock: Clock
+    ) -> None:
+        self._stores = tuple(stores)
+        self._codec = codec
+        self._answers = make_mailbox("operator")
+        self._links: dict[HostAddress, PeerLink] = {
+            store.address: make_peer_link(
+                store.address, codec, identity, self._deliver, self._notify
+            )
+            for store in stores
+        }
+        self._groups: Task[ClientState] = make_group_client(
+            {store.node: store.address for store in stores}, self._links, clock
+        )
+
+    @property
+    def stores(self) -> tuple[Store, ...]:
+        """Return the stores of the deployment."""
+        return self._stores
+
+    def start(self) -> None:
+        """Connect to the stores."""
+        self._groups.start()
+        for link in self._links.values():
+            link.start()
+
+    def stop(self) -> None:
+        """Close all connections."""
+        for link in self._links.values():
+            link.stop()
+        self._groups.stop()
+
+    def submit(self, group: GroupId, message: object, is_read: bool) -> object:
+        """Return the answer of a group; raise DeploymentUnreachableError."""
+        reply = make_mailbox("answer")
+        body = self._codec.encode(message)
+        self._groups.send(
+            SubmitToGroup(group, body, is_read, CALL_TIMEOUT, "operator", reply)
+        )
+        answer = reply.receive(CALL_TIMEOUT * 2)
+        if isinstance(answer, GroupResult):
+            return self._codec.decode(answer.body)
+        raise DeploymentUnreachableError(
+            f"group {group} did not answer within {CALL_TIMEOUT.total_seconds()} s; "
+            "check the stores and the key file"
+        )
+
+    def ask(self, store: Store, message: object) -> object | None:
+        """Return one store's answer to a message, or None when it is silent."""
+        while self._answers.n_waiting:
+            self._answers.receive()
+        self._links[store.address].send(message)
+        return self._answers.receive(ASK_TIMEOUT)
+
+    def _deliver(self, delivery: PeerMessage) -> None:
+        if isinstance(delivery.message, GroupAnswer | GroupRedirect | GroupUncertain):
+            self._groups.send(delivery.message)
+        else:
+            self._answers.send(delivery.message)
+
+    def _notify(self, message: object) -> None:
+        if isinstance(message, LinkDown | LinkUp):
+            self._groups.send(message)
+
+
+def make_operator_client(
+    stores: Sequence[Store], codec: Codec, identity: Identity, clock: Clock
+) -> OperatorClient:
+    """Return a client that is not connected yet."""
+    return OperatorClient(stores, codec, identity, clock)
--- /dev/null
+++ b/oleanderhitch/process/roles/__init__.py
@@ -0,0 +1,1 @@
+"""Assemble the parts of each kind of process."""
--- /dev/null
+++ b/oleanderhitch/process/roles/entry.py
@@ -0,0 +1,217 @@
+"""Assemble the parts of an entry host."""
+
+import random
+import uuid
+from dataclasses import dataclass
+from datetime import timedelta
+from functools import singledispatch
+
+from oleanderhitch.connection.caller.app import make_caller_app
+from oleanderhitch.connection.caller.programs import ProgramFront
+from oleanderhitch.connection.caller.server import CallerServer, make_caller_server
+from oleanderhitch.connection.codec import Codec
+from oleanderhitch.connection.endpoint.attempts import make_endpoint_attempts
+from oleanderhitch.connection.ids import HostAddress
+from oleanderhitch.connection.peer.handshake import Identity
+from oleanderhitch.connection.peer.link import PeerLink, make_peer_link
+from oleanderhitch.connection.peer.messages import LinkDown, PeerMessage
+from oleanderhitch.connection.peer.server import PeerServer, make_peer_server
+from oleanderhitch.process.address import Address
+from oleanderhitch.process.clock import Clock
+from oleanderhitch.process.groups.client.core import ClientState
+from oleanderhitch.process.groups.client.task import make_group_client
+from oleanderhitch.process.groups.messages import (
+    GroupAnswer,
+    GroupRedirect,
+    GroupUncertain,
+)
+from oleanderhitch.process.groups.placement import get_program_group
+from oleanderhitch.process.ids import GroupId, NodeId
+from oleanderhitch.process.intake.core import IntakeState
+from oleanderhitch.process.intake.messages import BeginDrain
+from oleanderhitch.process.intake.task import IntakeServices, make_intake
+from oleanderhitch.process.mailbox import make_mailbox
+from oleanderhitch.process.membership.messages import (
+    DescriptionRequested,
+    HeartbeatRedirected,
+    LeaseGranted,
+    VersionPushed,
+)
+from oleanderhitch.process.membership.node.core import NodeCoreState, make_node_state
+from oleanderhitch.process.membership.node.messages import (
+    LeaveRequested,
+    StoreUnreachable,
+)
+from oleanderhitch.process.membership.node.task import make_node_task
+from oleanderhitch.process.roles.links import StoreAccess
+from oleanderhitch.process.routing.core import RouterState
+from oleanderhitch.process.routing.task import make_pool_router
+from oleanderhitch.process.scheduling.messages import (
+    EnqueueRequest,
+    GrantSlot,
+    HoldSlot,
+    NodeGone,
+    RefuseRequest,
+    ReleaseSlot,
+    WithdrawRequest,
+)
+from oleanderhitch.process.scheduling.settings import PoolSettings
+from oleanderhitch.process.settings import EntrySettings
+from oleanderhitch.process.task import Task
+from oleanderhitch.program.ids import ProgramId
+from oleanderhitch.request.messages import Call
+from oleanderhitch.request.task import RequestServices, start_request
+from oleanderhitch.version.addresses import HostPort, parse_host_port
+from oleanderhitch.version.ids import DataCentreName
+from oleanderhitch.version.states import HostRole
+
+
+@dataclass(slots=True)
+class EntryParts:
+    """Hold the tasks of an entry host."""
+
+    node: Task[NodeCoreState]
+    groups: Task[ClientState]
+    router: Task[RouterState]
+    intake: Task[IntakeState]
+    access: StoreAccess
+    peers: PeerServer
+    callers: CallerServer
+
+    def start(self) -> None:
+        """Start all tasks, then listen for peers and callers."""
+        for task in (self.groups, self.router, self.intake, self.node):
+            task.start()
+        self.peers.start()
+        self.callers.start()
+
+    def drain(self, timeout: timedelta) -> bool:
+        """Take no new work; return whether all requests ended in time."""
+        mailbox = make_mailbox("drain")
+        self.intake.send(BeginDrain(mailbox))
+        self.node.send(LeaveRequested())
+        return mailbox.receive(timeout) is not None
+
+    def stop(self) -> None:
+        """Close all connections and stop all tasks."""
+        self.callers.stop()
+        self.peers.stop()
+        for task in (self.node, self.intake, self.router, self.groups):
+            task.stop()
+
+
+@singledispatch
+def receive(message: object, delivery: PeerMessage, parts: EntryParts) -> None:
+    """Hand a message of a peer to the part that it is for."""
+    parts.access.receive(delivery)
+
+
+@receive.register(GroupAnswer)
+@receive.register(GroupRedirect)
+@receive.register(GroupUncertain)
+def _(message: object, delivery: PeerMessage, parts: EntryParts) -> None:
+    parts.groups.send(message)
+
+
+@receive.register(LeaseGranted)
+@receive.register(DescriptionRequested)
+@receive.register(HeartbeatRedirected)
+@receive.register(VersionPushed)
+def _(message: object, delivery: PeerMessage, parts: EntryParts) -> None:
+    parts.node.send(message)
+
+
+@receive.register(EnqueueRequest)
+@receive.register(WithdrawRequest)
+@receive.register(ReleaseSlot)
+@receive.register(HoldSlot)
+@receive.register(NodeGone)
+@receive.register(GrantSlot)
+@receive.register(RefuseRequest)
+def _(message: object, delivery: PeerMessage, parts: EntryParts) -> None:
+    parts.router.send(delivery)
+
+
+def make_entry_parts(
+    settings: EntrySettings,
+    access: StoreAccess,
+    codec: Codec,
+    clock: Clock,
+) -> EntryParts:
+    """Return the parts of an entry host, not started yet."""
+    node = NodeId(settings.node)
+    identity = Identity(node, settings.get_key())
+
+    def deliver(delivery: PeerMessage) -> None:
+        receive(delivery.message, delivery, parts)
+
+    def notify_store(message: object) -> None:
+        parts.groups.send(message)
+        if isinstance(message, LinkDown):
+            parts.node.send(StoreUnreachable(parse_host_port(message.peer)))
+
+    def notify_node(message: object) -> None:
+        parts.router.send(message)
+
+    def make_node_link(address: HostAddress) -> PeerLink:
+        return make_peer_link(address, codec, identity, deliver, notify_node)
+
+    def get_group(program: ProgramId) -> GroupId:
+        return get_program_group(program, settings.n_shards)
+
+    stores = access.stores
+    links = access.open(deliver, notify_store)
+
+    def send_to_store(store: HostPort, message: object) -> None:
+        links[HostAddress(str(store))].send(message)
+
+    groups = make_group_client({s.node: s.address for s in stores}, links, clock)
+    router = make_pool_router(
+        node, make_node_link, PoolSettings(), clock, random.Random(uuid.uuid4().int)
+    )
+    attempts = make_endpoint_attempts(clock)
+    services = _RequestStarter()
+    intake = make_intake(
+        node,
+        DataCentreName(settings.data_centre),
+        IntakeServices(services.start, router),
+        clock,
+    )
+    services.services = RequestServices(
+        node, clock, codec, groups, intake, router, attempts, get_group
+    )
+    node_task = make_node_task(
+        make_node_state(
+            node,
+            uuid.uuid4().hex,
+            HostRole.ENTRY,
+            DataCentreName(settings.data_centre),
+            parse_host_port(settings.peer_listen),
+            [parse_host_port(store.address) for store in stores],
+        ),
+        clock,
+        send_to_store,
+        intake,
+    )
+    programs = ProgramFront(groups, intake, codec, get_group, clock)
+    app = make_caller_app(intake, programs, lambda: "")
+    parts = EntryParts(
+        node_task,
+        groups,
+        router,
+        intake,
+        access,
+        make_peer_server(HostAddress(settings.peer_listen), codec, identity, deliver),
+        make_caller_server(HostAddress(settings.listen), app),
+    )
+    return parts
+
+
+class _RequestStarter:
+    """Start requests with services that are known only later."""
+
+    services: RequestServices
+
+    def start(self, call: Call, caller: Address) -> None:
+        """Start serving a call."""
+        start_request(call, caller, self.services)
--- /dev/null
+++ b/oleanderhitch/process/roles/store.py
@@ -0,0 +1,156 @@
+"""Assemble the parts of a disk host."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from functools import singledispatch
+from pathlib import Path
+from random import Random
+
+from oleanderhitch.connection.codec import Codec
+from oleanderhitch.connection.peer.messages import PeerMessage
+from oleanderhitch.process.address import Address
+from oleanderhitch.process.clock import Clock
+from oleanderhitch.process.configuration.application import (
+    ConfigurationApplication,
+    make_configuration_application,
+)
+from oleanderhitch.process.groups.application import Application
+from oleanderhitch.process.groups.host import GroupHost, route
+from oleanderhitch.process.groups.messages import GroupAnswer, GroupCall, LocalCall
+from oleanderhitch.process.groups.placement import (
+    CONFIGURATION_GROUP,
+    Store,
+    list_groups,
+)
+from oleanderhitch.process.ids import GroupId, NodeId
+from oleanderhitch.process.leadership.core import LeadershipState
+from oleanderhitch.process.leadership.task import make_leadership_task
+from oleanderhitch.process.membership.core import MembershipState
+from oleanderhitch.process.membership.messages import (
+    GetNodeStatus,
+    NodeHeartbeat,
+    StatusQuery,
+)
+from oleanderhitch.process.membership.task import make_membership_task
+from oleanderhitch.process.replication.replica import Timing
+from oleanderhitch.process.storage.task import open_storage
+from oleanderhitch.process.task import Task
+from oleanderhitch.program.application import make_program_application
+from oleanderhitch.version.addresses import parse_host_port
+
+
+@dataclass(slots=True)
+class StoreSite:
+    """Hold where a store stands and what it talks through."""
+
+    node: NodeId
+    stores: tuple[Store, ...]
+    n_shards: int
+    data_dir: Path
+    links: Mapping[NodeId, Address]
+
+
+@dataclass(slots=True)
+class NodeConnections:
+    """Hold the connection over which each node was heard last."""
+
+    addresses: dict[NodeId, Address] = field(default_factory=dict)
+
+    def send(self, node: NodeId, message: object) -> None:
+        """Send a message to a node, or drop it when the node was never heard."""
+        address = self.addresses.get(node)
+        if address is not None:
+            address.send(message)
+
+
+@dataclass(slots=True)
+class StoreParts:
+    """Hold the tasks of a store."""
+
+    host: GroupHost
+    membership: Task[MembershipState]
+    leadership: Task[LeadershipState]
+    configuration: ConfigurationApplication
+    connections: NodeConnections
+
+    def start(self) -> None:
+        """Start all tasks."""
+        self.membership.start()
+        self.leadership.start()
+        self.host.start()
+
+    def stop(self) -> None:
+        """Stop all tasks and close the storage."""
+        self.host.stop()
+        self.leadership.stop()
+        self.membership.stop()
+
+    def deliver(self, delivery: PeerMessage) -> None:
+        """Hand a message of a peer to the part that it is for."""
+        receive(delivery.message, delivery, self)
+
+
+@singledispatch
+def receive(message: object, delivery: PeerMessage, parts: StoreParts) -> None:
+    """Hand a message to the store's own parts, all others to its groups."""
+    route(message, delivery, parts.host)
+
+
+@receive.register
+def _(message: NodeHeartbeat, delivery: PeerMessage, parts: StoreParts) -> None:
+    parts.connections.addresses[message.node] = delivery.reply
+    parts.membership.send(message)
+
+
+@receive.register
+def _(message: GetNodeStatus, delivery: PeerMessage, parts: StoreParts) -> None:
+    parts.membership.send(StatusQuery(delivery.reply))
+
+
+@receive.register
+def _(message: GroupCall, delivery: PeerMessage, parts: StoreParts) -> None:
+    refusal = None
+    if message.group == CONFIGURATION_GROUP and not message.is_read:
+        refusal = parts.configuration.find_refusal(message.body)
+    if refusal is None:
+        route(message, delivery, parts.host)
+    else:
+        delivery.reply.send(GroupAnswer(message.call, refusal))
+
+
+def make_store_parts(
+    site: StoreSite, codec: Codec, clock: Clock, random_source: Random
+) -> StoreParts:
+    """Return the parts of a store, not started yet; raise StorageError."""
+    connections = NodeConnections()
+    membership = make_membership_task(clock, connections.send)
+    configuration = make_configuration_application(membership)
+
+    def make_application(group: GroupId) -> Application:
+        if group == CONFIGURATION_GROUP:
+            return configuration
+        return make_program_application(codec)
+
+    def send_to_group(call: LocalCall) -> None:
+        host.groups[CONFIGURATION_GROUP].send(call)
+
+    leadership = make_leadership_task(
+        Timing().election_timeout_min,
+        {store.node: parse_host_port(store.address) for store in site.stores},
+        send_to_group,
+        membership,
+        codec,
+        clock,
+    )
+    host = GroupHost(
+        site.node,
+        site.stores,
+        open_storage(site.data_dir, site.node, clock),
+        site.links,
+        make_application,
+        clock,
+        random_source,
+        frozenset(list_groups(site.n_shards)),
+        {CONFIGURATION_GROUP: leadership.send},
+    )
+    return StoreParts(host, membership, leadership, configuration, connections)
--- a/oleanderhitch/process/settings.py
+++ b/oleanderhitch/process/settings.py
@@ -1,5 +1,6 @@
 """Define the settings that all processes of the system share."""
 
+from datetime import timedelta
 from pathlib import Path
 from typing import Annotated
 
@@ -95,6 +96,10 @@
         600.0, gt=0, description="longest wait for running requests at a stop"
     )
 
+    def get_drain_timeout(self) -> timedelta:
+        """Return the longest wait for running requests at a stop."""
+        return timedelta(seconds=self.drain_timeout_s)
+
 
 class StoreSettings(ProcessSettings):
     """Hold the settings of a disk host."""
