--- a/oleanderhitch/connection/endpoint/task.py
+++ b/oleanderhitch/connection/endpoint/task.py
@@ -1,5 +1,6 @@
 """Run one attempt at an endpoint in a greenlet that owns its connection."""
 
+from dataclasses import replace
 from functools import singledispatch
 
 import gevent
@@ -24,6 +25,12 @@
 from oleanderhitch.exceptions import OleanderhitchError
 from oleanderhitch.process.clock import Clock
 from oleanderhitch.process.mailbox import Address
+from oleanderhitch.process.tracing.states import Hop
+from oleanderhitch.process.tracing.tracer import (
+    HopSpan,
+    Tracer,
+    make_forwarding_tracer,
+)
 from oleanderhitch.request.messages import (
     CancelAttempt,
     ModelWork,
@@ -37,8 +44,9 @@
 class EndpointStream:
     """Send one call and post its answer to the request's address."""
 
-    def __init__(self, exchange: Exchange) -> None:
+    def __init__(self, exchange: Exchange, tracer: Tracer) -> None:
         self._exchange = exchange
+        self._tracer = tracer
         self._greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -60,36 +68,46 @@
             self._greenlet.join()
 
     def _run(self) -> None:
-        work = self._exchange.call.work
-        try:
-            failure = self._find_failure()
-            if failure is None:
-                return
-            self._exchange.reply.send(failure)
-            if failure.was_sent and not failure.is_final:
-                _stop_work(work, self._exchange)
-        except gevent.GreenletExit:
-            _stop_work(work, self._exchange)
-        except OleanderhitchError as error:
-            _LOG.error(
-                "request {} lost its end: {}", self._exchange.call.request, error
-            )
-
-    def _find_failure(self) -> StreamFailed | None:
-        attempt = self._exchange.call.attempt
-        try:
-            _do_work(self._exchange.call.work, self._exchange)
-        except ConnectFailedError as error:
-            return StreamFailed(attempt, False, False, str(error))
-        except EndpointRefusedError as error:
-            return StreamFailed(attempt, True, error.is_final, str(error))
-        except OleanderhitchError as error:
-            return StreamFailed(attempt, True, False, str(error))
-        except Exception as error:
-            # A request whose attempt ends without a message would hang.
-            _LOG.exception("attempt at {} failed", self._exchange.call.address)
-            return StreamFailed(attempt, True, False, f"internal error: {error!r}")
-        return None
+        call = self._exchange.call
+        with self._tracer.start_hop(Hop.ATTEMPT, call.request, call.trace) as hop:
+            hop.set("endpoint", call.address)
+            hop.set("attempt", call.attempt)
+            traced = replace(call, trace=hop.trace)
+            _serve(replace(self._exchange, call=traced), hop)
+
+
+def _serve(exchange: Exchange, hop: HopSpan) -> None:
+    work = exchange.call.work
+    try:
+        failure = _find_failure(exchange)
+        if failure is None:
+            return
+        hop.fail(failure.reason)
+        exchange.reply.send(failure)
+        if failure.was_sent and not failure.is_final:
+            _stop_work(work, exchange)
+    except gevent.GreenletExit:
+        hop.fail("cancelled")
+        _stop_work(work, exchange)
+    except OleanderhitchError as error:
+        _LOG.error("request {} lost its end: {}", exchange.call.request, error)
+
+
+def _find_failure(exchange: Exchange) -> StreamFailed | None:
+    attempt = exchange.call.attempt
+    try:
+        _do_work(exchange.call.work, exchange)
+    except ConnectFailedError as error:
+        return StreamFailed(attempt, False, False, str(error))
+    except EndpointRefusedError as error:
+        return StreamFailed(attempt, True, error.is_final, str(error))
+    except OleanderhitchError as error:
+        return StreamFailed(attempt, True, False, str(error))
+    except Exception as error:
+        # A request whose attempt ends without a message would hang.
+        _LOG.exception("attempt at {} failed", exchange.call.address)
+        return StreamFailed(attempt, True, False, f"internal error: {error!r}")
+    return None
 
 
 @singledispatch
@@ -123,9 +141,11 @@
     pool_manager: urllib3.PoolManager,
     timeouts: EndpointTimeouts,
     clock: Clock,
+    tracer: Tracer | None = None,
 ) -> EndpointStream:
     """Return the task of one attempt, not started yet."""
-    return EndpointStream(Exchange(call, reply, pool_manager, timeouts, clock))
+    exchange = Exchange(call, reply, pool_manager, timeouts, clock)
+    return EndpointStream(exchange, tracer or make_forwarding_tracer())
 
 
 def start_operation_lookup(
--- /dev/null
+++ b/oleanderhitch/process/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Count and time what a process does."""
--- /dev/null
+++ b/oleanderhitch/process/metrics/states.py
@@ -0,0 +1,110 @@
+"""Name the metrics of a process."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+@dataclass(frozen=True, slots=True)
+class MetricName:
+    """Hold a metric's exposed name, its help text and the name of its label."""
+
+    name: str
+    help: str
+    label: str = ""
+
+
+class Latency(Enum):
+    """Name the latencies; they are exposed in seconds."""
+
+    PROGRAM = MetricName(
+        "oleanderhitch_program_latency_seconds",
+        "Time from the start of a program to its end.",
+    )
+    FIRST_TOKEN = MetricName(
+        "oleanderhitch_first_token_seconds",
+        "Time from the arrival of a call to the first piece of its answer.",
+    )
+    BETWEEN_TOKENS = MetricName(
+        "oleanderhitch_between_tokens_seconds",
+        "Time between two pieces of an answer.",
+    )
+    QUEUE_WAIT = MetricName(
+        "oleanderhitch_queue_wait_seconds",
+        "Time that a call waits in its pool's queue.",
+    )
+    ADDED_TIME = MetricName(
+        "oleanderhitch_added_time_seconds",
+        "Time of a request that is neither queue nor endpoint.",
+    )
+
+
+class Counter(Enum):
+    """Name the counts that only grow."""
+
+    REQUESTS = MetricName(
+        "oleanderhitch_requests_total", "Requests by outcome.", "outcome"
+    )
+    ATTEMPTS = MetricName(
+        "oleanderhitch_attempts_total", "Attempts by how they ended.", "result"
+    )
+    RESUMED_STREAMS = MetricName(
+        "oleanderhitch_resumed_streams_total",
+        "Streams that went on over a new connection.",
+    )
+    HEDGES = MetricName("oleanderhitch_hedges_total", "Second attempts in parallel.")
+    REFUSALS = MetricName(
+        "oleanderhitch_refusals_total", "Calls refused before they ran.", "reason"
+    )
+    PROMPT_TOKENS = MetricName(
+        "oleanderhitch_prompt_tokens_total", "Prompt tokens sent to engines."
+    )
+    CACHED_TOKENS = MetricName(
+        "oleanderhitch_cached_tokens_total", "Prompt tokens that engines had cached."
+    )
+    OUTPUT_TOKENS = MetricName(
+        "oleanderhitch_output_tokens_total", "Tokens that engines generated."
+    )
+    RELEASES = MetricName(
+        "oleanderhitch_releases_total", "Releases of engine memory.", "result"
+    )
+    ORDERS = MetricName(
+        "oleanderhitch_orders_total", "Orders to engines by result.", "result"
+    )
+    CACHE_EVENT_GAPS = MetricName(
+        "oleanderhitch_cache_event_gaps_total", "Gaps in the cache events of engines."
+    )
+    ELECTIONS = MetricName(
+        "oleanderhitch_elections_total", "Changes of a group's leader.", "group"
+    )
+    DROPPED_SPANS = MetricName(
+        "oleanderhitch_dropped_spans_total", "Spans that found no room."
+    )
+
+
+class Gauge(Enum):
+    """Name the values that rise and fall."""
+
+    REQUESTS_IN_PROGRESS = MetricName(
+        "oleanderhitch_requests_in_progress", "Requests that run in this process."
+    )
+    QUEUE_LENGTH = MetricName(
+        "oleanderhitch_queue_length", "Calls that wait, by pool.", "pool"
+    )
+    PROGRAMS = MetricName(
+        "oleanderhitch_programs", "Programs in progress, by group.", "group"
+    )
+    OPEN_RELEASES = MetricName(
+        "oleanderhitch_open_releases", "Releases that no engine has confirmed."
+    )
+    CONFIGURATION_VERSION = MetricName(
+        "oleanderhitch_configuration_version", "Version of the configuration in use."
+    )
+    LEADER = MetricName(
+        "oleanderhitch_leader", "1 where this process leads the group.", "group"
+    )
+    ENDPOINTS_ON_PROBATION = MetricName(
+        "oleanderhitch_endpoints_on_probation", "Slowed endpoints, by pool.", "pool"
+    )
+
+
+Metric = Latency | Counter | Gauge
--- /dev/null
+++ b/oleanderhitch/process/tracing/__init__.py
@@ -0,0 +1,1 @@
+"""Record the hops of requests as traces."""
--- /dev/null
+++ b/oleanderhitch/process/tracing/tracer.py
@@ -0,0 +1,233 @@
+"""Start a span for each hop of a request and pass its context on."""
+
+import os
+from collections.abc import Mapping
+from types import TracebackType
+from typing import Protocol, Self
+
+from opentelemetry.context import Context
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import ReadableSpan, SpanProcessor, TracerProvider
+from opentelemetry.sdk.trace.sampling import ParentBased, TraceIdRatioBased
+from opentelemetry.trace import Span, StatusCode, set_span_in_context
+from opentelemetry.trace.propagation.tracecontext import (
+    TraceContextTextMapPropagator,
+)
+
+from oleanderhitch.process.tracing.records import SpanRecord
+from oleanderhitch.process.tracing.settings import TracingSettings
+from oleanderhitch.process.tracing.states import Hop
+from oleanderhitch.process.tracing.writer import SpanWriter, make_span_writer
+from oleanderhitch.request.ids import RequestId
+
+TRACE_HEADERS = ("traceparent", "tracestate")
+_PROPAGATOR = TraceContextTextMapPropagator()
+_REQUEST_KEY = "request"
+
+
+def extract_trace(headers: Mapping[str, str]) -> dict[str, str]:
+    """Return the W3C trace context of HTTP headers, in whatever case they come."""
+    lower = {name.lower(): value for name, value in headers.items()}
+    return {name: lower[name] for name in TRACE_HEADERS if name in lower}
+
+
+def _is_unsampled(trace: dict[str, str]) -> bool:
+    # Most hops belong to traces that an earlier hop decided not to sample; the
+    # flag in the last two digits tells so without parsing the rest.
+    flags = trace.get("traceparent", "")[-2:]
+    return len(flags) == 2 and flags[1] in "02468ace"
+
+
+class HopSpan(Protocol):
+    """Cover one hop; leaving it as a context manager ends it."""
+
+    @property
+    def trace(self) -> dict[str, str]:
+        """Return the context that messages and requests below the hop carry."""
+
+    def set(self, name: str, value: str | int | float | bool) -> None:
+        """Note a fact about the hop."""
+
+    def fail(self, reason: str) -> None:
+        """Mark the hop as failed."""
+
+    def end(self) -> None:
+        """End the hop now."""
+
+    def __enter__(self) -> Self: ...
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None: ...
+
+
+class _ForwardedSpan:
+    """Pass the context on where no traces are written."""
+
+    def __init__(self, trace: dict[str, str]) -> None:
+        self._trace = trace
+
+    @property
+    def trace(self) -> dict[str, str]:
+        return self._trace
+
+    def set(self, name: str, value: str | int | float | bool) -> None:
+        pass
+
+    def fail(self, reason: str) -> None:
+        pass
+
+    def end(self) -> None:
+        pass
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        pass
+
+
+class _RecordedSpan:
+    """Record a hop as a span of the tracing library."""
+
+    def __init__(self, span: Span) -> None:
+        self._span = span
+
+    @property
+    def trace(self) -> dict[str, str]:
+        carrier: dict[str, str] = {}
+        _PROPAGATOR.inject(carrier, set_span_in_context(self._span, Context()))
+        return carrier
+
+    def set(self, name: str, value: str | int | float | bool) -> None:
+        self._span.set_attribute(name, value)
+
+    def fail(self, reason: str) -> None:
+        self._span.set_status(StatusCode.ERROR, reason)
+
+    def end(self) -> None:
+        self._span.end()
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        if error is not None:
+            self.fail(f"{type(error).__name__}: {error}")
+        self.end()
+
+
+class Tracer(Protocol):
+    """Start the hops of requests."""
+
+    @property
+    def n_dropped(self) -> int:
+        """Return the number of spans that were lost."""
+
+    def start_hop(self, hop: Hop, request: RequestId, trace: dict[str, str]) -> HopSpan:
+        """Start a hop below the given context; an empty one starts a trace."""
+
+    def stop(self) -> None:
+        """Write what waits."""
+
+
+class _ForwardingTracer:
+    """Write nothing and leave the context as it is."""
+
+    @property
+    def n_dropped(self) -> int:
+        return 0
+
+    def start_hop(self, hop: Hop, request: RequestId, trace: dict[str, str]) -> HopSpan:
+        return _ForwardedSpan(trace)
+
+    def stop(self) -> None:
+        pass
+
+
+class _RecordingTracer:
+    """Sample traces and hand their finished spans to the writer."""
+
+    def __init__(self, settings: TracingSettings, writer: SpanWriter) -> None:
+        self._writer = writer
+        self._provider = TracerProvider(
+            sampler=ParentBased(TraceIdRatioBased(settings.sample_ratio)),
+            resource=Resource({"service.name": settings.process}),
+            shutdown_on_exit=False,
+        )
+        self._provider.add_span_processor(_Exporter(settings.process, writer))
+        self._tracer = self._provider.get_tracer("oleanderhitch")
+
+    @property
+    def n_dropped(self) -> int:
+        return self._writer.n_dropped
+
+    def start_hop(self, hop: Hop, request: RequestId, trace: dict[str, str]) -> HopSpan:
+        if _is_unsampled(trace):
+            return _ForwardedSpan(trace)
+        # A context of its own keeps greenlets from becoming each other's parents.
+        context = _PROPAGATOR.extract(trace, Context())
+        attributes = {_REQUEST_KEY: request}
+        return _RecordedSpan(
+            self._tracer.start_span(hop.value, context, attributes=attributes)
+        )
+
+    def stop(self) -> None:
+        self._writer.stop()
+
+
+class _Exporter(SpanProcessor):
+    """Turn finished spans into records."""
+
+    def __init__(self, process: str, writer: SpanWriter) -> None:
+        self._process = process
+        self._writer = writer
+
+    def on_end(self, span: ReadableSpan) -> None:
+        """Queue the record of a span."""
+        context = span.get_span_context()
+        if context is None or not context.trace_flags.sampled:
+            return
+        attributes = dict(span.attributes or {})
+        self._writer.add(
+            SpanRecord(
+                f"{context.trace_id:032x}",
+                f"{context.span_id:016x}",
+                f"{span.parent.span_id:016x}" if span.parent else "",
+                span.name,
+                str(attributes.pop(_REQUEST_KEY, "")),
+                self._process,
+                span.start_time or 0,
+                span.end_time or 0,
+                (span.status.description or "") if not span.status.is_ok else "",
+                attributes,  # type: ignore[arg-type]
+            )
+        )
+
+
+def make_forwarding_tracer() -> Tracer:
+    """Return a tracer that writes nothing and passes contexts on."""
+    return _ForwardingTracer()
+
+
+def make_tracer(settings: TracingSettings) -> Tracer:
+    """Return a tracer that writes to the directory, if one is set."""
+    if settings.directory is None:
+        return make_forwarding_tracer()
+    path = settings.directory / f"{settings.process}-{os.getpid()}.jsonl"
+    writer = make_span_writer(path, settings)
+    writer.start()
+    return _RecordingTracer(settings, writer)
--- a/tests/connection/endpoint/calls.py
+++ b/tests/connection/endpoint/calls.py
@@ -44,6 +44,7 @@
     """Run one attempt and collect its messages."""
 
     def __init__(self, address, work=MODEL_WORK, request="r1", **options):
+        tracer = options.pop("tracer", None)
         limit_s = options.pop("deadline_s", 10)
         fields = {
             "attempt": 1,
@@ -60,7 +61,7 @@
         self.mailbox = make_mailbox(request)
         self.messages = []
         self.stream = make_endpoint_stream(
-            self.call, self.mailbox, make_pool_manager(), TIMEOUTS, CLOCK
+            self.call, self.mailbox, make_pool_manager(), TIMEOUTS, CLOCK, tracer
         )
         self.stream.start()
 
--- /dev/null
+++ b/tests/process/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what lives as long as a process."""
--- /dev/null
+++ b/tests/process/metrics/test_metrics.py
@@ -0,0 +1,107 @@
+"""Test that metrics are true, mergeable and in the usual text form."""
+
+import re
+from datetime import UTC, datetime, timedelta
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from oleanderhitch.connection.codec import make_codec
+from oleanderhitch.process.mailbox import make_mailbox
+from oleanderhitch.process.messages import Tick
+from oleanderhitch.process.metrics.core import (
+    decode_histogram,
+    handle,
+    make_metrics,
+    merge_snapshots,
+)
+from oleanderhitch.process.metrics.messages import MESSAGES, GetMetrics
+from oleanderhitch.process.metrics.states import Counter, Gauge, Latency
+from oleanderhitch.process.metrics.task import perform
+from oleanderhitch.process.metrics.text import format_metrics
+
+NOW = datetime(2026, 1, 1, tzinfo=UTC)
+LINE = re.compile(
+    r"(# (HELP|TYPE) [a-z_]+ .+"
+    r'|[a-z_]+(\{[a-z]+="([^"\\\n]|\\["\\n])*"\})? (NaN|-?[0-9.e+-]+))'
+)
+DURATIONS = st.lists(st.integers(0, 4_000_000_000), min_size=1, max_size=30)
+
+
+def make(values_us):
+    """Return metrics with queue waits."""
+    metrics = make_metrics()
+    for value in values_us:
+        metrics.record(Latency.QUEUE_WAIT, timedelta(microseconds=value))
+        metrics.count(Counter.REQUESTS, "completed")
+    return metrics
+
+
+def find_value(text, start):
+    """Return the value of the line that starts so."""
+    lines = [line for line in text.splitlines() if line.startswith(start + " ")]
+    assert len(lines) == 1, (start, lines)
+    return float(lines[0].split()[-1])
+
+
+@given(DURATIONS, DURATIONS)
+def test_merged_snapshots_equal_one_process(first, second):
+    """Guard against quantiles that depend on how work is spread."""
+    snapshots = [make(first).make_snapshot(), make(second).make_snapshot()]
+    merged = merge_snapshots(snapshots)
+    together = make(first + second).make_snapshot()
+    assert format_metrics(merged) == format_metrics(together)
+
+
+@given(DURATIONS)
+def test_quantiles_are_near_the_recorded_values(values):
+    """Guard against a histogram with the wrong unit or range."""
+    text = format_metrics(make(values).make_snapshot())
+    name = Latency.QUEUE_WAIT.value.name
+    highest = min(max(values), 3_600_000_000) / 1e6
+    shown = find_value(text, f'{name}{{quantile="0.999"}}')
+    assert shown == pytest.approx(highest, rel=0.01, abs=2e-6)
+    assert find_value(text, f"{name}_count") == len(values)
+
+
+@given(st.text(max_size=20), st.floats(0, 1e12))
+def test_every_line_has_the_usual_form(label, value):
+    """Guard against one label that makes the whole page unreadable."""
+    metrics = make([])
+    metrics.set_gauge(Gauge.QUEUE_LENGTH, value, label)
+    metrics.count(Counter.HEDGES, n=value)
+    for line in format_metrics(metrics.make_snapshot()).split("\n")[:-1]:
+        assert LINE.fullmatch(line), line
+
+
+def test_windows_forget_and_totals_do_not():
+    """Guard against quantiles that an old incident dominates for days."""
+    metrics = make([1_000_000])
+    handle(Tick(), metrics, NOW)
+    metrics.record(Latency.QUEUE_WAIT, timedelta(microseconds=10))
+    sample = metrics.make_snapshot().latencies[list(Latency).index(Latency.QUEUE_WAIT)]
+    assert decode_histogram(sample.histogram).get_total_count() == 2
+    handle(Tick(), metrics, NOW)
+    handle(Tick(), metrics, NOW)
+    text = format_metrics(metrics.make_snapshot())
+    name = Latency.QUEUE_WAIT.value.name
+    assert f'{name}{{quantile="0.5"}} NaN' in text
+    assert find_value(text, f"{name}_count") == 2
+
+
+def test_snapshot_crosses_processes():
+    """Guard against a snapshot that the codec cannot carry."""
+    metrics = make([5, 50])
+    reply = make_mailbox("reply")
+    for effect in handle(GetMetrics(reply), metrics, NOW):
+        perform(effect)
+    snapshot = reply.receive(timedelta(seconds=1))
+    codec = make_codec(MESSAGES)
+    assert codec.decode(codec.encode(snapshot)) == snapshot
+
+
+def test_names_are_unique():
+    """Guard against two metrics that overwrite each other."""
+    names = [metric.value.name for kind in (Latency, Counter, Gauge) for metric in kind]
+    assert len(set(names)) == len(names)
