--- a/oleanderhitch/connection/caller/app.py
+++ b/oleanderhitch/connection/caller/app.py
@@ -2,9 +2,10 @@
 
 import json
 from collections.abc import Callable, Iterator
+from dataclasses import asdict, dataclass, replace
 from datetime import timedelta
 from functools import singledispatch
-from typing import Any
+from typing import Any, Protocol
 
 import bottle
 
@@ -27,33 +28,62 @@
 )
 from oleanderhitch.connection.caller.text import TextAssembler
 from oleanderhitch.process.address import Address, MailboxFullError
-from oleanderhitch.process.intake.messages import (
-    CallerCall,
-    GetReadiness,
-    Readiness,
-    SubmitCall,
-)
+from oleanderhitch.process.intake.messages import CallerCall, Readiness, SubmitCall
 from oleanderhitch.process.mailbox import Mailbox, make_mailbox
+from oleanderhitch.process.metrics.text import CONTENT_TYPE
+from oleanderhitch.process.tracing.states import Hop
+from oleanderhitch.process.tracing.tracer import HopSpan, Tracer
 from oleanderhitch.request.messages import AnswerCaller, ModelWork, RelayChunk
 from oleanderhitch.request.states import Outcome, Reason
 
 # The request task answers by its deadline; the margin covers the record of its
 # outcome in the shard.
 ANSWER_MARGIN = timedelta(seconds=15)
-READINESS_TIMEOUT = timedelta(seconds=1)
 
-GetText = Callable[[], str]
+
+class Status(Protocol):
+    """Tell whether new work is accepted, and the metrics."""
+
+    def get_readiness(self) -> Readiness | None:
+        """Return whether new work is accepted, or None without an answer."""
+
+    def get_text(self) -> str:
+        """Return the metrics in the Prometheus text form."""
+
+
+@dataclass(frozen=True, slots=True)
+class OpenCall:
+    """Hold a call under way, the mailbox for its answer and its span."""
+
+    call: CallerCall
+    mailbox: Mailbox
+    span: HopSpan
+
+
+@dataclass(frozen=True, slots=True)
+class CallFront:
+    """Hold what a call of a caller is handed to."""
+
+    intake: Address
+    tracer: Tracer
+
+    def submit(self, call: CallerCall) -> OpenCall:
+        """Hand a call to the intake."""
+        span = self.tracer.start_hop(Hop.CALLER, call.request, call.trace)
+        mailbox = make_mailbox(f"caller {call.request}")
+        self.intake.send(SubmitCall(replace(call, trace=span.trace), mailbox))
+        return OpenCall(call, mailbox, span)
 
 
 def make_caller_app(
-    intake: Address, programs: ProgramFront, get_metrics: GetText
+    intake: Address, programs: ProgramFront, status: Status, tracer: Tracer
 ) -> bottle.Bottle:
     """Return the WSGI application that callers talk to."""
     app = bottle.Bottle(catchall=True)
     app.install(_answer_errors)
-    _add_call_routes(app, intake)
+    _add_call_routes(app, CallFront(intake, tracer))
     _add_program_routes(app, programs)
-    _add_status_routes(app, intake, get_metrics)
+    _add_status_routes(app, status)
     # Bottle's own errors, such as an unknown path, get the documented form too.
     app.default_error_handler = _render_http_error
     return app
@@ -109,21 +139,21 @@
     return body
 
 
-def _add_call_routes(app: bottle.Bottle, intake: Address) -> None:
+def _add_call_routes(app: bottle.Bottle, front: CallFront) -> None:
     @app.post("/v1/chat/completions")
     def complete_chat() -> Any:
         call, is_streamed = parse_model_call(bottle.request.headers, _read_body())
-        mailbox = _submit(intake, call)
+        opened = front.submit(call)
         if is_streamed:
-            return _stream_answer(call, mailbox)
-        return _send_whole_answer(call, mailbox)
+            return _stream_answer(opened)
+        return _send_whole_answer(opened)
 
     @app.post("/v1/services/<service>/<operation>")
     def call_service(service: str, operation: str) -> Any:
         call = parse_service_call(
             bottle.request.headers, service, operation, _read_body()
         )
-        return _send_whole_answer(call, _submit(intake, call))
+        return _send_whole_answer(front.submit(call))
 
 
 def _add_program_routes(app: bottle.Bottle, programs: ProgramFront) -> None:
@@ -147,44 +177,29 @@
         return render_record(programs.get_outcome(bottle.request.headers, request))
 
 
-def _add_status_routes(
-    app: bottle.Bottle, intake: Address, get_metrics: GetText
-) -> None:
+def _add_status_routes(app: bottle.Bottle, status: Status) -> None:
     @app.get("/healthz")
     def get_health() -> Any:
         return {"status": "ok"}
 
     @app.get("/readyz")
     def get_readiness() -> Any:
-        mailbox = make_mailbox("readiness")
-        intake.send(GetReadiness(mailbox))
-        readiness = mailbox.receive(READINESS_TIMEOUT)
-        if not isinstance(readiness, Readiness):
+        readiness = status.get_readiness()
+        if readiness is None:
             return bottle.HTTPResponse("intake does not answer", 503)
-        status = 200 if readiness.is_ready else 503
-        document = {
-            "is_ready": readiness.is_ready,
-            "detail": readiness.detail,
-            "n_requests": readiness.n_requests,
-        }
+        code = 200 if readiness.is_ready else 503
         return bottle.HTTPResponse(
-            json.dumps(document), status, {"Content-Type": "application/json"}
+            json.dumps(asdict(readiness)), code, {"Content-Type": "application/json"}
         )
 
     @app.get("/metrics")
     def get_metrics_text() -> Any:
-        bottle.response.content_type = "text/plain; version=0.0.4"
-        return get_metrics()
-
-
-def _submit(intake: Address, call: CallerCall) -> Mailbox:
-    mailbox = make_mailbox(f"caller {call.request}")
-    intake.send(SubmitCall(call, mailbox))
-    return mailbox
+        bottle.response.content_type = CONTENT_TYPE
+        return status.get_text()
 
 
-def _receive(call: CallerCall, mailbox: Mailbox) -> RelayChunk | AnswerCaller:
-    message = mailbox.receive(call.time_limit + ANSWER_MARGIN)
+def _receive(opened: OpenCall) -> RelayChunk | AnswerCaller:
+    message = opened.mailbox.receive(opened.call.time_limit + ANSWER_MARGIN)
     if isinstance(message, RelayChunk | AnswerCaller):
         return message
     return AnswerCaller(
@@ -195,16 +210,20 @@
     )
 
 
-def _send_whole_answer(call: CallerCall, mailbox: Mailbox) -> bottle.HTTPResponse:
-    message = _receive(call, mailbox)
-    while isinstance(message, RelayChunk):
-        message = _receive(call, mailbox)
-    headers = {"X-Request": call.request, "Content-Type": "application/json"}
+def _send_whole_answer(opened: OpenCall) -> bottle.HTTPResponse:
+    with opened.span:
+        message = _receive(opened)
+        while isinstance(message, RelayChunk):
+            message = _receive(opened)
+    headers = _make_headers(opened.call)
     if message.outcome is Outcome.COMPLETED:
-        return bottle.HTTPResponse(
-            render_answer(call.work, call, message), 200, headers
-        )
-    return _make_failure(call, message, headers)
+        body = render_answer(opened.call.work, opened.call, message)
+        return bottle.HTTPResponse(body, 200, headers)
+    return _make_failure(opened.call, message, headers)
+
+
+def _make_headers(call: CallerCall) -> dict[str, str]:
+    return {"X-Request": call.request, "Content-Type": "application/json"}
 
 
 def _make_failure(
@@ -217,26 +236,26 @@
     return bottle.HTTPResponse(body, get_http_status(answer), headers)
 
 
-def _stream_answer(call: CallerCall, mailbox: Mailbox) -> Any:
-    first = _receive(call, mailbox)
-    headers = {"X-Request": call.request, "Content-Type": "application/json"}
+def _stream_answer(opened: OpenCall) -> Any:
+    first = _receive(opened)
     if isinstance(first, AnswerCaller) and first.outcome is not Outcome.COMPLETED:
-        return _make_failure(call, first, headers)
-    bottle.response.set_header("X-Request", call.request)
+        opened.span.fail(first.detail)
+        opened.span.end()
+        return _make_failure(opened.call, first, _make_headers(opened.call))
+    bottle.response.set_header("X-Request", opened.call.request)
     bottle.response.content_type = "text/event-stream"
-    return _make_events(call, first, mailbox)
+    return _make_events(opened, first)
 
 
-def _make_events(
-    call: CallerCall, first: RelayChunk | AnswerCaller, mailbox: Mailbox
-) -> Iterator[bytes]:
+def _make_events(opened: OpenCall, first: RelayChunk | AnswerCaller) -> Iterator[bytes]:
     assembler = TextAssembler()
     message = first
-    while isinstance(message, RelayChunk):
-        yield from _render_message(message, call, assembler)
-        message = _receive(call, mailbox)
-    yield from _render_message(message, call, assembler)
-    yield b"data: [DONE]\n\n"
+    with opened.span:
+        while isinstance(message, RelayChunk):
+            yield from _render_message(message, opened.call, assembler)
+            message = _receive(opened)
+        yield from _render_message(message, opened.call, assembler)
+        yield b"data: [DONE]\n\n"
 
 
 @singledispatch
--- a/oleanderhitch/connection/caller/parsing.py
+++ b/oleanderhitch/connection/caller/parsing.py
@@ -10,6 +10,7 @@
 
 from oleanderhitch.connection.caller.exceptions import CallRefusedError
 from oleanderhitch.process.intake.messages import CallerCall
+from oleanderhitch.process.tracing.tracer import extract_trace
 from oleanderhitch.program.ids import AccountId, ProgramId, SequenceNumber
 from oleanderhitch.request.ids import RequestId
 from oleanderhitch.request.messages import ModelWork, ServiceWork, Work
@@ -94,7 +95,7 @@
         work,
         xxhash.xxh3_128_hexdigest(repr(type(work)).encode() + body),
         _get_time_limit(headers),
-        {"traceparent": headers.get("traceparent", "")},
+        extract_trace(headers),
     )
 
 
--- a/oleanderhitch/connection/endpoint/attempts.py
+++ b/oleanderhitch/connection/endpoint/attempts.py
@@ -39,6 +39,7 @@
         prompt: tuple[dict[str, str], ...],
         answered: bytes,
         priority: int,
+        trace: dict[str, str],
         reply: Address,
     ) -> Address:
         """Start an attempt; the returned address takes CancelAttempt."""
@@ -61,7 +62,7 @@
                 call.deadline,
                 prompt,
                 answered,
-                call.trace,
+                trace,
             ),
             reply,
             self._pools,
--- a/oleanderhitch/process/commands/entry_command.py
+++ b/oleanderhitch/process/commands/entry_command.py
@@ -11,10 +11,12 @@
     run_single_command,
     run_with_settings,
 )
+from oleanderhitch.process.metrics.core import make_metrics
 from oleanderhitch.process.roles.entry import make_entry_parts
 from oleanderhitch.process.roles.links import make_store_access
 from oleanderhitch.process.runtime import make_stop_event, start_log
 from oleanderhitch.process.settings import EntrySettings
+from oleanderhitch.process.tracing.tracer import make_tracer
 
 EXIT_FAILED = 2
 EXIT_NOT_DRAINED = 3
@@ -41,8 +43,10 @@
     codec = make_project_codec()
     clock = make_system_clock()
     try:
-        access = make_store_access(settings, codec, clock)
-        parts = make_entry_parts(settings, access, codec, clock)
+        metrics = make_metrics()
+        tracer = make_tracer(settings.make_tracing_settings())
+        access = make_store_access(settings, codec, clock, metrics, tracer)
+        parts = make_entry_parts(settings, access, codec, clock, metrics, tracer)
     except OleanderhitchError as error:
         log.error("{}", error)
         return EXIT_FAILED
@@ -54,6 +58,7 @@
     is_drained = parts.drain(settings.get_drain_timeout())
     parts.stop()
     access.stop()
+    tracer.stop()
     if not is_drained:
         log.error("requests were still running after {} s", settings.drain_timeout_s)
         return EXIT_NOT_DRAINED
--- a/oleanderhitch/process/commands/store_command.py
+++ b/oleanderhitch/process/commands/store_command.py
@@ -20,9 +20,12 @@
     run_with_settings,
 )
 from oleanderhitch.process.ids import NodeId
+from oleanderhitch.process.metrics.core import make_metrics
+from oleanderhitch.process.roles.status import make_status_server
 from oleanderhitch.process.roles.store import StoreSite, make_store_parts
 from oleanderhitch.process.runtime import make_stop_event, start_log
 from oleanderhitch.process.settings import StoreSettings
+from oleanderhitch.process.tracing.tracer import make_tracer
 
 EXIT_FAILED = 2
 
@@ -56,13 +59,21 @@
         if store.node != settings.node
     }
     site = StoreSite(identity.node, stores, settings.n_shards, settings.data_dir, links)
+    metrics = make_metrics()
+    tracer = make_tracer(settings.make_tracing_settings())
     try:
         parts = make_store_parts(
-            site, codec, make_system_clock(), random.Random(uuid.uuid4().int)
+            site,
+            codec,
+            make_system_clock(),
+            random.Random(uuid.uuid4().int),
+            metrics,
+            tracer,
         )
     except OleanderhitchError as error:
         log.error("{}", error)
         return EXIT_FAILED
+    status = make_status_server(HostAddress(settings.status_listen), metrics, tracer)
     server = make_peer_server(
         HostAddress(settings.peer_listen), codec, identity, parts.deliver
     )
@@ -70,13 +81,16 @@
         link.start()
     parts.start()
     server.start()
+    status.start()
     log.info("listens on {}", settings.peer_listen)
     stopping.wait()
     log.info("stops")
     server.stop()
+    status.stop()
     for link in links.values():
         link.stop()
     parts.stop()
+    tracer.stop()
     return 0
 
 
--- a/oleanderhitch/process/groups/client/core.py
+++ b/oleanderhitch/process/groups/client/core.py
@@ -68,7 +68,11 @@
 def _(message: SubmitToGroup, state: ClientState, now: datetime) -> list[object]:
     state.n_calls += 1
     call = GroupCall(
-        CallId(state.n_calls), message.group, message.body, message.is_read
+        CallId(state.n_calls),
+        message.group,
+        message.body,
+        message.is_read,
+        message.trace,
     )
     store = state.leaders.get(message.group) or next(iter(state.stores.values()))
     pending = PendingCall(
--- a/oleanderhitch/process/groups/client/messages.py
+++ b/oleanderhitch/process/groups/client/messages.py
@@ -1,6 +1,6 @@
 """Define the messages and effects of the client of replicated groups."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 
 from oleanderhitch.connection.ids import HostAddress
@@ -23,6 +23,7 @@
     timeout: timedelta
     tag: str
     reply: Address
+    trace: dict[str, str] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/oleanderhitch/process/groups/host.py
+++ b/oleanderhitch/process/groups/host.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
-from functools import singledispatch
+from functools import partial, singledispatch
 from random import Random
 
 import logbook
@@ -32,9 +32,12 @@
 from oleanderhitch.process.storage.identity import get_node
 from oleanderhitch.process.storage.task import Storage
 from oleanderhitch.process.task import Task
+from oleanderhitch.process.tracing.states import Hop
+from oleanderhitch.process.tracing.tracer import HopSpan, Tracer
+from oleanderhitch.request.ids import RequestId
 
 MakeApplication = Callable[[GroupId], Application]
-OnLeadership = Callable[[LeadershipChanged], None]
+OnLeadership = Callable[[GroupId, LeadershipChanged], None]
 
 log = logbook.Logger("groups")
 
@@ -59,6 +62,20 @@
             self._links[node].send(message)
 
 
+class SpanReply:
+    """Pass the answer to a call on and end the call's span."""
+
+    def __init__(self, reply: Address, span: HopSpan) -> None:
+        self._reply = reply
+        self._span = span
+
+    def send(self, message: object) -> None:
+        """Pass an answer on."""
+        self._span.set("answer", type(message).__name__)
+        self._span.end()
+        self._reply.send(message)
+
+
 @dataclass(slots=True)
 class GroupHost:
     """Hold the group tasks of one process."""
@@ -71,7 +88,8 @@
     clock: Clock
     random_source: Random
     known_groups: frozenset[GroupId]
-    listeners: Mapping[GroupId, OnLeadership]
+    on_leadership: OnLeadership
+    tracer: Tracer
     groups: dict[GroupId, Task[GroupState]] = field(default_factory=dict)
 
     def start(self) -> None:
@@ -93,7 +111,7 @@
             EnvelopeTransport(self.node, self.links, self),
             self.clock,
             Random(self.random_source.getrandbits(64)),
-            on_leadership=self.listeners.get(group),
+            on_leadership=partial(self.on_leadership, group),
         )
         self.groups[group] = task
         task.start()
@@ -132,7 +150,9 @@
     if task is None:
         delivery.reply.send(GroupRedirect(message.call, None))
     else:
-        task.send(LocalCall(message, delivery.reply))
+        span = host.tracer.start_hop(Hop.SHARD, RequestId(""), message.trace)
+        span.set("group", message.group)
+        task.send(LocalCall(message, SpanReply(delivery.reply, span)))
 
 
 @route.register
--- a/oleanderhitch/process/groups/messages.py
+++ b/oleanderhitch/process/groups/messages.py
@@ -1,6 +1,6 @@
 """Define the messages between callers of a replicated group and its replicas."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.ids import CallId, GroupId, ReplicaId
@@ -14,6 +14,7 @@
     group: GroupId
     body: bytes
     is_read: bool
+    trace: dict[str, str] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/oleanderhitch/process/intake/core.py
+++ b/oleanderhitch/process/intake/core.py
@@ -49,7 +49,12 @@
 from oleanderhitch.request.states import Outcome, Reason
 from oleanderhitch.version.configuration import AccountRules, Configuration, Pool
 from oleanderhitch.version.exceptions import UndeclaredNameError
-from oleanderhitch.version.ids import DataCentreName, OperationName, ServiceName
+from oleanderhitch.version.ids import (
+    NO_VERSION,
+    DataCentreName,
+    OperationName,
+    ServiceName,
+)
 from oleanderhitch.version.states import HostRole
 
 RETRY_AFTER = timedelta(seconds=1)
@@ -169,7 +174,10 @@
 def _(message: GetReadiness, state: IntakeState, now: datetime) -> list[object]:
     pause = _find_pause(state, now)
     detail = "accepting calls" if pause is None else pause.detail
-    readiness = Readiness(pause is None, detail, len(state.requests))
+    version = NO_VERSION
+    if state.configuration is not None:
+        version = state.configuration.version
+    readiness = Readiness(pause is None, detail, len(state.requests), version)
     return [SendAnswer(message.reply, readiness)]
 
 
--- a/oleanderhitch/process/intake/messages.py
+++ b/oleanderhitch/process/intake/messages.py
@@ -13,6 +13,7 @@
 from oleanderhitch.program.ids import AccountId, ProgramId, SequenceNumber
 from oleanderhitch.request.ids import RequestId
 from oleanderhitch.request.messages import Call, Work
+from oleanderhitch.version.ids import ConfigurationVersion
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,6 +98,7 @@
     is_ready: bool
     detail: str
     n_requests: int
+    version: ConfigurationVersion
 
 
 @dataclass(frozen=True, slots=True)
--- a/oleanderhitch/process/roles/entry.py
+++ b/oleanderhitch/process/roles/entry.py
@@ -43,7 +43,9 @@
     StoreUnreachable,
 )
 from oleanderhitch.process.membership.node.task import make_node_task
+from oleanderhitch.process.metrics.core import Metrics
 from oleanderhitch.process.roles.links import StoreAccess
+from oleanderhitch.process.roles.status import StatusFront
 from oleanderhitch.process.routing.core import RouterState
 from oleanderhitch.process.routing.task import make_pool_router
 from oleanderhitch.process.scheduling.messages import (
@@ -58,6 +60,7 @@
 from oleanderhitch.process.scheduling.settings import PoolSettings
 from oleanderhitch.process.settings import EntrySettings
 from oleanderhitch.process.task import Task
+from oleanderhitch.process.tracing.tracer import Tracer
 from oleanderhitch.program.ids import ProgramId
 from oleanderhitch.request.messages import Call
 from oleanderhitch.request.task import RequestServices, start_request
@@ -137,6 +140,8 @@
     access: StoreAccess,
     codec: Codec,
     clock: Clock,
+    metrics: Metrics,
+    tracer: Tracer,
 ) -> EntryParts:
     """Return the parts of an entry host, not started yet."""
     node = NodeId(settings.node)
@@ -178,7 +183,16 @@
         clock,
     )
     services.services = RequestServices(
-        node, clock, codec, groups, intake, router, attempts, get_group
+        node,
+        clock,
+        codec,
+        groups,
+        intake,
+        router,
+        attempts,
+        get_group,
+        metrics,
+        tracer,
     )
     node_task = make_node_task(
         make_node_state(
@@ -194,7 +208,8 @@
         intake,
     )
     programs = ProgramFront(groups, intake, codec, get_group, clock)
-    app = make_caller_app(intake, programs, lambda: "")
+    status = StatusFront(metrics, tracer, intake, router)
+    app = make_caller_app(intake, programs, status, tracer)
     parts = EntryParts(
         node_task,
         groups,
--- a/oleanderhitch/process/roles/links.py
+++ b/oleanderhitch/process/roles/links.py
@@ -18,12 +18,14 @@
 from oleanderhitch.process.clock import Clock
 from oleanderhitch.process.groups.placement import Store
 from oleanderhitch.process.ids import NodeId
+from oleanderhitch.process.metrics.core import Metrics
 from oleanderhitch.process.roles.store import (
     StoreParts,
     StoreSite,
     make_store_parts,
 )
 from oleanderhitch.process.settings import EntrySettings
+from oleanderhitch.process.tracing.tracer import Tracer
 from oleanderhitch.version.ids import DataCentreName
 
 log = logbook.Logger("entry")
@@ -142,7 +144,11 @@
 
 
 def make_store_access(
-    settings: EntrySettings, codec: Codec, clock: Clock
+    settings: EntrySettings,
+    codec: Codec,
+    clock: Clock,
+    metrics: Metrics,
+    tracer: Tracer,
 ) -> StoreAccess:
     """Return access to the stores; raise InvalidInputError or StorageError.
 
@@ -164,4 +170,5 @@
     )
     site = StoreSite(store.node, (store,), settings.n_shards, settings.data_dir, {})
     source = random.Random(uuid.uuid4().int)
-    return EmbeddedStore(store, make_store_parts(site, codec, clock, source))
+    parts = make_store_parts(site, codec, clock, source, metrics, tracer)
+    return EmbeddedStore(store, parts)
--- a/oleanderhitch/process/roles/store.py
+++ b/oleanderhitch/process/roles/store.py
@@ -32,9 +32,14 @@
     StatusQuery,
 )
 from oleanderhitch.process.membership.task import make_membership_task
+from oleanderhitch.process.metrics.core import Metrics
+from oleanderhitch.process.metrics.states import Counter, Gauge
+from oleanderhitch.process.replication.messages import LeadershipChanged
 from oleanderhitch.process.replication.replica import Timing
+from oleanderhitch.process.replication.states import Role
 from oleanderhitch.process.storage.task import open_storage
 from oleanderhitch.process.task import Task
+from oleanderhitch.process.tracing.tracer import Tracer
 from oleanderhitch.program.application import make_program_application
 from oleanderhitch.version.addresses import parse_host_port
 
@@ -119,7 +124,12 @@
 
 
 def make_store_parts(
-    site: StoreSite, codec: Codec, clock: Clock, random_source: Random
+    site: StoreSite,
+    codec: Codec,
+    clock: Clock,
+    random_source: Random,
+    metrics: Metrics,
+    tracer: Tracer,
 ) -> StoreParts:
     """Return the parts of a store, not started yet; raise StorageError."""
     connections = NodeConnections()
@@ -134,6 +144,13 @@
     def send_to_group(call: LocalCall) -> None:
         host.groups[CONFIGURATION_GROUP].send(call)
 
+    def on_leadership(group: GroupId, change: LeadershipChanged) -> None:
+        if change.role is Role.LEADER:
+            metrics.count(Counter.ELECTIONS, group)
+        metrics.set_gauge(Gauge.LEADER, int(change.role is Role.LEADER), group)
+        if group == CONFIGURATION_GROUP:
+            leadership.send(change)
+
     leadership = make_leadership_task(
         Timing().election_timeout_min,
         {store.node: parse_host_port(store.address) for store in site.stores},
@@ -151,6 +168,7 @@
         clock,
         random_source,
         frozenset(list_groups(site.n_shards)),
-        {CONFIGURATION_GROUP: leadership.send},
+        on_leadership,
+        tracer,
     )
     return StoreParts(host, membership, leadership, configuration, connections)
--- a/oleanderhitch/process/routing/core.py
+++ b/oleanderhitch/process/routing/core.py
@@ -234,7 +234,11 @@
 
 @handle.register
 def _(message: GetQueueStatus, state: RouterState, now: datetime) -> list[object]:
-    status = QueueStatus(len(state.waiting), len(state.running))
+    n_waiting = dict.fromkeys(state.owners, 0)
+    for waiting in state.waiting.values():
+        pool = waiting.enqueue.pool
+        n_waiting[pool] = n_waiting.get(pool, 0) + 1
+    status = QueueStatus(n_waiting, len(state.running))
     return [ReportStatus(message.reply, status)]
 
 
--- a/oleanderhitch/process/routing/messages.py
+++ b/oleanderhitch/process/routing/messages.py
@@ -83,7 +83,7 @@
 class QueueStatus:
     """Answer how many requests of this host wait and run."""
 
-    n_waiting: int
+    n_waiting: dict[PoolId, int]
     n_running: int
 
 
--- a/oleanderhitch/process/settings.py
+++ b/oleanderhitch/process/settings.py
@@ -11,6 +11,7 @@
 from oleanderhitch.connection.peer.addresses import parse_address
 from oleanderhitch.exceptions import InvalidInputError
 from oleanderhitch.process.groups.placement import Store, parse_stores
+from oleanderhitch.process.tracing.settings import TracingSettings
 
 KEY_LEAST_BYTES = 16
 
@@ -73,6 +74,14 @@
         """Return the shared key."""
         return self.key_file.read_bytes().strip()
 
+    def make_tracing_settings(self) -> TracingSettings:
+        """Return the settings of the tracer."""
+        return TracingSettings(
+            directory=self.traces_dir,
+            process=self.node,
+            sample_ratio=self.trace_ratio,
+        )
+
     def get_stores(self) -> tuple[Store, ...]:
         """Return the disk hosts in the order of the setting."""
         return parse_stores(self.stores)
--- a/oleanderhitch/request/task.py
+++ b/oleanderhitch/request/task.py
@@ -3,7 +3,7 @@
 import uuid
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from datetime import timedelta
+from datetime import datetime, timedelta
 from functools import singledispatch
 from typing import Protocol
 
@@ -13,6 +13,7 @@
 from oleanderhitch.process.groups.client.messages import SubmitToGroup
 from oleanderhitch.process.ids import GroupId, NodeId
 from oleanderhitch.process.intake.messages import CheckNode, RequestEnded
+from oleanderhitch.process.metrics.core import Metrics
 from oleanderhitch.process.routing.messages import (
     RouteEnqueue,
     RouteRelease,
@@ -20,6 +21,7 @@
 )
 from oleanderhitch.process.scheduling.messages import EnqueueRequest, ReleaseSlot
 from oleanderhitch.process.task import Task, make_task
+from oleanderhitch.process.tracing.tracer import Tracer
 from oleanderhitch.program.ids import ProgramId, RunId
 from oleanderhitch.program.messages import (
     BeginRequest,
@@ -51,6 +53,7 @@
     SubmitFinish,
     WithdrawCall,
 )
+from oleanderhitch.request.observer import RequestObserver, make_observer, note
 from oleanderhitch.request.results import ShardReplies
 from oleanderhitch.version.ids import EndpointId
 
@@ -72,6 +75,7 @@
         prompt: tuple[dict[str, str], ...],
         answered: bytes,
         priority: int,
+        trace: dict[str, str],
         reply: Address,
     ) -> Address:
         """Start an attempt; the returned address takes CancelAttempt."""
@@ -92,6 +96,8 @@
     router: Address
     attempts: Attempts
     get_group: Callable[[ProgramId], GroupId]
+    metrics: Metrics
+    tracer: Tracer
 
 
 @dataclass(slots=True)
@@ -102,6 +108,7 @@
     caller: Address
     services: RequestServices
     run: RunId
+    observer: RequestObserver
     streams: dict[AttemptNumber, Address] = field(default_factory=dict)
     task: Task[RequestState] | None = None
 
@@ -115,7 +122,18 @@
     call: Call, caller: Address, services: RequestServices
 ) -> Task[RequestState]:
     """Return the task of a request; it starts work when it is sent Start."""
-    resources = RequestResources(call, caller, services, RunId(uuid.uuid4().hex))
+    observer = make_observer(
+        call, services.metrics, services.tracer, services.clock.now()
+    )
+    run = RunId(uuid.uuid4().hex)
+    resources = RequestResources(call, caller, services, run, observer)
+
+    def decide(message: object, state: RequestState, now: datetime) -> list[object]:
+        note(message, observer, now)
+        effects = handle(message, state, now)
+        for effect in effects:
+            note(effect, observer, now)
+        return effects
 
     def perform(effect: object) -> None:
         perform_effect(effect, resources)
@@ -123,7 +141,7 @@
     task = make_task(
         f"request {call.request}",
         make_request_state(call),
-        handle,
+        decide,
         perform,
         services.clock,
         TICK_INTERVAL,
@@ -284,6 +302,7 @@
         prompt,
         effect.answered,
         effect.priority,
+        resources.observer.get_trace(effect.attempt),
         resources.get_task(),
     )
 
@@ -324,5 +343,6 @@
             STATE_TIMEOUT,
             "command",
             ShardReplies(command, resources.get_task(), services.codec),
+            resources.observer.entry.trace,
         )
     )
