--- /dev/null
+++ b/bench/process/commands/cost.py
@@ -0,0 +1,180 @@
+"""Measure the time and the memory of a decision at several sizes."""
+
+import argparse
+import gc
+import json
+import math
+import time
+import tracemalloc
+from datetime import timedelta
+from itertools import pairwise
+from pathlib import Path
+from random import Random
+
+from bench.process.loop import ORIGIN
+from oleanderhitch.process.ids import NodeId
+from oleanderhitch.process.messages import Tick
+from oleanderhitch.process.scheduling.core import Effect, handle, make_pool
+from oleanderhitch.process.scheduling.messages import (
+    EndpointOffer,
+    EndpointsChanged,
+    EnqueueRequest,
+    GrantSlot,
+    ReleaseSlot,
+)
+from oleanderhitch.process.scheduling.records import PoolState
+from oleanderhitch.process.scheduling.settings import PoolSettings
+from oleanderhitch.program.ids import AccountId, ProgramId
+from oleanderhitch.request.ids import RequestId
+from oleanderhitch.version.ids import EndpointId, PoolId
+
+POOL = PoolId("measured")
+N_ENDPOINTS = (10, 100, 1_000)
+N_PROGRAMS = (100, 1_000, 42_000)
+N_SLOTS = 16
+N_DECISIONS = 20_000
+# One tick per this many decisions, as at 4,300 requests/s and 50 ms.
+N_DECISIONS_PER_TICK = 430
+N_ACCOUNTS = 33_000
+PATH = Path("build/cost.json")
+
+
+class Load:
+    """Keep every program either waiting for a slot or holding one."""
+
+    def __init__(self, n_endpoints: int, n_programs: int) -> None:
+        self.state: PoolState = make_pool(POOL, PoolSettings(), Random(1))
+        self._random = Random(2)
+        self._now = ORIGIN
+        self._n_requests = 0
+        self._n_turns = [0] * n_programs
+        self._holders: list[tuple[EndpointId, ...]] = [()] * n_programs
+        self._running: list[GrantSlot] = []
+        offers = [
+            EndpointOffer(EndpointId(f"e{n}"), N_SLOTS, 450_000, False)
+            for n in range(n_endpoints)
+        ]
+        self._take(handle(EndpointsChanged(tuple(offers)), self.state, self._now))
+        for program in range(n_programs):
+            self._take(self._send(self._make_enqueue(program)))
+
+    def run(self, n_decisions: int) -> float:
+        """Handle messages in turn and return the seconds in the core."""
+        spent_s = 0.0
+        for number in range(n_decisions):
+            message: object
+            if number % N_DECISIONS_PER_TICK == 0:
+                message = Tick()
+            elif number % 2:
+                message = self._make_release()
+            else:
+                message = self._make_enqueue(self._idle)
+            started_s = time.perf_counter()
+            effects = self._send(message)
+            spent_s += time.perf_counter() - started_s
+            self._take(effects)
+        return spent_s
+
+    def _send(self, message: object) -> list[Effect]:
+        self._now += timedelta(microseconds=100)
+        return handle(message, self.state, self._now)
+
+    def _take(self, effects: list[Effect]) -> None:
+        self._running.extend(each for each in effects if isinstance(each, GrantSlot))
+
+    def _make_release(self) -> ReleaseSlot:
+        index = self._random.randrange(len(self._running))
+        self._running[index], self._running[-1] = (
+            self._running[-1],
+            self._running[index],
+        )
+        grant = self._running.pop()
+        self._idle = int(grant.request.split("/")[0])
+        self._holders[self._idle] = (grant.endpoint,)
+        return ReleaseSlot(
+            POOL,
+            grant.permit,
+            grant.endpoint,
+            True,
+            self._random.randint(50, 200),
+            500,
+            timedelta(milliseconds=80),
+            timedelta(seconds=self._random.uniform(1.0, 4.0)),
+        )
+
+    def _make_enqueue(self, program: int) -> EnqueueRequest:
+        self._n_requests += 1
+        self._n_turns[program] += 1
+        return EnqueueRequest(
+            POOL,
+            RequestId(f"{program}/{self._n_requests}"),
+            ProgramId(f"p{program}"),
+            AccountId(f"a{program % N_ACCOUNTS}"),
+            NodeId(f"n{program % 400}"),
+            True,
+            self._n_turns[program],
+            2_000 * self._n_turns[program],
+            2_000 * self._n_turns[program],
+            4_096,
+            self._holders[program],
+            (),
+            timedelta(seconds=600),
+            timedelta(0),
+        )
+
+
+def measure(n_endpoints: int, n_programs: int) -> dict[str, float]:
+    """Return the cost of a decision at one size."""
+    load = Load(n_endpoints, n_programs)
+    gc.collect()
+    seconds = load.run(N_DECISIONS)
+    tracemalloc.start()
+    Load(n_endpoints, n_programs).run(N_DECISIONS // 10)
+    gc.collect()
+    n_bytes = tracemalloc.get_traced_memory()[0]
+    tracemalloc.reset_peak()
+    kept = Load(n_endpoints, n_programs)
+    gc.collect()
+    n_bytes = tracemalloc.get_traced_memory()[0] - n_bytes
+    tracemalloc.stop()
+    return {
+        "n_endpoints": n_endpoints,
+        "n_programs": n_programs,
+        "n_waiting": len(kept.state.waiting),
+        "us_per_decision": seconds / N_DECISIONS * 1e6,
+        "bytes_per_program": n_bytes / n_programs,
+    }
+
+
+def main() -> None:
+    """Measure all sizes, write build/cost.json and print the table."""
+    argparse.ArgumentParser(description=__doc__).parse_args()
+    rows = [measure(e, p) for e in N_ENDPOINTS for p in N_PROGRAMS]
+    PATH.parent.mkdir(exist_ok=True)
+    PATH.write_text(json.dumps(rows, indent=1))
+    print("endpoints  programs   waiting  us/decision  bytes/program")
+    for row in rows:
+        print(
+            f"{row['n_endpoints']:9.0f} {row['n_programs']:9.0f} "
+            f"{row['n_waiting']:9.0f} {row['us_per_decision']:12.1f} "
+            f"{row['bytes_per_program']:14.0f}"
+        )
+    for name in ("n_endpoints", "n_programs"):
+        print(f"slope over {name}: {get_slope(rows, name):.2f} us per tenfold")
+
+
+def get_slope(rows: list[dict[str, float]], name: str) -> float:
+    """Return the mean growth of a decision's time per tenfold of a size."""
+    other = "n_programs" if name == "n_endpoints" else "n_endpoints"
+    ordered = sorted(rows, key=lambda row: (row[other], row[name]))
+    slopes = [
+        (high["us_per_decision"] - low["us_per_decision"])
+        / math.log10(high[name] / low[name])
+        for low, high in pairwise(ordered)
+        if low[other] == high[other]
+    ]
+    return sum(slopes) / len(slopes)
+
+
+if __name__ == "__main__":
+    main()
--- a/oleanderhitch/process/scheduling/settings.py
+++ b/oleanderhitch/process/scheduling/settings.py
@@ -20,7 +20,7 @@
 
     # Order. All terms are seconds of seniority, so that a request is never
     # passed by one that came later than the sum of the limits.
-    fair_share_limit_s: float = 20.0
+    fair_share_limit_s: float = 8.0
     attained_tokens_per_s: float = 4_000.0
     attained_limit_s: float = 4.0
     new_program_penalty_s: float = 10.0
