Made a pool's owner forget a host before the host tells what it holds

Cause: a grant that was lost with a broken link stayed counted at the owner when the pool moved away and back, found by the router's state machine. Change: a host that begins to use an owner first withdraws everything for that pool, then sends its running and waiting requests.

--- a/oleanderhitch/process/routing/core.py
+++ b/oleanderhitch/process/routing/core.py
@@ -154,7 +154,9 @@
 def _(
     message: NodeGone, node: NodeId, state: RouterState, now: datetime
 ) -> list[object]:
-    return _tell_all_pools(state, message)
+    if message.pool is None:
+        return _tell_all_pools(state, message)
+    return [SendToPool(message.pool, PoolRole.OWNER, message)]
 
 
 @_handle_peer.register(GrantSlot)
@@ -221,14 +223,10 @@
     if node is None:
         return []
     state.unreachable.discard(node)
-    owned = [pool for pool, owner in state.owners.items() if owner == node]
-    if not owned:
-        return []
-    # Grants may have been lost with the last connection, so the owner forgets
-    # what it knew of this host before it is told again.
-    effects: list[object] = [SendToNode(node, NodeGone(state.node))]
-    for pool in owned:
-        effects += _move_pool(state, pool, now, is_resync=True)
+    effects: list[object] = []
+    for pool, owner in state.owners.items():
+        if owner == node:
+            effects += _move_pool(state, pool, now)
     return effects
 
 
@@ -332,36 +330,39 @@
     )
 
 
-def _move_pool(
-    state: RouterState, pool: PoolId, now: datetime, is_resync: bool = False
-) -> list[object]:
-    """Queue the pool's waiting requests again where they now belong."""
+def _move_pool(state: RouterState, pool: PoolId, now: datetime) -> list[object]:
+    """Tell the pool's queue all that this host holds, and leave the last one."""
     queue = _choose_queue(state, pool)
     effects: list[object] = []
     if queue.role is PoolRole.OWNER:
-        effects += _hold_running(state, pool, queue, now, is_resync)
+        # Grants may have been lost with the last connection, so the owner
+        # forgets what it knew of this host before it is told again.
+        effects.append(_send(state, queue, NodeGone(state.node, pool)))
+        effects += _hold_running(state, pool, queue, now)
     for waiting in state.waiting.values():
-        is_settled = waiting.queue == queue and not is_resync
-        if waiting.enqueue.pool != pool or is_settled:
+        if waiting.enqueue.pool != pool:
             continue
         if waiting.queue != queue:
             withdraw = WithdrawRequest(pool, waiting.enqueue.request)
             effects.append(_send(state, waiting.queue, withdraw))
+        elif queue.role is PoolRole.FALLBACK:
+            continue
         waiting.queue = queue
         effects.append(_send(state, queue, _make_requeue(waiting, now)))
     return effects
 
 
 def _hold_running(
-    state: RouterState, pool: PoolId, queue: Queue, now: datetime, is_resync: bool
+    state: RouterState, pool: PoolId, queue: Queue, now: datetime
 ) -> Iterator[object]:
     for running in state.running.values():
-        if running.hold.pool == pool and (running.queue != queue or is_resync):
-            if running.queue != queue:
-                yield _send(state, running.queue, _make_unused_release(running.hold))
+        if running.hold.pool != pool:
+            continue
+        if running.queue != queue:
+            yield _send(state, running.queue, _make_unused_release(running.hold))
             running.queue = queue
-            held = replace(running.hold, running_for=now - running.granted_at)
-            yield _send(state, queue, held)
+        held = replace(running.hold, running_for=now - running.granted_at)
+        yield _send(state, queue, held)
 
 
 def _make_requeue(waiting: Waiting, now: datetime) -> EnqueueRequest:
--- a/oleanderhitch/process/scheduling/messages.py
+++ b/oleanderhitch/process/scheduling/messages.py
@@ -70,9 +70,15 @@
 
 @dataclass(frozen=True, slots=True)
 class NodeGone:
-    """Tell that a node's lease has expired; its requests and permits are void."""
+    """Tell that a node's requests and permits are void.
+
+    A node whose lease has expired is gone from all pools. A node that begins to
+    use an owner is gone from that pool until it says what it holds, so that
+    permits whose grant was lost do not stay counted.
+    """
 
     node: NodeId
+    pool: PoolId | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/connection/caller/__init__.py
@@ -0,0 +1,1 @@
+"""Test the callers' HTTP interface."""
--- /dev/null
+++ b/tests/connection/peer/__init__.py
@@ -0,0 +1,1 @@
+"""Test peer streams."""
--- /dev/null
+++ b/tests/process/groups/__init__.py
@@ -0,0 +1,1 @@
+"""Test groups, their client and placement."""
--- /dev/null
+++ b/tests/process/leadership/__init__.py
@@ -0,0 +1,1 @@
+"""Test the leadership of a store."""
--- /dev/null
+++ b/tests/process/routing/test_core.py
@@ -0,0 +1,255 @@
+"""Test the pool router between entry hosts with the shipped pool queue.
+
+Several routers and queues run on a scripted clock; links lose what is under way
+when they break, and owners change at any time.
+"""
+
+import random
+from datetime import UTC, datetime, timedelta
+from functools import singledispatch
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from oleanderhitch.connection.peer.messages import LinkDown, LinkUp, PeerMessage
+from oleanderhitch.process.routing.core import handle, make_router_state
+from oleanderhitch.process.routing.messages import (
+    LinkNodes,
+    NotifyRequest,
+    OwnersChanged,
+    PoolAnswered,
+    PoolsChanged,
+    RouteEnqueue,
+    RouteRelease,
+    SendToNode,
+    SendToPool,
+)
+from oleanderhitch.process.routing.states import PoolRole
+from oleanderhitch.process.scheduling.core import handle as handle_pool
+from oleanderhitch.process.scheduling.core import make_pool
+from oleanderhitch.process.scheduling.messages import (
+    EndpointOffer,
+    EnqueueRequest,
+    ReleaseSlot,
+)
+from oleanderhitch.process.scheduling.settings import PoolSettings
+from oleanderhitch.request.messages import SlotGranted
+
+START = datetime(2026, 1, 1, tzinfo=UTC)
+POOL = "m@r"
+NODES = ("a", "b", "c")
+OFFERS = (EndpointOffer("e1", 3, 0, False), EndpointOffer("e2", 3, 0, False))
+ADDRESSES = {node: f"{node}:1" for node in NODES}
+
+
+class Reply:
+    """Keep what a request is told."""
+
+    def __init__(self, request):
+        self.request = request
+        self.messages = []
+
+    def send(self, message):
+        """Keep a message."""
+        self.messages.append(message)
+
+
+class Cluster:
+    """Run routers and queues; links carry messages in order until they break."""
+
+    def __init__(self):
+        self.now = START
+        self.routers = {node: make_router_state(node) for node in NODES}
+        self.pools = {}
+        self.links = {}
+        self.broken = set()
+
+    def handle(self, node, message):
+        """Handle a message at a router and perform the effects."""
+        for effect in handle(message, self.routers[node], self.now):
+            perform(effect, node, self)
+
+    def send_to_pool(self, node, role, message):
+        """Handle a message at a queue and return its answers to the router."""
+        key = (node, role)
+        if key not in self.pools:
+            source = random.Random(f"{node}{role}")
+            self.pools[key] = make_pool(POOL, PoolSettings(), source)
+        for effect in handle_pool(message, self.pools[key], self.now):
+            self.handle(node, PoolAnswered(role, effect))
+
+    def deliver(self, link):
+        """Deliver the oldest message of a link."""
+        sender, receiver = link
+        message = self.links[link].pop(0)
+        self.handle(receiver, PeerMessage(sender, message, None))
+
+    def deliver_all(self):
+        """Deliver until nothing is under way."""
+        while any(self.links.values()):
+            for link in [link for link, waiting in self.links.items() if waiting]:
+                self.deliver(link)
+
+
+@singledispatch
+def perform(effect, node, cluster):
+    """Play an effect of a router."""
+    assert isinstance(effect, LinkNodes), type(effect)
+
+
+@perform.register
+def _(effect: SendToPool, node, cluster):
+    cluster.send_to_pool(node, effect.role, effect.message)
+
+
+@perform.register
+def _(effect: SendToNode, node, cluster):
+    link = (node, effect.node)
+    if frozenset(link) not in cluster.broken:
+        cluster.links.setdefault(link, []).append(effect.message)
+
+
+@perform.register
+def _(effect: NotifyRequest, node, cluster):
+    effect.reply.send(effect.message)
+
+
+class RouterMachine(RuleBasedStateMachine):
+    """Enqueue, release, break links and change owners in any order."""
+
+    def __init__(self):
+        super().__init__()
+        self.cluster = Cluster()
+        self.replies = {}
+        self.n_requests = 0
+
+    @initialize()
+    def start(self):
+        """Tell all routers about the pool and its first owner."""
+        for node in NODES:
+            self.cluster.handle(node, PoolsChanged({POOL: OFFERS}, len(NODES)))
+        self.name_owner("a")
+
+    @rule(owner=st.sampled_from(NODES))
+    def name_owner(self, owner):
+        """Name an owner at every router."""
+        for node in NODES:
+            self.cluster.handle(node, OwnersChanged({POOL: owner}, ADDRESSES))
+
+    @rule(node=st.sampled_from(NODES))
+    def enqueue(self, node):
+        """Queue a request of a node."""
+        self.n_requests += 1
+        request = f"r{self.n_requests}"
+        reply = Reply(request)
+        self.replies[request] = (node, reply)
+        enqueue = EnqueueRequest(
+            POOL,
+            request,
+            f"p{request}",
+            "account",
+            node,
+            True,
+            0,
+            0,
+            10,
+            10,
+            (),
+            (),
+            timedelta(hours=1),
+            timedelta(0),
+        )
+        self.cluster.handle(node, RouteEnqueue(enqueue, reply))
+
+    @rule(data=st.data())
+    def deliver(self, data):
+        """Deliver one message of any link."""
+        waiting = [link for link, messages in self.cluster.links.items() if messages]
+        if waiting:
+            self.cluster.deliver(data.draw(st.sampled_from(sorted(waiting))))
+
+    @rule(data=st.data())
+    def release(self, data):
+        """End one running request."""
+        running = [request for request in self.replies if self.find_grant(request)]
+        if running:
+            self.end(data.draw(st.sampled_from(running)))
+
+    @rule(pair=st.sampled_from([("a", "b"), ("a", "c"), ("b", "c")]))
+    def break_link(self, pair):
+        """Break the links between two nodes; what is under way is lost."""
+        if frozenset(pair) not in self.cluster.broken:
+            self.cluster.broken.add(frozenset(pair))
+            self.cut(pair)
+
+    def cut(self, pair):
+        """Lose what is under way and tell both ends."""
+        for sender, receiver in (pair, pair[::-1]):
+            self.cluster.links.pop((sender, receiver), None)
+            self.cluster.handle(sender, LinkDown(ADDRESSES[receiver], "broken"))
+
+    @rule()
+    def mend_links(self):
+        """Connect all nodes again."""
+        for pair in list(self.cluster.broken):
+            self.cluster.broken.discard(pair)
+            first, second = sorted(pair)
+            self.cluster.handle(first, LinkUp(ADDRESSES[second]))
+            self.cluster.handle(second, LinkUp(ADDRESSES[first]))
+
+    def find_grant(self, request):
+        """Return the grant of a request that runs."""
+        grants = [
+            message
+            for message in self.replies[request][1].messages
+            if isinstance(message, SlotGranted)
+        ]
+        return grants[-1] if grants else None
+
+    def end(self, request):
+        """Give the slots of a request back."""
+        node, reply = self.replies.pop(request)
+        for message in reply.messages:
+            if isinstance(message, SlotGranted):
+                release = ReleaseSlot(
+                    POOL,
+                    message.permit,
+                    message.endpoint,
+                    True,
+                    1,
+                    1,
+                    None,
+                    timedelta(seconds=1),
+                )
+                self.cluster.handle(node, RouteRelease(release))
+
+    @invariant()
+    def no_request_runs_twice(self):
+        """Guard against two first attempts of one request."""
+        for _, reply in self.replies.values():
+            first = [
+                m
+                for m in reply.messages
+                if isinstance(m, SlotGranted) and not m.is_hedge
+            ]
+            assert len(first) <= 1, f"{reply.request} was granted two slots"
+
+    def teardown(self):
+        """Guard against requests and slots that are lost once all is well."""
+        self.mend_links()
+        self.cluster.deliver_all()
+        for _ in range(2 * self.n_requests + 5):
+            self.cluster.now += timedelta(seconds=1)
+            for request in [r for r in self.replies if self.find_grant(r)]:
+                self.end(request)
+            self.cluster.deliver_all()
+        assert not self.replies, f"never granted: {sorted(self.replies)}"
+        owner = self.cluster.routers["a"].owners.get(POOL)
+        pool = self.cluster.pools.get((owner, PoolRole.OWNER))
+        if pool is not None:
+            assert not pool.permits, "the owner counts slots that nobody uses"
+
+
+TestRouterMachine = RouterMachine.TestCase
+TestRouterMachine.settings = settings(max_examples=150, stateful_step_count=40)
