--- a/oleanderhitch/process/intake/core.py
+++ b/oleanderhitch/process/intake/core.py
@@ -30,6 +30,7 @@
     WorkPermitted,
     WorkStopped,
 )
+from oleanderhitch.process.membership.timing import LEASE
 from oleanderhitch.process.routing.messages import (
     NodesGone,
     OwnersChanged,
@@ -72,6 +73,8 @@
     configuration: Configuration | None = None
     lease_until: datetime = NEVER
     live_nodes: frozenset[NodeId] = frozenset()
+    absent_since: dict[NodeId, datetime] = field(default_factory=dict)
+    first_view_at: datetime | None = None
     requests: set[RequestId] = field(default_factory=set)
     drain_reply: Address | None = None
 
@@ -111,10 +114,7 @@
 
 @handle.register
 def _(message: CheckNode, state: IntakeState, now: datetime) -> list[object]:
-    # A request of this host that still ran would not have been admitted again,
-    # so a record under this host's own name is left from an ended task.
-    is_gone = message.node == state.node or message.node not in state.live_nodes
-    return [SendAnswer(message.reply, OwnerChecked(is_gone))]
+    return [SendAnswer(message.reply, OwnerChecked(_is_gone(message, state, now)))]
 
 
 @handle.register
@@ -149,6 +149,10 @@
     }
     gone = tuple(node for node in state.live_nodes if node not in entries)
     state.live_nodes = frozenset(entries)
+    state.first_view_at = state.first_view_at or now
+    state.absent_since.update(dict.fromkeys(gone, now))
+    for node in entries:
+        state.absent_since.pop(node, None)
     owners = {row.pool: row.owner for row in message.owners if row.owner is not None}
     effects: list[object] = [RoutePools(OwnersChanged(owners, entries))]
     if gone:
@@ -181,6 +185,18 @@
     return [SendAnswer(message.reply, readiness)]
 
 
+def _is_gone(message: CheckNode, state: IntakeState, now: datetime) -> bool:
+    if message.node == state.node:
+        # A request of this host that still ran would not have been admitted
+        # again, so the record is left from an ended task.
+        return True
+    if message.node in state.live_nodes or state.first_view_at is None:
+        return False
+    # A new leader's table lacks nodes that it has yet to hear of.
+    absent_since = state.absent_since.get(message.node, state.first_view_at)
+    return now - absent_since >= LEASE
+
+
 def _make_pools(state: IntakeState) -> PoolsChanged:
     assert state.configuration is not None
     offers = {
--- /dev/null
+++ b/tests/connection/caller/test_app.py
@@ -0,0 +1,159 @@
+"""Test the callers' HTTP interface against a small fake of the intake."""
+
+import json
+from datetime import timedelta
+
+import pytest
+import urllib3
+from gevent import monkey
+
+from oleanderhitch.connection.caller.app import make_caller_app
+from oleanderhitch.connection.caller.parsing import BODY_LIMIT_BYTES
+from oleanderhitch.connection.caller.rendering import HTTP_STATUS
+from oleanderhitch.connection.caller.server import make_caller_server
+from oleanderhitch.process.intake.messages import Readiness
+from oleanderhitch.process.tracing.tracer import make_forwarding_tracer
+from oleanderhitch.program.states import Refusal
+from oleanderhitch.request.messages import AnswerCaller, RelayChunk
+from oleanderhitch.request.states import Outcome, Reason
+from tests.connection.peer.test_stream import find_port
+
+monkey.patch_socket()
+http = urllib3.PoolManager(retries=False, timeout=5)
+CHAT = {"model": "m", "messages": [{"role": "user", "content": "hi"}]}
+HEADERS = {"X-Account": "a", "X-Program": "p", "X-Sequence": "1"}
+
+
+class FakeIntake:
+    """Answer each call with scripted messages."""
+
+    def __init__(self):
+        self.script = []
+        self.calls = []
+
+    def send(self, message):
+        """Play the script to the caller."""
+        self.calls.append(message.call)
+        for answer in self.script:
+            message.reply.send(answer)
+
+
+class FakeStatus:
+    """Tell a fixed status."""
+
+    def get_readiness(self):
+        """Return that the host is draining."""
+        return Readiness(False, "draining", 3, 7)
+
+    def get_text(self):
+        """Return no metrics."""
+        return "# none\n"
+
+
+@pytest.fixture(scope="module")
+def site():
+    """Serve the application with a fake intake."""
+    intake = FakeIntake()
+    app = make_caller_app(intake, None, FakeStatus(), make_forwarding_tracer())
+    port = find_port()
+    server = make_caller_server(f"127.0.0.1:{port}", app)
+    server.start()
+    yield f"http://127.0.0.1:{port}", intake
+    server.stop()
+
+
+def post(site, body, headers=HEADERS, path="/v1/chat/completions"):
+    """Return status and document of a call."""
+    data = body if isinstance(body, bytes) else json.dumps(body).encode()
+    response = http.request("POST", site[0] + path, body=data, headers=headers)
+    return response.status, response.data.decode()
+
+
+@pytest.mark.parametrize(
+    ("body", "headers", "status", "code"),
+    [
+        (b"{", HEADERS, 400, "bad_request"),
+        (b"[]", HEADERS, 400, "bad_request"),
+        ({**CHAT, "messages": []}, HEADERS, 400, "bad_request"),
+        ({**CHAT, "messages": [{"role": "x", "content": ""}]}, HEADERS, 400, None),
+        ({**CHAT, "max_tokens": 0}, HEADERS, 400, "bad_request"),
+        ({**CHAT, "max_tokens": True}, HEADERS, 400, "bad_request"),
+        ({**CHAT, "stream": 1}, HEADERS, 400, "bad_request"),
+        (CHAT, {"X-Account": "a", "X-Sequence": "1"}, 400, "bad_request"),
+        (CHAT, {**HEADERS, "X-Sequence": "0"}, 400, "bad_request"),
+        (CHAT, {**HEADERS, "X-Deadline-Ms": "soon"}, 400, "bad_request"),
+        (b" " * (BODY_LIMIT_BYTES + 1), HEADERS, 413, "body_too_large"),
+    ],
+)
+def test_malformed_calls_get_the_documented_error(site, body, headers, status, code):
+    """Guard against bad input that reaches the scheduler or gets a stack trace."""
+    got, text = post(site, body, headers)
+    error = json.loads(text)["error"]
+    assert got == status
+    assert error["outcome"] == "not_run"
+    assert code in (None, error["code"])
+    assert error["message"]
+
+
+def test_an_unknown_path_gets_the_documented_error(site):
+    """Guard against an HTML page where callers parse JSON."""
+    got, text = post(site, CHAT, path="/v2/nothing")
+    assert (got, json.loads(text)["error"]["code"]) == (404, "not_found")
+
+
+def test_streams_a_whole_answer(site):
+    """Guard against lost, doubled or split characters in a stream."""
+    text = "waiver ž filed"
+    data = text.encode()
+    site[1].script = [
+        RelayChunk(data[:8]),
+        RelayChunk(data[8:10]),
+        AnswerCaller(Outcome.COMPLETED, data, Reason.OK),
+    ]
+    got, body = post(site, {**CHAT, "stream": True})
+    events = [part.removeprefix("data: ") for part in body.strip().split("\n\n")]
+    assert got == 200
+    assert events[-1] == "[DONE]"
+    pieces = [json.loads(event)["choices"][0]["delta"] for event in events[:-1]]
+    assert "".join(piece.get("content", "") for piece in pieces) == text
+
+
+def test_a_stream_that_breaks_says_so(site):
+    """Guard against an answer that is silently short."""
+    site[1].script = [
+        RelayChunk(b"half"),
+        AnswerCaller(Outcome.FAILED, b"half", Reason.ENDPOINT_FAILED, "engine lost"),
+    ]
+    _, body = post(site, {**CHAT, "stream": True})
+    assert (
+        json.loads(body.strip().split("\n\n")[-2].removeprefix("data: "))["error"][
+            "outcome"
+        ]
+        == "failed"
+    )
+
+
+def test_a_refusal_names_outcome_and_retry_time(site):
+    """Guard against a caller who cannot tell whether its call ran."""
+    site[1].script = [
+        AnswerCaller(
+            Outcome.NOT_RUN, b"", Reason.POOL_REFUSED, "full", timedelta(seconds=2)
+        )
+    ]
+    got, text = post(site, {**CHAT, "stream": True})
+    error = json.loads(text)["error"]
+    assert (got, error["outcome"], error["retry_after_ms"]) == (503, "not_run", 2000)
+
+
+def test_a_draining_host_is_not_ready(site):
+    """Guard against a balancer that keeps sending calls to a host that stops."""
+    response = http.request("GET", site[0] + "/readyz")
+    assert response.status == 503
+    assert response.json()["n_requests"] == 3
+
+
+def test_every_refusal_has_a_code_and_a_status():
+    """Guard against a refusal of the shard that breaks the answer."""
+    for refusal in Refusal:
+        assert HTTP_STATUS[Reason(refusal.value)] >= 400
+    assert set(HTTP_STATUS) == set(Reason)
--- /dev/null
+++ b/tests/process/groups/test_client_core.py
@@ -0,0 +1,126 @@
+"""Test which store a call goes to and that each call gets one result."""
+
+from datetime import UTC, datetime, timedelta
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from oleanderhitch.connection.peer.messages import LinkDown
+from oleanderhitch.process.groups.client.core import handle, make_client_state
+from oleanderhitch.process.groups.client.messages import (
+    GroupResult,
+    GroupTimedOut,
+    ReplyToCaller,
+    SendToStore,
+    SubmitToGroup,
+)
+from oleanderhitch.process.groups.messages import (
+    GroupAnswer,
+    GroupRedirect,
+    GroupUncertain,
+)
+from oleanderhitch.process.messages import Tick
+
+START = datetime(2026, 1, 1, tzinfo=UTC)
+STORES = {"s1": "s1:1", "s2": "s2:1", "s3": "s3:1"}
+STEP = timedelta(milliseconds=25)
+
+
+def submit(tag):
+    """Return a call that times out after two seconds."""
+    return SubmitToGroup("g", b"x", False, timedelta(seconds=2), tag, tag)
+
+
+def run_until_result(state, leader, now):
+    """Let every store answer as if one led; return the result and the time."""
+    effects = handle(submit("t"), state, now)
+    for _ in range(200):
+        following = []
+        for effect in effects:
+            if isinstance(effect, ReplyToCaller):
+                return effect.message, now
+            following += handle(answer(effect, leader), state, now)
+        now += STEP
+        effects = following + handle(Tick(), state, now)
+    raise AssertionError("the call got no result")
+
+
+def answer(effect, leader):
+    """Return what a store answers; a dead one answers nothing."""
+    assert isinstance(effect, SendToStore)
+    if leader is None:
+        return GroupRedirect(effect.call.call, None)
+    if effect.store == STORES[leader]:
+        return GroupAnswer(effect.call.call, b"done")
+    return GroupRedirect(effect.call.call, f"{leader}/1")
+
+
+def test_follows_the_hint_and_remembers_the_leader():
+    """Guard against a call that asks every store each time."""
+    state = make_client_state(STORES)
+    result, _ = run_until_result(state, "s3", START)
+    assert result == GroupResult("t", b"done")
+    (effect,) = handle(submit("u"), state, START)
+    assert effect.store == STORES["s3"]
+
+
+def test_tells_of_a_timeout():
+    """Guard against a caller that waits for ever while no store leads."""
+    result, now = run_until_result(make_client_state(STORES), None, START)
+    assert isinstance(result, GroupTimedOut)
+    assert now - START < timedelta(seconds=2.2)
+
+
+def test_leaves_a_silent_store():
+    """Guard against a call that is sent to a cut-off store again and again."""
+    state = make_client_state(STORES)
+    (first,) = handle(submit("t"), state, START)
+    later = START + timedelta(milliseconds=450)
+    (second,) = handle(Tick(), state, later)
+    assert second.store != first.store
+
+
+@given(st.data())
+@settings(max_examples=200)
+def test_each_call_gets_exactly_one_result(data):
+    """Guard against lost or doubled results when answers cross or repeat."""
+    state = make_client_state(STORES)
+    now = START
+    sent = []
+    results = {}
+    n_calls = data.draw(st.integers(1, 5))
+    for number in range(n_calls):
+        collect(handle(submit(str(number)), state, now), sent, results)
+    for _ in range(60):
+        now += timedelta(milliseconds=data.draw(st.sampled_from([25, 200, 500])))
+        collect(handle(Tick(), state, now), sent, results)
+        if sent:
+            effect = data.draw(st.sampled_from(sent))
+            call = effect.call.call
+            message = data.draw(
+                st.sampled_from(
+                    [
+                        GroupAnswer(call, b"r%d" % call),
+                        GroupRedirect(call, None),
+                        GroupRedirect(call, "s2/1"),
+                        GroupUncertain(call, "?"),
+                        LinkDown(effect.store, "broken"),
+                    ]
+                )
+            )
+            collect(handle(message, state, now), sent, results)
+    collect(handle(Tick(), state, now + timedelta(seconds=3)), sent, results)
+    assert sorted(results) == [str(number) for number in range(n_calls)]
+    for tag, messages in results.items():
+        assert len(messages) == 1
+        if isinstance(messages[0], GroupResult):
+            assert messages[0].body == b"r%d" % (int(tag) + 1), "answers crossed"
+
+
+def collect(effects, sent, results):
+    """Sort effects into calls and results."""
+    for effect in effects:
+        if isinstance(effect, SendToStore):
+            sent.append(effect)
+        else:
+            results.setdefault(effect.reply, []).append(effect.message)
