--- /dev/null
+++ b/oleanderhitch/process/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Poll engines, release their memory and give them orders."""
--- /dev/null
+++ b/oleanderhitch/process/engines/client.py
@@ -0,0 +1,233 @@
+"""Call engines over HTTP in greenlets that own their connections."""
+
+import json
+from datetime import timedelta
+from functools import singledispatch
+from typing import Any
+
+import gevent
+import logbook
+import urllib3
+
+from oleanderhitch.connection.endpoint.exceptions import ConnectFailedError
+from oleanderhitch.connection.endpoint.transport import (
+    limit_wait,
+    open_response,
+    read_whole,
+)
+from oleanderhitch.connection.exceptions import ConnectionLostError
+from oleanderhitch.exceptions import OleanderhitchError
+from oleanderhitch.process.clock import Clock
+from oleanderhitch.process.engines.messages import (
+    CacheChange,
+    CacheEventsRead,
+    CacheProgramsRead,
+    CallEngine,
+    EngineCallFailed,
+    GiveOrder,
+    LoadRead,
+    MemoryReleased,
+    OrderRefused,
+    OrdersRead,
+    OrderTaken,
+    ReadCacheEvents,
+    ReadCachePrograms,
+    ReadLoad,
+    ReadOrders,
+    ReleaseMemory,
+)
+from oleanderhitch.process.ids import Term
+from oleanderhitch.process.mailbox import Address, Mailbox, make_mailbox
+from oleanderhitch.program.ids import ProgramId
+from oleanderhitch.version.ids import ModelName
+
+# A silent engine holds one greenlet for a whole timeout; the cores have at most
+# a few calls in progress per engine.
+N_GREENLETS = 16
+CONNECT_TIMEOUT = timedelta(milliseconds=500)
+ANSWER_TIMEOUT = timedelta(milliseconds=500)
+# The connection of a call is closed after this time, so no byte of an order is
+# sent later.
+CALL_TIMEOUT = CONNECT_TIMEOUT + ANSWER_TIMEOUT
+ANSWER_LIMIT_BYTES = 16 * 1024 * 1024
+_LOG = logbook.Logger("engines")
+
+
+class EngineClient:
+    """Perform the calls of one core and post their results to its task."""
+
+    def __init__(
+        self, owner: Address, pools: urllib3.PoolManager, clock: Clock, inbox: Mailbox
+    ) -> None:
+        self._owner = owner
+        self._pools = pools
+        self._clock = clock
+        self._inbox = inbox
+
+    def send(self, message: object) -> None:
+        """Queue a CallEngine; raise MailboxFullError when there is no room."""
+        self._inbox.send(message)
+
+    def start(self) -> None:
+        """Start the greenlets."""
+        for _ in range(N_GREENLETS):
+            gevent.spawn(self._run)
+
+    def _run(self) -> None:
+        while True:
+            message = self._inbox.receive()
+            if isinstance(message, CallEngine):
+                try:
+                    self._owner.send(self._call(message))
+                except OleanderhitchError as error:
+                    # The core sends the call again after its own timeout.
+                    _LOG.warning("result of {} is lost: {}", message.request, error)
+
+    def _call(self, call: CallEngine) -> object:
+        try:
+            return _call_engine(call.request, _Connection(call.address, self))
+        except ConnectFailedError as error:
+            return EngineCallFailed(call.request, False, str(error))
+        except (OleanderhitchError, ValueError, KeyError, TypeError) as error:
+            reason = f"{type(error).__name__}: {error}"
+            return EngineCallFailed(call.request, True, reason)
+
+    def exchange(
+        self, address: str, method: str, path: str, body: object = None
+    ) -> tuple[int, dict[str, Any]]:
+        """Return the status and the JSON object that answer a request."""
+        with limit_wait("engine", CALL_TIMEOUT):
+            return self._exchange(address, method, path, body)
+
+    def _exchange(
+        self, address: str, method: str, path: str, body: object
+    ) -> tuple[int, dict[str, Any]]:
+        data = None if body is None else json.dumps(body).encode()
+        response = open_response(
+            self._pools,
+            method,
+            f"http://{address}{path}",
+            CONNECT_TIMEOUT,
+            ANSWER_TIMEOUT,
+            data,
+            {"Content-Type": "application/json"},
+        )
+        try:
+            answer = read_whole(response, ANSWER_TIMEOUT, ANSWER_LIMIT_BYTES)
+        except BaseException:
+            response.close()
+            raise
+        decoded = json.loads(answer)
+        if not isinstance(decoded, dict):
+            raise ConnectionLostError("engine answered with something else than JSON")
+        return response.status, decoded
+
+    def check_time(self, order: GiveOrder) -> None:
+        """Raise ConnectFailedError when an order may no longer be sent."""
+        if self._clock.now() + CALL_TIMEOUT > order.send_before:
+            raise ConnectFailedError("too late to send the order under this lease")
+
+
+class _Connection:
+    """Hold the engine that one call goes to."""
+
+    def __init__(self, address: str, client: EngineClient) -> None:
+        self._address = address
+        self._client = client
+
+    def get(self, path: str) -> dict[str, Any]:
+        """Return the object at a path; raise ConnectionLostError without it."""
+        return self._check(*self._client.exchange(self._address, "GET", path))
+
+    def post(self, path: str, body: object) -> dict[str, Any]:
+        """Return the object that answers; raise ConnectionLostError without it."""
+        return self._check(*self._client.exchange(self._address, "POST", path, body))
+
+    def post_order(self, order: GiveOrder) -> tuple[int, dict[str, Any]]:
+        """Return the status and object that answer an order."""
+        self._client.check_time(order)
+        body = {
+            "fencing_number": order.fencing_number,
+            "kind": order.kind.value,
+            "name": order.name,
+        }
+        return self._client.exchange(self._address, "POST", "/v1/orders", body)
+
+    def _check(self, status: int, body: dict[str, Any]) -> dict[str, Any]:
+        if status != 200:
+            raise ConnectionLostError(f"engine answered with status {status}")
+        return body
+
+
+@singledispatch
+def _call_engine(request: object, connection: _Connection) -> object:
+    raise TypeError(f"engines have no request {type(request).__name__}")
+
+
+@_call_engine.register
+def _(request: ReadLoad, connection: _Connection) -> object:
+    body = connection.get("/v1/load")
+    return LoadRead(
+        request.endpoint,
+        int(body["n_running"]),
+        int(body["n_waiting"]),
+        timedelta(milliseconds=float(body["age_ms"])),
+    )
+
+
+@_call_engine.register
+def _(request: ReadCacheEvents, connection: _Connection) -> object:
+    body = connection.get(f"/v1/cache/events?after={request.after}")
+    changes = tuple(
+        CacheChange(
+            int(event["number"]),
+            ProgramId(str(event["program"])),
+            event["kind"] == "stored",
+        )
+        for event in body["events"]
+    )
+    return CacheEventsRead(request.endpoint, request.after, changes, int(body["last"]))
+
+
+@_call_engine.register
+def _(request: ReadCachePrograms, connection: _Connection) -> object:
+    body = connection.get("/v1/cache/programs")
+    programs = frozenset(ProgramId(str(program)) for program in body["programs"])
+    return CacheProgramsRead(request.endpoint, programs)
+
+
+@_call_engine.register
+def _(request: ReleaseMemory, connection: _Connection) -> object:
+    body = connection.post("/v1/cache/release", {"program": request.program})
+    is_released = bool(body.get("released", True))
+    return MemoryReleased(request.endpoint, request.program, is_released)
+
+
+@_call_engine.register
+def _(request: GiveOrder, connection: _Connection) -> object:
+    status, body = connection.post_order(request)
+    if status == 409:
+        return OrderRefused(request, Term(int(body.get("fencing_number", 0))))
+    if status != 200:
+        return EngineCallFailed(request, True, f"order answered with status {status}")
+    return OrderTaken(request)
+
+
+@_call_engine.register
+def _(request: ReadOrders, connection: _Connection) -> object:
+    body = connection.get("/v1/orders")
+    loading = str(body.get("loading") or "")
+    return OrdersRead(
+        request.endpoint,
+        request.asked_at,
+        ModelName(str(body["model"])),
+        ModelName(loading) if loading else None,
+        Term(int(body["fencing_number"])),
+    )
+
+
+def make_engine_client(
+    owner: Address, pools: urllib3.PoolManager, clock: Clock
+) -> EngineClient:
+    """Return a client that posts results to its owner, not started yet."""
+    return EngineClient(owner, pools, clock, make_mailbox("engine-calls"))
--- /dev/null
+++ b/oleanderhitch/process/engines/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Give engines orders to load models."""
--- /dev/null
+++ b/oleanderhitch/process/engines/orders/core.py
@@ -0,0 +1,320 @@
+"""Decide which orders the configuration leader gives to engines.
+
+An engine that checks fencing numbers refuses the orders of an older leader by
+itself. For one that ignores them, a leader sends no order that could still be
+on its way when its lease ends, and a new leader sends none before the previous
+lease has ended by its own clock. Every order is read back.
+"""
+
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+from functools import singledispatch
+
+from oleanderhitch.process.engines.messages import (
+    CallEngine,
+    EngineCallFailed,
+    EngineOffer,
+    EnginesChanged,
+    GiveOrder,
+    OrderRefused,
+    OrdersRead,
+    OrderTaken,
+    ReadOrders,
+)
+from oleanderhitch.process.engines.orders.messages import (
+    DemandReported,
+    LeadershipGained,
+    LeadershipLost,
+    LeaseRenewed,
+    ModelDemand,
+    StepDown,
+)
+from oleanderhitch.process.engines.orders.plan import PlannedEngine, find_move
+from oleanderhitch.process.engines.states import OrderKind
+from oleanderhitch.process.ids import Term
+from oleanderhitch.process.messages import Tick
+from oleanderhitch.version.ids import EndpointId, ModelName
+
+# The longest time from the decision to send an order until its connection is
+# closed; the client's timeouts keep to it.
+ORDER_LIMIT = timedelta(seconds=2)
+# An order without an answer is outstanding for this long; it must exceed
+# ORDER_LIMIT, or two orders of one leader could overtake each other.
+SETTLE_TIME = timedelta(seconds=10)
+READ_INTERVAL = timedelta(seconds=5)
+READ_BACK_INTERVAL = timedelta(milliseconds=500)
+# A model that takes longer to load counts as not loaded.
+LOAD_LIMIT = timedelta(minutes=10)
+
+
+@dataclass(slots=True)
+class EngineRecord:
+    """Hold what the leader knows of one engine."""
+
+    offer: EngineOffer
+    model: ModelName | None = None
+    read_at: datetime | None = None
+    read_sent_at: datetime | None = None
+    is_read_wanted: bool = True
+    loading_since: datetime | None = None
+    order: GiveOrder | None = None
+    ordered_at: datetime | None = None
+
+
+@dataclass(slots=True)
+class Leadership:
+    """Hold the term and lease under which orders are given."""
+
+    term: Term
+    wait_until: datetime
+    lease_until: datetime
+
+
+@dataclass(slots=True)
+class OrdersState:
+    """Hold the engines, the demand and the weight store's budget."""
+
+    store_bytes_per_s: float
+    leadership: Leadership | None = None
+    engines: dict[EndpointId, EngineRecord] = field(default_factory=dict)
+    demands: dict[ModelName, ModelDemand] = field(default_factory=dict)
+    store_free_at: datetime | None = None
+
+
+def make_orders_state(store_bytes_per_s: float) -> OrdersState:
+    """Return the state of a process that does not lead."""
+    return OrdersState(store_bytes_per_s)
+
+
+@singledispatch
+def handle(message: object, state: OrdersState, now: datetime) -> list[object]:
+    """Handle one message and return the effects."""
+    raise TypeError(f"orders have no message {type(message).__name__}")
+
+
+@handle.register
+def _(message: LeadershipGained, state: OrdersState, now: datetime) -> list[object]:
+    state.leadership = Leadership(
+        message.term, message.previous_lease_until, message.lease_until
+    )
+    # What an earlier term read or ordered may have been overruled since.
+    for endpoint, record in state.engines.items():
+        state.engines[endpoint] = EngineRecord(record.offer)
+    state.store_free_at = None
+    return []
+
+
+@handle.register
+def _(message: LeaseRenewed, state: OrdersState, now: datetime) -> list[object]:
+    leadership = state.leadership
+    if leadership is not None and leadership.term == message.term:
+        leadership.lease_until = max(leadership.lease_until, message.lease_until)
+    return []
+
+
+@handle.register
+def _(message: LeadershipLost, state: OrdersState, now: datetime) -> list[object]:
+    state.leadership = None
+    return []
+
+
+@handle.register
+def _(message: EnginesChanged, state: OrdersState, now: datetime) -> list[object]:
+    known = state.engines
+    state.engines = {}
+    for offer in message.engines:
+        record = known.get(offer.endpoint)
+        if record is None or record.offer.address != offer.address:
+            record = EngineRecord(offer)
+        record.offer = offer
+        state.engines[offer.endpoint] = record
+    return []
+
+
+@handle.register
+def _(message: DemandReported, state: OrdersState, now: datetime) -> list[object]:
+    state.demands = {demand.model: demand for demand in message.demands}
+    return []
+
+
+@handle.register
+def _(message: OrderTaken, state: OrdersState, now: datetime) -> list[object]:
+    record = _find_ordered(state, message.order)
+    if record is not None:
+        record.is_read_wanted = True
+    return []
+
+
+@handle.register
+def _(message: OrderRefused, state: OrdersState, now: datetime) -> list[object]:
+    record = _find_ordered(state, message.order)
+    if record is not None:
+        _clear_order(record)
+    return _check_term(state, message.fencing_number)
+
+
+@handle.register
+def _(message: EngineCallFailed, state: OrdersState, now: datetime) -> list[object]:
+    request = message.request
+    record = state.engines.get(request.endpoint)
+    if record is None:
+        return []
+    if isinstance(request, ReadOrders) and request.asked_at == record.read_sent_at:
+        record.read_sent_at = None
+        record.read_at = now
+        record.model = None
+    elif record.order == request and not message.was_sent:
+        _clear_order(record)
+    elif record.order == request:
+        record.is_read_wanted = True
+    return []
+
+
+@handle.register
+def _(message: OrdersRead, state: OrdersState, now: datetime) -> list[object]:
+    record = state.engines.get(message.endpoint)
+    if record is None or record.read_sent_at != message.asked_at:
+        return []
+    # The answer shows the engine at some time after the question was sent.
+    record.read_at = record.read_sent_at
+    record.read_sent_at = None
+    record.model = message.loading or message.model
+    if message.loading is None:
+        record.loading_since = None
+    elif record.loading_since is None:
+        record.loading_since = now
+    if record.order is not None and _is_settled(record, message, now):
+        _clear_order(record)
+    return _check_term(state, message.fencing_number)
+
+
+@handle.register
+def _(message: Tick, state: OrdersState, now: datetime) -> list[object]:
+    leadership = state.leadership
+    if leadership is None or now >= leadership.lease_until:
+        return []
+    effects: list[object] = []
+    for record in state.engines.values():
+        if _is_read_due(record, now):
+            record.read_sent_at = now
+            record.is_read_wanted = False
+            read = ReadOrders(record.offer.endpoint, now)
+            effects.append(CallEngine(record.offer.address, read))
+    return effects + _give_next_order(state, leadership, now)
+
+
+def _give_next_order(
+    state: OrdersState, leadership: Leadership, now: datetime
+) -> list[object]:
+    if now + ORDER_LIMIT > leadership.lease_until or not _is_store_free(state, now):
+        return []
+    planned = [
+        PlannedEngine(
+            record.offer.endpoint,
+            record.offer.models,
+            _get_planned_model(record),
+            _may_order(record, leadership, now),
+        )
+        for record in state.engines.values()
+        if record.model is not None or record.order is not None
+    ]
+    demand = {model: one.n_engines for model, one in state.demands.items()}
+    move = find_move(planned, demand)
+    if move is None:
+        return []
+    endpoint, model = move
+    return [_order(state, state.engines[endpoint], model, leadership, now)]
+
+
+def _is_store_free(state: OrdersState, now: datetime) -> bool:
+    if state.store_free_at is not None and now < state.store_free_at:
+        return False
+    # Loads that an earlier leader ordered take the weight store's rate as well,
+    # so every engine is read before the first order of a term.
+    return all(
+        record.read_at is not None
+        and (record.order is not None or not _is_loading(record, now))
+        for record in state.engines.values()
+    )
+
+
+def _is_loading(record: EngineRecord, now: datetime) -> bool:
+    since = record.loading_since
+    return since is not None and now - since < LOAD_LIMIT
+
+
+def _order(
+    state: OrdersState,
+    record: EngineRecord,
+    model: ModelName,
+    leadership: Leadership,
+    now: datetime,
+) -> CallEngine:
+    order = GiveOrder(
+        record.offer.endpoint,
+        leadership.term,
+        OrderKind.LOAD_MODEL,
+        model,
+        min(now + ORDER_LIMIT, leadership.lease_until),
+    )
+    record.order = order
+    record.ordered_at = now
+    seconds = state.demands[model].weight_bytes / state.store_bytes_per_s
+    state.store_free_at = now + timedelta(seconds=seconds)
+    return CallEngine(record.offer.address, order)
+
+
+def _get_planned_model(record: EngineRecord) -> ModelName:
+    if record.order is not None:
+        return ModelName(record.order.name)
+    return record.model or ModelName("")
+
+
+def _may_order(record: EngineRecord, leadership: Leadership, now: datetime) -> bool:
+    if record.order is not None or record.read_at is None:
+        return False
+    if _is_loading(record, now):
+        return False
+    if record.offer.checks_fencing:
+        return True
+    # What was read before the wait ended may have been changed since.
+    return now >= leadership.wait_until and record.read_at >= leadership.wait_until
+
+
+def _is_read_due(record: EngineRecord, now: datetime) -> bool:
+    if record.read_sent_at is not None:
+        return now - record.read_sent_at >= ORDER_LIMIT
+    if record.is_read_wanted or record.read_at is None:
+        return True
+    is_ordered = record.order is not None
+    interval = READ_BACK_INTERVAL if is_ordered else READ_INTERVAL
+    return now - record.read_at >= interval
+
+
+def _is_settled(record: EngineRecord, read: OrdersRead, now: datetime) -> bool:
+    if record.order is None or record.ordered_at is None:
+        return True
+    if read.model == record.order.name and read.loading is None:
+        return True
+    age = now - record.ordered_at
+    if read.loading == record.order.name:
+        return age >= LOAD_LIMIT
+    return age >= SETTLE_TIME
+
+
+def _find_ordered(state: OrdersState, order: GiveOrder) -> EngineRecord | None:
+    record = state.engines.get(order.endpoint)
+    return record if record is not None and record.order == order else None
+
+
+def _clear_order(record: EngineRecord) -> None:
+    record.order = None
+    record.ordered_at = None
+
+
+def _check_term(state: OrdersState, seen: Term) -> list[object]:
+    leadership = state.leadership
+    if leadership is None or seen <= leadership.term:
+        return []
+    state.leadership = None
+    return [StepDown(seen)]
--- /dev/null
+++ b/oleanderhitch/process/engines/polling/__init__.py
@@ -0,0 +1,1 @@
+"""Poll the load and the cache of engines."""
--- /dev/null
+++ b/oleanderhitch/process/engines/polling/core.py
@@ -0,0 +1,212 @@
+"""Decide when to ask engines for their load and their cache.
+
+Cache events come late and with gaps. A gap, a restart of the numbers and the
+passing of time each lead to a read of the whole list, which corrects the view.
+"""
+
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+from functools import singledispatch
+
+from oleanderhitch.process.engines.messages import (
+    CacheEventsRead,
+    CacheProgramsRead,
+    CallEngine,
+    EngineCallFailed,
+    EngineRequest,
+    EnginesChanged,
+    LoadRead,
+    ReadCacheEvents,
+    ReadCachePrograms,
+    ReadLoad,
+)
+from oleanderhitch.process.engines.polling.messages import (
+    EventGapSeen,
+    HolderChanged,
+    HoldersListed,
+    Publish,
+)
+from oleanderhitch.process.messages import Tick
+from oleanderhitch.process.scheduling.messages import LoadReported
+from oleanderhitch.program.ids import ProgramId
+from oleanderhitch.version.ids import EndpointId
+
+LOAD_INTERVAL = timedelta(milliseconds=500)
+EVENTS_INTERVAL = timedelta(milliseconds=500)
+# The last event may be among the lost, so the list is read even without a gap.
+LIST_INTERVAL = timedelta(seconds=10)
+BACKOFF_LIMIT = timedelta(seconds=10)
+# A call ends earlier; the limit covers a result that found no room.
+CALL_LIMIT = timedelta(seconds=5)
+
+
+@dataclass(slots=True)
+class Poll:
+    """Hold when one kind of call is due; it has at most one in progress."""
+
+    interval: timedelta
+    due_at: datetime
+    sent_at: datetime | None = None
+    backoff: timedelta = timedelta(0)
+    # A call that is already in progress may have read the engine too early.
+    is_wanted_again: bool = False
+
+
+@dataclass(slots=True)
+class EngineView:
+    """Hold what is known of one engine."""
+
+    endpoint: EndpointId
+    address: str
+    polls: dict[type, Poll]
+    cursor: int = 0
+    is_synced: bool = False
+    programs: set[ProgramId] = field(default_factory=set)
+
+
+@dataclass(slots=True)
+class PollingState:
+    """Hold the engines that are polled."""
+
+    engines: dict[EndpointId, EngineView] = field(default_factory=dict)
+
+
+def make_polling_state() -> PollingState:
+    """Return a state without engines."""
+    return PollingState()
+
+
+@singledispatch
+def handle(message: object, state: PollingState, now: datetime) -> list[object]:
+    """Handle one message and return the effects."""
+    raise TypeError(f"polling has no message {type(message).__name__}")
+
+
+@handle.register
+def _(message: EnginesChanged, state: PollingState, now: datetime) -> list[object]:
+    known = state.engines
+    state.engines = {}
+    for offer in message.engines:
+        view = known.get(offer.endpoint)
+        if view is None or view.address != offer.address:
+            view = _make_view(offer.endpoint, offer.address, now)
+        state.engines[offer.endpoint] = view
+    return [
+        Publish(HoldersListed(endpoint, frozenset()))
+        for endpoint in known
+        if endpoint not in state.engines
+    ]
+
+
+@handle.register
+def _(message: Tick, state: PollingState, now: datetime) -> list[object]:
+    effects: list[object] = []
+    for view in state.engines.values():
+        for kind, poll in view.polls.items():
+            if _is_due(poll, now):
+                poll.sent_at = now
+                poll.is_wanted_again = False
+                effects.append(CallEngine(view.address, _make_request(kind, view)))
+    return effects
+
+
+@handle.register
+def _(message: LoadRead, state: PollingState, now: datetime) -> list[object]:
+    if not _finish(state, message.endpoint, ReadLoad, now):
+        return []
+    report = LoadReported(
+        message.endpoint, message.n_running, message.n_waiting, message.age
+    )
+    return [Publish(report)]
+
+
+@handle.register
+def _(message: CacheEventsRead, state: PollingState, now: datetime) -> list[object]:
+    view = state.engines.get(message.endpoint)
+    if not _finish(state, message.endpoint, ReadCacheEvents, now) or view is None:
+        return []
+    if message.after != view.cursor:
+        return []
+    if not view.is_synced or message.last < view.cursor:
+        # The engine is new here, or it restarted and counts from the beginning;
+        # the list says all that its past events could.
+        view.is_synced = True
+        view.cursor = message.last
+        view.polls[ReadCachePrograms].is_wanted_again = True
+        return []
+    effects: list[object] = []
+    has_gap = False
+    for change in message.changes:
+        has_gap = has_gap or change.number != view.cursor + 1
+        view.cursor = change.number
+        effects.extend(_change(view, change.program, change.is_stored))
+    has_gap = has_gap or message.last > view.cursor
+    view.cursor = max(view.cursor, message.last)
+    if has_gap:
+        view.polls[ReadCachePrograms].is_wanted_again = True
+        effects.append(Publish(EventGapSeen(view.endpoint)))
+    return effects
+
+
+@handle.register
+def _(message: CacheProgramsRead, state: PollingState, now: datetime) -> list[object]:
+    view = state.engines.get(message.endpoint)
+    if not _finish(state, message.endpoint, ReadCachePrograms, now) or view is None:
+        return []
+    view.programs = set(message.programs)
+    return [Publish(HoldersListed(message.endpoint, message.programs))]
+
+
+@handle.register
+def _(message: EngineCallFailed, state: PollingState, now: datetime) -> list[object]:
+    view = state.engines.get(message.request.endpoint)
+    poll = view.polls.get(type(message.request)) if view is not None else None
+    if poll is not None:
+        poll.sent_at = None
+        poll.backoff = min(max(poll.backoff * 2, poll.interval), BACKOFF_LIMIT)
+        poll.due_at = now + poll.backoff
+    return []
+
+
+def _make_view(endpoint: EndpointId, address: str, now: datetime) -> EngineView:
+    polls: dict[type, Poll] = {
+        ReadLoad: Poll(LOAD_INTERVAL, now),
+        ReadCacheEvents: Poll(EVENTS_INTERVAL, now),
+        ReadCachePrograms: Poll(LIST_INTERVAL, now),
+    }
+    return EngineView(endpoint, address, polls)
+
+
+def _is_due(poll: Poll, now: datetime) -> bool:
+    if poll.sent_at is not None:
+        return now - poll.sent_at >= CALL_LIMIT
+    is_wanted = poll.is_wanted_again and not poll.backoff
+    return is_wanted or now >= poll.due_at
+
+
+def _make_request(kind: type, view: EngineView) -> EngineRequest:
+    if kind is ReadCacheEvents:
+        return ReadCacheEvents(view.endpoint, view.cursor)
+    if kind is ReadCachePrograms:
+        return ReadCachePrograms(view.endpoint)
+    return ReadLoad(view.endpoint)
+
+
+def _finish(
+    state: PollingState, endpoint: EndpointId, kind: type, now: datetime
+) -> bool:
+    view = state.engines.get(endpoint)
+    if view is None:
+        return False
+    poll = view.polls[kind]
+    poll.sent_at = None
+    poll.backoff = timedelta(0)
+    poll.due_at = now + poll.interval
+    return True
+
+
+def _change(view: EngineView, program: ProgramId, is_stored: bool) -> list[object]:
+    if is_stored == (program in view.programs):
+        return []
+    (view.programs.add if is_stored else view.programs.discard)(program)
+    return [Publish(HolderChanged(view.endpoint, program, is_stored))]
--- /dev/null
+++ b/oleanderhitch/process/engines/releases/__init__.py
@@ -0,0 +1,1 @@
+"""Release the memory that engines hold for ended programs."""
--- /dev/null
+++ b/oleanderhitch/process/engines/releases/core.py
@@ -0,0 +1,267 @@
+"""Decide which engine memory to release, until each engine confirms or is gone.
+
+A release starts only from what a shard says: its durable list of open releases,
+or its answer that a program has ended. Neither can name a program that runs,
+since an ended program never runs again.
+"""
+
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+from functools import singledispatch
+
+from oleanderhitch.process.engines.messages import (
+    CallEngine,
+    EngineCallFailed,
+    EnginesChanged,
+    MemoryReleased,
+    ReleaseMemory,
+)
+from oleanderhitch.process.engines.polling.messages import (
+    EventGapSeen,
+    HolderChanged,
+    HoldersListed,
+)
+from oleanderhitch.process.engines.releases.messages import (
+    CheckPrograms,
+    ConfirmationRecorded,
+    ListOpenReleases,
+    ProgramsChecked,
+    RecordConfirmation,
+    ReleasesListed,
+)
+from oleanderhitch.process.ids import GroupId
+from oleanderhitch.process.messages import Tick
+from oleanderhitch.process.scheduling.messages import LoadReported
+from oleanderhitch.program.ids import ProgramId
+from oleanderhitch.version.ids import EndpointId
+
+FIRST_BACKOFF = timedelta(milliseconds=200)
+BACKOFF_LIMIT = timedelta(seconds=10)
+# A call ends earlier; the limit covers a result that found no room.
+CALL_LIMIT = timedelta(seconds=5)
+N_CALLS_PER_ENGINE = 4
+LIST_INTERVAL = timedelta(seconds=5)
+# A configuration that names a new engine may arrive after the first release at
+# it, so an unknown engine counts as gone only after this time.
+GONE_AFTER = timedelta(seconds=30)
+# A program that holds memory and ran at the last check is asked for again so
+# late, which bounds the reads of its shard.
+CHECK_INTERVAL = timedelta(seconds=60)
+# A check walks over every program that holds memory.
+CHECK_PAUSE = timedelta(seconds=2)
+N_PROGRAMS_PER_CHECK = 1000
+
+Key = tuple[EndpointId, ProgramId]
+
+
+@dataclass(slots=True)
+class OpenRelease:
+    """Hold one release until it is done."""
+
+    group: GroupId | None
+    due_at: datetime
+    backoff: timedelta = FIRST_BACKOFF
+    sent_at: datetime | None = None
+    is_confirmed: bool = False
+    missing_since: datetime | None = None
+
+
+@dataclass(slots=True)
+class ReleasesState:
+    """Hold the open releases and what engines hold besides."""
+
+    addresses: dict[EndpointId, str] = field(default_factory=dict)
+    open: dict[Key, OpenRelease] = field(default_factory=dict)
+    holders: dict[EndpointId, set[ProgramId]] = field(default_factory=dict)
+    checked_at: dict[ProgramId, datetime] = field(default_factory=dict)
+    list_due_at: datetime | None = None
+    check_due_at: datetime | None = None
+
+
+def make_releases_state() -> ReleasesState:
+    """Return a state without releases."""
+    return ReleasesState()
+
+
+@singledispatch
+def handle(message: object, state: ReleasesState, now: datetime) -> list[object]:
+    """Handle one message and return the effects."""
+    raise TypeError(f"releases have no message {type(message).__name__}")
+
+
+@handle.register
+def _(message: LoadReported, state: ReleasesState, now: datetime) -> list[object]:
+    return []
+
+
+@handle.register
+def _(message: EventGapSeen, state: ReleasesState, now: datetime) -> list[object]:
+    return []
+
+
+@handle.register
+def _(message: EnginesChanged, state: ReleasesState, now: datetime) -> list[object]:
+    state.addresses = {offer.endpoint: offer.address for offer in message.engines}
+    return []
+
+
+@handle.register
+def _(message: ReleasesListed, state: ReleasesState, now: datetime) -> list[object]:
+    listed = {(one.endpoint, one.program) for one in message.releases}
+    for key, release in list(state.open.items()):
+        if release.group == message.group and key not in listed:
+            del state.open[key]
+    for key in listed:
+        release = state.open.setdefault(key, OpenRelease(message.group, now))
+        release.group = message.group
+    return []
+
+
+@handle.register
+def _(message: HoldersListed, state: ReleasesState, now: datetime) -> list[object]:
+    if message.programs:
+        state.holders[message.endpoint] = set(message.programs)
+    else:
+        state.holders.pop(message.endpoint, None)
+    return []
+
+
+@handle.register
+def _(message: HolderChanged, state: ReleasesState, now: datetime) -> list[object]:
+    programs = state.holders.setdefault(message.endpoint, set())
+    (programs.add if message.is_holder else programs.discard)(message.program)
+    return []
+
+
+@handle.register
+def _(message: ProgramsChecked, state: ReleasesState, now: datetime) -> list[object]:
+    ended = set(message.ended)
+    for endpoint, programs in state.holders.items():
+        for program in programs & ended:
+            state.open.setdefault((endpoint, program), OpenRelease(None, now))
+    for program in message.ended:
+        state.checked_at.pop(program, None)
+    for program in message.running:
+        state.checked_at[program] = now
+    return []
+
+
+@handle.register
+def _(message: MemoryReleased, state: ReleasesState, now: datetime) -> list[object]:
+    key = (message.endpoint, message.program)
+    release = state.open.get(key)
+    if release is None:
+        return []
+    release.sent_at = None
+    if not message.is_released:
+        _back_off(release, now)
+        return []
+    state.holders.get(message.endpoint, set()).discard(message.program)
+    return _confirm(state, key, release, now)
+
+
+@handle.register
+def _(message: EngineCallFailed, state: ReleasesState, now: datetime) -> list[object]:
+    request = message.request
+    if isinstance(request, ReleaseMemory):
+        release = state.open.get((request.endpoint, request.program))
+        if release is not None:
+            release.sent_at = None
+            _back_off(release, now)
+    return []
+
+
+@handle.register
+def _(
+    message: ConfirmationRecorded, state: ReleasesState, now: datetime
+) -> list[object]:
+    release = state.open.get((message.endpoint, message.program))
+    if release is not None and release.is_confirmed:
+        del state.open[message.endpoint, message.program]
+    return []
+
+
+@handle.register
+def _(message: Tick, state: ReleasesState, now: datetime) -> list[object]:
+    effects: list[object] = []
+    if state.list_due_at is None or now >= state.list_due_at:
+        state.list_due_at = now + LIST_INTERVAL
+        effects.append(ListOpenReleases())
+    n_calls = _count_calls(state, now)
+    for key, release in list(state.open.items()):
+        if release.sent_at is None and now >= release.due_at:
+            effects.extend(_advance(state, key, release, n_calls, now))
+    if state.check_due_at is None or now >= state.check_due_at:
+        state.check_due_at = now + CHECK_PAUSE
+        effects.extend(_check_holders(state, now))
+    return effects
+
+
+def _advance(
+    state: ReleasesState,
+    key: Key,
+    release: OpenRelease,
+    n_calls: dict[EndpointId, int],
+    now: datetime,
+) -> list[object]:
+    endpoint, program = key
+    if release.is_confirmed:
+        return _confirm(state, key, release, now)
+    address = state.addresses.get(endpoint)
+    if address is None:
+        release.missing_since = release.missing_since or now
+        if now - release.missing_since >= GONE_AFTER:
+            return _confirm(state, key, release, now)
+        return []
+    release.missing_since = None
+    if n_calls.get(endpoint, 0) >= N_CALLS_PER_ENGINE:
+        return []
+    n_calls[endpoint] = n_calls.get(endpoint, 0) + 1
+    release.sent_at = now
+    return [CallEngine(address, ReleaseMemory(endpoint, program))]
+
+
+def _confirm(
+    state: ReleasesState, key: Key, release: OpenRelease, now: datetime
+) -> list[object]:
+    if release.group is None:
+        del state.open[key]
+        return []
+    # The release stays open until its shard has recorded the confirmation.
+    release.is_confirmed = True
+    _back_off(release, now)
+    endpoint, program = key
+    return [RecordConfirmation(program, endpoint)]
+
+
+def _back_off(release: OpenRelease, now: datetime) -> None:
+    release.due_at = now + release.backoff
+    release.backoff = min(release.backoff * 2, BACKOFF_LIMIT)
+
+
+def _count_calls(state: ReleasesState, now: datetime) -> dict[EndpointId, int]:
+    n_calls: dict[EndpointId, int] = {}
+    for (endpoint, _), release in state.open.items():
+        if release.sent_at is not None and now - release.sent_at >= CALL_LIMIT:
+            release.sent_at = None
+        if release.sent_at is not None:
+            n_calls[endpoint] = n_calls.get(endpoint, 0) + 1
+    return n_calls
+
+
+def _check_holders(state: ReleasesState, now: datetime) -> list[object]:
+    held: set[ProgramId] = set()
+    unchecked: set[ProgramId] = set()
+    for endpoint, programs in state.holders.items():
+        held |= programs
+        for program in programs:
+            checked_at = state.checked_at.get(program)
+            is_due = checked_at is None or now - checked_at >= CHECK_INTERVAL
+            if is_due and (endpoint, program) not in state.open:
+                unchecked.add(program)
+    for program in state.checked_at.keys() - held:
+        del state.checked_at[program]
+    chosen = tuple(sorted(unchecked)[:N_PROGRAMS_PER_CHECK])
+    for program in chosen:
+        state.checked_at[program] = now
+    return [CheckPrograms(chosen)] if chosen else []
--- /dev/null
+++ b/oleanderhitch/process/engines/releases/task.py
@@ -0,0 +1,82 @@
+"""Release engine memory in a task of its own."""
+
+from datetime import timedelta
+from functools import singledispatch
+
+import urllib3
+
+from oleanderhitch.process.clock import Clock
+from oleanderhitch.process.engines.client import EngineClient, make_engine_client
+from oleanderhitch.process.engines.messages import CallEngine
+from oleanderhitch.process.engines.releases.core import (
+    ReleasesState,
+    handle,
+    make_releases_state,
+)
+from oleanderhitch.process.engines.releases.messages import (
+    CheckPrograms,
+    ListOpenReleases,
+    RecordConfirmation,
+)
+from oleanderhitch.process.mailbox import Address
+from oleanderhitch.process.task import Task, make_task
+
+TICK_INTERVAL = timedelta(milliseconds=200)
+
+
+class ReleasesTask:
+    """Release memory at engines; questions about programs go to `shards`."""
+
+    def __init__(
+        self, shards: Address, pools: urllib3.PoolManager, clock: Clock
+    ) -> None:
+        self._shards = shards
+        self._task: Task[ReleasesState] = make_task(
+            "releases",
+            make_releases_state(),
+            handle,
+            self._perform,
+            clock,
+            TICK_INTERVAL,
+        )
+        self._client = make_engine_client(self._task, pools, clock)
+
+    def send(self, message: object) -> None:
+        """Queue a message; raise MailboxFullError when there is no room."""
+        self._task.send(message)
+
+    def start(self) -> None:
+        """Start releasing."""
+        self._client.start()
+        self._task.start()
+
+    def stop(self) -> None:
+        """End after the messages that wait."""
+        self._task.stop()
+
+    def _perform(self, effect: object) -> None:
+        _perform(effect, self._client, self._shards)
+
+
+@singledispatch
+def _perform(effect: object, client: EngineClient, shards: Address) -> None:
+    raise TypeError(f"releases have no effect {type(effect).__name__}")
+
+
+@_perform.register
+def _(effect: CallEngine, client: EngineClient, shards: Address) -> None:
+    client.send(effect)
+
+
+@_perform.register(CheckPrograms)
+@_perform.register(ListOpenReleases)
+@_perform.register(RecordConfirmation)
+def _(effect: object, client: EngineClient, shards: Address) -> None:
+    shards.send(effect)
+
+
+def make_releases_task(
+    shards: Address, pools: urllib3.PoolManager, clock: Clock
+) -> ReleasesTask:
+    """Return the task, not started yet; `shards` takes its three questions."""
+    return ReleasesTask(shards, pools, clock)
--- /dev/null
+++ b/tests/process/engines/test_orders.py
@@ -0,0 +1,311 @@
+"""Test that engines end up with what the newest leader ordered."""
+
+from datetime import UTC, datetime, timedelta
+from itertools import pairwise
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from oleanderhitch.process.engines.messages import (
+    EngineCallFailed,
+    EngineOffer,
+    EnginesChanged,
+    GiveOrder,
+    OrderRefused,
+    OrdersRead,
+    OrderTaken,
+    ReadOrders,
+)
+from oleanderhitch.process.engines.orders.core import (
+    ORDER_LIMIT,
+    handle,
+    make_orders_state,
+)
+from oleanderhitch.process.engines.orders.messages import (
+    DemandReported,
+    LeadershipGained,
+    LeaseRenewed,
+    ModelDemand,
+    StepDown,
+)
+from oleanderhitch.process.engines.orders.plan import PlannedEngine, find_move
+from oleanderhitch.process.messages import Tick
+from standins.process.engine.orders import Loaded, apply_order, describe
+from standins.request.messages import ApplyOrder
+from standins.request.states import OrderKind
+
+START = datetime(2026, 1, 1, tzinfo=UTC)
+STEP = timedelta(milliseconds=200)
+LEASE = timedelta(seconds=4)
+MODELS = ("m0", "m1", "m2")
+N_ENGINES = 3
+RATE = 1_000_000.0
+
+
+class World:
+    """Run leaders against engines over a network that delays and loses."""
+
+    def __init__(self, checks_fencing, get_delay):
+        self.now = START
+        self.checks_fencing = checks_fencing
+        self.get_delay = get_delay
+        self.engines = {
+            f"e{n}": Loaded("m0", checks_fencing, timedelta(milliseconds=500))
+            for n in range(N_ENGINES)
+        }
+        self.applied = {name: [] for name in self.engines}
+        self.leaders = {}
+        self.leases = {}
+        self.in_flight = []
+        self.n_orders = 0
+
+    def elect(self, term, wait_until):
+        """Start a leader with a lease from now."""
+        self.leaders[term] = make_orders_state(RATE)
+        self.leases[term] = self.now + LEASE
+        offers = [
+            EngineOffer(name, f"{name}:1", MODELS, self.checks_fencing)
+            for name in self.engines
+        ]
+        self.send(term, EnginesChanged(tuple(offers)))
+        self.send(term, LeadershipGained(term, wait_until, self.leases[term]))
+
+    def renew(self, term):
+        """Extend a leader's lease."""
+        self.leases[term] = self.now + LEASE
+        self.send(term, LeaseRenewed(term, self.leases[term]))
+
+    def demand(self, term, model):
+        """Tell a leader that all engines are wanted for one model."""
+        demands = [
+            ModelDemand(name, float(N_ENGINES) if name == model else 0.0, 100_000)
+            for name in MODELS
+        ]
+        self.send(term, DemandReported(tuple(demands)))
+
+    def send(self, term, message):
+        """Let a leader handle a message and put its calls on the network."""
+        for effect in handle(message, self.leaders[term], self.now):
+            if isinstance(effect, StepDown):
+                continue
+            request = effect.request
+            if isinstance(request, GiveOrder):
+                self.n_orders += 1
+                # The promises that the wait for a lease relies on.
+                assert self.now + ORDER_LIMIT <= self.leases[term]
+                assert not self.is_outstanding(term, request.endpoint)
+            delay, is_answered = self.get_delay(request)
+            self.in_flight.append((self.now + delay, term, request, is_answered))
+
+    def is_outstanding(self, term, endpoint):
+        """Return whether an order of a leader may still be answered."""
+        return any(
+            isinstance(request, GiveOrder)
+            and (sender, request.endpoint) == (term, endpoint)
+            and request.send_before > self.now
+            for _, sender, request, _ in self.in_flight
+        )
+
+    def advance(self, step=STEP):
+        """Let time pass, deliver what is due and let the leaders tick."""
+        self.now += step
+        due = [item for item in self.in_flight if item[0] <= self.now]
+        self.in_flight = [item for item in self.in_flight if item[0] > self.now]
+        for _, term, request, is_answered in sorted(due, key=lambda item: item[:2]):
+            result = self.deliver(request)
+            if not is_answered:
+                result = EngineCallFailed(request, True, "answer lost")
+            self.send(term, result)
+        for term in list(self.leaders):
+            self.send(term, Tick())
+
+    def deliver(self, request):
+        """Let an engine take a request and return its answer."""
+        loaded = self.engines[request.endpoint]
+        if isinstance(request, ReadOrders):
+            body = describe(loaded, self.now)
+            return OrdersRead(
+                request.endpoint,
+                request.asked_at,
+                body["model"],
+                body["loading"] or None,
+                body["fencing_number"],
+            )
+        order = ApplyOrder(
+            request.fencing_number, OrderKind(request.kind.value), request.name, None
+        )
+        status, body = apply_order(loaded, order, self.now)
+        if status == 409:
+            return OrderRefused(request, body["fencing_number"])
+        self.applied[request.endpoint].append(request.fencing_number)
+        return OrderTaken(request)
+
+    def check_newest_order_is_last(self):
+        """Check that no engine applied an older leader's order after a newer."""
+        for name, terms in self.applied.items():
+            assert terms == sorted(terms), f"{name} applied orders of terms {terms}"
+
+
+def run_two_leaders(world, random, wait):
+    """Run a leader, then a second one that is elected within the first's lease."""
+    world.elect(1, START)
+    world.demand(1, random.choice(MODELS))
+    for number in range(random.randint(1, 40)):
+        if number % 5 == 4:
+            world.renew(1)
+        world.advance()
+        if random.random() < 0.2:
+            world.demand(1, random.choice(MODELS))
+    world.elect(2, world.leases[1] if wait else world.now)
+    world.demand(2, random.choice(MODELS))
+    for number in range(40):
+        if number % 5 == 4:
+            world.renew(2)
+        world.advance()
+        if random.random() < 0.1:
+            world.demand(random.choice((1, 2)), random.choice(MODELS))
+    world.check_newest_order_is_last()
+
+
+def check_demand_is_met(world):
+    """Check that the last leader brings its engines to what is wanted."""
+    world.get_delay = lambda request: (timedelta(milliseconds=50), True)
+    world.demand(2, "m1")
+    for number in range(350):
+        if number % 5 == 4:
+            world.renew(2)
+        world.advance()
+    world.check_newest_order_is_last()
+    assert [loaded.model for loaded in world.engines.values()] == ["m1"] * N_ENGINES
+
+
+def make_delays(random, limit):
+    """Return a network with random delays of orders and lost answers."""
+    fast = timedelta(milliseconds=50)
+
+    def get_delay(request):
+        is_answered = random.random() < 0.8
+        if isinstance(request, ReadOrders) or random.random() < 0.5:
+            return fast, is_answered
+        return limit * random.random(), is_answered
+
+    return get_delay
+
+
+@given(st.integers(0, 2**32))
+def test_engine_that_checks_keeps_the_newest_order(seed):
+    """Guard against an order of an old leader that arrives late, however late."""
+    random = Random(seed)
+    world = World(True, make_delays(random, timedelta(seconds=60)))
+    run_two_leaders(world, random, wait=False)
+    check_demand_is_met(world)
+
+
+@given(st.integers(0, 2**32))
+def test_engine_that_ignores_keeps_the_newest_order_by_the_lease(seed):
+    """Guard against two leaders that order at once where nothing refuses."""
+    random = Random(seed)
+    world = World(False, make_delays(random, ORDER_LIMIT))
+    run_two_leaders(world, random, wait=True)
+    check_demand_is_met(world)
+
+
+def test_leader_steps_down_at_a_newer_fencing_number():
+    """Guard against a deposed leader that keeps ordering."""
+    world = World(True, lambda request: (timedelta(milliseconds=50), True))
+    for loaded in world.engines.values():
+        loaded.fencing_number = 9
+    world.elect(1, START)
+    world.demand(1, "m2")
+    for _ in range(15):
+        world.advance()
+    assert world.leaders[1].leadership is None
+    assert world.n_orders == 0
+
+
+def test_expired_lease_sends_nothing():
+    """Guard against a partitioned leader that never hears it was replaced."""
+    world = World(False, lambda request: (timedelta(milliseconds=50), True))
+    world.elect(1, START)
+    world.now += LEASE
+    world.demand(1, "m2")
+    for _ in range(20):
+        world.advance()
+    assert world.n_orders == 0
+
+
+def test_loads_keep_to_the_rate_of_the_weight_store():
+    """Guard against a demand swing that overloads the weight store."""
+    world = World(True, lambda request: (timedelta(milliseconds=50), True))
+    world.elect(1, START)
+    demand = ModelDemand("m1", 3.0, 5_000_000)
+    world.send(1, DemandReported((demand,)))
+    ordered_at = []
+    for _ in range(100):
+        world.renew(1)
+        world.advance()
+        if world.n_orders > len(ordered_at):
+            ordered_at.append(world.now)
+    assert len(ordered_at) == N_ENGINES
+    gaps = [b - a for a, b in pairwise(ordered_at)]
+    assert min(gaps) >= timedelta(seconds=5)
+
+
+def test_order_that_was_not_sent_is_given_again():
+    """Guard against an engine that is skipped for one refused connection."""
+    world = World(True, lambda request: (timedelta(milliseconds=50), True))
+    world.elect(1, START)
+    world.demand(1, "m2")
+    while world.n_orders == 0:
+        world.advance()
+    [item] = [item for item in world.in_flight if isinstance(item[2], GiveOrder)]
+    world.in_flight.remove(item)
+    world.send(1, EngineCallFailed(item[2], False, "refused"))
+    world.renew(1)
+    for _ in range(5):
+        world.advance()
+    assert world.n_orders >= 2
+
+
+def plan(models, demand):
+    """Return the move for engines that declare every model."""
+    engines = [
+        PlannedEngine(f"e{n}", ("a", "b"), model, True)
+        for n, model in enumerate(models)
+    ]
+    return find_move(engines, demand)
+
+
+@pytest.mark.parametrize(
+    ("models", "demand", "expected"),
+    [
+        ("aaaa", {"a": 1.0, "b": 2.0}, ("e0", "b")),
+        ("aaab", {"a": 2.0, "b": 0.5}, None),
+        ("aab", {"a": 3.0, "b": 3.0}, None),
+        ("aaab", {"a": 0.0, "b": 9.0}, ("e0", "b")),
+        ("ab", {"a": 1.0, "b": 5.0}, None),
+        ("aaaa", {"c": 9.0}, None),
+    ],
+)
+def test_move_helps_the_busiest_model(models, demand, expected):
+    """Guard against loads that help nobody or starve another model."""
+    assert plan(models, demand) == expected
+
+
+@given(
+    st.lists(st.sampled_from("ab"), min_size=1, max_size=8),
+    st.floats(0, 20),
+    st.floats(0, 20),
+)
+def test_moves_come_to_rest_under_constant_demand(models, demand_a, demand_b):
+    """Guard against engines that swap models back and forth."""
+    models = list(models)
+    demand = {"a": demand_a, "b": demand_b}
+    for _ in range(len(models) + 1):
+        move = plan(models, demand)
+        if move is None:
+            return
+        models[int(move[0][1:])] = move[1]
+    raise AssertionError(f"still moving: {models}")
--- /dev/null
+++ b/tests/process/engines/test_releases.py
@@ -0,0 +1,275 @@
+"""Test that engine memory of ended programs is released, and of no others."""
+
+from datetime import UTC, datetime, timedelta
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from oleanderhitch.process.engines.messages import (
+    CacheChange,
+    CacheEventsRead,
+    CacheProgramsRead,
+    CallEngine,
+    EngineCallFailed,
+    EngineOffer,
+    EnginesChanged,
+    LoadRead,
+    MemoryReleased,
+    ReadCacheEvents,
+    ReadCachePrograms,
+    ReadLoad,
+    ReleaseMemory,
+)
+from oleanderhitch.process.engines.polling import core as polling
+from oleanderhitch.process.engines.polling.messages import HoldersListed, Publish
+from oleanderhitch.process.engines.releases import core as releases
+from oleanderhitch.process.engines.releases.messages import (
+    CheckPrograms,
+    ConfirmationRecorded,
+    ListOpenReleases,
+    ProgramsChecked,
+    RecordConfirmation,
+    ReleasesListed,
+)
+from oleanderhitch.process.messages import Tick
+from oleanderhitch.program.messages import Release
+from standins.process.engine.cache import (
+    PrefixCache,
+    list_events,
+    release_prefix,
+    store_prefix,
+)
+
+START = datetime(2026, 1, 1, tzinfo=UTC)
+STEP = timedelta(milliseconds=200)
+ENGINES = ("e0", "e1")
+PROGRAMS = tuple(f"p{n}" for n in range(6))
+PREFIX = (("user", "x" * 40),)
+
+
+class World:
+    """Run polling and releases against engines, with one shard of programs."""
+
+    def __init__(self):
+        self.now = START
+        self.caches = {
+            name: PrefixCache(10_000, timedelta(milliseconds=500), 3)
+            for name in ENGINES
+        }
+        self.running = set()
+        self.ended = set()
+        self.open = set()
+        self.is_reachable = {name: True for name in ENGINES}
+        self.loses_answers = False
+        self.has_shard = True
+        self.polling = polling.make_polling_state()
+        self.releases = releases.make_releases_state()
+        self.n_sent = 0
+        self.configure(ENGINES)
+
+    def configure(self, names):
+        """Put a configuration with these engines in force."""
+        offers = tuple(EngineOffer(name, f"{name}:1", (), True) for name in names)
+        self.tell_polling(EnginesChanged(offers))
+        self.tell_releases(EnginesChanged(offers))
+
+    def store(self, program, engine):
+        """Let an engine compute a call of a program, or end a late one."""
+        if program not in self.ended:
+            self.running.add(program)
+        store_prefix(self.caches[engine], program, PREFIX, self.now)
+
+    def end(self, program, recorded):
+        """End a program with the attempts that its record has."""
+        if program in self.running:
+            self.running.remove(program)
+            self.ended.add(program)
+            self.open |= {(program, engine) for engine in recorded}
+
+    def tell_polling(self, message):
+        """Let the polling handle a message."""
+        for effect in polling.handle(message, self.polling, self.now):
+            if isinstance(effect, Publish):
+                self.tell_releases(effect.message)
+            else:
+                self.tell_polling(self.call(effect))
+
+    def tell_releases(self, message):
+        """Let the releases handle a message."""
+        for effect in releases.handle(message, self.releases, self.now):
+            if isinstance(effect, CallEngine):
+                self.n_sent += 1
+                assert effect.request.program in self.ended, "program still runs"
+                self.tell_releases(self.call(effect))
+            elif self.has_shard:
+                self.tell_releases(self.ask_shard(effect))
+
+    def ask_shard(self, effect):
+        """Return the shard's answer to a question."""
+        if isinstance(effect, ListOpenReleases):
+            listed = tuple(Release(program, engine) for program, engine in self.open)
+            return ReleasesListed("g", listed)
+        if isinstance(effect, RecordConfirmation):
+            self.open.discard((effect.program, effect.endpoint))
+            return ConfirmationRecorded(effect.program, effect.endpoint)
+        assert isinstance(effect, CheckPrograms)
+        ended = tuple(p for p in effect.programs if p not in self.running)
+        running = tuple(p for p in effect.programs if p in self.running)
+        return ProgramsChecked(ended, running)
+
+    def call(self, effect):
+        """Return an engine's answer."""
+        request = effect.request
+        if not self.is_reachable[request.endpoint]:
+            return EngineCallFailed(request, False, "unreachable")
+        result = self.answer(request, self.caches[request.endpoint])
+        if self.loses_answers:
+            return EngineCallFailed(request, True, "answer lost")
+        return result
+
+    def answer(self, request, cache):
+        """Let an engine take a request."""
+        name = request.endpoint
+        if isinstance(request, ReadLoad):
+            return LoadRead(name, 0, 0, timedelta(0))
+        if isinstance(request, ReadCacheEvents):
+            events, last = list_events(cache, request.after, self.now)
+            changes = tuple(
+                CacheChange(event.number, event.program, event.kind == "stored")
+                for event in events
+            )
+            return CacheEventsRead(name, request.after, changes, last)
+        if isinstance(request, ReadCachePrograms):
+            return CacheProgramsRead(name, frozenset(cache.prefixes))
+        assert isinstance(request, ReleaseMemory)
+        release_prefix(cache, request.program, self.now)
+        return MemoryReleased(name, request.program, True)
+
+    def advance(self, n_steps=1):
+        """Let time pass."""
+        for _ in range(n_steps):
+            self.now += STEP
+            self.tell_polling(Tick())
+            self.tell_releases(Tick())
+
+    def settle(self):
+        """Heal everything and let enough time pass."""
+        self.is_reachable = {name: True for name in ENGINES}
+        self.loses_answers = False
+        self.has_shard = True
+        self.advance(500)
+
+
+PROGRAM = st.sampled_from(PROGRAMS)
+ENGINE = st.sampled_from(ENGINES)
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("store"), PROGRAM, ENGINE),
+        st.tuples(st.just("end"), PROGRAM, st.sets(ENGINE)),
+        st.tuples(st.just("reach"), ENGINE, st.booleans()),
+        st.tuples(st.just("lose"), st.booleans()),
+        st.tuples(st.just("shard"), st.booleans()),
+        st.tuples(st.just("configure"), st.sets(ENGINE)),
+        st.tuples(st.just("wait"), st.integers(1, 30)),
+    ),
+    max_size=30,
+)
+
+
+def run(world, steps):
+    """Run the steps of a generated history."""
+    for verb, *arguments in steps:
+        if verb == "reach":
+            world.is_reachable[arguments[0]] = arguments[1]
+        elif verb == "lose":
+            world.loses_answers = arguments[0]
+        elif verb == "shard":
+            world.has_shard = arguments[0]
+        elif verb == "wait":
+            world.advance(arguments[0])
+        else:
+            getattr(world, verb)(*arguments)
+            world.advance()
+
+
+@given(STEPS)
+def test_no_release_is_lost_and_none_hits_a_running_program(steps):
+    """Guard against memory that stays allocated and against freed live memory."""
+    world = World()
+    run(world, steps)
+    world.configure(ENGINES)
+    world.settle()
+    held = {name: set(cache.prefixes) for name, cache in world.caches.items()}
+    assert all(programs <= world.running for programs in held.values()), held
+    assert world.open == set()
+    assert world.releases.open == {}
+    views = {name: view.programs for name, view in world.polling.engines.items()}
+    assert views == held
+
+
+def test_engine_that_is_gone_counts_as_released():
+    """Guard against a list of releases that only grows."""
+    world = World()
+    world.store("p0", "e0")
+    world.is_reachable["e0"] = False
+    world.end("p0", {"e0"})
+    world.advance(50)
+    assert world.open == {("p0", "e0")}
+    world.configure(("e1",))
+    world.advance(100)
+    assert world.open == {("p0", "e0")}, "a configuration may come late"
+    world.advance(100)
+    assert world.open == set()
+
+
+def test_running_stream_delays_the_confirmation():
+    """Guard against memory that a last stream stores after the release."""
+    world = World()
+    world.store("p0", "e0")
+    world.end("p0", {"e0"})
+    answer = world.answer
+
+    def refuse(request, cache):
+        if isinstance(request, ReleaseMemory):
+            return MemoryReleased(request.endpoint, request.program, False)
+        return answer(request, cache)
+
+    world.answer = refuse
+    world.advance(20)
+    assert world.open == {("p0", "e0")}
+    world.answer = answer
+    world.settle()
+    assert world.open == set()
+
+
+def test_silent_engine_is_asked_less_and_less():
+    """Guard against a flood of calls at an engine that is down."""
+    world = World()
+    world.store("p0", "e0")
+    world.is_reachable["e0"] = False
+    world.end("p0", {"e0"})
+    world.advance(300)
+    assert world.n_sent <= 14
+
+
+def test_removed_engine_holds_nothing():
+    """Guard against a scheduler that waits for a cache that is gone."""
+    state = polling.make_polling_state()
+    offer = EngineOffer("e0", "e0:1", (), True)
+    polling.handle(EnginesChanged((offer,)), state, START)
+    effects = polling.handle(EnginesChanged(()), state, START)
+    assert effects == [Publish(HoldersListed("e0", frozenset()))]
+
+
+def test_gap_leads_to_a_list_at_once():
+    """Guard against a view that stays wrong until the next periodic read."""
+    state = polling.make_polling_state()
+    polling.handle(EnginesChanged((EngineOffer("e0", "e0:1", (), True),)), state, START)
+    polling.handle(Tick(), state, START)
+    polling.handle(CacheEventsRead("e0", 0, (), 4), state, START)
+    polling.handle(CacheProgramsRead("e0", frozenset()), state, START)
+    later = START + STEP
+    changes = (CacheChange(6, "p1", True),)
+    polling.handle(CacheEventsRead("e0", 4, changes, 6), state, later)
+    requests = [effect.request for effect in polling.handle(Tick(), state, later)]
+    assert ReadCachePrograms("e0") in requests
--- /dev/null
+++ b/tests/process/engines/test_tasks.py
@@ -0,0 +1,152 @@
+"""Test that the tasks of engines say over HTTP what their cores decide."""
+
+from datetime import timedelta
+
+import gevent
+import pytest
+
+from oleanderhitch.connection.endpoint.transport import make_pool_manager
+from oleanderhitch.process.engines.client import make_engine_client
+from oleanderhitch.process.engines.messages import (
+    CallEngine,
+    EngineCallFailed,
+    EngineOffer,
+    EnginesChanged,
+    GiveOrder,
+    MemoryReleased,
+    OrderRefused,
+    OrderTaken,
+    ReadLoad,
+    ReleaseMemory,
+)
+from oleanderhitch.process.engines.orders.messages import (
+    DemandReported,
+    LeadershipGained,
+    ModelDemand,
+    StepDown,
+)
+from oleanderhitch.process.engines.orders.task import make_orders_task
+from oleanderhitch.process.engines.polling.messages import HolderChanged, HoldersListed
+from oleanderhitch.process.engines.polling.task import make_polling_task
+from oleanderhitch.process.engines.releases.messages import (
+    ListOpenReleases,
+    RecordConfirmation,
+    ReleasesListed,
+)
+from oleanderhitch.process.engines.releases.task import make_releases_task
+from oleanderhitch.process.engines.states import OrderKind
+from oleanderhitch.process.mailbox import make_mailbox
+from oleanderhitch.process.scheduling.messages import LoadReported
+from oleanderhitch.program.messages import Release
+from tests.connection.endpoint.calls import Attempt, request_json
+from tests.connection.endpoint.test_model import find_free_address
+from tests.standins.serving import CLOCK, serve_engine
+
+NO_LAG = {"load_lag": timedelta(0), "event_lag": timedelta(0)}
+SECOND = timedelta(seconds=1)
+
+
+def offer(address, models=("standin", "other")):
+    """Return the configuration with one engine."""
+    return EnginesChanged((EngineOffer("e0", address, models, True),))
+
+
+def receive(mailbox, *kinds):
+    """Return the next message of each kind, in any order."""
+    found = {}
+    until = CLOCK.now() + timedelta(seconds=5)
+    while len(found) < len(kinds):
+        message = mailbox.receive(until - CLOCK.now())
+        assert message is not None, f"no {kinds} within 5 s, but {found}"
+        if isinstance(message, kinds):
+            found.setdefault(type(message), message)
+    return [found[kind] for kind in kinds]
+
+
+def call(address, request):
+    """Return the result of one call."""
+    results = make_mailbox("results")
+    client = make_engine_client(results, make_pool_manager(), CLOCK)
+    client.start()
+    client.send(CallEngine(address, request))
+    return results.receive(timedelta(seconds=5))
+
+
+def make_order(term, until=SECOND * 5):
+    """Return an order to load another model."""
+    return GiveOrder("e0", term, OrderKind.LOAD_MODEL, "other", CLOCK.now() + until)
+
+
+def test_orders_are_taken_read_back_and_fenced():
+    """Guard against an order that is taken for granted or given by an old leader."""
+    with serve_engine(load_time=timedelta(milliseconds=50)) as address:
+        leader = make_mailbox("leader")
+        task = make_orders_task(leader, 1e9, make_pool_manager(), CLOCK)
+        task.start()
+        task.send(offer(address))
+        now = CLOCK.now()
+        task.send(LeadershipGained(7, now, now + SECOND * 60))
+        task.send(DemandReported((ModelDemand("other", 1.0, 1000),)))
+        until = now + SECOND * 5
+        while request_json("GET", address, "/v1/orders")["model"] != "other":
+            assert CLOCK.now() < until
+        assert request_json("GET", address, "/v1/orders")["fencing_number"] == 7
+        assert isinstance(call(address, make_order(6)), OrderRefused)
+        assert isinstance(call(address, make_order(9)), OrderTaken)
+        assert receive(leader, StepDown) == [StepDown(9)]
+        task.stop()
+
+
+def test_late_order_is_never_sent():
+    """Guard against an order that waits in a queue beyond its lease."""
+    with serve_engine() as address:
+        order = make_order(5, SECOND / 2)
+        result = call(address, order)
+        assert isinstance(result, EngineCallFailed)
+        assert not result.was_sent
+        assert request_json("GET", address, "/v1/orders")["n_applied"] == 0
+
+
+@pytest.mark.parametrize("request_type", [ReadLoad, lambda name: make_order(1)])
+def test_unreachable_engine_was_not_sent_to(request_type):
+    """Guard against an order that stays outstanding for a refused connection."""
+    result = call(find_free_address(), request_type("e0"))
+    assert isinstance(result, EngineCallFailed)
+    assert not result.was_sent
+
+
+def test_release_is_confirmed_to_the_shard():
+    """Guard against a release that is done but never recorded."""
+    with serve_engine(**NO_LAG) as address:
+        Attempt(address).finish()
+        shards = make_mailbox("shards")
+        task = make_releases_task(shards, make_pool_manager(), CLOCK)
+        task.start()
+        task.send(offer(address))
+        receive(shards, ListOpenReleases)
+        task.send(ReleasesListed("g", (Release("p1", "e0"),)))
+        assert receive(shards, RecordConfirmation) == [RecordConfirmation("p1", "e0")]
+        assert request_json("GET", address, "/v1/cache/programs") == {"programs": []}
+        again = call(address, ReleaseMemory("e0", "p1"))
+        assert again == MemoryReleased("e0", "p1", True)
+        task.stop()
+
+
+def test_polling_tells_load_and_holders():
+    """Guard against a view of the engines that never changes."""
+    with serve_engine(**NO_LAG, n_events_between_gaps=0) as address:
+        follower = make_mailbox("follower")
+        task = make_polling_task((follower,), make_pool_manager(), CLOCK)
+        task.start()
+        task.send(offer(address))
+        [load] = receive(follower, LoadReported)
+        assert load == LoadReported("e0", 0, 0, timedelta(0))
+        gevent.sleep(0.4)
+        while follower.n_waiting:
+            message = follower.receive()
+            if isinstance(message, HoldersListed):
+                assert message == HoldersListed("e0", frozenset())
+        Attempt(address).finish()
+        [change] = receive(follower, HolderChanged)
+        assert change == HolderChanged("e0", "p1", True)
+        task.stop()
