Closed two gaps in the tests of endpoints and polling

Cause: with the gap check removed by hand, and with non-idempotent calls on kept connections, every test passed. Change: one test for each; both fail with the change made by hand.

--- a/tests/connection/endpoint/calls.py
+++ b/tests/connection/endpoint/calls.py
@@ -45,6 +45,7 @@
 
     def __init__(self, address, work=MODEL_WORK, request="r1", **options):
         tracer = options.pop("tracer", None)
+        pools = options.pop("pools", None) or make_pool_manager()
         limit_s = options.pop("deadline_s", 10)
         fields = {
             "attempt": 1,
@@ -61,7 +62,7 @@
         self.mailbox = make_mailbox(request)
         self.messages = []
         self.stream = make_endpoint_stream(
-            self.call, self.mailbox, make_pool_manager(), TIMEOUTS, CLOCK, tracer
+            self.call, self.mailbox, pools, TIMEOUTS, CLOCK, tracer
         )
         self.stream.start()
 
--- a/tests/connection/endpoint/test_service.py
+++ b/tests/connection/endpoint/test_service.py
@@ -2,6 +2,7 @@
 
 from datetime import timedelta
 
+import bottle
 import gevent
 import pytest
 
@@ -21,7 +22,7 @@
     request_json,
     set_fault,
 )
-from tests.standins.serving import CLOCK, serve_service
+from tests.standins.serving import CLOCK, serve, serve_service
 
 
 def count_runs(address, key="r1"):
@@ -78,6 +79,31 @@
         ]
 
 
+@pytest.mark.parametrize(("is_idempotent", "n_expected"), [(True, 1), (False, 2)])
+def test_only_idempotent_calls_share_connections(is_idempotent, n_expected):
+    """Guard against a call in doubt because its kept connection was just closed."""
+    ports = set()
+    app = bottle.Bottle()
+
+    @app.post("/v1/operations/<operation>")
+    def _(operation):
+        ports.add(bottle.request.environ["REMOTE_PORT"])
+        return {}
+
+    pools = make_pool_manager()
+    with serve(app) as address:
+        for number in range(2):
+            attempt = Attempt(
+                address,
+                SERVICE_WORK,
+                f"r{number}",
+                is_idempotent=is_idempotent,
+                pools=pools,
+            )
+            assert isinstance(attempt.finish(), StreamEnded)
+    assert len(ports) == n_expected
+
+
 @pytest.mark.parametrize("kind", ["drop_answer", "die_mid_stream"])
 def test_lost_answer_is_found_by_key_without_a_second_run(kind):
     """Guard against a doubled call after a lost answer."""
--- a/tests/process/engines/test_releases.py
+++ b/tests/process/engines/test_releases.py
@@ -268,6 +268,10 @@
     polling.handle(Tick(), state, START)
     polling.handle(CacheEventsRead("e0", 0, (), 4), state, START)
     polling.handle(CacheProgramsRead("e0", frozenset()), state, START)
+    polling.handle(Tick(), state, START)
+    polling.handle(CacheProgramsRead("e0", frozenset()), state, START)
+    requests = [effect.request for effect in polling.handle(Tick(), state, START)]
+    assert ReadCachePrograms("e0") not in requests
     later = START + STEP
     changes = (CacheChange(6, "p1", True),)
     polling.handle(CacheEventsRead("e0", 4, changes, 6), state, later)
