--- a/oleanderhitch/process/replication/core.py
+++ b/oleanderhitch/process/replication/core.py
@@ -4,28 +4,22 @@
 from functools import singledispatch
 from random import Random
 
-from oleanderhitch.process.ids import GroupId, ReplicaId, Term
+from oleanderhitch.process.ids import GroupId, ReplicaId
 from oleanderhitch.process.messages import Tick
+from oleanderhitch.process.replication.effects import (
+    ProposalRejected,
+)
 from oleanderhitch.process.replication.election import (
-    answer_pre_vote,
-    answer_vote,
     check_quorum,
-    count_vote,
     handle_hard_state_synced,
-    start_election,
     start_pre_vote,
 )
 from oleanderhitch.process.replication.exceptions import (
-    LogInvariantError,
     ReplicationError,
 )
 from oleanderhitch.process.replication.log_sync import (
-    accept_entries,
-    advance_commit,
     append_as_leader,
-    apply_committed,
     broadcast_heartbeat,
-    handle_append_reply,
     handle_log_synced,
     replicate_to_all,
     request_snapshot,
@@ -38,58 +32,40 @@
     start_transfer,
 )
 from oleanderhitch.process.replication.messages import (
-    AppendEntries,
-    AppendReply,
     ChangeMembership,
     CompactLog,
     FoundGroup,
     HardState,
     HardStatePersisted,
-    Heartbeat,
-    HeartbeatReply,
-    InstallSnapshot,
-    InstallSnapshotReply,
     LogEntry,
     Membership,
     PeerMessage,
     Persisted,
-    PreVoteReply,
-    PreVoteRequest,
-    ProposalRejected,
     Propose,
     ReadBarrier,
     Snapshot,
     SnapshotRestored,
     SnapshotTaken,
     StorageFailed,
-    TimeoutNow,
     TransferLeadership,
-    VoteReply,
-    VoteRequest,
 )
+from oleanderhitch.process.replication.peers import advance, handle_peer
 from oleanderhitch.process.replication.reads import (
     add_read,
-    confirm_round,
-    release_reads,
 )
 from oleanderhitch.process.replication.replica import (
     Limits,
     ReplicaState,
     Timing,
     adopt_newest_membership,
-    is_quorum,
     make_replica_state,
 )
 from oleanderhitch.process.replication.roles import (
-    become_follower,
     end_leadership,
     reset_election_deadline,
-    send,
     set_role,
 )
 from oleanderhitch.process.replication.snapshots import (
-    accept_chunk,
-    handle_chunk_reply,
     handle_snapshot_restored,
     handle_snapshot_taken,
     resend_chunk,
@@ -153,7 +129,7 @@
 def _(
     message: PeerMessage, state: ReplicaState, now: datetime, out: list[object]
 ) -> None:
-    _handle_peer(message.message, message.sender, state, now, out)
+    handle_peer(message.message, message.sender, state, now, out)
 
 
 @_handle.register
@@ -247,7 +223,7 @@
         return
     handle_log_synced(state, message.index, out)
     if state.role is Role.LEADER:
-        _advance(state, now, out)
+        advance(state, now, out)
 
 
 @_handle.register
@@ -310,220 +286,3 @@
 @_handle_when_stopped.register
 def _(message: ChangeMembership, state: ReplicaState, out: list[object]) -> None:
     begin_change(state, message, datetime.min, out)
-
-
-def _advance(state: ReplicaState, now: datetime, out: list[object]) -> None:
-    """Commit what can be, then do what waited for it."""
-    if not advance_commit(state, out):
-        return
-    release_reads(state, now, out)
-    continue_change(state, now, out)
-
-
-@singledispatch
-def _handle_peer(
-    message: object,
-    sender: ReplicaId,
-    state: ReplicaState,
-    now: datetime,
-    out: list[object],
-) -> None:
-    raise ReplicationError(f"unknown peer message type {type(message).__name__}")
-
-
-@_handle_peer.register
-def _(
-    message: PreVoteRequest,
-    sender: ReplicaId,
-    state: ReplicaState,
-    now: datetime,
-    out: list[object],
-) -> None:
-    answer_pre_vote(state, sender, message, now, out)
-
-
-@_handle_peer.register
-def _(
-    message: PreVoteReply,
-    sender: ReplicaId,
-    state: ReplicaState,
-    now: datetime,
-    out: list[object],
-) -> None:
-    if not message.is_granted:
-        _follow_term(message.term, None, state, now, out)
-        return
-    if state.role is Role.PRE_CANDIDATE and message.term == state.term + 1:
-        state.votes.add(sender)
-        if is_quorum(state.votes, state.membership):
-            start_election(state, now, False, out)
-
-
-@_handle_peer.register
-def _(
-    message: VoteRequest,
-    sender: ReplicaId,
-    state: ReplicaState,
-    now: datetime,
-    out: list[object],
-) -> None:
-    answer_vote(state, sender, message, now, out)
-
-
-@_handle_peer.register
-def _(
-    message: VoteReply,
-    sender: ReplicaId,
-    state: ReplicaState,
-    now: datetime,
-    out: list[object],
-) -> None:
-    _follow_term(message.term, None, state, now, out)
-    if (
-        message.is_granted
-        and state.role is Role.CANDIDATE
-        and message.term == state.term
-    ):
-        count_vote(state, sender, now, out)
-
-
-@_handle_peer.register
-def _(
-    message: AppendEntries,
-    sender: ReplicaId,
-    state: ReplicaState,
-    now: datetime,
-    out: list[object],
-) -> None:
-    if not _follow_leader(message.term, sender, state, now, out):
-        reply = AppendReply(
-            state.term, False, message.previous_index, state.log.last_index
-        )
-        send(state, sender, reply, out)
-    elif state.restoring is None:
-        accept_entries(state, sender, message, out)
-
-
-@_handle_peer.register
-def _(
-    message: Heartbeat,
-    sender: ReplicaId,
-    state: ReplicaState,
-    now: datetime,
-    out: list[object],
-) -> None:
-    is_followed = _follow_leader(message.term, sender, state, now, out)
-    if is_followed and state.restoring is None:
-        commit_index = min(message.commit_index, state.matched_index)
-        if commit_index > state.commit_index:
-            apply_committed(state, commit_index, out)
-    send(state, sender, HeartbeatReply(state.term, message.round), out)
-
-
-@_handle_peer.register
-def _(
-    message: InstallSnapshot,
-    sender: ReplicaId,
-    state: ReplicaState,
-    now: datetime,
-    out: list[object],
-) -> None:
-    is_followed = _follow_leader(message.term, sender, state, now, out)
-    if is_followed and state.restoring is None:
-        accept_chunk(state, sender, message, out)
-
-
-@_handle_peer.register
-def _(
-    message: TimeoutNow,
-    sender: ReplicaId,
-    state: ReplicaState,
-    now: datetime,
-    out: list[object],
-) -> None:
-    if message.term == state.term and state.role is Role.FOLLOWER:
-        start_election(state, now, True, out)
-
-
-@_handle_peer.register
-def _(
-    message: AppendReply,
-    sender: ReplicaId,
-    state: ReplicaState,
-    now: datetime,
-    out: list[object],
-) -> None:
-    if _hear_follower(message.term, sender, state, now, out):
-        handle_append_reply(state, sender, message, now, out)
-        _advance(state, now, out)
-        continue_transfer(state, now, out)
-
-
-@_handle_peer.register
-def _(
-    message: HeartbeatReply,
-    sender: ReplicaId,
-    state: ReplicaState,
-    now: datetime,
-    out: list[object],
-) -> None:
-    if _hear_follower(message.term, sender, state, now, out):
-        confirm_round(state, sender, message.round, now, out)
-
-
-@_handle_peer.register
-def _(
-    message: InstallSnapshotReply,
-    sender: ReplicaId,
-    state: ReplicaState,
-    now: datetime,
-    out: list[object],
-) -> None:
-    if _hear_follower(message.term, sender, state, now, out):
-        handle_chunk_reply(state, sender, message, now, out)
-
-
-def _follow_term(
-    term: Term,
-    leader: ReplicaId | None,
-    state: ReplicaState,
-    now: datetime,
-    out: list[object],
-) -> None:
-    if term > state.term:
-        become_follower(state, term, leader, now, out)
-
-
-def _follow_leader(
-    term: Term,
-    leader: ReplicaId,
-    state: ReplicaState,
-    now: datetime,
-    out: list[object],
-) -> bool:
-    """Follow the sender if its term is current; tell whether it is."""
-    if term < state.term:
-        return False
-    if term == state.term and state.role is Role.LEADER:
-        raise LogInvariantError(f"{leader} also leads in term {term}")
-    if term > state.term or state.role is not Role.FOLLOWER or state.leader != leader:
-        become_follower(state, term, leader, now, out)
-    state.heard_leader_at = now
-    reset_election_deadline(state, now)
-    return True
-
-
-def _hear_follower(
-    term: Term,
-    replica: ReplicaId,
-    state: ReplicaState,
-    now: datetime,
-    out: list[object],
-) -> bool:
-    """Note that a replica answered; tell whether this replica leads it."""
-    _follow_term(term, None, state, now, out)
-    progress = state.progress.get(replica)
-    if state.role is not Role.LEADER or term != state.term or progress is None:
-        return False
-    progress.heard_at = now
-    return True
--- a/oleanderhitch/process/replication/log.py
+++ b/oleanderhitch/process/replication/log.py
@@ -4,7 +4,9 @@
 
 from oleanderhitch.process.ids import LogIndex, Term
 from oleanderhitch.process.replication.exceptions import LogInvariantError
-from oleanderhitch.process.replication.messages import LogEntry
+from oleanderhitch.process.replication.messages import (
+    LogEntry,
+)
 
 # What an entry takes in a frame besides its command, estimated from above.
 ENTRY_OVERHEAD_BYTES = 100
--- a/oleanderhitch/process/replication/log_sync.py
+++ b/oleanderhitch/process/replication/log_sync.py
@@ -3,19 +3,21 @@
 from datetime import datetime
 
 from oleanderhitch.process.ids import LogIndex, ReplicaId
+from oleanderhitch.process.replication.effects import (
+    ApplyCommitted,
+    MembershipChanged,
+    PersistEntries,
+    ProposalCommitted,
+    TakeSnapshot,
+    TruncateLog,
+)
 from oleanderhitch.process.replication.exceptions import LogInvariantError
 from oleanderhitch.process.replication.messages import (
     AppendEntries,
     AppendReply,
-    ApplyCommitted,
     Heartbeat,
     LogEntry,
     Membership,
-    MembershipChanged,
-    PersistEntries,
-    ProposalCommitted,
-    TakeSnapshot,
-    TruncateLog,
 )
 from oleanderhitch.process.replication.replica import (
     Progress,
--- a/oleanderhitch/process/replication/membership.py
+++ b/oleanderhitch/process/replication/membership.py
@@ -8,13 +8,15 @@
 from datetime import datetime
 
 from oleanderhitch.process.ids import ReplicaId, Term
+from oleanderhitch.process.replication.effects import (
+    ChangeEnded,
+)
 from oleanderhitch.process.replication.election import update_followers
 from oleanderhitch.process.replication.log_sync import (
     append_as_leader,
     replicate_to_all,
 )
 from oleanderhitch.process.replication.messages import (
-    ChangeEnded,
     ChangeMembership,
     HardState,
     Membership,
--- a/oleanderhitch/process/replication/reads.py
+++ b/oleanderhitch/process/replication/reads.py
@@ -8,8 +8,11 @@
 from datetime import datetime
 
 from oleanderhitch.process.ids import ReplicaId
+from oleanderhitch.process.replication.effects import (
+    ReadReady,
+    ReadRejected,
+)
 from oleanderhitch.process.replication.log_sync import broadcast_heartbeat
-from oleanderhitch.process.replication.messages import ReadReady, ReadRejected
 from oleanderhitch.process.replication.replica import (
     ReplicaState,
     WaitingRead,
--- a/oleanderhitch/process/replication/replica.py
+++ b/oleanderhitch/process/replication/replica.py
@@ -6,15 +6,17 @@
 from random import Random
 
 from oleanderhitch.process.ids import GroupId, LogIndex, ReplicaId, Term
+from oleanderhitch.process.replication.effects import (
+    SendToReplica,
+    TakeSnapshot,
+)
 from oleanderhitch.process.replication.log import ReplicaLog
 from oleanderhitch.process.replication.messages import (
     ChangeMembership,
     HardState,
     LogEntry,
     Membership,
-    SendToReplica,
     Snapshot,
-    TakeSnapshot,
 )
 from oleanderhitch.process.replication.states import EntryKind, ProgressMode, Role
 
@@ -27,7 +29,7 @@
     heartbeat; with the two voting rounds a new leader stands after about 1 s.
     """
 
-    heartbeat_interval: timedelta = timedelta(milliseconds=250)
+    heartbeat_interval: timedelta = timedelta(milliseconds=300)
     election_timeout_min: timedelta = timedelta(milliseconds=800)
     election_timeout_max: timedelta = timedelta(milliseconds=1200)
     # After a split vote no leader can be disturbed, so the next try comes sooner.
--- a/oleanderhitch/process/replication/roles.py
+++ b/oleanderhitch/process/replication/roles.py
@@ -3,15 +3,17 @@
 from datetime import datetime
 
 from oleanderhitch.process.ids import ReplicaId, Term
-from oleanderhitch.process.replication.messages import (
+from oleanderhitch.process.replication.effects import (
     ChangeEnded,
-    HardState,
     LeadershipChanged,
     PersistHardState,
     ProposalUncertain,
     ReadRejected,
     SendToReplica,
 )
+from oleanderhitch.process.replication.messages import (
+    HardState,
+)
 from oleanderhitch.process.replication.replica import ReplicaState
 from oleanderhitch.process.replication.states import ChangeOutcome, Role
 
--- a/oleanderhitch/process/replication/snapshots.py
+++ b/oleanderhitch/process/replication/snapshots.py
@@ -3,11 +3,13 @@
 from datetime import datetime
 
 from oleanderhitch.process.ids import LogIndex, ReplicaId
+from oleanderhitch.process.replication.effects import (
+    RestoreSnapshot,
+)
 from oleanderhitch.process.replication.messages import (
     AppendReply,
     InstallSnapshot,
     InstallSnapshotReply,
-    RestoreSnapshot,
     Snapshot,
     SnapshotRestored,
     SnapshotTaken,
--- a/oleanderhitch/process/storage/identity.py
+++ b/oleanderhitch/process/storage/identity.py
@@ -17,7 +17,7 @@
 
 def make_replica_id(node: NodeId) -> ReplicaId:
     """Return a replica id that no earlier data directory of the node had."""
-    return ReplicaId(f"{node}/{uuid.uuid4().hex[:12]}")
+    return ReplicaId(f"{node}/{uuid.uuid4().hex[:8]}")
 
 
 def get_node(replica: ReplicaId) -> NodeId:
--- /dev/null
+++ b/tests/process/storage/test_files.py
@@ -0,0 +1,277 @@
+"""Guard against a log that recovers other than it was acknowledged."""
+
+import tempfile
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from oleanderhitch.process.mailbox import make_mailbox
+from oleanderhitch.process.replication.messages import (
+    HardState,
+    LogEntry,
+    Membership,
+    Snapshot,
+)
+from oleanderhitch.process.replication.states import EntryKind
+from oleanderhitch.process.storage.exceptions import (
+    CorruptLogError,
+    CorruptSnapshotError,
+    DirectoryInUseError,
+    StorageError,
+)
+from oleanderhitch.process.storage.files import (
+    SEGMENT_PATTERN,
+    get_snapshot_path,
+    write_snapshot,
+)
+from oleanderhitch.process.storage.messages import (
+    EntryRecord,
+    FoundingRecord,
+    HardStateRecord,
+    SaveSnapshot,
+    SnapshotWanted,
+    TruncationRecord,
+    WriteRecords,
+)
+from oleanderhitch.process.storage.recovery import RecoveredGroup
+from tests.process.storage.driver import (
+    SimulatedDisk,
+    close_files,
+    open_files,
+    write,
+)
+
+REPLY = make_mailbox("reply")
+GROUPS = ("shard-1", "shard-2")
+
+
+def make_entry(index, term=1, command=None):
+    """Return an entry whose command tells its index."""
+    command = b"c%d" % index if command is None else command
+    return LogEntry(index, term, EntryKind.COMMAND, command)
+
+
+def write_entries(storage, group, entries):
+    """Write entries, each in a sync of its own."""
+    for entry in entries:
+        write(storage, WriteRecords((EntryRecord(group, entry),), REPLY, entry.index))
+
+
+def get_log(directory):
+    """Return the path of the only segment."""
+    (path,) = directory.glob(SEGMENT_PATTERN)
+    return path
+
+
+def recover(directory, group="shard-1"):
+    """Return what a restart finds of a group."""
+    storage = open_files(directory)
+    try:
+        return storage.find_group(group)
+    finally:
+        close_files(storage)
+
+
+def write_log(directory, n_entries=5):
+    """Leave a closed log; return its path and where each frame begins."""
+    storage = open_files(directory)
+    starts = []
+    for index in range(1, n_entries + 1):
+        starts.append(get_log(directory).stat().st_size)
+        write_entries(storage, "shard-1", [make_entry(index)])
+    close_files(storage)
+    return get_log(directory), starts
+
+
+@given(n_lost=st.integers(1, 10_000), tail=st.binary(max_size=60))
+def test_torn_tail_is_cut_and_nothing_else(n_lost, tail):
+    """Guards against a half-written end that loses or invents acknowledged entries."""
+    with tempfile.TemporaryDirectory() as name:
+        path, starts = write_log(Path(name))
+        data = path.read_bytes()
+        n_kept = max(starts[-1], len(data) - n_lost)
+        if n_kept < len(data):
+            tail = b"\0" * len(tail)
+        path.write_bytes(data[:n_kept] + tail)
+        n_whole = 5 if n_kept == len(data) else 4
+        found = recover(Path(name))
+        assert found.entries == [make_entry(index) for index in range(1, n_whole + 1)]
+        assert recover(Path(name)).entries == found.entries
+
+
+@given(position=st.integers(0, 10_000), bit=st.integers(0, 7))
+def test_corrupt_middle_is_refused_with_file_and_offset(position, bit):
+    """Guards against damage before the end that is silently cut off."""
+    with tempfile.TemporaryDirectory() as name:
+        path, starts = write_log(Path(name))
+        data = bytearray(path.read_bytes())
+        position %= starts[-1]
+        data[position] ^= 1 << bit
+        path.write_bytes(data)
+        with pytest.raises(CorruptLogError) as caught:
+            open_files(Path(name))
+        frame_at = max(start for start in starts if start <= position)
+        assert str(path) in str(caught.value)
+        named = int(str(caught.value).split("at byte ")[1].split(":")[0])
+        assert frame_at <= named <= position
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ["append", "overwrite", "truncate", "state", "keep", "replace"]
+        ),
+        st.sampled_from(GROUPS),
+        st.integers(1, 12),
+    ),
+    max_size=40,
+)
+
+
+@given(STEPS)
+def test_recovery_equals_what_was_written(steps):
+    """Guards against rotation or removal of segments that loses entries."""
+    model = {group: RecoveredGroup() for group in GROUPS}
+    with tempfile.TemporaryDirectory() as name:
+        storage = open_files(Path(name))
+        for term, (step, group, number) in enumerate(steps, start=1):
+            for request in make_requests(step, group, number, term, model[group]):
+                write(storage, request)
+        close_files(storage)
+        storage = open_files(Path(name))
+        for group in GROUPS:
+            found = storage.find_group(group)
+            expected = model[group]
+            assert found.entries == expected.entries
+            assert found.hard_state == expected.hard_state
+            assert found.snapshot == expected.snapshot
+        close_files(storage)
+
+
+def make_requests(step, group, number, term, model):
+    """Return the requests of a step, and do the same to the model."""
+    first = model.base_index + 1
+    if step == "state":
+        model.hard_state = HardState(term, f"r{number}")
+        return [WriteRecords((HardStateRecord(group, model.hard_state),), REPLY)]
+    if step in ("append", "overwrite", "truncate"):
+        keep = model.last_index if step == "append" else model.last_index - number
+        keep = max(keep, model.base_index)
+        model.entries = [entry for entry in model.entries if entry.index <= keep]
+        if step == "truncate":
+            return [WriteRecords((TruncationRecord(group, keep + 1),), REPLY)]
+        added = [make_entry(keep + n, term, b"x" * 90) for n in range(1, number + 1)]
+        model.entries.extend(added)
+        records = tuple(EntryRecord(group, entry) for entry in added)
+        return [WriteRecords(records, REPLY)]
+    is_kept = step == "keep"
+    if is_kept and not model.entries:
+        return []
+    last = model.last_index
+    index = min(first + number, last) if is_kept else last + number
+    entry_term = term
+    if is_kept:
+        entry_term = model.entries[index - first].term
+    model.snapshot = Snapshot(index, entry_term, Membership(("a",)), b"state")
+    model.base_index = index
+    model.entries = [entry for entry in model.entries if entry.index > index]
+    return [SaveSnapshot(group, model.snapshot, is_kept, REPLY, index)]
+
+
+def test_segments_go_once_all_groups_have_snapshots(tmp_path):
+    """Guards against a log that grows forever, or that an idle group holds."""
+    storage = open_files(tmp_path)
+    write_entries(storage, "shard-2", [make_entry(1)])
+    replies = []
+    for index in range(1, 60):
+        record = EntryRecord("shard-1", make_entry(index, 1, b"x" * 100))
+        replies.extend(write(storage, WriteRecords((record,), REPLY, index)))
+    assert SnapshotWanted() in replies
+    snapshot = Snapshot(59, 1, Membership(("a",)), b"state")
+    write(storage, SaveSnapshot("shard-1", snapshot, True, REPLY, 0))
+    assert len(list(tmp_path.glob(SEGMENT_PATTERN))) > 2
+    idle = Snapshot(1, 1, Membership(("a",)), b"idle")
+    write(storage, SaveSnapshot("shard-2", idle, True, REPLY, 0))
+    assert len(list(tmp_path.glob(SEGMENT_PATTERN))) == 1
+    close_files(storage)
+    assert recover(tmp_path, "shard-1").snapshot == snapshot
+    assert recover(tmp_path, "shard-2").snapshot == idle
+
+
+def test_missing_segment_is_refused(tmp_path):
+    """Guards against a hole in the log that is taken for its beginning."""
+    storage = open_files(tmp_path)
+    entries = [make_entry(index, 1, b"x" * 100) for index in range(1, 60)]
+    write_entries(storage, "shard-1", entries)
+    close_files(storage)
+    paths = sorted(tmp_path.glob(SEGMENT_PATTERN))
+    paths[1].unlink()
+    with pytest.raises(CorruptLogError, match="segment 2 is missing"):
+        open_files(tmp_path)
+
+
+def test_removed_beginning_is_refused(tmp_path):
+    """Guards against a log without its first entries and without a snapshot."""
+    storage = open_files(tmp_path)
+    entries = [make_entry(index, 1, b"x" * 100) for index in range(1, 30)]
+    write_entries(storage, "shard-1", entries)
+    close_files(storage)
+    min(tmp_path.glob(SEGMENT_PATTERN)).unlink()
+    with pytest.raises(CorruptLogError, match="entry 1 is missing"):
+        open_files(tmp_path)
+
+
+def test_crash_between_snapshot_and_its_record(tmp_path):
+    """Guards against entries that follow a snapshot which the log doesn't know."""
+    storage = open_files(tmp_path)
+    write_entries(storage, "shard-1", [make_entry(index) for index in range(1, 6)])
+    other = Snapshot(9, 7, Membership(("a",)), b"other")
+    write_snapshot(tmp_path, "shard-1", other, SimulatedDisk())
+    close_files(storage)
+    assert recover(tmp_path).entries == []
+    storage = open_files(tmp_path)
+    write_entries(storage, "shard-1", [make_entry(10, 7)])
+    close_files(storage)
+    found = recover(tmp_path)
+    assert (found.snapshot, found.entries) == (other, [make_entry(10, 7)])
+
+
+def test_corrupt_snapshot_is_refused(tmp_path):
+    """Guards against a damaged snapshot that is restored."""
+    storage = open_files(tmp_path)
+    write_entries(storage, "shard-1", [make_entry(1)])
+    snapshot = Snapshot(1, 1, Membership(("a",)), b"state")
+    write(storage, SaveSnapshot("shard-1", snapshot, True, REPLY, 0))
+    close_files(storage)
+    path = get_snapshot_path(tmp_path, "shard-1")
+    path.write_bytes(path.read_bytes()[:-1] + b"?")
+    with pytest.raises(CorruptSnapshotError, match="checksum"):
+        open_files(tmp_path)
+
+
+def test_second_process_is_refused(tmp_path):
+    """Guards against two processes that write to one data directory."""
+    storage = open_files(tmp_path)
+    with pytest.raises(DirectoryInUseError, match="in use by another process"):
+        open_files(tmp_path)
+    close_files(storage)
+    close_files(open_files(tmp_path))
+
+
+def test_lost_disk_gets_a_new_identity(tmp_path):
+    """Guards against an empty disk that votes again under the old replica id."""
+    storage = open_files(tmp_path / "first")
+    replica = storage.replica
+    close_files(storage)
+    storage = open_files(tmp_path / "first")
+    assert storage.replica == replica
+    close_files(storage)
+    storage = open_files(tmp_path / "second")
+    assert storage.replica != replica
+    write(storage, WriteRecords((FoundingRecord("g", ("a",), True),), REPLY))
+    close_files(storage)
+    (tmp_path / "second" / "identity.json").unlink()
+    with pytest.raises(StorageError, match=r"identity.json is missing"):
+        open_files(tmp_path / "second")
