--- a/oleanderhitch/process/replication/roles.py
+++ b/oleanderhitch/process/replication/roles.py
@@ -3,15 +3,17 @@
 from datetime import datetime
 
 from oleanderhitch.process.ids import ReplicaId, Term
-from oleanderhitch.process.replication.messages import (
+from oleanderhitch.process.replication.effects import (
     ChangeEnded,
-    HardState,
     LeadershipChanged,
     PersistHardState,
     ProposalUncertain,
     ReadRejected,
     SendToReplica,
 )
+from oleanderhitch.process.replication.messages import (
+    HardState,
+)
 from oleanderhitch.process.replication.replica import ReplicaState
 from oleanderhitch.process.replication.states import ChangeOutcome, Role
 
@@ -36,13 +38,14 @@
     out.append(PersistHardState(hard_state))
 
 
-def reset_election_deadline(state: ReplicaState, now: datetime) -> None:
+def reset_election_deadline(
+    state: ReplicaState, now: datetime, is_retry: bool = False
+) -> None:
     """Choose the time at which to stand for election if no leader is heard."""
     timing = state.timing
+    shortest = timing.election_retry_min if is_retry else timing.election_timeout_min
     spread = timing.election_timeout_max - timing.election_timeout_min
-    state.election_deadline = (
-        now + timing.election_timeout_min + spread * state.random.random()
-    )
+    state.election_deadline = now + shortest + spread * state.random.random()
 
 
 def is_leader_recent(state: ReplicaState, now: datetime) -> bool:
