Tested the pool queue with properties, scenarios and focused cases

Two faults found on the way: a hedge could go to an endpoint that the request excludes, and retries did not draw from the retry budget; both are fixed and have a test.

--- a/oleanderhitch/process/scheduling/dispatching.py
+++ b/oleanderhitch/process/scheduling/dispatching.py
@@ -15,7 +15,12 @@
 )
 from oleanderhitch.process.scheduling.lanes import Entry, Lane
 from oleanderhitch.process.scheduling.messages import GrantSlot
-from oleanderhitch.process.scheduling.records import Endpoint, PoolState, Waiting
+from oleanderhitch.process.scheduling.records import (
+    Endpoint,
+    Permit,
+    PoolState,
+    Waiting,
+)
 from oleanderhitch.process.scheduling.states import Health
 
 # Engines serve a lower number first: a request's number grows with the
@@ -74,10 +79,10 @@
         first = hedging.find_candidate(state, now_s)
         if first is None:
             return
-        endpoint = _find_hedge_endpoint(state, first.endpoint)
-        if endpoint is None:
-            return
+        endpoint = _find_hedge_endpoint(state, first)
         state.hedge_candidates.popleft()
+        if endpoint is None:
+            continue
         hedging.take_budget(state)
         permit = permits.make_hedge_permit(state, first, endpoint, now_s)
         yield GrantSlot(
@@ -178,8 +183,9 @@
     )
 
 
-def _find_hedge_endpoint(state: PoolState, first: object) -> Endpoint | None:
-    for name in capacity.list_least_loaded(state.free, 2):
-        if name != first:
+def _find_hedge_endpoint(state: PoolState, first: Permit) -> Endpoint | None:
+    avoided = (first.endpoint, *first.excluded)
+    for name in capacity.list_least_loaded(state.free, 1 + len(avoided)):
+        if name not in avoided:
             return state.endpoints[name]
     return None
--- a/oleanderhitch/process/scheduling/limits.py
+++ b/oleanderhitch/process/scheduling/limits.py
@@ -2,6 +2,7 @@
 
 from datetime import timedelta
 
+from oleanderhitch.process.scheduling import hedging, ordering
 from oleanderhitch.process.scheduling.messages import EnqueueRequest, RefuseRequest
 from oleanderhitch.process.scheduling.records import PoolState
 
@@ -24,6 +25,8 @@
         return REASON_FULL
     if enqueue.time_to_deadline <= timedelta(0):
         return REASON_DEADLINE
+    if enqueue.excluded and not _may_retry(state):
+        return REASON_RETRY_BUDGET
     if not settings.refuses_early:
         return None
     deadline_s = enqueue.time_to_deadline.total_seconds()
@@ -32,6 +35,12 @@
     return None
 
 
+def _may_retry(state: PoolState) -> bool:
+    # Slots that nobody waits for cost others nothing, so that the budget binds
+    # only while the queue is long.
+    return hedging.take_budget(state) or not ordering.is_queue_long(state)
+
+
 def make_refusal(
     state: PoolState, enqueue: EnqueueRequest, reason: str
 ) -> RefuseRequest:
--- a/oleanderhitch/process/scheduling/permits.py
+++ b/oleanderhitch/process/scheduling/permits.py
@@ -57,6 +57,7 @@
         enqueue.prompt_tokens,
         waiting.is_long,
         enqueue.is_idempotent,
+        enqueue.excluded,
     )
     take(state, permit, now_s)
     affinity.remember_prefix(
--- a/oleanderhitch/process/scheduling/records.py
+++ b/oleanderhitch/process/scheduling/records.py
@@ -45,6 +45,7 @@
     prompt_tokens: int = 0
     is_long: bool = False
     may_hedge: bool = False
+    excluded: tuple[EndpointId, ...] = ()
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/tests/process/scheduling/test_properties.py
@@ -0,0 +1,162 @@
+"""Guard the queue's promises against any order of messages."""
+
+from datetime import timedelta
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tests.process.scheduling.builders import enqueue
+from tests.process.scheduling.world import World
+
+ENDPOINTS = ("e1", "e2", "e3", "e4")
+NODES = ("n1", "n2")
+
+some_endpoints = st.lists(st.sampled_from(ENDPOINTS), max_size=2, unique=True)
+requests = st.fixed_dictionaries(
+    {
+        "program": st.sampled_from([f"p{n}" for n in range(6)]),
+        "account": st.sampled_from(["office", "yard", "tours"]),
+        "node": st.sampled_from(NODES),
+        "is_idempotent": st.booleans(),
+        "n_turns": st.integers(0, 3),
+        "attained_tokens": st.sampled_from([0, 10_000, 1_000_000]),
+        "prompt_tokens": st.sampled_from([10, 5_000, 100_000]),
+        "holders": some_endpoints.map(tuple),
+        "excluded": some_endpoints.map(tuple),
+        "time_to_deadline": st.sampled_from([1, 30, 300]).map(
+            lambda seconds: timedelta(seconds=seconds)
+        ),
+    }
+)
+operations = st.one_of(
+    st.tuples(st.just("enqueue"), requests),
+    st.tuples(st.just("enqueue"), requests),
+    st.tuples(st.just("enqueue"), requests),
+    st.tuples(st.just("release"), st.integers(0, 50), st.booleans()),
+    st.tuples(st.just("release"), st.integers(0, 50), st.just(True)),
+    st.tuples(st.just("withdraw"), st.integers(0, 50)),
+    st.tuples(st.just("wait"), st.sampled_from([0.01, 0.5, 3.0, 40.0])),
+    st.tuples(
+        st.just("offer"),
+        st.dictionaries(st.sampled_from(ENDPOINTS), st.integers(1, 3), min_size=3),
+        some_endpoints,
+    ),
+    st.tuples(st.just("lose_node"), st.sampled_from(NODES)),
+    st.tuples(st.just("replace_owner")),
+)
+
+# Short runs hardly reach a full queue, probation or a hedge.
+many_operations = st.lists(operations, min_size=60, max_size=90)
+
+
+def _release(world, index, is_success):
+    if world.permits:
+        permit = list(world.permits)[index % len(world.permits)]
+        # One endpoint is always slow, so that probation and hedges occur.
+        is_slow = world.permits[permit].endpoint == "e2"
+        duration = timedelta(seconds=8.0 if is_slow else 1.0)
+        world.release(permit, is_success=is_success, duration=duration)
+
+
+def _withdraw(world, index):
+    if world.waiting:
+        world.withdraw(list(world.waiting)[index % len(world.waiting)])
+
+
+def _offer(world, slots, leaving):
+    world.offer(leaving=leaving, **slots)
+
+
+def _run(world, steps):
+    verbs = {
+        "release": lambda *args: _release(world, *args),
+        "withdraw": lambda *args: _withdraw(world, *args),
+        "offer": lambda *args: _offer(world, *args),
+        "wait": world.wait,
+        "lose_node": world.lose_node,
+        "replace_owner": world.replace_owner,
+    }
+    for number, (verb, *args) in enumerate(steps):
+        if verb == "enqueue":
+            world.enqueue(enqueue(f"r{number}", **args[0]))
+        else:
+            verbs[verb](*args)
+
+
+def _drain(world):
+    world.offer(**dict.fromkeys([*ENDPOINTS, "e5", "e6", "e7"], 3))
+    for _ in range(200):
+        for permit in list(world.permits):
+            world.release(permit)
+        if not world.waiting and not world.permits:
+            return
+        world.wait(1.0)
+
+
+@given(many_operations, st.integers(1, 12))
+def test_every_request_ends_and_no_slot_leaks(steps, n_waiting_limit):
+    """No order of messages may lose a request, a slot or an account's count."""
+    world = World(n_waiting_limit=n_waiting_limit, n_slow_observations=1)
+    world.offer(e1=2, e2=2, e3=2)
+    _run(world, steps)
+    _drain(world)
+    assert set(world.ended) == set(world.sent)
+    state = world.state
+    assert not state.waiting
+    assert not state.permits
+    assert not state.attempts
+    assert state.n_long == 0
+    assert state.n_active_accounts == 0
+    assert all(account.n_active == 0 for account in state.accounts.values())
+
+
+@given(many_operations)
+def test_new_owner_counts_what_the_old_one_counted(steps):
+    """A rebuilt owner must not grant slots that are in use."""
+    world = World()
+    world.offer(e1=2, e2=2, e3=2)
+    _run(world, steps)
+    before = {name: world.count_in_flight(name) for name in world.slots}
+    n_waiting = len(world.waiting)
+    world.replace_owner()
+    n_granted = n_waiting - len(world.waiting)
+    after = sum(world.count_in_flight(name) for name in world.slots)
+    assert after == sum(before.values()) + n_granted
+
+
+@given(
+    st.sampled_from([0, 10_000_000]),
+    st.booleans(),
+    st.sampled_from(["office", "other"]),
+    st.sampled_from([(), ("e1",), ("e2",)]),
+)
+def test_no_request_starves(attained_tokens, is_new, account, holders):
+    """Work that always ranks last on arrival must be served in bounded time."""
+    world = World()
+    world.offer(e1=1, e2=1)
+    for number in range(30):
+        world.enqueue(enqueue(f"first-{number}", account=account))
+    victim = enqueue(
+        "victim",
+        account=account,
+        n_turns=0 if is_new else 5,
+        attained_tokens=attained_tokens,
+        holders=holders,
+        time_to_deadline=timedelta(seconds=3600),
+    )
+    world.enqueue(victim)
+    settings = world.state.settings
+    limit_s = settings.fair_share_limit_s + settings.attained_limit_s
+    limit_s += settings.new_program_penalty_s + settings.cached_bonus_limit_s
+    # The backlog of 30 requests before it takes 15 s on two slots.
+    for second in range(int(limit_s) + 20):
+        if world.ended.get("victim"):
+            return
+        for permit in list(world.permits):
+            world.release(permit)
+        for number in range(2):
+            late = {"n_turns": 1, "holders": ("e1",), "prompt_tokens": 50_000}
+            request = f"late-{second}-{number}"
+            world.enqueue(enqueue(request, account=request, **late))
+        world.wait(1.0)
+    raise AssertionError(f"victim waits after {world.now_s} s")
--- /dev/null
+++ b/tests/process/scheduling/test_scenarios.py
@@ -0,0 +1,93 @@
+"""Guard the pool against faults that are scripted in scenario files."""
+
+from datetime import timedelta
+from pathlib import Path
+
+import pytest
+
+from oleanderhitch.process.scheduling.states import Health
+from tests.process.scheduling.builders import enqueue
+from tests.process.scheduling.world import World
+from tests.scenario import run_scenario
+
+DIRECTORY = Path(__file__).parent / "scenarios"
+
+
+class Verbs:
+    """Give the scenario verbs their meaning."""
+
+    def __init__(self):
+        self.world = World()
+        self.n_requests = 0
+        self.n_before = {}
+
+    def offer(self, leaving="", **slots):
+        """Set the endpoints and their slots."""
+        counts = {name: int(n) for name, n in slots.items()}
+        self.world.offer(leaving=leaving.split(",") if leaving else (), **counts)
+
+    def send(self, n="1", **fields):
+        """Send requests."""
+        for _ in range(int(n)):
+            self.n_requests += 1
+            self.world.enqueue(enqueue(f"r{self.n_requests}", **fields))
+
+    def finish(self, n="all", endpoint="", seconds="1", after="0"):
+        """End running attempts, at one endpoint or at all."""
+        self.world.wait(float(after))
+        duration = timedelta(seconds=float(seconds))
+        grants = [
+            grant
+            for grant in self.world.permits.values()
+            if endpoint in ("", grant.endpoint)
+        ]
+        for grant in grants if n == "all" else grants[: int(n)]:
+            if grant.permit in self.world.permits:
+                self.world.release(grant.permit, duration=duration)
+
+    def serve(self, rounds="1", n="1", slow="", seconds="9"):
+        """Send requests and end them, slow endpoints taking longer."""
+        for _ in range(int(rounds)):
+            self.send(n)
+            for name in slow.split(",") if slow else ():
+                self.finish(endpoint=name, seconds=seconds)
+            self.finish(after="0.2")
+
+    def wait(self, seconds):
+        """Let time pass."""
+        self.world.wait(float(seconds))
+
+    def replace_owner(self):
+        """Rebuild the queue at a new owner."""
+        self.n_before = {n: self.world.count_in_flight(n) for n in self.world.slots}
+        self.world.replace_owner()
+
+    def expect_in_flight(self, **counts):
+        """Check the slots in use."""
+        for name, n in counts.items():
+            assert self.world.count_in_flight(name) == int(n), (
+                f"{name} has {self.world.count_in_flight(name)} in flight"
+            )
+
+    def expect_waiting(self, n):
+        """Check the length of the queue."""
+        assert len(self.world.waiting) == int(n), f"{len(self.world.waiting)} wait"
+
+    def expect_probation(self, names=""):
+        """Check which endpoints are on probation."""
+        found = {
+            name
+            for name, endpoint in self.world.state.endpoints.items()
+            if endpoint.health is Health.PROBATION
+        }
+        assert found == set(filter(None, names.split(","))), f"on probation: {found}"
+
+
+@pytest.mark.parametrize("path", sorted(DIRECTORY.glob("*.txt")), ids=lambda p: p.stem)
+def test_scenario(path):
+    """Each file says in its first lines which failure it guards against."""
+    verbs = Verbs()
+    names = [name for name in dir(verbs) if not name.startswith("_")]
+    run_scenario(
+        path, {name: getattr(verbs, name) for name in names if name != "world"}
+    )
