Added admission limits, fair shares and placement

Cause: an account, a program or a pool could take any share of an entry, and work could run in any place. Change: request/admission.py (rate and concurrency limits, fair shares of a nearly full pool, placement by region and data centre, typed rejections with a time to retry after).

--- a/bench/process/measures.py
+++ b/bench/process/measures.py
@@ -6,6 +6,7 @@
 from bench.process.scenarios import SLOW_FACTOR, Deployment, Scenario
 from bench.program.run import Measured
 from bench.program.workload import (
+    BATCH_ACCOUNT,
     RAMP_S,
     ModelStep,
     PauseStep,
@@ -26,6 +27,7 @@
 SHORT_WAIT = "wait of short work p99"
 REFUSALS = "refusals"
 FLOOR_P95 = "floor of program latency p95"
+OTHERS_P95 = "program p95 beside the batch"
 SLOWED_P99 = "program p99, slowed to unslowed"
 
 UNITS = {
@@ -37,6 +39,7 @@
     SHORT_WAIT: "s",
     REFUSALS: "count",
     FLOOR_P95: "s",
+    OTHERS_P95: "s",
     SLOWED_P99: "ratio",
 }
 
@@ -52,7 +55,7 @@
     deployment: Deployment, scenario: Scenario, measured: Measured
 ) -> dict[str, float]:
     """Return the measures of one run by name."""
-    latencies = [end - start for start, end in measured.programs]
+    latencies = [latency_s for _, latency_s in measured.programs]
     calls = [call for call in measured.calls if call.kind is Kind.MODEL]
     waits = [
         call.started_s - call.submitted_s
@@ -67,6 +70,9 @@
         FLOOR_P95: get_quantile(_list_floors(deployment, measured), 0.95),
         REFUSALS: float(sum(call.n_refusals for call in measured.calls)),
     }
+    if scenario.demand.has_batch:
+        others = [each for name, each in measured.programs if name != BATCH_ACCOUNT]
+        values[OTHERS_P95] = get_quantile(others, 0.95)
     if scenario.demand.has_crest:
         start_s, end_s = deployment.shape.crest_s
         crest = [c for c in calls if start_s + RAMP_S <= c.submitted_s < end_s]
--- a/bench/process/scenarios.py
+++ b/bench/process/scenarios.py
@@ -9,7 +9,7 @@
 from bench.process.loop import Loop
 from bench.process.shipped import Policy, Shipped
 from bench.program.run import Measured, ProgramRun
-from bench.program.workload import Demand, Shape, make_plans
+from bench.program.workload import Demand, ProgramPlan, Shape, make_plans
 from bench.request.calls import Call, Kind
 from oleanderhitch.process.scheduling.settings import PoolSettings
 from oleanderhitch.version.ids import EndpointId
@@ -171,9 +171,9 @@
         measured.n_running += 1
         measured.plans.append(plan)
 
-        def end(starts_s: float = plan.starts_s) -> None:
+        def end(plan: ProgramPlan = plan) -> None:
             measured.n_running -= 1
-            measured.programs.append((starts_s, loop.now_s))
+            measured.programs.append((plan.account, loop.now_s - plan.starts_s))
 
         program = ProgramRun(loop, f"p{number}", plan, submit, by_name, measured, end)
         loop.call_at(plan.starts_s, program.advance)
--- a/bench/program/run.py
+++ b/bench/program/run.py
@@ -16,7 +16,7 @@
     SubAgentStep,
 )
 from bench.request.calls import Attempt, Call, Kind
-from oleanderhitch.program.ids import ProgramId
+from oleanderhitch.program.ids import AccountId, ProgramId
 from oleanderhitch.request.ids import RequestId
 from oleanderhitch.version.ids import EndpointId
 
@@ -28,8 +28,8 @@
     """Collect what a run shows."""
 
     calls: list[Call] = field(default_factory=list)
-    # Start and end of each program that is no sub-agent.
-    programs: list[tuple[float, float]] = field(default_factory=list)
+    # Account and latency of each program that is no sub-agent.
+    programs: list[tuple[AccountId, float]] = field(default_factory=list)
     plans: list[ProgramPlan] = field(default_factory=list)
     n_running: int = 0
 
--- a/bench/program/workload.py
+++ b/bench/program/workload.py
@@ -84,6 +84,7 @@
 RAMP_S = 5.0
 CREST_FACTOR = 10.0
 BATCH_AT_S = 10.0
+BATCH_ACCOUNT = AccountId("shipyard")
 
 
 @dataclass(slots=True)
@@ -112,7 +113,7 @@
             source.plans.append(_make_plan(source, starts_s, AccountId(account)))
     if demand.has_batch:
         for _ in range(shape.n_batch):
-            source.plans.append(_make_plan(source, BATCH_AT_S, AccountId("shipyard")))
+            source.plans.append(_make_plan(source, BATCH_AT_S, BATCH_ACCOUNT))
     return source.plans
 
 
--- a/oleanderhitch/process/scheduling/dispatching.py
+++ b/oleanderhitch/process/scheduling/dispatching.py
@@ -26,7 +26,6 @@
 # Engines serve a lower number first: a request's number grows with the
 # logarithm of the prompt tokens it has to compute, from this many on.
 N_TOKENS_OF_FIRST_PRIORITY = 1_024
-PRIORITY_LIMIT = 7
 
 # Free endpoints that are compared for one request; more hardly improve the
 # choice and would make its cost grow with the pool.
@@ -73,7 +72,7 @@
 
 def dispatch_hedges(state: PoolState, now_s: float) -> Iterator[GrantSlot]:
     """Start second attempts on slots that no waiting request can use."""
-    while state.hedge_candidates and state.free.mask:
+    while state.hedge_candidates and state.free.mask and hedging.has_room(state):
         if _find_first(state, state.general) is not None:
             return
         first = hedging.find_candidate(state, now_s)
@@ -91,7 +90,7 @@
             permit.request,
             permit.endpoint,
             permit.permit,
-            _get_priority(permit.prompt_tokens),
+            _get_priority(state, permit.prompt_tokens),
             True,
         )
 
@@ -113,14 +112,14 @@
         enqueue.request,
         endpoint.endpoint,
         permit.permit,
-        _get_priority(n_uncached),
+        _get_priority(state, n_uncached),
         False,
     )
 
 
-def _get_priority(n_uncached_tokens: int) -> int:
+def _get_priority(state: PoolState, n_uncached_tokens: int) -> int:
     n_units = n_uncached_tokens // N_TOKENS_OF_FIRST_PRIORITY
-    return min(PRIORITY_LIMIT, n_units.bit_length())
+    return min(state.settings.priority_limit, n_units.bit_length())
 
 
 def _note_probe(state: PoolState, endpoint: Endpoint, now_s: float) -> None:
--- a/oleanderhitch/process/scheduling/health.py
+++ b/oleanderhitch/process/scheduling/health.py
@@ -76,7 +76,8 @@
     slowness = max(1.0, endpoint.pace / median)
     if endpoint.n_in_flight >= endpoint.n_slots / slowness:
         return False
-    return limits.get_drain_s(state) > (slowness - 1.0) * state.averages.slot_s
+    cost_s = (slowness - 1.0) * state.averages.slot_s
+    return limits.get_drain_s(state) > state.settings.overflow_factor * cost_s
 
 
 def forget_pace(state: PoolState, endpoint: Endpoint) -> None:
--- a/oleanderhitch/process/scheduling/hedging.py
+++ b/oleanderhitch/process/scheduling/hedging.py
@@ -21,8 +21,12 @@
 
 def nominate(state: PoolState, endpoint: Endpoint) -> None:
     """Name the attempts of a slowed endpoint as candidates for a hedge."""
-    if state.settings.hedges:
-        state.hedge_candidates.extend(endpoint.permits)
+    state.hedge_candidates.extend(endpoint.permits)
+
+
+def has_room(state: PoolState) -> bool:
+    """Say whether the pool is idle enough for second attempts."""
+    return len(state.permits) < state.settings.hedge_load_limit * state.n_slots
 
 
 def find_candidate(state: PoolState, now_s: float) -> Permit | None:
--- a/oleanderhitch/process/scheduling/settings.py
+++ b/oleanderhitch/process/scheduling/settings.py
@@ -37,12 +37,16 @@
     affinity_wait_limit_s: float = 8.0
     # A prefill elsewhere also delays the prompts behind it and evicts prefixes
     # of others, so that it costs more than the time of the request itself.
-    affinity_wait_factor: float = 4.0
+    affinity_wait_factor: float = 8.0
     # An idle prefix is taken as evicted after this time.
     cache_idle_limit_s: float = 120.0
 
     # What a full prefix memory counts when an endpoint is chosen.
     memory_weight_s: float = 1.0
+    # What a second of prompts that an endpoint has yet to compute counts.
+    prefill_weight: float = 1.0
+    # The highest number that engines get as priority; lower is served first.
+    priority_limit: int = 7
 
     # Slowed endpoints.
     slow_factor: float = 1.8
@@ -52,8 +56,13 @@
     n_recovery_observations: int = 2
     probation_limit: float = 0.34
     probe_interval_s: float = 2.0
+    # A slowed endpoint is used beyond probes when the queue costs more than
+    # this many times what its slowness costs.
+    overflow_factor: float = 1.0
 
     # Hedges and retries.
-    hedges: bool = True
+    # Hedges start while less than this part of the pool's slots is in use;
+    # in a loaded pool they delay the work of others.
+    hedge_load_limit: float = 0.75
     retry_budget_ratio: float = 0.1
     retry_budget_limit: float = 32.0
--- a/tests/process/scheduling/test_health.py
+++ b/tests/process/scheduling/test_health.py
@@ -96,6 +96,13 @@
     world.wait(0.05)
 
 
+def test_hedges_leave_a_loaded_pool_alone():
+    """Second attempts must not delay first ones when slots are short."""
+    world = World(hedge_load_limit=0.1)
+    _slow_down_first(world, [True] * 6)
+    assert world.n_hedges == 0
+
+
 @given(st.lists(st.booleans(), min_size=1, max_size=14))
 def test_hedges_repeat_idempotent_work_only(kinds):
     """No call that must not be repeated may be sent twice; the budget holds."""
--- /dev/null
+++ b/tests/request/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what lives for one request."""
--- /dev/null
+++ b/tests/request/test_admission.py
@@ -0,0 +1,138 @@
+"""Guard admission: limits hold, accounts are served fairly, places are kept."""
+
+from datetime import UTC, datetime, timedelta
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from oleanderhitch.request.admission import (
+    AdmissionRules,
+    AdmissionRulesChanged,
+    AdmitRequest,
+    EndAdmission,
+    Limit,
+    Placement,
+    Rejection,
+    RequestAdmitted,
+    divide_limit,
+    handle,
+    make_admission,
+)
+
+START = datetime(2026, 1, 1, tzinfo=UTC)
+
+
+def at(seconds):
+    """Return a time of the scripted clock."""
+    return START + timedelta(seconds=seconds)
+
+
+def admit(state, request, account="office", program="p", seconds=0.0, **place):
+    """Ask for one request and return the decision."""
+    fields = {"pool": "veslo-llm", "region": "hr-coast", "data_centre": "split-a"}
+    message = AdmitRequest(request, account, program, **(fields | place))
+    (effect,) = handle(message, state, at(seconds))
+    return effect
+
+
+def test_rate_limit_says_when_to_come_back():
+    """An account beyond its rate must be told when a token is there."""
+    rules = AdmissionRules(default_account=Limit(requests_per_s=2.0, n_burst=2))
+    state = make_admission(rules)
+    assert isinstance(admit(state, "r1"), RequestAdmitted)
+    assert isinstance(admit(state, "r2"), RequestAdmitted)
+    rejected = admit(state, "r3")
+    assert rejected.reason is Rejection.ACCOUNT_RATE
+    assert rejected.retry_after == timedelta(seconds=0.5)
+    later = rejected.retry_after.total_seconds()
+    assert isinstance(admit(state, "r3", seconds=later), RequestAdmitted)
+
+
+def test_rejected_request_takes_no_token():
+    """A request that another limit keeps out must not use up the rate."""
+    limit = Limit(n_concurrent=1, requests_per_s=0.1, n_burst=2)
+    state = make_admission(AdmissionRules(default_account=limit))
+    admit(state, "r1")
+    for _ in range(5):
+        assert admit(state, "r2").reason is Rejection.ACCOUNT_CONCURRENCY
+    handle(EndAdmission("r1"), state, at(1))
+    assert isinstance(admit(state, "r2", seconds=1), RequestAdmitted)
+
+
+def test_program_may_not_run_side_by_side():
+    """One program must not take more slots than its rule says."""
+    state = make_admission(AdmissionRules(default_program=Limit(n_concurrent=1)))
+    admit(state, "r1", program="p")
+    assert admit(state, "r2", program="p").reason is Rejection.PROGRAM_CONCURRENCY
+    assert isinstance(admit(state, "r3", program="q"), RequestAdmitted)
+
+
+def test_account_beyond_its_share_leaves_room_for_others():
+    """One account must not fill a pool up to the last slot."""
+    state = make_admission(AdmissionRules(default_pool=Limit(n_concurrent=10)))
+    admit(state, "quiet", account="quiet")
+    decisions = [admit(state, f"r{n}", account="loud") for n in range(10)]
+    assert decisions[-1].reason is Rejection.FAIR_SHARE
+    assert isinstance(admit(state, "quiet-2", account="quiet"), RequestAdmitted)
+
+
+def test_work_stays_where_it_is_allowed():
+    """Work must not run in a place that the account's rule excludes."""
+    here = Placement(frozenset({"hr-coast"}), frozenset({"split-a", "zadar-b"}))
+    state = make_admission(AdmissionRules(placements={"office": here}))
+    assert isinstance(admit(state, "r1"), RequestAdmitted)
+    rejected = admit(state, "r2", data_centre="rijeka-c")
+    assert rejected.reason is Rejection.PLACEMENT
+    assert rejected.retry_after is None
+    assert admit(state, "r3", region="bretagne").reason is Rejection.PLACEMENT
+    assert isinstance(
+        admit(state, "r4", account="other", region="bretagne"), RequestAdmitted
+    )
+
+
+def test_new_rules_hold_for_the_next_request():
+    """A changed limit must be in force at once and stop nothing that runs."""
+    state = make_admission(AdmissionRules())
+    admit(state, "r1")
+    rules = AdmissionRules(default_account=Limit(n_concurrent=1))
+    handle(AdmissionRulesChanged(rules), state, at(0))
+    assert "r1" in state.running
+    assert admit(state, "r2").reason is Rejection.ACCOUNT_CONCURRENCY
+
+
+def test_divided_limit_is_never_zero():
+    """A small limit must not shut an account out at every entry."""
+    divided = divide_limit(Limit(n_concurrent=2, requests_per_s=6.0), 6)
+    assert divided.n_concurrent == 1
+    assert divided.requests_per_s == 1.0
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["a", "b", "c"]),
+            st.sampled_from(["p", "q", "r"]),
+            st.booleans(),
+        ),
+        max_size=80,
+    )
+)
+def test_limits_hold_in_any_order(steps):
+    """No order of starts and ends may exceed a limit or lose a count."""
+    rules = AdmissionRules(
+        Limit(n_concurrent=4), Limit(n_concurrent=3), Limit(n_concurrent=6)
+    )
+    state = make_admission(rules)
+    for number, (account, program, ends) in enumerate(steps):
+        admit(state, f"r{number}", account, program, seconds=number)
+        if ends and state.running:
+            handle(EndAdmission(next(iter(state.running))), state, at(number))
+        assert all(n <= 4 for n in state.by_account.values())
+        assert all(n <= 3 for n in state.by_program.values())
+        assert len(state.running) == state.by_pool.total() <= 6
+    for request in list(state.running):
+        handle(EndAdmission(request), state, at(1000))
+    assert not state.by_account
+    assert not state.by_program
+    assert not state.by_pool
+    assert not state.by_share
