--- a/oleanderhitch/connection/caller/rendering.py
+++ b/oleanderhitch/connection/caller/rendering.py
@@ -47,11 +47,28 @@
 }
 
 
+_REPLAY_DETAIL = {
+    Outcome.COMPLETED: "this request id has completed",
+    Outcome.FAILED: "this request id has failed; send the next call",
+    # The outcome of a request id never changes, because a duplicate of the call
+    # may still be on its way to another host.
+    Outcome.NOT_RUN: (
+        "this request id ended as not run; send the call again with the same "
+        "sequence number under a new Idempotency-Key"
+    ),
+    Outcome.UNKNOWN: (
+        "the call of this request id may have run; check before sending it again"
+    ),
+}
+
+
 def get_http_status(answer: AnswerCaller) -> int:
     """Return the HTTP status of an answer."""
     if answer.outcome is Outcome.COMPLETED:
         return 200
-    return HTTP_STATUS[answer.reason] if answer.reason is not Reason.OK else 502
+    if answer.is_replay:
+        return HTTP_STATUS[Reason.REQUEST_CLOSED]
+    return HTTP_STATUS[answer.reason]
 
 
 def render_error(
@@ -81,8 +98,8 @@
     reason = answer.reason
     detail = answer.detail
     if answer.is_replay:
-        reason = Reason.ENDPOINT_FAILED
-        detail = f"the recorded outcome of this request is {answer.outcome.value}"
+        reason = Reason.REQUEST_CLOSED
+        detail = _REPLAY_DETAIL[answer.outcome]
     document = render_error(
         reason, detail, answer.outcome, answer.retry_after, call.request
     )
--- a/oleanderhitch/process/groups/host.py
+++ b/oleanderhitch/process/groups/host.py
@@ -20,15 +20,10 @@
 )
 from oleanderhitch.process.groups.placement import Store, choose_replicas
 from oleanderhitch.process.ids import GroupId, NodeId
-from oleanderhitch.process.replication.messages import (
-    OPERATOR_REQUESTS,
-    LeadershipChanged,
-)
-from oleanderhitch.process.replication.task import (
-    GroupState,
-    OperatorCall,
-    make_group_task,
-)
+from oleanderhitch.process.replication.binding import GroupState, OperatorCall
+from oleanderhitch.process.replication.effects import LeadershipChanged
+from oleanderhitch.process.replication.messages import OPERATOR_REQUESTS
+from oleanderhitch.process.replication.task import make_group_task
 from oleanderhitch.process.storage.identity import get_node
 from oleanderhitch.process.storage.task import Storage
 from oleanderhitch.process.task import Task
--- a/oleanderhitch/process/leadership/core.py
+++ b/oleanderhitch/process/leadership/core.py
@@ -22,7 +22,7 @@
     LeadershipLost,
 )
 from oleanderhitch.process.messages import Tick
-from oleanderhitch.process.replication.messages import LeadershipChanged
+from oleanderhitch.process.replication.effects import LeadershipChanged
 from oleanderhitch.process.replication.states import Role
 from oleanderhitch.process.storage.identity import get_node
 from oleanderhitch.version.addresses import HostPort
--- a/oleanderhitch/process/roles/store.py
+++ b/oleanderhitch/process/roles/store.py
@@ -34,7 +34,7 @@
 from oleanderhitch.process.membership.task import make_membership_task
 from oleanderhitch.process.metrics.core import Metrics
 from oleanderhitch.process.metrics.states import Counter, Gauge
-from oleanderhitch.process.replication.messages import LeadershipChanged
+from oleanderhitch.process.replication.effects import LeadershipChanged
 from oleanderhitch.process.replication.replica import Timing
 from oleanderhitch.process.replication.states import Role
 from oleanderhitch.process.storage.task import open_storage
--- a/tests/process/leadership/test_core.py
+++ b/tests/process/leadership/test_core.py
@@ -16,7 +16,7 @@
     LeadershipLost,
 )
 from oleanderhitch.process.messages import Tick
-from oleanderhitch.process.replication.messages import LeadershipChanged
+from oleanderhitch.process.replication.effects import LeadershipChanged
 from oleanderhitch.process.replication.states import Role
 from oleanderhitch.version.addresses import parse_host_port
 
