--- /dev/null
+++ b/oleanderhitch/process/commands/operator_apply.py
@@ -0,0 +1,193 @@
+"""Publish a folder of declarations and wait until it is in force."""
+
+import getpass
+import uuid
+from datetime import timedelta
+from functools import singledispatchmethod
+from pathlib import Path
+from typing import ClassVar
+
+from cleo.helpers import option
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
+
+from oleanderhitch.exceptions import UnavailableError
+from oleanderhitch.process.commands.operator_base import (
+    CONNECTION_OPTIONS,
+    FOLDER_ARGUMENT,
+    JSON_OPTION,
+    ExitCode,
+    OperatorCommand,
+)
+from oleanderhitch.process.commands.operator_client import ConfigurationClient
+from oleanderhitch.process.commands.operator_folder import (
+    find_pending,
+    pick_changes,
+    read_base,
+    read_checked,
+    remove_pending,
+    write_base,
+    write_pending,
+)
+from oleanderhitch.process.configuration.messages import (
+    Publish,
+    PublishAnswer,
+    PublishConflict,
+    Published,
+    PublishIdReused,
+    PublishRefused,
+)
+from oleanderhitch.version.exceptions import InvalidConfigurationError
+from oleanderhitch.version.ids import NO_VERSION, ConfigurationVersion, PublishId
+
+RESEND_PAUSE = timedelta(milliseconds=500)
+STATUS_PAUSE = timedelta(milliseconds=100)
+
+
+class ApplyCommand(OperatorCommand):
+    """Publish what a folder changes.
+
+    The publish is written to the folder before it is sent, so that a resend
+    after a crash of this command carries the same publish id and content.
+    """
+
+    name = "apply"
+    description = "Publish a folder and wait until it is in force."
+    arguments: ClassVar[list[Argument]] = [FOLDER_ARGUMENT]
+    options: ClassVar[list[Option]] = [
+        JSON_OPTION,
+        *CONNECTION_OPTIONS,
+        option("base", None, "Version that the files are based on.", flag=False),
+        option("author", None, "Who publishes.", flag=False),
+        option("timeout", None, "Seconds to resend for.", flag=False, default="10"),
+        option("wait", None, "Seconds to wait for in force.", flag=False, default="10"),
+        option("no-wait", None, "Return once the version is accepted."),
+    ]
+
+    def run_command(self) -> ExitCode:
+        """Publish, or learn the answer to an earlier publish of this folder."""
+        folder = Path(self.argument("folder"))
+        client = self.connect()
+        publish = find_pending(folder)
+        if publish is None:
+            publish = self._make_publish(folder, client)
+            if publish is None:
+                self.write_result({"changes": []}, ["no changes"])
+                return ExitCode.OK
+            write_pending(folder, publish)
+        answer = self._send(client, publish)
+        remove_pending(folder)
+        return self._report(answer, folder, client)
+
+    def _make_publish(
+        self, folder: Path, client: ConfigurationClient
+    ) -> Publish | None:
+        drafts = read_checked(folder)
+        base = read_base(folder)
+        if self.option("base") is not None:
+            base = ConfigurationVersion(
+                self.parse_number(self.option("base"), "--base")
+            )
+        accepted = client.get_configuration(NO_VERSION)
+        changed, removed = pick_changes(drafts, accepted)
+        if accepted.version == base and not changed and not removed:
+            return None
+        return Publish(
+            PublishId(uuid.uuid4().hex),
+            self.option("author") or getpass.getuser(),
+            base,
+            changed,
+            removed,
+            self.surroundings.clock.now(),
+        )
+
+    def _send(self, client: ConfigurationClient, publish: Publish) -> PublishAnswer:
+        clock = self.surroundings.clock
+        limit = self.parse_number(self.option("timeout"), "--timeout")
+        end = clock.now() + timedelta(seconds=limit)
+        while True:
+            try:
+                return client.publish(publish)
+            except UnavailableError as error:
+                if clock.now() >= end:
+                    raise UnavailableError(
+                        f"no answer to publish {publish.publish}: {error}; it may have "
+                        "been accepted, run the same command again to learn it"
+                    ) from None
+            self.surroundings.sleep(RESEND_PAUSE)
+
+    @singledispatchmethod
+    def _report(
+        self, answer: object, folder: Path, client: ConfigurationClient
+    ) -> ExitCode:
+        raise TypeError(f"no report for {type(answer).__name__}")
+
+    @_report.register
+    def _(
+        self, answer: Published, folder: Path, client: ConfigurationClient
+    ) -> ExitCode:
+        write_base(folder, answer.version)
+        if self.option("no-wait"):
+            is_in_force = None
+        else:
+            is_in_force = self._wait_in_force(client, answer.version)
+        result = {
+            "publish": answer.publish,
+            "accepted_version": answer.version,
+            "is_in_force": is_in_force,
+        }
+        text = {True: ", in force", False: ", not yet in force", None: ""}[is_in_force]
+        self.write_result(result, [f"version {answer.version} is accepted{text}"])
+        return ExitCode.NOT_IN_FORCE if is_in_force is False else ExitCode.OK
+
+    @_report.register
+    def _(
+        self, answer: PublishConflict, folder: Path, client: ConfigurationClient
+    ) -> ExitCode:
+        lines = [
+            f"conflict: the files are based on version {answer.base_version}, accepted "
+            f"is {answer.accepted_version}; nothing was changed"
+        ]
+        for record in answer.records:
+            lines.append(f"version {record.version} by {record.author}:")
+            lines.extend(f"  {change}" for change in record.changes)
+        lines.append("your files would change in the accepted version:")
+        lines.extend(f"  {change}" for change in answer.difference)
+        lines.append(
+            "take over the accepted changes, then apply with "
+            f"--base {answer.accepted_version}"
+        )
+        self.write_result({"conflict": answer}, lines)
+        return ExitCode.CONFLICT
+
+    @_report.register
+    def _(
+        self, answer: PublishRefused, folder: Path, client: ConfigurationClient
+    ) -> ExitCode:
+        raise InvalidConfigurationError(answer.faults)
+
+    @_report.register
+    def _(
+        self, answer: PublishIdReused, folder: Path, client: ConfigurationClient
+    ) -> ExitCode:
+        text = f"publish id {answer.publish} belongs to another publish; apply again"
+        self.write_result({"error": text}, [text])
+        return ExitCode.FAULT
+
+    def _wait_in_force(
+        self, client: ConfigurationClient, version: ConfigurationVersion
+    ) -> bool:
+        clock = self.surroundings.clock
+        limit = self.parse_number(self.option("wait"), "--wait")
+        end = clock.now() + timedelta(seconds=limit)
+        while True:
+            try:
+                in_force = client.get_status().in_force_version
+            except UnavailableError:
+                # The publish is accepted; a leader change only delays the answer.
+                in_force = None
+            if in_force is not None and in_force >= version:
+                return True
+            if clock.now() >= end:
+                return False
+            self.surroundings.sleep(STATUS_PAUSE)
--- /dev/null
+++ b/oleanderhitch/process/commands/operator_base.py
@@ -0,0 +1,161 @@
+"""Provide what the operators' commands share: options, output and exit codes."""
+
+import json
+import sys
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+from enum import IntEnum
+from pathlib import Path
+from typing import Any
+
+import cattrs
+import gevent
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
+from pydantic import ValidationError
+from pydantic_settings import BaseSettings, SettingsConfigDict
+
+from oleanderhitch.exceptions import InvalidInputError, UnavailableError
+from oleanderhitch.process.clock import Clock, make_system_clock
+from oleanderhitch.process.commands.operator_client import (
+    ClientFactory,
+    ClientSettings,
+    ConfigurationClient,
+)
+from oleanderhitch.version.addresses import HostPort, parse_host_port
+from oleanderhitch.version.exceptions import InvalidConfigurationError
+
+
+class ExitCode(IntEnum):
+    """Say how a command ended; scripts depend on the numbers."""
+
+    OK = 0
+    FAULT = 1
+    CONFLICT = 2
+    UNREACHABLE = 3
+    NOT_IN_FORCE = 4
+
+
+class OperatorSettings(BaseSettings):
+    """Take the stores and the key from the environment."""
+
+    model_config = SettingsConfigDict(env_prefix="OLEANDERHITCH_")
+
+    stores: str = ""
+    key_file: Path | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Surroundings:
+    """Hold what the commands reach, so that tests can replace it."""
+
+    make_client: ClientFactory
+    clock: Clock
+    sleep: Callable[[timedelta], None]
+    write: Callable[[str], None]
+
+
+def make_surroundings(make_client: ClientFactory) -> Surroundings:
+    """Return the surroundings of a real process."""
+    return Surroundings(
+        make_client,
+        make_system_clock(),
+        lambda duration: gevent.sleep(duration.total_seconds()),
+        lambda text: print(text, file=sys.stdout),
+    )
+
+
+CONNECTION_OPTIONS: list[Option] = [
+    option("stores", None, "Stores as IP:PORT,IP:PORT.", flag=False),
+    option("key-file", None, "File with the shared key.", flag=False),
+]
+JSON_OPTION = option("json", None, "Write JSON.")
+FOLDER_ARGUMENT: Argument = argument("folder", "Folder of YAML declarations.")
+
+
+class OperatorCommand(Command):
+    """Run one command and turn errors into exit codes."""
+
+    surroundings: Surroundings
+
+    def run_command(self) -> ExitCode:
+        """Do the command's work."""
+        raise NotImplementedError
+
+    def handle(self) -> int:
+        """Return the exit code of the command."""
+        try:
+            return int(self.run_command())
+        except InvalidConfigurationError as error:
+            return int(self._fail(ExitCode.FAULT, "faults", list(error.faults)))
+        except InvalidInputError as error:
+            return int(self._fail(ExitCode.FAULT, "error", str(error)))
+        except UnavailableError as error:
+            return int(self._fail(ExitCode.UNREACHABLE, "error", str(error)))
+
+    def connect(self) -> ConfigurationClient:
+        """Return a client of the stores named by options or environment."""
+        return self.surroundings.make_client(self._read_settings())
+
+    def write_result(self, result: dict[str, Any], lines: list[str]) -> None:
+        """Write the result as JSON or as lines of text."""
+        if self.option("json"):
+            lines = [json.dumps(make_plain(result), ensure_ascii=False, indent=2)]
+        for line in lines:
+            self.surroundings.write(line)
+
+    def parse_number(self, text: object, what: str) -> int:
+        """Return a count given as an option; raise InvalidInputError."""
+        if not (isinstance(text, str) and text.isascii() and text.isdigit()):
+            raise InvalidInputError(f"expected a number for {what}, got {text!r}")
+        return int(text)
+
+    def _fail(self, code: ExitCode, key: str, detail: object) -> ExitCode:
+        lines = [str(item) for item in detail] if isinstance(detail, list) else None
+        self.write_result({key: detail}, lines or [str(detail)])
+        return code
+
+    def _read_settings(self) -> ClientSettings:
+        try:
+            settings = OperatorSettings()
+        except ValidationError as error:
+            raise InvalidInputError(f"settings are invalid: {error}") from None
+        stores = _parse_stores(self.option("stores") or settings.stores)
+        key_file = self.option("key-file")
+        return ClientSettings(stores, Path(key_file) if key_file else settings.key_file)
+
+
+def make_plain(value: Any) -> Any:
+    """Return a value as maps, lists and scalars that JSON has."""
+    return _PLAIN.unstructure(value)
+
+
+def _make_plain_converter() -> cattrs.Converter:
+    converter = cattrs.Converter()
+    converter.register_unstructure_hook(datetime, lambda value: value.isoformat())
+    converter.register_unstructure_hook(
+        bytes, lambda value: value.decode("utf-8", errors="replace")
+    )
+    return converter
+
+
+_PLAIN = _make_plain_converter()
+
+
+def _parse_stores(text: str) -> tuple[HostPort, ...]:
+    faults: list[str] = []
+    stores: list[HostPort] = []
+    for part in filter(None, text.split(",")):
+        try:
+            stores.append(parse_host_port(part.strip()))
+        except ValueError as error:
+            faults.append(f"{part!r}: {error}")
+    if faults or not stores:
+        raise InvalidInputError(
+            "expected stores as IP:PORT,IP:PORT, got "
+            f"{'; '.join(faults) or 'none'}; use --stores or OLEANDERHITCH_STORES"
+        )
+    return tuple(stores)
