--- /dev/null
+++ b/oleanderhitch/process/commands/operator_application.py
@@ -0,0 +1,48 @@
+"""Assemble the operators' command line."""
+
+from collections.abc import Sequence
+
+from cleo.application import Application
+
+from oleanderhitch.process.commands.operator_apply import ApplyCommand
+from oleanderhitch.process.commands.operator_base import (
+    OperatorCommand,
+    Surroundings,
+    make_surroundings,
+)
+from oleanderhitch.process.commands.operator_check import CheckCommand
+from oleanderhitch.process.commands.operator_history import HistoryCommand
+from oleanderhitch.process.commands.operator_outcome import OutcomeCommand
+from oleanderhitch.process.commands.operator_plan import PlanCommand
+from oleanderhitch.process.commands.operator_status import StatusCommand
+from oleanderhitch.process.commands.trace_show import TraceShowCommand
+from oleanderhitch.process.operators.network import make_network_client
+
+# A further command is one more class in this list.
+COMMANDS: list[type[OperatorCommand]] = [
+    CheckCommand,
+    PlanCommand,
+    ApplyCommand,
+    StatusCommand,
+    HistoryCommand,
+    OutcomeCommand,
+]
+
+
+def make_application(
+    surroundings: Surroundings, commands: Sequence[type[OperatorCommand]] = COMMANDS
+) -> Application:
+    """Return the command line with the given commands."""
+    application = Application("oleanderhitch")
+    for command in commands:
+        bound = command()
+        bound.surroundings = surroundings
+        application.add(bound)
+    return application
+
+
+def run() -> int:
+    """Run the command line of this process and return its exit code."""
+    application = make_application(make_surroundings(make_network_client))
+    application.add(TraceShowCommand())
+    return application.run()
--- a/oleanderhitch/process/commands/operator_base.py
+++ b/oleanderhitch/process/commands/operator_base.py
@@ -25,7 +25,11 @@
     ClientSettings,
     ConfigurationClient,
 )
-from oleanderhitch.version.addresses import HostPort, parse_host_port
+from oleanderhitch.process.groups.placement import (
+    N_SHARDS_DEFAULT,
+    Store,
+    parse_stores,
+)
 from oleanderhitch.version.exceptions import InvalidConfigurationError
 
 
@@ -46,6 +50,7 @@
 
     stores: str = ""
     key_file: Path | None = None
+    n_shards: int = N_SHARDS_DEFAULT
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,7 +130,9 @@
             raise InvalidInputError(f"settings are invalid: {error}") from None
         stores = _parse_stores(self.option("stores") or settings.stores)
         key_file = self.option("key-file")
-        return ClientSettings(stores, Path(key_file) if key_file else settings.key_file)
+        return ClientSettings(
+            stores, Path(key_file) if key_file else settings.key_file, settings.n_shards
+        )
 
 
 def make_plain(value: Any) -> Any:
@@ -145,17 +152,15 @@
 _PLAIN = _make_plain_converter()
 
 
-def _parse_stores(text: str) -> tuple[HostPort, ...]:
-    faults: list[str] = []
-    stores: list[HostPort] = []
-    for part in filter(None, text.split(",")):
-        try:
-            stores.append(parse_host_port(part.strip()))
-        except ValueError as error:
-            faults.append(f"{part!r}: {error}")
-    if faults or not stores:
+def _parse_stores(text: str) -> tuple[Store, ...]:
+    fault = "none"
+    try:
+        stores = parse_stores(text)
+    except InvalidInputError as error:
+        stores, fault = (), str(error)
+    if not stores:
         raise InvalidInputError(
-            "expected stores as IP:PORT,IP:PORT, got "
-            f"{'; '.join(faults) or 'none'}; use --stores or OLEANDERHITCH_STORES"
+            f"expected stores as IP:PORT,IP:PORT or NAME=IP:PORT@DATA_CENTRE, got "
+            f"{fault}; use --stores or OLEANDERHITCH_STORES"
         )
-    return tuple(stores)
+    return stores
--- a/oleanderhitch/process/commands/operator_client.py
+++ b/oleanderhitch/process/commands/operator_client.py
@@ -11,11 +11,11 @@
     PublishAnswer,
     PublishHistory,
 )
+from oleanderhitch.process.groups.placement import N_SHARDS_DEFAULT, Store
 from oleanderhitch.process.membership.messages import NodeStatus
 from oleanderhitch.program.ids import ProgramId
 from oleanderhitch.program.messages import Refused, RequestRecord
 from oleanderhitch.request.ids import RequestId
-from oleanderhitch.version.addresses import HostPort
 from oleanderhitch.version.ids import ConfigurationVersion
 
 
@@ -23,8 +23,9 @@
 class ClientSettings:
     """Say which stores to ask and which key to prove."""
 
-    stores: tuple[HostPort, ...]
+    stores: tuple[Store, ...]
     key_file: Path | None
+    n_shards: int = N_SHARDS_DEFAULT
 
 
 class ConfigurationClient(Protocol):
--- a/oleanderhitch/process/groups/placement.py
+++ b/oleanderhitch/process/groups/placement.py
@@ -16,6 +16,8 @@
 CONFIGURATION_GROUP = GroupId("configuration")
 N_CONFIGURATION_REPLICAS = 5
 N_SHARD_REPLICAS = 3
+N_SHARDS_DEFAULT = 8
+NO_DATA_CENTRE = DataCentreName("-")
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,8 +80,11 @@
 
 def _parse_store(text: str) -> Store:
     node, has_node, rest = text.strip().partition("=")
+    if not has_node:
+        # An operator's command needs no more than the address.
+        node, rest = text.strip(), f"{text.strip()}@{NO_DATA_CENTRE}"
     address, has_data_centre, data_centre = rest.partition("@")
-    if not (has_node and node and has_data_centre and data_centre):
+    if not (node and has_data_centre and data_centre):
         raise InvalidInputError(
             f"store {text.strip()!r} must have the form NAME=IP:PORT@DATA_CENTRE"
         )
--- /dev/null
+++ b/oleanderhitch/process/operators/network.py
@@ -0,0 +1,108 @@
+"""Carry the operators' commands to the stores of a deployment."""
+
+from typing import TypeVar
+
+from oleanderhitch.connection.peer.handshake import Identity
+from oleanderhitch.connection.registry import make_project_codec
+from oleanderhitch.exceptions import InvalidInputError, UnavailableError
+from oleanderhitch.process.clock import make_system_clock
+from oleanderhitch.process.commands.operator_client import (
+    ClientSettings,
+    ConfigurationClient,
+)
+from oleanderhitch.process.configuration.messages import (
+    ConfigurationAnswer,
+    GetConfiguration,
+    GetPublishHistory,
+    Publish,
+    PublishAnswer,
+    PublishConflict,
+    Published,
+    PublishHistory,
+    PublishIdReused,
+    PublishRefused,
+)
+from oleanderhitch.process.groups.placement import (
+    CONFIGURATION_GROUP,
+    get_program_group,
+)
+from oleanderhitch.process.ids import NodeId
+from oleanderhitch.process.membership.messages import GetNodeStatus, NodeStatus
+from oleanderhitch.process.operators.client import OperatorClient, make_operator_client
+from oleanderhitch.program.ids import ProgramId
+from oleanderhitch.program.messages import GetOutcome, Refused, RequestRecord
+from oleanderhitch.request.ids import RequestId
+from oleanderhitch.version.ids import ConfigurationVersion
+
+OPERATOR_NODE = NodeId("operator")
+
+Expected = TypeVar("Expected")
+
+
+class NetworkClient:
+    """Ask the stores over peer streams; each call raises UnavailableError."""
+
+    def __init__(self, client: OperatorClient, n_shards: int) -> None:
+        self._client = client
+        self._n_shards = n_shards
+
+    def publish(self, publish: Publish) -> PublishAnswer:
+        """Publish documents."""
+        answer = self._client.submit(CONFIGURATION_GROUP, publish, False)
+        if isinstance(
+            answer, Published | PublishConflict | PublishRefused | PublishIdReused
+        ):
+            return answer
+        raise UnavailableError(f"unexpected answer to a publish: {answer}")
+
+    def get_configuration(self, after: ConfigurationVersion) -> ConfigurationAnswer:
+        """Return the accepted version and the documents changed after another."""
+        return self._read(GetConfiguration(after), ConfigurationAnswer)
+
+    def get_history(self, n_limit: int) -> PublishHistory:
+        """Return the latest accepted versions."""
+        return self._read(GetPublishHistory(n_limit), PublishHistory)
+
+    def get_status(self) -> NodeStatus:
+        """Return the version in force and the nodes."""
+        latest = None
+        for store in self._client.stores:
+            answer = self._client.ask(store, GetNodeStatus())
+            if isinstance(answer, NodeStatus):
+                latest = answer
+                if answer.is_leading:
+                    return answer
+        if latest is None:
+            raise UnavailableError("no store answered; check the stores and the key")
+        return latest
+
+    def get_outcome(
+        self, program: ProgramId, request: RequestId
+    ) -> RequestRecord | Refused:
+        """Return what is recorded of a request."""
+        group = get_program_group(program, self._n_shards)
+        answer = self._client.submit(group, GetOutcome(program, request), True)
+        if isinstance(answer, RequestRecord | Refused):
+            return answer
+        raise UnavailableError(f"unexpected answer to a look-up: {answer}")
+
+    def _read(self, query: object, expected: type[Expected]) -> Expected:
+        answer = self._client.submit(CONFIGURATION_GROUP, query, True)
+        if isinstance(answer, expected):
+            return answer
+        raise UnavailableError(f"unexpected answer to a read: {answer}")
+
+
+def make_network_client(settings: ClientSettings) -> ConfigurationClient:
+    """Return a connected client; raise InvalidInputError without a key."""
+    if settings.key_file is None or not settings.key_file.is_file():
+        raise InvalidInputError(
+            f"expected a file with the shared key, got {settings.key_file}; "
+            "use --key-file or OLEANDERHITCH_KEY_FILE"
+        )
+    identity = Identity(OPERATOR_NODE, settings.key_file.read_bytes().strip())
+    client = make_operator_client(
+        settings.stores, make_project_codec(), identity, make_system_clock()
+    )
+    client.start()
+    return NetworkClient(client, settings.n_shards)
--- a/tests/process/commands/test_operator.py
+++ b/tests/process/commands/test_operator.py
@@ -9,7 +9,7 @@
 from cleo.testers.application_tester import ApplicationTester
 
 from oleanderhitch.exceptions import UnavailableError
-from oleanderhitch.process.commands.operator import make_application
+from oleanderhitch.process.commands.operator_application import make_application
 from oleanderhitch.process.commands.operator_base import ExitCode, Surroundings
 from oleanderhitch.process.configuration.core import (
     apply,
