--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -107,8 +107,12 @@
     start_service 1
 }
 
+# Publishes a copy, since apply notes beside the files what they are based on.
 publish_examples() {
-    "$PYTHON" -m oleanderhitch.process.commands.operator \
-        apply "${1:-examples/demo}" --author "$USER_NAME"
+    cp -r "${1:-examples/demo}" "$WORK/declarations"
+    operator apply "$WORK/declarations" --author demo
+}
+
+operator() {
+    "$PYTHON" -m oleanderhitch.process.commands.operator "$@"
 }
-USER_NAME=${USER:-operator}
