Added tests of single replication rules

Change: directed tests for these; a simulated sync now makes a part of the waiting writes durable. A declared loss is reported as completed only once the survivor has committed it. Conclusion: each rule has a test that fails without it.

--- a/oleanderhitch/process/replication/binding.py
+++ b/oleanderhitch/process/replication/binding.py
@@ -38,6 +38,7 @@
 )
 from oleanderhitch.process.replication.exceptions import ReplicationError
 from oleanderhitch.process.replication.founding import (
+    AwaitAdmission,
     FixVoters,
     FoundingState,
     FoundingSynced,
@@ -209,6 +210,14 @@
     _store(binding, WriteRecords((record,), binding.task))
 
 
+@perform.register
+def _(effect: AwaitAdmission, binding: GroupBinding) -> None:
+    binding.log.warning(
+        "the group exists without replica {}; add it or let it replace a lost one",
+        effect.replica,
+    )
+
+
 @perform.register
 def _(effect: FixVoters, binding: GroupBinding) -> None:
     group = binding.state.replica.group
--- a/oleanderhitch/process/replication/founding.py
+++ b/oleanderhitch/process/replication/founding.py
@@ -42,6 +42,13 @@
     is_formed: bool
 
 
+@dataclass(frozen=True, slots=True)
+class AwaitAdmission:
+    """Say that the group exists without this replica."""
+
+    replica: ReplicaId
+
+
 @dataclass(frozen=True, slots=True)
 class FoundingSynced:
     """Report that a fixed set is synced."""
@@ -103,7 +110,7 @@
     if hello.is_formed:
         if state.replica not in hello.voters:
             state.is_excluded = True
-            return []
+            return [AwaitAdmission(state.replica)]
         return _fix(state, hello.voters, True)
     if hello.node in state.nodes:
         state.seen[hello.node] = hello.replica
--- a/oleanderhitch/process/replication/membership.py
+++ b/oleanderhitch/process/replication/membership.py
@@ -239,4 +239,5 @@
         _without(state.membership, message.replica),
         out,
     )
-    out.append(ChangeEnded(message.change_id, ChangeOutcome.COMPLETED, "", None))
+    # Completed once the survivor leads and has committed this.
+    state.change = message
--- a/tests/process/replication/cluster.py
+++ b/tests/process/replication/cluster.py
@@ -51,11 +51,11 @@
         """Queue records and a snapshot for the next sync."""
         self.pending.append((records, acknowledgement, snapshot))
 
-    def sync(self):
-        """Make everything durable and return the acknowledgements."""
+    def sync(self, n_writes):
+        """Make the oldest writes durable and return their acknowledgements."""
         if self.is_full:
             raise OSError(28, "No space left on device")
-        pending, self.pending = self.pending, []
+        pending, self.pending = self.pending[:n_writes], self.pending[n_writes:]
         for records, _, snapshot in pending:
             self._keep(records, snapshot)
         return [ack for _, ack, _ in pending if ack is not None]
@@ -261,8 +261,11 @@
             if self.random.random() < self.sync_delay_rate:
                 continue
             if host.is_up and not host.is_disk_stalled and host.disk.pending:
+                n_writes = len(host.disk.pending)
+                if self.sync_delay_rate:
+                    n_writes = self.random.randint(1, n_writes)
                 try:
-                    acknowledgements = host.disk.sync()
+                    acknowledgements = host.disk.sync(n_writes)
                 except OSError as error:
                     acknowledgements = [m.StorageFailed(str(error))]
                 for acknowledgement in acknowledgements:
--- a/tests/process/replication/file_disk.py
+++ b/tests/process/replication/file_disk.py
@@ -26,9 +26,9 @@
         """Queue records and a snapshot for the next sync."""
         self.pending.append((records, acknowledgement, snapshot))
 
-    def sync(self):
-        """Write everything to the files and return the acknowledgements."""
-        pending, self.pending = self.pending, []
+    def sync(self, n_writes):
+        """Write the oldest requests to the files, return their acknowledgements."""
+        pending, self.pending = self.pending[:n_writes], self.pending[n_writes:]
         for records, _, snapshot in pending:
             request = WriteRecords(records, self)
             if snapshot is not None:
--- /dev/null
+++ b/tests/process/replication/test_core.py
@@ -0,0 +1,194 @@
+"""Guard against breaches of single rules that random runs seldom expose."""
+
+from datetime import UTC, datetime, timedelta
+from random import Random
+
+import pytest
+
+from oleanderhitch.process.messages import Tick
+from oleanderhitch.process.replication import core
+from oleanderhitch.process.replication import messages as m
+from oleanderhitch.process.replication.effects import (
+    ApplyCommitted,
+    ChangeEnded,
+    PersistEntries,
+    ProposalCommitted,
+    RestoreSnapshot,
+    SendToReplica,
+    TruncateLog,
+)
+from oleanderhitch.process.replication.exceptions import LogInvariantError
+from oleanderhitch.process.replication.states import (
+    ChangeKind,
+    ChangeOutcome,
+    EntryKind,
+    Role,
+)
+
+NOW = datetime(2026, 1, 1, tzinfo=UTC)
+LATER = NOW + timedelta(seconds=2)
+VOTERS = ("a", "b", "c")
+
+
+def make_entry(index, term):
+    """Return a command entry."""
+    return m.LogEntry(index, term, EntryKind.COMMAND, b"c%d.%d" % (index, term))
+
+
+def make_replica(name="a", entries=(), term=0, voters=VOTERS):
+    """Return a replica with a log that is synced."""
+    return core.make_replica(
+        "g",
+        name,
+        voters,
+        (),
+        Random(1),
+        hard_state=m.HardState(term),
+        entries=tuple(entries),
+    )
+
+
+def handle(state, message, sender=None, now=NOW):
+    """Return the effects of a message, from a peer if there is a sender."""
+    if sender is not None:
+        message = m.PeerMessage(sender, message)
+    return core.handle(message, state, now)
+
+
+def sync_hard_state(state):
+    """Report that the newest hard state is synced; return the effects."""
+    return handle(state, m.HardStatePersisted(state.hard_state))
+
+
+def get_messages(effects):
+    """Return what is sent to other replicas."""
+    return [e.message for e in effects if isinstance(e, SendToReplica)]
+
+
+def get_persisted(effects):
+    """Return the report on the last entries that are to be synced."""
+    effect = [e for e in effects if isinstance(e, PersistEntries)][-1]
+    last = effect.entries[-1]
+    return m.Persisted(last.index, last.term, effect.n_truncations)
+
+
+def make_leader(entries=(), term=0):
+    """Return a replica that leads, and the effects of its election."""
+    state = make_replica("a", entries, term)
+    handle(state, Tick())
+    handle(state, Tick(), now=LATER)
+    handle(state, m.PreVoteReply(term + 1, True), "b", LATER)
+    sync_hard_state(state)
+    effects = handle(state, m.VoteReply(term + 1, True), "b", LATER)
+    assert state.role is Role.LEADER
+    return state, effects
+
+
+def test_vote_leaves_only_once_it_is_synced():
+    """Guards against a second vote after a crash that forgets the first."""
+    state = make_replica()
+    effects = handle(state, m.VoteRequest(1, 0, 0, False), "b")
+    assert get_messages(effects) == []
+    # One sync for the term, one for the vote.
+    assert get_messages(handle(state, m.HardStatePersisted(m.HardState(1)))) == []
+    assert get_messages(sync_hard_state(state)) == [m.VoteReply(1, True)]
+
+
+def test_candidate_asks_for_votes_only_once_its_term_is_synced():
+    """Guards against a candidate that stands twice in one term."""
+    state = make_replica()
+    handle(state, Tick())
+    handle(state, Tick(), now=LATER)
+    effects = handle(state, m.PreVoteReply(1, True), "b", LATER)
+    assert get_messages(effects) == []
+    requests = get_messages(sync_hard_state(state))
+    assert requests == [m.VoteRequest(1, 0, 0, False)] * 2
+
+
+def test_entry_of_an_earlier_term_is_not_committed_by_count():
+    """Guards against a committed entry that a later leader replaces."""
+    state, effects = make_leader([make_entry(1, 1)], term=2)
+    handle(state, m.AppendReply(3, True, 1, 1), "b", LATER)
+    handle(state, m.AppendReply(3, True, 1, 1), "c", LATER)
+    assert state.commit_index == 0
+    handle(state, get_persisted(effects), now=LATER)
+    effects = handle(state, m.AppendReply(3, True, 2, 2), "b", LATER)
+    assert [e.index for e in effects if isinstance(e, ApplyCommitted)] == [1]
+
+
+def test_leader_counts_its_own_entry_only_once_it_is_synced():
+    """Guards against an acknowledgement that rests on one synced copy of three."""
+    state, elected = make_leader()
+    handle(state, m.AppendReply(1, True, 0, 0), "b", LATER)
+    handle(state, get_persisted(elected), now=LATER)
+    proposed = handle(state, m.Propose(5, b"x"), now=LATER)
+    effects = handle(state, m.AppendReply(1, True, 2, 2), "b", LATER)
+    assert not any(isinstance(e, ProposalCommitted) for e in effects)
+    effects = handle(state, get_persisted(proposed), now=LATER)
+    assert ProposalCommitted(5, 2) in effects
+
+
+def test_follower_confirms_only_what_is_synced():
+    """Guards against a majority that counts entries a crash would lose."""
+    state = make_replica()
+    first = m.AppendEntries(1, 0, 0, 0, (make_entry(1, 1),))
+    second = m.AppendEntries(1, 1, 1, 0, (make_entry(2, 1),))
+    persisted = get_persisted(handle(state, first, "b"))
+    sync_hard_state(state)
+    assert get_messages(handle(state, second, "b")) == []
+    assert get_messages(handle(state, persisted)) == [m.AppendReply(1, True, 1, 1)]
+    probe = m.AppendEntries(1, 2, 1, 0, ())
+    assert get_messages(handle(state, probe, "b")) == [m.AppendReply(1, True, 1, 1)]
+
+
+def test_late_report_on_removed_entries_does_not_count():
+    """Guards against a report on an entry that was removed and has come back."""
+    state = make_replica()
+    entry = make_entry(1, 1)
+    late = get_persisted(handle(state, m.AppendEntries(1, 0, 0, 0, (entry,)), "b"))
+    other = m.AppendEntries(2, 0, 0, 0, (make_entry(1, 2),))
+    assert TruncateLog(1) in handle(state, other, "c")
+    handle(state, m.AppendEntries(3, 0, 0, 0, (entry,)), "b")
+    handle(state, late)
+    assert state.persisted_index == 0
+
+
+def test_second_leader_of_a_term_is_an_error():
+    """Guards against a replica that goes on after two leaders in one term."""
+    state, _ = make_leader()
+    with pytest.raises(LogInvariantError, match="also leads"):
+        handle(state, m.Heartbeat(1, 0, 1), "b", LATER)
+
+
+def test_snapshot_over_another_history_replaces_the_log():
+    """Guards against old entries that survive behind a received snapshot."""
+    state = make_replica(entries=[make_entry(n, 1) for n in range(1, 9)], term=1)
+    chunk = m.InstallSnapshot(2, 5, 2, m.Membership(VOTERS), 0, b"state", True)
+    effects = handle(state, chunk, "b")
+    (restore,) = [e for e in effects if isinstance(e, RestoreSnapshot)]
+    assert not restore.is_log_kept
+    handle(state, m.SnapshotRestored(5))
+    assert (state.log.last_index, state.persisted_index) == (5, 5)
+    same = make_replica(entries=[make_entry(n, 2) for n in range(1, 9)], term=2)
+    effects = handle(same, chunk, "b")
+    assert [e.is_log_kept for e in effects if isinstance(e, RestoreSnapshot)] == [True]
+    handle(same, m.SnapshotRestored(5))
+    assert same.log.last_index == 8
+
+
+def test_new_leader_changes_nothing_before_its_first_entry_is_committed():
+    """Guards against two leaders that change the membership from one state."""
+    state, _ = make_leader()
+    effects = handle(state, m.ChangeMembership(1, ChangeKind.ADD, "d"), now=LATER)
+    (ended,) = [e for e in effects if isinstance(e, ChangeEnded)]
+    assert ended.outcome is ChangeOutcome.REJECTED
+    assert "not committed" in ended.reason
+
+
+def test_replica_without_a_group_never_stands_for_election():
+    """Guards against an empty disk that founds a second group."""
+    state = make_replica("n1", voters=())
+    for seconds in range(10):
+        effects = handle(state, Tick(), now=NOW + timedelta(seconds=seconds))
+        assert effects == []
+    assert state.term == 0
