--- a/oleanderhitch/process/replication/binding.py
+++ b/oleanderhitch/process/replication/binding.py
@@ -8,6 +8,7 @@
 import logbook
 
 from oleanderhitch.connection.codec import Codec
+from oleanderhitch.process.clock import Clock
 from oleanderhitch.process.groups.application import Application
 from oleanderhitch.process.groups.messages import (
     GroupAnswer,
@@ -127,6 +128,7 @@
     storage: Storage
     application: Application
     transport: Address
+    clock: Clock
     task: Address
     log: logbook.Logger
     on_leadership: Callable[[LeadershipChanged], None] | None = None
@@ -181,7 +183,9 @@
     binding.log.error("the replica stops: {}", reason)
     binding.has_failed = True
     state = binding.state
-    for effect in core.handle(StorageFailed(reason), state.replica, datetime.min):
+    for effect in core.handle(
+        StorageFailed(reason), state.replica, binding.clock.now()
+    ):
         perform(effect, binding)
     while state.calls:
         _, call = state.calls.popitem()
--- a/oleanderhitch/process/replication/core.py
+++ b/oleanderhitch/process/replication/core.py
@@ -7,7 +7,9 @@
 from oleanderhitch.process.ids import GroupId, ReplicaId
 from oleanderhitch.process.messages import Tick
 from oleanderhitch.process.replication.effects import (
+    ChangeEnded,
     ProposalRejected,
+    ReadRejected,
 )
 from oleanderhitch.process.replication.election import (
     check_quorum,
@@ -70,7 +72,7 @@
     handle_snapshot_taken,
     resend_chunk,
 )
-from oleanderhitch.process.replication.states import EntryKind, Role
+from oleanderhitch.process.replication.states import ChangeOutcome, EntryKind, Role
 
 # Ticks of one process are never this far apart in the wrong direction unless
 # its clock was set back.
@@ -280,9 +282,10 @@
 
 @_handle_when_stopped.register
 def _(message: ReadBarrier, state: ReplicaState, out: list[object]) -> None:
-    add_read(state, message.read_id, datetime.min, out)
+    out.append(ReadRejected(message.read_id, None))
 
 
 @_handle_when_stopped.register
 def _(message: ChangeMembership, state: ReplicaState, out: list[object]) -> None:
-    begin_change(state, message, datetime.min, out)
+    reason = f"this replica has stopped: {state.fault}"
+    out.append(ChangeEnded(message.change_id, ChangeOutcome.REJECTED, reason, None))
--- a/oleanderhitch/process/replication/founding.py
+++ b/oleanderhitch/process/replication/founding.py
@@ -101,6 +101,9 @@
 
 
 def _make_hello(state: FoundingState, is_answer: bool) -> FoundingHello:
+    if state.is_excluded:
+        # The group exists, but this replica can't name its founding voters.
+        return FoundingHello(state.node, state.replica, (), True, is_answer)
     return FoundingHello(
         state.node, state.replica, state.voters, state.is_formed, is_answer
     )
--- a/oleanderhitch/process/replication/log.py
+++ b/oleanderhitch/process/replication/log.py
@@ -12,6 +12,11 @@
 ENTRY_OVERHEAD_BYTES = 100
 
 
+def get_size(entry: LogEntry) -> int:
+    """Return about how many bytes an entry takes."""
+    return len(entry.command) + ENTRY_OVERHEAD_BYTES
+
+
 class ReplicaLog:
     """Hold consecutive entries after a base entry that is known by term only."""
 
@@ -19,12 +24,18 @@
         self._base_index = base_index
         self._base_term = base_term
         self._entries: list[LogEntry] = []
+        self._n_bytes = 0
 
     @property
     def base_index(self) -> LogIndex:
         """Return the index just before the first entry held."""
         return self._base_index
 
+    @property
+    def n_bytes(self) -> int:
+        """Return about how many bytes the entries held take."""
+        return self._n_bytes
+
     @property
     def last_index(self) -> LogIndex:
         """Return the index of the last entry."""
@@ -60,12 +71,21 @@
         n_bytes = 0
         for offset in range(first_index - self._base_index - 1, len(self._entries)):
             entry = self._entries[offset]
-            n_bytes += len(entry.command) + ENTRY_OVERHEAD_BYTES
+            n_bytes += get_size(entry)
             if chosen and n_bytes > limit_bytes:
                 break
             chosen.append(entry)
         return tuple(chosen)
 
+    def find_trailing(self, index: int, n_entries: int, limit_bytes: int) -> int:
+        """Return the index before the last few entries up to an index."""
+        first = max(index - n_entries, self._base_index)
+        n_bytes = 0
+        while index > first and n_bytes < limit_bytes:
+            n_bytes += get_size(self.get_entry(index))
+            index -= 1
+        return index
+
     def iterate_backwards(self) -> Iterable[LogEntry]:
         """Return the entries held, newest first."""
         return reversed(self._entries)
@@ -77,16 +97,20 @@
                 f"entry {entry.index} does not follow entry {self.last_index}"
             )
         self._entries.append(entry)
+        self._n_bytes += get_size(entry)
 
     def truncate(self, first_index: int) -> None:
         """Remove the entries from an index on."""
-        del self._entries[max(0, first_index - self._base_index - 1) :]
+        offset = max(0, first_index - self._base_index - 1)
+        self._n_bytes -= sum(map(get_size, self._entries[offset:]))
+        del self._entries[offset:]
 
     def compact(self, index: int) -> None:
         """Remove the entries up to an index that is held."""
         if index <= self._base_index:
             return
         term = self.get_entry(index).term
+        self._n_bytes -= sum(map(get_size, self._entries[: index - self._base_index]))
         del self._entries[: index - self._base_index]
         self._base_index = LogIndex(index)
         self._base_term = term
@@ -94,5 +118,6 @@
     def reset(self, index: LogIndex, term: Term) -> None:
         """Remove all entries and continue after the given one."""
         self._entries.clear()
+        self._n_bytes = 0
         self._base_index = index
         self._base_term = term
--- a/oleanderhitch/process/replication/log_sync.py
+++ b/oleanderhitch/process/replication/log_sync.py
@@ -221,12 +221,23 @@
         if proposal_id is not None:
             out.append(ProposalCommitted(proposal_id, entry.index))
         state.commit_index = index
-    snapshot_index = 0 if state.snapshot is None else state.snapshot.index
-    n_entries = state.commit_index - snapshot_index
-    if n_entries >= state.limits.n_entries_per_snapshot:
+    if _is_snapshot_due(state):
         request_snapshot(state, out)
 
 
+def _is_snapshot_due(state: ReplicaState) -> bool:
+    limits = state.limits
+    snapshot = state.snapshot
+    snapshot_index = 0 if snapshot is None else snapshot.index
+    snapshot_bytes = 0 if snapshot is None else len(snapshot.data)
+    n_entries = state.commit_index - snapshot_index
+    limit_bytes = max(limits.log_bytes_per_snapshot, snapshot_bytes)
+    return (
+        n_entries >= limits.n_entries_per_snapshot
+        or state.log.n_bytes - limits.trailing_bytes >= limit_bytes
+    )
+
+
 def request_snapshot(state: ReplicaState, out: list[object]) -> None:
     """Ask for a snapshot of what is applied, unless one is being taken."""
     snapshot_index = 0 if state.snapshot is None else state.snapshot.index
--- a/oleanderhitch/process/replication/membership.py
+++ b/oleanderhitch/process/replication/membership.py
@@ -184,8 +184,13 @@
     ]
     if not voters:
         return
+    recent = state.timing.election_timeout_min
     state.transfer_target = max(
-        voters, key=lambda voter: state.progress[voter].match_index
+        voters,
+        key=lambda voter: (
+            now - state.progress[voter].heard_at < recent,
+            state.progress[voter].match_index,
+        ),
     )
     state.transfer_deadline = now + state.timing.election_timeout_max
     continue_transfer(state, now, out)
--- a/oleanderhitch/process/replication/replica.py
+++ b/oleanderhitch/process/replication/replica.py
@@ -48,6 +48,10 @@
     n_entries_per_snapshot: int = 10_000
     # Kept after a snapshot, so that a follower a little behind needs no snapshot.
     n_trailing_entries: int = 1_000
+    trailing_bytes: int = 8 * 1024 * 1024
+    # The log may grow to this, or to the size of the last snapshot if that is
+    # more: then at most half of all that is written is snapshots.
+    log_bytes_per_snapshot: int = 32 * 1024 * 1024
     # Beyond this many entries in doubt, a new proposal is rejected at once.
     n_uncommitted_entries: int = 8_192
 
--- a/oleanderhitch/process/replication/snapshots.py
+++ b/oleanderhitch/process/replication/snapshots.py
@@ -172,4 +172,9 @@
     state.snapshot = Snapshot(
         request.index, request.term, request.membership, message.data
     )
-    state.log.compact(request.index - state.limits.n_trailing_entries)
+    limits = state.limits
+    state.log.compact(
+        state.log.find_trailing(
+            request.index, limits.n_trailing_entries, limits.trailing_bytes
+        )
+    )
--- a/oleanderhitch/process/replication/task.py
+++ b/oleanderhitch/process/replication/task.py
@@ -135,7 +135,7 @@
         tick_interval=timing.heartbeat_interval / N_TICKS_PER_HEARTBEAT,
     )
     binding = GroupBinding(
-        state, storage, application, transport, task, log, on_leadership
+        state, storage, application, transport, clock, task, log, on_leadership
     )
     return task
 
@@ -209,7 +209,10 @@
         return []
     if isinstance(body, FoundingHello):
         return handle_hello(state.founding, body)
-    if is_hello:
+    is_settled = state.founding.is_formed or state.founding.is_excluded
+    if is_hello or not is_settled:
+        # A founding voter must know the founding set before it stores entries:
+        # its snapshots would lack the voters otherwise.
         return []
     return core.handle(PeerMessage(message.sender, body), state.replica, now)
 
--- a/tests/process/replication/test_founding.py
+++ b/tests/process/replication/test_founding.py
@@ -7,6 +7,7 @@
 
 from oleanderhitch.process.replication.founding import (
     FixVoters,
+    FoundingHello,
     FoundingState,
     FoundingSynced,
     SendHello,
@@ -123,3 +124,11 @@
             founders.deliver(number)
     assert founders.states["b"].is_excluded
     assert len(founders.formed) == 1
+    # A node that joined later knows of the group but not of its founding voters.
+    other = FoundingState("e", "e/1", ("b", "e"))
+    founders.states["b"].voters = ("b/4", "e/1")
+    (reply,) = handle_hello(
+        founders.states["b"], FoundingHello("e", "e/1", (), False, False)
+    )
+    handle_hello(other, reply.hello)
+    assert other.is_excluded
--- a/tests/process/replication/test_task.py
+++ b/tests/process/replication/test_task.py
@@ -2,20 +2,28 @@
 
 from datetime import timedelta
 
+import gevent
+
 from oleanderhitch.process.groups.messages import (
     GroupAnswer,
     GroupCall,
     GroupRedirect,
     GroupUncertain,
     LocalCall,
+    ReplicaEnvelope,
 )
 from oleanderhitch.process.mailbox import make_mailbox
+from oleanderhitch.process.replication.binding import make_hello_address
+from oleanderhitch.process.replication.founding import FoundingHello
 from oleanderhitch.process.replication.messages import (
+    AppendEntries,
     GetReplicationStatus,
+    LogEntry,
     ReplaceReplica,
+    VoteRequest,
 )
-from oleanderhitch.process.replication.replica import Timing
-from oleanderhitch.process.replication.states import ChangeOutcome
+from oleanderhitch.process.replication.replica import Limits, Timing
+from oleanderhitch.process.replication.states import ChangeOutcome, EntryKind
 from tests.process.replication.hosts import (
     GROUP,
     Host,
@@ -148,3 +156,47 @@
     assert answers == list(range(200))
     assert host.storage.writer.n_frames < 50
     host.stop(network)
+
+
+def test_replica_takes_no_entries_before_it_knows_the_founding_voters(tmp_path):
+    """Guards against a snapshot of a founding voter that names no voters."""
+    network = Network()
+    host = Host("c", tmp_path, network, ("a", "b", "c"), FAST)
+    codec = host.task._state.codec
+
+    def deliver(message, receiver):
+        body = codec.encode(message)
+        host.task.send(ReplicaEnvelope(GROUP, "a/1", receiver, body))
+        gevent.sleep(0.05)
+
+    entry = LogEntry(1, 1, EntryKind.EMPTY)
+    append = AppendEntries(1, 0, 0, 0, (entry,))
+    deliver(append, host.state.replica)
+    assert host.state.log.last_index == 0
+    hello = FoundingHello("a", "a/1", ("a/1", "b/1", "c/1"), True, True)
+    deliver(hello, make_hello_address("c"))
+    deliver(append, host.state.replica)
+    assert host.state.log.last_index == 1
+    # Meant for the disk that this node has lost.
+    deliver(VoteRequest(5, 9, 9, False), "c/1")
+    assert host.state.term == 1
+    host.stop(network)
+
+
+def test_log_is_compacted_by_bytes(tmp_path):
+    """Guards against a few long histories that fill the memory before a snapshot."""
+    network = Network()
+    limits = Limits(log_bytes_per_snapshot=20_000, trailing_bytes=3_000)
+    host = Host("a", tmp_path, network, ("a",), FAST, limits)
+    wait_for(lambda: find_leader([host]))
+    for _ in range(100):
+        call(host, b"x" * 1000)
+    wait_for(lambda: host.state.snapshot_request is None)
+    # Each snapshot is larger here, since the journal keeps all commands.
+    assert host.state.log.n_bytes < 20_000 + 3_000 + len(host.state.snapshot.data)
+    assert host.state.log.base_index > 0
+    host.stop(network)
+    host = Host("a", tmp_path, network, ("a",), FAST, limits)
+    wait_for(lambda: find_leader([host]))
+    assert len(host.journal.commands) == 100
+    host.stop(network)
