Tested that a held request does not wait as well

Cause: removing the withdrawal from the handler of HoldSlot by hand failed no test. Change: a test that fails without it.

--- a/tests/process/scheduling/test_core.py
+++ b/tests/process/scheduling/test_core.py
@@ -66,3 +66,14 @@
     handle(enqueue("r2"), state, at(0))
     effects = handle(offers(), state, at(1))
     assert [e.request for e in effects if isinstance(e, GrantSlot)] == ["r2"]
+
+
+def test_held_request_does_not_wait_as_well():
+    """A request that runs must not get a second slot from a new owner."""
+    state = pool()
+    sent = enqueue("r1")
+    handle(sent, state, at(0))
+    handle(hold(GrantSlot("p", "n", "r1", "e1", "x-1", 0, False), sent), state, at(0))
+    assert handle(offers(e1=2), state, at(1)) == []
+    assert list(state.permits) == ["x-1"]
+    assert state.n_active_accounts == 1
