--- a/oleanderhitch/process/replication/binding.py
+++ b/oleanderhitch/process/replication/binding.py
@@ -8,6 +8,7 @@
 import logbook
 
 from oleanderhitch.connection.codec import Codec
+from oleanderhitch.process.clock import Clock
 from oleanderhitch.process.groups.application import Application
 from oleanderhitch.process.groups.messages import (
     GroupAnswer,
@@ -38,6 +39,7 @@
 )
 from oleanderhitch.process.replication.exceptions import ReplicationError
 from oleanderhitch.process.replication.founding import (
+    AwaitAdmission,
     FixVoters,
     FoundingState,
     FoundingSynced,
@@ -126,6 +128,7 @@
     storage: Storage
     application: Application
     transport: Address
+    clock: Clock
     task: Address
     log: logbook.Logger
     on_leadership: Callable[[LeadershipChanged], None] | None = None
@@ -180,7 +183,9 @@
     binding.log.error("the replica stops: {}", reason)
     binding.has_failed = True
     state = binding.state
-    for effect in core.handle(StorageFailed(reason), state.replica, datetime.min):
+    for effect in core.handle(
+        StorageFailed(reason), state.replica, binding.clock.now()
+    ):
         perform(effect, binding)
     while state.calls:
         _, call = state.calls.popitem()
@@ -209,6 +214,14 @@
     _store(binding, WriteRecords((record,), binding.task))
 
 
+@perform.register
+def _(effect: AwaitAdmission, binding: GroupBinding) -> None:
+    binding.log.warning(
+        "the group exists without replica {}; add it or let it replace a lost one",
+        effect.replica,
+    )
+
+
 @perform.register
 def _(effect: FixVoters, binding: GroupBinding) -> None:
     group = binding.state.replica.group
--- a/oleanderhitch/process/replication/founding.py
+++ b/oleanderhitch/process/replication/founding.py
@@ -42,6 +42,13 @@
     is_formed: bool
 
 
+@dataclass(frozen=True, slots=True)
+class AwaitAdmission:
+    """Say that the group exists without this replica."""
+
+    replica: ReplicaId
+
+
 @dataclass(frozen=True, slots=True)
 class FoundingSynced:
     """Report that a fixed set is synced."""
@@ -94,6 +101,9 @@
 
 
 def _make_hello(state: FoundingState, is_answer: bool) -> FoundingHello:
+    if state.is_excluded:
+        # The group exists, but this replica can't name its founding voters.
+        return FoundingHello(state.node, state.replica, (), True, is_answer)
     return FoundingHello(
         state.node, state.replica, state.voters, state.is_formed, is_answer
     )
@@ -103,7 +113,7 @@
     if hello.is_formed:
         if state.replica not in hello.voters:
             state.is_excluded = True
-            return []
+            return [AwaitAdmission(state.replica)]
         return _fix(state, hello.voters, True)
     if hello.node in state.nodes:
         state.seen[hello.node] = hello.replica
--- a/oleanderhitch/process/replication/membership.py
+++ b/oleanderhitch/process/replication/membership.py
@@ -184,8 +184,13 @@
     ]
     if not voters:
         return
+    recent = state.timing.election_timeout_min
     state.transfer_target = max(
-        voters, key=lambda voter: state.progress[voter].match_index
+        voters,
+        key=lambda voter: (
+            now - state.progress[voter].heard_at < recent,
+            state.progress[voter].match_index,
+        ),
     )
     state.transfer_deadline = now + state.timing.election_timeout_max
     continue_transfer(state, now, out)
@@ -239,4 +244,5 @@
         _without(state.membership, message.replica),
         out,
     )
-    out.append(ChangeEnded(message.change_id, ChangeOutcome.COMPLETED, "", None))
+    # Completed once the survivor leads and has committed this.
+    state.change = message
