Held calls to the declared limits and released engine memory

The intake applies this host's part of the limits per account, program and pool. The owner of a pool polls its engines and releases the memory of ended programs until each engine confirms.

--- a/oleanderhitch/process/intake/core.py
+++ b/oleanderhitch/process/intake/core.py
@@ -8,11 +8,13 @@
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.ids import NodeId
+from oleanderhitch.process.intake.limits import make_admission_rules
 from oleanderhitch.process.intake.messages import (
     BeginDrain,
     CallerCall,
     CheckNode,
     Drained,
+    FollowEngines,
     GetProgramTerms,
     GetReadiness,
     ProgramTerms,
@@ -38,6 +40,14 @@
 )
 from oleanderhitch.process.scheduling.messages import EndpointOffer
 from oleanderhitch.program.ids import AccountId
+from oleanderhitch.request import admission
+from oleanderhitch.request.admission import (
+    AdmissionRules,
+    AdmissionState,
+    AdmitRequest,
+    RequestRejected,
+    make_admission,
+)
 from oleanderhitch.request.ids import RequestId
 from oleanderhitch.request.messages import (
     AnswerCaller,
@@ -54,6 +64,7 @@
     NO_VERSION,
     DataCentreName,
     OperationName,
+    PoolId,
     ServiceName,
 )
 from oleanderhitch.version.states import HostRole
@@ -76,6 +87,10 @@
     absent_since: dict[NodeId, datetime] = field(default_factory=dict)
     first_view_at: datetime | None = None
     requests: set[RequestId] = field(default_factory=set)
+    owners: dict[PoolId, NodeId] = field(default_factory=dict)
+    admission: AdmissionState = field(
+        default_factory=lambda: make_admission(AdmissionRules())
+    )
     drain_reply: Address | None = None
 
 
@@ -125,7 +140,7 @@
     # is what the leader takes the reply to mean.
     state.configuration = message.configuration
     installed = VersionInstalled(message.configuration.version)
-    return [SendAnswer(message.reply, installed), RoutePools(_make_pools(state))]
+    return [SendAnswer(message.reply, installed), *_apply_configuration(state, now)]
 
 
 @handle.register
@@ -153,18 +168,21 @@
     state.absent_since.update(dict.fromkeys(gone, now))
     for node in entries:
         state.absent_since.pop(node, None)
-    owners = {row.pool: row.owner for row in message.owners if row.owner is not None}
-    effects: list[object] = [RoutePools(OwnersChanged(owners, entries))]
+    state.owners = {
+        row.pool: row.owner for row in message.owners if row.owner is not None
+    }
+    effects: list[object] = [RoutePools(OwnersChanged(state.owners, entries))]
     if gone:
         effects.append(RoutePools(NodesGone(gone)))
     if state.configuration is not None:
-        effects.append(RoutePools(_make_pools(state)))
+        effects += _apply_configuration(state, now)
     return effects
 
 
 @handle.register
 def _(message: RequestEnded, state: IntakeState, now: datetime) -> list[object]:
     state.requests.discard(message.request)
+    admission.handle(admission.EndAdmission(message.request), state.admission, now)
     return _report_drained(state)
 
 
@@ -197,6 +215,18 @@
     return now - absent_since >= LEASE
 
 
+def _apply_configuration(state: IntakeState, now: datetime) -> list[object]:
+    """Pass the configuration on, with this host's part of all limits."""
+    configuration = state.configuration
+    assert configuration is not None
+    rules = make_admission_rules(configuration, max(1, len(state.live_nodes)))
+    admission.handle(admission.AdmissionRulesChanged(rules), state.admission, now)
+    return [
+        RoutePools(_make_pools(state)),
+        FollowEngines(configuration, state.owners),
+    ]
+
+
 def _make_pools(state: IntakeState) -> PoolsChanged:
     assert state.configuration is not None
     offers = {
@@ -238,7 +268,25 @@
     pool = _find_pool(state, call.work, rules)
     if isinstance(pool, AnswerCaller):
         return pool
-    return _make_call(call, pool, rules, state, now)
+    limited = _find_limit(call, pool, state, now)
+    return limited or _make_call(call, pool, rules, state, now)
+
+
+def _find_limit(
+    call: CallerCall, pool: Pool, state: IntakeState, now: datetime
+) -> AnswerCaller | None:
+    asked = AdmitRequest(
+        call.request,
+        call.account,
+        call.program,
+        pool.id,
+        pool.region,
+        state.data_centre,
+    )
+    for effect in admission.handle(asked, state.admission, now):
+        if isinstance(effect, RequestRejected):
+            return _refuse(Reason.LIMIT_EXCEEDED, effect.detail, effect.retry_after)
+    return None
 
 
 def _make_call(
--- a/oleanderhitch/process/intake/messages.py
+++ b/oleanderhitch/process/intake/messages.py
@@ -13,7 +13,8 @@
 from oleanderhitch.program.ids import AccountId, ProgramId, SequenceNumber
 from oleanderhitch.request.ids import RequestId
 from oleanderhitch.request.messages import Call, Work
-from oleanderhitch.version.ids import ConfigurationVersion
+from oleanderhitch.version.configuration import Configuration
+from oleanderhitch.version.ids import ConfigurationVersion, PoolId
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,6 +118,14 @@
     message: object
 
 
+@dataclass(frozen=True, slots=True)
+class FollowEngines:
+    """Follow the engines of the pools that this host owns."""
+
+    configuration: Configuration
+    owners: dict[PoolId, NodeId]
+
+
 @dataclass(frozen=True, slots=True)
 class RoutePools:
     """Tell the pool router about pools, owners or lost nodes."""
--- a/oleanderhitch/process/intake/task.py
+++ b/oleanderhitch/process/intake/task.py
@@ -8,10 +8,16 @@
 from oleanderhitch.process.clock import Clock
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.intake.core import IntakeState, handle, make_intake_state
-from oleanderhitch.process.intake.messages import RoutePools, SendAnswer, StartRequest
+from oleanderhitch.process.intake.messages import (
+    FollowEngines,
+    RoutePools,
+    SendAnswer,
+    StartRequest,
+)
 from oleanderhitch.process.task import Task, make_task
 from oleanderhitch.request.messages import Call
-from oleanderhitch.version.ids import DataCentreName
+from oleanderhitch.version.configuration import Configuration
+from oleanderhitch.version.ids import DataCentreName, PoolId
 
 StartCall = Callable[[Call, Address], None]
 
@@ -22,6 +28,7 @@
 
     start_call: StartCall
     router: Address
+    follow_engines: Callable[[Configuration, dict[PoolId, NodeId]], None]
 
 
 def make_intake(
@@ -52,6 +59,11 @@
     effect.reply.send(effect.message)
 
 
+@perform_effect.register
+def _(effect: FollowEngines, services: IntakeServices) -> None:
+    services.follow_engines(effect.configuration, effect.owners)
+
+
 @perform_effect.register
 def _(effect: RoutePools, services: IntakeServices) -> None:
     services.router.send(effect.message)
--- a/oleanderhitch/process/roles/entry.py
+++ b/oleanderhitch/process/roles/entry.py
@@ -25,7 +25,7 @@
     GroupRedirect,
     GroupUncertain,
 )
-from oleanderhitch.process.groups.placement import get_program_group
+from oleanderhitch.process.groups.placement import get_program_group, make_shard_group
 from oleanderhitch.process.ids import GroupId, NodeId
 from oleanderhitch.process.intake.core import IntakeState
 from oleanderhitch.process.intake.messages import BeginDrain
@@ -44,6 +44,7 @@
 )
 from oleanderhitch.process.membership.node.task import make_node_task
 from oleanderhitch.process.metrics.core import Metrics
+from oleanderhitch.process.roles.engines import EngineParts, make_engine_parts
 from oleanderhitch.process.roles.links import StoreAccess
 from oleanderhitch.process.roles.status import StatusFront
 from oleanderhitch.process.routing.core import RouterState
@@ -77,6 +78,7 @@
     groups: Task[ClientState]
     router: Task[RouterState]
     intake: Task[IntakeState]
+    engines: EngineParts
     access: StoreAccess
     peers: PeerServer
     callers: CallerServer
@@ -85,6 +87,7 @@
         """Start all tasks, then listen for peers and callers."""
         for task in (self.groups, self.router, self.intake, self.node):
             task.start()
+        self.engines.start()
         self.peers.start()
         self.callers.start()
 
@@ -99,6 +102,7 @@
         """Close all connections and stop all tasks."""
         self.callers.stop()
         self.peers.stop()
+        self.engines.stop()
         for task in (self.node, self.intake, self.router, self.groups):
             task.stop()
 
@@ -175,11 +179,19 @@
         node, make_node_link, PoolSettings(), clock, random.Random(uuid.uuid4().int)
     )
     attempts = make_endpoint_attempts(clock)
+    engines = make_engine_parts(
+        node,
+        groups,
+        [make_shard_group(shard) for shard in range(settings.n_shards)],
+        get_group,
+        codec,
+        clock,
+    )
     services = _RequestStarter()
     intake = make_intake(
         node,
         DataCentreName(settings.data_centre),
-        IntakeServices(services.start, router),
+        IntakeServices(services.start, router, engines.follow),
         clock,
     )
     services.services = RequestServices(
@@ -215,6 +227,7 @@
         groups,
         router,
         intake,
+        engines,
         access,
         make_peer_server(HostAddress(settings.peer_listen), codec, identity, deliver),
         make_caller_server(HostAddress(settings.listen), app),
--- a/oleanderhitch/request/admission.py
+++ b/oleanderhitch/request/admission.py
@@ -11,15 +11,13 @@
 from datetime import datetime, timedelta
 from enum import Enum
 from functools import singledispatch
-from typing import NewType, TypeVar
+from typing import TypeVar
 
 from oleanderhitch.program.ids import AccountId, ProgramId
 from oleanderhitch.request.ids import RequestId
-from oleanderhitch.version.ids import PoolId
+from oleanderhitch.version.ids import DataCentreName, PoolId, RegionName
 
 Key = TypeVar("Key")
-RegionName = NewType("RegionName", str)
-DataCentreName = NewType("DataCentreName", str)
 
 # Above this part of a pool's limit an account is held to its fair share; below
 # it, an account may use what others leave idle.
