Kept the endpoints of unchanged documents between versions

Cause: after a change to one document a node made all 6,900 endpoints anew.

Change: endpoints of a document that was not read again are taken over while the data centres are the same.

--- a/oleanderhitch/version/compile.py
+++ b/oleanderhitch/version/compile.py
@@ -54,7 +54,7 @@
     faults = _check(documents, read)
     if faults:
         raise InvalidConfigurationError(faults)
-    return _build(version, read)
+    return _build(version, read, previous)
 
 
 def _read_again(document: Document, previous: Configuration | None) -> ReadDocument:
@@ -113,16 +113,22 @@
 
 
 def _build(
-    version: ConfigurationVersion, read: Sequence[ReadDocument]
+    version: ConfigurationVersion,
+    read: Sequence[ReadDocument],
+    previous: Configuration | None,
 ) -> Configuration:
     inventories = [inventory for _, inventory in _pick_inventories(read)]
     rules = [part for _, part in _pick_rules(read)]
     regions = {
         entry.name: entry.region for part in inventories for entry in part.data_centres
     }
-    endpoints = [
-        endpoint for part in inventories for endpoint in _make_endpoints(part, regions)
-    ]
+    parts = {
+        entry.name: _find_endpoints(entry, regions, previous)
+        or tuple(_make_endpoints(entry.declarations, regions))
+        for entry in read
+        if isinstance(entry.declarations, Inventory)
+    }
+    endpoints = [endpoint for part in parts.values() for endpoint in part]
     queue_limits = {
         entry.name: entry.queued_requests for part in rules for entry in part.queues
     }
@@ -140,9 +146,21 @@
             for entry in part.operations
         },
         documents={entry.name: entry for entry in read},
+        endpoints_by_document=parts,
     )
 
 
+def _find_endpoints(
+    entry: ReadDocument, regions: Regions, previous: Configuration | None
+) -> tuple[Endpoint, ...]:
+    """Return the endpoints made before from the same document, if there are any."""
+    if previous is None or previous.documents.get(entry.name) is not entry:
+        return ()
+    if previous.data_centres != regions:
+        return ()
+    return previous.endpoints_by_document.get(entry.name, ())
+
+
 def _make_endpoints(inventory: Inventory, regions: Regions) -> Iterator[Endpoint]:
     for engine in inventory.engines:
         yield _make_engine(engine, regions[engine.data_centre])
--- a/oleanderhitch/version/configuration.py
+++ b/oleanderhitch/version/configuration.py
@@ -99,6 +99,7 @@
     accounts: Mapping[AccountId, AccountDeclaration]
     operations: Mapping[tuple[ServiceName, OperationName], bool]
     documents: Mapping[DocumentName, ReadDocument]
+    endpoints_by_document: Mapping[DocumentName, tuple[Endpoint, ...]]
 
     def get_pool(self, model_or_service: str, data_centre: DataCentreName) -> Pool:
         """Return the pool that serves a model or service in a data centre's region."""
--- a/tests/process/membership/measure_push.py
+++ b/tests/process/membership/measure_push.py
@@ -3,11 +3,10 @@
 Run with: python -m tests.process.membership.measure_push
 """
 
-import gc
 import json
 import random
-import resource
 import time
+import tracemalloc
 from datetime import UTC, datetime, timedelta
 from pathlib import Path
 
@@ -32,6 +31,7 @@
     LeadershipGained,
     NodeDescription,
     NodeHeartbeat,
+    SendToNode,
     VersionPushed,
 )
 from oleanderhitch.version.addresses import HostPort
@@ -211,23 +211,14 @@
     )
 
 
-def get_resident_bytes():
-    """Return the resident memory of this process."""
-    pages = int(Path("/proc/self/statm").read_text().split()[1])
-    return pages * resource.getpagesize()
-
-
 def measure_compile(documents):
     """Print the time and memory of compiling at a node."""
     state = make_configuration_state()
     publish(state, documents)
     accepted = make_accepted(state).documents
-    before = get_resident_bytes()
     started = time.perf_counter()
     first = compile_configuration(1, accepted)
     whole = time.perf_counter() - started
-    gc.collect()
-    after = get_resident_bytes()
     generator = random.Random(2)
     spent = []
     for _ in range(10):
@@ -241,7 +232,44 @@
     print(
         f"compile at design scale: {whole * 1000:.0f} ms whole, {mean * 1000:.0f} ms "
         f"after one change (mean of 10), {mean / SECONDS_PER_CHANGE * 100:.2f}% of a "
-        f"core; resident memory grew by {(after - before) / 1e6:.0f} MB"
+        f"core"
+    )
+    state.documents.clear()
+    tracemalloc.start()
+    kept = compile_configuration(1, accepted)
+    size = tracemalloc.get_traced_memory()[0] / 1e6
+    tracemalloc.stop()
+    print(
+        f"compiled: {size:.0f} MB for {len(kept.endpoints)} endpoints and "
+        f"{len(kept.accounts)} accounts, besides the documents"
+    )
+
+
+def measure_burst(documents):
+    """Print the leader's time to push one change to all nodes."""
+    group = make_configuration_state()
+    publish(group, documents)
+    state = core.make_membership_state()
+    core.handle(make_accepted(group), state, AT)
+    core.handle(LeadershipGained(7, AT + timedelta(days=1)), state, AT)
+    description = NodeDescription(
+        HostRole.ENTRY, "dc1", HostPort("10.0.0.1", 7101), False, ()
+    )
+    for node in range(N_NODES):
+        beat = NodeHeartbeat(f"entry-{node:03}", "5f3a9c1e", 1, 1, 0, 0, description)
+        core.handle(beat, state, AT)
+    publish(group, [change_one(group.documents, random.Random(4))])
+    started = time.perf_counter()
+    effects = core.handle(make_accepted(group), state, AT)
+    sizes = [
+        len(CODEC.encode(effect.message))
+        for effect in effects
+        if isinstance(effect, SendToNode)
+    ]
+    spent = time.perf_counter() - started
+    print(
+        f"leader: {spent * 1000:.0f} ms to push one change to {len(sizes)} nodes, "
+        f"{sum(sizes)} bytes"
     )
 
 
@@ -250,6 +278,7 @@
     design = make_design_documents(500, 300)
     measure_compile(design)
     measure_heartbeat()
+    measure_burst(design)
     for folder in ("waiver-office", "forgeplan"):
         measure_push(folder, list(read_folder(EXAMPLES / folder)))
     measure_push("design scale, parts of 500 accounts and 300 engines", design)
--- a/tests/version/test_compile.py
+++ b/tests/version/test_compile.py
@@ -91,6 +91,28 @@
     assert second.get_endpoint("pilot-1").n_slots == 9
 
 
+def test_unchanged_endpoints_follow_their_data_centre():
+    """Guard against an endpoint that stays in the pool of its old region."""
+    places = {
+        "regions": [{"name": "coast"}, {"name": "inland"}],
+        "data_centres": [{"name": "east", "region": "coast"}],
+    }
+    engines = {**INVENTORY, "regions": [], "data_centres": [], "engines": []}
+    engines["engines"] = [INVENTORY["engines"][0]]
+    engines["runners"] = []
+    rules = change(RULES, ("accounts",), [])
+    first = compile_configuration(1, make_drafts(engines, rules, inventory__dc=places))
+    again = compile_configuration(
+        2, make_drafts(engines, rules, inventory__dc=places), first
+    )
+    assert again.get_endpoint("pilot-1") is first.get_endpoint("pilot-1")
+    moved = change(places, ("data_centres", 0, "region"), "inland")
+    second = compile_configuration(
+        3, make_drafts(engines, rules, inventory__dc=moved), again
+    )
+    assert second.get_endpoint("pilot-1").pool == "pilot@inland"
+
+
 @pytest.mark.parametrize(
     ("folder", "names", "idempotent"),
     [
