--- /dev/null
+++ b/tests/program/test_application.py
@@ -0,0 +1,138 @@
+"""Test that a shard survives encoding, snapshots and its own clock."""
+
+from datetime import UTC, datetime, timedelta
+
+import pytest
+
+from oleanderhitch.connection.codec import make_codec
+from oleanderhitch.exceptions import InvalidInputError
+from oleanderhitch.program import messages as m
+from oleanderhitch.program.application import make_program_application
+from oleanderhitch.program.checks import DEPTH_LIMIT, check_program_id
+from oleanderhitch.program.exceptions import SnapshotError
+from oleanderhitch.program.history_file import make_file_history
+from oleanderhitch.program.sharding import get_shard
+from oleanderhitch.program.states import EndReason, Refusal
+from oleanderhitch.request.states import Outcome
+
+NOW = datetime(2026, 1, 1, 0, 0, 0, 123457, tzinfo=UTC)
+CODEC = make_codec(m.MESSAGES)
+MINUTE = timedelta(minutes=1)
+
+
+def apply(application, command):
+    """Apply a command as a group does."""
+    return CODEC.decode(application.apply(CODEC.encode(command)))
+
+
+def read(application, query):
+    """Answer a read as a group does."""
+    return CODEC.decode(application.read(CODEC.encode(query)))
+
+
+def fill(application):
+    """Run two programs with turns, an open call, a child and a release."""
+    for name, parent in (("p", None), ("p/c", "p"), ("q", None)):
+        budget = 100 if parent is None else 50
+        start = m.StartProgram(name, "a", parent, budget, 9, MINUTE, NOW)
+        assert apply(application, start) == m.Done()
+        for number in (1, 2):
+            request, run = f"r{number}", "x"
+            begin = m.BeginRequest(
+                *(name, request, number, "n", False, 5, b"c" * 900, "d", NOW, run)
+            )
+            apply(application, begin)
+            apply(
+                application, m.RecordAttempt(name, request, 1, "e", 5, True, NOW, run)
+            )
+            if number == 1:
+                outcome = Outcome.COMPLETED, b"a" * 900, 5
+                finish = m.FinishRequest(name, request, *outcome, NOW, run)
+                assert apply(application, finish) == m.Done()
+    apply(application, m.EndProgram("q", EndReason.FINISHED, NOW))
+
+
+def test_snapshot_keeps_everything_with_either_store(tmp_path):
+    """Guard against turns, attempts or releases that a snapshot loses."""
+    first = make_program_application(CODEC, make_file_history(tmp_path))
+    second = make_program_application(CODEC)
+    fill(first)
+    fill(second)
+    data = first.take_snapshot()
+    assert data == second.take_snapshot()
+    third = make_program_application(CODEC, make_file_history(tmp_path / "third"))
+    apply(third, m.StartProgram("z", "a", None, 50, 9, MINUTE, NOW))
+    third.restore_snapshot(data)
+    assert third.take_snapshot() == data
+    assert read(third, m.GetHistory("p")) == read(first, m.GetHistory("p"))
+    assert read(third, m.GetProgram("z")).reason is Refusal.UNKNOWN_PROGRAM
+    with pytest.raises(SnapshotError):
+        third.restore_snapshot(data[:-1])
+    assert third.take_snapshot() == data
+
+
+def test_bad_commands_are_refused_alike():
+    """Guard against a command that stops one replica or changes it by a read."""
+    application = make_program_application(CODEC)
+    fill(application)
+    before = application.take_snapshot()
+    end = CODEC.encode(m.EndProgram("p", EndReason.FINISHED, NOW))
+    for answer in (
+        application.apply(b"\xc1"),
+        application.apply(CODEC.encode(m.ListReleases())),
+        application.read(end),
+    ):
+        assert CODEC.decode(answer).reason is Refusal.INVALID_COMMAND
+    assert application.take_snapshot() == before
+
+
+def test_expiry_is_proposed_only_when_due():
+    """Guard against log entries that change nothing, and against leaks."""
+    application = make_program_application(CODEC, retention=MINUTE)
+    apply(application, m.StartProgram("p", "a", None, 50, 9, MINUTE, NOW))
+    assert application.make_leader_commands(NOW) == []
+    later = NOW + 2 * MINUTE
+    for wait in (0, 2):
+        commands = application.make_leader_commands(later + wait * MINUTE)
+        assert len(commands) == 1
+        assert application.make_leader_commands(later + wait * MINUTE) == []
+        application.apply(commands[0])
+    assert read(application, m.GetProgram("p")).reason is Refusal.UNKNOWN_PROGRAM
+    assert application.make_leader_commands(later + 9 * MINUTE) == []
+
+
+def test_sizes_and_ids_are_limited():
+    """Guard against a record that no frame can carry and ids that mix programs."""
+    application = make_program_application(CODEC)
+    for name, parent, budget in (
+        ("p/c", None, 50),
+        ("p", "q", 50),
+        ("/p", None, 50),
+        ("p", None, 0),
+    ):
+        start = m.StartProgram(name, "a", parent, budget, 9, MINUTE, NOW)
+        assert apply(application, start).reason is Refusal.INVALID_COMMAND
+    fill(application)
+    big = b"c" * (4 * 1024 * 1024)
+    apply(application, m.StartProgram("z", "a", None, 50, 9, MINUTE, NOW))
+    begin = m.BeginRequest("z", "r1", 1, "n", True, 5, big, "d", NOW)
+    assert isinstance(apply(application, begin), m.Begun)
+    finish = m.FinishRequest("z", "r1", Outcome.COMPLETED, big, 5, NOW)
+    assert apply(application, finish).reason is Refusal.INVALID_COMMAND
+    finish = m.FinishRequest("z", "r1", Outcome.COMPLETED, big[: 2 << 20], 5, NOW)
+    assert apply(application, finish) == m.Done()
+    assert len(read(application, m.GetHistory("z")).turns) == 1
+    begin = m.BeginRequest("z", "r2", 2, "n", True, 5, b"c", "d", NOW)
+    assert apply(application, begin).reason is Refusal.HISTORY_FULL
+
+
+def test_sub_agents_share_the_shard_of_their_root():
+    """Guard against a budget that two shards would have to agree on."""
+    shards = {get_shard(f"program-{number}", 16) for number in range(500)}
+    assert shards == set(range(16))
+    assert get_shard("program-1/a/b", 16) == get_shard("program-1", 16)
+    for text in ("", "p/", "p//c", "a b", "x" * 65, "/".join("p" * (DEPTH_LIMIT + 1))):
+        with pytest.raises(InvalidInputError, match="program id"):
+            check_program_id(text)
+    with pytest.raises(InvalidInputError, match="at least 1"):
+        get_shard("p", 0)
--- a/tests/program/test_core_machine.py
+++ b/tests/program/test_core_machine.py
@@ -2,7 +2,7 @@
 
 from hypothesis import Phase, settings
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
+from hypothesis.stateful import RuleBasedStateMachine, rule
 
 from oleanderhitch.program import messages as m
 from oleanderhitch.program.core import apply
@@ -10,12 +10,29 @@
 from oleanderhitch.request.states import Outcome
 from tests.program.world import RESERVED, World
 
-PROGRAMS = ("p", "p/c", "p/c/g")
-NAMES = st.sampled_from(PROGRAMS)
 ENDPOINTS = st.sampled_from(("e1", "e2"))
 DELIVERED = st.sampled_from((True, True, True, False))
 OUTCOMES = st.sampled_from((Outcome.COMPLETED, Outcome.FAILED, Outcome.UNKNOWN))
 SPENT = st.sampled_from((RESERVED, RESERVED, RESERVED, 0, 25, 1000))
+# One rule draws all actions: hypothesis turns rules off at random, and a fault
+# needs most actions in one run.
+WEIGHTS = {
+    "begin": 6,
+    "advance": 6,
+    "deliver_again": 4,
+    "close": 3,
+    "attempt": 5,
+    "free": 3,
+    "fail": 2,
+    "finish": 2,
+    "start": 1,
+    "end": 1,
+    "die": 1,
+    "look_up": 1,
+    "expire": 1,
+    "restart": 1,
+}
+ACTIONS = [action for action, weight in WEIGHTS.items() for _ in range(weight)]
 
 
 class ProgramMachine(RuleBasedStateMachine):
@@ -24,51 +41,68 @@
     def __init__(self):
         super().__init__()
         self.world = World()
-        self.world.start("p", None, 300)
+        self.n_programs = 0
 
-    def _pick(self, data, candidates):
-        return data.draw(st.sampled_from(candidates)) if candidates else None
+    @rule(data=st.data(), action=st.sampled_from(ACTIONS))
+    def step(self, data, action):
+        """Take one action."""
+        self.data = data
+        getattr(self, f"_{action}")()
 
-    def _pick_working(self, data):
+    def _draw(self, strategy):
+        return self.data.draw(strategy)
+
+    def _pick(self, candidates):
+        return self._draw(st.sampled_from(candidates)) if candidates else None
+
+    def _pick_working(self):
         # Late runs matter most: they meet the runs that replaced them.
         working = [
             run
             for run in self.world.runs
             if run.is_alive and run.is_begun and run.finish is None
         ]
-        return self._pick(data, working[-4:])
-
-    @rule(name=NAMES, budget=st.sampled_from((20, 60)))
-    def start(self, name, budget):
-        """Start a program, perhaps again."""
-        self.world.start(name, name.rpartition("/")[0] or None, budget)
-
-    @rule(
-        data=st.data(),
-        step=st.sampled_from((0, 0, 0, 1, -1)),
-        shift=st.sampled_from((0, 0, 0, 0, 1)),
-        n_steps=st.integers(0, 4),
-    )
-    def begin(self, data, step, shift, n_steps):
+        return self._pick(working[-3:])
+
+    def _list_live(self):
+        programs = self.world.state.programs.values()
+        # Few programs at a time let runs of the same request meet.
+        return [entry for entry in programs if entry.end_reason is None][-2:]
+
+    def _start(self):
+        """Start a program or a sub-agent, perhaps a second time."""
+        parent = self._pick([None, *self._list_live()])
+        self.n_programs += self._draw(st.sampled_from((0, 1, 1)))
+        name = f"p{self.n_programs}"
+        if parent is None:
+            self.world.start(name, None, 200)
+        else:
+            budget = self._draw(st.sampled_from((20, 80)))
+            self.world.start(f"{parent.program}/{name}", parent.program, budget)
+
+    def _begin(self):
         """Take a request on at another node, perhaps out of order."""
-        name = self._pick(data, list(self.world.state.programs))
-        if name is None:
-            return
-        entry = self.world.state.programs[name]
+        entry = self._pick(self._list_live())
+        if entry is None:
+            return self._start()
+        is_busy = entry.open_request and not entry.open_request.is_interrupted
+        if is_busy and self._draw(st.sampled_from((True, True, False))):
+            return self._advance()
+        step, shift = self._draw(st.sampled_from(((0, 0),) * 4 + ((1, 0), (0, 1))))
         number = entry.n_ordered + entry.n_not_run + 1 + step
-        known = apply(m.GetOutcome(name, f"r{number}"), self.world.state)
+        known = apply(m.GetOutcome(entry.program, f"r{number}"), self.world.state)
         sequence = getattr(known, "sequence", entry.next_sequence) + shift
-        run = self.world.begin(name, f"r{number}", sequence, number % 2 == 0)
-        self._advance(data, run, n_steps)
+        is_idempotent = number % 2 == 0
+        run = self.world.begin(entry.program, f"r{number}", sequence, is_idempotent)
+        return self._proceed(run, self._draw(st.integers(0, 4)))
 
-    @rule(data=st.data(), n_steps=st.integers(1, 3))
-    def advance(self, data, n_steps):
+    def _advance(self):
         """Let a node do the next steps of its run."""
-        run = self._pick_working(data)
+        run = self._pick_working()
         if run is not None:
-            self._advance(data, run, n_steps)
+            self._proceed(run, self._draw(st.integers(1, 3)))
 
-    def _advance(self, data, run, n_steps):
+    def _proceed(self, run, n_steps):
         for _ in range(n_steps):
             if run.finish is not None or not run.is_begun:
                 return
@@ -76,90 +110,85 @@
             if ready:
                 self.world.dispatch(run, ready[0])
             elif not run.endpoints:
-                self.world.attempt(run, data.draw(ENDPOINTS), data.draw(st.booleans()))
+                early = self._draw(st.booleans())
+                self.world.attempt(run, self._draw(ENDPOINTS), early)
             else:
-                self.world.finish(run, data.draw(OUTCOMES), data.draw(SPENT))
+                self.world.finish(run, self._draw(OUTCOMES), self._draw(SPENT))
 
-    @rule(data=st.data(), endpoint=ENDPOINTS, early=st.booleans(), delivered=DELIVERED)
-    def attempt(self, data, endpoint, early, delivered):
+    def _attempt(self):
         """Record an attempt of a working run, perhaps a further one."""
-        run = self._pick_working(data)
+        run = self._pick_working()
         if run is not None:
+            early, delivered = self._draw(st.booleans()), self._draw(DELIVERED)
+            endpoint = self._draw(ENDPOINTS)
             self.world.attempt(run, endpoint, early, is_delivered=delivered)
 
-    @rule(data=st.data(), delivered=DELIVERED)
-    def fail(self, data, delivered):
+    def _fail(self):
         """Give an attempt up."""
-        run = self._pick_working(data)
-        number = run and self._pick(data, sorted(set(run.endpoints) - run.failed))
+        run = self._pick_working()
+        number = run and self._pick(sorted(set(run.endpoints) - run.failed))
         if number:
-            self.world.fail(run, number, is_delivered=delivered)
+            self.world.fail(run, number, is_delivered=self._draw(DELIVERED))
 
-    @rule(data=st.data(), outcome=OUTCOMES, spent=SPENT, delivered=DELIVERED)
-    def finish(self, data, outcome, spent, delivered):
+    def _finish(self):
         """Report an outcome at any point of a run."""
-        run = self._pick_working(data)
+        run = self._pick_working()
         if run is not None:
+            outcome, spent = self._draw(OUTCOMES), self._draw(SPENT)
+            delivered = self._draw(DELIVERED)
             self.world.finish(run, outcome, spent, is_delivered=delivered)
 
-    @rule(data=st.data())
-    def die(self, data):
+    def _die(self):
         """Let a request task die."""
-        run = self._pick_working(data)
+        run = self._pick_working()
         if run is not None:
             run.is_alive = False
 
-    @precondition(lambda self: self.world.sent)
-    @rule(data=st.data())
-    def deliver_again(self, data):
+    def _deliver_again(self):
         """Deliver a command late or a second time."""
-        index = data.draw(st.integers(1, min(12, len(self.world.sent))))
-        command, run = self.world.sent[-index]
-        if run is not None or isinstance(command, m.ConfirmRelease):
-            self.world.deliver(len(self.world.sent) - index)
-
-    @rule(data=st.data(), is_exact=st.booleans(), is_retried=st.booleans())
-    def close(self, data, is_exact, is_retried):
+        sent = self.world.sent
+        if sent:
+            index = len(sent) - self._draw(st.integers(1, min(12, len(sent))))
+            command, run = sent[index]
+            if run is not None or isinstance(command, m.ConfirmRelease):
+                self.world.deliver(index)
+
+    def _close(self):
         """Close a request from another node, even of a run that is alive."""
-        run = self._pick(data, self.world.runs[-4:])
+        run = self._pick(self.world.runs[-4:])
         if run is None:
             return
-        name = run.name if is_exact else None
+        name = self._pick((run.name, None))
         self.world.send(m.CloseRequest(*run.key, self.world.now, name))
-        if is_retried:
+        if self._draw(st.booleans()):
             begin = run.begin
             again = self.world.begin(*run.key, begin.sequence, begin.is_idempotent)
-            self._advance(data, again, 2)
+            self._proceed(again, self._draw(st.integers(0, 3)))
 
-    @rule(name=NAMES, number=st.integers(1, 6))
-    def look_up(self, name, number):
+    def _look_up(self):
         """Read an outcome, which must agree with what was told before."""
-        query = m.GetOutcome(name, f"r{number}")
-        self.world.learn(query, apply(query, self.world.state))
-
-    @rule(data=st.data(), reason=st.sampled_from(tuple(EndReason)))
-    def end(self, data, reason):
-        """End a program with whatever is open, the root more rarely."""
-        names = [n for n in self.world.state.programs for _ in range(n.count("/") + 1)]
-        name = self._pick(data, names)
-        if name and data.draw(st.sampled_from((True, False))):
-            self.world.end(name, reason)
-
-    @rule(data=st.data(), delivered=DELIVERED)
-    def free(self, data, delivered):
+        run = self._pick(self.world.runs)
+        if run is not None:
+            query = m.GetOutcome(*run.key)
+            self.world.learn(query, apply(query, self.world.state))
+
+    def _end(self):
+        """End a program with whatever is open."""
+        entry = self._pick(self._list_live())
+        if entry is not None:
+            self.world.end(entry.program, self._pick(tuple(EndReason)))
+
+    def _free(self):
         """Release a listed engine."""
-        releases = apply(m.ListReleases(), self.world.state).releases
-        release = self._pick(data, releases)
+        release = self._pick(apply(m.ListReleases(), self.world.state).releases)
         if release is not None:
-            self.world.free(release, is_delivered=delivered)
+            self.world.free(release, is_delivered=self._draw(DELIVERED))
 
-    @rule(seconds=st.sampled_from((1, 1, 1, 31, 61, 121)))
-    def expire(self, seconds):
+    def _expire(self):
         """Let time pass."""
-        self.world.expire(seconds)
+        self.world.expire(self._pick((1, 31, 61, 121)))
 
-    @rule()
-    def restart(self):
+    def _restart(self):
         """Restore the shard from its snapshot."""
         self.world.restart()
 
--- /dev/null
+++ b/tests/program/test_scenarios.py
@@ -0,0 +1,153 @@
+"""Test the record with scripted failures; each scenario names its failure."""
+
+from datetime import UTC, datetime, timedelta
+from functools import singledispatch
+from pathlib import Path
+
+import pytest
+
+from oleanderhitch.program import messages as m
+from oleanderhitch.program.core import apply, make_shard_state
+from oleanderhitch.program.snapshot import (
+    encode_snapshot,
+    make_snapshot_codec,
+    restore_snapshot,
+)
+from oleanderhitch.program.states import EndReason
+from oleanderhitch.request.states import Outcome
+from tests.scenario import run_scenario
+
+SCENARIOS = sorted(Path(__file__).with_name("scenarios").glob("*.scenario"))
+CODEC = make_snapshot_codec()
+
+
+@singledispatch
+def describe(result):
+    """Return a result as the word that scenarios expect."""
+    raise TypeError(f"no word for {result!r}")
+
+
+describe.register(m.Done, lambda result: "done")
+describe.register(m.Begun, lambda result: "begun")
+describe.register(m.Refused, lambda result: result.reason.value)
+describe.register(
+    m.RequestRecord, lambda result: (result.outcome or result.progress).value
+)
+
+
+class Stage:
+    """Give the verbs of the scenarios."""
+
+    def __init__(self):
+        self.state = make_shard_state(retention=timedelta(seconds=120))
+        self.now = datetime(2026, 1, 1, tzinfo=UTC)
+
+    def _do(self, command, expect):
+        result = apply(command, self.state)
+        assert describe(result) == expect, result
+        return result
+
+    def start(self, program, budget="100", turns="20", repeats="5", expect="done"):
+        """Start a program; its id names its parent."""
+        parent = program.rpartition("/")[0] or None
+        limits = int(budget), int(turns), timedelta(seconds=60)
+        command = m.StartProgram(program, "a", parent, *limits, self.now, int(repeats))
+        self._do(command, expect)
+
+    def begin(
+        self,
+        program,
+        request,
+        seq,
+        run="x",
+        kind="idempotent",
+        content="",
+        reserved="10",
+        digest="d",
+        expect="begun",
+    ):
+        """Begin a request."""
+        content = (content or request).encode()
+        order = int(seq), f"node-{run}", kind == "idempotent", int(reserved)
+        command = m.BeginRequest(
+            program, request, *order, content, digest, self.now, run
+        )
+        self._do(command, expect)
+
+    def attempt(self, program, request, n="1", at="e1", run="x", expect="done"):
+        """Record an attempt at an engine that caches prompts."""
+        command = m.RecordAttempt(program, request, int(n), at, 10, True, self.now, run)
+        self._do(command, expect)
+
+    def fail(self, program, request, n="1", sent="yes", spent="0", run="x", **options):
+        """Record a failed attempt."""
+        command = m.FailAttempt(
+            program, request, int(n), sent == "yes", int(spent), self.now, run
+        )
+        self._do(command, options.get("expect", "done"))
+
+    def finish(
+        self, program, request, outcome, spent="10", run="x", n=None, answer="", **rest
+    ):
+        """Report an outcome."""
+        ended = Outcome(outcome), answer.encode(), int(spent)
+        command = m.FinishRequest(program, request, *ended, self.now, run, n and int(n))
+        self._do(command, rest.get("expect", "done"))
+
+    def close(self, program, request, expect, run=None):
+        """Close a request from another node."""
+        self._do(m.CloseRequest(program, request, self.now, run), expect)
+
+    def outcome(self, program, request, expect, answer=None):
+        """Look a request up."""
+        result = self._do(m.GetOutcome(program, request), expect)
+        assert answer in (None, result.answer.decode())
+
+    def end(self, program, reason="finished"):
+        """End a program."""
+        self._do(m.EndProgram(program, EndReason(reason), self.now), "done")
+
+    def confirm(self, program, endpoint, number=None):
+        """Confirm a release."""
+        number = number and int(number)
+        command = m.ConfirmRelease(program, endpoint, self.now, number)
+        self._do(command, "done")
+
+    def releases(self, expect=""):
+        """Compare the listed releases, given as program@engine:number."""
+        result = apply(m.ListReleases(), self.state)
+        listed = [f"{r.program}@{r.endpoint}:{r.number}" for r in result.releases]
+        assert listed == expect.split(), listed
+
+    def wait(self, seconds):
+        """Let time pass and expire programs."""
+        self.now += timedelta(seconds=int(seconds))
+        apply(m.ExpirePrograms(self.now), self.state)
+
+    def program(self, program, expect="known", **figures):
+        """Compare figures of a program's summary."""
+        result = apply(m.GetProgram(program), self.state)
+        assert expect == "known" or result.reason.value == expect
+        for name, value in figures.items():
+            found = getattr(result, name)
+            assert str(getattr(found, "value", found)) == value, result
+
+    def history(self, program, expect=""):
+        """Compare the turns' contents."""
+        result = apply(m.GetHistory(program), self.state)
+        contents = [turn.content.decode() for turn in result.turns]
+        assert contents == expect.split(), contents
+
+    def restart(self):
+        """Move the shard to a replica that restores a snapshot."""
+        data = encode_snapshot(self.state, CODEC)
+        self.state = make_shard_state(retention=self.state.retention)
+        restore_snapshot(self.state, data, CODEC)
+
+
+@pytest.mark.parametrize("path", SCENARIOS, ids=lambda path: path.stem)
+def test_scenario(path):
+    """Guard against the failure that the scenario's first line names."""
+    stage = Stage()
+    verbs = {name: getattr(stage, name) for name in dir(stage) if name[0] != "_"}
+    run_scenario(path, verbs)
