--- a/oleanderhitch/process/commands/store_command.py
+++ b/oleanderhitch/process/commands/store_command.py
@@ -8,7 +8,7 @@
 
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.connection.peer.handshake import Identity
-from oleanderhitch.connection.peer.link import make_peer_link
+from oleanderhitch.connection.peer.link import PeerLink, make_peer_link
 from oleanderhitch.connection.peer.messages import PeerMessage
 from oleanderhitch.connection.peer.server import make_peer_server
 from oleanderhitch.connection.registry import make_project_codec
@@ -23,6 +23,7 @@
 from oleanderhitch.process.metrics.core import make_metrics
 from oleanderhitch.process.roles.status import make_status_server
 from oleanderhitch.process.roles.store import StoreSite, make_store_parts
+from oleanderhitch.process.roles.store_links import StoreLinks
 from oleanderhitch.process.runtime import make_stop_event, start_log
 from oleanderhitch.process.settings import StoreSettings
 from oleanderhitch.process.tracing.tracer import make_tracer
@@ -51,13 +52,13 @@
     codec = make_project_codec()
     identity = Identity(NodeId(settings.node), settings.get_key())
     stores = settings.get_stores()
-    links = {
-        store.node: make_peer_link(
-            store.address, codec, identity, _ignore_answer, _ignore_notice
-        )
-        for store in stores
-        if store.node != settings.node
-    }
+
+    def make_link(address: HostAddress) -> PeerLink:
+        return make_peer_link(address, codec, identity, _ignore_answer, _ignore_notice)
+
+    links = StoreLinks(identity.node, make_link)
+    for store in stores:
+        links.add(store.node, store.address)
     site = StoreSite(identity.node, stores, settings.n_shards, settings.data_dir, links)
     metrics = make_metrics()
     tracer = make_tracer(settings.make_tracing_settings())
@@ -77,8 +78,7 @@
     server = make_peer_server(
         HostAddress(settings.peer_listen), codec, identity, parts.deliver
     )
-    for link in links.values():
-        link.start()
+    links.start()
     parts.start()
     server.start()
     status.start()
@@ -87,8 +87,7 @@
     log.info("stops")
     server.stop()
     status.stop()
-    for link in links.values():
-        link.stop()
+    links.stop()
     parts.stop()
     tracer.stop()
     return 0
--- a/oleanderhitch/process/groups/client/core.py
+++ b/oleanderhitch/process/groups/client/core.py
@@ -18,6 +18,7 @@
     GroupCall,
     GroupRedirect,
     GroupUncertain,
+    StoresChanged,
 )
 from oleanderhitch.process.ids import CallId, GroupId, NodeId
 from oleanderhitch.process.messages import Tick
@@ -129,6 +130,12 @@
     return []
 
 
+@handle.register
+def _(message: StoresChanged, state: ClientState, now: datetime) -> list[object]:
+    state.stores = dict(message.stores)
+    return []
+
+
 @handle.register
 def _(message: LinkUp, state: ClientState, now: datetime) -> list[object]:
     return []
--- a/oleanderhitch/process/groups/client/task.py
+++ b/oleanderhitch/process/groups/client/task.py
@@ -1,11 +1,10 @@
 """Run the client of replicated groups as a task over peer links."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from datetime import timedelta
 from functools import singledispatch
 
 from oleanderhitch.connection.ids import HostAddress
-from oleanderhitch.process.address import Address
 from oleanderhitch.process.clock import Clock
 from oleanderhitch.process.groups.client.core import (
     ClientState,
@@ -16,34 +15,37 @@
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.task import Task, make_task
 
+# Sends a message to a store, or drops it when there is no link.
+SendToAddress = Callable[[HostAddress, object], None]
+
 TICK_INTERVAL = timedelta(milliseconds=25)
 
 
 def make_group_client(
     stores: Mapping[NodeId, HostAddress],
-    links: Mapping[HostAddress, Address],
+    send: SendToAddress,
     clock: Clock,
 ) -> Task[ClientState]:
     """Return a task that carries calls to the leaders of groups."""
 
     def perform(effect: object) -> None:
-        perform_effect(effect, links)
+        perform_effect(effect, send)
 
     state = make_client_state(dict(stores))
     return make_task("group client", state, handle, perform, clock, TICK_INTERVAL)
 
 
 @singledispatch
-def perform_effect(effect: object, links: Mapping[HostAddress, Address]) -> None:
+def perform_effect(effect: object, send: SendToAddress) -> None:
     """Perform an effect of the client."""
     raise TypeError(f"group client has no effect {type(effect).__name__}")
 
 
 @perform_effect.register
-def _(effect: SendToStore, links: Mapping[HostAddress, Address]) -> None:
-    links[effect.store].send(effect.call)
+def _(effect: SendToStore, send: SendToAddress) -> None:
+    send(effect.store, effect.call)
 
 
 @perform_effect.register
-def _(effect: ReplyToCaller, links: Mapping[HostAddress, Address]) -> None:
+def _(effect: ReplyToCaller, send: SendToAddress) -> None:
     effect.reply.send(effect.message)
--- a/oleanderhitch/process/groups/host.py
+++ b/oleanderhitch/process/groups/host.py
@@ -1,13 +1,12 @@
 """Run this disk host's replicas of all groups and route messages to them."""
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from functools import partial, singledispatch
 from random import Random
 
 import logbook
 
-from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.connection.peer.messages import PeerMessage
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.clock import Clock
@@ -31,6 +30,7 @@
 from oleanderhitch.process.tracing.tracer import HopSpan, Tracer
 from oleanderhitch.request.ids import RequestId
 
+FindLink = Callable[[NodeId], Address | None]
 MakeApplication = Callable[[GroupId], Application]
 OnLeadership = Callable[[GroupId, LeadershipChanged], None]
 
@@ -40,21 +40,18 @@
 class EnvelopeTransport:
     """Send replication messages to the node of the receiving replica."""
 
-    def __init__(
-        self, node: NodeId, links: Mapping[NodeId, Address], local: Address
-    ) -> None:
+    def __init__(self, node: NodeId, find_link: FindLink, local: Address) -> None:
         self._node = node
-        self._links = links
+        self._find_link = find_link
         self._local = local
 
     def send(self, message: object) -> None:
         """Send an envelope; one to an unknown node is dropped."""
         assert isinstance(message, ReplicaEnvelope)
         node = get_node(message.receiver)
-        if node == self._node:
-            self._local.send(message)
-        elif node in self._links:
-            self._links[node].send(message)
+        link = self._local if node == self._node else self._find_link(node)
+        if link is not None:
+            link.send(message)
 
 
 class SpanReply:
@@ -78,7 +75,7 @@
     node: NodeId
     stores: Sequence[Store]
     storage: Storage
-    links: Mapping[NodeId, Address]
+    find_link: FindLink
     make_application: MakeApplication
     clock: Clock
     random_source: Random
@@ -103,7 +100,7 @@
             choose_replicas(group, self.stores),
             self.storage,
             self.make_application(group),
-            EnvelopeTransport(self.node, self.links, self),
+            EnvelopeTransport(self.node, self.find_link, self),
             self.clock,
             Random(self.random_source.getrandbits(64)),
             on_leadership=partial(self.on_leadership, group),
@@ -166,12 +163,3 @@
 
 for _request in OPERATOR_REQUESTS:
     route.register(_request, _route_operator)
-
-
-def make_links_by_node(
-    stores: Sequence[Store], links: Mapping[HostAddress, Address]
-) -> dict[NodeId, Address]:
-    """Return the links to stores by the name of their node."""
-    return {
-        store.node: links[store.address] for store in stores if store.address in links
-    }
--- a/oleanderhitch/process/groups/messages.py
+++ b/oleanderhitch/process/groups/messages.py
@@ -2,8 +2,9 @@
 
 from dataclasses import dataclass, field
 
+from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.process.address import Address
-from oleanderhitch.process.ids import CallId, GroupId, ReplicaId
+from oleanderhitch.process.ids import CallId, GroupId, NodeId, ReplicaId
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +60,13 @@
     reply: Address
 
 
+@dataclass(frozen=True, slots=True)
+class StoresChanged:
+    """Replace the addresses of the disk hosts."""
+
+    stores: dict[NodeId, HostAddress]
+
+
 MESSAGES: tuple[type, ...] = (
     GroupCall,
     GroupAnswer,
--- a/oleanderhitch/process/leadership/core.py
+++ b/oleanderhitch/process/leadership/core.py
@@ -14,6 +14,7 @@
     GroupAnswer,
     GroupRedirect,
     GroupUncertain,
+    StoresChanged,
 )
 from oleanderhitch.process.ids import CallId, NodeId, Term
 from oleanderhitch.process.membership.messages import (
@@ -25,7 +26,7 @@
 from oleanderhitch.process.replication.effects import LeadershipChanged
 from oleanderhitch.process.replication.states import Role
 from oleanderhitch.process.storage.identity import get_node
-from oleanderhitch.version.addresses import HostPort
+from oleanderhitch.version.addresses import HostPort, parse_host_port
 
 # Clocks of two hosts may run at slightly different rates.
 CLOCK_RATE_MARGIN = timedelta(milliseconds=50)
@@ -86,6 +87,14 @@
     return [TellMembership(LeadershipLost(leader))]
 
 
+@handle.register
+def _(message: StoresChanged, state: LeadershipState, now: datetime) -> list[object]:
+    state.addresses = {
+        node: parse_host_port(address) for node, address in message.stores.items()
+    }
+    return []
+
+
 @handle.register
 def _(message: Tick, state: LeadershipState, now: datetime) -> list[object]:
     return [] if state.term is None else [_send_read(state, now)]
--- a/oleanderhitch/process/membership/task.py
+++ b/oleanderhitch/process/membership/task.py
@@ -28,6 +28,7 @@
 
 # Sends a message to a node over whichever connection it has; it may drop the
 # message when there is none, since the node asks again.
+OnCompiled = Callable[[Configuration], None]
 SendToNodeFunction = Callable[[NodeId, object], None]
 
 
@@ -36,6 +37,7 @@
     """Hold what the effects of the core reach."""
 
     send: SendToNodeFunction
+    on_compiled: OnCompiled
     own: Address | None = None
     compiled: Configuration | None = None
 
@@ -44,13 +46,14 @@
 
 
 def make_membership_task(
-    clock: Clock, send: SendToNodeFunction
+    clock: Clock, send: SendToNodeFunction, on_compiled: OnCompiled
 ) -> Task[MembershipState]:
     """Return the membership task of a store, not started yet.
 
     It takes heartbeats, ConfigurationAccepted and the leadership messages.
+    on_compiled gets each accepted configuration.
     """
-    surroundings = _Surroundings(send)
+    surroundings = _Surroundings(send, on_compiled)
     task = make_task(
         "membership",
         make_membership_state(),
@@ -101,3 +104,4 @@
                 tuple(compiled.data_centres.items()),
             )
         )
+    surroundings.on_compiled(compiled)
--- a/oleanderhitch/process/operators/client.py
+++ b/oleanderhitch/process/operators/client.py
@@ -44,7 +44,7 @@
             for store in stores
         }
         self._groups: Task[ClientState] = make_group_client(
-            {store.node: store.address for store in stores}, self._links, clock
+            {store.node: store.address for store in stores}, self._send_to, clock
         )
 
     @property
@@ -86,6 +86,9 @@
         self._links[store.address].send(message)
         return self._answers.receive(ASK_TIMEOUT)
 
+    def _send_to(self, store: HostAddress, message: object) -> None:
+        self._links[store].send(message)
+
     def _deliver(self, delivery: PeerMessage) -> None:
         if isinstance(delivery.message, GroupAnswer | GroupRedirect | GroupUncertain):
             self._groups.send(delivery.message)
--- a/oleanderhitch/process/roles/entry.py
+++ b/oleanderhitch/process/roles/entry.py
@@ -24,6 +24,7 @@
     GroupAnswer,
     GroupRedirect,
     GroupUncertain,
+    StoresChanged,
 )
 from oleanderhitch.process.groups.placement import get_program_group, make_shard_group
 from oleanderhitch.process.ids import GroupId, NodeId
@@ -66,7 +67,8 @@
 from oleanderhitch.request.messages import Call
 from oleanderhitch.request.task import RequestServices, start_request
 from oleanderhitch.version.addresses import HostPort, parse_host_port
-from oleanderhitch.version.ids import DataCentreName
+from oleanderhitch.version.configuration import Configuration
+from oleanderhitch.version.ids import DataCentreName, PoolId
 from oleanderhitch.version.states import HostRole
 
 
@@ -169,12 +171,14 @@
         return get_program_group(program, settings.n_shards)
 
     stores = access.stores
-    links = access.open(deliver, notify_store)
+    access.open(deliver, notify_store)
 
     def send_to_store(store: HostPort, message: object) -> None:
-        links[HostAddress(str(store))].send(message)
+        access.send_to(HostAddress(str(store)), message)
 
-    groups = make_group_client({s.node: s.address for s in stores}, links, clock)
+    groups = make_group_client(
+        {store.node: store.address for store in stores}, access.send_to, clock
+    )
     router = make_pool_router(
         node, make_node_link, PoolSettings(), clock, random.Random(uuid.uuid4().int)
     )
@@ -187,11 +191,16 @@
         codec,
         clock,
     )
+
+    def follow(configuration: Configuration, owners: dict[PoolId, NodeId]) -> None:
+        engines.follow(configuration, owners)
+        groups.send(StoresChanged(access.follow(configuration.hosts)))
+
     services = _RequestStarter()
     intake = make_intake(
         node,
         DataCentreName(settings.data_centre),
-        IntakeServices(services.start, router, engines.follow),
+        IntakeServices(services.start, router, follow),
         clock,
     )
     services.services = RequestServices(
--- a/oleanderhitch/process/roles/links.py
+++ b/oleanderhitch/process/roles/links.py
@@ -2,8 +2,7 @@
 
 import random
 import uuid
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 import logbook
@@ -14,7 +13,6 @@
 from oleanderhitch.connection.peer.link import PeerLink, make_peer_link
 from oleanderhitch.connection.peer.messages import PeerMessage
 from oleanderhitch.exceptions import InvalidInputError
-from oleanderhitch.process.address import Address
 from oleanderhitch.process.clock import Clock
 from oleanderhitch.process.groups.placement import Store
 from oleanderhitch.process.ids import NodeId
@@ -24,9 +22,11 @@
     StoreSite,
     make_store_parts,
 )
+from oleanderhitch.process.roles.store_links import StoreLinks
 from oleanderhitch.process.settings import EntrySettings
 from oleanderhitch.process.tracing.tracer import Tracer
 from oleanderhitch.version.ids import DataCentreName
+from oleanderhitch.version.inventory import Host
 
 log = logbook.Logger("entry")
 
@@ -39,10 +39,16 @@
 
     @property
     def stores(self) -> tuple[Store, ...]:
-        """Return the stores."""
+        """Return the stores of the settings."""
 
-    def open(self, deliver: Deliver, notify: Notify) -> Mapping[HostAddress, Address]:
-        """Return an address for each store; answers go to deliver."""
+    def open(self, deliver: Deliver, notify: Notify) -> None:
+        """Take where answers and news of links go."""
+
+    def send_to(self, store: HostAddress, message: object) -> None:
+        """Send a message to a store, or drop it without a link."""
+
+    def follow(self, hosts: Iterable[Host]) -> dict[NodeId, HostAddress]:
+        """Link to the declared stores and return the addresses of all."""
 
     def receive(self, delivery: PeerMessage) -> None:
         """Take a message for stores that a peer sent to this process."""
@@ -54,22 +60,48 @@
         """Stop the links or the store."""
 
 
-@dataclass(slots=True)
 class LinkedStores:
     """Reach the stores of other processes over links."""
 
-    stores: tuple[Store, ...]
-    codec: Codec
-    identity: Identity
-    links: dict[HostAddress, PeerLink] = field(default_factory=dict)
+    def __init__(
+        self, stores: tuple[Store, ...], codec: Codec, identity: Identity
+    ) -> None:
+        self._stores = stores
+        self._codec = codec
+        self._identity = identity
+        self._links = StoreLinks(identity.node, self._make_link)
+        self._deliver: Deliver | None = None
+        self._notify: Notify | None = None
 
-    def open(self, deliver: Deliver, notify: Notify) -> Mapping[HostAddress, Address]:
-        """Return a link to each store."""
-        for store in self.stores:
-            self.links[store.address] = make_peer_link(
-                store.address, self.codec, self.identity, deliver, notify
-            )
-        return self.links
+    @property
+    def stores(self) -> tuple[Store, ...]:
+        """Return the stores of the settings."""
+        return self._stores
+
+    def open(self, deliver: Deliver, notify: Notify) -> None:
+        """Take where answers and news of links go, and link to the stores."""
+        self._deliver = deliver
+        self._notify = notify
+        for store in self._stores:
+            self._links.add(store.node, store.address)
+
+    def send_to(self, store: HostAddress, message: object) -> None:
+        """Send a message to a store, or drop it without a link."""
+        link = self._links.find_by_address(store)
+        if link is not None:
+            link.send(message)
+
+    def follow(self, hosts: Iterable[Host]) -> dict[NodeId, HostAddress]:
+        """Link to the declared stores and return the addresses of all."""
+        self._links.follow(hosts)
+        return self._links.list_addresses()
+
+    def _make_link(self, address: HostAddress) -> PeerLink:
+        assert self._deliver is not None
+        assert self._notify is not None
+        return make_peer_link(
+            address, self._codec, self._identity, self._deliver, self._notify
+        )
 
     def receive(self, delivery: PeerMessage) -> None:
         """Ignore a message that is meant for a store."""
@@ -81,13 +113,11 @@
 
     def start(self) -> None:
         """Start the links."""
-        for link in self.links.values():
-            link.start()
+        self._links.start()
 
     def stop(self) -> None:
         """Stop the links."""
-        for link in self.links.values():
-            link.stop()
+        self._links.stop()
 
 
 class EmbeddedStore:
@@ -103,12 +133,15 @@
         """Return the one store."""
         return (self._store,)
 
-    def open(self, deliver: Deliver, notify: Notify) -> Mapping[HostAddress, Address]:
-        """Return the store's address within this process."""
+    def open(self, deliver: Deliver, notify: Notify) -> None:
+        """Take where the store's answers go."""
         self._deliver = deliver
-        return {self._store.address: self}
 
-    def send(self, message: object) -> None:
+    def follow(self, hosts: Iterable[Host]) -> dict[NodeId, HostAddress]:
+        """Return the one store's address; further stores need settings."""
+        return {self._store.node: self._store.address}
+
+    def send_to(self, store: HostAddress, message: object) -> None:
         """Hand a message to the store."""
         reply = _LocalReply(self._store.node, self)
         self._parts.deliver(PeerMessage(self._store.node, message, reply))
@@ -168,7 +201,15 @@
         HostAddress(settings.peer_listen),
         DataCentreName(settings.data_centre),
     )
-    site = StoreSite(store.node, (store,), settings.n_shards, settings.data_dir, {})
+    links = StoreLinks(store.node, _refuse_link)
+    site = StoreSite(store.node, (store,), settings.n_shards, settings.data_dir, links)
     source = random.Random(uuid.uuid4().int)
     parts = make_store_parts(site, codec, clock, source, metrics, tracer)
     return EmbeddedStore(store, parts)
+
+
+def _refuse_link(address: HostAddress) -> PeerLink:
+    raise InvalidInputError(
+        f"the inventory declares a store at {address}, but this entry has a store of "
+        "its own; give --stores to use disk hosts"
+    )
--- a/oleanderhitch/process/roles/store.py
+++ b/oleanderhitch/process/roles/store.py
@@ -1,6 +1,5 @@
 """Assemble the parts of a disk host."""
 
-from collections.abc import Mapping
 from dataclasses import dataclass, field
 from functools import singledispatch
 from pathlib import Path
@@ -16,7 +15,12 @@
 )
 from oleanderhitch.process.groups.application import Application
 from oleanderhitch.process.groups.host import GroupHost, route
-from oleanderhitch.process.groups.messages import GroupAnswer, GroupCall, LocalCall
+from oleanderhitch.process.groups.messages import (
+    GroupAnswer,
+    GroupCall,
+    LocalCall,
+    StoresChanged,
+)
 from oleanderhitch.process.groups.placement import (
     CONFIGURATION_GROUP,
     Store,
@@ -37,11 +41,13 @@
 from oleanderhitch.process.replication.effects import LeadershipChanged
 from oleanderhitch.process.replication.replica import Timing
 from oleanderhitch.process.replication.states import Role
+from oleanderhitch.process.roles.store_links import StoreLinks
 from oleanderhitch.process.storage.task import open_storage
 from oleanderhitch.process.task import Task
 from oleanderhitch.process.tracing.tracer import Tracer
 from oleanderhitch.program.application import make_program_application
 from oleanderhitch.version.addresses import parse_host_port
+from oleanderhitch.version.configuration import Configuration
 
 
 @dataclass(slots=True)
@@ -52,7 +58,7 @@
     stores: tuple[Store, ...]
     n_shards: int
     data_dir: Path
-    links: Mapping[NodeId, Address]
+    links: StoreLinks
 
 
 @dataclass(slots=True)
@@ -133,7 +139,13 @@
 ) -> StoreParts:
     """Return the parts of a store, not started yet; raise StorageError."""
     connections = NodeConnections()
-    membership = make_membership_task(clock, connections.send)
+
+    def follow_hosts(configuration: Configuration) -> None:
+        site.links.follow(configuration.hosts)
+        addresses = {store.node: store.address for store in site.stores}
+        leadership.send(StoresChanged({**addresses, **site.links.list_addresses()}))
+
+    membership = make_membership_task(clock, connections.send, follow_hosts)
     configuration = make_configuration_application(membership)
 
     def make_application(group: GroupId) -> Application:
@@ -163,7 +175,7 @@
         site.node,
         site.stores,
         open_storage(site.data_dir, site.node, clock),
-        site.links,
+        site.links.get_link,
         make_application,
         clock,
         random_source,
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,8 +1,13 @@
-"""Set the hypothesis profiles: fixed seeds, so that every run has one verdict."""
+"""Patch gevent in and set the hypothesis profiles with fixed seeds."""
 
-import os
+from oleanderhitch.process.runtime import prepare_gevent
 
-from hypothesis import HealthCheck, settings
+# Product processes patch before anything imports sockets; so do the tests.
+prepare_gevent()
+
+import os  # noqa: E402
+
+from hypothesis import HealthCheck, settings  # noqa: E402
 
 _COMMON = {
     "derandomize": True,
--- a/tests/connection/caller/test_app.py
+++ b/tests/connection/caller/test_app.py
@@ -5,7 +5,6 @@
 
 import pytest
 import urllib3
-from gevent import monkey
 
 from oleanderhitch.connection.caller.app import make_caller_app
 from oleanderhitch.connection.caller.parsing import BODY_LIMIT_BYTES
@@ -18,7 +17,6 @@
 from oleanderhitch.request.states import Outcome, Reason
 from tests.connection.peer.test_stream import find_port
 
-monkey.patch_socket()
 http = urllib3.PoolManager(retries=False, timeout=5)
 CHAT = {"model": "m", "messages": [{"role": "user", "content": "hi"}]}
 HEADERS = {"X-Account": "a", "X-Program": "p", "X-Sequence": "1"}
--- a/tests/process/membership/test_task.py
+++ b/tests/process/membership/test_task.py
@@ -43,7 +43,9 @@
     def __init__(self):
         clock = make_system_clock()
         self.listener = make_mailbox("listener")
-        self.leader = make_membership_task(clock, self.send_to_node)
+        self.leader = make_membership_task(
+            clock, self.send_to_node, lambda configuration: None
+        )
         state = make_node_state(
             "n1", "i1", HostRole.ENTRY, "east", HostPort("127.0.0.1", 7101), [STORE]
         )
