Described configuration for operators and noted what was weighed and measured

Cause: operators need the files, commands, exit codes and checks on one page; developers the reasons and figures.

Change: two pages; a test keeps the table of checks complete.

--- a/tests/version/test_checks.py
+++ b/tests/version/test_checks.py
@@ -1,5 +1,7 @@
 """Test that each check finds its fault and that all faults are listed."""
 
+from pathlib import Path
+
 import pytest
 
 from oleanderhitch.version.checks import CHECKS
@@ -10,6 +12,7 @@
 from oleanderhitch.version.reading import DOCUMENT_LIMIT_CHARACTERS
 from tests.version.declarations import INVENTORY, RULES, change, make_drafts
 
+ROOT = Path(__file__).parents[2]
 ENGINE = ("engines", 0)
 
 INVENTORY_FAULTS = [
@@ -125,3 +128,10 @@
 def test_valid_documents_have_no_fault():
     """Guard against a check that refuses what is correct."""
     assert check_documents(make_drafts()) == ()
+
+
+def test_every_check_is_on_the_operators_page():
+    """Guard against a fault whose identifier operators cannot look up."""
+    page = (ROOT / "docs" / "operators" / "configuration.md").read_text()
+    for check in CHECKS.values():
+        assert f"| `{check.identifier}` | {check.summary} | {check.hint} |" in page
