Fitted the polling and the orders to 6,900 engines

Cause: a read of an engine takes 1.2 ms of processor time, which at the former intervals took more than a core of the leader and over 8% of a core of each node; a plan over 6,900 engines at every tick took 56 ms of each 200 ms. Change: load and events every 2 s, lists every 30 s, read backs every 5 minutes, but every 5 s for two minutes after an order and after a failed read; plans every 2 s, grouped by model. Conclusion: the property tests found three reads that the longer interval had dropped (after a failed read, of a foreign load, after the wait for the lease).

--- a/oleanderhitch/connection/endpoint/events.py
+++ b/oleanderhitch/connection/endpoint/events.py
@@ -60,7 +60,7 @@
         if payload == _DONE:
             return DoneEvent()
         try:
-            body = json.loads(payload)
+            body = json.loads(payload.decode())
             self._check_stream(body)
             if "usage" in body:
                 return _parse_usage(body["usage"])
--- a/oleanderhitch/connection/endpoint/transport.py
+++ b/oleanderhitch/connection/endpoint/transport.py
@@ -92,8 +92,19 @@
 
 def read_some(response: urllib3.BaseHTTPResponse, limit: timedelta) -> bytes:
     """Return the next bytes of a body, or nothing at its end."""
-    with translate_errors("connection"), limit_wait("connection", limit):
+    # This runs once per chunk: a context manager would take longer than the read.
+    timer = gevent.Timeout(max(0.0, limit.total_seconds()))
+    timer.start()
+    try:
         return response.read1(READ_BYTES)
+    except gevent.Timeout as error:
+        if error is not timer:
+            raise
+        raise ConnectionLostError(f"connection was silent for {limit}") from None
+    except (HTTPError, OSError) as error:
+        raise ConnectionLostError(f"connection broke: {error}") from None
+    finally:
+        timer.close()
 
 
 def read_whole(
--- a/oleanderhitch/process/engines/orders/core.py
+++ b/oleanderhitch/process/engines/orders/core.py
@@ -41,8 +41,17 @@
 # An order without an answer is outstanding for this long; it must exceed
 # ORDER_LIMIT, or two orders of one leader could overtake each other.
 SETTLE_TIME = timedelta(seconds=10)
-READ_INTERVAL = timedelta(seconds=5)
+# A read costs about 1.2 ms of the leader's processor, and 6,900 engines are read.
+READ_INTERVAL = timedelta(minutes=5)
+N_READS_IN_PROGRESS = 256
 READ_BACK_INTERVAL = timedelta(milliseconds=500)
+# An order without an answer may still arrive after a later order of the same
+# term and undo it, so an engine is read more often for a while after an order.
+WATCH_TIME = timedelta(minutes=2)
+WATCH_INTERVAL = timedelta(seconds=5)
+# A plan walks over all engines; after an order the next one is made as soon as
+# the weight store is free.
+PLAN_INTERVAL = timedelta(seconds=2)
 # A model that takes longer to load counts as not loaded.
 LOAD_LIMIT = timedelta(minutes=10)
 
@@ -59,6 +68,7 @@
     loading_since: datetime | None = None
     order: GiveOrder | None = None
     ordered_at: datetime | None = None
+    watch_until: datetime | None = None
 
 
 @dataclass(slots=True)
@@ -79,6 +89,8 @@
     engines: dict[EndpointId, EngineRecord] = field(default_factory=dict)
     demands: dict[ModelName, ModelDemand] = field(default_factory=dict)
     store_free_at: datetime | None = None
+    plan_due_at: datetime | None = None
+    watched: set[EndpointId] = field(default_factory=set)
 
 
 def make_orders_state(store_bytes_per_s: float) -> OrdersState:
@@ -101,6 +113,8 @@
     for endpoint, record in state.engines.items():
         state.engines[endpoint] = EngineRecord(record.offer)
     state.store_free_at = None
+    state.plan_due_at = None
+    state.watched.clear()
     return []
 
 
@@ -193,19 +207,59 @@
     leadership = state.leadership
     if leadership is None or now >= leadership.lease_until:
         return []
+    is_plan_due = state.plan_due_at is None or now >= state.plan_due_at
+    effects = _read_engines(state, leadership.wait_until, now, is_plan_due)
+    if is_plan_due:
+        state.plan_due_at = now + PLAN_INTERVAL
+        effects.extend(_give_next_order(state, leadership, now))
+    return effects
+
+
+def _read_engines(
+    state: OrdersState, wait_until: datetime, now: datetime, reads_all: bool
+) -> list[object]:
+    records = list(state.engines.values()) if reads_all else _list_watched(state, now)
+    n_free = N_READS_IN_PROGRESS - sum(_is_being_read(one, now) for one in records)
     effects: list[object] = []
-    for record in state.engines.values():
-        if _is_read_due(record, now):
+    for record in records:
+        if len(effects) >= n_free:
+            # The rest is read as soon as these have answered.
+            state.plan_due_at = now
+            break
+        if _is_read_due(record, wait_until, now):
             record.read_sent_at = now
             record.is_read_wanted = False
             read = ReadOrders(record.offer.endpoint, now)
             effects.append(CallEngine(record.offer.address, read))
-    return effects + _give_next_order(state, leadership, now)
+    return effects
+
+
+def _list_watched(state: OrdersState, now: datetime) -> list[EngineRecord]:
+    state.watched = {
+        name
+        for name in state.watched
+        if name in state.engines and _is_watched(state.engines[name], now)
+    }
+    return [state.engines[name] for name in sorted(state.watched)]
+
+
+def _is_watched(record: EngineRecord, now: datetime) -> bool:
+    is_recent = record.watch_until is not None and now < record.watch_until
+    return is_recent or record.order is not None
+
+
+def _is_being_read(record: EngineRecord, now: datetime) -> bool:
+    return record.read_sent_at is not None and now - record.read_sent_at < ORDER_LIMIT
 
 
 def _give_next_order(
     state: OrdersState, leadership: Leadership, now: datetime
 ) -> list[object]:
+    if any(record.read_at is None for record in state.engines.values()):
+        # Loads that an earlier leader ordered take the weight store's rate as
+        # well, so every engine is read before the first order of a term.
+        state.plan_due_at = now
+        return []
     if now + ORDER_LIMIT > leadership.lease_until or not _is_store_free(state, now):
         return []
     planned = [
@@ -229,11 +283,8 @@
 def _is_store_free(state: OrdersState, now: datetime) -> bool:
     if state.store_free_at is not None and now < state.store_free_at:
         return False
-    # Loads that an earlier leader ordered take the weight store's rate as well,
-    # so every engine is read before the first order of a term.
-    return all(
-        record.read_at is not None
-        and (record.order is not None or not _is_loading(record, now))
+    return not any(
+        record.order is None and _is_loading(record, now)
         for record in state.engines.values()
     )
 
@@ -259,8 +310,11 @@
     )
     record.order = order
     record.ordered_at = now
+    record.watch_until = now + WATCH_TIME
+    state.watched.add(record.offer.endpoint)
     seconds = state.demands[model].weight_bytes / state.store_bytes_per_s
     state.store_free_at = now + timedelta(seconds=seconds)
+    state.plan_due_at = state.store_free_at
     return CallEngine(record.offer.address, order)
 
 
@@ -281,14 +335,21 @@
     return now >= leadership.wait_until and record.read_at >= leadership.wait_until
 
 
-def _is_read_due(record: EngineRecord, now: datetime) -> bool:
-    if record.read_sent_at is not None:
-        return now - record.read_sent_at >= ORDER_LIMIT
+def _is_read_due(record: EngineRecord, wait_until: datetime, now: datetime) -> bool:
+    if _is_being_read(record, now):
+        return False
     if record.is_read_wanted or record.read_at is None:
         return True
-    is_ordered = record.order is not None
-    interval = READ_BACK_INTERVAL if is_ordered else READ_INTERVAL
-    return now - record.read_at >= interval
+    if not record.offer.checks_fencing and record.read_at < wait_until <= now:
+        return True
+    return now - record.read_at >= _get_read_interval(record, now)
+
+
+def _get_read_interval(record: EngineRecord, now: datetime) -> timedelta:
+    if record.order is not None or _is_loading(record, now):
+        return READ_BACK_INTERVAL
+    has_failed = record.model is None
+    return WATCH_INTERVAL if has_failed or _is_watched(record, now) else READ_INTERVAL
 
 
 def _is_settled(record: EngineRecord, read: OrdersRead, now: datetime) -> bool:
--- a/oleanderhitch/process/engines/orders/plan.py
+++ b/oleanderhitch/process/engines/orders/plan.py
@@ -32,37 +32,43 @@
     loads = {
         model: _get_load(needed, supply[model]) for model, needed in demand.items()
     }
+    donors = _group_donors(engines, demand, supply)
     for model in sorted(loads, key=lambda model: (-loads[model], model)):
         if loads[model] <= TARGET_LOAD:
             return None
-        donor = _find_donor(engines, demand, supply, model)
-        if donor is None:
-            continue
-        left = _get_load(demand.get(donor.model, 0.0), supply[donor.model] - 1)
-        if left * IMPROVEMENT < loads[model]:
-            return donor.endpoint, model
+        for left, engines_of_donor in donors:
+            if left * IMPROVEMENT >= loads[model]:
+                break
+            endpoint = _find_declaring(engines_of_donor, model)
+            if endpoint is not None:
+                return endpoint, model
     return None
 
 
-def _find_donor(
+def _group_donors(
     engines: Sequence[PlannedEngine],
     demand: Mapping[ModelName, float],
     supply: Counter[ModelName],
-    model: ModelName,
-) -> PlannedEngine | None:
-    candidates = [
-        engine
-        for engine in engines
-        if engine.may_change and engine.model != model and model in engine.models
+) -> list[tuple[float, list[PlannedEngine]]]:
+    """Return the engines by their model, with the load that a loss leaves."""
+    groups: dict[ModelName, list[PlannedEngine]] = {}
+    for engine in engines:
+        if engine.may_change:
+            groups.setdefault(engine.model, []).append(engine)
+    donors = [
+        (_get_load(demand.get(model, 0.0), supply[model] - 1), group)
+        for model, group in groups.items()
     ]
-    return min(
-        candidates,
-        key=lambda engine: (
-            _get_load(demand.get(engine.model, 0.0), supply[engine.model] - 1),
-            engine.endpoint,
-        ),
-        default=None,
-    )
+    return sorted(donors, key=lambda donor: (donor[0], donor[1][0].endpoint))
+
+
+def _find_declaring(
+    engines: Sequence[PlannedEngine], model: ModelName
+) -> EndpointId | None:
+    for engine in engines:
+        if engine.model != model and model in engine.models:
+            return engine.endpoint
+    return None
 
 
 def _get_load(needed: float, n_engines: int) -> float:
--- a/oleanderhitch/process/engines/polling/core.py
+++ b/oleanderhitch/process/engines/polling/core.py
@@ -31,11 +31,13 @@
 from oleanderhitch.program.ids import ProgramId
 from oleanderhitch.version.ids import EndpointId
 
-LOAD_INTERVAL = timedelta(milliseconds=500)
-EVENTS_INTERVAL = timedelta(milliseconds=500)
+# A call costs about 1.2 ms of processor time. With 6,900 engines shared by 400
+# nodes, these intervals take about 2% of a core of each node.
+LOAD_INTERVAL = timedelta(seconds=2)
+EVENTS_INTERVAL = timedelta(seconds=2)
 # The last event may be among the lost, so the list is read even without a gap.
-LIST_INTERVAL = timedelta(seconds=10)
-BACKOFF_LIMIT = timedelta(seconds=10)
+LIST_INTERVAL = timedelta(seconds=30)
+BACKOFF_LIMIT = timedelta(seconds=30)
 # A call ends earlier; the limit covers a result that found no room.
 CALL_LIMIT = timedelta(seconds=5)
 
--- a/oleanderhitch/process/engines/releases/core.py
+++ b/oleanderhitch/process/engines/releases/core.py
@@ -47,8 +47,8 @@
 # A program that holds memory and ran at the last check is asked for again so
 # late, which bounds the reads of its shard.
 CHECK_INTERVAL = timedelta(seconds=60)
-# A check walks over every program that holds memory.
-CHECK_PAUSE = timedelta(seconds=2)
+# A check walks over every program that holds memory, which takes about 1 us each.
+CHECK_PAUSE = timedelta(seconds=5)
 N_PROGRAMS_PER_CHECK = 1000
 
 Key = tuple[EndpointId, ProgramId]
--- a/tests/process/engines/test_orders.py
+++ b/tests/process/engines/test_orders.py
@@ -258,8 +258,10 @@
     world = World(True, lambda request: (timedelta(milliseconds=50), True))
     world.elect(1, START)
     world.demand(1, "m2")
-    while world.n_orders == 0:
+    for _ in range(20):
         world.advance()
+        if world.n_orders:
+            break
     [item] = [item for item in world.in_flight if isinstance(item[2], GiveOrder)]
     world.in_flight.remove(item)
     world.send(1, EngineCallFailed(item[2], False, "refused"))
