Kept an order outstanding until its answer or its time limit

Cause: 1 of 1460 random histories showed a second order to an engine while the first was still on its way, because a read back showed the wanted model already. Change: an order without a result stays outstanding for the time limit of its connection.

--- a/oleanderhitch/process/engines/orders/core.py
+++ b/oleanderhitch/process/engines/orders/core.py
@@ -68,6 +68,7 @@
     loading_since: datetime | None = None
     order: GiveOrder | None = None
     ordered_at: datetime | None = None
+    has_result: bool = False
     watch_until: datetime | None = None
 
 
@@ -156,6 +157,7 @@
     record = _find_ordered(state, message.order)
     if record is not None:
         record.is_read_wanted = True
+        record.has_result = True
     return []
 
 
@@ -181,6 +183,7 @@
         _clear_order(record)
     elif record.order == request:
         record.is_read_wanted = True
+        record.has_result = True
     return []
 
 
@@ -310,6 +313,7 @@
     )
     record.order = order
     record.ordered_at = now
+    record.has_result = False
     record.watch_until = now + WATCH_TIME
     state.watched.add(record.offer.endpoint)
     seconds = state.demands[model].weight_bytes / state.store_bytes_per_s
@@ -355,9 +359,12 @@
 def _is_settled(record: EngineRecord, read: OrdersRead, now: datetime) -> bool:
     if record.order is None or record.ordered_at is None:
         return True
+    age = now - record.ordered_at
+    if not record.has_result and age < ORDER_LIMIT:
+        # The order may still be on its way, whatever the engine shows.
+        return False
     if read.model == record.order.name and read.loading is None:
         return True
-    age = now - record.ordered_at
     if read.loading == record.order.name:
         return age >= LOAD_LIMIT
     return age >= SETTLE_TIME
