--- a/tests/process/replication/test_core.py
+++ b/tests/process/replication/test_core.py
@@ -192,3 +192,27 @@
         effects = handle(state, Tick(), now=NOW + timedelta(seconds=seconds))
         assert effects == []
     assert state.term == 0
+
+
+def test_stopped_replica_is_not_revived():
+    """Guards against a replica with a failed disk that leads as a lone survivor."""
+    state = make_replica(voters=("a", "b"))
+    handle(state, m.StorageFailed("disk full"))
+    lost = m.ChangeMembership(1, ChangeKind.DECLARE_LOST, "b")
+    (ended,) = handle(state, lost)
+    assert ended.outcome is ChangeOutcome.REJECTED
+    assert "disk full" in ended.reason
+    assert handle(state, Tick(), now=LATER) == []
+
+
+def test_leader_hands_over_to_a_voter_that_it_hears():
+    """Guards against a leader with a failed disk that waits for a dead voter."""
+    state, _ = make_leader()
+    for voter in ("b", "c"):
+        handle(state, m.AppendReply(1, True, 0, 0), voter, LATER)
+        handle(state, m.AppendReply(1, True, 1, 1), voter, LATER)
+    later = LATER + timedelta(seconds=1)
+    handle(state, m.HeartbeatReply(1, 1), "c", later)
+    effects = handle(state, m.StorageFailed("disk full"), now=later)
+    targets = [e.replica for e in effects if isinstance(e, SendToReplica)]
+    assert targets == ["c"]
