Kept a group's task alive when its application fails

A peer out of reach is no longer logged at each heartbeat. Conclusion: the two new tests fail without the change.

--- a/oleanderhitch/process/replication/binding.py
+++ b/oleanderhitch/process/replication/binding.py
@@ -1,6 +1,7 @@
 """Perform the effects of a group on its storage, application and callers."""
 
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 from datetime import datetime
 from functools import singledispatch
@@ -8,6 +9,7 @@
 import logbook
 
 from oleanderhitch.connection.codec import Codec
+from oleanderhitch.exceptions import UnavailableError
 from oleanderhitch.process.clock import Clock
 from oleanderhitch.process.groups.application import Application
 from oleanderhitch.process.groups.messages import (
@@ -165,9 +167,10 @@
 def _send_envelope(receiver: ReplicaId, message: object, binding: GroupBinding) -> None:
     replica = binding.state.replica
     body = binding.state.codec.encode(message)
-    binding.transport.send(
-        ReplicaEnvelope(replica.group, replica.replica, receiver, body)
-    )
+    envelope = ReplicaEnvelope(replica.group, replica.replica, receiver, body)
+    # A peer out of reach is normal; the core sends again by its own timeouts.
+    with suppress(UnavailableError):
+        binding.transport.send(envelope)
 
 
 def _store(binding: GroupBinding, message: WriteRecords | SaveSnapshot) -> None:
@@ -232,7 +235,11 @@
 
 @perform.register
 def _(effect: TakeSnapshot, binding: GroupBinding) -> None:
-    data = binding.application.take_snapshot()
+    try:
+        data = binding.application.take_snapshot()
+    except Exception as error:
+        _fail(binding, f"no snapshot can be taken: {error!r}")
+        return
     snapshot = Snapshot(effect.index, effect.term, effect.membership, data)
     group = binding.state.replica.group
     acknowledgement = SnapshotTaken(effect.index, data)
@@ -242,7 +249,11 @@
 @perform.register
 def _(effect: RestoreSnapshot, binding: GroupBinding) -> None:
     snapshot = effect.snapshot
-    binding.application.restore_snapshot(snapshot.data)
+    try:
+        binding.application.restore_snapshot(snapshot.data)
+    except Exception as error:
+        _fail(binding, f"snapshot {snapshot.index} can't be restored: {error!r}")
+        return
     group = binding.state.replica.group
     acknowledgement = SnapshotRestored(snapshot.index)
     _store(
@@ -298,9 +309,17 @@
 @perform.register
 def _(effect: ReadReady, binding: GroupBinding) -> None:
     call = binding.state.calls.pop(effect.read_id, None)
-    if call is not None:
-        body = binding.application.read(call.call.body)
-        call.reply.send(GroupAnswer(call.call.call, body))
+    if call is None:
+        return
+    try:
+        answer: object = GroupAnswer(
+            call.call.call, binding.application.read(call.call.body)
+        )
+    except Exception as error:
+        # A read changes nothing, so that only its own caller is concerned.
+        binding.log.error("a read failed: {!r}", error)
+        answer = GroupUncertain(call.call.call, f"the read failed: {error!r}")
+    call.reply.send(answer)
 
 
 @perform.register
--- a/oleanderhitch/process/replication/messages.py
+++ b/oleanderhitch/process/replication/messages.py
@@ -365,5 +365,6 @@
     RemoveReplica,
     DeclareReplicaLost,
     GetReplicationStatus,
+    TransferLeadership,
 )
 MESSAGES: tuple[type, ...] = (*OPERATOR_REQUESTS, MembershipAnswer, ReplicationStatus)
--- a/tests/process/replication/test_task.py
+++ b/tests/process/replication/test_task.py
@@ -4,6 +4,7 @@
 
 import gevent
 
+from oleanderhitch.connection.codec import make_codec
 from oleanderhitch.process.groups.messages import (
     GroupAnswer,
     GroupCall,
@@ -16,6 +17,7 @@
 from oleanderhitch.process.replication.binding import make_hello_address
 from oleanderhitch.process.replication.founding import FoundingHello
 from oleanderhitch.process.replication.messages import (
+    MESSAGES,
     AppendEntries,
     GetReplicationStatus,
     LogEntry,
@@ -121,6 +123,8 @@
     status = repair(hosts.values(), request)
     assert replacement in status.membership.voters
     assert lost.state.replica in status.membership.removed
+    codec = make_codec(MESSAGES)
+    assert codec.decode(codec.encode(status)) == status
     assert not status.is_change_pending
     leader = wait_for(lambda: find_leader(hosts.values()))
     leader.stop(network)
@@ -166,6 +170,7 @@
     host.journal.apply = fail
     assert isinstance(call(host, b"one"), GroupUncertain)
     assert isinstance(call(host, b"two"), GroupRedirect)
+    assert "can't be applied" in ask(host, GetReplicationStatus(1, GROUP)).fault
     host.stop(network)
 
 
@@ -225,3 +230,34 @@
     wait_for(lambda: find_leader([host]))
     assert len(host.journal.commands) == 100
     host.stop(network)
+
+
+def test_read_that_fails_concerns_its_caller_only(tmp_path):
+    """Guards against a malformed read that ends the task of a whole group."""
+    network = Network()
+    host = Host("a", tmp_path, network, ("a",), FAST)
+    wait_for(lambda: find_leader([host]))
+
+    def fail(query):
+        raise ValueError("unknown query")
+
+    host.journal.read = fail
+    assert isinstance(call(host, b"", is_read=True), GroupUncertain)
+    assert isinstance(call(host, b"one"), GroupAnswer)
+    host.stop(network)
+
+
+def test_snapshot_that_can_not_be_taken_stops_the_replica(tmp_path):
+    """Guards against a group whose task ends without a word."""
+    network = Network()
+    host = Host("a", tmp_path, network, ("a",), FAST, Limits(n_entries_per_snapshot=5))
+    wait_for(lambda: find_leader([host]))
+
+    def fail():
+        raise ValueError("state is too large")
+
+    host.journal.take_snapshot = fail
+    answers = [call(host, b"x") for _ in range(8)]
+    assert isinstance(answers[-1], GroupRedirect)
+    assert "no snapshot" in ask(host, GetReplicationStatus(1, GROUP)).fault
+    host.stop(network)
