Removed least attained service and the reserve for short work

Conclusion: young programs first raises the number in progress and so the prefixes that engines must keep; programs in progress first does the reverse.

--- a/bench/process/measures.py
+++ b/bench/process/measures.py
@@ -1,6 +1,7 @@
 """Compute the measures of one run."""
 
 from functools import singledispatch
+from statistics import mean
 
 from bench.process.engine import EngineTiming
 from bench.process.scenarios import SLOW_FACTOR, Deployment, Scenario
@@ -20,6 +21,7 @@
 FIRST_TOKEN_TARGET_S = 0.61
 
 PROGRAM_P95 = "program latency p95"
+PROGRAM_MEAN = "program latency mean"
 PROGRAM_P99 = "program latency p99"
 RECOMPUTED = "recomputed prefill"
 CREST = "first token in 0.61 s at crest"
@@ -32,6 +34,7 @@
 
 UNITS = {
     PROGRAM_P95: "s",
+    PROGRAM_MEAN: "s",
     PROGRAM_P99: "s",
     RECOMPUTED: "tokens",
     CREST: "share",
@@ -64,6 +67,7 @@
     ]
     values = {
         PROGRAM_P95: get_quantile(latencies, 0.95),
+        PROGRAM_MEAN: mean(latencies) if latencies else 0.0,
         PROGRAM_P99: get_quantile(latencies, 0.99),
         RECOMPUTED: float(sum(call.recomputed_tokens for call in calls)),
         SHORT_WAIT: get_quantile(waits, 0.99),
--- a/oleanderhitch/process/scheduling/affinity.py
+++ b/oleanderhitch/process/scheduling/affinity.py
@@ -1,5 +1,6 @@
 """Decide where a prefix is kept and how long a request waits for it."""
 
+from oleanderhitch.process.scheduling import health
 from oleanderhitch.process.scheduling.messages import EnqueueRequest
 from oleanderhitch.process.scheduling.records import Endpoint, PoolState, Resident
 from oleanderhitch.process.scheduling.states import Health
@@ -9,17 +10,19 @@
 def find_holder(
     state: PoolState, enqueue: EnqueueRequest
 ) -> tuple[Endpoint | None, int]:
-    """Return the healthy endpoint that holds most of the prefix, with its tokens."""
+    """Return the endpoint worth using that holds most of the prefix, and how much."""
     best: Endpoint | None = None
     n_best = 0
     for name in enqueue.holders:
         endpoint = state.endpoints.get(name)
-        if endpoint is None or endpoint.health is not Health.HEALTHY:
-            continue
-        if name in enqueue.excluded:
+        if endpoint is None or name in enqueue.excluded:
             continue
         n_cached = _count_cached(endpoint, enqueue)
-        if n_cached > 0 and n_cached >= n_best:
+        if (
+            n_cached > 0
+            and n_cached >= n_best
+            and _is_usable(state, endpoint, n_cached)
+        ):
             best, n_best = endpoint, n_cached
     return best, n_best
 
@@ -83,6 +86,14 @@
     return endpoint.resident_tokens / endpoint.cache_tokens
 
 
+def _is_usable(state: PoolState, endpoint: Endpoint, n_cached_tokens: int) -> bool:
+    if endpoint.health is Health.PROBATION:
+        saved_s = n_cached_tokens * state.averages.prefill_s_per_token
+        worth_s = saved_s * state.settings.affinity_wait_factor
+        return worth_s > health.get_slowness_s(state, endpoint)
+    return endpoint.health is Health.HEALTHY
+
+
 def _count_cached(endpoint: Endpoint, enqueue: EnqueueRequest) -> int:
     resident = endpoint.residents.get(enqueue.program)
     if resident is not None:
--- a/oleanderhitch/process/scheduling/core.py
+++ b/oleanderhitch/process/scheduling/core.py
@@ -164,7 +164,6 @@
 
 
 def _dispatch(state: PoolState, now_s: float) -> Iterator[Effect]:
-    permits.mark_long(state, now_s)
     queueing.end_affinity_waits(state, now_s)
     yield from dispatching.dispatch_general(state, now_s)
     yield from dispatching.dispatch_hedges(state, now_s)
@@ -211,7 +210,7 @@
     health.end_probation(state, endpoint)
     health.forget_pace(state, endpoint)
     endpoint.health = Health.LEAVING
-    queueing.open_lane_to_all(state, endpoint)
+    queueing.clear_lane(state, endpoint)
 
 
 def _repeat_grants(
--- a/oleanderhitch/process/scheduling/dispatching.py
+++ b/oleanderhitch/process/scheduling/dispatching.py
@@ -1,5 +1,6 @@
 """Match waiting requests with free slots."""
 
+import heapq
 from collections.abc import Iterator
 from itertools import islice
 
@@ -9,11 +10,10 @@
     health,
     hedging,
     lanes,
-    limits,
     permits,
     queueing,
 )
-from oleanderhitch.process.scheduling.lanes import Entry, Lane
+from oleanderhitch.process.scheduling.lanes import Entry
 from oleanderhitch.process.scheduling.messages import GrantSlot
 from oleanderhitch.process.scheduling.records import (
     Endpoint,
@@ -40,15 +40,15 @@
     state: PoolState, endpoint: Endpoint, now_s: float
 ) -> Iterator[GrantSlot]:
     """Grant an endpoint's free slots to those that wait for it or for any."""
-    while _can_take(state, endpoint, now_s):
-        found = _find_next(state, endpoint)
+    while endpoint.n_in_flight < endpoint.n_slots:
+        found = _find_next(state, endpoint, _can_take(state, endpoint, now_s))
         if found is None:
             return
         lane, entry = found
         waiting = state.waiting[entry[2]]
         if endpoint.endpoint in waiting.enqueue.excluded:
             return
-        lanes.remove_first(lane, entry)
+        heapq.heappop(lane)
         yield _grant(state, waiting, endpoint, now_s)
 
 
@@ -59,7 +59,7 @@
         entry = _find_first(state, state.general)
         if entry is None:
             break
-        lanes.remove_first(state.general, entry)
+        heapq.heappop(state.general)
         waiting = state.waiting[entry[2]]
         endpoint = _find_endpoint(state, waiting, now_s)
         if endpoint is None:
@@ -67,7 +67,7 @@
             continue
         yield _grant(state, waiting, endpoint, now_s)
     for entry in passed_over:
-        lanes.push(state.general, entry, state.waiting[entry[2]].is_long)
+        heapq.heappush(state.general, entry)
 
 
 def dispatch_hedges(state: PoolState, now_s: float) -> Iterator[GrantSlot]:
@@ -151,15 +151,15 @@
     return None
 
 
-def _find_first(state: PoolState, lane: Lane) -> Entry | None:
-    return lanes.find_first(
-        lane, limits.takes_long(state), lambda entry: queueing.is_live(state, entry)
-    )
+def _find_first(state: PoolState, lane: list[Entry]) -> Entry | None:
+    return lanes.find_first(lane, lambda entry: queueing.is_live(state, entry))
 
 
-def _find_next(state: PoolState, endpoint: Endpoint) -> tuple[Lane, Entry] | None:
+def _find_next(
+    state: PoolState, endpoint: Endpoint, takes_general: bool
+) -> tuple[list[Entry], Entry] | None:
     own = _find_first(state, endpoint.lane)
-    general = _find_first(state, state.general)
+    general = _find_first(state, state.general) if takes_general else None
     if own is not None and (general is None or own <= general):
         return endpoint.lane, own
     return None if general is None else (state.general, general)
--- a/oleanderhitch/process/scheduling/health.py
+++ b/oleanderhitch/process/scheduling/health.py
@@ -1,5 +1,6 @@
 """Find endpoints that are slowed, from own observations of time per token."""
 
+import math
 from bisect import bisect_left, insort
 
 from oleanderhitch.process.scheduling import limits
@@ -70,14 +71,16 @@
 
 def may_overflow(state: PoolState, endpoint: Endpoint) -> bool:
     """Say whether the queue costs more than an endpoint's slowness does."""
+    cost_s = get_slowness_s(state, endpoint)
+    return limits.get_drain_s(state) > state.settings.overflow_factor * cost_s
+
+
+def get_slowness_s(state: PoolState, endpoint: Endpoint) -> float:
+    """Return the seconds that a mean attempt loses at a slowed endpoint."""
     median = find_median(state)
     if median is None or endpoint.pace is None or not median:
-        return False
-    slowness = max(1.0, endpoint.pace / median)
-    if endpoint.n_in_flight >= endpoint.n_slots / slowness:
-        return False
-    cost_s = (slowness - 1.0) * state.averages.slot_s
-    return limits.get_drain_s(state) > state.settings.overflow_factor * cost_s
+        return math.inf
+    return max(0.0, endpoint.pace / median - 1.0) * state.averages.slot_s
 
 
 def forget_pace(state: PoolState, endpoint: Endpoint) -> None:
@@ -142,9 +145,6 @@
     # The first observations replace the defaults quickly.
     weight = max(AVERAGE_WEIGHT, 1.0 / averages.n_observed)
     averages.slot_s += weight * (release.duration.total_seconds() - averages.slot_s)
-    averages.output_tokens += weight * (
-        release.n_output_tokens - averages.output_tokens
-    )
     _update_prefill_rate(averages, release)
 
 
--- a/oleanderhitch/process/scheduling/limits.py
+++ b/oleanderhitch/process/scheduling/limits.py
@@ -1,4 +1,4 @@
-"""Refuse what cannot be served in time, and keep room for short work."""
+"""Refuse what cannot be queued or served in time."""
 
 from datetime import timedelta
 
@@ -53,15 +53,3 @@
         reason,
         timedelta(seconds=retry_after_s),
     )
-
-
-def is_long_work(state: PoolState, n_uncached_tokens: int) -> bool:
-    """Say whether a request is known beforehand to hold its slot for long."""
-    prefill_s = n_uncached_tokens * state.averages.prefill_s_per_token
-    return prefill_s > state.settings.long_work_factor * state.averages.slot_s
-
-
-def takes_long(state: PoolState) -> bool:
-    """Say whether long work may take one more slot."""
-    limit = max(1, int((1.0 - state.settings.short_reserve) * state.n_slots))
-    return state.n_long < limit
--- a/oleanderhitch/process/scheduling/ordering.py
+++ b/oleanderhitch/process/scheduling/ordering.py
@@ -1,4 +1,4 @@
-"""Rank requests: fair share by account, least attained service, ageing.
+"""Rank requests: fair share by account, programs in progress first, ageing.
 
 A rank is a time in seconds: the arrival plus bounded penalties. Ageing follows
 from it, since a request that arrives later than the sum of the bounds cannot
@@ -20,15 +20,11 @@
     account = state.accounts.get(enqueue.account)
     if account is not None:
         lead_s = min(settings.fair_share_limit_s, max(0.0, account.finish_s - now_s))
-    attained_s = min(
-        settings.attained_limit_s,
-        enqueue.attained_tokens / settings.attained_tokens_per_s,
-    )
     penalty_s = 0.0
     if enqueue.n_turns == 0 and is_queue_long(state):
         penalty_s = settings.new_program_penalty_s
     arrival_s = now_s - enqueue.waited.total_seconds()
-    return arrival_s + lead_s + attained_s + penalty_s
+    return arrival_s + lead_s + penalty_s
 
 
 def get_cached_bonus_s(state: PoolState, n_cached_tokens: int) -> float:
--- a/oleanderhitch/process/scheduling/permits.py
+++ b/oleanderhitch/process/scheduling/permits.py
@@ -1,6 +1,5 @@
 """Count the slots in use, exactly."""
 
-import heapq
 from datetime import datetime
 
 from oleanderhitch.process.scheduling import affinity, capacity, ordering
@@ -14,8 +13,6 @@
 from oleanderhitch.request.ids import PermitId
 from oleanderhitch.version.ids import EndpointId
 
-N_STALE_FLOOR = 64
-
 
 def get_seconds(now: datetime) -> float:
     """Return a time as seconds, which cost less to compare than datetimes."""
@@ -55,7 +52,6 @@
         waiting.charged_s,
         waiting.deadline_s,
         enqueue.prompt_tokens,
-        waiting.is_long,
         enqueue.is_idempotent,
         enqueue.excluded,
     )
@@ -81,7 +77,6 @@
         ordering.charge_account(state, first.account, now_s),
         first.deadline_s,
         first.prompt_tokens,
-        first.is_long,
     )
     take(state, permit, now_s)
     return permit
@@ -94,14 +89,6 @@
     state.attempts.setdefault(permit.request, []).append(permit.permit)
     endpoint.permits[permit.permit] = None
     refresh(state, endpoint)
-    if permit.is_long:
-        state.n_long += 1
-        return
-    long_after_s = state.settings.long_work_factor * state.averages.slot_s
-    heapq.heappush(state.long_after, (permit.started_s + long_after_s, permit.permit))
-    if len(state.long_after) > N_STALE_FLOOR + 2 * len(state.permits):
-        state.long_after = [e for e in state.long_after if e[1] in state.permits]
-        heapq.heapify(state.long_after)
 
 
 def give_back(state: PoolState, name: PermitId, now_s: float) -> Permit | None:
@@ -115,7 +102,6 @@
         del state.attempts[permit.request]
     endpoint = state.endpoints[permit.endpoint]
     del endpoint.permits[name]
-    state.n_long -= permit.is_long
     used_s = ordering.get_share_s(state, now_s - permit.started_s)
     ordering.settle_account(state, permit.account, used_s - permit.charged_s)
     if endpoint.n_slots == 0 and not endpoint.permits:
@@ -125,15 +111,6 @@
     return permit
 
 
-def mark_long(state: PoolState, now_s: float) -> None:
-    """Count attempts that run far beyond the mean as long work."""
-    while state.long_after and state.long_after[0][0] <= now_s:
-        permit = state.permits.get(heapq.heappop(state.long_after)[1])
-        if permit is not None and not permit.is_long:
-            permit.is_long = True
-            state.n_long += 1
-
-
 def _next_permit_id(state: PoolState) -> PermitId:
     state.n_permits += 1
     return PermitId(f"{state.permit_prefix}-{state.n_permits}")
--- a/oleanderhitch/process/scheduling/queueing.py
+++ b/oleanderhitch/process/scheduling/queueing.py
@@ -2,14 +2,12 @@
 
 import heapq
 
-from oleanderhitch.process.scheduling import affinity, lanes, limits, ordering
+from oleanderhitch.process.scheduling import affinity, lanes, ordering
 from oleanderhitch.process.scheduling.lanes import Entry
 from oleanderhitch.process.scheduling.messages import EnqueueRequest
 from oleanderhitch.process.scheduling.records import Endpoint, PoolState, Waiting
 from oleanderhitch.request.ids import RequestId
 
-Timer = tuple[float, int, RequestId]
-
 
 def add(
     state: PoolState, enqueue: EnqueueRequest, now_s: float
@@ -23,7 +21,6 @@
         ordering.get_rank(state, enqueue, now_s),
         now_s + enqueue.time_to_deadline.total_seconds(),
         ordering.charge_account(state, enqueue.account, now_s),
-        limits.is_long_work(state, enqueue.prompt_tokens - n_cached),
         None if holder is None else holder.endpoint,
         n_cached,
     )
@@ -50,24 +47,25 @@
 
 
 def open_lane_to_all(state: PoolState, endpoint: Endpoint) -> None:
-    """End the wait for an endpoint that gets no further work."""
-    for entry in (*endpoint.lane.short, *endpoint.lane.long):
+    """End the waits for an endpoint; what waits in its lane may go elsewhere."""
+    for entry in list(endpoint.lane):
         if is_live(state, entry):
             open_to_all(state, state.waiting[entry[2]])
-    endpoint.lane.short.clear()
-    endpoint.lane.long.clear()
 
 
-def end_affinity_waits(state: PoolState, now_s: float) -> bool:
-    """Open requests whose wait for a prefix is over; say whether there are any."""
-    has_any = False
+def clear_lane(state: PoolState, endpoint: Endpoint) -> None:
+    """Let nothing wait for an endpoint that gets no further work."""
+    open_lane_to_all(state, endpoint)
+    endpoint.lane.clear()
+
+
+def end_affinity_waits(state: PoolState, now_s: float) -> None:
+    """Open requests whose wait for a prefix is over."""
     while state.affinity_ends and state.affinity_ends[0][0] <= now_s:
         _, number, request = heapq.heappop(state.affinity_ends)
         waiting = state.waiting.get(request)
         if waiting is not None and waiting.number == number:
             open_to_all(state, waiting)
-            has_any = True
-    return has_any
 
 
 def remove_expired(state: PoolState, now_s: float) -> list[Waiting]:
@@ -95,16 +93,14 @@
     return waiting is not None and waiting.number == entry[1]
 
 
-def _push(state: PoolState, lane: lanes.Lane, waiting: Waiting, rank: float) -> None:
+def _push(state: PoolState, lane: list[Entry], waiting: Waiting, rank: float) -> None:
     entry = (rank, waiting.number, waiting.enqueue.request)
-    lanes.push(lane, entry, waiting.is_long)
+    heapq.heappush(lane, entry)
     lanes.compact(lane, len(state.waiting), lambda entry: is_live(state, entry))
 
 
 def _push_timer(
-    state: PoolState, timers: list[Timer], waiting: Waiting, due_s: float
+    state: PoolState, timers: list[Entry], waiting: Waiting, due_s: float
 ) -> None:
     heapq.heappush(timers, (due_s, waiting.number, waiting.enqueue.request))
-    if len(timers) > lanes.N_STALE_FLOOR + 2 * len(state.waiting):
-        timers[:] = [timer for timer in timers if is_live(state, timer)]
-        heapq.heapify(timers)
+    lanes.compact(timers, len(state.waiting), lambda timer: is_live(state, timer))
--- a/oleanderhitch/process/scheduling/records.py
+++ b/oleanderhitch/process/scheduling/records.py
@@ -5,7 +5,7 @@
 
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.scheduling.capacity import FreeIndex
-from oleanderhitch.process.scheduling.lanes import Lane
+from oleanderhitch.process.scheduling.lanes import Entry
 from oleanderhitch.process.scheduling.messages import EnqueueRequest
 from oleanderhitch.process.scheduling.settings import PoolSettings
 from oleanderhitch.process.scheduling.states import Health
@@ -23,7 +23,6 @@
     rank: float
     deadline_s: float
     charged_s: float
-    is_long: bool
     holder: EndpointId | None
     n_cached_tokens: int
     is_general: bool = False
@@ -43,7 +42,6 @@
     charged_s: float = 0.0
     deadline_s: float = 0.0
     prompt_tokens: int = 0
-    is_long: bool = False
     may_hedge: bool = False
     excluded: tuple[EndpointId, ...] = ()
 
@@ -65,7 +63,7 @@
     cache_tokens: int = 0
     health: Health = Health.LEAVING
     permits: dict[PermitId, None] = field(default_factory=dict)
-    lane: Lane = field(default_factory=Lane)
+    lane: list[Entry] = field(default_factory=list)
     residents: OrderedDict[ProgramId, Resident] = field(default_factory=OrderedDict)
     resident_tokens: int = 0
     # Until a prefix was dropped here, a holder that an entry names is believed:
@@ -99,7 +97,6 @@
     """Hold moving averages over the attempts of the pool."""
 
     slot_s: float = 1.0
-    output_tokens: float = 100.0
     prefill_s_per_token: float = 0.0002
     n_observed: int = 0
 
@@ -114,7 +111,6 @@
     n_permits: int = 0
     n_entries: int = 0
     n_slots: int = 0
-    n_long: int = 0
     n_active_accounts: int = 0
     retry_budget: float = 8.0
     waiting: dict[RequestId, Waiting] = field(default_factory=dict)
@@ -122,7 +118,7 @@
     attempts: dict[RequestId, list[PermitId]] = field(default_factory=dict)
     endpoints: dict[EndpointId, Endpoint] = field(default_factory=dict)
     accounts: dict[AccountId, Account] = field(default_factory=dict)
-    general: Lane = field(default_factory=Lane)
+    general: list[Entry] = field(default_factory=list)
     free: FreeIndex = field(default_factory=FreeIndex)
     # Endpoints on probation, in the order in which they came there.
     probation: dict[EndpointId, None] = field(default_factory=dict)
@@ -131,6 +127,4 @@
     # Time, number and request: when a wait for a prefix ends.
     affinity_ends: list[tuple[float, int, RequestId]] = field(default_factory=list)
     deadlines: list[tuple[float, int, RequestId]] = field(default_factory=list)
-    # Time and permit: when a running attempt counts as long work.
-    long_after: list[tuple[float, PermitId]] = field(default_factory=list)
     hedge_candidates: deque[PermitId] = field(default_factory=deque)
--- a/oleanderhitch/process/scheduling/settings.py
+++ b/oleanderhitch/process/scheduling/settings.py
@@ -21,18 +21,11 @@
     # Order. All terms are seconds of seniority, so that a request is never
     # passed by one that came later than the sum of the limits.
     fair_share_limit_s: float = 8.0
-    attained_tokens_per_s: float = 4_000.0
-    attained_limit_s: float = 4.0
     new_program_penalty_s: float = 10.0
     # The queue is long when it holds this many requests per slot.
     long_queue_per_slot: float = 0.25
     cached_bonus_limit_s: float = 4.0
 
-    # Capacity that long work must leave free for short work.
-    short_reserve: float = 0.25
-    # Work counts as long from this many times the mean slot time on.
-    long_work_factor: float = 4.0
-
     # Waiting for the endpoint that holds the prefix.
     affinity_wait_limit_s: float = 8.0
     # A prefill elsewhere also delays the prompts behind it and evicts prefixes
@@ -63,6 +56,6 @@
     # Hedges and retries.
     # Hedges start while less than this part of the pool's slots is in use;
     # in a loaded pool they delay the work of others.
-    hedge_load_limit: float = 0.75
+    hedge_load_limit: float = 0.5
     retry_budget_ratio: float = 0.1
     retry_budget_limit: float = 32.0
