Kept excluded requests from blocking an endpoint

Cause: when the first request of the queue excludes the endpoint whose slot frees, those that wait for that endpoint's prefix got nothing until their wait ended; hedge candidates of a pool that is always loaded piled up. Change: a request that excludes an endpoint is passed over there; at most 1,024 candidates are kept. Both have a test that fails without the fix.

--- a/oleanderhitch/process/scheduling/dispatching.py
+++ b/oleanderhitch/process/scheduling/dispatching.py
@@ -45,11 +45,8 @@
         if found is None:
             return
         lane, entry = found
-        waiting = state.waiting[entry[2]]
-        if endpoint.endpoint in waiting.enqueue.excluded:
-            return
         heapq.heappop(lane)
-        yield _grant(state, waiting, endpoint, now_s)
+        yield _grant(state, state.waiting[entry[2]], endpoint, now_s)
 
 
 def dispatch_general(state: PoolState, now_s: float) -> Iterator[GrantSlot]:
@@ -160,11 +157,17 @@
 ) -> tuple[list[Entry], Entry] | None:
     own = _find_first(state, endpoint.lane)
     general = _find_first(state, state.general) if takes_general else None
+    if general is not None and _excludes(state, general, endpoint):
+        general = None
     if own is not None and (general is None or own <= general):
         return endpoint.lane, own
     return None if general is None else (state.general, general)
 
 
+def _excludes(state: PoolState, entry: Entry, endpoint: Endpoint) -> bool:
+    return endpoint.endpoint in state.waiting[entry[2]].enqueue.excluded
+
+
 def _find_endpoint(state: PoolState, waiting: Waiting, now_s: float) -> Endpoint | None:
     excluded = waiting.enqueue.excluded
     probe = _find_probe(state, now_s)
--- a/oleanderhitch/process/scheduling/records.py
+++ b/oleanderhitch/process/scheduling/records.py
@@ -13,6 +13,9 @@
 from oleanderhitch.request.ids import PermitId, RequestId
 from oleanderhitch.version.ids import EndpointId, PoolId
 
+# Older candidates have most likely ended by the time that slots are idle.
+N_HEDGE_CANDIDATES = 1_024
+
 
 @dataclass(slots=True)
 class Waiting:
@@ -127,4 +130,6 @@
     # Time, number and request: when a wait for a prefix ends.
     affinity_ends: list[tuple[float, int, RequestId]] = field(default_factory=list)
     deadlines: list[tuple[float, int, RequestId]] = field(default_factory=list)
-    hedge_candidates: deque[PermitId] = field(default_factory=deque)
+    hedge_candidates: deque[PermitId] = field(
+        default_factory=lambda: deque(maxlen=N_HEDGE_CANDIDATES)
+    )
--- a/tests/process/scheduling/test_affinity.py
+++ b/tests/process/scheduling/test_affinity.py
@@ -71,6 +71,17 @@
     assert "p" not in world.state.endpoints["e1"].residents
 
 
+def test_excluding_request_does_not_block_the_holder():
+    """A request that may not use an endpoint must not keep others from it."""
+    world = make_world()
+    world.offer(e1=1)
+    waited = timedelta(seconds=30)
+    world.enqueue(enqueue("elsewhere", excluded=("e1",), n_turns=1, waited=waited))
+    send_next_turn(world)
+    (grant,) = world.release(next(iter(world.permits)))
+    assert grant.request == "next"
+
+
 def test_seniority_at_a_new_owner_shortens_the_wait():
     """A wait for a prefix must not start again at each new owner."""
     world = make_world(affinity_wait_factor=1.0)
--- a/tests/process/scheduling/test_health.py
+++ b/tests/process/scheduling/test_health.py
@@ -5,6 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from oleanderhitch.process.scheduling import hedging
 from oleanderhitch.process.scheduling.states import Health
 from tests.process.scheduling.builders import enqueue
 from tests.process.scheduling.world import World
@@ -125,6 +126,17 @@
     assert world.n_hedges == 0
 
 
+def test_hedge_candidates_are_bounded():
+    """Candidates that never get a hedge must not pile up."""
+    world = World(hedge_load_limit=0.0)
+    world.offer(e1=30, e2=1, e3=1)
+    for number in range(25):
+        world.enqueue(enqueue(f"r{number}", holders=("e1",)))
+    for _ in range(200):
+        hedging.nominate(world.state, world.state.endpoints["e1"])
+    assert len(world.state.hedge_candidates) <= 1_024
+
+
 def test_hedge_is_not_started_after_the_deadline():
     """An attempt whose deadline has passed must not take a second slot."""
     world = World()
