--- a/oleanderhitch/process/engines/releases/core.py
+++ b/oleanderhitch/process/engines/releases/core.py
@@ -64,6 +64,7 @@
     sent_at: datetime | None = None
     is_confirmed: bool = False
     missing_since: datetime | None = None
+    number: int | None = None
 
 
 @dataclass(slots=True)
@@ -107,13 +108,18 @@
 
 @handle.register
 def _(message: ReleasesListed, state: ReleasesState, now: datetime) -> list[object]:
-    listed = {(one.endpoint, one.program) for one in message.releases}
+    listed = {(one.endpoint, one.program): one.number for one in message.releases}
     for key, release in list(state.open.items()):
         if release.group == message.group and key not in listed:
             del state.open[key]
-    for key in listed:
-        release = state.open.setdefault(key, OpenRelease(message.group, now))
-        release.group = message.group
+    for key, number in listed.items():
+        known = state.open.get(key)
+        if known is None or (known.number is not None and number > known.number):
+            # A higher number means that the engine was used once more.
+            state.open[key] = OpenRelease(message.group, now, number=number)
+        else:
+            known.group = message.group
+            known.number = number
     return []
 
 
@@ -231,7 +237,7 @@
     release.is_confirmed = True
     _back_off(release, now)
     endpoint, program = key
-    return [RecordConfirmation(program, endpoint)]
+    return [RecordConfirmation(program, endpoint, release.number)]
 
 
 def _back_off(release: OpenRelease, now: datetime) -> None:
--- a/oleanderhitch/process/engines/releases/messages.py
+++ b/oleanderhitch/process/engines/releases/messages.py
@@ -50,7 +50,12 @@
 
 @dataclass(frozen=True, slots=True)
 class RecordConfirmation:
-    """Record in the program's shard that an engine holds no memory for it."""
+    """Record in the program's shard that an engine holds no memory for it.
+
+    The number is that of the listed release, so that a later use of the engine
+    stays listed.
+    """
 
     program: ProgramId
     endpoint: EndpointId
+    number: int | None = None
--- a/oleanderhitch/process/engines/shards.py
+++ b/oleanderhitch/process/engines/shards.py
@@ -114,7 +114,9 @@
 
 @ask.register
 def _(message: RecordConfirmation, questions: ShardQuestions) -> None:
-    command = ConfirmRelease(message.program, message.endpoint, questions.clock.now())
+    command = ConfirmRelease(
+        message.program, message.endpoint, questions.clock.now(), message.number
+    )
     recorded = ConfirmationRecorded(message.program, message.endpoint)
 
     def make_answer(result: object) -> object | None:
--- a/tests/process/engines/test_releases.py
+++ b/tests/process/engines/test_releases.py
@@ -107,7 +107,7 @@
     def ask_shard(self, effect):
         """Return the shard's answer to a question."""
         if isinstance(effect, ListOpenReleases):
-            listed = tuple(Release(program, engine) for program, engine in self.open)
+            listed = tuple(Release(program, engine, 1) for program, engine in self.open)
             return ReleasesListed("g", listed)
         if isinstance(effect, RecordConfirmation):
             self.open.discard((effect.program, effect.endpoint))
--- a/tests/process/engines/test_tasks.py
+++ b/tests/process/engines/test_tasks.py
@@ -124,8 +124,10 @@
         task.start()
         task.send(offer(address))
         receive(shards, ListOpenReleases)
-        task.send(ReleasesListed("g", (Release("p1", "e0"),)))
-        assert receive(shards, RecordConfirmation) == [RecordConfirmation("p1", "e0")]
+        task.send(ReleasesListed("g", (Release("p1", "e0", 1),)))
+        assert receive(shards, RecordConfirmation) == [
+            RecordConfirmation("p1", "e0", 1)
+        ]
         assert request_json("GET", address, "/v1/cache/programs") == {"programs": []}
         again = call(address, ReleaseMemory("e0", "p1"))
         assert again == MemoryReleased("e0", "p1", True)
