Added hosts and replace to the operators' commands

A leader that asks another replica to take over stops vouching for leases first: the target may lead before this store hears of it, and a version could have been reported in force too early.

--- a/oleanderhitch/process/commands/operator_application.py
+++ b/oleanderhitch/process/commands/operator_application.py
@@ -12,11 +12,16 @@
 )
 from oleanderhitch.process.commands.operator_check import CheckCommand
 from oleanderhitch.process.commands.operator_history import HistoryCommand
+from oleanderhitch.process.commands.operator_hosts import HostsCommand
 from oleanderhitch.process.commands.operator_outcome import OutcomeCommand
 from oleanderhitch.process.commands.operator_plan import PlanCommand
+from oleanderhitch.process.commands.operator_replace import ReplaceCommand
 from oleanderhitch.process.commands.operator_status import StatusCommand
 from oleanderhitch.process.commands.trace_show import TraceShowCommand
-from oleanderhitch.process.operators.network import make_network_client
+from oleanderhitch.process.operators.network import (
+    make_hosts_client,
+    make_network_client,
+)
 
 # A further command is one more class in this list.
 COMMANDS: list[type[OperatorCommand]] = [
@@ -26,6 +31,8 @@
     StatusCommand,
     HistoryCommand,
     OutcomeCommand,
+    HostsCommand,
+    ReplaceCommand,
 ]
 
 
@@ -43,6 +50,8 @@
 
 def run() -> int:
     """Run the command line of this process and return its exit code."""
-    application = make_application(make_surroundings(make_network_client))
+    application = make_application(
+        make_surroundings(make_network_client, make_hosts_client)
+    )
     application.add(TraceShowCommand())
     return application.run()
--- a/oleanderhitch/process/commands/operator_base.py
+++ b/oleanderhitch/process/commands/operator_base.py
@@ -30,6 +30,7 @@
     Store,
     parse_stores,
 )
+from oleanderhitch.process.operators.hosts import HostsClient
 from oleanderhitch.version.exceptions import InvalidConfigurationError
 
 
@@ -53,6 +54,13 @@
     n_shards: int = N_SHARDS_DEFAULT
 
 
+HostsFactory = Callable[[ClientSettings], HostsClient]
+
+
+def _refuse_hosts(settings: ClientSettings) -> HostsClient:
+    raise UnavailableError("these surroundings do not reach the disk hosts")
+
+
 @dataclass(frozen=True, slots=True)
 class Surroundings:
     """Hold what the commands reach, so that tests can replace it."""
@@ -61,15 +69,19 @@
     clock: Clock
     sleep: Callable[[timedelta], None]
     write: Callable[[str], None]
+    make_hosts_client: HostsFactory = _refuse_hosts
 
 
-def make_surroundings(make_client: ClientFactory) -> Surroundings:
+def make_surroundings(
+    make_client: ClientFactory, make_hosts_client: HostsFactory
+) -> Surroundings:
     """Return the surroundings of a real process."""
     return Surroundings(
         make_client,
         make_system_clock(),
         lambda duration: gevent.sleep(duration.total_seconds()),
         lambda text: print(text, file=sys.stdout),
+        make_hosts_client,
     )
 
 
@@ -105,6 +117,10 @@
         """Return a client of the stores named by options or environment."""
         return self.surroundings.make_client(self._read_settings())
 
+    def connect_hosts(self) -> HostsClient:
+        """Return a client of the disk hosts' replicas."""
+        return self.surroundings.make_hosts_client(self._read_settings())
+
     def write_result(self, result: dict[str, Any], lines: list[str]) -> None:
         """Write the result as JSON or as lines of text."""
         if self.option("json"):
--- /dev/null
+++ b/oleanderhitch/process/commands/operator_hosts.py
@@ -0,0 +1,53 @@
+"""Show the replicas of the disk hosts."""
+
+from typing import ClassVar
+
+from cleo.io.inputs.option import Option
+
+from oleanderhitch.process.commands.operator_base import (
+    CONNECTION_OPTIONS,
+    JSON_OPTION,
+    ExitCode,
+    OperatorCommand,
+)
+from oleanderhitch.process.ids import GroupId
+from oleanderhitch.process.operators.hosts import Leader
+
+
+class HostsCommand(OperatorCommand):
+    """Show which disk hosts hold which replicas, as the leaders know it."""
+
+    name = "hosts"
+    description = "Show the replicas of the disk hosts and whether a repair is due."
+    options: ClassVar[list[Option]] = [JSON_OPTION, *CONNECTION_OPTIONS]
+
+    def run_command(self) -> ExitCode:
+        """Ask the leader of each group."""
+        groups = list(self.connect_hosts().list_leaders())
+        lines = [_describe(group, leader) for group, leader in groups]
+        result = {
+            "groups": {
+                group: None if leader is None else leader.status
+                for group, leader in groups
+            }
+        }
+        self.write_result(result, lines or ["no store answered"])
+        is_complete = bool(groups) and all(leader for _, leader in groups)
+        return ExitCode.OK if is_complete else ExitCode.UNREACHABLE
+
+
+def _describe(group: GroupId, leader: Leader | None) -> str:
+    if leader is None:
+        return f"group {group}: no leader"
+    status = leader.status
+    lost = [
+        follower.replica
+        for follower in status.followers
+        if follower.is_voter and not follower.is_reachable
+    ]
+    repair = f", not reachable: {', '.join(lost)}" if lost else ""
+    change = ", a change is under way" if status.is_change_pending else ""
+    return (
+        f"group {group}: leader {status.replica}, "
+        f"voters {', '.join(status.membership.voters)}{change}{repair}"
+    )
--- /dev/null
+++ b/oleanderhitch/process/commands/operator_replace.py
@@ -0,0 +1,45 @@
+"""Move the replicas of a lost disk host to another one."""
+
+from typing import ClassVar
+
+from cleo.helpers import argument
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
+
+from oleanderhitch.process.commands.operator_base import (
+    CONNECTION_OPTIONS,
+    JSON_OPTION,
+    ExitCode,
+    OperatorCommand,
+)
+from oleanderhitch.process.ids import NodeId
+from oleanderhitch.process.replication.states import ChangeOutcome
+
+
+class ReplaceCommand(OperatorCommand):
+    """Replace a lost host in each group; a repair counts once this returns 0."""
+
+    name = "replace"
+    description = "Move the replicas of a lost disk host to another one."
+    arguments: ClassVar[list[Argument]] = [
+        argument("lost", "Name of the lost disk host."),
+        argument("replacement", "Name of the disk host that takes its place."),
+    ]
+    options: ClassVar[list[Option]] = [JSON_OPTION, *CONNECTION_OPTIONS]
+
+    def run_command(self) -> ExitCode:
+        """Replace the host group by group."""
+        lost = NodeId(str(self.argument("lost")))
+        replacement = NodeId(str(self.argument("replacement")))
+        answers = dict(self.connect_hosts().replace(lost, replacement))
+        lines = [
+            f"group {group}: {answer.outcome.value} {answer.reason}".rstrip()
+            for group, answer in answers.items()
+        ]
+        self.write_result(
+            {"groups": answers}, lines or [f"no group has a replica on {lost}"]
+        )
+        is_complete = all(
+            answer.outcome is ChangeOutcome.COMPLETED for answer in answers.values()
+        )
+        return ExitCode.OK if is_complete else ExitCode.CONFLICT
--- a/oleanderhitch/process/groups/host.py
+++ b/oleanderhitch/process/groups/host.py
@@ -12,10 +12,12 @@
 from oleanderhitch.process.clock import Clock
 from oleanderhitch.process.groups.application import Application
 from oleanderhitch.process.groups.messages import (
+    GetStoreIdentity,
     GroupCall,
     GroupRedirect,
     LocalCall,
     ReplicaEnvelope,
+    StoreIdentity,
 )
 from oleanderhitch.process.groups.placement import Store, choose_replicas
 from oleanderhitch.process.ids import GroupId, NodeId
@@ -154,6 +156,12 @@
         task.send(message)
 
 
+@route.register
+def _(message: GetStoreIdentity, delivery: PeerMessage, host: GroupHost) -> None:
+    groups = tuple(sorted(host.groups))
+    delivery.reply.send(StoreIdentity(host.node, host.storage.replica, groups))
+
+
 def _route_operator(message: object, delivery: PeerMessage, host: GroupHost) -> None:
     group: GroupId = message.group  # type: ignore[attr-defined]
     task = host.find_group(group)
--- a/oleanderhitch/process/groups/messages.py
+++ b/oleanderhitch/process/groups/messages.py
@@ -60,6 +60,20 @@
     reply: Address
 
 
+@dataclass(frozen=True, slots=True)
+class GetStoreIdentity:
+    """Ask a store for its replica id and the groups that it runs."""
+
+
+@dataclass(frozen=True, slots=True)
+class StoreIdentity:
+    """Answer a store's replica id, which changes with its disk, and its groups."""
+
+    node: NodeId
+    replica: ReplicaId
+    groups: tuple[GroupId, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class StoresChanged:
     """Replace the addresses of the disk hosts."""
@@ -73,4 +87,6 @@
     GroupRedirect,
     GroupUncertain,
     ReplicaEnvelope,
+    GetStoreIdentity,
+    StoreIdentity,
 )
--- a/oleanderhitch/process/operators/client.py
+++ b/oleanderhitch/process/operators/client.py
@@ -79,12 +79,14 @@
             "check the stores and the key file"
         )
 
-    def ask(self, store: Store, message: object) -> object | None:
+    def ask(
+        self, store: Store, message: object, timeout: timedelta = ASK_TIMEOUT
+    ) -> object | None:
         """Return one store's answer to a message, or None when it is silent."""
         while self._answers.n_waiting:
             self._answers.receive()
         self._links[store.address].send(message)
-        return self._answers.receive(ASK_TIMEOUT)
+        return self._answers.receive(timeout)
 
     def _send_to(self, store: HostAddress, message: object) -> None:
         self._links[store].send(message)
--- /dev/null
+++ b/oleanderhitch/process/operators/hosts.py
@@ -0,0 +1,125 @@
+"""Look at the replicas of disk hosts and move them to other hosts."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from datetime import timedelta
+
+from oleanderhitch.exceptions import InvalidInputError, UnavailableError
+from oleanderhitch.process.groups.messages import GetStoreIdentity, StoreIdentity
+from oleanderhitch.process.groups.placement import Store
+from oleanderhitch.process.ids import GroupId, NodeId, ReplicaId
+from oleanderhitch.process.operators.client import OperatorClient
+from oleanderhitch.process.replication.messages import (
+    GetReplicationStatus,
+    MembershipAnswer,
+    ReplaceReplica,
+    ReplicationStatus,
+)
+from oleanderhitch.process.replication.states import Role
+from oleanderhitch.process.storage.identity import get_node
+
+# A replacement first receives a snapshot and the log.
+REPLACE_TIMEOUT = timedelta(seconds=120)
+
+
+@dataclass(frozen=True, slots=True)
+class Leader:
+    """Hold a group's status as its leader tells it, and where that leader is."""
+
+    store: Store
+    status: ReplicationStatus
+
+
+class HostsClient:
+    """Ask the stores one by one about their replicas."""
+
+    def __init__(self, client: OperatorClient) -> None:
+        self._client = client
+        self._n_requests = 0
+
+    def list_identities(self) -> dict[Store, StoreIdentity | None]:
+        """Return what each store says of itself; None for a silent one."""
+        found: dict[Store, StoreIdentity | None] = {}
+        for store in self._client.stores:
+            answer = self._client.ask(store, GetStoreIdentity())
+            found[store] = answer if isinstance(answer, StoreIdentity) else None
+        return found
+
+    def find_leader(
+        self, group: GroupId, identities: dict[Store, StoreIdentity | None]
+    ) -> Leader | None:
+        """Return the leader of a group, or None while there is none."""
+        for store, identity in identities.items():
+            if identity is None or group not in identity.groups:
+                continue
+            self._n_requests += 1
+            answer = self._client.ask(
+                store, GetReplicationStatus(self._n_requests, group)
+            )
+            if isinstance(answer, ReplicationStatus) and answer.role is Role.LEADER:
+                return Leader(store, answer)
+        return None
+
+    def list_leaders(self) -> Iterator[tuple[GroupId, Leader | None]]:
+        """Yield each group with its leader."""
+        identities = self.list_identities()
+        groups = {
+            group
+            for identity in identities.values()
+            if identity is not None
+            for group in identity.groups
+        }
+        for group in sorted(groups):
+            yield group, self.find_leader(group, identities)
+
+    def replace(
+        self, lost: NodeId, replacement: NodeId
+    ) -> Iterator[tuple[GroupId, MembershipAnswer]]:
+        """Move the replicas of a lost host; yield the answer of each group.
+
+        Raise InvalidInputError when the replacement is unknown, and
+        UnavailableError when it or the leader of a group does not answer.
+        """
+        identities = self.list_identities()
+        new_replica = _get_replica(identities, replacement)
+        for group, leader in list(self.list_leaders()):
+            if leader is None:
+                raise UnavailableError(
+                    f"group {group} has no leader; a majority of its voters must run"
+                )
+            replica = _find_replica(leader.status, lost)
+            if replica is not None:
+                yield group, self._replace_one(group, leader, replica, new_replica)
+
+    def _replace_one(
+        self, group: GroupId, leader: Leader, lost: ReplicaId, new: ReplicaId
+    ) -> MembershipAnswer:
+        self._n_requests += 1
+        request = ReplaceReplica(self._n_requests, group, lost, new)
+        answer = self._client.ask(leader.store, request, REPLACE_TIMEOUT)
+        if isinstance(answer, MembershipAnswer):
+            return answer
+        raise UnavailableError(
+            f"the leader of group {group} did not answer; ask for the hosts' status "
+            "and run the same command again"
+        )
+
+
+def _get_replica(
+    identities: dict[Store, StoreIdentity | None], node: NodeId
+) -> ReplicaId:
+    for store, identity in identities.items():
+        if identity is not None and identity.node == node:
+            return identity.replica
+        if store.node == node:
+            raise UnavailableError(f"store {node} at {store.address} does not answer")
+    raise InvalidInputError(
+        f"no store is named {node}; name it in --stores as NAME=IP:PORT@DATA_CENTRE"
+    )
+
+
+def _find_replica(status: ReplicationStatus, node: NodeId) -> ReplicaId | None:
+    for replica in status.membership.voters:
+        if get_node(replica) == node:
+            return replica
+    return None
--- a/oleanderhitch/process/operators/network.py
+++ b/oleanderhitch/process/operators/network.py
@@ -29,6 +29,7 @@
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.membership.messages import GetNodeStatus, NodeStatus
 from oleanderhitch.process.operators.client import OperatorClient, make_operator_client
+from oleanderhitch.process.operators.hosts import HostsClient
 from oleanderhitch.program.ids import ProgramId
 from oleanderhitch.program.messages import GetOutcome, Refused, RequestRecord
 from oleanderhitch.request.ids import RequestId
@@ -95,6 +96,16 @@
 
 def make_network_client(settings: ClientSettings) -> ConfigurationClient:
     """Return a connected client; raise InvalidInputError without a key."""
+    return NetworkClient(make_connected_client(settings), settings.n_shards)
+
+
+def make_hosts_client(settings: ClientSettings) -> HostsClient:
+    """Return a connected client; raise InvalidInputError without a key."""
+    return HostsClient(make_connected_client(settings))
+
+
+def make_connected_client(settings: ClientSettings) -> OperatorClient:
+    """Return links to the stores; raise InvalidInputError without a key."""
     if settings.key_file is None or not settings.key_file.is_file():
         raise InvalidInputError(
             f"expected a file with the shared key, got {settings.key_file}; "
@@ -105,4 +116,4 @@
         settings.stores, make_project_codec(), identity, make_system_clock()
     )
     client.start()
-    return NetworkClient(client, settings.n_shards)
+    return client
--- a/oleanderhitch/process/replication/membership.py
+++ b/oleanderhitch/process/replication/membership.py
@@ -10,6 +10,7 @@
 from oleanderhitch.process.ids import ReplicaId, Term
 from oleanderhitch.process.replication.effects import (
     ChangeEnded,
+    LeadershipChanged,
 )
 from oleanderhitch.process.replication.election import update_followers
 from oleanderhitch.process.replication.log_sync import (
@@ -205,7 +206,11 @@
     if progress is None or now >= state.transfer_deadline:
         state.transfer_target = None
         state.transfer_deadline = None
+        out.append(LeadershipChanged(state.role, state.term, state.replica))
     elif progress.match_index == state.log.last_index:
+        # The target may lead as soon as it has this message, without waiting
+        # for an election timeout, so nothing may rely on this leader any more.
+        out.append(LeadershipChanged(Role.FOLLOWER, state.term, None))
         send(state, target, TimeoutNow(state.term), out)
 
 
