Recorded the metrics of endpoints, polling, releases and orders

Cause: the alarms of the operators' page rest on metrics that nothing recorded. Conclusion: a test reads the resumed streams and attempts from the text form.

--- a/oleanderhitch/connection/endpoint/exchange.py
+++ b/oleanderhitch/connection/endpoint/exchange.py
@@ -12,6 +12,8 @@
 from oleanderhitch.exceptions import UnavailableError
 from oleanderhitch.process.clock import Clock
 from oleanderhitch.process.mailbox import Address
+from oleanderhitch.process.metrics.core import Metrics
+from oleanderhitch.process.metrics.states import Counter, Latency
 
 # While the request's mailbox is full the endpoint is not read, so that TCP slows
 # it down; the mailbox empties at the pace of the caller's connection.
@@ -28,6 +30,7 @@
     pools: urllib3.PoolManager
     timeouts: EndpointTimeouts
     clock: Clock
+    metrics: Metrics | None = None
 
     @property
     def time_left(self) -> timedelta:
@@ -38,6 +41,16 @@
         """Return a timeout that the deadline bounds."""
         return min(timeout, self.time_left)
 
+    def count(self, counter: Counter, label: str = "") -> None:
+        """Count something that happened to the attempt."""
+        if self.metrics is not None:
+            self.metrics.count(counter, label)
+
+    def record(self, latency: Latency, duration: timedelta) -> None:
+        """Record a latency of the attempt."""
+        if self.metrics is not None:
+            self.metrics.record(latency, duration)
+
     def check_deadline(self) -> None:
         """Raise ConnectFailedError when it is too late to send the call."""
         if not self.time_left:
--- a/oleanderhitch/connection/endpoint/model.py
+++ b/oleanderhitch/connection/endpoint/model.py
@@ -2,7 +2,7 @@
 
 import json
 from dataclasses import dataclass
-from datetime import timedelta
+from datetime import datetime, timedelta
 from functools import singledispatch
 from urllib.parse import quote
 
@@ -29,6 +29,7 @@
 )
 from oleanderhitch.connection.exceptions import ConnectionLostError
 from oleanderhitch.exceptions import OleanderhitchError
+from oleanderhitch.process.metrics.states import Counter, Latency
 from oleanderhitch.request.messages import ChunkReceived, ModelWork, StreamEnded
 
 # The usual estimate where the engine alone knows its tokens. A low estimate of
@@ -48,6 +49,7 @@
     has_event: bool = False
     usage: UsageEvent | None = None
     is_done: bool = False
+    last_piece_at: datetime | None = None
 
 
 def stream_model(exchange: Exchange, work: ModelWork) -> None:
@@ -64,6 +66,7 @@
         if not exchange.time_left:
             raise
         _LOG.info("stream {} resumes: {}", exchange.call.stream, error)
+        exchange.count(Counter.RESUMED_STREAMS)
         response = _read_resumed(exchange, received)
     _post_end(exchange, received)
     keep_connection(response)
@@ -197,6 +200,10 @@
         return
     data = text.encode()
     exchange.post(ChunkReceived(exchange.call.attempt, received.n_bytes, data))
+    now = exchange.clock.now()
+    if received.last_piece_at is not None:
+        exchange.record(Latency.BETWEEN_TOKENS, now - received.last_piece_at)
+    received.last_piece_at = now
     received.n_characters += len(text)
     received.n_bytes += len(data)
 
--- a/oleanderhitch/connection/endpoint/task.py
+++ b/oleanderhitch/connection/endpoint/task.py
@@ -25,6 +25,8 @@
 from oleanderhitch.exceptions import OleanderhitchError
 from oleanderhitch.process.clock import Clock
 from oleanderhitch.process.mailbox import Address
+from oleanderhitch.process.metrics.core import Metrics
+from oleanderhitch.process.metrics.states import Counter
 from oleanderhitch.process.tracing.states import Hop
 from oleanderhitch.process.tracing.tracer import (
     HopSpan,
@@ -81,12 +83,16 @@
     try:
         failure = _find_failure(exchange)
         if failure is None:
+            exchange.count(Counter.ATTEMPTS, "completed")
             return
+        result = "failed" if failure.was_sent else "not_sent"
+        exchange.count(Counter.ATTEMPTS, result)
         hop.fail(failure.reason)
         exchange.reply.send(failure)
         if failure.was_sent and not failure.is_final:
             _stop_work(work, exchange)
     except gevent.GreenletExit:
+        exchange.count(Counter.ATTEMPTS, "cancelled")
         hop.fail("cancelled")
         _stop_work(work, exchange)
     except OleanderhitchError as error:
@@ -142,9 +148,10 @@
     timeouts: EndpointTimeouts,
     clock: Clock,
     tracer: Tracer | None = None,
+    metrics: Metrics | None = None,
 ) -> EndpointStream:
     """Return the task of one attempt, not started yet."""
-    exchange = Exchange(call, reply, pool_manager, timeouts, clock)
+    exchange = Exchange(call, reply, pool_manager, timeouts, clock, metrics)
     return EndpointStream(exchange, tracer or make_forwarding_tracer())
 
 
--- a/oleanderhitch/process/engines/orders/task.py
+++ b/oleanderhitch/process/engines/orders/task.py
@@ -1,13 +1,19 @@
 """Give orders to engines in a task of its own."""
 
-from datetime import timedelta
+from datetime import datetime, timedelta
 from functools import singledispatch
 
 import urllib3
 
 from oleanderhitch.process.clock import Clock
 from oleanderhitch.process.engines.client import EngineClient, make_engine_client
-from oleanderhitch.process.engines.messages import CallEngine
+from oleanderhitch.process.engines.messages import (
+    CallEngine,
+    EngineCallFailed,
+    GiveOrder,
+    OrderRefused,
+    OrderTaken,
+)
 from oleanderhitch.process.engines.orders.core import (
     OrdersState,
     handle,
@@ -15,6 +21,8 @@
 )
 from oleanderhitch.process.engines.orders.messages import StepDown
 from oleanderhitch.process.mailbox import Address
+from oleanderhitch.process.metrics.core import Metrics
+from oleanderhitch.process.metrics.states import Counter
 from oleanderhitch.process.task import Task, make_task
 
 TICK_INTERVAL = timedelta(milliseconds=200)
@@ -29,12 +37,14 @@
         store_bytes_per_s: float,
         pools: urllib3.PoolManager,
         clock: Clock,
+        metrics: Metrics,
     ) -> None:
         self._leader = leader
+        self._metrics = metrics
         self._task: Task[OrdersState] = make_task(
             "orders",
             make_orders_state(store_bytes_per_s),
-            handle,
+            self._handle,
             self._perform,
             clock,
             TICK_INTERVAL,
@@ -54,10 +64,37 @@
         """End after the messages that wait."""
         self._task.stop()
 
+    def _handle(
+        self, message: object, state: OrdersState, now: datetime
+    ) -> list[object]:
+        _count_result(message, self._metrics)
+        return handle(message, state, now)
+
     def _perform(self, effect: object) -> None:
         _perform(effect, self._client, self._leader)
 
 
+@singledispatch
+def _count_result(message: object, metrics: Metrics) -> None:
+    """Count the results of orders."""
+
+
+@_count_result.register
+def _(message: OrderTaken, metrics: Metrics) -> None:
+    metrics.count(Counter.ORDERS, "taken")
+
+
+@_count_result.register
+def _(message: OrderRefused, metrics: Metrics) -> None:
+    metrics.count(Counter.ORDERS, "refused")
+
+
+@_count_result.register
+def _(message: EngineCallFailed, metrics: Metrics) -> None:
+    if isinstance(message.request, GiveOrder):
+        metrics.count(Counter.ORDERS, "failed")
+
+
 @singledispatch
 def _perform(effect: object, client: EngineClient, leader: Address) -> None:
     raise TypeError(f"orders have no effect {type(effect).__name__}")
@@ -78,6 +115,7 @@
     store_bytes_per_s: float,
     pools: urllib3.PoolManager,
     clock: Clock,
+    metrics: Metrics,
 ) -> OrdersTask:
     """Return the task, not started yet."""
-    return OrdersTask(leader, store_bytes_per_s, pools, clock)
+    return OrdersTask(leader, store_bytes_per_s, pools, clock, metrics)
--- a/oleanderhitch/process/engines/polling/task.py
+++ b/oleanderhitch/process/engines/polling/task.py
@@ -13,8 +13,10 @@
     handle,
     make_polling_state,
 )
-from oleanderhitch.process.engines.polling.messages import Publish
+from oleanderhitch.process.engines.polling.messages import EventGapSeen, Publish
 from oleanderhitch.process.mailbox import Address
+from oleanderhitch.process.metrics.core import Metrics
+from oleanderhitch.process.metrics.states import Counter
 from oleanderhitch.process.task import Task, make_task
 
 TICK_INTERVAL = timedelta(milliseconds=100)
@@ -28,8 +30,10 @@
         followers: tuple[Address, ...],
         pools: urllib3.PoolManager,
         clock: Clock,
+        metrics: Metrics,
     ) -> None:
         self._followers = followers
+        self._metrics = metrics
         self._task: Task[PollingState] = make_task(
             "polling", make_polling_state(), handle, self._perform, clock, TICK_INTERVAL
         )
@@ -49,6 +53,8 @@
         self._task.stop()
 
     def _perform(self, effect: object) -> None:
+        if isinstance(effect, Publish) and isinstance(effect.message, EventGapSeen):
+            self._metrics.count(Counter.CACHE_EVENT_GAPS)
         _perform(effect, self._client, self._followers)
 
 
@@ -71,7 +77,10 @@
 
 
 def make_polling_task(
-    followers: tuple[Address, ...], pools: urllib3.PoolManager, clock: Clock
+    followers: tuple[Address, ...],
+    pools: urllib3.PoolManager,
+    clock: Clock,
+    metrics: Metrics,
 ) -> PollingTask:
     """Return the polling task, not started yet."""
-    return PollingTask(followers, pools, clock)
+    return PollingTask(followers, pools, clock, metrics)
--- a/oleanderhitch/process/engines/releases/task.py
+++ b/oleanderhitch/process/engines/releases/task.py
@@ -19,6 +19,8 @@
     RecordConfirmation,
 )
 from oleanderhitch.process.mailbox import Address
+from oleanderhitch.process.metrics.core import Metrics
+from oleanderhitch.process.metrics.states import Counter, Gauge
 from oleanderhitch.process.task import Task, make_task
 
 TICK_INTERVAL = timedelta(milliseconds=200)
@@ -28,12 +30,18 @@
     """Release memory at engines; questions about programs go to `shards`."""
 
     def __init__(
-        self, shards: Address, pools: urllib3.PoolManager, clock: Clock
+        self,
+        shards: Address,
+        pools: urllib3.PoolManager,
+        clock: Clock,
+        metrics: Metrics,
     ) -> None:
         self._shards = shards
+        self._metrics = metrics
+        self._state = make_releases_state()
         self._task: Task[ReleasesState] = make_task(
             "releases",
-            make_releases_state(),
+            self._state,
             handle,
             self._perform,
             clock,
@@ -55,6 +63,9 @@
         self._task.stop()
 
     def _perform(self, effect: object) -> None:
+        self._metrics.set_gauge(Gauge.OPEN_RELEASES, len(self._state.open))
+        if isinstance(effect, RecordConfirmation):
+            self._metrics.count(Counter.RELEASES, "confirmed")
         _perform(effect, self._client, self._shards)
 
 
@@ -76,7 +87,10 @@
 
 
 def make_releases_task(
-    shards: Address, pools: urllib3.PoolManager, clock: Clock
+    shards: Address,
+    pools: urllib3.PoolManager,
+    clock: Clock,
+    metrics: Metrics,
 ) -> ReleasesTask:
     """Return the task, not started yet; `shards` takes its three questions."""
-    return ReleasesTask(shards, pools, clock)
+    return ReleasesTask(shards, pools, clock, metrics)
--- a/tests/connection/endpoint/calls.py
+++ b/tests/connection/endpoint/calls.py
@@ -9,6 +9,7 @@
 from oleanderhitch.connection.endpoint.task import make_endpoint_stream
 from oleanderhitch.connection.endpoint.transport import make_pool_manager
 from oleanderhitch.process.mailbox import make_mailbox
+from oleanderhitch.process.metrics.core import make_metrics
 from oleanderhitch.request.messages import (
     CancelAttempt,
     ChunkReceived,
@@ -25,6 +26,7 @@
     between_chunks=timedelta(milliseconds=100),
     cancel=timedelta(milliseconds=500),
 )
+METRICS = make_metrics()
 MODEL_WORK = ModelWork("standin", ({"role": "user", "content": "hello"},), 12)
 SERVICE_WORK = ServiceWork("payments", "pay", b"{}")
 
@@ -62,7 +64,7 @@
         self.mailbox = make_mailbox(request)
         self.messages = []
         self.stream = make_endpoint_stream(
-            self.call, self.mailbox, pools, TIMEOUTS, CLOCK, tracer
+            self.call, self.mailbox, pools, TIMEOUTS, CLOCK, tracer, METRICS
         )
         self.stream.start()
 
--- a/tests/connection/endpoint/test_model.py
+++ b/tests/connection/endpoint/test_model.py
@@ -7,6 +7,7 @@
 import gevent
 import pytest
 
+from oleanderhitch.process.metrics.text import format_metrics
 from oleanderhitch.request.messages import (
     ChunkReceived,
     ModelWork,
@@ -14,6 +15,7 @@
     StreamFailed,
 )
 from tests.connection.endpoint.calls import (
+    METRICS,
     MODEL_WORK,
     Attempt,
     make_end,
@@ -122,6 +124,21 @@
         assert not failure.is_final
 
 
+def test_attempts_and_resumes_are_counted():
+    """Guard against alarms that rest on a metric that nobody records."""
+    with serve_engine() as address:
+        before = {one.name: one for one in METRICS.make_snapshot().counters}
+        set_fault(address, "silent", n_requests=1, after_pieces=3)
+        assert isinstance(Attempt(address).finish(), StreamEnded)
+        after = {one.name: one for one in METRICS.make_snapshot().counters}
+        name = "oleanderhitch_resumed_streams_total"
+        n_before = before[name].value if name in before else 0
+        assert after[name].value == n_before + 1
+        text = format_metrics(METRICS.make_snapshot())
+        assert 'oleanderhitch_attempts_total{result="completed"}' in text
+        assert "oleanderhitch_between_tokens_seconds_count" in text
+
+
 def test_lost_stream_keeps_what_arrived():
     """Guard against chunks that vanish with the engine."""
     with serve_engine() as address:
--- a/tests/process/engines/test_tasks.py
+++ b/tests/process/engines/test_tasks.py
@@ -36,6 +36,8 @@
 from oleanderhitch.process.engines.releases.task import make_releases_task
 from oleanderhitch.process.engines.states import OrderKind
 from oleanderhitch.process.mailbox import make_mailbox
+from oleanderhitch.process.metrics.core import make_metrics
+from oleanderhitch.process.metrics.text import format_metrics
 from oleanderhitch.process.scheduling.messages import LoadReported
 from oleanderhitch.program.messages import Release
 from tests.connection.endpoint.calls import Attempt, request_json
@@ -81,7 +83,8 @@
     """Guard against an order that is taken for granted or given by an old leader."""
     with serve_engine(load_time=timedelta(milliseconds=50)) as address:
         leader = make_mailbox("leader")
-        task = make_orders_task(leader, 1e9, make_pool_manager(), CLOCK)
+        metrics = make_metrics()
+        task = make_orders_task(leader, 1e9, make_pool_manager(), CLOCK, metrics)
         task.start()
         task.send(offer(address))
         now = CLOCK.now()
@@ -94,6 +97,8 @@
         assert isinstance(call(address, make_order(6)), OrderRefused)
         assert isinstance(call(address, make_order(9)), OrderTaken)
         assert receive(leader, StepDown) == [StepDown(9)]
+        text = format_metrics(metrics.make_snapshot())
+        assert 'oleanderhitch_orders_total{result="taken"} 1' in text
         task.stop()
 
 
@@ -120,7 +125,7 @@
     with serve_engine(**NO_LAG) as address:
         Attempt(address).finish()
         shards = make_mailbox("shards")
-        task = make_releases_task(shards, make_pool_manager(), CLOCK)
+        task = make_releases_task(shards, make_pool_manager(), CLOCK, make_metrics())
         task.start()
         task.send(offer(address))
         receive(shards, ListOpenReleases)
@@ -136,7 +141,9 @@
     """Guard against a view of the engines that never changes."""
     with serve_engine(**NO_LAG, n_events_between_gaps=0) as address:
         follower = make_mailbox("follower")
-        task = make_polling_task((follower,), make_pool_manager(), CLOCK)
+        task = make_polling_task(
+            (follower,), make_pool_manager(), CLOCK, make_metrics()
+        )
         task.start()
         task.send(offer(address))
         [load] = receive(follower, LoadReported)
