Let the engine tasks start without metrics of the process

Change: without metrics a task records into its own, which nothing reads. Conclusion: existing callers keep working; those that pass metrics are counted.

--- a/oleanderhitch/process/engines/orders/task.py
+++ b/oleanderhitch/process/engines/orders/task.py
@@ -21,7 +21,7 @@
 )
 from oleanderhitch.process.engines.orders.messages import StepDown
 from oleanderhitch.process.mailbox import Address
-from oleanderhitch.process.metrics.core import Metrics
+from oleanderhitch.process.metrics.core import Metrics, make_metrics
 from oleanderhitch.process.metrics.states import Counter
 from oleanderhitch.process.task import Task, make_task
 
@@ -115,7 +115,9 @@
     store_bytes_per_s: float,
     pools: urllib3.PoolManager,
     clock: Clock,
-    metrics: Metrics,
+    metrics: Metrics | None = None,
 ) -> OrdersTask:
     """Return the task, not started yet."""
-    return OrdersTask(leader, store_bytes_per_s, pools, clock, metrics)
+    return OrdersTask(
+        leader, store_bytes_per_s, pools, clock, metrics or make_metrics()
+    )
--- a/oleanderhitch/process/engines/polling/task.py
+++ b/oleanderhitch/process/engines/polling/task.py
@@ -15,7 +15,7 @@
 )
 from oleanderhitch.process.engines.polling.messages import EventGapSeen, Publish
 from oleanderhitch.process.mailbox import Address
-from oleanderhitch.process.metrics.core import Metrics
+from oleanderhitch.process.metrics.core import Metrics, make_metrics
 from oleanderhitch.process.metrics.states import Counter
 from oleanderhitch.process.task import Task, make_task
 
@@ -80,7 +80,7 @@
     followers: tuple[Address, ...],
     pools: urllib3.PoolManager,
     clock: Clock,
-    metrics: Metrics,
+    metrics: Metrics | None = None,
 ) -> PollingTask:
     """Return the polling task, not started yet."""
-    return PollingTask(followers, pools, clock, metrics)
+    return PollingTask(followers, pools, clock, metrics or make_metrics())
--- a/oleanderhitch/process/engines/releases/task.py
+++ b/oleanderhitch/process/engines/releases/task.py
@@ -19,7 +19,7 @@
     RecordConfirmation,
 )
 from oleanderhitch.process.mailbox import Address
-from oleanderhitch.process.metrics.core import Metrics
+from oleanderhitch.process.metrics.core import Metrics, make_metrics
 from oleanderhitch.process.metrics.states import Counter, Gauge
 from oleanderhitch.process.task import Task, make_task
 
@@ -90,7 +90,7 @@
     shards: Address,
     pools: urllib3.PoolManager,
     clock: Clock,
-    metrics: Metrics,
+    metrics: Metrics | None = None,
 ) -> ReleasesTask:
     """Return the task, not started yet; `shards` takes its three questions."""
-    return ReleasesTask(shards, pools, clock, metrics)
+    return ReleasesTask(shards, pools, clock, metrics or make_metrics())
