Refused an identity whose log has been removed

Cause: a data directory whose log files were deleted, but not its identity, came back under its old replica id without its votes and entries. Conclusion: the test of identities fails without the change.

--- a/oleanderhitch/process/storage/identity.py
+++ b/oleanderhitch/process/storage/identity.py
@@ -9,7 +9,12 @@
 from oleanderhitch.process.ids import NodeId, ReplicaId
 from oleanderhitch.process.storage.disk import Disk
 from oleanderhitch.process.storage.exceptions import DirectoryInUseError, StorageError
-from oleanderhitch.process.storage.files import SEGMENT_PATTERN, write_atomically
+from oleanderhitch.process.storage.files import (
+    SEGMENT_PATTERN,
+    get_segment_path,
+    sync_directory,
+    write_atomically,
+)
 
 IDENTITY_FILE = "identity.json"
 LOCK_FILE = "lock"
@@ -46,16 +51,26 @@
     term in which the lost disk had voted already.
     """
     path = directory / IDENTITY_FILE
+    segments = list(directory.glob(SEGMENT_PATTERN))
     if not path.exists():
-        if any(directory.glob(SEGMENT_PATTERN)):
+        if any(segment.stat().st_size for segment in segments):
             raise StorageError(
                 f"{path} is missing but there is a log; "
                 f"replace this replica with an empty directory"
             )
+        # The log exists before the identity, so that an identity without a log
+        # is known to have lost it.
+        get_segment_path(directory, 1).touch(mode=0o600)
+        sync_directory(directory)
         replica = make_replica_id(node)
         text = json.dumps({"node": node, "replica": replica})
         write_atomically(path, text.encode(), disk)
         return replica
+    if not segments:
+        raise StorageError(
+            f"{path} exists but the log is missing; "
+            f"replace this replica with an empty directory"
+        )
     try:
         identity = json.loads(path.read_text())
         found, replica = identity["node"], ReplicaId(identity["replica"])
--- a/tests/process/storage/test_files.py
+++ b/tests/process/storage/test_files.py
@@ -311,6 +311,12 @@
     assert storage.replica != replica
     write(storage, WriteRecords((FoundingRecord("g", ("a",), True),), REPLY))
     close_files(storage)
+    log = get_log(tmp_path / "second")
+    data = log.read_bytes()
+    log.unlink()
+    with pytest.raises(StorageError, match="log is missing"):
+        open_files(tmp_path / "second")
+    log.write_bytes(data)
     (tmp_path / "second" / "identity.json").unlink()
     with pytest.raises(StorageError, match=r"identity.json is missing"):
         open_files(tmp_path / "second")
