--- a/tests/processes/deployment.py
+++ b/tests/processes/deployment.py
@@ -92,6 +92,15 @@
         except urllib3.exceptions.HTTPError:
             return False
 
+    def get_cached_programs(self):
+        """Return the programs whose memory any running engine holds."""
+        held = set()
+        for number in (1, 2):
+            if self.is_running(f"engine-{number}"):
+                url = f"http://127.0.0.1:2730{number}/v1/cache/programs"
+                held |= set(http.request("GET", url).json()["programs"])
+        return held
+
     def get_service_counts(self):
         """Return how often the service ran each idempotency key."""
         return http.request("GET", f"{SERVICE}/v1/counts").json()["keys"]
--- a/tests/processes/load.py
+++ b/tests/processes/load.py
@@ -130,6 +130,14 @@
         """Return the longest time that a call took, retries included."""
         return max(program.longest_call_s for program in self.programs)
 
+    def end(self, deployment):
+        """End all programs."""
+        address = deployment.get_ready_entry()
+        for program in self.programs:
+            url = f"{address}/v1/programs/{program.name}"
+            response = http.request("DELETE", url, headers={"X-Account": ACCOUNT})
+            assert response.status == 200, response.data
+
     def check(self, deployment):
         """Check order, history and that no tool call ran twice."""
         counts = deployment.get_service_counts()
--- /dev/null
+++ b/tests/processes/operators.py
@@ -0,0 +1,82 @@
+"""Act as an operator: publish declarations and replace hosts."""
+
+import os
+import shutil
+import time
+import uuid
+from datetime import UTC, datetime
+from pathlib import Path
+
+import gevent
+
+from oleanderhitch.process.commands.operator_client import ClientSettings
+from oleanderhitch.process.commands.operator_folder import pick_changes
+from oleanderhitch.process.configuration.files import read_folder
+from oleanderhitch.process.configuration.messages import Publish, Published
+from oleanderhitch.process.groups.placement import parse_stores
+from oleanderhitch.process.operators.network import (
+    make_hosts_client,
+    make_network_client,
+)
+from oleanderhitch.process.replication.states import ChangeOutcome
+from oleanderhitch.version.ids import NO_VERSION
+
+EXAMPLES = Path(__file__).parents[2] / "examples" / "demo"
+SPARES = ",store-4=127.0.0.1:27204@split-a,store-5=127.0.0.1:27205@zadar-b"
+
+
+class Operators:
+    """Hold the declarations of the deployment and its client."""
+
+    def __init__(self, work):
+        self.folder = Path(work) / "test-declarations"
+        if not self.folder.exists():
+            shutil.copytree(EXAMPLES, self.folder)
+        self.settings = ClientSettings(
+            parse_stores(os.environ["OLEANDERHITCH_STORES"] + SPARES),
+            Path(os.environ["OLEANDERHITCH_KEY_FILE"]),
+        )
+        self.client = make_network_client(self.settings)
+
+    def edit(self, name, old, new):
+        """Replace a text in a declaration."""
+        path = self.folder / f"{name}.yaml"
+        text = path.read_text()
+        assert old in text, f"{name} has no {old!r}"
+        path.write_text(text.replace(old, new))
+
+    def publish(self):
+        """Publish the folder; return the version and when it was accepted."""
+        accepted = self.client.get_configuration(NO_VERSION)
+        changed, removed = pick_changes(read_folder(self.folder), accepted)
+        publish = Publish(
+            uuid.uuid4().hex,
+            "test",
+            accepted.version,
+            changed,
+            removed,
+            datetime.now(UTC),
+        )
+        answer = self.client.publish(publish)
+        assert isinstance(answer, Published), answer
+        return answer.version, time.monotonic()
+
+    def wait_in_force(self, version, accepted_at, within):
+        """Return the seconds from accepted to in force."""
+        while True:
+            status = self.client.get_status()
+            elapsed = time.monotonic() - accepted_at
+            if status.in_force_version is not None:
+                if status.in_force_version >= version:
+                    return elapsed
+            assert elapsed <= within, (
+                f"version {version} is not in force after {elapsed:.1f} s: {status}"
+            )
+            gevent.sleep(0.01)
+
+    def replace(self, lost, replacement):
+        """Move the replicas of a lost host and expect every group to have moved."""
+        answers = dict(make_hosts_client(self.settings).replace(lost, replacement))
+        assert answers, f"no group had a replica on {lost}"
+        for group, answer in answers.items():
+            assert answer.outcome is ChangeOutcome.COMPLETED, (group, answer)
--- a/tests/processes/test_scenarios.py
+++ b/tests/processes/test_scenarios.py
@@ -8,6 +8,7 @@
 
 from tests.processes.deployment import Deployment, wait_until
 from tests.processes.load import Load
+from tests.processes.operators import Operators
 from tests.scenario import run_scenario
 
 SCENARIOS = sorted((Path(__file__).parent / "scenarios").glob("*.txt"))
@@ -24,6 +25,7 @@
     def __init__(self):
         self.deployment = Deployment(WORK)
         self.load = None
+        self.operators = Operators(WORK)
 
     def load_programs(self, programs, turns):
         """Start programs side by side."""
@@ -64,6 +66,52 @@
             if not self.deployment.is_running(f"store-{number}"):
                 self.deployment.start(f"store-{number}")
 
+    def declare_store(self, name, port, data_centre):
+        """Declare a further disk host and wait until it is in force."""
+        host = (
+            f"  - name: {name}\n    role: store\n    data_centre: {data_centre}\n"
+            f"    address: 127.0.0.1:{port}\n"
+        )
+        self.operators.edit("inventory", "\nmodels:\n", f"{host}\nmodels:\n")
+        version, accepted_at = self.operators.publish()
+        self.operators.wait_in_force(version, accepted_at, 5)
+
+    def replace(self, lost, by):
+        """Move the replicas of a lost host to another one."""
+        self.operators.replace(lost, by)
+
+    def publish_rules(self, times, within):
+        """Publish a change several times and expect each in force in time."""
+        took = []
+        for number in range(int(times)):
+            budget = int(time.time() * 1000) % 1_000_000 + number + 1_000_000
+            path = self.operators.folder / "rules.yaml"
+            text = path.read_text()
+            old = next(line for line in text.splitlines() if "budget_tokens" in line)
+            self.operators.edit("rules", old, f"  budget_tokens: {budget}")
+            version, accepted_at = self.operators.publish()
+            limit = float(within)
+            took.append(self.operators.wait_in_force(version, accepted_at, limit))
+        took.sort()
+        print(
+            f"accepted to in force over {times} publishes: median "
+            f"{took[len(took) // 2] * 1000:.0f} ms, 99 of 100 "
+            f"{took[int(0.99 * (len(took) - 1))] * 1000:.0f} ms"
+        )
+
+    def end_programs(self):
+        """End every program of the load."""
+        self.load.end(self.deployment)
+
+    def check_released(self, within):
+        """Expect no engine to hold memory of the ended programs in time."""
+        names = {program.name for program in self.load.programs}
+        wait_until(
+            lambda: not names & self.deployment.get_cached_programs(),
+            float(within),
+            "release of engine memory",
+        )
+
     def wait(self, seconds):
         """Let time pass."""
         time.sleep(float(seconds))
