--- a/Makefile
+++ b/Makefile
@@ -4,13 +4,14 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.requirements-installed
 
-.PHONY: demo test test-long bench bench-processes lint format install
+.PHONY: demo test test-long test-processes bench bench-processes lint format install
 
 install: $(STAMP)
 
 $(STAMP): requirements.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps -e .
 	touch $(STAMP)
 
 demo: $(STAMP)
@@ -32,6 +33,9 @@
 test-long: $(STAMP)
 	OLEANDERHITCH_TEST_PROFILE=long $(BIN)/python -m pytest
 
+test-processes: $(STAMP)
+	PYTHON=$(BIN)/python bash scripts/process_tests.sh
+
 bench: $(STAMP)
 	$(BIN)/python -m bench.process.commands.decisions
 
--- a/oleanderhitch/connection/peer/link.py
+++ b/oleanderhitch/connection/peer/link.py
@@ -13,7 +13,13 @@
 from oleanderhitch.connection.peer.addresses import parse_address
 from oleanderhitch.connection.peer.handshake import Identity
 from oleanderhitch.connection.peer.messages import LinkDown, LinkUp
-from oleanderhitch.connection.peer.stream import Deliver, PeerStream, StreamTiming
+from oleanderhitch.connection.peer.stream import (
+    CountBytes,
+    Deliver,
+    PeerStream,
+    StreamTiming,
+    ignore_bytes,
+)
 from oleanderhitch.exceptions import OleanderhitchError
 from oleanderhitch.process.mailbox import make_mailbox
 
@@ -37,6 +43,7 @@
         deliver: Deliver,
         notify: Callable[[object], None],
         timing: StreamTiming,
+        count_bytes: CountBytes,
     ) -> None:
         self._peer = peer
         self._codec = codec
@@ -44,6 +51,7 @@
         self._deliver = deliver
         self._notify = notify
         self._timing = timing
+        self._count_bytes = count_bytes
         self._outgoing = make_mailbox(f"link {peer}", SEND_QUEUE_LIMIT_MESSAGES)
         self._greenlet: gevent.Greenlet | None = None
 
@@ -98,7 +106,9 @@
         connected = socket.create_connection(
             parse_address(self._peer), self._timing.connect_timeout.total_seconds()
         )
-        return PeerStream(connected, self._codec, self._identity, self._timing)
+        return PeerStream(
+            connected, self._codec, self._identity, self._timing, self._count_bytes
+        )
 
     def _drop_waiting(self) -> None:
         while self._outgoing.n_waiting:
@@ -112,6 +122,8 @@
     deliver: Deliver,
     notify: Callable[[object], None],
     timing: StreamTiming | None = None,
+    count_bytes: CountBytes = ignore_bytes,
 ) -> PeerLink:
     """Return a link that is not started yet."""
-    return PeerLink(peer, codec, identity, deliver, notify, timing or StreamTiming())
+    timing = timing or StreamTiming()
+    return PeerLink(peer, codec, identity, deliver, notify, timing, count_bytes)
--- a/oleanderhitch/connection/peer/server.py
+++ b/oleanderhitch/connection/peer/server.py
@@ -9,7 +9,13 @@
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.connection.peer.addresses import parse_address
 from oleanderhitch.connection.peer.handshake import Identity
-from oleanderhitch.connection.peer.stream import Deliver, PeerStream, StreamTiming
+from oleanderhitch.connection.peer.stream import (
+    CountBytes,
+    Deliver,
+    PeerStream,
+    StreamTiming,
+    ignore_bytes,
+)
 from oleanderhitch.exceptions import OleanderhitchError
 from oleanderhitch.process.mailbox import make_mailbox
 from oleanderhitch.process.messages import StopTask
@@ -27,11 +33,13 @@
         identity: Identity,
         deliver: Deliver,
         timing: StreamTiming,
+        count_bytes: CountBytes,
     ) -> None:
         self._codec = codec
         self._identity = identity
         self._deliver = deliver
         self._timing = timing
+        self._count_bytes = count_bytes
         self._server = StreamServer(parse_address(listen), self._serve)
 
     def start(self) -> None:
@@ -43,7 +51,9 @@
         self._server.stop(timeout=1)
 
     def _serve(self, accepted: socket.socket, remote: object) -> None:
-        stream = PeerStream(accepted, self._codec, self._identity, self._timing)
+        stream = PeerStream(
+            accepted, self._codec, self._identity, self._timing, self._count_bytes
+        )
         outgoing = make_mailbox(f"peer {remote}")
         try:
             peer = stream.accept()
@@ -62,6 +72,8 @@
     identity: Identity,
     deliver: Deliver,
     timing: StreamTiming | None = None,
+    count_bytes: CountBytes = ignore_bytes,
 ) -> PeerServer:
     """Return a server that is not started yet."""
-    return PeerServer(listen, codec, identity, deliver, timing or StreamTiming())
+    timing = timing or StreamTiming()
+    return PeerServer(listen, codec, identity, deliver, timing, count_bytes)
--- a/oleanderhitch/connection/peer/stream.py
+++ b/oleanderhitch/connection/peer/stream.py
@@ -41,6 +41,7 @@
 log = logbook.Logger("peer")
 
 Deliver = Callable[[PeerMessage], None]
+CountBytes = Callable[[int], None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +53,10 @@
     silence_limit: timedelta = timedelta(seconds=3)
 
 
+def ignore_bytes(n_bytes: int) -> None:
+    """Count no bytes."""
+
+
 class PeerStream:
     """Own one connected socket until it breaks or goes silent."""
 
@@ -61,11 +66,13 @@
         codec: Codec,
         identity: Identity,
         timing: StreamTiming,
+        count_bytes: CountBytes = ignore_bytes,
     ) -> None:
         self._socket = connected
         self._codec = codec
         self._identity = identity
         self._timing = timing
+        self._count_bytes = count_bytes
         self._received = self._receive_messages()
         connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connected.settimeout(timing.silence_limit.total_seconds())
@@ -118,6 +125,7 @@
                 self._socket.sendall(data)
             except OSError:
                 break
+            self._count_bytes(len(data))
         # The reader notices the closed socket and ends the stream.
         self._socket.close()
 
--- a/oleanderhitch/process/commands/store_command.py
+++ b/oleanderhitch/process/commands/store_command.py
@@ -20,7 +20,8 @@
     run_with_settings,
 )
 from oleanderhitch.process.ids import NodeId
-from oleanderhitch.process.metrics.core import make_metrics
+from oleanderhitch.process.metrics.core import make_counter, make_metrics
+from oleanderhitch.process.metrics.states import Counter
 from oleanderhitch.process.roles.status import make_status_server
 from oleanderhitch.process.roles.store import StoreSite, make_store_parts
 from oleanderhitch.process.roles.store_links import StoreLinks
@@ -52,15 +53,23 @@
     codec = make_project_codec()
     identity = Identity(NodeId(settings.node), settings.get_key())
     stores = settings.get_stores()
+    metrics = make_metrics()
+    count_bytes = make_counter(metrics, Counter.PEER_BYTES)
 
     def make_link(address: HostAddress) -> PeerLink:
-        return make_peer_link(address, codec, identity, _ignore_answer, _ignore_notice)
+        return make_peer_link(
+            address,
+            codec,
+            identity,
+            _ignore_answer,
+            _ignore_notice,
+            count_bytes=count_bytes,
+        )
 
     links = StoreLinks(identity.node, make_link)
     for store in stores:
         links.add(store.node, store.address)
     site = StoreSite(identity.node, stores, settings.n_shards, settings.data_dir, links)
-    metrics = make_metrics()
     tracer = make_tracer(settings.make_tracing_settings())
     try:
         parts = make_store_parts(
@@ -76,7 +85,11 @@
         return EXIT_FAILED
     status = make_status_server(HostAddress(settings.status_listen), metrics, tracer)
     server = make_peer_server(
-        HostAddress(settings.peer_listen), codec, identity, parts.deliver
+        HostAddress(settings.peer_listen),
+        codec,
+        identity,
+        parts.deliver,
+        count_bytes=count_bytes,
     )
     links.start()
     parts.start()
--- a/oleanderhitch/process/metrics/core.py
+++ b/oleanderhitch/process/metrics/core.py
@@ -5,6 +5,7 @@
 """
 
 from collections import defaultdict
+from collections.abc import Callable
 from datetime import datetime, timedelta
 from functools import singledispatch
 
@@ -100,6 +101,15 @@
     return Metrics()
 
 
+def make_counter(metrics: Metrics, name: Counter) -> Callable[[int], None]:
+    """Return a function that adds to one counter."""
+
+    def count(n: int) -> None:
+        metrics.count(name, n=n)
+
+    return count
+
+
 @singledispatch
 def handle(message: object, metrics: Metrics, now: datetime) -> list[object]:
     """Handle one message and return the effects."""
--- a/oleanderhitch/process/metrics/states.py
+++ b/oleanderhitch/process/metrics/states.py
@@ -76,6 +76,9 @@
     ELECTIONS = MetricName(
         "oleanderhitch_elections_total", "Changes of a group's leader.", "group"
     )
+    PEER_BYTES = MetricName(
+        "oleanderhitch_peer_bytes_total", "Bytes sent to other nodes."
+    )
     DROPPED_SPANS = MetricName(
         "oleanderhitch_dropped_spans_total", "Spans that found no room."
     )
--- a/oleanderhitch/process/roles/entry.py
+++ b/oleanderhitch/process/roles/entry.py
@@ -44,7 +44,8 @@
     StoreUnreachable,
 )
 from oleanderhitch.process.membership.node.task import make_node_task
-from oleanderhitch.process.metrics.core import Metrics
+from oleanderhitch.process.metrics.core import Metrics, make_counter
+from oleanderhitch.process.metrics.states import Counter
 from oleanderhitch.process.roles.engines import EngineParts, make_engine_parts
 from oleanderhitch.process.roles.links import StoreAccess
 from oleanderhitch.process.roles.status import StatusFront
@@ -153,6 +154,8 @@
     node = NodeId(settings.node)
     identity = Identity(node, settings.get_key())
 
+    count_bytes = make_counter(metrics, Counter.PEER_BYTES)
+
     def deliver(delivery: PeerMessage) -> None:
         receive(delivery.message, delivery, parts)
 
@@ -165,7 +168,14 @@
         parts.router.send(message)
 
     def make_node_link(address: HostAddress) -> PeerLink:
-        return make_peer_link(address, codec, identity, deliver, notify_node)
+        return make_peer_link(
+            address,
+            codec,
+            identity,
+            deliver,
+            notify_node,
+            count_bytes=count_bytes,
+        )
 
     def get_group(program: ProgramId) -> GroupId:
         return get_program_group(program, settings.n_shards)
@@ -238,7 +248,13 @@
         intake,
         engines,
         access,
-        make_peer_server(HostAddress(settings.peer_listen), codec, identity, deliver),
+        make_peer_server(
+            HostAddress(settings.peer_listen),
+            codec,
+            identity,
+            deliver,
+            count_bytes=count_bytes,
+        ),
         make_caller_server(HostAddress(settings.listen), app),
     )
     return parts
--- a/oleanderhitch/process/roles/links.py
+++ b/oleanderhitch/process/roles/links.py
@@ -12,11 +12,13 @@
 from oleanderhitch.connection.peer.handshake import Identity
 from oleanderhitch.connection.peer.link import PeerLink, make_peer_link
 from oleanderhitch.connection.peer.messages import PeerMessage
+from oleanderhitch.connection.peer.stream import CountBytes
 from oleanderhitch.exceptions import InvalidInputError
 from oleanderhitch.process.clock import Clock
 from oleanderhitch.process.groups.placement import Store
 from oleanderhitch.process.ids import NodeId
-from oleanderhitch.process.metrics.core import Metrics
+from oleanderhitch.process.metrics.core import Metrics, make_counter
+from oleanderhitch.process.metrics.states import Counter
 from oleanderhitch.process.roles.store import (
     StoreParts,
     StoreSite,
@@ -64,11 +66,16 @@
     """Reach the stores of other processes over links."""
 
     def __init__(
-        self, stores: tuple[Store, ...], codec: Codec, identity: Identity
+        self,
+        stores: tuple[Store, ...],
+        codec: Codec,
+        identity: Identity,
+        count_bytes: CountBytes,
     ) -> None:
         self._stores = stores
         self._codec = codec
         self._identity = identity
+        self._count_bytes = count_bytes
         self._links = StoreLinks(identity.node, self._make_link)
         self._deliver: Deliver | None = None
         self._notify: Notify | None = None
@@ -100,7 +107,12 @@
         assert self._deliver is not None
         assert self._notify is not None
         return make_peer_link(
-            address, self._codec, self._identity, self._deliver, self._notify
+            address,
+            self._codec,
+            self._identity,
+            self._deliver,
+            self._notify,
+            count_bytes=self._count_bytes,
         )
 
     def receive(self, delivery: PeerMessage) -> None:
@@ -191,7 +203,12 @@
     stores = settings.get_stores()
     if stores:
         identity = Identity(NodeId(settings.node), settings.get_key())
-        return LinkedStores(stores, codec, identity)
+        return LinkedStores(
+            stores,
+            codec,
+            identity,
+            make_counter(metrics, Counter.PEER_BYTES),
+        )
     if settings.data_dir is None:
         raise InvalidInputError(
             "--stores names no disk host and --data-dir is missing; give one of them"
--- /dev/null
+++ b/tests/docs/__init__.py
@@ -0,0 +1,1 @@
+"""Test that the pages agree with the code."""
--- a/tests/processes/operators.py
+++ b/tests/processes/operators.py
@@ -66,9 +66,9 @@
         while True:
             status = self.client.get_status()
             elapsed = time.monotonic() - accepted_at
-            if status.in_force_version is not None:
-                if status.in_force_version >= version:
-                    return elapsed
+            in_force = status.in_force_version
+            if in_force is not None and in_force >= version:
+                return elapsed
             assert elapsed <= within, (
                 f"version {version} is not in force after {elapsed:.1f} s: {status}"
             )
