--- a/oleanderhitch/program/ordering.py
+++ b/oleanderhitch/program/ordering.py
@@ -104,7 +104,8 @@
 
 
 def _make_begun(state: ShardState, entry: ProgramEntry, command: BeginRequest) -> Begun:
-    history = state.history.read_turns(entry.program)
+    is_read = state.is_result_read
+    history = state.history.read_turns(entry.program) if is_read else ()
     reserved = _get_reserved_tokens(entry, command)
     return Begun(history, entry.spent_tokens, tuple(entry.holders), reserved)
 
