--- a/oleanderhitch/process/scheduling/hedging.py
+++ b/oleanderhitch/process/scheduling/hedging.py
@@ -1,5 +1,6 @@
 """Limit repeated attempts: idempotent work, a budget, within the deadline."""
 
+from oleanderhitch.process.scheduling import health
 from oleanderhitch.process.scheduling.records import Endpoint, Permit, PoolState
 
 
@@ -45,4 +46,14 @@
         and len(state.attempts.get(permit.request, ())) == 1
         and now_s < permit.deadline_s
         and state.retry_budget >= 1.0
+        and _is_worth_its_prompt(state, permit)
     )
+
+
+def _is_worth_its_prompt(state: PoolState, permit: Permit) -> bool:
+    # A second attempt computes the whole prompt, which delays others as a move
+    # of the program does.
+    prefill_s = permit.prompt_tokens * state.averages.prefill_s_per_token
+    endpoint = state.endpoints[permit.endpoint]
+    lost_s = health.get_slowness_s(state, endpoint)
+    return prefill_s * state.settings.affinity_wait_factor < lost_s
