--- /dev/null
+++ b/bench/process/calls.py
@@ -0,0 +1,99 @@
+"""Send calls to the entries and time them."""
+
+import json
+import threading
+import time
+import uuid
+from dataclasses import dataclass, field
+
+from hdrh.histogram import HdrHistogram
+
+from bench.process.deployment import http
+
+ACCOUNT = {"X-Account": "rental-desk"}
+HOUR_US = 3_600_000_000
+N_TOKENS = 32
+
+
+def make_histogram() -> HdrHistogram:
+    """Return an empty histogram of microseconds."""
+    return HdrHistogram(1, HOUR_US, 3)
+
+
+@dataclass(slots=True)
+class Timing:
+    """Hold the latencies of calls and what they carried."""
+
+    whole: HdrHistogram = field(default_factory=make_histogram)
+    first: HdrHistogram = field(default_factory=make_histogram)
+    n_chunks: int = 0
+    n_failed: int = 0
+
+
+def make_body(n_tokens: int) -> bytes:
+    """Return a chat completion request."""
+    message = {"role": "user", "content": "how many kayaks are free at noon?"}
+    return json.dumps(
+        {
+            "model": "veslo-llm",
+            "messages": [message],
+            "max_tokens": n_tokens,
+            "stream": True,
+            "stream_id": uuid.uuid4().hex,
+            "program": "direct",
+        }
+    ).encode()
+
+
+def time_call(address: str, headers: dict[str, str], timing: Timing) -> None:
+    """Stream one answer and record its times."""
+    started = time.perf_counter()
+    response = http.request(
+        "POST",
+        f"{address}/v1/chat/completions",
+        body=make_body(N_TOKENS),
+        headers={"Content-Type": "application/json", **headers},
+        preload_content=False,
+    )
+    is_first = True
+    for data in response.stream(4096):
+        if is_first:
+            timing.first.record_value(_get_us(started))
+            is_first = False
+        timing.n_chunks += data.count(b"data: ")
+    timing.whole.record_value(_get_us(started))
+    timing.n_failed += response.status != 200
+
+
+def start_program(address: str) -> str:
+    """Return the id of a new program."""
+    response = http.request(
+        "POST", f"{address}/v1/programs", body=b"{}", headers=ACCOUNT
+    )
+    return str(response.json()["program"])
+
+
+def run_program(address: str, n_calls: int, timing: Timing) -> None:
+    """Run the calls of one program one after another."""
+    program = start_program(address)
+    for sequence in range(1, n_calls + 1):
+        headers = {**ACCOUNT, "X-Program": program, "X-Sequence": str(sequence)}
+        time_call(address, headers, timing)
+
+
+def run_side_by_side(address: str, n_programs: int, n_calls: int) -> Timing:
+    """Run programs side by side and return the times of all calls."""
+    timing = Timing()
+    threads = [
+        threading.Thread(target=run_program, args=(address, n_calls, timing))
+        for _ in range(n_programs)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return timing
+
+
+def _get_us(started: float) -> int:
+    return max(1, int((time.perf_counter() - started) * 1_000_000))
--- /dev/null
+++ b/bench/process/deployment.py
@@ -0,0 +1,82 @@
+"""Read what the processes of a deployment use."""
+
+import os
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+import urllib3
+
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+STORE_STATUS = "http://127.0.0.1:2725"
+ENTRY = "http://127.0.0.1:2700"
+
+http = urllib3.PoolManager(retries=False, timeout=urllib3.Timeout(2, 60), maxsize=128)
+
+
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """Hold what a process has used since its start."""
+
+    at_s: float
+    cpu_s: float
+    resident_mb: float
+    peer_bytes: float
+
+
+@dataclass(frozen=True, slots=True)
+class Rates:
+    """Hold what a process used over an interval."""
+
+    cpu_percent: float
+    resident_mb: float
+    peer_bytes_per_s: float
+
+
+class Processes:
+    """Read the processes that the script started, by name."""
+
+    def __init__(self, work: Path) -> None:
+        self._work = work
+
+    def start(self, name: str) -> None:
+        """Have the script start a recorded process."""
+        (self._work / "start" / name).touch()
+        while not (self._work / f"{name}.pid").exists():
+            time.sleep(0.05)
+
+    def get_usage(self, name: str) -> Usage:
+        """Return what a process has used so far."""
+        pid = (self._work / f"{name}.pid").read_text().strip()
+        fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+        cpu_s = (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+        resident_mb = int(fields[21]) * PAGE_BYTES / 2**20
+        return Usage(time.monotonic(), cpu_s, resident_mb, self._get_bytes(name))
+
+    def get_rates(self, names: list[str], seconds: float) -> dict[str, Rates]:
+        """Return what processes use over an interval from now."""
+        before = {name: self.get_usage(name) for name in names}
+        time.sleep(seconds)
+        return {name: make_rates(before[name], self.get_usage(name)) for name in names}
+
+    def _get_bytes(self, name: str) -> float:
+        role, _, number = name.partition("-")
+        if role not in ("store", "entry"):
+            return 0.0
+        address = {"store": STORE_STATUS, "entry": ENTRY}[role] + number
+        text = http.request("GET", f"{address}/metrics").data.decode()
+        for line in text.splitlines():
+            if line.startswith("oleanderhitch_peer_bytes_total "):
+                return float(line.split()[1])
+        return 0.0
+
+
+def make_rates(before: Usage, after: Usage) -> Rates:
+    """Return the use between two readings."""
+    seconds = after.at_s - before.at_s
+    return Rates(
+        100 * (after.cpu_s - before.cpu_s) / seconds,
+        after.resident_mb,
+        (after.peer_bytes - before.peer_bytes) / seconds,
+    )
--- /dev/null
+++ b/scripts/bench_processes.sh
@@ -0,0 +1,21 @@
+#!/usr/bin/env bash
+# Starts a deployment on loopback and measures its processes.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+source scripts/deployment.sh
+
+export OLEANDERHITCH_TRACE_RATIO=0
+start_deployment
+# Engines that answer at once leave the time to the system itself.
+for number in 1 2; do
+    kill -9 "$(cat "$WORK/engine-$number.pid")"
+    start_engine "$number" --token-ms 1 --slots 64 --prefill-tokens-per-s 1000000
+done
+for number in 3 4 5 6 7 8 9; do
+    LAUNCH=no start_entry "$number" split-a
+done
+publish_examples
+"$PYTHON" -m bench.process.commands.processes "$WORK" "$@" &
+BENCH=$!
+supervise "$BENCH"
+wait "$BENCH"
--- a/tests/processes/operators.py
+++ b/tests/processes/operators.py
@@ -74,6 +74,14 @@
             )
             gevent.sleep(0.01)
 
+    def is_store_up(self, name):
+        """Return whether a disk host answers."""
+        identities = make_hosts_client(self.settings).list_identities()
+        return any(
+            identity is not None and identity.node == name
+            for identity in identities.values()
+        )
+
     def replace(self, lost, replacement):
         """Move the replicas of a lost host and expect every group to have moved."""
         answers = dict(make_hosts_client(self.settings).replace(lost, replacement))
--- a/tests/processes/test_scenarios.py
+++ b/tests/processes/test_scenarios.py
@@ -76,6 +76,12 @@
         version, accepted_at = self.operators.publish()
         self.operators.wait_in_force(version, accepted_at, 5)
 
+    def wait_store(self, name, within):
+        """Expect a disk host to answer in time."""
+        wait_until(
+            lambda: self.operators.is_store_up(name), float(within), f"store {name}"
+        )
+
     def replace(self, lost, by):
         """Move the replicas of a lost host to another one."""
         self.operators.replace(lost, by)
