--- a/oleanderhitch/connection/endpoint/attempts.py
+++ b/oleanderhitch/connection/endpoint/attempts.py
@@ -13,6 +13,8 @@
 from oleanderhitch.connection.endpoint.transport import make_pool_manager
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.clock import Clock
+from oleanderhitch.process.metrics.core import Metrics
+from oleanderhitch.process.tracing.tracer import Tracer
 from oleanderhitch.request.ids import AttemptNumber
 from oleanderhitch.request.messages import (
     Call,
@@ -22,12 +24,22 @@
 )
 from oleanderhitch.version.ids import EndpointId
 
+FIRST_ERROR_STATUS = 400
+
 
 class EndpointAttempts:
     """Start endpoint streams that share one pool of connections."""
 
-    def __init__(self, clock: Clock, timeouts: EndpointTimeouts) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        timeouts: EndpointTimeouts,
+        tracer: Tracer,
+        metrics: Metrics,
+    ) -> None:
         self._clock = clock
+        self._tracer = tracer
+        self._metrics = metrics
         self._timeouts = timeouts
         self._pools = make_pool_manager()
 
@@ -68,6 +80,8 @@
             self._pools,
             self._timeouts,
             self._clock,
+            self._tracer,
+            self._metrics,
         )
         stream.start()
         return stream
@@ -103,13 +117,18 @@
 
     def send(self, message: object) -> None:
         """Pass the result on."""
-        is_known = isinstance(message, OperationFound) and message.status < 400
-        body = message.body if isinstance(message, OperationFound) else b""
-        self._reply.send(LookupAnswered(is_known, body if is_known else b""))
+        if isinstance(message, OperationFound):
+            was_refused = message.status >= FIRST_ERROR_STATUS
+            self._reply.send(LookupAnswered(True, message.body, was_refused))
+        else:
+            self._reply.send(LookupAnswered(False, b""))
 
 
 def make_endpoint_attempts(
-    clock: Clock, timeouts: EndpointTimeouts | None = None
+    clock: Clock,
+    tracer: Tracer,
+    metrics: Metrics,
+    timeouts: EndpointTimeouts | None = None,
 ) -> EndpointAttempts:
     """Return the starter of attempts of one process."""
-    return EndpointAttempts(clock, timeouts or EndpointTimeouts())
+    return EndpointAttempts(clock, timeouts or EndpointTimeouts(), tracer, metrics)
--- a/oleanderhitch/process/commands/store_command.py
+++ b/oleanderhitch/process/commands/store_command.py
@@ -69,7 +69,14 @@
     links = StoreLinks(identity.node, make_link)
     for store in stores:
         links.add(store.node, store.address)
-    site = StoreSite(identity.node, stores, settings.n_shards, settings.data_dir, links)
+    site = StoreSite(
+        identity.node,
+        stores,
+        settings.n_shards,
+        settings.data_dir,
+        settings.weight_store_bytes_per_s,
+        links,
+    )
     tracer = make_tracer(settings.make_tracing_settings())
     try:
         parts = make_store_parts(
--- a/oleanderhitch/process/leadership/task.py
+++ b/oleanderhitch/process/leadership/task.py
@@ -1,6 +1,6 @@
 """Run the leadership core of a store."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 from functools import singledispatch
@@ -32,7 +32,7 @@
     """Hold what the leadership task acts on."""
 
     send_to_group: SendToGroup
-    membership: Address
+    followers: Sequence[Address]
     query: bytes
     own: Address | None = None
 
@@ -41,13 +41,16 @@
     shortest_election: timedelta,
     addresses: Mapping[NodeId, HostPort],
     send_to_group: SendToGroup,
-    membership: Address,
+    followers: Sequence[Address],
     codec: Codec,
     clock: Clock,
 ) -> Task[LeadershipState]:
-    """Return a task that takes LeadershipChanged of the configuration group."""
+    """Return a task that takes LeadershipChanged of the configuration group.
+
+    The followers learn until when this store is sure to lead.
+    """
     query = codec.encode(GetPublishHistory(1))
-    services = LeadershipServices(send_to_group, membership, query)
+    services = LeadershipServices(send_to_group, followers, query)
 
     def perform(effect: object) -> None:
         perform_effect(effect, services)
@@ -73,4 +76,5 @@
 
 @perform_effect.register
 def _(effect: TellMembership, services: LeadershipServices) -> None:
-    services.membership.send(effect.message)
+    for follower in services.followers:
+        follower.send(effect.message)
--- a/oleanderhitch/process/roles/engines.py
+++ b/oleanderhitch/process/roles/engines.py
@@ -16,6 +16,7 @@
 )
 from oleanderhitch.process.engines.shards import ShardQuestions
 from oleanderhitch.process.ids import GroupId, NodeId
+from oleanderhitch.process.metrics.core import Metrics
 from oleanderhitch.program.ids import ProgramId
 from oleanderhitch.version.configuration import (
     Configuration,
@@ -98,11 +99,12 @@
     get_group: Callable[[ProgramId], GroupId],
     codec: Codec,
     clock: Clock,
+    metrics: Metrics,
 ) -> EngineParts:
     """Return the parts, not started yet."""
     questions = ShardQuestions(groups, shards, get_group, codec, clock)
     pools = make_pool_manager()
-    releases = make_releases_task(questions, pools, clock)
+    releases = make_releases_task(questions, pools, clock, metrics)
     questions.releases = releases
-    polling = make_polling_task((releases,), pools, clock)
+    polling = make_polling_task((releases,), pools, clock, metrics)
     return EngineParts(node, questions, releases, polling)
--- a/oleanderhitch/process/roles/entry.py
+++ b/oleanderhitch/process/roles/entry.py
@@ -192,7 +192,7 @@
     router = make_pool_router(
         node, make_node_link, PoolSettings(), clock, random.Random(uuid.uuid4().int)
     )
-    attempts = make_endpoint_attempts(clock)
+    attempts = make_endpoint_attempts(clock, tracer, metrics)
     engines = make_engine_parts(
         node,
         groups,
@@ -200,6 +200,7 @@
         get_group,
         codec,
         clock,
+        metrics,
     )
 
     def follow(configuration: Configuration, owners: dict[PoolId, NodeId]) -> None:
--- a/oleanderhitch/process/roles/links.py
+++ b/oleanderhitch/process/roles/links.py
@@ -219,7 +219,14 @@
         DataCentreName(settings.data_centre),
     )
     links = StoreLinks(store.node, _refuse_link)
-    site = StoreSite(store.node, (store,), settings.n_shards, settings.data_dir, links)
+    site = StoreSite(
+        store.node,
+        (store,),
+        settings.n_shards,
+        settings.data_dir,
+        settings.weight_store_bytes_per_s,
+        links,
+    )
     source = random.Random(uuid.uuid4().int)
     parts = make_store_parts(site, codec, clock, source, metrics, tracer)
     return EmbeddedStore(store, parts)
--- a/oleanderhitch/process/roles/store.py
+++ b/oleanderhitch/process/roles/store.py
@@ -41,6 +41,7 @@
 from oleanderhitch.process.replication.effects import LeadershipChanged
 from oleanderhitch.process.replication.replica import Timing
 from oleanderhitch.process.replication.states import Role
+from oleanderhitch.process.roles.orders import OrderParts, make_order_parts
 from oleanderhitch.process.roles.store_links import StoreLinks
 from oleanderhitch.process.storage.task import open_storage
 from oleanderhitch.process.task import Task
@@ -58,6 +59,7 @@
     stores: tuple[Store, ...]
     n_shards: int
     data_dir: Path
+    weight_store_bytes_per_s: float
     links: StoreLinks
 
 
@@ -81,6 +83,7 @@
     host: GroupHost
     membership: Task[MembershipState]
     leadership: Task[LeadershipState]
+    orders: OrderParts
     configuration: ConfigurationApplication
     connections: NodeConnections
 
@@ -88,12 +91,14 @@
         """Start all tasks."""
         self.membership.start()
         self.leadership.start()
+        self.orders.start()
         self.host.start()
 
     def stop(self) -> None:
         """Stop all tasks and close the storage."""
         self.host.stop()
         self.leadership.stop()
+        self.orders.stop()
         self.membership.stop()
 
     def deliver(self, delivery: PeerMessage) -> None:
@@ -139,9 +144,11 @@
 ) -> StoreParts:
     """Return the parts of a store, not started yet; raise StorageError."""
     connections = NodeConnections()
+    orders = make_order_parts(site.weight_store_bytes_per_s, clock, metrics)
 
     def follow_hosts(configuration: Configuration) -> None:
         site.links.follow(configuration.hosts)
+        orders.follow(configuration)
         addresses = {store.node: store.address for store in site.stores}
         leadership.send(StoresChanged({**addresses, **site.links.list_addresses()}))
 
@@ -167,7 +174,7 @@
         Timing().election_timeout_min,
         {store.node: parse_host_port(store.address) for store in site.stores},
         send_to_group,
-        membership,
+        (membership, orders),
         codec,
         clock,
     )
@@ -183,4 +190,4 @@
         on_leadership,
         tracer,
     )
-    return StoreParts(host, membership, leadership, configuration, connections)
+    return StoreParts(host, membership, leadership, orders, configuration, connections)
--- a/oleanderhitch/process/settings.py
+++ b/oleanderhitch/process/settings.py
@@ -73,6 +73,10 @@
         0.01, ge=0.0, le=1.0, description="share of requests that are traced"
     )
 
+    weight_store_bytes_per_s: float = Field(
+        1e9, gt=0, description="rate at which the weight store serves all engines"
+    )
+
     def get_key(self) -> bytes:
         """Return the shared key."""
         return self.key_file.read_bytes().strip()
--- a/oleanderhitch/request/core.py
+++ b/oleanderhitch/request/core.py
@@ -332,6 +332,8 @@
         return []
     if message.is_known:
         state.answer = bytearray(message.answer)
+        if message.was_refused:
+            return _finish(state, now, Outcome.FAILED, Reason.ENDPOINT_REFUSED)
         return _finish(state, now, Outcome.COMPLETED, Reason.OK)
     return _finish(
         state,
--- a/oleanderhitch/request/messages.py
+++ b/oleanderhitch/request/messages.py
@@ -171,6 +171,7 @@
 
     is_known: bool
     answer: bytes
+    was_refused: bool = False
 
 
 # Effects that a request core asks for.
--- a/oleanderhitch/request/observer.py
+++ b/oleanderhitch/request/observer.py
@@ -1,4 +1,7 @@
-"""Record the spans and metrics of one request from its messages and effects."""
+"""Record the spans and metrics of one request from its messages and effects.
+
+Attempts record their own, since they know how their connection fared.
+"""
 
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
@@ -36,16 +39,11 @@
     entry: HopSpan
     queue: HopSpan | None = None
     queued_at: datetime | None = None
-    attempts: dict[AttemptNumber, HopSpan] = field(default_factory=dict)
+    attempts: set[AttemptNumber] = field(default_factory=set)
     attempt_at: datetime | None = None
-    last_chunk_at: datetime | None = None
+    has_chunk: bool = False
     outside: timedelta = timedelta(0)
 
-    def get_trace(self, attempt: AttemptNumber) -> dict[str, str]:
-        """Return the trace context of an attempt."""
-        span = self.attempts.get(attempt)
-        return self.entry.trace if span is None else span.trace
-
 
 def make_observer(
     call: Call, metrics: Metrics, tracer: Tracer, now: datetime
@@ -92,11 +90,7 @@
 
 @note.register
 def _(event: Dispatch, observer: RequestObserver, now: datetime) -> None:
-    span = observer.tracer.start_hop(
-        Hop.ATTEMPT, observer.call.request, observer.entry.trace
-    )
-    span.set("endpoint", event.endpoint)
-    observer.attempts[event.attempt] = span
+    observer.attempts.add(event.attempt)
     if observer.attempt_at is None:
         observer.attempt_at = now
 
@@ -105,7 +99,6 @@
 def _(event: StreamEnded, observer: RequestObserver, now: datetime) -> None:
     _end_attempt(observer, event.attempt, now)
     metrics = observer.metrics
-    metrics.count(Counter.ATTEMPTS, "completed")
     metrics.count(Counter.PROMPT_TOKENS, n=event.prompt_tokens)
     metrics.count(Counter.CACHED_TOKENS, n=event.cached_tokens)
     metrics.count(Counter.OUTPUT_TOKENS, n=event.completion_tokens)
@@ -113,27 +106,19 @@
 
 @note.register
 def _(event: StreamFailed, observer: RequestObserver, now: datetime) -> None:
-    span = observer.attempts.get(event.attempt)
-    if span is not None:
-        span.fail(event.reason)
     _end_attempt(observer, event.attempt, now)
-    result = "failed" if event.was_sent else "not_sent"
-    observer.metrics.count(Counter.ATTEMPTS, result)
 
 
 @note.register
 def _(event: CancelAttempt, observer: RequestObserver, now: datetime) -> None:
     _end_attempt(observer, event.attempt, now)
-    observer.metrics.count(Counter.ATTEMPTS, "cancelled")
 
 
 @note.register
 def _(event: RelayChunk, observer: RequestObserver, now: datetime) -> None:
-    if observer.last_chunk_at is None:
+    if not observer.has_chunk:
         observer.metrics.record(Latency.FIRST_TOKEN, now - observer.started_at)
-    else:
-        observer.metrics.record(Latency.BETWEEN_TOKENS, now - observer.last_chunk_at)
-    observer.last_chunk_at = now
+        observer.has_chunk = True
 
 
 @note.register
@@ -164,9 +149,7 @@
 def _end_attempt(
     observer: RequestObserver, attempt: AttemptNumber, now: datetime
 ) -> None:
-    span = observer.attempts.pop(attempt, None)
-    if span is not None:
-        span.end()
+    observer.attempts.discard(attempt)
     if not observer.attempts and observer.attempt_at is not None:
         observer.outside += now - observer.attempt_at
         observer.attempt_at = None
--- a/oleanderhitch/request/task.py
+++ b/oleanderhitch/request/task.py
@@ -302,7 +302,7 @@
         prompt,
         effect.answered,
         effect.priority,
-        resources.observer.get_trace(effect.attempt),
+        resources.observer.entry.trace,
         resources.get_task(),
     )
 
--- a/oleanderhitch/version/compile.py
+++ b/oleanderhitch/version/compile.py
@@ -146,6 +146,11 @@
             for entry in part.operations
         },
         documents={entry.name: entry for entry in read},
+        weight_bytes={
+            model.name: model.weight_bytes
+            for part in inventories
+            for model in part.models
+        },
         endpoints_by_document=parts,
     )
 
--- a/oleanderhitch/version/configuration.py
+++ b/oleanderhitch/version/configuration.py
@@ -99,6 +99,7 @@
     accounts: Mapping[AccountId, AccountDeclaration]
     operations: Mapping[tuple[ServiceName, OperationName], bool]
     documents: Mapping[DocumentName, ReadDocument]
+    weight_bytes: Mapping[ModelName, int]
     endpoints_by_document: Mapping[DocumentName, tuple[Endpoint, ...]]
 
     def get_pool(self, model_or_service: str, data_centre: DataCentreName) -> Pool:
@@ -112,6 +113,10 @@
             )
         return pool
 
+    def get_weight_bytes(self, model: ModelName) -> int:
+        """Return the size of a model's weights; 0 when it is not declared."""
+        return self.weight_bytes.get(model, 0)
+
     def find_pool(self, pool: PoolId) -> Pool | None:
         """Return a pool by its id, if it is declared."""
         return self.pools.get(pool)
--- a/oleanderhitch/version/inventory.py
+++ b/oleanderhitch/version/inventory.py
@@ -59,6 +59,7 @@
 
     __pydantic_config__ = STRICT
     name: Annotated[ModelName, Name]
+    weight_bytes: Annotated[int, Ge(0)] = 0
 
 
 @dataclass(frozen=True, slots=True)
