--- a/oleanderhitch/process/groups/client/task.py
+++ b/oleanderhitch/process/groups/client/task.py
@@ -1,7 +1,7 @@
 """Run the client of replicated groups as a task over peer links."""
 
 from collections.abc import Callable, Mapping
-from datetime import timedelta
+from datetime import datetime, timedelta
 from functools import singledispatch
 
 from oleanderhitch.connection.ids import HostAddress
@@ -13,7 +13,7 @@
 )
 from oleanderhitch.process.groups.client.messages import ReplyToCaller, SendToStore
 from oleanderhitch.process.ids import NodeId
-from oleanderhitch.process.task import Task, make_task
+from oleanderhitch.process.task import NO_TICK, Task, make_task
 
 # Sends a message to a store, or drops it when there is no link.
 SendToAddress = Callable[[HostAddress, object], None]
@@ -32,7 +32,19 @@
         perform_effect(effect, send)
 
     state = make_client_state(dict(stores))
-    return make_task("group client", state, handle, perform, clock, TICK_INTERVAL)
+    return make_task(
+        "group client",
+        state,
+        handle,
+        perform,
+        clock,
+        TICK_INTERVAL,
+        find_wake=_find_wake,
+    )
+
+
+def _find_wake(state: ClientState) -> datetime | None:
+    return None if state.pending else NO_TICK
 
 
 @singledispatch
--- a/oleanderhitch/process/leadership/task.py
+++ b/oleanderhitch/process/leadership/task.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
-from datetime import timedelta
+from datetime import datetime, timedelta
 from functools import singledispatch
 
 from oleanderhitch.connection.codec import Codec
@@ -19,7 +19,7 @@
     handle,
     make_leadership_state,
 )
-from oleanderhitch.process.task import Task, make_task
+from oleanderhitch.process.task import NO_TICK, Task, make_task
 from oleanderhitch.version.addresses import HostPort
 
 CONFIRM_INTERVAL = timedelta(milliseconds=250)
@@ -56,11 +56,23 @@
         perform_effect(effect, services)
 
     state = make_leadership_state(shortest_election, addresses)
-    task = make_task("leadership", state, handle, perform, clock, CONFIRM_INTERVAL)
+    task = make_task(
+        "leadership",
+        state,
+        handle,
+        perform,
+        clock,
+        CONFIRM_INTERVAL,
+        find_wake=_find_wake,
+    )
     services.own = task
     return task
 
 
+def _find_wake(state: LeadershipState) -> datetime | None:
+    return NO_TICK if state.term is None else None
+
+
 @singledispatch
 def perform_effect(effect: object, services: LeadershipServices) -> None:
     """Perform an effect of the leadership core."""
--- a/oleanderhitch/process/membership/task.py
+++ b/oleanderhitch/process/membership/task.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from datetime import datetime
 from functools import partial, singledispatch
 
 import logbook
@@ -21,7 +22,7 @@
     SendToNode,
 )
 from oleanderhitch.process.membership.timing import TICK
-from oleanderhitch.process.task import Task, make_task
+from oleanderhitch.process.task import NO_TICK, Task, make_task
 from oleanderhitch.version.compile import compile_configuration
 from oleanderhitch.version.configuration import Configuration
 from oleanderhitch.version.exceptions import InvalidConfigurationError
@@ -61,11 +62,16 @@
         partial(_perform_with, surroundings),
         clock,
         tick_interval=TICK,
+        find_wake=_find_wake,
     )
     surroundings.own = task
     return task
 
 
+def _find_wake(state: MembershipState) -> datetime | None:
+    return NO_TICK if state.leads_until is None else None
+
+
 def _perform_with(surroundings: _Surroundings, effect: object) -> None:
     perform(effect, surroundings)
 
--- a/oleanderhitch/process/replication/task.py
+++ b/oleanderhitch/process/replication/task.py
@@ -133,6 +133,7 @@
         perform,
         clock,
         tick_interval=timing.heartbeat_interval / N_TICKS_PER_HEARTBEAT,
+        find_wake=_find_wake,
     )
     binding = GroupBinding(
         state, storage, application, transport, clock, task, log, on_leadership
@@ -140,6 +141,13 @@
     return task
 
 
+def _find_wake(state: GroupState) -> datetime | None:
+    """Wake a follower only for an election; the interval serves all others."""
+    if state.replica.role is Role.FOLLOWER and state.founding.is_formed:
+        return state.replica.election_deadline
+    return None
+
+
 def handle(message: object, state: GroupState, now: datetime) -> list[object]:
     """Return the effects of a message, and stop the replica on a broken rule."""
     try:
--- a/oleanderhitch/process/routing/task.py
+++ b/oleanderhitch/process/routing/task.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from datetime import timedelta
+from datetime import datetime, timedelta
 from functools import singledispatch
 
 from oleanderhitch.connection.ids import HostAddress
@@ -25,7 +25,7 @@
 from oleanderhitch.process.scheduling.messages import GrantSlot, RefuseRequest
 from oleanderhitch.process.scheduling.records import PoolState
 from oleanderhitch.process.scheduling.settings import PoolSettings
-from oleanderhitch.process.task import Task, make_task
+from oleanderhitch.process.task import NO_TICK, Task, make_task
 from oleanderhitch.version.ids import PoolId
 
 POOL_TICK_INTERVAL = timedelta(milliseconds=100)
@@ -110,6 +110,10 @@
     effect.reply.send(effect.status)
 
 
+def _find_pool_wake(state: PoolState) -> datetime | None:
+    return None if state.waiting or state.permits else NO_TICK
+
+
 def _start_pool(
     pool: PoolId, role: PoolRole, resources: RouterResources
 ) -> Task[PoolState]:
@@ -129,6 +133,7 @@
         perform,
         resources.clock,
         POOL_TICK_INTERVAL,
+        find_wake=_find_pool_wake,
     )
     task.start()
     return task
--- a/oleanderhitch/process/task.py
+++ b/oleanderhitch/process/task.py
@@ -1,7 +1,7 @@
 """Run a decision core in a greenlet that owns its state and its mailbox."""
 
 from collections.abc import Callable, Iterable
-from datetime import datetime, timedelta
+from datetime import UTC, datetime, timedelta
 from typing import Generic, TypeVar
 
 import gevent
@@ -18,8 +18,13 @@
 
 State = TypeVar("State")
 
+# Says that a task needs no tick until its next message.
+NO_TICK = datetime.max.replace(tzinfo=UTC)
+
 Handle = Callable[[object, State, datetime], Iterable[object]]
 Perform = Callable[[object], None]
+# Returns when the next tick is due, NO_TICK, or None for the tick interval.
+FindWake = Callable[[State], datetime | None]
 
 
 class Task(Generic[State]):
@@ -34,6 +39,7 @@
         clock: Clock,
         mailbox: Mailbox,
         tick_interval: timedelta | None,
+        find_wake: FindWake[State] | None,
     ) -> None:
         self._name = name
         self._state = state
@@ -42,6 +48,7 @@
         self._clock = clock
         self._mailbox = mailbox
         self._tick_interval = tick_interval
+        self._find_wake = find_wake
         self._greenlet: gevent.Greenlet | None = None
         self._log = logbook.Logger(name)
 
@@ -68,8 +75,9 @@
             self._greenlet.join(None if timeout is None else timeout.total_seconds())
 
     def _run(self) -> None:
-        next_tick = self._get_next_tick()
+        next_tick: datetime | None = None
         while True:
+            next_tick = self._plan_tick(next_tick)
             message = self._mailbox.receive(self._get_wait(next_tick))
             if isinstance(message, StopTask):
                 return
@@ -77,12 +85,15 @@
                 self._step(message)
             if next_tick is not None and self._clock.now() >= next_tick:
                 self._step(Tick())
-                next_tick = self._get_next_tick()
+                next_tick = None
 
-    def _get_next_tick(self) -> datetime | None:
+    def _plan_tick(self, planned: datetime | None) -> datetime | None:
+        wake = None if self._find_wake is None else self._find_wake(self._state)
+        if wake is not None:
+            return None if wake == NO_TICK else wake
         if self._tick_interval is None:
             return None
-        return self._clock.now() + self._tick_interval
+        return planned or self._clock.now() + self._tick_interval
 
     def _get_wait(self, next_tick: datetime | None) -> timedelta | None:
         if next_tick is None:
@@ -107,7 +118,12 @@
     clock: Clock,
     tick_interval: timedelta | None = None,
     capacity_messages: int = MAILBOX_CAPACITY_MESSAGES,
+    find_wake: FindWake[State] | None = None,
 ) -> Task[State]:
-    """Return a task that is not started yet."""
+    """Return a task that is not started yet.
+
+    Ticks come at the interval, or when find_wake says; a task that need not
+    look at the time then costs nothing while it is idle.
+    """
     mailbox = make_mailbox(name, capacity_messages)
-    return Task(name, state, handle, perform, clock, mailbox, tick_interval)
+    return Task(name, state, handle, perform, clock, mailbox, tick_interval, find_wake)
--- a/oleanderhitch/request/core.py
+++ b/oleanderhitch/request/core.py
@@ -1,7 +1,7 @@
 """Decide the course of one request from its record to its answer."""
 
 from dataclasses import dataclass, field
-from datetime import datetime, timedelta
+from datetime import UTC, datetime, timedelta
 from functools import singledispatch
 
 from oleanderhitch.process.messages import Tick
@@ -50,6 +50,7 @@
 # its caller was answered without it.
 FINISH_RETRY_LIMIT = timedelta(minutes=10)
 FINISH_RETRY_PAUSE = timedelta(milliseconds=200)
+NO_WAKE = datetime.max.replace(tzinfo=UTC)
 RETRY_AFTER_UNAVAILABLE = timedelta(seconds=1)
 
 
@@ -95,6 +96,13 @@
     return RequestState(call, excluded=call.excluded)
 
 
+def find_wake(state: RequestState) -> datetime:
+    """Return when the request must look at the time again."""
+    if state.phase in (Phase.SLOT, Phase.ANSWER):
+        return state.call.deadline
+    return state.retry_finish_at or NO_WAKE
+
+
 @singledispatch
 def handle(message: object, state: RequestState, now: datetime) -> list[object]:
     """Return the effects of a message."""
--- a/oleanderhitch/request/task.py
+++ b/oleanderhitch/request/task.py
@@ -30,7 +30,12 @@
     FinishRequest,
     RecordAttempt,
 )
-from oleanderhitch.request.core import RequestState, handle, make_request_state
+from oleanderhitch.request.core import (
+    RequestState,
+    find_wake,
+    handle,
+    make_request_state,
+)
 from oleanderhitch.request.history import make_prompt
 from oleanderhitch.request.ids import AttemptNumber
 from oleanderhitch.request.messages import (
@@ -57,7 +62,6 @@
 from oleanderhitch.request.results import ShardReplies
 from oleanderhitch.version.ids import EndpointId
 
-TICK_INTERVAL = timedelta(milliseconds=100)
 STATE_TIMEOUT = timedelta(seconds=5)
 MAILBOX_CAPACITY_MESSAGES = 2000
 # Text has about four bytes a token; this estimate only orders the queue.
@@ -144,8 +148,8 @@
         decide,
         perform,
         services.clock,
-        TICK_INTERVAL,
-        MAILBOX_CAPACITY_MESSAGES,
+        capacity_messages=MAILBOX_CAPACITY_MESSAGES,
+        find_wake=find_wake,
     )
     resources.task = task
     return task
