Charged failed calls whose failed attempt has no record

A node that loses the answer to FailAttempt and then finishes the call as failed with no spend left the attempt uncharged, although it ran: the one running attempt was taken for the one that gave the answer. Only a completed call without an attempt number is now that of its last attempt. A scenario fails without the fix.

--- a/oleanderhitch/program/messages.py
+++ b/oleanderhitch/program/messages.py
@@ -85,7 +85,9 @@
     """Record the outcome of a call and settle its spend.
 
     The spend is that of the attempt that gave the answer; other attempts that
-    have not failed count with their whole reservation.
+    have not failed count with their whole reservation. Without an attempt, a
+    completed call is that of the last attempt, and any other call counts with
+    all reservations that it still holds for attempts.
     """
 
     program: ProgramId
--- a/oleanderhitch/program/outcomes.py
+++ b/oleanderhitch/program/outcomes.py
@@ -181,9 +181,11 @@
         in_doubt[FIRST_ATTEMPT] = known.spare_tokens
     if command.outcome is Outcome.NOT_RUN:
         return 0
-    if command.outcome is Outcome.UNKNOWN:
+    answered = command.attempt
+    if answered is None and command.outcome is Outcome.COMPLETED:
+        answered = max(in_doubt, default=None)
+    if answered is None or command.outcome is Outcome.UNKNOWN:
         return max(0, sum(in_doubt.values()) - max(0, command.spent_tokens))
-    answered = command.attempt or max(in_doubt, default=None)
     return sum(tokens for number, tokens in in_doubt.items() if number != answered)
 
 
--- a/tests/program/world.py
+++ b/tests/program/world.py
@@ -178,8 +178,10 @@
         """Report the outcome that the node saw, perhaps with more spend."""
         is_run = bool(run.dispatched)
         outcome = outcome if is_run else Outcome.NOT_RUN
-        answer = run.name.encode() if outcome is Outcome.COMPLETED else b""
         open_numbers = run.dispatched - run.failed
+        if outcome is Outcome.COMPLETED and not open_numbers:
+            outcome = Outcome.FAILED
+        answer = run.name.encode() if outcome is Outcome.COMPLETED else b""
         spent = max(spent, RESERVED * bool(open_numbers))
         run.finish = m.FinishRequest(
             *(*run.key, outcome, answer, spent),
