--- a/bench/process/calls.py
+++ b/bench/process/calls.py
@@ -73,6 +73,20 @@
     return str(response.json()["program"])
 
 
+def start_programs(address: str, n_programs: int) -> None:
+    """Start programs, some at a time."""
+    threads = [
+        threading.Thread(
+            target=lambda: [start_program(address) for _ in range(n_programs // 8)]
+        )
+        for _ in range(8)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
 def run_program(address: str, n_calls: int, timing: Timing) -> None:
     """Run the calls of one program one after another."""
     program = start_program(address)
