--- a/oleanderhitch/program/messages.py
+++ b/oleanderhitch/program/messages.py
@@ -90,14 +90,10 @@
     """Record the outcome of a call and settle its spend.
 
         The spend is that of the attempt that gave the answer; other attempts that
-    <<<<<<< HEAD
-        have not failed count with their whole reservation. The context is the size
-        of the prompt and answer, which the next call's prompt begins with.
-    =======
-        have not failed count with their whole reservation. Without an attempt, a
-        completed call is that of the last attempt, and any other call counts with
-        all reservations that it still holds for attempts.
-    >>>>>>> program
+    have not failed count with their whole reservation. Without an attempt, a
+    completed call is that of the last attempt, and any other call counts with
+    all reservations that it still holds for attempts. The context is the size
+    of the prompt and answer, which the next call's prompt begins with.
     """
 
     program: ProgramId
--- a/oleanderhitch/request/core.py
+++ b/oleanderhitch/request/core.py
@@ -243,7 +243,6 @@
             Outcome.FAILED,
             message.reason,
             message.detail,
-            spent_tokens=_get_reserved_tokens(state),
         ),
     ]
 
@@ -414,7 +413,6 @@
                 Outcome.UNKNOWN if is_unknown else Outcome.FAILED,
                 Reason.DEADLINE_EXCEEDED,
                 "the answer is not whole at the deadline",
-                spent_tokens=_get_reserved_tokens(state),
             ),
         ]
     return []
