--- a/bench/process/calls.py
+++ b/bench/process/calls.py
@@ -32,7 +32,9 @@
 
 def make_body(n_tokens: int) -> bytes:
     """Return a chat completion request."""
-    message = {"role": "user", "content": "how many kayaks are free at noon?"}
+    # Equal turns in a row would end the program as one that loops.
+    text = f"how many kayaks are free at noon? {uuid.uuid4().hex}"
+    message = {"role": "user", "content": text}
     return json.dumps(
         {
             "model": "veslo-llm",
