Dispatched the effects of a measurement by type

Cause: the driver of the shipped decisions told effects apart with a ladder of type checks. Change: singledispatchmethod.

--- a/bench/process/shipped.py
+++ b/bench/process/shipped.py
@@ -1,7 +1,7 @@
 """Drive the shipped decision code against the stand-ins of a measurement."""
 
-from collections.abc import Iterable
 from datetime import timedelta
+from functools import singledispatchmethod
 from random import Random
 from typing import Protocol
 
@@ -128,16 +128,15 @@
         self._loop.call_in(TICK_S, self._tick)
 
     def _handle(self, state: PoolState, message: object) -> None:
-        self._perform_all(state, handle(message, state, self._loop.now))
+        for effect in handle(message, state, self._loop.now):
+            self._perform(effect, state)
 
-    def _perform_all(self, state: PoolState, effects: Iterable[Effect]) -> None:
-        for effect in effects:
-            if isinstance(effect, GrantSlot):
-                self._dispatch(state, effect)
-            elif isinstance(effect, RefuseRequest):
-                self._retry_later(effect)
+    @singledispatchmethod
+    def _perform(self, effect: Effect, state: PoolState) -> None:
+        raise TypeError(f"no effect {type(effect).__name__}")
 
-    def _dispatch(self, state: PoolState, grant: GrantSlot) -> None:
+    @_perform.register
+    def _(self, grant: GrantSlot, state: PoolState) -> None:
         call = self._calls[grant.request]
         attempt = Attempt(
             call,
@@ -158,7 +157,8 @@
                 other.others.append(attempt)
                 attempt.others.append(other)
 
-    def _retry_later(self, refusal: RefuseRequest) -> None:
+    @_perform.register
+    def _(self, refusal: RefuseRequest, state: PoolState) -> None:
         call = self._calls[refusal.request]
         call.n_refusals += 1
         delay_s = refusal.retry_after.total_seconds()
