--- a/bench/process/commands/processes.py
+++ b/bench/process/commands/processes.py
@@ -8,6 +8,7 @@
 
 from bench.process.calls import (
     Timing,
+    run_program,
     run_side_by_side,
     start_programs,
     time_call,
@@ -20,6 +21,7 @@
 ENTRY_1 = f"{ENTRY}1"
 IDLE_S = 10.0
 N_CALLS = 150
+N_TURNS = 10
 PROGRAMS_STEP = 400
 
 
@@ -50,7 +52,9 @@
     direct = Timing()
     for _ in range(N_CALLS):
         time_call(ENGINE, {}, direct)
-    through = run_side_by_side(ENTRY_1, 1, N_CALLS)
+    through = Timing()
+    for _ in range(N_CALLS // N_TURNS):
+        run_program(ENTRY_1, N_TURNS, through)
     print("one call at a time: ms at 50 and 99 of 100, first piece and whole")
     for name, timing in (("direct", direct), ("through an entry", through)):
         print(f"  {name:18} {_describe(timing)}")
@@ -66,7 +70,7 @@
     for n_programs in (4, 16, 32):
         before = {name: processes.get_usage(name) for name in STORES + ENTRIES}
         started = time.perf_counter()
-        timing = run_side_by_side(ENTRY_1, n_programs, 10)
+        timing = run_side_by_side(ENTRY_1, n_programs, N_TURNS)
         elapsed = time.perf_counter() - started
         after = {name: processes.get_usage(name) for name in STORES + ENTRIES}
         n_calls = timing.whole.get_total_count()
--- a/oleanderhitch/process/roles/store.py
+++ b/oleanderhitch/process/roles/store.py
@@ -47,9 +47,12 @@
 from oleanderhitch.process.task import Task
 from oleanderhitch.process.tracing.tracer import Tracer
 from oleanderhitch.program.application import make_program_application
+from oleanderhitch.program.history_file import make_file_history
 from oleanderhitch.version.addresses import parse_host_port
 from oleanderhitch.version.configuration import Configuration
 
+HISTORY_FOLDER = "history"
+
 
 @dataclass(slots=True)
 class StoreSite:
@@ -158,7 +161,8 @@
     def make_application(group: GroupId) -> Application:
         if group == CONFIGURATION_GROUP:
             return configuration
-        return make_program_application(codec)
+        history = make_file_history(site.data_dir / HISTORY_FOLDER / group)
+        return make_program_application(codec, history)
 
     def send_to_group(call: LocalCall) -> None:
         host.groups[CONFIGURATION_GROUP].send(call)
--- a/oleanderhitch/process/routing/core.py
+++ b/oleanderhitch/process/routing/core.py
@@ -26,8 +26,8 @@
     SendToPool,
 )
 from oleanderhitch.process.routing.states import PoolRole
+from oleanderhitch.process.scheduling.fallback import reduce_offers
 from oleanderhitch.process.scheduling.messages import (
-    EndpointOffer,
     EndpointsChanged,
     EnqueueRequest,
     GrantSlot,
@@ -174,9 +174,10 @@
 def _(message: PoolsChanged, state: RouterState, now: datetime) -> list[object]:
     effects: list[object] = []
     for pool, offers in message.offers.items():
-        shared = tuple(_share_slots(offer, message.n_entries) for offer in offers)
-        effects.append(SendToPool(pool, PoolRole.OWNER, EndpointsChanged(offers)))
-        effects.append(SendToPool(pool, PoolRole.FALLBACK, EndpointsChanged(shared)))
+        changed = EndpointsChanged(offers)
+        reduced = reduce_offers(changed, message.n_entries)
+        effects.append(SendToPool(pool, PoolRole.OWNER, changed))
+        effects.append(SendToPool(pool, PoolRole.FALLBACK, reduced))
     return effects
 
 
@@ -338,7 +339,7 @@
         # Grants may have been lost with the last connection, so the owner
         # forgets what it knew of this host before it is told again.
         effects.append(_send(state, queue, NodeGone(state.node, pool)))
-        effects += _hold_running(state, pool, queue, now)
+    effects += _hold_running(state, pool, queue, now)
     for waiting in state.waiting.values():
         if waiting.enqueue.pool != pool:
             continue
@@ -356,7 +357,8 @@
     state: RouterState, pool: PoolId, queue: Queue, now: datetime
 ) -> Iterator[object]:
     for running in state.running.values():
-        if running.hold.pool != pool:
+        is_known = running.queue == queue and queue.role is PoolRole.FALLBACK
+        if running.hold.pool != pool or is_known:
             continue
         if running.queue != queue:
             yield _send(state, running.queue, _make_unused_release(running.hold))
@@ -374,12 +376,6 @@
     )
 
 
-def _share_slots(offer: EndpointOffer, n_entries: int) -> EndpointOffer:
-    # Without the owner's count no host knows what the others have in flight,
-    # so each uses its share, and one slot at least.
-    return replace(offer, n_slots=max(1, offer.n_slots // max(1, n_entries)))
-
-
 def _tell_all_pools(state: RouterState, message: object) -> list[object]:
     return [SendToPool(pool, PoolRole.OWNER, message) for pool in state.owners]
 
