Sent further attempts only after their record

Cause: a retry or hedge went out in parallel with its record, so a call could spend beyond the budget; and a retry whose record was not acknowledged was answered not run although its first attempt had been sent, which the state machine of requests found once retries waited. Change: only the first attempt of an idempotent call goes out in parallel; the outcome follows what was sent. Followers replay commands without building results.

--- a/bench/process/commands/processes.py
+++ b/bench/process/commands/processes.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 import numpy as np
+import urllib3
 
 from bench.process.calls import (
     Timing,
@@ -28,7 +29,7 @@
 def main() -> None:
     """Run all measurements and print their tables."""
     processes = Processes(Path(sys.argv[1]))
-    while http.request("GET", f"{ENTRY_1}/readyz").status != 200:
+    while not is_ready(ENTRY_1):
         time.sleep(0.1)
     print_idle(processes)
     print_added_time()
@@ -37,6 +38,14 @@
     print_nodes(processes)
 
 
+def is_ready(address: str) -> bool:
+    """Return whether an entry accepts calls."""
+    try:
+        return http.request("GET", f"{address}/readyz").status == 200
+    except urllib3.exceptions.HTTPError:
+        return False
+
+
 def print_idle(processes: Processes) -> None:
     """Print what each role uses without work."""
     print("idle: process, processor %, resident MB, peer bytes/s")
--- a/oleanderhitch/process/configuration/application.py
+++ b/oleanderhitch/process/configuration/application.py
@@ -77,6 +77,10 @@
             self._tell_listener()
         return self._codec.encode(answer)
 
+    def replay(self, command: bytes) -> None:
+        """Apply a committed command whose result nobody reads."""
+        self.apply(command)
+
     def read(self, query: bytes) -> bytes:
         """Return the encoded answer to a read that changes nothing."""
         try:
--- a/oleanderhitch/process/groups/application.py
+++ b/oleanderhitch/process/groups/application.py
@@ -10,6 +10,9 @@
     def apply(self, command: bytes) -> bytes:
         """Return the encoded result of a committed command."""
 
+    def replay(self, command: bytes) -> None:
+        """Apply a committed command whose result nobody reads."""
+
     def read(self, query: bytes) -> bytes:
         """Return the encoded answer to a read that changes nothing."""
 
--- a/oleanderhitch/process/replication/binding.py
+++ b/oleanderhitch/process/replication/binding.py
@@ -57,6 +57,7 @@
     StorageFailed,
 )
 from oleanderhitch.process.replication.replica import ReplicaState
+from oleanderhitch.process.replication.states import Role
 from oleanderhitch.process.storage.messages import (
     EntryRecord,
     FoundingRecord,
@@ -267,7 +268,11 @@
 @perform.register
 def _(effect: ApplyCommitted, binding: GroupBinding) -> None:
     try:
-        binding.result = binding.application.apply(effect.command)
+        if binding.state.replica.role is Role.LEADER:
+            binding.result = binding.application.apply(effect.command)
+        else:
+            # Only a leader's calls wait for results, and they may be costly.
+            binding.application.replay(effect.command)
     except Exception as error:
         # Skipping a command would let this state machine differ from the others.
         _fail(binding, f"command {effect.index} can't be applied: {error!r}")
--- a/oleanderhitch/request/core.py
+++ b/oleanderhitch/request/core.py
@@ -46,6 +46,7 @@
 
 # A third endpoint that fails as well points at the request, not the endpoints.
 ATTEMPT_LIMIT = 3
+FIRST_ATTEMPT = AttemptNumber(1)
 # The outcome of a request is recorded in the background for this long after
 # its caller was answered without it.
 FINISH_RETRY_LIMIT = timedelta(minutes=10)
@@ -64,6 +65,7 @@
     priority: int
     started_at: datetime
     first_token: timedelta | None = None
+    n_chunks: int = 0
     is_dispatched: bool = False
     base: int = 0
 
@@ -181,13 +183,16 @@
     state.n_attempts += 1
     state.attempts[number] = attempt
     record = SubmitAttempt(number, message.endpoint, _get_reserved_tokens(state))
-    if not state.call.is_idempotent:
-        # The record must be durable before the first byte goes out: after a
-        # crash nobody else may send the call again.
+    if state.call.is_idempotent and number == FIRST_ATTEMPT:
+        # The begin has reserved its spend, and it may run again after a crash,
+        # so it need not wait for its record.
+        state.phase = Phase.ANSWER
+        return [record, _dispatch(state, attempt)]
+    # A call that may not be repeated must not be sent before its record is
+    # durable, and a further attempt not before its spend is reserved.
+    if not message.is_hedge:
         state.phase = Phase.ATTEMPT_RECORD
-        return [record]
-    state.phase = Phase.ANSWER
-    return [record, _dispatch(state, attempt)]
+    return [record]
 
 
 def _is_slot_wanted(message: SlotGranted, state: RequestState) -> bool:
@@ -201,7 +206,7 @@
 def _(message: SlotRefused, state: RequestState, now: datetime) -> list[object]:
     if state.phase is not Phase.SLOT:
         return []
-    outcome = Outcome.FAILED if state.was_sent else Outcome.NOT_RUN
+    outcome = _get_unanswered_outcome(state)
     return _finish(
         state,
         now,
@@ -223,12 +228,20 @@
 
 @handle.register
 def _(message: AttemptRefused, state: RequestState, now: datetime) -> list[object]:
-    if message.attempt not in state.attempts:
+    attempt = state.attempts.get(message.attempt)
+    if attempt is None:
         return []
+    if not attempt.is_dispatched and state.phase is Phase.ANSWER:
+        # A hedge that the budget does not cover; the first attempt goes on.
+        del state.attempts[message.attempt]
+        return [_make_release(attempt, True, now)]
     if state.phase is Phase.ATTEMPT_RECORD:
-        outcome = Outcome.UNKNOWN if state.was_sent else Outcome.NOT_RUN
         return _release_all(state, now) + _finish(
-            state, now, outcome, message.reason, message.detail
+            state,
+            now,
+            _get_unanswered_outcome(state),
+            message.reason,
+            message.detail,
         )
     if state.phase is not Phase.ANSWER:
         return []
@@ -266,6 +279,7 @@
     data = message.data[n_known:]
     if not data:
         return effects
+    attempt.n_chunks += 1
     state.answer += data
     effects.append(RelayChunk(data))
     return effects
@@ -327,7 +341,7 @@
         return [*effects, LookUpCall(attempt.endpoint)]
     if state.n_attempts < ATTEMPT_LIMIT and now < state.call.deadline:
         return effects + _enqueue(state)
-    outcome = Outcome.FAILED if state.was_sent else Outcome.NOT_RUN
+    outcome = _get_unanswered_outcome(state)
     return effects + _finish(
         state, now, outcome, Reason.ENDPOINT_FAILED, message.reason
     )
@@ -395,7 +409,7 @@
     if now < state.call.deadline:
         return []
     if state.phase is Phase.SLOT:
-        outcome = Outcome.FAILED if state.was_sent else Outcome.NOT_RUN
+        outcome = _get_unanswered_outcome(state)
         return [
             WithdrawCall(),
             *_finish(state, now, outcome, Reason.DEADLINE_EXCEEDED, "no slot in time"),
@@ -424,8 +438,6 @@
     if state.phase is Phase.FINISH_RECORD:
         return _retry_finish(state, now, reason)
     if state.phase in (Phase.BEGIN, Phase.OWNER_CHECK, Phase.ATTEMPT_RECORD):
-        # This node has sent nothing and from here on never will, so "not run"
-        # is true even if the record of the call took effect.
         state.unsent = tuple(
             _make_failed(state, number, False) for number in state.attempts
         )
@@ -433,7 +445,7 @@
         return effects + _finish(
             state,
             now,
-            Outcome.NOT_RUN,
+            _get_unanswered_outcome(state),
             Reason.STATE_UNAVAILABLE,
             reason,
             retry_after=RETRY_AFTER_UNAVAILABLE,
@@ -504,7 +516,7 @@
             effects += [
                 CancelAttempt(other.number),
                 _make_release(other, True, now),
-                _make_failed(state, other.number, True),
+                _make_failed(state, other.number, other.is_dispatched),
             ]
     return effects
 
@@ -514,7 +526,8 @@
         attempt.permit,
         attempt.endpoint,
         is_success,
-        0,
+        # An engine sends about one token in a piece; health needs no more.
+        attempt.n_chunks,
         0,
         attempt.first_token,
         now - attempt.started_at,
@@ -542,6 +555,17 @@
     return releases
 
 
+def _get_unanswered_outcome(state: RequestState) -> Outcome:
+    """Return the outcome of a call that this node sends no further.
+
+    A call that this node has not sent did not run, even if its record took
+    effect, because nobody else sends it under this run.
+    """
+    if not state.was_sent:
+        return Outcome.NOT_RUN
+    return Outcome.FAILED if state.call.is_idempotent else Outcome.UNKNOWN
+
+
 def _finish(
     state: RequestState,
     now: datetime,
--- a/tests/process/replication/hosts.py
+++ b/tests/process/replication/hosts.py
@@ -26,6 +26,10 @@
         self.commands.append(command)
         return b"%d" % len(self.commands)
 
+    def replay(self, command):
+        """Keep the command."""
+        self.apply(command)
+
     def read(self, query):
         """Return all commands."""
         return b",".join(self.commands)
