--- a/oleanderhitch/program/core.py
+++ b/oleanderhitch/program/core.py
@@ -45,6 +45,19 @@
 # time costs memory: 200 programs end per second at the design scale.
 RETENTION = timedelta(minutes=5)
 
+# Commands and reads that need a program on record.
+ProgramCommand = (
+    BeginRequest
+    | RecordAttempt
+    | FailAttempt
+    | FinishRequest
+    | CloseRequest
+    | EndProgram
+    | GetProgram
+    | GetOutcome
+    | GetHistory
+)
+
 
 def make_shard_state(
     history: HistoryStore | None = None, retention: timedelta = RETENTION
@@ -87,53 +100,27 @@
     return Done()
 
 
-@apply.register
-def _(command: BeginRequest, state: ShardState) -> object:
-    entry = state.programs.get(command.program)
-    if entry is None:
-        return _refuse_unknown_program(command.program)
-    return begin_request(state, entry, command)
-
-
-@apply.register
-def _(command: RecordAttempt, state: ShardState) -> object:
-    entry = state.programs.get(command.program)
-    if entry is None:
-        return _refuse_unknown_program(command.program)
-    return record_attempt(state, entry, command)
-
-
-@apply.register
-def _(command: FailAttempt, state: ShardState) -> object:
-    entry = state.programs.get(command.program)
-    if entry is None:
-        return _refuse_unknown_program(command.program)
-    return fail_attempt(state, entry, command)
-
-
-@apply.register
-def _(command: FinishRequest, state: ShardState) -> object:
+@apply.register(BeginRequest)
+@apply.register(RecordAttempt)
+@apply.register(FailAttempt)
+@apply.register(FinishRequest)
+@apply.register(CloseRequest)
+@apply.register(EndProgram)
+@apply.register(GetProgram)
+@apply.register(GetOutcome)
+@apply.register(GetHistory)
+def _(command: ProgramCommand, state: ShardState) -> object:
     entry = state.programs.get(command.program)
     if entry is None:
         return _refuse_unknown_program(command.program)
-    return finish_request(state, entry, command)
+    return _apply_to_program(command, state, entry)
 
 
-@apply.register
-def _(command: CloseRequest, state: ShardState) -> object:
-    entry = state.programs.get(command.program)
-    if entry is None:
-        return _refuse_unknown_program(command.program)
-    return close_request(state, entry, command)
-
-
-@apply.register
-def _(command: EndProgram, state: ShardState) -> object:
-    entry = state.programs.get(command.program)
-    if entry is None:
-        return _refuse_unknown_program(command.program)
-    end_program(state, entry, command.reason, command.at)
-    return Done()
+@singledispatch
+def _apply_to_program(
+    command: object, state: ShardState, entry: ProgramEntry
+) -> object:
+    raise TypeError(f"program has no command {type(command).__name__}")
 
 
 @apply.register
@@ -156,10 +143,43 @@
 
 
 @apply.register
-def _(command: GetProgram, state: ShardState) -> object:
-    entry = state.programs.get(command.program)
-    if entry is None:
-        return _refuse_unknown_program(command.program)
+def _(command: ListReleases, state: ShardState) -> object:
+    return list_releases(state)
+
+
+@_apply_to_program.register
+def _(command: BeginRequest, state: ShardState, entry: ProgramEntry) -> object:
+    return begin_request(state, entry, command)
+
+
+@_apply_to_program.register
+def _(command: RecordAttempt, state: ShardState, entry: ProgramEntry) -> object:
+    return record_attempt(state, entry, command)
+
+
+@_apply_to_program.register
+def _(command: FailAttempt, state: ShardState, entry: ProgramEntry) -> object:
+    return fail_attempt(state, entry, command)
+
+
+@_apply_to_program.register
+def _(command: FinishRequest, state: ShardState, entry: ProgramEntry) -> object:
+    return finish_request(state, entry, command)
+
+
+@_apply_to_program.register
+def _(command: CloseRequest, state: ShardState, entry: ProgramEntry) -> object:
+    return close_request(state, entry, command)
+
+
+@_apply_to_program.register
+def _(command: EndProgram, state: ShardState, entry: ProgramEntry) -> object:
+    end_program(state, entry, command.reason, command.at)
+    return Done()
+
+
+@_apply_to_program.register
+def _(command: GetProgram, state: ShardState, entry: ProgramEntry) -> object:
     known = entry.open_request
     return ProgramSummary(
         entry.program,
@@ -176,26 +196,16 @@
     )
 
 
-@apply.register
-def _(command: GetOutcome, state: ShardState) -> object:
-    entry = state.programs.get(command.program)
-    if entry is None:
-        return _refuse_unknown_program(command.program)
+@_apply_to_program.register
+def _(command: GetOutcome, state: ShardState, entry: ProgramEntry) -> object:
     return get_record(state, entry, command.request)
 
 
-@apply.register
-def _(command: GetHistory, state: ShardState) -> object:
-    if command.program not in state.programs:
-        return _refuse_unknown_program(command.program)
+@_apply_to_program.register
+def _(command: GetHistory, state: ShardState, entry: ProgramEntry) -> object:
     return History(state.history.read_turns(command.program))
 
 
-@apply.register
-def _(command: ListReleases, state: ShardState) -> object:
-    return list_releases(state)
-
-
 def _refuse_unknown_program(program: ProgramId) -> Refused:
     return Refused(Refusal.UNKNOWN_PROGRAM, f"program {program} is not known")
 
