--- a/oleanderhitch/request/core.py
+++ b/oleanderhitch/request/core.py
@@ -1,26 +1,31 @@
 """Decide the course of one request from its record to its answer."""
 
-from dataclasses import dataclass, field
-from datetime import UTC, datetime, timedelta
+from datetime import datetime, timedelta
 from functools import singledispatch
 
 from oleanderhitch.process.messages import Tick
-from oleanderhitch.program.ids import RunId
-from oleanderhitch.program.messages import NO_RUN, Begun, Refused, RequestRecord
-from oleanderhitch.request.ids import AttemptNumber, PermitId
+from oleanderhitch.program.messages import Begun, Refused, RequestRecord
+from oleanderhitch.request.attempts import (
+    choose,
+    dispatch,
+    enqueue,
+    get_reserved_tokens,
+    make_failed,
+    make_release,
+    release_all,
+)
+from oleanderhitch.request.endings import end, finish, get_unanswered_outcome
+from oleanderhitch.request.ids import AttemptNumber
 from oleanderhitch.request.messages import (
     AnswerCaller,
     AttemptRecorded,
     AttemptRefused,
     BeginAnswered,
-    Call,
     CancelAttempt,
     CheckOwner,
     ChunkReceived,
     CloseAnswered,
-    Dispatch,
     EndTask,
-    EnqueueCall,
     FinishRecorded,
     FinishRefused,
     LookupAnswered,
@@ -37,74 +42,18 @@
     SubmitAttempt,
     SubmitBegin,
     SubmitClose,
-    SubmitFailedAttempt,
-    SubmitFinish,
     WithdrawCall,
 )
+from oleanderhitch.request.state import Attempt, RequestState
 from oleanderhitch.request.states import Outcome, Phase, Reason
-from oleanderhitch.version.ids import EndpointId
 
 # A third endpoint that fails as well points at the request, not the endpoints.
 ATTEMPT_LIMIT = 3
 FIRST_ATTEMPT = AttemptNumber(1)
-# The outcome of a request is recorded in the background for this long after
-# its caller was answered without it.
-FINISH_RETRY_LIMIT = timedelta(minutes=10)
 FINISH_RETRY_PAUSE = timedelta(milliseconds=200)
-NO_WAKE = datetime.max.replace(tzinfo=UTC)
 RETRY_AFTER_UNAVAILABLE = timedelta(seconds=1)
 
 
-@dataclass(slots=True)
-class Attempt:
-    """Hold one attempt that is under way."""
-
-    number: AttemptNumber
-    endpoint: EndpointId
-    permit: PermitId
-    priority: int
-    started_at: datetime
-    first_token: timedelta | None = None
-    n_chunks: int = 0
-    is_dispatched: bool = False
-    base: int = 0
-
-
-@dataclass(slots=True)
-class RequestState:
-    """Hold the course of one request."""
-
-    call: Call
-    phase: Phase = Phase.BEGIN
-    begun: Begun | None = None
-    owner_run: RunId = NO_RUN
-    n_attempts: int = 0
-    attempts: dict[AttemptNumber, Attempt] = field(default_factory=dict)
-    relaying: AttemptNumber | None = None
-    answer: bytearray = field(default_factory=bytearray)
-    excluded: tuple[EndpointId, ...] = ()
-    was_sent: bool = False
-    # Attempts that were recorded, or may have been, and were never sent.
-    unsent: tuple[SubmitFailedAttempt, ...] = ()
-    answered: AttemptNumber | None = None
-    finish: tuple[object, ...] = ()
-    finish_until: datetime | None = None
-    retry_finish_at: datetime | None = None
-    pending_answer: AnswerCaller | None = None
-
-
-def make_request_state(call: Call) -> RequestState:
-    """Return the state of a request that has not started."""
-    return RequestState(call, excluded=call.excluded)
-
-
-def find_wake(state: RequestState) -> datetime:
-    """Return when the request must look at the time again."""
-    if state.phase in (Phase.SLOT, Phase.ANSWER):
-        return state.call.deadline
-    return state.retry_finish_at or NO_WAKE
-
-
 @singledispatch
 def handle(message: object, state: RequestState, now: datetime) -> list[object]:
     """Return the effects of a message."""
@@ -131,7 +80,7 @@
 @_continue_begin.register
 def _(result: Begun, state: RequestState, now: datetime) -> list[object]:
     state.begun = result
-    return _enqueue(state)
+    return enqueue(state)
 
 
 @_continue_begin.register
@@ -141,13 +90,13 @@
         state.owner_run = result.run
         return [CheckOwner(result.node)]
     answer = AnswerCaller(result.outcome, result.answer, Reason.OK, is_replay=True)
-    return _end(state, answer)
+    return end(state, answer)
 
 
 @_continue_begin.register
 def _(result: Refused, state: RequestState, now: datetime) -> list[object]:
     reason = Reason(result.reason.value)
-    return _end(state, AnswerCaller(Outcome.NOT_RUN, b"", reason, result.detail))
+    return end(state, AnswerCaller(Outcome.NOT_RUN, b"", reason, result.detail))
 
 
 @handle.register
@@ -163,7 +112,7 @@
         "another host works on this request; ask for its outcome later",
         RETRY_AFTER_UNAVAILABLE,
     )
-    return _end(state, answer)
+    return end(state, answer)
 
 
 @handle.register
@@ -179,15 +128,15 @@
     number = AttemptNumber(state.n_attempts + 1)
     attempt = Attempt(number, message.endpoint, message.permit, message.priority, now)
     if not _is_slot_wanted(message, state):
-        return [_make_release(attempt, False, now)]
+        return [make_release(attempt, False, now)]
     state.n_attempts += 1
     state.attempts[number] = attempt
-    record = SubmitAttempt(number, message.endpoint, _get_reserved_tokens(state))
+    record = SubmitAttempt(number, message.endpoint, get_reserved_tokens(state))
     if state.call.is_idempotent and number == FIRST_ATTEMPT:
         # The begin has reserved its spend, and it may run again after a crash,
         # so it need not wait for its record.
         state.phase = Phase.ANSWER
-        return [record, _dispatch(state, attempt)]
+        return [record, dispatch(state, attempt)]
     # A call that may not be repeated must not be sent before its record is
     # durable, and a further attempt not before its spend is reserved.
     if not message.is_hedge:
@@ -206,8 +155,8 @@
 def _(message: SlotRefused, state: RequestState, now: datetime) -> list[object]:
     if state.phase is not Phase.SLOT:
         return []
-    outcome = _get_unanswered_outcome(state)
-    return _finish(
+    outcome = get_unanswered_outcome(state)
+    return finish(
         state,
         now,
         outcome,
@@ -223,7 +172,7 @@
     if attempt is None or attempt.is_dispatched:
         return []
     state.phase = Phase.ANSWER
-    return [_dispatch(state, attempt)]
+    return [dispatch(state, attempt)]
 
 
 @handle.register
@@ -234,12 +183,12 @@
     if not attempt.is_dispatched and state.phase is Phase.ANSWER:
         # A hedge that the budget does not cover; the first attempt goes on.
         del state.attempts[message.attempt]
-        return [_make_release(attempt, True, now)]
+        return [make_release(attempt, True, now)]
     if state.phase is Phase.ATTEMPT_RECORD:
-        return _release_all(state, now) + _finish(
+        return release_all(state, now) + finish(
             state,
             now,
-            _get_unanswered_outcome(state),
+            get_unanswered_outcome(state),
             message.reason,
             message.detail,
         )
@@ -249,8 +198,8 @@
     cancels: list[object] = [CancelAttempt(number) for number in state.attempts]
     return [
         *cancels,
-        *_release_all(state, now),
-        *_finish(
+        *release_all(state, now),
+        *finish(
             state,
             now,
             Outcome.FAILED,
@@ -265,7 +214,7 @@
     attempt = state.attempts.get(message.attempt)
     if attempt is None or state.phase is not Phase.ANSWER:
         return []
-    effects = _choose(state, attempt, now)
+    effects = choose(state, attempt, now)
     if state.relaying != message.attempt:
         return effects
     if attempt.first_token is None:
@@ -290,7 +239,7 @@
     attempt = state.attempts.get(message.attempt)
     if attempt is None or state.phase is not Phase.ANSWER:
         return []
-    effects = _choose(state, attempt, now)
+    effects = choose(state, attempt, now)
     if state.relaying != message.attempt:
         return effects
     del state.attempts[message.attempt]
@@ -305,7 +254,7 @@
     )
     spent = message.prompt_tokens + message.completion_tokens
     state.answered = message.attempt
-    finish = _finish(
+    ending = finish(
         state,
         now,
         Outcome.COMPLETED,
@@ -313,7 +262,7 @@
         spent_tokens=spent,
         context_tokens=spent,
     )
-    return [*effects, release, *finish]
+    return [*effects, release, *ending]
 
 
 @handle.register
@@ -323,28 +272,26 @@
         return []
     state.was_sent = state.was_sent or message.was_sent
     state.excluded = (*state.excluded, attempt.endpoint)
-    failed = _make_failed(state, message.attempt, message.was_sent)
+    failed = make_failed(state, message.attempt, message.was_sent)
     if not message.was_sent:
         state.unsent = (*state.unsent, failed)
-    effects: list[object] = [_make_release(attempt, False, now), failed]
+    effects: list[object] = [make_release(attempt, False, now), failed]
     if state.relaying == message.attempt:
         state.relaying = None
     if state.attempts:
         return effects
     if message.is_final:
         detail = message.reason
-        return effects + _finish(
+        return effects + finish(
             state, now, Outcome.FAILED, Reason.ENDPOINT_REFUSED, detail
         )
     if message.was_sent and not state.call.is_idempotent:
         state.phase = Phase.LOOKUP
         return [*effects, LookUpCall(attempt.endpoint)]
     if state.n_attempts < ATTEMPT_LIMIT and now < state.call.deadline:
-        return effects + _enqueue(state)
-    outcome = _get_unanswered_outcome(state)
-    return effects + _finish(
-        state, now, outcome, Reason.ENDPOINT_FAILED, message.reason
-    )
+        return effects + enqueue(state)
+    outcome = get_unanswered_outcome(state)
+    return effects + finish(state, now, outcome, Reason.ENDPOINT_FAILED, message.reason)
 
 
 @handle.register
@@ -354,9 +301,9 @@
     if message.is_known:
         state.answer = bytearray(message.answer)
         if message.was_refused:
-            return _finish(state, now, Outcome.FAILED, Reason.ENDPOINT_REFUSED)
-        return _finish(state, now, Outcome.COMPLETED, Reason.OK)
-    return _finish(
+            return finish(state, now, Outcome.FAILED, Reason.ENDPOINT_REFUSED)
+        return finish(state, now, Outcome.COMPLETED, Reason.OK)
+    return finish(
         state,
         now,
         Outcome.UNKNOWN,
@@ -409,10 +356,10 @@
     if now < state.call.deadline:
         return []
     if state.phase is Phase.SLOT:
-        outcome = _get_unanswered_outcome(state)
+        outcome = get_unanswered_outcome(state)
         return [
             WithdrawCall(),
-            *_finish(state, now, outcome, Reason.DEADLINE_EXCEEDED, "no slot in time"),
+            *finish(state, now, outcome, Reason.DEADLINE_EXCEEDED, "no slot in time"),
         ]
     if state.phase is Phase.ANSWER:
         state.was_sent = True
@@ -420,8 +367,8 @@
         cancels: list[object] = [CancelAttempt(number) for number in state.attempts]
         return [
             *cancels,
-            *_release_all(state, now),
-            *_finish(
+            *release_all(state, now),
+            *finish(
                 state,
                 now,
                 Outcome.UNKNOWN if is_unknown else Outcome.FAILED,
@@ -439,13 +386,13 @@
         return _retry_finish(state, now, reason)
     if state.phase in (Phase.BEGIN, Phase.OWNER_CHECK, Phase.ATTEMPT_RECORD):
         state.unsent = tuple(
-            _make_failed(state, number, False) for number in state.attempts
+            make_failed(state, number, False) for number in state.attempts
         )
-        effects = _release_all(state, now)
-        return effects + _finish(
+        effects = release_all(state, now)
+        return effects + finish(
             state,
             now,
-            _get_unanswered_outcome(state),
+            get_unanswered_outcome(state),
             Reason.STATE_UNAVAILABLE,
             reason,
             retry_after=RETRY_AFTER_UNAVAILABLE,
@@ -474,122 +421,3 @@
         state.phase = Phase.ENDED
         return [*effects, EndTask()]
     return [*effects, *state.finish]
-
-
-def _enqueue(state: RequestState) -> list[object]:
-    assert state.begun is not None
-    state.phase = Phase.SLOT
-    history = sum(len(turn.content) + len(turn.answer) for turn in state.begun.history)
-    return [
-        EnqueueCall(
-            len(state.begun.history),
-            state.begun.attained_tokens,
-            history + len(state.answer),
-            state.begun.holders,
-            state.excluded,
-        )
-    ]
-
-
-def _dispatch(state: RequestState, attempt: Attempt) -> Dispatch:
-    assert state.begun is not None
-    attempt.is_dispatched = True
-    attempt.base = len(state.answer)
-    return Dispatch(
-        attempt.number,
-        attempt.endpoint,
-        attempt.priority,
-        state.begun.history,
-        bytes(state.answer),
-    )
-
-
-def _choose(state: RequestState, attempt: Attempt, now: datetime) -> list[object]:
-    """Relay the first attempt that answers and cancel the others."""
-    if state.relaying is not None:
-        return []
-    state.relaying = attempt.number
-    effects: list[object] = []
-    for other in list(state.attempts.values()):
-        if other.number != attempt.number:
-            del state.attempts[other.number]
-            effects += [
-                CancelAttempt(other.number),
-                _make_release(other, True, now),
-                _make_failed(state, other.number, other.is_dispatched),
-            ]
-    return effects
-
-
-def _make_release(attempt: Attempt, is_success: bool, now: datetime) -> ReleasePermit:
-    return ReleasePermit(
-        attempt.permit,
-        attempt.endpoint,
-        is_success,
-        # An engine sends about one token in a piece; health needs no more.
-        attempt.n_chunks,
-        0,
-        attempt.first_token,
-        now - attempt.started_at,
-    )
-
-
-def _make_failed(
-    state: RequestState, attempt: AttemptNumber, was_sent: bool
-) -> SubmitFailedAttempt:
-    # The engine's usage report is lost with the answer, so the whole
-    # reservation counts as spent.
-    spent = _get_reserved_tokens(state) if was_sent else 0
-    return SubmitFailedAttempt(attempt, was_sent, spent)
-
-
-def _get_reserved_tokens(state: RequestState) -> int:
-    return 0 if state.begun is None else state.begun.reserved_tokens
-
-
-def _release_all(state: RequestState, now: datetime) -> list[object]:
-    releases: list[object] = [
-        _make_release(attempt, False, now) for attempt in state.attempts.values()
-    ]
-    state.attempts.clear()
-    return releases
-
-
-def _get_unanswered_outcome(state: RequestState) -> Outcome:
-    """Return the outcome of a call that this node sends no further.
-
-    A call that this node has not sent did not run, even if its record took
-    effect, because nobody else sends it under this run.
-    """
-    if not state.was_sent:
-        return Outcome.NOT_RUN
-    return Outcome.FAILED if state.call.is_idempotent else Outcome.UNKNOWN
-
-
-def _finish(
-    state: RequestState,
-    now: datetime,
-    outcome: Outcome,
-    reason: Reason,
-    detail: str = "",
-    spent_tokens: int = 0,
-    retry_after: timedelta | None = None,
-    answer_first: bool = False,
-    context_tokens: int = 0,
-) -> list[object]:
-    """Record the outcome, then answer; the other way round if answer_first."""
-    answer = bytes(state.answer)
-    state.phase = Phase.FINISH_RECORD
-    finish = SubmitFinish(outcome, answer, spent_tokens, context_tokens, state.answered)
-    state.finish = (*state.unsent, finish)
-    state.finish_until = now + FINISH_RETRY_LIMIT
-    to_caller = AnswerCaller(outcome, answer, reason, detail, retry_after)
-    if answer_first:
-        return [to_caller, *state.finish]
-    state.pending_answer = to_caller
-    return [finish]
-
-
-def _end(state: RequestState, answer: AnswerCaller) -> list[object]:
-    state.phase = Phase.ENDED
-    return [answer, EndTask()]
--- a/oleanderhitch/request/task.py
+++ b/oleanderhitch/request/task.py
@@ -30,12 +30,7 @@
     FinishRequest,
     RecordAttempt,
 )
-from oleanderhitch.request.core import (
-    RequestState,
-    find_wake,
-    handle,
-    make_request_state,
-)
+from oleanderhitch.request.core import handle
 from oleanderhitch.request.history import make_prompt
 from oleanderhitch.request.ids import AttemptNumber
 from oleanderhitch.request.messages import (
@@ -60,6 +55,7 @@
 )
 from oleanderhitch.request.observer import RequestObserver, make_observer, note
 from oleanderhitch.request.results import ShardReplies
+from oleanderhitch.request.state import RequestState, find_wake, make_request_state
 from oleanderhitch.version.ids import EndpointId
 
 STATE_TIMEOUT = timedelta(seconds=5)
--- a/tests/request/test_core.py
+++ b/tests/request/test_core.py
@@ -24,7 +24,7 @@
     RequestRecord,
     StartProgram,
 )
-from oleanderhitch.request.core import handle, make_request_state
+from oleanderhitch.request.core import handle
 from oleanderhitch.request.ids import PermitId, RequestId
 from oleanderhitch.request.messages import (
     AnswerCaller,
@@ -54,6 +54,7 @@
     WithdrawCall,
 )
 from oleanderhitch.request.results import make_answer, make_unreachable
+from oleanderhitch.request.state import make_request_state
 from oleanderhitch.request.states import Outcome
 from oleanderhitch.version.ids import EndpointId, PoolId
 
