--- a/oleanderhitch/process/intake/core.py
+++ b/oleanderhitch/process/intake/core.py
@@ -25,6 +25,11 @@
     StartRequest,
     SubmitCall,
 )
+from oleanderhitch.process.intake.work import (
+    estimate_tokens,
+    get_pool_name,
+    is_idempotent,
+)
 from oleanderhitch.process.membership.node.messages import (
     ConfigurationCompiled,
     MembershipView,
@@ -52,9 +57,7 @@
 from oleanderhitch.request.messages import (
     AnswerCaller,
     Call,
-    ModelWork,
     OwnerChecked,
-    ServiceWork,
     Work,
 )
 from oleanderhitch.request.states import Outcome, Reason
@@ -63,15 +66,11 @@
 from oleanderhitch.version.ids import (
     NO_VERSION,
     DataCentreName,
-    OperationName,
     PoolId,
-    ServiceName,
 )
 from oleanderhitch.version.states import HostRole
 
 RETRY_AFTER = timedelta(seconds=1)
-# Chat templates add a few tokens around each message.
-TEMPLATE_TOKENS = 16
 NEVER = datetime.min.replace(tzinfo=UTC)
 
 
@@ -370,57 +369,3 @@
     assert state.configuration is not None
     region = state.configuration.data_centres.get(state.data_centre)
     return sorted(pools, key=lambda pool: pool.region != region)
-
-
-@singledispatch
-def get_pool_name(work: object) -> tuple[str, Reason]:
-    """Return the name that pools serve and the reason when there is none."""
-    raise TypeError(f"no pool for {type(work).__name__}")
-
-
-@get_pool_name.register
-def _(work: ModelWork) -> tuple[str, Reason]:
-    return work.model, Reason.UNKNOWN_MODEL
-
-
-@get_pool_name.register
-def _(work: ServiceWork) -> tuple[str, Reason]:
-    return work.service, Reason.UNKNOWN_SERVICE
-
-
-@singledispatch
-def is_idempotent(work: object, configuration: Configuration) -> bool:
-    """Return whether the work may run more than once."""
-    raise TypeError(f"no repeat rule for {type(work).__name__}")
-
-
-@is_idempotent.register
-def _(work: ModelWork, configuration: Configuration) -> bool:
-    return True
-
-
-@is_idempotent.register
-def _(work: ServiceWork, configuration: Configuration) -> bool:
-    return configuration.is_idempotent(
-        ServiceName(work.service), OperationName(work.operation)
-    )
-
-
-@singledispatch
-def estimate_tokens(work: object) -> int:
-    """Return the most tokens that the new turn may add, history apart."""
-    raise TypeError(f"no token estimate for {type(work).__name__}")
-
-
-@estimate_tokens.register
-def _(work: ModelWork) -> int:
-    # A token has one byte at least, so bytes bound the prompt from above.
-    prompt = sum(
-        len(message["content"].encode()) + TEMPLATE_TOKENS for message in work.messages
-    )
-    return prompt + work.max_tokens
-
-
-@estimate_tokens.register
-def _(work: ServiceWork) -> int:
-    return 0
--- a/tests/program/measure_history.py
+++ b/scripts/bench_history.py
@@ -1,4 +1,4 @@
-"""Measure what programs cost: python -m tests.program.measure_history.
+"""Measure what programs cost: python scripts/bench_history.py.
 
 Prints memory per program with both history stores, and the time of the
 commands of one turn. A turn has 4,286 bytes: 150,000 tokens of 4 bytes in 140
--- a/tests/process/membership/measure_push.py
+++ b/scripts/bench_push.py
@@ -1,6 +1,6 @@
 """Print what leases and pushed versions cost at today's and at design scale.
 
-Run with: python -m tests.process.membership.measure_push
+Run with: python scripts/bench_push.py
 """
 
 import json
@@ -41,7 +41,7 @@
 
 AT = datetime(2026, 1, 1, tzinfo=UTC)
 CODEC = make_codec([*configuration_messages.MESSAGES, *membership_messages.MESSAGES])
-EXAMPLES = Path(__file__).parents[3] / "examples"
+EXAMPLES = Path(__file__).parents[1] / "examples"
 CHANGES_PER_DAY = 4_400
 SECONDS_PER_CHANGE = 86_400 / CHANGES_PER_DAY
 N_NODES = 400
