--- a/oleanderhitch/connection/caller/programs.py
+++ b/oleanderhitch/connection/caller/programs.py
@@ -18,6 +18,8 @@
 from oleanderhitch.process.ids import GroupId
 from oleanderhitch.process.intake.messages import GetProgramTerms, ProgramTerms
 from oleanderhitch.process.mailbox import make_mailbox
+from oleanderhitch.process.metrics.core import Metrics
+from oleanderhitch.process.metrics.states import Latency
 from oleanderhitch.program.checks import find_program_id_fault
 from oleanderhitch.program.ids import AccountId, ProgramId
 from oleanderhitch.program.messages import (
@@ -53,12 +55,14 @@
         codec: Codec,
         get_group: GetGroup,
         clock: Clock,
+        metrics: Metrics,
     ) -> None:
         self._groups = groups
         self._intake = intake
         self._codec = codec
         self._get_group = get_group
         self._clock = clock
+        self._metrics = metrics
 
     def start_program(self, headers: Headers, body: bytes) -> ProgramSummary:
         """Return the new program's summary; raise CallRefusedError."""
@@ -101,6 +105,9 @@
             )
         command = EndProgram(summary.program, reason, self._clock.now())
         _check_result(self._submit(summary.program, command, False))
+        if summary.end_reason is None and summary.started_at is not None:
+            latency = self._clock.now() - summary.started_at
+            self._metrics.record(Latency.PROGRAM, latency)
         return self._get_summary(account, name)
 
     def get_outcome(self, headers: Headers, request: str) -> RequestRecord:
--- a/oleanderhitch/process/commands/trace_show.py
+++ b/oleanderhitch/process/commands/trace_show.py
@@ -37,7 +37,7 @@
         if not traces:
             self.line_error(
                 f"<error>no span of request {request} in {directory}; it may not "
-                "have been sampled (OLEANDERHITCH_TRACE_SAMPLE_RATIO)</error>"
+                "have been sampled (OLEANDERHITCH_TRACE_RATIO)</error>"
             )
             return 1
         for trace, records in traces.items():
--- a/oleanderhitch/process/metrics/states.py
+++ b/oleanderhitch/process/metrics/states.py
@@ -93,9 +93,6 @@
     QUEUE_LENGTH = MetricName(
         "oleanderhitch_queue_length", "Calls that wait, by pool.", "pool"
     )
-    PROGRAMS = MetricName(
-        "oleanderhitch_programs", "Programs in progress, by group.", "group"
-    )
     OPEN_RELEASES = MetricName(
         "oleanderhitch_open_releases", "Releases that no engine has confirmed."
     )
@@ -105,9 +102,6 @@
     LEADER = MetricName(
         "oleanderhitch_leader", "1 where this process leads the group.", "group"
     )
-    ENDPOINTS_ON_PROBATION = MetricName(
-        "oleanderhitch_endpoints_on_probation", "Slowed endpoints, by pool.", "pool"
-    )
 
 
 Metric = Latency | Counter | Gauge
--- a/oleanderhitch/process/roles/entry.py
+++ b/oleanderhitch/process/roles/entry.py
@@ -239,7 +239,7 @@
         send_to_store,
         intake,
     )
-    programs = ProgramFront(groups, intake, codec, get_group, clock)
+    programs = ProgramFront(groups, intake, codec, get_group, clock, metrics)
     status = StatusFront(metrics, tracer, intake, router)
     app = make_caller_app(intake, programs, status, tracer)
     parts = EntryParts(
--- a/oleanderhitch/program/core.py
+++ b/oleanderhitch/program/core.py
@@ -91,6 +91,7 @@
         command.n_repeats_limit,
         command.silence_limit,
         command.at,
+        started_at=command.at,
     )
     state.programs[command.program] = entry
     parent = state.find_parent(entry)
@@ -193,6 +194,7 @@
         entry.end_reason,
         None if known is None else known.request,
         entry.overrun_tokens,
+        entry.started_at,
     )
 
 
--- a/oleanderhitch/program/entries.py
+++ b/oleanderhitch/program/entries.py
@@ -113,6 +113,7 @@
     released: dict[EndpointId, None] = field(default_factory=dict)
     n_holds: int = 0
     context_tokens: int = 0
+    started_at: datetime | None = None
 
     @property
     def next_sequence(self) -> SequenceNumber:
--- a/oleanderhitch/program/messages.py
+++ b/oleanderhitch/program/messages.py
@@ -240,6 +240,7 @@
     end_reason: EndReason | None
     open_request: RequestId | None = None
     overrun_tokens: int = 0
+    started_at: datetime | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,6 +9,10 @@
 
 from hypothesis import HealthCheck, settings  # noqa: E402
 
+# These need the processes that scripts/process_tests.sh starts.
+if "OLEANDERHITCH_DEPLOYMENT" not in os.environ:
+    collect_ignore = ["processes"]
+
 _COMMON = {
     "derandomize": True,
     "database": None,
--- a/tests/processes/test_scenarios.py
+++ b/tests/processes/test_scenarios.py
@@ -14,10 +14,6 @@
 SCENARIOS = sorted((Path(__file__).parent / "scenarios").glob("*.txt"))
 WORK = os.environ.get("OLEANDERHITCH_DEPLOYMENT")
 
-pytestmark = pytest.mark.skipif(
-    WORK is None, reason="needs the processes that scripts/process_tests.sh starts"
-)
-
 
 class Verbs:
     """Give the scenario language its meaning for separate processes."""
