Sent each piece of an answer at once

Cause: one call at a time took 48.5 ms longer through an entry than direct at 50 of 100, 35 ms of it before the first piece. The callers' server left Nagle's algorithm on, so that a piece waited for the delayed acknowledgement of the one before; the stand-in engine did the same. Change: TCP_NODELAY on accepted connections.

--- a/oleanderhitch/connection/caller/server.py
+++ b/oleanderhitch/connection/caller/server.py
@@ -2,8 +2,9 @@
 
 import bottle
 import logbook
+from gevent import socket
 from gevent.pool import Pool
-from gevent.pywsgi import WSGIServer
+from gevent.pywsgi import WSGIHandler, WSGIServer
 
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.connection.peer.addresses import parse_address
@@ -33,6 +34,18 @@
         """Do nothing; the log writes by itself."""
 
 
+class PromptHandler(WSGIHandler):  # type: ignore[misc]
+    """Send each piece of an answer at once.
+
+    With Nagle's algorithm a piece waits for the caller's acknowledgement of the
+    one before, which the caller's host delays by 40 ms.
+    """
+
+    def __init__(self, accepted: socket.socket, remote: object, server: object) -> None:
+        accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super().__init__(accepted, remote, server)
+
+
 class CallerServer:
     """Own the listening socket for callers."""
 
@@ -43,6 +56,7 @@
             spawn=Pool(CONNECTION_LIMIT),
             log=None,
             error_log=_LineLog(),
+            handler_class=PromptHandler,
         )
 
     def start(self) -> None:
--- a/standins/connection/replies.py
+++ b/standins/connection/replies.py
@@ -8,8 +8,8 @@
 
 import bottle
 from gevent.event import Event
-from gevent.pywsgi import WSGIHandler
 
+from oleanderhitch.connection.caller.server import PromptHandler
 from oleanderhitch.process.mailbox import Address, Mailbox, make_mailbox
 from standins.request.messages import Answer, SetFault
 from standins.request.states import FaultKind
@@ -42,7 +42,7 @@
         return bool(self._idle.wait(timeout.total_seconds()))
 
 
-class SocketHandler(WSGIHandler):  # type: ignore[misc]
+class SocketHandler(PromptHandler):
     """Give handlers access to their socket, so that they can break it."""
 
     def get_environ(self) -> dict[str, Any]:
