--- a/bench/process/calls.py
+++ b/bench/process/calls.py
@@ -47,13 +47,15 @@
     ).encode()
 
 
-def time_call(address: str, headers: dict[str, str], timing: Timing) -> None:
+def time_call(
+    address: str, headers: dict[str, str], timing: Timing, n_tokens: int = N_TOKENS
+) -> None:
     """Stream one answer and record its times."""
     started = time.perf_counter()
     response = http.request(
         "POST",
         f"{address}/v1/chat/completions",
-        body=make_body(N_TOKENS),
+        body=make_body(n_tokens),
         headers={"Content-Type": "application/json", **headers},
         preload_content=False,
     )
@@ -89,19 +91,23 @@
         thread.join()
 
 
-def run_program(address: str, n_calls: int, timing: Timing) -> None:
+def run_program(
+    address: str, n_calls: int, timing: Timing, n_tokens: int = N_TOKENS
+) -> None:
     """Run the calls of one program one after another."""
     program = start_program(address)
     for sequence in range(1, n_calls + 1):
         headers = {**ACCOUNT, "X-Program": program, "X-Sequence": str(sequence)}
-        time_call(address, headers, timing)
+        time_call(address, headers, timing, n_tokens)
 
 
-def run_side_by_side(address: str, n_programs: int, n_calls: int) -> Timing:
+def run_side_by_side(
+    address: str, n_programs: int, n_calls: int, n_tokens: int = N_TOKENS
+) -> Timing:
     """Run programs side by side and return the times of all calls."""
     timing = Timing()
     threads = [
-        threading.Thread(target=run_program, args=(address, n_calls, timing))
+        threading.Thread(target=run_program, args=(address, n_calls, timing, n_tokens))
         for _ in range(n_programs)
     ]
     for thread in threads:
--- a/bench/process/commands/processes.py
+++ b/bench/process/commands/processes.py
@@ -34,6 +34,7 @@
     print_idle(processes)
     print_added_time()
     print_throughput(processes)
+    print_pieces(processes)
     print_programs(processes)
     print_nodes(processes)
 
@@ -98,6 +99,24 @@
         )
 
 
+def print_pieces(processes: Processes) -> None:
+    """Print the entry's processor time against the pieces of an answer."""
+    counts = [32, 128, 256]
+    cpu_ms: list[float] = []
+    for n_tokens in counts:
+        before = processes.get_usage("entry-1")
+        timing = run_side_by_side(ENTRY_1, 8, 8, n_tokens)
+        after = processes.get_usage("entry-1")
+        n_calls = timing.whole.get_total_count()
+        cpu_ms.append(1000 * (after.cpu_s - before.cpu_s) / n_calls)
+    slope, fit = _fit(counts, cpu_ms)
+    start = cpu_ms[0] - slope * counts[0]
+    print(
+        f"pieces through an entry: {slope * 1000:.0f} us each, "
+        f"{start:.1f} ms for the rest of a request, fit {fit:.3f}"
+    )
+
+
 def print_programs(processes: Processes) -> None:
     """Print the memory of a store against the programs that it holds."""
     counts = [0]
