Named requests by program and key

Cause: two programs that used the same Idempotency-Key at one entry shared an entry in the queues and at the service, so an answer could have crossed. Change: the request id is <program>~<key>. A caller that reads too slowly gets no piece behind one that found no room; the answer itself brings the rest.

--- a/oleanderhitch/connection/caller/app.py
+++ b/oleanderhitch/connection/caller/app.py
@@ -172,7 +172,7 @@
     def end_program(program: str) -> Any:
         return render_program(programs.end_program(bottle.request.headers, program))
 
-    @app.get("/v1/requests/<request>")
+    @app.get("/v1/requests/<request:path>")
     def get_outcome(request: str) -> Any:
         return render_record(programs.get_outcome(bottle.request.headers, request))
 
--- a/oleanderhitch/connection/caller/parsing.py
+++ b/oleanderhitch/connection/caller/parsing.py
@@ -9,11 +9,13 @@
 import xxhash
 
 from oleanderhitch.connection.caller.exceptions import CallRefusedError
+from oleanderhitch.exceptions import InvalidInputError
 from oleanderhitch.process.intake.messages import CallerCall
 from oleanderhitch.process.tracing.tracer import extract_trace
 from oleanderhitch.program.ids import AccountId, ProgramId, SequenceNumber
 from oleanderhitch.request.ids import RequestId
 from oleanderhitch.request.messages import ModelWork, ServiceWork, Work
+from oleanderhitch.request.naming import make_request_id
 from oleanderhitch.request.states import Reason
 
 BODY_LIMIT_BYTES = 1024 * 1024
@@ -66,6 +68,14 @@
     return document
 
 
+def parse_request_id(program: ProgramId, key: str) -> RequestId:
+    """Return the id of a call; raise CallRefusedError for a malformed key."""
+    try:
+        return make_request_id(program, key)
+    except InvalidInputError as error:
+        raise CallRefusedError(Reason.BAD_REQUEST, str(error)) from None
+
+
 def get_header(headers: Headers, name: str) -> str:
     """Return a header that must be there; raise CallRefusedError."""
     value = headers.get(name, "")
@@ -87,10 +97,11 @@
 
 
 def _make_call(headers: Headers, work: Work, body: bytes) -> CallerCall:
+    program = ProgramId(get_header(headers, "X-Program"))
     return CallerCall(
-        RequestId(headers.get("Idempotency-Key") or uuid.uuid4().hex),
+        parse_request_id(program, headers.get("Idempotency-Key") or uuid.uuid4().hex),
         AccountId(get_header(headers, "X-Account")),
-        ProgramId(get_header(headers, "X-Program")),
+        program,
         SequenceNumber(_get_header_number(headers, "X-Sequence", None)),
         work,
         xxhash.xxh3_128_hexdigest(repr(type(work)).encode() + body),
--- a/oleanderhitch/connection/caller/programs.py
+++ b/oleanderhitch/connection/caller/programs.py
@@ -10,6 +10,7 @@
     get_header,
     get_whole_number,
     parse_json_object,
+    parse_request_id,
 )
 from oleanderhitch.connection.codec import Codec
 from oleanderhitch.process.address import Address
@@ -33,7 +34,6 @@
     StartProgram,
 )
 from oleanderhitch.program.states import EndReason
-from oleanderhitch.request.ids import RequestId
 from oleanderhitch.request.messages import AnswerCaller
 from oleanderhitch.request.states import Outcome, Reason
 
@@ -115,7 +115,7 @@
         account = AccountId(get_header(headers, "X-Account"))
         program = ProgramId(get_header(headers, "X-Program"))
         self._get_summary(account, program)
-        query = GetOutcome(program, RequestId(request))
+        query = GetOutcome(program, parse_request_id(program, request))
         result = self._submit(program, query, True)
         if isinstance(result, RequestRecord):
             return result
--- a/oleanderhitch/process/operators/network.py
+++ b/oleanderhitch/process/operators/network.py
@@ -33,6 +33,7 @@
 from oleanderhitch.program.ids import ProgramId
 from oleanderhitch.program.messages import GetOutcome, Refused, RequestRecord
 from oleanderhitch.request.ids import RequestId
+from oleanderhitch.request.naming import make_request_id
 from oleanderhitch.version.ids import ConfigurationVersion
 
 OPERATOR_NODE = NodeId("operator")
@@ -82,7 +83,8 @@
     ) -> RequestRecord | Refused:
         """Return what is recorded of a request."""
         group = get_program_group(program, self._n_shards)
-        answer = self._client.submit(group, GetOutcome(program, request), True)
+        query = GetOutcome(program, make_request_id(program, request))
+        answer = self._client.submit(group, query, True)
         if isinstance(answer, RequestRecord | Refused):
             return answer
         raise UnavailableError(f"unexpected answer to a look-up: {answer}")
--- a/oleanderhitch/request/task.py
+++ b/oleanderhitch/request/task.py
@@ -7,8 +7,10 @@
 from functools import singledispatch
 from typing import Protocol
 
+import gevent
+
 from oleanderhitch.connection.codec import Codec
-from oleanderhitch.process.address import Address
+from oleanderhitch.process.address import Address, MailboxFullError
 from oleanderhitch.process.clock import Clock
 from oleanderhitch.process.groups.client.messages import SubmitToGroup
 from oleanderhitch.process.ids import GroupId, NodeId
@@ -59,6 +61,9 @@
 from oleanderhitch.version.ids import EndpointId
 
 STATE_TIMEOUT = timedelta(seconds=5)
+# A caller that reads slowly gets its answer once it has read what waits.
+ANSWER_TRIES = 1200
+ANSWER_PAUSE = timedelta(milliseconds=100)
 MAILBOX_CAPACITY_MESSAGES = 2000
 # Text has about four bytes a token; this estimate only orders the queue.
 BYTES_PER_TOKEN = 4
@@ -109,6 +114,7 @@
     services: RequestServices
     run: RunId
     observer: RequestObserver
+    is_caller_behind: bool = False
     streams: dict[AttemptNumber, Address] = field(default_factory=dict)
     task: Task[RequestState] | None = None
 
@@ -321,10 +327,30 @@
     )
 
 
-@perform_effect.register(RelayChunk)
-@perform_effect.register(AnswerCaller)
-def _(effect: RelayChunk | AnswerCaller, resources: RequestResources) -> None:
-    resources.caller.send(effect)
+@perform_effect.register
+def _(effect: RelayChunk, resources: RequestResources) -> None:
+    if resources.is_caller_behind:
+        return
+    try:
+        resources.caller.send(effect)
+    except MailboxFullError:
+        # A later piece behind a lost one would be taken for the lost one; the
+        # answer itself brings all that was not relayed.
+        resources.is_caller_behind = True
+
+
+@perform_effect.register
+def _(effect: AnswerCaller, resources: RequestResources) -> None:
+    _answer(resources.caller, effect, ANSWER_TRIES)
+
+
+def _answer(caller: Address, answer: AnswerCaller, n_tries: int) -> None:
+    try:
+        caller.send(answer)
+    except MailboxFullError:
+        if n_tries > 0:
+            pause = ANSWER_PAUSE.total_seconds()
+            gevent.spawn_later(pause, _answer, caller, answer, n_tries - 1)
 
 
 @perform_effect.register
--- a/tests/processes/load.py
+++ b/tests/processes/load.py
@@ -72,14 +72,14 @@
             outcome = self.request("POST", path, body, headers, 200)
             if outcome != "not_run":
                 break
-            self.not_run.append(key)
+            self.not_run.append(f"{self.name}~{key}")
             time.sleep(0.1)
         took = time.monotonic() - started
         self.longest_call_s = max(self.longest_call_s, took)
         if outcome == "completed":
-            self.completed.append((key, path))
+            self.completed.append((f"{self.name}~{key}", path))
         else:
-            self.unknown.append(key)
+            self.unknown.append(f"{self.name}~{key}")
         return outcome
 
     def request(self, method, path, body, headers, expected):
--- a/tests/processes/test_calls.py
+++ b/tests/processes/test_calls.py
@@ -73,6 +73,12 @@
     texts = [document["choices"][0]["message"] for _, document in answers]
     assert texts[0] == texts[1]
     assert [document["is_replay"] for _, document in answers] == [False, True]
+    record = http.request(
+        "GET",
+        f"{ENTRIES['entry-2']}/v1/requests/{key}",
+        headers={**ACCOUNT, "X-Program": program},
+    ).json()
+    assert record["outcome"] == "completed"
     other = ask(ENTRIES["entry-1"], program, key=key, max_tokens=9)
     assert other[1]["error"]["code"] == "request_id_reused"
 
@@ -89,7 +95,7 @@
             for path in (Path(WORK) / "traces").glob("*.jsonl")
             for line in path.read_text().splitlines()
         ]
-        traces = select_traces(records, key)
+        traces = select_traces(records, f"{program}~{key}")
         spans = next(iter(traces.values()), [])
         return spans if {span.hop for span in spans} == expected else None
 
