--- a/oleanderhitch/process/engines/polling/core.py
+++ b/oleanderhitch/process/engines/polling/core.py
@@ -24,7 +24,7 @@
     EventGapSeen,
     HolderChanged,
     HoldersListed,
-    Publish,
+    NotifyFollowers,
 )
 from oleanderhitch.process.messages import Tick
 from oleanderhitch.process.scheduling.messages import LoadReported
@@ -94,7 +94,7 @@
             view = _make_view(offer.endpoint, offer.address, now)
         state.engines[offer.endpoint] = view
     return [
-        Publish(HoldersListed(endpoint, frozenset()))
+        NotifyFollowers(HoldersListed(endpoint, frozenset()))
         for endpoint in known
         if endpoint not in state.engines
     ]
@@ -119,7 +119,7 @@
     report = LoadReported(
         message.endpoint, message.n_running, message.n_waiting, message.age
     )
-    return [Publish(report)]
+    return [NotifyFollowers(report)]
 
 
 @handle.register
@@ -146,7 +146,7 @@
     view.cursor = max(view.cursor, message.last)
     if has_gap:
         view.polls[ReadCachePrograms].is_wanted_again = True
-        effects.append(Publish(EventGapSeen(view.endpoint)))
+        effects.append(NotifyFollowers(EventGapSeen(view.endpoint)))
     return effects
 
 
@@ -156,7 +156,7 @@
     if not _finish(state, message.endpoint, ReadCachePrograms, now) or view is None:
         return []
     view.programs = set(message.programs)
-    return [Publish(HoldersListed(message.endpoint, message.programs))]
+    return [NotifyFollowers(HoldersListed(message.endpoint, message.programs))]
 
 
 @handle.register
@@ -211,4 +211,4 @@
     if is_stored == (program in view.programs):
         return []
     (view.programs.add if is_stored else view.programs.discard)(program)
-    return [Publish(HolderChanged(view.endpoint, program, is_stored))]
+    return [NotifyFollowers(HolderChanged(view.endpoint, program, is_stored))]
--- a/oleanderhitch/process/engines/polling/messages.py
+++ b/oleanderhitch/process/engines/polling/messages.py
@@ -31,7 +31,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Publish:
+class NotifyFollowers:
     """Send a message to the tasks that follow the engines."""
 
     message: object
--- a/oleanderhitch/process/engines/polling/task.py
+++ b/oleanderhitch/process/engines/polling/task.py
@@ -13,7 +13,7 @@
     handle,
     make_polling_state,
 )
-from oleanderhitch.process.engines.polling.messages import EventGapSeen, Publish
+from oleanderhitch.process.engines.polling.messages import EventGapSeen, NotifyFollowers
 from oleanderhitch.process.mailbox import Address
 from oleanderhitch.process.metrics.core import Metrics, make_metrics
 from oleanderhitch.process.metrics.states import Counter
@@ -53,7 +53,9 @@
         self._task.stop()
 
     def _perform(self, effect: object) -> None:
-        if isinstance(effect, Publish) and isinstance(effect.message, EventGapSeen):
+        if isinstance(effect, NotifyFollowers) and isinstance(
+            effect.message, EventGapSeen
+        ):
             self._metrics.count(Counter.CACHE_EVENT_GAPS)
         _perform(effect, self._client, self._followers)
 
@@ -71,7 +73,9 @@
 
 
 @_perform.register
-def _(effect: Publish, client: EngineClient, followers: tuple[Address, ...]) -> None:
+def _(
+    effect: NotifyFollowers, client: EngineClient, followers: tuple[Address, ...]
+) -> None:
     for follower in followers:
         follower.send(effect.message)
 
--- a/tests/process/engines/test_releases.py
+++ b/tests/process/engines/test_releases.py
@@ -21,7 +21,10 @@
     ReleaseMemory,
 )
 from oleanderhitch.process.engines.polling import core as polling
-from oleanderhitch.process.engines.polling.messages import HoldersListed, Publish
+from oleanderhitch.process.engines.polling.messages import (
+    HoldersListed,
+    NotifyFollowers,
+)
 from oleanderhitch.process.engines.releases import core as releases
 from oleanderhitch.process.engines.releases.messages import (
     CheckPrograms,
@@ -89,7 +92,7 @@
     def tell_polling(self, message):
         """Let the polling handle a message."""
         for effect in polling.handle(message, self.polling, self.now):
-            if isinstance(effect, Publish):
+            if isinstance(effect, NotifyFollowers):
                 self.tell_releases(effect.message)
             else:
                 self.tell_polling(self.call(effect))
@@ -258,7 +261,7 @@
     offer = EngineOffer("e0", "e0:1", (), True)
     polling.handle(EnginesChanged((offer,)), state, START)
     effects = polling.handle(EnginesChanged(()), state, START)
-    assert effects == [Publish(HoldersListed("e0", frozenset()))]
+    assert effects == [NotifyFollowers(HoldersListed("e0", frozenset()))]
 
 
 def test_gap_leads_to_a_list_at_once():
