--- a/standins/process/commands/engine.py
+++ b/standins/process/commands/engine.py
@@ -2,7 +2,7 @@
 
 import sys
 
-from standins.process.runtime import prepare_gevent
+from oleanderhitch.process.runtime import prepare_gevent
 
 
 def main() -> None:
