Answered a host over the connection that it asked over

The owner had sent its grants over its own connection to a host that had just restarted, before that connection stood; the grants were lost and their slots stayed counted, and the asking host, whose connection was well, had no reason to ask again. Change: grants and refusals go back over the asking host's connection, whose loss that host notices. The state machine breaks connections one way now and fails with the old routing.

--- a/oleanderhitch/process/routing/core.py
+++ b/oleanderhitch/process/routing/core.py
@@ -10,6 +10,7 @@
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.routing.messages import (
+    AnswerNode,
     GetQueueStatus,
     LinkNodes,
     NodesGone,
@@ -78,6 +79,7 @@
     owners: dict[PoolId, NodeId] = field(default_factory=dict)
     addresses: dict[NodeId, HostAddress] = field(default_factory=dict)
     unreachable: set[NodeId] = field(default_factory=set)
+    replies: dict[NodeId, Address] = field(default_factory=dict)
     waiting: dict[RequestId, Waiting] = field(default_factory=dict)
     running: dict[PermitId, Running] = field(default_factory=dict)
 
@@ -121,12 +123,15 @@
 @handle.register
 def _(message: PoolAnswered, state: RouterState, now: datetime) -> list[object]:
     if message.answer.node != state.node:
-        return [SendToNode(message.answer.node, message.answer)]
+        reply = state.replies.get(message.answer.node)
+        return [] if reply is None else [AnswerNode(reply, message.answer)]
     return _accept(message.answer, Queue(state.node, message.role), state, now)
 
 
 @handle.register
 def _(message: PeerMessage, state: RouterState, now: datetime) -> list[object]:
+    if not isinstance(message.message, GrantSlot | RefuseRequest):
+        state.replies[message.node] = message.reply
     return _handle_peer(message.message, message.node, state, now)
 
 
--- a/oleanderhitch/process/routing/messages.py
+++ b/oleanderhitch/process/routing/messages.py
@@ -104,6 +104,17 @@
     message: object
 
 
+@dataclass(frozen=True, slots=True)
+class AnswerNode:
+    """Answer another entry host over the connection that it asked over.
+
+    When that connection breaks, the asking host notices and asks again.
+    """
+
+    reply: Address
+    answer: GrantSlot | RefuseRequest
+
+
 @dataclass(frozen=True, slots=True)
 class LinkNodes:
     """Keep links to exactly these entry hosts."""
--- a/oleanderhitch/process/routing/task.py
+++ b/oleanderhitch/process/routing/task.py
@@ -12,6 +12,7 @@
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.routing.core import RouterState, handle, make_router_state
 from oleanderhitch.process.routing.messages import (
+    AnswerNode,
     LinkNodes,
     NotifyRequest,
     PoolAnswered,
@@ -87,6 +88,11 @@
         link.send(effect.message)
 
 
+@perform_effect.register
+def _(effect: AnswerNode, resources: RouterResources) -> None:
+    effect.reply.send(effect.answer)
+
+
 @perform_effect.register
 def _(effect: LinkNodes, resources: RouterResources) -> None:
     for node, link in list(resources.links.items()):
--- a/tests/process/routing/test_core.py
+++ b/tests/process/routing/test_core.py
@@ -15,6 +15,7 @@
 from oleanderhitch.connection.peer.messages import LinkDown, LinkUp, PeerMessage
 from oleanderhitch.process.routing.core import handle, make_router_state
 from oleanderhitch.process.routing.messages import (
+    AnswerNode,
     LinkNodes,
     NotifyRequest,
     OwnersChanged,
@@ -55,6 +56,19 @@
         self.messages.append(message)
 
 
+class Connection:
+    """Carry messages one way over a connection that one node opened."""
+
+    def __init__(self, cluster, link):
+        self.cluster = cluster
+        self.link = link
+
+    def send(self, message):
+        """Queue a message unless the connection is broken."""
+        if self.link[:2] not in self.cluster.broken:
+            self.cluster.links.setdefault(self.link, []).append(message)
+
+
 class Cluster:
     """Run routers and queues; links carry messages in order until they break."""
 
@@ -81,9 +95,11 @@
 
     def deliver(self, link):
         """Deliver the oldest message of a link."""
-        sender, receiver = link
+        opener, other, is_answer = link
+        sender, receiver = (other, opener) if is_answer else (opener, other)
         message = self.links[link].pop(0)
-        self.handle(receiver, PeerMessage(sender, message, None))
+        reply = Connection(self, (opener, other, not is_answer))
+        self.handle(receiver, PeerMessage(sender, message, reply))
 
     def deliver_all(self):
         """Deliver until nothing is under way."""
@@ -105,9 +121,12 @@
 
 @perform.register
 def _(effect: SendToNode, node, cluster):
-    link = (node, effect.node)
-    if frozenset(link) not in cluster.broken:
-        cluster.links.setdefault(link, []).append(effect.message)
+    Connection(cluster, (node, effect.node, False)).send(effect.message)
+
+
+@perform.register
+def _(effect: AnswerNode, node, cluster):
+    effect.reply.send(effect.answer)
 
 
 @perform.register
@@ -176,27 +195,21 @@
         if running:
             self.end(data.draw(st.sampled_from(running)))
 
-    @rule(pair=st.sampled_from([("a", "b"), ("a", "c"), ("b", "c")]))
-    def break_link(self, pair):
-        """Break the links between two nodes; what is under way is lost."""
-        if frozenset(pair) not in self.cluster.broken:
-            self.cluster.broken.add(frozenset(pair))
-            self.cut(pair)
-
-    def cut(self, pair):
-        """Lose what is under way and tell both ends."""
-        for sender, receiver in (pair, pair[::-1]):
-            self.cluster.links.pop((sender, receiver), None)
-            self.cluster.handle(sender, LinkDown(ADDRESSES[receiver], "broken"))
+    @rule(opener=st.sampled_from(NODES), other=st.sampled_from(NODES))
+    def break_connection(self, opener, other):
+        """Break the connection that one node opened; only it notices."""
+        if opener != other and (opener, other) not in self.cluster.broken:
+            self.cluster.broken.add((opener, other))
+            for is_answer in (False, True):
+                self.cluster.links.pop((opener, other, is_answer), None)
+            self.cluster.handle(opener, LinkDown(ADDRESSES[other], "broken"))
 
     @rule()
-    def mend_links(self):
-        """Connect all nodes again."""
-        for pair in list(self.cluster.broken):
-            self.cluster.broken.discard(pair)
-            first, second = sorted(pair)
-            self.cluster.handle(first, LinkUp(ADDRESSES[second]))
-            self.cluster.handle(second, LinkUp(ADDRESSES[first]))
+    def mend_connections(self):
+        """Open all broken connections again."""
+        for opener, other in sorted(self.cluster.broken):
+            self.cluster.broken.discard((opener, other))
+            self.cluster.handle(opener, LinkUp(ADDRESSES[other]))
 
     def find_grant(self, request):
         """Return the grant of a request that runs."""
@@ -237,7 +250,7 @@
 
     def teardown(self):
         """Guard against requests and slots that are lost once all is well."""
-        self.mend_links()
+        self.mend_connections()
         self.cluster.deliver_all()
         for _ in range(2 * self.n_requests + 5):
             self.cluster.now += timedelta(seconds=1)
