--- a/tests/process/routing/test_core.py
+++ b/tests/process/routing/test_core.py
@@ -183,10 +183,12 @@
 
     @rule(data=st.data())
     def deliver(self, data):
-        """Deliver one message of any link."""
+        """Deliver what waits on any link."""
         waiting = [link for link, messages in self.cluster.links.items() if messages]
         if waiting:
-            self.cluster.deliver(data.draw(st.sampled_from(sorted(waiting))))
+            link = data.draw(st.sampled_from(sorted(waiting)))
+            while self.cluster.links.get(link):
+                self.cluster.deliver(link)
 
     @rule(data=st.data())
     def release(self, data):
@@ -265,4 +267,4 @@
 
 
 TestRouterMachine = RouterMachine.TestCase
-TestRouterMachine.settings = settings(max_examples=150, stateful_step_count=40)
+TestRouterMachine.settings = settings(max_examples=400, stateful_step_count=30)
