Let a call look further for an endpoint that takes connections

Cause: attempts whose connection was refused counted like attempts that ran, so that with five of six engines down a call could fail after three. Change: three attempts that were sent, twelve that were not.

--- a/oleanderhitch/request/core.py
+++ b/oleanderhitch/request/core.py
@@ -48,7 +48,9 @@
 from oleanderhitch.request.states import Outcome, Phase, Reason
 
 # A third endpoint that fails as well points at the request, not the endpoints.
-ATTEMPT_LIMIT = 3
+SENT_ATTEMPT_LIMIT = 3
+# Endpoints that refuse the connection cost a few milliseconds each.
+UNSENT_ATTEMPT_LIMIT = 12
 FIRST_ATTEMPT = AttemptNumber(1)
 FINISH_RETRY_PAUSE = timedelta(milliseconds=200)
 RETRY_AFTER_UNAVAILABLE = timedelta(seconds=1)
@@ -288,7 +290,11 @@
     if message.was_sent and not state.call.is_idempotent:
         state.phase = Phase.LOOKUP
         return [*effects, LookUpCall(attempt.endpoint)]
-    if state.n_attempts < ATTEMPT_LIMIT and now < state.call.deadline:
+    n_unsent = len(state.unsent)
+    has_tries = n_unsent < UNSENT_ATTEMPT_LIMIT
+    if state.n_attempts - n_unsent >= SENT_ATTEMPT_LIMIT:
+        has_tries = False
+    if has_tries and now < state.call.deadline:
         return effects + enqueue(state)
     outcome = get_unanswered_outcome(state)
     return effects + finish(state, now, outcome, Reason.ENDPOINT_FAILED, message.reason)
--- a/tests/request/test_core.py
+++ b/tests/request/test_core.py
@@ -17,6 +17,7 @@
 from oleanderhitch.program.ids import AccountId, ProgramId, RunId, SequenceNumber
 from oleanderhitch.program.messages import (
     BeginRequest,
+    Begun,
     FailAttempt,
     FinishRequest,
     GetOutcome,
@@ -26,9 +27,11 @@
     StartProgram,
 )
 from oleanderhitch.request.core import handle
-from oleanderhitch.request.ids import PermitId, RequestId
+from oleanderhitch.request.ids import AttemptNumber, PermitId, RequestId
 from oleanderhitch.request.messages import (
     AnswerCaller,
+    AttemptRecorded,
+    BeginAnswered,
     Call,
     CancelAttempt,
     CheckOwner,
@@ -335,3 +338,20 @@
         handle(Start(), state, NOW)
         told = handle(ShardUnreachable("no answer"), state, NOW)[0]
         assert told.outcome is outcome
+
+
+def test_finds_the_one_endpoint_that_takes_connections():
+    """Guard against a call that fails because a few endpoints are down."""
+    state = make_request_state(make_call(True))
+    handle(Start(), state, NOW)
+    handle(BeginAnswered(Begun((), 0, (), 20)), state, NOW)
+    for number in range(1, 6):
+        granted = SlotGranted(EndpointId(f"e{number}"), PermitId("p"), 0, False)
+        effects = handle(granted, state, NOW)
+        if number > 1:
+            effects = handle(AttemptRecorded(AttemptNumber(number)), state, NOW)
+        assert any(isinstance(effect, Dispatch) for effect in effects)
+        failed = StreamFailed(AttemptNumber(number), False, False, "refused")
+        effects = handle(failed, state, NOW)
+        assert isinstance(effects[-1], EnqueueCall)
+    assert len(effects[-1].excluded) == 5
