--- a/tests/process/replication/test_core.py
+++ b/tests/process/replication/test_core.py
@@ -11,6 +11,7 @@
 from oleanderhitch.process.replication.effects import (
     ApplyCommitted,
     ChangeEnded,
+    LeadershipChanged,
     PersistEntries,
     ProposalCommitted,
     RestoreSnapshot,
@@ -231,3 +232,22 @@
     assert reply.is_granted
     leader, _ = make_leader()
     assert handle(leader, m.VoteRequest(9, 9, 1, False), "c", LATER) == []
+
+
+def test_a_leader_stops_vouching_before_it_hands_over():
+    """Guards against two stores that vouch for leases at the same time.
+
+    The target leads without an election timeout, so the old leader must have
+    told its own process before the request leaves.
+    """
+    state, effects = make_leader()
+    handle(state, get_persisted(effects), now=LATER)
+    handle(state, m.AppendReply(1, True, 1, 1), "b", LATER)
+    effects = handle(state, m.TransferLeadership(), now=LATER)
+    yielded = effects.index(LeadershipChanged(Role.FOLLOWER, 1, None))
+    handover = effects.index(SendToReplica("b", m.TimeoutNow(1)))
+    assert yielded < handover
+    # The target did not take over, and a majority still answers this leader.
+    much_later = LATER + timedelta(seconds=1.3)
+    effects = handle(state, m.AppendReply(1, True, 1, 1), "c", much_later)
+    assert LeadershipChanged(Role.LEADER, 1, "a") in effects
