Started the task that rotates the windows of the metrics

Cause: reading the whole change showed that make_metrics_task had no caller, so the latency histograms never rotated and their quantiles covered the whole life of a process instead of the last one to two minutes. Change: entries and stores start it; an error class that nothing raised is gone. make test: 451 passed; make demo: ok.

--- a/oleanderhitch/process/commands/entry_command.py
+++ b/oleanderhitch/process/commands/entry_command.py
@@ -12,6 +12,7 @@
     run_with_settings,
 )
 from oleanderhitch.process.metrics.core import make_metrics
+from oleanderhitch.process.metrics.task import make_metrics_task
 from oleanderhitch.process.roles.entry import make_entry_parts
 from oleanderhitch.process.roles.links import make_store_access
 from oleanderhitch.process.runtime import make_stop_event, start_log
@@ -50,6 +51,8 @@
     except OleanderhitchError as error:
         log.error("{}", error)
         return EXIT_FAILED
+    windows = make_metrics_task(metrics, clock)
+    windows.start()
     access.start()
     parts.start()
     log.info("listens for callers on {}", settings.listen)
@@ -59,6 +62,7 @@
     parts.stop()
     access.stop()
     tracer.stop()
+    windows.stop()
     if not is_drained:
         log.error("requests were still running after {} s", settings.drain_timeout_s)
         return EXIT_NOT_DRAINED
--- a/oleanderhitch/process/commands/store_command.py
+++ b/oleanderhitch/process/commands/store_command.py
@@ -22,6 +22,7 @@
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.metrics.core import make_counter, make_metrics
 from oleanderhitch.process.metrics.states import Counter
+from oleanderhitch.process.metrics.task import make_metrics_task
 from oleanderhitch.process.roles.status import make_status_server
 from oleanderhitch.process.roles.store import StoreSite, make_store_parts
 from oleanderhitch.process.roles.store_links import StoreLinks
@@ -53,6 +54,7 @@
     codec = make_project_codec()
     identity = Identity(NodeId(settings.node), settings.get_key())
     stores = settings.get_stores()
+    clock = make_system_clock()
     metrics = make_metrics()
     count_bytes = make_counter(metrics, Counter.PEER_BYTES)
 
@@ -82,7 +84,7 @@
         parts = make_store_parts(
             site,
             codec,
-            make_system_clock(),
+            clock,
             random.Random(uuid.uuid4().int),
             metrics,
             tracer,
@@ -98,6 +100,8 @@
         parts.deliver,
         count_bytes=count_bytes,
     )
+    windows = make_metrics_task(metrics, clock)
+    windows.start()
     links.start()
     parts.start()
     server.start()
@@ -110,6 +114,7 @@
     links.stop()
     parts.stop()
     tracer.stop()
+    windows.stop()
     return 0
 
 
--- a/oleanderhitch/process/storage/exceptions.py
+++ b/oleanderhitch/process/storage/exceptions.py
@@ -1,6 +1,6 @@
 """Define the errors of durable storage."""
 
-from oleanderhitch.exceptions import OleanderhitchError, UnavailableError
+from oleanderhitch.exceptions import OleanderhitchError
 
 
 class StorageError(OleanderhitchError):
@@ -17,7 +17,3 @@
 
 class DirectoryInUseError(StorageError):
     """Signal that another process holds the data directory."""
-
-
-class WriteError(UnavailableError):
-    """Signal that data could not be made durable."""
