--- a/Makefile
+++ b/Makefile
@@ -8,9 +8,9 @@
 
 install: $(STAMP)
 
-$(STAMP): requirements.txt
+$(STAMP): requirements.txt requirements-dev.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
-	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements-dev.txt
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps -e .
 	touch $(STAMP)
 
--- /dev/null
+++ b/oleanderhitch/connection/http/caller.py
@@ -0,0 +1,252 @@
+"""Serve the requests of one caller's connection, one after the other."""
+
+from collections import deque
+from collections.abc import Callable
+from datetime import datetime, timedelta
+from typing import Protocol
+
+import gevent
+import gevent.event
+import logbook
+from gevent import socket
+
+from oleanderhitch.connection.http.exceptions import UnreadableRequestError
+from oleanderhitch.connection.http.messages import (
+    CallerLeft,
+    Headers,
+    HttpRequest,
+    HttpResponse,
+    RequestFault,
+    RequestUnreadable,
+)
+from oleanderhitch.connection.http.parsing import make_request_parser
+from oleanderhitch.connection.http.rendering import (
+    CONTINUE,
+    render_chunk,
+    render_head,
+    render_last_chunk,
+    render_response,
+)
+from oleanderhitch.connection.http.sockets import set_options
+from oleanderhitch.process.mailbox import Mailbox, make_mailbox
+from oleanderhitch.version.routes.configuration import CallerLimits
+
+RECEIVE_BYTES = 64 * 1024
+# A caller that reads nothing for so long is gone.
+WRITE_TIMEOUT = timedelta(seconds=10)
+# Requests that a caller sends ahead are read up to here, then it must wait.
+N_AHEAD_LIMIT = 2
+# Lets the caller read the answer to bytes that were not read whole.
+LINGER = timedelta(milliseconds=300)
+MAILBOX_CAPACITY_MESSAGES = 4096
+
+log = logbook.Logger("caller")
+
+
+class AnswerWriter(Protocol):
+    """Write the answer of one request to its caller."""
+
+    def respond(self, response: HttpResponse) -> None:
+        """Write a whole response."""
+
+    def start(self, status: int, headers: Headers) -> None:
+        """Write the head of a response that comes in pieces."""
+
+    def write(self, data: bytes) -> None:
+        """Write a piece."""
+
+    def finish(self) -> None:
+        """Mark the response as complete."""
+
+    def abort(self) -> None:
+        """Close the connection, so that the response does not look complete."""
+
+
+Serve = Callable[[HttpRequest, AnswerWriter, Mailbox, datetime], None]
+GetLimits = Callable[[], CallerLimits]
+IsStopping = Callable[[], bool]
+
+
+class CallerConnection:
+    """Own one caller's socket; a reader greenlet feeds the serving one."""
+
+    def __init__(
+        self,
+        connected: socket.socket,
+        serve: Serve,
+        get_limits: GetLimits,
+        is_stopping: IsStopping,
+        get_now: Callable[[], datetime],
+    ) -> None:
+        self._socket = connected
+        self._serve = serve
+        self._get_limits = get_limits
+        self._is_stopping = is_stopping
+        self._get_now = get_now
+        self._mailbox = make_mailbox("caller", MAILBOX_CAPACITY_MESSAGES)
+        self._ahead: deque[HttpRequest] = deque()
+        self._resume_reading = gevent.event.Event()
+        self._is_serving = False
+        self._keeps_alive = True
+        self._has_answered = False
+        self._is_open = True
+
+    @property
+    def is_serving(self) -> bool:
+        """Tell whether a request is under way."""
+        return self._is_serving
+
+    def run(self) -> None:
+        """Serve until either side closes the connection."""
+        set_options(self._socket)
+        self._socket.settimeout(WRITE_TIMEOUT.total_seconds())
+        reader = gevent.spawn(self._read)
+        try:
+            while self._is_open:
+                message = self._mailbox.receive()
+                if isinstance(message, HttpRequest):
+                    self._serve_request(message)
+                elif isinstance(message, RequestUnreadable):
+                    self._refuse(message)
+                    return
+                elif isinstance(message, CallerLeft):
+                    return
+        finally:
+            reader.kill(block=False)
+            self._socket.close()
+
+    def close_idle(self) -> None:
+        """Close the connection unless a request is under way."""
+        if not self._is_serving and not self._ahead:
+            self._mailbox.send(CallerLeft("this host stops"))
+
+    # The serving greenlet calls the writer's methods.
+
+    def respond(self, response: HttpResponse) -> None:
+        """Write a whole response."""
+        self._has_answered = True
+        self._send(render_response(response, self._must_close()))
+
+    def start(self, status: int, headers: Headers) -> None:
+        """Write the head of a response that comes in pieces."""
+        self._send(render_head(status, headers, self._must_close()))
+
+    def write(self, data: bytes) -> None:
+        """Write a piece."""
+        if data:
+            self._send(render_chunk(data))
+
+    def finish(self) -> None:
+        """Mark the response as complete."""
+        self._has_answered = True
+        self._send(render_last_chunk())
+
+    def abort(self) -> None:
+        """Close the connection, so that the response does not look complete."""
+        self._is_open = False
+
+    def _serve_request(self, request: HttpRequest) -> None:
+        self._is_serving = True
+        self._has_answered = False
+        self._keeps_alive = request.keeps_alive
+        self._serve(request, self, self._mailbox, self._get_now())
+        self._is_serving = False
+        if not self._has_answered or self._must_close():
+            self._is_open = False
+        elif self._ahead:
+            self._mailbox.send(self._ahead.popleft())
+        self._resume_reading.set()
+
+    def _must_close(self) -> bool:
+        return not self._keeps_alive or self._is_stopping()
+
+    def _refuse(self, message: RequestUnreadable) -> None:
+        log.info("request refused", fault=message.fault.name, detail=message.detail)
+        response = HttpResponse(message.fault.value, message.detail.encode())
+        self._send(render_response(response, True))
+        if self._is_open:
+            self._socket.shutdown(socket.SHUT_WR)
+            gevent.sleep(LINGER.total_seconds())
+
+    def _send(self, data: bytes) -> None:
+        if not self._is_open:
+            return
+        try:
+            self._socket.sendall(data)
+        except OSError as error:
+            self._is_open = False
+            self._mailbox.send(CallerLeft(f"write failed: {error}"))
+
+    def _read(self) -> None:
+        parser = make_request_parser(self._get_limits())
+        try:
+            while True:
+                limits = self._get_limits()
+                parser.set_limits(limits)
+                if parser.is_idle:
+                    has_data = self._await_request(limits)
+                else:
+                    has_data = self._await_bytes(limits.header_timeout)
+                if not has_data:
+                    self._mailbox.send(self._make_timeout(parser.is_idle))
+                    return
+                data = self._socket.recv(RECEIVE_BYTES)
+                if not data:
+                    self._mailbox.send(CallerLeft("caller closed the connection"))
+                    return
+                for request in parser.feed(data):
+                    self._take(request)
+                if parser.expects_continue and not self._is_serving:
+                    self._send(CONTINUE)
+                self._await_answers(N_AHEAD_LIMIT)
+        except UnreadableRequestError as error:
+            self._await_answers(0)
+            self._mailbox.send(RequestUnreadable(error.fault, str(error)))
+        except OSError as error:
+            self._mailbox.send(CallerLeft(f"connection broke: {error}"))
+
+    def _await_answers(self, n_ahead: int) -> None:
+        """Wait until fewer requests than this are left, or none for 0."""
+        while len(self._ahead) >= max(n_ahead, 1) or (
+            n_ahead == 0 and self._is_serving
+        ):
+            self._resume_reading.clear()
+            self._resume_reading.wait()
+
+    def _take(self, request: HttpRequest) -> None:
+        if self._is_serving or self._ahead or self._mailbox.n_waiting:
+            self._ahead.append(request)
+        else:
+            self._is_serving = True
+            self._mailbox.send(request)
+
+    def _await_request(self, limits: CallerLimits) -> bool:
+        while not self._await_bytes(limits.idle_timeout):
+            if not self._is_serving and not self._ahead:
+                return False
+        return True
+
+    def _await_bytes(self, timeout: timedelta) -> bool:
+        try:
+            gevent.socket.wait_read(
+                self._socket.fileno(), timeout=timeout.total_seconds()
+            )
+        except TimeoutError:
+            return False
+        return True
+
+    def _make_timeout(self, is_idle: bool) -> object:
+        if is_idle:
+            return CallerLeft("connection was idle")
+        return RequestUnreadable(RequestFault.TIMED_OUT, "request came too slowly")
+
+
+def make_caller_connection(
+    connected: socket.socket,
+    serve: Serve,
+    get_limits: GetLimits,
+    is_stopping: IsStopping,
+    get_now: Callable[[], datetime],
+) -> CallerConnection:
+    """Return the task of one accepted connection."""
+    return CallerConnection(connected, serve, get_limits, is_stopping, get_now)
--- /dev/null
+++ b/oleanderhitch/connection/http/rendering.py
@@ -0,0 +1,60 @@
+"""Turn requests and responses into bytes."""
+
+from collections.abc import Iterable
+from http import HTTPStatus
+
+from oleanderhitch.connection.http.messages import HttpRequest, HttpResponse
+
+_LAST_CHUNK = b"0\r\n\r\n"
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+def render_request(request: HttpRequest) -> bytes:
+    """Return the bytes of a request whose body is framed by its length."""
+    lines = [f"{request.method} {request.target} HTTP/1.1"]
+    lines.extend(f"{name}: {value}" for name, value in request.headers)
+    if request.body or request.method not in ("GET", "HEAD", "DELETE"):
+        lines.append(f"content-length: {len(request.body)}")
+    return _render_lines(lines) + request.body
+
+
+def render_response(response: HttpResponse, closes: bool) -> bytes:
+    """Return the bytes of a whole response."""
+    lines = [_render_status(response.status)]
+    lines.extend(f"{name}: {value}" for name, value in response.headers)
+    lines.append(f"content-length: {len(response.body)}")
+    if closes:
+        lines.append("connection: close")
+    return _render_lines(lines) + response.body
+
+
+def render_head(status: int, headers: Iterable[tuple[str, str]], closes: bool) -> bytes:
+    """Return the head of a response whose body follows in chunks."""
+    lines = [_render_status(status)]
+    lines.extend(f"{name}: {value}" for name, value in headers)
+    lines.append("transfer-encoding: chunked")
+    if closes:
+        lines.append("connection: close")
+    return _render_lines(lines)
+
+
+def render_chunk(data: bytes) -> bytes:
+    """Return the bytes of one chunk of a body."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def render_last_chunk() -> bytes:
+    """Return the bytes that end a body of chunks."""
+    return _LAST_CHUNK
+
+
+def _render_status(status: int) -> str:
+    try:
+        phrase = HTTPStatus(status).phrase
+    except ValueError:
+        phrase = "Status"
+    return f"HTTP/1.1 {status} {phrase}"
+
+
+def _render_lines(lines: list[str]) -> bytes:
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
--- /dev/null
+++ b/oleanderhitch/platform/__init__.py
@@ -0,0 +1,4 @@
+"""Translate between the users' platform and oleanderhitch.
+
+Nothing outside this package knows the platform's names.
+"""
--- /dev/null
+++ b/oleanderhitch/platform/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Start the processes that run on the platform."""
--- /dev/null
+++ b/oleanderhitch/platform/commands/run_store.py
@@ -0,0 +1,58 @@
+"""Run a store with the platform's settings."""
+
+import os
+import sys
+
+from oleanderhitch.exceptions import OleanderhitchError
+from oleanderhitch.platform.listing import make_list_reader
+from oleanderhitch.platform.operators import make_platform_operators
+from oleanderhitch.platform.process import (
+    EXIT_FAILED,
+    Lifetime,
+    empty_directory,
+    run,
+    start_log,
+)
+from oleanderhitch.platform.settings import (
+    get_list_address,
+    make_store_settings,
+    read_settings_file,
+)
+from oleanderhitch.process.clock import make_system_clock
+from oleanderhitch.process.metrics.core import make_metrics
+from oleanderhitch.process.site.settings import StoreSettings
+from oleanderhitch.process.site.store import StoreTranslation, make_store
+
+
+def run_store() -> int:
+    """Run until the process ends and return its exit code."""
+    try:
+        file = read_settings_file()
+        settings = make_store_settings(file)
+    except OleanderhitchError as error:
+        sys.stderr.write(f"store: {error}\n")
+        return EXIT_FAILED
+    start_log(settings.site.host)
+    clock = make_system_clock()
+    metrics = make_metrics()
+    lifetime = Lifetime()
+    translation = StoreTranslation(
+        make_platform_operators(settings.n_losses_tolerated),
+        make_list_reader(get_list_address(file)),
+    )
+    try:
+        store = make_store(settings, translation, clock, metrics, lifetime.end)
+    except OleanderhitchError as error:
+        sys.stderr.write(f"store: {error}\n")
+        return EXIT_FAILED
+    address = settings.site.metrics_address
+    run(store, _read_settings, lifetime, metrics, address, clock)
+    if lifetime.empties_data:
+        empty_directory(settings.data_dir)
+    # Threads that wait for a stalled disk must not hold the process back.
+    sys.stdout.flush()
+    os._exit(lifetime.exit_code)
+
+
+def _read_settings() -> StoreSettings:
+    return make_store_settings(read_settings_file())
--- /dev/null
+++ b/oleanderhitch/platform/commands/store.py
@@ -0,0 +1,18 @@
+"""Start a store on the platform."""
+
+import sys
+
+from oleanderhitch.process.runtime import prepare_gevent
+
+
+def main() -> None:
+    """Run a store until SIGTERM."""
+    prepare_gevent()
+    # Modules that open sockets are imported after the patch only.
+    from oleanderhitch.platform.commands.run_store import run_store
+
+    sys.exit(run_store())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/oleanderhitch/process/logs/__init__.py
@@ -0,0 +1,1 @@
+"""Write structured log lines without ever waiting for their reader."""
--- a/oleanderhitch/process/metrics/states.py
+++ b/oleanderhitch/process/metrics/states.py
@@ -79,6 +79,9 @@
     PEER_BYTES = MetricName(
         "oleanderhitch_peer_bytes_total", "Bytes sent to other nodes."
     )
+    OPERATOR_CALLS = MetricName(
+        "oleanderhitch_operator_calls_total", "Calls of operators.", "status"
+    )
     DROPPED_SPANS = MetricName(
         "oleanderhitch_dropped_spans_total", "Spans that found no room."
     )
--- /dev/null
+++ b/oleanderhitch/process/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Place each request on the endpoint that serves it soonest."""
--- /dev/null
+++ b/oleanderhitch/process/placement/cache.py
@@ -0,0 +1,36 @@
+"""Estimate which prompt parts an endpoint's memory holds."""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from oleanderhitch.process.placement.messages import PromptShape
+
+
+@dataclass(slots=True)
+class CacheEstimate:
+    """Hold the parts that were read on an endpoint, least recently used first."""
+
+    capacity_tokens: int
+    parts: OrderedDict[str, int] = field(default_factory=OrderedDict)
+    n_tokens: int = 0
+
+
+def count_missing_tokens(cache: CacheEstimate, shape: PromptShape) -> int:
+    """Return how many prompt tokens the endpoint has yet to read."""
+    n_held = 0
+    for part in shape.parts:
+        if cache.parts.get(part.part, -1) < part.n_tokens:
+            break
+        n_held += part.n_tokens
+    return max(0, shape.n_prompt_tokens - n_held)
+
+
+def note_prompt(cache: CacheEstimate, shape: PromptShape) -> None:
+    """Take account of a prompt that an endpoint reads."""
+    for part in shape.parts:
+        cache.n_tokens += part.n_tokens - cache.parts.get(part.part, 0)
+        cache.parts[part.part] = part.n_tokens
+        cache.parts.move_to_end(part.part)
+    while cache.n_tokens > cache.capacity_tokens and cache.parts:
+        _, n_tokens = cache.parts.popitem(last=False)
+        cache.n_tokens -= n_tokens
--- /dev/null
+++ b/oleanderhitch/process/placement/core.py
@@ -0,0 +1,244 @@
+"""Choose endpoints by what they hold in memory and what they work on."""
+
+from collections import defaultdict
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+from functools import singledispatch
+
+from oleanderhitch.process.address import Address
+from oleanderhitch.process.directory.messages import ListedEndpoint
+from oleanderhitch.process.messages import Tick
+from oleanderhitch.process.placement.cache import (
+    CacheEstimate,
+    count_missing_tokens,
+    note_prompt,
+)
+from oleanderhitch.process.placement.messages import (
+    AcquireEndpoint,
+    AttemptResult,
+    EndpointGranted,
+    EndpointRefused,
+    EndpointsListed,
+    FirstPieceSeen,
+    PromptShape,
+    ReleaseEndpoint,
+    WithdrawRequest,
+)
+from oleanderhitch.request.ids import PermitId
+from oleanderhitch.version.ids import DataCentreName, EndpointId
+
+# Speed at which engines of this class read prompts.
+PROMPT_TOKENS_PER_MS = 145.0
+# Delay that each further request under way adds to a new one: it shares the
+# batch with its prompt and with its steps.
+BUSY_COST_MS = 4.0
+# Sending a prompt to another data centre costs time and traffic.
+REMOTE_COST_MS = 2.0
+# An endpoint that could not be reached or refused work is avoided for this
+# long; the list names a crashed one for some seconds more.
+AVOID_AFTER_FAILURE = timedelta(seconds=1)
+AVOID_AFTER_REFUSAL = timedelta(milliseconds=150)
+# Memory of an engine whose service does not declare it.
+CACHE_TOKENS_DEFAULT = 400_000
+# Plain services queue a few requests beyond their slots; waiting there beats a
+# refusal, but not by much.
+QUEUE_PER_SLOT = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class SendReply:
+    """Send a message to the request that asked."""
+
+    reply: Address
+    message: EndpointGranted | EndpointRefused
+
+
+@dataclass(slots=True)
+class Endpoint:
+    """Hold what placement knows of an endpoint."""
+
+    listed: ListedEndpoint
+    cache: CacheEstimate
+    permits: set[PermitId] = field(default_factory=set)
+    avoid_until: datetime | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Permit:
+    """Hold the work that a permit stands for."""
+
+    endpoint: EndpointId
+    n_reading_tokens: int
+
+
+@dataclass(slots=True)
+class PlacementState:
+    """Hold the endpoints and the work on them; the placement task owns it."""
+
+    data_centre: DataCentreName
+    prefix: str
+    endpoints: dict[EndpointId, Endpoint] = field(default_factory=dict)
+    permits: dict[PermitId, Permit] = field(default_factory=dict)
+    waiting: list[AcquireEndpoint] = field(default_factory=list)
+    reading_tokens: defaultdict[EndpointId, int] = field(
+        default_factory=lambda: defaultdict(int)
+    )
+    n_permits: int = 0
+
+
+@singledispatch
+def handle(message: object, state: PlacementState, now: datetime) -> list[object]:
+    """Return the effects of a message."""
+    raise TypeError(f"placement has no message {type(message).__name__}")
+
+
+@handle.register
+def _(message: EndpointsListed, state: PlacementState, now: datetime) -> list[object]:
+    known = state.endpoints
+    state.endpoints = {}
+    for listed in message.endpoints:
+        found = known.get(listed.endpoint)
+        is_same = found is not None and found.listed.born_ms == listed.born_ms
+        if found is None or not is_same:
+            found = Endpoint(listed, CacheEstimate(CACHE_TOKENS_DEFAULT))
+        found.listed = listed
+        state.endpoints[listed.endpoint] = found
+    return _serve_waiting(state, now)
+
+
+@handle.register
+def _(message: AcquireEndpoint, state: PlacementState, now: datetime) -> list[object]:
+    grant = _find_grant(message, state, now)
+    if grant is not None:
+        return [grant]
+    if now >= message.due_at:
+        return [_refuse(message, "no endpoint in time")]
+    state.waiting.append(message)
+    state.waiting.sort(key=lambda waiting: (waiting.rank, waiting.due_at))
+    return []
+
+
+@handle.register
+def _(message: WithdrawRequest, state: PlacementState, now: datetime) -> list[object]:
+    state.waiting = [
+        waiting for waiting in state.waiting if waiting.request != message.request
+    ]
+    return []
+
+
+@handle.register
+def _(message: FirstPieceSeen, state: PlacementState, now: datetime) -> list[object]:
+    permit = state.permits.get(message.permit)
+    if permit is not None:
+        _end_reading(message.permit, permit, state)
+    return []
+
+
+@handle.register
+def _(message: ReleaseEndpoint, state: PlacementState, now: datetime) -> list[object]:
+    permit = state.permits.get(message.permit)
+    if permit is None:
+        return []
+    _end_reading(message.permit, permit, state)
+    del state.permits[message.permit]
+    endpoint = state.endpoints.get(permit.endpoint)
+    if endpoint is not None:
+        endpoint.permits.discard(message.permit)
+        _note_result(message.result, endpoint, now)
+    return _serve_waiting(state, now)
+
+
+@handle.register
+def _(message: Tick, state: PlacementState, now: datetime) -> list[object]:
+    return _serve_waiting(state, now)
+
+
+def _end_reading(name: PermitId, permit: Permit, state: PlacementState) -> None:
+    state.reading_tokens[permit.endpoint] -= permit.n_reading_tokens
+    state.permits[name] = Permit(permit.endpoint, 0)
+
+
+def _note_result(result: AttemptResult, endpoint: Endpoint, now: datetime) -> None:
+    if result is AttemptResult.REFUSED:
+        endpoint.avoid_until = now + AVOID_AFTER_REFUSAL
+    elif result in (AttemptResult.NOT_CONNECTED, AttemptResult.MISDIRECTED):
+        endpoint.avoid_until = now + AVOID_AFTER_FAILURE
+    elif result is AttemptResult.COMPLETED:
+        endpoint.avoid_until = None
+
+
+def _serve_waiting(state: PlacementState, now: datetime) -> list[object]:
+    effects: list[object] = []
+    waiting, state.waiting = state.waiting, []
+    for message in waiting:
+        grant = _find_grant(message, state, now)
+        if grant is not None:
+            effects.append(grant)
+        elif now >= message.due_at:
+            effects.append(_refuse(message, "no endpoint in time"))
+        else:
+            state.waiting.append(message)
+    return effects
+
+
+def _refuse(message: AcquireEndpoint, reason: str) -> SendReply:
+    return SendReply(message.reply, EndpointRefused(message.request, reason))
+
+
+def _find_grant(
+    message: AcquireEndpoint, state: PlacementState, now: datetime
+) -> SendReply | None:
+    usable = [
+        endpoint
+        for endpoint in state.endpoints.values()
+        if endpoint.listed.service == message.service
+        and not endpoint.listed.is_leaving
+        and endpoint.listed.endpoint not in message.tried
+        and _has_room(endpoint, message.shape)
+    ]
+    calm = [
+        endpoint
+        for endpoint in usable
+        if endpoint.avoid_until is None or endpoint.avoid_until <= now
+    ]
+    if not calm:
+        return None
+    chosen = min(calm, key=lambda endpoint: _get_cost_ms(endpoint, message, state))
+    return SendReply(message.reply, _grant(chosen, message, state))
+
+
+def _has_room(endpoint: Endpoint, shape: PromptShape | None) -> bool:
+    limit = endpoint.listed.n_slots
+    if shape is None:
+        limit += int(limit * QUEUE_PER_SLOT)
+    return len(endpoint.permits) < limit
+
+
+def _get_cost_ms(
+    endpoint: Endpoint, message: AcquireEndpoint, state: PlacementState
+) -> float:
+    listed = endpoint.listed
+    cost = len(endpoint.permits) * BUSY_COST_MS
+    if message.shape is not None:
+        n_missing = count_missing_tokens(endpoint.cache, message.shape)
+        n_missing += state.reading_tokens[listed.endpoint]
+        cost += n_missing / PROMPT_TOKENS_PER_MS
+    if listed.data_centre != state.data_centre:
+        cost += REMOTE_COST_MS
+    return cost
+
+
+def _grant(
+    endpoint: Endpoint, message: AcquireEndpoint, state: PlacementState
+) -> EndpointGranted:
+    state.n_permits += 1
+    permit = PermitId(f"{state.prefix}-{state.n_permits}")
+    n_missing = 0
+    if message.shape is not None:
+        n_missing = count_missing_tokens(endpoint.cache, message.shape)
+        note_prompt(endpoint.cache, message.shape)
+    name = endpoint.listed.endpoint
+    state.reading_tokens[name] += n_missing
+    state.permits[permit] = Permit(name, n_missing)
+    endpoint.permits.add(permit)
+    return EndpointGranted(message.request, permit, endpoint.listed)
--- /dev/null
+++ b/oleanderhitch/process/placement/messages.py
@@ -0,0 +1,98 @@
+"""Define what requests ask of placement."""
+
+from dataclasses import dataclass
+from datetime import datetime
+from enum import Enum
+
+from oleanderhitch.process.address import Address
+from oleanderhitch.process.directory.messages import ListedEndpoint
+from oleanderhitch.request.ids import PermitId, RequestId
+from oleanderhitch.version.ids import EndpointId, ServiceName
+
+
+@dataclass(frozen=True, slots=True)
+class PromptPart:
+    """Name a part of a prompt that requests may share."""
+
+    part: str
+    n_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class PromptShape:
+    """Describe the model work of a request."""
+
+    n_prompt_tokens: int
+    n_output_tokens: int
+    parts: tuple[PromptPart, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class AcquireEndpoint:
+    """Ask for an endpoint of a service, except those that were tried."""
+
+    request: RequestId
+    service: ServiceName
+    shape: PromptShape | None
+    affinity: str | None
+    rank: int
+    tried: tuple[EndpointId, ...]
+    due_at: datetime
+    reply: Address
+
+
+@dataclass(frozen=True, slots=True)
+class WithdrawRequest:
+    """Say that a request needs no endpoint any more."""
+
+    request: RequestId
+
+
+class AttemptResult(Enum):
+    """Tell how the work on an endpoint ended, as far as placement learns of it."""
+
+    COMPLETED = "completed"
+    FAILED = "failed"
+    NOT_CONNECTED = "not_connected"
+    REFUSED = "refused"
+    MISDIRECTED = "misdirected"
+    CANCELLED = "cancelled"
+
+
+@dataclass(frozen=True, slots=True)
+class ReleaseEndpoint:
+    """Give a permit back."""
+
+    permit: PermitId
+    result: AttemptResult
+
+
+@dataclass(frozen=True, slots=True)
+class FirstPieceSeen:
+    """Say that the endpoint has read the prompt."""
+
+    permit: PermitId
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointGranted:
+    """Name the endpoint that a request may use."""
+
+    request: RequestId
+    permit: PermitId
+    endpoint: ListedEndpoint
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointRefused:
+    """Say that no endpoint can take the request in time."""
+
+    request: RequestId
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointsListed:
+    """Replace the known endpoints."""
+
+    endpoints: tuple[ListedEndpoint, ...]
--- /dev/null
+++ b/oleanderhitch/process/repair/__init__.py
@@ -0,0 +1,1 @@
+"""Keep a replicated group at its number of voters while stores come and go."""
--- /dev/null
+++ b/oleanderhitch/process/repair/task.py
@@ -0,0 +1,130 @@
+"""Run repair beside the replica of a group."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from functools import singledispatch
+
+import logbook
+
+from oleanderhitch.connection.codec import Codec
+from oleanderhitch.process.address import Address
+from oleanderhitch.process.clock import Clock
+from oleanderhitch.process.ids import GroupId, NodeId
+from oleanderhitch.process.repair.core import (
+    ChangeReplica,
+    ObserveStatus,
+    ProposeCommand,
+    RepairState,
+    TellStore,
+    handle,
+)
+from oleanderhitch.process.repair.messages import StatusObserved
+from oleanderhitch.process.replication.binding import OperatorCall, OwnCommand
+from oleanderhitch.process.replication.messages import (
+    AddReplica,
+    GetReplicationStatus,
+    MembershipAnswer,
+    RemoveReplica,
+    ReplaceReplica,
+    ReplicationStatus,
+)
+from oleanderhitch.process.replication.states import ChangeKind
+from oleanderhitch.process.task import Task, make_task
+
+OBSERVE_INTERVAL = timedelta(milliseconds=250)
+NO_REQUEST = 0
+
+log = logbook.Logger("repair")
+
+
+@dataclass(slots=True)
+class RepairParts:
+    """Hold what the effects of repair act on."""
+
+    group: GroupId
+    replica: Address
+    codec: Codec
+    send_to_store: Callable[[NodeId, object], None]
+
+
+class StatusReply:
+    """Hand the answers of a replica to the repair task."""
+
+    def __init__(self, task: Address) -> None:
+        self._task = task
+
+    def send(self, message: object) -> None:
+        """Take the answer to a request of repair."""
+        if isinstance(message, ReplicationStatus):
+            self._task.send(StatusObserved(message))
+        elif isinstance(message, MembershipAnswer):
+            log.info(
+                "membership change ended",
+                outcome=message.outcome.value,
+                reason=message.reason,
+            )
+
+
+@singledispatch
+def perform(effect: object, parts: RepairParts, reply: Address) -> None:
+    """Perform an effect of repair."""
+    raise TypeError(f"repair has no effect {type(effect).__name__}")
+
+
+@perform.register
+def _(effect: ObserveStatus, parts: RepairParts, reply: Address) -> None:
+    status = GetReplicationStatus(NO_REQUEST, parts.group)
+    parts.replica.send(OperatorCall(status, reply))
+
+
+@perform.register
+def _(effect: ChangeReplica, parts: RepairParts, reply: Address) -> None:
+    log.warning(
+        "asks for a membership change",
+        kind=effect.kind.value,
+        replica=effect.replica,
+        replacement=effect.replacement,
+        reason=effect.reason,
+    )
+    request = _make_request(effect, parts.group)
+    parts.replica.send(OperatorCall(request, reply))
+
+
+def _make_request(effect: ChangeReplica, group: GroupId) -> object:
+    if effect.replacement is not None:
+        return ReplaceReplica(NO_REQUEST, group, effect.replica, effect.replacement)
+    if effect.kind is ChangeKind.ADD:
+        return AddReplica(NO_REQUEST, group, effect.replica)
+    return RemoveReplica(NO_REQUEST, group, effect.replica)
+
+
+@perform.register
+def _(effect: ProposeCommand, parts: RepairParts, reply: Address) -> None:
+    log.info("proposes", command=str(effect.command))
+    parts.replica.send(OwnCommand(parts.codec.encode(effect.command)))
+
+
+@perform.register
+def _(effect: TellStore, parts: RepairParts, reply: Address) -> None:
+    parts.send_to_store(effect.node, effect.message)
+
+
+def make_repair_task(
+    n_voters_wanted: int, parts: RepairParts, clock: Clock
+) -> Task[RepairState]:
+    """Return the task that repairs a group while this store leads it."""
+
+    def perform_effect(effect: object) -> None:
+        perform(effect, parts, reply)
+
+    task = make_task(
+        "repair",
+        RepairState(n_voters_wanted),
+        handle,
+        perform_effect,
+        clock,
+        tick_interval=OBSERVE_INTERVAL,
+    )
+    reply = StatusReply(task)
+    return task
--- a/oleanderhitch/process/replication/task.py
+++ b/oleanderhitch/process/replication/task.py
@@ -90,11 +90,13 @@
     timing: Timing | None = None,
     limits: Limits | None = None,
     on_leadership: Callable[[LeadershipChanged], None] | None = None,
+    may_found: bool = True,
 ) -> Task[GroupState]:
     """Return the task of this node's replica of a group, not started yet.
 
     The transport takes ReplicaEnvelope messages. The founding nodes must be the
-    same on all of them; on a node that joins later they tell whom to ask.
+    same on all of them; on a node that joins later they tell whom to ask. A
+    replica that may not found waits to be added unless its disk has a log.
     """
     timing = timing or Timing()
     found = storage.find_group(group)
@@ -103,7 +105,9 @@
         founding.voters = found.founding.voters
         founding.is_formed = found.founding.is_formed
     # A replica that was added later has a log but was never a founding voter.
-    founding.is_excluded = not founding.voters and found.last_index > 0
+    founding.is_excluded = not founding.voters and (
+        found.last_index > 0 or not may_found
+    )
     replica = core.make_replica(
         group,
         storage.replica,
--- a/oleanderhitch/process/roles/store_links.py
+++ b/oleanderhitch/process/roles/store_links.py
@@ -47,6 +47,10 @@
         if self.has_started:
             self.links[node].start()
 
+    def add_node(self, node: NodeId) -> None:
+        """Link to a store whose node id is its address."""
+        self.add(node, HostAddress(node))
+
     def follow(self, hosts: Iterable[Host]) -> None:
         """Link to the stores that the inventory declares.
 
--- /dev/null
+++ b/oleanderhitch/process/site/__init__.py
@@ -0,0 +1,1 @@
+"""Assemble the processes that forward requests and keep a site's state."""
--- /dev/null
+++ b/oleanderhitch/process/site/application.py
@@ -0,0 +1,205 @@
+"""Carry a site's replicated state: routing, registered stores, turns, budgets.
+
+The class fits `oleanderhitch.process.groups.application.Application`.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+from functools import singledispatch
+
+from oleanderhitch.connection.codec import Codec, make_codec
+from oleanderhitch.connection.exceptions import MalformedFrameError
+from oleanderhitch.process.repair import messages as repair
+from oleanderhitch.process.repair import registry
+from oleanderhitch.process.repair.messages import StoreRecord
+from oleanderhitch.process.repair.registry import RegistryState
+from oleanderhitch.process.site import messages as site
+from oleanderhitch.process.site.messages import (
+    NOTHING_ACCEPTED,
+    CommandRefused,
+    GetRouting,
+    PublishRouting,
+    RoutingAccepted,
+    RoutingFound,
+)
+from oleanderhitch.program.turns import core as turns
+from oleanderhitch.program.turns import messages as turn_messages
+from oleanderhitch.program.turns.core import TurnsState, is_expiry_due
+from oleanderhitch.program.turns.messages import ExpireTurns
+from oleanderhitch.program.turns.snapshot import (
+    SNAPSHOT_RECORDS,
+    list_records,
+    restore_record,
+)
+
+EXPIRY_INTERVAL = timedelta(seconds=5)
+PIECE_BYTES = 1024 * 1024
+
+OnChange = Callable[[], None]
+
+
+@dataclass(slots=True)
+class SiteState:
+    """Hold the replicated state; the group's task owns it."""
+
+    routing: RoutingFound = NOTHING_ACCEPTED
+    registry: RegistryState = field(default_factory=RegistryState)
+    turns: TurnsState = field(default_factory=TurnsState)
+
+
+def make_site_codec() -> Codec:
+    """Return the codec of all commands, reads and results of a site's group."""
+    return make_codec(
+        (
+            *site.COMMANDS,
+            *site.READS,
+            *site.RESULTS,
+            *repair.COMMANDS,
+            *repair.READS,
+            *repair.RESULTS,
+            *turn_messages.COMMANDS,
+            *turn_messages.RESULTS,
+        )
+    )
+
+
+@singledispatch
+def apply(command: object, state: SiteState) -> object:
+    """Return the result of a command or of a read."""
+    raise TypeError(f"site has no command {type(command).__name__}")
+
+
+@apply.register
+def _(command: PublishRouting, state: SiteState) -> object:
+    if command.version > state.routing.version:
+        state.routing = RoutingFound(command.version, command.content)
+    return RoutingAccepted(state.routing.version)
+
+
+@apply.register
+def _(command: GetRouting, state: SiteState) -> object:
+    return state.routing
+
+
+@apply.register
+def _(command: repair.GetRetirement, state: SiteState) -> object:
+    return registry.find_standing(command, state.registry)
+
+
+def _apply_to_registry(command: object, state: SiteState) -> object:
+    return registry.apply(command, state.registry)
+
+
+def _apply_to_turns(command: object, state: SiteState) -> object:
+    return turns.apply(command, state.turns)
+
+
+for _command in repair.COMMANDS:
+    apply.register(_command, _apply_to_registry)
+for _command in turn_messages.COMMANDS:
+    apply.register(_command, _apply_to_turns)
+
+
+class SiteApplication:
+    """Decode commands, apply them and encode their results.
+
+    The listeners are called after a change of routing or of registered stores.
+    """
+
+    def __init__(self, on_routing: OnChange, on_registry: OnChange) -> None:
+        self._codec = make_site_codec()
+        self._snapshot_codec = make_codec(
+            (RoutingFound, StoreRecord, *SNAPSHOT_RECORDS)
+        )
+        self._state = SiteState()
+        self._on_routing = on_routing
+        self._on_registry = on_registry
+        self._expiry_due_at: datetime | None = None
+
+    @property
+    def routing(self) -> RoutingFound:
+        """Return the routing configuration that this replica has applied."""
+        return self._state.routing
+
+    @property
+    def records(self) -> tuple[StoreRecord, ...]:
+        """Return the registered stores that this replica has applied."""
+        return tuple(self._state.registry.records.values())
+
+    def apply(self, command: bytes) -> bytes:
+        """Return the encoded result of a committed command."""
+        return self._codec.encode(self._apply(command))
+
+    def replay(self, command: bytes) -> None:
+        """Apply a committed command whose result nobody reads."""
+        self._apply(command)
+
+    def read(self, query: bytes) -> bytes:
+        """Return the encoded answer to a read."""
+        return self._codec.encode(self._apply(query))
+
+    def take_snapshot(self) -> bytes:
+        """Return the whole state as a sequence of frames."""
+        records = (
+            self._state.routing,
+            *self._state.registry.records.values(),
+            *list_records(self._state.turns),
+        )
+        return b"".join(self._snapshot_codec.encode(record) for record in records)
+
+    def restore_snapshot(self, data: bytes) -> None:
+        """Replace the whole state; raise MalformedFrameError for damaged data."""
+        state = SiteState()
+        decoder = self._snapshot_codec.make_decoder()
+        for begin in range(0, len(data), PIECE_BYTES):
+            for record in decoder.feed(data[begin : begin + PIECE_BYTES]):
+                _restore(record, state)
+        self._state = state
+        self._on_routing()
+        self._on_registry()
+
+    def make_leader_commands(self, now: datetime) -> list[bytes]:
+        """Return an expiry command when turns are due for it."""
+        if self._expiry_due_at is not None and now < self._expiry_due_at:
+            return []
+        self._expiry_due_at = now + EXPIRY_INTERVAL
+        if not is_expiry_due(self._state.turns, now):
+            return []
+        return [self._codec.encode(ExpireTurns(now))]
+
+    def _apply(self, body: bytes) -> object:
+        version = self._state.routing.version
+        records = dict(self._state.registry.records)
+        try:
+            result = apply(self._codec.decode(body), self._state)
+        except (MalformedFrameError, TypeError) as error:
+            # A command that fails on every replica must not stop the group.
+            return CommandRefused(str(error))
+        if self._state.routing.version != version:
+            self._on_routing()
+        if self._state.registry.records != records:
+            self._on_registry()
+        return result
+
+
+@singledispatch
+def _restore(record: object, state: SiteState) -> None:
+    restore_record(record, state.turns)
+
+
+@_restore.register
+def _(record: RoutingFound, state: SiteState) -> None:
+    state.routing = record
+
+
+@_restore.register
+def _(record: StoreRecord, state: SiteState) -> None:
+    state.registry.records[record.host] = record
+
+
+def make_site_application(
+    on_routing: OnChange, on_registry: OnChange
+) -> SiteApplication:
+    """Return the application of a site's group, without any state."""
+    return SiteApplication(on_routing, on_registry)
--- /dev/null
+++ b/oleanderhitch/process/site/follower.py
@@ -0,0 +1,285 @@
+"""Follow the site's stores: routing, endpoints and the stores themselves."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+from functools import singledispatch
+
+import logbook
+
+from oleanderhitch.connection.peer.messages import LinkDown, LinkUp
+from oleanderhitch.process.address import Address
+from oleanderhitch.process.clock import Clock
+from oleanderhitch.process.directory.core import ReaderAppointed
+from oleanderhitch.process.directory.messages import EndpointList, ListVersion
+from oleanderhitch.process.groups.messages import StoresChanged
+from oleanderhitch.process.ids import NodeId
+from oleanderhitch.process.messages import Tick
+from oleanderhitch.process.placement.messages import EndpointsListed
+from oleanderhitch.process.roles.store_links import StoreLinks
+from oleanderhitch.process.site.messages import EntryHello, RoutingFound, SiteStatus
+from oleanderhitch.process.task import Task, make_task
+from oleanderhitch.version.routes.configuration import RouteTable
+from oleanderhitch.version.routes.ids import NO_ROUTING, RoutingVersion
+
+HELLO_INTERVAL = timedelta(milliseconds=400)
+# The stores tell the list at least once a second; an entry that hears nothing
+# for longer reads it by itself, so that leaving endpoints are noticed in time.
+LIST_AGE_LIMIT = timedelta(milliseconds=1800)
+# Term of the lists that an entry reads by itself; every store's term is higher.
+OWN_TERM = 0
+
+
+@dataclass(frozen=True, slots=True)
+class StoresKnown:
+    """Name stores that the settings or other stores know."""
+
+    stores: tuple[NodeId, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ListReadByEntry:
+    """Bring a list that this entry has read by itself."""
+
+    found: EndpointList
+
+
+@dataclass(frozen=True, slots=True)
+class SayHello:
+    """Send this entry's hello to a store, or to all that are known."""
+
+    hello: EntryHello
+
+
+@dataclass(frozen=True, slots=True)
+class InstallRouting:
+    """Use a routing configuration from now on."""
+
+    found: RoutingFound
+
+
+@dataclass(frozen=True, slots=True)
+class InstallEndpoints:
+    """Use a list of endpoints from now on."""
+
+    found: EndpointList
+
+
+@dataclass(frozen=True, slots=True)
+class LinkStores:
+    """Keep links to these stores."""
+
+    stores: tuple[NodeId, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class AppointReader:
+    """Begin or cease to read the list by itself."""
+
+    is_reader: bool
+
+
+@dataclass(frozen=True, slots=True)
+class LogLink:
+    """Log that a store is lost or reached again."""
+
+    event: str
+    store: str
+    reason: str
+
+
+@dataclass(slots=True)
+class FollowerState:
+    """Hold what an entry has heard; the follower's task owns it."""
+
+    node: NodeId
+    stores: set[NodeId] = field(default_factory=set)
+    linked: set[str] = field(default_factory=set)
+    routing: RoutingVersion = NO_ROUTING
+    list_version: ListVersion | None = None
+    list_heard_at: datetime | None = None
+    is_reader: bool = False
+
+
+@singledispatch
+def handle(message: object, state: FollowerState, now: datetime) -> list[object]:
+    """Return the effects of a message."""
+    raise TypeError(f"follower has no message {type(message).__name__}")
+
+
+@handle.register
+def _(message: Tick, state: FollowerState, now: datetime) -> list[object]:
+    if state.list_heard_at is None:
+        state.list_heard_at = now
+    is_old = now - state.list_heard_at > LIST_AGE_LIMIT
+    effects = _make_hellos(state)
+    if is_old and not state.is_reader:
+        state.is_reader = True
+        effects.append(AppointReader(True))
+    return effects
+
+
+@handle.register
+def _(message: StoresKnown, state: FollowerState, now: datetime) -> list[object]:
+    return _learn_stores(message.stores, state)
+
+
+@handle.register
+def _(message: SiteStatus, state: FollowerState, now: datetime) -> list[object]:
+    effects = _learn_stores(message.stores, state)
+    if message.routing is not None and message.routing.version > state.routing:
+        state.routing = message.routing.version
+        effects.append(InstallRouting(message.routing))
+        # The stores learn at once which version this entry has.
+        effects.extend(_make_hellos(state))
+    if message.endpoints is not None:
+        effects.extend(_take_list(message.endpoints, False, state, now))
+    return effects
+
+
+@handle.register
+def _(message: ListReadByEntry, state: FollowerState, now: datetime) -> list[object]:
+    if not state.is_reader:
+        return []
+    return _take_list(message.found, True, state, now)
+
+
+@handle.register
+def _(message: LinkUp, state: FollowerState, now: datetime) -> list[object]:
+    state.linked.add(message.peer)
+    effects = _make_hellos(state)
+    effects.append(LogLink("store reached", message.peer, ""))
+    return effects
+
+
+@handle.register
+def _(message: LinkDown, state: FollowerState, now: datetime) -> list[object]:
+    if message.peer not in state.linked:
+        return []
+    state.linked.discard(message.peer)
+    return [LogLink("store lost", message.peer, message.reason)]
+
+
+def _make_hellos(state: FollowerState) -> list[object]:
+    return [SayHello(EntryHello(state.node, state.routing, state.list_version))]
+
+
+def _learn_stores(stores: tuple[NodeId, ...], state: FollowerState) -> list[object]:
+    if state.stores.issuperset(stores):
+        return []
+    state.stores.update(stores)
+    return [LinkStores(tuple(sorted(state.stores)))]
+
+
+def _take_list(
+    found: EndpointList, is_own: bool, state: FollowerState, now: datetime
+) -> list[object]:
+    known = state.list_version
+    is_old = state.list_heard_at is None or now - state.list_heard_at > LIST_AGE_LIMIT
+    is_newer = known is None or found.version > known
+    if not is_newer and found.version != known and not is_old and not is_own:
+        return []
+    effects: list[object] = []
+    state.list_heard_at = now
+    if not is_own and state.is_reader:
+        state.is_reader = False
+        effects.append(AppointReader(False))
+    if found.version != known:
+        state.list_version = found.version
+        effects.append(InstallEndpoints(found))
+    return effects
+
+
+@dataclass(slots=True)
+class Installed:
+    """Publish the immutable values that connections read at each request.
+
+    The follower's task alone writes them.
+    """
+
+    table: RouteTable | None = None
+    has_endpoints: bool = False
+
+
+@dataclass(slots=True)
+class FollowerParts:
+    """Hold what the effects of the follower act on."""
+
+    installed: Installed
+    links: StoreLinks
+    clients: tuple[Address, ...]
+    placement: Address
+    directory: Address
+    read_routing: Callable[[bytes], RouteTable]
+
+
+log = logbook.Logger("follower")
+
+
+@singledispatch
+def perform(effect: object, parts: FollowerParts) -> None:
+    """Perform an effect of the follower."""
+    raise TypeError(f"follower has no effect {type(effect).__name__}")
+
+
+@perform.register
+def _(effect: SayHello, parts: FollowerParts) -> None:
+    for link in parts.links.links.values():
+        link.send(effect.hello)
+
+
+@perform.register
+def _(effect: LinkStores, parts: FollowerParts) -> None:
+    for node in effect.stores:
+        parts.links.add_node(node)
+    log.info("stores known", stores=list(effect.stores))
+    for client in parts.clients:
+        client.send(StoresChanged(parts.links.list_addresses()))
+
+
+@perform.register
+def _(effect: InstallRouting, parts: FollowerParts) -> None:
+    parts.installed.table = parts.read_routing(effect.found.content)
+    log.info("routing installed", version=effect.found.version)
+
+
+@perform.register
+def _(effect: InstallEndpoints, parts: FollowerParts) -> None:
+    endpoints = effect.found.endpoints
+    log.info(
+        "endpoints installed",
+        version=[effect.found.version.term, effect.found.version.number],
+        n_endpoints=len(endpoints),
+        leaving=[one.endpoint for one in endpoints if one.is_leaving],
+    )
+    parts.installed.has_endpoints = True
+    parts.placement.send(EndpointsListed(endpoints))
+
+
+@perform.register
+def _(effect: AppointReader, parts: FollowerParts) -> None:
+    log.warning("reads the list by itself", is_reader=effect.is_reader)
+    parts.directory.send(ReaderAppointed(OWN_TERM if effect.is_reader else None))
+
+
+@perform.register
+def _(effect: LogLink, parts: FollowerParts) -> None:
+    log.info(effect.event, store=effect.store, reason=effect.reason)
+
+
+def make_follower_task(
+    node: NodeId, parts: FollowerParts, clock: Clock
+) -> Task[FollowerState]:
+    """Return the task that follows the stores for one entry."""
+
+    def perform_effect(effect: object) -> None:
+        perform(effect, parts)
+
+    return make_task(
+        "follower",
+        FollowerState(node),
+        handle,
+        perform_effect,
+        clock,
+        tick_interval=HELLO_INTERVAL,
+    )
--- /dev/null
+++ b/oleanderhitch/process/site/messages.py
@@ -0,0 +1,72 @@
+"""Define what entries and stores of a site tell each other."""
+
+from dataclasses import dataclass
+
+from oleanderhitch.process.directory.messages import EndpointList, ListVersion
+from oleanderhitch.process.ids import NodeId
+from oleanderhitch.version.routes.ids import NO_ROUTING, RoutingVersion
+
+
+@dataclass(frozen=True, slots=True)
+class PublishRouting:
+    """Ask for a routing configuration to be accepted; a replicated command.
+
+    The content is kept as the operator sent it. A version that is not higher
+    than the accepted one changes nothing.
+    """
+
+    version: RoutingVersion
+    content: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class GetRouting:
+    """Ask for the accepted routing configuration; a read."""
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingAccepted:
+    """Say which version is accepted after a publish."""
+
+    version: RoutingVersion
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingFound:
+    """Bring the accepted routing configuration."""
+
+    version: RoutingVersion
+    content: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class CommandRefused:
+    """Say that a command can't be read."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class EntryHello:
+    """Announce an entry and what it has, and ask for what is newer."""
+
+    node: NodeId
+    routing: RoutingVersion
+    list_version: ListVersion | None
+
+
+@dataclass(frozen=True, slots=True)
+class SiteStatus:
+    """Bring an entry what a store knows that the entry lacks."""
+
+    stores: tuple[NodeId, ...]
+    routing: RoutingFound | None
+    endpoints: EndpointList | None
+
+
+NOTHING_ACCEPTED = RoutingFound(NO_ROUTING, b"")
+
+COMMANDS: tuple[type, ...] = (PublishRouting,)
+READS: tuple[type, ...] = (GetRouting,)
+RESULTS: tuple[type, ...] = (RoutingAccepted, RoutingFound, CommandRefused)
+MESSAGES: tuple[type, ...] = (EntryHello, SiteStatus)
--- /dev/null
+++ b/oleanderhitch/process/site/registry.py
@@ -0,0 +1,16 @@
+"""Collect the message types that cross the processes of a site."""
+
+from oleanderhitch.connection.codec import Codec, make_codec
+from oleanderhitch.connection.peer import messages as peer
+from oleanderhitch.process.groups import messages as groups
+from oleanderhitch.process.repair import messages as repair
+from oleanderhitch.process.site import messages as site
+
+MODULES = (peer, groups, repair, site)
+
+
+def make_site_peer_codec() -> Codec:
+    """Return the codec that the processes of a site speak."""
+    return make_codec(
+        message_type for module in MODULES for message_type in module.MESSAGES
+    )
--- /dev/null
+++ b/oleanderhitch/program/turns/core.py
@@ -0,0 +1,146 @@
+"""Apply commands on turns and budgets, alike on every replica."""
+
+from dataclasses import dataclass, field
+from datetime import UTC, datetime, timedelta
+from functools import singledispatch
+
+from oleanderhitch.program.ids import ProgramId
+from oleanderhitch.program.turns.messages import (
+    BeginTurn,
+    BudgetSpent,
+    ExpireTurns,
+    PreviousTurnMissing,
+    SettleTurn,
+    TurnBegun,
+    TurnClosed,
+    TurnSettled,
+    TurnsExpired,
+    WholeTurn,
+)
+from oleanderhitch.request.ids import RequestId
+
+# Turns stay this much longer than asked, since the clocks of hosts differ by up
+# to some seconds and a turn that is missed fails its program.
+RETENTION_MARGIN = timedelta(seconds=30)
+# Programs without kept turns are remembered this long after their last turn, so
+# that one that was stopped finds its budget spent when it comes back.
+PROGRAM_RETENTION = timedelta(seconds=300)
+LONG_AGO = datetime.fromtimestamp(0, UTC)
+
+
+@dataclass(slots=True)
+class TurnRecord:
+    """Hold a whole turn; its expiry covers the turns that continue it."""
+
+    previous: RequestId | None
+    content: bytes
+    retention: timedelta
+    expires_at: datetime
+
+
+@dataclass(slots=True)
+class ProgramRecord:
+    """Hold what a program has spent and what its open turns may spend yet."""
+
+    spent_tokens: int = 0
+    reserved: dict[RequestId, int] = field(default_factory=dict)
+    settled: set[RequestId] = field(default_factory=set)
+    expires_at: datetime = LONG_AGO
+
+
+@dataclass(slots=True)
+class TurnsState:
+    """Hold the turns and budgets of all programs of a group."""
+
+    turns: dict[RequestId, TurnRecord] = field(default_factory=dict)
+    programs: dict[ProgramId, ProgramRecord] = field(default_factory=dict)
+    # The latest time that a command brought; it never goes back.
+    now: datetime = LONG_AGO
+
+
+@singledispatch
+def apply(command: object, state: TurnsState) -> object:
+    """Return the result of a command."""
+    raise TypeError(f"turns have no command {type(command).__name__}")
+
+
+@apply.register
+def _(command: BeginTurn, state: TurnsState) -> object:
+    state.now = max(state.now, command.at)
+    if command.previous is not None and command.previous not in state.turns:
+        return PreviousTurnMissing()
+    program = _get_program(command.program, state)
+    if command.request in program.settled:
+        return TurnClosed()
+    if command.request not in program.reserved:
+        reserved = sum(program.reserved.values())
+        needed = program.spent_tokens + reserved + command.most_tokens
+        if command.budget_tokens is not None and needed > command.budget_tokens:
+            return BudgetSpent(program.spent_tokens, reserved)
+        program.reserved[command.request] = command.most_tokens
+    line = _extend_line(command.previous, state)
+    return TurnBegun(b"".join(turn.content for turn in line), len(line))
+
+
+@apply.register
+def _(command: SettleTurn, state: TurnsState) -> object:
+    state.now = max(state.now, command.at)
+    program = _get_program(command.program, state)
+    if command.request not in program.settled:
+        program.settled.add(command.request)
+        program.reserved.pop(command.request, None)
+        program.spent_tokens += command.spent_tokens
+        if command.turn is not None:
+            _keep_turn(command.request, command.turn, state)
+    return TurnSettled()
+
+
+@apply.register
+def _(command: ExpireTurns, state: TurnsState) -> object:
+    state.now = max(state.now, command.at)
+    expired = [
+        request for request, turn in state.turns.items() if turn.expires_at < state.now
+    ]
+    for request in expired:
+        del state.turns[request]
+    for name in [
+        name
+        for name, program in state.programs.items()
+        if program.expires_at < state.now
+    ]:
+        del state.programs[name]
+    return TurnsExpired(len(expired))
+
+
+def is_expiry_due(state: TurnsState, now: datetime) -> bool:
+    """Tell whether anything has expired."""
+    return any(turn.expires_at < now for turn in state.turns.values()) or any(
+        program.expires_at < now for program in state.programs.values()
+    )
+
+
+def _get_program(name: ProgramId, state: TurnsState) -> ProgramRecord:
+    program = state.programs.setdefault(name, ProgramRecord())
+    program.expires_at = state.now + PROGRAM_RETENTION
+    return program
+
+
+def _keep_turn(request: RequestId, turn: WholeTurn, state: TurnsState) -> None:
+    expires_at = state.now + turn.retention + RETENTION_MARGIN
+    state.turns[request] = TurnRecord(
+        turn.previous, turn.content, turn.retention, expires_at
+    )
+    _extend_line(turn.previous, state)
+
+
+def _extend_line(last: RequestId | None, state: TurnsState) -> list[TurnRecord]:
+    """Return the turns up to the last one, oldest first, and keep them longer."""
+    line: list[TurnRecord] = []
+    while last is not None:
+        turn = state.turns[last]
+        expires_at = state.now + turn.retention + RETENTION_MARGIN
+        turn.expires_at = max(turn.expires_at, expires_at)
+        line.append(turn)
+        last = turn.previous
+    line.reverse()
+    return line
--- /dev/null
+++ b/oleanderhitch/version/routes/__init__.py
@@ -0,0 +1,1 @@
+"""Hold one accepted routing configuration: routes, services and limits."""
