--- a/oleanderhitch/process/site/follower.py
+++ b/oleanderhitch/process/site/follower.py
@@ -22,10 +22,10 @@
 from oleanderhitch.version.routes.configuration import RouteTable
 from oleanderhitch.version.routes.ids import NO_ROUTING, RoutingVersion
 
-HELLO_INTERVAL = timedelta(milliseconds=400)
+HELLO_INTERVAL = timedelta(milliseconds=600)
 # The stores tell the list at least once a second; an entry that hears nothing
 # for longer reads it by itself, so that leaving endpoints are noticed in time.
-LIST_AGE_LIMIT = timedelta(milliseconds=1800)
+LIST_AGE_LIMIT = timedelta(milliseconds=2000)
 # Term of the lists that an entry reads by itself; every store's term is higher.
 OWN_TERM = 0
 
@@ -134,6 +134,8 @@
         effects.extend(_make_hellos(state))
     if message.endpoints is not None:
         effects.extend(_take_list(message.endpoints, False, state, now))
+    elif message.list_version is not None:
+        effects.extend(_confirm_list(message.list_version, state, now))
     return effects
 
 
@@ -171,6 +173,18 @@
     return [LinkStores(tuple(sorted(state.stores)))]
 
 
+def _confirm_list(
+    version: ListVersion, state: FollowerState, now: datetime
+) -> list[object]:
+    if version != state.list_version:
+        return []
+    state.list_heard_at = now
+    if not state.is_reader:
+        return []
+    state.is_reader = False
+    return [AppointReader(False)]
+
+
 def _take_list(
     found: EndpointList, is_own: bool, state: FollowerState, now: datetime
 ) -> list[object]:
--- a/oleanderhitch/process/site/group.py
+++ b/oleanderhitch/process/site/group.py
@@ -11,7 +11,7 @@
 # Hosts of a site are about a millisecond apart, so that shorter timeouts than
 # those between regions start no needless elections.
 SITE_TIMING = Timing(
-    heartbeat_interval=timedelta(milliseconds=150),
+    heartbeat_interval=timedelta(milliseconds=200),
     election_timeout_min=timedelta(milliseconds=600),
     election_timeout_max=timedelta(milliseconds=1000),
 )
--- a/oleanderhitch/process/site/messages.py
+++ b/oleanderhitch/process/site/messages.py
@@ -57,10 +57,14 @@
 
 @dataclass(frozen=True, slots=True)
 class SiteStatus:
-    """Bring an entry what a store knows that the entry lacks."""
+    """Bring an entry what a store knows that the entry lacks.
+
+    A store that reads the list names its version even to an entry that has it.
+    """
 
     stores: tuple[NodeId, ...]
     routing: RoutingFound | None
+    list_version: ListVersion | None
     endpoints: EndpointList | None
 
 
--- a/oleanderhitch/process/site/store.py
+++ b/oleanderhitch/process/site/store.py
@@ -64,7 +64,7 @@
 from oleanderhitch.version.routes.configuration import CallerLimits
 from oleanderhitch.version.routes.ids import NO_ROUTING
 
-HELLO_INTERVAL = timedelta(milliseconds=300)
+HELLO_INTERVAL = timedelta(milliseconds=400)
 # An entry that said nothing for this long is gone or uses another connection.
 ENTRY_SILENCE_LIMIT = timedelta(seconds=3)
 # Stores that were not heard for so long and hold no replica are forgotten.
@@ -312,8 +312,15 @@
         routing = self._application.routing
         is_newer = routing.version > hello.routing and routing.version != NO_ROUTING
         found = self._endpoints
+        list_version = None if found is None else found.version
+        is_other_list = list_version != hello.list_version
         subscriber.reply.send(
-            SiteStatus(self._list_stores(), routing if is_newer else None, found)
+            SiteStatus(
+                self._list_stores(),
+                routing if is_newer else None,
+                list_version,
+                found if is_other_list else None,
+            )
         )
 
     def _push(self) -> None:
--- a/oleanderhitch/program/turns/core.py
+++ b/oleanderhitch/program/turns/core.py
@@ -44,7 +44,7 @@
 
     spent_tokens: int = 0
     reserved: dict[RequestId, int] = field(default_factory=dict)
-    settled: set[RequestId] = field(default_factory=set)
+    settled: dict[RequestId, int] = field(default_factory=dict)
     expires_at: datetime = LONG_AGO
 
 
@@ -87,7 +87,7 @@
     state.now = max(state.now, command.at)
     program = _get_program(command.program, state)
     if command.request not in program.settled:
-        program.settled.add(command.request)
+        program.settled[command.request] = command.spent_tokens
         program.reserved.pop(command.request, None)
         program.spent_tokens += command.spent_tokens
         if command.turn is not None:
