--- a/oleanderhitch/connection/http/caller.py
+++ b/oleanderhitch/connection/http/caller.py
@@ -196,6 +196,8 @@
                     return
                 for request in parser.feed(data):
                     self._take(request)
+                if parser.fault is not None:
+                    raise parser.fault
                 if parser.expects_continue and not self._is_serving:
                     self._send(CONTINUE)
                 self._await_answers(N_AHEAD_LIMIT)
--- a/oleanderhitch/connection/http/parsing.py
+++ b/oleanderhitch/connection/http/parsing.py
@@ -36,9 +36,9 @@
         return not self._has_begun
 
     @property
-    def awaits_body(self) -> bool:
-        """Tell whether the headers are whole and the body is not."""
-        return self._has_headers
+    def fault(self) -> UnreadableRequestError | None:
+        """Return what is wrong with the bytes after the whole requests."""
+        return self._fault
 
     @property
     def expects_continue(self) -> bool:
@@ -52,7 +52,7 @@
 
     def feed(self, data: bytes) -> list[HttpRequest]:
         """Return the requests that are whole now; raise UnreadableRequestError."""
-        self._has_begun = True
+        self._has_begun = self._has_begun or bool(data)
         if not self._has_headers:
             self._n_header_bytes += len(data)
         try:
--- /dev/null
+++ b/tests/connection/http/__init__.py
@@ -0,0 +1,1 @@
+"""Test HTTP connections."""
--- /dev/null
+++ b/tests/connection/http/test_caller.py
@@ -0,0 +1,174 @@
+"""Guard against callers that get no answer, a wrong one or another's."""
+
+from collections.abc import Callable, Iterator
+from datetime import datetime, timedelta
+
+import gevent
+import gevent.event
+import pytest
+from gevent import socket
+
+from oleanderhitch.connection.http.caller import AnswerWriter
+from oleanderhitch.connection.http.messages import (
+    CallerLeft,
+    HttpRequest,
+    HttpResponse,
+)
+from oleanderhitch.connection.http.server import HttpServer, make_http_server
+from oleanderhitch.connection.ids import HostAddress
+from oleanderhitch.process.clock import make_system_clock
+from oleanderhitch.process.mailbox import Mailbox
+from oleanderhitch.version.routes.configuration import CallerLimits
+
+LIMITS = CallerLimits(
+    header_timeout=timedelta(milliseconds=200), idle_timeout=timedelta(seconds=2)
+)
+GET = b"GET %b HTTP/1.1\r\nHost: h\r\n\r\n"
+ServeCall = Callable[[HttpRequest, AnswerWriter, Mailbox, datetime], None]
+
+
+@pytest.fixture
+def start() -> Iterator[Callable[[ServeCall], tuple[HttpServer, HostAddress]]]:
+    """Return a function that starts a server, which ends with the test."""
+    servers: list[HttpServer] = []
+
+    def start_server(serve: ServeCall) -> tuple[HttpServer, HostAddress]:
+        free = socket.socket()
+        free.bind(("127.0.0.1", 0))
+        address = HostAddress(f"127.0.0.1:{free.getsockname()[1]}")
+        free.close()
+        server = make_http_server(address, serve, make_system_clock(), lambda: LIMITS)
+        server.start()
+        servers.append(server)
+        return server, address
+
+    yield start_server
+    for server in servers:
+        server.stop()
+
+
+def connect(address: HostAddress) -> socket.socket:
+    """Return a connection to a server."""
+    ip, _, port = address.rpartition(":")
+    connected = socket.create_connection((ip, int(port)))
+    connected.settimeout(2)
+    return connected
+
+
+def read_all(connected: socket.socket) -> bytes:
+    """Return everything up to the close of the connection."""
+    data = b""
+    while piece := connected.recv(4096):
+        data += piece
+    return data
+
+
+def echo(
+    request: HttpRequest, writer: AnswerWriter, mailbox: Mailbox, now: datetime
+) -> None:
+    """Answer the target of the request."""
+    writer.respond(HttpResponse(200, request.target.encode()))
+
+
+def test_requests_sent_ahead_are_answered_in_order(
+    start: Callable[[ServeCall], tuple[HttpServer, HostAddress]],
+) -> None:
+    """A caller that sends ahead gets each answer in its place."""
+    _, address = start(echo)
+    connected = connect(address)
+    targets = [b"/%d" % number for number in range(6)]
+    last = b"GET /last HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+    connected.sendall(b"".join(GET % target for target in targets) + last)
+    bodies = [
+        part.rpartition(b"\r\n")[2] for part in read_all(connected).split(b"HTTP")
+    ]
+    assert bodies[1:] == [*targets, b"/last"]
+
+
+def test_caller_that_leaves_is_told_to_the_request(
+    start: Callable[[ServeCall], tuple[HttpServer, HostAddress]],
+) -> None:
+    """Work must end soon after its caller is gone."""
+    seen: list[object] = []
+
+    def serve(
+        request: HttpRequest, writer: AnswerWriter, mailbox: Mailbox, now: datetime
+    ) -> None:
+        seen.append(mailbox.receive(timedelta(seconds=2)))
+        writer.abort()
+
+    _, address = start(serve)
+    connected = connect(address)
+    connected.sendall(GET % b"/")
+    gevent.sleep(0.05)
+    connected.close()
+    gevent.sleep(0.05)
+    assert [type(message) for message in seen] == [CallerLeft]
+
+
+def test_aborted_answer_does_not_look_complete(
+    start: Callable[[ServeCall], tuple[HttpServer, HostAddress]],
+) -> None:
+    """A stream that breaks off must lack its last chunk."""
+
+    def serve(
+        request: HttpRequest, writer: AnswerWriter, mailbox: Mailbox, now: datetime
+    ) -> None:
+        writer.start(200, ())
+        writer.write(b"piece")
+        writer.abort()
+
+    _, address = start(serve)
+    connected = connect(address)
+    connected.sendall(GET % b"/")
+    data = read_all(connected)
+    assert data.endswith(b"5\r\npiece\r\n")
+
+
+def test_slow_headers_are_answered_with_a_timeout(
+    start: Callable[[ServeCall], tuple[HttpServer, HostAddress]],
+) -> None:
+    """A caller that sends a request byte by byte must not hold a connection."""
+    _, address = start(echo)
+    connected = connect(address)
+    connected.sendall(b"GET / HT")
+    assert read_all(connected).startswith(b"HTTP/1.1 408 ")
+
+
+def test_unreadable_bytes_are_answered_and_closed(
+    start: Callable[[ServeCall], tuple[HttpServer, HostAddress]],
+) -> None:
+    """What is no request gets a clear answer and leaves nothing behind."""
+    server, address = start(echo)
+    connected = connect(address)
+    connected.sendall(GET % b"/first" + b"nonsense\r\n\r\n")
+    data = read_all(connected)
+    assert data.startswith(b"HTTP/1.1 200 ")
+    assert b"HTTP/1.1 400 " in data
+    assert server.n_serving == 0
+
+
+def test_stop_closes_idle_connections_and_finishes_answers(
+    start: Callable[[ServeCall], tuple[HttpServer, HostAddress]],
+) -> None:
+    """A planned stop must cut no request."""
+    go_on = gevent.event.Event()
+
+    def serve(
+        request: HttpRequest, writer: AnswerWriter, mailbox: Mailbox, now: datetime
+    ) -> None:
+        go_on.wait()
+        echo(request, writer, mailbox, now)
+
+    server, address = start(serve)
+    idle = connect(address)
+    busy = connect(address)
+    busy.sendall(GET % b"/busy")
+    gevent.sleep(0.05)
+    server.close_after_answers()
+    assert read_all(idle) == b""
+    assert server.n_serving == 1
+    go_on.set()
+    data = read_all(busy)
+    assert b"connection: close" in data
+    assert data.endswith(b"/busy")
--- /dev/null
+++ b/tests/connection/http/test_parsing.py
@@ -0,0 +1,114 @@
+"""Guard against smuggled, oversized and misread requests and answers."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from oleanderhitch.connection.http.exceptions import (
+    UnreadableRequestError,
+    UnreadableResponseError,
+)
+from oleanderhitch.connection.http.messages import HttpRequest, RequestFault
+from oleanderhitch.connection.http.parsing import (
+    BodyEnd,
+    ParsedBody,
+    ParsedEnd,
+    ParsedHead,
+    make_request_parser,
+    make_response_parser,
+)
+from oleanderhitch.version.routes.configuration import CallerLimits
+
+LIMITS = CallerLimits(header_bytes=500, body_bytes=1000)
+CHUNKED = (
+    b"POST /a/b?c=d HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+)
+PLAIN = b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
+
+
+def parse(data: bytes) -> list[HttpRequest]:
+    """Return the whole requests of some bytes."""
+    return make_request_parser(LIMITS).feed(data)
+
+
+@given(st.lists(st.integers(1, 30), max_size=40))
+def test_cuts_of_the_bytes_do_not_matter(sizes: list[int]) -> None:
+    """Requests that follow each other are told apart however they arrive."""
+    parser = make_request_parser(LIMITS)
+    rest = CHUNKED + PLAIN
+    found = []
+    for size in [*sizes, len(rest)]:
+        found.extend(parser.feed(rest[:size]))
+        rest = rest[size:]
+    assert [(one.target, one.body) for one in found] == [
+        ("/a/b?c=d", b"abcde"),
+        ("/x", b"body"),
+    ]
+    assert parser.is_idle
+
+
+@pytest.mark.parametrize(
+    ("data", "fault"),
+    [
+        (
+            b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            RequestFault.MALFORMED,
+        ),
+        (
+            b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+            b"Content-Length: 4\r\n\r\nabc",
+            RequestFault.MALFORMED,
+        ),
+        (b"GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", RequestFault.MALFORMED),
+        (b"GET / HTTP/1.1\r\n\r\n", RequestFault.MALFORMED),
+        (b"nonsense\r\n\r\n", RequestFault.MALFORMED),
+        (
+            b"GET / HTTP/1.1\r\nHost: h\r\nA: " + b"x" * 600 + b"\r\n\r\n",
+            RequestFault.HEADERS_TOO_LARGE,
+        ),
+        (
+            b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n",
+            RequestFault.BODY_TOO_LARGE,
+        ),
+        (
+            b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"7d0\r\n" + b"x" * 2000,
+            RequestFault.BODY_TOO_LARGE,
+        ),
+    ],
+)
+def test_bad_request_is_refused_with_its_fault(
+    data: bytes, fault: RequestFault
+) -> None:
+    """A request with two meanings or beyond the limits must not be forwarded."""
+    with pytest.raises(UnreadableRequestError) as caught:
+        parse(data)
+    assert caught.value.fault is fault
+
+
+def test_answer_of_known_length_is_framed() -> None:
+    """The end of a framed answer is known; what follows belongs to no request."""
+    parser = make_response_parser()
+    parts = parser.feed(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 ")
+    head, body, end = parts
+    assert isinstance(head, ParsedHead)
+    assert head.end is BodyEnd.FRAMED
+    assert body == ParsedBody(b"ok")
+    assert end == ParsedEnd()
+
+
+def test_answer_without_length_ends_with_its_connection() -> None:
+    """Such an answer must not count as complete before the connection ends."""
+    parts = make_response_parser().feed(b"HTTP/1.1 200 OK\r\n\r\npart")
+    head = parts[0]
+    assert isinstance(head, ParsedHead)
+    assert head.end is BodyEnd.CONNECTION
+    assert not any(isinstance(part, ParsedEnd) for part in parts)
+
+
+def test_bytes_that_are_no_answer_are_told() -> None:
+    """A faulty endpoint's bytes must not be passed on."""
+    with pytest.raises(UnreadableResponseError):
+        make_response_parser().feed(b"\x00\x01garbage\r\n\r\n")
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Test the translation of the platform."""
--- /dev/null
+++ b/tests/platform/test_routing.py
@@ -0,0 +1,129 @@
+"""Guard against invalid configurations that come into force."""
+
+import json
+from datetime import timedelta
+from typing import Any
+
+import pytest
+
+from oleanderhitch.exceptions import InvalidInputError
+from oleanderhitch.platform.routing import read_route_table, read_routing
+from oleanderhitch.version.routes.states import RouteKind
+
+
+def make_configuration(**changes: Any) -> dict[str, Any]:
+    """Return a valid configuration with some changes."""
+    content: dict[str, Any] = {
+        "version": 7,
+        "routes": [
+            {
+                "name": "r1",
+                "host": "H.example",
+                "path_prefix": "/a/",
+                "kind": "stream",
+                "timeout_ms": 4000,
+                "slo_ms": 250,
+                "priority": 1,
+                "split": [
+                    {"service": "s1", "weight": 90},
+                    {"service": "s2", "weight": 10},
+                ],
+                "attempts": 1,
+                "keeps_history": True,
+                "retain_s": 60.0,
+                "itl_target_ms": 400,
+            },
+            {
+                "name": "r2",
+                "host": "h.example",
+                "path_prefix": "/a/b/",
+                "kind": "unsafe",
+                "timeout_ms": 1500.0,
+                "service": "s2",
+            },
+        ],
+        "services": [
+            {
+                "name": "s1",
+                "max_conns": 360,
+                "engine": {"slots": 64, "kv_capacity": 1000, "chunk_tokens": 17},
+            },
+            {"name": "s2", "health_path": "/healthz", "unknown": 1},
+        ],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 4194304,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+    }
+    content.update(changes)
+    return content
+
+
+def encode(content: Any) -> bytes:
+    """Return a configuration as operators send it."""
+    return json.dumps(content).encode()
+
+
+def test_longest_prefix_selects_the_route() -> None:
+    """A request must not go to a service that its route does not name."""
+    table = read_route_table(encode(make_configuration()))
+    first = table.find_route("h.example", "/a/x")
+    second = table.find_route("h.example", "/a/b/x")
+    assert first is not None
+    assert second is not None
+    assert (first.name, second.name) == ("r1", "r2")
+    assert table.find_route("h.example", "/a") is None
+    assert table.find_route("other", "/a/") is None
+    assert first.kind is RouteKind.STREAM
+    assert first.pause_limit == timedelta(milliseconds=400)
+    assert not first.may_repeat
+
+
+def change_route(**changes: Any) -> dict[str, Any]:
+    """Return a configuration whose second route differs."""
+    content = make_configuration()
+    content["routes"][1].update(changes)
+    return content
+
+
+@pytest.mark.parametrize(
+    "content",
+    [
+        change_route(service="unknown"),
+        change_route(path_prefix="/a/", host="H.EXAMPLE"),
+        change_route(split=[{"service": "s2", "weight": 0}]),
+        change_route(timeout_ms=0),
+        change_route(kind="other"),
+        change_route(path_prefix="/a"),
+        change_route(service=None),
+        make_configuration(version="seven"),
+        make_configuration(version=True),
+        make_configuration(routes=None),
+        make_configuration(services={}),
+        [],
+        7,
+    ],
+)
+def test_invalid_configuration_is_refused(content: Any) -> None:
+    """What is invalid must not be acknowledged."""
+    with pytest.raises(InvalidInputError):
+        read_routing(encode(content))
+
+
+def test_configuration_that_is_cut_short_is_refused() -> None:
+    """Bytes that end early must not be taken for a smaller configuration."""
+    whole = encode(make_configuration())
+    for end in range(0, len(whole), 37):
+        with pytest.raises(InvalidInputError):
+            read_routing(whole[:end])
+
+
+def test_all_faults_are_named() -> None:
+    """An operator should correct a configuration in one go."""
+    content = change_route(timeout_ms=0, service="unknown")
+    with pytest.raises(InvalidInputError) as caught:
+        read_routing(encode(content))
+    assert "routes.E002" in str(caught.value)
+    assert "routes.E005" in str(caught.value)
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,78 @@
+"""Guard against processes that start with wrong settings."""
+
+import json
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from oleanderhitch.exceptions import InvalidInputError
+from oleanderhitch.platform.settings import (
+    KEY_VARIABLE,
+    METRICS_PORT_VARIABLE,
+    SETTINGS_VARIABLE,
+    make_entry_settings,
+    make_store_settings,
+    read_settings_file,
+)
+
+CONTENT: dict[str, Any] = {
+    "node": "store-a-1",
+    "zone": "a",
+    "ip": "10.1.0.32",
+    "listen": {"control": "10.1.0.32:8144"},
+    "port_range": [7380, 7395],
+    "seeds": ["10.1.0.32:8144", "10.2.0.37:8144"],
+    "bootstrap": True,
+    "tolerate": {"machines": 1, "zones": 0},
+    "bounds": {"grace_s": 8, "drain_ms": 3000},
+    "cloud_api": {"addr": "10.200.0.100:8142"},
+    "data_dir": "/data/store",
+    "a field that is not known": 1,
+}
+
+
+@pytest.fixture(autouse=True)
+def environment(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Path:
+    """Return the path of a settings file that the environment names."""
+    path = tmp_path / "node.json"
+    path.write_text(json.dumps(CONTENT))
+    monkeypatch.setenv(SETTINGS_VARIABLE, str(path))
+    monkeypatch.setenv(KEY_VARIABLE, "key")
+    monkeypatch.setenv(METRICS_PORT_VARIABLE, "9464")
+    return path
+
+
+def test_store_settings_are_decoded() -> None:
+    """A store's node id is the address that its peers reach it at."""
+    settings = make_store_settings(read_settings_file())
+    assert settings.site.node == "10.1.0.32:7380"
+    assert settings.site.seeds == ("10.1.0.32:7380", "10.2.0.37:7380")
+    assert settings.site.stop_limit == timedelta(seconds=8)
+    assert settings.site.metrics_address == "10.1.0.32:9464"
+    assert settings.may_found
+
+
+def test_every_fault_is_named(environment: Path) -> None:
+    """An operator should correct the settings in one go."""
+    faulty = {**CONTENT, "seeds": 7, "bounds": {}}
+    del faulty["ip"]
+    environment.write_text(json.dumps(faulty))
+    with pytest.raises(InvalidInputError) as caught:
+        read_settings_file()
+    for name in ("ip", "seeds", "grace_s"):
+        assert name in str(caught.value)
+
+
+def test_missing_address_stops_the_start() -> None:
+    """An entry that can't listen must say why."""
+    with pytest.raises(InvalidInputError, match=r"listen\.front"):
+        make_entry_settings(read_settings_file())
+
+
+def test_missing_key_stops_the_start(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Nodes without the shared key could not talk."""
+    monkeypatch.delenv(KEY_VARIABLE)
+    with pytest.raises(InvalidInputError, match=KEY_VARIABLE):
+        make_store_settings(read_settings_file())
--- /dev/null
+++ b/tests/process/directory/__init__.py
@@ -0,0 +1,1 @@
+"""Test the directory."""
--- /dev/null
+++ b/tests/process/logs/__init__.py
@@ -0,0 +1,1 @@
+"""Test structured logs."""
--- /dev/null
+++ b/tests/process/placement/test_core.py
@@ -0,0 +1,155 @@
+"""Guard against overloaded, leaving and cold endpoints being chosen."""
+
+from dataclasses import replace
+from datetime import UTC, datetime, timedelta
+
+from oleanderhitch.connection.ids import HostAddress
+from oleanderhitch.process.directory.messages import ListedEndpoint
+from oleanderhitch.process.mailbox import make_mailbox
+from oleanderhitch.process.messages import Tick
+from oleanderhitch.process.placement.core import PlacementState, SendReply, handle
+from oleanderhitch.process.placement.messages import (
+    AcquireEndpoint,
+    AttemptResult,
+    EndpointGranted,
+    EndpointRefused,
+    EndpointsListed,
+    FirstPieceSeen,
+    PromptPart,
+    PromptShape,
+    ReleaseEndpoint,
+    WithdrawRequest,
+)
+from oleanderhitch.request.ids import RequestId
+from oleanderhitch.version.ids import DataCentreName, EndpointId, ServiceName
+
+NOW = datetime(2026, 1, 1, tzinfo=UTC)
+HOME = DataCentreName("home")
+SERVICE = ServiceName("s")
+REPLY = make_mailbox("test")
+
+
+def make_endpoint(name: str, n_slots: int = 2) -> ListedEndpoint:
+    """Return an endpoint of the service."""
+    return ListedEndpoint(
+        EndpointId(name), SERVICE, HostAddress("10.0.0.1:80"), HOME, n_slots, False
+    )
+
+
+def make_state(*endpoints: ListedEndpoint) -> PlacementState:
+    """Return placement that knows some endpoints."""
+    state = PlacementState(HOME, "entry")
+    handle(EndpointsListed(endpoints), state, NOW)
+    return state
+
+
+def make_shape(*parts: str) -> PromptShape:
+    """Return a prompt of parts of 10,000 tokens each."""
+    return PromptShape(
+        10_000 * len(parts), 100, tuple(PromptPart(part, 10_000) for part in parts)
+    )
+
+
+def acquire(
+    name: str,
+    shape: PromptShape | None = None,
+    rank: int = 0,
+    tried: tuple[str, ...] = (),
+) -> AcquireEndpoint:
+    """Return a request for an endpoint, due in a second."""
+    return AcquireEndpoint(
+        RequestId(name),
+        SERVICE,
+        shape,
+        None,
+        rank,
+        tuple(EndpointId(one) for one in tried),
+        NOW + timedelta(seconds=1),
+        REPLY,
+    )
+
+
+def get_grant(effects: list[object]) -> EndpointGranted:
+    """Return the only grant among effects."""
+    (effect,) = effects
+    assert isinstance(effect, SendReply)
+    assert isinstance(effect.message, EndpointGranted)
+    return effect.message
+
+
+def test_shared_prompt_goes_where_it_was_read() -> None:
+    """Reading the same prompt again wastes the engine's time."""
+    state = make_state(make_endpoint("e1"), make_endpoint("e2"))
+    first = get_grant(handle(acquire("1", make_shape("a", "b")), state, NOW))
+    handle(FirstPieceSeen(first.permit), state, NOW)
+    second = get_grant(handle(acquire("2", make_shape("a", "c")), state, NOW))
+    assert second.endpoint == first.endpoint
+
+
+def test_unrelated_prompts_are_spread() -> None:
+    """One engine must not do all the work."""
+    state = make_state(make_endpoint("e1"), make_endpoint("e2"))
+    first = get_grant(handle(acquire("1", make_shape("a")), state, NOW))
+    second = get_grant(handle(acquire("2", make_shape("b")), state, NOW))
+    assert second.endpoint != first.endpoint
+
+
+def test_leaving_and_tried_endpoints_get_nothing() -> None:
+    """An endpoint that leaves must get no new work."""
+    leaving = replace(make_endpoint("e1"), is_leaving=True)
+    state = make_state(leaving, make_endpoint("e2"), make_endpoint("e3"))
+    grant = get_grant(handle(acquire("1", tried=("e2",)), state, NOW))
+    assert grant.endpoint.endpoint == "e3"
+
+
+def test_urgent_request_is_served_first_when_room_returns() -> None:
+    """Less urgent work must not delay more urgent work."""
+    state = make_state(make_endpoint("e1", n_slots=1))
+    shape = make_shape("a")
+    running = get_grant(handle(acquire("1", shape), state, NOW))
+    assert handle(acquire("2", shape, rank=2), state, NOW) == []
+    assert handle(acquire("3", shape, rank=0), state, NOW) == []
+    done = ReleaseEndpoint(running.permit, AttemptResult.COMPLETED)
+    assert get_grant(handle(done, state, NOW)).request == "3"
+
+
+def test_request_is_refused_when_its_time_has_come() -> None:
+    """A caller must learn early that nothing will serve it."""
+    state = make_state()
+    assert handle(acquire("1"), state, NOW) == []
+    (effect,) = handle(Tick(), state, NOW + timedelta(seconds=1))
+    assert isinstance(effect, SendReply)
+    assert isinstance(effect.message, EndpointRefused)
+
+
+def test_withdrawn_request_gets_no_permit() -> None:
+    """A permit for a request that is gone would never come back."""
+    state = make_state()
+    handle(acquire("1"), state, NOW)
+    handle(WithdrawRequest(RequestId("1")), state, NOW)
+    assert handle(EndpointsListed((make_endpoint("e1"),)), state, NOW) == []
+
+
+def test_unreachable_endpoint_is_avoided_for_a_while() -> None:
+    """The list names a crashed endpoint for some seconds more."""
+    state = make_state(make_endpoint("e1"), make_endpoint("e2", n_slots=9))
+    first = get_grant(handle(acquire("1"), state, NOW))
+    failed = ReleaseEndpoint(first.permit, AttemptResult.NOT_CONNECTED)
+    handle(failed, state, NOW)
+    for number in range(3):
+        grant = get_grant(handle(acquire(f"again-{number}"), state, NOW))
+        assert grant.endpoint.endpoint != first.endpoint.endpoint
+
+
+def test_restarted_endpoint_has_an_empty_cache() -> None:
+    """An endpoint that starts again under its id knows nothing of before."""
+    state = make_state(make_endpoint("e1"), make_endpoint("e2"))
+    first = get_grant(handle(acquire("1", make_shape("a")), state, NOW))
+    name = first.endpoint.endpoint
+    handle(ReleaseEndpoint(first.permit, AttemptResult.COMPLETED), state, NOW)
+    reborn = tuple(
+        replace(one.listed, born_ms=5) if key == name else one.listed
+        for key, one in state.endpoints.items()
+    )
+    handle(EndpointsListed(reborn), state, NOW)
+    assert not state.endpoints[name].cache.parts
--- /dev/null
+++ b/tests/process/site/__init__.py
@@ -0,0 +1,1 @@
+"""Test the processes of a site."""
--- /dev/null
+++ b/tests/program/turns/__init__.py
@@ -0,0 +1,1 @@
+"""Test turns and budgets."""
--- /dev/null
+++ b/tests/program/turns/test_core.py
@@ -0,0 +1,170 @@
+"""Guard against lost or mixed turns and against budgets that are overspent."""
+
+from datetime import UTC, datetime, timedelta
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from oleanderhitch.program.ids import ProgramId
+from oleanderhitch.program.turns.core import (
+    RETENTION_MARGIN,
+    TurnsState,
+    apply,
+    is_expiry_due,
+)
+from oleanderhitch.program.turns.messages import (
+    BeginTurn,
+    BudgetSpent,
+    ExpireTurns,
+    PreviousTurnMissing,
+    SettleTurn,
+    TurnBegun,
+    TurnClosed,
+    TurnSettled,
+    WholeTurn,
+)
+from oleanderhitch.request.ids import RequestId
+
+NOW = datetime(2026, 1, 1, tzinfo=UTC)
+RETENTION = timedelta(seconds=60)
+
+
+def begin(
+    request: str,
+    previous: str | None = None,
+    program: str = "p",
+    budget: int | None = 1000,
+    most: int = 100,
+    at: datetime = NOW,
+) -> BeginTurn:
+    """Return the command that begins a turn."""
+    return BeginTurn(
+        RequestId(request),
+        ProgramId(program),
+        budget,
+        most,
+        None if previous is None else RequestId(previous),
+        at,
+    )
+
+
+def settle(
+    request: str,
+    content: bytes | None = None,
+    previous: str | None = None,
+    program: str = "p",
+    spent: int = 10,
+    at: datetime = NOW,
+) -> SettleTurn:
+    """Return the command that settles a turn, whole when it has content."""
+    turn = None
+    if content is not None:
+        name = None if previous is None else RequestId(previous)
+        turn = WholeTurn(name, content, RETENTION)
+    return SettleTurn(RequestId(request), ProgramId(program), spent, turn, at)
+
+
+def test_history_is_the_chain_of_the_named_turn_only() -> None:
+    """Two turns that continue the same one must not see each other."""
+    state = TurnsState()
+    apply(settle("a", b"A"), state)
+    apply(settle("b", b"B", "a"), state)
+    apply(settle("c", b"C", "a"), state)
+    assert apply(begin("d", "b"), state) == TurnBegun(b"AB", 2)
+    assert apply(begin("e", "c"), state) == TurnBegun(b"AC", 2)
+
+
+def test_unknown_turn_reserves_nothing() -> None:
+    """A refused turn must not eat the budget."""
+    state = TurnsState()
+    assert apply(begin("a", "missing"), state) == PreviousTurnMissing()
+    assert apply(begin("b", most=1000), state) == TurnBegun(b"", 0)
+
+
+def test_broken_off_turn_does_not_exist() -> None:
+    """Only whole turns may be continued."""
+    state = TurnsState()
+    apply(begin("a"), state)
+    apply(settle("a"), state)
+    assert apply(begin("b", "a"), state) == PreviousTurnMissing()
+
+
+def test_reservations_of_open_turns_count_as_spent() -> None:
+    """Turns in parallel must not spend the same tokens twice."""
+    state = TurnsState()
+    apply(begin("a", most=600), state)
+    assert apply(begin("b", most=600), state) == BudgetSpent(0, 600)
+    apply(settle("a", spent=50), state)
+    assert isinstance(apply(begin("b", most=600), state), TurnBegun)
+
+
+def test_repeated_commands_count_once() -> None:
+    """A command that is sent again for lack of an answer must change nothing."""
+    state = TurnsState()
+    assert apply(begin("a", most=600), state) == apply(begin("a", most=600), state)
+    apply(settle("a", b"A", spent=400), state)
+    assert apply(settle("a", b"A", spent=400), state) == TurnSettled()
+    assert isinstance(apply(begin("b", most=600), state), TurnBegun)
+
+
+def test_settlement_that_overtakes_its_reservation_closes_the_turn() -> None:
+    """A late reservation of a given-up turn must neither run nor stay reserved."""
+    state = TurnsState()
+    apply(settle("a", spent=0), state)
+    assert apply(begin("a", most=1000), state) == TurnClosed()
+    assert isinstance(apply(begin("b", most=1000), state), TurnBegun)
+
+
+def test_a_continued_turn_outlives_its_own_retention() -> None:
+    """A chain is kept as long as its last turn."""
+    state = TurnsState()
+    apply(settle("a", b"A"), state)
+    later = NOW + RETENTION
+    apply(settle("b", b"B", "a", at=later), state)
+    end = later + RETENTION
+    apply(ExpireTurns(end), state)
+    assert apply(begin("c", "b", at=end), state) == TurnBegun(b"AB", 2)
+
+
+def test_turns_expire_after_retention_and_margin() -> None:
+    """Turns must not be kept for ever."""
+    state = TurnsState()
+    apply(settle("a", b"A"), state)
+    end = NOW + RETENTION + RETENTION_MARGIN + timedelta(seconds=1)
+    assert is_expiry_due(state, end)
+    apply(ExpireTurns(end), state)
+    assert not state.turns
+
+
+def test_a_clock_that_is_behind_does_not_shorten_retention() -> None:
+    """Hosts' clocks differ; an early one must not let turns expire early."""
+    state = TurnsState()
+    apply(settle("a", b"A", at=NOW + timedelta(seconds=5)), state)
+    apply(settle("b", b"B", "a", at=NOW), state)
+    assert state.turns[RequestId("b")].expires_at >= NOW + RETENTION
+
+
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 20), st.integers(0, 100), st.booleans()), max_size=60
+    )
+)
+def test_budget_holds_for_any_order_of_turns(
+    steps: list[tuple[int, int, bool]],
+) -> None:
+    """What is handed out must stay within the budget, whatever the order."""
+    state = TurnsState()
+    budget = 500
+    handed: dict[str, int] = {}
+    running: dict[str, int] = {}
+    for number, (name, amount, is_end) in enumerate(steps):
+        if is_end and running:
+            request, most = running.popitem()
+            handed[request] = min(amount, most)
+            apply(settle(request, spent=handed[request]), state)
+        else:
+            request = f"{name}-{number}"
+            command = begin(request, budget=budget, most=amount)
+            if isinstance(apply(command, state), TurnBegun):
+                running[request] = amount
+        assert sum(handed.values()) + sum(running.values()) <= budget
--- /dev/null
+++ b/tests/request/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Test forwarded requests."""
--- /dev/null
+++ b/tests/version/routes/__init__.py
@@ -0,0 +1,1 @@
+"""Test routing configurations."""
