--- a/oleanderhitch/connection/http/parsing.py
+++ b/oleanderhitch/connection/http/parsing.py
@@ -83,7 +83,7 @@
         self._n_header_bytes = 0
         self._n_body_bytes = 0
         self._has_headers = False
-        self._has_begun = False
+        self._has_begun: bool = False
 
     # The parser calls the methods below.
 
--- a/oleanderhitch/process/replication/core.py
+++ b/oleanderhitch/process/replication/core.py
@@ -112,7 +112,9 @@
     """Return the effects that a message calls for."""
     out: list[object] = []
     if state.election_deadline is None:
-        reset_election_deadline(state, now)
+        # A replica that starts asks by pre-vote first, which disturbs no leader,
+        # so that it need not wait as long as one that has lost its leader.
+        reset_election_deadline(state, now, is_retry=True)
     if state.role is not Role.STOPPED:
         _handle(message, state, now, out)
     else:
--- a/oleanderhitch/process/roles/links.py
+++ b/oleanderhitch/process/roles/links.py
@@ -19,6 +19,7 @@
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.metrics.core import Metrics, make_counter
 from oleanderhitch.process.metrics.states import Counter
+from oleanderhitch.process.roles.declared import list_stores
 from oleanderhitch.process.roles.store import (
     StoreParts,
     StoreSite,
@@ -100,7 +101,7 @@
 
     def follow(self, hosts: Iterable[Host]) -> dict[NodeId, HostAddress]:
         """Link to the declared stores and return the addresses of all."""
-        self._links.follow(hosts)
+        self._links.follow(list_stores(hosts))
         return self._links.list_addresses()
 
     def _make_link(self, address: HostAddress) -> PeerLink:
--- a/oleanderhitch/process/roles/store.py
+++ b/oleanderhitch/process/roles/store.py
@@ -41,6 +41,7 @@
 from oleanderhitch.process.replication.effects import LeadershipChanged
 from oleanderhitch.process.replication.replica import Timing
 from oleanderhitch.process.replication.states import Role
+from oleanderhitch.process.roles.declared import list_stores
 from oleanderhitch.process.roles.orders import OrderParts, make_order_parts
 from oleanderhitch.process.roles.store_links import StoreLinks
 from oleanderhitch.process.storage.task import open_storage
@@ -150,7 +151,7 @@
     orders = make_order_parts(site.weight_store_bytes_per_s, clock, metrics)
 
     def follow_hosts(configuration: Configuration) -> None:
-        site.links.follow(configuration.hosts)
+        site.links.follow(list_stores(configuration.hosts))
         orders.follow(configuration)
         addresses = {store.node: store.address for store in site.stores}
         leadership.send(StoresChanged({**addresses, **site.links.list_addresses()}))
--- a/oleanderhitch/process/roles/store_links.py
+++ b/oleanderhitch/process/roles/store_links.py
@@ -6,8 +6,6 @@
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.connection.peer.link import PeerLink
 from oleanderhitch.process.ids import NodeId
-from oleanderhitch.version.inventory import Host
-from oleanderhitch.version.states import HostRole
 
 MakeLink = Callable[[HostAddress], PeerLink]
 
@@ -51,15 +49,14 @@
         """Link to a store whose node id is its address."""
         self.add(node, HostAddress(node))
 
-    def follow(self, hosts: Iterable[Host]) -> None:
-        """Link to the stores that the inventory declares.
+    def follow(self, stores: Iterable[tuple[NodeId, HostAddress]]) -> None:
+        """Link to declared stores.
 
-        Stores that it ceases to declare keep their link, since they may still
+        Stores that cease to be declared keep their link, since they may still
         hold replicas until these are replaced.
         """
-        for host in hosts:
-            if host.role is HostRole.STORE:
-                self.add(NodeId(host.name), HostAddress(str(host.address)))
+        for node, address in stores:
+            self.add(node, address)
 
     def start(self) -> None:
         """Start all links."""
--- a/oleanderhitch/process/site/entry.py
+++ b/oleanderhitch/process/site/entry.py
@@ -112,7 +112,7 @@
         )
         forward = ForwardParts(
             translation.dialect,
-            self._get_table,
+            self._installed.await_table,
             SITE_GROUP,
             self._client,
             make_site_codec(),
@@ -157,18 +157,16 @@
         self._is_stopping = True
         limit = self._settings.site.stop_limit - STOP_MARGIN
         gevent.sleep(min(ROTATION_DELAY, limit).total_seconds())
+        # Requests that arrive from now on could not end before the process does.
+        self._server.stop()
         self._server.close_after_answers()
         while self._server.n_serving and self._clock.now() - started_at < limit:
             gevent.sleep(STOP_CHECK_INTERVAL.total_seconds())
         log.info("stopped", n_cut=self._server.n_serving)
-        self._server.stop()
         self._readiness.stop()
         self._directory.send(ReaderAppointed(None))
         self._links.stop()
 
-    def _get_table(self) -> RouteTable | None:
-        return self._installed.table
-
     def _get_limits(self) -> CallerLimits:
         table = self._installed.table
         return CallerLimits() if table is None else table.configuration.limits
--- a/oleanderhitch/process/site/follower.py
+++ b/oleanderhitch/process/site/follower.py
@@ -6,6 +6,7 @@
 from functools import singledispatch
 
 import logbook
+from gevent.event import Event
 
 from oleanderhitch.connection.peer.messages import LinkDown, LinkUp
 from oleanderhitch.process.address import Address
@@ -213,6 +214,18 @@
 
     table: RouteTable | None = None
     has_endpoints: bool = False
+    changed: Event = field(default_factory=Event)
+
+    def install(self, table: RouteTable) -> None:
+        """Publish a newer table and wake the requests that wait for one."""
+        self.table = table
+        self.changed.set()
+
+    def await_table(self, limit: timedelta) -> RouteTable | None:
+        """Return the table, after a wait of at most the limit for the first one."""
+        if self.table is None:
+            self.changed.wait(limit.total_seconds())
+        return self.table
 
 
 @dataclass(slots=True)
@@ -253,7 +266,7 @@
 
 @perform.register
 def _(effect: InstallRouting, parts: FollowerParts) -> None:
-    parts.installed.table = parts.read_routing(effect.found.content)
+    parts.installed.install(parts.read_routing(effect.found.content))
     log.info("routing installed", version=effect.found.version)
 
 
--- a/oleanderhitch/process/site/store.py
+++ b/oleanderhitch/process/site/store.py
@@ -31,7 +31,7 @@
     ReplicaEnvelope,
     StoresChanged,
 )
-from oleanderhitch.process.ids import NodeId
+from oleanderhitch.process.ids import CallId, NodeId
 from oleanderhitch.process.metrics.core import Metrics, make_counter
 from oleanderhitch.process.metrics.states import Counter, Gauge
 from oleanderhitch.process.repair.messages import (
@@ -51,7 +51,7 @@
 )
 from oleanderhitch.process.site.group import SITE_GROUP, SITE_LIMITS, SITE_TIMING
 from oleanderhitch.process.site.links import TIMING, make_site_links
-from oleanderhitch.process.site.messages import EntryHello, SiteStatus
+from oleanderhitch.process.site.messages import EntryHello, GetRouting, SiteStatus
 from oleanderhitch.process.site.operators import (
     OperatorDialect,
     OperatorParts,
@@ -62,7 +62,6 @@
 from oleanderhitch.process.storage.identity import get_node
 from oleanderhitch.process.storage.task import open_storage
 from oleanderhitch.version.routes.configuration import CallerLimits
-from oleanderhitch.version.routes.ids import NO_ROUTING
 
 HELLO_INTERVAL = timedelta(milliseconds=400)
 # An entry that said nothing for this long is gone or uses another connection.
@@ -71,6 +70,8 @@
 STORE_SILENCE_LIMIT = timedelta(seconds=30)
 # Time for the leadership to move before a stopping leader ends.
 HANDOVER_LIMIT = timedelta(milliseconds=600)
+# A leader's reads are rejected until its first entry is committed.
+CONFIRM_INTERVAL = timedelta(milliseconds=50)
 N_VOTERS_MIN = 3
 # Commands of the group are smaller than this, whatever the routes of operators.
 OPERATOR_LIMITS = CallerLimits(body_bytes=6 * 1024 * 1024)
@@ -106,6 +107,20 @@
         self._client.send(message)
 
 
+class _Confirmation:
+    """Tell a store that a read of its own was answered."""
+
+    def __init__(self, store: "Store") -> None:
+        self._store = store
+
+    def send(self, message: object) -> None:
+        """Take the answer; a read that was rejected is asked again."""
+        if isinstance(message, GroupAnswer):
+            self._store.note_current()
+        else:
+            self._store.retry_confirmation()
+
+
 class Store:
     """Own the tasks of a store from its start to its end."""
 
@@ -127,6 +142,9 @@
         self._seeds = site.seeds
         self._endpoints: EndpointList | None = None
         self._role = Role.FOLLOWER
+        # A leader tells the routing once a read has shown that it has applied
+        # all that was accepted before; replays of the log show older versions.
+        self._is_current = False
         codec = make_site_peer_codec()
         count_bytes = make_counter(metrics, Counter.PEER_BYTES)
         self._links = make_site_links(
@@ -154,7 +172,7 @@
             self._note_leadership,
             may_found=settings.may_found,
         )
-        site_codec = make_site_codec()
+        site_codec = self._site_codec = make_site_codec()
         n_voters = max(N_VOTERS_MIN, 2 * settings.n_losses_tolerated + 1)
         self._repair = make_repair_task(
             n_voters,
@@ -310,7 +328,7 @@
     def _tell(self, subscriber: Subscriber) -> None:
         hello = subscriber.hello
         routing = self._application.routing
-        is_newer = routing.version > hello.routing and routing.version != NO_ROUTING
+        is_newer = self._is_current and routing.version > hello.routing
         found = self._endpoints
         list_version = None if found is None else found.version
         is_other_list = list_version != hello.list_version
@@ -331,6 +349,24 @@
             else:
                 self._tell(subscriber)
 
+    def _confirm_leadership(self) -> None:
+        body = self._site_codec.encode(GetRouting())
+        call = GroupCall(CallId(0), SITE_GROUP, body, True)
+        self._replica.send(LocalCall(call, _Confirmation(self)))
+
+    def note_current(self) -> None:
+        """Tell the routing from now on, while this store leads."""
+        if self._role is Role.LEADER:
+            self._is_current = True
+            self._push()
+
+    def retry_confirmation(self) -> None:
+        """Ask again whether this store has applied all that was accepted."""
+        if self._role is Role.LEADER:
+            gevent.spawn_later(
+                CONFIRM_INTERVAL.total_seconds(), self._confirm_leadership
+            )
+
     def _take_list(self, found: EndpointList) -> None:
         is_new = self._endpoints is None or self._endpoints.version != found.version
         self._endpoints = found
@@ -348,8 +384,10 @@
     def _note_leadership(self, change: LeadershipChanged) -> None:
         self._role = change.role
         is_leader = change.role is Role.LEADER
+        self._is_current = False
         if is_leader:
             self._metrics.count(Counter.ELECTIONS, SITE_GROUP)
+            self._confirm_leadership()
         else:
             # The next leader tells the list; an old one would look current.
             self._endpoints = None
--- a/oleanderhitch/request/forwarding/task.py
+++ b/oleanderhitch/request/forwarding/task.py
@@ -71,6 +71,11 @@
 # reservation stays spent.
 SETTLE_TIMEOUT = timedelta(seconds=8)
 
+# An entry that has just started learns the routing within a second or two; a
+# caller that is refused before has few attempts left.
+START_WAIT_LIMIT = timedelta(seconds=2)
+START_WAIT_SHARE = 0.4
+
 log = logbook.Logger("request")
 
 
@@ -79,7 +84,7 @@
     """Hold what all requests of an entry share."""
 
     dialect: Dialect
-    get_table: Callable[[], RouteTable | None]
+    await_table: Callable[[timedelta], RouteTable | None]
     group: GroupId
     records: Address
     codec: Codec
@@ -147,12 +152,13 @@
     parts: ForwardParts,
 ) -> ForwardContext | None:
     """Return the context of a request, or None once it is answered."""
-    table = parts.get_table()
     try:
         request = parts.dialect.read_request(http)
     except InvalidInputError as error:
         _refuse(None, Verdict.MALFORMED, str(error), writer, parts)
         return None
+    wait_limit = request.wait_limit or START_WAIT_LIMIT
+    table = parts.await_table(min(START_WAIT_LIMIT, wait_limit * START_WAIT_SHARE))
     if table is None:
         detail = "no routing configuration yet"
         _refuse(request, Verdict.NOT_READY, detail, writer, parts)
