--- a/oleanderhitch/connection/http/parsing.py
+++ b/oleanderhitch/connection/http/parsing.py
@@ -28,6 +28,7 @@
         self._parser: Any = httptools.HttpRequestParser(self)
         self._ready: deque[HttpRequest] = deque()
         self._fault: UnreadableRequestError | None = None
+        self._has_begun = False
         self._reset()
 
     @property
@@ -83,7 +84,7 @@
         self._n_header_bytes = 0
         self._n_body_bytes = 0
         self._has_headers = False
-        self._has_begun: bool = False
+        self._has_begun = False
 
     # The parser calls the methods below.
 
--- a/oleanderhitch/connection/peer/server.py
+++ b/oleanderhitch/connection/peer/server.py
@@ -3,6 +3,7 @@
 import gevent
 import logbook
 from gevent import socket
+from gevent.pool import Pool
 from gevent.server import StreamServer
 
 from oleanderhitch.connection.codec import Codec
@@ -40,7 +41,7 @@
         self._deliver = deliver
         self._timing = timing
         self._count_bytes = count_bytes
-        self._server = StreamServer(parse_address(listen), self._serve)
+        self._server = StreamServer(parse_address(listen), self._serve, spawn=Pool())
 
     def start(self) -> None:
         """Listen for peers."""
@@ -48,7 +49,7 @@
 
     def stop(self) -> None:
         """Close the listening socket and every stream."""
-        self._server.stop(timeout=1)
+        self._server.stop(timeout=0)
 
     def _serve(self, accepted: socket.socket, remote: object) -> None:
         stream = PeerStream(
--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -20,10 +20,17 @@
     EndpointRefused,
     EndpointsListed,
     FirstPieceSeen,
+    PaceObserved,
     PromptShape,
     ReleaseEndpoint,
     WithdrawRequest,
 )
+from oleanderhitch.process.placement.pace import (
+    Pace,
+    get_slowness,
+    get_typical_ms,
+    note_pause,
+)
 from oleanderhitch.request.ids import PermitId
 from oleanderhitch.version.ids import DataCentreName, EndpointId
 
@@ -32,6 +39,8 @@
 # Delay that each further request under way adds to a new one: it shares the
 # batch with its prompt and with its steps.
 BUSY_COST_MS = 4.0
+# Time of a typical answer on an idle engine, which a slow engine multiplies.
+TYPICAL_OUTPUT_MS = 300.0
 # Sending a prompt to another data centre costs time and traffic.
 REMOTE_COST_MS = 2.0
 # An endpoint that could not be reached or refused work is avoided for this
@@ -59,6 +68,7 @@
 
     listed: ListedEndpoint
     cache: CacheEstimate
+    pace: Pace = field(default_factory=Pace)
     permits: set[PermitId] = field(default_factory=set)
     avoid_until: datetime | None = None
 
@@ -153,6 +163,15 @@
     return _serve_waiting(state, now)
 
 
+@handle.register
+def _(message: PaceObserved, state: PlacementState, now: datetime) -> list[object]:
+    permit = state.permits.get(message.permit)
+    endpoint = None if permit is None else state.endpoints.get(permit.endpoint)
+    if endpoint is not None:
+        note_pause(endpoint.pace, message.pause, now)
+    return []
+
+
 def _end_reading(name: PermitId, permit: Permit, state: PlacementState) -> None:
     state.reading_tokens[permit.endpoint] -= permit.n_reading_tokens
     state.permits[name] = Permit(permit.endpoint, 0)
@@ -203,7 +222,13 @@
     ]
     if not calm:
         return None
-    chosen = min(calm, key=lambda endpoint: _get_cost_ms(endpoint, message, state))
+    typical_ms = get_typical_ms([endpoint.pace for endpoint in calm], now)
+
+    def get_cost_ms(endpoint: Endpoint) -> float:
+        slowness = get_slowness(endpoint.pace, typical_ms, now)
+        return _get_cost_ms(endpoint, message, state, slowness)
+
+    chosen = min(calm, key=get_cost_ms)
     return SendReply(message.reply, _grant(chosen, message, state))
 
 
@@ -215,7 +240,10 @@
 
 
 def _get_cost_ms(
-    endpoint: Endpoint, message: AcquireEndpoint, state: PlacementState
+    endpoint: Endpoint,
+    message: AcquireEndpoint,
+    state: PlacementState,
+    slowness: float,
 ) -> float:
     listed = endpoint.listed
     cost = len(endpoint.permits) * BUSY_COST_MS
@@ -223,6 +251,8 @@
         n_missing = count_missing_tokens(endpoint.cache, message.shape)
         n_missing += state.reading_tokens[listed.endpoint]
         cost += n_missing / PROMPT_TOKENS_PER_MS
+        cost += TYPICAL_OUTPUT_MS
+    cost *= slowness
     if listed.data_centre != state.data_centre:
         cost += REMOTE_COST_MS
     return cost
--- a/oleanderhitch/process/placement/messages.py
+++ b/oleanderhitch/process/placement/messages.py
@@ -1,7 +1,7 @@
 """Define what requests ask of placement."""
 
 from dataclasses import dataclass
-from datetime import datetime
+from datetime import datetime, timedelta
 from enum import Enum
 
 from oleanderhitch.process.address import Address
@@ -74,6 +74,14 @@
     permit: PermitId
 
 
+@dataclass(frozen=True, slots=True)
+class PaceObserved:
+    """Tell how long an endpoint takes between two events of a stream."""
+
+    permit: PermitId
+    pause: timedelta
+
+
 @dataclass(frozen=True, slots=True)
 class EndpointGranted:
     """Name the endpoint that a request may use."""
--- a/oleanderhitch/process/site/entry.py
+++ b/oleanderhitch/process/site/entry.py
@@ -18,7 +18,6 @@
 from oleanderhitch.connection.http.server import make_http_server
 from oleanderhitch.connection.peer.messages import PeerMessage
 from oleanderhitch.process.clock import Clock
-from oleanderhitch.process.directory.core import ReaderAppointed
 from oleanderhitch.process.directory.messages import EndpointList
 from oleanderhitch.process.directory.task import FetchList, make_directory_task
 from oleanderhitch.process.groups.client.task import make_group_client
@@ -163,9 +162,21 @@
         while self._server.n_serving and self._clock.now() - started_at < limit:
             gevent.sleep(STOP_CHECK_INTERVAL.total_seconds())
         log.info("stopped", n_cut=self._server.n_serving)
+        self.close()
+
+    def close(self) -> None:
+        """End all tasks at once."""
+        self._server.stop()
         self._readiness.stop()
-        self._directory.send(ReaderAppointed(None))
         self._links.stop()
+        for task in (
+            self._follower,
+            self._directory,
+            self._placement,
+            self._pool,
+            self._client,
+        ):
+            task.stop()
 
     def _get_limits(self) -> CallerLimits:
         table = self._installed.table
--- a/oleanderhitch/process/site/store.py
+++ b/oleanderhitch/process/site/store.py
@@ -31,7 +31,8 @@
     ReplicaEnvelope,
     StoresChanged,
 )
-from oleanderhitch.process.ids import CallId, NodeId
+from oleanderhitch.process.ids import CallId, NodeId, ReplicaId
+from oleanderhitch.process.mailbox import make_mailbox
 from oleanderhitch.process.metrics.core import Metrics, make_counter
 from oleanderhitch.process.metrics.states import Counter, Gauge
 from oleanderhitch.process.repair.messages import (
@@ -42,7 +43,11 @@
 from oleanderhitch.process.repair.task import RepairParts, make_repair_task
 from oleanderhitch.process.replication.binding import OperatorCall
 from oleanderhitch.process.replication.effects import LeadershipChanged
-from oleanderhitch.process.replication.messages import TransferLeadership
+from oleanderhitch.process.replication.messages import (
+    GetReplicationStatus,
+    ReplicationStatus,
+    TransferLeadership,
+)
 from oleanderhitch.process.replication.states import Role
 from oleanderhitch.process.replication.task import make_group_task
 from oleanderhitch.process.site.application import (
@@ -70,6 +75,9 @@
 STORE_SILENCE_LIMIT = timedelta(seconds=30)
 # Time for the leadership to move before a stopping leader ends.
 HANDOVER_LIMIT = timedelta(milliseconds=600)
+# A replica that waits for its disk must not hold the end of the process back.
+TASK_END_LIMIT = timedelta(milliseconds=300)
+STATUS_TIMEOUT = timedelta(milliseconds=500)
 # A leader's reads are rejected until its first entry is committed.
 CONFIRM_INTERVAL = timedelta(milliseconds=50)
 N_VOTERS_MIN = 3
@@ -142,6 +150,7 @@
         self._seeds = site.seeds
         self._endpoints: EndpointList | None = None
         self._role = Role.FOLLOWER
+        self._has_ended = False
         # A leader tells the routing once a read has shown that it has applied
         # all that was accepted before; replays of the log show older versions.
         self._is_current = False
@@ -214,6 +223,26 @@
         self._seeds = settings.site.seeds
         self._learn_stores(settings.site.seeds)
 
+    @property
+    def is_leader(self) -> bool:
+        """Tell whether this store's replica leads the group."""
+        return self._role is Role.LEADER
+
+    @property
+    def replica_id(self) -> ReplicaId:
+        """Return the id of this store's replica, which changes with its disk."""
+        return self._storage.replica
+
+    def list_voters(self) -> tuple[ReplicaId, ...]:
+        """Return the voters that this store's replica knows; empty if it is busy."""
+        reply = make_mailbox("status")
+        request = GetReplicationStatus(0, SITE_GROUP)
+        self._replica.send(OperatorCall(request, reply))
+        status = reply.receive(STATUS_TIMEOUT)
+        if not isinstance(status, ReplicationStatus):
+            return ()
+        return status.membership.voters
+
     def stop(self) -> None:
         """Hand the leadership over and end all tasks."""
         self._operators.close_after_answers()
@@ -223,11 +252,22 @@
             deadline = self._clock.now() + HANDOVER_LIMIT
             while self._role is Role.LEADER and self._clock.now() < deadline:
                 gevent.sleep(0.02)
+        self._end_tasks()
+
+    def close(self) -> None:
+        """End all tasks at once, as a crash would, and release the files."""
+        self._operators.close_after_answers()
+        self._end_tasks()
+        self._storage.close()
+
+    def _end_tasks(self) -> None:
+        self._has_ended = True
         self._operators.stop()
         self._peers.stop()
         self._links.stop()
-        self._replica.stop()
-        self._replica.join(timedelta(milliseconds=300))
+        for task in (self._replica, self._repair, self._directory, self._client):
+            task.stop()
+        self._replica.join(TASK_END_LIMIT)
 
     # The group's task sends envelopes through this object.
 
@@ -278,7 +318,7 @@
         self._client.send(message)
 
     def _announce(self) -> None:
-        while True:
+        while not self._has_ended:
             hello = StoreHello(
                 self._settings.site.host,
                 self._settings.site.node,
--- a/oleanderhitch/request/forwarding/core.py
+++ b/oleanderhitch/request/forwarding/core.py
@@ -36,6 +36,7 @@
     GiveVerdict,
     LogDecision,
     NoteFirstPiece,
+    NotePace,
     RecordFailed,
     Release,
     Reserve,
@@ -55,6 +56,8 @@
 # The rest of a request's time is kept for the work itself; a caller that is
 # refused earlier can still try elsewhere.
 QUEUE_SHARE = 0.5
+# Events that are averaged into one observation of an endpoint's pace.
+N_EVENTS_PER_PACE = 4
 # An endpoint that gets less time than this could not finish anything.
 TIME_LEFT_MIN = timedelta(milliseconds=10)
 
@@ -209,6 +212,7 @@
             state.output.append(event.data + b"\n")
         state.last_event = event.identifier or state.last_event
     effects.append(WritePiece(b"".join(event.raw for event in events)))
+    effects.extend(_observe_pace(attempt, len(events), now))
     return effects
 
 
@@ -285,6 +289,20 @@
     return [*effects, *_end(state, verdict, "no time is left")]
 
 
+def _observe_pace(attempt: Attempt, n_events: int, now: datetime) -> list[object]:
+    """Report the mean pause between events, some events at a time."""
+    if attempt.pace_since is None:
+        attempt.pace_since = now
+        return []
+    attempt.n_events_paced += n_events
+    if attempt.n_events_paced < N_EVENTS_PER_PACE:
+        return []
+    pause = (now - attempt.pace_since) / attempt.n_events_paced
+    attempt.pace_since = now
+    attempt.n_events_paced = 0
+    return [NotePace(attempt.permit, pause)]
+
+
 def _ask_endpoint(state: ForwardState, now: datetime) -> list[object]:
     state.phase = Phase.WAITING
     due_at = now + (state.due_at - now) * QUEUE_SHARE
--- a/oleanderhitch/request/forwarding/messages.py
+++ b/oleanderhitch/request/forwarding/messages.py
@@ -153,6 +153,14 @@
     permit: PermitId
 
 
+@dataclass(frozen=True, slots=True)
+class NotePace:
+    """Tell placement how long the endpoint takes between events."""
+
+    permit: PermitId
+    pause: timedelta
+
+
 @dataclass(frozen=True, slots=True)
 class Answer:
     """Give the caller a whole answer of an endpoint."""
--- a/oleanderhitch/request/forwarding/state.py
+++ b/oleanderhitch/request/forwarding/state.py
@@ -25,6 +25,8 @@
     endpoint: EndpointId
     sent_at: datetime
     head: AnswerHead | None = None
+    pace_since: datetime | None = None
+    n_events_paced: int = 0
     body: list[bytes] = field(default_factory=list)
 
 
--- a/oleanderhitch/request/forwarding/task.py
+++ b/oleanderhitch/request/forwarding/task.py
@@ -36,6 +36,7 @@
 from oleanderhitch.process.placement.messages import (
     AcquireEndpoint,
     FirstPieceSeen,
+    PaceObserved,
     ReleaseEndpoint,
     WithdrawRequest,
 )
@@ -53,6 +54,7 @@
     GiveVerdict,
     LogDecision,
     NoteFirstPiece,
+    NotePace,
     RecordFailed,
     Release,
     Reserve,
@@ -352,6 +354,11 @@
     context.parts.placement.send(FirstPieceSeen(effect.permit))
 
 
+@perform.register
+def _(effect: NotePace, context: ForwardContext) -> None:
+    context.parts.placement.send(PaceObserved(effect.permit, effect.pause))
+
+
 @perform.register
 def _(effect: Answer, context: ForwardContext) -> None:
     context.parts.metrics.count(Counter.REQUESTS, str(effect.head.status))
--- a/tests/process/placement/test_core.py
+++ b/tests/process/placement/test_core.py
@@ -15,6 +15,7 @@
     EndpointRefused,
     EndpointsListed,
     FirstPieceSeen,
+    PaceObserved,
     PromptPart,
     PromptShape,
     ReleaseEndpoint,
@@ -141,6 +142,21 @@
         assert grant.endpoint.endpoint != first.endpoint.endpoint
 
 
+def test_slowed_endpoint_gets_less_work() -> None:
+    """An endpoint that neighbours slow down must not hold up its share."""
+    state = make_state(make_endpoint("e1", 9), make_endpoint("e2", 9))
+    slow = get_grant(handle(acquire("1", make_shape("a")), state, NOW))
+    fast = get_grant(handle(acquire("2", make_shape("b")), state, NOW))
+    for _ in range(4):
+        for grant, pause_ms in ((slow, 120), (fast, 30)):
+            pause = timedelta(milliseconds=pause_ms)
+            handle(PaceObserved(grant.permit, pause), state, NOW)
+    for number in range(3):
+        request = acquire(f"more-{number}", make_shape(f"c{number}"))
+        grant = get_grant(handle(request, state, NOW))
+        assert grant.endpoint == fast.endpoint
+
+
 def test_restarted_endpoint_has_an_empty_cache() -> None:
     """An endpoint that starts again under its id knows nothing of before."""
     state = make_state(make_endpoint("e1"), make_endpoint("e2"))
