Gave the descriptors of directories back at once

Cause: gevent's close defers what is no regular file to the next turn of the loop, so that each synced directory kept a descriptor until then; a refused directory kept its log open. 695 descriptors stayed after test_recovery_equals_what_was_written, 100 now, which the end of the test releases (clean-up of temporary directories).

--- a/oleanderhitch/process/storage/files.py
+++ b/oleanderhitch/process/storage/files.py
@@ -6,6 +6,8 @@
 from pathlib import Path
 from urllib.parse import quote
 
+from gevent import monkey
+
 from oleanderhitch.connection.codec import make_codec
 from oleanderhitch.connection.exceptions import MalformedFrameError
 from oleanderhitch.process.ids import GroupId
@@ -42,7 +44,9 @@
     try:
         os.fsync(descriptor)
     finally:
-        os.close(descriptor)
+        # gevent's close waits for a turn of the loop with what is no regular file,
+        # and descriptors pile up until then.
+        monkey.get_original("os", "close")(descriptor)
 
 
 def write_atomically(path: Path, data: bytes, disk: Disk) -> None:
--- a/oleanderhitch/process/storage/task.py
+++ b/oleanderhitch/process/storage/task.py
@@ -107,6 +107,7 @@
     disk = disk or make_system_disk()
     directory.mkdir(parents=True, exist_ok=True)
     lock_descriptor = lock_directory(directory)
+    writer: LogWriter | None = None
     try:
         replica = get_identity(directory, node, disk)
         groups: Groups = {}
@@ -114,14 +115,15 @@
         end = read_log(directory, partial(_note_frame, state, groups))
         writer = _open_writer(directory, disk, state, end)
         _attach_snapshots(directory, state, groups, writer)
-    except OSError as error:
+    except (OSError, StorageError) as error:
         os.close(lock_descriptor)
+        if writer is not None:
+            os.close(writer.descriptor)
+        if isinstance(error, StorageError):
+            raise
         raise StorageError(
             f"data directory {directory} can't be used: {error}"
         ) from error
-    except StorageError:
-        os.close(lock_descriptor)
-        raise
     return _make_storage(replica, groups, state, writer, clock, lock_descriptor)
 
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,7 +6,10 @@
 prepare_gevent()
 
 import os  # noqa: E402
+from collections.abc import Iterator  # noqa: E402
 
+import gevent  # noqa: E402
+import pytest  # noqa: E402
 from hypothesis import HealthCheck, settings  # noqa: E402
 
 # These need the processes that scripts/process_tests.sh starts.
@@ -22,3 +25,10 @@
 settings.register_profile("default", max_examples=100, **_COMMON)
 settings.register_profile("long", max_examples=2000, **_COMMON)
 settings.load_profile(os.environ.get("OLEANDERHITCH_TEST_PROFILE", "default"))
+
+
+@pytest.fixture(autouse=True)
+def run_deferred_closes() -> Iterator[None]:
+    """Let gevent close the directories that a test's clean-up has left to the loop."""
+    yield
+    gevent.sleep(0)
