Began a replaced store anew within its process

Change: the store's tasks end, the directory is emptied, a fresh store starts. Elections time out after 0.5 to 0.8 s instead of 0.6 to 1.0 s.

--- a/oleanderhitch/platform/commands/run_store.py
+++ b/oleanderhitch/platform/commands/run_store.py
@@ -9,7 +9,6 @@
 from oleanderhitch.platform.process import (
     EXIT_FAILED,
     Lifetime,
-    empty_directory,
     run,
     start_log,
 )
@@ -20,8 +19,9 @@
 )
 from oleanderhitch.process.clock import make_system_clock
 from oleanderhitch.process.metrics.core import make_metrics
+from oleanderhitch.process.site.renewal import EndStore, make_renewable_store
 from oleanderhitch.process.site.settings import StoreSettings
-from oleanderhitch.process.site.store import StoreTranslation, make_store
+from oleanderhitch.process.site.store import Store, StoreTranslation, make_store
 
 
 def run_store() -> int:
@@ -40,15 +40,17 @@
         make_platform_operators(settings.n_losses_tolerated),
         make_list_reader(get_list_address(file)),
     )
+
+    def make_own_store(settings: StoreSettings, end: EndStore) -> Store:
+        return make_store(settings, translation, clock, metrics, end)
+
     try:
-        store = make_store(settings, translation, clock, metrics, lifetime.end)
+        store = make_renewable_store(settings, make_own_store, lifetime.end)
     except OleanderhitchError as error:
         sys.stderr.write(f"store: {error}\n")
         return EXIT_FAILED
     address = settings.site.metrics_address
     run(store, _read_settings, lifetime, metrics, address, clock)
-    if lifetime.empties_data:
-        empty_directory(settings.data_dir)
     # Threads that wait for a stalled disk must not hold the process back.
     sys.stdout.flush()
     os._exit(lifetime.exit_code)
--- a/oleanderhitch/platform/process.py
+++ b/oleanderhitch/platform/process.py
@@ -1,7 +1,6 @@
 """Run a process of the platform from its settings to its end."""
 
 import os
-import shutil
 import signal
 import sys
 from collections.abc import Callable
@@ -57,23 +56,16 @@
     def __init__(self) -> None:
         self._ending = gevent.event.Event()
         self._exit_code = 0
-        self._empties_data = False
 
     @property
     def exit_code(self) -> int:
         """Return the code that the process ends with."""
         return self._exit_code
 
-    @property
-    def empties_data(self) -> bool:
-        """Tell whether the data directory is of no use any more."""
-        return self._empties_data
-
-    def end(self, reason: str, empties_data: bool) -> None:
+    def end(self, reason: str) -> None:
         """Ask for the end of a process that can't go on."""
-        log.error("process ends", reason=reason, empties_data=empties_data)
+        log.error("process ends", reason=reason)
         self._exit_code = EXIT_FAILED
-        self._empties_data = empties_data
         self._ending.set()
 
     def stop(self) -> None:
@@ -150,12 +142,3 @@
         writer.respond(HttpResponse(200, text.encode(), headers))
 
     return serve
-
-
-def empty_directory(directory: Path) -> None:
-    """Remove all files of a data directory."""
-    for path in directory.iterdir():
-        if path.is_dir():
-            shutil.rmtree(path, ignore_errors=True)
-        else:
-            path.unlink(missing_ok=True)
--- a/oleanderhitch/process/site/group.py
+++ b/oleanderhitch/process/site/group.py
@@ -11,9 +11,9 @@
 # Hosts of a site are about a millisecond apart, so that shorter timeouts than
 # those between regions start no needless elections.
 SITE_TIMING = Timing(
-    heartbeat_interval=timedelta(milliseconds=200),
-    election_timeout_min=timedelta(milliseconds=600),
-    election_timeout_max=timedelta(milliseconds=1000),
+    heartbeat_interval=timedelta(milliseconds=150),
+    election_timeout_min=timedelta(milliseconds=500),
+    election_timeout_max=timedelta(milliseconds=800),
 )
 # The log in memory and the state share the 150 MB or more of a store's host.
 SITE_LIMITS = Limits(
--- /dev/null
+++ b/oleanderhitch/process/site/renewal.py
@@ -0,0 +1,86 @@
+"""Begin a store anew with an empty disk once its replica was replaced."""
+
+import shutil
+from collections.abc import Callable
+from dataclasses import replace
+from pathlib import Path
+
+import gevent
+import logbook
+
+from oleanderhitch.exceptions import OleanderhitchError
+from oleanderhitch.process.site.settings import StoreSettings
+from oleanderhitch.process.site.store import Store
+
+EndProcess = Callable[[str], None]
+EndStore = Callable[[str, bool], None]
+MakeStore = Callable[[StoreSettings, EndStore], Store]
+
+log = logbook.Logger("store")
+
+
+class RenewableStore:
+    """Own the store of a process; a replaced one makes room for a fresh one."""
+
+    def __init__(
+        self, settings: StoreSettings, make_store: MakeStore, end: EndProcess
+    ) -> None:
+        self._settings = settings
+        self._make_store = make_store
+        self._end = end
+        self._is_renewing = False
+        self._store = make_store(settings, self._end_store)
+
+    @property
+    def store(self) -> Store:
+        """Return the store that runs now."""
+        return self._store
+
+    def start(self) -> None:
+        """Start the store; raise OSError."""
+        self._store.start()
+
+    def add_seeds(self, settings: StoreSettings) -> None:
+        """Link to the seeds of changed settings."""
+        self._settings = replace(self._settings, site=settings.site)
+        self._store.add_seeds(settings)
+
+    def stop(self) -> None:
+        """Stop gracefully."""
+        self._store.stop()
+
+    def _end_store(self, reason: str, empties_data: bool) -> None:
+        if not empties_data:
+            self._end(reason)
+        elif not self._is_renewing:
+            self._is_renewing = True
+            log.warning("store begins anew", reason=reason)
+            gevent.spawn(self._renew)
+
+    def _renew(self) -> None:
+        try:
+            self._store.close()
+            empty_directory(self._settings.data_dir)
+            self._settings = replace(self._settings, may_found=False)
+            self._store = self._make_store(self._settings, self._end_store)
+            self._store.start()
+        except (OSError, OleanderhitchError) as error:
+            self._end(f"store can't begin anew: {error}")
+        finally:
+            self._is_renewing = False
+
+
+def empty_directory(directory: Path) -> None:
+    """Remove all files of a data directory; raise OSError."""
+    for path in directory.iterdir():
+        if path.is_dir():
+            shutil.rmtree(path)
+        else:
+            path.unlink()
+
+
+def make_renewable_store(
+    settings: StoreSettings, make_store: MakeStore, end: EndProcess
+) -> RenewableStore:
+    """Return a store that is not started yet; raise StorageError."""
+    return RenewableStore(settings, make_store, end)
--- a/tests/process/site/test_site.py
+++ b/tests/process/site/test_site.py
@@ -118,3 +118,29 @@
         assert site.stores[1].replica_id not in leader.list_voters()
     finally:
         site.close()
+
+
+def test_replaced_store_begins_anew_in_its_process(tmp_path: Path) -> None:
+    """A store that was away for long must become a spare without a restart."""
+    site = Site(tmp_path, 4)
+    site.start()
+    site.publish(1)
+    site.wait_for_service("first")
+    try:
+        leader = site.wait_for_leader()
+        away = next(number for number in range(3) if number != leader)
+        old = site.stores[away].replica_id
+        site.stop_store(away)
+        spare = site.stores[3]
+        wait_until(
+            lambda: (
+                spare.replica_id in site.stores[site.wait_for_leader()].list_voters()
+            ),
+            "the spare as a voter",
+        )
+        site.start_store(away)
+        wait_until(lambda: site.stores[away].replica_id != old, "a new replica id")
+        assert site.ended == []
+        site.wait_for_service("again")
+    finally:
+        site.close()
--- a/tests/process/site/world.py
+++ b/tests/process/site/world.py
@@ -24,6 +24,11 @@
 from oleanderhitch.process.mailbox import Mailbox
 from oleanderhitch.process.metrics.core import make_metrics
 from oleanderhitch.process.site.entry import Entry, EntryTranslation, make_entry
+from oleanderhitch.process.site.renewal import (
+    EndStore,
+    RenewableStore,
+    make_renewable_store,
+)
 from oleanderhitch.process.site.settings import (
     EntrySettings,
     SiteSettings,
@@ -103,11 +108,16 @@
         self._operators = [get_free_address() for _ in range(n_stores)]
         self._front = get_free_address()
         self.endpoints = Endpoints()
-        self.stores: dict[int, Store] = {}
-        self.ended: list[tuple[int, bool]] = []
+        self._renewables: dict[int, RenewableStore] = {}
+        self.ended: list[str] = []
         self.entry: Entry | None = None
         self.http = urllib3.PoolManager(retries=False, timeout=5)
 
+    @property
+    def stores(self) -> dict[int, Store]:
+        """Return the stores that run, by their number."""
+        return {number: one.store for number, one in self._renewables.items()}
+
     def start(self) -> None:
         """Start everything, the stores for the first time."""
         self.endpoints.start()
@@ -129,11 +139,12 @@
 
     def start_store(self, number: int, may_found: bool = False, disk: int = 0) -> None:
         """Start a store with one of its disks."""
+        translation = StoreTranslation(make_platform_operators(1), self.endpoints.list)
 
-        def note_end(reason: str, empties_data: bool) -> None:
-            self.ended.append((number, empties_data))
+        def make_own_store(settings: StoreSettings, end: EndStore) -> Store:
+            return make_store(settings, translation, CLOCK, make_metrics(), end)
 
-        store = make_store(
+        store = make_renewable_store(
             StoreSettings(
                 self._make_site_settings(
                     f"store-{number}", NodeId(self._peers[number])
@@ -143,17 +154,15 @@
                 may_found,
                 1,
             ),
-            StoreTranslation(make_platform_operators(1), self.endpoints.list),
-            CLOCK,
-            make_metrics(),
-            note_end,
+            make_own_store,
+            self.ended.append,
         )
         store.start()
-        self.stores[number] = store
+        self._renewables[number] = store
 
     def stop_store(self, number: int) -> None:
         """Stop a store and release its files."""
-        self.stores.pop(number).close()
+        self._renewables.pop(number).store.close()
 
     def find_leader(self) -> int | None:
         """Return the number of the store that leads."""
