--- a/oleanderhitch/process/site/store.py
+++ b/oleanderhitch/process/site/store.py
@@ -150,6 +150,7 @@
         self._seeds = site.seeds
         self._endpoints: EndpointList | None = None
         self._role = Role.FOLLOWER
+        self._has_started = False
         self._has_ended = False
         # A leader tells the routing once a read has shown that it has applied
         # all that was accepted before; replays of the log show older versions.
@@ -209,6 +210,7 @@
 
     def start(self) -> None:
         """Start all tasks and listen; raise OSError."""
+        self._has_started = True
         self._storage.start()
         for task in (self._client, self._directory, self._repair, self._replica):
             task.start()
@@ -419,6 +421,10 @@
             self._push()
 
     def _tell_repair(self) -> None:
+        if not self._has_started:
+            # Recovery restores a snapshot before the repair task exists; the
+            # start tells it what was restored.
+            return
         self._repair.send(StandingChanged(self._application.records))
 
     def _note_leadership(self, change: LeadershipChanged) -> None:
--- a/tests/process/site/test_site.py
+++ b/tests/process/site/test_site.py
@@ -144,3 +144,17 @@
         site.wait_for_service("again")
     finally:
         site.close()
+
+
+def test_stores_restart_from_their_snapshots(site: Site) -> None:
+    """A store whose log was replaced by a snapshot must start again."""
+    content = b"x" * 3_900_000
+    for number in range(6):
+        assert site.ask(f"t{number}", content)[0] == 200
+    for number in list(site.stores):
+        site.stop_store(number)
+    for number in range(3):
+        site.start_store(number)
+    site.wait_for_service("again")
+    assert site.ask("next", b"in", "t0")[0] == 200
+    assert site.endpoints.bodies[-1] == content + OUTPUT + b"in"
