Chose endpoints by the loads that all entries cause

Change: entries tell their loads with their hello (every 250 ms while these change), the leader adds them up and tells each entry those of the others.

--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -17,9 +17,13 @@
     AcquireEndpoint,
     AttemptResult,
     EndpointGranted,
+    EndpointLoad,
     EndpointRefused,
     EndpointsListed,
     FirstPieceSeen,
+    GetLoads,
+    LoadsFound,
+    OtherLoads,
     PaceObserved,
     PromptShape,
     ReleaseEndpoint,
@@ -49,6 +53,8 @@
 AVOID_AFTER_REFUSAL = timedelta(milliseconds=150)
 # Memory of an engine whose service does not declare it.
 CACHE_TOKENS_DEFAULT = 400_000
+# Loads of other entries change within half a second; older ones mislead.
+OTHERS_AGE_LIMIT = timedelta(seconds=1)
 # Plain services queue a few requests beyond their slots; waiting there beats a
 # refusal, but not by much.
 QUEUE_PER_SLOT = 1.0
@@ -59,7 +65,7 @@
     """Send a message to the request that asked."""
 
     reply: Address
-    message: EndpointGranted | EndpointRefused
+    message: EndpointGranted | EndpointRefused | LoadsFound
 
 
 @dataclass(slots=True)
@@ -71,6 +77,8 @@
     pace: Pace = field(default_factory=Pace)
     permits: set[PermitId] = field(default_factory=set)
     avoid_until: datetime | None = None
+    others: EndpointLoad | None = None
+    others_at: datetime | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -172,6 +180,33 @@
     return []
 
 
+@handle.register
+def _(message: GetLoads, state: PlacementState, now: datetime) -> list[object]:
+    loads = tuple(
+        EndpointLoad(name, len(endpoint.permits), state.reading_tokens[name])
+        for name, endpoint in state.endpoints.items()
+        if endpoint.permits
+    )
+    return [SendReply(message.reply, LoadsFound(loads))]
+
+
+@handle.register
+def _(message: OtherLoads, state: PlacementState, now: datetime) -> list[object]:
+    loads = {load.endpoint: load for load in message.loads}
+    for name, endpoint in state.endpoints.items():
+        endpoint.others = loads.get(name)
+        endpoint.others_at = now
+    return _serve_waiting(state, now)
+
+
+def _find_others(endpoint: Endpoint, now: datetime) -> EndpointLoad | None:
+    """Return what other entries cause, unless that was told too long ago."""
+    told_at = endpoint.others_at
+    if told_at is None or now - told_at > OTHERS_AGE_LIMIT:
+        return None
+    return endpoint.others
+
+
 def _end_reading(name: PermitId, permit: Permit, state: PlacementState) -> None:
     state.reading_tokens[permit.endpoint] -= permit.n_reading_tokens
     state.permits[name] = Permit(permit.endpoint, 0)
@@ -213,7 +248,7 @@
         if endpoint.listed.service == message.service
         and not endpoint.listed.is_leaving
         and endpoint.listed.endpoint not in message.tried
-        and _has_room(endpoint, message.shape)
+        and _has_room(endpoint, message.shape, now)
     ]
     calm = [
         endpoint
@@ -226,17 +261,19 @@
 
     def get_cost_ms(endpoint: Endpoint) -> float:
         slowness = get_slowness(endpoint.pace, typical_ms, now)
-        return _get_cost_ms(endpoint, message, state, slowness)
+        return _get_cost_ms(endpoint, message, state, slowness, now)
 
     chosen = min(calm, key=get_cost_ms)
     return SendReply(message.reply, _grant(chosen, message, state))
 
 
-def _has_room(endpoint: Endpoint, shape: PromptShape | None) -> bool:
+def _has_room(endpoint: Endpoint, shape: PromptShape | None, now: datetime) -> bool:
     limit = endpoint.listed.n_slots
     if shape is None:
         limit += int(limit * QUEUE_PER_SLOT)
-    return len(endpoint.permits) < limit
+    others = _find_others(endpoint, now)
+    n_others = 0 if others is None else others.n_running
+    return len(endpoint.permits) + n_others < limit
 
 
 def _get_cost_ms(
@@ -244,12 +281,16 @@
     message: AcquireEndpoint,
     state: PlacementState,
     slowness: float,
+    now: datetime,
 ) -> float:
     listed = endpoint.listed
-    cost = len(endpoint.permits) * BUSY_COST_MS
+    others = _find_others(endpoint, now)
+    n_others = 0 if others is None else others.n_running
+    cost = (len(endpoint.permits) + n_others) * BUSY_COST_MS
     if message.shape is not None:
         n_missing = count_missing_tokens(endpoint.cache, message.shape)
         n_missing += state.reading_tokens[listed.endpoint]
+        n_missing += 0 if others is None else others.n_reading_tokens
         cost += n_missing / PROMPT_TOKENS_PER_MS
         cost += TYPICAL_OUTPUT_MS
     cost *= slowness
--- a/oleanderhitch/process/placement/messages.py
+++ b/oleanderhitch/process/placement/messages.py
@@ -82,6 +82,36 @@
     pause: timedelta
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointLoad:
+    """Count the requests on an endpoint and the prompt tokens it has yet to read."""
+
+    endpoint: EndpointId
+    n_running: int
+    n_reading_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class GetLoads:
+    """Ask placement for the loads that this entry causes."""
+
+    reply: Address
+
+
+@dataclass(frozen=True, slots=True)
+class LoadsFound:
+    """Bring the loads that this entry causes."""
+
+    loads: tuple[EndpointLoad, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class OtherLoads:
+    """Bring the loads that all other entries cause."""
+
+    loads: tuple[EndpointLoad, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class EndpointGranted:
     """Name the endpoint that a request may use."""
--- a/oleanderhitch/process/site/follower.py
+++ b/oleanderhitch/process/site/follower.py
@@ -16,14 +16,23 @@
 from oleanderhitch.process.groups.messages import StoresChanged
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.messages import Tick
-from oleanderhitch.process.placement.messages import EndpointsListed
+from oleanderhitch.process.placement.messages import (
+    EndpointLoad,
+    EndpointsListed,
+    GetLoads,
+    LoadsFound,
+    OtherLoads,
+)
 from oleanderhitch.process.roles.store_links import StoreLinks
 from oleanderhitch.process.site.messages import EntryHello, RoutingFound, SiteStatus
 from oleanderhitch.process.task import Task, make_task
 from oleanderhitch.version.routes.configuration import RouteTable
 from oleanderhitch.version.routes.ids import NO_ROUTING, RoutingVersion
 
+# An idle entry needs no more; one with work tells its loads more often, since the
+# entries choose endpoints by the loads that all of them cause.
 HELLO_INTERVAL = timedelta(milliseconds=600)
+LOADED_HELLO_INTERVAL = timedelta(milliseconds=250)
 # The stores tell the list at least once a second; an entry that hears nothing
 # for longer reads it by itself, so that leaving endpoints are noticed in time.
 LIST_AGE_LIMIT = timedelta(milliseconds=2000)
@@ -80,6 +89,18 @@
     is_reader: bool
 
 
+@dataclass(frozen=True, slots=True)
+class AskLoads:
+    """Ask placement which loads this entry causes."""
+
+
+@dataclass(frozen=True, slots=True)
+class TellLoads:
+    """Tell placement which loads all other entries cause."""
+
+    loads: tuple[EndpointLoad, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class LogLink:
     """Log that a store is lost or reached again."""
@@ -100,6 +121,8 @@
     list_version: ListVersion | None = None
     list_heard_at: datetime | None = None
     is_reader: bool = False
+    loads: tuple[EndpointLoad, ...] = ()
+    hello_due_at: datetime | None = None
 
 
 @singledispatch
@@ -113,13 +136,26 @@
     if state.list_heard_at is None:
         state.list_heard_at = now
     is_old = now - state.list_heard_at > LIST_AGE_LIMIT
-    effects = _make_hellos(state)
+    effects: list[object] = [AskLoads()]
+    if state.hello_due_at is None or now >= state.hello_due_at:
+        effects.extend(_make_hellos(state))
+        state.hello_due_at = now + HELLO_INTERVAL
     if is_old and not state.is_reader:
         state.is_reader = True
         effects.append(AppointReader(True))
     return effects
 
 
+@handle.register
+def _(message: LoadsFound, state: FollowerState, now: datetime) -> list[object]:
+    is_new = message.loads != state.loads
+    state.loads = message.loads
+    if not is_new:
+        return []
+    state.hello_due_at = now + HELLO_INTERVAL
+    return _make_hellos(state)
+
+
 @handle.register
 def _(message: StoresKnown, state: FollowerState, now: datetime) -> list[object]:
     return _learn_stores(message.stores, state)
@@ -137,6 +173,8 @@
         effects.extend(_take_list(message.endpoints, False, state, now))
     elif message.list_version is not None:
         effects.extend(_confirm_list(message.list_version, state, now))
+    if message.other_loads is not None:
+        effects.append(TellLoads(message.other_loads))
     return effects
 
 
@@ -164,7 +202,8 @@
 
 
 def _make_hellos(state: FollowerState) -> list[object]:
-    return [SayHello(EntryHello(state.node, state.routing, state.list_version))]
+    hello = EntryHello(state.node, state.routing, state.list_version, state.loads)
+    return [SayHello(hello)]
 
 
 def _learn_stores(stores: tuple[NodeId, ...], state: FollowerState) -> list[object]:
@@ -238,6 +277,7 @@
     placement: Address
     directory: Address
     read_routing: Callable[[bytes], RouteTable]
+    own: Address | None = None
 
 
 log = logbook.Logger("follower")
@@ -255,6 +295,17 @@
         link.send(effect.hello)
 
 
+@perform.register
+def _(effect: AskLoads, parts: FollowerParts) -> None:
+    assert parts.own is not None
+    parts.placement.send(GetLoads(parts.own))
+
+
+@perform.register
+def _(effect: TellLoads, parts: FollowerParts) -> None:
+    parts.placement.send(OtherLoads(effect.loads))
+
+
 @perform.register
 def _(effect: LinkStores, parts: FollowerParts) -> None:
     for node in effect.stores:
@@ -302,11 +353,13 @@
     def perform_effect(effect: object) -> None:
         perform(effect, parts)
 
-    return make_task(
+    task = make_task(
         "follower",
         FollowerState(node),
         handle,
         perform_effect,
         clock,
-        tick_interval=HELLO_INTERVAL,
+        tick_interval=LOADED_HELLO_INTERVAL,
     )
+    parts.own = task
+    return task
--- a/oleanderhitch/process/site/messages.py
+++ b/oleanderhitch/process/site/messages.py
@@ -4,6 +4,7 @@
 
 from oleanderhitch.process.directory.messages import EndpointList, ListVersion
 from oleanderhitch.process.ids import NodeId
+from oleanderhitch.process.placement.messages import EndpointLoad
 from oleanderhitch.version.routes.ids import NO_ROUTING, RoutingVersion
 
 
@@ -48,24 +49,30 @@
 
 @dataclass(frozen=True, slots=True)
 class EntryHello:
-    """Announce an entry and what it has, and ask for what is newer."""
+    """Announce an entry, what it has and which loads it causes.
+
+    The answer brings what is newer.
+    """
 
     node: NodeId
     routing: RoutingVersion
     list_version: ListVersion | None
+    loads: tuple[EndpointLoad, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
 class SiteStatus:
     """Bring an entry what a store knows that the entry lacks.
 
-    A store that reads the list names its version even to an entry that has it.
+    A store that reads the list names its version even to an entry that has it,
+    and the loads that all other entries cause.
     """
 
     stores: tuple[NodeId, ...]
     routing: RoutingFound | None
     list_version: ListVersion | None
     endpoints: EndpointList | None
+    other_loads: tuple[EndpointLoad, ...] | None = None
 
 
 NOTHING_ACCEPTED = RoutingFound(NO_ROUTING, b"")
--- a/oleanderhitch/process/site/store.py
+++ b/oleanderhitch/process/site/store.py
@@ -2,6 +2,7 @@
 
 import random
 import uuid
+from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import datetime, timedelta
@@ -35,6 +36,7 @@
 from oleanderhitch.process.mailbox import make_mailbox
 from oleanderhitch.process.metrics.core import Metrics, make_counter
 from oleanderhitch.process.metrics.states import Counter, Gauge
+from oleanderhitch.process.placement.messages import EndpointLoad
 from oleanderhitch.process.repair.messages import (
     ReplicaRemoved,
     StandingChanged,
@@ -66,11 +68,14 @@
 from oleanderhitch.process.site.settings import StoreSettings
 from oleanderhitch.process.storage.identity import get_node
 from oleanderhitch.process.storage.task import open_storage
+from oleanderhitch.version.ids import EndpointId
 from oleanderhitch.version.routes.configuration import CallerLimits
 
 HELLO_INTERVAL = timedelta(milliseconds=400)
 # An entry that said nothing for this long is gone or uses another connection.
 ENTRY_SILENCE_LIMIT = timedelta(seconds=3)
+# Loads that an entry told longer ago than two of its hellos say nothing.
+LOAD_AGE_LIMIT = timedelta(milliseconds=1300)
 # Stores that were not heard for so long and hold no replica are forgotten.
 STORE_SILENCE_LIMIT = timedelta(seconds=30)
 # Time for the leadership to move before a stopping leader ends.
@@ -380,9 +385,25 @@
                 routing if is_newer else None,
                 list_version,
                 found if is_other_list else None,
+                self._add_up_loads(hello.node) if self._is_current else None,
             )
         )
 
+    def _add_up_loads(self, asking: NodeId) -> tuple[EndpointLoad, ...]:
+        """Return the loads that all entries but the asking one cause."""
+        now = self._clock.now()
+        running: defaultdict[EndpointId, int] = defaultdict(int)
+        reading: defaultdict[EndpointId, int] = defaultdict(int)
+        for node, subscriber in self._subscribers.items():
+            if node == asking or now - subscriber.heard_at > LOAD_AGE_LIMIT:
+                continue
+            for load in subscriber.hello.loads:
+                running[load.endpoint] += load.n_running
+                reading[load.endpoint] += load.n_reading_tokens
+        return tuple(
+            EndpointLoad(name, n, reading[name]) for name, n in running.items()
+        )
+
     def _push(self) -> None:
         now = self._clock.now()
         for node, subscriber in list(self._subscribers.items()):
