--- a/oleanderhitch/process/site/entry.py
+++ b/oleanderhitch/process/site/entry.py
@@ -31,13 +31,9 @@
 from oleanderhitch.process.metrics.states import Counter
 from oleanderhitch.process.placement.task import make_placement_task
 from oleanderhitch.process.site.application import make_site_codec
-from oleanderhitch.process.site.follower import (
-    FollowerParts,
-    Installed,
-    ListReadByEntry,
-    StoresKnown,
-    make_follower_task,
-)
+from oleanderhitch.process.site.follower.core import ListReadByEntry, StoresKnown
+from oleanderhitch.process.site.follower.installed import Installed
+from oleanderhitch.process.site.follower.task import FollowerParts, make_follower_task
 from oleanderhitch.process.site.group import SITE_GROUP
 from oleanderhitch.process.site.links import make_site_links
 from oleanderhitch.process.site.messages import SiteStatus
--- a/oleanderhitch/process/site/store.py
+++ b/oleanderhitch/process/site/store.py
@@ -2,7 +2,6 @@
 
 import random
 import uuid
-from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import datetime, timedelta
@@ -36,7 +35,6 @@
 from oleanderhitch.process.mailbox import make_mailbox
 from oleanderhitch.process.metrics.core import Metrics, make_counter
 from oleanderhitch.process.metrics.states import Counter, Gauge
-from oleanderhitch.process.placement.messages import EndpointLoad
 from oleanderhitch.process.repair.messages import (
     ReplicaRemoved,
     StandingChanged,
@@ -58,7 +56,7 @@
 )
 from oleanderhitch.process.site.group import SITE_GROUP, SITE_LIMITS, SITE_TIMING
 from oleanderhitch.process.site.links import TIMING, make_site_links
-from oleanderhitch.process.site.messages import EntryHello, GetRouting, SiteStatus
+from oleanderhitch.process.site.messages import EntryHello, GetRouting, RoutingFound
 from oleanderhitch.process.site.operators import (
     OperatorDialect,
     OperatorParts,
@@ -66,16 +64,12 @@
 )
 from oleanderhitch.process.site.registry import make_site_peer_codec
 from oleanderhitch.process.site.settings import StoreSettings
+from oleanderhitch.process.site.subscribers import make_subscribers
 from oleanderhitch.process.storage.identity import get_node
 from oleanderhitch.process.storage.task import open_storage
-from oleanderhitch.version.ids import EndpointId
 from oleanderhitch.version.routes.configuration import CallerLimits
 
 HELLO_INTERVAL = timedelta(milliseconds=400)
-# An entry that said nothing for this long is gone or uses another connection.
-ENTRY_SILENCE_LIMIT = timedelta(seconds=3)
-# Loads that an entry told longer ago than two of its hellos say nothing.
-LOAD_AGE_LIMIT = timedelta(milliseconds=1300)
 # Stores that were not heard for so long and hold no replica are forgotten.
 STORE_SILENCE_LIMIT = timedelta(seconds=30)
 # Time for the leadership to move before a stopping leader ends.
@@ -100,15 +94,6 @@
     fetch_list: FetchList
 
 
-@dataclass(slots=True)
-class Subscriber:
-    """Hold an entry that follows this store."""
-
-    hello: EntryHello
-    reply: Address
-    heard_at: datetime
-
-
 class _OwnReply:
     """Hand the answers of this store's own replica to its group client."""
 
@@ -150,16 +135,11 @@
         self._clock = clock
         self._metrics = metrics
         self._end = end
-        self._subscribers: dict[NodeId, Subscriber] = {}
         self._stores_heard: dict[NodeId, datetime] = {}
         self._seeds = site.seeds
-        self._endpoints: EndpointList | None = None
         self._role = Role.FOLLOWER
         self._has_started = False
         self._has_ended = False
-        # A leader tells the routing once a read has shown that it has applied
-        # all that was accepted before; replays of the log show older versions.
-        self._is_current = False
         codec = make_site_peer_codec()
         count_bytes = make_counter(metrics, Counter.PEER_BYTES)
         self._links = make_site_links(
@@ -169,7 +149,12 @@
             self._list_addresses(), self._send_to_store, clock
         )
         self._storage = open_storage(settings.data_dir, site.node, clock)
-        self._application = make_site_application(self._push, self._tell_repair)
+        self._subscribers = make_subscribers(
+            self._get_routing, self._list_stores, clock
+        )
+        self._application = make_site_application(
+            self._subscribers.tell_all, self._tell_repair
+        )
         self._directory = make_directory_task(
             translation.fetch_list, self._take_list, clock
         )
@@ -355,9 +340,7 @@
 
     def note_entry(self, hello: EntryHello, reply: Address) -> None:
         """Answer an entry with what it lacks."""
-        subscriber = Subscriber(hello, reply, self._clock.now())
-        self._subscribers[hello.node] = subscriber
-        self._tell(subscriber)
+        self._subscribers.note_entry(hello, reply)
 
     def note_removed(self, message: ReplicaRemoved) -> None:
         """End with an empty disk if this replica was replaced."""
@@ -372,45 +355,8 @@
         """Hand an answer to the group client."""
         self._client.send(message)
 
-    def _tell(self, subscriber: Subscriber) -> None:
-        hello = subscriber.hello
-        routing = self._application.routing
-        is_newer = self._is_current and routing.version > hello.routing
-        found = self._endpoints
-        list_version = None if found is None else found.version
-        is_other_list = list_version != hello.list_version
-        subscriber.reply.send(
-            SiteStatus(
-                self._list_stores(),
-                routing if is_newer else None,
-                list_version,
-                found if is_other_list else None,
-                self._add_up_loads(hello.node) if self._is_current else None,
-            )
-        )
-
-    def _add_up_loads(self, asking: NodeId) -> tuple[EndpointLoad, ...]:
-        """Return the loads that all entries but the asking one cause."""
-        now = self._clock.now()
-        running: defaultdict[EndpointId, int] = defaultdict(int)
-        reading: defaultdict[EndpointId, int] = defaultdict(int)
-        for node, subscriber in self._subscribers.items():
-            if node == asking or now - subscriber.heard_at > LOAD_AGE_LIMIT:
-                continue
-            for load in subscriber.hello.loads:
-                running[load.endpoint] += load.n_running
-                reading[load.endpoint] += load.n_reading_tokens
-        return tuple(
-            EndpointLoad(name, n, reading[name]) for name, n in running.items()
-        )
-
-    def _push(self) -> None:
-        now = self._clock.now()
-        for node, subscriber in list(self._subscribers.items()):
-            if now - subscriber.heard_at > ENTRY_SILENCE_LIMIT:
-                del self._subscribers[node]
-            else:
-                self._tell(subscriber)
+    def _get_routing(self) -> RoutingFound:
+        return self._application.routing
 
     def _confirm_leadership(self) -> None:
         body = self._site_codec.encode(GetRouting())
@@ -420,8 +366,7 @@
     def note_current(self) -> None:
         """Tell the routing from now on, while this store leads."""
         if self._role is Role.LEADER:
-            self._is_current = True
-            self._push()
+            self._subscribers.note_current()
 
     def retry_confirmation(self) -> None:
         """Ask again whether this store has applied all that was accepted."""
@@ -431,15 +376,12 @@
             )
 
     def _take_list(self, found: EndpointList) -> None:
-        is_new = self._endpoints is None or self._endpoints.version != found.version
-        self._endpoints = found
-        if is_new:
+        if self._subscribers.take_list(found):
             log.info(
                 "list of endpoints read",
                 version=[found.version.term, found.version.number],
                 n_endpoints=len(found.endpoints),
             )
-            self._push()
 
     def _tell_repair(self) -> None:
         if not self._has_started:
@@ -451,13 +393,10 @@
     def _note_leadership(self, change: LeadershipChanged) -> None:
         self._role = change.role
         is_leader = change.role is Role.LEADER
-        self._is_current = False
+        self._subscribers.note_leadership_changed(is_leader)
         if is_leader:
             self._metrics.count(Counter.ELECTIONS, SITE_GROUP)
             self._confirm_leadership()
-        else:
-            # The next leader tells the list; an old one would look current.
-            self._endpoints = None
         self._metrics.set_gauge(Gauge.LEADER, int(is_leader), SITE_GROUP)
         self._directory.send(ReaderAppointed(change.term if is_leader else None))
         if change.role is Role.STOPPED:
--- a/tests/process/site/test_follower.py
+++ b/tests/process/site/test_follower.py
@@ -5,7 +5,7 @@
 from oleanderhitch.process.directory.messages import EndpointList, ListVersion
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.messages import Tick
-from oleanderhitch.process.site.follower import (
+from oleanderhitch.process.site.follower.core import (
     AppointReader,
     FollowerState,
     InstallEndpoints,
