Counted only what is new of a growing session, and weighed prompt tokens that are read

Cause: a session's part of the prompt grows under one id, but the estimate took a part that had grown for missing as a whole, and a token to be read weighed no more than a token's time on an idle engine, although it delays every request of the batch. Change: what was read of a part counts as held; tokens to be read weigh four times.

--- a/oleanderhitch/process/placement/cache.py
+++ b/oleanderhitch/process/placement/cache.py
@@ -19,9 +19,12 @@
     """Return how many prompt tokens the endpoint has yet to read."""
     n_held = 0
     for part in shape.parts:
-        if cache.parts.get(part.part, -1) < part.n_tokens:
+        # The part of a session grows with each of its turns; what was read of it
+        # before is kept.
+        n_part_held = min(cache.parts.get(part.part, 0), part.n_tokens)
+        n_held += n_part_held
+        if n_part_held < part.n_tokens:
             break
-        n_held += part.n_tokens
     return max(0, shape.n_prompt_tokens - n_held)
 
 
--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -43,6 +43,9 @@
 # Delay that each further request under way adds to a new one: it shares the
 # batch with its prompt and with its steps.
 BUSY_COST_MS = 4.0
+# A prompt is read in chunks between the tokens of all other requests of its
+# engine, so that each token read delays those as well as its own request.
+READ_WEIGHT = 4.0
 # Time of a typical answer on an idle engine, which a slow engine multiplies.
 TYPICAL_OUTPUT_MS = 300.0
 # Sending a prompt to another data centre costs time and traffic.
@@ -289,9 +292,9 @@
     cost = (len(endpoint.permits) + n_others) * BUSY_COST_MS
     if message.shape is not None:
         n_missing = count_missing_tokens(endpoint.cache, message.shape)
-        n_missing += state.reading_tokens[listed.endpoint]
-        n_missing += 0 if others is None else others.n_reading_tokens
-        cost += n_missing / PROMPT_TOKENS_PER_MS
+        n_reading = state.reading_tokens[listed.endpoint]
+        n_reading += 0 if others is None else others.n_reading_tokens
+        cost += (n_missing * READ_WEIGHT + n_reading) / PROMPT_TOKENS_PER_MS
         cost += TYPICAL_OUTPUT_MS
     cost *= slowness
     if listed.data_centre != state.data_centre:
--- a/tests/process/placement/test_core.py
+++ b/tests/process/placement/test_core.py
@@ -7,6 +7,7 @@
 from oleanderhitch.process.directory.messages import ListedEndpoint
 from oleanderhitch.process.mailbox import make_mailbox
 from oleanderhitch.process.messages import Tick
+from oleanderhitch.process.placement.cache import count_missing_tokens
 from oleanderhitch.process.placement.core import (
     OTHERS_AGE_LIMIT,
     PlacementState,
@@ -94,6 +95,22 @@
     assert second.endpoint == first.endpoint
 
 
+def test_growing_session_stays_where_its_turns_were_read() -> None:
+    """A session's part grows under one id; only what is new must be read."""
+    state = make_state(make_endpoint("e1", 9), make_endpoint("e2", 9))
+    for shared in ("a", "b"):
+        first = get_grant(handle(acquire(shared, make_shape(shared)), state, NOW))
+        handle(FirstPieceSeen(first.permit), state, NOW)
+    shape = PromptShape(14_000, 100, (PromptPart("a", 10_000), PromptPart("s", 4_000)))
+    first = get_grant(handle(acquire("1", shape), state, NOW))
+    handle(FirstPieceSeen(first.permit), state, NOW)
+    grown = PromptShape(15_000, 100, (PromptPart("a", 10_000), PromptPart("s", 5_000)))
+    cache = state.endpoints[first.endpoint.endpoint].cache
+    assert count_missing_tokens(cache, grown) == 1_000
+    again = get_grant(handle(acquire("2", grown), state, NOW))
+    assert again.endpoint == first.endpoint
+
+
 def test_unrelated_prompts_are_spread() -> None:
     """One engine must not do all the work."""
     state = make_state(make_endpoint("e1"), make_endpoint("e2"))
