Told a stale kept connection apart by type and failed exchanges that meet its end

Cause: the request's core recognised a stale connection by the text of its reason, and placement then avoided a sound endpoint for a second; an exchange that reached a connection just as it timed out was lost and its request waited for its time limit (found by reading). Change: a field and a result of their own; the connection fails what waits.

--- a/oleanderhitch/connection/http/endpoint.py
+++ b/oleanderhitch/connection/http/endpoint.py
@@ -98,6 +98,7 @@
         self._socket: socket.socket | None = None
         self._greenlet: gevent.Greenlet | None = None
         self._current = 0
+        self._has_ended = False
 
     @property
     def address(self) -> HostAddress:
@@ -109,8 +110,11 @@
         self._greenlet = gevent.spawn(self._run)
 
     def send(self, message: Exchange) -> None:
-        """Queue an exchange."""
-        self._mailbox.send(message)
+        """Queue an exchange; one that meets the end of the connection fails."""
+        if self._has_ended:
+            _fail_kept(message, "idle connection timed out")
+        else:
+            self._mailbox.send(message)
 
     def cancel(self) -> None:
         """Close the connection, which ends the work on the exchange under way."""
@@ -130,15 +134,27 @@
                     return
                 self._owner.send(ConnectionIdle(self, exchange.exchange))
         finally:
+            self._has_ended = True
             if self._socket is not None:
                 self._socket.close()
+            self._fail_waiting()
             self._owner.send(ConnectionClosed(self, self._current))
 
+    def _fail_waiting(self) -> None:
+        while self._mailbox.n_waiting:
+            waiting = self._mailbox.receive()
+            if isinstance(waiting, Exchange):
+                _fail_kept(waiting, "idle connection timed out")
+
     def _carry(self, exchange: Exchange) -> timedelta | None:
         """Return how long the connection may stay idle, None to close it."""
+        was_kept = self._socket is not None
         fault = self._prepare()
         if fault is not None:
-            _fail(exchange, False, fault)
+            if was_kept:
+                _fail_kept(exchange, fault)
+            else:
+                _fail(exchange, False, fault)
             return None
         assert self._socket is not None
         writer = gevent.spawn(_write, self._socket, exchange.request)
@@ -251,6 +267,10 @@
     exchange.reply.send(ExchangeFailed(exchange.exchange, was_sent, reason))
 
 
+def _fail_kept(exchange: Exchange, reason: str) -> None:
+    exchange.reply.send(ExchangeFailed(exchange.exchange, False, reason, True))
+
+
 def make_endpoint_connection(
     address: HostAddress, owner: Address
 ) -> EndpointConnection:
--- a/oleanderhitch/connection/http/messages.py
+++ b/oleanderhitch/connection/http/messages.py
@@ -90,11 +90,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ExchangeFailed:
-    """Say that an endpoint's answer will not come, or not come whole."""
+    """Say that an endpoint's answer will not come, or not come whole.
+
+    Where only a kept connection was at fault, the endpoint itself may be well.
+    """
 
     exchange: int
     was_sent: bool
     reason: str
+    was_kept_connection: bool = False
 
 
 def find_header(headers: Headers, name: str) -> str | None:
--- a/oleanderhitch/process/placement/messages.py
+++ b/oleanderhitch/process/placement/messages.py
@@ -54,6 +54,7 @@
     COMPLETED = "completed"
     FAILED = "failed"
     NOT_CONNECTED = "not_connected"
+    STALE_CONNECTION = "stale_connection"
     REFUSED = "refused"
     MISDIRECTED = "misdirected"
     CANCELLED = "cancelled"
--- a/oleanderhitch/request/forwarding/core.py
+++ b/oleanderhitch/request/forwarding/core.py
@@ -252,6 +252,8 @@
         return []
     if not message.was_sent:
         result = AttemptResult.NOT_CONNECTED
+        if message.was_kept_connection:
+            result = AttemptResult.STALE_CONNECTION
         return _try_elsewhere(state, result, message.reason, now)
     if attempt.head is None:
         state.n_runs += 1
@@ -342,7 +344,7 @@
         LogDecision("endpoint did not run it", fields),
         *_end_attempt(state, result),
     ]
-    if result is AttemptResult.NOT_CONNECTED and _is_stale_connection(reason):
+    if result is AttemptResult.STALE_CONNECTION:
         # The endpoint itself may be well; only the kept connection was not.
         state.tried = state.tried[:-1]
     if state.n_sends < N_SENDS_LIMIT:
@@ -358,10 +360,6 @@
     ]
 
 
-def _is_stale_connection(reason: str) -> bool:
-    return reason.startswith("idle connection")
-
-
 def _fail_attempt(state: ForwardState, reason: str, now: datetime) -> list[object]:
     """Repeat work that may have run where that is allowed, or say it failed."""
     attempt = state.attempt
--- a/tests/connection/http/test_endpoint.py
+++ b/tests/connection/http/test_endpoint.py
@@ -233,3 +233,26 @@
         assert collect(mailbox)[0] == b"early"
         gevent.sleep(0.05)
     assert endpoint.n_connections == 2
+
+
+def test_exchange_that_meets_the_end_of_an_idle_connection_fails_at_once(
+    serve: Callable[[Script], Endpoint],
+) -> None:
+    """A request must not wait for a connection that has just timed out."""
+
+    def script(connected: socket.socket, number: int) -> None:
+        while connected.recv(4096):
+            connected.sendall(answer(1, b"ok"))
+
+    endpoint = serve(script)
+    connection = make_endpoint_connection(endpoint.address, make_mailbox("owner"))
+    connection.start()
+    mailbox = make_mailbox("test")
+    connection.send(Exchange(1, REQUEST, mailbox, lambda headers: True))
+    assert collect(mailbox)[0] == b"ok"
+    connection.cancel()
+    gevent.sleep(0.01)
+    connection.send(Exchange(2, REQUEST, mailbox, lambda headers: True))
+    _, end = collect(mailbox)
+    assert isinstance(end, ExchangeFailed)
+    assert (end.was_sent, end.was_kept_connection) == (False, True)
