Asked engines which prompts they hold when an entry starts

Its estimate also held 400,000 tokens an engine, where 850,000 and more are declared. Change: the engines of the first list are asked once for the parts they hold, and the declared memory bounds the estimate. A part is known by its model too.

--- a/oleanderhitch/platform/commands/run_entry.py
+++ b/oleanderhitch/platform/commands/run_entry.py
@@ -3,6 +3,7 @@
 import sys
 
 from oleanderhitch.exceptions import OleanderhitchError
+from oleanderhitch.platform.caches import make_platform_caches
 from oleanderhitch.platform.listing import make_list_reader
 from oleanderhitch.platform.process import EXIT_FAILED, Lifetime, run, start_log
 from oleanderhitch.platform.requests import make_platform_dialect
@@ -32,6 +33,7 @@
     lifetime = Lifetime()
     translation = EntryTranslation(
         make_platform_dialect(),
+        make_platform_caches(),
         read_route_table,
         make_list_reader(get_list_address(file)),
     )
--- a/oleanderhitch/platform/requests.py
+++ b/oleanderhitch/platform/requests.py
@@ -156,10 +156,11 @@
     usage = request.find_header(names.TOKEN_USAGE)
     if usage is None:
         return None
+    model = request.find_header(names.MODEL) or ""
     try:
         n_prompt, n_output = (int(word) for word in usage.split(","))
         parts = tuple(
-            _read_part(word)
+            _read_part(word, model)
             for word in (request.find_header(names.PROMPT_PARTS) or "").split(",")
             if word.strip()
         )
@@ -168,9 +169,14 @@
     return PromptShape(n_prompt, n_output, parts)
 
 
-def _read_part(word: str) -> PromptPart:
-    part, _, n_tokens = word.strip().partition(":")
-    return PromptPart(part, int(n_tokens))
+def _read_part(word: str, model: str) -> PromptPart:
+    identifier, _, n_tokens = word.strip().partition(":")
+    return make_part(model, identifier, int(n_tokens))
+
+
+def make_part(model: str, identifier: str, n_tokens: int) -> PromptPart:
+    """Return a part; what was read for one model serves no other."""
+    return PromptPart(f"{model}/{identifier.lower()}", n_tokens)
 
 
 def _read_turn(request: HttpRequest) -> TurnOfProgram | None:
--- /dev/null
+++ b/oleanderhitch/process/caches/__init__.py
@@ -0,0 +1,1 @@
+"""Ask engines which prompt parts their memory holds."""
--- a/oleanderhitch/process/placement/cache.py
+++ b/oleanderhitch/process/placement/cache.py
@@ -3,7 +3,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-from oleanderhitch.process.placement.messages import PromptShape
+from oleanderhitch.process.placement.messages import PromptPart, PromptShape
 
 
 @dataclass(slots=True)
@@ -34,6 +34,28 @@
         cache.n_tokens += part.n_tokens - cache.parts.get(part.part, 0)
         cache.parts[part.part] = part.n_tokens
         cache.parts.move_to_end(part.part)
+    _drop_oldest(cache)
+
+
+def add_held_parts(cache: CacheEstimate, parts: tuple[PromptPart, ...]) -> None:
+    """Take account of parts that the endpoint was found to hold."""
+    for part in parts:
+        if part.part in cache.parts:
+            # A prompt that was placed since then tells more.
+            continue
+        cache.n_tokens += part.n_tokens
+        cache.parts[part.part] = part.n_tokens
+        cache.parts.move_to_end(part.part, last=False)
+    _drop_oldest(cache)
+
+
+def resize(cache: CacheEstimate, capacity_tokens: int) -> None:
+    """Set how many tokens the endpoint holds."""
+    cache.capacity_tokens = capacity_tokens
+    _drop_oldest(cache)
+
+
+def _drop_oldest(cache: CacheEstimate) -> None:
     while cache.n_tokens > cache.capacity_tokens and cache.parts:
         _, n_tokens = cache.parts.popitem(last=False)
         cache.n_tokens -= n_tokens
--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -1,6 +1,7 @@
 """Choose endpoints by what they hold in memory and what they work on."""
 
 from collections import defaultdict
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from functools import singledispatch
@@ -10,16 +11,20 @@
 from oleanderhitch.process.messages import Tick
 from oleanderhitch.process.placement.cache import (
     CacheEstimate,
+    add_held_parts,
     count_missing_tokens,
     note_prompt,
+    resize,
 )
 from oleanderhitch.process.placement.messages import (
     AcquireEndpoint,
     AttemptResult,
+    CacheFound,
     EndpointGranted,
     EndpointLoad,
     EndpointRefused,
     EndpointsListed,
+    EnginesDeclared,
     FirstPieceSeen,
     GetLoads,
     LoadsFound,
@@ -36,7 +41,7 @@
     note_pause,
 )
 from oleanderhitch.request.ids import PermitId
-from oleanderhitch.version.ids import DataCentreName, EndpointId
+from oleanderhitch.version.ids import DataCentreName, EndpointId, ServiceName
 
 # Speed at which engines of this class read prompts.
 PROMPT_TOKENS_PER_MS = 145.0
@@ -54,7 +59,7 @@
 # long; the list names a crashed one for some seconds more.
 AVOID_AFTER_FAILURE = timedelta(seconds=1)
 AVOID_AFTER_REFUSAL = timedelta(milliseconds=150)
-# Memory of an engine whose service does not declare it.
+# Memory of an engine until its service is declared.
 CACHE_TOKENS_DEFAULT = 400_000
 # Loads of other entries change within half a second; older ones mislead.
 OTHERS_AGE_LIMIT = timedelta(seconds=1)
@@ -71,12 +76,20 @@
     message: EndpointGranted | EndpointRefused | LoadsFound
 
 
+@dataclass(frozen=True, slots=True)
+class AskForCache:
+    """Ask which parts an engine holds."""
+
+    endpoint: ListedEndpoint
+
+
 @dataclass(slots=True)
 class Endpoint:
     """Hold what placement knows of an endpoint."""
 
     listed: ListedEndpoint
     cache: CacheEstimate
+    is_cache_unknown: bool
     pace: Pace = field(default_factory=Pace)
     permits: set[PermitId] = field(default_factory=set)
     avoid_until: datetime | None = None
@@ -99,6 +112,7 @@
     data_centre: DataCentreName
     prefix: str
     endpoints: dict[EndpointId, Endpoint] = field(default_factory=dict)
+    memory_tokens: Mapping[ServiceName, int] = field(default_factory=dict)
     permits: dict[PermitId, Permit] = field(default_factory=dict)
     waiting: list[AcquireEndpoint] = field(default_factory=list)
     reading_tokens: defaultdict[EndpointId, int] = field(
@@ -121,10 +135,30 @@
         found = known.get(listed.endpoint)
         is_same = found is not None and found.listed.born_ms == listed.born_ms
         if found is None or not is_same:
-            found = Endpoint(listed, CacheEstimate(CACHE_TOKENS_DEFAULT))
+            capacity = state.memory_tokens.get(listed.service, CACHE_TOKENS_DEFAULT)
+            # Engines that start while this entry runs hold nothing yet.
+            found = Endpoint(listed, CacheEstimate(capacity), not known)
         found.listed = listed
         state.endpoints[listed.endpoint] = found
-    return _serve_waiting(state, now)
+    return [*_ask_for_caches(state), *_serve_waiting(state, now)]
+
+
+@handle.register
+def _(message: EnginesDeclared, state: PlacementState, now: datetime) -> list[object]:
+    state.memory_tokens = message.memory_tokens
+    for endpoint in state.endpoints.values():
+        capacity = message.memory_tokens.get(endpoint.listed.service)
+        if capacity is not None:
+            resize(endpoint.cache, capacity)
+    return _ask_for_caches(state)
+
+
+@handle.register
+def _(message: CacheFound, state: PlacementState, now: datetime) -> list[object]:
+    endpoint = state.endpoints.get(message.endpoint)
+    if endpoint is not None and endpoint.listed.born_ms == message.born_ms:
+        add_held_parts(endpoint.cache, message.parts)
+    return []
 
 
 @handle.register
@@ -202,6 +236,17 @@
     return _serve_waiting(state, now)
 
 
+def _ask_for_caches(state: PlacementState) -> list[object]:
+    """Ask the engines that had worked before this entry knew them."""
+    effects: list[object] = []
+    for endpoint in state.endpoints.values():
+        is_engine = endpoint.listed.service in state.memory_tokens
+        if endpoint.is_cache_unknown and is_engine:
+            endpoint.is_cache_unknown = False
+            effects.append(AskForCache(endpoint.listed))
+    return effects
+
+
 def _find_others(endpoint: Endpoint, now: datetime) -> EndpointLoad | None:
     """Return what other entries cause, unless that was told too long ago."""
     told_at = endpoint.others_at
--- a/oleanderhitch/process/placement/messages.py
+++ b/oleanderhitch/process/placement/messages.py
@@ -1,5 +1,6 @@
 """Define what requests ask of placement."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from datetime import datetime, timedelta
 from enum import Enum
@@ -130,6 +131,22 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class EnginesDeclared:
+    """Say how many tokens the engines of each service hold in memory."""
+
+    memory_tokens: Mapping[ServiceName, int]
+
+
+@dataclass(frozen=True, slots=True)
+class CacheFound:
+    """Bring the parts that one start of an engine holds."""
+
+    endpoint: EndpointId
+    born_ms: int
+    parts: tuple[PromptPart, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class EndpointsListed:
     """Replace the known endpoints."""
--- a/oleanderhitch/process/placement/task.py
+++ b/oleanderhitch/process/placement/task.py
@@ -3,9 +3,16 @@
 from datetime import datetime, timedelta
 from functools import singledispatch
 
+from oleanderhitch.process.address import Address
+from oleanderhitch.process.caches.messages import ReadCache
 from oleanderhitch.process.clock import Clock
 from oleanderhitch.process.ids import NodeId
-from oleanderhitch.process.placement.core import PlacementState, SendReply, handle
+from oleanderhitch.process.placement.core import (
+    AskForCache,
+    PlacementState,
+    SendReply,
+    handle,
+)
 from oleanderhitch.process.task import NO_TICK, Task, make_task
 from oleanderhitch.version.ids import DataCentreName
 
@@ -13,13 +20,18 @@
 
 
 def make_placement_task(
-    node: NodeId, data_centre: DataCentreName, clock: Clock
+    node: NodeId, data_centre: DataCentreName, caches: Address, clock: Clock
 ) -> Task[PlacementState]:
     """Return the task that places the requests of one entry."""
+
+    def perform(effect: object) -> None:
+        _perform(effect, caches, task)
+
     state = PlacementState(data_centre, node)
-    return make_task(
+    task = make_task(
         "placement", state, handle, perform, clock, TICK_INTERVAL, find_wake=_find_wake
     )
+    return task
 
 
 def _find_wake(state: PlacementState) -> datetime | None:
@@ -27,11 +39,15 @@
 
 
 @singledispatch
-def perform(effect: object) -> None:
-    """Perform an effect of placement."""
+def _perform(effect: object, caches: Address, task: Address) -> None:
     raise TypeError(f"placement has no effect {type(effect).__name__}")
 
 
-@perform.register
-def _(effect: SendReply) -> None:
+@_perform.register
+def _(effect: SendReply, caches: Address, task: Address) -> None:
     effect.reply.send(effect.message)
+
+
+@_perform.register
+def _(effect: AskForCache, caches: Address, task: Address) -> None:
+    caches.send(ReadCache(effect.endpoint, task))
--- a/oleanderhitch/process/site/entry.py
+++ b/oleanderhitch/process/site/entry.py
@@ -17,6 +17,8 @@
 from oleanderhitch.connection.http.pool import make_connection_pool
 from oleanderhitch.connection.http.server import make_http_server
 from oleanderhitch.connection.peer.messages import PeerMessage
+from oleanderhitch.process.caches.dialect import CacheDialect
+from oleanderhitch.process.caches.task import make_caches_task
 from oleanderhitch.process.clock import Clock
 from oleanderhitch.process.directory.messages import EndpointList
 from oleanderhitch.process.directory.task import FetchList, make_directory_task
@@ -60,6 +62,7 @@
     """Hold what the platform's side supplies to an entry."""
 
     dialect: Dialect
+    caches: CacheDialect
     read_routing: Callable[[bytes], RouteTable]
     fetch_list: FetchList
 
@@ -86,10 +89,11 @@
         self._client = make_group_client(
             self._links.list_addresses(), self._send_to_store, clock
         )
+        self._pool = make_connection_pool(make_endpoint_connection, clock)
+        self._caches = make_caches_task(translation.caches, self._pool, clock)
         self._placement = make_placement_task(
-            settings.site.node, settings.site.data_centre, clock
+            settings.site.node, settings.site.data_centre, self._caches, clock
         )
-        self._pool = make_connection_pool(make_endpoint_connection, clock)
         self._directory = make_directory_task(
             translation.fetch_list, self._take_own_list, clock
         )
@@ -131,8 +135,9 @@
         """Start all tasks and listen; raise OSError."""
         for task in (
             self._client,
-            self._placement,
             self._pool,
+            self._caches,
+            self._placement,
             self._directory,
             self._follower,
         ):
@@ -169,6 +174,7 @@
             self._follower,
             self._directory,
             self._placement,
+            self._caches,
             self._pool,
             self._client,
         ):
--- a/oleanderhitch/process/site/follower/task.py
+++ b/oleanderhitch/process/site/follower/task.py
@@ -13,6 +13,7 @@
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.placement.messages import (
     EndpointsListed,
+    EnginesDeclared,
     GetLoads,
     OtherLoads,
 )
@@ -86,7 +87,15 @@
 
 @perform.register
 def _(effect: InstallRouting, parts: FollowerParts) -> None:
-    parts.installed.install(parts.read_routing(effect.found.content))
+    table = parts.read_routing(effect.found.content)
+    parts.installed.install(table)
+    services = table.configuration.services.values()
+    memory_tokens = {
+        service.name: service.engine.memory_tokens
+        for service in services
+        if service.engine is not None
+    }
+    parts.placement.send(EnginesDeclared(memory_tokens))
     log.info("routing installed", version=effect.found.version)
 
 
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -87,6 +87,7 @@
     request = DIALECT.read_request(
         make_request(
             ("x-token-usage", "1460,80"),
+            ("x-model", "m"),
             ("x-prompt-prefix", "5c:800, 91:410"),
             ("x-program-id", "p"),
             ("x-token-budget", "4624"),
@@ -97,7 +98,7 @@
     assert request.host == "h.example"
     assert request.affinity == "17"
     assert request.shape is not None
-    assert request.shape.parts == (PromptPart("5c", 800), PromptPart("91", 410))
+    assert request.shape.parts == (PromptPart("m/5c", 800), PromptPart("m/91", 410))
     assert request.turn is not None
     assert (request.turn.budget_tokens, request.turn.previous) == (4624, "t")
 
--- /dev/null
+++ b/tests/process/caches/__init__.py
@@ -0,0 +1,1 @@
+"""Test placement."""
--- /dev/null
+++ b/tests/process/caches/test_core.py
@@ -0,0 +1,83 @@
+"""Guard against readings of caches that are mixed up or never end."""
+
+from datetime import UTC, datetime
+
+from oleanderhitch.connection.http.messages import (
+    ExchangeFailed,
+    ResponseBody,
+    ResponseEnd,
+    ResponseHead,
+)
+from oleanderhitch.connection.ids import HostAddress
+from oleanderhitch.process.caches.core import (
+    READ_LIMIT,
+    CachesState,
+    CancelReading,
+    LogFailure,
+    StartReading,
+    TellParts,
+    handle,
+)
+from oleanderhitch.process.caches.messages import ReadCache
+from oleanderhitch.process.directory.messages import ListedEndpoint
+from oleanderhitch.process.mailbox import make_mailbox
+from oleanderhitch.process.messages import Tick
+from oleanderhitch.version.ids import DataCentreName, EndpointId, ServiceName
+
+NOW = datetime(2026, 1, 1, tzinfo=UTC)
+
+
+def make_request(name: str) -> ReadCache:
+    """Return a request for the cache of an engine."""
+    endpoint = ListedEndpoint(
+        EndpointId(name),
+        ServiceName("s"),
+        HostAddress(f"{name}:80"),
+        DataCentreName("home"),
+        4,
+        False,
+    )
+    return ReadCache(endpoint, make_mailbox("test"))
+
+
+def start(state: CachesState, request: ReadCache) -> int:
+    """Return the exchange of a reading that has begun."""
+    [effect] = handle(request, state, NOW)
+    assert isinstance(effect, StartReading)
+    assert effect.address == request.endpoint.address
+    return effect.exchange
+
+
+def test_answers_that_cross_keep_their_engine() -> None:
+    """Parts of one engine must not be taken for those of another."""
+    state = CachesState()
+    first, second = make_request("a"), make_request("b")
+    one, two = start(state, first), start(state, second)
+    for exchange, data in ((two, b"b1"), (one, b"a1"), (two, b"b2")):
+        handle(ResponseHead(exchange, 200), state, NOW)
+        handle(ResponseBody(exchange, data), state, NOW)
+    assert handle(ResponseEnd(two, True), state, NOW) == [TellParts(second, b"b1b2")]
+    assert handle(ResponseEnd(one, True), state, NOW) == [TellParts(first, b"a1")]
+    assert not state.readings
+
+
+def test_refused_or_broken_reading_ends() -> None:
+    """An engine that does not list its parts must not hold a reading open."""
+    state = CachesState()
+    one = start(state, make_request("a"))
+    cancel, failure = handle(ResponseHead(one, 429), state, NOW)
+    assert cancel == CancelReading(one)
+    assert isinstance(failure, LogFailure)
+    two = start(state, make_request("b"))
+    [failure] = handle(ExchangeFailed(two, True, "connection broke"), state, NOW)
+    assert isinstance(failure, LogFailure)
+    assert handle(ResponseEnd(two, True), state, NOW) == []
+
+
+def test_silent_engine_is_given_up() -> None:
+    """An engine that never answers must not keep its connection busy."""
+    state = CachesState()
+    one = start(state, make_request("a"))
+    assert handle(Tick(), state, NOW) == []
+    cancel, _ = handle(Tick(), state, NOW + READ_LIMIT)
+    assert cancel == CancelReading(one)
--- a/tests/process/placement/test_core.py
+++ b/tests/process/placement/test_core.py
@@ -10,6 +10,7 @@
 from oleanderhitch.process.placement.cache import count_missing_tokens
 from oleanderhitch.process.placement.core import (
     OTHERS_AGE_LIMIT,
+    AskForCache,
     PlacementState,
     SendReply,
     handle,
@@ -17,10 +18,12 @@
 from oleanderhitch.process.placement.messages import (
     AcquireEndpoint,
     AttemptResult,
+    CacheFound,
     EndpointGranted,
     EndpointLoad,
     EndpointRefused,
     EndpointsListed,
+    EnginesDeclared,
     FirstPieceSeen,
     OtherLoads,
     PaceObserved,
@@ -216,3 +219,42 @@
     )
     handle(EndpointsListed(reborn), state, NOW)
     assert not state.endpoints[name].cache.parts
+
+
+def test_starting_entry_asks_what_engines_hold() -> None:
+    """An entry that starts must not send sessions away from their prompts."""
+    state = make_state(make_endpoint("a", 9), make_endpoint("b", 9))
+    asked = handle(EnginesDeclared({SERVICE: 900_000}), state, NOW)
+    assert [type(effect) for effect in asked] == [AskForCache, AskForCache]
+    assert handle(EnginesDeclared({SERVICE: 900_000}), state, NOW) == []
+    shape = make_shape("shared", "own")
+    handle(CacheFound(EndpointId("b"), 0, shape.parts), state, NOW)
+    granted = get_grant(handle(acquire("r1", shape), state, NOW))
+    assert granted.endpoint.endpoint == "b"
+
+
+def test_new_engine_is_not_asked() -> None:
+    """An engine that starts later holds nothing, and asking costs it time."""
+    state = make_state(make_endpoint("a"))
+    handle(EnginesDeclared({SERVICE: 900_000}), state, NOW)
+    listed = EndpointsListed((make_endpoint("a"), make_endpoint("b")))
+    assert handle(listed, state, NOW) == []
+
+
+def test_parts_of_an_earlier_start_are_not_taken() -> None:
+    """An engine that started again under its name holds nothing of before."""
+    state = make_state(make_endpoint("a"))
+    handle(CacheFound(EndpointId("a"), 5, make_shape("x").parts), state, NOW)
+    assert not state.endpoints[EndpointId("a")].cache.parts
+
+
+def test_declared_memory_bounds_the_estimate() -> None:
+    """A prompt that is still held must not be taken for evicted."""
+    state = make_state(make_endpoint("a", 90))
+    handle(EnginesDeclared({SERVICE: 900_000}), state, NOW)
+    for number in range(90):
+        handle(acquire(f"r{number}", make_shape(f"p{number}")), state, NOW)
+    cache = state.endpoints[EndpointId("a")].cache
+    assert count_missing_tokens(cache, make_shape("p0")) == 0
+    handle(EnginesDeclared({SERVICE: 100_000}), state, NOW)
+    assert count_missing_tokens(cache, make_shape("p0")) == 10_000
--- a/tests/process/site/world.py
+++ b/tests/process/site/world.py
@@ -15,6 +15,7 @@
 from oleanderhitch.connection.http.messages import HttpRequest
 from oleanderhitch.connection.http.server import make_http_server
 from oleanderhitch.connection.ids import HostAddress
+from oleanderhitch.platform.caches import make_platform_caches
 from oleanderhitch.platform.operators import make_platform_operators
 from oleanderhitch.platform.requests import make_platform_dialect
 from oleanderhitch.platform.routing import read_route_table
@@ -130,7 +131,10 @@
                 get_free_address(),
             ),
             EntryTranslation(
-                make_platform_dialect(), read_route_table, self.endpoints.list
+                make_platform_dialect(),
+                make_platform_caches(),
+                read_route_table,
+                self.endpoints.list,
             ),
             CLOCK,
             make_metrics(),
