Applied logs on all stores at once after a restart, and read less of them

Change: results are made for calls of the current leader only, the first commit of a term is told before it is applied, heartbeats are answered before commands are applied, and segments of a site have 8 MiB.

--- a/oleanderhitch/process/replication/binding.py
+++ b/oleanderhitch/process/replication/binding.py
@@ -268,10 +268,11 @@
 @perform.register
 def _(effect: ApplyCommitted, binding: GroupBinding) -> None:
     try:
-        if binding.state.replica.role is Role.LEADER:
+        replica = binding.state.replica
+        if replica.role is Role.LEADER and effect.term == replica.term:
             binding.result = binding.application.apply(effect.command)
         else:
-            # Only a leader's calls wait for results, and they may be costly.
+            # Only calls of this leader wait for results, which may be costly.
             binding.application.replay(effect.command)
     except Exception as error:
         # Skipping a command would let this state machine differ from the others.
--- a/oleanderhitch/process/replication/log_sync.py
+++ b/oleanderhitch/process/replication/log_sync.py
@@ -197,14 +197,21 @@
     return synced[len(synced) // 2] if synced else 0
 
 
-def advance_commit(state: ReplicaState, out: list[object]) -> bool:
+def advance_commit(state: ReplicaState, now: datetime, out: list[object]) -> bool:
     """Commit what is synced on a majority; tell whether anything was."""
     index = find_committable(state)
     # An entry of an earlier term is committed only together with one of the
     # current term: a majority alone does not protect it from a later leader.
     if index <= state.commit_index or state.log.find_term(index) != state.term:
         return False
-    apply_committed(state, index, out)
+    is_first = state.commit_index < state.term_start_index
+    applied: list[object] = []
+    apply_committed(state, index, applied)
+    if is_first:
+        # After a restart of all replicas, the followers apply their logs while
+        # this one does, rather than after it.
+        broadcast_heartbeat(state, now, out)
+    out.extend(applied)
     return True
 
 
--- a/oleanderhitch/process/replication/peers.py
+++ b/oleanderhitch/process/replication/peers.py
@@ -59,7 +59,7 @@
 
 def advance(state: ReplicaState, now: datetime, out: list[object]) -> None:
     """Commit what can be, then do what waited for it."""
-    if not advance_commit(state, out):
+    if not advance_commit(state, now, out):
         return
     release_reads(state, now, out)
     continue_change(state, now, out)
@@ -159,11 +159,12 @@
     out: list[object],
 ) -> None:
     is_followed = _follow_leader(message.term, sender, state, now, out)
+    # The reply confirms the leader, which need not wait for commands to apply.
+    send(state, sender, HeartbeatReply(state.term, message.round), out)
     if is_followed and state.restoring is None:
         commit_index = min(message.commit_index, state.matched_index)
         if commit_index > state.commit_index:
             apply_committed(state, commit_index, out)
-    send(state, sender, HeartbeatReply(state.term, message.round), out)
 
 
 @handle_peer.register
--- a/oleanderhitch/process/site/group.py
+++ b/oleanderhitch/process/site/group.py
@@ -4,6 +4,7 @@
 
 from oleanderhitch.process.ids import GroupId
 from oleanderhitch.process.replication.replica import Limits, Timing
+from oleanderhitch.process.storage.core import StorageLimits
 
 SITE_GROUP = GroupId("site")
 MIB = 1024 * 1024
@@ -18,6 +19,10 @@
     election_timeout_max=timedelta(milliseconds=550),
     election_retry_min=timedelta(milliseconds=60),
 )
+# A restart reads all segments, also what a snapshot has replaced in them; small
+# ones are dropped soon after each snapshot. Six of them hold more than a log grows
+# between two snapshots.
+SITE_STORAGE_LIMITS = StorageLimits(segment_bytes=8 * MIB, n_segments=6)
 # The log in memory and the state share the 150 MB or more of a store's host.
 SITE_LIMITS = Limits(
     n_trailing_entries=400,
--- a/oleanderhitch/process/site/store.py
+++ b/oleanderhitch/process/site/store.py
@@ -54,7 +54,12 @@
     make_site_application,
     make_site_codec,
 )
-from oleanderhitch.process.site.group import SITE_GROUP, SITE_LIMITS, SITE_TIMING
+from oleanderhitch.process.site.group import (
+    SITE_GROUP,
+    SITE_LIMITS,
+    SITE_STORAGE_LIMITS,
+    SITE_TIMING,
+)
 from oleanderhitch.process.site.links import TIMING, make_site_links
 from oleanderhitch.process.site.messages import EntryHello, GetRouting, RoutingFound
 from oleanderhitch.process.site.operators import (
@@ -148,7 +153,9 @@
         self._client = make_group_client(
             self._list_addresses(), self._send_to_store, clock
         )
-        self._storage = open_storage(settings.data_dir, site.node, clock)
+        self._storage = open_storage(
+            settings.data_dir, site.node, clock, SITE_STORAGE_LIMITS
+        )
         self._subscribers = make_subscribers(
             self._get_routing, self._list_stores, clock
         )
--- a/tests/process/replication/hosts.py
+++ b/tests/process/replication/hosts.py
@@ -20,15 +20,17 @@
 
     def __init__(self):
         self.commands = []
+        self.n_results = 0
 
     def apply(self, command):
         """Keep the command and return how many there are."""
         self.commands.append(command)
+        self.n_results += 1
         return b"%d" % len(self.commands)
 
     def replay(self, command):
         """Keep the command."""
-        self.apply(command)
+        self.commands.append(command)
 
     def read(self, query):
         """Return all commands."""
--- a/tests/process/replication/test_core.py
+++ b/tests/process/replication/test_core.py
@@ -267,3 +267,33 @@
     timing = state.timing
     spread = timing.election_timeout_max - timing.election_timeout_min
     assert state.election_deadline <= first + timing.election_retry_min + spread
+
+
+def test_followers_hear_of_the_first_commit_before_the_leader_applies():
+    """A restart of all replicas must not replay the log twice in a row."""
+    state, elected = make_leader([make_entry(1, 1)], term=1)
+    handle(state, m.AppendReply(2, True, 1, 1), "b", LATER)
+    handle(state, get_persisted(elected), now=LATER)
+    effects = handle(state, m.AppendReply(2, True, 2, 2), "b", LATER)
+    kinds = [
+        type(getattr(effect, "message", effect))
+        for effect in effects
+        if isinstance(effect, SendToReplica | ApplyCommitted)
+    ]
+    assert kinds[:3] == [m.Heartbeat, m.Heartbeat, ApplyCommitted]
+    told = [e.message for e in effects if isinstance(e, SendToReplica)]
+    assert m.Heartbeat(2, 2, state.round) in told
+
+
+def test_heartbeat_is_answered_before_commands_apply():
+    """A follower that replays a long log must still confirm its leader."""
+    state = make_replica()
+    handle(state, m.AppendEntries(1, 0, 0, 0, (make_entry(1, 1),)), "b")
+    sync_hard_state(state)
+    effects = handle(state, m.Heartbeat(1, 1, 1), "b")
+    kinds = [
+        type(effect)
+        for effect in effects
+        if isinstance(effect, SendToReplica | ApplyCommitted)
+    ]
+    assert kinds == [SendToReplica, ApplyCommitted]
--- a/tests/process/replication/test_task.py
+++ b/tests/process/replication/test_task.py
@@ -84,6 +84,8 @@
     wait_for(lambda: find_leader([host]))
     answer = call(host, b"", is_read=True)
     assert answer.body == b",".join(b"c%d" % number for number in range(20))
+    # A result that nobody waits for costs the time in which callers wait.
+    assert host.journal.n_results == 0
     host.stop(network)
 
 
