Weighed the whole batch when engines are chosen

Change: the cost of an engine is the time of the request itself and what it adds to those running there: reading delays each of them, output makes each step of the batch longer. The pace of engines is compared for equal batches, with the faster half. The caller's estimate of the output is used.

--- a/oleanderhitch/platform/headers.py
+++ b/oleanderhitch/platform/headers.py
@@ -5,6 +5,7 @@
 EXPECT_INSTANCE = "x-expect-instance"
 MODEL = "x-model"
 TOKEN_USAGE = "x-token-usage"  # prompt tokens, most output tokens
+LENGTH_HINT = "x-length-hint"  # the caller's estimate of the output tokens
 PROMPT_PARTS = "x-prompt-prefix"  # parts of the prompt in order, ID:TOKENS
 PROGRAM = "x-program-id"
 TOKEN_BUDGET = "x-token-budget"  # for all turns of a program together
--- a/oleanderhitch/platform/requests.py
+++ b/oleanderhitch/platform/requests.py
@@ -166,7 +166,13 @@
         )
     except ValueError:
         raise InvalidInputError(f"{names.TOKEN_USAGE} is {usage!r}") from None
-    return PromptShape(n_prompt, n_output, parts)
+    return PromptShape(n_prompt, n_output, _read_hint(request, n_output), parts)
+
+
+def _read_hint(request: HttpRequest, n_output: int) -> int:
+    """Return the expected output; a hint is often off and never binding."""
+    hint = request.find_header(names.LENGTH_HINT) or ""
+    return min(int(hint), n_output) if hint.isdigit() else n_output // 2
 
 
 def _read_part(word: str, model: str) -> PromptPart:
--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -43,16 +43,19 @@
 from oleanderhitch.request.ids import PermitId
 from oleanderhitch.version.ids import DataCentreName, EndpointId, ServiceName
 
-# Speed at which engines of this class read prompts.
+# Speeds of the engines of both sites, from their sheets: prompt tokens that are
+# read in a millisecond, the time of an output token on an idle engine, and what
+# each further request of the batch adds to it.
 PROMPT_TOKENS_PER_MS = 145.0
-# Delay that each further request under way adds to a new one: it shares the
-# batch with its prompt and with its steps.
-BUSY_COST_MS = 4.0
-# A prompt is read in chunks between the tokens of all other requests of its
-# engine, so that each token read delays those as well as its own request.
-READ_WEIGHT = 4.0
-# Time of a typical answer on an idle engine, which a slow engine multiplies.
-TYPICAL_OUTPUT_MS = 300.0
+TOKEN_MS = 1.0
+BATCH_TOKEN_MS = 0.04
+# A prompt delays its own request and, as long as the engine is busy, the next one.
+READ_WEIGHT = 2.0
+# Running requests are half done on average, so that a new one meets half of the
+# output that they have yet to write.
+OVERLAP_SHARE = 0.5
+# Time of a call of a plain service, which each call ahead of it adds.
+CALL_MS = 20.0
 # Sending a prompt to another data centre costs time and traffic.
 REMOTE_COST_MS = 2.0
 # An endpoint that could not be reached or refused work is avoided for this
@@ -213,7 +216,9 @@
     permit = state.permits.get(message.permit)
     endpoint = None if permit is None else state.endpoints.get(permit.endpoint)
     if endpoint is not None:
-        note_pause(endpoint.pace, message.pause, now)
+        # A full batch is slow by itself; only what exceeds that is a slowdown.
+        batch_ratio = 1 + BATCH_TOKEN_MS / TOKEN_MS * _count_running(endpoint, now)
+        note_pause(endpoint.pace, message.pause / batch_ratio, now)
     return []
 
 
@@ -255,6 +260,12 @@
     return endpoint.others
 
 
+def _count_running(endpoint: Endpoint, now: datetime) -> int:
+    """Return the requests on an endpoint, as far as this entry knows."""
+    others = _find_others(endpoint, now)
+    return len(endpoint.permits) + (0 if others is None else others.n_running)
+
+
 def _end_reading(name: PermitId, permit: Permit, state: PlacementState) -> None:
     state.reading_tokens[permit.endpoint] -= permit.n_reading_tokens
     state.permits[name] = Permit(permit.endpoint, 0)
@@ -319,9 +330,7 @@
     limit = endpoint.listed.n_slots
     if shape is None:
         limit += int(limit * QUEUE_PER_SLOT)
-    others = _find_others(endpoint, now)
-    n_others = 0 if others is None else others.n_running
-    return len(endpoint.permits) + n_others < limit
+    return _count_running(endpoint, now) < limit
 
 
 def _get_cost_ms(
@@ -331,22 +340,38 @@
     slowness: float,
     now: datetime,
 ) -> float:
-    listed = endpoint.listed
-    others = _find_others(endpoint, now)
-    n_others = 0 if others is None else others.n_running
-    cost = (len(endpoint.permits) + n_others) * BUSY_COST_MS
-    if message.shape is not None:
-        n_missing = count_missing_tokens(endpoint.cache, message.shape)
-        n_reading = state.reading_tokens[listed.endpoint]
+    """Return the time that the request takes there and adds to those running."""
+    n_running = _count_running(endpoint, now)
+    if message.shape is None:
+        cost = n_running * CALL_MS
+    else:
+        others = _find_others(endpoint, now)
+        n_reading = state.reading_tokens[endpoint.listed.endpoint]
         n_reading += 0 if others is None else others.n_reading_tokens
-        cost += (n_missing * READ_WEIGHT + n_reading) / PROMPT_TOKENS_PER_MS
-        cost += TYPICAL_OUTPUT_MS
+        cost = _get_engine_cost_ms(endpoint, message.shape, n_running, n_reading)
     cost *= slowness
-    if listed.data_centre != state.data_centre:
+    if endpoint.listed.data_centre != state.data_centre:
         cost += REMOTE_COST_MS
     return cost
 
 
+def _get_engine_cost_ms(
+    endpoint: Endpoint, shape: PromptShape, n_running: int, n_reading: int
+) -> float:
+    """Return the delays of the request itself and of the batch that it joins.
+
+    A prompt is read in chunks between the output tokens of all other requests, so
+    that reading it delays each of them by the same time.
+    """
+    n_output = shape.n_expected_tokens
+    read_ms = count_missing_tokens(endpoint.cache, shape) / PROMPT_TOKENS_PER_MS
+    write_ms = n_output * (TOKEN_MS + BATCH_TOKEN_MS * n_running)
+    batch_ms = OVERLAP_SHARE * n_output * BATCH_TOKEN_MS
+    queue_ms = n_reading / PROMPT_TOKENS_PER_MS
+    n_delayed = READ_WEIGHT + n_running
+    return queue_ms + write_ms + n_delayed * read_ms + n_running * batch_ms
+
+
 def _grant(
     endpoint: Endpoint, message: AcquireEndpoint, state: PlacementState
 ) -> EndpointGranted:
--- a/oleanderhitch/process/placement/messages.py
+++ b/oleanderhitch/process/placement/messages.py
@@ -21,10 +21,14 @@
 
 @dataclass(frozen=True, slots=True)
 class PromptShape:
-    """Describe the model work of a request."""
+    """Describe the model work of a request.
+
+    The output is bounded by one count of tokens and expected to have the other.
+    """
 
     n_prompt_tokens: int
     n_output_tokens: int
+    n_expected_tokens: int
     parts: tuple[PromptPart, ...]
 
 
--- a/oleanderhitch/process/placement/pace.py
+++ b/oleanderhitch/process/placement/pace.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 from datetime import datetime, timedelta
-from statistics import median
+from statistics import median_low
 
 MILLISECOND = timedelta(milliseconds=1)
 # Weight of a new observation; a slowdown shows after three or four of them.
@@ -39,7 +39,7 @@
         for pace in paces
         if pace.mean_ms is not None and _is_recent(pace, now)
     ]
-    return median(known) if known else None
+    return median_low(known) if known else None
 
 
 def get_slowness(pace: Pace, typical_ms: float | None, now: datetime) -> float:
--- a/tests/process/placement/test_core.py
+++ b/tests/process/placement/test_core.py
@@ -32,6 +32,7 @@
     ReleaseEndpoint,
     WithdrawRequest,
 )
+from oleanderhitch.process.placement.pace import get_slowness, get_typical_ms
 from oleanderhitch.request.ids import RequestId
 from oleanderhitch.version.ids import DataCentreName, EndpointId, ServiceName
 
@@ -58,7 +59,7 @@
 def make_shape(*parts: str) -> PromptShape:
     """Return a prompt of parts of 10,000 tokens each."""
     return PromptShape(
-        10_000 * len(parts), 100, tuple(PromptPart(part, 10_000) for part in parts)
+        10_000 * len(parts), 200, 100, tuple(PromptPart(part, 10_000) for part in parts)
     )
 
 
@@ -104,10 +105,14 @@
     for shared in ("a", "b"):
         first = get_grant(handle(acquire(shared, make_shape(shared)), state, NOW))
         handle(FirstPieceSeen(first.permit), state, NOW)
-    shape = PromptShape(14_000, 100, (PromptPart("a", 10_000), PromptPart("s", 4_000)))
+    shape = PromptShape(
+        14_000, 100, 50, (PromptPart("a", 10_000), PromptPart("s", 4_000))
+    )
     first = get_grant(handle(acquire("1", shape), state, NOW))
     handle(FirstPieceSeen(first.permit), state, NOW)
-    grown = PromptShape(15_000, 100, (PromptPart("a", 10_000), PromptPart("s", 5_000)))
+    grown = PromptShape(
+        15_000, 100, 50, (PromptPart("a", 10_000), PromptPart("s", 5_000))
+    )
     cache = state.endpoints[first.endpoint.endpoint].cache
     assert count_missing_tokens(cache, grown) == 1_000
     again = get_grant(handle(acquire("2", grown), state, NOW))
@@ -258,3 +263,32 @@
     assert count_missing_tokens(cache, make_shape("p0")) == 0
     handle(EnginesDeclared({SERVICE: 100_000}), state, NOW)
     assert count_missing_tokens(cache, make_shape("p0")) == 10_000
+
+
+def test_new_engine_shares_the_load_of_those_with_warm_caches() -> None:
+    """Requests must not pile up on the engines that a release left in place."""
+    state = make_state(make_endpoint("warm", 64), make_endpoint("new", 64))
+    shape = make_shape("shared")
+    handle(CacheFound(EndpointId("warm"), 0, shape.parts), state, NOW)
+    chosen = []
+    for number in range(40):
+        granted = get_grant(handle(acquire(f"r{number}", shape), state, NOW))
+        handle(FirstPieceSeen(granted.permit), state, NOW)
+        chosen.append(granted.endpoint.endpoint)
+    assert chosen[:4] == ["warm"] * 4
+    assert 12 <= chosen.count("new") <= 28
+
+
+def test_full_batch_is_no_slowdown() -> None:
+    """An engine with more work than its peers must not be taken for a slow one."""
+    state = make_state(make_endpoint("e1", 90), make_endpoint("e2", 90))
+    load = OtherLoads((EndpointLoad(EndpointId("e1"), 50, 0),))
+    handle(load, state, NOW)
+    first = get_grant(handle(acquire("1", make_shape("a"), tried=("e2",)), state, NOW))
+    second = get_grant(handle(acquire("2", make_shape("b"), tried=("e1",)), state, NOW))
+    for grant, pause_ms in ((first, 54), (second, 18)):
+        pause = timedelta(milliseconds=pause_ms)
+        handle(PaceObserved(grant.permit, pause), state, NOW)
+    paces = [endpoint.pace for endpoint in state.endpoints.values()]
+    typical_ms = get_typical_ms(paces, NOW)
+    assert [get_slowness(pace, typical_ms, NOW) for pace in paces] == [1.0, 1.0]
--- a/tests/request/forwarding/test_core.py
+++ b/tests/request/forwarding/test_core.py
@@ -95,7 +95,7 @@
         b"input",
         wait_limit,
         None,
-        PromptShape(100, 80, ()) if is_turn else None,
+        PromptShape(100, 80, 80, ()) if is_turn else None,
         turn,
         None,
     )
