--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -62,6 +62,14 @@
 # long; the list names a crashed one for some seconds more.
 AVOID_AFTER_FAILURE = timedelta(seconds=1)
 AVOID_AFTER_REFUSAL = timedelta(milliseconds=150)
+# An endpoint that leaves a call without an answer is avoided while a neighbour may
+# slow it down, which lasts about as long.
+AVOID_AFTER_SILENCE = timedelta(milliseconds=300)
+# Longest time that a busy endpoint says nothing: the largest prompts take 0.2 s to
+# read and neighbours slow an engine down two to three times.
+SILENCE_LIMIT = timedelta(milliseconds=600)
+# Results that show that an endpoint is there.
+HEARD = (AttemptResult.COMPLETED, AttemptResult.REFUSED, AttemptResult.MISDIRECTED)
 # Memory of an engine until its service is declared.
 CACHE_TOKENS_DEFAULT = 400_000
 # Loads of other entries change within half a second; older ones mislead.
@@ -96,6 +104,8 @@
     pace: Pace = field(default_factory=Pace)
     permits: set[PermitId] = field(default_factory=set)
     avoid_until: datetime | None = None
+    # When something was last heard of it, or when it began to work.
+    heard_at: datetime | None = None
     others: EndpointLoad | None = None
     others_at: datetime | None = None
 
@@ -189,6 +199,9 @@
     permit = state.permits.get(message.permit)
     if permit is not None:
         _end_reading(message.permit, permit, state)
+        endpoint = state.endpoints.get(permit.endpoint)
+        if endpoint is not None:
+            endpoint.heard_at = now
     return []
 
 
@@ -219,6 +232,7 @@
         # A full batch is slow by itself; only what exceeds that is a slowdown.
         batch_ratio = 1 + BATCH_TOKEN_MS / TOKEN_MS * _count_running(endpoint, now)
         note_pause(endpoint.pace, message.pause / batch_ratio, now)
+        endpoint.heard_at = now
     return []
 
 
@@ -272,7 +286,11 @@
 
 
 def _note_result(result: AttemptResult, endpoint: Endpoint, now: datetime) -> None:
-    if result is AttemptResult.REFUSED:
+    if result in HEARD:
+        endpoint.heard_at = now
+    if result is AttemptResult.SILENT:
+        endpoint.avoid_until = now + AVOID_AFTER_SILENCE
+    elif result is AttemptResult.REFUSED:
         endpoint.avoid_until = now + AVOID_AFTER_REFUSAL
     elif result in (AttemptResult.NOT_CONNECTED, AttemptResult.MISDIRECTED):
         endpoint.avoid_until = now + AVOID_AFTER_FAILURE
@@ -316,6 +334,8 @@
     ]
     if not calm:
         return None
+    # A silent endpoint may be gone, but one that is only slow beats none.
+    calm = [one for one in calm if not _is_silent(one, now)] or calm
     typical_ms = get_typical_ms([endpoint.pace for endpoint in calm], now)
 
     def get_cost_ms(endpoint: Endpoint) -> float:
@@ -323,9 +343,18 @@
         return _get_cost_ms(endpoint, message, state, slowness, now)
 
     chosen = min(calm, key=get_cost_ms)
+    if not chosen.permits:
+        chosen.heard_at = now
     return SendReply(message.reply, _grant(chosen, message, state))
 
 
+def _is_silent(endpoint: Endpoint, now: datetime) -> bool:
+    """Tell whether an endpoint with work has said nothing for long."""
+    if endpoint.heard_at is None or not endpoint.permits:
+        return False
+    return now - endpoint.heard_at > SILENCE_LIMIT
+
+
 def _has_room(endpoint: Endpoint, shape: PromptShape | None, now: datetime) -> bool:
     limit = endpoint.listed.n_slots
     if shape is None:
--- a/oleanderhitch/process/placement/messages.py
+++ b/oleanderhitch/process/placement/messages.py
@@ -61,6 +61,7 @@
     NOT_CONNECTED = "not_connected"
     STALE_CONNECTION = "stale_connection"
     REFUSED = "refused"
+    SILENT = "silent"
     MISDIRECTED = "misdirected"
     CANCELLED = "cancelled"
 
--- a/oleanderhitch/request/forwarding/core.py
+++ b/oleanderhitch/request/forwarding/core.py
@@ -56,8 +56,16 @@
 # The rest of a request's time is kept for the work itself; a caller that is
 # refused earlier can still try elsewhere.
 QUEUE_SHARE = 0.5
+# An idempotent call that takes this many times its objective has probably met an
+# endpoint that is gone or slowed down.
+SILENCE_RATIO = 3
+# Shorter silences are those of a queue.
+SILENCE_MIN = timedelta(milliseconds=250)
 # Events that are averaged into one observation of an endpoint's pace.
 N_EVENTS_PER_PACE = 4
+# Results that leave the endpoint itself a choice: only a kept connection had ended,
+# or the answer was slow.
+MAY_BE_WELL = (AttemptResult.STALE_CONNECTION, AttemptResult.SILENT)
 # An endpoint that gets less time than this could not finish anything.
 TIME_LEFT_MIN = timedelta(milliseconds=10)
 
@@ -138,6 +146,7 @@
     exchange = state.exchange_base + state.n_sends
     endpoint = message.endpoint
     state.attempt = Attempt(exchange, message.permit, endpoint.endpoint, now)
+    state.repeat_at = _find_repeat_time(state, now)
     state.phase = Phase.SENT
     fields = (
         ("endpoint", endpoint.endpoint),
@@ -170,6 +179,7 @@
     attempt = _find_attempt(message.exchange, state)
     if attempt is None:
         return []
+    state.repeat_at = None
     head = message.head
     if head.is_refusal:
         result = AttemptResult.REFUSED
@@ -274,8 +284,10 @@
 
 @handle.register
 def _(message: Tick, state: ForwardState, now: datetime) -> list[object]:
-    if now < state.due_at or state.has_ended:
+    if state.has_ended:
         return []
+    if now < state.due_at:
+        return _leave_silent_endpoint(state, now)
     was_sent = state.n_runs > 0 or state.attempt is not None
     phase = state.phase
     effects = _drop_work(state)
@@ -291,6 +303,24 @@
     return [*effects, *_end(state, verdict, "no time is left")]
 
 
+def _find_repeat_time(state: ForwardState, now: datetime) -> datetime | None:
+    """Return when an attempt that is not answered may be repeated, if ever."""
+    route = state.route
+    has_attempts_left = state.n_runs + 1 < route.n_attempts
+    if route.kind is not RouteKind.IDEMPOTENT or not has_attempts_left:
+        return None
+    return now + max(route.objective * SILENCE_RATIO, SILENCE_MIN)
+
+
+def _leave_silent_endpoint(state: ForwardState, now: datetime) -> list[object]:
+    """Repeat an idempotent call elsewhere that has no answer yet."""
+    if state.repeat_at is None or now < state.repeat_at or state.attempt is None:
+        return []
+    # It may run there all the same, which counts as one of its attempts.
+    state.n_runs += 1
+    return _try_elsewhere(state, AttemptResult.SILENT, "no answer yet", now)
+
+
 def _observe_pace(attempt: Attempt, n_events: int, now: datetime) -> list[object]:
     """Report the mean pause between events, some events at a time."""
     if attempt.pace_since is None:
@@ -323,6 +353,7 @@
     if attempt is None:
         return []
     state.attempt = None
+    state.repeat_at = None
     state.tried = (*state.tried, attempt.endpoint)
     return [CancelSend(attempt.exchange), Release(attempt.permit, result)]
 
@@ -336,16 +367,18 @@
 def _try_elsewhere(
     state: ForwardState, result: AttemptResult, reason: str, now: datetime
 ) -> list[object]:
-    """Send a request that an endpoint did not run to another one."""
+    """Send a request to another endpoint than the one that has it."""
     attempt = state.attempt
+    event = "endpoint did not run it"
+    if result is AttemptResult.SILENT:
+        event = "endpoint is silent"
     endpoint = None if attempt is None else attempt.endpoint
     fields = (("endpoint", endpoint), ("result", result.value), ("reason", reason))
     effects = [
-        LogDecision("endpoint did not run it", fields),
+        LogDecision(event, fields),
         *_end_attempt(state, result),
     ]
-    if result is AttemptResult.STALE_CONNECTION:
-        # The endpoint itself may be well; only the kept connection was not.
+    if result in MAY_BE_WELL:
         state.tried = state.tried[:-1]
     if state.n_sends < N_SENDS_LIMIT:
         return [*effects, *_ask_endpoint(state, now)]
--- a/oleanderhitch/request/forwarding/state.py
+++ b/oleanderhitch/request/forwarding/state.py
@@ -53,6 +53,13 @@
     n_events: int = 0
     last_event: str | None = None
     left: CallerLeft | None = None
+    # When an unanswered attempt is given up for another endpoint.
+    repeat_at: datetime | None = None
+
+    @property
+    def wake_at(self) -> datetime:
+        """Return when the request must be looked at if nothing happens."""
+        return min(self.due_at, self.repeat_at or self.due_at)
 
     @property
     def has_ended(self) -> bool:
--- a/oleanderhitch/request/forwarding/task.py
+++ b/oleanderhitch/request/forwarding/task.py
@@ -209,7 +209,7 @@
 def _receive(context: ForwardContext) -> object:
     """Return the next message that concerns the request."""
     while True:
-        wait = context.state.due_at - context.parts.clock.now()
+        wait = context.state.wake_at - context.parts.clock.now()
         message = context.mailbox.receive(max(wait, timedelta(0)))
         if message is None:
             return Tick()
--- a/tests/process/placement/test_core.py
+++ b/tests/process/placement/test_core.py
@@ -10,6 +10,7 @@
 from oleanderhitch.process.placement.cache import count_missing_tokens
 from oleanderhitch.process.placement.core import (
     OTHERS_AGE_LIMIT,
+    SILENCE_LIMIT,
     AskForCache,
     PlacementState,
     SendReply,
@@ -292,3 +293,41 @@
     paces = [endpoint.pace for endpoint in state.endpoints.values()]
     typical_ms = get_typical_ms(paces, NOW)
     assert [get_slowness(pace, typical_ms, NOW) for pace in paces] == [1.0, 1.0]
+
+
+def test_silent_endpoint_gets_no_more_work_while_others_answer() -> None:
+    """Requests must not follow each other to an endpoint that has gone silent."""
+    state = make_state(make_endpoint("e1", 9), make_endpoint("e2", 9))
+    first = get_grant(handle(acquire("1", tried=("e2",)), state, NOW))
+    other = get_grant(handle(acquire("2", tried=("e1",)), state, NOW))
+    late = NOW + SILENCE_LIMIT + timedelta(milliseconds=1)
+    done = ReleaseEndpoint(other.permit, AttemptResult.COMPLETED)
+    handle(done, state, late)
+    for number in range(5):
+        granted = get_grant(handle(acquire(f"more-{number}"), state, late))
+        assert granted.endpoint.endpoint == "e2"
+    # Nothing else is left for a request that the other one refused.
+    last = get_grant(handle(acquire("3", tried=("e2",)), state, late))
+    assert last.endpoint == first.endpoint
+
+
+def test_idle_endpoint_is_not_silent() -> None:
+    """An endpoint without work has nothing to say."""
+    state = make_state(make_endpoint("e1", 9), make_endpoint("e2", 9))
+    first = get_grant(handle(acquire("1", tried=("e2",)), state, NOW))
+    handle(ReleaseEndpoint(first.permit, AttemptResult.COMPLETED), state, NOW)
+    later = NOW + 10 * SILENCE_LIMIT
+    chosen = {
+        get_grant(handle(acquire(f"{n}"), state, later)).endpoint.endpoint
+        for n in range(2)
+    }
+    assert chosen == {"e1", "e2"}
+
+
+def test_endpoint_that_left_a_call_unanswered_is_avoided_for_a_while() -> None:
+    """The repeated call must not meet the same silence."""
+    state = make_state(make_endpoint("e1", 9), make_endpoint("e2", 9))
+    first = get_grant(handle(acquire("1"), state, NOW))
+    handle(ReleaseEndpoint(first.permit, AttemptResult.SILENT), state, NOW)
+    again = get_grant(handle(acquire("1"), state, NOW))
+    assert again.endpoint != first.endpoint
--- a/tests/request/forwarding/test_core.py
+++ b/tests/request/forwarding/test_core.py
@@ -328,3 +328,38 @@
     effects = run(state, Tick(), at=NOW + timedelta(seconds=1))
     verdicts = find(effects, GiveVerdict)
     assert verdicts[0].verdict is Verdict.TIMED_OUT  # type: ignore[attr-defined]
+
+
+def test_silent_idempotent_call_goes_elsewhere_once() -> None:
+    """A call must not wait out its time at an endpoint that is gone."""
+    state = make_state(RouteKind.IDEMPOTENT, n_attempts=2)
+    run(state, Begin(), grant("e1"))
+    assert state.wake_at < state.due_at
+    assert run(state, Tick()) == []
+    effects = run(state, Tick(), at=state.wake_at)
+    assert find(effects, CancelSend)
+    released = find(effects, Release)
+    assert released == [Release(PermitId("permit-e1"), AttemptResult.SILENT)]
+    assert find(effects, AskEndpoint)
+    run(state, grant("e2"))
+    # The route allows two attempts, and the first may run all the same.
+    assert state.wake_at == state.due_at
+    effects = run(state, Tick(), at=state.due_at)
+    assert find(effects, GiveVerdict) == [GiveVerdict(Verdict.TIMED_OUT, "while sent")]
+
+
+@pytest.mark.parametrize("kind", [RouteKind.NON_IDEMPOTENT, RouteKind.STREAM])
+def test_silent_work_that_must_not_repeat_is_awaited(kind: RouteKind) -> None:
+    """Silence does not prove that a request has not run."""
+    state = make_state(kind, n_attempts=3)
+    run(state, Begin(), grant("e1"))
+    assert state.wake_at == state.due_at
+
+
+def test_slow_body_is_awaited() -> None:
+    """A call whose answer has begun is not given up for its silence before."""
+    state = make_state(RouteKind.IDEMPOTENT, n_attempts=2)
+    run(state, Begin(), grant("e1"))
+    wake_at = state.wake_at
+    run(state, AnswerBegun(get_exchange(state), make_head()))
+    assert run(state, Tick(), at=wake_at) == []
