Weighed the failures of endpoints when one is chosen

Change: the share of failed attempts of late, per endpoint and entry, adds the time that a failure costs: 2 s where the work may not repeat, 0.3 s where it may. Errors of the endpoint itself count as failures, the end of the request's time does not.

--- a/oleanderhitch/connection/http/endpoint.py
+++ b/oleanderhitch/connection/http/endpoint.py
@@ -33,7 +33,7 @@
 RECEIVE_BYTES = 64 * 1024
 # Endpoints of a region answer an opening packet within some milliseconds, and a
 # lost one is sent again only after a second, so that another endpoint is better.
-CONNECT_TIMEOUT = timedelta(milliseconds=400)
+CONNECT_TIMEOUT = timedelta(milliseconds=250)
 # Idle connections are closed this long before the endpoint may close them, so
 # that a request does not cross the close.
 IDLE_MARGIN = timedelta(milliseconds=1000)
--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -40,6 +40,11 @@
     get_typical_ms,
     note_pause,
 )
+from oleanderhitch.process.placement.reliability import (
+    Reliability,
+    get_failure_share,
+    note_outcome,
+)
 from oleanderhitch.request.ids import PermitId
 from oleanderhitch.version.ids import DataCentreName, EndpointId, ServiceName
 
@@ -70,6 +75,16 @@
 SILENCE_LIMIT = timedelta(milliseconds=600)
 # Results that show that an endpoint is there.
 HEARD = (AttemptResult.COMPLETED, AttemptResult.REFUSED, AttemptResult.MISDIRECTED)
+# Whether a result speaks against the endpoint; others say nothing of it.
+HAS_FAILED = {
+    AttemptResult.COMPLETED: False,
+    AttemptResult.FAILED: True,
+    AttemptResult.SILENT: True,
+}
+# Work that may not run twice is lost with a failed attempt, and often its program;
+# other work costs the time of the attempt.
+LOSS_COST_MS = 2000.0
+REPEAT_COST_MS = 300.0
 # Memory of an engine until its service is declared.
 CACHE_TOKENS_DEFAULT = 400_000
 # Loads of other entries change within half a second; older ones mislead.
@@ -102,6 +117,7 @@
     cache: CacheEstimate
     is_cache_unknown: bool
     pace: Pace = field(default_factory=Pace)
+    reliability: Reliability = field(default_factory=Reliability)
     permits: set[PermitId] = field(default_factory=set)
     avoid_until: datetime | None = None
     # When something was last heard of it, or when it began to work.
@@ -288,6 +304,8 @@
 def _note_result(result: AttemptResult, endpoint: Endpoint, now: datetime) -> None:
     if result in HEARD:
         endpoint.heard_at = now
+    if result in HAS_FAILED:
+        note_outcome(endpoint.reliability, HAS_FAILED[result], now)
     if result is AttemptResult.SILENT:
         endpoint.avoid_until = now + AVOID_AFTER_SILENCE
     elif result is AttemptResult.REFUSED:
@@ -379,6 +397,8 @@
         n_reading += 0 if others is None else others.n_reading_tokens
         cost = _get_engine_cost_ms(endpoint, message.shape, n_running, n_reading)
     cost *= slowness
+    failure_cost_ms = REPEAT_COST_MS if message.may_repeat else LOSS_COST_MS
+    cost += failure_cost_ms * get_failure_share(endpoint.reliability, now)
     if endpoint.listed.data_centre != state.data_centre:
         cost += REMOTE_COST_MS
     return cost
--- a/oleanderhitch/process/placement/messages.py
+++ b/oleanderhitch/process/placement/messages.py
@@ -42,6 +42,7 @@
     affinity: str | None
     rank: int
     tried: tuple[EndpointId, ...]
+    may_repeat: bool
     due_at: datetime
     reply: Address
 
--- a/oleanderhitch/request/forwarding/core.py
+++ b/oleanderhitch/request/forwarding/core.py
@@ -60,7 +60,11 @@
 # endpoint that is gone or slowed down.
 SILENCE_RATIO = 3
 # Shorter silences are those of a queue.
-SILENCE_MIN = timedelta(milliseconds=250)
+SILENCE_MIN = timedelta(milliseconds=300)
+# Answers from this status on say that the endpoint itself failed, except the one
+# that says that the time of the request was over.
+SERVER_ERROR = 500
+OUT_OF_TIME = 504
 # Events that are averaged into one observation of an endpoint's pace.
 N_EVENTS_PER_PACE = 4
 # Results that leave the endpoint itself a choice: only a kept connection had ended,
@@ -232,7 +236,10 @@
     if attempt is None or attempt.head is None:
         return []
     state.attempt = None
-    effects: list[object] = [Release(attempt.permit, AttemptResult.COMPLETED)]
+    result = AttemptResult.COMPLETED
+    if attempt.head.status >= SERVER_ERROR and attempt.head.status != OUT_OF_TIME:
+        result = AttemptResult.FAILED
+    effects: list[object] = [Release(attempt.permit, result)]
     if state.phase is Phase.COLLECTING:
         state.phase = Phase.ENDED
         return [
@@ -338,7 +345,10 @@
 def _ask_endpoint(state: ForwardState, now: datetime) -> list[object]:
     state.phase = Phase.WAITING
     due_at = now + (state.due_at - now) * QUEUE_SHARE
-    return [AskEndpoint(state.service, state.route.rank, state.tried, due_at)]
+    route = state.route
+    return [
+        AskEndpoint(state.service, route.rank, state.tried, route.may_repeat, due_at)
+    ]
 
 
 def _find_attempt(exchange: int, state: ForwardState) -> Attempt | None:
--- a/oleanderhitch/request/forwarding/messages.py
+++ b/oleanderhitch/request/forwarding/messages.py
@@ -112,6 +112,7 @@
     service: ServiceName
     rank: int
     tried: tuple[EndpointId, ...]
+    may_repeat: bool
     due_at: datetime
 
 
--- a/oleanderhitch/request/forwarding/task.py
+++ b/oleanderhitch/request/forwarding/task.py
@@ -318,6 +318,7 @@
             request.affinity,
             effect.rank,
             effect.tried,
+            effect.may_repeat,
             effect.due_at,
             context.mailbox,
         )
--- a/tests/process/placement/test_core.py
+++ b/tests/process/placement/test_core.py
@@ -69,6 +69,7 @@
     shape: PromptShape | None = None,
     rank: int = 0,
     tried: tuple[str, ...] = (),
+    may_repeat: bool = False,
 ) -> AcquireEndpoint:
     """Return a request for an endpoint, due in five seconds."""
     return AcquireEndpoint(
@@ -78,6 +79,7 @@
         None,
         rank,
         tuple(EndpointId(one) for one in tried),
+        may_repeat,
         NOW + timedelta(seconds=5),
         REPLY,
     )
@@ -331,3 +333,35 @@
     handle(ReleaseEndpoint(first.permit, AttemptResult.SILENT), state, NOW)
     again = get_grant(handle(acquire("1"), state, NOW))
     assert again.endpoint != first.endpoint
+
+
+def test_failing_endpoint_gets_no_work_that_would_be_lost() -> None:
+    """An endpoint that resets part of its calls must not keep its share of them."""
+    state = make_state(make_endpoint("grey", 9), make_endpoint("sound", 9))
+    for number in range(2):
+        granted = get_grant(handle(acquire(f"{number}", tried=("sound",)), state, NOW))
+        handle(ReleaseEndpoint(granted.permit, AttemptResult.FAILED), state, NOW)
+    for number in range(8):
+        granted = get_grant(handle(acquire(f"more-{number}"), state, NOW))
+        assert granted.endpoint.endpoint == "sound"
+
+
+def test_failures_fade() -> None:
+    """An endpoint must get work again once its fault is over."""
+    state = make_state(make_endpoint("e1", 9), make_endpoint("e2", 9))
+    first = get_grant(handle(acquire("1"), state, NOW))
+    handle(ReleaseEndpoint(first.permit, AttemptResult.FAILED), state, NOW)
+    later = NOW + timedelta(seconds=20)
+    chosen = [
+        get_grant(handle(acquire(f"{n}"), state, later)).endpoint.endpoint
+        for n in range(4)
+    ]
+    assert set(chosen) == {"e1", "e2"}
+
+
+def test_all_endpoints_failing_still_serve() -> None:
+    """Failures everywhere must not stop the service."""
+    state = make_state(make_endpoint("e1", 9))
+    for number in range(5):
+        granted = get_grant(handle(acquire(f"{number}"), state, NOW))
+        handle(ReleaseEndpoint(granted.permit, AttemptResult.FAILED), state, NOW)
--- a/tests/request/forwarding/test_core.py
+++ b/tests/request/forwarding/test_core.py
@@ -363,3 +363,23 @@
     wake_at = state.wake_at
     run(state, AnswerBegun(get_exchange(state), make_head()))
     assert run(state, Tick(), at=wake_at) == []
+
+
+@pytest.mark.parametrize(
+    ("status", "result"),
+    [
+        (200, AttemptResult.COMPLETED),
+        (404, AttemptResult.COMPLETED),
+        (500, AttemptResult.FAILED),
+        (504, AttemptResult.COMPLETED),
+    ],
+)
+def test_errors_of_an_endpoint_count_against_it(
+    status: int, result: AttemptResult
+) -> None:
+    """An endpoint that fails its work must be told from one that is short of time."""
+    state = make_state()
+    run(state, Begin(), grant("e1"))
+    run(state, AnswerBegun(get_exchange(state), make_head(status)))
+    effects = run(state, ResponseEnd(get_exchange(state), True))
+    assert find(effects, Release) == [Release(PermitId("permit-e1"), result)]
