Resumed silent streams elsewhere and kept calls on an object together

Cause: reading the code: the pause limit, the stickiness of routes and the object of a call were decoded and used nowhere; two further fields had no use at all. Change: a resumable stream that is silent for twice its pause limit goes on at another endpoint behind its last event, within its attempts; calls of sticky routes prefer the endpoint that had the object last, unless a queue costs more; the limits of pins and connections are no longer decoded. A connection to carry an exchange is always given.

--- a/oleanderhitch/connection/http/pool.py
+++ b/oleanderhitch/connection/http/pool.py
@@ -36,10 +36,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Carry:
-    """Hand an exchange to a connection, a new one if none is given."""
+    """Hand an exchange to a connection."""
 
-    address: HostAddress
-    connection: EndpointConnection | None
+    connection: EndpointConnection
     exchange: Exchange
 
 
@@ -78,7 +77,7 @@
         connection = state.open_connection(message.address)
         state.n_opened += 1
     state.busy[message.exchange.exchange] = connection
-    return [Carry(message.address, connection, message.exchange)]
+    return [Carry(connection, message.exchange)]
 
 
 @handle.register
@@ -114,7 +113,6 @@
 
 @perform.register
 def _(effect: Carry) -> None:
-    assert effect.connection is not None
     effect.connection.send(effect.exchange)
 
 
--- a/oleanderhitch/platform/routing.py
+++ b/oleanderhitch/platform/routing.py
@@ -66,7 +66,6 @@
     slots: int
     kv_capacity: int
     chunk_tokens: int  # tokens that count for one event
-    pin_ms: float = 0
 
 
 @dataclass(frozen=True)
@@ -74,7 +73,6 @@
     """Hold a service as operators write it."""
 
     name: str
-    max_conns: int = 0
     engine: WireEngine | None = None
 
 
@@ -178,9 +176,8 @@
             wire.engine.slots,
             wire.engine.kv_capacity,
             wire.engine.chunk_tokens,
-            timedelta(milliseconds=wire.engine.pin_ms),
         )
-    return Service(ServiceName(wire.name), wire.max_conns, engine)
+    return Service(ServiceName(wire.name), engine)
 
 
 def _make_limits(wire: WireLimits) -> CallerLimits:
--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -1,6 +1,6 @@
 """Choose endpoints by what they hold in memory and what they work on."""
 
-from collections import defaultdict
+from collections import OrderedDict, defaultdict
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
@@ -61,6 +61,10 @@
 OVERLAP_SHARE = 0.5
 # Time of a call of a plain service, which each call ahead of it adds.
 CALL_MS = 20.0
+# Time that a plain service saves on an object that it has handled lately.
+WARM_GAIN_MS = 10.0
+# Objects that an endpoint is taken to remember.
+N_OBJECTS = 500
 # Sending a prompt to another data centre costs time and traffic.
 REMOTE_COST_MS = 2.0
 # An endpoint that could not be reached or refused work is avoided for this
@@ -120,6 +124,8 @@
     reliability: Reliability = field(default_factory=Reliability)
     permits: set[PermitId] = field(default_factory=set)
     avoid_until: datetime | None = None
+    # Objects whose calls were sent there, the last one at the end.
+    objects: OrderedDict[str, None] = field(default_factory=OrderedDict)
     # When something was last heard of it, or when it began to work.
     heard_at: datetime | None = None
     others: EndpointLoad | None = None
@@ -363,9 +369,18 @@
     chosen = min(calm, key=get_cost_ms)
     if not chosen.permits:
         chosen.heard_at = now
+    if message.affinity is not None and message.shape is None:
+        _note_object(message.affinity, chosen)
     return SendReply(message.reply, _grant(chosen, message, state))
 
 
+def _note_object(name: str, endpoint: Endpoint) -> None:
+    endpoint.objects[name] = None
+    endpoint.objects.move_to_end(name)
+    if len(endpoint.objects) > N_OBJECTS:
+        endpoint.objects.popitem(last=False)
+
+
 def _is_silent(endpoint: Endpoint, now: datetime) -> bool:
     """Tell whether an endpoint with work has said nothing for long."""
     if endpoint.heard_at is None or not endpoint.permits:
@@ -391,6 +406,8 @@
     n_running = _count_running(endpoint, now)
     if message.shape is None:
         cost = n_running * CALL_MS
+        if message.affinity in endpoint.objects:
+            cost -= WARM_GAIN_MS
     else:
         others = _find_others(endpoint, now)
         n_reading = state.reading_tokens[endpoint.listed.endpoint]
--- a/oleanderhitch/request/forwarding/core.py
+++ b/oleanderhitch/request/forwarding/core.py
@@ -56,9 +56,10 @@
 # The rest of a request's time is kept for the work itself; a caller that is
 # refused earlier can still try elsewhere.
 QUEUE_SHARE = 0.5
-# An idempotent call that takes this many times its objective has probably met an
-# endpoint that is gone or slowed down.
+# An endpoint that says nothing for this many times the objective, or the longest
+# pause that callers accept, is probably gone or slowed down.
 SILENCE_RATIO = 3
+PAUSE_RATIO = 2
 # Shorter silences are those of a queue.
 SILENCE_MIN = timedelta(milliseconds=300)
 # Answers from this status on say that the endpoint itself failed, except the one
@@ -183,7 +184,6 @@
     attempt = _find_attempt(message.exchange, state)
     if attempt is None:
         return []
-    state.repeat_at = None
     head = message.head
     if head.is_refusal:
         result = AttemptResult.REFUSED
@@ -194,6 +194,7 @@
     if head.is_success and not head.is_signed:
         return _fail_attempt(state, "answer without a signature", now)
     attempt.head = head
+    state.repeat_at = _find_repeat_time(state, now)
     if state.has_started_answer and not head.is_success:
         return _fail_attempt(state, f"endpoint answered {head.status}", now)
     if head.is_success and state.route.kind is RouteKind.STREAM:
@@ -214,6 +215,7 @@
     if state.phase is Phase.COLLECTING:
         attempt.body.append(message.data)
         return []
+    state.repeat_at = _find_repeat_time(state, now)
     events = state.splitter.feed(message.data)
     if not events:
         return []
@@ -311,21 +313,29 @@
 
 
 def _find_repeat_time(state: ForwardState, now: datetime) -> datetime | None:
-    """Return when an attempt that is not answered may be repeated, if ever."""
+    """Return when the work goes elsewhere if its endpoint stays silent, if ever."""
+    attempt = state.attempt
     route = state.route
-    has_attempts_left = state.n_runs + 1 < route.n_attempts
-    if route.kind is not RouteKind.IDEMPOTENT or not has_attempts_left:
+    if attempt is None or not route.may_repeat:
+        return None
+    n_runs = state.n_runs + (attempt.head is None)
+    # The body of an answer that is collected whole follows its head at once.
+    is_whole_answer = attempt.head is not None and route.kind is not RouteKind.STREAM
+    if n_runs >= route.n_attempts or is_whole_answer:
         return None
-    return now + max(route.objective * SILENCE_RATIO, SILENCE_MIN)
+    pause = (route.pause_limit or timedelta(0)) * PAUSE_RATIO
+    return now + max(route.objective * SILENCE_RATIO, pause, SILENCE_MIN)
 
 
 def _leave_silent_endpoint(state: ForwardState, now: datetime) -> list[object]:
-    """Repeat an idempotent call elsewhere that has no answer yet."""
-    if state.repeat_at is None or now < state.repeat_at or state.attempt is None:
+    """Go on elsewhere with work that may repeat."""
+    attempt = state.attempt
+    if state.repeat_at is None or now < state.repeat_at or attempt is None:
         return []
-    # It may run there all the same, which counts as one of its attempts.
-    state.n_runs += 1
-    return _try_elsewhere(state, AttemptResult.SILENT, "no answer yet", now)
+    if attempt.head is None:
+        # It may run there all the same, which counts as one of its attempts.
+        state.n_runs += 1
+    return _fail_attempt(state, "the endpoint is silent", now, AttemptResult.SILENT)
 
 
 def _observe_pace(attempt: Attempt, n_events: int, now: datetime) -> list[object]:
@@ -364,7 +374,8 @@
         return []
     state.attempt = None
     state.repeat_at = None
-    state.tried = (*state.tried, attempt.endpoint)
+    if result not in MAY_BE_WELL:
+        state.tried = (*state.tried, attempt.endpoint)
     return [CancelSend(attempt.exchange), Release(attempt.permit, result)]
 
 
@@ -377,19 +388,14 @@
 def _try_elsewhere(
     state: ForwardState, result: AttemptResult, reason: str, now: datetime
 ) -> list[object]:
-    """Send a request to another endpoint than the one that has it."""
+    """Send a request that an endpoint did not run to another one."""
     attempt = state.attempt
-    event = "endpoint did not run it"
-    if result is AttemptResult.SILENT:
-        event = "endpoint is silent"
     endpoint = None if attempt is None else attempt.endpoint
     fields = (("endpoint", endpoint), ("result", result.value), ("reason", reason))
     effects = [
-        LogDecision(event, fields),
+        LogDecision("endpoint did not run it", fields),
         *_end_attempt(state, result),
     ]
-    if result in MAY_BE_WELL:
-        state.tried = state.tried[:-1]
     if state.n_sends < N_SENDS_LIMIT:
         return [*effects, *_ask_endpoint(state, now)]
     if state.has_started_answer:
@@ -403,14 +409,19 @@
     ]
 
 
-def _fail_attempt(state: ForwardState, reason: str, now: datetime) -> list[object]:
+def _fail_attempt(
+    state: ForwardState,
+    reason: str,
+    now: datetime,
+    result: AttemptResult = AttemptResult.FAILED,
+) -> list[object]:
     """Repeat work that may have run where that is allowed, or say it failed."""
     attempt = state.attempt
     endpoint = None if attempt is None else attempt.endpoint
     fields = (("endpoint", endpoint), ("reason", reason), ("n_events", state.n_events))
     effects: list[object] = [
         LogDecision("endpoint failed", fields),
-        *_end_attempt(state, AttemptResult.FAILED),
+        *_end_attempt(state, result),
     ]
     may_repeat = state.route.may_repeat and state.n_runs < state.route.n_attempts
     if may_repeat and state.n_sends < N_SENDS_LIMIT:
--- a/oleanderhitch/request/forwarding/task.py
+++ b/oleanderhitch/request/forwarding/task.py
@@ -315,7 +315,7 @@
             request.request,
             effect.service,
             request.shape,
-            request.affinity,
+            request.affinity if context.state.route.is_sticky else None,
             effect.rank,
             effect.tried,
             effect.may_repeat,
--- a/oleanderhitch/version/routes/configuration.py
+++ b/oleanderhitch/version/routes/configuration.py
@@ -51,7 +51,6 @@
     n_slots: int
     memory_tokens: int
     tokens_per_event: int
-    pin_limit: timedelta = timedelta(0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,7 +58,6 @@
     """Describe the endpoints that a route may use."""
 
     name: ServiceName
-    n_connections: int
     engine: EngineTraits | None = None
 
 
--- a/tests/process/placement/test_core.py
+++ b/tests/process/placement/test_core.py
@@ -70,13 +70,14 @@
     rank: int = 0,
     tried: tuple[str, ...] = (),
     may_repeat: bool = False,
+    affinity: str | None = None,
 ) -> AcquireEndpoint:
     """Return a request for an endpoint, due in five seconds."""
     return AcquireEndpoint(
         RequestId(name),
         SERVICE,
         shape,
-        None,
+        affinity,
         rank,
         tuple(EndpointId(one) for one in tried),
         may_repeat,
@@ -365,3 +366,17 @@
     for number in range(5):
         granted = get_grant(handle(acquire(f"{number}"), state, NOW))
         handle(ReleaseEndpoint(granted.permit, AttemptResult.FAILED), state, NOW)
+
+
+def test_calls_on_an_object_follow_each_other() -> None:
+    """A service is faster on an object that it has handled lately."""
+    state = make_state(make_endpoint("e1", 9), make_endpoint("e2", 9))
+    first = get_grant(handle(acquire("1", affinity="17"), state, NOW))
+    handle(ReleaseEndpoint(first.permit, AttemptResult.COMPLETED), state, NOW)
+    other = get_grant(handle(acquire("2", tried=("e1",)), state, NOW))
+    handle(ReleaseEndpoint(other.permit, AttemptResult.COMPLETED), state, NOW)
+    second = get_grant(handle(acquire("3", affinity="17"), state, NOW))
+    assert second.endpoint == first.endpoint
+    # A queue costs more than the object saves.
+    third = get_grant(handle(acquire("4", affinity="17"), state, NOW))
+    assert third.endpoint != first.endpoint
--- a/tests/request/forwarding/test_core.py
+++ b/tests/request/forwarding/test_core.py
@@ -69,6 +69,7 @@
     is_resumable: bool = False,
     is_turn: bool = False,
     wait_limit: timedelta | None = None,
+    pause_limit: timedelta | None = None,
 ) -> ForwardState:
     """Return a request on a route."""
     route = Route(
@@ -84,6 +85,7 @@
         keeps_history,
         timedelta(seconds=60),
         is_resumable=is_resumable,
+        pause_limit=pause_limit,
     )
     turn = TurnOfProgram(ProgramId("p"), 1000, RequestId("t")) if is_turn else None
     request = ForwardRequest(
@@ -383,3 +385,23 @@
     run(state, AnswerBegun(get_exchange(state), make_head(status)))
     effects = run(state, ResponseEnd(get_exchange(state), True))
     assert find(effects, Release) == [Release(PermitId("permit-e1"), result)]
+
+
+def test_stream_that_falls_silent_is_resumed_where_that_is_allowed() -> None:
+    """Callers must not wait for events of an endpoint that is gone."""
+    pause = timedelta(milliseconds=400)
+    state = make_state(
+        RouteKind.STREAM, n_attempts=2, is_resumable=True, pause_limit=pause
+    )
+    run(state, Begin(), grant("e1"))
+    exchange = get_exchange(state)
+    run(state, AnswerBegun(exchange, make_head()))
+    later = NOW + timedelta(seconds=1)
+    piece = ResponseBody(exchange, b"id: 1\ndata: a\n\n")
+    run(state, piece, at=later)
+    assert state.wake_at > later + pause
+    effects = run(state, Tick(), at=state.wake_at)
+    assert find(effects, CancelSend) == [CancelSend(exchange)]
+    assert find(effects, AskEndpoint)
+    (send,) = find(run(state, grant("e2"), at=later), Send)
+    assert send.last_event == "1"  # type: ignore[attr-defined]
