Read the list of endpoints with the project's own HTTP client

Cause: the reader of the list was the only user of a second client on the platform, which every process imported (3 MB and a fifth of the import time of an entry). Change: one page is fetched over a connection task of its own, with one limit for the whole page.

--- /dev/null
+++ b/oleanderhitch/connection/http/fetch.py
@@ -0,0 +1,49 @@
+"""Fetch one page over a connection of its own."""
+
+from datetime import timedelta
+
+import gevent
+
+from oleanderhitch.connection.http.endpoint import Exchange, make_endpoint_connection
+from oleanderhitch.connection.http.messages import (
+    ExchangeFailed,
+    HttpRequest,
+    HttpResponse,
+    ResponseBody,
+    ResponseEnd,
+    ResponseHead,
+)
+from oleanderhitch.connection.http.rendering import render_request
+from oleanderhitch.connection.ids import HostAddress
+from oleanderhitch.exceptions import UnavailableError
+from oleanderhitch.process.mailbox import Mailbox, make_mailbox
+
+
+def fetch(address: HostAddress, request: HttpRequest, limit: timedelta) -> HttpResponse:
+    """Return the answer to a request; raise UnavailableError after the limit."""
+    mailbox = make_mailbox(f"fetch {address}")
+    connection = make_endpoint_connection(address, mailbox)
+    late = UnavailableError(f"{address} did not answer within {limit}")
+    try:
+        with gevent.Timeout(limit.total_seconds(), late):
+            connection.start()
+            body = render_request(request)
+            connection.send(Exchange(0, body, mailbox, lambda headers: True))
+            return _collect(mailbox)
+    finally:
+        connection.cancel()
+
+
+def _collect(mailbox: Mailbox) -> HttpResponse:
+    head = ResponseHead(0, 0)
+    body: list[bytes] = []
+    while True:
+        message = mailbox.receive()
+        if isinstance(message, ResponseHead):
+            head = message
+        elif isinstance(message, ResponseBody):
+            body.append(message.data)
+        elif isinstance(message, ResponseEnd):
+            return HttpResponse(head.status, b"".join(body), head.headers)
+        elif isinstance(message, ExchangeFailed):
+            raise UnavailableError(message.reason)
--- a/oleanderhitch/platform/listing.py
+++ b/oleanderhitch/platform/listing.py
@@ -7,8 +7,9 @@
 from urllib.parse import quote
 
 import logbook
-import urllib3
 
+from oleanderhitch.connection.http.fetch import fetch
+from oleanderhitch.connection.http.messages import HttpRequest
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.exceptions import UnavailableError
 from oleanderhitch.process.directory.messages import ListedEndpoint
@@ -25,15 +26,12 @@
     address: HostAddress,
 ) -> Callable[[], tuple[ListedEndpoint, ...]]:
     """Return a function that reads the whole list; it raises UnavailableError."""
-    client = urllib3.PoolManager(
-        num_pools=1, timeout=PAGE_TIMEOUT.total_seconds(), retries=False
-    )
 
     def read_list() -> tuple[ListedEndpoint, ...]:
         found: dict[EndpointId, ListedEndpoint] = {}
         token: str | None = None
         for _ in range(N_PAGES_LIMIT):
-            page = _read_page(client, address, token)
+            page = _read_page(address, token)
             for entry in page["instances"]:
                 endpoint = _find_endpoint(entry)
                 if endpoint is not None:
@@ -46,18 +44,15 @@
     return read_list
 
 
-def _read_page(
-    client: urllib3.PoolManager, address: HostAddress, token: str | None
-) -> dict[str, Any]:
+def _read_page(address: HostAddress, token: str | None) -> dict[str, Any]:
     query = "" if token is None else f"?page_token={quote(token, safe='')}"
-    try:
-        response = client.request("GET", f"http://{address}/instances{query}")
-    except urllib3.exceptions.HTTPError as error:
-        raise UnavailableError(f"list not read: {error}") from None
+    headers = (("host", address),)
+    request = HttpRequest("GET", f"/instances{query}", headers, b"")
+    response = fetch(address, request, PAGE_TIMEOUT)
     if response.status != 200:
         raise UnavailableError(f"list answered {response.status}")
     try:
-        page = json.loads(response.data.decode("utf-8", "replace"))
+        page = json.loads(response.body.decode("utf-8", "replace"))
     except ValueError as error:
         raise UnavailableError(f"list is not JSON: {error}") from None
     if not isinstance(page, dict) or not isinstance(page.get("instances"), list):
