Refused counts that are no numbers and bounded the caches that an entry asks for

Cause: reading the change: a superscript digit in a header ended the task of its connection with a ValueError (the test failed first); a negative most of a turn would have freed budget that other turns had reserved; an entry of a large fleet would ask every engine when it starts. Change: decimal digits only, no negative counts, and 32 engines asked at most, those of the own data centre first.

--- a/oleanderhitch/connection/caller/parsing.py
+++ b/oleanderhitch/connection/caller/parsing.py
@@ -125,7 +125,7 @@
     text = headers.get(name, "")
     if not text and default is not None:
         return default
-    if not text.isascii() or not text.isdigit() or int(text) == 0:
+    if not text.isascii() or not text.isdecimal() or int(text) == 0:
         raise CallRefusedError(
             Reason.BAD_REQUEST,
             f"header {name} must be a whole number from 1, got {text!r}",
--- a/oleanderhitch/connection/http/endpoint.py
+++ b/oleanderhitch/connection/http/endpoint.py
@@ -257,7 +257,7 @@
 def _get_idle_limit(headers: Headers) -> timedelta:
     for word in (find_header(headers, "keep-alive") or "").split(","):
         name, _, value = word.strip().partition("=")
-        if name == "timeout" and value.isdigit():
+        if name == "timeout" and value.isdecimal():
             limit = timedelta(seconds=int(value))
             return max(limit - IDLE_MARGIN, limit / 2)
     return IDLE_LIMIT
--- a/oleanderhitch/connection/http/parsing.py
+++ b/oleanderhitch/connection/http/parsing.py
@@ -118,7 +118,7 @@
         if names.count("content-length") > 1:
             self._refuse(RequestFault.MALFORMED, "the body has two lengths")
         length = find_header(tuple(self._headers), "content-length")
-        if length is not None and length.isdigit():
+        if length is not None and length.isdecimal():
             self._check_body(int(length))
 
     def on_body(self, data: bytes) -> None:
--- a/oleanderhitch/platform/listing.py
+++ b/oleanderhitch/platform/listing.py
@@ -72,7 +72,7 @@
         return None
     identifier, service, address, zone = (str(text) for text in texts)
     ip, _, port = address.rpartition(":")
-    if not ip or not port.isdigit():
+    if not ip or not port.isdecimal():
         return None
     born = entry.get("born")
     return ListedEndpoint(
--- a/oleanderhitch/platform/requests.py
+++ b/oleanderhitch/platform/requests.py
@@ -158,7 +158,7 @@
         return None
     model = request.find_header(names.MODEL) or ""
     try:
-        n_prompt, n_output = (int(word) for word in usage.split(","))
+        n_prompt, n_output = (_read_count(word) for word in usage.split(","))
         parts = tuple(
             _read_part(word, model)
             for word in (request.find_header(names.PROMPT_PARTS) or "").split(",")
@@ -169,15 +169,24 @@
     return PromptShape(n_prompt, n_output, _read_hint(request, n_output), parts)
 
 
+def _read_count(word: str) -> int:
+    """Return a count of tokens; raise ValueError for anything else."""
+    count = int(word)
+    if count < 0:
+        # A negative count would free budget that other turns have reserved.
+        raise ValueError(f"{word!r} is negative")
+    return count
+
+
 def _read_hint(request: HttpRequest, n_output: int) -> int:
     """Return the expected output; a hint is often off and never binding."""
     hint = request.find_header(names.LENGTH_HINT) or ""
-    return min(int(hint), n_output) if hint.isdigit() else n_output // 2
+    return min(int(hint), n_output) if hint.isdecimal() else n_output // 2
 
 
 def _read_part(word: str, model: str) -> PromptPart:
     identifier, _, n_tokens = word.strip().partition(":")
-    return make_part(model, identifier, int(n_tokens))
+    return make_part(model, identifier, _read_count(n_tokens))
 
 
 def make_part(model: str, identifier: str, n_tokens: int) -> PromptPart:
@@ -192,7 +201,7 @@
     if program is None or (budget is None and previous is None):
         # Calls of tools carry the program's id too, but spend no tokens.
         return None
-    if budget is not None and not budget.isdigit():
+    if budget is not None and not budget.isdecimal():
         raise InvalidInputError(f"{names.TOKEN_BUDGET} is {budget!r}")
     return TurnOfProgram(
         ProgramId(program),
--- a/oleanderhitch/process/commands/operator_base.py
+++ b/oleanderhitch/process/commands/operator_base.py
@@ -130,7 +130,7 @@
 
     def parse_number(self, text: object, what: str) -> int:
         """Return a count given as an option; raise InvalidInputError."""
-        if not (isinstance(text, str) and text.isascii() and text.isdigit()):
+        if not (isinstance(text, str) and text.isascii() and text.isdecimal()):
             raise InvalidInputError(f"expected a number for {what}, got {text!r}")
         return int(text)
 
--- a/oleanderhitch/process/commands/operator_folder.py
+++ b/oleanderhitch/process/commands/operator_folder.py
@@ -38,7 +38,7 @@
     if not path.exists():
         return NO_VERSION
     text = path.read_text(encoding="utf-8").strip()
-    if not (text.isascii() and text.isdigit()):
+    if not (text.isascii() and text.isdecimal()):
         raise InvalidInputError(f"expected a version number in {path}, got {text!r}")
     return ConfigurationVersion(int(text))
 
--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -56,6 +56,9 @@
 
 # Memory of an engine until its service is declared.
 CACHE_TOKENS_DEFAULT = 400_000
+# A starting entry asks this many engines, those of its own data centre first; at
+# the size of letter 1 it would ask 6,900 otherwise.
+N_CACHES_ASKED = 32
 # Plain services queue a few requests beyond their slots; waiting there beats a
 # refusal, but not by much.
 QUEUE_PER_SLOT = 1.0
@@ -199,13 +202,15 @@
 
 def _ask_for_caches(state: PlacementState) -> list[object]:
     """Ask the engines that had worked before this entry knew them."""
-    effects: list[object] = []
-    for endpoint in state.endpoints.values():
-        is_engine = endpoint.listed.service in state.memory_tokens
-        if endpoint.is_cache_unknown and is_engine:
-            endpoint.is_cache_unknown = False
-            effects.append(AskForCache(endpoint.listed))
-    return effects
+    unknown = [
+        endpoint
+        for endpoint in state.endpoints.values()
+        if endpoint.is_cache_unknown and endpoint.listed.service in state.memory_tokens
+    ]
+    unknown.sort(key=lambda one: one.listed.data_centre != state.data_centre)
+    for endpoint in unknown:
+        endpoint.is_cache_unknown = False
+    return [AskForCache(endpoint.listed) for endpoint in unknown[:N_CACHES_ASKED]]
 
 
 def _end_reading(name: PermitId, permit: Permit, state: PlacementState) -> None:
--- a/oleanderhitch/version/addresses.py
+++ b/oleanderhitch/version/addresses.py
@@ -24,7 +24,7 @@
     if not isinstance(text, str):
         raise ValueError("the address is not a text")
     host, separator, port = text.rpartition(":")
-    if not separator or not (port.isascii() and port.isdigit()):
+    if not separator or not (port.isascii() and port.isdecimal()):
         raise ValueError("the address has no port number")
     number = int(port)
     if not 0 < number < N_PORTS:
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -159,3 +159,32 @@
     check = DIALECT.make_answer_check(RequestId("r1"))
     assert check((("x-request-id", "r1"),))
     assert not check((("x-request-id", "r2"),))
+
+
+@pytest.mark.parametrize("hint", ["", "-5", "\u00b2", "many", "9" * 30])
+def test_odd_length_hint_is_no_fault(hint: str) -> None:
+    """A hint is never binding, whatever a caller sends."""
+    request = DIALECT.read_request(
+        make_request(("x-token-usage", "1460,80"), ("x-length-hint", hint))
+    )
+    assert request.shape is not None
+    assert 0 < request.shape.n_expected_tokens <= 80
+
+
+def test_superscript_budget_is_refused() -> None:
+    """Digits that are no number must not end the connection's task."""
+    with pytest.raises(InvalidInputError):
+        DIALECT.read_request(
+            make_request(("x-program-id", "p"), ("x-token-budget", "\u00b2"))
+        )
+
+
+@pytest.mark.parametrize(
+    ("usage", "parts"), [("100,-5", "a:1"), ("-1,5", "a:1"), ("5,5", "a:-1")]
+)
+def test_negative_counts_are_refused(usage: str, parts: str) -> None:
+    """A turn must not free budget that other turns have reserved."""
+    with pytest.raises(InvalidInputError):
+        DIALECT.read_request(
+            make_request(("x-token-usage", usage), ("x-prompt-prefix", parts))
+        )
--- a/tests/process/placement/test_core.py
+++ b/tests/process/placement/test_core.py
@@ -9,6 +9,7 @@
 from oleanderhitch.process.messages import Tick
 from oleanderhitch.process.placement.cache import count_missing_tokens
 from oleanderhitch.process.placement.core import (
+    N_CACHES_ASKED,
     AskForCache,
     SendReply,
     handle,
@@ -379,3 +380,15 @@
     # A queue costs more than the object saves.
     third = get_grant(handle(acquire("4", affinity="17"), state, NOW))
     assert third.endpoint != first.endpoint
+
+
+def test_starting_entry_asks_a_bounded_number_of_engines() -> None:
+    """A large fleet must not be flooded by every entry that starts."""
+    far = [
+        replace(make_endpoint(f"far-{n}"), data_centre=DataCentreName("far"))
+        for n in range(N_CACHES_ASKED)
+    ]
+    state = make_state(*far, make_endpoint("near"))
+    asked = handle(EnginesDeclared({SERVICE: 900_000}), state, NOW)
+    assert len(asked) == N_CACHES_ASKED
+    assert asked[0] == AskForCache(make_endpoint("near"))
