Dropped a needless factory and named the sources of weights

Read once more: the answer of the reader of caches needs no function of its own, and five constants of placement did not say where their values are from. No behaviour changed.

--- a/oleanderhitch/process/caches/task.py
+++ b/oleanderhitch/process/caches/task.py
@@ -19,8 +19,8 @@
     handle,
 )
 from oleanderhitch.process.caches.dialect import CacheDialect
-from oleanderhitch.process.caches.messages import make_cache_found
 from oleanderhitch.process.clock import Clock
+from oleanderhitch.process.placement.messages import CacheFound
 from oleanderhitch.process.task import NO_TICK, Task, make_task
 
 TICK_INTERVAL = timedelta(milliseconds=200)
@@ -89,7 +89,8 @@
         n_parts=len(parts),
         n_tokens=sum(part.n_tokens for part in parts),
     )
-    effect.request.reply.send(make_cache_found(endpoint, parts))
+    found = CacheFound(endpoint.endpoint, endpoint.born_ms, parts)
+    effect.request.reply.send(found)
 
 
 @_perform.register
--- a/oleanderhitch/process/placement/cost.py
+++ b/oleanderhitch/process/placement/cost.py
@@ -23,14 +23,17 @@
 # Running requests are half done on average, so that a new one meets half of the
 # output that they have yet to write.
 OVERLAP_SHARE = 0.5
-# Time of a call of a plain service, which each call ahead of it adds.
+# Time of a short call of a plain service on the sheets of both sites, which each
+# call ahead of it adds.
 CALL_MS = 20.0
-# Time that a plain service saves on an object that it has handled lately.
+# Time that a plain service saves on an object that it has handled lately: half of a
+# short call, as in the files of both sites.
 WARM_GAIN_MS = 10.0
-# Sending a prompt to another data centre costs time and traffic.
+# Sending a prompt to another data centre costs a round trip and traffic.
 REMOTE_COST_MS = 2.0
-# Work that may not run twice is lost with a failed attempt, and often its program;
-# other work costs the time of the attempt.
+# Work that may not run twice is lost with a failed attempt, and often its program,
+# whose calls and turns took about two seconds; other work costs the time of the
+# attempt.
 LOSS_COST_MS = 2000.0
 REPEAT_COST_MS = 300.0
 
--- a/oleanderhitch/process/placement/standing.py
+++ b/oleanderhitch/process/placement/standing.py
@@ -24,7 +24,7 @@
     AttemptResult.FAILED: True,
     AttemptResult.SILENT: True,
 }
-# Objects that an endpoint is taken to remember.
+# Objects that are remembered for an endpoint; bounds the memory of an entry.
 N_OBJECTS = 500
 
 
