--- a/oleanderhitch/connection/peer/link.py
+++ b/oleanderhitch/connection/peer/link.py
@@ -60,6 +60,11 @@
         """The peer's address."""
         return self._peer
 
+    @property
+    def n_waiting(self) -> int:
+        """The number of messages that wait to be sent."""
+        return self._outgoing.n_waiting
+
     def send(self, message: object) -> None:
         """Queue a message; raise MailboxFullError if the queue is full."""
         self._outgoing.send(message)
--- a/oleanderhitch/process/metrics/states.py
+++ b/oleanderhitch/process/metrics/states.py
@@ -105,6 +105,30 @@
     LEADER = MetricName(
         "oleanderhitch_leader", "1 where this process leads the group.", "group"
     )
+    PROCESS_MEMORY = MetricName(
+        "oleanderhitch_process_memory_bytes", "Resident memory of this process."
+    )
+    LOOP_DELAY = MetricName(
+        "oleanderhitch_loop_delay_seconds",
+        "Longest delay of the event loop in the last second.",
+    )
+    LINK_QUEUE_LENGTH = MetricName(
+        "oleanderhitch_link_queue_length",
+        "Messages that wait for the slowest link to another store.",
+    )
+    GROUP_LOG_BYTES = MetricName(
+        "oleanderhitch_group_log_bytes",
+        "Log of this process's replica in memory.",
+        "group",
+    )
+    GROUP_SNAPSHOT_BYTES = MetricName(
+        "oleanderhitch_group_snapshot_bytes",
+        "Newest snapshot of this process's replica.",
+        "group",
+    )
+    GROUP_TURNS = MetricName(
+        "oleanderhitch_group_turns", "Stored turns of programs.", "group"
+    )
 
 
 Metric = Latency | Counter | Gauge
--- a/oleanderhitch/process/replication/effect_handlers.py
+++ b/oleanderhitch/process/replication/effect_handlers.py
@@ -245,20 +245,39 @@
 
 @perform.register
 def _(effect: TakeSnapshot, context: GroupContext) -> None:
+    started_at = context.clock.now()
     try:
         data = context.application.take_snapshot()
     except Exception as error:
         _stop_replica(context, f"no snapshot can be taken: {error!r}")
         return
+    _log_snapshot("snapshot taken", effect.index, len(data), started_at, context)
     snapshot = Snapshot(effect.index, effect.term, effect.membership, data)
     group = context.state.replica.group
     acknowledgement = SnapshotTaken(effect.index, data)
     _write(context, SaveSnapshot(group, snapshot, True, context.task, acknowledgement))
 
 
+def _log_snapshot(
+    event: str,
+    index: int,
+    n_bytes: int,
+    started_at: datetime,
+    context: GroupContext,
+) -> None:
+    duration = context.clock.now() - started_at
+    context.log.info(
+        event,
+        index=index,
+        n_bytes=n_bytes,
+        took_ms=round(duration.total_seconds() * 1000),
+    )
+
+
 @perform.register
 def _(effect: RestoreSnapshot, context: GroupContext) -> None:
     snapshot = effect.snapshot
+    started_at = context.clock.now()
     try:
         context.application.restore_snapshot(snapshot.data)
     except Exception as error:
@@ -266,6 +285,8 @@
             context, f"snapshot {snapshot.index} can't be restored: {error!r}"
         )
         return
+    n_bytes = len(snapshot.data)
+    _log_snapshot("snapshot received", snapshot.index, n_bytes, started_at, context)
     group = context.state.replica.group
     acknowledgement = SnapshotRestored(snapshot.index)
     _write(
--- a/oleanderhitch/process/replication/messages.py
+++ b/oleanderhitch/process/replication/messages.py
@@ -357,7 +357,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ReplicationStatus:
-    """Reports the status of a replica and, from the leader, of its followers."""
+    """Reports the status of a replica and, from the leader, of its followers.
+
+    The sizes are those of the log and the snapshot in memory.
+    """
 
     request: int
     group: GroupId
@@ -372,6 +375,8 @@
     is_change_pending: bool
     followers: tuple[FollowerStatus, ...]
     fault: str
+    n_log_bytes: int
+    n_snapshot_bytes: int
 
 
 OPERATOR_REQUESTS: tuple[type, ...] = (
--- a/oleanderhitch/process/replication/status.py
+++ b/oleanderhitch/process/replication/status.py
@@ -42,4 +42,6 @@
         is_change_pending,
         followers,
         state.fault,
+        state.log.n_bytes,
+        0 if state.snapshot is None else len(state.snapshot.data),
     )
--- a/oleanderhitch/process/replication/task.py
+++ b/oleanderhitch/process/replication/task.py
@@ -123,11 +123,18 @@
         recovered.snapshot,
         tuple(recovered.entries),
     )
+    log = logbook.Logger(f"group {group}")
     if recovered.snapshot is not None:
+        started_at = clock.now()
         application.restore_snapshot(recovered.snapshot.data)
+        log.info(
+            "snapshot restored",
+            index=recovered.snapshot.index,
+            n_bytes=len(recovered.snapshot.data),
+            took_ms=round((clock.now() - started_at).total_seconds() * 1000),
+        )
     codec = make_codec((*REPLICA_MESSAGES, FoundingHello))
     state = GroupState(replica, bootstrap, codec)
-    log = logbook.Logger(f"group {group}")
 
     def perform(effect: object) -> None:
         if not context.has_failed or isinstance(effect, EFFECTS_AFTER_FAILURE):
--- a/oleanderhitch/process/site/application.py
+++ b/oleanderhitch/process/site/application.py
@@ -126,6 +126,11 @@
         """The routing configuration in this replica's state."""
         return self._state.routing
 
+    @property
+    def n_turns(self) -> int:
+        """The number of turns in this replica's state."""
+        return len(self._state.turns.turns)
+
     @property
     def records(self) -> tuple[StoreRecord, ...]:
         """The registered stores in this replica's state."""
--- a/oleanderhitch/process/site/store.py
+++ b/oleanderhitch/process/site/store.py
@@ -75,6 +75,7 @@
 from oleanderhitch.process.site.subscribers import make_subscribers
 from oleanderhitch.process.storage.identity import get_node
 from oleanderhitch.process.storage.task import open_storage
+from oleanderhitch.process.usage.monitor import make_usage_monitor
 from oleanderhitch.version.routes.configuration import CallerLimits
 
 HELLO_INTERVAL = timedelta(milliseconds=400)
@@ -88,6 +89,9 @@
 STATUS_TIMEOUT = timedelta(milliseconds=500)
 # A new leader rejects reads until the first entry of its term is committed.
 CONFIRM_RETRY_INTERVAL = timedelta(milliseconds=50)
+# One line on the process each second and one on its replica each five.
+USAGE_INTERVAL = timedelta(seconds=1)
+N_USAGES_PER_GROUP_STATE = 5
 N_VOTERS_MIN = 3
 # Commands of the group are smaller than this. The limits in the routing configuration
 # apply to callers only.
@@ -152,6 +156,7 @@
         self._has_stopped = False
         codec = make_site_peer_codec()
         count_bytes = make_counter(metrics, Counter.PEER_BYTES)
+        self._usage_monitor = make_usage_monitor(clock)
         self._links = make_site_links(
             site, codec, self._deliver, self._handle_link_event, count_bytes
         )
@@ -227,6 +232,8 @@
         self._peer_server.start()
         self._operator_server.start()
         gevent.spawn(self._announce)
+        self._usage_monitor.start()
+        gevent.spawn(self._report_usage)
 
     def apply_settings(self, settings: SiteStoreSettings) -> None:
         """Open links to new seeds; ignore all other changes of the settings."""
@@ -245,13 +252,15 @@
 
     def list_voters(self) -> tuple[ReplicaId, ...]:
         """Return the voters known to this store's replica; empty without a reply."""
+        status = self._find_status()
+        return () if status is None else status.membership.voters
+
+    def _find_status(self) -> ReplicationStatus | None:
         reply_mailbox = make_mailbox("status")
         request = GetReplicationStatus(0, SITE_GROUP)
         self._replica.send(OperatorCall(request, reply_mailbox))
         status = reply_mailbox.receive(STATUS_TIMEOUT)
-        if not isinstance(status, ReplicationStatus):
-            return ()
-        return status.membership.voters
+        return status if isinstance(status, ReplicationStatus) else None
 
     def stop(self) -> None:
         """Transfer the leadership to another replica and stop all tasks."""
@@ -277,6 +286,7 @@
         self._operator_server.stop()
         self._peer_server.stop()
         self._links.stop()
+        self._usage_monitor.stop()
         for task in (self._replica, self._repair, self._directory, self._group_client):
             task.stop()
         self._replica.join(REPLICA_STOP_TIMEOUT)
@@ -345,6 +355,55 @@
                 link.send(hello)
             gevent.sleep(HELLO_INTERVAL.total_seconds())
 
+    def _report_usage(self) -> None:
+        n_reports = 0
+        while not self._has_stopped:
+            gevent.sleep(USAGE_INTERVAL.total_seconds())
+            self._report_process_usage()
+            n_reports += 1
+            if n_reports % N_USAGES_PER_GROUP_STATE == 0:
+                self._report_group_state()
+
+    def _report_process_usage(self) -> None:
+        usage = self._usage_monitor.take()
+        n_waiting = max(
+            (link.n_waiting for link in self._links.links.values()), default=0
+        )
+        delay_s = usage.loop_delay.total_seconds()
+        if usage.memory_bytes is not None:
+            self._metrics.set_gauge(Gauge.PROCESS_MEMORY, usage.memory_bytes)
+        self._metrics.set_gauge(Gauge.LOOP_DELAY, delay_s)
+        self._metrics.set_gauge(Gauge.LINK_QUEUE_LENGTH, n_waiting)
+        log.info(
+            "process usage",
+            memory_bytes=usage.memory_bytes,
+            loop_delay_ms=round(delay_s * 1000),
+            link_queue_length=n_waiting,
+        )
+
+    def _report_group_state(self) -> None:
+        status = self._find_status()
+        n_turns = self._application.n_turns
+        if status is None:
+            log.warning("group state unknown", group=SITE_GROUP, n_turns=n_turns)
+            return
+        set_gauge = self._metrics.set_gauge
+        set_gauge(Gauge.GROUP_LOG_BYTES, status.n_log_bytes, SITE_GROUP)
+        set_gauge(Gauge.GROUP_SNAPSHOT_BYTES, status.n_snapshot_bytes, SITE_GROUP)
+        set_gauge(Gauge.GROUP_TURNS, n_turns, SITE_GROUP)
+        log.info(
+            "group state",
+            group=SITE_GROUP,
+            role=status.role.value,
+            term=status.term,
+            leader=status.leader,
+            commit_index=status.commit_index,
+            n_uncommitted=status.last_index - status.commit_index,
+            log_bytes=status.n_log_bytes,
+            snapshot_bytes=status.n_snapshot_bytes,
+            n_turns=n_turns,
+        )
+
     def _list_stores(self) -> tuple[NodeId, ...]:
         now = self._clock.now()
         recent_stores = {
--- a/oleanderhitch/process/storage/task.py
+++ b/oleanderhitch/process/storage/task.py
@@ -111,6 +111,7 @@
 ) -> Storage:
     """Open a data directory and recover its groups; raise StorageError."""
     disk = disk or make_system_disk()
+    started_at = clock.now()
     directory.mkdir(parents=True, exist_ok=True)
     lock_descriptor = lock_directory(directory)
     writer: LogWriter | None = None
@@ -130,6 +131,14 @@
         raise StorageError(
             f"data directory {directory} can't be used: {error}"
         ) from error
+    logbook.Logger("storage").info(
+        "log read",
+        directory=directory.name,
+        n_segments=len(state.segments),
+        n_bytes=sum(segment.n_bytes for segment in state.segments),
+        n_entries=sum(len(group.entries) for group in groups.values()),
+        took_ms=round((clock.now() - started_at).total_seconds() * 1000),
+    )
     return _make_storage(replica, groups, state, writer, clock, lock_descriptor)
 
 
--- /dev/null
+++ b/oleanderhitch/process/usage/monitor.py
@@ -0,0 +1,64 @@
+"""Measure the memory of a process and the delay of its event loop."""
+
+import os
+from dataclasses import dataclass
+from datetime import timedelta
+from pathlib import Path
+
+import gevent
+
+from oleanderhitch.process.clock import Clock
+
+PROBE_INTERVAL = timedelta(milliseconds=50)
+# The second field is the resident memory in pages.
+STATM_PATH = Path("/proc/self/statm")
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessUsage:
+    """Resident memory, None where the system hides it, and the longest loop delay."""
+
+    memory_bytes: int | None
+    loop_delay: timedelta
+
+
+class UsageMonitor:
+    """Owner of a greenlet that notices when the event loop was blocked."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._loop_delay = timedelta(0)
+        self._greenlet: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Start to measure the delay of the event loop."""
+        self._greenlet = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Stop measuring."""
+        if self._greenlet is not None:
+            self._greenlet.kill()
+
+    def take(self) -> ProcessUsage:
+        """Return the usage and start a new maximum of the delay."""
+        loop_delay, self._loop_delay = self._loop_delay, timedelta(0)
+        return ProcessUsage(_read_memory(), loop_delay)
+
+    def _run(self) -> None:
+        while True:
+            due_at = self._clock.now() + PROBE_INTERVAL
+            gevent.sleep(PROBE_INTERVAL.total_seconds())
+            self._loop_delay = max(self._loop_delay, self._clock.now() - due_at)
+
+
+def _read_memory() -> int | None:
+    try:
+        n_pages = int(STATM_PATH.read_text().split()[1])
+    except (OSError, ValueError, IndexError):
+        return None
+    return n_pages * os.sysconf("SC_PAGE_SIZE")
+
+
+def make_usage_monitor(clock: Clock) -> UsageMonitor:
+    """Return a monitor that is not started yet."""
+    return UsageMonitor(clock)
--- a/tests/process/repair/test_core.py
+++ b/tests/process/repair/test_core.py
@@ -119,6 +119,8 @@
             self.is_change_pending,
             followers,
             "",
+            0,
+            0,
         )
 
 
--- /dev/null
+++ b/tests/process/usage/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the measurement of what a process uses."""
