--- a/tests/process/site/harness.py
+++ b/tests/process/site/harness.py
@@ -23,7 +23,8 @@
 from oleanderhitch.process.directory.messages import ListedEndpoint
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.mailbox import Mailbox
-from oleanderhitch.process.metrics.core import make_metrics
+from oleanderhitch.process.metrics.core import Metrics, make_metrics
+from oleanderhitch.process.metrics.states import Gauge
 from oleanderhitch.process.site.entry import (
     EntryDependencies,
     EntryHost,
@@ -119,6 +120,7 @@
         self.engine = FakeEngine()
         self._supervisors: dict[int, StoreSupervisor] = {}
         self.end_reasons: list[str] = []
+        self.metrics: dict[int, Metrics] = {}
         self.entry: EntryHost | None = None
         self.http = urllib3.PoolManager(retries=False, timeout=5)
 
@@ -160,7 +162,8 @@
         )
 
         def make_own_store(settings: SiteStoreSettings, end: EndStore) -> Store:
-            return make_store(settings, dependencies, CLOCK, make_metrics(), end)
+            self.metrics[number] = make_metrics()
+            return make_store(settings, dependencies, CLOCK, self.metrics[number], end)
 
         supervisor = make_store_supervisor(
             SiteStoreSettings(
@@ -189,6 +192,17 @@
                 return number
         return None
 
+    def count_led_groups(self) -> dict[int, int]:
+        """Return how many groups each running store leads, by its number."""
+        return {
+            number: sum(
+                sample.value
+                for sample in self.metrics[number].make_snapshot().gauges
+                if sample.name == Gauge.LEADER.value.name
+            )
+            for number in self.stores
+        }
+
     def wait_for_leader(self) -> int:
         """Return the number of the leader once there is one."""
         wait_until(lambda: self.find_leader() is not None, "a leader")
