--- a/oleanderhitch/process/configuration/application.py
+++ b/oleanderhitch/process/configuration/application.py
@@ -26,6 +26,7 @@
     PublishRefused,
 )
 from oleanderhitch.process.mailbox import Address
+from oleanderhitch.process.replication.snapshot_data import SnapshotData
 from oleanderhitch.version.checks import Fault
 from oleanderhitch.version.compile import compile_configuration
 from oleanderhitch.version.configuration import Configuration
@@ -118,7 +119,11 @@
             for message in _list_snapshot_messages(self._state)
         )
 
-    def restore_snapshot(self, data: bytes) -> None:
+    def load_snapshot(self, stored: bytes) -> SnapshotData:
+        """Replace the whole state with that of a stored snapshot."""
+        return self.restore_snapshot(stored)
+
+    def restore_snapshot(self, data: bytes) -> SnapshotData:
         """Replace the whole state with that of a snapshot."""
         restored = make_configuration_state()
         decoder = self._snapshot_codec.make_decoder()
@@ -128,6 +133,10 @@
         self._state = restored
         self._last_compiled = None
         self._notify_subscriber()
+        return data
+
+    def confirm_snapshot(self, data: SnapshotData) -> None:
+        """Do nothing, since a snapshot has the whole state."""
 
     def make_leader_commands(self, now: datetime) -> list[bytes]:
         """Return no commands, since only operators change the configuration."""
--- a/oleanderhitch/process/groups/application.py
+++ b/oleanderhitch/process/groups/application.py
@@ -3,6 +3,8 @@
 from datetime import datetime
 from typing import Protocol
 
+from oleanderhitch.process.replication.snapshot_data import SnapshotData
+
 
 class Application(Protocol):
     """State machine that applies encoded commands in log order.
@@ -19,11 +21,20 @@
     def read(self, query: bytes) -> bytes:
         """Return the encoded result of a query, without a change of state."""
 
-    def take_snapshot(self) -> bytes:
+    def take_snapshot(self) -> SnapshotData:
         """Return the whole state in encoded form."""
 
-    def restore_snapshot(self, data: bytes) -> None:
-        """Replace the whole state with that of a snapshot."""
+    def load_snapshot(self, stored: bytes) -> SnapshotData:
+        """Replace the whole state with that of a stored snapshot, and return it."""
+
+    def restore_snapshot(self, data: bytes) -> SnapshotData:
+        """Replace the whole state with that of another replica's snapshot.
+
+        Return the data that is to be stored.
+        """
+
+    def confirm_snapshot(self, data: SnapshotData) -> None:
+        """Drop whatever only earlier snapshots need, since this one is synced."""
 
     def make_leader_commands(self, now: datetime) -> list[bytes]:
         """Return encoded commands that the leader should propose without a caller."""
--- a/oleanderhitch/process/replication/core.py
+++ b/oleanderhitch/process/replication/core.py
@@ -255,7 +255,7 @@
 def _(
     message: SnapshotTaken, state: ReplicaState, now: datetime, effects: list[object]
 ) -> None:
-    handle_snapshot_taken(state, message)
+    handle_snapshot_taken(state, message, effects)
 
 
 @_handle.register
--- a/oleanderhitch/process/replication/effect_handlers.py
+++ b/oleanderhitch/process/replication/effect_handlers.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from datetime import datetime
 from functools import singledispatch
 
@@ -43,6 +43,7 @@
     ReadRejected,
     RestoreSnapshot,
     SendToReplica,
+    SnapshotSaved,
     TakeSnapshot,
     TruncateLog,
 )
@@ -279,24 +280,35 @@
     snapshot = effect.snapshot
     started_at = context.clock.now()
     try:
-        context.application.restore_snapshot(snapshot.data)
+        data = context.application.restore_snapshot(snapshot.data[:])
     except Exception as error:
         _stop_replica(
             context, f"snapshot {snapshot.index} can't be restored: {error!r}"
         )
         return
-    n_bytes = len(snapshot.data)
-    _log_snapshot("snapshot received", snapshot.index, n_bytes, started_at, context)
+    _log_snapshot("snapshot received", snapshot.index, len(data), started_at, context)
     group = context.state.replica.group
-    acknowledgement = SnapshotRestored(snapshot.index)
+    acknowledgement = SnapshotRestored(snapshot.index, data)
     _write(
         context,
         SaveSnapshot(
-            group, snapshot, effect.is_log_kept, context.task, acknowledgement
+            group,
+            replace(snapshot, data=data),
+            effect.is_log_kept,
+            context.task,
+            acknowledgement,
         ),
     )
 
 
+@perform.register
+def _(effect: SnapshotSaved, context: GroupContext) -> None:
+    try:
+        context.application.confirm_snapshot(effect.data)
+    except Exception as error:
+        _stop_replica(context, f"an old snapshot can't be dropped: {error!r}")
+
+
 @perform.register
 def _(effect: ApplyCommitted, context: GroupContext) -> None:
     try:
--- a/oleanderhitch/process/replication/effects.py
+++ b/oleanderhitch/process/replication/effects.py
@@ -9,6 +9,7 @@
     Membership,
     Snapshot,
 )
+from oleanderhitch.process.replication.snapshot_data import SnapshotData
 from oleanderhitch.process.replication.states import ChangeOutcome, Role
 
 
@@ -111,6 +112,13 @@
     is_log_kept: bool
 
 
+@dataclass(frozen=True, slots=True)
+class SnapshotSaved:
+    """Reports that a snapshot is synced and replaces all earlier ones."""
+
+    data: SnapshotData
+
+
 @dataclass(frozen=True, slots=True)
 class LeadershipChanged:
     """Reports the role of this replica and the leader, or None if it is not known."""
--- a/oleanderhitch/process/replication/log_replication.py
+++ b/oleanderhitch/process/replication/log_replication.py
@@ -25,6 +25,7 @@
     adopt_newest_membership,
 )
 from oleanderhitch.process.replication.roles import send
+from oleanderhitch.process.replication.snapshot_data import count_stored_bytes
 from oleanderhitch.process.replication.snapshots import start_snapshot_transfer
 from oleanderhitch.process.replication.states import EntryKind, ProgressMode, Role
 
@@ -244,7 +245,7 @@
     limits = state.limits
     snapshot = state.snapshot
     snapshot_index = 0 if snapshot is None else snapshot.index
-    snapshot_bytes = 0 if snapshot is None else len(snapshot.data)
+    snapshot_bytes = 0 if snapshot is None else count_stored_bytes(snapshot.data)
     n_entries = state.commit_index - snapshot_index
     limit_bytes = max(limits.log_bytes_per_snapshot, snapshot_bytes)
     return (
--- a/oleanderhitch/process/replication/messages.py
+++ b/oleanderhitch/process/replication/messages.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from oleanderhitch.process.ids import GroupId, LogIndex, ReplicaId, Term
+from oleanderhitch.process.replication.snapshot_data import SnapshotData
 from oleanderhitch.process.replication.states import (
     ChangeKind,
     ChangeOutcome,
@@ -46,7 +47,7 @@
     index: LogIndex
     term: Term
     membership: Membership
-    data: bytes
+    data: SnapshotData
 
 
 @dataclass(frozen=True, slots=True)
@@ -265,14 +266,18 @@
     """Reports that a snapshot of the local state machine is synced."""
 
     index: LogIndex
-    data: bytes
+    data: SnapshotData
 
 
 @dataclass(frozen=True, slots=True)
 class SnapshotRestored:
-    """Reports that a received snapshot is synced and restored."""
+    """Reports that a received snapshot is synced and restored.
+
+    The data is that which was synced.
+    """
 
     index: LogIndex
+    data: SnapshotData
 
 
 @dataclass(frozen=True, slots=True)
--- a/oleanderhitch/process/replication/snapshots.py
+++ b/oleanderhitch/process/replication/snapshots.py
@@ -1,10 +1,12 @@
 """Transfer of snapshots between replicas, and log compaction."""
 
+from dataclasses import replace
 from datetime import datetime
 
 from oleanderhitch.process.ids import LogIndex, ReplicaId
 from oleanderhitch.process.replication.effects import (
     RestoreSnapshot,
+    SnapshotSaved,
 )
 from oleanderhitch.process.replication.messages import (
     AppendReply,
@@ -148,7 +150,8 @@
     if snapshot is None or snapshot.index != message.index:
         return
     state.restoring_snapshot = None
-    state.snapshot = snapshot
+    state.snapshot = replace(snapshot, data=message.data)
+    effects.append(SnapshotSaved(message.data))
     state.snapshot_request = None
     if state.log.find_term(snapshot.index) == snapshot.term:
         state.log.compact(snapshot.index)
@@ -166,7 +169,9 @@
         send(state, state.leader, reply, effects)
 
 
-def handle_snapshot_taken(state: ReplicaState, message: SnapshotTaken) -> None:
+def handle_snapshot_taken(
+    state: ReplicaState, message: SnapshotTaken, effects: list[object]
+) -> None:
     """Compact the log up to the synced snapshot, except for the trailing entries."""
     request = state.snapshot_request
     if request is None or request.index != message.index:
@@ -175,6 +180,7 @@
     state.snapshot = Snapshot(
         request.index, request.term, request.membership, message.data
     )
+    effects.append(SnapshotSaved(message.data))
     limits = state.limits
     state.log.compact(
         state.log.find_compaction_index(
--- a/oleanderhitch/process/replication/task.py
+++ b/oleanderhitch/process/replication/task.py
@@ -1,6 +1,7 @@
 """Task that runs one replica of a group: its core, storage and application."""
 
 from collections.abc import Callable
+from dataclasses import replace
 from datetime import datetime
 from functools import singledispatch
 from random import Random
@@ -111,6 +112,17 @@
     bootstrap.is_excluded = not bootstrap.voters and (
         recovered.last_index > 0 or not may_bootstrap
     )
+    log = logbook.Logger(f"group {group}")
+    if recovered.snapshot is not None:
+        started_at = clock.now()
+        data = application.load_snapshot(recovered.snapshot.data[:])
+        recovered.snapshot = replace(recovered.snapshot, data=data)
+        log.info(
+            "snapshot restored",
+            index=recovered.snapshot.index,
+            n_bytes=len(recovered.snapshot.data),
+            took_ms=round((clock.now() - started_at).total_seconds() * 1000),
+        )
     replica = core.make_replica(
         group,
         storage.replica,
@@ -123,16 +135,6 @@
         recovered.snapshot,
         tuple(recovered.entries),
     )
-    log = logbook.Logger(f"group {group}")
-    if recovered.snapshot is not None:
-        started_at = clock.now()
-        application.restore_snapshot(recovered.snapshot.data)
-        log.info(
-            "snapshot restored",
-            index=recovered.snapshot.index,
-            n_bytes=len(recovered.snapshot.data),
-            took_ms=round((clock.now() - started_at).total_seconds() * 1000),
-        )
     codec = make_codec((*REPLICA_MESSAGES, FoundingHello))
     state = GroupState(replica, bootstrap, codec)
 
--- a/oleanderhitch/process/site/application.py
+++ b/oleanderhitch/process/site/application.py
@@ -3,10 +3,11 @@
 The class implements `oleanderhitch.process.groups.application.Application`.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from functools import singledispatch
+from pathlib import Path
 
 from oleanderhitch.connection.codec import Codec, make_codec
 from oleanderhitch.connection.exceptions import MalformedFrameError
@@ -14,6 +15,7 @@
 from oleanderhitch.process.repair import registry
 from oleanderhitch.process.repair.messages import StoreRecord
 from oleanderhitch.process.repair.registry import RegistryState
+from oleanderhitch.process.replication.snapshot_data import SnapshotData
 from oleanderhitch.process.site import messages as site
 from oleanderhitch.process.site.messages import (
     EMPTY_ROUTING,
@@ -23,15 +25,29 @@
     RoutingAccepted,
     RoutingFound,
 )
+from oleanderhitch.process.site.snapshot import (
+    NewContents,
+    SiteSnapshot,
+    load_site_snapshot,
+    split_contents,
+    split_index,
+)
 from oleanderhitch.program.turns import core as turns
 from oleanderhitch.program.turns import messages as turn_messages
+from oleanderhitch.program.turns.content_files import (
+    ContentDirectory,
+    StoredContent,
+    make_content_directory,
+)
 from oleanderhitch.program.turns.core import TurnsState, is_expiry_due
 from oleanderhitch.program.turns.messages import ExpireTurns
 from oleanderhitch.program.turns.snapshot import (
     SNAPSHOT_RECORDS,
+    SavedTurns,
     list_records,
     restore_record,
 )
+from oleanderhitch.request.ids import RequestId
 
 EXPIRY_CHECK_INTERVAL = timedelta(seconds=5)
 # A snapshot may exceed the frame size limit, so it is a sequence of frames that the
@@ -110,8 +126,12 @@
     """
 
     def __init__(
-        self, on_routing_change: ChangeCallback, on_registry_change: ChangeCallback
+        self,
+        contents: ContentDirectory,
+        on_routing_change: ChangeCallback,
+        on_registry_change: ChangeCallback,
     ) -> None:
+        self._contents = contents
         self._codec = make_site_codec()
         self._snapshot_codec = make_codec(
             (RoutingFound, StoreRecord, *SNAPSHOT_RECORDS)
@@ -142,28 +162,77 @@
 
     def replay(self, command: bytes) -> None:
         """Apply a committed command without returning its result."""
-        self._apply(command)
+        self._state.turns.include_history = False
+        try:
+            self._apply(command)
+        finally:
+            self._state.turns.include_history = True
 
     def read(self, query: bytes) -> bytes:
         """Return the encoded result of a read."""
         return self._codec.encode(self._apply(query))
 
-    def take_snapshot(self) -> bytes:
-        """Return the whole state as a sequence of frames."""
+    def take_snapshot(self) -> SiteSnapshot:
+        """Return the whole state; contents that are in memory go to a new file."""
+        new_contents = NewContents(self._contents.make_file())
+        places = [
+            _find_place(turn.content, request, new_contents)
+            for request, turn in self._state.turns.turns.items()
+        ]
         records = (
             self._state.routing,
             *self._state.registry.records.values(),
-            *list_records(self._state.turns),
+            *list_records(
+                self._state.turns, [(place.n_bytes, place.checksum) for place in places]
+            ),
         )
-        return b"".join(self._snapshot_codec.encode(record) for record in records)
+        index = b"".join(self._snapshot_codec.encode(record) for record in records)
+        return SiteSnapshot(index, places, new_contents)
+
+    def load_snapshot(self, stored: bytes) -> SiteSnapshot:
+        """Replace the whole state; raise OleanderhitchError if it is damaged."""
+        snapshot = load_site_snapshot(stored, self._contents)
+        self._restore(self._decode_index(snapshot.index), iter(snapshot.contents))
+        return snapshot
+
+    def restore_snapshot(self, data: bytes) -> SiteSnapshot:
+        """Replace the whole state; raise OleanderhitchError if it is damaged."""
+        index, contents = split_index(data)
+        records = self._decode_index(index)
+        sizes = [
+            (turn.n_bytes, turn.checksum)
+            for record in records
+            if isinstance(record, SavedTurns)
+            for turn in record.turns
+        ]
+        self._restore(records, split_contents(contents, sizes))
+        return self.take_snapshot()
+
+    def confirm_snapshot(self, data: SnapshotData) -> None:
+        """Read the contents that a synced snapshot has from its files from now on."""
+        assert isinstance(data, SiteSnapshot)
+        if data.new_contents is None:
+            return
+        turns = self._state.turns.turns
+        for request, place in data.new_contents.places.items():
+            if request in turns:
+                turns[request].content = place
+        newest = data.new_contents.file.number
+        data.new_contents = None
+        self._contents.remove_others(data.file_numbers, newest)
+
+    def _decode_index(self, index: bytes) -> list[object]:
+        decoder = self._snapshot_codec.make_decoder()
+        return [
+            record
+            for start in range(0, len(index), SNAPSHOT_PIECE_BYTES)
+            for record in decoder.feed(index[start : start + SNAPSHOT_PIECE_BYTES])
+        ]
 
-    def restore_snapshot(self, data: bytes) -> None:
-        """Replace the whole state; raise MalformedFrameError if data is damaged."""
+    def _restore(self, records: list[object], contents: Iterator[object]) -> None:
         state = SiteState()
-        decoder = self._snapshot_codec.make_decoder()
-        for start in range(0, len(data), SNAPSHOT_PIECE_BYTES):
-            for record in decoder.feed(data[start : start + SNAPSHOT_PIECE_BYTES]):
-                _restore_record(record, state)
+        for record in records:
+            _restore_record(record, state, contents)
         self._state = state
         self._on_routing_change()
         self._on_registry_change()
@@ -193,22 +262,55 @@
 
 
 @singledispatch
-def _restore_record(record: object, state: SiteState) -> None:
-    restore_record(record, state.turns)
+def _find_place(
+    content: object, request: RequestId, new_contents: NewContents
+) -> StoredContent:
+    """Return the place of a turn's content, a new one if it is in memory."""
+    raise TypeError(f"{type(content).__name__} is not the content of a turn")
+
+
+@_find_place.register
+def _(
+    content: StoredContent, request: RequestId, new_contents: NewContents
+) -> StoredContent:
+    return content
+
+
+@_find_place.register(bytes)
+@_find_place.register(memoryview)
+def _(
+    content: bytes | memoryview, request: RequestId, new_contents: NewContents
+) -> StoredContent:
+    return new_contents.add(request, content)
+
+
+@singledispatch
+def _restore_record(
+    record: object, state: SiteState, contents: Iterator[object]
+) -> None:
+    restore_record(record, state.turns, contents)
 
 
 @_restore_record.register
-def _(record: RoutingFound, state: SiteState) -> None:
+def _(record: RoutingFound, state: SiteState, contents: Iterator[object]) -> None:
     state.routing = record
 
 
 @_restore_record.register
-def _(record: StoreRecord, state: SiteState) -> None:
+def _(record: StoreRecord, state: SiteState, contents: Iterator[object]) -> None:
     state.registry.records[record.host] = record
 
 
 def make_site_application(
-    on_routing_change: ChangeCallback, on_registry_change: ChangeCallback
+    contents: Path,
+    on_routing_change: ChangeCallback,
+    on_registry_change: ChangeCallback,
 ) -> SiteApplication:
-    """Return the application of a site's group with an empty state."""
-    return SiteApplication(on_routing_change, on_registry_change)
+    """Return the application of a site's group with an empty state.
+
+    The contents of turns are kept in the given directory; raise OSError if it can't be
+    used.
+    """
+    return SiteApplication(
+        make_content_directory(contents), on_routing_change, on_registry_change
+    )
--- a/oleanderhitch/process/site/group.py
+++ b/oleanderhitch/process/site/group.py
@@ -25,12 +25,12 @@
 # A restart reads all segments, including entries that a snapshot has replaced. Small
 # segments are deleted soon after each snapshot; six of them hold more than the log
 # grows between two snapshots.
-SITE_STORAGE_LIMITS = StorageLimits(
-    segment_bytes=8 * MIB, snapshot_threshold_segments=6
-)
-# The in-memory log and the state share the memory of a store's host, at least 150 MB.
+SITE_STORAGE_LIMITS = StorageLimits(segment_bytes=MIB, snapshot_threshold_segments=6)
+# The contents of turns are in memory only as part of the log, and as long as no
+# snapshot has stored them. A snapshot writes only what is new, so that it is cheap
+# enough to keep the log this short.
 SITE_LIMITS = ReplicationLimits(
     n_trailing_entries=400,
-    trailing_bytes=4 * MIB,
-    log_bytes_per_snapshot=16 * MIB,
+    trailing_bytes=2 * MIB,
+    log_bytes_per_snapshot=2 * MIB,
 )
--- a/oleanderhitch/process/site/store.py
+++ b/oleanderhitch/process/site/store.py
@@ -78,6 +78,7 @@
 from oleanderhitch.process.usage.monitor import make_usage_monitor
 from oleanderhitch.version.routes.configuration import CallerLimits
 
+CONTENTS_FOLDER = "contents"
 HELLO_INTERVAL = timedelta(milliseconds=400)
 # A store that has sent no hello for this long is no longer listed to other nodes. A
 # replica on it can still be reached, since a replica id contains the node id.
@@ -170,7 +171,9 @@
             self._get_routing, self._list_stores, clock
         )
         self._application = make_site_application(
-            self._subscribers.notify_all, self._send_records_to_repair
+            settings.data_dir / CONTENTS_FOLDER,
+            self._subscribers.notify_all,
+            self._send_records_to_repair,
         )
         self._directory = make_directory_task(
             dependencies.fetch_list, self._handle_list, clock
--- a/oleanderhitch/process/storage/disk.py
+++ b/oleanderhitch/process/storage/disk.py
@@ -7,7 +7,7 @@
 class Disk(Protocol):
     """Interface that writes bytes and makes them durable."""
 
-    def append(self, descriptor: int, data: bytes) -> None:
+    def append(self, descriptor: int, data: bytes | memoryview) -> None:
         """Write all bytes at the end of the file; raise OSError."""
 
     def sync(self, descriptor: int) -> None:
@@ -17,7 +17,7 @@
 class SystemDisk:
     """Disk that uses the system calls write and fdatasync."""
 
-    def append(self, descriptor: int, data: bytes) -> None:
+    def append(self, descriptor: int, data: bytes | memoryview) -> None:
         """Write all bytes at the end of the file; raise OSError."""
         view = memoryview(data)
         while view:
--- a/oleanderhitch/process/storage/files.py
+++ b/oleanderhitch/process/storage/files.py
@@ -3,6 +3,7 @@
 import os
 import struct
 import zlib
+from functools import singledispatch
 from pathlib import Path
 from urllib.parse import quote
 
@@ -12,6 +13,7 @@
 from oleanderhitch.connection.exceptions import MalformedFrameError
 from oleanderhitch.process.ids import GroupId
 from oleanderhitch.process.replication.messages import Membership, Snapshot
+from oleanderhitch.process.replication.snapshot_data import SnapshotData
 from oleanderhitch.process.storage.disk import Disk
 from oleanderhitch.process.storage.exceptions import CorruptSnapshotError
 
@@ -63,6 +65,15 @@
     sync_directory(path.parent)
 
 
+@singledispatch
+def store_snapshot_data(data: SnapshotData, disk: Disk) -> bytes:
+    """Return what a snapshot file is to hold of a snapshot's data.
+
+    Whatever is stored outside of that file is synced first. Raise OSError.
+    """
+    return data[:]
+
+
 def write_snapshot(
     directory: Path, group: GroupId, snapshot: Snapshot, disk: Disk
 ) -> None:
@@ -71,11 +82,10 @@
     checked_header = SNAPSHOT_HEADER.pack(
         SNAPSHOT_MAGIC, 0, len(membership), snapshot.index, snapshot.term
     )[8:]
-    checksum = zlib.crc32(
-        snapshot.data, zlib.crc32(membership, zlib.crc32(checked_header))
-    )
+    stored = store_snapshot_data(snapshot.data, disk)
+    checksum = zlib.crc32(stored, zlib.crc32(membership, zlib.crc32(checked_header)))
     checksum_header = SNAPSHOT_MAGIC + struct.pack("<I", checksum)
-    data = b"".join((checksum_header, checked_header, membership, snapshot.data))
+    data = b"".join((checksum_header, checked_header, membership, stored))
     write_atomically(get_snapshot_path(directory, group), data, disk)
 
 
--- a/oleanderhitch/program/application.py
+++ b/oleanderhitch/program/application.py
@@ -7,6 +7,7 @@
 
 from oleanderhitch.connection.codec import Codec
 from oleanderhitch.connection.exceptions import MalformedFrameError
+from oleanderhitch.process.replication.snapshot_data import SnapshotData
 from oleanderhitch.program.core import ENDED_PROGRAM_RETENTION, apply, make_shard_state
 from oleanderhitch.program.entries import ShardState
 from oleanderhitch.program.history import HistoryStore
@@ -59,9 +60,17 @@
         """Return the whole shard, including its history, as a snapshot."""
         return encode_snapshot(self._state, self._snapshot_codec)
 
-    def restore_snapshot(self, data: bytes) -> None:
+    def load_snapshot(self, stored: bytes) -> SnapshotData:
+        """Replace the whole shard; raise SnapshotError if the data is damaged."""
+        return self.restore_snapshot(stored)
+
+    def restore_snapshot(self, data: bytes) -> SnapshotData:
         """Replace the whole shard; raise SnapshotError if the data is damaged."""
         restore_snapshot(self._state, data, self._snapshot_codec)
+        return data
+
+    def confirm_snapshot(self, data: SnapshotData) -> None:
+        """Do nothing, since a snapshot has the whole shard."""
 
     def make_leader_commands(self, now: datetime) -> list[bytes]:
         """Return an expiry command if a program is due to expire."""
--- /dev/null
+++ b/oleanderhitch/program/turns/content_files.py
@@ -0,0 +1,135 @@
+"""Keep the contents of turns in files that are written once.
+
+Each file has the contents that were new in one snapshot. It is synced before the
+snapshot that refers to it, and deleted after a snapshot that no longer does.
+"""
+
+import os
+import weakref
+import zlib
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+from oleanderhitch.process.storage.disk import Disk
+from oleanderhitch.process.storage.files import sync_directory
+from oleanderhitch.program.exceptions import (
+    HistoryCorruptError,
+    HistoryUnavailableError,
+)
+from oleanderhitch.program.turns.contents import read_content
+
+FILE_PATTERN = "contents-*.bin"
+
+
+class ContentFile:
+    """A file of contents; it can be read after its deletion, until it is dropped."""
+
+    def __init__(self, path: Path, number: int) -> None:
+        self.number = number
+        self._path = path
+        self._descriptor = -1
+
+    def write(self, chunks: Sequence[bytes | memoryview], disk: Disk) -> None:
+        """Write and sync the whole file, then open it; raise OSError."""
+        descriptor = os.open(self._path, os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o600)
+        self._keep_open(descriptor)
+        for chunk in chunks:
+            disk.append(descriptor, chunk)
+        disk.sync(descriptor)
+        sync_directory(self._path.parent)
+
+    def open(self) -> None:
+        """Open a file that an earlier process wrote; raise OSError."""
+        self._keep_open(os.open(self._path, os.O_RDONLY))
+
+    def read(self, offset: int, n_bytes: int) -> bytes:
+        """Return bytes of the file; raise OleanderhitchError if it is not readable."""
+        try:
+            data = os.pread(self._descriptor, n_bytes, offset)
+        except OSError as error:
+            raise HistoryUnavailableError(
+                f"cannot read {self._path}: {error}"
+            ) from error
+        if len(data) != n_bytes:
+            raise HistoryCorruptError(
+                f"{self._path} has {len(data)} of {n_bytes} bytes at {offset}; "
+                f"restore this replica"
+            )
+        return data
+
+    def _keep_open(self, descriptor: int) -> None:
+        self._descriptor = descriptor
+        weakref.finalize(self, os.close, descriptor)
+
+
+@dataclass(frozen=True, slots=True)
+class StoredContent:
+    """The content of a turn in a file."""
+
+    file: ContentFile
+    offset: int
+    n_bytes: int
+    checksum: int
+
+
+@read_content.register
+def _(content: StoredContent) -> bytes:
+    data = content.file.read(content.offset, content.n_bytes)
+    check_content(data, content.checksum)
+    return data
+
+
+def check_content(data: bytes | memoryview, checksum: int) -> None:
+    """Raise HistoryCorruptError if a content has another checksum."""
+    if zlib.crc32(data) != checksum:
+        raise HistoryCorruptError(
+            "the checksum of a turn's content is wrong; restore this replica"
+        )
+
+
+class ContentDirectory:
+    """Names, opens and deletes the content files of one replica."""
+
+    def __init__(self, directory: Path) -> None:
+        self._directory = directory
+        directory.mkdir(parents=True, exist_ok=True)
+        self._last_number = max(self._list_numbers(), default=0)
+
+    def make_file(self) -> ContentFile:
+        """Return a new file, which is not written yet."""
+        self._last_number += 1
+        return ContentFile(self._get_path(self._last_number), self._last_number)
+
+    def open_file(self, number: int) -> ContentFile:
+        """Return a file that an earlier process wrote.
+
+        Raise HistoryUnavailableError if it can't be opened.
+        """
+        path = self._get_path(number)
+        file = ContentFile(path, number)
+        try:
+            file.open()
+        except OSError as error:
+            raise HistoryUnavailableError(f"cannot open {path}: {error}") from error
+        return file
+
+    def remove_others(self, kept: set[int], newest: int) -> None:
+        """Delete the files up to a number that no snapshot refers to; raise OSError."""
+        for number in self._list_numbers():
+            if number <= newest and number not in kept:
+                self._get_path(number).unlink(missing_ok=True)
+
+    def _list_numbers(self) -> list[int]:
+        return [
+            int(path.stem.removeprefix("contents-"))
+            for path in self._directory.glob(FILE_PATTERN)
+        ]
+
+    def _get_path(self, number: int) -> Path:
+        return self._directory / f"contents-{number:012d}.bin"
+
+
+def make_content_directory(directory: Path) -> ContentDirectory:
+    """Return the owner of a directory, which is created; raise OSError."""
+    return ContentDirectory(directory)
--- a/oleanderhitch/program/turns/core.py
+++ b/oleanderhitch/program/turns/core.py
@@ -5,6 +5,7 @@
 from functools import singledispatch
 
 from oleanderhitch.program.ids import ProgramId
+from oleanderhitch.program.turns.contents import read_content
 from oleanderhitch.program.turns.messages import (
     BeginTurn,
     BudgetSpent,
@@ -30,10 +31,13 @@
 
 @dataclass(slots=True)
 class TurnRecord:
-    """A complete turn; it expires no earlier than the turns that continue it."""
+    """A complete turn; it expires no earlier than the turns that continue it.
+
+    `read_content` returns the bytes of its content.
+    """
 
     previous: RequestId | None
-    content: bytes
+    content: object
     retention: timedelta
     expires_at: datetime
 
@@ -56,6 +60,8 @@
     programs: dict[ProgramId, ProgramRecord] = field(default_factory=dict)
     # The latest time of any applied command, so it never goes backwards.
     now: datetime = EPOCH
+    # Off while commands are replayed: nobody gets the histories then.
+    include_history: bool = True
 
 
 @singledispatch
@@ -79,7 +85,10 @@
             return BudgetSpent(program.spent_tokens, reserved)
         program.reserved[command.request] = command.most_tokens
     chain = _renew_chain(command.previous, state)
-    return TurnBegun(b"".join(turn.content for turn in chain), len(chain))
+    history = b""
+    if state.include_history:
+        history = b"".join(read_content(turn.content) for turn in chain)
+    return TurnBegun(history, len(chain))
 
 
 @apply.register
--- a/oleanderhitch/program/turns/snapshot.py
+++ b/oleanderhitch/program/turns/snapshot.py
@@ -1,14 +1,22 @@
-"""Convert the state of turns and budgets to snapshot records and back."""
+"""Convert the state of turns and budgets to snapshot records and back.
 
-from collections.abc import Iterator
+The records refer to the contents of turns by their sizes and checksums; the contents
+themselves are not part of them.
+"""
+
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
-from datetime import datetime
+from datetime import datetime, timedelta
 from functools import singledispatch
+from itertools import islice
 
 from oleanderhitch.program.ids import ProgramId
 from oleanderhitch.program.turns.core import ProgramRecord, TurnRecord, TurnsState
 from oleanderhitch.request.ids import RequestId
 
+# Keeps a record far below the limit of a frame.
+N_ROWS_PER_RECORD = 1000
+
 
 @dataclass(frozen=True, slots=True)
 class SavedTime:
@@ -19,10 +27,21 @@
 
 @dataclass(frozen=True, slots=True)
 class SavedTurn:
-    """A complete turn and the id of its request."""
+    """A complete turn, with the size and the checksum of its content."""
 
     request: RequestId
-    turn: TurnRecord
+    previous: RequestId | None
+    n_bytes: int
+    checksum: int
+    retention: timedelta
+    expires_at: datetime
+
+
+@dataclass(frozen=True, slots=True)
+class SavedTurns:
+    """Some of the turns, in the order of their contents."""
+
+    turns: tuple[SavedTurn, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,34 +52,67 @@
     record: ProgramRecord
 
 
-SNAPSHOT_RECORDS: tuple[type, ...] = (SavedTime, SavedTurn, SavedProgram)
+@dataclass(frozen=True, slots=True)
+class SavedPrograms:
+    """Some of the programs."""
+
+    programs: tuple[SavedProgram, ...]
+
+
+SNAPSHOT_RECORDS: tuple[type, ...] = (SavedTime, SavedTurns, SavedPrograms)
+
 
+def list_records(
+    state: TurnsState, checksums: Iterable[tuple[int, int]]
+) -> Iterator[object]:
+    """Yield the state as snapshot records.
 
-def list_records(state: TurnsState) -> Iterator[object]:
-    """Yield the whole state as snapshot records."""
+    `checksums` has the size in bytes and the checksum of each turn's content, in the
+    order of the turns.
+    """
     yield SavedTime(state.now)
-    for request, turn in state.turns.items():
-        yield SavedTurn(request, turn)
-    for program, record in state.programs.items():
-        yield SavedProgram(program, record)
+    turns = iter(zip(state.turns.items(), checksums, strict=True))
+    while rows := tuple(islice(turns, N_ROWS_PER_RECORD)):
+        yield SavedTurns(
+            tuple(
+                SavedTurn(
+                    request,
+                    turn.previous,
+                    n_bytes,
+                    checksum,
+                    turn.retention,
+                    turn.expires_at,
+                )
+                for (request, turn), (n_bytes, checksum) in rows
+            )
+        )
+    programs = iter(state.programs.items())
+    while names := tuple(islice(programs, N_ROWS_PER_RECORD)):
+        yield SavedPrograms(tuple(SavedProgram(name, row) for name, row in names))
 
 
 @singledispatch
-def restore_record(record: object, state: TurnsState) -> None:
-    """Add one snapshot record to the state."""
+def restore_record(
+    record: object, state: TurnsState, contents: Iterator[object]
+) -> None:
+    """Add one snapshot record to the state, with the next contents."""
     raise TypeError(f"turns do not support record type {type(record).__name__}")
 
 
 @restore_record.register
-def _(record: SavedTime, state: TurnsState) -> None:
+def _(record: SavedTime, state: TurnsState, contents: Iterator[object]) -> None:
     state.now = record.now
 
 
 @restore_record.register
-def _(record: SavedTurn, state: TurnsState) -> None:
-    state.turns[record.request] = record.turn
+def _(record: SavedTurns, state: TurnsState, contents: Iterator[object]) -> None:
+    for turn in record.turns:
+        state.turns[turn.request] = TurnRecord(
+            turn.previous, next(contents), turn.retention, turn.expires_at
+        )
 
 
 @restore_record.register
-def _(record: SavedProgram, state: TurnsState) -> None:
-    state.programs[record.program] = record.record
+def _(record: SavedPrograms, state: TurnsState, contents: Iterator[object]) -> None:
+    for program in record.programs:
+        state.programs[program.program] = program.record
--- a/tests/process/replication/cluster.py
+++ b/tests/process/replication/cluster.py
@@ -357,7 +357,7 @@
         record = SnapshotRecord(
             GROUP, snapshot.index, snapshot.term, effect.is_log_kept
         )
-        acknowledgement = m.SnapshotRestored(snapshot.index)
+        acknowledgement = m.SnapshotRestored(snapshot.index, snapshot.data)
         host.disk.write((record,), acknowledgement, snapshot)
 
     def _restore(self, host, snapshot):
--- a/tests/process/replication/hosts.py
+++ b/tests/process/replication/hosts.py
@@ -40,9 +40,17 @@
         """Return the commands, one per line."""
         return b"\n".join(self.commands)
 
+    def load_snapshot(self, stored):
+        """Replace the commands by those of a snapshot."""
+        return self.restore_snapshot(stored)
+
     def restore_snapshot(self, data):
         """Replace the commands by those of a snapshot."""
         self.commands = data.split(b"\n") if data else []
+        return data
+
+    def confirm_snapshot(self, data):
+        """Do nothing, since a snapshot has all commands."""
 
     def make_leader_commands(self, now):
         """Return no commands to propose."""
--- a/tests/process/replication/test_core.py
+++ b/tests/process/replication/test_core.py
@@ -171,14 +171,14 @@
     effects = handle(state, piece, "b")
     (restore,) = [e for e in effects if isinstance(e, RestoreSnapshot)]
     assert not restore.is_log_kept
-    handle(state, m.SnapshotRestored(5))
+    handle(state, m.SnapshotRestored(5, b"state"))
     assert (state.log.last_index, state.persisted_index) == (5, 5)
     matching_state = make_replica(
         entries=[make_entry(n, 2) for n in range(1, 9)], term=2
     )
     effects = handle(matching_state, piece, "b")
     assert [e.is_log_kept for e in effects if isinstance(e, RestoreSnapshot)] == [True]
-    handle(matching_state, m.SnapshotRestored(5))
+    handle(matching_state, m.SnapshotRestored(5, b"state"))
     assert matching_state.log.last_index == 8
 
 
--- a/tests/process/site/test_application.py
+++ b/tests/process/site/test_application.py
@@ -1,6 +1,9 @@
 """Guard against a site's state machine that loses or reverts state."""
 
 from datetime import UTC, datetime, timedelta
+from pathlib import Path
+
+import pytest
 
 from oleanderhitch.process.ids import NodeId, ReplicaId
 from oleanderhitch.process.repair.messages import RegisterStore
@@ -16,6 +19,12 @@
     RoutingAccepted,
     RoutingFound,
 )
+from oleanderhitch.process.site.snapshot import SiteSnapshot
+from oleanderhitch.process.storage.disk import make_system_disk
+from oleanderhitch.process.storage.files import store_snapshot_data
+from oleanderhitch.program.exceptions import HistoryCorruptError
+from oleanderhitch.program.turns.content_files import FILE_PATTERN
+from oleanderhitch.program.turns.messages import ExpireTurns, TurnBegun
 from oleanderhitch.version.ids import HostName
 from oleanderhitch.version.routes.ids import RoutingVersion
 from tests.program.turns.test_core import NOW, begin, settle
@@ -23,11 +32,15 @@
 CODEC = make_site_codec()
 
 
-def make_application(changes: list[str] | None = None) -> SiteApplication:
+def make_application(
+    directory: Path, changes: list[str] | None = None
+) -> SiteApplication:
     """Return an application whose callbacks record the changed part."""
     recorded = changes if changes is not None else []
     return make_site_application(
-        lambda: recorded.append("routing"), lambda: recorded.append("registry")
+        directory,
+        lambda: recorded.append("routing"),
+        lambda: recorded.append("registry"),
     )
 
 
@@ -37,49 +50,131 @@
     return CODEC.decode(application.apply(CODEC.encode(command)))
 
 
-def test_highest_version_wins_whatever_the_order() -> None:
+def test_highest_version_wins_whatever_the_order(tmp_path: Path) -> None:
     """Guard against a late command that restores an older version."""
     changes: list[str] = []
-    application = make_application(changes)
+    application = make_application(tmp_path, changes)
     assert publish(application, 7, b"seven") == RoutingAccepted(RoutingVersion(7))
     assert publish(application, 5, b"five") == RoutingAccepted(RoutingVersion(7))
     assert application.routing == RoutingFound(RoutingVersion(7), b"seven")
     assert changes == ["routing"]
 
 
-def test_other_content_under_the_accepted_version_has_no_effect() -> None:
+def test_other_content_under_the_accepted_version_has_no_effect(tmp_path: Path) -> None:
     """Guard against two contents under one version; the first one is kept."""
-    application = make_application()
+    application = make_application(tmp_path)
     publish(application, 7, b"first")
     publish(application, 7, b"second")
     routing = CODEC.decode(application.read(CODEC.encode(GetRouting())))
     assert routing == RoutingFound(RoutingVersion(7), b"first")
 
 
-def test_snapshot_restores_everything() -> None:
+def store(application: SiteApplication) -> tuple[SiteSnapshot, bytes]:
+    """Take and store a snapshot as a replica does; return it and its stored form."""
+    snapshot = application.take_snapshot()
+    stored = store_snapshot_data(snapshot, make_system_disk())
+    application.confirm_snapshot(snapshot)
+    return snapshot, stored
+
+
+def make_history(application: SiteApplication, previous: str) -> bytes:
+    """Return the history of a new turn that continues another one."""
+    command = begin(f"after-{previous}", previous, budget=10_000_000)
+    result = CODEC.decode(application.apply(CODEC.encode(command)))
+    assert isinstance(result, TurnBegun)
+    return result.history
+
+
+def list_files(directory: Path) -> list[str]:
+    """Return the names of the content files."""
+    return sorted(path.name for path in directory.glob(FILE_PATTERN))
+
+
+def test_snapshot_restores_everything(tmp_path: Path) -> None:
     """Guard against a new replica without routing, stores, turns or budgets."""
-    application = make_application()
+    application = make_application(tmp_path / "a")
     publish(application, 7, b"seven")
-    store = RegisterStore(HostName("h"), NodeId("1.1.1.1:1"), ReplicaId("1.1.1.1:1/x"))
-    for command in (store, settle("a", b"A" * 1_500_000), begin("b", "a")):
+    record = RegisterStore(HostName("h"), NodeId("1.1.1.1:1"), ReplicaId("1.1.1.1:1/x"))
+    for command in (record, settle("a", b"A" * 1_500_000), settle("b", b"B", "a")):
         application.replay(CODEC.encode(command))
+    snapshot, _ = store(application)
     changes: list[str] = []
-    restored = make_application(changes)
-    restored.restore_snapshot(application.take_snapshot())
-    assert restored.take_snapshot() == application.take_snapshot()
+    restored = make_application(tmp_path / "b", changes)
+    own_snapshot = restored.restore_snapshot(snapshot[:])
+    assert own_snapshot.index == snapshot.index
     assert restored.records == application.records
     assert changes == ["routing", "registry"]
-
-
-def test_unreadable_command_is_refused_on_every_replica() -> None:
+    assert make_history(restored, "b") == b"A" * 1_500_000 + b"B"
+
+
+def test_parts_of_a_snapshot_make_up_the_whole(tmp_path: Path) -> None:
+    """Guard against a replica that gets shifted or missing contents of turns."""
+    application = make_application(tmp_path)
+    for number in range(20):
+        content = bytes([number]) * (number % 7 * 100)
+        application.replay(CODEC.encode(settle(f"t{number}", content)))
+    snapshot, _ = store(application)
+    whole = snapshot[:]
+    assert len(whole) == len(snapshot)
+    for n_bytes in (1, 33, 100, 1000):
+        parts = [
+            snapshot[start : start + n_bytes]
+            for start in range(0, len(snapshot), n_bytes)
+        ]
+        assert b"".join(parts) == whole
+
+
+def test_stored_snapshot_is_loaded_with_its_files(tmp_path: Path) -> None:
+    """Guard against a restart that loses turns of earlier snapshots."""
+    application = make_application(tmp_path)
+    application.replay(CODEC.encode(settle("a", b"A" * 1000)))
+    store(application)
+    application.replay(CODEC.encode(settle("b", b"B" * 1000, "a")))
+    snapshot, stored = store(application)
+    assert len(stored) < 1000
+    loaded = make_application(tmp_path)
+    assert loaded.load_snapshot(stored)[:] == snapshot[:]
+    assert make_history(loaded, "b") == b"A" * 1000 + b"B" * 1000
+
+
+def test_files_go_once_no_snapshot_refers_to_them(tmp_path: Path) -> None:
+    """Guard against a disk that fills up, and against a transfer that loses a file."""
+    application = make_application(tmp_path)
+    application.replay(CODEC.encode(settle("a", b"A" * 1000)))
+    first, _ = store(application)
+    whole = first[:]
+    expiry = ExpireTurns(NOW + timedelta(days=1))
+    application.replay(CODEC.encode(expiry))
+    later = expiry.at
+    application.replay(CODEC.encode(settle("b", b"B", at=later)))
+    second, _ = store(application)
+    assert list_files(tmp_path) == ["contents-000000000002.bin"]
+    assert first[:] == whole
+    assert second.file_numbers == {2}
+
+
+def test_damaged_content_is_not_used(tmp_path: Path) -> None:
+    """Guard against a history with bytes that no caller or endpoint has sent."""
+    application = make_application(tmp_path)
+    application.replay(CODEC.encode(settle("a", b"A" * 1000)))
+    _, stored = store(application)
+    (path,) = tmp_path.glob(FILE_PATTERN)
+    path.write_bytes(b"X" + path.read_bytes()[1:])
+    loaded = make_application(tmp_path)
+    loaded.load_snapshot(stored)
+    with pytest.raises(HistoryCorruptError):
+        make_history(loaded, "a")
+
+
+def test_unreadable_command_is_refused_on_every_replica(tmp_path: Path) -> None:
     """Guard against a malformed command that stops the group."""
-    result = CODEC.decode(make_application().apply(b"\xc1"))
+    result = CODEC.decode(make_application(tmp_path).apply(b"\xc1"))
     assert isinstance(result, CommandRefused)
 
 
-def test_expiry_is_proposed_only_when_due() -> None:
+def test_expiry_is_proposed_only_when_due(tmp_path: Path) -> None:
     """Guard against an idle leader that writes to its log."""
-    application = make_application()
+    application = make_application(tmp_path)
     application.replay(CODEC.encode(settle("a", b"A")))
     assert application.make_leader_commands(NOW + timedelta(seconds=1)) == []
     later = datetime(2026, 1, 2, tzinfo=UTC)
