Completed the state machine of the benchmark of the log

scripts/bench_log.py ended with "the replica no longer leads" with three replicas: its state machine had no replay, which the protocol asks for, so the followers stopped.

--- a/scripts/bench_log.py
+++ b/scripts/bench_log.py
@@ -43,6 +43,9 @@
         """Return an empty result."""
         return b""
 
+    def replay(self, command):
+        """Ignore the command."""
+
     def read(self, query):
         """Return an empty result."""
         return b""
@@ -51,8 +54,16 @@
         """Return an empty snapshot."""
         return b""
 
+    def load_snapshot(self, stored):
+        """Ignore the snapshot."""
+        return stored
+
     def restore_snapshot(self, data):
         """Ignore the snapshot."""
+        return data
+
+    def confirm_snapshot(self, data):
+        """Do nothing."""
 
     def make_leader_commands(self, now):
         """Return no commands."""
