--- a/oleanderhitch/platform/commands/run_store.py
+++ b/oleanderhitch/platform/commands/run_store.py
@@ -20,11 +20,7 @@
 from oleanderhitch.process.clock import make_system_clock
 from oleanderhitch.process.metrics.core import make_metrics
 from oleanderhitch.process.site.settings import SiteStoreSettings
-from oleanderhitch.process.site.store import Store, StoreDependencies, make_store
-from oleanderhitch.process.site.supervisor import (
-    EndStore,
-    make_store_supervisor,
-)
+from oleanderhitch.process.site.store import StoreDependencies, make_store
 
 
 def run_store() -> int:
@@ -46,15 +42,7 @@
         make_platform_operator_dialect(settings.n_losses_tolerated),
         make_list_reader(get_endpoint_list_address(file)),
     )
-
-    def make_configured_store(settings: SiteStoreSettings, end: EndStore) -> Store:
-        return make_store(settings, dependencies, clock, metrics, end)
-
-    try:
-        store = make_store_supervisor(settings, make_configured_store, lifetime.fail)
-    except OleanderhitchError as error:
-        sys.stderr.write(f"store: {error}\n")
-        return EXIT_FAILED
+    store = make_store(settings, dependencies, clock, metrics, lifetime.fail)
     address = settings.site.metrics_address
     run(store, _read_settings, lifetime, metrics, address, clock)
     # A normal exit would wait for threads that a stalled disk may block.
--- a/oleanderhitch/process/groups/placement.py
+++ b/oleanderhitch/process/groups/placement.py
@@ -63,7 +63,9 @@
     if group == CONFIGURATION_GROUP:
         n_replicas = N_CONFIGURATION_REPLICAS
     ranked = sorted(
-        stores, key=lambda store: _get_rendezvous_weight(group, store), reverse=True
+        stores,
+        key=lambda store: get_rendezvous_weight(group, store.node),
+        reverse=True,
     )
     chosen: list[Store] = []
     while ranked and len(chosen) < n_replicas:
@@ -79,8 +81,9 @@
     return tuple(store.node for store in chosen)
 
 
-def _get_rendezvous_weight(group: GroupId, store: Store) -> int:
-    return xxhash.xxh3_64_intdigest(f"{group}|{store.node}".encode())
+def get_rendezvous_weight(group: GroupId, node: NodeId) -> int:
+    """Return the rank of a store for a group, which differs from group to group."""
+    return xxhash.xxh3_64_intdigest(f"{group}|{node}".encode())
 
 
 def _parse_store(text: str) -> Store:
--- a/oleanderhitch/process/repair/core.py
+++ b/oleanderhitch/process/repair/core.py
@@ -8,8 +8,17 @@
 from datetime import datetime, timedelta
 from functools import singledispatch
 
-from oleanderhitch.process.ids import NodeId, ReplicaId
+from oleanderhitch.process.groups.placement import get_rendezvous_weight
+from oleanderhitch.process.ids import GroupId, NodeId, ReplicaId
 from oleanderhitch.process.messages import Tick
+from oleanderhitch.process.repair.balance import find_move
+from oleanderhitch.process.repair.effects import (
+    ChangeReplica,
+    MoveLeadership,
+    ObserveStatus,
+    ProposeCommand,
+    SendToStore,
+)
 from oleanderhitch.process.repair.messages import (
     CompleteRetirement,
     ForgetStore,
@@ -34,46 +43,34 @@
 VOTER_UNREACHABLE_TIMEOUT = timedelta(seconds=2)
 # A change to an unreachable new replica is cancelled, since it blocks other changes.
 LEARNER_TIMEOUT = timedelta(seconds=3)
+# A move needs a group that has been whole for this long, so that no move follows each
+# restart of a store.
+BALANCE_DELAY = timedelta(seconds=3)
+# Long enough for a move and for the announcement of its outcome.
+BALANCE_SLOT_DURATION = timedelta(milliseconds=500)
 # The record of an unreachable store is kept for this long. Until it is deleted,
 # requests to retire other stores count the store as present.
 STORE_RECORD_RETENTION = timedelta(seconds=8)
 
 
 @dataclass(frozen=True, slots=True)
-class ObserveStatus:
-    """Requests the status of the group from this store's replica."""
-
-
-@dataclass(frozen=True, slots=True)
-class ChangeReplica:
-    """Requests a membership change of the group."""
-
-    kind: ChangeKind
-    replica: ReplicaId
-    replacement: ReplicaId | None
-    reason: str
-
-
-@dataclass(frozen=True, slots=True)
-class ProposeCommand:
-    """Proposes a command on the registered stores to the group."""
-
-    command: object
+class BalanceSlot:
+    """The share of time in which a group may move its replicas or its leadership.
 
+    The groups of a site take turns, so that each one decides with the outcome of the
+    moves of the others.
+    """
 
-@dataclass(frozen=True, slots=True)
-class SendToStore:
-    """Sends a message to a store."""
-
-    node: NodeId
-    message: object
+    index: int
+    n_slots: int
 
 
 @dataclass(slots=True)
 class AnnouncedStore:
-    """A store's last announcement and the time of its arrival."""
+    """A store's replica, and when it was announced first and last."""
 
     hello: StoreHello
+    first_contact_at: datetime
     last_contact_at: datetime
 
 
@@ -85,7 +82,9 @@
     it leads, first observed a replica as unreachable, or as a learner.
     """
 
+    group: GroupId
     n_target_voters: int
+    balance_slot: BalanceSlot
     announced_stores: dict[NodeId, AnnouncedStore] = field(default_factory=dict)
     records: dict[HostName, StoreRecord] = field(default_factory=dict)
     unreachable_since: dict[ReplicaId, datetime] = field(default_factory=dict)
@@ -105,7 +104,16 @@
 
 @handle.register
 def _(message: StoreHello, state: RepairState, now: datetime) -> list[object]:
-    state.announced_stores[message.node] = AnnouncedStore(message, now)
+    known = state.announced_stores.get(message.node)
+    is_known = (
+        known is not None
+        and known.hello.replica == message.replica
+        and now - known.last_contact_at < ANNOUNCEMENT_TIMEOUT
+    )
+    first_contact_at = known.first_contact_at if known and is_known else now
+    state.announced_stores[message.node] = AnnouncedStore(
+        message, first_contact_at, now
+    )
     return []
 
 
@@ -128,7 +136,7 @@
         return effects + _remove_unreachable_learner(status, state, now)
     effects.extend(_notify_removed_stores(status, state, now))
     effects.extend(_clean_up_store_records(status, state, now))
-    change = _find_change(status, state, now)
+    change = _find_change(status, state, now) or _find_move(status, state, now)
     return effects if change is None else [*effects, change]
 
 
@@ -293,8 +301,51 @@
         store = state.announced_stores.get(get_node(voter))
         if store is not None and voter not in state.unreachable_since:
             covered_data_centres.add(store.hello.data_centre)
-    ranked = sorted(
+    return min(
         spares,
-        key=lambda hello: (hello.data_centre in covered_data_centres, hello.node),
+        key=lambda hello: (
+            hello.data_centre in covered_data_centres,
+            hello.n_replicas,
+            get_rendezvous_weight(state.group, hello.node),
+        ),
+        default=None,
+    )
+
+
+def _find_move(
+    status: ReplicationStatus, state: RepairState, now: datetime
+) -> ChangeReplica | MoveLeadership | None:
+    """Return a move that spreads the load, if the group is whole and has its turn."""
+    if not _is_slot(state.balance_slot, now):
+        return None
+    voters = [
+        state.announced_stores[get_node(voter)]
+        for voter in status.membership.voters
+        if get_node(voter) in state.announced_stores
+    ]
+    is_whole = (
+        len(voters) == len(status.membership.voters) == state.n_target_voters
+        and not state.unreachable_since
+        and all(_is_settled(store, state, now) for store in voters)
+    )
+    if not is_whole:
+        return None
+    spares = [
+        spare
+        for spare in _list_spares(status, state, now)
+        if _is_settled(state.announced_stores[spare.node], state, now)
+    ]
+    return find_move([store.hello for store in voters], spares, status)
+
+
+def _is_slot(slot: BalanceSlot, now: datetime) -> bool:
+    n_slots_passed = int(now.timestamp() / BALANCE_SLOT_DURATION.total_seconds())
+    return n_slots_passed % slot.n_slots == slot.index
+
+
+def _is_settled(store: AnnouncedStore, state: RepairState, now: datetime) -> bool:
+    return (
+        now - store.last_contact_at < ANNOUNCEMENT_TIMEOUT
+        and now - store.first_contact_at >= BALANCE_DELAY
+        and _get_standing(store.hello.host, state) is StoreStanding.ACTIVE
     )
-    return ranked[0] if ranked else None
--- a/oleanderhitch/process/repair/messages.py
+++ b/oleanderhitch/process/repair/messages.py
@@ -1,4 +1,4 @@
-"""Define the announcements of stores and the commands on registered stores."""
+"""Define the observations of stores and the commands on registered stores."""
 
 from dataclasses import dataclass
 
@@ -10,21 +10,23 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreHello:
-    """Announces a store's replica id and the stores that it has recent contact with.
+    """Reports a store's replica of one group, and how many groups the store serves.
 
-    The replica id changes when the store's disk is replaced.
+    The replica id changes when the replica starts anew. `n_replicas` counts the groups
+    that the store leads or follows, `n_led` those that it leads.
     """
 
     host: HostName
     node: NodeId
     replica: ReplicaId
     data_centre: DataCentreName
-    known: tuple[NodeId, ...]
+    n_replicas: int = 0
+    n_led: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class ReplicaRemoved:
-    """Notifies a store that its replica was removed, so that its data is obsolete."""
+    """Notifies a store that a replica was removed, so that its data is obsolete."""
 
     replica: ReplicaId
 
@@ -138,4 +140,4 @@
     StoreUnknown,
     TooFewStores,
 )
-MESSAGES: tuple[type, ...] = (StoreHello, ReplicaRemoved)
+MESSAGES: tuple[type, ...] = (ReplicaRemoved,)
--- a/oleanderhitch/process/repair/task.py
+++ b/oleanderhitch/process/repair/task.py
@@ -11,13 +11,13 @@
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.clock import Clock
 from oleanderhitch.process.ids import GroupId, NodeId
-from oleanderhitch.process.repair.core import (
+from oleanderhitch.process.repair.core import BalanceSlot, RepairState, handle
+from oleanderhitch.process.repair.effects import (
     ChangeReplica,
+    MoveLeadership,
     ObserveStatus,
     ProposeCommand,
-    RepairState,
     SendToStore,
-    handle,
 )
 from oleanderhitch.process.repair.messages import StatusObserved
 from oleanderhitch.process.replication.effect_handlers import (
@@ -31,6 +31,7 @@
     RemoveReplica,
     ReplaceReplica,
     ReplicationStatus,
+    TransferLeadership,
 )
 from oleanderhitch.process.replication.states import ChangeKind
 from oleanderhitch.process.task import Task, make_task
@@ -54,8 +55,9 @@
 class ReplicaReplyAdapter:
     """Translates the replies of a replica into messages to the repair task."""
 
-    def __init__(self, task: Address) -> None:
+    def __init__(self, task: Address, group: GroupId) -> None:
         self._task = task
+        self._group = group
 
     def send(self, message: object) -> None:
         """Forward a status; log the outcome of a membership change."""
@@ -64,6 +66,7 @@
         elif isinstance(message, MembershipAnswer):
             log.info(
                 "membership change ended",
+                group=self._group,
                 outcome=message.outcome.value,
                 reason=message.reason,
             )
@@ -91,6 +94,7 @@
 ) -> None:
     log.warning(
         "requesting a membership change",
+        group=dependencies.group,
         kind=effect.kind.value,
         replica=effect.replica,
         replacement=effect.replacement,
@@ -100,6 +104,19 @@
     dependencies.replica.send(OperatorCall(request, reply_address))
 
 
+@perform.register
+def _(
+    effect: MoveLeadership, dependencies: RepairDependencies, reply_address: Address
+) -> None:
+    log.info(
+        "moving the leadership to a store that leads fewer groups",
+        group=dependencies.group,
+        target=effect.target,
+    )
+    request = TransferLeadership(effect.target)
+    dependencies.replica.send(OperatorCall(request, reply_address))
+
+
 def _make_request(effect: ChangeReplica, group: GroupId) -> object:
     if effect.replacement is not None:
         return ReplaceReplica(NO_REQUEST_ID, group, effect.replica, effect.replacement)
@@ -112,7 +129,11 @@
 def _(
     effect: ProposeCommand, dependencies: RepairDependencies, reply_address: Address
 ) -> None:
-    log.info("proposing a change of the store records", command=str(effect.command))
+    log.info(
+        "proposing a change of the store records",
+        group=dependencies.group,
+        command=str(effect.command),
+    )
     dependencies.replica.send(LeaderCommand(dependencies.codec.encode(effect.command)))
 
 
@@ -124,7 +145,10 @@
 
 
 def make_repair_task(
-    n_target_voters: int, dependencies: RepairDependencies, clock: Clock
+    n_target_voters: int,
+    balance_slot: BalanceSlot,
+    dependencies: RepairDependencies,
+    clock: Clock,
 ) -> Task[RepairState]:
     """Return the task that repairs a group while this store leads it."""
 
@@ -133,11 +157,11 @@
 
     task = make_task(
         "repair",
-        RepairState(n_target_voters),
+        RepairState(dependencies.group, n_target_voters, balance_slot),
         handle,
         perform_effect,
         clock,
         tick_interval=OBSERVE_INTERVAL,
     )
-    reply_address = ReplicaReplyAdapter(task)
+    reply_address = ReplicaReplyAdapter(task, dependencies.group)
     return task
--- a/oleanderhitch/process/site/application.py
+++ b/oleanderhitch/process/site/application.py
@@ -77,6 +77,7 @@
             *repair.READS,
             *repair.RESULTS,
             *turn_messages.COMMANDS,
+            *turn_messages.READS,
             *turn_messages.RESULTS,
         )
     )
@@ -115,7 +116,7 @@
 
 for _command in repair.COMMANDS:
     apply.register(_command, _apply_to_registry)
-for _command in turn_messages.COMMANDS:
+for _command in (*turn_messages.COMMANDS, *turn_messages.READS):
     apply.register(_command, _apply_to_turns)
 
 
--- a/oleanderhitch/process/site/entry.py
+++ b/oleanderhitch/process/site/entry.py
@@ -33,7 +33,7 @@
 from oleanderhitch.process.metrics.states import Counter
 from oleanderhitch.process.placement.task import make_placement_task
 from oleanderhitch.process.site.application import make_site_codec
-from oleanderhitch.process.site.group import SITE_GROUP
+from oleanderhitch.process.site.group import TURN_GROUPS, get_turn_group
 from oleanderhitch.process.site.links import make_site_links
 from oleanderhitch.process.site.messages import SiteStatus
 from oleanderhitch.process.site.peer_codec import make_site_peer_codec
@@ -121,7 +121,8 @@
         forward_dependencies = ForwardDependencies(
             dependencies.dialect,
             self._installed_state.await_table,
-            SITE_GROUP,
+            TURN_GROUPS,
+            get_turn_group,
             self._group_client,
             make_site_codec(),
             self._placement,
--- a/oleanderhitch/process/site/group.py
+++ b/oleanderhitch/process/site/group.py
@@ -1,15 +1,24 @@
-"""Id, timing and limits of the replicated group of a site."""
+"""Ids, timing and limits of the replicated groups of a site."""
 
 from datetime import timedelta
 
+import xxhash
+
 from oleanderhitch.process.ids import GroupId
 from oleanderhitch.process.replication.replica import (
     ReplicationLimits,
     ReplicationTiming,
 )
 from oleanderhitch.process.storage.core import StorageLimits
+from oleanderhitch.program.ids import ProgramId
 
+# Has the routing configuration. The registered stores are part of each group.
 SITE_GROUP = GroupId("site")
+# The turns and budgets of programs. The number never changes, since a program stays in
+# its group; with more groups than stores, leadership can be spread evenly.
+N_TURN_GROUPS = 8
+TURN_GROUPS = tuple(GroupId(f"turns-{number}") for number in range(N_TURN_GROUPS))
+SITE_GROUPS = (SITE_GROUP, *TURN_GROUPS)
 MIB = 1024 * 1024
 
 # Round trips within a site take about 1 ms, so timeouts shorter than between regions
@@ -34,3 +43,8 @@
     trailing_bytes=2 * MIB,
     log_bytes_per_snapshot=2 * MIB,
 )
+
+
+def get_turn_group(program: ProgramId) -> GroupId:
+    """Return the group that has the turns and the budget of a program."""
+    return TURN_GROUPS[xxhash.xxh3_64_intdigest(program.encode()) % N_TURN_GROUPS]
--- a/oleanderhitch/process/site/messages.py
+++ b/oleanderhitch/process/site/messages.py
@@ -1,10 +1,11 @@
-"""Messages between the entry hosts and stores of a site, and their group's commands."""
+"""Messages between the entry hosts and stores of a site, and commands of its groups."""
 
 from dataclasses import dataclass
 
 from oleanderhitch.process.directory.messages import EndpointList, ListVersion
-from oleanderhitch.process.ids import NodeId
+from oleanderhitch.process.ids import GroupId, NodeId, ReplicaId
 from oleanderhitch.process.placement.messages import EndpointLoad
+from oleanderhitch.version.ids import DataCentreName, HostName
 from oleanderhitch.version.routes.ids import NO_ROUTING, RoutingVersion
 
 
@@ -60,6 +61,23 @@
     loads: tuple[EndpointLoad, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class StoreAnnouncement:
+    """Announces a store with its replicas, and the stores it has recent contact with.
+
+    `followed` are the groups whose leader the store's replica knows, `led` those that
+    it leads itself.
+    """
+
+    host: HostName
+    node: NodeId
+    data_centre: DataCentreName
+    replicas: dict[GroupId, ReplicaId]
+    followed: tuple[GroupId, ...]
+    led: tuple[GroupId, ...]
+    known: tuple[NodeId, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class SiteStatus:
     """Sends an entry host the parts of the site's state that it lacks.
@@ -82,4 +100,4 @@
 COMMANDS: tuple[type, ...] = (PublishRouting,)
 READS: tuple[type, ...] = (GetRouting,)
 RESULTS: tuple[type, ...] = (RoutingAccepted, RoutingFound, CommandRefused)
-MESSAGES: tuple[type, ...] = (EntryHello, SiteStatus)
+MESSAGES: tuple[type, ...] = (EntryHello, SiteStatus, StoreAnnouncement)
--- a/oleanderhitch/process/site/operators.py
+++ b/oleanderhitch/process/site/operators.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
+from functools import singledispatch
 from itertools import count
 from typing import Protocol
 
@@ -21,6 +22,15 @@
 from oleanderhitch.process.mailbox import Mailbox, make_mailbox
 from oleanderhitch.process.metrics.core import Metrics
 from oleanderhitch.process.metrics.states import Counter
+from oleanderhitch.process.repair.messages import (
+    GetRetirement,
+    RetireStore,
+    StoreStandingFound,
+    TooFewStores,
+)
+from oleanderhitch.process.repair.states import StoreStanding
+from oleanderhitch.process.site.group import SITE_GROUP, SITE_GROUPS
+from oleanderhitch.process.site.messages import CommandRefused
 
 # Operators' clients try another store after 1 s without a response.
 CALL_TIMEOUT = timedelta(milliseconds=950)
@@ -54,7 +64,6 @@
     """Collaborators that all operators' calls share."""
 
     dialect: OperatorDialect
-    group: GroupId
     group_client: Address
     codec: Codec
     metrics: Metrics
@@ -73,7 +82,7 @@
         if isinstance(operator_request, HttpResponse):
             response = operator_request
         else:
-            response = _submit_to_group(operator_request, dependencies)
+            response = _submit_to_groups(operator_request, dependencies)
         log.info(
             "operator call answered",
             method=request.method,
@@ -89,26 +98,55 @@
     return serve
 
 
-def _submit_to_group(
+def _submit_to_groups(
     operator_request: OperatorRequest, dependencies: OperatorDependencies
 ) -> HttpResponse:
     reply_mailbox = make_mailbox("operator call")
     tag = f"operator-{next(dependencies.call_numbers)}"
     body = dependencies.codec.encode(operator_request.body)
-    dependencies.group_client.send(
-        SubmitToGroup(
-            dependencies.group,
-            body,
-            operator_request.is_read,
-            CALL_TIMEOUT,
-            tag,
-            reply_mailbox,
-        )
-    )
-    result = reply_mailbox.receive()
-    if isinstance(result, GroupResult):
-        return dependencies.dialect.make_response(
-            dependencies.codec.decode(result.body)
+    groups = list_concerned_groups(operator_request.body)
+    for group in groups:
+        dependencies.group_client.send(
+            SubmitToGroup(
+                group, body, operator_request.is_read, CALL_TIMEOUT, tag, reply_mailbox
+            )
         )
-    reason = result.reason if isinstance(result, GroupTimedOut) else "no answer"
-    return dependencies.dialect.make_unavailable_response(reason)
+    results: list[object] = []
+    for _ in groups:
+        reply = reply_mailbox.receive()
+        if not isinstance(reply, GroupResult):
+            reason = reply.reason if isinstance(reply, GroupTimedOut) else "no answer"
+            return dependencies.dialect.make_unavailable_response(reason)
+        results.append(dependencies.codec.decode(reply.body))
+    return dependencies.dialect.make_response(combine_results(results))
+
+
+@singledispatch
+def list_concerned_groups(body: object) -> tuple[GroupId, ...]:
+    """Return the groups that a command or read goes to."""
+    return (SITE_GROUP,)
+
+
+@list_concerned_groups.register(RetireStore)
+@list_concerned_groups.register(GetRetirement)
+def _(body: RetireStore | GetRetirement) -> tuple[GroupId, ...]:
+    return SITE_GROUPS
+
+
+def combine_results(results: list[object]) -> object:
+    """Return the result of an operator's call for those of all groups.
+
+    A store is retired once it is in all groups. It is unknown only if no group knows
+    it: a new store registers with one group after the other.
+    """
+    refusal = next((r for r in results if isinstance(r, TooFewStores)), None)
+    if len(results) == 1 or refusal is not None:
+        return refusal or results[0]
+    standings = [r.standing for r in results if isinstance(r, StoreStandingFound)]
+    if not standings:
+        return results[0]
+    if len(standings) == len(results) and set(standings) == {StoreStanding.RETIRED}:
+        return StoreStandingFound(StoreStanding.RETIRED)
+    if len(standings) < len(results):
+        return CommandRefused("the store is not registered with all groups yet")
+    return StoreStandingFound(StoreStanding.RETIRING)
--- a/oleanderhitch/process/site/store.py
+++ b/oleanderhitch/process/site/store.py
@@ -1,10 +1,8 @@
-"""The store: a process with a replica of the site's state and a service for operators.
+"""The store: a process with replicas of the site's groups and a service for operators.
 
 A store also sends entry hosts the state that they need.
 """
 
-import random
-import uuid
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import datetime, timedelta
@@ -19,6 +17,7 @@
 from oleanderhitch.connection.peer.handshake import Identity
 from oleanderhitch.connection.peer.messages import PeerMessage
 from oleanderhitch.connection.peer.server import make_peer_server
+from oleanderhitch.exceptions import OleanderhitchError
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.clock import Clock
 from oleanderhitch.process.directory.core import SetReaderTerm
@@ -34,37 +33,29 @@
     ReplicaEnvelope,
     StoresChanged,
 )
-from oleanderhitch.process.ids import CallId, NodeId, ReplicaId
-from oleanderhitch.process.mailbox import make_mailbox
+from oleanderhitch.process.ids import CallId, GroupId, NodeId, ReplicaId
 from oleanderhitch.process.metrics.core import Metrics, make_counter
 from oleanderhitch.process.metrics.states import Counter, Gauge
-from oleanderhitch.process.repair.messages import (
-    ReplicaRemoved,
-    StoreHello,
-    StoreRecordsChanged,
-)
-from oleanderhitch.process.repair.task import RepairDependencies, make_repair_task
-from oleanderhitch.process.replication.effect_handlers import OperatorCall
+from oleanderhitch.process.repair.core import BalanceSlot
+from oleanderhitch.process.repair.messages import ReplicaRemoved, StoreHello
+from oleanderhitch.process.replication.effect_handlers import make_any_replica_receiver
 from oleanderhitch.process.replication.effects import LeadershipChanged
-from oleanderhitch.process.replication.messages import (
-    GetReplicationStatus,
-    ReplicationStatus,
-    TransferLeadership,
-)
 from oleanderhitch.process.replication.states import Role
-from oleanderhitch.process.replication.task import make_group_task
-from oleanderhitch.process.site.application import (
-    make_site_application,
-    make_site_codec,
+from oleanderhitch.process.site.application import make_site_codec
+from oleanderhitch.process.site.group import SITE_GROUP, SITE_GROUPS
+from oleanderhitch.process.site.links import LINK_TIMING, make_site_links
+from oleanderhitch.process.site.member import (
+    GroupMember,
+    MemberDependencies,
+    MemberSettings,
+    make_group_member,
 )
-from oleanderhitch.process.site.group import (
-    SITE_GROUP,
-    SITE_LIMITS,
-    SITE_STORAGE_LIMITS,
-    SITE_TIMING,
+from oleanderhitch.process.site.messages import (
+    EntryHello,
+    GetRouting,
+    RoutingFound,
+    StoreAnnouncement,
 )
-from oleanderhitch.process.site.links import LINK_TIMING, make_site_links
-from oleanderhitch.process.site.messages import EntryHello, GetRouting, RoutingFound
 from oleanderhitch.process.site.operators import (
     OperatorDependencies,
     OperatorDialect,
@@ -74,23 +65,21 @@
 from oleanderhitch.process.site.settings import SiteStoreSettings
 from oleanderhitch.process.site.subscribers import make_subscribers
 from oleanderhitch.process.storage.identity import get_node
-from oleanderhitch.process.storage.task import open_storage
 from oleanderhitch.process.usage.monitor import make_usage_monitor
 from oleanderhitch.version.routes.configuration import CallerLimits
 
-CONTENTS_FOLDER = "contents"
-HELLO_INTERVAL = timedelta(milliseconds=400)
-# A store that has sent no hello for this long is no longer listed to other nodes. A
-# replica on it can still be reached, since a replica id contains the node id.
+ANNOUNCEMENT_INTERVAL = timedelta(milliseconds=400)
+# A leader that has missed two announcements may have failed, so that calls are no
+# longer redirected to it.
+LEADER_ANNOUNCEMENT_TTL = timedelta(milliseconds=1000)
+# A store that has sent no announcement for this long is no longer listed to other
+# nodes. A replica on it can still be reached, since a replica id contains the node id.
 STORE_CONTACT_TIMEOUT = timedelta(seconds=30)
-# Time that a stopping leader waits for another replica to become the leader.
+# Time that a stopping leader waits for other replicas to become the leaders.
 LEADERSHIP_TRANSFER_TIMEOUT = timedelta(milliseconds=600)
-# A replica that waits for its disk must not delay the exit of the process.
-REPLICA_STOP_TIMEOUT = timedelta(milliseconds=300)
-STATUS_TIMEOUT = timedelta(milliseconds=500)
 # A new leader rejects reads until the first entry of its term is committed.
 CONFIRM_RETRY_INTERVAL = timedelta(milliseconds=50)
-# One line on the process each second and one on its replica each five.
+# One line on the process each second and one on each replica each five.
 USAGE_INTERVAL = timedelta(seconds=1)
 N_USAGES_PER_GROUP_STATE = 5
 N_VOTERS_MIN = 3
@@ -109,6 +98,14 @@
     fetch_list: FetchList
 
 
+@dataclass(frozen=True, slots=True)
+class AnnouncedStore:
+    """The groups that another store leads, and the time of its last announcement."""
+
+    led: tuple[GroupId, ...]
+    last_contact_at: datetime
+
+
 class _LocalReplyAddress:
     """Reply address that forwards the local replica's replies to the group client."""
 
@@ -143,17 +140,15 @@
         dependencies: StoreDependencies,
         clock: Clock,
         metrics: Metrics,
-        end_store: Callable[[str, bool], None],
+        end_process: Callable[[str], None],
     ) -> None:
         site = settings.site
         self._settings = settings
         self._clock = clock
         self._metrics = metrics
-        self._end_store = end_store
-        self._last_contact_at: dict[NodeId, datetime] = {}
-        self._seeds = site.seeds
-        self._role = Role.FOLLOWER
-        self._has_started = False
+        self._end_process = end_process
+        self._announced_stores: dict[NodeId, AnnouncedStore] = {}
+        self._announcement_due = gevent.event.Event()
         self._has_stopped = False
         codec = make_site_peer_codec()
         count_bytes = make_counter(metrics, Counter.PEER_BYTES)
@@ -164,43 +159,27 @@
         self._group_client = make_group_client(
             self._list_addresses(), self._send_to_store, clock
         )
-        self._storage = open_storage(
-            settings.data_dir, site.node, clock, SITE_STORAGE_LIMITS
-        )
         self._subscribers = make_subscribers(
             self._get_routing, self._list_stores, clock
         )
-        self._application = make_site_application(
-            settings.data_dir / CONTENTS_FOLDER,
-            self._subscribers.notify_all,
-            self._send_records_to_repair,
-        )
         self._directory = make_directory_task(
             dependencies.fetch_list, self._handle_list, clock
         )
-        self._replica = make_group_task(
-            SITE_GROUP,
-            site.node,
-            site.seeds,
-            self._storage,
-            self._application,
+        self._site_codec = make_site_codec()
+        member_dependencies = MemberDependencies(
             self,
-            clock,
-            random.Random(uuid.uuid4().int),
-            SITE_TIMING,
-            SITE_LIMITS,
+            self.send_to_node,
+            self._site_codec,
             self._handle_leadership_change,
-            may_bootstrap=settings.may_bootstrap,
-        )
-        site_codec = self._site_codec = make_site_codec()
-        n_voters = max(N_VOTERS_MIN, 2 * settings.n_losses_tolerated + 1)
-        self._repair = make_repair_task(
-            n_voters,
-            RepairDependencies(
-                SITE_GROUP, self._replica, site_codec, self.send_to_node
-            ),
-            clock,
+            self._handle_routing_change,
+            end_process,
         )
+        self._members = {
+            group: make_group_member(
+                self._make_member_settings(group), member_dependencies, clock
+            )
+            for group in SITE_GROUPS
+        }
         self._peer_server = make_peer_server(
             HostAddress(site.node),
             codec,
@@ -213,76 +192,78 @@
             settings.operator_address,
             make_operator_service(
                 OperatorDependencies(
-                    dependencies.dialect,
-                    SITE_GROUP,
-                    self._group_client,
-                    site_codec,
-                    metrics,
+                    dependencies.dialect, self._group_client, self._site_codec, metrics
                 )
             ),
             clock,
             lambda: OPERATOR_LIMITS,
         )
 
+    def _make_member_settings(self, group: GroupId) -> MemberSettings:
+        settings = self._settings
+        return MemberSettings(
+            group,
+            settings.site.node,
+            settings.site.seeds,
+            settings.data_dir / group,
+            settings.may_bootstrap,
+            max(N_VOTERS_MIN, 2 * settings.n_losses_tolerated + 1),
+            BalanceSlot(SITE_GROUPS.index(group), len(SITE_GROUPS)),
+        )
+
     def start(self) -> None:
         """Start all tasks and listen; raise OSError if an address is unavailable."""
-        self._has_started = True
-        self._storage.start()
-        for task in (self._group_client, self._directory, self._repair, self._replica):
+        for task in (self._group_client, self._directory):
             task.start()
-        self._send_records_to_repair()
         self._links.start()
         self._peer_server.start()
         self._operator_server.start()
-        gevent.spawn(self._announce)
         self._usage_monitor.start()
+        gevent.spawn(self._open_members)
+        gevent.spawn(self._announce)
         gevent.spawn(self._report_usage)
 
     def apply_settings(self, settings: SiteStoreSettings) -> None:
         """Open links to new seeds; ignore all other changes of the settings."""
-        self._seeds = settings.site.seeds
         self._add_stores(settings.site.seeds)
 
     @property
     def is_leader(self) -> bool:
-        """Whether this store's replica leads the group."""
-        return self._role is Role.LEADER
+        """Whether this store leads the group that has the routing configuration."""
+        return self._members[SITE_GROUP].role is Role.LEADER
 
     @property
-    def replica_id(self) -> ReplicaId:
-        """The id of this store's replica; a new disk gets a new id."""
-        return self._storage.replica
+    def replica_id(self) -> ReplicaId | None:
+        """The id of this store's replica of the group of the routing configuration."""
+        return self._members[SITE_GROUP].replica_id
 
-    def list_voters(self) -> tuple[ReplicaId, ...]:
+    def list_voters(self, group: GroupId = SITE_GROUP) -> tuple[ReplicaId, ...]:
         """Return the voters known to this store's replica; empty without a reply."""
-        status = self._find_status()
+        status = self._members[group].find_status()
         return () if status is None else status.membership.voters
 
-    def _find_status(self) -> ReplicationStatus | None:
-        reply_mailbox = make_mailbox("status")
-        request = GetReplicationStatus(0, SITE_GROUP)
-        self._replica.send(OperatorCall(request, reply_mailbox))
-        status = reply_mailbox.receive(STATUS_TIMEOUT)
-        return status if isinstance(status, ReplicationStatus) else None
+    def find_replica_id(self, group: GroupId) -> ReplicaId | None:
+        """Return the id of this store's replica of a group, None before it is open."""
+        return self._members[group].replica_id
 
     def stop(self) -> None:
-        """Transfer the leadership to another replica and stop all tasks."""
+        """Transfer the leadership of all groups and stop all tasks."""
         self._operator_server.drain_connections()
-        if self._role is Role.LEADER:
-            request = TransferLeadership()
-            self._replica.send(
-                OperatorCall(request, _LocalReplyAddress(self._group_client))
-            )
-            deadline = self._clock.now() + LEADERSHIP_TRANSFER_TIMEOUT
-            while self._role is Role.LEADER and self._clock.now() < deadline:
-                gevent.sleep(0.02)
+        for member in self._members.values():
+            member.transfer_leadership()
+        deadline = self._clock.now() + LEADERSHIP_TRANSFER_TIMEOUT
+        while self._list_led_groups() and self._clock.now() < deadline:
+            gevent.sleep(0.02)
         self._stop_tasks()
+        for member in self._members.values():
+            member.stop()
 
     def close(self) -> None:
         """Stop all tasks without a leadership transfer and release the files."""
         self._operator_server.drain_connections()
         self._stop_tasks()
-        self._storage.close()
+        for member in self._members.values():
+            member.close()
 
     def _stop_tasks(self) -> None:
         self._has_stopped = True
@@ -290,11 +271,24 @@
         self._peer_server.stop()
         self._links.stop()
         self._usage_monitor.stop()
-        for task in (self._replica, self._repair, self._directory, self._group_client):
+        for task in (self._directory, self._group_client):
             task.stop()
-        self._replica.join(REPLICA_STOP_TIMEOUT)
 
-    # The group's task uses this object as its transport.
+    def _open_members(self) -> None:
+        # The group of the routing configuration comes first and has little state, so
+        # that the configuration is served before the turns are read.
+        for member in self._members.values():
+            if self._has_stopped:
+                return
+            try:
+                member.open()
+            except (OSError, OleanderhitchError) as error:
+                self._end_process(f"group {member.group} can't be opened: {error}")
+                return
+            self._announcement_due.set()
+            gevent.sleep(0)
+
+    # The groups' tasks use this object as their transport.
 
     def send(self, message: object) -> None:
         """Send an envelope to the store of the receiving replica."""
@@ -330,9 +324,7 @@
     def _send_to_store(self, address: HostAddress, message: object) -> None:
         if address == HostAddress(self._settings.site.node):
             assert isinstance(message, GroupCall)
-            self._replica.send(
-                LocalCall(message, _LocalReplyAddress(self._group_client))
-            )
+            self.deliver_call(message, _LocalReplyAddress(self._group_client))
             return
         link = self._links.find_by_address(address)
         if link is not None:
@@ -346,17 +338,55 @@
 
     def _announce(self) -> None:
         while not self._has_stopped:
-            hello = StoreHello(
-                self._settings.site.host,
-                self._settings.site.node,
-                self._storage.replica,
-                self._settings.site.data_centre,
-                self._list_stores(),
-            )
-            self._repair.send(hello)
+            self._announcement_due.clear()
+            announcement = self._make_announcement()
+            self._observe_store(announcement)
             for link in list(self._links.links.values()):
-                link.send(hello)
-            gevent.sleep(HELLO_INTERVAL.total_seconds())
+                link.send(announcement)
+            self._announcement_due.wait(ANNOUNCEMENT_INTERVAL.total_seconds())
+
+    def _make_announcement(self) -> StoreAnnouncement:
+        site = self._settings.site
+        replicas = {
+            group: member.replica_id
+            for group, member in self._members.items()
+            if member.replica_id is not None
+        }
+        followed = tuple(
+            group
+            for group, member in self._members.items()
+            if member.leader is not None and member.role is not Role.LEADER
+        )
+        return StoreAnnouncement(
+            site.host,
+            site.node,
+            site.data_centre,
+            replicas,
+            followed,
+            self._list_led_groups(),
+            self._list_stores(),
+        )
+
+    def _list_led_groups(self) -> tuple[GroupId, ...]:
+        return tuple(
+            group
+            for group, member in self._members.items()
+            if member.role is Role.LEADER
+        )
+
+    def _observe_store(self, announcement: StoreAnnouncement) -> None:
+        for group, replica in announcement.replicas.items():
+            member = self._members.get(group)
+            if member is not None:
+                hello = StoreHello(
+                    announcement.host,
+                    announcement.node,
+                    replica,
+                    announcement.data_centre,
+                    len(announcement.followed) + len(announcement.led),
+                    len(announcement.led),
+                )
+                member.observe_store(hello)
 
     def _report_usage(self) -> None:
         n_reports = 0
@@ -365,7 +395,8 @@
             self._report_process_usage()
             n_reports += 1
             if n_reports % N_USAGES_PER_GROUP_STATE == 0:
-                self._report_group_state()
+                for member in self._members.values():
+                    self._report_group_state(member)
 
     def _report_process_usage(self) -> None:
         usage = self._usage_monitor.take()
@@ -384,19 +415,19 @@
             link_queue_length=n_waiting,
         )
 
-    def _report_group_state(self) -> None:
-        status = self._find_status()
-        n_turns = self._application.n_turns
+    def _report_group_state(self, member: GroupMember) -> None:
+        status = member.find_status()
+        group, n_turns = member.group, member.n_turns
         if status is None:
-            log.warning("group state unknown", group=SITE_GROUP, n_turns=n_turns)
+            log.warning("group state unknown", group=group, n_turns=n_turns)
             return
         set_gauge = self._metrics.set_gauge
-        set_gauge(Gauge.GROUP_LOG_BYTES, status.n_log_bytes, SITE_GROUP)
-        set_gauge(Gauge.GROUP_SNAPSHOT_BYTES, status.n_snapshot_bytes, SITE_GROUP)
-        set_gauge(Gauge.GROUP_TURNS, n_turns, SITE_GROUP)
+        set_gauge(Gauge.GROUP_LOG_BYTES, status.n_log_bytes, group)
+        set_gauge(Gauge.GROUP_SNAPSHOT_BYTES, status.n_snapshot_bytes, group)
+        set_gauge(Gauge.GROUP_TURNS, n_turns, group)
         log.info(
             "group state",
-            group=SITE_GROUP,
+            group=group,
             role=status.role.value,
             term=status.term,
             leader=status.leader,
@@ -411,50 +442,86 @@
         now = self._clock.now()
         recent_stores = {
             node
-            for node, last_contact_at in self._last_contact_at.items()
-            if now - last_contact_at < STORE_CONTACT_TIMEOUT
+            for node, store in self._announced_stores.items()
+            if now - store.last_contact_at < STORE_CONTACT_TIMEOUT
         }
         return tuple(sorted({self._settings.site.node, *recent_stores}))
 
-    def handle_store_hello(self, hello: StoreHello) -> None:
+    def handle_announcement(self, announcement: StoreAnnouncement) -> None:
         """Record the contact with another store and link to the stores it lists."""
-        self._last_contact_at[hello.node] = self._clock.now()
-        self._add_stores((hello.node, *hello.known))
-        self._repair.send(hello)
+        self._announced_stores[announcement.node] = AnnouncedStore(
+            announcement.led, self._clock.now()
+        )
+        self._add_stores((announcement.node, *announcement.known))
+        self._observe_store(announcement)
 
     def handle_entry_hello(self, hello: EntryHello, reply_address: Address) -> None:
         """Reply to an entry host with the state that it lacks."""
         self._subscribers.handle_hello(hello, reply_address)
 
     def handle_replica_removed(self, message: ReplicaRemoved) -> None:
-        """Request a restart with an empty data directory if its replica was removed."""
-        if message.replica == self._storage.replica:
-            self._end_store("this replica was replaced; its data is dropped", True)
+        """Start the replica anew that was removed from its group."""
+        for member in self._members.values():
+            if member.replica_id == message.replica:
+                member.start_anew("the replica was replaced; its data is dropped")
+
+    def deliver_envelope(self, envelope: ReplicaEnvelope) -> None:
+        """Forward a message to this store's replica of its group."""
+        member = self._members.get(envelope.group)
+        if member is not None:
+            member.send(envelope)
+
+    def deliver_call(self, call: GroupCall, reply_address: Address) -> None:
+        """Forward a call to this store's replica of its group.
+
+        A replica that is no voter knows no leader; the call is redirected to the store
+        that has announced that it leads the group.
+        """
+        member = self._members.get(call.group)
+        announced_leader = self._find_announced_leader(call.group)
+        if member is None or (
+            member.leader is None
+            and member.role is Role.FOLLOWER
+            and announced_leader is not None
+        ):
+            reply_address.send(GroupRedirect(call.call, announced_leader))
+        else:
+            member.call(LocalCall(call, reply_address))
 
-    def deliver_to_replica(self, message: object) -> None:
-        """Forward a message to the group's replica."""
-        self._replica.send(message)
+    def _find_announced_leader(self, group: GroupId) -> ReplicaId | None:
+        now = self._clock.now()
+        for node, store in self._announced_stores.items():
+            if (
+                group in store.led
+                and now - store.last_contact_at < LEADER_ANNOUNCEMENT_TTL
+            ):
+                return make_any_replica_receiver(node)
+        return None
 
     def deliver_to_group_client(self, message: object) -> None:
         """Forward a reply to the group client."""
         self._group_client.send(message)
 
     def _get_routing(self) -> RoutingFound:
-        return self._application.routing
+        return self._members[SITE_GROUP].routing
+
+    def _handle_routing_change(self, group: GroupId) -> None:
+        if group == SITE_GROUP:
+            self._subscribers.notify_all()
 
     def _request_confirmation(self) -> None:
         body = self._site_codec.encode(GetRouting())
         call = GroupCall(CallId(0), SITE_GROUP, body, True)
-        self._replica.send(LocalCall(call, _ConfirmationReplyAddress(self)))
+        self._members[SITE_GROUP].call(LocalCall(call, _ConfirmationReplyAddress(self)))
 
     def confirm_current(self) -> None:
         """Record that this store's state is current, if it still leads."""
-        if self._role is Role.LEADER:
+        if self.is_leader:
             self._subscribers.confirm_current()
 
     def retry_confirmation(self) -> None:
         """Retry the confirming read after a delay, if this store still leads."""
-        if self._role is Role.LEADER:
+        if self.is_leader:
             gevent.spawn_later(
                 CONFIRM_RETRY_INTERVAL.total_seconds(), self._request_confirmation
             )
@@ -467,24 +534,21 @@
                 n_endpoints=len(endpoint_list.endpoints),
             )
 
-    def _send_records_to_repair(self) -> None:
-        if not self._has_started:
-            # Recovery restores a snapshot before the repair task exists; `start()`
-            # sends it the restored records.
-            return
-        self._repair.send(StoreRecordsChanged(self._application.records))
-
-    def _handle_leadership_change(self, change: LeadershipChanged) -> None:
-        self._role = change.role
+    def _handle_leadership_change(
+        self, group: GroupId, change: LeadershipChanged
+    ) -> None:
         is_leader = change.role is Role.LEADER
-        self._subscribers.handle_leadership_change(is_leader)
         if is_leader:
-            self._metrics.count(Counter.ELECTIONS, SITE_GROUP)
-            self._request_confirmation()
-        self._metrics.set_gauge(Gauge.LEADER, int(is_leader), SITE_GROUP)
-        self._directory.send(SetReaderTerm(change.term if is_leader else None))
+            self._metrics.count(Counter.ELECTIONS, group)
+        self._metrics.set_gauge(Gauge.LEADER, int(is_leader), group)
+        self._announcement_due.set()
+        if group == SITE_GROUP:
+            self._subscribers.handle_leadership_change(is_leader)
+            self._directory.send(SetReaderTerm(change.term if is_leader else None))
+            if is_leader:
+                self._request_confirmation()
         if change.role is Role.STOPPED:
-            self._end_store("the replica stopped", False)
+            self._end_process(f"the replica of group {group} stopped")
 
 
 @singledispatch
@@ -496,12 +560,12 @@
 
 @_receive.register
 def _(message: ReplicaEnvelope, delivery: PeerMessage, store: Store) -> None:
-    store.deliver_to_replica(message)
+    store.deliver_envelope(message)
 
 
 @_receive.register
 def _(message: GroupCall, delivery: PeerMessage, store: Store) -> None:
-    store.deliver_to_replica(LocalCall(message, delivery.reply_address))
+    store.deliver_call(message, delivery.reply_address)
 
 
 @_receive.register(GroupAnswer)
@@ -512,8 +576,8 @@
 
 
 @_receive.register
-def _(message: StoreHello, delivery: PeerMessage, store: Store) -> None:
-    store.handle_store_hello(message)
+def _(message: StoreAnnouncement, delivery: PeerMessage, store: Store) -> None:
+    store.handle_announcement(message)
 
 
 @_receive.register
@@ -531,11 +595,10 @@
     dependencies: StoreDependencies,
     clock: Clock,
     metrics: Metrics,
-    end_store: Callable[[str, bool], None],
+    end_process: Callable[[str], None],
 ) -> Store:
-    """Return a store that is not started yet; raise StorageError.
+    """Return a store that is not started yet.
 
-    `end_store` is called when the store can't continue, with the reason and whether the
-    data directory must be emptied before a restart.
+    `end_process` is called with the reason when the store can't continue.
     """
-    return Store(settings, dependencies, clock, metrics, end_store)
+    return Store(settings, dependencies, clock, metrics, end_process)
--- a/oleanderhitch/program/turns/core.py
+++ b/oleanderhitch/program/turns/core.py
@@ -10,10 +10,13 @@
     BeginTurn,
     BudgetSpent,
     ExpireTurns,
+    FindTurn,
     PreviousTurnMissing,
     SettleTurn,
     TurnBegun,
     TurnClosed,
+    TurnFound,
+    TurnNotFound,
     TurnSettled,
     TurnsExpired,
     WholeTurn,
@@ -74,7 +77,9 @@
 def _(command: BeginTurn, state: TurnsState) -> object:
     state.now = max(state.now, command.at)
     if command.previous is not None and command.previous not in state.turns:
-        return PreviousTurnMissing()
+        if command.imported is None:
+            return PreviousTurnMissing()
+        _store_turn(command.previous, command.imported, state)
     program = _get_or_create_program(command.program, state)
     if command.request in program.settled:
         return TurnClosed()
@@ -121,6 +126,15 @@
     return TurnsExpired(len(expired))
 
 
+@apply.register
+def _(query: FindTurn, state: TurnsState) -> object:
+    if query.request not in state.turns:
+        return TurnNotFound()
+    chain = _list_chain(query.request, state)
+    content = b"".join(read_content(turn.content) for turn in chain)
+    return TurnFound(WholeTurn(None, content, chain[-1].retention))
+
+
 def is_expiry_due(state: TurnsState, now: datetime) -> bool:
     """Return whether anything has expired."""
     return any(turn.expires_at < now for turn in state.turns.values()) or any(
@@ -144,11 +158,18 @@
 
 def _renew_chain(turn_id: RequestId | None, state: TurnsState) -> list[TurnRecord]:
     """Extend the retention of a turn and its ancestors; return them oldest first."""
+    chain = _list_chain(turn_id, state)
+    for turn in chain:
+        expires_at = state.now + turn.retention + RETENTION_MARGIN
+        turn.expires_at = max(turn.expires_at, expires_at)
+    return chain
+
+
+def _list_chain(turn_id: RequestId | None, state: TurnsState) -> list[TurnRecord]:
+    """Return a turn and its ancestors, oldest first."""
     chain: list[TurnRecord] = []
     while turn_id is not None:
         turn = state.turns[turn_id]
-        expires_at = state.now + turn.retention + RETENTION_MARGIN
-        turn.expires_at = max(turn.expires_at, expires_at)
         chain.append(turn)
         turn_id = turn.previous
     chain.reverse()
--- a/oleanderhitch/program/turns/messages.py
+++ b/oleanderhitch/program/turns/messages.py
@@ -12,7 +12,11 @@
 
 @dataclass(frozen=True, slots=True)
 class BeginTurn:
-    """Reserves the most tokens a turn may spend and reads the turns it continues."""
+    """Reserves the most tokens a turn may spend and reads the turns it continues.
+
+    `imported` is the history up to the previous turn, if another group has it; it is
+    stored under the id of the previous turn.
+    """
 
     request: RequestId
     program: ProgramId
@@ -20,6 +24,7 @@
     most_tokens: int
     previous: RequestId | None
     at: datetime
+    imported: "WholeTurn | None" = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +57,25 @@
     at: datetime
 
 
+@dataclass(frozen=True, slots=True)
+class FindTurn:
+    """Reads a turn with all turns that it continues."""
+
+    request: RequestId
+
+
+@dataclass(frozen=True, slots=True)
+class TurnFound:
+    """Returns a turn with all turns that it continues as one."""
+
+    history: WholeTurn
+
+
+@dataclass(frozen=True, slots=True)
+class TurnNotFound:
+    """Reports that the group has no such turn."""
+
+
 @dataclass(frozen=True, slots=True)
 class TurnBegun:
     """Reports that a turn may run, with the content that precedes its input."""
@@ -91,7 +115,10 @@
 
 
 COMMANDS: tuple[type, ...] = (BeginTurn, SettleTurn, ExpireTurns)
+READS: tuple[type, ...] = (FindTurn,)
 RESULTS: tuple[type, ...] = (
+    TurnFound,
+    TurnNotFound,
     TurnBegun,
     PreviousTurnMissing,
     BudgetSpent,
--- a/oleanderhitch/request/forwarding/core.py
+++ b/oleanderhitch/request/forwarding/core.py
@@ -16,11 +16,12 @@
     EndpointRefused,
 )
 from oleanderhitch.program.turns.messages import (
-    BeginTurn,
     BudgetSpent,
     PreviousTurnMissing,
     TurnBegun,
     TurnClosed,
+    TurnFound,
+    TurnNotFound,
     TurnSettled,
 )
 from oleanderhitch.request.forwarding.attempts import (
@@ -39,7 +40,6 @@
     LogDecision,
     RecordFailed,
     ReportFirstChunk,
-    ReserveTokens,
     ResponseBegun,
     ReturnPermit,
     SendResponse,
@@ -57,6 +57,11 @@
     settle_spent_tokens,
     to_ms,
 )
+from oleanderhitch.request.forwarding.reservation import (
+    record_fruitless_search,
+    reserve_tokens,
+    search_previous_turn,
+)
 from oleanderhitch.request.forwarding.state import Attempt, ForwardState
 from oleanderhitch.request.forwarding.states import Phase, Verdict
 from oleanderhitch.version.routes.states import RouteKind
@@ -77,19 +82,9 @@
 
 @handle.register
 def _(message: Start, state: ForwardState, now: datetime) -> list[object]:
-    turn = state.request.turn
-    if turn is None:
+    if state.request.turn is None:
         return request_endpoint(state, now)
-    workload = state.request.workload
-    command = BeginTurn(
-        state.request.request,
-        turn.program,
-        turn.budget_tokens,
-        0 if workload is None else workload.max_output_tokens,
-        turn.previous if state.route.keeps_history else None,
-        now,
-    )
-    return [ReserveTokens(command, state.deadline)]
+    return reserve_tokens(state, now)
 
 
 @handle.register
@@ -102,9 +97,21 @@
 
 @handle.register
 def _(message: PreviousTurnMissing, state: ForwardState, now: datetime) -> list[object]:
-    return end_with_verdict(
-        state, Verdict.NO_PREVIOUS_TURN, "the turn to continue is unknown"
-    )
+    if state.phase is not Phase.RESERVING:
+        return []
+    return search_previous_turn(state)
+
+
+@handle.register
+def _(message: TurnFound, state: ForwardState, now: datetime) -> list[object]:
+    if state.phase is not Phase.SEARCHING:
+        return []
+    return reserve_tokens(state, now, message.history)
+
+
+@handle.register
+def _(message: TurnNotFound, state: ForwardState, now: datetime) -> list[object]:
+    return record_fruitless_search(state, "")
 
 
 @handle.register
@@ -127,6 +134,8 @@
             *release_reservation(state, now),
             *end_with_verdict(state, Verdict.RECORD_UNAVAILABLE, message.reason),
         ]
+    if state.phase is Phase.SEARCHING:
+        return record_fruitless_search(state, message.reason)
     if state.phase is Phase.RECORDING:
         # An unrecorded turn cannot be continued, so it must not appear complete.
         return abort_response(state, f"turn not recorded: {message.reason}")
@@ -321,6 +330,6 @@
             *end_with_verdict(state, Verdict.TIMED_OUT, f"while {phase.value}"),
         ]
     verdict = Verdict.NO_ENDPOINT
-    if phase is Phase.RESERVING:
+    if phase in (Phase.RESERVING, Phase.SEARCHING):
         verdict = Verdict.RECORD_UNAVAILABLE
     return [*effects, *end_with_verdict(state, verdict, "no time is left")]
--- a/oleanderhitch/request/forwarding/messages.py
+++ b/oleanderhitch/request/forwarding/messages.py
@@ -7,7 +7,7 @@
 from oleanderhitch.process.directory.messages import ListedEndpoint
 from oleanderhitch.process.placement.messages import AttemptResult, InferenceWorkload
 from oleanderhitch.program.ids import ProgramId
-from oleanderhitch.program.turns.messages import BeginTurn, SettleTurn
+from oleanderhitch.program.turns.messages import BeginTurn, FindTurn, SettleTurn
 from oleanderhitch.request.forwarding.states import Verdict
 from oleanderhitch.request.ids import PermitId, RequestId
 from oleanderhitch.version.ids import EndpointId, ServiceName
@@ -99,6 +99,15 @@
     deadline: datetime
 
 
+@dataclass(frozen=True, slots=True)
+class SearchTurn:
+    """Searches the turn to continue in all groups except that of the program."""
+
+    query: FindTurn
+    program: ProgramId
+    deadline: datetime
+
+
 @dataclass(frozen=True, slots=True)
 class SettleReservation:
     """Replaces the turn's reservation in the program record with its spend.
--- a/oleanderhitch/request/forwarding/state.py
+++ b/oleanderhitch/request/forwarding/state.py
@@ -44,7 +44,13 @@
     exchange_id_base: int
     started_at: datetime
     deadline: datetime
+    # Groups of the record that may have the turn to continue, besides the program's.
+    n_other_record_groups: int = 0
     phase: Phase = Phase.RESERVING
+    # Groups that have not answered the search of the turn to continue yet, and why one
+    # of them could not be searched.
+    n_searches: int = 0
+    search_failure: str = ""
     history: bytes = b""
     attempt: Attempt | None = None
     tried_endpoints: tuple[EndpointId, ...] = ()
@@ -83,6 +89,7 @@
     tokens_per_event: int,
     request_number: int,
     now: datetime,
+    n_other_record_groups: int = 0,
 ) -> ForwardState:
     """Return the state of a request that was received at the given time."""
     timeout: timedelta = route.timeout
@@ -96,5 +103,6 @@
         request_number * N_EXCHANGES_PER_REQUEST,
         now,
         now + timeout,
+        n_other_record_groups,
         last_event_id=request.last_event_id,
     )
--- a/oleanderhitch/request/forwarding/states.py
+++ b/oleanderhitch/request/forwarding/states.py
@@ -4,9 +4,13 @@
 
 
 class Phase(Enum):
-    """What a request is doing; WAITING is for an endpoint, SENT for its response."""
+    """What a request is doing; WAITING is for an endpoint, SENT for its response.
+
+    SEARCHING is for the turn to continue, if it is one of another program.
+    """
 
     RESERVING = "reserving"
+    SEARCHING = "searching"
     WAITING = "waiting"
     SENT = "sent"
     COLLECTING = "collecting"
--- a/oleanderhitch/request/forwarding/task.py
+++ b/oleanderhitch/request/forwarding/task.py
@@ -40,6 +40,7 @@
     ReleaseEndpoint,
     WithdrawRequest,
 )
+from oleanderhitch.program.ids import ProgramId
 from oleanderhitch.request.forwarding.core import handle
 from oleanderhitch.request.forwarding.dialect import Dialect
 from oleanderhitch.request.forwarding.messages import (
@@ -55,6 +56,7 @@
     ReserveTokens,
     ResponseBegun,
     ReturnPermit,
+    SearchTurn,
     SendResponse,
     SendToEndpoint,
     SendVerdict,
@@ -89,7 +91,8 @@
 
     dialect: Dialect
     await_table: Callable[[timedelta], RouteTable | None]
-    record_group: GroupId
+    record_groups: tuple[GroupId, ...]
+    get_record_group: Callable[[ProgramId], GroupId]
     group_client: Address
     codec: Codec
     placement: Address
@@ -186,6 +189,7 @@
         0 if engine is None else engine.tokens_per_event,
         next(dependencies.request_numbers),
         now,
+        len(dependencies.record_groups) - 1,
     )
     log.info(
         "request routed",
@@ -308,13 +312,25 @@
     timeout = max(effect.deadline - dependencies.clock.now(), timedelta(0))
     body = dependencies.codec.encode(effect.command)
     tag = context.request.request
+    group = dependencies.get_record_group(effect.command.program)
     dependencies.group_client.send(
-        SubmitToGroup(
-            dependencies.record_group, body, False, timeout, tag, context.mailbox
-        )
+        SubmitToGroup(group, body, False, timeout, tag, context.mailbox)
     )
 
 
+@perform.register
+def _(effect: SearchTurn, context: ForwardContext) -> None:
+    dependencies = context.dependencies
+    timeout = max(effect.deadline - dependencies.clock.now(), timedelta(0))
+    body = dependencies.codec.encode(effect.query)
+    tag = context.request.request
+    for group in dependencies.record_groups:
+        if group != dependencies.get_record_group(effect.program):
+            dependencies.group_client.send(
+                SubmitToGroup(group, body, True, timeout, tag, context.mailbox)
+            )
+
+
 @perform.register
 def _(effect: SettleReservation, context: ForwardContext) -> None:
     dependencies = context.dependencies
@@ -323,7 +339,7 @@
     tag = context.request.request
     dependencies.group_client.send(
         SubmitToGroup(
-            dependencies.record_group,
+            dependencies.get_record_group(effect.command.program),
             body,
             False,
             SETTLEMENT_TIMEOUT,
--- a/tests/process/repair/test_core.py
+++ b/tests/process/repair/test_core.py
@@ -3,12 +3,12 @@
 from datetime import UTC, datetime, timedelta
 
 from oleanderhitch.process.ids import LogIndex, NodeId, ReplicaId, Term
-from oleanderhitch.process.repair.core import (
+from oleanderhitch.process.repair.core import BalanceSlot, RepairState, handle
+from oleanderhitch.process.repair.effects import (
     ChangeReplica,
+    MoveLeadership,
     ProposeCommand,
-    RepairState,
     SendToStore,
-    handle,
 )
 from oleanderhitch.process.repair.messages import (
     CompleteRetirement,
@@ -42,7 +42,8 @@
     """Sends announcements and statuses to the repair core of the leader on host a."""
 
     def __init__(self, *voters: str) -> None:
-        self.state = RepairState(3)
+        self.state = RepairState(SITE_GROUP, 3, BalanceSlot(0, 1))
+        self.loads: dict[str, tuple[int, int]] = {}
         self.now = NOW
         self.membership = Membership(tuple(make_replica_id(host) for host in voters))
         self.unreachable_replicas: set[ReplicaId] = set()
@@ -78,7 +79,7 @@
                         NodeId(f"{host}:1"),
                         replica,
                         DataCentreName(f"dc-{host}"),
-                        (),
+                        *self.loads.get(host, (0, 0)),
                     )
                     handle(hello, self.state, self.now)
             status = StatusObserved(self._make_status())
@@ -240,3 +241,55 @@
         if isinstance(effect, ProposeCommand)
     ]
     assert RegisterStore(HostName("a"), NodeId("a:1"), make_replica_id("a")) in commands
+
+
+def find_move(harness: RepairHarness, n_times: int = 20) -> list[MoveLeadership]:
+    """Return the moves of the leadership among the last effects."""
+    effects = harness.observe(n_times)
+    return [effect for effect in effects if isinstance(effect, MoveLeadership)]
+
+
+def test_busy_voter_is_replaced_by_a_store_with_fewer_replicas() -> None:
+    """Guard against the first three stores, which serve all groups for ever."""
+    harness = RepairHarness("a", "b", "c")
+    harness.announce_store("d", "1")
+    harness.loads = {"a": (5, 0), "b": (7, 0), "c": (5, 0), "d": (4, 0)}
+    change = harness.find_change(20)
+    assert change is not None
+    assert (change.replica, change.replacement) == (
+        make_replica_id("b"),
+        make_replica_id("d"),
+    )
+    harness.loads["d"] = (5, 0)
+    assert harness.find_change(20) is None
+
+
+def test_leadership_moves_to_the_store_that_leads_least() -> None:
+    """Guard against one store that leads the groups of all programs."""
+    harness = RepairHarness("a", "b", "c")
+    harness.loads = {"a": (5, 3), "b": (5, 2), "c": (5, 1)}
+    assert find_move(harness) == [MoveLeadership(make_replica_id("c"))]
+    harness.loads = {"a": (5, 2), "b": (5, 1), "c": (5, 1)}
+    assert find_move(harness) == []
+
+
+def test_nothing_moves_while_a_voter_is_unreachable_or_just_back() -> None:
+    """Guard against moves that add to the load of a group that recovers."""
+    harness = RepairHarness("a", "b", "c")
+    harness.loads = {"a": (5, 3), "b": (5, 2), "c": (5, 1)}
+    harness.observe(20)
+    harness.unreachable_replicas.add(make_replica_id("b"))
+    assert find_move(harness, 7) == []
+    harness.unreachable_replicas.clear()
+    assert find_move(harness, 1) == []
+    assert find_move(harness) != []
+
+
+def test_groups_take_turns_to_move() -> None:
+    """Guard against groups that all move to the same store at the same time."""
+    harness = RepairHarness("a", "b", "c")
+    harness.state.balance_slot = BalanceSlot(0, 4)
+    harness.loads = {"a": (5, 3), "b": (5, 2), "c": (5, 1)}
+    harness.observe(20)
+    n_moves = sum(bool(find_move(harness, 1)) for _ in range(32))
+    assert n_moves == 8
--- a/tests/process/site/harness.py
+++ b/tests/process/site/harness.py
@@ -36,11 +36,6 @@
     SiteStoreSettings,
 )
 from oleanderhitch.process.site.store import Store, StoreDependencies, make_store
-from oleanderhitch.process.site.supervisor import (
-    EndStore,
-    StoreSupervisor,
-    make_store_supervisor,
-)
 from oleanderhitch.version.ids import (
     DataCentreName,
     EndpointId,
@@ -118,19 +113,12 @@
         self._operator_addresses = [get_free_address() for _ in range(n_stores)]
         self._caller_address = get_free_address()
         self.engine = FakeEngine()
-        self._supervisors: dict[int, StoreSupervisor] = {}
+        self.stores: dict[int, Store] = {}
         self.end_reasons: list[str] = []
         self.metrics: dict[int, Metrics] = {}
         self.entry: EntryHost | None = None
         self.http = urllib3.PoolManager(retries=False, timeout=5)
 
-    @property
-    def stores(self) -> dict[int, Store]:
-        """The running stores by number."""
-        return {
-            number: supervisor.store for number, supervisor in self._supervisors.items()
-        }
-
     def start(self) -> None:
         """Start the engine, the stores, which form a new group, and the entry host."""
         self.engine.start()
@@ -161,11 +149,8 @@
             make_platform_operator_dialect(1), self.engine.list_endpoints
         )
 
-        def make_own_store(settings: SiteStoreSettings, end: EndStore) -> Store:
-            self.metrics[number] = make_metrics()
-            return make_store(settings, dependencies, CLOCK, self.metrics[number], end)
-
-        supervisor = make_store_supervisor(
+        self.metrics[number] = make_metrics()
+        store = make_store(
             SiteStoreSettings(
                 self._make_site_settings(
                     f"store-{number}", NodeId(self._peer_addresses[number])
@@ -175,15 +160,17 @@
                 may_bootstrap,
                 1,
             ),
-            make_own_store,
+            dependencies,
+            CLOCK,
+            self.metrics[number],
             self.end_reasons.append,
         )
-        supervisor.start()
-        self._supervisors[number] = supervisor
+        store.start()
+        self.stores[number] = store
 
     def stop_store(self, number: int) -> None:
         """Stop a store without a leadership transfer and release its files."""
-        self._supervisors.pop(number).store.close()
+        self.stores.pop(number).close()
 
     def find_leader(self) -> int | None:
         """Return the number of the leader, or None."""
@@ -251,14 +238,19 @@
         wait_until(is_accepted, f"version {version} accepted")
 
     def send_turn(
-        self, request: str, body: bytes, previous: str | None = None, budget: int = 1000
+        self,
+        request: str,
+        body: bytes,
+        previous: str | None = None,
+        budget: int = 1000,
+        program: str = "p",
     ) -> tuple[int, bytes]:
         """Send a turn to the entry host; return the status and body of the response."""
         headers = {
             "Host": "h",
             "X-Request-Id": request,
             "X-Deadline-Ms": "4000",
-            "X-Program-Id": "p",
+            "X-Program-Id": program,
             "X-Token-Budget": str(budget),
             "X-Token-Usage": "100,50",
         }
--- a/tests/process/site/test_site.py
+++ b/tests/process/site/test_site.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from oleanderhitch.process.site.group import SITE_GROUPS, get_turn_group
+from oleanderhitch.program.ids import ProgramId
 from tests.process.site.harness import SiteHarness, wait_until
 
 ENGINE_OUTPUT = b"out0\nout1\nout2\n"
@@ -59,8 +61,12 @@
     site.start_store(first, disk=1)
 
     def is_repaired() -> bool:
-        voters = site.stores[site.wait_for_leader()].list_voters()
-        return site.stores[first].replica_id in voters and len(voters) == 3
+        for group in SITE_GROUPS:
+            voters = site.stores[leader].list_voters(group)
+            replica = site.stores[first].find_replica_id(group)
+            if replica not in voters or len(voters) != 3:
+                return False
+        return True
 
     wait_until(is_repaired, "three voters, one with a new disk")
     site.stop_store(second)
@@ -169,3 +175,20 @@
     site.wait_for_service("again")
     assert site.send_turn("next", b"in", "t0")[0] == 200
     assert site.engine.bodies[-1] == content + ENGINE_OUTPUT + b"in"
+
+
+def test_turn_continues_one_of_a_program_in_another_group(site: SiteHarness) -> None:
+    """Guard against programs that can't continue the turns of other programs."""
+    names = [f"p{number}" for number in range(20)]
+    groups = {get_turn_group(ProgramId(name)) for name in names}
+    assert len(groups) > 3
+    assert site.send_turn("t1", b"in1\n", program="p0")[0] == 200
+    assert site.send_turn("t2", b"in2\n", "t1", program="p0")[0] == 200
+    history = b"in1\n" + ENGINE_OUTPUT + b"in2\n" + ENGINE_OUTPUT
+    for name in names:
+        request = f"t3-{name}"
+        assert site.send_turn(request, b"in3\n", "t2", program=name)[0] == 200
+        assert site.engine.bodies[-1] == history + b"in3\n"
+        assert site.send_turn(f"t4-{name}", b"in4\n", request, program=name)[0] == 200
+        expected = history + b"in3\n" + ENGINE_OUTPUT + b"in4\n"
+        assert site.engine.bodies[-1] == expected
