Let a slow request wait for the one before it

What callers saw: a request on a platform connection behind which half of the next head arrived, and then nothing for the header timeout, was served past its deadline, while its entry host did nothing else.

Cause: the reader of the connection rejected the slow request at once. The task of the running one put the rejection back into the mailbox that it read from, again and again, without yielding. The reader already waited for the running requests if the bytes behind them were malformed.

Change: the reader waits in both cases, and the task no longer handles rejections. test_slow_headers_wait_for_the_request_before_them failed before (the mailbox had the rejection, the first response never came).

--- a/oleanderhitch/connection/http/caller.py
+++ b/oleanderhitch/connection/http/caller.py
@@ -193,7 +193,7 @@
                 else:
                     has_data = self._await_bytes(limits.header_timeout)
                 if not has_data:
-                    self._mailbox.send(self._make_timeout_message(parser.is_idle))
+                    self._end_after_timeout(parser.is_idle)
                     return
                 data = self._socket.recv(RECEIVE_BYTES)
                 if not data:
@@ -247,10 +247,15 @@
             return False
         return True
 
-    def _make_timeout_message(self, is_idle: bool) -> object:
+    def _end_after_timeout(self, is_idle: bool) -> None:
         if is_idle:
-            return CallerDisconnected("connection was idle")
-        return RequestRejected(RequestFault.TIMED_OUT, "request came too slowly")
+            self._mailbox.send(CallerDisconnected("connection was idle"))
+            return
+        # The requests before the one that is too slow get their responses first.
+        self._await_responses(0)
+        self._mailbox.send(
+            RequestRejected(RequestFault.TIMED_OUT, "request came too slowly")
+        )
 
 
 def make_caller_connection(
--- a/oleanderhitch/request/forwarding/task.py
+++ b/oleanderhitch/request/forwarding/task.py
@@ -15,7 +15,6 @@
 from oleanderhitch.connection.http.messages import (
     HttpRequest,
     HttpResponse,
-    RequestRejected,
     ResponseHead,
 )
 from oleanderhitch.connection.http.pool import CancelExchange, StartExchange
@@ -267,13 +266,6 @@
     return ResponseBegun(message.exchange_id, head)
 
 
-@_translate.register
-def _(message: RequestRejected, context: ForwardContext) -> object | None:
-    # Applies to the bytes after this request, which gets its response first.
-    context.mailbox.send(message)
-    return None
-
-
 def _record_time_to_first_token(message: object, context: ForwardContext) -> None:
     state = context.state
     is_stream = state.route.kind is RouteKind.STREAM
--- a/tests/connection/http/test_caller.py
+++ b/tests/connection/http/test_caller.py
@@ -135,6 +135,29 @@
     assert read_all(connected).startswith(b"HTTP/1.1 408 ")
 
 
+# Guards against a running request that gets the rejection of the one behind it, which
+# kept its task busy past its deadline without yielding.
+def test_slow_headers_wait_for_the_request_before_them(
+    start: Callable[[ServeRequest], tuple[HttpServer, HostAddress]],
+) -> None:
+    """Reject a request that comes too slowly after the response before it."""
+    messages: list[object] = []
+
+    def serve_slowly(
+        request: HttpRequest, writer: ResponseWriter, mailbox: Mailbox, now: datetime
+    ) -> None:
+        messages.append(mailbox.receive(LIMITS.header_timeout * 3))
+        writer.respond(HttpResponse(200, request.target.encode()))
+
+    _, address = start(serve_slowly)
+    connected = connect(address)
+    connected.sendall(GET % b"/first" + b"GET /second HTTP/1.1\r\nHo")
+    first, _, second = read_all(connected).partition(b"/first")
+    assert messages == [None]
+    assert first.startswith(b"HTTP/1.1 200")
+    assert second.startswith(b"HTTP/1.1 408")
+
+
 def test_invalid_bytes_get_status_400_and_a_close(
     start: Callable[[ServeRequest], tuple[HttpServer, HostAddress]],
 ) -> None:
