--- a/tests/process/site/harness.py
+++ b/tests/process/site/harness.py
@@ -48,13 +48,20 @@
 N_EVENTS = 3
 
 
+_given_addresses: set[HostAddress] = set()
+
+
 def get_free_address() -> HostAddress:
-    """Return an address that nothing listens on."""
-    free = socket.socket()
-    free.bind(("127.0.0.1", 0))
-    address = HostAddress(f"127.0.0.1:{free.getsockname()[1]}")
-    free.close()
-    return address
+    """Return an address that nothing listens on, a new one in each call."""
+    while True:
+        free = socket.socket()
+        free.bind(("127.0.0.1", 0))
+        address = HostAddress(f"127.0.0.1:{free.getsockname()[1]}")
+        free.close()
+        # The system may choose a port again as soon as it is closed.
+        if address not in _given_addresses:
+            _given_addresses.add(address)
+            return address
 
 
 def wait_until(condition: Callable[[], bool], description: str) -> None:
