Sent most hellos to the leader and fewer heartbeats over idle links

Change: a hello goes to the store that leads; every second regular one goes to all, so that the next leader finds the entry hosts. A new link gets a hello of its own instead of one to all stores. Idle links send a heartbeat each second and are given up after 2.2 s; calls without a reply have gone to another store long before that.

--- a/oleanderhitch/process/site/entry.py
+++ b/oleanderhitch/process/site/entry.py
@@ -41,6 +41,7 @@
 from oleanderhitch.process.site.subscription.core import (
     ListReadLocally,
     SeedsConfigured,
+    StatusReceived,
 )
 from oleanderhitch.process.site.subscription.installed_state import InstalledState
 from oleanderhitch.process.site.subscription.task import (
@@ -221,7 +222,7 @@
     def _deliver(self, delivery: PeerMessage) -> None:
         message = delivery.message
         if isinstance(message, SiteStatus):
-            self._subscription.send(message)
+            self._subscription.send(StatusReceived(delivery.node, message))
         elif isinstance(message, GroupAnswer | GroupRedirect | GroupUncertain):
             self._group_client.send(message)
         else:
--- a/oleanderhitch/process/site/links.py
+++ b/oleanderhitch/process/site/links.py
@@ -11,12 +11,14 @@
 from oleanderhitch.process.roles.store_links import StoreLinks
 from oleanderhitch.process.site.settings import SiteSettings
 
-# A peer that sends nothing for `receive_timeout` is frozen, isolated or has stopped.
-# Calls that wait for its reply are then sent to another peer.
+# A peer that sends nothing for `receive_timeout` is frozen, isolated or has stopped, or
+# its connection is silent; the link then connects again. Calls without a reply are sent
+# to another store long before that. Every entry host has a link to every store, so
+# that heartbeats of idle links are most of the messages of a large site.
 LINK_TIMING = StreamTiming(
     connect_timeout=timedelta(milliseconds=800),
-    heartbeat_interval=timedelta(milliseconds=400),
-    receive_timeout=timedelta(milliseconds=1400),
+    heartbeat_interval=timedelta(milliseconds=1000),
+    receive_timeout=timedelta(milliseconds=2200),
 )
 
 
--- a/oleanderhitch/process/site/subscription/core.py
+++ b/oleanderhitch/process/site/subscription/core.py
@@ -15,7 +15,10 @@
 from oleanderhitch.process.site.messages import EntryHello, RoutingFound, SiteStatus
 from oleanderhitch.version.routes.ids import NO_ROUTING, RoutingVersion
 
+# The leader's store gets each hello. The others only need to know which entry hosts
+# there are, to push routing to them if they lead next.
 HELLO_INTERVAL = timedelta(milliseconds=600)
+N_HELLOS_PER_BROADCAST = 2
 # An entry host also sends a hello when a check shows that its loads have changed, since
 # all entry hosts choose endpoints by the loads that all of them cause.
 LOAD_CHECK_INTERVAL = timedelta(milliseconds=250)
@@ -41,11 +44,20 @@
     endpoint_list: EndpointList
 
 
+@dataclass(frozen=True, slots=True)
+class StatusReceived:
+    """Reports the status that a store has sent."""
+
+    store: NodeId
+    status: SiteStatus
+
+
 @dataclass(frozen=True, slots=True)
 class SendHello:
-    """Sends this entry host's hello to all known stores."""
+    """Sends this entry host's hello to one store, or to all known ones."""
 
     hello: EntryHello
+    store: NodeId | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,7 +115,7 @@
 
     `list_confirmed_at` is when the list of endpoints was last known to be current, and
     `is_reader` is set while this process reads the list itself. `loads` are those that
-    this entry host causes.
+    this entry host causes. `leader` is the store that sent the last status of a leader.
     """
 
     node: NodeId
@@ -115,6 +127,8 @@
     is_reader: bool = False
     loads: tuple[EndpointLoad, ...] = ()
     next_hello_at: datetime | None = None
+    n_hellos: int = 0
+    leader: NodeId | None = None
 
 
 @singledispatch
@@ -132,7 +146,9 @@
     is_stale = now - state.list_confirmed_at > LIST_TTL
     effects: list[object] = [RequestLoads()]
     if state.next_hello_at is None or now >= state.next_hello_at:
-        effects.extend(_send_hello(state))
+        is_broadcast = state.n_hellos % N_HELLOS_PER_BROADCAST == 0
+        state.n_hellos += 1
+        effects.append(_make_hello(state, None if is_broadcast else state.leader))
         state.next_hello_at = now + HELLO_INTERVAL
     if is_stale and not state.is_reader:
         state.is_reader = True
@@ -146,8 +162,7 @@
     state.loads = message.loads
     if not is_new:
         return []
-    state.next_hello_at = now + HELLO_INTERVAL
-    return _send_hello(state)
+    return [_make_hello(state, state.leader)]
 
 
 @handle.register
@@ -157,6 +172,13 @@
     return _add_stores(message.stores, state)
 
 
+@handle.register
+def _(message: StatusReceived, state: SubscriptionState, now: datetime) -> list[object]:
+    if message.status.other_loads is not None:
+        state.leader = message.store
+    return handle(message.status, state, now)
+
+
 @handle.register
 def _(message: SiteStatus, state: SubscriptionState, now: datetime) -> list[object]:
     effects = _add_stores(message.stores, state)
@@ -164,7 +186,7 @@
         state.routing = message.routing.version
         effects.append(InstallRouting(message.routing))
         # Informs the stores of the new version before the next regular hello.
-        effects.extend(_send_hello(state))
+        effects.append(_make_hello(state, None))
     if message.endpoints is not None:
         effects.extend(_accept_list(message.endpoints, False, state, now))
     elif message.list_version is not None:
@@ -186,9 +208,10 @@
 @handle.register
 def _(message: LinkUp, state: SubscriptionState, now: datetime) -> list[object]:
     state.connected_stores.add(message.peer)
-    effects = _send_hello(state)
-    effects.append(LogLinkChange("store connected", message.peer, ""))
-    return effects
+    return [
+        _make_hello(state, NodeId(message.peer)),
+        LogLinkChange("store connected", message.peer, ""),
+    ]
 
 
 @handle.register
@@ -196,12 +219,14 @@
     if message.peer not in state.connected_stores:
         return []
     state.connected_stores.discard(message.peer)
+    if state.leader == NodeId(message.peer):
+        state.leader = None
     return [LogLinkChange("store disconnected", message.peer, message.reason)]
 
 
-def _send_hello(state: SubscriptionState) -> list[object]:
+def _make_hello(state: SubscriptionState, store: NodeId | None) -> SendHello:
     hello = EntryHello(state.node, state.routing, state.list_version, state.loads)
-    return [SendHello(hello)]
+    return SendHello(hello, store)
 
 
 def _add_stores(stores: tuple[NodeId, ...], state: SubscriptionState) -> list[object]:
--- a/oleanderhitch/process/site/subscription/task.py
+++ b/oleanderhitch/process/site/subscription/task.py
@@ -64,8 +64,12 @@
 
 @perform.register
 def _(effect: SendHello, dependencies: SubscriptionDependencies) -> None:
-    for link in dependencies.links.links.values():
-        link.send(effect.hello)
+    link = None
+    if effect.store is not None:
+        link = dependencies.links.get_link(effect.store)
+    links = dependencies.links.links.values() if link is None else (link,)
+    for receiver in links:
+        receiver.send(effect.hello)
 
 
 @perform.register
--- a/tests/process/site/test_subscription.py
+++ b/tests/process/site/test_subscription.py
@@ -1,17 +1,23 @@
 """Guard against outdated routing and lists that an entry host installs."""
 
+from dataclasses import replace
 from datetime import UTC, datetime, timedelta
 
+from oleanderhitch.connection.ids import HostAddress
+from oleanderhitch.connection.peer.messages import LinkDown, LinkUp
 from oleanderhitch.process.directory.messages import EndpointList, ListVersion
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.messages import Tick
 from oleanderhitch.process.site.messages import RoutingFound, SiteStatus
 from oleanderhitch.process.site.subscription.core import (
+    HELLO_INTERVAL,
     InstallEndpoints,
     InstallRouting,
     LinkStores,
     ListReadLocally,
+    SendHello,
     SetLocalReader,
+    StatusReceived,
     SubscriptionState,
     handle,
 )
@@ -91,3 +97,28 @@
     state = SubscriptionState(NodeId("entry"))
     assert list_effects(state, make_status(stores=("s1", "s2")), LinkStores)
     assert not list_effects(state, make_status(stores=("s1",)), LinkStores)
+
+
+def test_most_hellos_go_to_the_leader_only() -> None:
+    """Guard against messages that grow with entry hosts times stores.
+
+    Without a leader all stores get each hello, so that the next leader is found.
+    """
+    state = SubscriptionState(NodeId("entry"))
+    leader = NodeId("s2")
+
+    def list_receivers(n_ticks: int, start: datetime) -> list[NodeId | None]:
+        ticks = [
+            list_effects(state, Tick(), SendHello, start + n * HELLO_INTERVAL)
+            for n in range(n_ticks)
+        ]
+        return [hello.store for hellos in ticks for hello in hellos]
+
+    assert list_receivers(4, NOW) == [None] * 4
+    status = replace(make_status(), other_loads=())
+    handle(StatusReceived(leader, status), state, NOW)
+    later = NOW + timedelta(seconds=10)
+    assert list_receivers(4, later) == [None, leader, None, leader]
+    handle(LinkUp(HostAddress(leader)), state, later)
+    handle(LinkDown(HostAddress(leader), "ended"), state, later)
+    assert list_receivers(4, later + timedelta(seconds=10)) == [None] * 4
