Rejected turns at once while their group is known to be away

Change: if a group has had waiting calls for 1.5 s, longer than an election, and has answered none, a reservation or a search for it is rejected at once and not sent. One waiting call is kept, whose answer shows that the group is back. Nothing was reserved for a rejected turn, so nothing is released: settlements of what was never reserved would be the first load on a group that returns.

test_calls_are_rejected_at_once_while_their_group_is_away failed before (there was no such reply).

--- a/oleanderhitch/process/groups/client/core.py
+++ b/oleanderhitch/process/groups/client/core.py
@@ -7,6 +7,7 @@
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.connection.peer.messages import LinkDown, LinkUp
 from oleanderhitch.process.groups.client.messages import (
+    GroupAway,
     GroupResult,
     GroupTimedOut,
     SendReply,
@@ -30,6 +31,10 @@
 # While a group has no leader, every store redirects immediately; the delay keeps the
 # client from resending in a tight loop.
 REDIRECT_DELAY = timedelta(milliseconds=50)
+# An election takes up to a second, and a caller that waits for it is served sooner than
+# one that is rejected. A group that leaves calls without an answer for longer than this
+# has lost its majority or is overloaded.
+AWAY_TIMEOUT = timedelta(milliseconds=1500)
 
 
 @dataclass(slots=True)
@@ -51,6 +56,8 @@
     stores: dict[NodeId, HostAddress]
     leaders: dict[GroupId, HostAddress] = field(default_factory=dict)
     pending: dict[CallId, PendingCall] = field(default_factory=dict)
+    # Since when each group has had waiting calls and answered none.
+    unanswered_since: dict[GroupId, datetime] = field(default_factory=dict)
     n_calls: int = 0
 
 
@@ -69,6 +76,11 @@
 
 @handle.register
 def _(message: SubmitToGroup, state: ClientState, now: datetime) -> list[object]:
+    if message.is_rejected_while_away and _is_away(message.group, state, now):
+        reason = f"group {message.group} does not answer"
+        return [SendReply(message.reply_address, GroupAway(message.tag, reason))]
+    if not _has_waiting_call(message.group, state):
+        state.unanswered_since[message.group] = now
     state.n_calls += 1
     call = GroupCall(
         CallId(state.n_calls),
@@ -91,6 +103,7 @@
     if pending is None:
         return []
     state.leaders[pending.call.group] = pending.store
+    state.unanswered_since[pending.call.group] = now
     result = GroupResult(pending.submission.tag, message.body)
     return [SendReply(pending.submission.reply_address, result)]
 
@@ -160,6 +173,20 @@
     return effects
 
 
+def _is_away(group: GroupId, state: ClientState, now: datetime) -> bool:
+    """Return whether a group is known not to answer.
+
+    One call at least must be waiting, since its answer shows that the group is back.
+    """
+    since = state.unanswered_since.get(group)
+    is_overdue = since is not None and now - since >= AWAY_TIMEOUT
+    return is_overdue and _has_waiting_call(group, state)
+
+
+def _has_waiting_call(group: GroupId, state: ClientState) -> bool:
+    return any(pending.call.group == group for pending in state.pending.values())
+
+
 def _resend(pending: PendingCall, state: ClientState, now: datetime) -> list[object]:
     store = state.leaders.get(pending.call.group)
     if store is None or store == pending.store:
--- a/oleanderhitch/process/groups/client/messages.py
+++ b/oleanderhitch/process/groups/client/messages.py
@@ -15,7 +15,8 @@
 
     The call is sent again until it gets a reply or the timeout expires, so the command
     must be safe to deliver more than once. The result carries `tag`, so that the sender
-    can match it to the call.
+    can match it to the call. A call with `is_rejected_while_away` is not sent, and gets
+    a GroupAway, if the group is known not to answer.
     """
 
     group: GroupId
@@ -25,6 +26,7 @@
     tag: str
     reply_address: Address
     trace: dict[str, str] = field(default_factory=dict)
+    is_rejected_while_away: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +45,17 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class GroupAway:
+    """Reports that a call was not sent, since its group has not answered for a while.
+
+    The call has no effect.
+    """
+
+    tag: str
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class SendToStore:
     """Sends a call to a store."""
@@ -56,4 +69,4 @@
     """Sends a message to a reply address."""
 
     reply_address: Address
-    message: GroupResult | GroupTimedOut
+    message: GroupResult | GroupTimedOut | GroupAway
--- a/oleanderhitch/request/forwarding/core.py
+++ b/oleanderhitch/request/forwarding/core.py
@@ -38,6 +38,7 @@
     AbortResponse,
     FinishResponse,
     LogDecision,
+    RecordAway,
     RecordFailed,
     ReportFirstChunk,
     ResponseBegun,
@@ -142,6 +143,16 @@
     return []
 
 
+@handle.register
+def _(message: RecordAway, state: ForwardState, now: datetime) -> list[object]:
+    if state.phase is Phase.SEARCHING:
+        return record_fruitless_search(state, message.reason)
+    if state.phase is not Phase.RESERVING:
+        return []
+    # Nothing was reserved, so there is nothing to release.
+    return end_with_verdict(state, Verdict.RECORD_UNAVAILABLE, message.reason)
+
+
 @handle.register
 def _(message: TurnSettled, state: ForwardState, now: datetime) -> list[object]:
     if state.phase is not Phase.RECORDING:
--- a/oleanderhitch/request/forwarding/messages.py
+++ b/oleanderhitch/request/forwarding/messages.py
@@ -80,6 +80,13 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class RecordAway:
+    """Reports that a command was not sent, since the program record does not answer."""
+
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseBegun:
     """Reports that an endpoint's response has begun."""
--- a/oleanderhitch/request/forwarding/task.py
+++ b/oleanderhitch/request/forwarding/task.py
@@ -23,6 +23,7 @@
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.clock import Clock
 from oleanderhitch.process.groups.client.messages import (
+    GroupAway,
     GroupResult,
     GroupTimedOut,
     SubmitToGroup,
@@ -48,6 +49,7 @@
     FinishResponse,
     ForwardRequest,
     LogDecision,
+    RecordAway,
     RecordFailed,
     ReportEventLatency,
     ReportFirstChunk,
@@ -266,6 +268,13 @@
     return ResponseBegun(message.exchange_id, head)
 
 
+@_translate.register
+def _(message: GroupAway, context: ForwardContext) -> object | None:
+    if message.tag != context.request.request:
+        return None
+    return RecordAway(message.reason)
+
+
 def _record_time_to_first_token(message: object, context: ForwardContext) -> None:
     state = context.state
     is_stream = state.route.kind is RouteKind.STREAM
@@ -306,7 +315,15 @@
     tag = context.request.request
     group = dependencies.get_record_group(effect.command.program)
     dependencies.group_client.send(
-        SubmitToGroup(group, body, False, timeout, tag, context.mailbox)
+        SubmitToGroup(
+            group,
+            body,
+            False,
+            timeout,
+            tag,
+            context.mailbox,
+            is_rejected_while_away=True,
+        )
     )
 
 
@@ -319,7 +336,15 @@
     for group in dependencies.record_groups:
         if group != dependencies.get_record_group(effect.program):
             dependencies.group_client.send(
-                SubmitToGroup(group, body, True, timeout, tag, context.mailbox)
+                SubmitToGroup(
+                    group,
+                    body,
+                    True,
+                    timeout,
+                    tag,
+                    context.mailbox,
+                    is_rejected_while_away=True,
+                )
             )
 
 
--- a/tests/process/groups/test_client_core.py
+++ b/tests/process/groups/test_client_core.py
@@ -1,13 +1,19 @@
 """Guard against calls that reach no leader, get no result or more than one."""
 
+from dataclasses import replace
 from datetime import UTC, datetime, timedelta
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from oleanderhitch.connection.peer.messages import LinkDown
-from oleanderhitch.process.groups.client.core import handle, make_client_state
+from oleanderhitch.process.groups.client.core import (
+    AWAY_TIMEOUT,
+    handle,
+    make_client_state,
+)
 from oleanderhitch.process.groups.client.messages import (
+    GroupAway,
     GroupResult,
     GroupTimedOut,
     SendReply,
@@ -124,3 +130,41 @@
             sent.append(effect)
         else:
             results.setdefault(effect.reply_address, []).append(effect.message)
+
+
+# Guards against callers that wait for their whole time while the client knows that
+# their group has no majority.
+def test_calls_are_rejected_at_once_while_their_group_is_away():
+    """Reject calls that allow it, while one call waits that shows the return."""
+    state = make_client_state(STORES)
+    call = replace(submit("t"), is_rejected_while_away=True)
+
+    def is_sent(at, group="g"):
+        effects = handle(replace(call, group=group), state, at)
+        (effect,) = effects
+        if isinstance(effect, SendToStore):
+            return True
+        assert isinstance(effect.message, GroupAway)
+        return False
+
+    assert is_sent(START)
+    assert is_sent(START + AWAY_TIMEOUT - STEP)
+    away_at = START + AWAY_TIMEOUT
+    assert not is_sent(away_at)
+    assert is_sent(away_at, "another group")
+    (effect,) = handle(submit("settlement"), state, away_at)
+    assert isinstance(effect, SendToStore)
+    handle(GroupAnswer(effect.call.call, b"done"), state, away_at)
+    assert is_sent(away_at + STEP)
+
+
+def test_a_group_without_waiting_calls_gets_the_next_one():
+    """Guard against a group that stays rejected because nothing is sent to it."""
+    state = make_client_state(STORES)
+    handle(submit("t"), state, START)
+    later = START + timedelta(seconds=5)
+    handle(Tick(), state, later)
+    call = replace(submit("u"), is_rejected_while_away=True)
+    for at in (later, later + STEP):
+        (effect,) = handle(call, state, at)
+        assert isinstance(effect, SendToStore)
--- a/tests/request/forwarding/test_core.py
+++ b/tests/request/forwarding/test_core.py
@@ -25,7 +25,10 @@
     PreviousTurnMissing,
     SettleTurn,
     TurnBegun,
+    TurnFound,
+    TurnNotFound,
     TurnSettled,
+    WholeTurn,
 )
 from oleanderhitch.request.forwarding.core import handle
 from oleanderhitch.request.forwarding.messages import (
@@ -36,11 +39,13 @@
     ForwardRequest,
     LogDecision,
     ProgramTurn,
+    RecordAway,
     RecordFailed,
     RequestEndpoint,
     ReserveTokens,
     ResponseBegun,
     ReturnPermit,
+    SearchTurn,
     SendResponse,
     SendToEndpoint,
     SendVerdict,
@@ -420,3 +425,50 @@
     assert find(effects, RequestEndpoint)
     (send,) = find(run(state, grant("e2"), at=later), SendToEndpoint)
     assert send.last_event_id == "1"  # type: ignore[attr-defined]
+
+
+def search(n_groups: int = 3) -> ForwardState:
+    """Return a request that searches its previous turn in other groups."""
+    state = make_state(RouteKind.STREAM, keeps_history=True, is_turn=True)
+    state.n_other_record_groups = n_groups
+    run(state, Start())
+    assert [type(e) for e in run(state, PreviousTurnMissing())] == [SearchTurn]
+    return state
+
+
+def list_verdicts(effects: list[object]) -> list[Verdict]:
+    """Return the verdicts among the effects."""
+    return [effect.verdict for effect in effects if isinstance(effect, SendVerdict)]
+
+
+def test_turn_found_in_another_group_is_imported() -> None:
+    """Guard against a program that can't continue the turn of another program."""
+    state = search()
+    history = WholeTurn(None, b"history", timedelta(seconds=60))
+    (effect,) = run(state, TurnFound(history))
+    assert isinstance(effect, ReserveTokens)
+    assert effect.command.imported == history
+    assert run(state, TurnNotFound()) == []
+
+
+def test_turn_is_unknown_only_if_no_group_has_it() -> None:
+    """Guard against status 404 for a turn that a silent group may have."""
+    state = search()
+    assert run(state, TurnNotFound()) == []
+    assert run(state, TurnNotFound()) == []
+    assert list_verdicts(run(state, TurnNotFound())) == [Verdict.NO_PREVIOUS_TURN]
+    for failure in (RecordFailed("no quorum"), RecordAway("no quorum")):
+        state = search()
+        assert run(state, TurnNotFound()) == []
+        assert run(state, failure) == []
+        verdicts = list_verdicts(run(state, TurnNotFound()))
+        assert verdicts == [Verdict.RECORD_UNAVAILABLE]
+
+
+def test_rejected_reservation_is_not_released() -> None:
+    """Guard against a record that returns to settlements of what it never got."""
+    state = make_state(RouteKind.STREAM, keeps_history=True, is_turn=True)
+    run(state, Start())
+    effects = run(state, RecordAway("no quorum"))
+    assert list_verdicts(effects) == [Verdict.RECORD_UNAVAILABLE]
+    assert not [e for e in effects if isinstance(e, SettleReservation)]
