Waited for events instead of 50 ms in a test of cancelled exchanges

test_cancelled_exchange_closes_its_connection waited 50 ms for the request and 50 ms for the close; a stall of 80 ms of the process in the second wait failed it in 60 of 60 runs, although the connection was closed. It waits for the request now, and then for half a second for the close, which is how long an endpoint may work on a cancelled request.

--- a/tests/connection/http/test_endpoint.py
+++ b/tests/connection/http/test_endpoint.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 
 import gevent
+import gevent.event
 import pytest
 from gevent import socket
 
@@ -26,6 +27,8 @@
 from oleanderhitch.process.mailbox import Mailbox, make_mailbox
 
 RECEIVE_TIMEOUT = timedelta(seconds=2)
+# An endpoint may work on a cancelled request for half a second.
+CANCEL_TIMEOUT = timedelta(milliseconds=500)
 REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\n\r\n"
 Script = Callable[[socket.socket, int], None]
 
@@ -199,19 +202,20 @@
     serve: Callable[[Script], ScriptedEndpoint],
 ) -> None:
     """Guard against an endpoint that keeps working on a cancelled request."""
-    closed: list[bytes] = []
+    has_received = gevent.event.Event()
+    end: gevent.event.AsyncResult = gevent.event.AsyncResult()
 
     def script(connected: socket.socket, number: int) -> None:
         connected.recv(4096)
-        closed.append(connected.recv(4096))
+        has_received.set()
+        end.set(connected.recv(4096))
 
     endpoint = serve(script)
     client = PoolClient()
     client.start_exchange(endpoint.address, 1)
-    gevent.sleep(0.05)
+    assert has_received.wait(RECEIVE_TIMEOUT.total_seconds())
     client.pool.send(CancelExchange(1))
-    gevent.sleep(0.05)
-    assert closed == [b""]
+    assert end.get(timeout=CANCEL_TIMEOUT.total_seconds()) == b""
 
 
 def test_response_before_the_body_is_read_closes_the_connection(
