--- a/oleanderhitch/process/site/store.py
+++ b/oleanderhitch/process/site/store.py
@@ -64,7 +64,7 @@
 from oleanderhitch.process.site.peer_codec import make_site_peer_codec
 from oleanderhitch.process.site.settings import SiteStoreSettings
 from oleanderhitch.process.site.subscribers import make_subscribers
-from oleanderhitch.process.storage.identity import get_node
+from oleanderhitch.process.storage.identity import IDENTITY_FILE, get_node
 from oleanderhitch.process.usage.monitor import make_usage_monitor
 from oleanderhitch.version.routes.configuration import CallerLimits
 
@@ -275,6 +275,13 @@
             task.stop()
 
     def _open_members(self) -> None:
+        if (self._settings.data_dir / IDENTITY_FILE).exists():
+            self._end_process(
+                f"data directory {self._settings.data_dir} has a single replica of an "
+                f"earlier release; empty it, on one store after the other, so that the "
+                f"store gets its replicas from its peers"
+            )
+            return
         # The group of the routing configuration comes first and has little state, so
         # that the configuration is served before the turns are read.
         for member in self._members.values():
--- a/tests/process/site/test_site.py
+++ b/tests/process/site/test_site.py
@@ -192,3 +192,18 @@
         assert site.send_turn(f"t4-{name}", b"in4\n", request, program=name)[0] == 200
         expected = history + b"in3\n" + ENGINE_OUTPUT + b"in4\n"
         assert site.engine.bodies[-1] == expected
+
+
+def test_data_of_an_earlier_release_is_not_passed_over(tmp_path: Path) -> None:
+    """Guard against a store that starts empty beside state that it does not read."""
+    site = SiteHarness(tmp_path, 3)
+    directory = tmp_path / "store-0-0"
+    directory.mkdir()
+    (directory / "identity.json").write_text("{}")
+    site.start_store(0, may_bootstrap=True)
+    try:
+        wait_until(lambda: site.end_reasons != [], "a store that ends")
+        assert "earlier release" in site.end_reasons[0]
+        assert site.stores[0].replica_id is None
+    finally:
+        site.close()
