Bounded heads, collected bodies and events of endpoints

What callers would see: an endpoint that sends bytes without end, in a head, in a body that is collected as a whole or in one event, fills the memory of its entry host until the deadline of the request; other requests end with the process.

An event without an end was also split again with each chunk.

Change: a head is rejected from 256 KiB on, a collected body from 16 MiB and an event from 1 MiB; the attempt fails and its connection is closed. The tests name limits that did not exist before, so that they could not be imported.

--- a/oleanderhitch/connection/http/parsing.py
+++ b/oleanderhitch/connection/http/parsing.py
@@ -199,6 +199,9 @@
 ParsedPart = ParsedHead | ParsedBody | ParsedEnd
 
 _BODILESS_STATUSES = (204, 304)
+# An endpoint that fails may send bytes without end. Several times the usual limit of
+# servers, and more than is received at once.
+RESPONSE_HEAD_LIMIT_BYTES = 256 * 1024
 
 
 class ResponseParser:
@@ -206,6 +209,8 @@
 
     def __init__(self) -> None:
         self._parser: Any = httptools.HttpResponseParser(self)
+        self._is_in_head = True
+        self._n_head_bytes = 0
         self._headers: list[tuple[str, str]] = []
         self._parts: list[ParsedPart] = []
 
@@ -220,6 +225,12 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if not self._parts:
                 raise ResponseParseError(f"not HTTP/1.1: {error!r}") from None
+        if self._is_in_head:
+            self._n_head_bytes += len(data)
+            if self._n_head_bytes > RESPONSE_HEAD_LIMIT_BYTES:
+                raise ResponseParseError(
+                    f"the head exceeds {RESPONSE_HEAD_LIMIT_BYTES} bytes"
+                )
         parts, self._parts = self._parts, []
         return parts
 
@@ -234,6 +245,8 @@
         """Add the head to the parts that `feed` returns."""
         headers = tuple(self._headers)
         self._headers = []
+        self._is_in_head = False
+        self._n_head_bytes = 0
         status = self._parser.get_status_code()
         is_framed = (
             find_header(headers, "content-length") is not None
@@ -255,6 +268,7 @@
 
     def on_message_complete(self) -> None:
         """Add the end of the response to the parts that `feed` returns."""
+        self._is_in_head = True
         self._parts.append(ParsedEnd())
 
 
--- a/oleanderhitch/request/forwarding/core.py
+++ b/oleanderhitch/request/forwarding/core.py
@@ -71,6 +71,10 @@
 # request that ran out of time.
 FIRST_SERVER_ERROR_STATUS = 500
 GATEWAY_TIMEOUT_STATUS = 504
+# An endpoint that fails may send bytes without end. A body is collected as a whole, and
+# an event until its last line; both are in the memory of the entry host.
+COLLECTED_BODY_LIMIT_BYTES = 16 * 1024 * 1024
+EVENT_LIMIT_BYTES = 1024 * 1024
 # Lower bound of the time limit sent to an endpoint; no work completes in less.
 ENDPOINT_TIMEOUT_MIN = timedelta(milliseconds=10)
 
@@ -240,9 +244,14 @@
         return []
     if state.phase is Phase.COLLECTING:
         attempt.body_chunks.append(message.data)
+        attempt.n_body_bytes += len(message.data)
+        if attempt.n_body_bytes > COLLECTED_BODY_LIMIT_BYTES:
+            return handle_failed_attempt(state, "the response is too large", now)
         return []
     state.failover_at = find_failover_time(state, now)
     events = state.splitter.feed(message.data)
+    if len(state.splitter.incomplete_event) > EVENT_LIMIT_BYTES:
+        return handle_failed_attempt(state, "an event is too large", now)
     if not events:
         return []
     effects: list[object] = []
--- a/oleanderhitch/request/forwarding/state.py
+++ b/oleanderhitch/request/forwarding/state.py
@@ -31,6 +31,7 @@
     latency_measured_from: datetime | None = None
     n_latency_events: int = 0
     body_chunks: list[bytes] = field(default_factory=list)
+    n_body_bytes: int = 0
 
 
 @dataclass(slots=True)
--- a/tests/connection/http/test_parsing.py
+++ b/tests/connection/http/test_parsing.py
@@ -10,6 +10,7 @@
 )
 from oleanderhitch.connection.http.messages import HttpRequest, RequestFault
 from oleanderhitch.connection.http.parsing import (
+    RESPONSE_HEAD_LIMIT_BYTES,
     BodyEnd,
     ParsedBody,
     ParsedEnd,
@@ -112,3 +113,25 @@
     """Guard against invalid bytes from an endpoint that are passed on."""
     with pytest.raises(ResponseParseError):
         make_response_parser().feed(b"\x00\x01garbage\r\n\r\n")
+
+
+# Guards against an endpoint whose head never ends, which would fill the memory of the
+# entry host until the deadline of the request.
+def test_endless_head_of_a_response_is_rejected() -> None:
+    """Reject a head that exceeds its limit, in one header or in many."""
+    for part in (b"x" * 1024, b"X-A: b\r\n" * 128):
+        parser = make_response_parser()
+        parser.feed(b"HTTP/1.1 200 OK\r\nX-Long: ")
+        with pytest.raises(ResponseParseError, match="exceeds"):
+            for _ in range(2 * RESPONSE_HEAD_LIMIT_BYTES // len(part)):
+                parser.feed(part)
+
+
+def test_many_responses_do_not_add_up_to_a_long_head() -> None:
+    """Guard against a kept connection that is closed after some responses."""
+    parser = make_response_parser()
+    response = b"HTTP/1.1 200 OK\r\nX-A: %b\r\nContent-Length: 2\r\n\r\nok"
+    whole = response % (b"x" * 60_000)
+    for _ in range(20):
+        parser.feed(whole[:30])
+        parser.feed(whole[30:])
--- a/tests/request/forwarding/test_core.py
+++ b/tests/request/forwarding/test_core.py
@@ -30,7 +30,11 @@
     TurnSettled,
     WholeTurn,
 )
-from oleanderhitch.request.forwarding.core import handle
+from oleanderhitch.request.forwarding.core import (
+    COLLECTED_BODY_LIMIT_BYTES,
+    EVENT_LIMIT_BYTES,
+    handle,
+)
 from oleanderhitch.request.forwarding.messages import (
     AbortResponse,
     CancelEndpointExchange,
@@ -472,3 +476,23 @@
     effects = run(state, RecordAway("no quorum"))
     assert list_verdicts(effects) == [Verdict.RECORD_UNAVAILABLE]
     assert not [e for e in effects if isinstance(e, SettleReservation)]
+
+
+# Guards against an endpoint whose body or event never ends, which would fill the memory
+# of the entry host until the deadline of the request.
+def test_endless_response_ends_the_attempt() -> None:
+    """End the attempt at the limit of a collected body and of one event."""
+    for kind, limit in (
+        (RouteKind.NON_IDEMPOTENT, COLLECTED_BODY_LIMIT_BYTES),
+        (RouteKind.STREAM, EVENT_LIMIT_BYTES),
+    ):
+        state = make_state(kind)
+        run(state, Start(), grant("a"))
+        exchange_id = get_exchange_id(state)
+        run(state, ResponseBegun(exchange_id, make_response_head()))
+        chunk = ResponseBody(exchange_id, b"x" * (limit // 4))
+        for _ in range(4):
+            assert not run(state, chunk)
+        effects = run(state, chunk)
+        assert [e for e in effects if isinstance(e, CancelEndpointExchange)]
+        assert state.has_ended
