--- a/oleanderhitch/process/replication/messages.py
+++ b/oleanderhitch/process/replication/messages.py
@@ -364,7 +364,7 @@
 class ReplicationStatus:
     """Reports the status of a replica and, from the leader, of its followers.
 
-    The sizes are those of the log and the snapshot in memory.
+    `n_log_bytes` are in memory; `n_snapshot_bytes` are what a transfer sends.
     """
 
     request: int
--- a/oleanderhitch/process/site/store.py
+++ b/oleanderhitch/process/site/store.py
@@ -99,7 +99,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AnnouncedStore:
+class StoreContact:
     """The groups that another store leads, and the time of its last announcement."""
 
     led: tuple[GroupId, ...]
@@ -147,7 +147,7 @@
         self._clock = clock
         self._metrics = metrics
         self._end_process = end_process
-        self._announced_stores: dict[NodeId, AnnouncedStore] = {}
+        self._announced_stores: dict[NodeId, StoreContact] = {}
         self._announcement_due = gevent.event.Event()
         self._has_stopped = False
         codec = make_site_peer_codec()
@@ -456,7 +456,7 @@
 
     def handle_announcement(self, announcement: StoreAnnouncement) -> None:
         """Record the contact with another store and link to the stores it lists."""
-        self._announced_stores[announcement.node] = AnnouncedStore(
+        self._announced_stores[announcement.node] = StoreContact(
             announcement.led, self._clock.now()
         )
         self._add_stores((announcement.node, *announcement.known))
--- a/oleanderhitch/request/forwarding/task.py
+++ b/oleanderhitch/request/forwarding/task.py
@@ -310,42 +310,37 @@
 @perform.register
 def _(effect: ReserveTokens, context: ForwardContext) -> None:
     dependencies = context.dependencies
-    timeout = max(effect.deadline - dependencies.clock.now(), timedelta(0))
-    body = dependencies.codec.encode(effect.command)
-    tag = context.request.request
     group = dependencies.get_record_group(effect.command.program)
-    dependencies.group_client.send(
-        SubmitToGroup(
-            group,
-            body,
-            False,
-            timeout,
-            tag,
-            context.mailbox,
-            is_rejected_while_away=True,
-        )
-    )
+    _submit_unless_away(group, effect.command, False, effect.deadline, context)
 
 
 @perform.register
 def _(effect: SearchTurn, context: ForwardContext) -> None:
     dependencies = context.dependencies
-    timeout = max(effect.deadline - dependencies.clock.now(), timedelta(0))
-    body = dependencies.codec.encode(effect.query)
-    tag = context.request.request
     for group in dependencies.record_groups:
         if group != dependencies.get_record_group(effect.program):
-            dependencies.group_client.send(
-                SubmitToGroup(
-                    group,
-                    body,
-                    True,
-                    timeout,
-                    tag,
-                    context.mailbox,
-                    is_rejected_while_away=True,
-                )
-            )
+            _submit_unless_away(group, effect.query, True, effect.deadline, context)
+
+
+def _submit_unless_away(
+    group: GroupId,
+    message: object,
+    is_read: bool,
+    deadline: datetime,
+    context: ForwardContext,
+) -> None:
+    dependencies = context.dependencies
+    dependencies.group_client.send(
+        SubmitToGroup(
+            group,
+            dependencies.codec.encode(message),
+            is_read,
+            max(deadline - dependencies.clock.now(), timedelta(0)),
+            context.request.request,
+            context.mailbox,
+            is_rejected_while_away=True,
+        )
+    )
 
 
 @perform.register
--- a/tests/process/site/test_application.py
+++ b/tests/process/site/test_application.py
@@ -95,7 +95,8 @@
     application = make_application(tmp_path / "a")
     publish(application, 7, b"seven")
     record = RegisterStore(HostName("h"), NodeId("1.1.1.1:1"), ReplicaId("1.1.1.1:1/x"))
-    for command in (record, settle("a", b"A" * 1_500_000), settle("b", b"B", "a")):
+    turns = (settle("a", b"A" * 1_500_000), settle("b", b"B", "a"), begin("c", "b"))
+    for command in (record, *turns):
         application.replay(CODEC.encode(command))
     snapshot, _ = store(application)
     changes: list[str] = []
