--- a/bench/process/commands/rules.py
+++ b/bench/process/commands/rules.py
@@ -2,10 +2,11 @@
 
 import argparse
 import json
-from dataclasses import replace
 from pathlib import Path
 from statistics import mean
 
+from msgspec.structs import replace
+
 from bench.process import measures
 from bench.process.measures import compute_measures
 from bench.process.scenarios import (
--- a/oleanderhitch/connection/caller/app.py
+++ b/oleanderhitch/connection/caller/app.py
@@ -2,12 +2,12 @@
 
 import json
 from collections.abc import Callable, Iterator
-from dataclasses import asdict, dataclass, replace
 from datetime import timedelta
 from functools import singledispatch
 from typing import Any, Protocol
 
 import bottle
+from msgspec.structs import asdict, replace
 
 from oleanderhitch.connection.caller.exceptions import CallRefusedError
 from oleanderhitch.connection.caller.parsing import (
@@ -35,6 +35,7 @@
 from oleanderhitch.process.tracing.tracer import HopSpan, Tracer
 from oleanderhitch.request.messages import ModelWork, RelayChunk, RespondToCaller
 from oleanderhitch.request.states import Outcome, Reason
+from oleanderhitch.values import Value
 
 # The request task responds by its deadline; the margin covers the time to record the
 # outcome in the program's shard.
@@ -51,8 +52,7 @@
         """Return the metrics in the Prometheus text format."""
 
 
-@dataclass(frozen=True, slots=True)
-class PendingCall:
+class PendingCall(Value, frozen=True):
     """A submitted call, the mailbox for its response and its tracing span."""
 
     call: IncomingCall
@@ -60,8 +60,7 @@
     span: HopSpan
 
 
-@dataclass(frozen=True, slots=True)
-class CallSubmitter:
+class CallSubmitter(Value, frozen=True):
     """Submits calls to the intake."""
 
     intake: Address
--- a/oleanderhitch/connection/endpoint/attempt_context.py
+++ b/oleanderhitch/connection/endpoint/attempt_context.py
@@ -1,6 +1,5 @@
 """State and helpers that an attempt needs, whatever the kind of endpoint."""
 
-from dataclasses import dataclass
 from datetime import timedelta
 
 import gevent
@@ -14,6 +13,7 @@
 from oleanderhitch.process.mailbox import Address
 from oleanderhitch.process.metrics.core import Metrics
 from oleanderhitch.process.metrics.states import Counter, Latency
+from oleanderhitch.values import Value
 
 # While the request's mailbox is full, the endpoint's response is not read and TCP flow
 # control slows the endpoint down to the speed of the caller's connection.
@@ -21,8 +21,7 @@
 ANSWER_LIMIT_BYTES = 4 * 1024 * 1024
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptContext:
+class AttemptContext(Value, frozen=True):
     """An attempt, the address for its answer and its collaborators."""
 
     call: EndpointCall
--- a/oleanderhitch/connection/endpoint/events.py
+++ b/oleanderhitch/connection/endpoint/events.py
@@ -2,10 +2,10 @@
 
 import json
 from collections.abc import Iterator
-from dataclasses import dataclass
 from typing import Any
 
 from oleanderhitch.connection.endpoint.exceptions import MalformedResponseError
+from oleanderhitch.values import Value
 
 # An event contains one token or a few, so a larger one is malformed.
 EVENT_LIMIT_BYTES = 1024 * 1024
@@ -13,16 +13,14 @@
 _DONE = b"[DONE]"
 
 
-@dataclass(frozen=True, slots=True)
-class ChunkEvent:
+class ChunkEvent(Value, frozen=True):
     """A chunk of the text; `offset` is the number of characters before it."""
 
     offset: int
     text: str
 
 
-@dataclass(frozen=True, slots=True)
-class UsageEvent:
+class UsageEvent(Value, frozen=True):
     """Token counts of the stream."""
 
     prompt_tokens: int
@@ -30,8 +28,7 @@
     completion_tokens: int
 
 
-@dataclass(frozen=True, slots=True)
-class DoneEvent:
+class DoneEvent(Value, frozen=True):
     """End of a complete stream."""
 
 
--- a/oleanderhitch/connection/endpoint/messages.py
+++ b/oleanderhitch/connection/endpoint/messages.py
@@ -1,15 +1,16 @@
 """Messages of connections to endpoints."""
 
-from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 
+from msgspec import field
+
 from oleanderhitch.program.ids import ProgramId
 from oleanderhitch.request.ids import AttemptNumber, RequestId
 from oleanderhitch.request.messages import Work
+from oleanderhitch.values import Value
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointTimeouts:
+class EndpointTimeouts(Value, frozen=True):
     """Timeouts of requests to endpoints."""
 
     connect: timedelta = timedelta(seconds=1)
@@ -19,8 +20,7 @@
     cancel: timedelta = timedelta(seconds=1)
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointCall:
+class EndpointCall(Value, frozen=True):
     """One attempt of a call at an endpoint.
 
     `prompt` contains the messages of the history, oldest first, without the new ones in
@@ -45,8 +45,7 @@
         return f"{self.request}.{self.attempt}"
 
 
-@dataclass(frozen=True, slots=True)
-class LookUpOperation:
+class LookUpOperation(Value, frozen=True):
     """Looks up a lost answer by the idempotency key of its call."""
 
     request: RequestId
@@ -54,8 +53,7 @@
     deadline: datetime
 
 
-@dataclass(frozen=True, slots=True)
-class OperationFound:
+class OperationFound(Value, frozen=True):
     """Delivers the answer that the service stored for an operation."""
 
     request: RequestId
@@ -63,8 +61,7 @@
     body: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class OperationNotFound:
+class OperationNotFound(Value, frozen=True):
     """Reports that no answer was found; the operation may have run nevertheless."""
 
     request: RequestId
--- a/oleanderhitch/connection/endpoint/model.py
+++ b/oleanderhitch/connection/endpoint/model.py
@@ -1,13 +1,13 @@
 """Streaming of chat completions from model engines."""
 
 import json
-from dataclasses import dataclass
 from datetime import datetime, timedelta
 from functools import singledispatch
 from urllib.parse import quote
 
 import logbook
 import urllib3
+from msgspec import Struct
 
 from oleanderhitch.connection.endpoint.attempt_context import (
     ANSWER_LIMIT_BYTES,
@@ -44,8 +44,7 @@
 log = logbook.Logger("endpoint")
 
 
-@dataclass(slots=True)
-class StreamState:
+class StreamState(Struct):
     """Progress of an attempt's stream, kept when it resumes on a new connection."""
 
     n_characters: int = 0
--- a/oleanderhitch/connection/endpoint/task.py
+++ b/oleanderhitch/connection/endpoint/task.py
@@ -1,11 +1,11 @@
 """Task of one attempt at an endpoint; its greenlet owns the connection."""
 
-from dataclasses import replace
 from functools import singledispatch
 
 import gevent
 import logbook
 import urllib3
+from msgspec.structs import replace
 
 from oleanderhitch.connection.endpoint.attempt_context import AttemptContext
 from oleanderhitch.connection.endpoint.exceptions import (
--- a/oleanderhitch/connection/http/endpoint.py
+++ b/oleanderhitch/connection/http/endpoint.py
@@ -1,12 +1,12 @@
 """Connection to one endpoint: sends requests and streams back the responses."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from datetime import timedelta
 
 import gevent
 import logbook
 from gevent import socket
+from msgspec import Struct, field
 
 from oleanderhitch.connection.http.exceptions import ResponseParseError
 from oleanderhitch.connection.http.messages import (
@@ -29,6 +29,7 @@
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.mailbox import make_mailbox
+from oleanderhitch.values import Value
 
 RECEIVE_BYTES = 64 * 1024
 # Endpoints of a region acknowledge a SYN within some milliseconds. TCP retransmits a
@@ -46,8 +47,7 @@
 log = logbook.Logger("endpoint")
 
 
-@dataclass(frozen=True, slots=True)
-class Exchange:
+class Exchange(Value, frozen=True):
     """Sends a request; the response goes to the reply address.
 
     `is_own_response` checks the headers of a response; one that it rejects belongs to
@@ -60,24 +60,21 @@
     is_own_response: Callable[[Headers], bool]
 
 
-@dataclass(frozen=True, slots=True)
-class ConnectionIdle:
+class ConnectionIdle(Value, frozen=True):
     """Reports that the connection has finished an exchange and can be reused."""
 
     connection: "EndpointConnection"
     exchange_id: int
 
 
-@dataclass(frozen=True, slots=True)
-class ConnectionClosed:
+class ConnectionClosed(Value, frozen=True):
     """Reports that the connection is closed; `exchange_id` is its last exchange."""
 
     connection: "EndpointConnection"
     exchange_id: int
 
 
-@dataclass(slots=True)
-class _ExchangeState:
+class _ExchangeState(Struct):
     """State of the exchange in progress."""
 
     exchange: Exchange
--- a/oleanderhitch/connection/http/messages.py
+++ b/oleanderhitch/connection/http/messages.py
@@ -1,13 +1,15 @@
 """Requests and responses, and the messages that HTTP connections send to tasks."""
 
-from dataclasses import dataclass, field
 from enum import Enum
 
+from msgspec import field
+
+from oleanderhitch.values import Value
+
 Headers = tuple[tuple[str, str], ...]
 
 
-@dataclass(frozen=True, slots=True)
-class HttpRequest:
+class HttpRequest(Value, frozen=True):
     """A complete request, received or to be sent; header names are in lowercase."""
 
     method: str
@@ -26,8 +28,7 @@
         return find_header(self.headers, name)
 
 
-@dataclass(frozen=True, slots=True)
-class HttpResponse:
+class HttpResponse(Value, frozen=True):
     """A complete response, as opposed to one whose body is streamed."""
 
     status: int
@@ -44,23 +45,20 @@
     HEADERS_TOO_LARGE = 431
 
 
-@dataclass(frozen=True, slots=True)
-class RequestRejected:
+class RequestRejected(Value, frozen=True):
     """Reports that the caller's bytes are not a valid request or exceed a limit."""
 
     fault: RequestFault
     detail: str
 
 
-@dataclass(frozen=True, slots=True)
-class CallerDisconnected:
+class CallerDisconnected(Value, frozen=True):
     """Reports that the connection to the caller was closed or failed."""
 
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
-class ResponseHead:
+class ResponseHead(Value, frozen=True):
     """Delivers the status and headers of an endpoint's response."""
 
     exchange_id: int
@@ -68,16 +66,14 @@
     headers: Headers = field(default=())
 
 
-@dataclass(frozen=True, slots=True)
-class ResponseBody:
+class ResponseBody(Value, frozen=True):
     """Delivers a part of the body of an endpoint's response."""
 
     exchange_id: int
     data: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class ResponseEnd:
+class ResponseEnd(Value, frozen=True):
     """Reports the end of an endpoint's response.
 
     A response that is not framed ends when the connection is closed, so a truncated one
@@ -88,8 +84,7 @@
     is_framed: bool
 
 
-@dataclass(frozen=True, slots=True)
-class ExchangeFailed:
+class ExchangeFailed(Value, frozen=True):
     """Reports that an endpoint's response did not arrive or was truncated.
 
     A failure of a reused keep-alive connection doesn't mean that the endpoint itself is
--- a/oleanderhitch/connection/http/parsing.py
+++ b/oleanderhitch/connection/http/parsing.py
@@ -1,7 +1,6 @@
 """Incremental parsers for HTTP requests and responses, based on httptools."""
 
 from collections import deque
-from dataclasses import dataclass
 from enum import Enum
 from typing import Any
 
@@ -17,6 +16,7 @@
     RequestFault,
     find_header,
 )
+from oleanderhitch.values import Value
 from oleanderhitch.version.routes.configuration import CallerLimits
 
 
@@ -174,8 +174,7 @@
     CONNECTION = "connection"
 
 
-@dataclass(frozen=True, slots=True)
-class ParsedHead:
+class ParsedHead(Value, frozen=True):
     """Status and headers of a response."""
 
     status: int
@@ -184,15 +183,13 @@
     body_end: BodyEnd
 
 
-@dataclass(frozen=True, slots=True)
-class ParsedBody:
+class ParsedBody(Value, frozen=True):
     """Part of a response body."""
 
     data: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class ParsedEnd:
+class ParsedEnd(Value, frozen=True):
     """End of a response."""
 
 
--- a/oleanderhitch/connection/http/pool.py
+++ b/oleanderhitch/connection/http/pool.py
@@ -2,10 +2,11 @@
 
 from collections import defaultdict
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from datetime import datetime
 from functools import singledispatch
 
+from msgspec import Struct, field
+
 from oleanderhitch.connection.http.endpoint import (
     ConnectionClosed,
     ConnectionIdle,
@@ -15,42 +16,38 @@
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.process.clock import Clock
 from oleanderhitch.process.task import Task, make_task
+from oleanderhitch.values import Value
 
 OpenConnection = Callable[[HostAddress], EndpointConnection]
 
 
-@dataclass(frozen=True, slots=True)
-class StartExchange:
+class StartExchange(Value, frozen=True):
     """Starts an exchange with an endpoint."""
 
     address: HostAddress
     exchange: Exchange
 
 
-@dataclass(frozen=True, slots=True)
-class CancelExchange:
+class CancelExchange(Value, frozen=True):
     """Cancels an exchange whose response is no longer needed."""
 
     exchange_id: int
 
 
-@dataclass(frozen=True, slots=True)
-class SendExchange:
+class SendExchange(Value, frozen=True):
     """Sends an exchange over a connection."""
 
     connection: EndpointConnection
     exchange: Exchange
 
 
-@dataclass(frozen=True, slots=True)
-class CloseConnection:
+class CloseConnection(Value, frozen=True):
     """Closes a connection."""
 
     connection: EndpointConnection
 
 
-@dataclass(slots=True)
-class PoolState:
+class PoolState(Struct):
     """Connections to all endpoints; owned by the pool's task.
 
     Busy connections are stored under the id of their exchange.
--- a/oleanderhitch/connection/peer/handshake.py
+++ b/oleanderhitch/connection/peer/handshake.py
@@ -2,7 +2,6 @@
 
 import hmac
 import secrets
-from dataclasses import dataclass
 
 from oleanderhitch.connection.exceptions import HandshakeError
 from oleanderhitch.connection.peer.messages import (
@@ -11,12 +10,12 @@
     ChallengeProof,
 )
 from oleanderhitch.process.ids import NodeId
+from oleanderhitch.values import Value
 
 NONCE_BYTES = 16
 
 
-@dataclass(frozen=True, slots=True)
-class Identity:
+class Identity(Value, frozen=True):
     """A node's id and the key that all nodes share."""
 
     node: NodeId
--- a/oleanderhitch/connection/peer/messages.py
+++ b/oleanderhitch/connection/peer/messages.py
@@ -1,21 +1,18 @@
 """Messages that peer streams exchange, and those that they send to tasks."""
 
-from dataclasses import dataclass
-
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.ids import NodeId
+from oleanderhitch.values import Value
 
 
-@dataclass(frozen=True, slots=True)
-class Challenge:
+class Challenge(Value, frozen=True):
     """Challenges the client that has connected to prove that it holds the key."""
 
     nonce: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class ChallengeProof:
+class ChallengeProof(Value, frozen=True):
     """Proves that the client holds the shared key, and challenges the server."""
 
     node: NodeId
@@ -23,21 +20,18 @@
     mac: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class ChallengeAccepted:
+class ChallengeAccepted(Value, frozen=True):
     """Proves that the server holds the shared key."""
 
     node: NodeId
     mac: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class Heartbeat:
+class Heartbeat(Value, frozen=True):
     """Keeps an idle stream from timing out at the peer."""
 
 
-@dataclass(frozen=True, slots=True)
-class PeerMessage:
+class PeerMessage(Value, frozen=True):
     """Delivers a received message with its sender and the address for replies."""
 
     node: NodeId
@@ -45,15 +39,13 @@
     reply_address: Address
 
 
-@dataclass(frozen=True, slots=True)
-class LinkUp:
+class LinkUp(Value, frozen=True):
     """Reports that a link to a peer has been established."""
 
     peer: HostAddress
 
 
-@dataclass(frozen=True, slots=True)
-class LinkDown:
+class LinkDown(Value, frozen=True):
     """Reports that a link to a peer failed; messages sent over it may be lost."""
 
     peer: HostAddress
--- a/oleanderhitch/connection/peer/stream.py
+++ b/oleanderhitch/connection/peer/stream.py
@@ -1,7 +1,6 @@
 """Authenticated message stream over a connected socket."""
 
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
 from datetime import timedelta
 from typing import TypeVar
 
@@ -32,6 +31,7 @@
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.mailbox import Mailbox
 from oleanderhitch.process.messages import StopTask
+from oleanderhitch.values import Value
 
 RECEIVE_BYTES = 64 * 1024
 WRITE_BATCH_LIMIT_BYTES = 256 * 1024
@@ -44,8 +44,7 @@
 CountBytes = Callable[[int], None]
 
 
-@dataclass(frozen=True, slots=True)
-class StreamTiming:
+class StreamTiming(Value, frozen=True):
     """Timeouts of a peer stream.
 
     `receive_timeout` must exceed `heartbeat_interval`, since heartbeats are what an
--- a/oleanderhitch/process/caches/core.py
+++ b/oleanderhitch/process/caches/core.py
@@ -1,9 +1,10 @@
 """Decide how reads of prefix caches proceed and when they are aborted."""
 
-from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from functools import singledispatch
 
+from msgspec import Struct, field
+
 from oleanderhitch.connection.http.messages import (
     ExchangeFailed,
     ResponseBody,
@@ -13,6 +14,7 @@
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.process.caches.messages import ReadCache
 from oleanderhitch.process.messages import Tick
+from oleanderhitch.values import Value
 from oleanderhitch.version.ids import EndpointId
 
 # After this time, an entry host's own requests have shown what most engines cache.
@@ -20,39 +22,34 @@
 STATUS_OK = 200
 
 
-@dataclass(frozen=True, slots=True)
-class SendCacheRequest:
+class SendCacheRequest(Value, frozen=True):
     """Sends the HTTP request of a read to an engine."""
 
     exchange_id: int
     address: HostAddress
 
 
-@dataclass(frozen=True, slots=True)
-class CancelCacheRequest:
+class CancelCacheRequest(Value, frozen=True):
     """Cancels the HTTP exchange of an aborted read."""
 
     exchange_id: int
 
 
-@dataclass(frozen=True, slots=True)
-class SendCacheContents:
+class SendCacheContents(Value, frozen=True):
     """Sends the requester the prompt parts that are listed in a response body."""
 
     request: ReadCache
     body: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class LogCacheReadFailure:
+class LogCacheReadFailure(Value, frozen=True):
     """Logs that the cache of an engine could not be read."""
 
     endpoint: EndpointId
     reason: str
 
 
-@dataclass(slots=True)
-class PendingRead:
+class PendingRead(Struct):
     """Read in progress, with the chunks of the body received so far."""
 
     request: ReadCache
@@ -60,8 +57,7 @@
     body: list[bytes] = field(default_factory=list)
 
 
-@dataclass(slots=True)
-class CachesState:
+class CachesState(Struct):
     """Reads in progress by the id of their HTTP exchange."""
 
     pending_reads: dict[int, PendingRead] = field(default_factory=dict)
--- a/oleanderhitch/process/caches/messages.py
+++ b/oleanderhitch/process/caches/messages.py
@@ -1,13 +1,11 @@
 """Define the message to the task that reads prefix caches."""
 
-from dataclasses import dataclass
-
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.directory.messages import ListedEndpoint
+from oleanderhitch.values import Value
 
 
-@dataclass(frozen=True, slots=True)
-class ReadCache:
+class ReadCache(Value, frozen=True):
     """Requests the prompt parts that an engine caches.
 
     The reply is CacheContentsReported; a failed read is logged and gets no reply.
--- a/oleanderhitch/process/commands/operator_base.py
+++ b/oleanderhitch/process/commands/operator_base.py
@@ -3,14 +3,13 @@
 import json
 import sys
 from collections.abc import Callable
-from dataclasses import dataclass
-from datetime import datetime, timedelta
+from datetime import timedelta
 from enum import IntEnum
 from pathlib import Path
 from typing import Any
 
-import cattrs
 import gevent
+import msgspec
 from cleo.commands.command import Command
 from cleo.helpers import argument, option
 from cleo.io.inputs.argument import Argument
@@ -31,6 +30,7 @@
     parse_stores,
 )
 from oleanderhitch.process.operators.hosts import HostsClient
+from oleanderhitch.values import Value
 from oleanderhitch.version.exceptions import InvalidConfigurationError
 
 
@@ -67,8 +67,7 @@
     raise UnavailableError("no client for the disk hosts is configured")
 
 
-@dataclass(frozen=True, slots=True)
-class CommandDependencies:
+class CommandDependencies(Value, frozen=True):
     """Clients, clock and output of the commands, which tests replace."""
 
     make_configuration_client: MakeConfigurationClient
@@ -173,19 +172,21 @@
 
 def make_json_value(value: Any) -> Any:
     """Return a value converted to the maps, lists and scalars of JSON."""
-    return _JSON_CONVERTER.unstructure(value)
-
-
-def _make_json_converter() -> cattrs.Converter:
-    converter = cattrs.Converter()
-    converter.register_unstructure_hook(datetime, lambda value: value.isoformat())
-    converter.register_unstructure_hook(
-        bytes, lambda value: value.decode("utf-8", errors="replace")
-    )
-    return converter
-
-
-_JSON_CONVERTER = _make_json_converter()
+    return _make_text(msgspec.to_builtins(value, builtin_types=(bytes, timedelta)))
+
+
+def _make_text(value: Any) -> Any:
+    """Return a value with bytes as text and durations as seconds."""
+    match value:
+        case dict():
+            return {key: _make_text(item) for key, item in value.items()}
+        case list() | tuple():
+            return [_make_text(item) for item in value]
+        case bytes():
+            return value.decode("utf-8", errors="replace")
+        case timedelta():
+            return value.total_seconds()
+    return value
 
 
 def _parse_stores(text: str) -> tuple[Store, ...]:
--- a/oleanderhitch/process/commands/operator_client.py
+++ b/oleanderhitch/process/commands/operator_client.py
@@ -1,7 +1,6 @@
 """Define the client interface of operators' commands."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from pathlib import Path
 from typing import Protocol
 
@@ -16,11 +15,11 @@
 from oleanderhitch.program.ids import ProgramId
 from oleanderhitch.program.messages import Refused, RequestRecord
 from oleanderhitch.request.ids import RequestId
+from oleanderhitch.values import Value
 from oleanderhitch.version.ids import ConfigurationVersion
 
 
-@dataclass(frozen=True, slots=True)
-class ClientSettings:
+class ClientSettings(Value, frozen=True):
     """Stores to connect to and the key file that authenticates the operator."""
 
     stores: tuple[Store, ...]
--- a/oleanderhitch/process/configuration/application.py
+++ b/oleanderhitch/process/configuration/application.py
@@ -4,7 +4,6 @@
 """
 
 from collections.abc import Iterator, Sequence
-from dataclasses import dataclass
 from datetime import datetime
 from functools import singledispatch
 
@@ -27,6 +26,7 @@
 )
 from oleanderhitch.process.mailbox import Address
 from oleanderhitch.process.replication.snapshot_data import SnapshotData
+from oleanderhitch.values import Value
 from oleanderhitch.version.checks import Fault
 from oleanderhitch.version.compile import compile_configuration
 from oleanderhitch.version.configuration import Configuration
@@ -39,8 +39,7 @@
 SNAPSHOT_PIECE_BYTES = 1024 * 1024
 
 
-@dataclass(frozen=True, slots=True)
-class ConfigurationSnapshotHead:
+class ConfigurationSnapshotHead(Value, frozen=True):
     """The first frame of a snapshot; documents, records and stored results follow."""
 
     version: ConfigurationVersion
--- a/oleanderhitch/process/configuration/core.py
+++ b/oleanderhitch/process/configuration/core.py
@@ -6,9 +6,10 @@
 """
 
 import hashlib
-from dataclasses import dataclass, field
 from functools import singledispatch
 
+from msgspec import Struct, field
+
 from oleanderhitch.process.configuration.messages import (
     ConfigurationAccepted,
     ConfigurationAnswer,
@@ -21,6 +22,7 @@
     PublishIdReused,
     PublishRecord,
 )
+from oleanderhitch.values import Value
 from oleanderhitch.version.diff import diff_documents, truncate_lines
 from oleanderhitch.version.documents import ConfigurationDocument
 from oleanderhitch.version.ids import (
@@ -40,8 +42,7 @@
 CONFLICT_LIMIT_RECORDS = 20
 
 
-@dataclass(frozen=True, slots=True)
-class StoredAnswer:
+class StoredAnswer(Value, frozen=True):
     """The first result of a publish, with a digest that identifies its content."""
 
     publish: PublishId
@@ -49,8 +50,7 @@
     answer: Published | PublishConflict
 
 
-@dataclass(slots=True)
-class ConfigurationState:
+class ConfigurationState(Struct):
     """The accepted documents and the latest publishes.
 
     `removals` maps the names of removed documents to the versions that removed them.
--- a/oleanderhitch/process/configuration/messages.py
+++ b/oleanderhitch/process/configuration/messages.py
@@ -1,15 +1,14 @@
 """Define the commands, reads and results of the configuration group."""
 
-from dataclasses import dataclass
 from datetime import datetime
 
+from oleanderhitch.values import Value
 from oleanderhitch.version.checks import Fault
 from oleanderhitch.version.documents import ConfigurationDocument, DocumentDraft
 from oleanderhitch.version.ids import ConfigurationVersion, DocumentName, PublishId
 
 
-@dataclass(frozen=True, slots=True)
-class Publish:
+class Publish(Value, frozen=True):
     """Replaces and removes documents if the base version is the accepted one.
 
     Documents that are not named are left unchanged. A resend has the same publish id
@@ -24,22 +23,19 @@
     at: datetime
 
 
-@dataclass(frozen=True, slots=True)
-class GetConfiguration:
+class GetConfiguration(Value, frozen=True):
     """Reads the accepted version and what changed since the version `after`."""
 
     after: ConfigurationVersion
 
 
-@dataclass(frozen=True, slots=True)
-class GetPublishHistory:
+class GetPublishHistory(Value, frozen=True):
     """Reads the records of the latest `n_limit` accepted versions."""
 
     n_limit: int
 
 
-@dataclass(frozen=True, slots=True)
-class PublishRecord:
+class PublishRecord(Value, frozen=True):
     """Who published a version, when, and a readable list of what it changed."""
 
     version: ConfigurationVersion
@@ -49,8 +45,7 @@
     changes: tuple[str, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class Published:
+class Published(Value, frozen=True, tag=True):
     """Reports that a publish was accepted, as the given version."""
 
     publish: PublishId
@@ -58,8 +53,7 @@
     at: datetime
 
 
-@dataclass(frozen=True, slots=True)
-class PublishConflict:
+class PublishConflict(Value, frozen=True, tag=True):
     """Reports that the base version is not the accepted one; nothing was changed.
 
     The records list what was accepted after the base version. The difference lists what
@@ -73,30 +67,26 @@
     difference: tuple[str, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class PublishRefused:
+class PublishRefused(Value, frozen=True):
     """Reports that the documents have faults; the publish was not proposed."""
 
     publish: PublishId
     faults: tuple[Fault, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class PublishIdReused:
+class PublishIdReused(Value, frozen=True):
     """Reports that the publish id was used before for other content."""
 
     publish: PublishId
 
 
-@dataclass(frozen=True, slots=True)
-class ConfigurationCallRefused:
+class ConfigurationCallRefused(Value, frozen=True):
     """Reports that a command or read is malformed or not supported."""
 
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
-class ConfigurationAnswer:
+class ConfigurationAnswer(Value, frozen=True):
     """Reports the accepted version and what changed since the requested version."""
 
     version: ConfigurationVersion
@@ -104,16 +94,14 @@
     removed: tuple[DocumentName, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class PublishHistory:
+class PublishHistory(Value, frozen=True):
     """Reports the accepted version and the latest records, newest first."""
 
     version: ConfigurationVersion
     records: tuple[PublishRecord, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class ConfigurationAccepted:
+class ConfigurationAccepted(Value, frozen=True):
     """Reports the accepted version to other tasks of this process.
 
     It has all documents, and for each removed name the version that removed it. The
--- a/oleanderhitch/process/directory/core.py
+++ b/oleanderhitch/process/directory/core.py
@@ -1,15 +1,17 @@
 """Decide when to read the list of endpoints and what to do with the result."""
 
-from dataclasses import dataclass
 from datetime import datetime, timedelta
 from functools import singledispatch
 
+from msgspec import Struct
+
 from oleanderhitch.process.directory.messages import (
     EndpointList,
     ListedEndpoint,
     ListVersion,
 )
 from oleanderhitch.process.messages import Tick
+from oleanderhitch.values import Value
 
 # The list itself lags by up to 1 s, so with this interval a leaving endpoint stops
 # getting new work well within 3 s.
@@ -19,8 +21,7 @@
 RETRY_INTERVAL = timedelta(milliseconds=500)
 
 
-@dataclass(frozen=True, slots=True)
-class SetReaderTerm:
+class SetReaderTerm(Value, frozen=True):
     """Makes this process read the list, or stop reading if `term` is None.
 
     A store reads in the term of its leadership; a list of a higher term is newer.
@@ -29,42 +30,36 @@
     term: int | None
 
 
-@dataclass(frozen=True, slots=True)
-class ListReadSucceeded:
+class ListReadSucceeded(Value, frozen=True):
     """Reports the endpoints of a complete read."""
 
     endpoints: tuple[ListedEndpoint, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class ListReadFailed:
+class ListReadFailed(Value, frozen=True):
     """Reports that a read failed."""
 
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
-class ReadList:
+class ReadList(Value, frozen=True):
     """Requests one read of the list."""
 
 
-@dataclass(frozen=True, slots=True)
-class NotifySubscriber:
+class NotifySubscriber(Value, frozen=True):
     """Sends a list to the subscriber."""
 
     endpoint_list: EndpointList
 
 
-@dataclass(frozen=True, slots=True)
-class LogReadStatus:
+class LogReadStatus(Value, frozen=True):
     """Logs that reads started to fail or succeed again."""
 
     event: str
     detail: str
 
 
-@dataclass(slots=True)
-class DirectoryState:
+class DirectoryState(Struct):
     """The last list and the schedule of reads; owned by the directory task.
 
     `term` is None while this process must not read. `number` is the number of the last
--- a/oleanderhitch/process/directory/messages.py
+++ b/oleanderhitch/process/directory/messages.py
@@ -1,13 +1,11 @@
 """Define the list of endpoints and its version, as sent to entry hosts."""
 
-from dataclasses import dataclass
-
 from oleanderhitch.connection.ids import HostAddress
+from oleanderhitch.values import Value
 from oleanderhitch.version.ids import DataCentreName, EndpointId, ServiceName
 
 
-@dataclass(frozen=True, slots=True)
-class ListedEndpoint:
+class ListedEndpoint(Value, frozen=True):
     """An endpoint in the platform's list.
 
     A restarted endpoint keeps its id and gets another `born_ms`.
@@ -22,16 +20,14 @@
     born_ms: int = 0
 
 
-@dataclass(frozen=True, slots=True, order=True)
-class ListVersion:
+class ListVersion(Value, frozen=True, order=True):
     """The version of a list; a list of a later reader's term is newer."""
 
     term: int = 0
     number: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointList:
+class EndpointList(Value, frozen=True):
     """All endpoints that one complete read of the list returned."""
 
     version: ListVersion
--- a/oleanderhitch/process/engines/messages.py
+++ b/oleanderhitch/process/engines/messages.py
@@ -5,17 +5,16 @@
 earlier leader.
 """
 
-from dataclasses import dataclass
 from datetime import datetime, timedelta
 
 from oleanderhitch.process.engines.states import OrderKind
 from oleanderhitch.process.ids import Term
 from oleanderhitch.program.ids import ProgramId
+from oleanderhitch.values import Value
 from oleanderhitch.version.ids import EndpointId, ModelName
 
 
-@dataclass(frozen=True, slots=True)
-class EngineDescription:
+class EngineDescription(Value, frozen=True):
     """Engine that the configuration declares.
 
     `models` are the models that it may load. An engine with `checks_fencing_tokens`
@@ -28,8 +27,7 @@
     checks_fencing_tokens: bool
 
 
-@dataclass(frozen=True, slots=True)
-class EnginesChanged:
+class EnginesChanged(Value, frozen=True):
     """Replaces the set of engines."""
 
     engines: tuple[EngineDescription, ...]
@@ -38,38 +36,33 @@
 # Requests. The reply to each is its result or EngineCallFailed.
 
 
-@dataclass(frozen=True, slots=True)
-class ReadLoad:
+class ReadLoad(Value, frozen=True):
     """Requests the load that an engine measured last."""
 
     endpoint: EndpointId
 
 
-@dataclass(frozen=True, slots=True)
-class ReadCacheEvents:
+class ReadCacheEvents(Value, frozen=True):
     """Requests the cache events after a sequence number."""
 
     endpoint: EndpointId
     after: int
 
 
-@dataclass(frozen=True, slots=True)
-class ReadCachedPrograms:
+class ReadCachedPrograms(Value, frozen=True):
     """Requests the programs whose prefixes an engine caches."""
 
     endpoint: EndpointId
 
 
-@dataclass(frozen=True, slots=True)
-class ReleaseCache:
+class ReleaseCache(Value, frozen=True):
     """Requests that an engine drop the cached prefix of an ended program."""
 
     endpoint: EndpointId
     program: ProgramId
 
 
-@dataclass(frozen=True, slots=True)
-class SendOrder:
+class SendOrder(Value, frozen=True):
     """Sends an order to an engine, but not after `send_before`.
 
     `name` is that of the model, adapter or version to load, or of the role to set.
@@ -82,8 +75,7 @@
     send_before: datetime
 
 
-@dataclass(frozen=True, slots=True)
-class ReadLoadedModel:
+class ReadLoadedModel(Value, frozen=True):
     """Requests the model that an engine has loaded.
 
     `requested_at` matches the result to its request.
@@ -103,8 +95,7 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class CallEngine:
+class CallEngine(Value, frozen=True):
     """Sends a request to an address; an effect of all cores of this package."""
 
     address: str
@@ -114,8 +105,7 @@
 # Results.
 
 
-@dataclass(frozen=True, slots=True)
-class LoadRead:
+class LoadRead(Value, frozen=True):
     """Reports the load that an engine measured; `age` is the time since then."""
 
     endpoint: EndpointId
@@ -124,8 +114,7 @@
     age: timedelta
 
 
-@dataclass(frozen=True, slots=True)
-class CacheEvent:
+class CacheEvent(Value, frozen=True):
     """Event of an engine that stored or evicted the prefix of a program."""
 
     sequence_number: int
@@ -133,8 +122,7 @@
     is_cached: bool
 
 
-@dataclass(frozen=True, slots=True)
-class CacheEventsRead:
+class CacheEventsRead(Value, frozen=True):
     """Reports the cache events after a sequence number; some may be missing."""
 
     endpoint: EndpointId
@@ -143,16 +131,14 @@
     last_sequence_number: int
 
 
-@dataclass(frozen=True, slots=True)
-class CachedProgramsRead:
+class CachedProgramsRead(Value, frozen=True):
     """Reports the programs whose prefixes an engine caches."""
 
     endpoint: EndpointId
     programs: frozenset[ProgramId]
 
 
-@dataclass(frozen=True, slots=True)
-class CacheReleased:
+class CacheReleased(Value, frozen=True):
     """Reports the result of ReleaseCache.
 
     `is_released` is False while a request of the program still runs.
@@ -163,15 +149,13 @@
     is_released: bool
 
 
-@dataclass(frozen=True, slots=True)
-class OrderAccepted:
+class OrderAccepted(Value, frozen=True):
     """Reports that an engine accepted an order."""
 
     order: SendOrder
 
 
-@dataclass(frozen=True, slots=True)
-class OrderRefused:
+class OrderRefused(Value, frozen=True):
     """Reports that an engine refused an order whose fencing number is outdated.
 
     `fencing_number` is the highest that the engine has received.
@@ -181,8 +165,7 @@
     fencing_number: Term
 
 
-@dataclass(frozen=True, slots=True)
-class LoadedModelRead:
+class LoadedModelRead(Value, frozen=True):
     """Reports an engine's model and the highest fencing number that it has received.
 
     `loading_model` is the model that it is loading, if any.
@@ -195,8 +178,7 @@
     fencing_number: Term
 
 
-@dataclass(frozen=True, slots=True)
-class EngineCallFailed:
+class EngineCallFailed(Value, frozen=True):
     """Reports that a request failed; if it was sent, it may have taken effect."""
 
     request: EngineRequest
--- a/oleanderhitch/process/engines/orders/core.py
+++ b/oleanderhitch/process/engines/orders/core.py
@@ -6,10 +6,11 @@
 own clock. After each order, the leader reads which model the engine has loaded.
 """
 
-from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from functools import singledispatch
 
+from msgspec import Struct, field
+
 from oleanderhitch.process.engines.messages import (
     CallEngine,
     EngineCallFailed,
@@ -57,8 +58,7 @@
 MODEL_LOAD_TIMEOUT = timedelta(minutes=10)
 
 
-@dataclass(slots=True)
-class EngineRecord:
+class EngineRecord(Struct):
     """Last known state of an engine and its outstanding order.
 
     `model` is the loaded model or the one being loaded, as of `read_at`; it is None if
@@ -78,8 +78,7 @@
     watch_until: datetime | None = None
 
 
-@dataclass(slots=True)
-class Leadership:
+class Leadership(Struct):
     """Term and lease under which this leader sends orders."""
 
     term: Term
@@ -87,8 +86,7 @@
     lease_until: datetime
 
 
-@dataclass(slots=True)
-class OrdersState:
+class OrdersState(Struct):
     """Engines, demand for models and use of the weight store.
 
     All engines load weights from the weight store, which serves
--- a/oleanderhitch/process/engines/orders/messages.py
+++ b/oleanderhitch/process/engines/orders/messages.py
@@ -1,14 +1,13 @@
 """Define the messages and effects of orders to engines."""
 
-from dataclasses import dataclass
 from datetime import datetime
 
 from oleanderhitch.process.ids import Term
+from oleanderhitch.values import Value
 from oleanderhitch.version.ids import ModelName
 
 
-@dataclass(frozen=True, slots=True)
-class OrdersLeadershipGained:
+class OrdersLeadershipGained(Value, frozen=True):
     """Reports that this process has become leader of the configuration group.
 
     `previous_lease_until` is the latest time, by the clock of this process, at which
@@ -21,21 +20,18 @@
     lease_until: datetime
 
 
-@dataclass(frozen=True, slots=True)
-class OrdersLeadershipConfirmed:
+class OrdersLeadershipConfirmed(Value, frozen=True):
     """Reports that the leadership was confirmed, which extends its lease."""
 
     term: Term
     lease_until: datetime
 
 
-@dataclass(frozen=True, slots=True)
-class OrdersLeadershipLost:
+class OrdersLeadershipLost(Value, frozen=True):
     """Reports that this process is no longer leader."""
 
 
-@dataclass(frozen=True, slots=True)
-class ModelDemand:
+class ModelDemand(Value, frozen=True):
     """Demand for a model, as the number of engines that it would keep busy.
 
     `weight_bytes` is the size of the weights that an engine has to load.
@@ -46,15 +42,13 @@
     weight_bytes: int
 
 
-@dataclass(frozen=True, slots=True)
-class DemandReported:
+class DemandReported(Value, frozen=True):
     """Replaces the demand for all models."""
 
     demands: tuple[ModelDemand, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class NewerLeaderDetected:
+class NewerLeaderDetected(Value, frozen=True):
     """Reports that an engine has received the fencing number of a newer leader.
 
     The orders task has already stopped sending orders when it sends this message.
--- a/oleanderhitch/process/engines/orders/plan.py
+++ b/oleanderhitch/process/engines/orders/plan.py
@@ -6,9 +6,9 @@
 
 from collections import Counter
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass
 from math import inf
 
+from oleanderhitch.values import Value
 from oleanderhitch.version.ids import EndpointId, ModelName
 
 # A model with a lower load needs no further engine.
@@ -19,8 +19,7 @@
 IMPROVEMENT_FACTOR_MIN = 1.25
 
 
-@dataclass(frozen=True, slots=True)
-class AssignedEngine:
+class AssignedEngine(Value, frozen=True):
     """An engine with the model that it has loaded or was ordered to load.
 
     `models` are the models that it may load.
--- a/oleanderhitch/process/engines/polling/core.py
+++ b/oleanderhitch/process/engines/polling/core.py
@@ -5,10 +5,11 @@
 restart.
 """
 
-from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from functools import singledispatch
 
+from msgspec import Struct, field
+
 from oleanderhitch.process.engines.messages import (
     CachedProgramsRead,
     CacheEventsRead,
@@ -43,8 +44,7 @@
 RESULT_TIMEOUT = timedelta(seconds=5)
 
 
-@dataclass(slots=True)
-class PollSchedule:
+class PollSchedule(Struct):
     """Schedule of one type of request, of which at most one is in progress."""
 
     interval: timedelta
@@ -56,8 +56,7 @@
     is_poll_requested: bool = False
 
 
-@dataclass(slots=True)
-class PolledEngine:
+class PolledEngine(Struct):
     """Poll schedules of an engine and its last known cache contents.
 
     `is_synced` is set once `last_sequence_number` comes from the engine.
@@ -71,8 +70,7 @@
     cached_programs: set[ProgramId] = field(default_factory=set)
 
 
-@dataclass(slots=True)
-class PollingState:
+class PollingState(Struct):
     """State of the polling task."""
 
     engines: dict[EndpointId, PolledEngine] = field(default_factory=dict)
--- a/oleanderhitch/process/engines/polling/messages.py
+++ b/oleanderhitch/process/engines/polling/messages.py
@@ -1,13 +1,11 @@
 """Define the messages and effects of polling."""
 
-from dataclasses import dataclass
-
 from oleanderhitch.program.ids import ProgramId
+from oleanderhitch.values import Value
 from oleanderhitch.version.ids import EndpointId
 
 
-@dataclass(frozen=True, slots=True)
-class CachedProgramChanged:
+class CachedProgramChanged(Value, frozen=True):
     """Reports that an engine stored or evicted the prefix of a program."""
 
     endpoint: EndpointId
@@ -15,23 +13,20 @@
     is_cached: bool
 
 
-@dataclass(frozen=True, slots=True)
-class CachedProgramsListed:
+class CachedProgramsListed(Value, frozen=True):
     """Reports all programs whose prefixes an engine caches."""
 
     endpoint: EndpointId
     programs: frozenset[ProgramId]
 
 
-@dataclass(frozen=True, slots=True)
-class EventGapDetected:
+class EventGapDetected(Value, frozen=True):
     """Reports that cache events of an engine were lost."""
 
     endpoint: EndpointId
 
 
-@dataclass(frozen=True, slots=True)
-class NotifySubscribers:
+class NotifySubscribers(Value, frozen=True):
     """Sends a message to the tasks that subscribed to the engines' state."""
 
     message: object
--- a/oleanderhitch/process/engines/releases/core.py
+++ b/oleanderhitch/process/engines/releases/core.py
@@ -5,10 +5,11 @@
 program never runs again.
 """
 
-from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from functools import singledispatch
 
+from msgspec import Struct, field
+
 from oleanderhitch.process.engines.messages import (
     CacheReleased,
     CallEngine,
@@ -53,8 +54,7 @@
 ReleaseKey = tuple[EndpointId, ProgramId]
 
 
-@dataclass(slots=True)
-class OpenRelease:
+class OpenRelease(Struct):
     """Release of one program's prefix at one engine.
 
     `group` is the shard that listed the release, or None if a check of the program
@@ -71,8 +71,7 @@
     number: int | None = None
 
 
-@dataclass(slots=True)
-class ReleasesState:
+class ReleasesState(Struct):
     """Open releases and the cached programs of all engines.
 
     `addresses` are those of the engines in the configuration. `checked_at` has the time
--- a/oleanderhitch/process/engines/releases/messages.py
+++ b/oleanderhitch/process/engines/releases/messages.py
@@ -1,23 +1,20 @@
 """Define the messages and effects of releasing cached prefixes."""
 
-from dataclasses import dataclass
-
 from oleanderhitch.process.ids import GroupId
 from oleanderhitch.program.ids import ProgramId
 from oleanderhitch.program.messages import Release
+from oleanderhitch.values import Value
 from oleanderhitch.version.ids import EndpointId
 
 
-@dataclass(frozen=True, slots=True)
-class ReleasesListed:
+class ReleasesListed(Value, frozen=True):
     """Reports all open releases of a shard."""
 
     group: GroupId
     releases: tuple[Release, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class ProgramsChecked:
+class ProgramsChecked(Value, frozen=True):
     """Reports which programs of CheckPrograms have ended and which are running.
 
     Programs that are unknown to their shard count as ended. Programs whose shard didn't
@@ -28,28 +25,24 @@
     running: tuple[ProgramId, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class ConfirmationRecorded:
+class ConfirmationRecorded(Value, frozen=True):
     """Reports that a shard has recorded a confirmed release."""
 
     program: ProgramId
     endpoint: EndpointId
 
 
-@dataclass(frozen=True, slots=True)
-class ListOpenReleases:
+class ListOpenReleases(Value, frozen=True):
     """Requests the open releases of all shards."""
 
 
-@dataclass(frozen=True, slots=True)
-class CheckPrograms:
+class CheckPrograms(Value, frozen=True):
     """Queries the shards for those of these programs that have ended."""
 
     programs: tuple[ProgramId, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class RecordConfirmation:
+class RecordConfirmation(Value, frozen=True):
     """Records in the program's shard that an engine no longer caches its prefix.
 
     `number` is that of the listed release. If the program has used the engine since,
--- a/oleanderhitch/process/engines/shard_client.py
+++ b/oleanderhitch/process/engines/shard_client.py
@@ -1,11 +1,11 @@
 """Send the queries and commands of the releases task to the program shards."""
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
 from datetime import timedelta
 from functools import singledispatch
 
 import logbook
+from msgspec import Struct, field
 
 from oleanderhitch.connection.codec import Codec
 from oleanderhitch.process.address import Address
@@ -31,6 +31,7 @@
     Releases,
 )
 from oleanderhitch.program.states import RefusalReason
+from oleanderhitch.values import Value
 from oleanderhitch.version.ids import EndpointId
 
 QUERY_TIMEOUT = timedelta(seconds=5)
@@ -40,8 +41,7 @@
 log = logbook.Logger("releases")
 
 
-@dataclass(slots=True)
-class ShardClient:
+class ShardClient(Struct):
     """Sends queries to the shards and their results to the releases task."""
 
     group_client: Address
@@ -77,8 +77,7 @@
         )
 
 
-@dataclass(frozen=True, slots=True)
-class _ResultForwarder:
+class _ResultForwarder(Value, frozen=True):
     """Converts a shard's result to a message to the releases task."""
 
     client: ShardClient
--- a/oleanderhitch/process/groups/client/core.py
+++ b/oleanderhitch/process/groups/client/core.py
@@ -1,9 +1,10 @@
 """Choose the store that each call is sent to and resend calls without a reply."""
 
-from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from functools import singledispatch
 
+from msgspec import Struct, field
+
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.connection.peer.messages import LinkDown, LinkUp
 from oleanderhitch.process.groups.client.messages import (
@@ -37,8 +38,7 @@
 AWAY_TIMEOUT = timedelta(milliseconds=1500)
 
 
-@dataclass(slots=True)
-class PendingCall:
+class PendingCall(Struct):
     """Call that has no reply yet."""
 
     submission: SubmitToGroup
@@ -49,8 +49,7 @@
     store: HostAddress
 
 
-@dataclass(slots=True)
-class ClientState:
+class ClientState(Struct):
     """Pending calls and the last known leader of each group."""
 
     stores: dict[NodeId, HostAddress]
--- a/oleanderhitch/process/groups/client/messages.py
+++ b/oleanderhitch/process/groups/client/messages.py
@@ -1,16 +1,17 @@
 """Define the messages and effects of the client of replicated groups."""
 
-from dataclasses import dataclass, field
 from datetime import timedelta
 
+from msgspec import field
+
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.groups.messages import GroupCall
 from oleanderhitch.process.ids import GroupId
+from oleanderhitch.values import Value
 
 
-@dataclass(frozen=True, slots=True)
-class SubmitToGroup:
+class SubmitToGroup(Value, frozen=True):
     """Sends a call to the group's leader.
 
     The call is sent again until it gets a reply or the timeout expires, so the command
@@ -29,24 +30,21 @@
     is_rejected_while_away: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class GroupResult:
+class GroupResult(Value, frozen=True):
     """Returns the encoded result of a call."""
 
     tag: str
     body: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class GroupTimedOut:
+class GroupTimedOut(Value, frozen=True):
     """Reports that a call got no reply in time; it may have taken effect."""
 
     tag: str
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
-class GroupAway:
+class GroupAway(Value, frozen=True):
     """Reports that a call was not sent, since its group has not answered for a while.
 
     The call has no effect.
@@ -56,16 +54,14 @@
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
-class SendToStore:
+class SendToStore(Value, frozen=True):
     """Sends a call to a store."""
 
     store: HostAddress
     call: GroupCall
 
 
-@dataclass(frozen=True, slots=True)
-class SendReply:
+class SendReply(Value, frozen=True):
     """Sends a message to a reply address."""
 
     reply_address: Address
--- a/oleanderhitch/process/groups/messages.py
+++ b/oleanderhitch/process/groups/messages.py
@@ -1,14 +1,14 @@
 """Define the messages between clients of replicated groups and the replicas."""
 
-from dataclasses import dataclass, field
+from msgspec import field
 
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.ids import CallId, GroupId, NodeId, ReplicaId
+from oleanderhitch.values import Value
 
 
-@dataclass(frozen=True, slots=True)
-class GroupCall:
+class GroupCall(Value, frozen=True):
     """Requests that a group apply an encoded command or perform an encoded read."""
 
     call: CallId
@@ -18,8 +18,7 @@
     trace: dict[str, str] = field(default_factory=dict)
 
 
-@dataclass(frozen=True, slots=True)
-class GroupAnswer:
+class GroupAnswer(Value, frozen=True):
     """Returns the encoded result of a call.
 
     A committed command is synced on a majority of the replicas by then.
@@ -29,8 +28,7 @@
     body: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class GroupRedirect:
+class GroupRedirect(Value, frozen=True):
     """Reports that this replica did not propose the command or perform the read.
 
     Usually it is not the leader; `leader` is None if the leader is not known.
@@ -40,8 +38,7 @@
     leader: ReplicaId | None
 
 
-@dataclass(frozen=True, slots=True)
-class GroupUncertain:
+class GroupUncertain(Value, frozen=True):
     """Reports that the command may still be committed, or that the read failed.
 
     The sender may send the call again.
@@ -51,8 +48,7 @@
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
-class ReplicaEnvelope:
+class ReplicaEnvelope(Value, frozen=True):
     """Carries an encoded replication message from one replica of a group to another."""
 
     group: GroupId
@@ -61,21 +57,18 @@
     body: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class LocalCall:
+class LocalCall(Value, frozen=True):
     """Delivers a call to this process's replica of a group."""
 
     group_call: GroupCall
     reply_address: Address
 
 
-@dataclass(frozen=True, slots=True)
-class GetStoreIdentity:
+class GetStoreIdentity(Value, frozen=True):
     """Requests a store's replica id and the groups that it runs."""
 
 
-@dataclass(frozen=True, slots=True)
-class StoreIdentity:
+class StoreIdentity(Value, frozen=True):
     """Reports a store's replica id, which is new for each new disk, and its groups."""
 
     node: NodeId
@@ -83,8 +76,7 @@
     groups: tuple[GroupId, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class StoresChanged:
+class StoresChanged(Value, frozen=True):
     """Replaces the addresses of the stores."""
 
     stores: dict[NodeId, HostAddress]
--- a/oleanderhitch/process/groups/placement.py
+++ b/oleanderhitch/process/groups/placement.py
@@ -1,7 +1,6 @@
 """Choose the stores that run the replicas of each group."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 
 import xxhash
 
@@ -11,6 +10,7 @@
 from oleanderhitch.process.ids import GroupId, NodeId
 from oleanderhitch.program.ids import ProgramId
 from oleanderhitch.program.sharding import get_shard
+from oleanderhitch.values import Value
 from oleanderhitch.version.ids import DataCentreName
 
 CONFIGURATION_GROUP = GroupId("configuration")
@@ -20,8 +20,7 @@
 NO_DATA_CENTRE = DataCentreName("-")
 
 
-@dataclass(frozen=True, slots=True)
-class Store:
+class Store(Value, frozen=True):
     """Host with a data directory that runs group replicas."""
 
     node: NodeId
--- a/oleanderhitch/process/groups/replica_manager.py
+++ b/oleanderhitch/process/groups/replica_manager.py
@@ -1,11 +1,11 @@
 """Run a store's replicas of all groups and route messages to them."""
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
 from functools import partial, singledispatch
 from random import Random
 
 import logbook
+from msgspec import Struct, field
 
 from oleanderhitch.connection.peer.messages import PeerMessage
 from oleanderhitch.process.address import Address
@@ -72,8 +72,7 @@
         self._reply_address.send(message)
 
 
-@dataclass(slots=True)
-class ReplicaManager:
+class ReplicaManager(Struct):
     """Tasks of the group replicas that one process runs."""
 
     node: NodeId
--- a/oleanderhitch/process/intake/core.py
+++ b/oleanderhitch/process/intake/core.py
@@ -1,10 +1,12 @@
 """Decide which calls an entry host admits."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass, field, replace
 from datetime import UTC, datetime, timedelta
 from functools import singledispatch
 
+from msgspec import Struct, field
+from msgspec.structs import replace
+
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.ids import NodeId
@@ -75,8 +77,7 @@
 NEVER = datetime.min.replace(tzinfo=UTC)
 
 
-@dataclass(slots=True)
-class IntakeState:
+class IntakeState(Struct):
     """State from which an entry host admits calls.
 
     `first_view_at` is when the first node table arrived; `absent_since` is when a node
--- a/oleanderhitch/process/intake/messages.py
+++ b/oleanderhitch/process/intake/messages.py
@@ -1,8 +1,9 @@
 """Define the messages and effects of the intake of an entry host."""
 
-from dataclasses import dataclass, field
 from datetime import timedelta
 
+from msgspec import field
+
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.routing.messages import (
@@ -13,12 +14,12 @@
 from oleanderhitch.program.ids import AccountId, ProgramId, SequenceNumber
 from oleanderhitch.request.ids import RequestId
 from oleanderhitch.request.messages import Call, Work
+from oleanderhitch.values import Value
 from oleanderhitch.version.configuration import Configuration
 from oleanderhitch.version.ids import ConfigurationVersion, PoolId
 
 
-@dataclass(frozen=True, slots=True)
-class IncomingCall:
+class IncomingCall(Value, frozen=True):
     """Call as parsed from the caller's request, before admission.
 
     `has_idempotency_key` is true if the caller sent its own Idempotency-Key; otherwise
@@ -36,16 +37,14 @@
     trace: dict[str, str] = field(default_factory=dict)
 
 
-@dataclass(frozen=True, slots=True)
-class SubmitCall:
+class SubmitCall(Value, frozen=True):
     """Submits a call; chunks and the outcome go to the reply address."""
 
     call: IncomingCall
     reply_address: Address
 
 
-@dataclass(frozen=True, slots=True)
-class ProgramLimits:
+class ProgramLimits(Value, frozen=True):
     """Reports the limits that apply to a new program."""
 
     budget_tokens: int
@@ -53,8 +52,7 @@
     silence_limit: timedelta
 
 
-@dataclass(frozen=True, slots=True)
-class GetProgramLimits:
+class GetProgramLimits(Value, frozen=True):
     """Requests the limits for a new program of an account.
 
     The reply is ProgramLimits, or RespondToCaller if the account may not start one.
@@ -65,8 +63,7 @@
     reply_address: Address
 
 
-@dataclass(frozen=True, slots=True)
-class CheckRequestOwner:
+class CheckRequestOwner(Value, frozen=True):
     """Queries whether the node that began a request may still be running it."""
 
     request: RequestId
@@ -74,34 +71,29 @@
     reply_address: Address
 
 
-@dataclass(frozen=True, slots=True)
-class RequestEnded:
+class RequestEnded(Value, frozen=True):
     """Reports that a request task has ended."""
 
     request: RequestId
 
 
-@dataclass(frozen=True, slots=True)
-class BeginDrain:
+class BeginDrain(Value, frozen=True):
     """Refuses new work from now on; Drained follows when the last request has ended."""
 
     reply_address: Address
 
 
-@dataclass(frozen=True, slots=True)
-class Drained:
+class Drained(Value, frozen=True):
     """Reports that no request is in progress any more."""
 
 
-@dataclass(frozen=True, slots=True)
-class GetReadiness:
+class GetReadiness(Value, frozen=True):
     """Requests the readiness of this host."""
 
     reply_address: Address
 
 
-@dataclass(frozen=True, slots=True)
-class Readiness:
+class Readiness(Value, frozen=True):
     """Reports whether new work is accepted, and the number of requests in progress.
 
     The fields are keys of the response to /readyz.
@@ -113,24 +105,21 @@
     version: ConfigurationVersion
 
 
-@dataclass(frozen=True, slots=True)
-class StartRequest:
+class StartRequest(Value, frozen=True):
     """Starts a request task."""
 
     call: Call
     reply_address: Address
 
 
-@dataclass(frozen=True, slots=True)
-class SendReply:
+class SendReply(Value, frozen=True):
     """Sends a message to a reply address."""
 
     reply_address: Address
     message: object
 
 
-@dataclass(frozen=True, slots=True)
-class PropagateConfiguration:
+class PropagateConfiguration(Value, frozen=True):
     """Passes the configuration and the pool owners on.
 
     With them, the host polls the engines of the pools that it owns and connects to the
@@ -141,8 +130,7 @@
     owners: dict[PoolId, NodeId]
 
 
-@dataclass(frozen=True, slots=True)
-class UpdateRouter:
+class UpdateRouter(Value, frozen=True):
     """Sends changed pools, changed owners or nodes that are gone to the pool router."""
 
     message: PoolsChanged | OwnersChanged | NodesGone
--- a/oleanderhitch/process/intake/task.py
+++ b/oleanderhitch/process/intake/task.py
@@ -1,7 +1,6 @@
 """Run the intake task of an entry host, which admits calls."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from functools import singledispatch
 
 from oleanderhitch.process.address import Address
@@ -16,14 +15,14 @@
 )
 from oleanderhitch.process.task import Task, make_task
 from oleanderhitch.request.messages import Call
+from oleanderhitch.values import Value
 from oleanderhitch.version.configuration import Configuration
 from oleanderhitch.version.ids import DataCentreName, PoolId
 
 StartCall = Callable[[Call, Address], None]
 
 
-@dataclass(frozen=True, slots=True)
-class IntakeDependencies:
+class IntakeDependencies(Value, frozen=True):
     """Recipients of admitted calls, router messages and changed configurations."""
 
     start_call: StartCall
--- a/oleanderhitch/process/leadership/core.py
+++ b/oleanderhitch/process/leadership/core.py
@@ -7,10 +7,11 @@
 """
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from functools import singledispatch
 
+from msgspec import Struct, field
+
 from oleanderhitch.process.groups.messages import (
     GroupAnswer,
     GroupRedirect,
@@ -27,28 +28,26 @@
 from oleanderhitch.process.replication.effects import LeadershipChanged
 from oleanderhitch.process.replication.states import Role
 from oleanderhitch.process.storage.identity import get_node
+from oleanderhitch.values import Value
 from oleanderhitch.version.addresses import HostPort, parse_host_port
 
 # Allows for the clocks of two hosts running at slightly different rates.
 CLOCK_DRIFT_MARGIN = timedelta(milliseconds=50)
 
 
-@dataclass(frozen=True, slots=True)
-class SendRead:
+class SendRead(Value, frozen=True):
     """Sends a read to this store's replica of the group."""
 
     call: CallId
 
 
-@dataclass(frozen=True, slots=True)
-class NotifySubscribers:
+class NotifySubscribers(Value, frozen=True):
     """Sends a message to all subscribers."""
 
     message: LeadershipGained | LeadershipConfirmed | LeadershipLost
 
 
-@dataclass(slots=True)
-class LeadershipState:
+class LeadershipState(Struct):
     """Leadership of this store and the pending reads that confirm it."""
 
     election_timeout_min: timedelta
--- a/oleanderhitch/process/leadership/task.py
+++ b/oleanderhitch/process/leadership/task.py
@@ -1,10 +1,11 @@
 """Task that runs the leadership core of a store."""
 
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
 from datetime import datetime, timedelta
 from functools import singledispatch
 
+from msgspec import Struct
+
 from oleanderhitch.connection.codec import Codec
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.clock import Clock
@@ -29,8 +30,7 @@
 SendToGroup = Callable[[LocalCall], None]
 
 
-@dataclass(slots=True)
-class LeadershipDependencies:
+class LeadershipDependencies(Struct):
     """Collaborators of the leadership task."""
 
     send_to_group: SendToGroup
--- a/oleanderhitch/process/membership/core.py
+++ b/oleanderhitch/process/membership/core.py
@@ -1,10 +1,11 @@
 """Decide which leases the configuration leader grants and which version is in force."""
 
 from collections.abc import Iterator
-from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from functools import singledispatch
 
+from msgspec import Struct, field
+
 from oleanderhitch.process.configuration.core import list_changes
 from oleanderhitch.process.configuration.messages import ConfigurationAccepted
 from oleanderhitch.process.ids import Term
@@ -44,6 +45,7 @@
     PUSH_RETRY_INTERVAL,
 )
 from oleanderhitch.process.messages import Tick
+from oleanderhitch.values import Value
 from oleanderhitch.version.addresses import HostPort
 from oleanderhitch.version.documents import ConfigurationDocument
 from oleanderhitch.version.ids import (
@@ -58,16 +60,14 @@
 NO_LEASE = timedelta(0)
 
 
-@dataclass(frozen=True, slots=True)
-class VersionAcceptance:
+class VersionAcceptance(Value, frozen=True):
     """The time at which this store recorded that a version was accepted."""
 
     version: ConfigurationVersion
     recorded_at: datetime
 
 
-@dataclass(slots=True)
-class MembershipState:
+class MembershipState(Struct):
     """The state of a store's membership task, none of which is persisted.
 
     `version` is the accepted version. A store that does not lead keeps the accepted
--- a/oleanderhitch/process/membership/messages.py
+++ b/oleanderhitch/process/membership/messages.py
@@ -3,12 +3,12 @@
 A version is in force once no node may start work under an older one.
 """
 
-from dataclasses import dataclass
 from datetime import datetime, timedelta
 
 from oleanderhitch.process.ids import NodeId, Term
 from oleanderhitch.process.mailbox import Address
 from oleanderhitch.process.membership.states import NodeState
+from oleanderhitch.values import Value
 from oleanderhitch.version.addresses import HostPort
 from oleanderhitch.version.documents import ConfigurationDocument
 from oleanderhitch.version.ids import (
@@ -23,8 +23,7 @@
 # Messages between processes.
 
 
-@dataclass(frozen=True, slots=True)
-class NodeDescription:
+class NodeDescription(Value, frozen=True):
     """The properties of a node, sent to a new leader and after a change.
 
     `owned_pools` lets a new leader keep the owners that its predecessor assigned.
@@ -37,8 +36,7 @@
     owned_pools: tuple[PoolId, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class NodeHeartbeat:
+class NodeHeartbeat(Value, frozen=True):
     """Requests a lease for a node, with its installed version and table position.
 
     `incarnation` distinguishes a restarted process from the previous one. `table_term`
@@ -55,8 +53,7 @@
     description: NodeDescription | None
 
 
-@dataclass(frozen=True, slots=True)
-class NodeRow:
+class NodeRow(Value, frozen=True):
     """A node in the table that the leader distributes."""
 
     node: NodeId
@@ -66,16 +63,14 @@
     address: HostPort
 
 
-@dataclass(frozen=True, slots=True)
-class PoolOwner:
+class PoolOwner(Value, frozen=True):
     """The entry host that runs a pool's queue, or None while the pool has no owner."""
 
     pool: PoolId
     owner: NodeId | None
 
 
-@dataclass(frozen=True, slots=True)
-class TableChange:
+class TableChange(Value, frozen=True):
     """The rows of the table that changed after `after_number` in the same term.
 
     A complete change replaces the whole table.
@@ -88,8 +83,7 @@
     owners: tuple[PoolOwner, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class LeaseGranted:
+class LeaseGranted(Value, frozen=True):
     """Replies to a heartbeat with a lease.
 
     The lease starts when the node sent the heartbeat. It is zero while the node has an
@@ -105,8 +99,7 @@
     table: TableChange | None
 
 
-@dataclass(frozen=True, slots=True)
-class DescriptionRequested:
+class DescriptionRequested(Value, frozen=True):
     """Requests the description that the heartbeat of an unknown process omitted."""
 
     node: NodeId
@@ -114,8 +107,7 @@
     number: int
 
 
-@dataclass(frozen=True, slots=True)
-class HeartbeatRedirected:
+class HeartbeatRedirected(Value, frozen=True):
     """Reports that the store does not lead; `leader` is None if it is unknown."""
 
     node: NodeId
@@ -124,8 +116,7 @@
     leader: HostPort | None
 
 
-@dataclass(frozen=True, slots=True)
-class VersionPushed:
+class VersionPushed(Value, frozen=True):
     """Sends a node the documents that changed after `after_version`."""
 
     version: ConfigurationVersion
@@ -134,13 +125,11 @@
     removed: tuple[DocumentName, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class GetNodeStatus:
+class GetNodeStatus(Value, frozen=True):
     """Requests the version in force, the nodes and the pool owners from the leader."""
 
 
-@dataclass(frozen=True, slots=True)
-class NodeStatusRow:
+class NodeStatusRow(Value, frozen=True):
     """The status of one node."""
 
     node: NodeId
@@ -150,8 +139,7 @@
     installed_version: ConfigurationVersion
 
 
-@dataclass(frozen=True, slots=True)
-class NodeStatus:
+class NodeStatus(Value, frozen=True):
     """Reports the accepted version, the one in force, the nodes and the pool owners.
 
     The version in force is None while the store cannot determine it: it may have lost
@@ -169,31 +157,27 @@
 # Messages within a store's process.
 
 
-@dataclass(frozen=True, slots=True)
-class LeadershipGained:
+class LeadershipGained(Value, frozen=True):
     """Reports that this store leads the configuration group and has applied its log."""
 
     term: Term
     valid_until: datetime
 
 
-@dataclass(frozen=True, slots=True)
-class LeadershipConfirmed:
+class LeadershipConfirmed(Value, frozen=True):
     """Reports that no other store can lead before `valid_until`."""
 
     term: Term
     valid_until: datetime
 
 
-@dataclass(frozen=True, slots=True)
-class LeadershipLost:
+class LeadershipLost(Value, frozen=True):
     """Reports that this store does not lead; `leader` is None if it is unknown."""
 
     leader: HostPort | None
 
 
-@dataclass(frozen=True, slots=True)
-class PoolsDeclared:
+class PoolsDeclared(Value, frozen=True):
     """Reports the pools and data centres of the accepted configuration.
 
     Each of them comes with its region.
@@ -203,8 +187,7 @@
     data_centres: tuple[tuple[DataCentreName, RegionName], ...]
 
 
-@dataclass(frozen=True, slots=True)
-class GetLocalNodeStatus:
+class GetLocalNodeStatus(Value, frozen=True):
     """Requests the NodeStatus of the membership task."""
 
     reply_address: Address
@@ -213,24 +196,21 @@
 # Effects of the membership core.
 
 
-@dataclass(frozen=True, slots=True)
-class SendToNode:
+class SendToNode(Value, frozen=True):
     """Sends a message to a node over any connection that it has."""
 
     node: NodeId
     message: object
 
 
-@dataclass(frozen=True, slots=True)
-class CompileConfiguration:
+class CompileConfiguration(Value, frozen=True):
     """Compiles the documents and reports their pools with PoolsDeclared."""
 
     version: ConfigurationVersion
     documents: tuple[ConfigurationDocument, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class SendReply:
+class SendReply(Value, frozen=True):
     """Sends a message to a reply address."""
 
     reply_address: Address
--- a/oleanderhitch/process/membership/node/core.py
+++ b/oleanderhitch/process/membership/node/core.py
@@ -1,10 +1,11 @@
 """Decide when a node may start work and which version it installs."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass, field
 from datetime import datetime
 from functools import singledispatch
 
+from msgspec import Struct, field
+
 from oleanderhitch.process.ids import NodeId, Term
 from oleanderhitch.process.membership.messages import (
     DescriptionRequested,
@@ -52,8 +53,7 @@
 NO_TERM = Term(0)
 
 
-@dataclass(slots=True)
-class NodeCoreState:
+class NodeCoreState(Struct):
     """The lease, the documents and the membership table of one node.
 
     `received_version` is the version of `documents`, which is newer than
--- a/oleanderhitch/process/membership/node/task.py
+++ b/oleanderhitch/process/membership/node/task.py
@@ -1,10 +1,10 @@
 """Run the node core in a task."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from functools import partial, singledispatch
 
 import logbook
+from msgspec import Struct
 
 from oleanderhitch.process.clock import Clock
 from oleanderhitch.process.mailbox import Address
@@ -30,8 +30,7 @@
 SendToStoreFunction = Callable[[HostPort, object], None]
 
 
-@dataclass(slots=True)
-class _EffectContext:
+class _EffectContext(Struct):
     """Collaborators and state that the effects of the core act on."""
 
     send: SendToStoreFunction
--- a/oleanderhitch/process/membership/table.py
+++ b/oleanderhitch/process/membership/table.py
@@ -1,8 +1,9 @@
 """The leader's table of nodes and pool owners, and the changes that a node lacks."""
 
-from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 
+from msgspec import Struct, field
+
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.membership.messages import (
     NodeDescription,
@@ -18,8 +19,7 @@
 from oleanderhitch.version.ids import NO_VERSION, ConfigurationVersion, PoolId
 
 
-@dataclass(slots=True)
-class NodeRecord:
+class NodeRecord(Struct):
     """The leader's record of one node.
 
     `heartbeat_number` is the number of the latest heartbeat. `leased_version` is the
@@ -49,8 +49,7 @@
         return self.lease_until is not None and now < self.lease_until
 
 
-@dataclass(slots=True)
-class OwnerRecord:
+class OwnerRecord(Struct):
     """The owner of a pool, or the nodes that may still act as its owner.
 
     While there is no owner, `previous_owner` is the node that must confirm that it
@@ -69,8 +68,7 @@
     claim: tuple[int, int] = (0, 0)
 
 
-@dataclass(slots=True)
-class MembershipTable:
+class MembershipTable(Struct):
     """The nodes and pool owners, each with the number of its last change.
 
     `number` is the number of the latest change, and `deleted_change_number` the highest
--- a/oleanderhitch/process/membership/task.py
+++ b/oleanderhitch/process/membership/task.py
@@ -1,11 +1,11 @@
 """Run the membership core of a store in a task."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from datetime import datetime
 from functools import partial, singledispatch
 
 import logbook
+from msgspec import Struct
 
 from oleanderhitch.process.clock import Clock
 from oleanderhitch.process.ids import NodeId
@@ -33,8 +33,7 @@
 SendToNodeFunction = Callable[[NodeId, object], None]
 
 
-@dataclass(slots=True)
-class _EffectContext:
+class _EffectContext(Struct):
     """Collaborators and state that the effects of the core act on."""
 
     send: SendToNodeFunction
--- a/oleanderhitch/process/messages.py
+++ b/oleanderhitch/process/messages.py
@@ -1,13 +1,11 @@
 """Define the messages that every task accepts."""
 
-from dataclasses import dataclass
+from oleanderhitch.values import Value
 
 
-@dataclass(frozen=True, slots=True)
-class Tick:
+class Tick(Value, frozen=True):
     """Makes a task check its deadlines."""
 
 
-@dataclass(frozen=True, slots=True)
-class StopTask:
+class StopTask(Value, frozen=True):
     """Ends a task after the messages queued before this one."""
--- a/oleanderhitch/process/metrics/messages.py
+++ b/oleanderhitch/process/metrics/messages.py
@@ -1,12 +1,10 @@
 """Snapshots of metrics, and the messages and effects of the metrics task."""
 
-from dataclasses import dataclass
-
 from oleanderhitch.process.mailbox import Address
+from oleanderhitch.values import Value
 
 
-@dataclass(frozen=True, slots=True)
-class LatencySample:
+class LatencySample(Value, frozen=True):
     """A latency: the encoded histogram of its last two windows, and its totals.
 
     Totals are counted from the start of the process.
@@ -18,8 +16,7 @@
     histogram: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class ValueSample:
+class ValueSample(Value, frozen=True):
     """Value of a counter or gauge for one value of its label."""
 
     name: str
@@ -27,8 +24,7 @@
     value: float
 
 
-@dataclass(frozen=True, slots=True)
-class MetricsSnapshot:
+class MetricsSnapshot(Value, frozen=True):
     """Reports the metrics of one process, or of several merged ones."""
 
     latencies: tuple[LatencySample, ...]
@@ -36,15 +32,13 @@
     gauges: tuple[ValueSample, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class GetMetrics:
+class GetMetrics(Value, frozen=True):
     """Requests a snapshot."""
 
     reply_address: Address
 
 
-@dataclass(frozen=True, slots=True)
-class SendReply:
+class SendReply(Value, frozen=True):
     """Sends a message to a reply address."""
 
     reply_address: Address
--- a/oleanderhitch/process/metrics/states.py
+++ b/oleanderhitch/process/metrics/states.py
@@ -1,11 +1,11 @@
 """Names, help texts and labels of all metrics."""
 
-from dataclasses import dataclass
 from enum import Enum
 
+from oleanderhitch.values import Value
 
-@dataclass(frozen=True, slots=True)
-class MetricName:
+
+class MetricName(Value, frozen=True):
     """Exposed name of a metric, its help text and the name of its label, if any."""
 
     name: str
--- a/oleanderhitch/process/operators/hosts.py
+++ b/oleanderhitch/process/operators/hosts.py
@@ -1,7 +1,6 @@
 """List the replicas of disk hosts and move them to other hosts."""
 
 from collections.abc import Iterator
-from dataclasses import dataclass
 from datetime import timedelta
 
 from oleanderhitch.exceptions import InvalidInputError, UnavailableError
@@ -17,13 +16,13 @@
 )
 from oleanderhitch.process.replication.states import Role
 from oleanderhitch.process.storage.identity import get_node
+from oleanderhitch.values import Value
 
 # The new replica receives a snapshot and the log before it replaces the lost one.
 REPLACE_TIMEOUT = timedelta(seconds=120)
 
 
-@dataclass(frozen=True, slots=True)
-class Leader:
+class Leader(Value, frozen=True):
     """Store that leads a group, and the replication status that it reports."""
 
     store: Store
--- a/oleanderhitch/process/placement/cache.py
+++ b/oleanderhitch/process/placement/cache.py
@@ -1,13 +1,13 @@
 """Estimate which prompt parts are in an endpoint's prefix cache."""
 
 from collections import OrderedDict
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from oleanderhitch.process.placement.messages import InferenceWorkload, PromptPart
 
 
-@dataclass(slots=True)
-class CacheEstimate:
+class CacheEstimate(Struct):
     """Estimated cache contents of an endpoint, least recently used part first."""
 
     capacity_tokens: int
--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -1,6 +1,5 @@
 """Select endpoints by cached prompt parts, load, latency and failures."""
 
-from dataclasses import dataclass
 from datetime import datetime
 from functools import singledispatch
 
@@ -53,6 +52,7 @@
     count_running,
 )
 from oleanderhitch.request.ids import PermitId
+from oleanderhitch.values import Value
 
 # Cache capacity of an engine until the routing configuration states it.
 DEFAULT_CACHE_CAPACITY_TOKENS = 400_000
@@ -64,16 +64,14 @@
 PLAIN_QUEUE_PER_SLOT = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class SendReply:
+class SendReply(Value, frozen=True):
     """Sends a message to a reply address."""
 
     reply_address: Address
     message: EndpointGranted | EndpointRefused | LoadsFound
 
 
-@dataclass(frozen=True, slots=True)
-class QueryCache:
+class QueryCache(Value, frozen=True):
     """Queries an engine for the prompt parts that it has cached."""
 
     endpoint: ListedEndpoint
--- a/oleanderhitch/process/placement/latency.py
+++ b/oleanderhitch/process/placement/latency.py
@@ -1,9 +1,10 @@
 """Compare event latencies to find endpoints that noisy neighbours slow down."""
 
-from dataclasses import dataclass
 from datetime import datetime, timedelta
 from statistics import median_low
 
+from msgspec import Struct
+
 MILLISECOND = timedelta(milliseconds=1)
 # Weight of a new observation; detects a slowdown after three or four of them.
 EWMA_WEIGHT = 0.3
@@ -14,8 +15,7 @@
 SLOWDOWN_RATIO_MIN = 1.5
 
 
-@dataclass(slots=True)
-class LatencyAverage:
+class LatencyAverage(Struct):
     """Exponentially weighted mean time between the stream events of an endpoint."""
 
     mean_ms: float | None = None
--- a/oleanderhitch/process/placement/messages.py
+++ b/oleanderhitch/process/placement/messages.py
@@ -1,26 +1,24 @@
 """Define the messages of the placement task."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
 from datetime import datetime, timedelta
 from enum import Enum
 
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.directory.messages import ListedEndpoint
 from oleanderhitch.request.ids import PermitId, RequestId
+from oleanderhitch.values import Value
 from oleanderhitch.version.ids import EndpointId, ServiceName
 
 
-@dataclass(frozen=True, slots=True)
-class PromptPart:
+class PromptPart(Value, frozen=True):
     """Part of a prompt prefix that several requests may share."""
 
     id: str
     n_tokens: int
 
 
-@dataclass(frozen=True, slots=True)
-class InferenceWorkload:
+class InferenceWorkload(Value, frozen=True):
     """Token counts and cacheable prompt parts of a model request."""
 
     prompt_tokens: int
@@ -29,8 +27,7 @@
     parts: tuple[PromptPart, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class AcquireEndpoint:
+class AcquireEndpoint(Value, frozen=True):
     """Requests an endpoint of a service, except those that were tried.
 
     A lower `rank` is served first. `is_retryable` is whether a request that may have
@@ -49,8 +46,7 @@
     reply_address: Address
 
 
-@dataclass(frozen=True, slots=True)
-class WithdrawRequest:
+class WithdrawRequest(Value, frozen=True):
     """Cancels a request that waits for an endpoint."""
 
     request: RequestId
@@ -74,31 +70,27 @@
     CANCELLED = "cancelled"
 
 
-@dataclass(frozen=True, slots=True)
-class ReleaseEndpoint:
+class ReleaseEndpoint(Value, frozen=True):
     """Releases a permit and reports how the attempt ended."""
 
     permit: PermitId
     result: AttemptResult
 
 
-@dataclass(frozen=True, slots=True)
-class FirstChunkReceived:
+class FirstChunkReceived(Value, frozen=True):
     """Reports the first chunk of a response, which shows that prefill has finished."""
 
     permit: PermitId
 
 
-@dataclass(frozen=True, slots=True)
-class EventLatencyObserved:
+class EventLatencyObserved(Value, frozen=True):
     """Reports the mean time between two events of a stream."""
 
     permit: PermitId
     latency: timedelta
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointLoad:
+class EndpointLoad(Value, frozen=True):
     """Load that entry hosts cause at an endpoint.
 
     `n_reading_tokens` counts the prompt tokens whose prefill is pending.
@@ -109,29 +101,25 @@
     n_reading_tokens: int
 
 
-@dataclass(frozen=True, slots=True)
-class GetLoads:
+class GetLoads(Value, frozen=True):
     """Requests the loads that this entry host causes."""
 
     reply_address: Address
 
 
-@dataclass(frozen=True, slots=True)
-class LoadsFound:
+class LoadsFound(Value, frozen=True):
     """Reports the loads that this entry host causes, in reply to GetLoads."""
 
     loads: tuple[EndpointLoad, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class PeerLoadsReported:
+class PeerLoadsReported(Value, frozen=True):
     """Reports the loads that all other entry hosts cause."""
 
     loads: tuple[EndpointLoad, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointGranted:
+class EndpointGranted(Value, frozen=True):
     """Grants an endpoint to a request."""
 
     request: RequestId
@@ -139,23 +127,20 @@
     endpoint: ListedEndpoint
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointRefused:
+class EndpointRefused(Value, frozen=True):
     """Refuses a request that got no endpoint before its deadline."""
 
     request: RequestId
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
-class CacheCapacitiesUpdated:
+class CacheCapacitiesUpdated(Value, frozen=True):
     """Reports the prefix cache capacity of each service's engines, in tokens."""
 
     capacity_tokens: Mapping[ServiceName, int]
 
 
-@dataclass(frozen=True, slots=True)
-class CacheContentsReported:
+class CacheContentsReported(Value, frozen=True):
     """Reports the prompt parts that an engine, started at `born_ms`, has cached."""
 
     endpoint: EndpointId
@@ -163,8 +148,7 @@
     parts: tuple[PromptPart, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointsListed:
+class EndpointsListed(Value, frozen=True):
     """Replaces the list of known endpoints."""
 
     endpoints: tuple[ListedEndpoint, ...]
--- a/oleanderhitch/process/placement/records.py
+++ b/oleanderhitch/process/placement/records.py
@@ -2,23 +2,24 @@
 
 from collections import OrderedDict, defaultdict
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 
+from msgspec import Struct, field
+
 from oleanderhitch.process.directory.messages import ListedEndpoint
 from oleanderhitch.process.placement.cache import CacheEstimate
 from oleanderhitch.process.placement.latency import LatencyAverage
 from oleanderhitch.process.placement.messages import AcquireEndpoint, EndpointLoad
 from oleanderhitch.process.placement.reliability import Reliability
 from oleanderhitch.request.ids import PermitId
+from oleanderhitch.values import Value
 from oleanderhitch.version.ids import DataCentreName, EndpointId, ServiceName
 
 # Loads change within half a second; reports older than this no longer describe them.
 PEER_LOAD_TTL = timedelta(seconds=1)
 
 
-@dataclass(slots=True)
-class Endpoint:
+class Endpoint(Struct):
     """State of one endpoint as observed by this entry host."""
 
     listed: ListedEndpoint
@@ -36,16 +37,14 @@
     peer_load_at: datetime | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class Permit:
+class Permit(Value, frozen=True):
     """Endpoint and pending prefill of one granted request."""
 
     endpoint: EndpointId
     n_pending_prefill_tokens: int
 
 
-@dataclass(slots=True)
-class PlacementState:
+class PlacementState(Struct):
     """Endpoints, permits and waiting requests; owned by the placement task."""
 
     data_centre: DataCentreName
--- a/oleanderhitch/process/placement/reliability.py
+++ b/oleanderhitch/process/placement/reliability.py
@@ -1,8 +1,9 @@
 """Estimate the failure rate of endpoints."""
 
-from dataclasses import dataclass
 from datetime import datetime, timedelta
 
+from msgspec import Struct
+
 # Endpoint faults last some seconds, so older attempts lose their weight.
 HALF_LIFE = timedelta(seconds=3)
 # Assumed successes that are added to the observed attempts, so that a single failure
@@ -10,8 +11,7 @@
 N_PRIOR_SUCCESSES = 10.0
 
 
-@dataclass(slots=True)
-class Reliability:
+class Reliability(Struct):
     """Exponentially decaying counts of failed and successful attempts."""
 
     n_failed: float = 0.0
--- a/oleanderhitch/process/repair/core.py
+++ b/oleanderhitch/process/repair/core.py
@@ -4,10 +4,11 @@
 leader.
 """
 
-from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from functools import singledispatch
 
+from msgspec import Struct, field
+
 from oleanderhitch.process.groups.placement import get_rendezvous_weight
 from oleanderhitch.process.ids import GroupId, NodeId, ReplicaId
 from oleanderhitch.process.messages import Tick
@@ -34,6 +35,7 @@
 from oleanderhitch.process.replication.messages import ReplicationStatus
 from oleanderhitch.process.replication.states import ChangeKind, Role
 from oleanderhitch.process.storage.identity import get_node
+from oleanderhitch.values import Value
 from oleanderhitch.version.ids import DataCentreName, HostName
 
 # Stores announce themselves every 400 ms. A store that has missed three announcements
@@ -54,8 +56,7 @@
 STORE_RECORD_RETENTION = timedelta(seconds=8)
 
 
-@dataclass(frozen=True, slots=True)
-class BalanceSlot:
+class BalanceSlot(Value, frozen=True):
     """The share of time in which a group may move its replicas or its leadership.
 
     The groups of a site take turns, so that each one decides with the outcome of the
@@ -66,8 +67,7 @@
     n_slots: int
 
 
-@dataclass(slots=True)
-class AnnouncedStore:
+class AnnouncedStore(Struct):
     """A store's replica, and when it was announced first and last."""
 
     hello: StoreHello
@@ -75,8 +75,7 @@
     last_contact_at: datetime
 
 
-@dataclass(slots=True)
-class RepairState:
+class RepairState(Struct):
     """The observed stores and replicas; owned by the repair task.
 
     Nothing is observed while another store leads the group.
--- a/oleanderhitch/process/repair/effects.py
+++ b/oleanderhitch/process/repair/effects.py
@@ -1,18 +1,15 @@
 """Effects that the repair core of a group returns to its task."""
 
-from dataclasses import dataclass
-
 from oleanderhitch.process.ids import NodeId, ReplicaId
 from oleanderhitch.process.replication.states import ChangeKind
+from oleanderhitch.values import Value
 
 
-@dataclass(frozen=True, slots=True)
-class ObserveStatus:
+class ObserveStatus(Value, frozen=True):
     """Requests the status of the group from this store's replica."""
 
 
-@dataclass(frozen=True, slots=True)
-class ChangeReplica:
+class ChangeReplica(Value, frozen=True):
     """Requests a membership change of the group."""
 
     kind: ChangeKind
@@ -21,23 +18,20 @@
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
-class ProposeCommand:
+class ProposeCommand(Value, frozen=True):
     """Proposes a command on the registered stores to the group."""
 
     command: object
 
 
-@dataclass(frozen=True, slots=True)
-class SendToStore:
+class SendToStore(Value, frozen=True):
     """Sends a message to a store."""
 
     node: NodeId
     message: object
 
 
-@dataclass(frozen=True, slots=True)
-class MoveLeadership:
+class MoveLeadership(Value, frozen=True):
     """Requests that a voter of the group take over the leadership."""
 
     target: ReplicaId
--- a/oleanderhitch/process/repair/messages.py
+++ b/oleanderhitch/process/repair/messages.py
@@ -1,15 +1,13 @@
 """Define the observations of stores and the commands on registered stores."""
 
-from dataclasses import dataclass
-
 from oleanderhitch.process.ids import NodeId, ReplicaId
 from oleanderhitch.process.repair.states import StoreStanding
 from oleanderhitch.process.replication.messages import ReplicationStatus
+from oleanderhitch.values import Value
 from oleanderhitch.version.ids import DataCentreName, HostName
 
 
-@dataclass(frozen=True, slots=True)
-class StoreHello:
+class StoreHello(Value, frozen=True):
     """Reports a store's replica of one group, and how many groups the store serves.
 
     The replica id changes when the replica starts anew. `n_replicas` counts the groups
@@ -24,36 +22,31 @@
     n_led: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class ReplicaRemoved:
+class ReplicaRemoved(Value, frozen=True):
     """Notifies a store that a replica was removed, so that its data is obsolete."""
 
     replica: ReplicaId
 
 
-@dataclass(frozen=True, slots=True)
-class StatusObserved:
+class StatusObserved(Value, frozen=True):
     """Forwards the group status that this store's replica reported."""
 
     status: ReplicationStatus
 
 
-@dataclass(frozen=True, slots=True)
-class LeadershipObserved:
+class LeadershipObserved(Value, frozen=True):
     """Reports whether this store's replica leads its group from now on."""
 
     is_leader: bool
 
 
-@dataclass(frozen=True, slots=True)
-class StoreRecordsChanged:
+class StoreRecordsChanged(Value, frozen=True):
     """Reports all registered stores after a change."""
 
     records: "tuple[StoreRecord, ...]"
 
 
-@dataclass(frozen=True, slots=True)
-class StoreRecord:
+class StoreRecord(Value, frozen=True):
     """A registered store."""
 
     host: HostName
@@ -62,8 +55,7 @@
     standing: StoreStanding
 
 
-@dataclass(frozen=True, slots=True)
-class RegisterStore:
+class RegisterStore(Value, frozen=True):
     """Registers a store, or updates its node and replica id; a replicated command."""
 
     host: HostName
@@ -71,8 +63,7 @@
     replica: ReplicaId
 
 
-@dataclass(frozen=True, slots=True)
-class RetireStore:
+class RetireStore(Value, frozen=True):
     """Starts moving all replicas off a store; a replicated command.
 
     It is refused if fewer than `n_stores_min` active stores would be left.
@@ -82,8 +73,7 @@
     n_stores_min: int
 
 
-@dataclass(frozen=True, slots=True)
-class CompleteRetirement:
+class CompleteRetirement(Value, frozen=True):
     """Marks a retiring store as retired; a replicated command.
 
     The leader proposes it once the store's replica is not a member of the group.
@@ -92,8 +82,7 @@
     host: HostName
 
 
-@dataclass(frozen=True, slots=True)
-class ForgetStore:
+class ForgetStore(Value, frozen=True):
     """Deletes the record of a lost store; a replicated command.
 
     It has no effect if the store has been registered with another replica id.
@@ -103,32 +92,27 @@
     replica: ReplicaId
 
 
-@dataclass(frozen=True, slots=True)
-class GetRetirement:
+class GetRetirement(Value, frozen=True):
     """Requests the standing of a store, to follow its retirement; a read."""
 
     host: HostName
 
 
-@dataclass(frozen=True, slots=True)
-class StoreNoted:
+class StoreNoted(Value, frozen=True):
     """Reports that a command was applied."""
 
 
-@dataclass(frozen=True, slots=True)
-class StoreStandingFound:
+class StoreStandingFound(Value, frozen=True):
     """Reports the standing of a store."""
 
     standing: StoreStanding
 
 
-@dataclass(frozen=True, slots=True)
-class StoreUnknown:
+class StoreUnknown(Value, frozen=True):
     """Reports that the store is not registered."""
 
 
-@dataclass(frozen=True, slots=True)
-class TooFewStores:
+class TooFewStores(Value, frozen=True):
     """Refuses a retirement that would leave too few active stores."""
 
     n_left: int
--- a/oleanderhitch/process/repair/registry.py
+++ b/oleanderhitch/process/repair/registry.py
@@ -1,8 +1,10 @@
 """Apply commands to the registered stores deterministically on every replica."""
 
-from dataclasses import dataclass, field, replace
 from functools import singledispatch
 
+from msgspec import Struct, field
+from msgspec.structs import replace
+
 from oleanderhitch.process.repair.messages import (
     CompleteRetirement,
     ForgetStore,
@@ -19,8 +21,7 @@
 from oleanderhitch.version.ids import HostName
 
 
-@dataclass(slots=True)
-class RegistryState:
+class RegistryState(Struct):
     """The registered stores by host."""
 
     records: dict[HostName, StoreRecord] = field(default_factory=dict)
--- a/oleanderhitch/process/repair/task.py
+++ b/oleanderhitch/process/repair/task.py
@@ -1,11 +1,11 @@
 """Run the repair core of a group in a task of each store."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from datetime import datetime, timedelta
 from functools import singledispatch
 
 import logbook
+from msgspec import Struct
 
 from oleanderhitch.connection.codec import Codec
 from oleanderhitch.process.address import Address
@@ -42,8 +42,7 @@
 log = logbook.Logger("repair")
 
 
-@dataclass(slots=True)
-class RepairDependencies:
+class RepairDependencies(Struct):
     """Collaborators that the effects of repair act on."""
 
     group: GroupId
--- a/oleanderhitch/process/replication/bootstrap.py
+++ b/oleanderhitch/process/replication/bootstrap.py
@@ -7,16 +7,17 @@
 group without its id waits until an operator adds it.
 """
 
-from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 
+from msgspec import Struct, field
+
 from oleanderhitch.process.ids import NodeId, ReplicaId
+from oleanderhitch.values import Value
 
 HELLO_INTERVAL = timedelta(milliseconds=500)
 
 
-@dataclass(frozen=True, slots=True)
-class FoundingHello:
+class FoundingHello(Value, frozen=True):
     """Announces a replica's id and the voters that it has persisted.
 
     The voters are empty if the replica has persisted none yet, or is excluded. A hello
@@ -30,16 +31,14 @@
     is_answer: bool
 
 
-@dataclass(frozen=True, slots=True)
-class SendHello:
+class SendHello(Value, frozen=True):
     """Sends a hello to a bootstrap node."""
 
     node: NodeId
     hello: FoundingHello
 
 
-@dataclass(frozen=True, slots=True)
-class PersistVoters:
+class PersistVoters(Value, frozen=True):
     """Persists a set of voters, then reports VotersPersisted.
 
     The group starts once a formed set is synced.
@@ -49,23 +48,20 @@
     is_formed: bool
 
 
-@dataclass(frozen=True, slots=True)
-class ReportExclusion:
+class ReportExclusion(Value, frozen=True):
     """Reports that the group exists without this replica."""
 
     replica: ReplicaId
 
 
-@dataclass(frozen=True, slots=True)
-class VotersPersisted:
+class VotersPersisted(Value, frozen=True):
     """Reports that a set of voters is synced."""
 
     voters: tuple[ReplicaId, ...]
     is_formed: bool
 
 
-@dataclass(slots=True)
-class BootstrapState:
+class BootstrapState(Struct):
     """State of a replica's bootstrap, with what others have reported in their hellos.
 
     An excluded replica does not take part: the group exists already or is bootstrapped
--- a/oleanderhitch/process/replication/effect_handlers.py
+++ b/oleanderhitch/process/replication/effect_handlers.py
@@ -2,11 +2,12 @@
 
 from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import dataclass, field, replace
 from datetime import datetime
 from functools import singledispatch
 
 import logbook
+from msgspec import Struct, field
+from msgspec.structs import replace
 
 from oleanderhitch.connection.codec import Codec
 from oleanderhitch.exceptions import UnavailableError
@@ -68,40 +69,36 @@
     WriteRecords,
 )
 from oleanderhitch.process.storage.task import Storage
+from oleanderhitch.values import Value
 
 
-@dataclass(frozen=True, slots=True)
-class OperatorCall:
+class OperatorCall(Value, frozen=True):
     """Delivers an operator request to a group's task."""
 
     request: object
     reply_address: Address
 
 
-@dataclass(frozen=True, slots=True)
-class LeaderCommand:
+class LeaderCommand(Value, frozen=True):
     """Delivers a command that the leader proposes by itself, without a caller."""
 
     command: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class ProposeLeaderCommands:
+class ProposeLeaderCommands(Value, frozen=True):
     """Proposes the commands that the application requests from the leader."""
 
     now: datetime
 
 
-@dataclass(frozen=True, slots=True)
-class SendReply:
+class SendReply(Value, frozen=True):
     """Sends a message to a reply address."""
 
     reply_address: Address
     message: object
 
 
-@dataclass(slots=True)
-class GroupState:
+class GroupState(Struct):
     """Replica of a group and the requests that wait for it."""
 
     replica: ReplicaState
@@ -126,8 +123,7 @@
 )
 
 
-@dataclass(slots=True)
-class GroupContext:
+class GroupContext(Struct):
     """Everything that the effects of a group act on."""
 
     state: GroupState
--- a/oleanderhitch/process/replication/effects.py
+++ b/oleanderhitch/process/replication/effects.py
@@ -1,7 +1,5 @@
 """Effects that the decision core of a replica returns to its task."""
 
-from dataclasses import dataclass
-
 from oleanderhitch.process.ids import LogIndex, ReplicaId, Term
 from oleanderhitch.process.replication.messages import (
     HardState,
@@ -11,40 +9,36 @@
 )
 from oleanderhitch.process.replication.snapshot_data import SnapshotData
 from oleanderhitch.process.replication.states import ChangeOutcome, Role
+from oleanderhitch.values import Value
 
 
-@dataclass(frozen=True, slots=True)
-class SendToReplica:
+class SendToReplica(Value, frozen=True):
     """Sends a message to another replica."""
 
     replica: ReplicaId
     message: object
 
 
-@dataclass(frozen=True, slots=True)
-class PersistHardState:
+class PersistHardState(Value, frozen=True):
     """Writes and syncs a hard state, then reports HardStatePersisted."""
 
     hard_state: HardState
 
 
-@dataclass(frozen=True, slots=True)
-class PersistEntries:
+class PersistEntries(Value, frozen=True):
     """Writes and syncs entries, then reports EntriesPersisted for the last one."""
 
     entries: tuple[LogEntry, ...]
     n_truncations: int
 
 
-@dataclass(frozen=True, slots=True)
-class TruncateLog:
+class TruncateLog(Value, frozen=True):
     """Removes the entries at and after an index; the leader's entries replace them."""
 
     first_index: LogIndex
 
 
-@dataclass(frozen=True, slots=True)
-class ApplyCommitted:
+class ApplyCommitted(Value, frozen=True):
     """Applies a committed command to the state machine."""
 
     index: LogIndex
@@ -52,47 +46,41 @@
     command: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class ProposalCommitted:
+class ProposalCommitted(Value, frozen=True):
     """Reports that the command applied just before was the one of this proposal."""
 
     proposal_id: int
     index: LogIndex
 
 
-@dataclass(frozen=True, slots=True)
-class ProposalRejected:
+class ProposalRejected(Value, frozen=True):
     """Reports that a proposal was not appended to the log."""
 
     proposal_id: int
     leader_hint: ReplicaId | None
 
 
-@dataclass(frozen=True, slots=True)
-class ProposalUncertain:
+class ProposalUncertain(Value, frozen=True):
     """Reports that a proposal was appended and may or may not be committed."""
 
     proposal_id: int
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
-class ReadReady:
+class ReadReady(Value, frozen=True):
     """Reports that the state machine may perform a read now."""
 
     read_id: int
 
 
-@dataclass(frozen=True, slots=True)
-class ReadRejected:
+class ReadRejected(Value, frozen=True):
     """Reports that this replica can't perform a read."""
 
     read_id: int
     leader_hint: ReplicaId | None
 
 
-@dataclass(frozen=True, slots=True)
-class TakeSnapshot:
+class TakeSnapshot(Value, frozen=True):
     """Takes a snapshot of the state machine, syncs it, then reports SnapshotTaken."""
 
     index: LogIndex
@@ -100,8 +88,7 @@
     membership: Membership
 
 
-@dataclass(frozen=True, slots=True)
-class RestoreSnapshot:
+class RestoreSnapshot(Value, frozen=True):
     """Restores and syncs a received snapshot, then reports SnapshotRestored.
 
     With `is_log_kept`, the log contains the snapshot's last entry and keeps the entries
@@ -112,15 +99,13 @@
     is_log_kept: bool
 
 
-@dataclass(frozen=True, slots=True)
-class SnapshotSaved:
+class SnapshotSaved(Value, frozen=True):
     """Reports that a snapshot is synced and replaces all earlier ones."""
 
     data: SnapshotData
 
 
-@dataclass(frozen=True, slots=True)
-class LeadershipChanged:
+class LeadershipChanged(Value, frozen=True):
     """Reports the role of this replica and the leader, or None if it is not known."""
 
     role: Role
@@ -128,15 +113,13 @@
     leader: ReplicaId | None
 
 
-@dataclass(frozen=True, slots=True)
-class MembershipChanged:
+class MembershipChanged(Value, frozen=True):
     """Reports a newly committed membership."""
 
     membership: Membership
 
 
-@dataclass(frozen=True, slots=True)
-class ChangeEnded:
+class ChangeEnded(Value, frozen=True):
     """Reports how a requested membership change ended."""
 
     change_id: int
--- a/oleanderhitch/process/replication/membership.py
+++ b/oleanderhitch/process/replication/membership.py
@@ -4,9 +4,10 @@
 continues it: learners become voters, then the retiring replica is removed.
 """
 
-from dataclasses import replace
 from datetime import datetime
 
+from msgspec.structs import replace
+
 from oleanderhitch.process.ids import ReplicaId, Term
 from oleanderhitch.process.replication.effects import (
     ChangeEnded,
--- a/oleanderhitch/process/replication/messages.py
+++ b/oleanderhitch/process/replication/messages.py
@@ -1,7 +1,5 @@
 """Messages between replicas, from the task to its core, and from operators."""
 
-from dataclasses import dataclass
-
 from oleanderhitch.process.ids import GroupId, LogIndex, ReplicaId, Term
 from oleanderhitch.process.replication.snapshot_data import SnapshotData
 from oleanderhitch.process.replication.states import (
@@ -10,13 +8,13 @@
     EntryKind,
     Role,
 )
+from oleanderhitch.values import Value
 
 NO_INDEX = LogIndex(0)
 NO_TERM = Term(0)
 
 
-@dataclass(frozen=True, slots=True)
-class Membership:
+class Membership(Value, frozen=True):
     """Replicas of a group, including the change in progress.
 
     A learner becomes a voter once it has caught up, and only then is the retiring
@@ -29,8 +27,7 @@
     removed: tuple[ReplicaId, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class LogEntry:
+class LogEntry(Value, frozen=True):
     """Entry of the replicated log."""
 
     index: LogIndex
@@ -40,8 +37,7 @@
     membership: Membership | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class Snapshot:
+class Snapshot(Value, frozen=True):
     """State of the state machine after it applied the entry at an index."""
 
     index: LogIndex
@@ -50,8 +46,7 @@
     data: SnapshotData
 
 
-@dataclass(frozen=True, slots=True)
-class HardState:
+class HardState(Value, frozen=True):
     """Term and vote; kept over restarts so that a replica votes once per term."""
 
     term: Term = NO_TERM
@@ -61,8 +56,7 @@
 # Messages between replicas.
 
 
-@dataclass(frozen=True, slots=True)
-class PreVoteRequest:
+class PreVoteRequest(Value, frozen=True):
     """Requests a pre-vote: whether a vote in the term would be granted.
 
     It changes no state.
@@ -73,16 +67,14 @@
     last_term: Term
 
 
-@dataclass(frozen=True, slots=True)
-class PreVoteReply:
+class PreVoteReply(Value, frozen=True):
     """Replies to a pre-vote request; if granted, with the term of the request."""
 
     term: Term
     is_granted: bool
 
 
-@dataclass(frozen=True, slots=True)
-class VoteRequest:
+class VoteRequest(Value, frozen=True):
     """Requests a vote in a term.
 
     With `is_transfer` the leader itself requested the election, so replicas vote even
@@ -95,16 +87,14 @@
     is_transfer: bool
 
 
-@dataclass(frozen=True, slots=True)
-class VoteReply:
+class VoteReply(Value, frozen=True):
     """Replies to a vote request."""
 
     term: Term
     is_granted: bool
 
 
-@dataclass(frozen=True, slots=True)
-class AppendEntries:
+class AppendEntries(Value, frozen=True):
     """Replicates the entries that follow `previous_index`.
 
     Without entries it probes whether the follower has the previous entry.
@@ -117,8 +107,7 @@
     entries: tuple[LogEntry, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class AppendReply:
+class AppendReply(Value, frozen=True):
     """Reports up to which index the follower has synced the leader's log.
 
     If the previous entry didn't match, the index is the last at which the logs may
@@ -131,8 +120,7 @@
     previous_index: LogIndex
 
 
-@dataclass(frozen=True, slots=True)
-class Heartbeat:
+class Heartbeat(Value, frozen=True):
     """Asserts leadership; a message of its own as it is smaller than AppendEntries."""
 
     term: Term
@@ -140,16 +128,14 @@
     round: int
 
 
-@dataclass(frozen=True, slots=True)
-class HeartbeatReply:
+class HeartbeatReply(Value, frozen=True):
     """Confirms that the sender follows the leader of the term in this round."""
 
     term: Term
     round: int
 
 
-@dataclass(frozen=True, slots=True)
-class InstallSnapshot:
+class InstallSnapshot(Value, frozen=True):
     """Transfers one piece of a snapshot."""
 
     term: Term
@@ -161,8 +147,7 @@
     is_last: bool
 
 
-@dataclass(frozen=True, slots=True)
-class InstallSnapshotReply:
+class InstallSnapshotReply(Value, frozen=True):
     """Requests the next piece of a snapshot."""
 
     term: Term
@@ -170,8 +155,7 @@
     next_offset: int
 
 
-@dataclass(frozen=True, slots=True)
-class TimeoutNow:
+class TimeoutNow(Value, frozen=True):
     """Makes a follower with a complete log start an election immediately."""
 
     term: Term
@@ -194,38 +178,33 @@
 # Local messages from the task of a replica to its decision core.
 
 
-@dataclass(frozen=True, slots=True)
-class ReplicaMessage:
+class ReplicaMessage(Value, frozen=True):
     """Passes on a message received from another replica."""
 
     sender: ReplicaId
     message: object
 
 
-@dataclass(frozen=True, slots=True)
-class BootstrapGroup:
+class BootstrapGroup(Value, frozen=True):
     """Sets the initial voters of a new group once all bootstrap replicas agree."""
 
     voters: tuple[ReplicaId, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class Propose:
+class Propose(Value, frozen=True):
     """Requests that the leader append a command."""
 
     proposal_id: int
     command: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class ReadBarrier:
+class ReadBarrier(Value, frozen=True):
     """Requests ReadReady once the state machine may perform a read."""
 
     read_id: int
 
 
-@dataclass(frozen=True, slots=True)
-class ChangeMembership:
+class ChangeMembership(Value, frozen=True):
     """Requests that the leader add, replace or remove a replica."""
 
     change_id: int
@@ -234,8 +213,7 @@
     replacement: ReplicaId | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class TransferLeadership:
+class TransferLeadership(Value, frozen=True):
     """Requests that the leader transfer leadership.
 
     Without a target, the most up-to-date voter is chosen, from the recently reachable
@@ -245,8 +223,7 @@
     target: ReplicaId | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class EntriesPersisted:
+class EntriesPersisted(Value, frozen=True):
     """Reports that the log is synced up to an entry."""
 
     index: LogIndex
@@ -254,23 +231,20 @@
     n_truncations: int
 
 
-@dataclass(frozen=True, slots=True)
-class HardStatePersisted:
+class HardStatePersisted(Value, frozen=True):
     """Reports that one hard state is synced."""
 
     hard_state: HardState
 
 
-@dataclass(frozen=True, slots=True)
-class SnapshotTaken:
+class SnapshotTaken(Value, frozen=True):
     """Reports that a snapshot of the local state machine is synced."""
 
     index: LogIndex
     data: SnapshotData
 
 
-@dataclass(frozen=True, slots=True)
-class SnapshotRestored:
+class SnapshotRestored(Value, frozen=True):
     """Reports that a received snapshot is synced and restored.
 
     The data is that which was synced.
@@ -280,13 +254,11 @@
     data: SnapshotData
 
 
-@dataclass(frozen=True, slots=True)
-class CompactLog:
+class CompactLog(Value, frozen=True):
     """Requests a snapshot now, so that old log segments can be deleted."""
 
 
-@dataclass(frozen=True, slots=True)
-class StorageFailed:
+class StorageFailed(Value, frozen=True):
     """Reports that storage can no longer be written."""
 
     reason: str
@@ -295,8 +267,7 @@
 # Messages between an operator and a group.
 
 
-@dataclass(frozen=True, slots=True)
-class AddReplica:
+class AddReplica(Value, frozen=True):
     """Adds a voter, which votes only after it has caught up."""
 
     request: int
@@ -304,8 +275,7 @@
     replica: ReplicaId
 
 
-@dataclass(frozen=True, slots=True)
-class ReplaceReplica:
+class ReplaceReplica(Value, frozen=True):
     """Adds a voter, then removes the lost one."""
 
     request: int
@@ -314,8 +284,7 @@
     replacement: ReplicaId
 
 
-@dataclass(frozen=True, slots=True)
-class RemoveReplica:
+class RemoveReplica(Value, frozen=True):
     """Removes a voter, or a learner, which cancels the change that added it."""
 
     request: int
@@ -323,8 +292,7 @@
     replica: ReplicaId
 
 
-@dataclass(frozen=True, slots=True)
-class DeclareReplicaLost:
+class DeclareReplicaLost(Value, frozen=True):
     """Informs the survivor of two voters that the other's disk is permanently lost."""
 
     request: int
@@ -332,16 +300,14 @@
     replica: ReplicaId
 
 
-@dataclass(frozen=True, slots=True)
-class GetReplicationStatus:
+class GetReplicationStatus(Value, frozen=True):
     """Requests the status of a replica and its view of the group."""
 
     request: int
     group: GroupId
 
 
-@dataclass(frozen=True, slots=True)
-class MembershipAnswer:
+class MembershipAnswer(Value, frozen=True):
     """Replies to a request to change the membership."""
 
     request: int
@@ -350,8 +316,7 @@
     leader: ReplicaId | None
 
 
-@dataclass(frozen=True, slots=True)
-class FollowerStatus:
+class FollowerStatus(Value, frozen=True):
     """Status of another replica as recorded by the leader."""
 
     replica: ReplicaId
@@ -360,8 +325,7 @@
     match_index: LogIndex
 
 
-@dataclass(frozen=True, slots=True)
-class ReplicationStatus:
+class ReplicationStatus(Value, frozen=True):
     """Reports the status of a replica and, from the leader, of its followers.
 
     `n_log_bytes` are in memory; `n_snapshot_bytes` are what a transfer sends.
--- a/oleanderhitch/process/replication/replica.py
+++ b/oleanderhitch/process/replication/replica.py
@@ -1,10 +1,11 @@
 """State of one replica of a group."""
 
 from collections import deque
-from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from random import Random
 
+from msgspec import Struct, field
+
 from oleanderhitch.process.ids import GroupId, LogIndex, ReplicaId, Term
 from oleanderhitch.process.replication.effects import (
     SendToReplica,
@@ -19,10 +20,10 @@
     Snapshot,
 )
 from oleanderhitch.process.replication.states import EntryKind, ProgressMode, Role
+from oleanderhitch.values import Value
 
 
-@dataclass(frozen=True, slots=True)
-class ReplicationTiming:
+class ReplicationTiming(Value, frozen=True):
     """Timeouts and intervals of a group.
 
     With the defaults, the first of two followers times out about 0.9 s after the last
@@ -38,8 +39,7 @@
     retransmit_timeout: timedelta = timedelta(milliseconds=500)
 
 
-@dataclass(frozen=True, slots=True)
-class ReplicationLimits:
+class ReplicationLimits(Value, frozen=True):
     """Limits on a replica's messages, unacknowledged appends and log."""
 
     n_pipelined_appends: int = 4
@@ -57,8 +57,7 @@
     n_uncommitted_entries: int = 8_192
 
 
-@dataclass(slots=True)
-class FollowerProgress:
+class FollowerProgress(Struct):
     """Replication progress of another replica, as tracked by the leader."""
 
     next_index: int
@@ -73,8 +72,7 @@
     snapshot: Snapshot | None = None
 
 
-@dataclass(slots=True)
-class IncomingSnapshot:
+class IncomingSnapshot(Struct):
     """Pieces of a snapshot received so far."""
 
     index: LogIndex
@@ -83,16 +81,14 @@
     data: bytearray = field(default_factory=bytearray)
 
 
-@dataclass(frozen=True, slots=True)
-class PendingRead:
+class PendingRead(Value, frozen=True):
     """Read that waits until the required heartbeat round is confirmed."""
 
     read_id: int
     required_round: int
 
 
-@dataclass(slots=True)
-class ReplicaState:
+class ReplicaState(Struct):
     """State of one replica; owned by exactly one task."""
 
     group: GroupId
--- a/oleanderhitch/process/replication/snapshots.py
+++ b/oleanderhitch/process/replication/snapshots.py
@@ -1,8 +1,9 @@
 """Transfer of snapshots between replicas, and log compaction."""
 
-from dataclasses import replace
 from datetime import datetime
 
+from msgspec.structs import replace
+
 from oleanderhitch.process.ids import LogIndex, ReplicaId
 from oleanderhitch.process.replication.effects import (
     RestoreSnapshot,
--- a/oleanderhitch/process/replication/task.py
+++ b/oleanderhitch/process/replication/task.py
@@ -1,12 +1,12 @@
 """Task that runs one replica of a group: its core, storage and application."""
 
 from collections.abc import Callable
-from dataclasses import replace
 from datetime import datetime
 from functools import singledispatch
 from random import Random
 
 import logbook
+from msgspec.structs import replace
 
 from oleanderhitch.connection.codec import make_codec
 from oleanderhitch.connection.exceptions import MalformedFrameError
--- a/oleanderhitch/process/roles/engines.py
+++ b/oleanderhitch/process/roles/engines.py
@@ -1,9 +1,10 @@
 """Assemble the tasks that poll engines and release cached prefixes."""
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 from functools import singledispatch
 
+from msgspec import Struct
+
 from oleanderhitch.connection.codec import Codec
 from oleanderhitch.connection.endpoint.transport import make_pool_manager
 from oleanderhitch.process.address import Address
@@ -27,8 +28,7 @@
 from oleanderhitch.version.ids import ModelName, PoolId
 
 
-@dataclass(slots=True)
-class EngineComponents:
+class EngineComponents(Struct):
     """The tasks that poll engines and release the prefixes that these cache.
 
     An entry host does both only for the engines of the pools that it owns.
--- a/oleanderhitch/process/roles/entry.py
+++ b/oleanderhitch/process/roles/entry.py
@@ -2,10 +2,11 @@
 
 import random
 import uuid
-from dataclasses import dataclass
 from datetime import timedelta
 from functools import singledispatch
 
+from msgspec import Struct
+
 from oleanderhitch.connection.caller.app import make_caller_app
 from oleanderhitch.connection.caller.programs import ProgramApi
 from oleanderhitch.connection.caller.server import CallerServer, make_caller_server
@@ -73,8 +74,7 @@
 from oleanderhitch.version.states import HostRole
 
 
-@dataclass(slots=True)
-class EntryComponents:
+class EntryComponents(Struct):
     """The tasks and servers of an entry host."""
 
     node_task: Task[NodeCoreState]
--- a/oleanderhitch/process/roles/orders.py
+++ b/oleanderhitch/process/roles/orders.py
@@ -6,11 +6,11 @@
 """
 
 from collections import Counter
-from dataclasses import dataclass
 from datetime import timedelta
 from functools import singledispatch
 
 import logbook
+from msgspec import Struct
 
 from oleanderhitch.connection.endpoint.transport import make_pool_manager
 from oleanderhitch.process.clock import Clock
@@ -38,8 +38,7 @@
 log = logbook.Logger("orders")
 
 
-@dataclass(slots=True)
-class EngineOrders:
+class EngineOrders(Struct):
     """Runs the orders task and passes it leadership changes and declared engines."""
 
     task: OrdersTask
--- a/oleanderhitch/process/roles/store.py
+++ b/oleanderhitch/process/roles/store.py
@@ -1,10 +1,11 @@
 """Assemble the tasks of a store, which runs on a disk host."""
 
-from dataclasses import dataclass, field
 from functools import singledispatch
 from pathlib import Path
 from random import Random
 
+from msgspec import Struct, field
+
 from oleanderhitch.connection.codec import Codec
 from oleanderhitch.connection.peer.messages import PeerMessage
 from oleanderhitch.process.address import Address
@@ -55,8 +56,7 @@
 HISTORY_FOLDER = "history"
 
 
-@dataclass(slots=True)
-class StoreParameters:
+class StoreParameters(Struct):
     """Identity, settings and links of a store."""
 
     node: NodeId
@@ -67,8 +67,7 @@
     links: StoreLinks
 
 
-@dataclass(slots=True)
-class NodeReplyAddresses:
+class NodeReplyAddresses(Struct):
     """The reply address of each node's last heartbeat."""
 
     addresses: dict[NodeId, Address] = field(default_factory=dict)
@@ -80,8 +79,7 @@
             address.send(message)
 
 
-@dataclass(slots=True)
-class StoreComponents:
+class StoreComponents(Struct):
     """The tasks of a store."""
 
     replica_manager: ReplicaManager
--- a/oleanderhitch/process/roles/store_links.py
+++ b/oleanderhitch/process/roles/store_links.py
@@ -1,7 +1,8 @@
 """Manage the links to all stores, both configured in settings and declared."""
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.connection.peer.link import PeerLink
@@ -10,8 +11,7 @@
 MakeLink = Callable[[HostAddress], PeerLink]
 
 
-@dataclass(slots=True)
-class StoreLinks:
+class StoreLinks(Struct):
     """One link per store; a store whose address changes gets a new link."""
 
     own_node: NodeId
--- a/oleanderhitch/process/routing/core.py
+++ b/oleanderhitch/process/routing/core.py
@@ -6,10 +6,12 @@
 """
 
 from collections.abc import Iterator
-from dataclasses import dataclass, field, replace
 from datetime import datetime, timedelta
 from functools import singledispatch
 
+from msgspec import Struct, field
+from msgspec.structs import replace
+
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.connection.peer.messages import LinkDown, LinkUp, PeerMessage
 from oleanderhitch.process.address import Address
@@ -45,19 +47,18 @@
 )
 from oleanderhitch.request.ids import PermitId, RequestId
 from oleanderhitch.request.messages import SlotGranted, SlotRefused
+from oleanderhitch.values import Value
 from oleanderhitch.version.ids import PoolId
 
 
-@dataclass(frozen=True, slots=True)
-class QueueRef:
+class QueueRef(Value, frozen=True):
     """Reference to the queue that a request waits in or that granted its slot."""
 
     node: NodeId
     role: QueueRole
 
 
-@dataclass(slots=True)
-class WaitingRequest:
+class WaitingRequest(Struct):
     """Request of this host that waits for a slot."""
 
     enqueue: EnqueueRequest
@@ -66,8 +67,7 @@
     queue: QueueRef
 
 
-@dataclass(slots=True)
-class RunningAttempt:
+class RunningAttempt(Struct):
     """Attempt of a request of this host.
 
     `hold` is the message that registers the attempt with a queue.
@@ -79,8 +79,7 @@
     queue: QueueRef
 
 
-@dataclass(slots=True)
-class RouterState:
+class RouterState(Struct):
     """Pool owners known to this host, and its waiting requests and attempts.
 
     `addresses` are those where peers listen; `reply_addresses` has, for each other
--- a/oleanderhitch/process/routing/messages.py
+++ b/oleanderhitch/process/routing/messages.py
@@ -1,7 +1,5 @@
 """Define the messages and effects of the pool router of an entry host."""
 
-from dataclasses import dataclass
-
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.ids import NodeId
@@ -15,80 +13,71 @@
 )
 from oleanderhitch.request.ids import RequestId
 from oleanderhitch.request.messages import SlotGranted, SlotRefused
+from oleanderhitch.values import Value
 from oleanderhitch.version.ids import PoolId
 
 
-@dataclass(frozen=True, slots=True)
-class RouteEnqueue:
+class RouteEnqueue(Value, frozen=True):
     """Queues a request of this host; grants and refusals go to the reply address."""
 
     enqueue: EnqueueRequest
     reply_address: Address
 
 
-@dataclass(frozen=True, slots=True)
-class RouteWithdraw:
+class RouteWithdraw(Value, frozen=True):
     """Removes a request of this host from its queue."""
 
     pool: PoolId
     request: RequestId
 
 
-@dataclass(frozen=True, slots=True)
-class RouteRelease:
+class RouteRelease(Value, frozen=True):
     """Releases a slot at the queue that granted it."""
 
     release: ReleaseSlot
 
 
-@dataclass(frozen=True, slots=True)
-class QueueDecided:
+class QueueDecided(Value, frozen=True):
     """Delivers a grant or a refusal from a queue of this host."""
 
     role: QueueRole
     decision: GrantSlot | RefuseRequest
 
 
-@dataclass(frozen=True, slots=True)
-class PoolsChanged:
+class PoolsChanged(Value, frozen=True):
     """Replaces the pools, their endpoints and the number of entry hosts."""
 
     offers: dict[PoolId, tuple[EndpointOffer, ...]]
     n_entry_hosts: int
 
 
-@dataclass(frozen=True, slots=True)
-class OwnersChanged:
+class OwnersChanged(Value, frozen=True):
     """Replaces the owners of pools and the addresses of entry hosts for peers."""
 
     owners: dict[PoolId, NodeId]
     addresses: dict[NodeId, HostAddress]
 
 
-@dataclass(frozen=True, slots=True)
-class NodesGone:
+class NodesGone(Value, frozen=True):
     """Reports the entry hosts whose leases have expired."""
 
     nodes: tuple[NodeId, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class GetQueueStatus:
+class GetQueueStatus(Value, frozen=True):
     """Requests the number of waiting requests and running attempts of this host."""
 
     reply_address: Address
 
 
-@dataclass(frozen=True, slots=True)
-class QueueStatus:
+class QueueStatus(Value, frozen=True):
     """Reports the numbers of waiting requests by pool and of running attempts."""
 
     n_waiting: dict[PoolId, int]
     n_running: int
 
 
-@dataclass(frozen=True, slots=True)
-class SendToQueue:
+class SendToQueue(Value, frozen=True):
     """Sends a message to a queue of this host."""
 
     pool: PoolId
@@ -96,16 +85,14 @@
     message: object
 
 
-@dataclass(frozen=True, slots=True)
-class SendToNode:
+class SendToNode(Value, frozen=True):
     """Sends a message to another entry host."""
 
     node: NodeId
     message: object
 
 
-@dataclass(frozen=True, slots=True)
-class ReplyToNode:
+class ReplyToNode(Value, frozen=True):
     """Sends a decision to another entry host over the connection of its last request.
 
     If that connection breaks, that host detects it and enqueues again.
@@ -115,23 +102,20 @@
     decision: GrantSlot | RefuseRequest
 
 
-@dataclass(frozen=True, slots=True)
-class SetPeerLinks:
+class SetPeerLinks(Value, frozen=True):
     """Opens and closes links so that exactly these entry hosts are connected."""
 
     addresses: dict[NodeId, HostAddress]
 
 
-@dataclass(frozen=True, slots=True)
-class NotifyRequest:
+class NotifyRequest(Value, frozen=True):
     """Sends a message to a request task of this host."""
 
     reply_address: Address
     message: SlotGranted | SlotRefused
 
 
-@dataclass(frozen=True, slots=True)
-class SendReply:
+class SendReply(Value, frozen=True):
     """Sends a message to a reply address."""
 
     reply_address: Address
--- a/oleanderhitch/process/routing/task.py
+++ b/oleanderhitch/process/routing/task.py
@@ -2,10 +2,11 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from functools import singledispatch
 
+from msgspec import Struct, field
+
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.connection.peer.link import PeerLink
 from oleanderhitch.process.clock import Clock
@@ -34,8 +35,7 @@
 MakeLink = Callable[[HostAddress], PeerLink]
 
 
-@dataclass(slots=True)
-class RouterResources:
+class RouterResources(Struct):
     """Queue tasks and peer links, used by the router task only."""
 
     clock: Clock
--- a/oleanderhitch/process/scheduling/fallback.py
+++ b/oleanderhitch/process/scheduling/fallback.py
@@ -1,6 +1,6 @@
 """Limit the slots that an entry host uses while it can't reach the pool's owner."""
 
-from dataclasses import replace
+from msgspec.structs import replace
 
 from oleanderhitch.process.scheduling.messages import EndpointsChanged
 
--- a/oleanderhitch/process/scheduling/free_index.py
+++ b/oleanderhitch/process/scheduling/free_index.py
@@ -1,16 +1,16 @@
 """Index the endpoints that have free slots by load."""
 
 from collections.abc import Iterator
-from dataclasses import dataclass, field
 from itertools import islice
 
+from msgspec import Struct, field
+
 from oleanderhitch.version.ids import EndpointId
 
 N_LOAD_LEVELS = 16
 
 
-@dataclass(slots=True)
-class FreeIndex:
+class FreeIndex(Struct):
     """Endpoints in one bucket per load level, with a bit mask of non-empty buckets."""
 
     buckets: list[dict[EndpointId, None]] = field(
--- a/oleanderhitch/process/scheduling/messages.py
+++ b/oleanderhitch/process/scheduling/messages.py
@@ -3,17 +3,16 @@
 The class names and fields are part of the protocol between hosts.
 """
 
-from dataclasses import dataclass
 from datetime import timedelta
 
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.program.ids import AccountId, ProgramId
 from oleanderhitch.request.ids import PermitId, RequestId
+from oleanderhitch.values import Value
 from oleanderhitch.version.ids import EndpointId, PoolId
 
 
-@dataclass(frozen=True, slots=True)
-class EnqueueRequest:
+class EnqueueRequest(Value, frozen=True):
     """Requests a slot at an endpoint of the pool.
 
     Times are relative, so that hosts don't need synchronised clocks. `n_turns` and
@@ -39,16 +38,14 @@
     waited: timedelta
 
 
-@dataclass(frozen=True, slots=True)
-class WithdrawRequest:
+class WithdrawRequest(Value, frozen=True):
     """Removes a request from the queue."""
 
     pool: PoolId
     request: RequestId
 
 
-@dataclass(frozen=True, slots=True)
-class ReleaseSlot:
+class ReleaseSlot(Value, frozen=True):
     """Releases a slot and reports the observations of its attempt.
 
     `first_token` is the time to the first token, None if the attempt had none.
@@ -64,8 +61,7 @@
     duration: timedelta
 
 
-@dataclass(frozen=True, slots=True)
-class HoldSlot:
+class HoldSlot(Value, frozen=True):
     """Registers an already running attempt with the queue of its pool's new owner."""
 
     pool: PoolId
@@ -78,8 +74,7 @@
     running_for: timedelta
 
 
-@dataclass(frozen=True, slots=True)
-class NodeGone:
+class NodeGone(Value, frozen=True):
     """Drops the requests and permits of a node.
 
     Sent for all pools when a node's lease has expired, and for one pool before a node
@@ -91,8 +86,7 @@
     pool: PoolId | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class LoadReported:
+class LoadReported(Value, frozen=True):
     """Reports the load that an endpoint measured; `age` is the time since then."""
 
     endpoint: EndpointId
@@ -101,8 +95,7 @@
     age: timedelta
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointOffer:
+class EndpointOffer(Value, frozen=True):
     """Endpoint that the pool may use."""
 
     endpoint: EndpointId
@@ -111,15 +104,13 @@
     is_leaving: bool
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointsChanged:
+class EndpointsChanged(Value, frozen=True):
     """Replaces the set of endpoints of the pool."""
 
     offers: tuple[EndpointOffer, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class GrantSlot:
+class GrantSlot(Value, frozen=True):
     """Permits one attempt at an endpoint."""
 
     pool: PoolId
@@ -131,8 +122,7 @@
     is_hedge: bool
 
 
-@dataclass(frozen=True, slots=True)
-class RefuseRequest:
+class RefuseRequest(Value, frozen=True):
     """Refuses a request, which no longer waits."""
 
     pool: PoolId
--- a/oleanderhitch/process/scheduling/records.py
+++ b/oleanderhitch/process/scheduling/records.py
@@ -1,7 +1,8 @@
 """Define the state of a pool's queue."""
 
 from collections import OrderedDict, deque
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.scheduling.free_index import FreeIndex
@@ -17,8 +18,7 @@
 N_HEDGE_CANDIDATES_LIMIT = 1_024
 
 
-@dataclass(slots=True)
-class QueuedRequest:
+class QueuedRequest(Struct):
     """A waiting request; times are seconds of the owner's clock.
 
     `charged_s` is the fair-share time that the account was charged. `holder` is the
@@ -35,8 +35,7 @@
     is_in_general_queue: bool = False
 
 
-@dataclass(slots=True)
-class Permit:
+class Permit(Struct):
     """The right of an attempt to use one slot; times are seconds of the owner's clock.
 
     `charged_s` is the fair-share time that the account was charged.
@@ -56,16 +55,14 @@
     excluded: tuple[EndpointId, ...] = ()
 
 
-@dataclass(slots=True)
-class CachedPrefix:
+class CachedPrefix(Struct):
     """A prefix that an endpoint is assumed to have cached."""
 
     n_tokens: int
     last_used_s: float
 
 
-@dataclass(slots=True)
-class Endpoint:
+class Endpoint(Struct):
     """Slots, queue, assumed cache contents and observed speed of an endpoint."""
 
     endpoint: EndpointId
@@ -97,8 +94,7 @@
         return len(self.permits)
 
 
-@dataclass(slots=True)
-class Account:
+class Account(Struct):
     """Use of an account's fair share.
 
     `virtual_finish_s` is the time at which its fair share has covered the slot time
@@ -110,8 +106,7 @@
     n_active: int = 0
 
 
-@dataclass(slots=True)
-class Averages:
+class Averages(Struct):
     """Moving averages over the attempts of the pool."""
 
     slot_s: float = 1.0
@@ -119,8 +114,7 @@
     n_observed: int = 0
 
 
-@dataclass(slots=True)
-class PoolState:
+class PoolState(Struct):
     """Queues, slots in use and endpoints of one pool; owned by the pool's task."""
 
     pool: PoolId
--- a/oleanderhitch/process/scheduling/settings.py
+++ b/oleanderhitch/process/scheduling/settings.py
@@ -1,10 +1,9 @@
 """Define the settings of a pool's queue."""
 
-from dataclasses import dataclass
+from oleanderhitch.values import Value
 
 
-@dataclass(frozen=True, slots=True)
-class PoolSettings:
+class PoolSettings(Value, frozen=True):
     """Limits and weights of one pool's queue.
 
     Each rule can be turned off by itself; docs/measurements.md shows its effect.
--- a/oleanderhitch/process/site/application.py
+++ b/oleanderhitch/process/site/application.py
@@ -4,11 +4,12 @@
 """
 
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from functools import singledispatch
 from pathlib import Path
 
+from msgspec import Struct, field
+
 from oleanderhitch.connection.codec import Codec, make_codec
 from oleanderhitch.connection.exceptions import MalformedFrameError
 from oleanderhitch.process.repair import messages as repair
@@ -57,8 +58,7 @@
 ChangeCallback = Callable[[], None]
 
 
-@dataclass(slots=True)
-class SiteState:
+class SiteState(Struct):
     """The replicated state, owned by the group's task."""
 
     routing: RoutingFound = EMPTY_ROUTING
--- a/oleanderhitch/process/site/entry.py
+++ b/oleanderhitch/process/site/entry.py
@@ -3,7 +3,6 @@
 import random
 import uuid
 from collections.abc import Callable
-from dataclasses import dataclass
 from datetime import datetime, timedelta
 from functools import partial
 
@@ -50,6 +49,7 @@
 )
 from oleanderhitch.request.forwarding.dialect import Dialect
 from oleanderhitch.request.forwarding.task import ForwardDependencies, serve_request
+from oleanderhitch.values import Value
 from oleanderhitch.version.routes.configuration import CallerLimits, RouteTable
 
 # The load balancer stops sending connections once two readiness checks, which are 1 s
@@ -65,8 +65,7 @@
 log = logbook.Logger("entry")
 
 
-@dataclass(frozen=True, slots=True)
-class EntryDependencies:
+class EntryDependencies(Value, frozen=True):
     """Adapters that the platform package supplies to an entry host."""
 
     dialect: Dialect
--- a/oleanderhitch/process/site/member.py
+++ b/oleanderhitch/process/site/member.py
@@ -4,7 +4,6 @@
 import shutil
 import uuid
 from collections.abc import Callable
-from dataclasses import dataclass
 from datetime import timedelta
 from pathlib import Path
 
@@ -46,6 +45,7 @@
 from oleanderhitch.process.site.messages import EMPTY_ROUTING, RoutingFound
 from oleanderhitch.process.storage.task import Storage, open_storage
 from oleanderhitch.process.task import Task
+from oleanderhitch.values import Value
 
 CONTENTS_FOLDER = "contents"
 STATUS_TIMEOUT = timedelta(milliseconds=500)
@@ -56,8 +56,7 @@
 log = logbook.Logger("store")
 
 
-@dataclass(frozen=True, slots=True)
-class MemberSettings:
+class MemberSettings(Value, frozen=True):
     """What one member needs to know of its store and its group.
 
     `may_bootstrap` allows it to form a new group with the seeds.
@@ -72,8 +71,7 @@
     balance_slot: BalanceSlot
 
 
-@dataclass(frozen=True, slots=True)
-class MemberDependencies:
+class MemberDependencies(Value, frozen=True):
     """The collaborators that all members of a store share.
 
     `transport` takes the envelopes to other replicas. `end_process` gets the reason why
--- a/oleanderhitch/process/site/messages.py
+++ b/oleanderhitch/process/site/messages.py
@@ -1,16 +1,14 @@
 """Messages between the entry hosts and stores of a site, and commands of its groups."""
 
-from dataclasses import dataclass
-
 from oleanderhitch.process.directory.messages import EndpointList, ListVersion
 from oleanderhitch.process.ids import GroupId, NodeId, ReplicaId
 from oleanderhitch.process.placement.messages import EndpointLoad
+from oleanderhitch.values import Value
 from oleanderhitch.version.ids import DataCentreName, HostName
 from oleanderhitch.version.routes.ids import NO_ROUTING, RoutingVersion
 
 
-@dataclass(frozen=True, slots=True)
-class PublishRouting:
+class PublishRouting(Value, frozen=True):
     """Publishes a routing configuration; a replicated command.
 
     The content is stored as the operator sent it. The command has no effect unless its
@@ -21,35 +19,30 @@
     content: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class GetRouting:
+class GetRouting(Value, frozen=True):
     """Reads the accepted routing configuration."""
 
 
-@dataclass(frozen=True, slots=True)
-class RoutingAccepted:
+class RoutingAccepted(Value, frozen=True):
     """Reports the accepted version after a publish."""
 
     version: RoutingVersion
 
 
-@dataclass(frozen=True, slots=True)
-class RoutingFound:
+class RoutingFound(Value, frozen=True):
     """Returns the accepted routing configuration, with no content before a publish."""
 
     version: RoutingVersion
     content: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class CommandRefused:
+class CommandRefused(Value, frozen=True):
     """Reports that a command or read is malformed or not supported."""
 
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
-class EntryHello:
+class EntryHello(Value, frozen=True):
     """Announces an entry host, its installed versions and the loads that it causes.
 
     A store replies with a SiteStatus of what the entry host lacks.
@@ -61,8 +54,7 @@
     loads: tuple[EndpointLoad, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class StoreAnnouncement:
+class StoreAnnouncement(Value, frozen=True):
     """Announces a store with its replicas, and the stores it has recent contact with.
 
     `followed` are the groups whose leader the store's replica knows, `led` those that
@@ -78,8 +70,7 @@
     known: tuple[NodeId, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class SiteStatus:
+class SiteStatus(Value, frozen=True):
     """Sends an entry host the parts of the site's state that it lacks.
 
     `list_version` is set by the store that reads the list of endpoints, even if the
--- a/oleanderhitch/process/site/operators.py
+++ b/oleanderhitch/process/site/operators.py
@@ -1,13 +1,13 @@
 """The HTTP service for operators, which every store offers."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from functools import singledispatch
 from itertools import count
 from typing import Protocol
 
 import logbook
+from msgspec import Struct, field
 
 from oleanderhitch.connection.codec import Codec
 from oleanderhitch.connection.http.caller import ResponseWriter
@@ -31,6 +31,7 @@
 from oleanderhitch.process.repair.states import StoreStanding
 from oleanderhitch.process.site.group import SITE_GROUP, SITE_GROUPS
 from oleanderhitch.process.site.messages import CommandRefused
+from oleanderhitch.values import Value
 
 # Operators' clients try another store after 1 s without a response.
 CALL_TIMEOUT = timedelta(milliseconds=950)
@@ -38,8 +39,7 @@
 log = logbook.Logger("operators")
 
 
-@dataclass(frozen=True, slots=True)
-class OperatorRequest:
+class OperatorRequest(Value, frozen=True):
     """The command or read of the group that an operator's call requests."""
 
     body: object
@@ -59,8 +59,7 @@
         """Return the response to a call that got no result in time."""
 
 
-@dataclass(slots=True)
-class OperatorDependencies:
+class OperatorDependencies(Struct):
     """Collaborators that all operators' calls share."""
 
     dialect: OperatorDialect
--- a/oleanderhitch/process/site/settings.py
+++ b/oleanderhitch/process/site/settings.py
@@ -1,16 +1,15 @@
 """Settings of a site's processes, independent of the format they are read from."""
 
-from dataclasses import dataclass
 from datetime import timedelta
 from pathlib import Path
 
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.process.ids import NodeId
+from oleanderhitch.values import Value
 from oleanderhitch.version.ids import DataCentreName, HostName
 
 
-@dataclass(frozen=True, slots=True)
-class SiteSettings:
+class SiteSettings(Value, frozen=True):
     """Settings that all processes of a site have.
 
     The node id of a store is the address it listens on for other nodes; replica ids
@@ -28,8 +27,7 @@
     metrics_address: HostAddress | None
 
 
-@dataclass(frozen=True, slots=True)
-class SiteEntrySettings:
+class SiteEntrySettings(Value, frozen=True):
     """Settings of an entry host."""
 
     site: SiteSettings
@@ -37,8 +35,7 @@
     readiness_address: HostAddress
 
 
-@dataclass(frozen=True, slots=True)
-class SiteStoreSettings:
+class SiteStoreSettings(Value, frozen=True):
     """Settings of a store.
 
     `may_bootstrap` allows the store to form a new group with the other seeds.
--- a/oleanderhitch/process/site/store.py
+++ b/oleanderhitch/process/site/store.py
@@ -4,7 +4,6 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from datetime import datetime, timedelta
 from functools import singledispatch
 
@@ -66,6 +65,7 @@
 from oleanderhitch.process.site.subscribers import make_subscribers
 from oleanderhitch.process.storage.identity import IDENTITY_FILE, get_node
 from oleanderhitch.process.usage.monitor import make_usage_monitor
+from oleanderhitch.values import Value
 from oleanderhitch.version.routes.configuration import CallerLimits
 
 ANNOUNCEMENT_INTERVAL = timedelta(milliseconds=400)
@@ -90,16 +90,14 @@
 log = logbook.Logger("store")
 
 
-@dataclass(frozen=True, slots=True)
-class StoreDependencies:
+class StoreDependencies(Value, frozen=True):
     """Adapters that the platform package supplies to a store."""
 
     dialect: OperatorDialect
     fetch_list: FetchList
 
 
-@dataclass(frozen=True, slots=True)
-class StoreContact:
+class StoreContact(Value, frozen=True):
     """The groups that another store leads, and the time of its last announcement."""
 
     led: tuple[GroupId, ...]
--- a/oleanderhitch/process/site/subscribers.py
+++ b/oleanderhitch/process/site/subscribers.py
@@ -2,9 +2,10 @@
 
 from collections import defaultdict
 from collections.abc import Callable
-from dataclasses import dataclass
 from datetime import datetime, timedelta
 
+from msgspec import Struct
+
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.clock import Clock
 from oleanderhitch.process.directory.messages import EndpointList
@@ -19,8 +20,7 @@
 LOAD_TTL = timedelta(milliseconds=1300)
 
 
-@dataclass(slots=True)
-class Subscriber:
+class Subscriber(Struct):
     """An entry host with its latest hello and the connection it came over."""
 
     hello: EntryHello
--- a/oleanderhitch/process/site/subscription/core.py
+++ b/oleanderhitch/process/site/subscription/core.py
@@ -1,9 +1,10 @@
 """Decide which state of the stores an entry host installs and when it sends hellos."""
 
-from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from functools import singledispatch
 
+from msgspec import Struct, field
+
 from oleanderhitch.connection.peer.messages import LinkDown, LinkUp
 from oleanderhitch.process.directory.messages import EndpointList, ListVersion
 from oleanderhitch.process.ids import NodeId
@@ -13,6 +14,7 @@
     LoadsFound,
 )
 from oleanderhitch.process.site.messages import EntryHello, RoutingFound, SiteStatus
+from oleanderhitch.values import Value
 from oleanderhitch.version.routes.ids import NO_ROUTING, RoutingVersion
 
 # The leader's store gets each hello. The others only need to know which entry hosts
@@ -30,78 +32,67 @@
 LOCAL_TERM = 0
 
 
-@dataclass(frozen=True, slots=True)
-class SeedsConfigured:
+class SeedsConfigured(Value, frozen=True):
     """Reports the seeds in the settings of this entry host."""
 
     stores: tuple[NodeId, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class ListReadLocally:
+class ListReadLocally(Value, frozen=True):
     """Reports a list that this entry host has read from the platform itself."""
 
     endpoint_list: EndpointList
 
 
-@dataclass(frozen=True, slots=True)
-class StatusReceived:
+class StatusReceived(Value, frozen=True):
     """Reports the status that a store has sent."""
 
     store: NodeId
     status: SiteStatus
 
 
-@dataclass(frozen=True, slots=True)
-class SendHello:
+class SendHello(Value, frozen=True):
     """Sends this entry host's hello to one store, or to all known ones."""
 
     hello: EntryHello
     store: NodeId | None
 
 
-@dataclass(frozen=True, slots=True)
-class InstallRouting:
+class InstallRouting(Value, frozen=True):
     """Installs a routing configuration for new requests."""
 
     routing: RoutingFound
 
 
-@dataclass(frozen=True, slots=True)
-class InstallEndpoints:
+class InstallEndpoints(Value, frozen=True):
     """Installs a list of endpoints for new requests."""
 
     endpoint_list: EndpointList
 
 
-@dataclass(frozen=True, slots=True)
-class LinkStores:
+class LinkStores(Value, frozen=True):
     """Opens a link to each of these stores that has none."""
 
     stores: tuple[NodeId, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class SetLocalReader:
+class SetLocalReader(Value, frozen=True):
     """Starts or stops reading the list of endpoints in this process."""
 
     is_reader: bool
 
 
-@dataclass(frozen=True, slots=True)
-class RequestLoads:
+class RequestLoads(Value, frozen=True):
     """Requests the loads that this entry host causes from placement."""
 
 
-@dataclass(frozen=True, slots=True)
-class ReportPeerLoads:
+class ReportPeerLoads(Value, frozen=True):
     """Sends placement the loads that all other entry hosts cause."""
 
     loads: tuple[EndpointLoad, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class LogLinkChange:
+class LogLinkChange(Value, frozen=True):
     """Logs that the connection to a store was made or lost."""
 
     event: str
@@ -109,8 +100,7 @@
     reason: str
 
 
-@dataclass(slots=True)
-class SubscriptionState:
+class SubscriptionState(Struct):
     """The state received from the stores; owned by the subscription task.
 
     `list_confirmed_at` is when the list of endpoints was last known to be current, and
--- a/oleanderhitch/process/site/subscription/installed_state.py
+++ b/oleanderhitch/process/site/subscription/installed_state.py
@@ -1,15 +1,14 @@
 """State that an entry host has installed, shared with its connections."""
 
-from dataclasses import dataclass, field
 from datetime import timedelta
 
 from gevent.event import Event
+from msgspec import Struct, field
 
 from oleanderhitch.version.routes.configuration import RouteTable
 
 
-@dataclass(slots=True)
-class InstalledState:
+class InstalledState(Struct):
     """The installed route table and whether a list of endpoints is installed.
 
     Connections read it at each request; only the subscription task writes it. A route
--- a/oleanderhitch/process/site/subscription/task.py
+++ b/oleanderhitch/process/site/subscription/task.py
@@ -1,10 +1,10 @@
 """Run the subscription core in a task of the entry host."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from functools import singledispatch
 
 import logbook
+from msgspec import Struct
 
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.clock import Clock
@@ -37,8 +37,7 @@
 from oleanderhitch.version.routes.configuration import RouteTable
 
 
-@dataclass(slots=True)
-class SubscriptionDependencies:
+class SubscriptionDependencies(Struct):
     """Collaborators that the effects of the subscription act on."""
 
     installed_state: InstalledState
--- a/oleanderhitch/process/storage/core.py
+++ b/oleanderhitch/process/storage/core.py
@@ -1,9 +1,11 @@
 """Batch writes, start new segments and delete segments that are not needed."""
 
-from dataclasses import dataclass, field, replace
 from datetime import datetime
 from functools import singledispatch
 
+from msgspec import Struct, field
+from msgspec.structs import replace
+
 from oleanderhitch.process.ids import GroupId
 from oleanderhitch.process.mailbox import Address
 from oleanderhitch.process.storage.exceptions import StorageError
@@ -24,10 +26,10 @@
     WriteFailed,
     WriteRecords,
 )
+from oleanderhitch.values import Value
 
 
-@dataclass(frozen=True, slots=True)
-class StorageLimits:
+class StorageLimits(Value, frozen=True):
     """Size at which a batch or a segment is full, and when to request snapshots."""
 
     batch_bytes: int = 4 * 1024 * 1024
@@ -37,8 +39,7 @@
     snapshot_threshold_segments: int = 4
 
 
-@dataclass(slots=True)
-class Segment:
+class Segment(Struct):
     """Size of a segment, and the index of the last entry of each group in it."""
 
     number: int
@@ -46,8 +47,7 @@
     last_indexes: dict[GroupId, int] = field(default_factory=dict)
 
 
-@dataclass(slots=True)
-class GroupRecords:
+class GroupRecords(Struct):
     """Records of a group that are copied into each new segment.
 
     The copies stay on disk when older segments are deleted. `reply_address` is
@@ -60,8 +60,7 @@
     reply_address: Address | None = None
 
 
-@dataclass(slots=True)
-class StorageState:
+class StorageState(Struct):
     """Segments on disk, queued requests, and the requests of the current batch.
 
     `failure_reason` is empty unless a write has failed.
--- a/oleanderhitch/process/storage/log_files.py
+++ b/oleanderhitch/process/storage/log_files.py
@@ -2,9 +2,10 @@
 
 import os
 from collections.abc import Callable
-from dataclasses import dataclass
 from pathlib import Path
 
+from msgspec import Struct
+
 from oleanderhitch.process.storage.exceptions import CorruptLogError
 from oleanderhitch.process.storage.files import (
     SEGMENT_PATTERN,
@@ -23,8 +24,7 @@
 FrameCallback = Callable[[int, list[Record], int], None]
 
 
-@dataclass(slots=True)
-class LogEnd:
+class LogEnd(Struct):
     """Last segment, its size, and the number of the last frame."""
 
     segment_number: int = 0
--- a/oleanderhitch/process/storage/messages.py
+++ b/oleanderhitch/process/storage/messages.py
@@ -1,38 +1,33 @@
 """Define the records, messages and effects of the storage task."""
 
-from dataclasses import dataclass
-
 from oleanderhitch.process.ids import GroupId, LogIndex, ReplicaId, Term
 from oleanderhitch.process.mailbox import Address
 from oleanderhitch.process.replication.messages import HardState, LogEntry, Snapshot
+from oleanderhitch.values import Value
 
 
-@dataclass(frozen=True, slots=True)
-class EntryRecord:
+class EntryRecord(Value, frozen=True):
     """A log entry, which replaces any entries at and after its index."""
 
     group: GroupId
     entry: LogEntry
 
 
-@dataclass(frozen=True, slots=True)
-class TruncationRecord:
+class TruncationRecord(Value, frozen=True):
     """Removal of all entries at and after an index."""
 
     group: GroupId
     first_index: LogIndex
 
 
-@dataclass(frozen=True, slots=True)
-class HardStateRecord:
+class HardStateRecord(Value, frozen=True):
     """The current term and the vote in it."""
 
     group: GroupId
     hard_state: HardState
 
 
-@dataclass(frozen=True, slots=True)
-class SnapshotRecord:
+class SnapshotRecord(Value, frozen=True):
     """Replacement of the log up to an index by a snapshot file.
 
     Entries after the index stay valid only if `is_log_kept` is true.
@@ -44,8 +39,7 @@
     is_log_kept: bool
 
 
-@dataclass(frozen=True, slots=True)
-class FoundingRecord:
+class FoundingRecord(Value, frozen=True):
     """Bootstrap record with the initial voters that this replica has agreed to.
 
     The voters never change. `is_formed` becomes true when all of them have agreed,
@@ -62,8 +56,7 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class WriteRecords:
+class WriteRecords(Value, frozen=True):
     """Syncs records, then returns the acknowledgement to the reply address."""
 
     records: tuple[Record, ...]
@@ -71,8 +64,7 @@
     acknowledgement: object | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class SaveSnapshot:
+class SaveSnapshot(Value, frozen=True):
     """Syncs a snapshot, then returns the acknowledgement to the reply address."""
 
     group: GroupId
@@ -82,41 +74,35 @@
     acknowledgement: object
 
 
-@dataclass(frozen=True, slots=True)
-class RecordsSynced:
+class RecordsSynced(Value, frozen=True):
     """Returns the acknowledgements of a synced batch in the order of its requests."""
 
     acknowledgements: tuple[object, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class WriteFailed:
+class WriteFailed(Value, frozen=True):
     """Reports that a write failed and that the storage rejects all further requests."""
 
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
-class SnapshotRequested:
+class SnapshotRequested(Value, frozen=True):
     """Requests a snapshot from a group, so that old segments can be deleted."""
 
 
-@dataclass(frozen=True, slots=True)
-class BatchWritten:
+class BatchWritten(Value, frozen=True):
     """Reports that the current batch is synced."""
 
     n_bytes: int
 
 
-@dataclass(frozen=True, slots=True)
-class BatchFailed:
+class BatchFailed(Value, frozen=True):
     """Reports that the current batch could not be synced."""
 
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
-class WriteBatch:
+class WriteBatch(Value, frozen=True):
     """Saves a snapshot if there is one, then appends and syncs records."""
 
     segment_number: int
@@ -125,15 +111,13 @@
     snapshot: SaveSnapshot | None
 
 
-@dataclass(frozen=True, slots=True)
-class DeleteSegments:
+class DeleteSegments(Value, frozen=True):
     """Deletes segments whose entries are all covered by snapshots."""
 
     segment_numbers: tuple[int, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class SendReply:
+class SendReply(Value, frozen=True):
     """Sends a message to a reply address."""
 
     reply_address: Address
--- a/oleanderhitch/process/storage/records.py
+++ b/oleanderhitch/process/storage/records.py
@@ -8,7 +8,6 @@
 import struct
 import zlib
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass
 from functools import singledispatch
 
 from oleanderhitch.connection.codec import make_codec
@@ -29,6 +28,7 @@
     SnapshotRecord,
     TruncationRecord,
 )
+from oleanderhitch.values import Value
 
 FRAME_MAGIC = b"OLH1"
 # Magic, frame number, length of all records in bytes, checksum of these three.
@@ -50,8 +50,7 @@
 _CODEC = make_codec((Membership, HardState, FoundingRecord))
 
 
-@dataclass(frozen=True, slots=True)
-class _RecordFields:
+class _RecordFields(Value, frozen=True):
     kind: int
     group: GroupId
     index: int
--- a/oleanderhitch/process/storage/recovery.py
+++ b/oleanderhitch/process/storage/recovery.py
@@ -1,8 +1,9 @@
 """Rebuild the state of each group from the records on disk."""
 
-from dataclasses import dataclass, field
 from functools import singledispatch
 
+from msgspec import Struct, field
+
 from oleanderhitch.process.ids import GroupId, LogIndex, Term
 from oleanderhitch.process.replication.messages import (
     NO_INDEX,
@@ -20,8 +21,7 @@
 )
 
 
-@dataclass(slots=True)
-class RecoveredGroup:
+class RecoveredGroup(Struct):
     """State that a replica had synced before its process started.
 
     The entries follow `base_index` and `base_term`, the last entry that the snapshot
--- a/oleanderhitch/process/storage/task.py
+++ b/oleanderhitch/process/storage/task.py
@@ -1,13 +1,13 @@
 """Run the storage task, which alone writes to the process's data directory."""
 
 import os
-from dataclasses import dataclass
 from datetime import timedelta
 from functools import partial, singledispatch
 from pathlib import Path
 
 import gevent
 import logbook
+from msgspec import Struct
 
 from oleanderhitch.process.clock import Clock
 from oleanderhitch.process.ids import GroupId, NodeId, ReplicaId
@@ -56,8 +56,7 @@
 REPLY_RETRY_INTERVAL = timedelta(milliseconds=10)
 
 
-@dataclass(slots=True)
-class LogWriter:
+class LogWriter(Struct):
     """Open segment, to which one batch at a time is written.
 
     `descriptor` is that of the segment's file.
@@ -70,8 +69,7 @@
     batch_greenlet: gevent.Greenlet | None = None
 
 
-@dataclass(slots=True)
-class Storage:
+class Storage(Struct):
     """Open data directory, its recovered groups and the task that owns it."""
 
     replica: ReplicaId
--- a/oleanderhitch/process/tracing/records.py
+++ b/oleanderhitch/process/tracing/records.py
@@ -1,13 +1,15 @@
 """Finished spans and their format as lines of JSON."""
 
 import json
-from dataclasses import asdict, dataclass, field
+
+from msgspec import field
+from msgspec.structs import asdict
 
 from oleanderhitch.exceptions import InvalidInputError
+from oleanderhitch.values import Value
 
 
-@dataclass(frozen=True, slots=True)
-class SpanRecord:
+class SpanRecord(Value, frozen=True):
     """A finished span, with times in nanoseconds since the Unix epoch.
 
     `trace`, `span` and `parent` are ids in hexadecimal; `parent` is empty for a root.
--- a/oleanderhitch/process/tracing/tree.py
+++ b/oleanderhitch/process/tracing/tree.py
@@ -1,15 +1,14 @@
 """Arrangement of the spans of a request as a tree."""
 
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass
 
 from oleanderhitch.process.tracing.records import SpanRecord
+from oleanderhitch.values import Value
 
 NS_PER_MS = 1_000_000
 
 
-@dataclass(frozen=True, slots=True)
-class TreeLine:
+class TreeLine(Value, frozen=True):
     """A span with its depth in the tree and its times in milliseconds.
 
     `start_ms` is relative to the first span of the trace.
--- a/oleanderhitch/process/usage/monitor.py
+++ b/oleanderhitch/process/usage/monitor.py
@@ -1,21 +1,20 @@
 """Measure the memory of a process and the delay of its event loop."""
 
 import os
-from dataclasses import dataclass
 from datetime import timedelta
 from pathlib import Path
 
 import gevent
 
 from oleanderhitch.process.clock import Clock
+from oleanderhitch.values import Value
 
 PROBE_INTERVAL = timedelta(milliseconds=50)
 # The second field is the resident memory in pages.
 STATM_PATH = Path("/proc/self/statm")
 
 
-@dataclass(frozen=True, slots=True)
-class ProcessUsage:
+class ProcessUsage(Value, frozen=True):
     """Resident memory, None where the system hides it, and the longest loop delay."""
 
     memory_bytes: int | None
--- a/oleanderhitch/program/entries.py
+++ b/oleanderhitch/program/entries.py
@@ -1,8 +1,9 @@
 """Define the state that a shard keeps in memory for its programs."""
 
-from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 
+from msgspec import Struct, field
+
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.program.history import HistoryStore
 from oleanderhitch.program.ids import AccountId, ProgramId, RunId, SequenceNumber
@@ -14,8 +15,7 @@
 FIRST_ATTEMPT = AttemptNumber(1)
 
 
-@dataclass(slots=True)
-class AttemptEntry:
+class AttemptEntry(Struct):
     """The record of one attempt."""
 
     number: AttemptNumber
@@ -24,8 +24,7 @@
     state: AttemptState
 
 
-@dataclass(slots=True)
-class RequestEntry:
+class RequestEntry(Struct):
     """The record of a program's open request, which has no outcome yet.
 
     A run is one request task that serves the request. An idempotent request that was
@@ -85,8 +84,7 @@
         return None
 
 
-@dataclass(slots=True)
-class ProgramEntry:
+class ProgramEntry(Struct):
     """The record of one program.
 
     While a child runs, its whole budget counts as reserved by its parent. After the
@@ -135,8 +133,7 @@
         return SequenceNumber(n_taken + 1)
 
 
-@dataclass(slots=True)
-class ShardState:
+class ShardState(Struct):
     """The programs of one shard.
 
     `include_history` is off on followers and during log replay: results are not used
--- a/oleanderhitch/program/history.py
+++ b/oleanderhitch/program/history.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Iterator
-from dataclasses import dataclass
 from typing import Protocol
 
 from oleanderhitch.process.ids import NodeId
@@ -14,11 +13,11 @@
 from oleanderhitch.program.states import RequestProgress
 from oleanderhitch.request.ids import RequestId
 from oleanderhitch.request.states import Outcome
+from oleanderhitch.values import Value
 from oleanderhitch.version.ids import EndpointId
 
 
-@dataclass(frozen=True, slots=True)
-class EndedRequest:
+class EndedRequest(Value, frozen=True):
     """The record of a request that has an outcome.
 
     The content is kept only if the request completed, since it is then part of a turn;
--- a/oleanderhitch/program/history_file.py
+++ b/oleanderhitch/program/history_file.py
@@ -9,11 +9,11 @@
 import os
 import struct
 from collections.abc import Iterator
-from dataclasses import replace
 from pathlib import Path
 from typing import NamedTuple
 
 import xxhash
+from msgspec.structs import replace
 
 from oleanderhitch.connection.codec import Codec, make_codec
 from oleanderhitch.program.exceptions import (
--- a/oleanderhitch/program/messages.py
+++ b/oleanderhitch/program/messages.py
@@ -1,6 +1,5 @@
 """Define the commands, reads and results of a program shard."""
 
-from dataclasses import dataclass
 from datetime import datetime, timedelta
 
 from oleanderhitch.process.ids import NodeId
@@ -8,6 +7,7 @@
 from oleanderhitch.program.states import EndReason, RefusalReason, RequestProgress
 from oleanderhitch.request.ids import AttemptNumber, RequestId
 from oleanderhitch.request.states import Outcome
+from oleanderhitch.values import Value
 from oleanderhitch.version.ids import EndpointId
 
 # Agents that poll a tool repeat a call a few times. An agent that sends the same
@@ -18,8 +18,7 @@
 NO_RUN = RunId("")
 
 
-@dataclass(frozen=True, slots=True)
-class StartProgram:
+class StartProgram(Value, frozen=True):
     """Creates a program with a token budget.
 
     `n_repeats_limit` is the number of consecutive calls with the same content, and
@@ -36,8 +35,7 @@
     n_repeats_limit: int = N_REPEATS_LIMIT
 
 
-@dataclass(frozen=True, slots=True)
-class BeginRequest:
+class BeginRequest(Value, frozen=True):
     """Records the program's next call and reserves the most tokens it can spend.
 
     `reserved_tokens` covers the new turn. If the call uses the history, the shard adds
@@ -64,8 +62,7 @@
     uses_history: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class RecordAttempt:
+class RecordAttempt(Value, frozen=True):
     """Records that a call is about to be sent to an endpoint.
 
     `holds_cache` marks an endpoint that caches the prompt of the call: an engine. The
@@ -82,8 +79,7 @@
     run: RunId = NO_RUN
 
 
-@dataclass(frozen=True, slots=True)
-class FailAttempt:
+class FailAttempt(Value, frozen=True):
     """Records that an attempt ended without a response.
 
     If the usage of the attempt is unknown, `spent_tokens` is its whole reservation.
@@ -98,8 +94,7 @@
     run: RunId = NO_RUN
 
 
-@dataclass(frozen=True, slots=True)
-class FinishRequest:
+class FinishRequest(Value, frozen=True):
     """Records the outcome of a call and settles its reservations.
 
     `spent_tokens` is the usage of `attempt`, the attempt that got the response. Other
@@ -122,8 +117,7 @@
     context_tokens: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class CloseRequest:
+class CloseRequest(Value, frozen=True):
     """Resolves a call whose node has failed.
 
     An idempotent call may be started again. Any other call ends, as not run if it has
@@ -137,8 +131,7 @@
     run: RunId | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class EndProgram:
+class EndProgram(Value, frozen=True):
     """Ends a program; the engines that cache its prompt are listed for release."""
 
     program: ProgramId
@@ -146,8 +139,7 @@
     at: datetime
 
 
-@dataclass(frozen=True, slots=True)
-class ConfirmRelease:
+class ConfirmRelease(Value, frozen=True):
     """Records that an engine no longer caches the prompt of an ended program.
 
     `number` is the number of the confirmed release. If the engine has been recorded
@@ -160,42 +152,36 @@
     number: int | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class ExpirePrograms:
+class ExpirePrograms(Value, frozen=True):
     """Ends the programs that have been inactive for longer than their silence limit."""
 
     at: datetime
 
 
-@dataclass(frozen=True, slots=True)
-class GetProgram:
+class GetProgram(Value, frozen=True):
     """Reads the summary of a program."""
 
     program: ProgramId
 
 
-@dataclass(frozen=True, slots=True)
-class GetOutcome:
+class GetOutcome(Value, frozen=True):
     """Reads what is recorded of a request."""
 
     program: ProgramId
     request: RequestId
 
 
-@dataclass(frozen=True, slots=True)
-class GetHistory:
+class GetHistory(Value, frozen=True):
     """Reads the turns of a program."""
 
     program: ProgramId
 
 
-@dataclass(frozen=True, slots=True)
-class ListReleases:
+class ListReleases(Value, frozen=True):
     """Reads which engines may still cache the prompts of ended programs."""
 
 
-@dataclass(frozen=True, slots=True)
-class Turn:
+class Turn(Value, frozen=True):
     """A completed call in a program's history."""
 
     sequence: SequenceNumber
@@ -203,21 +189,18 @@
     answer: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class Done:
+class Done(Value, frozen=True):
     """Reports that a command took effect."""
 
 
-@dataclass(frozen=True, slots=True)
-class Refused:
+class Refused(Value, frozen=True):
     """Reports that a command was refused and had no effect."""
 
     reason: RefusalReason
     detail: str
 
 
-@dataclass(frozen=True, slots=True)
-class Begun:
+class Begun(Value, frozen=True):
     """Reports that the call may run, with the history before it.
 
     `attained_tokens` is what the program has spent so far, and `holders` are the
@@ -230,8 +213,7 @@
     reserved_tokens: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class RequestRecord:
+class RequestRecord(Value, frozen=True):
     """Reports the recorded state of a request, open or ended."""
 
     program: ProgramId
@@ -247,8 +229,7 @@
     endpoints: tuple[EndpointId, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class ProgramSummary:
+class ProgramSummary(Value, frozen=True):
     """Reports the state of a program without its history."""
 
     program: ProgramId
@@ -265,15 +246,13 @@
     started_at: datetime | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class History:
+class History(Value, frozen=True):
     """Reports the turns of a program in order."""
 
     turns: tuple[Turn, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class Release:
+class Release(Value, frozen=True):
     """An engine that may still cache the prompt of an ended program.
 
     The number increases each time the shard records an engine of the program.
@@ -284,8 +263,7 @@
     number: int
 
 
-@dataclass(frozen=True, slots=True)
-class Releases:
+class Releases(Value, frozen=True):
     """Reports the releases that have not been confirmed yet."""
 
     releases: tuple[Release, ...]
--- a/oleanderhitch/program/turns/content_files.py
+++ b/oleanderhitch/program/turns/content_files.py
@@ -8,7 +8,6 @@
 import weakref
 import zlib
 from collections.abc import Sequence
-from dataclasses import dataclass
 from pathlib import Path
 
 from oleanderhitch.process.storage.disk import Disk
@@ -18,6 +17,7 @@
     HistoryUnavailableError,
 )
 from oleanderhitch.program.turns.contents import read_content
+from oleanderhitch.values import Value
 
 FILE_PATTERN = "contents-*.bin"
 
@@ -63,8 +63,7 @@
         weakref.finalize(self, os.close, descriptor)
 
 
-@dataclass(frozen=True, slots=True)
-class StoredContent:
+class StoredContent(Value, frozen=True):
     """The content of a turn in a file."""
 
     file: ContentFile
--- a/oleanderhitch/program/turns/core.py
+++ b/oleanderhitch/program/turns/core.py
@@ -1,9 +1,10 @@
 """Apply commands on turns and budgets, deterministically on every replica."""
 
-from dataclasses import dataclass, field
 from datetime import UTC, datetime, timedelta
 from functools import singledispatch
 
+from msgspec import Struct, field
+
 from oleanderhitch.program.ids import ProgramId
 from oleanderhitch.program.turns.contents import read_content
 from oleanderhitch.program.turns.messages import (
@@ -32,8 +33,7 @@
 EPOCH = datetime.fromtimestamp(0, UTC)
 
 
-@dataclass(slots=True)
-class TurnRecord:
+class TurnRecord(Struct):
     """A complete turn; it expires no earlier than the turns that continue it.
 
     `read_content` returns the bytes of its content.
@@ -45,8 +45,7 @@
     expires_at: datetime
 
 
-@dataclass(slots=True)
-class ProgramRecord:
+class ProgramRecord(Struct):
     """The tokens that a program has spent, and those reserved for open turns."""
 
     spent_tokens: int = 0
@@ -55,8 +54,7 @@
     expires_at: datetime = EPOCH
 
 
-@dataclass(slots=True)
-class TurnsState:
+class TurnsState(Struct):
     """The turns and budgets of all programs of a group."""
 
     turns: dict[RequestId, TurnRecord] = field(default_factory=dict)
--- a/oleanderhitch/program/turns/messages.py
+++ b/oleanderhitch/program/turns/messages.py
@@ -3,15 +3,14 @@
 Every command is idempotent, since it is resent when no reply arrives.
 """
 
-from dataclasses import dataclass
 from datetime import datetime, timedelta
 
 from oleanderhitch.program.ids import ProgramId
 from oleanderhitch.request.ids import RequestId
+from oleanderhitch.values import Value
 
 
-@dataclass(frozen=True, slots=True)
-class BeginTurn:
+class BeginTurn(Value, frozen=True):
     """Reserves the most tokens a turn may spend and reads the turns it continues.
 
     `imported` is the history up to the previous turn, if another group has it; it is
@@ -27,8 +26,7 @@
     imported: "WholeTurn | None" = None
 
 
-@dataclass(frozen=True, slots=True)
-class SettleTurn:
+class SettleTurn(Value, frozen=True):
     """Replaces a reservation with the spent tokens; stores the turn if it is complete.
 
     A reservation that arrives after its settlement is refused.
@@ -41,8 +39,7 @@
     at: datetime
 
 
-@dataclass(frozen=True, slots=True)
-class WholeTurn:
+class WholeTurn(Value, frozen=True):
     """The input and the output of a complete turn, which later turns may continue."""
 
     previous: RequestId | None
@@ -50,65 +47,55 @@
     retention: timedelta
 
 
-@dataclass(frozen=True, slots=True)
-class ExpireTurns:
+class ExpireTurns(Value, frozen=True):
     """Deletes turns and programs whose retention has passed."""
 
     at: datetime
 
 
-@dataclass(frozen=True, slots=True)
-class FindTurn:
+class FindTurn(Value, frozen=True):
     """Reads a turn with all turns that it continues."""
 
     request: RequestId
 
 
-@dataclass(frozen=True, slots=True)
-class TurnFound:
+class TurnFound(Value, frozen=True):
     """Returns a turn with all turns that it continues as one."""
 
     history: WholeTurn
 
 
-@dataclass(frozen=True, slots=True)
-class TurnNotFound:
+class TurnNotFound(Value, frozen=True):
     """Reports that the group has no such turn."""
 
 
-@dataclass(frozen=True, slots=True)
-class TurnBegun:
+class TurnBegun(Value, frozen=True):
     """Reports that a turn may run, with the content that precedes its input."""
 
     history: bytes
     n_turns: int
 
 
-@dataclass(frozen=True, slots=True)
-class PreviousTurnMissing:
+class PreviousTurnMissing(Value, frozen=True):
     """Reports that the turn to continue does not exist or has expired."""
 
 
-@dataclass(frozen=True, slots=True)
-class BudgetSpent:
+class BudgetSpent(Value, frozen=True):
     """Reports that the budget does not cover the most tokens a turn may spend."""
 
     spent_tokens: int
     reserved_tokens: int
 
 
-@dataclass(frozen=True, slots=True)
-class TurnClosed:
+class TurnClosed(Value, frozen=True):
     """Reports that the turn has been settled already and so cannot begin."""
 
 
-@dataclass(frozen=True, slots=True)
-class TurnSettled:
+class TurnSettled(Value, frozen=True):
     """Reports that a settlement is applied."""
 
 
-@dataclass(frozen=True, slots=True)
-class TurnsExpired:
+class TurnsExpired(Value, frozen=True):
     """Reports the number of turns that an expiry deleted."""
 
     n_turns: int
--- a/oleanderhitch/program/turns/snapshot.py
+++ b/oleanderhitch/program/turns/snapshot.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass
 from datetime import datetime, timedelta
 from functools import singledispatch
 from itertools import islice
@@ -13,20 +12,19 @@
 from oleanderhitch.program.ids import ProgramId
 from oleanderhitch.program.turns.core import ProgramRecord, TurnRecord, TurnsState
 from oleanderhitch.request.ids import RequestId
+from oleanderhitch.values import Value
 
 # Keeps a record far below the limit of a frame.
 N_ROWS_PER_RECORD = 1000
 
 
-@dataclass(frozen=True, slots=True)
-class SavedTime:
+class SavedTime(Value, frozen=True):
     """The latest time of any applied command."""
 
     now: datetime
 
 
-@dataclass(frozen=True, slots=True)
-class SavedTurn:
+class SavedTurn(Value, frozen=True):
     """A complete turn, with the size and the checksum of its content."""
 
     request: RequestId
@@ -37,23 +35,20 @@
     expires_at: datetime
 
 
-@dataclass(frozen=True, slots=True)
-class SavedTurns:
+class SavedTurns(Value, frozen=True):
     """Some of the turns, in the order of their contents."""
 
     turns: tuple[SavedTurn, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class SavedProgram:
+class SavedProgram(Value, frozen=True):
     """The spent and reserved tokens of a program."""
 
     program: ProgramId
     record: ProgramRecord
 
 
-@dataclass(frozen=True, slots=True)
-class SavedPrograms:
+class SavedPrograms(Value, frozen=True):
     """Some of the programs."""
 
     programs: tuple[SavedProgram, ...]
--- a/oleanderhitch/request/admission.py
+++ b/oleanderhitch/request/admission.py
@@ -7,14 +7,17 @@
 import math
 from collections import Counter
 from collections.abc import Mapping
-from dataclasses import dataclass, field, replace
 from datetime import datetime, timedelta
 from enum import Enum
 from functools import singledispatch
 from typing import TypeVar
 
+from msgspec import Struct, field
+from msgspec.structs import replace
+
 from oleanderhitch.program.ids import AccountId, ProgramId
 from oleanderhitch.request.ids import RequestId
+from oleanderhitch.values import Value
 from oleanderhitch.version.ids import DataCentreName, PoolId, RegionName
 
 Key = TypeVar("Key")
@@ -42,8 +45,7 @@
     FAIR_SHARE = "fair_share"
 
 
-@dataclass(frozen=True, slots=True)
-class Limit:
+class Limit(Value, frozen=True):
     """Limits on concurrent requests and on request rate; None means unlimited.
 
     `n_burst` requests may start at once before the rate limits further ones.
@@ -54,16 +56,14 @@
     n_burst: int = 1
 
 
-@dataclass(frozen=True, slots=True)
-class LocationRule:
+class LocationRule(Value, frozen=True):
     """Where an account's work may run; an empty set allows all locations."""
 
     regions: frozenset[RegionName] = frozenset()
     data_centres: frozenset[DataCentreName] = frozenset()
 
 
-@dataclass(frozen=True, slots=True)
-class AdmissionRules:
+class AdmissionRules(Value, frozen=True):
     """Limits and location rules of an accepted configuration."""
 
     default_account: Limit = Limit()
@@ -74,8 +74,7 @@
     location_rules: Mapping[AccountId, LocationRule] = field(default_factory=dict)
 
 
-@dataclass(frozen=True, slots=True)
-class AdmitRequest:
+class AdmitRequest(Value, frozen=True):
     """Requests the admission of a request."""
 
     request: RequestId
@@ -86,29 +85,25 @@
     data_centre: DataCentreName
 
 
-@dataclass(frozen=True, slots=True)
-class EndAdmission:
+class EndAdmission(Value, frozen=True):
     """Reports that an admitted request has ended."""
 
     request: RequestId
 
 
-@dataclass(frozen=True, slots=True)
-class AdmissionRulesChanged:
+class AdmissionRulesChanged(Value, frozen=True):
     """Replaces the rules; requests that are running are not affected."""
 
     rules: AdmissionRules
 
 
-@dataclass(frozen=True, slots=True)
-class RequestAdmitted:
+class RequestAdmitted(Value, frozen=True):
     """Reports that the request may start."""
 
     request: RequestId
 
 
-@dataclass(frozen=True, slots=True)
-class AdmissionRejected:
+class AdmissionRejected(Value, frozen=True):
     """Reports that the request was rejected and has not run."""
 
     request: RequestId
@@ -120,24 +115,21 @@
 Effect = RequestAdmitted | AdmissionRejected
 
 
-@dataclass(slots=True)
-class AdmittedRequest:
+class AdmittedRequest(Struct):
     """An admitted request that is still running."""
 
     message: AdmitRequest
     started_at: datetime
 
 
-@dataclass(slots=True)
-class TokenBucket:
+class TokenBucket(Struct):
     """Token bucket that limits the request rate of one account."""
 
     n_tokens: float
     refilled_at: datetime
 
 
-@dataclass(slots=True)
-class AdmissionState:
+class AdmissionState(Struct):
     """Running requests and rate limits of one entry host.
 
     The `n_by_*` counters count running requests.
--- a/oleanderhitch/request/forwarding/messages.py
+++ b/oleanderhitch/request/forwarding/messages.py
@@ -1,6 +1,5 @@
 """Requests to forward, the messages that they receive and their effects."""
 
-from dataclasses import dataclass
 from datetime import datetime, timedelta
 
 from oleanderhitch.connection.http.messages import Headers
@@ -10,11 +9,11 @@
 from oleanderhitch.program.turns.messages import BeginTurn, FindTurn, SettleTurn
 from oleanderhitch.request.forwarding.states import Verdict
 from oleanderhitch.request.ids import PermitId, RequestId
+from oleanderhitch.values import Value
 from oleanderhitch.version.ids import EndpointId, ServiceName
 
 
-@dataclass(frozen=True, slots=True)
-class ProgramTurn:
+class ProgramTurn(Value, frozen=True):
     """The program of a turn and the preceding turn, if any."""
 
     program: ProgramId
@@ -22,8 +21,7 @@
     previous: RequestId | None
 
 
-@dataclass(frozen=True, slots=True)
-class ForwardRequest:
+class ForwardRequest(Value, frozen=True):
     """A caller's request, with the headers that are forwarded to endpoints."""
 
     request: RequestId
@@ -44,8 +42,7 @@
         return self.target.partition("?")[0]
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointResponseHead:
+class EndpointResponseHead(Value, frozen=True):
     """Status and headers of an endpoint's response, with what they imply.
 
     Only a signed response comes from an endpoint that has handled the request; a
@@ -68,27 +65,23 @@
 # Messages that a request receives.
 
 
-@dataclass(frozen=True, slots=True)
-class Start:
+class Start(Value, frozen=True):
     """Starts the work on the request."""
 
 
-@dataclass(frozen=True, slots=True)
-class RecordFailed:
+class RecordFailed(Value, frozen=True):
     """Reports that the program record gave no result in time, or an unreadable one."""
 
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
-class RecordAway:
+class RecordAway(Value, frozen=True):
     """Reports that a command was not sent, since the program record does not answer."""
 
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
-class ResponseBegun:
+class ResponseBegun(Value, frozen=True):
     """Reports that an endpoint's response has begun."""
 
     exchange_id: int
@@ -98,16 +91,14 @@
 # Effects. Their class names appear in log lines.
 
 
-@dataclass(frozen=True, slots=True)
-class ReserveTokens:
+class ReserveTokens(Value, frozen=True):
     """Reserves tokens for the turn in the program record."""
 
     command: BeginTurn
     deadline: datetime
 
 
-@dataclass(frozen=True, slots=True)
-class SearchTurn:
+class SearchTurn(Value, frozen=True):
     """Searches the turn to continue in all groups except that of the program."""
 
     query: FindTurn
@@ -115,8 +106,7 @@
     deadline: datetime
 
 
-@dataclass(frozen=True, slots=True)
-class SettleReservation:
+class SettleReservation(Value, frozen=True):
     """Replaces the turn's reservation in the program record with its spend.
 
     The record of a completed turn is awaited.
@@ -126,8 +116,7 @@
     is_awaited: bool
 
 
-@dataclass(frozen=True, slots=True)
-class RequestEndpoint:
+class RequestEndpoint(Value, frozen=True):
     """Requests an endpoint from placement; a lower rank is more urgent.
 
     `is_retryable` means that the request can be retried after it may have run.
@@ -140,13 +129,11 @@
     deadline: datetime
 
 
-@dataclass(frozen=True, slots=True)
-class WithdrawEndpointRequest:
+class WithdrawEndpointRequest(Value, frozen=True):
     """Withdraws the request for an endpoint from placement."""
 
 
-@dataclass(frozen=True, slots=True)
-class SendToEndpoint:
+class SendToEndpoint(Value, frozen=True):
     """Sends the request to an endpoint."""
 
     exchange_id: int
@@ -156,78 +143,67 @@
     last_event_id: str | None
 
 
-@dataclass(frozen=True, slots=True)
-class CancelEndpointExchange:
+class CancelEndpointExchange(Value, frozen=True):
     """Cancels an exchange whose response is no longer needed."""
 
     exchange_id: int
 
 
-@dataclass(frozen=True, slots=True)
-class ReturnPermit:
+class ReturnPermit(Value, frozen=True):
     """Releases the permit of an endpoint and reports the result of the attempt."""
 
     permit: PermitId
     result: AttemptResult
 
 
-@dataclass(frozen=True, slots=True)
-class ReportFirstChunk:
+class ReportFirstChunk(Value, frozen=True):
     """Reports to placement that the endpoint has finished its prefill."""
 
     permit: PermitId
 
 
-@dataclass(frozen=True, slots=True)
-class ReportEventLatency:
+class ReportEventLatency(Value, frozen=True):
     """Reports to placement the endpoint's mean time between two events."""
 
     permit: PermitId
     latency: timedelta
 
 
-@dataclass(frozen=True, slots=True)
-class SendResponse:
+class SendResponse(Value, frozen=True):
     """Sends the caller a complete response of an endpoint."""
 
     head: EndpointResponseHead
     body: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class StartResponse:
+class StartResponse(Value, frozen=True):
     """Starts a streamed response."""
 
     head: EndpointResponseHead
 
 
-@dataclass(frozen=True, slots=True)
-class WriteResponseChunk:
+class WriteResponseChunk(Value, frozen=True):
     """Writes a chunk of the streamed response."""
 
     data: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class FinishResponse:
+class FinishResponse(Value, frozen=True):
     """Completes the streamed response."""
 
 
-@dataclass(frozen=True, slots=True)
-class AbortResponse:
+class AbortResponse(Value, frozen=True):
     """Aborts the response so that the caller can detect that it is incomplete."""
 
 
-@dataclass(frozen=True, slots=True)
-class SendVerdict:
+class SendVerdict(Value, frozen=True):
     """Sends the caller a response that this system generates."""
 
     verdict: Verdict
     detail: str
 
 
-@dataclass(frozen=True, slots=True)
-class LogDecision:
+class LogDecision(Value, frozen=True):
     """Logs a decision with its reasons."""
 
     event: str
--- a/oleanderhitch/request/forwarding/sse.py
+++ b/oleanderhitch/request/forwarding/sse.py
@@ -1,13 +1,12 @@
 """Split a stream of server-sent events into complete events."""
 
-from dataclasses import dataclass
+from oleanderhitch.values import Value
 
 # Endpoints use LF as line ending, never CR LF or CR.
 _EVENT_SEPARATOR = b"\n\n"
 
 
-@dataclass(frozen=True, slots=True)
-class StreamEvent:
+class StreamEvent(Value, frozen=True):
     """The raw bytes of an event with its parsed id and data fields."""
 
     raw: bytes
--- a/oleanderhitch/request/forwarding/state.py
+++ b/oleanderhitch/request/forwarding/state.py
@@ -1,8 +1,9 @@
 """State of one forwarded request."""
 
-from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 
+from msgspec import Struct, field
+
 from oleanderhitch.connection.http.messages import CallerDisconnected
 from oleanderhitch.request.forwarding.messages import (
     EndpointResponseHead,
@@ -19,8 +20,7 @@
 N_EXCHANGES_PER_REQUEST = 64
 
 
-@dataclass(slots=True)
-class Attempt:
+class Attempt(Struct):
     """The running attempt of a request at one endpoint."""
 
     exchange_id: int
@@ -34,8 +34,7 @@
     n_body_bytes: int = 0
 
 
-@dataclass(slots=True)
-class ForwardState:
+class ForwardState(Struct):
     """The state of one request, owned by its task."""
 
     request: ForwardRequest
--- a/oleanderhitch/request/forwarding/task.py
+++ b/oleanderhitch/request/forwarding/task.py
@@ -1,13 +1,13 @@
 """Serve forwarded requests in the task of their caller's connection."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from functools import singledispatch
 from itertools import count
 from random import Random
 
 import logbook
+from msgspec import Struct, field
 
 from oleanderhitch.connection.codec import Codec
 from oleanderhitch.connection.http.caller import ResponseWriter
@@ -86,8 +86,7 @@
 log = logbook.Logger("request")
 
 
-@dataclass(slots=True)
-class ForwardDependencies:
+class ForwardDependencies(Struct):
     """Collaborators that all requests of an entry host share."""
 
     dialect: Dialect
@@ -104,8 +103,7 @@
     request_numbers: "count[int]" = field(default_factory=lambda: count(1))
 
 
-@dataclass(slots=True)
-class ForwardContext:
+class ForwardContext(Struct):
     """Everything that the effects of one request need."""
 
     dependencies: ForwardDependencies
--- a/oleanderhitch/request/messages.py
+++ b/oleanderhitch/request/messages.py
@@ -5,20 +5,21 @@
 """
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 
+from msgspec import field
+
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.program.ids import AccountId, ProgramId, RunId, SequenceNumber
 from oleanderhitch.program.messages import Begun, Refused, RequestRecord, Turn
 from oleanderhitch.request.ids import AttemptNumber, PermitId, RequestId
 from oleanderhitch.request.states import Outcome, Reason
+from oleanderhitch.values import Value
 from oleanderhitch.version.configuration import Endpoint
 from oleanderhitch.version.ids import EndpointId, PoolId
 
 
-@dataclass(frozen=True, slots=True)
-class ModelWork:
+class ModelWork(Value, frozen=True):
     """The new turn of a chat completion."""
 
     model: str
@@ -26,8 +27,7 @@
     max_tokens: int
 
 
-@dataclass(frozen=True, slots=True)
-class ServiceWork:
+class ServiceWork(Value, frozen=True):
     """One call of a service that is not a model."""
 
     service: str
@@ -38,8 +38,7 @@
 Work = ModelWork | ServiceWork
 
 
-@dataclass(frozen=True, slots=True)
-class Call:
+class Call(Value, frozen=True):
     """The call of a caller, unchanged for the lifetime of the request."""
 
     request: RequestId
@@ -66,20 +65,17 @@
 # Messages that a request task receives.
 
 
-@dataclass(frozen=True, slots=True)
-class Start:
+class Start(Value, frozen=True):
     """Starts serving the call."""
 
 
-@dataclass(frozen=True, slots=True)
-class BeginReplyReceived:
+class BeginReplyReceived(Value, frozen=True):
     """Delivers the shard's reply to SubmitBegin."""
 
     result: Begun | RequestRecord | Refused
 
 
-@dataclass(frozen=True, slots=True)
-class SlotGranted:
+class SlotGranted(Value, frozen=True):
     """Grants a permit for one attempt at an endpoint."""
 
     endpoint: EndpointId
@@ -88,23 +84,20 @@
     is_hedge: bool
 
 
-@dataclass(frozen=True, slots=True)
-class SlotRefused:
+class SlotRefused(Value, frozen=True):
     """Reports that the pool refused to queue the call."""
 
     reason: str
     retry_after: timedelta
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptRecorded:
+class AttemptRecorded(Value, frozen=True):
     """Reports that the attempt is recorded durably."""
 
     attempt: AttemptNumber
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptRefused:
+class AttemptRefused(Value, frozen=True):
     """Reports that the shard refused to record the attempt."""
 
     attempt: AttemptNumber
@@ -112,15 +105,13 @@
     detail: str
 
 
-@dataclass(frozen=True, slots=True)
-class ShardUnreachable:
+class ShardUnreachable(Value, frozen=True):
     """Reports that the shard did not acknowledge a command in time."""
 
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
-class ChunkReceived:
+class ChunkReceived(Value, frozen=True):
     """Delivers a chunk of the answer, at an offset from the attempt's first byte."""
 
     attempt: AttemptNumber
@@ -128,8 +119,7 @@
     data: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class StreamEnded:
+class StreamEnded(Value, frozen=True):
     """Reports that the answer is complete."""
 
     attempt: AttemptNumber
@@ -138,8 +128,7 @@
     completion_tokens: int
 
 
-@dataclass(frozen=True, slots=True)
-class StreamFailed:
+class StreamFailed(Value, frozen=True):
     """Reports that an attempt failed."""
 
     attempt: AttemptNumber
@@ -150,33 +139,28 @@
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
-class FinishRecorded:
+class FinishRecorded(Value, frozen=True):
     """Reports that the outcome is recorded durably."""
 
 
-@dataclass(frozen=True, slots=True)
-class FinishRefused:
+class FinishRefused(Value, frozen=True):
     """Reports that the shard refused to record the outcome."""
 
     reason: str
     is_retryable: bool
 
 
-@dataclass(frozen=True, slots=True)
-class OwnerChecked:
+class OwnerChecked(Value, frozen=True):
     """Reports whether the node that began the call has left the deployment."""
 
     is_lost: bool
 
 
-@dataclass(frozen=True, slots=True)
-class CloseReplyReceived:
+class CloseReplyReceived(Value, frozen=True):
     """Reports that the run of a lost node has been closed."""
 
 
-@dataclass(frozen=True, slots=True)
-class LookupCompleted:
+class LookupCompleted(Value, frozen=True):
     """Reports what the endpoint has stored for a call whose answer was lost."""
 
     is_found: bool
@@ -188,27 +172,23 @@
 # Effects that the decision core of a request returns.
 
 
-@dataclass(frozen=True, slots=True)
-class SubmitBegin:
+class SubmitBegin(Value, frozen=True):
     """Records the call in the shard of its program."""
 
 
-@dataclass(frozen=True, slots=True)
-class CheckOwner:
+class CheckOwner(Value, frozen=True):
     """Checks whether the node that began the same call is lost."""
 
     node: NodeId
 
 
-@dataclass(frozen=True, slots=True)
-class SubmitClose:
+class SubmitClose(Value, frozen=True):
     """Closes the run of a lost node."""
 
     run: RunId
 
 
-@dataclass(frozen=True, slots=True)
-class EnqueueCall:
+class EnqueueCall(Value, frozen=True):
     """Requests a slot from the pool's owner."""
 
     n_turns: int
@@ -219,13 +199,11 @@
     excluded: tuple[EndpointId, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class WithdrawCall:
+class WithdrawCall(Value, frozen=True):
     """Removes the call from the pool's queue."""
 
 
-@dataclass(frozen=True, slots=True)
-class SubmitAttempt:
+class SubmitAttempt(Value, frozen=True):
     """Records an attempt in the shard."""
 
     attempt: AttemptNumber
@@ -233,8 +211,7 @@
     reserved_tokens: int
 
 
-@dataclass(frozen=True, slots=True)
-class SubmitFailedAttempt:
+class SubmitFailedAttempt(Value, frozen=True):
     """Records that an attempt ended without an answer."""
 
     attempt: AttemptNumber
@@ -242,8 +219,7 @@
     spent_tokens: int
 
 
-@dataclass(frozen=True, slots=True)
-class Dispatch:
+class Dispatch(Value, frozen=True):
     """Sends the call to an endpoint and streams the answer back."""
 
     attempt: AttemptNumber
@@ -254,29 +230,25 @@
     partial_answer: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class CancelAttempt:
+class CancelAttempt(Value, frozen=True):
     """Cancels the stream of an attempt at its endpoint."""
 
     attempt: AttemptNumber
 
 
-@dataclass(frozen=True, slots=True)
-class LookUpCall:
+class LookUpCall(Value, frozen=True):
     """Looks up by idempotency key at an endpoint whether a call ran."""
 
     endpoint: EndpointId
 
 
-@dataclass(frozen=True, slots=True)
-class RelayChunk:
+class RelayChunk(Value, frozen=True):
     """Relays a chunk of the answer to the caller."""
 
     data: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class SubmitFinish:
+class SubmitFinish(Value, frozen=True):
     """Records the outcome in the shard."""
 
     outcome: Outcome
@@ -286,8 +258,7 @@
     attempt: AttemptNumber | None
 
 
-@dataclass(frozen=True, slots=True)
-class ReleasePermit:
+class ReleasePermit(Value, frozen=True):
     """Releases a slot and reports how the endpoint performed."""
 
     permit: PermitId
@@ -299,8 +270,7 @@
     duration: timedelta
 
 
-@dataclass(frozen=True, slots=True)
-class RespondToCaller:
+class RespondToCaller(Value, frozen=True):
     """Ends the response to the caller with the outcome and the answer of its call."""
 
     outcome: Outcome
@@ -311,6 +281,5 @@
     is_replay: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class EndTask:
+class EndTask(Value, frozen=True):
     """Ends the request task."""
--- a/oleanderhitch/request/observer.py
+++ b/oleanderhitch/request/observer.py
@@ -3,10 +3,11 @@
 The spans and metrics of attempts are recorded where their connections are handled.
 """
 
-from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from functools import singledispatch
 
+from msgspec import Struct, field
+
 from oleanderhitch.process.metrics.core import Metrics
 from oleanderhitch.process.metrics.states import Counter, Latency
 from oleanderhitch.process.tracing.states import Hop
@@ -28,8 +29,7 @@
 from oleanderhitch.request.states import Outcome
 
 
-@dataclass(slots=True)
-class RequestObserver:
+class RequestObserver(Struct):
     """The open spans and start times of one request."""
 
     call: Call
--- a/oleanderhitch/request/state.py
+++ b/oleanderhitch/request/state.py
@@ -1,8 +1,9 @@
 """State of one request."""
 
-from dataclasses import dataclass, field
 from datetime import UTC, datetime, timedelta
 
+from msgspec import Struct, field
+
 from oleanderhitch.program.ids import RunId
 from oleanderhitch.program.messages import NO_RUN, Begun
 from oleanderhitch.request.ids import AttemptNumber, PermitId
@@ -18,8 +19,7 @@
 NO_TICK = datetime.max.replace(tzinfo=UTC)
 
 
-@dataclass(slots=True)
-class Attempt:
+class Attempt(Struct):
     """An attempt in progress."""
 
     number: AttemptNumber
@@ -34,8 +34,7 @@
     start_offset: int = 0
 
 
-@dataclass(slots=True)
-class RequestState:
+class RequestState(Struct):
     """The progress of one request."""
 
     call: Call
--- a/oleanderhitch/request/task.py
+++ b/oleanderhitch/request/task.py
@@ -2,12 +2,12 @@
 
 import uuid
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from functools import singledispatch
 from typing import Protocol
 
 import gevent
+from msgspec import Struct, field
 
 from oleanderhitch.connection.codec import Codec
 from oleanderhitch.process.address import Address, MailboxFullError
@@ -58,6 +58,7 @@
 from oleanderhitch.request.prompt import make_prompt
 from oleanderhitch.request.results import ShardReplyHandler
 from oleanderhitch.request.state import RequestState, find_next_tick, make_request_state
+from oleanderhitch.values import Value
 from oleanderhitch.version.ids import EndpointId
 
 SHARD_COMMAND_TIMEOUT = timedelta(seconds=5)
@@ -90,8 +91,7 @@
         """Look up a call by its idempotency key; the reply is LookupCompleted."""
 
 
-@dataclass(frozen=True, slots=True)
-class RequestDependencies:
+class RequestDependencies(Value, frozen=True):
     """Collaborators that all requests of a process share."""
 
     node: NodeId
@@ -106,8 +106,7 @@
     tracer: Tracer
 
 
-@dataclass(slots=True)
-class RequestResources:
+class RequestResources(Struct):
     """Resources that belong to the task of one request."""
 
     call: Call
--- a/oleanderhitch/version/addresses.py
+++ b/oleanderhitch/version/addresses.py
@@ -1,13 +1,13 @@
 """Parse addresses made of an IP address and a port."""
 
-from dataclasses import dataclass
 from ipaddress import ip_address
 
+from oleanderhitch.values import Value
+
 N_PORTS = 65536
 
 
-@dataclass(frozen=True, slots=True)
-class HostPort:
+class HostPort(Value, frozen=True):
     """An IP address and a TCP port."""
 
     ip: str
--- a/oleanderhitch/version/checks.py
+++ b/oleanderhitch/version/checks.py
@@ -3,13 +3,12 @@
 The identifier of a check never changes its meaning, so that operators can look it up.
 """
 
-from dataclasses import dataclass
+from oleanderhitch.values import Value
 
 GIVEN_LIMIT_CHARACTERS = 120
 
 
-@dataclass(frozen=True, slots=True)
-class Check:
+class Check(Value, frozen=True):
     """A check, with a hint on how an operator corrects the fault."""
 
     identifier: str
@@ -17,8 +16,7 @@
     hint: str
 
 
-@dataclass(frozen=True, slots=True)
-class Fault:
+class Fault(Value, frozen=True):
     """A failed check: where, the value found and the value expected."""
 
     check: str
--- a/oleanderhitch/version/configuration.py
+++ b/oleanderhitch/version/configuration.py
@@ -1,10 +1,10 @@
 """Define the compiled form of a configuration, which is indexed by key."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
 from datetime import timedelta
 
 from oleanderhitch.program.ids import AccountId
+from oleanderhitch.values import Value
 from oleanderhitch.version.addresses import HostPort
 from oleanderhitch.version.exceptions import UndeclaredNameError
 from oleanderhitch.version.ids import (
@@ -23,15 +23,13 @@
 from oleanderhitch.version.rules import AccountDeclaration, DefaultRules, RequestLimits
 
 
-@dataclass(frozen=True, slots=True)
-class ModelEngine:
+class ModelEngine(Value, frozen=True):
     """Kind of an endpoint that generates tokens with a model."""
 
     model: ModelName
 
 
-@dataclass(frozen=True, slots=True)
-class PlainService:
+class PlainService(Value, frozen=True):
     """Kind of an endpoint that runs the operations of a service."""
 
     service: ServiceName
@@ -40,8 +38,7 @@
 EndpointKind = ModelEngine | PlainService
 
 
-@dataclass(frozen=True, slots=True)
-class Endpoint:
+class Endpoint(Value, frozen=True):
     """The declared properties of an endpoint; singledispatch selects by `kind`."""
 
     id: EndpointId
@@ -57,8 +54,7 @@
     pool: PoolId
 
 
-@dataclass(frozen=True, slots=True)
-class Pool:
+class Pool(Value, frozen=True):
     """The endpoints of one model or service in one region."""
 
     id: PoolId
@@ -68,8 +64,7 @@
     n_queued_limit: int | None
 
 
-@dataclass(frozen=True, slots=True)
-class AccountRules:
+class AccountRules(Value, frozen=True):
     """The rules of one account, with defaults applied; None means no limit."""
 
     account: AccountId
@@ -86,8 +81,7 @@
         return data_centre in self.data_centres
 
 
-@dataclass(frozen=True, slots=True)
-class Configuration:
+class Configuration(Value, frozen=True):
     """One configuration version, indexed for the queries of the request path.
 
     `operations` maps each declared operation to whether it is idempotent. `documents`
--- a/oleanderhitch/version/documents.py
+++ b/oleanderhitch/version/documents.py
@@ -1,22 +1,20 @@
 """Define configuration documents as they are transmitted and stored."""
 
 import json
-from dataclasses import dataclass
 
+from oleanderhitch.values import Value
 from oleanderhitch.version.ids import ConfigurationVersion, DocumentName
 from oleanderhitch.version.states import DocumentKind
 
 
-@dataclass(frozen=True, slots=True)
-class DocumentDraft:
+class DocumentDraft(Value, frozen=True):
     """A document that is not accepted yet; `content` is JSON."""
 
     name: DocumentName
     content: str
 
 
-@dataclass(frozen=True, slots=True)
-class ConfigurationDocument:
+class ConfigurationDocument(Value, frozen=True):
     """An accepted document; `content` is JSON.
 
     `revision` is the configuration version that last changed the document, so a node at
