--- a/oleanderhitch/version/parsing.py
+++ b/oleanderhitch/version/parsing.py
@@ -1,11 +1,11 @@
 """Parse a document into typed declarations and list its schema faults."""
 
 import re
-from dataclasses import dataclass
 from typing import Any
 
 from pydantic import TypeAdapter, ValidationError
 
+from oleanderhitch.values import Value
 from oleanderhitch.version.checks import Fault, make_fault
 from oleanderhitch.version.documents import Document, find_kind
 from oleanderhitch.version.ids import DocumentName
@@ -22,8 +22,7 @@
 Declarations = Inventory | Rules
 
 
-@dataclass(frozen=True, slots=True)
-class ParsedDocument:
+class ParsedDocument(Value, frozen=True):
     """A document and its declarations, which are None if it has faults."""
 
     name: DocumentName
--- a/oleanderhitch/version/references.py
+++ b/oleanderhitch/version/references.py
@@ -1,9 +1,9 @@
 """Check for duplicate and undeclared names across all documents."""
 
 from collections.abc import Hashable, Iterable, Iterator, Sequence
-from dataclasses import dataclass
 from operator import attrgetter
 
+from oleanderhitch.values import Value
 from oleanderhitch.version.checks import Fault, make_fault
 from oleanderhitch.version.ids import DocumentName
 from oleanderhitch.version.inventory import Inventory
@@ -13,8 +13,7 @@
 NamedRules = tuple[DocumentName, Rules]
 
 
-@dataclass(frozen=True, slots=True)
-class _SectionValues:
+class _SectionValues(Value, frozen=True):
     """The names or addresses in one section of a document.
 
     Locations are formatted for faults only: a change to one entry is checked against
--- a/oleanderhitch/version/routes/configuration.py
+++ b/oleanderhitch/version/routes/configuration.py
@@ -1,24 +1,24 @@
 """Define a routing configuration and look up the route of a request."""
 
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass, field
 from datetime import timedelta
 
+from msgspec import field
+
+from oleanderhitch.values import Value
 from oleanderhitch.version.ids import ServiceName
 from oleanderhitch.version.routes.ids import RouteName, RoutingVersion
 from oleanderhitch.version.routes.states import RouteKind
 
 
-@dataclass(frozen=True, slots=True)
-class Target:
+class Target(Value, frozen=True):
     """A service and its share of a route's requests."""
 
     service: ServiceName
     weight: float
 
 
-@dataclass(frozen=True, slots=True)
-class Route:
+class Route(Value, frozen=True):
     """How requests for a host and path prefix are served.
 
     `latency_objective` is for the first chunk of a stream or for a whole response. A
@@ -52,8 +52,7 @@
         return self.kind is RouteKind.IDEMPOTENT
 
 
-@dataclass(frozen=True, slots=True)
-class EngineTraits:
+class EngineTraits(Value, frozen=True):
     """Properties of the model engines of a service.
 
     `tokens_per_event` is the number of tokens that one event of a stream counts for.
@@ -64,16 +63,14 @@
     tokens_per_event: int
 
 
-@dataclass(frozen=True, slots=True)
-class Service:
+class Service(Value, frozen=True):
     """A service that routes can target; `engine` is None for a plain service."""
 
     name: ServiceName
     engine: EngineTraits | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class CallerLimits:
+class CallerLimits(Value, frozen=True):
     """Size limits and timeouts of a caller's connection."""
 
     header_bytes: int = 16 * 1024
@@ -82,8 +79,7 @@
     idle_timeout: timedelta = timedelta(seconds=15)
 
 
-@dataclass(frozen=True, slots=True)
-class RoutingConfiguration:
+class RoutingConfiguration(Value, frozen=True):
     """The routes, services and limits of one version."""
 
     version: RoutingVersion
@@ -92,8 +88,7 @@
     limits: CallerLimits = field(default_factory=CallerLimits)
 
 
-@dataclass(frozen=True, slots=True)
-class RouteTable:
+class RouteTable(Value, frozen=True):
     """The routes of a version by host, longest path prefix first."""
 
     configuration: RoutingConfiguration
--- a/tests/connection/test_codec.py
+++ b/tests/connection/test_codec.py
@@ -20,6 +20,7 @@
     timedelta(minutes=5),
     datetime(2026, 1, 1, tzinfo=UTC),
 )
+TIMESTAMP = msgpack.Timestamp.from_datetime(START.at)
 
 
 def test_messages_survive_any_split_of_the_stream():
@@ -34,20 +35,52 @@
     assert received == [START, end]
 
 
+def make_frame(**fields):
+    """Return the frame of an EndProgram with some fields replaced or added."""
+    body = {"program": "p", "reason": "finished", "at": TIMESTAMP, **fields}
+    return msgpack.packb(["EndProgram", body])
+
+
+def test_a_well_formed_frame_is_decoded():
+    """Guard against malformed frames below that fail for another reason."""
+    end = EndProgram(ProgramId("p"), EndReason.FINISHED, START.at)
+    assert make_codec(MESSAGES).decode(make_frame()) == end
+
+
+def test_times_as_numbers_are_decoded():
+    """Guard against data directories of earlier builds that can't be read."""
+    codec = make_codec(MESSAGES)
+    end = EndProgram(ProgramId("p"), EndReason.FINISHED, START.at)
+    assert codec.decode(make_frame(at=START.at.timestamp())) == end
+    body = {
+        "program": "p",
+        "account": "a",
+        "parent": None,
+        "budget_tokens": 1000,
+        "n_turns_limit": 140,
+        "silence_limit": 300.0,
+        "at": START.at.timestamp(),
+    }
+    assert codec.decode(msgpack.packb(["StartProgram", body])) == START
+
+
 @pytest.mark.parametrize(
     "frame",
     [
         msgpack.packb(["Nobody", {}]),
         msgpack.packb(["EndProgram", {"program": "p"}]),
-        msgpack.packb(["EndProgram", {"program": "p", "reason": "x", "at": 0.0}]),
-        msgpack.packb(
-            ["EndProgram", {"program": "p", "reason": "finished", "at": 0.0, "q": 1}]
-        ),
-        msgpack.packb(["EndProgram", {"program": 1, "reason": [], "at": None}]),
+        make_frame(reason="x"),
+        make_frame(q=1),
+        make_frame(program=1),
+        make_frame(reason=[]),
+        make_frame(at=None),
         msgpack.packb(["EndProgram", None]),
         msgpack.packb(["EndProgram", ["p", "finished", 0.0]]),
         msgpack.packb("text"),
         msgpack.packb(["EndProgram", {}]) * 2,
+        make_frame() + b"\x00",
+        b"\x91" * 100_000,
+        b"\x92\xaaEndProgram" + b"\x91" * 100_000,
         b"\xc1",
         b"",
     ],
@@ -56,3 +89,13 @@
     """Guard against a malformed frame that reaches decision code."""
     with pytest.raises(MalformedFrameError):
         make_codec(MESSAGES).decode(frame)
+
+
+@pytest.mark.parametrize(
+    "data", [b"\xc1", b"\x91" * 100_000, make_frame(q=1), make_frame() + b"\x00"]
+)
+def test_a_malformed_frame_ends_its_stream_only(data):
+    """Guard against an error of another type, which would end the process."""
+    decoder = make_codec(MESSAGES).make_decoder()
+    with pytest.raises(MalformedFrameError):
+        list(decoder.feed(data))
--- a/tests/process/groups/test_client_core.py
+++ b/tests/process/groups/test_client_core.py
@@ -1,10 +1,10 @@
 """Guard against calls that reach no leader, get no result or more than one."""
 
-from dataclasses import replace
 from datetime import UTC, datetime, timedelta
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from oleanderhitch.connection.peer.messages import LinkDown
 from oleanderhitch.process.groups.client.core import (
--- a/tests/process/intake/test_core.py
+++ b/tests/process/intake/test_core.py
@@ -1,10 +1,10 @@
 """Guard against calls that an entry host wrongly admits or refuses."""
 
-from dataclasses import replace
 from datetime import UTC, datetime, timedelta
 from pathlib import Path
 
 import pytest
+from msgspec.structs import replace
 
 from oleanderhitch.process.configuration.files import read_folder
 from oleanderhitch.process.intake.core import handle, make_intake_state
--- a/tests/process/membership/test_core.py
+++ b/tests/process/membership/test_core.py
@@ -1,8 +1,9 @@
 """Guard against wrong decisions that the state machine test rarely reaches."""
 
-from dataclasses import replace
 from datetime import UTC, datetime, timedelta
 
+from msgspec.structs import replace
+
 from oleanderhitch.connection.codec import make_codec
 from oleanderhitch.process.membership import core
 from oleanderhitch.process.membership.messages import (
--- a/tests/process/placement/test_core.py
+++ b/tests/process/placement/test_core.py
@@ -1,8 +1,9 @@
 """Guard against a choice of endpoints that ignores cache, load, health or affinity."""
 
-from dataclasses import replace
 from datetime import UTC, datetime, timedelta
 
+from msgspec.structs import replace
+
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.process.directory.messages import ListedEndpoint
 from oleanderhitch.process.mailbox import make_mailbox
--- a/tests/process/site/test_subscription.py
+++ b/tests/process/site/test_subscription.py
@@ -1,8 +1,9 @@
 """Guard against outdated routing and lists that an entry host installs."""
 
-from dataclasses import replace
 from datetime import UTC, datetime, timedelta
 
+from msgspec.structs import replace
+
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.connection.peer.messages import LinkDown, LinkUp
 from oleanderhitch.process.directory.messages import EndpointList, ListVersion
--- a/tests/request/test_core.py
+++ b/tests/request/test_core.py
@@ -4,12 +4,12 @@
 arrival, including commands and replies that are lost.
 """
 
-from dataclasses import replace
 from datetime import UTC, datetime, timedelta
 from functools import singledispatch
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.messages import Tick
--- a/tests/request/test_task.py
+++ b/tests/request/test_task.py
@@ -1,10 +1,10 @@
 """Guard against lost answers of a request task and ambiguous request ids."""
 
-from dataclasses import replace
 from datetime import timedelta
 
 import gevent
 import pytest
+from msgspec.structs import replace
 
 from oleanderhitch.exceptions import InvalidInputError
 from oleanderhitch.process.address import MailboxFullError
