Broke off streams that end inside an event or before the first one

Callers got a stream that its endpoint had broken off inside an event with the partial event and a complete end, and the turn was recorded as whole. A stream delimited by its connection and closed right after the head was complete too. Cause: the end of a response was one case, whatever delimited it and whatever had arrived.

Change: request/forwarding/delimiting.py judges the end of a stream; a stream that is not complete is resumed where the route allows it and visibly broken off otherwise, and its turn is settled, not recorded. Bytes that complete no event no longer put off the time at which a stalled stream is resumed elsewhere.

The suites of requests, connections and caches pass.

--- a/oleanderhitch/connection/http/endpoint.py
+++ b/oleanderhitch/connection/http/endpoint.py
@@ -10,6 +10,7 @@
 
 from oleanderhitch.connection.http.exceptions import ResponseParseError
 from oleanderhitch.connection.http.messages import (
+    BodyEnd,
     ExchangeFailed,
     Headers,
     ResponseBody,
@@ -18,7 +19,6 @@
     find_header,
 )
 from oleanderhitch.connection.http.parsing import (
-    BodyEnd,
     ParsedBody,
     ParsedEnd,
     ParsedHead,
@@ -234,7 +234,7 @@
         exchange.reply_address.send(ResponseBody(exchange.exchange_id, part.data))
     else:
         state.has_ended = True
-        exchange.reply_address.send(ResponseEnd(exchange.exchange_id, True))
+        exchange.reply_address.send(ResponseEnd(exchange.exchange_id, BodyEnd.FRAMED))
 
 
 def _handle_head(head: ParsedHead, state: _ExchangeState) -> None:
@@ -258,7 +258,9 @@
 def _handle_close(state: _ExchangeState) -> None:
     exchange = state.exchange
     if state.has_head and state.is_close_delimited:
-        exchange.reply_address.send(ResponseEnd(exchange.exchange_id, False))
+        exchange.reply_address.send(
+            ResponseEnd(exchange.exchange_id, BodyEnd.CONNECTION)
+        )
     else:
         _fail(exchange, True, "endpoint closed the connection")
 
--- a/oleanderhitch/connection/http/messages.py
+++ b/oleanderhitch/connection/http/messages.py
@@ -73,15 +73,22 @@
     data: bytes
 
 
-class ResponseEnd(Value, frozen=True):
-    """Reports the end of an endpoint's response.
+class BodyEnd(Enum):
+    """How the end of a response body is determined.
 
-    A response that is not framed ends when the connection is closed, so a truncated one
-    looks the same as a complete one.
+    FRAMED: by its length, by chunked encoding or by a status without a body.
+    CONNECTION: by the close of the connection, which may also break the body off.
     """
 
+    FRAMED = "framed"
+    CONNECTION = "connection"
+
+
+class ResponseEnd(Value, frozen=True):
+    """Reports the end of an endpoint's response."""
+
     exchange_id: int
-    is_framed: bool
+    body_end: BodyEnd
 
 
 class ExchangeFailed(Value, frozen=True):
--- a/oleanderhitch/connection/http/parsing.py
+++ b/oleanderhitch/connection/http/parsing.py
@@ -1,7 +1,6 @@
 """Incremental parsers for HTTP requests and responses, based on httptools."""
 
 from collections import deque
-from enum import Enum
 from typing import Any
 
 import httptools
@@ -11,6 +10,7 @@
     ResponseParseError,
 )
 from oleanderhitch.connection.http.messages import (
+    BodyEnd,
     Headers,
     HttpRequest,
     RequestFault,
@@ -163,17 +163,6 @@
     return RequestParseError(fault, detail)
 
 
-class BodyEnd(Enum):
-    """How the end of a response body is determined.
-
-    FRAMED: by its length, by chunked encoding or by a status without a body.
-    CONNECTION: by the close of the connection.
-    """
-
-    FRAMED = "framed"
-    CONNECTION = "connection"
-
-
 class ParsedHead(Value, frozen=True):
     """Status and headers of a response."""
 
--- a/oleanderhitch/request/forwarding/core.py
+++ b/oleanderhitch/request/forwarding/core.py
@@ -34,6 +34,7 @@
     report_event_latency,
     request_endpoint,
 )
+from oleanderhitch.request.forwarding.delimiting import StreamEnd, judge_stream_end
 from oleanderhitch.request.forwarding.messages import (
     AbortResponse,
     FinishResponse,
@@ -248,12 +249,15 @@
         if attempt.n_body_bytes > COLLECTED_BODY_LIMIT_BYTES:
             return handle_failed_attempt(state, "the response is too large", now)
         return []
-    state.failover_at = find_failover_time(state, now)
     events = state.splitter.feed(message.data)
     if len(state.splitter.incomplete_event) > EVENT_LIMIT_BYTES:
         return handle_failed_attempt(state, "an event is too large", now)
     if not events:
         return []
+    # Bytes that complete no event are no progress: an endpoint that sends one now and
+    # then is as stalled as a silent one.
+    state.failover_at = find_failover_time(state, now)
+    attempt.n_events += len(events)
     effects: list[object] = []
     if not state.n_events:
         effects.append(ReportFirstChunk(attempt.permit))
@@ -272,6 +276,12 @@
     attempt = find_attempt(message.exchange_id, state)
     if attempt is None or attempt.head is None:
         return []
+    if state.phase is Phase.RELAYING:
+        end = judge_stream_end(
+            state.splitter.incomplete_event, attempt.n_events, message.body_end
+        )
+        if end is not StreamEnd.COMPLETE:
+            return handle_failed_attempt(state, end.value, now)
     state.attempt = None
     result = AttemptResult.COMPLETED
     if (
@@ -288,8 +298,6 @@
             SendResponse(attempt.head, b"".join(attempt.body_chunks)),
             make_end_log(state, "request answered", now, status=attempt.head.status),
         ]
-    if state.splitter.incomplete_event:
-        effects.append(WriteResponseChunk(state.splitter.incomplete_event))
     if state.request.turn is not None and state.route.keeps_history:
         state.phase = Phase.RECORDING
         return [*effects, settle_completed_turn(state, now)]
--- a/oleanderhitch/request/forwarding/state.py
+++ b/oleanderhitch/request/forwarding/state.py
@@ -30,6 +30,7 @@
     head: EndpointResponseHead | None = None
     latency_measured_from: datetime | None = None
     n_latency_events: int = 0
+    n_events: int = 0
     body_chunks: list[bytes] = field(default_factory=list)
     n_body_bytes: int = 0
 
--- a/tests/connection/http/test_endpoint.py
+++ b/tests/connection/http/test_endpoint.py
@@ -10,6 +10,7 @@
 
 from oleanderhitch.connection.http.endpoint import Exchange, make_endpoint_connection
 from oleanderhitch.connection.http.messages import (
+    BodyEnd,
     ExchangeFailed,
     Headers,
     ResponseBody,
@@ -128,7 +129,7 @@
     client = PoolClient()
     for number in (1, 2):
         body, end = receive_response(client.start_exchange(endpoint.address, number))
-        assert (body, end) == (b"ok", ResponseEnd(number, True))
+        assert (body, end) == (b"ok", ResponseEnd(number, BodyEnd.FRAMED))
         gevent.sleep(0.01)
     assert endpoint.n_connections == 1
 
@@ -145,7 +146,7 @@
     endpoint = serve(script)
     client = PoolClient()
     body, end = receive_response(client.start_exchange(endpoint.address, 1))
-    assert (body, end) == (b"own", ResponseEnd(1, True))
+    assert (body, end) == (b"own", ResponseEnd(1, BodyEnd.FRAMED))
 
 
 def test_connection_with_surplus_bytes_is_not_reused(
--- a/tests/connection/http/test_parsing.py
+++ b/tests/connection/http/test_parsing.py
@@ -8,10 +8,9 @@
     RequestParseError,
     ResponseParseError,
 )
-from oleanderhitch.connection.http.messages import HttpRequest, RequestFault
+from oleanderhitch.connection.http.messages import BodyEnd, HttpRequest, RequestFault
 from oleanderhitch.connection.http.parsing import (
     RESPONSE_HEAD_LIMIT_BYTES,
-    BodyEnd,
     ParsedBody,
     ParsedEnd,
     ParsedHead,
--- a/tests/process/caches/test_core.py
+++ b/tests/process/caches/test_core.py
@@ -3,6 +3,7 @@
 from datetime import UTC, datetime
 
 from oleanderhitch.connection.http.messages import (
+    BodyEnd,
     ExchangeFailed,
     ResponseBody,
     ResponseEnd,
@@ -56,10 +57,10 @@
     for exchange_id, data in ((two, b"b1"), (one, b"a1"), (two, b"b2")):
         handle(ResponseHead(exchange_id, 200), state, NOW)
         handle(ResponseBody(exchange_id, data), state, NOW)
-    assert handle(ResponseEnd(two, True), state, NOW) == [
+    assert handle(ResponseEnd(two, BodyEnd.FRAMED), state, NOW) == [
         SendCacheContents(second, b"b1b2")
     ]
-    assert handle(ResponseEnd(one, True), state, NOW) == [
+    assert handle(ResponseEnd(one, BodyEnd.FRAMED), state, NOW) == [
         SendCacheContents(first, b"a1")
     ]
     assert not state.pending_reads
@@ -75,7 +76,7 @@
     two = start_read(state, make_request("b"))
     [failure] = handle(ExchangeFailed(two, True, "connection broke"), state, NOW)
     assert isinstance(failure, LogCacheReadFailure)
-    assert handle(ResponseEnd(two, True), state, NOW) == []
+    assert handle(ResponseEnd(two, BodyEnd.FRAMED), state, NOW) == []
 
 
 def test_read_of_unresponsive_engine_is_cancelled() -> None:
--- a/tests/request/forwarding/test_core.py
+++ b/tests/request/forwarding/test_core.py
@@ -5,6 +5,7 @@
 import pytest
 
 from oleanderhitch.connection.http.messages import (
+    BodyEnd,
     CallerDisconnected,
     ExchangeFailed,
     ResponseBody,
@@ -226,7 +227,7 @@
     earlier_exchange_id = get_exchange_id(state)
     run(state, ExchangeFailed(earlier_exchange_id, True, "reset"), grant("e2"))
     assert run(state, ResponseBegun(earlier_exchange_id, make_response_head())) == []
-    assert run(state, ResponseEnd(earlier_exchange_id, True)) == []
+    assert run(state, ResponseEnd(earlier_exchange_id, BodyEnd.FRAMED)) == []
 
 
 def test_error_response_of_an_endpoint_is_relayed() -> None:
@@ -236,7 +237,7 @@
     exchange_id = get_exchange_id(state)
     head = make_response_head(500)
     run(state, ResponseBegun(exchange_id, head), ResponseBody(exchange_id, b"no"))
-    effects = run(state, ResponseEnd(exchange_id, True))
+    effects = run(state, ResponseEnd(exchange_id, BodyEnd.FRAMED))
     assert find(effects, SendResponse) == [SendResponse(head, b"no")]
 
 
@@ -261,7 +262,7 @@
     """Guard against a completed response whose turn cannot be continued."""
     state = make_state(RouteKind.STREAM, keeps_history=True, is_turn=True)
     exchange_id = start_stream(state)
-    effects = run(state, ResponseEnd(exchange_id, True))
+    effects = run(state, ResponseEnd(exchange_id, BodyEnd.FRAMED))
     assert not find(effects, FinishResponse)
     settled = find(effects, SettleReservation)
     assert len(settled) == 1
@@ -277,7 +278,7 @@
     """Guard against a turn that appears complete although its record failed."""
     state = make_state(RouteKind.STREAM, keeps_history=True, is_turn=True)
     exchange_id = start_stream(state)
-    run(state, ResponseEnd(exchange_id, True))
+    run(state, ResponseEnd(exchange_id, BodyEnd.FRAMED))
     effects = run(state, RecordFailed("no quorum"))
     assert find(effects, AbortResponse)
     assert not find(effects, FinishResponse)
@@ -402,7 +403,7 @@
     state = make_state()
     run(state, Start(), grant("e1"))
     run(state, ResponseBegun(get_exchange_id(state), make_response_head(status)))
-    effects = run(state, ResponseEnd(get_exchange_id(state), True))
+    effects = run(state, ResponseEnd(get_exchange_id(state), BodyEnd.FRAMED))
     assert find(effects, ReturnPermit) == [ReturnPermit(PermitId("permit-e1"), result)]
 
 
@@ -496,3 +497,67 @@
         effects = run(state, chunk)
         assert [e for e in effects if isinstance(e, CancelEndpointExchange)]
         assert state.has_ended
+
+
+@pytest.mark.parametrize("body_end", list(BodyEnd))
+def test_stream_that_ends_inside_an_event_is_broken_off(body_end: BodyEnd) -> None:
+    """Guard against a broken stream that is finished and recorded as a whole turn."""
+    state = make_state(RouteKind.STREAM, keeps_history=True, is_turn=True)
+    exchange_id = start_stream(state)
+    run(state, ResponseBody(exchange_id, b"id: 2\ndata: tw"))
+    effects = run(state, ResponseEnd(exchange_id, body_end))
+    assert find(effects, AbortResponse)
+    assert not find(effects, WriteResponseChunk)
+    assert not find(effects, FinishResponse)
+    (settled,) = find(effects, SettleReservation)
+    assert settled.command.turn is None  # type: ignore[attr-defined]
+    assert settled.command.spent_tokens == 16  # type: ignore[attr-defined]
+
+
+def test_stream_that_ends_inside_an_event_is_resumed() -> None:
+    """Guard against a resumable stream that is given up, or joined in the middle."""
+    state = make_state(RouteKind.STREAM, n_attempts=2, is_resumable=True, is_turn=True)
+    exchange_id = start_stream(state)
+    run(state, ResponseBody(exchange_id, b"id: 2\nda"))
+    run(state, ResponseEnd(exchange_id, BodyEnd.CONNECTION))
+    (send,) = find(run(state, grant("e2")), SendToEndpoint)
+    assert send.last_event_id == "1"  # type: ignore[attr-defined]
+
+
+@pytest.mark.parametrize(
+    ("body_end", "is_complete"), [(BodyEnd.FRAMED, True), (BodyEnd.CONNECTION, False)]
+)
+def test_stream_without_events_is_complete_only_if_framed(
+    body_end: BodyEnd, is_complete: bool
+) -> None:
+    """Guard against an endpoint that failed after its head and looks successful."""
+    state = make_state(RouteKind.STREAM)
+    run(state, Start(), grant("e1"))
+    exchange_id = get_exchange_id(state)
+    run(state, ResponseBegun(exchange_id, make_response_head()))
+    effects = run(state, ResponseEnd(exchange_id, body_end))
+    assert bool(find(effects, FinishResponse)) is is_complete
+    assert bool(find(effects, AbortResponse)) is not is_complete
+
+
+def test_stream_ended_by_its_connection_after_an_event_is_complete() -> None:
+    """Guard against whole streams without a length that count as broken off."""
+    state = make_state(RouteKind.STREAM, keeps_history=True, is_turn=True)
+    exchange_id = start_stream(state)
+    effects = run(state, ResponseEnd(exchange_id, BodyEnd.CONNECTION))
+    (settled,) = find(effects, SettleReservation)
+    assert settled.command.turn is not None  # type: ignore[attr-defined]
+
+
+def test_bytes_without_an_event_are_no_progress() -> None:
+    """Guard against a stalled stream that a byte now and then keeps alive."""
+    state = make_state(RouteKind.STREAM, n_attempts=2, is_resumable=True)
+    run(state, Start(), grant("e1"))
+    exchange_id = get_exchange_id(state)
+    run(state, ResponseBegun(exchange_id, make_response_head()))
+    failover_at = state.next_tick_at
+    later = NOW + timedelta(milliseconds=400)
+    run(state, ResponseBody(exchange_id, b":"), at=later)
+    assert state.next_tick_at == failover_at
+    run(state, ResponseBody(exchange_id, b"\ndata: a\n\n"), at=later)
+    assert state.next_tick_at > failover_at
