Matched responses without an id to a request only on a new connection

Another operator's endpoint wrote an earlier refusal once more on a kept connection, and callers were told "not run" for requests that were running. It could happen here: a response without a request id counted as the answer to the request under way, on any connection. Also, a part of a surplus response that came in the same read as the end of the one before was dropped by the parser, and the connection was used again in the middle of that response.

Change: the headers name the owner of a response (this request, another, unknown). An unknown one counts only if nothing was received on the connection before; otherwise the outcome is unknown and the connection ends. Any byte after a response ends its connection. A refusal of the same id cannot repeat on a connection: an endpoint that refused a request is not tried again for it, and each attempt of a caller has an id of its own.

Four of the new tests failed before (the old predicate in place of the new function). Heads cut at any byte were a failure before as well; a test says so now. The suites of connections, requests, caches and platform pass.

--- a/oleanderhitch/connection/http/endpoint.py
+++ b/oleanderhitch/connection/http/endpoint.py
@@ -16,6 +16,7 @@
     ResponseBody,
     ResponseEnd,
     ResponseHead,
+    ResponseOwner,
     find_header,
 )
 from oleanderhitch.connection.http.parsing import (
@@ -50,14 +51,15 @@
 class Exchange(Value, frozen=True):
     """Sends a request; the response goes to the reply address.
 
-    `is_own_response` checks the headers of a response; one that it rejects belongs to
-    an earlier request and is skipped.
+    `find_owner` tells from its headers whose response one is; one to another request
+    is skipped. One that names no request counts as the response to this one only if
+    nothing was received on the connection before.
     """
 
     exchange_id: int
     request: bytes
     reply_address: Address
-    is_own_response: Callable[[Headers], bool]
+    find_owner: Callable[[Headers], ResponseOwner]
 
 
 class ConnectionIdle(Value, frozen=True):
@@ -80,6 +82,7 @@
     exchange: Exchange
     parser: ResponseParser
     writer: gevent.Greenlet
+    is_first_exchange: bool
     is_skipping_response: bool = False
     has_head: bool = False
     has_ended: bool = False
@@ -161,7 +164,7 @@
             return None
         assert self._socket is not None
         writer = gevent.spawn(_write_request, self._socket, exchange.request)
-        state = _ExchangeState(exchange, make_response_parser(), writer)
+        state = _ExchangeState(exchange, make_response_parser(), writer, not is_reused)
         try:
             self._read_response(state)
         except OSError as error:
@@ -210,6 +213,8 @@
                 return
             for part in state.parser.feed(data):
                 _handle_part(part, state)
+            if state.has_ended and not state.parser.is_between_responses:
+                state.has_surplus_bytes = True
 
 
 def _write_request(connected: socket.socket, data: bytes) -> None:
@@ -239,13 +244,21 @@
 
 def _handle_head(head: ParsedHead, state: _ExchangeState) -> None:
     exchange = state.exchange
-    is_interim = head.status < FIRST_FINAL_STATUS
-    if is_interim or not exchange.is_own_response(head.headers):
-        # A response to another request counts as surplus bytes: the order of the
-        # responses on the connection is unknown, so the connection is not reused.
+    if head.status < FIRST_FINAL_STATUS:
         state.is_skipping_response = True
-        state.has_surplus_bytes = state.has_surplus_bytes or not is_interim
         return
+    owner = exchange.find_owner(head.headers)
+    if owner is ResponseOwner.ANOTHER_REQUEST:
+        # Counts as surplus bytes: the order of the responses on the connection is
+        # unknown, so the connection is not reused.
+        state.is_skipping_response = state.has_surplus_bytes = True
+        return
+    is_order_known = state.is_first_exchange and not state.has_surplus_bytes
+    if owner is ResponseOwner.UNKNOWN and not is_order_known:
+        raise ResponseParseError(
+            f"a response with status {head.status} names no request and may belong to "
+            f"an earlier one"
+        )
     state.has_head = True
     state.keeps_alive = head.keeps_alive
     state.is_close_delimited = head.body_end is BodyEnd.CONNECTION
--- a/oleanderhitch/connection/http/fetch.py
+++ b/oleanderhitch/connection/http/fetch.py
@@ -7,11 +7,13 @@
 from oleanderhitch.connection.http.endpoint import Exchange, make_endpoint_connection
 from oleanderhitch.connection.http.messages import (
     ExchangeFailed,
+    Headers,
     HttpRequest,
     HttpResponse,
     ResponseBody,
     ResponseEnd,
     ResponseHead,
+    ResponseOwner,
 )
 from oleanderhitch.connection.http.rendering import render_request
 from oleanderhitch.connection.ids import HostAddress
@@ -30,12 +32,17 @@
         with gevent.Timeout(timeout.total_seconds(), timeout_error):
             connection.start()
             request_bytes = render_request(request)
-            connection.send(Exchange(0, request_bytes, mailbox, lambda headers: True))
+            connection.send(Exchange(0, request_bytes, mailbox, _find_owner))
             return _collect_response(mailbox)
     finally:
         connection.cancel()
 
 
+def _find_owner(headers: Headers) -> ResponseOwner:
+    # The connection is new and has this exchange only.
+    return ResponseOwner.THIS_REQUEST
+
+
 def _collect_response(mailbox: Mailbox) -> HttpResponse:
     head = ResponseHead(0, 0)
     body: list[bytes] = []
--- a/oleanderhitch/connection/http/messages.py
+++ b/oleanderhitch/connection/http/messages.py
@@ -84,6 +84,17 @@
     CONNECTION = "connection"
 
 
+class ResponseOwner(Enum):
+    """Whose response the headers of a response say it is.
+
+    UNKNOWN: they name no request, so only the order on the connection can tell.
+    """
+
+    THIS_REQUEST = "this request"
+    ANOTHER_REQUEST = "another request"
+    UNKNOWN = "unknown"
+
+
 class ResponseEnd(Value, frozen=True):
     """Reports the end of an endpoint's response."""
 
--- a/oleanderhitch/connection/http/parsing.py
+++ b/oleanderhitch/connection/http/parsing.py
@@ -196,10 +196,16 @@
     def __init__(self) -> None:
         self._parser: Any = httptools.HttpResponseParser(self)
         self._is_in_head = True
+        self._is_between_responses = True
         self._n_head_bytes = 0
         self._headers: list[tuple[str, str]] = []
         self._parts: list[ParsedPart] = []
 
+    @property
+    def is_between_responses(self) -> bool:
+        """Whether the bytes so far are whole responses and nothing else."""
+        return self._is_between_responses
+
     def feed(self, data: bytes) -> list[ParsedPart]:
         """Return the parts that the bytes complete.
 
@@ -209,6 +215,7 @@
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self._is_between_responses = False
             if not self._parts:
                 raise ResponseParseError(f"not HTTP/1.1: {error!r}") from None
         if self._is_in_head:
@@ -222,6 +229,10 @@
 
     # Callbacks of httptools.
 
+    def on_message_begin(self) -> None:
+        """Record that a response has begun."""
+        self._is_between_responses = False
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header."""
         header = (name.decode("latin-1").lower(), value.decode("latin-1"))
@@ -254,7 +265,7 @@
 
     def on_message_complete(self) -> None:
         """Add the end of the response to the parts that `feed` returns."""
-        self._is_in_head = True
+        self._is_in_head = self._is_between_responses = True
         self._parts.append(ParsedEnd())
 
 
--- a/oleanderhitch/platform/caches.py
+++ b/oleanderhitch/platform/caches.py
@@ -3,7 +3,12 @@
 import json
 from typing import Any
 
-from oleanderhitch.connection.http.messages import Headers, HttpRequest, find_header
+from oleanderhitch.connection.http.messages import (
+    Headers,
+    HttpRequest,
+    ResponseOwner,
+    find_header,
+)
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.exceptions import InvalidInputError
 from oleanderhitch.platform import headers as header_names
@@ -21,9 +26,11 @@
         """Return the request that lists the cache of the endpoint at an address."""
         return HttpRequest("GET", KV_LIST_PATH, (("host", address),), b"")
 
-    def is_own_response(self, headers: Headers) -> bool:
-        """Return whether a response belongs to a listing, which has no request id."""
-        return find_header(headers, header_names.REQUEST_ID) is None
+    def find_owner(self, headers: Headers) -> ResponseOwner:
+        """Return whose response one is; a listing has no request id."""
+        if find_header(headers, header_names.REQUEST_ID) is None:
+            return ResponseOwner.THIS_REQUEST
+        return ResponseOwner.ANOTHER_REQUEST
 
     def read_parts(self, body: bytes) -> tuple[PromptPart, ...]:
         """Parse the cached parts; raise InvalidInputError if there is no list."""
--- a/oleanderhitch/platform/requests.py
+++ b/oleanderhitch/platform/requests.py
@@ -8,6 +8,7 @@
     Headers,
     HttpRequest,
     HttpResponse,
+    ResponseOwner,
     find_header,
 )
 from oleanderhitch.exceptions import InvalidInputError
@@ -84,15 +85,21 @@
             status == MISDIRECTED_STATUS,
         )
 
-    def make_response_check(self, request: RequestId) -> Callable[[Headers], bool]:
-        """Return a predicate for the headers of responses that belong to a request."""
+    def make_owner_finder(
+        self, request: RequestId
+    ) -> Callable[[Headers], ResponseOwner]:
+        """Return a function that tells from its headers whose response one is."""
 
-        def belongs_to_request(headers: Headers) -> bool:
+        def find_owner(headers: Headers) -> ResponseOwner:
             echoed = find_header(headers, header_names.REQUEST_ID)
-            # An endpoint that refuses a request may not have parsed its id.
-            return echoed is None or echoed == request
-
-        return belongs_to_request
+            if echoed is None:
+                # An endpoint that refuses a request may not have parsed its id.
+                return ResponseOwner.UNKNOWN
+            if echoed == request:
+                return ResponseOwner.THIS_REQUEST
+            return ResponseOwner.ANOTHER_REQUEST
+
+        return find_owner
 
     def make_endpoint_request(
         self, request: ForwardRequest, send: SendToEndpoint
--- a/oleanderhitch/process/caches/dialect.py
+++ b/oleanderhitch/process/caches/dialect.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from oleanderhitch.connection.http.messages import Headers, HttpRequest
+from oleanderhitch.connection.http.messages import Headers, HttpRequest, ResponseOwner
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.process.placement.messages import PromptPart
 
@@ -13,8 +13,8 @@
     def make_request(self, address: HostAddress) -> HttpRequest:
         """Return the request to the engine at an address."""
 
-    def is_own_response(self, headers: Headers) -> bool:
-        """Return whether a response with these headers belongs to such a request."""
+    def find_owner(self, headers: Headers) -> ResponseOwner:
+        """Return whose response one with these headers is."""
 
     def read_parts(self, body: bytes) -> tuple[PromptPart, ...]:
         """Return the parts listed in a response body; raise InvalidInputError."""
--- a/oleanderhitch/process/caches/task.py
+++ b/oleanderhitch/process/caches/task.py
@@ -67,7 +67,7 @@
     task: Address,
 ) -> None:
     request = render_request(dialect.make_request(effect.address))
-    exchange = Exchange(effect.exchange_id, request, task, dialect.is_own_response)
+    exchange = Exchange(effect.exchange_id, request, task, dialect.find_owner)
     connection_pool.send(StartExchange(effect.address, exchange))
 
 
--- a/oleanderhitch/request/forwarding/dialect.py
+++ b/oleanderhitch/request/forwarding/dialect.py
@@ -4,7 +4,12 @@
 from datetime import timedelta
 from typing import Protocol
 
-from oleanderhitch.connection.http.messages import Headers, HttpRequest, HttpResponse
+from oleanderhitch.connection.http.messages import (
+    Headers,
+    HttpRequest,
+    HttpResponse,
+    ResponseOwner,
+)
 from oleanderhitch.request.forwarding.messages import (
     EndpointResponseHead,
     ForwardRequest,
@@ -23,8 +28,10 @@
     def read_response_head(self, status: int, headers: Headers) -> EndpointResponseHead:
         """Interpret the status and headers of an endpoint's response."""
 
-    def make_response_check(self, request: RequestId) -> Callable[[Headers], bool]:
-        """Return a predicate for the headers of responses that belong to a request."""
+    def make_owner_finder(
+        self, request: RequestId
+    ) -> Callable[[Headers], ResponseOwner]:
+        """Return a function that tells from its headers whose response one is."""
 
     def make_endpoint_request(
         self, request: ForwardRequest, send: SendToEndpoint
--- a/oleanderhitch/request/forwarding/task.py
+++ b/oleanderhitch/request/forwarding/task.py
@@ -386,9 +386,9 @@
 def _(effect: SendToEndpoint, context: ForwardContext) -> None:
     dialect = context.dependencies.dialect
     http = dialect.make_endpoint_request(context.request, effect)
-    check = dialect.make_response_check(context.request.request)
+    find_owner = dialect.make_owner_finder(context.request.request)
     exchange = Exchange(
-        effect.exchange_id, render_request(http), context.mailbox, check
+        effect.exchange_id, render_request(http), context.mailbox, find_owner
     )
     context.dependencies.connection_pool.send(
         StartExchange(effect.endpoint.address, exchange)
--- a/tests/connection/http/test_endpoint.py
+++ b/tests/connection/http/test_endpoint.py
@@ -16,6 +16,7 @@
     ResponseBody,
     ResponseEnd,
     ResponseHead,
+    ResponseOwner,
     find_header,
 )
 from oleanderhitch.connection.http.pool import (
@@ -99,10 +100,15 @@
         """Start an exchange and return the mailbox for its response."""
         mailbox = make_mailbox("test")
 
-        def is_own_response(headers: Headers) -> bool:
-            return find_header(headers, "x-id") == str(request_id)
+        def find_owner(headers: Headers) -> ResponseOwner:
+            echoed = find_header(headers, "x-id")
+            if echoed is None:
+                return ResponseOwner.UNKNOWN
+            if echoed == str(request_id):
+                return ResponseOwner.THIS_REQUEST
+            return ResponseOwner.ANOTHER_REQUEST
 
-        exchange = Exchange(exchange_id, REQUEST, mailbox, is_own_response)
+        exchange = Exchange(exchange_id, REQUEST, mailbox, find_owner)
         self.pool.send(StartExchange(address, exchange))
         return mailbox
 
@@ -172,6 +178,97 @@
     assert receive_response(client.start_exchange(endpoint.address, 3))[0] == b"2"
 
 
+REFUSAL = b"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+
+
+def test_response_without_an_id_counts_on_a_new_connection(
+    serve: Callable[[Script], ScriptedEndpoint],
+) -> None:
+    """Guard against refusals that are lost since their endpoint read no id."""
+
+    def script(connected: socket.socket, number: int) -> None:
+        connected.recv(4096)
+        connected.sendall(REFUSAL)
+
+    endpoint = serve(script)
+    mailbox = PoolClient().start_exchange(endpoint.address, 1)
+    head = mailbox.receive(RECEIVE_TIMEOUT)
+    assert isinstance(head, ResponseHead)
+    assert head.status == 503
+
+
+@pytest.mark.parametrize(
+    "repeated", [REFUSAL, REFUSAL.replace(b"X-Not-Run", b"X-Id: 1\r\nX-Not-Run")]
+)
+def test_repeated_refusal_on_a_kept_connection_refuses_nothing(
+    serve: Callable[[Script], ScriptedEndpoint], repeated: bytes
+) -> None:
+    """Guard against "not run" for a request that its endpoint is running.
+
+    An endpoint writes an earlier refusal once more when it gets the next request.
+    """
+
+    def script(connected: socket.socket, number: int) -> None:
+        connected.recv(4096)
+        connected.sendall(REFUSAL.replace(b"X-Not-Run", b"X-Id: 1\r\nX-Not-Run"))
+        connected.recv(4096)
+        connected.sendall(repeated)
+        connected.sendall(make_response(2, b"own"))
+
+    endpoint = serve(script)
+    client = PoolClient()
+    head = client.start_exchange(endpoint.address, 1).receive(RECEIVE_TIMEOUT)
+    assert isinstance(head, ResponseHead)
+    gevent.sleep(0.02)
+    mailbox = client.start_exchange(endpoint.address, 2, request_id=2)
+    first = mailbox.receive(RECEIVE_TIMEOUT)
+    if repeated == REFUSAL:
+        # Nothing tells whose refusal it is, so the outcome is unknown.
+        assert isinstance(first, ExchangeFailed)
+        assert first.was_sent
+    else:
+        assert isinstance(first, ResponseHead)
+        assert first.status == 200
+
+
+@pytest.mark.parametrize("surplus", [b"HTTP/1.1 5", b"XYZ", REFUSAL[:-4], REFUSAL])
+def test_bytes_after_a_response_end_the_connection(
+    serve: Callable[[Script], ScriptedEndpoint], surplus: bytes
+) -> None:
+    """Guard against a part of a surplus response that is read with the one before."""
+
+    def script(connected: socket.socket, number: int) -> None:
+        connected.recv(4096)
+        connected.sendall(make_response(1, b"%d" % number) + surplus)
+        connected.recv(4096)
+
+    endpoint = serve(script)
+    client = PoolClient()
+    assert receive_response(client.start_exchange(endpoint.address, 1))[0] == b"1"
+    gevent.sleep(0.02)
+    assert receive_response(client.start_exchange(endpoint.address, 2))[0] == b"2"
+
+
+@pytest.mark.parametrize("n_bytes", range(1, 48, 4))
+def test_head_that_breaks_off_is_a_failure(
+    serve: Callable[[Script], ScriptedEndpoint], n_bytes: int
+) -> None:
+    """Guard against a success with an empty body for a head that was cut short."""
+    head = b"HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Server-Stamp: abc\r\n\r\n"
+    assert n_bytes < len(head)
+
+    def script(connected: socket.socket, number: int) -> None:
+        connected.recv(4096)
+        connected.sendall(head[:n_bytes])
+        connected.close()
+
+    endpoint = serve(script)
+    mailbox = PoolClient().start_exchange(endpoint.address, 1)
+    first = mailbox.receive(RECEIVE_TIMEOUT)
+    assert isinstance(first, ExchangeFailed)
+    assert first.was_sent
+
+
 def test_truncated_response_is_a_failure(
     serve: Callable[[Script], ScriptedEndpoint],
 ) -> None:
--- a/tests/platform/test_caches.py
+++ b/tests/platform/test_caches.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from oleanderhitch.connection.http.messages import ResponseOwner
 from oleanderhitch.exceptions import InvalidInputError
 from oleanderhitch.platform.caches import make_platform_cache_dialect
 from oleanderhitch.platform.requests import make_prompt_part
@@ -37,5 +38,7 @@
 
 def test_late_response_to_a_request_is_ignored() -> None:
     """Guard against reading the late response to a request as a cache listing."""
-    assert not CACHE_DIALECT.is_own_response((("x-request-id", "r1"),))
-    assert CACHE_DIALECT.is_own_response((("content-type", "application/json"),))
+    find_owner = CACHE_DIALECT.find_owner
+    assert find_owner((("x-request-id", "r1"),)) is ResponseOwner.ANOTHER_REQUEST
+    own = (("content-type", "application/json"),)
+    assert find_owner(own) is ResponseOwner.THIS_REQUEST
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -4,7 +4,11 @@
 
 import pytest
 
-from oleanderhitch.connection.http.messages import HttpRequest, find_header
+from oleanderhitch.connection.http.messages import (
+    HttpRequest,
+    ResponseOwner,
+    find_header,
+)
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.exceptions import InvalidInputError
 from oleanderhitch.platform.requests import VERDICT_STATUSES, make_platform_dialect
@@ -176,9 +180,10 @@
 
 def test_response_to_another_request_is_detected() -> None:
     """Guard against taking a late response to another request for this one's."""
-    is_response = DIALECT.make_response_check(RequestId("r1"))
-    assert is_response((("x-request-id", "r1"),))
-    assert not is_response((("x-request-id", "r2"),))
+    find_owner = DIALECT.make_owner_finder(RequestId("r1"))
+    assert find_owner((("x-request-id", "r1"),)) is ResponseOwner.THIS_REQUEST
+    assert find_owner((("x-request-id", "r2"),)) is ResponseOwner.ANOTHER_REQUEST
+    assert find_owner((("x-not-run", "1"),)) is ResponseOwner.UNKNOWN
 
 
 @pytest.mark.parametrize("hint", ["", "-5", "\u00b2", "many", "9" * 30])
