Passed on "not run" only where the endpoint states it

A faulty endpoint may answer 429, 503 or 408 to a request that it runs or has run. The status was passed on, and callers take it as a promise.

Change: such a status without the statement is a failed attempt, which is retried where the route allows that and ends as an unknown outcome otherwise. Both tests of the core failed without its check.

--- a/oleanderhitch/platform/requests.py
+++ b/oleanderhitch/platform/requests.py
@@ -25,6 +25,8 @@
 from oleanderhitch.request.ids import RequestId
 
 MISDIRECTED_STATUS = 421
+# Callers take these statuses as a promise that the request has not run and never will.
+NOT_RUN_STATUSES = frozenset({408, MISDIRECTED_STATUS, 429, 503})
 MILLISECOND = timedelta(milliseconds=1)
 # Callers wait at most a third of their remaining time before they retry. The share
 # stays below that; RETRY_AFTER_MIN exceeds a third when less than 150 ms remain.
@@ -72,6 +74,10 @@
 
     def read_response_head(self, status: int, headers: Headers) -> EndpointResponseHead:
         """Interpret the status and headers of an endpoint's response."""
+        is_misdirected = status == MISDIRECTED_STATUS
+        is_refusal = (
+            is_misdirected or find_header(headers, header_names.NOT_RUN) is not None
+        )
         return EndpointResponseHead(
             status,
             tuple(
@@ -80,9 +86,9 @@
                 if name not in header_names.HOP_BY_HOP
             ),
             find_header(headers, header_names.SIGNATURE) is not None,
-            status == MISDIRECTED_STATUS
-            or find_header(headers, header_names.NOT_RUN) is not None,
-            status == MISDIRECTED_STATUS,
+            is_refusal,
+            is_misdirected,
+            not is_refusal and status in NOT_RUN_STATUSES,
         )
 
     def make_owner_finder(
--- a/oleanderhitch/request/forwarding/core.py
+++ b/oleanderhitch/request/forwarding/core.py
@@ -224,6 +224,9 @@
     state.n_runs += 1
     if head.is_success and not head.is_signed:
         return handle_failed_attempt(state, "answer without a signature", now)
+    if head.is_unproven_refusal:
+        reason = f"status {head.status} without a statement that it has not run"
+        return handle_failed_attempt(state, reason, now)
     attempt.head = head
     state.failover_at = find_failover_time(state, now)
     if state.has_started_response and not head.is_success:
--- a/oleanderhitch/request/forwarding/messages.py
+++ b/oleanderhitch/request/forwarding/messages.py
@@ -47,7 +47,8 @@
 
     Only a signed response comes from an endpoint that has handled the request; a
     refusal states that the request was not run. A misdirected request has reached a
-    server that is not meant to serve it.
+    server that is not meant to serve it. The status of an unproven refusal tells
+    callers that the request was not run, but the endpoint has not stated that.
     """
 
     status: int
@@ -55,6 +56,7 @@
     is_signed: bool
     is_refusal: bool
     is_misdirected: bool
+    is_unproven_refusal: bool = False
 
     @property
     def is_success(self) -> bool:
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -213,3 +213,20 @@
         DIALECT.read_request(
             make_request(("x-token-usage", usage), ("x-prompt-prefix", parts))
         )
+
+
+@pytest.mark.parametrize("status", [408, 429, 503])
+def test_status_is_a_refusal_only_with_a_statement(status: int) -> None:
+    """Guard against "not run" for a request that a faulty endpoint has run."""
+    refused = DIALECT.read_response_head(status, (("x-not-run", "1"),))
+    assert refused.is_refusal
+    assert not refused.is_unproven_refusal
+    unproven = DIALECT.read_response_head(status, (("x-server-stamp", "s"),))
+    assert not unproven.is_refusal
+    assert unproven.is_unproven_refusal
+
+
+def test_error_of_an_endpoint_promises_nothing() -> None:
+    """Guard against errors that are not passed on as they are."""
+    assert not DIALECT.read_response_head(500, ()).is_unproven_refusal
+    assert not DIALECT.read_response_head(504, ()).is_unproven_refusal
--- a/tests/request/forwarding/test_core.py
+++ b/tests/request/forwarding/test_core.py
@@ -119,9 +119,12 @@
     is_signed: bool = True,
     is_refusal: bool = False,
     is_misdirected: bool = False,
+    is_unproven_refusal: bool = False,
 ) -> EndpointResponseHead:
     """Return the head of an endpoint's response."""
-    return EndpointResponseHead(status, (), is_signed, is_refusal, is_misdirected)
+    return EndpointResponseHead(
+        status, (), is_signed, is_refusal, is_misdirected, is_unproven_refusal
+    )
 
 
 def run(state: ForwardState, *messages: object, at: datetime = NOW) -> list[object]:
@@ -561,3 +564,22 @@
     assert state.next_tick_at == failover_at
     run(state, ResponseBody(exchange_id, b"\ndata: a\n\n"), at=later)
     assert state.next_tick_at > failover_at
+
+
+def test_unproven_refusal_has_an_unknown_outcome() -> None:
+    """Guard against a promise to the caller that the endpoint has not made."""
+    state = make_state()
+    run(state, Start(), grant("e1"))
+    head = make_response_head(503, is_unproven_refusal=True)
+    effects = run(state, ResponseBegun(get_exchange_id(state), head))
+    (verdict,) = find(effects, SendVerdict)
+    assert verdict.verdict is Verdict.OUTCOME_UNKNOWN  # type: ignore[attr-defined]
+
+
+def test_unproven_refusal_of_an_idempotent_request_is_retried() -> None:
+    """Guard against callers that get a failure although another endpoint is free."""
+    state = make_state(RouteKind.IDEMPOTENT, n_attempts=2)
+    run(state, Start(), grant("e1"))
+    head = make_response_head(429, is_unproven_refusal=True)
+    effects = run(state, ResponseBegun(get_exchange_id(state), head))
+    assert find(effects, RequestEndpoint)
