Stopped sending requests to endpoints that announce in their answers that they leave

Nothing read the header; only the list told.

Change: the head of any answer, refusals included, reports the endpoint to placement, which grants it nothing more, whatever the list says, until it is started again or has left the list. Waiting requests, retries and resumed streams need a new grant.

The new tests could not run before (no such message); with placement's check taken out, test_endpoint_that_announces_its_stop_gets_nothing_more fails.

--- a/oleanderhitch/platform/headers.py
+++ b/oleanderhitch/platform/headers.py
@@ -12,6 +12,7 @@
 PREVIOUS_TURN = "x-previous-turn"  # request id of the turn to continue
 LAST_EVENT_ID = "last-event-id"
 SIGNATURE = "x-server-stamp"  # in responses of endpoints that handled the request
+LEAVING = "server-leaving"  # in all responses of endpoints that will stop
 NOT_RUN = "x-not-run"  # in responses of endpoints that refused the request
 AFFINITY_COOKIE = "X-Affinity-Key"
 
--- a/oleanderhitch/platform/requests.py
+++ b/oleanderhitch/platform/requests.py
@@ -89,6 +89,7 @@
             is_refusal,
             is_misdirected,
             not is_refusal and status in NOT_RUN_STATUSES,
+            find_header(headers, header_names.LEAVING) is not None,
         )
 
     def make_owner_finder(
--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -33,6 +33,7 @@
     CacheCapacitiesUpdated,
     CacheContentsReported,
     EndpointGranted,
+    EndpointLeaving,
     EndpointLoad,
     EndpointRefused,
     EndpointsListed,
@@ -53,6 +54,7 @@
 )
 from oleanderhitch.request.ids import PermitId
 from oleanderhitch.values import Value
+from oleanderhitch.version.ids import EndpointId
 
 # Cache capacity of an engine until the routing configuration states it.
 DEFAULT_CACHE_CAPACITY_TOKENS = 400_000
@@ -77,6 +79,12 @@
     endpoint: ListedEndpoint
 
 
+class LogEndpointLeaving(Value, frozen=True):
+    """Logs that an endpoint has said that it will stop."""
+
+    endpoint: EndpointId
+
+
 @singledispatch
 def handle(message: object, state: PlacementState, now: datetime) -> list[object]:
     """Handle a message and return its effects."""
@@ -144,6 +152,21 @@
     return []
 
 
+@handle.register
+def _(message: EndpointLeaving, state: PlacementState, now: datetime) -> list[object]:
+    permit = state.permits.get(message.permit)
+    endpoint = None if permit is None else state.endpoints.get(permit.endpoint)
+    # An endpoint that was started again under its id has none of the earlier permits.
+    if (
+        endpoint is None
+        or endpoint.has_announced_stop
+        or message.permit not in endpoint.permits
+    ):
+        return []
+    endpoint.has_announced_stop = True
+    return [LogEndpointLeaving(endpoint.listed.endpoint)]
+
+
 @handle.register
 def _(
     message: FirstChunkReceived, state: PlacementState, now: datetime
@@ -261,7 +284,7 @@
         endpoint
         for endpoint in state.endpoints.values()
         if endpoint.listed.service == message.service
-        and not endpoint.listed.is_leaving
+        and not endpoint.is_leaving
         and endpoint.listed.endpoint not in message.tried
         and _has_capacity(endpoint, message.workload, now)
     ]
--- a/oleanderhitch/process/placement/messages.py
+++ b/oleanderhitch/process/placement/messages.py
@@ -77,6 +77,15 @@
     result: AttemptResult
 
 
+class EndpointLeaving(Value, frozen=True):
+    """Reports that the endpoint of a permit has said that it will stop.
+
+    The list of endpoints shows it later, or only after the endpoint has stopped.
+    """
+
+    permit: PermitId
+
+
 class FirstChunkReceived(Value, frozen=True):
     """Reports the first chunk of a response, which shows that prefill has finished."""
 
--- a/oleanderhitch/process/placement/records.py
+++ b/oleanderhitch/process/placement/records.py
@@ -35,6 +35,13 @@
     last_activity_at: datetime | None = None
     peer_load: EndpointLoad | None = None
     peer_load_at: datetime | None = None
+    # Whether the endpoint itself has said that it will stop.
+    has_announced_stop: bool = False
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the list or the endpoint says that it will stop."""
+        return self.listed.is_leaving or self.has_announced_stop
 
 
 class Permit(Value, frozen=True):
--- a/oleanderhitch/process/placement/task.py
+++ b/oleanderhitch/process/placement/task.py
@@ -3,11 +3,14 @@
 from datetime import datetime, timedelta
 from functools import singledispatch
 
+import logbook
+
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.caches.messages import ReadCache
 from oleanderhitch.process.clock import Clock
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.placement.core import (
+    LogEndpointLeaving,
     QueryCache,
     SendReply,
     handle,
@@ -18,6 +21,8 @@
 
 TICK_INTERVAL = timedelta(milliseconds=50)
 
+log = logbook.Logger("placement")
+
 
 def make_placement_task(
     node: NodeId, data_centre: DataCentreName, caches: Address, clock: Clock
@@ -57,3 +62,8 @@
 @_perform.register
 def _(effect: QueryCache, caches: Address, task: Address) -> None:
     caches.send(ReadCache(effect.endpoint, task))
+
+
+@_perform.register
+def _(effect: LogEndpointLeaving, caches: Address, task: Address) -> None:
+    log.info("endpoint announced its stop", endpoint=effect.endpoint)
--- a/oleanderhitch/request/forwarding/core.py
+++ b/oleanderhitch/request/forwarding/core.py
@@ -37,11 +37,13 @@
 from oleanderhitch.request.forwarding.delimiting import StreamEnd, judge_stream_end
 from oleanderhitch.request.forwarding.messages import (
     AbortResponse,
+    EndpointResponseHead,
     FinishResponse,
     LogDecision,
     RecordAway,
     RecordFailed,
     ReportFirstChunk,
+    ReportLeaving,
     ResponseBegun,
     ReturnPermit,
     SendResponse,
@@ -214,6 +216,16 @@
     if attempt is None:
         return []
     head = message.head
+    effects = _handle_head(head, attempt, state, now)
+    if head.is_leaving:
+        # Comes first, since the permit names the endpoint until it is returned.
+        effects.insert(0, ReportLeaving(attempt.permit))
+    return effects
+
+
+def _handle_head(
+    head: EndpointResponseHead, attempt: Attempt, state: ForwardState, now: datetime
+) -> list[object]:
     if head.is_refusal:
         result = AttemptResult.REFUSED
         if head.is_misdirected:
--- a/oleanderhitch/request/forwarding/messages.py
+++ b/oleanderhitch/request/forwarding/messages.py
@@ -48,7 +48,8 @@
     Only a signed response comes from an endpoint that has handled the request; a
     refusal states that the request was not run. A misdirected request has reached a
     server that is not meant to serve it. The status of an unproven refusal tells
-    callers that the request was not run, but the endpoint has not stated that.
+    callers that the request was not run, but the endpoint has not stated that. A
+    leaving endpoint will stop.
     """
 
     status: int
@@ -57,6 +58,7 @@
     is_refusal: bool
     is_misdirected: bool
     is_unproven_refusal: bool = False
+    is_leaving: bool = False
 
     @property
     def is_success(self) -> bool:
@@ -151,6 +153,12 @@
     exchange_id: int
 
 
+class ReportLeaving(Value, frozen=True):
+    """Reports to placement that the endpoint of a permit says that it will stop."""
+
+    permit: PermitId
+
+
 class ReturnPermit(Value, frozen=True):
     """Releases the permit of an endpoint and reports the result of the attempt."""
 
--- a/oleanderhitch/request/forwarding/task.py
+++ b/oleanderhitch/request/forwarding/task.py
@@ -35,6 +35,7 @@
 from oleanderhitch.process.metrics.states import Counter, Latency
 from oleanderhitch.process.placement.messages import (
     AcquireEndpoint,
+    EndpointLeaving,
     EventLatencyObserved,
     FirstChunkReceived,
     ReleaseEndpoint,
@@ -53,6 +54,7 @@
     RecordFailed,
     ReportEventLatency,
     ReportFirstChunk,
+    ReportLeaving,
     RequestEndpoint,
     ReserveTokens,
     ResponseBegun,
@@ -406,6 +408,11 @@
     context.dependencies.placement.send(ReleaseEndpoint(effect.permit, effect.result))
 
 
+@perform.register
+def _(effect: ReportLeaving, context: ForwardContext) -> None:
+    context.dependencies.placement.send(EndpointLeaving(effect.permit))
+
+
 @perform.register
 def _(effect: ReportFirstChunk, context: ForwardContext) -> None:
     context.dependencies.placement.send(FirstChunkReceived(effect.permit))
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -230,3 +230,10 @@
     """Guard against errors that are not passed on as they are."""
     assert not DIALECT.read_response_head(500, ()).is_unproven_refusal
     assert not DIALECT.read_response_head(504, ()).is_unproven_refusal
+
+
+def test_leaving_endpoint_is_recognised() -> None:
+    """Guard against an endpoint that leaves before the list of endpoints shows it."""
+    headers = (("server-leaving", "1"), ("x-server-stamp", "s"))
+    assert DIALECT.read_response_head(200, headers).is_leaving
+    assert not DIALECT.read_response_head(200, headers[1:]).is_leaving
--- a/tests/process/placement/test_core.py
+++ b/tests/process/placement/test_core.py
@@ -11,6 +11,7 @@
 from oleanderhitch.process.placement.cache import count_uncached_tokens
 from oleanderhitch.process.placement.core import (
     N_CACHE_QUERIES_LIMIT,
+    LogEndpointLeaving,
     QueryCache,
     SendReply,
     handle,
@@ -23,6 +24,7 @@
     CacheCapacitiesUpdated,
     CacheContentsReported,
     EndpointGranted,
+    EndpointLeaving,
     EndpointLoad,
     EndpointRefused,
     EndpointsListed,
@@ -140,6 +142,34 @@
     assert grant.endpoint.endpoint == "e3"
 
 
+def test_endpoint_that_announces_its_stop_gets_nothing_more() -> None:
+    """Guard against requests at an endpoint that leaves before the list shows it.
+
+    Waiting requests count too, and so does a list that is still outdated.
+    """
+    state = make_state(make_endpoint("e1"))
+    grant = get_grant(handle(acquire("1"), state, NOW))
+    (logged,) = handle(EndpointLeaving(grant.permit), state, NOW)
+    assert logged == LogEndpointLeaving(EndpointId("e1"))
+    assert handle(EndpointLeaving(grant.permit), state, NOW) == []
+    assert handle(acquire("2"), state, NOW) == []
+    released = ReleaseEndpoint(grant.permit, AttemptResult.COMPLETED)
+    assert handle(released, state, NOW) == []
+    assert handle(EndpointsListed((make_endpoint("e1"),)), state, NOW) == []
+    effects = handle(EndpointsListed((make_endpoint("e2"),)), state, NOW)
+    assert get_grant(effects).endpoint.endpoint == "e2"
+
+
+def test_endpoint_that_was_started_again_is_not_leaving() -> None:
+    """Guard against an endpoint that gets no work since its last start announced it."""
+    state = make_state(make_endpoint("e1"))
+    grant = get_grant(handle(acquire("1"), state, NOW))
+    again = replace(make_endpoint("e1"), born_ms=5)
+    handle(EndpointsListed((again,)), state, NOW)
+    assert handle(EndpointLeaving(grant.permit), state, NOW) == []
+    assert get_grant(handle(acquire("2"), state, NOW)).endpoint == again
+
+
 def test_urgent_request_is_granted_the_next_free_slot() -> None:
     """Guard against a free slot for the longest wait instead of the lowest rank."""
     state = make_state(make_endpoint("e1", n_slots=1))
--- a/tests/request/forwarding/test_core.py
+++ b/tests/request/forwarding/test_core.py
@@ -46,6 +46,7 @@
     ProgramTurn,
     RecordAway,
     RecordFailed,
+    ReportLeaving,
     RequestEndpoint,
     ReserveTokens,
     ResponseBegun,
@@ -583,3 +584,15 @@
     head = make_response_head(429, is_unproven_refusal=True)
     effects = run(state, ResponseBegun(get_exchange_id(state), head))
     assert find(effects, RequestEndpoint)
+
+
+@pytest.mark.parametrize("is_refusal", [False, True])
+def test_leaving_endpoint_is_reported_before_its_permit_is_returned(
+    is_refusal: bool,
+) -> None:
+    """Guard against requests at an endpoint that says in its answers that it leaves."""
+    state = make_state()
+    run(state, Start(), grant("e1"))
+    head = EndpointResponseHead(503, (), True, is_refusal, False, False, True)
+    effects = run(state, ResponseBegun(get_exchange_id(state), head))
+    assert effects[0] == ReportLeaving(PermitId("permit-e1"))
