Sent hellos to the leader only, and linked entry hosts to the stores that they call

Cause, part three of the cost of a host: each entry host sent every second hello to all stores and kept a link to each, every status named all stores, the leader added up the loads of all entry hosts for each hello, and every store announced itself to all others 2.5 times a second. At 171 entry hosts and 24 stores that is most of what hosts do.

Change: hellos go to the store that leads the site's group. Without one, three stores at a time are asked, in turn, and name the leader. Links of entry hosts connect when there is something to send. A status names the stores only if the entry host knows others. Stores that lead nothing announce themselves to leaders, and to the others every 2 s.

--- a/oleanderhitch/connection/peer/link.py
+++ b/oleanderhitch/connection/peer/link.py
@@ -46,6 +46,7 @@
         timing: StreamTiming,
         count_bytes: CountBytes,
         clock: Clock,
+        is_on_demand: bool,
     ) -> None:
         self._peer = peer
         self._codec = codec
@@ -55,6 +56,8 @@
         self._timing = timing
         self._count_bytes = count_bytes
         self._clock = clock
+        self._is_on_demand = is_on_demand
+        self._has_stopped = False
         self._outgoing = make_mailbox(f"link {peer}", SEND_QUEUE_CAPACITY_MESSAGES)
         self._greenlet: gevent.Greenlet | None = None
 
@@ -71,16 +74,30 @@
     def send(self, message: object) -> None:
         """Queue a message; raise MailboxFullError if the queue is full."""
         self._outgoing.send(message)
+        if self._is_on_demand and not self._has_stopped and self._greenlet is None:
+            self._greenlet = gevent.spawn(self._run_once)
 
     def start(self) -> None:
-        """Connect, and reconnect whenever the stream ends."""
-        self._greenlet = gevent.spawn(self._run)
+        """Connect, and reconnect whenever the stream ends, unless it is on demand."""
+        if not self._is_on_demand:
+            self._greenlet = gevent.spawn(self._run)
 
     def stop(self) -> None:
         """Close the stream and stop reconnecting."""
+        self._has_stopped = True
         if self._greenlet is not None:
             self._greenlet.kill()
 
+    def _run_once(self) -> None:
+        """Connect and run one stream; the next message connects again."""
+        try:
+            self._run_stream(self._connect())
+        except (OleanderhitchError, OSError) as error:
+            self._discard_queued()
+            self._on_link_event(LinkDown(self._peer, str(error)))
+        finally:
+            self._greenlet = None
+
     def _run(self) -> None:
         delay = INITIAL_RECONNECT_DELAY
         while True:
@@ -137,10 +154,22 @@
     timing: StreamTiming | None = None,
     count_bytes: CountBytes = ignore_bytes,
     clock: Clock | None = None,
+    is_on_demand: bool = False,
 ) -> PeerLink:
-    """Return a link that has not been started."""
+    """Return a link that has not been started.
+
+    A link on demand connects when a message is sent, and only then.
+    """
     timing = timing or StreamTiming()
     clock = clock or make_system_clock()
     return PeerLink(
-        peer, codec, identity, deliver, on_link_event, timing, count_bytes, clock
+        peer,
+        codec,
+        identity,
+        deliver,
+        on_link_event,
+        timing,
+        count_bytes,
+        clock,
+        is_on_demand,
     )
--- a/oleanderhitch/process/site/entry.py
+++ b/oleanderhitch/process/site/entry.py
@@ -15,6 +15,7 @@
 from oleanderhitch.connection.http.messages import HttpRequest, HttpResponse
 from oleanderhitch.connection.http.pool import make_connection_pool
 from oleanderhitch.connection.http.server import make_http_server
+from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.connection.peer.messages import PeerMessage
 from oleanderhitch.process.caches.dialect import CacheDialect
 from oleanderhitch.process.caches.task import make_caches_task
@@ -33,7 +34,7 @@
 from oleanderhitch.process.placement.task import make_placement_task
 from oleanderhitch.process.site.application import make_site_codec
 from oleanderhitch.process.site.group import TURN_GROUPS, get_turn_group
-from oleanderhitch.process.site.links import ENTRY_LINK_TIMING, make_site_links
+from oleanderhitch.process.site.links import make_site_links
 from oleanderhitch.process.site.messages import SiteStatus
 from oleanderhitch.process.site.peer_codec import make_site_peer_codec
 from oleanderhitch.process.site.settings import SiteEntrySettings
@@ -96,7 +97,7 @@
             self._deliver,
             self._handle_link_event,
             count_bytes,
-            ENTRY_LINK_TIMING,
+            is_entry_host=True,
         )
         self._group_client = make_group_client(
             self._links.list_addresses(), self._send_to_store, clock
@@ -218,10 +219,10 @@
     ) -> None:
         writer.respond(READY if self._is_ready() else NOT_READY)
 
-    def _send_to_store(self, address: object, message: object) -> None:
-        for link in self._links.links.values():
-            if link.peer == address:
-                link.send(message)
+    def _send_to_store(self, address: HostAddress, message: object) -> None:
+        link = self._links.find_by_address(address)
+        if link is not None:
+            link.send(message)
 
     def _deliver(self, delivery: PeerMessage) -> None:
         message = delivery.message
--- a/oleanderhitch/process/site/links.py
+++ b/oleanderhitch/process/site/links.py
@@ -35,14 +35,25 @@
     deliver: Deliver,
     on_link_event: Callable[[object], None],
     count_bytes: CountBytes,
-    timing: StreamTiming = LINK_TIMING,
+    is_entry_host: bool = False,
 ) -> StoreLinks:
-    """Return links to the seeds; links to other stores can be added later."""
+    """Return links to the seeds; links to other stores can be added later.
+
+    A store keeps a link to each other one. An entry host connects to the stores that it
+    has something to send to.
+    """
     identity = Identity(settings.node, settings.peer_key)
 
     def make_link(address: HostAddress) -> PeerLink:
         return make_peer_link(
-            address, codec, identity, deliver, on_link_event, timing, count_bytes
+            address,
+            codec,
+            identity,
+            deliver,
+            on_link_event,
+            ENTRY_LINK_TIMING if is_entry_host else LINK_TIMING,
+            count_bytes,
+            is_on_demand=is_entry_host,
         )
 
     links = StoreLinks(settings.node, make_link)
--- a/oleanderhitch/process/site/messages.py
+++ b/oleanderhitch/process/site/messages.py
@@ -1,5 +1,9 @@
 """Messages between the entry hosts and stores of a site, and commands of its groups."""
 
+from typing import NewType
+
+import xxhash
+
 from oleanderhitch.process.directory.messages import EndpointList, ListVersion
 from oleanderhitch.process.ids import GroupId, NodeId, ReplicaId
 from oleanderhitch.process.placement.messages import EndpointLoad
@@ -7,6 +11,19 @@
 from oleanderhitch.version.ids import DataCentreName, HostName
 from oleanderhitch.version.routes.ids import NO_ROUTING, RoutingVersion
 
+StoresDigest = NewType("StoresDigest", int)
+NO_STORES = StoresDigest(0)
+
+
+def make_stores_digest(stores: tuple[NodeId, ...]) -> StoresDigest:
+    """Return a number that stands for a set of stores."""
+    return StoresDigest(xxhash.xxh3_64_intdigest(" ".join(sorted(stores)).encode()))
+
+
+def hash_node(node: NodeId) -> int:
+    """Return a number for a node that is the same in all processes."""
+    return xxhash.xxh3_64_intdigest(node.encode())
+
 
 class PublishRouting(Value, frozen=True):
     """Publishes a routing configuration; a replicated command.
@@ -45,13 +62,15 @@
 class EntryHello(Value, frozen=True):
     """Announces an entry host, its installed versions and the loads that it causes.
 
-    A store replies with a SiteStatus of what the entry host lacks.
+    A store replies with a SiteStatus of what the entry host lacks. `known_stores` tells
+    which stores the entry host was told of last.
     """
 
     node: NodeId
     routing: RoutingVersion
     list_version: ListVersion | None
     loads: tuple[EndpointLoad, ...] = ()
+    known_stores: StoresDigest = NO_STORES
 
 
 class StoreAnnouncement(Value, frozen=True):
@@ -84,6 +103,7 @@
     list_version: ListVersion | None
     endpoints: EndpointList | None
     other_loads: tuple[EndpointLoad, ...] | None = None
+    leader: NodeId | None = None
 
 
 EMPTY_ROUTING = RoutingFound(NO_ROUTING, b"")
--- a/oleanderhitch/process/site/store.py
+++ b/oleanderhitch/process/site/store.py
@@ -14,6 +14,7 @@
 from oleanderhitch.connection.http.server import make_http_server
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.connection.peer.handshake import Identity
+from oleanderhitch.connection.peer.link import PeerLink
 from oleanderhitch.connection.peer.messages import PeerMessage
 from oleanderhitch.connection.peer.server import make_peer_server
 from oleanderhitch.exceptions import OleanderhitchError
@@ -69,6 +70,9 @@
 from oleanderhitch.version.routes.configuration import CallerLimits
 
 ANNOUNCEMENT_INTERVAL = timedelta(milliseconds=400)
+# Leaders tell all stores that they lead and need to know which stores there are. The
+# others tell each other less often, since this grows with the square of the stores.
+N_ANNOUNCEMENTS_PER_BROADCAST = 5
 # A leader that has missed two announcements may have failed, so that calls are no
 # longer redirected to it.
 LEADER_ANNOUNCEMENT_TTL = timedelta(milliseconds=1000)
@@ -158,7 +162,7 @@
             self._list_addresses(), self._send_to_store, clock
         )
         self._subscribers = make_subscribers(
-            self._get_routing, self._list_stores, clock
+            self._get_routing, self._list_stores, self._find_site_leader, clock
         )
         self._directory = make_directory_task(
             dependencies.fetch_list, self._handle_list, clock
@@ -342,13 +346,31 @@
         self._group_client.send(message)
 
     def _announce(self) -> None:
+        n_announcements = 0
+        is_change = True
         while not self._has_stopped:
             self._announcement_due.clear()
             announcement = self._make_announcement()
             self._observe_store(announcement)
-            for link in list(self._links.links.values()):
+            for link in self._list_announcement_links(n_announcements, is_change):
                 link.send(announcement)
-            self._announcement_due.wait(ANNOUNCEMENT_INTERVAL.total_seconds())
+            n_announcements += 1
+            is_change = self._announcement_due.wait(
+                ANNOUNCEMENT_INTERVAL.total_seconds()
+            )
+
+    def _list_announcement_links(
+        self, n_announcements: int, is_change: bool
+    ) -> list[PeerLink]:
+        links = self._links.links
+        is_for_all = n_announcements % N_ANNOUNCEMENTS_PER_BROADCAST == 0
+        if is_change or is_for_all or self._list_led_groups():
+            return list(links.values())
+        return [
+            links[node]
+            for node, store in self._announced_stores.items()
+            if store.led and node in links
+        ]
 
     def _make_announcement(self) -> StoreAnnouncement:
         site = self._settings.site
@@ -503,6 +525,11 @@
                 return make_any_replica_receiver(node)
         return None
 
+    def _find_site_leader(self) -> NodeId | None:
+        leader = self._members[SITE_GROUP].leader
+        leader = leader or self._find_announced_leader(SITE_GROUP)
+        return None if leader is None else get_node(leader)
+
     def deliver_to_group_client(self, message: object) -> None:
         """Forward a reply to the group client."""
         self._group_client.send(message)
--- a/oleanderhitch/process/site/subscribers.py
+++ b/oleanderhitch/process/site/subscribers.py
@@ -1,6 +1,5 @@
 """Entry hosts that subscribe to a store's state, and what the store sends them."""
 
-from collections import defaultdict
 from collections.abc import Callable
 from datetime import datetime, timedelta
 
@@ -10,14 +9,16 @@
 from oleanderhitch.process.clock import Clock
 from oleanderhitch.process.directory.messages import EndpointList
 from oleanderhitch.process.ids import NodeId
-from oleanderhitch.process.placement.messages import EndpointLoad
-from oleanderhitch.process.site.messages import EntryHello, RoutingFound, SiteStatus
-from oleanderhitch.version.ids import EndpointId
+from oleanderhitch.process.site.load_totals import LoadTotals
+from oleanderhitch.process.site.messages import (
+    EntryHello,
+    RoutingFound,
+    SiteStatus,
+    make_stores_digest,
+)
 
 # An entry host that sent no hello for this long has stopped or uses another connection.
 ENTRY_CONTACT_TIMEOUT = timedelta(seconds=3)
-# Loads that were reported more than two hello intervals ago are outdated.
-LOAD_TTL = timedelta(milliseconds=1300)
 
 
 class Subscriber(Struct):
@@ -35,12 +36,15 @@
         self,
         get_routing: Callable[[], RoutingFound],
         list_stores: Callable[[], tuple[NodeId, ...]],
+        find_leader: Callable[[], NodeId | None],
         clock: Clock,
     ) -> None:
         self._get_routing = get_routing
         self._list_stores = list_stores
+        self._find_leader = find_leader
         self._clock = clock
         self._subscribers: dict[NodeId, Subscriber] = {}
+        self._loads = LoadTotals()
         self._endpoint_list: EndpointList | None = None
         # Routing is only sent after a read through the group has shown that this leader
         # has applied everything accepted before. A replica that replays its log passes
@@ -49,8 +53,10 @@
 
     def handle_hello(self, hello: EntryHello, reply_address: Address) -> None:
         """Record an entry host and reply with the state that it lacks."""
-        subscriber = Subscriber(hello, reply_address, self._clock.now())
+        now = self._clock.now()
+        subscriber = Subscriber(hello, reply_address, now)
         self._subscribers[hello.node] = subscriber
+        self._loads.report(hello.node, hello.loads, now)
         self._notify(subscriber)
 
     def confirm_current(self) -> None:
@@ -93,37 +99,28 @@
         endpoint_list = self._endpoint_list
         list_version = None if endpoint_list is None else endpoint_list.version
         needs_list = list_version != hello.list_version
+        stores = self._list_stores()
+        other_loads = None
+        if self._is_current:
+            now = self._clock.now()
+            other_loads = self._loads.list_others(hello.node, now)
         subscriber.reply_address.send(
             SiteStatus(
-                self._list_stores(),
+                () if make_stores_digest(stores) == hello.known_stores else stores,
                 routing if needs_routing else None,
                 list_version,
                 endpoint_list if needs_list else None,
-                self._sum_peer_loads(hello.node) if self._is_current else None,
+                other_loads,
+                self._find_leader(),
             )
         )
 
-    def _sum_peer_loads(self, requester: NodeId) -> tuple[EndpointLoad, ...]:
-        """Return the loads that all entry hosts except the requester cause."""
-        now = self._clock.now()
-        n_running: defaultdict[EndpointId, int] = defaultdict(int)
-        n_prefill_tokens: defaultdict[EndpointId, int] = defaultdict(int)
-        for node, subscriber in self._subscribers.items():
-            if node == requester or now - subscriber.last_contact_at > LOAD_TTL:
-                continue
-            for load in subscriber.hello.loads:
-                n_running[load.endpoint] += load.n_running
-                n_prefill_tokens[load.endpoint] += load.n_reading_tokens
-        return tuple(
-            EndpointLoad(name, n, n_prefill_tokens[name])
-            for name, n in n_running.items()
-        )
-
 
 def make_subscribers(
     get_routing: Callable[[], RoutingFound],
     list_stores: Callable[[], tuple[NodeId, ...]],
+    find_leader: Callable[[], NodeId | None],
     clock: Clock,
 ) -> Subscribers:
     """Return the subscribers of a store, initially none."""
-    return Subscribers(get_routing, list_stores, clock)
+    return Subscribers(get_routing, list_stores, find_leader, clock)
--- a/oleanderhitch/process/site/subscription/core.py
+++ b/oleanderhitch/process/site/subscription/core.py
@@ -13,14 +13,28 @@
     EndpointLoad,
     LoadsFound,
 )
-from oleanderhitch.process.site.messages import EntryHello, RoutingFound, SiteStatus
+from oleanderhitch.process.site.messages import (
+    NO_STORES,
+    EntryHello,
+    RoutingFound,
+    SiteStatus,
+    StoresDigest,
+    hash_node,
+    make_stores_digest,
+)
 from oleanderhitch.values import Value
 from oleanderhitch.version.routes.ids import NO_ROUTING, RoutingVersion
 
-# The leader's store gets each hello. The others only need to know which entry hosts
-# there are, to push routing to them if they lead next.
+# All hellos go to the store that leads. It pushes what changes to the entry hosts that
+# it has heard of lately.
 HELLO_INTERVAL = timedelta(milliseconds=600)
-N_HELLOS_PER_BROADCAST = 2
+# An election takes about half a second.
+SEARCH_INTERVAL = timedelta(milliseconds=250)
+# A leader that has not answered two hellos may have failed.
+LEADER_TTL = timedelta(milliseconds=1300)
+# While no leader is known, a few stores get each hello, in turn, and name the leader.
+# All of them would be messages that grow with entry hosts times stores.
+N_STORES_ASKED = 3
 # An entry host also sends a hello when a check shows that its loads have changed, since
 # all entry hosts choose endpoints by the loads that all of them cause.
 LOAD_CHECK_INTERVAL = timedelta(milliseconds=250)
@@ -52,10 +66,10 @@
 
 
 class SendHello(Value, frozen=True):
-    """Sends this entry host's hello to one store, or to all known ones."""
+    """Sends this entry host's hello to stores."""
 
     hello: EntryHello
-    store: NodeId | None
+    stores: tuple[NodeId, ...]
 
 
 class InstallRouting(Value, frozen=True):
@@ -105,7 +119,9 @@
 
     `list_confirmed_at` is when the list of endpoints was last known to be current, and
     `is_reader` is set while this process reads the list itself. `loads` are those that
-    this entry host causes. `leader` is the store that sent the last status of a leader.
+    this entry host causes. `leader` is the store that sent the last status of a leader,
+    at `leader_seen_at`. `asked_stores` got the last regular hello, or were named as the
+    leader since.
     """
 
     node: NodeId
@@ -117,8 +133,11 @@
     is_reader: bool = False
     loads: tuple[EndpointLoad, ...] = ()
     next_hello_at: datetime | None = None
-    n_hellos: int = 0
+    n_asked_rounds: int = 0
     leader: NodeId | None = None
+    leader_seen_at: datetime | None = None
+    asked_stores: set[NodeId] = field(default_factory=set)
+    known_stores: StoresDigest = NO_STORES
 
 
 @singledispatch
@@ -134,12 +153,13 @@
     if state.list_confirmed_at is None:
         state.list_confirmed_at = now
     is_stale = now - state.list_confirmed_at > LIST_TTL
+    if state.leader_seen_at is not None and now - state.leader_seen_at > LEADER_TTL:
+        _forget_leader(state)
     effects: list[object] = [RequestLoads()]
     if state.next_hello_at is None or now >= state.next_hello_at:
-        is_broadcast = state.n_hellos % N_HELLOS_PER_BROADCAST == 0
-        state.n_hellos += 1
-        effects.append(_make_hello(state, None if is_broadcast else state.leader))
-        state.next_hello_at = now + HELLO_INTERVAL
+        is_led = state.leader is not None
+        state.next_hello_at = now + (HELLO_INTERVAL if is_led else SEARCH_INTERVAL)
+        effects.extend(_send_regular_hello(state))
     if is_stale and not state.is_reader:
         state.is_reader = True
         effects.append(SetLocalReader(True))
@@ -152,7 +172,7 @@
     state.loads = message.loads
     if not is_new:
         return []
-    return [_make_hello(state, state.leader)]
+    return [] if state.leader is None else [_make_hello(state, (state.leader,))]
 
 
 @handle.register
@@ -164,9 +184,21 @@
 
 @handle.register
 def _(message: StatusReceived, state: SubscriptionState, now: datetime) -> list[object]:
-    if message.status.other_loads is not None:
-        state.leader = message.store
-    return handle(message.status, state, now)
+    store, status = message.store, message.status
+    effects = handle(status, state, now)
+    if status.stores:
+        state.known_stores = make_stores_digest(status.stores)
+    if status.other_loads is not None:
+        state.leader, state.leader_seen_at = store, now
+        return effects
+    if store == state.leader:
+        _forget_leader(state)
+    named = status.leader
+    if state.leader is None and named is not None and named not in state.asked_stores:
+        state.asked_stores.add(named)
+        effects.extend(_add_stores((named,), state))
+        effects.append(_make_hello(state, (named,)))
+    return effects
 
 
 @handle.register
@@ -175,8 +207,9 @@
     if message.routing is not None and message.routing.version > state.routing:
         state.routing = message.routing.version
         effects.append(InstallRouting(message.routing))
-        # Informs the stores of the new version before the next regular hello.
-        effects.append(_make_hello(state, None))
+        if state.leader is not None:
+            # Informs the leader of the new version before the next regular hello.
+            effects.append(_make_hello(state, (state.leader,)))
     if message.endpoints is not None:
         effects.extend(_accept_list(message.endpoints, False, state, now))
     elif message.list_version is not None:
@@ -198,10 +231,7 @@
 @handle.register
 def _(message: LinkUp, state: SubscriptionState, now: datetime) -> list[object]:
     state.connected_stores.add(message.peer)
-    return [
-        _make_hello(state, NodeId(message.peer)),
-        LogLinkChange("store connected", message.peer, ""),
-    ]
+    return [LogLinkChange("store connected", message.peer, "")]
 
 
 @handle.register
@@ -210,13 +240,42 @@
         return []
     state.connected_stores.discard(message.peer)
     if state.leader == NodeId(message.peer):
-        state.leader = None
+        _forget_leader(state)
     return [LogLinkChange("store disconnected", message.peer, message.reason)]
 
 
-def _make_hello(state: SubscriptionState, store: NodeId | None) -> SendHello:
-    hello = EntryHello(state.node, state.routing, state.list_version, state.loads)
-    return SendHello(hello, store)
+def _send_regular_hello(state: SubscriptionState) -> list[object]:
+    if state.leader is not None:
+        return [_make_hello(state, (state.leader,))]
+    stores = sorted(state.stores)
+    if not stores:
+        return []
+    # Entry hosts start at different stores, so that no store gets all hellos.
+    start = hash_node(state.node) + state.n_asked_rounds * N_STORES_ASKED
+    state.n_asked_rounds += 1
+    asked = tuple(
+        stores[(start + number) % len(stores)]
+        for number in range(min(N_STORES_ASKED, len(stores)))
+    )
+    state.asked_stores = set(asked)
+    return [_make_hello(state, asked)]
+
+
+def _forget_leader(state: SubscriptionState) -> None:
+    """Look for the next leader at the next tick."""
+    state.leader = state.leader_seen_at = None
+    state.next_hello_at = None
+
+
+def _make_hello(state: SubscriptionState, stores: tuple[NodeId, ...]) -> SendHello:
+    hello = EntryHello(
+        state.node,
+        state.routing,
+        state.list_version,
+        state.loads,
+        state.known_stores,
+    )
+    return SendHello(hello, stores)
 
 
 def _add_stores(stores: tuple[NodeId, ...], state: SubscriptionState) -> list[object]:
--- a/oleanderhitch/process/site/subscription/task.py
+++ b/oleanderhitch/process/site/subscription/task.py
@@ -63,12 +63,10 @@
 
 @perform.register
 def _(effect: SendHello, dependencies: SubscriptionDependencies) -> None:
-    link = None
-    if effect.store is not None:
-        link = dependencies.links.get_link(effect.store)
-    links = dependencies.links.links.values() if link is None else (link,)
-    for receiver in links:
-        receiver.send(effect.hello)
+    for store in effect.stores:
+        link = dependencies.links.get_link(store)
+        if link is not None:
+            link.send(effect.hello)
 
 
 @perform.register
--- a/tests/process/site/test_subscribers.py
+++ b/tests/process/site/test_subscribers.py
@@ -5,11 +5,18 @@
 from oleanderhitch.process.directory.messages import EndpointList, ListVersion
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.placement.messages import EndpointLoad
-from oleanderhitch.process.site.messages import EntryHello, RoutingFound, SiteStatus
+from oleanderhitch.process.site.messages import (
+    EntryHello,
+    RoutingFound,
+    SiteStatus,
+    make_stores_digest,
+)
 from oleanderhitch.process.site.subscribers import Subscribers, make_subscribers
 from oleanderhitch.version.ids import EndpointId
 from oleanderhitch.version.routes.ids import NO_ROUTING, RoutingVersion
 
+STORES = (NodeId("s1"), NodeId("s2"))
+LEADER = NodeId("s2")
 ROUTING = RoutingFound(RoutingVersion(7), b"seven")
 
 
@@ -47,7 +54,9 @@
 def make_subscribers_and_clock() -> tuple[Subscribers, ManualClock]:
     """Return the subscribers of a store that has applied version 7, and the clock."""
     clock = ManualClock()
-    return make_subscribers(lambda: ROUTING, lambda: (), clock), clock
+    return make_subscribers(
+        lambda: ROUTING, lambda: STORES, lambda: LEADER, clock
+    ), clock
 
 
 def test_routing_is_sent_only_after_it_is_confirmed_current() -> None:
@@ -86,3 +95,16 @@
     assert third.send_hello(EndpointLoad(endpoint, 9, 9)).other_loads == expected
     clock.time += timedelta(seconds=2)
     assert third.send_hello().other_loads == ()
+
+
+def test_known_stores_are_not_sent_again() -> None:
+    """Guard against a list of all stores in every status."""
+    subscribers, _ = make_subscribers_and_clock()
+    entry = FakeEntryHost("e", subscribers)
+    status = entry.send_hello()
+    assert status.stores == STORES
+    assert status.leader == LEADER
+    digest = make_stores_digest(status.stores)
+    hello = EntryHello(entry.node, NO_ROUTING, None, (), digest)
+    subscribers.handle_hello(hello, entry)
+    assert entry.received[-1].stores == ()
--- a/tests/process/site/test_subscription.py
+++ b/tests/process/site/test_subscription.py
@@ -2,6 +2,7 @@
 
 from datetime import UTC, datetime, timedelta
 
+import pytest
 from msgspec.structs import replace
 
 from oleanderhitch.connection.ids import HostAddress
@@ -100,26 +101,76 @@
     assert not list_effects(state, make_status(stores=("s1",)), LinkStores)
 
 
-def test_most_hellos_go_to_the_leader_only() -> None:
-    """Guard against messages that grow with entry hosts times stores.
+def list_receivers(
+    state: SubscriptionState, n_ticks: int, start: datetime
+) -> list[tuple[NodeId, ...]]:
+    """Return the stores that get the hello of each tick; ticks are far apart."""
+    ticks = [
+        list_effects(state, Tick(), SendHello, start + n * HELLO_INTERVAL)
+        for n in range(n_ticks)
+    ]
+    return [hello.stores for hellos in ticks for hello in hellos]
 
-    Without a leader all stores get each hello, so that the next leader is found.
-    """
+
+def make_leader_status() -> SiteStatus:
+    """Return the status of a store that leads."""
+    return replace(make_status(), other_loads=())
+
+
+def test_hellos_go_to_the_leader_only() -> None:
+    """Guard against messages that grow with entry hosts times stores."""
     state = SubscriptionState(NodeId("entry"))
     leader = NodeId("s2")
+    stores = tuple(f"s{n}" for n in range(24))
+    handle(make_status(stores=stores), state, NOW)
+    handle(StatusReceived(leader, make_leader_status()), state, NOW)
+    hellos = []
+    for n in range(4):
+        at = NOW + n * HELLO_INTERVAL
+        hellos.extend(list_effects(state, Tick(), SendHello, at))
+        handle(StatusReceived(leader, make_leader_status()), state, at)
+    assert [hello.stores for hello in hellos] == [(leader,)] * 4
+
+
+def test_a_few_stores_at_a_time_are_asked_for_the_leader() -> None:
+    """Guard against a storm of messages, or a leader that is not found, after a loss.
 
-    def list_receivers(n_ticks: int, start: datetime) -> list[NodeId | None]:
-        ticks = [
-            list_effects(state, Tick(), SendHello, start + n * HELLO_INTERVAL)
-            for n in range(n_ticks)
-        ]
-        return [hello.store for hellos in ticks for hello in hellos]
-
-    assert list_receivers(4, NOW) == [None] * 4
-    status = replace(make_status(), other_loads=())
-    handle(StatusReceived(leader, status), state, NOW)
-    later = NOW + timedelta(seconds=10)
-    assert list_receivers(4, later) == [None, leader, None, leader]
-    handle(LinkUp(HostAddress(leader)), state, later)
-    handle(LinkDown(HostAddress(leader), "ended"), state, later)
-    assert list_receivers(4, later + timedelta(seconds=10)) == [None] * 4
+    All stores are asked in the end, since any of them may be the only one that answers.
+    """
+    state = SubscriptionState(NodeId("entry"))
+    stores = tuple(f"s{n}" for n in range(24))
+    handle(make_status(stores=stores), state, NOW)
+    asked = list_receivers(state, 8, NOW)
+    assert [len(receivers) for receivers in asked] == [3] * 8
+    assert {store for receivers in asked for store in receivers} == set(stores)
+
+
+def test_the_named_leader_gets_a_hello_at_once() -> None:
+    """Guard against an entry host that finds a new leader after an interval or more."""
+    state = SubscriptionState(NodeId("entry"))
+    handle(make_status(stores=("s1", "s2", "s3", "s4", "s5")), state, NOW)
+    (asked,) = list_receivers(state, 1, NOW)
+    named = next(s for s in sorted(state.stores) if s not in asked)
+    status = StatusReceived(asked[0], replace(make_status(), leader=named))
+    (hello,) = list_effects(state, status, SendHello)
+    assert hello.stores == (named,)  # type: ignore[attr-defined]
+    again = StatusReceived(asked[1], replace(make_status(), leader=named))
+    assert not list_effects(state, again, SendHello)
+
+
+@pytest.mark.parametrize("is_deposed", [False, True])
+def test_a_lost_leader_is_replaced(is_deposed: bool) -> None:
+    """Guard against hellos to a store that leads no more, or does not answer."""
+    state = SubscriptionState(NodeId("entry"))
+    leader = NodeId("s2")
+    handle(make_status(stores=("s1", "s2", "s3", "s4", "s5")), state, NOW)
+    handle(StatusReceived(leader, make_leader_status()), state, NOW)
+    later = NOW + timedelta(milliseconds=100 if is_deposed else 2000)
+    if is_deposed:
+        handle(StatusReceived(leader, make_status()), state, later)
+    assert len(list_receivers(state, 1, later)[0]) == 3
+    handle(StatusReceived(NodeId("s4"), make_leader_status()), state, later)
+    assert list_receivers(state, 1, later + HELLO_INTERVAL) == [(NodeId("s4"),)]
+    handle(LinkUp(HostAddress("s4")), state, later)
+    handle(LinkDown(HostAddress("s4"), "ended"), state, later)
+    assert len(list_receivers(state, 1, later)[0]) == 3
