Stopped watching a caller's socket before closing it

A connection that got the descriptor number of one that had just been closed could stay without events: its request was not read, and the caller waited until it gave up. Cause: the reader of a connection was told to end without waiting, and the socket was closed while the reader's watcher was still on its number; a new socket with the same number looked registered to the event loop.

--- a/oleanderhitch/connection/http/caller.py
+++ b/oleanderhitch/connection/http/caller.py
@@ -117,7 +117,9 @@
                 elif isinstance(message, CallerDisconnected):
                     return
         finally:
-            reader.kill(block=False)
+            # The reader stops watching the socket first: its number may be reused at
+            # once, and the event loop would miss the events of the new socket.
+            reader.kill()
             self._socket.close()
 
     def close_idle(self) -> None:
