Answered requests that were just accepted when a planned stop begins

Callers' requests were cut without an answer when a host stopped under load: those in connections that waited to be accepted, those that had arrived but were not read, those received in part, and the first request on a connection opened just before.

Change: a stop accepts the connections that wait before it closes the listener. A connection with unread or partial input serves that request and closes with its response; one without a request so far has 0.5 s for its first. The stop waits for them as for requests in progress.

test_stop_answers_requests_that_were_just_accepted failed before. The suites of connections and sites pass.

--- a/oleanderhitch/connection/http/caller.py
+++ b/oleanderhitch/connection/http/caller.py
@@ -40,6 +40,8 @@
 # unread input would reset the connection, and the caller would lose the response.
 LINGER_TIME = timedelta(milliseconds=300)
 MAILBOX_CAPACITY_MESSAGES = 4096
+# A caller sends its first request within a round trip of the connection's opening.
+FIRST_REQUEST_TIME = timedelta(milliseconds=500)
 
 log = logbook.Logger("caller")
 
@@ -92,14 +94,22 @@
         self._pipelined: deque[HttpRequest] = deque()
         self._resume_reading = gevent.event.Event()
         self._is_serving = False
+        self._is_receiving = False
+        self._is_new = True
+        self._awaits_request = False
         self._keeps_alive = True
         self._has_responded = False
         self._is_open = True
 
     @property
-    def is_serving(self) -> bool:
-        """Whether a request is in progress."""
-        return self._is_serving
+    def is_busy(self) -> bool:
+        """Whether a request is in progress, queued or on its way."""
+        return (
+            self._is_serving
+            or self._is_receiving
+            or self._awaits_request
+            or bool(self._pipelined)
+        )
 
     def run(self) -> None:
         """Serve requests until either side closes the connection."""
@@ -123,10 +133,34 @@
             self._socket.close()
 
     def close_idle(self) -> None:
-        """Close the connection unless a request is in progress or queued."""
-        if not self._is_serving and not self._pipelined:
+        """Close the connection, after the next request if one is on its way.
+
+        A connection without a request so far gets some time for its first one.
+        """
+        if self.is_busy:
+            return
+        if self._has_unread_bytes():
+            self._awaits_request = True
+        elif self._is_new:
+            self._is_new = False
+            self._awaits_request = True
+            gevent.spawn_later(FIRST_REQUEST_TIME.total_seconds(), self._close_unused)
+        else:
             self._mailbox.send(CallerDisconnected("this host stops"))
 
+    def _close_unused(self) -> None:
+        self._awaits_request = False
+        self.close_idle()
+
+    def _has_unread_bytes(self) -> bool:
+        self._socket.settimeout(0)
+        try:
+            return bool(self._socket.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+        finally:
+            self._socket.settimeout(WRITE_TIMEOUT.total_seconds())
+
     # Methods of ResponseWriter, called by the greenlet that serves the request.
 
     def respond(self, response: HttpResponse) -> None:
@@ -154,6 +188,7 @@
 
     def _serve_request(self, request: HttpRequest) -> None:
         self._is_serving = True
+        self._is_new = self._awaits_request = False
         self._has_responded = False
         self._keeps_alive = request.keeps_alive
         self._serve(request, self, self._mailbox, self._get_now())
@@ -205,12 +240,14 @@
                     return
                 for request in parser.feed(data):
                     self._queue_request(request)
+                self._is_receiving = not parser.is_idle
                 if parser.error is not None:
                     raise parser.error
                 if parser.expects_continue and not self._is_serving:
                     self._send(CONTINUE_RESPONSE)
                 self._await_responses(N_PIPELINED_LIMIT)
         except RequestParseError as error:
+            self._is_receiving = False
             self._await_responses(0)
             self._mailbox.send(RequestRejected(error.fault, str(error)))
         except OSError as error:
--- a/oleanderhitch/connection/http/server.py
+++ b/oleanderhitch/connection/http/server.py
@@ -45,8 +45,8 @@
 
     @property
     def n_active_requests(self) -> int:
-        """The number of requests in progress."""
-        return sum(connection.is_serving for connection in self._connections)
+        """The number of connections with a request in progress or on its way."""
+        return sum(connection.is_busy for connection in self._connections)
 
     def start(self) -> None:
         """Start to accept connections; raise OSError if listening fails."""
@@ -60,11 +60,23 @@
             connection.close_idle()
 
     def stop(self) -> None:
-        """Stop accepting connections and close the listening socket."""
+        """Accept the connections that wait and close the listening socket."""
         if self._acceptor is not None:
             self._acceptor.kill()
         if self._listener is not None:
+            self._accept_waiting(self._listener)
             self._listener.close()
+            self._listener = None
+
+    def _accept_waiting(self, listener: socket.socket) -> None:
+        # Closing the listener would reset connections that callers count as open.
+        listener.settimeout(0)
+        while True:
+            try:
+                accepted, _ = listener.accept()
+            except OSError:
+                return
+            self._serve_connection(accepted)
 
     def _accept(self) -> None:
         assert self._listener is not None
@@ -75,9 +87,9 @@
                 log.error("could not accept a connection", reason=str(error))
                 gevent.sleep(ACCEPT_RETRY_DELAY.total_seconds())
                 continue
-            gevent.spawn(self._run, accepted)
+            self._serve_connection(accepted)
 
-    def _run(self, accepted: socket.socket) -> None:
+    def _serve_connection(self, accepted: socket.socket) -> None:
         connection = make_caller_connection(
             accepted,
             self._serve,
@@ -86,6 +98,9 @@
             self._get_now,
         )
         self._connections.add(connection)
+        gevent.spawn(self._run, connection)
+
+    def _run(self, connection: CallerConnection) -> None:
         try:
             connection.run()
         finally:
--- a/tests/connection/http/test_caller.py
+++ b/tests/connection/http/test_caller.py
@@ -6,7 +6,7 @@
 import gevent
 import gevent.event
 import pytest
-from gevent import socket
+from gevent import monkey, socket
 
 from oleanderhitch.connection.http.caller import ResponseWriter
 from oleanderhitch.connection.http.messages import (
@@ -171,6 +171,54 @@
     assert server.n_active_requests == 0
 
 
+def test_stop_answers_requests_that_were_just_accepted(
+    start: Callable[[ServeRequest], tuple[HttpServer, HostAddress]],
+) -> None:
+    """Guard against a planned stop that cuts requests before they are read.
+
+    One connection waits to be accepted, one has an unread request, one half a request
+    and one sends its first request after the stop has begun.
+    """
+    server, address = start(echo)
+    late = connect(address)
+    unread = connect(address)
+    half = connect(address)
+    gevent.sleep(0.02)
+    half.sendall((GET % b"/half")[:9])
+    gevent.sleep(0.02)
+    # A send to an empty buffer and a socket that blocks do not let the server run.
+    unread.send(GET % b"/unread")
+    ip, _, port = address.rpartition(":")
+    waiting = monkey.get_original("socket", "socket")()
+    waiting.connect((ip, int(port)))
+    waiting.send(GET % b"/waiting")
+    server.stop()
+    server.drain_connections()
+    assert server.n_active_requests == 4
+    half.sendall((GET % b"/half")[9:])
+    gevent.sleep(0.05)
+    late.sendall(GET % b"/late")
+    assert read_all(half).endswith(b"/half")
+    assert read_all(unread).endswith(b"/unread")
+    assert read_all(late).endswith(b"/late")
+    wrapped = socket.socket(fileno=waiting.detach())
+    assert read_all(wrapped).endswith(b"/waiting")
+    assert server.n_active_requests == 0
+
+
+def test_stop_closes_connections_without_a_request(
+    start: Callable[[ServeRequest], tuple[HttpServer, HostAddress]],
+) -> None:
+    """Guard against a stop that waits for callers that send nothing."""
+    server, address = start(echo)
+    unused = connect(address)
+    gevent.sleep(0.02)
+    server.stop()
+    server.drain_connections()
+    assert read_all(unused) == b""
+    assert server.n_active_requests == 0
+
+
 def test_drain_closes_idle_connections_and_finishes_responses(
     start: Callable[[ServeRequest], tuple[HttpServer, HostAddress]],
 ) -> None:
