Limited an unexpected error to the message or request that met it

Here it stayed up without the part that met it: a task or a link ended and was never started again, a request left its slot taken for ever, an exchange told its request nothing.

Change: a task logs the error with its innermost frames and goes on with the next message; a replica stops instead, since its state may be half changed, and recovers from its log; a link connects again; a request ends with an unknown outcome and returns its permit; an exchange fails with one.

--- a/oleanderhitch/connection/http/endpoint.py
+++ b/oleanderhitch/connection/http/endpoint.py
@@ -171,6 +171,9 @@
             _fail(exchange, True, f"connection broke: {error}")
         except ResponseParseError as error:
             _fail(exchange, True, f"unreadable answer: {error}")
+        except Exception as error:
+            log.error("unexpected error", address=self._address, error=repr(error))
+            _fail(exchange, True, f"unexpected error: {error!r}")
         finally:
             is_written = writer.ready()
             writer.kill(block=False)
--- a/oleanderhitch/connection/peer/link.py
+++ b/oleanderhitch/connection/peer/link.py
@@ -92,9 +92,8 @@
         """Connect and run one stream; the next message connects again."""
         try:
             self._run_stream(self._connect())
-        except (OleanderhitchError, OSError) as error:
-            self._discard_queued()
-            self._on_link_event(LinkDown(self._peer, str(error)))
+        except Exception as error:
+            self._end_stream(error)
         finally:
             self._greenlet = None
 
@@ -104,10 +103,7 @@
             try:
                 stream = self._connect()
             except (OleanderhitchError, OSError) as error:
-                # Senders retry on their own. Keeping the queue would deliver stale
-                # messages first after a reconnect.
-                self._discard_queued()
-                self._on_link_event(LinkDown(self._peer, str(error)))
+                self._end_stream(error)
                 gevent.sleep(delay.total_seconds() * random.uniform(0.5, 1.0))
                 delay = min(delay * 2, RECONNECT_DELAY_MAX)
                 continue
@@ -119,14 +115,22 @@
             node = stream.authenticate_as_client()
             self._on_link_event(LinkUp(self._peer))
             stream.run_as_client(node, self._outgoing, self._deliver)
-        except OleanderhitchError as error:
-            log.info("link to {} ended: {}", self._peer, error)
-            self._discard_queued()
-            self._on_link_event(LinkDown(self._peer, str(error)))
+        except Exception as error:
+            self._end_stream(error)
             gevent.sleep(INITIAL_RECONNECT_DELAY.total_seconds())
         finally:
             stream.close()
 
+    def _end_stream(self, error: Exception) -> None:
+        if isinstance(error, OleanderhitchError | OSError):
+            log.info("link to {} ended: {}", self._peer, error)
+        else:
+            log.error("unexpected error on link to {}: {!r}", self._peer, error)
+        # Senders retry on their own. Keeping the queue would deliver stale messages
+        # first after a reconnect.
+        self._discard_queued()
+        self._on_link_event(LinkDown(self._peer, str(error)))
+
     def _connect(self) -> PeerStream:
         connected = socket.create_connection(
             parse_address(self._peer), self._timing.connect_timeout.total_seconds()
--- a/oleanderhitch/process/replication/task.py
+++ b/oleanderhitch/process/replication/task.py
@@ -10,6 +10,7 @@
 
 from oleanderhitch.connection.codec import make_codec
 from oleanderhitch.connection.exceptions import MalformedFrameError
+from oleanderhitch.exceptions import OleanderhitchError
 from oleanderhitch.process.clock import Clock
 from oleanderhitch.process.groups.application import Application
 from oleanderhitch.process.groups.messages import (
@@ -139,8 +140,15 @@
     state = GroupState(replica, bootstrap, codec)
 
     def perform(effect: object) -> None:
-        if not context.has_failed or isinstance(effect, EFFECTS_AFTER_FAILURE):
+        if context.has_failed and not isinstance(effect, EFFECTS_AFTER_FAILURE):
+            return
+        try:
             perform_effect(effect, context)
+        except OleanderhitchError:
+            raise
+        except Exception as error:
+            log.error("unexpected error; the replica stops", error=repr(error))
+            task.send(WriteFailed(f"unexpected error: {error!r}"))
 
     task = make_task(
         f"group {group}",
@@ -180,6 +188,10 @@
         return _handle(message, state, now)
     except ReplicationError as error:
         return core.handle(StorageFailed(str(error)), state.replica, now)
+    except Exception as error:
+        # The state may be half changed. A replica that stops recovers from its log.
+        reason = f"unexpected error: {error!r}"
+        return core.handle(StorageFailed(reason), state.replica, now)
 
 
 @singledispatch
--- a/oleanderhitch/process/task.py
+++ b/oleanderhitch/process/task.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable
 from datetime import UTC, datetime, timedelta
+from traceback import format_exc
 from typing import Generic, TypeVar
 
 import gevent
@@ -20,6 +21,9 @@
 
 State = TypeVar("State")
 
+# Innermost frames of an unexpected error that are logged.
+TRACE_LIMIT_FRAMES = 4
+
 # Result of FindNextTick: no tick is needed before the next message.
 NO_TICK = datetime.max.replace(tzinfo=UTC)
 
@@ -123,6 +127,18 @@
         return scheduled or self._clock.now() + self._tick_interval
 
     def _handle_message(self, message: object, now: datetime) -> None:
+        try:
+            self._handle_and_perform(message, now)
+        except Exception as error:
+            # Without its task a process would go on with that part missing.
+            self._log.error(
+                "unexpected error; the message is dropped",
+                message_type=type(message).__name__,
+                error=repr(error),
+                trace=format_exc(limit=-TRACE_LIMIT_FRAMES),
+            )
+
+    def _handle_and_perform(self, message: object, now: datetime) -> None:
         for effect in self._handle(message, self._state, now):
             try:
                 self._perform(effect)
--- a/oleanderhitch/request/forwarding/core.py
+++ b/oleanderhitch/request/forwarding/core.py
@@ -376,3 +376,16 @@
     if phase in (Phase.RESERVING, Phase.SEARCHING):
         verdict = Verdict.RECORD_UNAVAILABLE
     return [*effects, *end_with_verdict(state, verdict, "no time is left")]
+
+
+def end_after_error(state: ForwardState, now: datetime) -> list[object]:
+    """Return the effects that end a request whose handling failed unexpectedly."""
+    if state.has_ended:
+        return []
+    effects = [*cancel_work(state), *settle_spent_tokens(state, now)]
+    if state.has_started_response:
+        return [*effects, *abort_response(state, "unexpected error")]
+    return [
+        *effects,
+        *end_with_verdict(state, Verdict.OUTCOME_UNKNOWN, "unexpected error"),
+    ]
--- a/oleanderhitch/request/forwarding/task.py
+++ b/oleanderhitch/request/forwarding/task.py
@@ -44,7 +44,7 @@
     WithdrawRequest,
 )
 from oleanderhitch.program.ids import ProgramId
-from oleanderhitch.request.forwarding.core import handle
+from oleanderhitch.request.forwarding.core import end_after_error, handle
 from oleanderhitch.request.forwarding.dialect import Dialect
 from oleanderhitch.request.forwarding.messages import (
     AbortResponse,
@@ -146,6 +146,12 @@
     state = context.state
     try:
         _run_request(context)
+    except Exception as error:
+        log.error(
+            "unexpected error", request=context.request.request, error=repr(error)
+        )
+        for effect in end_after_error(state, dependencies.clock.now()):
+            _perform_or_log(effect, context)
     finally:
         context.alarm.close()
     if state.disconnect_message is not None:
--- a/tests/connection/peer/test_stream.py
+++ b/tests/connection/peer/test_stream.py
@@ -38,7 +38,7 @@
 class PeerPair:
     """A server that echoes calls and a link to it, optionally through a relay."""
 
-    def __init__(self, server_key=KEY, link_to=None, timing=FAST):
+    def __init__(self, server_key=KEY, link_to=None, timing=FAST, deliver=None):
         self.port = find_port()
         self.received = make_mailbox("received")
         self.link_events = make_mailbox("link events")
@@ -56,7 +56,7 @@
             f"127.0.0.1:{link_to or self.port}",
             codec,
             Identity("client", KEY),
-            self.received.send,
+            deliver or self.received.send,
             self.link_events.send,
             timing,
             self.count_sent_bytes,
@@ -161,6 +161,26 @@
     relay.server.stop()
 
 
+def test_an_unexpected_error_ends_the_stream_only():
+    """Guard against a link that never connects again after one message."""
+    delivered = make_mailbox("delivered")
+
+    def fail_once(delivery):
+        delivered.send(delivery)
+        if delivery.message.call == 1:
+            raise AttributeError("no such field")
+
+    peers = PeerPair(deliver=fail_once)
+    assert isinstance(peers.link_events.receive(timedelta(seconds=2)), LinkUp)
+    peers.link.send(GroupCall(1, "g", b"x", False))
+    assert isinstance(peers.link_events.receive(timedelta(seconds=2)), LinkDown)
+    assert isinstance(peers.link_events.receive(timedelta(seconds=2)), LinkUp)
+    peers.link.send(GroupCall(2, "g", b"x", False))
+    calls = [delivered.receive(timedelta(seconds=2)).message.call for _ in range(2)]
+    assert calls == [1, 2]
+    peers.stop()
+
+
 def test_a_server_ends_a_stream_whose_client_is_gone():
     """Guard against streams of lost hosts that a server keeps for ever."""
     ended = make_mailbox("ended")
--- a/tests/process/test_task.py
+++ b/tests/process/test_task.py
@@ -92,3 +92,30 @@
     alarm.advance(CLOCK.now())
     assert rung.receive(timedelta(seconds=1)) is not None
     alarm.close()
+
+
+def test_an_unexpected_error_costs_one_message():
+    """Guard against a process that goes on without the task that failed."""
+    handled = []
+
+    def handle(message, state, now):
+        handled.append(message)
+        if message == "bad":
+            raise AttributeError("no such field")
+        return [message]
+
+    performed = []
+
+    def perform(effect):
+        performed.append(effect)
+        if effect == "worse":
+            raise KeyError("no such key")
+
+    task = make_task("t", None, handle, perform, CLOCK)
+    task.start()
+    for message in ("bad", "worse", "good"):
+        task.send(message)
+    task.stop()
+    task.join(timedelta(seconds=1))
+    assert handled == ["bad", "worse", "good"]
+    assert performed == ["worse", "good"]
--- a/tests/request/forwarding/test_core.py
+++ b/tests/request/forwarding/test_core.py
@@ -34,6 +34,7 @@
 from oleanderhitch.request.forwarding.core import (
     COLLECTED_BODY_LIMIT_BYTES,
     EVENT_LIMIT_BYTES,
+    end_after_error,
     handle,
 )
 from oleanderhitch.request.forwarding.messages import (
@@ -596,3 +597,14 @@
     head = EndpointResponseHead(503, (), True, is_refusal, False, False, True)
     effects = run(state, ResponseBegun(get_exchange_id(state), head))
     assert effects[0] == ReportLeaving(PermitId("permit-e1"))
+
+
+def test_unexpected_error_returns_the_permit_and_promises_nothing() -> None:
+    """Guard against a slot that is never free again, and a false "not run"."""
+    state = make_state()
+    run(state, Start(), grant("e1"))
+    effects = end_after_error(state, NOW)
+    assert find(effects, ReturnPermit)
+    (verdict,) = find(effects, SendVerdict)
+    assert verdict.verdict is Verdict.OUTCOME_UNKNOWN  # type: ignore[attr-defined]
+    assert end_after_error(state, NOW) == []
