Let entries of a group in use take the place of heartbeats

Change: a follower that was sent entries and answered within half an interval gets no heartbeat in this one, unless a read waits for a round. It hears from its leader at least every one and a half intervals (150 of the 350 ms of the shortest election timeout); one that does not acknowledge still gets each heartbeat.

test_entries_take_the_place_of_heartbeats failed before. The suites of replication and sites pass.

--- a/oleanderhitch/process/replication/core.py
+++ b/oleanderhitch/process/replication/core.py
@@ -21,11 +21,11 @@
 )
 from oleanderhitch.process.replication.log_replication import (
     append_as_leader,
-    broadcast_heartbeat,
     handle_entries_persisted,
     replicate_to_all,
     request_snapshot,
     retransmit,
+    send_due_heartbeats,
 )
 from oleanderhitch.process.replication.membership import (
     begin_change,
@@ -170,7 +170,7 @@
     if state.role is not Role.LEADER:
         return
     if state.heartbeat_due_at is None or now >= state.heartbeat_due_at:
-        broadcast_heartbeat(state, now, effects)
+        send_due_heartbeats(state, now, effects)
     for replica in state.progress:
         retransmit(state, replica, now, effects)
         restart_stalled_snapshot_transfer(state, replica, now, effects)
--- a/oleanderhitch/process/replication/log_replication.py
+++ b/oleanderhitch/process/replication/log_replication.py
@@ -22,6 +22,7 @@
 from oleanderhitch.process.replication.replica import (
     FollowerProgress,
     ReplicaState,
+    ReplicationTiming,
     adopt_newest_membership,
 )
 from oleanderhitch.process.replication.roles import send
@@ -83,6 +84,7 @@
         )
         progress.next_index += len(entries)
         progress.in_flight.append(progress.next_index - 1)
+        progress.last_append_at = now
         send(state, replica, message, effects)
 
 
@@ -125,6 +127,41 @@
         send(state, replica, message, effects)
 
 
+def send_due_heartbeats(
+    state: ReplicaState, now: datetime, effects: list[object]
+) -> None:
+    """Send heartbeats to the replicas that have no other contact with this leader.
+
+    A group in use has such contact several times per heartbeat interval, and heartbeats
+    would be a third of its messages. Reads need an answer to a whole round.
+    """
+    if state.pending_reads:
+        broadcast_heartbeat(state, now, effects)
+        return
+    state.heartbeat_due_at = now + state.timing.heartbeat_interval
+    for replica, progress in state.progress.items():
+        if not _has_recent_contact(progress, state.timing, now):
+            commit_index = LogIndex(min(state.commit_index, progress.match_index))
+            message = Heartbeat(state.term, commit_index, state.heartbeat_round)
+            send(state, replica, message, effects)
+
+
+def _has_recent_contact(
+    progress: FollowerProgress, timing: ReplicationTiming, now: datetime
+) -> bool:
+    """Return whether entries were sent and answered within half an interval.
+
+    With the interval until the next heartbeat, a replica hears from its leader at least
+    every one and a half intervals.
+    """
+    recently = timing.heartbeat_interval / 2
+    return (
+        progress.last_append_at is not None
+        and now - progress.last_append_at < recently
+        and now - progress.last_contact_at < recently
+    )
+
+
 def handle_append_reply(
     state: ReplicaState,
     replica: ReplicaId,
--- a/oleanderhitch/process/replication/replica.py
+++ b/oleanderhitch/process/replication/replica.py
@@ -63,6 +63,8 @@
     next_index: int
     last_contact_at: datetime
     last_progress_at: datetime
+    # When entries were last sent, which a replica takes for contact with its leader.
+    last_append_at: datetime | None = None
     mode: ProgressMode = ProgressMode.PROBE
     match_index: int = 0
     acked_round: int = 0
--- a/tests/process/replication/test_core.py
+++ b/tests/process/replication/test_core.py
@@ -1,6 +1,7 @@
 """Guard against violations of single rules that random runs rarely reach."""
 
 from datetime import UTC, datetime, timedelta
+from itertools import pairwise
 from random import Random
 
 import pytest
@@ -305,3 +306,73 @@
         if isinstance(effect, SendToReplica | ApplyCommitted)
     ]
     assert kinds == [SendToReplica, ApplyCommitted]
+
+
+def play_group_in_use(n_commands, gap_ms, silent=()):
+    """Let a leader commit commands at a gap; return its messages to each replica.
+
+    Replicas acknowledge at once, except the silent ones.
+    """
+    state, effects = make_leader()
+    sent = {"b": [], "c": []}
+    now = LATER
+
+    def deliver(effects):
+        for effect in effects:
+            if isinstance(effect, SendToReplica):
+                sent[effect.replica].append((now, effect.message))
+                answer(effect)
+
+    def answer(effect):
+        message = effect.message
+        if effect.replica in silent:
+            return
+        if isinstance(message, m.AppendEntries):
+            index = message.previous_index + len(message.entries)
+            reply = m.AppendReply(state.term, True, index, message.previous_index)
+            deliver(handle(state, reply, effect.replica, now))
+        elif isinstance(message, m.Heartbeat):
+            reply = m.HeartbeatReply(state.term, message.round)
+            deliver(handle(state, reply, effect.replica, now))
+
+    deliver(effects)
+    for number in range(n_commands):
+        proposed = handle(state, m.Propose(number, b"command"), now=now)
+        deliver(proposed)
+        deliver(handle(state, get_persisted(proposed), now=now))
+        for _ in range(gap_ms // 5):
+            now += timedelta(milliseconds=5)
+            deliver(handle(state, Tick(), now=now))
+    return state, sent
+
+
+def test_entries_take_the_place_of_heartbeats():
+    """Guard against heartbeats that are a third of the messages of a group in use."""
+    n_commands = 100
+    gap_ms = 40
+    state, sent = play_group_in_use(n_commands, gap_ms)
+    interval = state.timing.heartbeat_interval
+    for messages in sent.values():
+        heartbeats = [x for _, x in messages if isinstance(x, m.Heartbeat)]
+        assert len(heartbeats) <= 2
+        times = [at for at, _ in messages]
+        gaps = [after - before for before, after in pairwise(times)]
+        assert max(gaps) <= 1.5 * interval
+
+
+def test_an_idle_group_has_heartbeats_at_the_interval():
+    """Guard against replicas that hear nothing of their leader."""
+    state, sent = play_group_in_use(1, 6000)
+    interval = state.timing.heartbeat_interval
+    for messages in sent.values():
+        times = [at for at, _ in messages]
+        gaps = [after - before for before, after in pairwise(times)]
+        assert max(gaps) <= interval + timedelta(milliseconds=5)
+
+
+def test_a_replica_that_does_not_acknowledge_gets_heartbeats():
+    """Guard against a replica with a stalled disk that stops following its leader."""
+    state, sent = play_group_in_use(100, 40, silent=("c",))
+    heartbeats = [x for _, x in sent["c"] if isinstance(x, m.Heartbeat)]
+    expected = 100 * timedelta(milliseconds=40) / state.timing.heartbeat_interval
+    assert len(heartbeats) >= expected - 2
