Chose at random among endpoints that cost about the same

Cause: all entry hosts learn the same loads up to a quarter of a second late, and each took the cheapest endpoint, the first of the list among equals.

Change: process/placement/spreading.py chooses among the endpoints within the cost of one unseen request, those of the own data centre first.

test_many_entry_hosts_do_not_meet_at_one_endpoint failed before.

--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -52,6 +52,7 @@
     PlacementState,
     count_running,
 )
+from oleanderhitch.process.placement.spreading import choose_alike
 from oleanderhitch.request.ids import PermitId
 from oleanderhitch.values import Value
 from oleanderhitch.version.ids import EndpointId
@@ -305,7 +306,11 @@
         slowdown = get_slowdown(endpoint.latency, median_ms, now)
         return get_cost_ms(endpoint, message, state, slowdown, now)
 
-    chosen = min(available, key=get_cost)
+    costs_ms = [get_cost(endpoint) for endpoint in available]
+    alike = choose_alike(
+        available, costs_ms, state.data_centre, message.workload is not None
+    )
+    chosen = state.random_source.choice(alike)
     if not chosen.permits:
         chosen.last_activity_at = now
     if message.affinity_key is not None and message.workload is None:
--- a/oleanderhitch/process/placement/records.py
+++ b/oleanderhitch/process/placement/records.py
@@ -3,6 +3,7 @@
 from collections import OrderedDict, defaultdict
 from collections.abc import Mapping
 from datetime import datetime, timedelta
+from random import Random
 
 from msgspec import Struct, field
 
@@ -56,6 +57,7 @@
 
     data_centre: DataCentreName
     permit_prefix: str
+    random_source: Random = field(default_factory=lambda: Random(0))
     endpoints: dict[EndpointId, Endpoint] = field(default_factory=dict)
     cache_capacity_tokens: Mapping[ServiceName, int] = field(default_factory=dict)
     permits: dict[PermitId, Permit] = field(default_factory=dict)
--- a/oleanderhitch/process/placement/task.py
+++ b/oleanderhitch/process/placement/task.py
@@ -2,6 +2,7 @@
 
 from datetime import datetime, timedelta
 from functools import singledispatch
+from random import Random
 
 import logbook
 
@@ -25,14 +26,18 @@
 
 
 def make_placement_task(
-    node: NodeId, data_centre: DataCentreName, caches: Address, clock: Clock
+    node: NodeId,
+    data_centre: DataCentreName,
+    caches: Address,
+    clock: Clock,
+    random_source: Random,
 ) -> Task[PlacementState]:
     """Return the task that selects endpoints for the requests of one entry host."""
 
     def perform(effect: object) -> None:
         _perform(effect, caches, task)
 
-    state = PlacementState(data_centre, node)
+    state = PlacementState(data_centre, node, random_source)
     task = make_task(
         "placement",
         state,
--- a/oleanderhitch/process/site/entry.py
+++ b/oleanderhitch/process/site/entry.py
@@ -107,7 +107,11 @@
             dependencies.cache_dialect, self._connection_pool, clock
         )
         self._placement = make_placement_task(
-            settings.site.node, settings.site.data_centre, self._caches, clock
+            settings.site.node,
+            settings.site.data_centre,
+            self._caches,
+            clock,
+            random.Random(uuid.uuid4().int),
         )
         self._directory = make_directory_task(
             dependencies.fetch_list, self._handle_local_list, clock
--- a/tests/process/placement/test_core.py
+++ b/tests/process/placement/test_core.py
@@ -1,7 +1,10 @@
 """Guard against a choice of endpoints that ignores cache, load, health or affinity."""
 
+from collections import Counter
 from datetime import UTC, datetime, timedelta
+from random import Random
 
+import pytest
 from msgspec.structs import replace
 
 from oleanderhitch.connection.ids import HostAddress
@@ -170,6 +173,41 @@
     assert get_grant(handle(acquire("2"), state, NOW)).endpoint == again
 
 
+@pytest.mark.parametrize("workload", [None, make_workload("own")])
+def test_many_entry_hosts_do_not_meet_at_one_endpoint(
+    workload: InferenceWorkload | None,
+) -> None:
+    """Guard against a herd: all hosts learn the same loads and choose the same way.
+
+    Endpoints refuse connections beyond their limit while others are idle.
+    """
+    names = [f"e{number}" for number in range(10)]
+    endpoints = tuple(make_endpoint(name, 6) for name in names)
+    loads = tuple(EndpointLoad(EndpointId(name), 2, 0) for name in names)
+    counts = Counter[str]()
+    for number in range(200):
+        state = PlacementState(HOME, f"entry-{number}", Random(number))
+        handle(EndpointsListed(endpoints), state, NOW)
+        handle(PeerLoadsReported(loads), state, NOW)
+        grant = get_grant(handle(acquire("1", workload), state, NOW))
+        counts[grant.endpoint.endpoint] += 1
+    assert len(counts) == len(names)
+    assert max(counts.values()) <= 2 * 200 / len(names)
+
+
+def test_cheaper_and_nearer_endpoints_are_preferred() -> None:
+    """Guard against spreading over endpoints that are busier or farther away."""
+    far = replace(make_endpoint("far", 6), data_centre=DataCentreName("far"))
+    busy, idle = make_endpoint("busy", 6), make_endpoint("idle", 6)
+    load = EndpointLoad(EndpointId("busy"), 3, 0)
+    for number in range(50):
+        state = PlacementState(HOME, f"entry-{number}", Random(number))
+        handle(EndpointsListed((busy, far, idle)), state, NOW)
+        handle(PeerLoadsReported((load,)), state, NOW)
+        grant = get_grant(handle(acquire("1", make_workload("a")), state, NOW))
+        assert grant.endpoint == idle
+
+
 def test_urgent_request_is_granted_the_next_free_slot() -> None:
     """Guard against a free slot for the longest wait instead of the lowest rank."""
     state = make_state(make_endpoint("e1", n_slots=1))
