Armed the alarm for unanswered messages on clients of peer links only

Cause: a store started a timer for its replies on each link of an entry host, at most one per 1.1 s and link, although only clients expect answers.

test_replies_of_a_server_start_no_timers failed before.

--- a/oleanderhitch/connection/peer/stream.py
+++ b/oleanderhitch/connection/peer/stream.py
@@ -90,7 +90,8 @@
         self._unanswered_since: datetime | None = None
         self._has_probed = False
         self._failure: str | None = None
-        self._alarm: Alarm | None = None
+        # Set on a client only; a server expects no answers.
+        self._probe_alarm: Alarm | None = None
         connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connected.settimeout(timing.receive_timeout.total_seconds())
 
@@ -123,7 +124,8 @@
         Always raise ConnectionLostError, or MalformedFrameError on a malformed frame.
         """
         check = partial(self._check_as_client, outgoing)
-        for message in self._run(outgoing, check):
+        alarm = self._probe_alarm = self._make_alarm(check)
+        for message in self._run(outgoing, alarm):
             if not isinstance(message, Heartbeat):
                 deliver(PeerMessage(peer, message, outgoing))
 
@@ -132,7 +134,8 @@
 
         Always raise ConnectionLostError, or MalformedFrameError on a malformed frame.
         """
-        for message in self._run(outgoing, self._check_as_server):
+        alarm = self._make_alarm(self._check_as_server)
+        for message in self._run(outgoing, alarm):
             if isinstance(message, Heartbeat):
                 outgoing.send(message)
             else:
@@ -142,16 +145,19 @@
         """Close the socket."""
         self._socket.close()
 
-    def _run(
-        self, outgoing: Mailbox, check: Callable[[datetime], datetime]
-    ) -> Iterator[object]:
+    def _make_alarm(self, check: Callable[[datetime], datetime]) -> Alarm:
+        """Return an alarm that rings at each time that the check returns."""
+
         def check_again() -> None:
             alarm.set(check(self._clock.now()))
 
+        alarm = make_alarm(check_again, self._clock)
+        check_again()
+        return alarm
+
+    def _run(self, outgoing: Mailbox, alarm: Alarm) -> Iterator[object]:
         # A socket timeout would cost a timer for each received message.
         self._socket.settimeout(None)
-        self._alarm = alarm = make_alarm(check_again, self._clock)
-        check_again()
         writer = gevent.spawn(self._write, outgoing)
         try:
             yield from self._received
@@ -219,12 +225,10 @@
 
     def _note_sent(self) -> None:
         self._last_sent_at = self._clock.now()
-        if self._unanswered_since is None:
+        if self._probe_alarm is not None and self._unanswered_since is None:
             self._unanswered_since = self._last_sent_at
-            if self._alarm is not None:
-                self._alarm.advance(
-                    self._last_sent_at + self._timing.receive_timeout / 2
-                )
+            probe_at = self._last_sent_at + self._timing.receive_timeout / 2
+            self._probe_alarm.advance(probe_at)
 
     def _send_all(self, data: bytearray) -> None:
         # Creates a timer only if the peer does not read.
--- a/tests/connection/peer/test_stream.py
+++ b/tests/connection/peer/test_stream.py
@@ -205,6 +205,23 @@
     client.close()
 
 
+def test_replies_of_a_server_start_no_timers(monkeypatch):
+    """Guard against a timer for the replies to each entry host."""
+    checks = []
+    check = PeerStream._check_as_server
+    monkeypatch.setattr(
+        PeerStream,
+        "_check_as_server",
+        lambda self, now: (checks.append(now), check(self, now))[1],
+    )
+    peers = PeerPair(timing=RARE_HEARTBEATS)
+    for number in range(8):
+        assert peers.send_call(number).call == number
+        gevent.sleep(0.1)
+    assert len(checks) == 1
+    peers.stop()
+
+
 class SilentRelay:
     """Relay that drops the bytes of its first `n_silenced` connections."""
 
