Told engines the rank of a route as the priority of its work

Change: work of model engines carries the route's rank; a caller's own header is dropped as before.

test_engines_are_told_how_urgent_work_is failed before.

--- a/oleanderhitch/platform/headers.py
+++ b/oleanderhitch/platform/headers.py
@@ -13,6 +13,7 @@
 LAST_EVENT_ID = "last-event-id"
 SIGNATURE = "x-server-stamp"  # in responses of endpoints that handled the request
 LEAVING = "server-leaving"  # in all responses of endpoints that will stop
+PRIORITY = "x-request-priority"  # 0 to 9, where 0 is the most urgent
 NOT_RUN = "x-not-run"  # in responses of endpoints that refused the request
 AFFINITY_COOKIE = "X-Affinity-Key"
 
@@ -44,7 +45,7 @@
         "x-kv-backup",
         "kv-from",
         "kv-fetch",
-        "x-request-priority",
+        PRIORITY,
         "x-expect-version",
     }
 )
--- a/oleanderhitch/platform/requests.py
+++ b/oleanderhitch/platform/requests.py
@@ -27,6 +27,7 @@
 MISDIRECTED_STATUS = 421
 # Callers take these statuses as a promise that the request has not run and never will.
 NOT_RUN_STATUSES = frozenset({408, MISDIRECTED_STATUS, 429, 503})
+LOWEST_PRIORITY = 9
 MILLISECOND = timedelta(milliseconds=1)
 # Callers wait at most a third of their remaining time before they retry. The share
 # stays below that; RETRY_AFTER_MIN exceeds a third when less than 150 ms remain.
@@ -116,6 +117,11 @@
             (header_names.DEADLINE, str(max(1, int(send.time_left / MILLISECOND)))),
             (header_names.EXPECT_INSTANCE, send.endpoint.endpoint),
         ]
+        if request.workload is not None:
+            # Engines admit urgent work first. Without it the arrivals of an urgent
+            # class wait behind all others in the engine's own queue.
+            priority = min(send.rank, LOWEST_PRIORITY)
+            endpoint_headers.append((header_names.PRIORITY, str(priority)))
         if send.last_event_id is not None:
             endpoint_headers.append((header_names.LAST_EVENT_ID, send.last_event_id))
         return HttpRequest(
--- a/oleanderhitch/request/forwarding/core.py
+++ b/oleanderhitch/request/forwarding/core.py
@@ -188,7 +188,14 @@
     time_left = max(ENDPOINT_TIMEOUT_MIN, state.deadline - now)
     return [
         LogDecision("sent to endpoint", fields),
-        SendToEndpoint(exchange_id, endpoint, body, time_left, state.last_event_id),
+        SendToEndpoint(
+            exchange_id,
+            endpoint,
+            body,
+            time_left,
+            state.last_event_id,
+            state.route.rank,
+        ),
     ]
 
 
--- a/oleanderhitch/request/forwarding/messages.py
+++ b/oleanderhitch/request/forwarding/messages.py
@@ -138,13 +138,14 @@
 
 
 class SendToEndpoint(Value, frozen=True):
-    """Sends the request to an endpoint."""
+    """Sends the request to an endpoint; a lower rank is more urgent."""
 
     exchange_id: int
     endpoint: ListedEndpoint
     body: bytes
     time_left: timedelta
     last_event_id: str | None
+    rank: int
 
 
 class CancelEndpointExchange(Value, frozen=True):
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -36,11 +36,11 @@
     return HttpRequest("POST", "/p/x?y", (*required_headers, *headers), b"body")
 
 
-def make_endpoint_request(*headers: tuple[str, str]) -> HttpRequest:
+def make_endpoint_request(*headers: tuple[str, str], rank: int = 0) -> HttpRequest:
     """Return the request that an endpoint gets for a caller's headers."""
     request = DIALECT.read_request(make_request(*headers))
     send = SendToEndpoint(
-        1, ENDPOINT, b"history+body", timedelta(milliseconds=1234.5), "7"
+        1, ENDPOINT, b"history+body", timedelta(milliseconds=1234.5), "7", rank
     )
     return DIALECT.make_endpoint_request(request, send)
 
@@ -237,3 +237,20 @@
     headers = (("server-leaving", "1"), ("x-server-stamp", "s"))
     assert DIALECT.read_response_head(200, headers).is_leaving
     assert not DIALECT.read_response_head(200, headers[1:]).is_leaving
+
+
+@pytest.mark.parametrize(("rank", "priority"), [(0, "0"), (3, "3"), (40, "9")])
+def test_engines_are_told_how_urgent_work_is(rank: int, priority: str) -> None:
+    """Guard against urgent work that waits in an engine behind patient work.
+
+    The priority that a caller sends is not taken over.
+    """
+    usage = ("x-token-usage", "1460,80")
+    request = make_endpoint_request(usage, ("x-request-priority", "7"), rank=rank)
+    assert find_header(request.headers, "x-request-priority") == priority
+
+
+def test_calls_of_plain_services_have_no_priority() -> None:
+    """Guard against headers that mean nothing to a plain service."""
+    request = make_endpoint_request(rank=1)
+    assert find_header(request.headers, "x-request-priority") is None
