Sent at once what came while a link on demand ended

Cause: a link on demand waits 20 ms after its stream has ended; a message queued in that time opened nothing and waited for the next message.

test_a_link_on_demand_sends_what_came_while_it_ended failed before.

--- a/oleanderhitch/connection/peer/link.py
+++ b/oleanderhitch/connection/peer/link.py
@@ -74,8 +74,7 @@
     def send(self, message: object) -> None:
         """Queue a message; raise MailboxFullError if the queue is full."""
         self._outgoing.send(message)
-        if self._is_on_demand and not self._has_stopped and self._greenlet is None:
-            self._greenlet = gevent.spawn(self._run_once)
+        self._start_if_needed()
 
     def start(self) -> None:
         """Connect, and reconnect whenever the stream ends, unless it is on demand."""
@@ -96,6 +95,13 @@
             self._end_stream(error)
         finally:
             self._greenlet = None
+            # Messages may have come since the stream ended.
+            if self._outgoing.n_waiting:
+                self._start_if_needed()
+
+    def _start_if_needed(self) -> None:
+        if self._is_on_demand and not self._has_stopped and self._greenlet is None:
+            self._greenlet = gevent.spawn(self._run_once)
 
     def _run(self) -> None:
         delay = INITIAL_RECONNECT_DELAY
--- a/tests/connection/peer/test_stream.py
+++ b/tests/connection/peer/test_stream.py
@@ -181,6 +181,31 @@
     peers.stop()
 
 
+def test_a_link_on_demand_sends_what_came_while_it_ended():
+    """Guard against a message that waits for the next one to open the link."""
+    peers = PeerPair()
+    link = make_peer_link(
+        f"127.0.0.1:{peers.port}",
+        make_project_codec(),
+        Identity("client-2", KEY),
+        peers.received.send,
+        peers.link_events.send,
+        FAST,
+        is_on_demand=True,
+    )
+    link.send(GroupCall(1, "g", b"x", False))
+    assert peers.received.receive(timedelta(seconds=2)).message.call == 1
+    peers.server._server.pool.kill(block=False)
+    while not isinstance(peers.link_events.receive(timedelta(seconds=2)), LinkDown):
+        pass
+    link.send(GroupCall(2, "g", b"x", False))
+    delivery = peers.received.receive(timedelta(seconds=2))
+    assert delivery is not None
+    assert delivery.message.call == 2
+    link.stop()
+    peers.stop()
+
+
 def test_a_server_ends_a_stream_whose_client_is_gone():
     """Guard against streams of lost hosts that a server keeps for ever."""
     ended = make_mailbox("ended")
