Shared the rate limit of an endpoint among all entry hosts

Cause: nothing read the limit. And no entry host could keep it alone, since it holds for all of them together: the class of fault is a limit on a sum that each host sees only its part of.

The leader of the site grants each send to a limited endpoint (SendPermits), so the limit itself bounds how many questions it gets. One question names the limited endpoints in the order of their cost. A refusal says how long the endpoint is exhausted, and the request goes elsewhere at once. What one host observes reaches the others with the hellos, by age, so that a limit that has ended does not come back. While no leader answers, each host takes an equal share, at a random phase.

test_rate_limits.py failed before (59 and 65 sends in 4 s where 29 are allowed, with 6 and 60 entry hosts) and passes now, also without a leader.

--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -42,13 +42,29 @@
     FirstChunkReceived,
     GetLoads,
     InferenceWorkload,
+    LimitsReported,
     LoadsFound,
     PeerLoadsReported,
     ReleaseEndpoint,
+    SendPermitReply,
+    SendPermitRequest,
     WithdrawRequest,
 )
+from oleanderhitch.process.placement.rate_limits import (
+    MILLISECOND,
+    PERMIT_TIMEOUT,
+    allows_send,
+    apply_reply,
+    count_local_send,
+    is_limited,
+    is_local,
+    list_observed_limits,
+    make_permit_request,
+    observe_limit,
+)
 from oleanderhitch.process.placement.records import (
     Endpoint,
+    PendingPermitRequest,
     Permit,
     PlacementState,
     count_running,
@@ -87,6 +103,12 @@
     endpoint: EndpointId
 
 
+class AskLeader(Value, frozen=True):
+    """Asks the leader for the permit to send to a limited endpoint."""
+
+    request: SendPermitRequest
+
+
 class LogRateLimit(Value, frozen=True):
     """Logs that an endpoint has named, changed or dropped a rate limit."""
 
@@ -143,9 +165,16 @@
 
 @handle.register
 def _(message: AcquireEndpoint, state: PlacementState, now: datetime) -> list[object]:
-    grant = _find_grant(message, state, now)
-    if grant is not None:
-        return [grant]
+    return _place(message, state, now)
+
+
+def _place(
+    message: AcquireEndpoint, state: PlacementState, now: datetime
+) -> list[object]:
+    """Grant a request an endpoint, or ask for one, or let the request wait."""
+    effect = _find_grant(message, state, now)
+    if effect is not None:
+        return [effect]
     if now >= message.deadline:
         return [_refuse(message, "no endpoint in time")]
     state.waiting.append(message)
@@ -158,6 +187,11 @@
     state.waiting = [
         waiting for waiting in state.waiting if waiting.request != message.request
     ]
+    state.permit_requests = {
+        number: pending
+        for number, pending in state.permit_requests.items()
+        if pending.message.request != message.request
+    }
     return []
 
 
@@ -185,13 +219,39 @@
     if (
         endpoint is None
         or message.permit not in endpoint.permits
-        or endpoint.requests_per_s == message.requests_per_s
+        or not observe_limit(endpoint, message.requests_per_s, now)
     ):
         return []
-    endpoint.requests_per_s = message.requests_per_s
     return [LogRateLimit(endpoint.listed.endpoint, message.requests_per_s)]
 
 
+@handle.register
+def _(message: LimitsReported, state: PlacementState, now: datetime) -> list[object]:
+    effects: list[object] = []
+    for limit in message.limits:
+        endpoint = state.endpoints.get(limit.endpoint)
+        if endpoint is None or endpoint.listed.born_ms != limit.born_ms:
+            continue
+        observed_at = now - limit.age_ms * MILLISECOND
+        if observe_limit(endpoint, limit.requests_per_s, observed_at):
+            effects.append(LogRateLimit(limit.endpoint, limit.requests_per_s))
+    return effects
+
+
+@handle.register
+def _(message: SendPermitReply, state: PlacementState, now: datetime) -> list[object]:
+    pending = state.permit_requests.pop(message.number, None)
+    apply_reply(message, state, now)
+    if pending is None:
+        return []
+    endpoint = None
+    if message.endpoint is not None:
+        endpoint = state.endpoints.get(message.endpoint)
+    if endpoint is not None and not endpoint.is_leaving:
+        return [_grant(endpoint, pending.message, state, now)]
+    return [*_place(pending.message, state, now), *_grant_waiting(state, now)]
+
+
 @handle.register
 def _(
     message: FirstChunkReceived, state: PlacementState, now: datetime
@@ -221,7 +281,12 @@
 
 @handle.register
 def _(message: Tick, state: PlacementState, now: datetime) -> list[object]:
-    return _grant_waiting(state, now)
+    effects: list[object] = []
+    for number, pending in list(state.permit_requests.items()):
+        if now - pending.asked_at >= PERMIT_TIMEOUT:
+            no_reply = SendPermitReply(number, is_leader=False)
+            effects.extend(handle(no_reply, state, now))
+    return [*effects, *_grant_waiting(state, now)]
 
 
 @handle.register
@@ -251,11 +316,13 @@
         for name, endpoint in state.endpoints.items()
         if endpoint.permits
     )
-    return [SendReply(message.reply_address, LoadsFound(loads))]
+    found = LoadsFound(loads, list_observed_limits(state, now))
+    return [SendReply(message.reply_address, found)]
 
 
 @handle.register
 def _(message: PeerLoadsReported, state: PlacementState, now: datetime) -> list[object]:
+    state.n_entry_hosts = message.n_entry_hosts
     loads = {load.endpoint: load for load in message.loads}
     for name, endpoint in state.endpoints.items():
         endpoint.peer_load = loads.get(name)
@@ -288,9 +355,9 @@
     effects: list[object] = []
     waiting, state.waiting = state.waiting, []
     for message in waiting:
-        grant = _find_grant(message, state, now)
-        if grant is not None:
-            effects.append(grant)
+        effect = _find_grant(message, state, now)
+        if effect is not None:
+            effects.append(effect)
         elif now >= message.deadline:
             effects.append(_refuse(message, "no endpoint in time"))
         else:
@@ -304,7 +371,8 @@
 
 def _find_grant(
     message: AcquireEndpoint, state: PlacementState, now: datetime
-) -> SendReply | None:
+) -> SendReply | AskLeader | None:
+    """Return the grant of an endpoint, or the question for one that is limited."""
     candidates = [
         endpoint
         for endpoint in state.endpoints.values()
@@ -316,7 +384,8 @@
     available = [
         endpoint
         for endpoint in candidates
-        if endpoint.avoid_until is None or endpoint.avoid_until <= now
+        if (endpoint.avoid_until is None or endpoint.avoid_until <= now)
+        and allows_send(endpoint, state, now)
     ]
     if not available:
         return None
@@ -335,11 +404,14 @@
         available, costs_ms, state.data_centre, message.workload is not None
     )
     chosen = state.random_source.choice(alike)
-    if not chosen.permits:
-        chosen.last_activity_at = now
-    if message.affinity_key is not None and message.workload is None:
-        record_affinity_key(message.affinity_key, chosen)
-    return SendReply(message.reply_address, _grant(chosen, message, state))
+    if not is_limited(chosen):
+        return _grant(chosen, message, state, now)
+    if is_local(state, now):
+        count_local_send(chosen, state, now)
+        return _grant(chosen, message, state, now)
+    request = make_permit_request(available, costs_ms, chosen, state, now)
+    state.permit_requests[request.number] = PendingPermitRequest(message, now)
+    return AskLeader(request)
 
 
 def _has_capacity(
@@ -352,8 +424,12 @@
 
 
 def _grant(
-    endpoint: Endpoint, message: AcquireEndpoint, state: PlacementState
-) -> EndpointGranted:
+    endpoint: Endpoint, message: AcquireEndpoint, state: PlacementState, now: datetime
+) -> SendReply:
+    if not endpoint.permits:
+        endpoint.last_activity_at = now
+    if message.affinity_key is not None and message.workload is None:
+        record_affinity_key(message.affinity_key, endpoint)
     state.last_permit_number += 1
     permit = PermitId(f"{state.permit_prefix}-{state.last_permit_number}")
     n_uncached = 0
@@ -364,6 +440,7 @@
     state.pending_prefill_tokens[endpoint_id] += n_uncached
     state.permits[permit] = Permit(endpoint_id, n_uncached)
     endpoint.permits.add(permit)
-    return EndpointGranted(
-        message.request, permit, endpoint.listed, endpoint.requests_per_s is not None
+    granted = EndpointGranted(
+        message.request, permit, endpoint.listed, is_limited(endpoint)
     )
+    return SendReply(message.reply_address, granted)
--- a/oleanderhitch/process/placement/messages.py
+++ b/oleanderhitch/process/placement/messages.py
@@ -120,6 +120,53 @@
     n_reading_tokens: int
 
 
+class EndpointLimit(Value, frozen=True):
+    """Requests a second that an endpoint, started at `born_ms`, takes from all hosts.
+
+    None is the end of a limit. `age_ms` is the time since the endpoint said so.
+    """
+
+    endpoint: EndpointId
+    born_ms: int
+    requests_per_s: float | None
+    age_ms: int
+
+
+class SendPermitRequest(Value, frozen=True):
+    """Requests the permit for one send to the first of these endpoints that takes it.
+
+    An entry host numbers its requests.
+    """
+
+    number: int
+    limits: tuple[EndpointLimit, ...]
+
+
+class ExhaustedEndpoint(Value, frozen=True):
+    """An endpoint whose limit is reached, and the time until it takes more."""
+
+    endpoint: EndpointId
+    wait_ms: int
+
+
+class SendPermitReply(Value, frozen=True):
+    """Grants a send to an endpoint, or to none; only the leader can grant one.
+
+    The endpoints before the granted one are exhausted.
+    """
+
+    number: int
+    is_leader: bool
+    endpoint: EndpointId | None = None
+    exhausted: tuple[ExhaustedEndpoint, ...] = ()
+
+
+class LimitsReported(Value, frozen=True):
+    """Reports the limits that endpoints have named to any entry host."""
+
+    limits: tuple[EndpointLimit, ...]
+
+
 class GetLoads(Value, frozen=True):
     """Requests the loads that this entry host causes."""
 
@@ -127,15 +174,20 @@
 
 
 class LoadsFound(Value, frozen=True):
-    """Reports the loads that this entry host causes, in reply to GetLoads."""
+    """Reports what this entry host causes and has observed, in reply to GetLoads."""
 
     loads: tuple[EndpointLoad, ...]
+    limits: tuple[EndpointLimit, ...] = ()
 
 
 class PeerLoadsReported(Value, frozen=True):
-    """Reports the loads that all other entry hosts cause."""
+    """Reports the loads that all other entry hosts cause, and how many hosts there are.
+
+    The number includes this entry host.
+    """
 
     loads: tuple[EndpointLoad, ...]
+    n_entry_hosts: int = 1
 
 
 class EndpointGranted(Value, frozen=True):
--- a/oleanderhitch/process/placement/records.py
+++ b/oleanderhitch/process/placement/records.py
@@ -16,10 +16,25 @@
 from oleanderhitch.values import Value
 from oleanderhitch.version.ids import DataCentreName, EndpointId, ServiceName
 
+# Entry hosts of a usual deployment, until the leader has said how many there are.
+N_ENTRY_HOSTS_ASSUMED = 7
 # Loads change within half a second; reports older than this no longer describe them.
 PEER_LOAD_TTL = timedelta(seconds=1)
 
 
+class RateLimit(Struct):
+    """Requests a second that an endpoint takes from all entry hosts together.
+
+    None is no limit. The leader has said that it takes none until `exhausted_until`.
+    Without a leader this entry host may send at `next_local_send_at`.
+    """
+
+    requests_per_s: float | None = None
+    observed_at: datetime | None = None
+    exhausted_until: datetime | None = None
+    next_local_send_at: datetime | None = None
+
+
 class Endpoint(Struct):
     """State of one endpoint as observed by this entry host."""
 
@@ -38,8 +53,7 @@
     peer_load_at: datetime | None = None
     # Whether the endpoint itself has said that it will stop.
     has_announced_stop: bool = False
-    # Requests a second that it takes from all entry hosts together, None for no limit.
-    requests_per_s: float | None = None
+    rate_limit: RateLimit = field(default_factory=RateLimit)
 
     @property
     def is_leaving(self) -> bool:
@@ -54,6 +68,13 @@
     n_pending_prefill_tokens: int
 
 
+class PendingPermitRequest(Value, frozen=True):
+    """A request whose send to a limited endpoint the leader has been asked for."""
+
+    message: AcquireEndpoint
+    asked_at: datetime
+
+
 class PlacementState(Struct):
     """Endpoints, permits and waiting requests; owned by the placement task."""
 
@@ -68,6 +89,11 @@
         default_factory=lambda: defaultdict(int)
     )
     last_permit_number: int = 0
+    permit_requests: dict[int, PendingPermitRequest] = field(default_factory=dict)
+    last_permit_request: int = 0
+    # Until when this entry host goes by its own share of the limits.
+    local_share_until: datetime | None = None
+    n_entry_hosts: int = N_ENTRY_HOSTS_ASSUMED
 
 
 def find_peer_load(endpoint: Endpoint, now: datetime) -> EndpointLoad | None:
--- a/oleanderhitch/process/placement/task.py
+++ b/oleanderhitch/process/placement/task.py
@@ -1,22 +1,26 @@
 """Run the placement task of an entry host."""
 
+from collections.abc import Callable
 from datetime import datetime, timedelta
 from functools import singledispatch
 from random import Random
 
 import logbook
+from msgspec import Struct
 
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.caches.messages import ReadCache
 from oleanderhitch.process.clock import Clock
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.placement.core import (
+    AskLeader,
     LogEndpointLeaving,
     LogRateLimit,
     QueryCache,
     SendReply,
     handle,
 )
+from oleanderhitch.process.placement.messages import SendPermitRequest
 from oleanderhitch.process.placement.records import PlacementState
 from oleanderhitch.process.task import NO_TICK, Task, make_task
 from oleanderhitch.version.ids import DataCentreName
@@ -30,13 +34,14 @@
     node: NodeId,
     data_centre: DataCentreName,
     caches: Address,
+    ask_leader: Callable[[SendPermitRequest], None],
     clock: Clock,
     random_source: Random,
 ) -> Task[PlacementState]:
     """Return the task that selects endpoints for the requests of one entry host."""
 
     def perform(effect: object) -> None:
-        _perform(effect, caches, task)
+        _perform(effect, dependencies)
 
     state = PlacementState(data_centre, node, random_source)
     task = make_task(
@@ -48,35 +53,49 @@
         TICK_INTERVAL,
         find_next_tick=_find_next_tick,
     )
+    dependencies = _Dependencies(caches, ask_leader, task)
     return task
 
 
+class _Dependencies(Struct):
+    """Collaborators that the effects of placement act on."""
+
+    caches: Address
+    ask_leader: Callable[[SendPermitRequest], None]
+    task: Address
+
+
 def _find_next_tick(state: PlacementState) -> datetime | None:
-    return None if state.waiting else NO_TICK
+    return None if state.waiting or state.permit_requests else NO_TICK
 
 
 @singledispatch
-def _perform(effect: object, caches: Address, task: Address) -> None:
+def _perform(effect: object, dependencies: _Dependencies) -> None:
     raise TypeError(f"placement does not support effect type {type(effect).__name__}")
 
 
 @_perform.register
-def _(effect: SendReply, caches: Address, task: Address) -> None:
+def _(effect: SendReply, dependencies: _Dependencies) -> None:
     effect.reply_address.send(effect.message)
 
 
 @_perform.register
-def _(effect: QueryCache, caches: Address, task: Address) -> None:
-    caches.send(ReadCache(effect.endpoint, task))
+def _(effect: QueryCache, dependencies: _Dependencies) -> None:
+    dependencies.caches.send(ReadCache(effect.endpoint, dependencies.task))
+
+
+@_perform.register
+def _(effect: AskLeader, dependencies: _Dependencies) -> None:
+    dependencies.ask_leader(effect.request)
 
 
 @_perform.register
-def _(effect: LogEndpointLeaving, caches: Address, task: Address) -> None:
+def _(effect: LogEndpointLeaving, dependencies: _Dependencies) -> None:
     log.info("endpoint announced its stop", endpoint=effect.endpoint)
 
 
 @_perform.register
-def _(effect: LogRateLimit, caches: Address, task: Address) -> None:
+def _(effect: LogRateLimit, dependencies: _Dependencies) -> None:
     log.info(
         "rate limit of an endpoint changed",
         endpoint=effect.endpoint,
--- a/oleanderhitch/process/site/entry.py
+++ b/oleanderhitch/process/site/entry.py
@@ -31,6 +31,10 @@
 from oleanderhitch.process.mailbox import Mailbox
 from oleanderhitch.process.metrics.core import Metrics, make_counter
 from oleanderhitch.process.metrics.states import Counter
+from oleanderhitch.process.placement.messages import (
+    SendPermitReply,
+    SendPermitRequest,
+)
 from oleanderhitch.process.placement.task import make_placement_task
 from oleanderhitch.process.site.application import make_site_codec
 from oleanderhitch.process.site.group import TURN_GROUPS, get_turn_group
@@ -110,6 +114,7 @@
             settings.site.node,
             settings.site.data_centre,
             self._caches,
+            self._ask_leader,
             clock,
             random.Random(uuid.uuid4().int),
         )
@@ -232,11 +237,16 @@
         message = delivery.message
         if isinstance(message, SiteStatus):
             self._subscription.send(StatusReceived(delivery.node, message))
+        elif isinstance(message, SendPermitReply):
+            self._placement.send(message)
         elif isinstance(message, GroupAnswer | GroupRedirect | GroupUncertain):
             self._group_client.send(message)
         else:
             log.warning("unexpected message type", type=type(message).__name__)
 
+    def _ask_leader(self, request: SendPermitRequest) -> None:
+        self._subscription.send(request)
+
     def _handle_link_event(self, message: object) -> None:
         self._group_client.send(message)
         self._subscription.send(message)
--- a/oleanderhitch/process/site/messages.py
+++ b/oleanderhitch/process/site/messages.py
@@ -6,13 +6,20 @@
 
 from oleanderhitch.process.directory.messages import EndpointList, ListVersion
 from oleanderhitch.process.ids import GroupId, NodeId, ReplicaId
-from oleanderhitch.process.placement.messages import EndpointLoad
+from oleanderhitch.process.placement.messages import (
+    EndpointLimit,
+    EndpointLoad,
+    SendPermitReply,
+    SendPermitRequest,
+)
 from oleanderhitch.values import Value
 from oleanderhitch.version.ids import DataCentreName, HostName
 from oleanderhitch.version.routes.ids import NO_ROUTING, RoutingVersion
 
 StoresDigest = NewType("StoresDigest", int)
 NO_STORES = StoresDigest(0)
+LimitsDigest = NewType("LimitsDigest", int)
+NO_LIMITS = LimitsDigest(0)
 
 
 def make_stores_digest(stores: tuple[NodeId, ...]) -> StoresDigest:
@@ -63,7 +70,8 @@
     """Announces an entry host, its installed versions and the loads that it causes.
 
     A store replies with a SiteStatus of what the entry host lacks. `known_stores` tells
-    which stores the entry host was told of last.
+    which stores the entry host was told of last, `known_limits` which limits of
+    endpoints. `limits` are those that it has observed lately itself.
     """
 
     node: NodeId
@@ -71,6 +79,8 @@
     list_version: ListVersion | None
     loads: tuple[EndpointLoad, ...] = ()
     known_stores: StoresDigest = NO_STORES
+    limits: tuple[EndpointLimit, ...] = ()
+    known_limits: LimitsDigest = NO_LIMITS
 
 
 class StoreAnnouncement(Value, frozen=True):
@@ -95,7 +105,8 @@
     `list_version` is set by the store that reads the list of endpoints, even if the
     entry host already has that version; `endpoints` is only set if it has not.
     `routing` and `other_loads`, the loads that all other entry hosts cause, are only
-    set by a leader whose state is known to be current.
+    set by a leader whose state is known to be current, and so are the limits of
+    endpoints and the number of entry hosts.
     """
 
     stores: tuple[NodeId, ...]
@@ -104,6 +115,9 @@
     endpoints: EndpointList | None
     other_loads: tuple[EndpointLoad, ...] | None = None
     leader: NodeId | None = None
+    limits: tuple[EndpointLimit, ...] | None = None
+    limits_digest: LimitsDigest = NO_LIMITS
+    n_entry_hosts: int = 1
 
 
 EMPTY_ROUTING = RoutingFound(NO_ROUTING, b"")
@@ -111,4 +125,10 @@
 COMMANDS: tuple[type, ...] = (PublishRouting,)
 READS: tuple[type, ...] = (GetRouting,)
 RESULTS: tuple[type, ...] = (RoutingAccepted, RoutingFound, CommandRefused)
-MESSAGES: tuple[type, ...] = (EntryHello, SiteStatus, StoreAnnouncement)
+MESSAGES: tuple[type, ...] = (
+    EntryHello,
+    SiteStatus,
+    StoreAnnouncement,
+    SendPermitRequest,
+    SendPermitReply,
+)
--- a/oleanderhitch/process/site/store.py
+++ b/oleanderhitch/process/site/store.py
@@ -36,6 +36,7 @@
 from oleanderhitch.process.ids import CallId, GroupId, NodeId, ReplicaId
 from oleanderhitch.process.metrics.core import Metrics, make_counter
 from oleanderhitch.process.metrics.states import Counter, Gauge
+from oleanderhitch.process.placement.messages import SendPermitRequest
 from oleanderhitch.process.repair.core import BalanceSlot
 from oleanderhitch.process.repair.messages import ReplicaRemoved, StoreHello
 from oleanderhitch.process.replication.effect_handlers import make_any_replica_receiver
@@ -486,6 +487,12 @@
         """Reply to an entry host with the state that it lacks."""
         self._subscribers.handle_hello(hello, reply_address)
 
+    def handle_permit_request(
+        self, request: SendPermitRequest, reply_address: Address
+    ) -> None:
+        """Reply to an entry host that asks for a send to a limited endpoint."""
+        self._subscribers.handle_permit_request(request, reply_address)
+
     def handle_replica_removed(self, message: ReplicaRemoved) -> None:
         """Start the replica anew that was removed from its group."""
         for member in self._members.values():
@@ -622,6 +629,11 @@
     store.handle_entry_hello(message, delivery.reply_address)
 
 
+@_receive.register
+def _(message: SendPermitRequest, delivery: PeerMessage, store: Store) -> None:
+    store.handle_permit_request(message, delivery.reply_address)
+
+
 def make_store(
     settings: SiteStoreSettings,
     dependencies: StoreDependencies,
--- a/oleanderhitch/process/site/subscribers.py
+++ b/oleanderhitch/process/site/subscribers.py
@@ -3,12 +3,18 @@
 from collections.abc import Callable
 from datetime import datetime, timedelta
 
+import logbook
 from msgspec import Struct
 
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.clock import Clock
 from oleanderhitch.process.directory.messages import EndpointList
 from oleanderhitch.process.ids import NodeId
+from oleanderhitch.process.placement.messages import (
+    EndpointLimit,
+    SendPermitReply,
+    SendPermitRequest,
+)
 from oleanderhitch.process.site.load_totals import LoadTotals
 from oleanderhitch.process.site.messages import (
     EntryHello,
@@ -16,10 +22,13 @@
     SiteStatus,
     make_stores_digest,
 )
+from oleanderhitch.process.site.send_permits import SendPermits
 
 # An entry host that sent no hello for this long has stopped or uses another connection.
 ENTRY_CONTACT_TIMEOUT = timedelta(seconds=3)
 
+log = logbook.Logger("subscribers")
+
 
 class Subscriber(Struct):
     """An entry host with its latest hello and the connection it came over."""
@@ -45,6 +54,7 @@
         self._clock = clock
         self._subscribers: dict[NodeId, Subscriber] = {}
         self._loads = LoadTotals()
+        self._permits = SendPermits()
         self._endpoint_list: EndpointList | None = None
         # Routing is only sent after a read through the group has shown that this leader
         # has applied everything accepted before. A replica that replays its log passes
@@ -57,8 +67,33 @@
         subscriber = Subscriber(hello, reply_address, now)
         self._subscribers[hello.node] = subscriber
         self._loads.report(hello.node, hello.loads, now)
+        self._observe_limits(hello.limits, now)
         self._notify(subscriber)
 
+    def handle_permit_request(
+        self, request: SendPermitRequest, reply_address: Address
+    ) -> None:
+        """Grant an entry host a send to an endpoint with a rate limit, or none.
+
+        Only a leader does, so that one place counts the sends of all entry hosts.
+        """
+        if not self._is_current:
+            reply_address.send(SendPermitReply(request.number, is_leader=False))
+            return
+        now = self._clock.now()
+        self._observe_limits(request.limits, now)
+        reply_address.send(self._permits.grant(request, now))
+
+    def _observe_limits(self, limits: tuple[EndpointLimit, ...], now: datetime) -> None:
+        for limit in limits:
+            if self._permits.observe(limit, now):
+                log.info(
+                    "rate limit of an endpoint changed",
+                    endpoint=limit.endpoint,
+                    requests_per_s=limit.requests_per_s,
+                    age_ms=limit.age_ms,
+                )
+
     def confirm_current(self) -> None:
         """Start sending the routing and peer loads, since the state is current."""
         self._is_current = True
@@ -100,10 +135,13 @@
         list_version = None if endpoint_list is None else endpoint_list.version
         needs_list = list_version != hello.list_version
         stores = self._list_stores()
-        other_loads = None
+        other_loads = limits = None
         if self._is_current:
             now = self._clock.now()
             other_loads = self._loads.list_others(hello.node, now)
+            self._permits.expire(now)
+            if self._permits.digest != hello.known_limits:
+                limits = self._permits.list_limits(now)
         subscriber.reply_address.send(
             SiteStatus(
                 () if make_stores_digest(stores) == hello.known_stores else stores,
@@ -112,6 +150,9 @@
                 endpoint_list if needs_list else None,
                 other_loads,
                 self._find_leader(),
+                limits,
+                self._permits.digest,
+                len(self._subscribers),
             )
         )
 
--- a/oleanderhitch/process/site/subscription/core.py
+++ b/oleanderhitch/process/site/subscription/core.py
@@ -10,12 +10,17 @@
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.messages import Tick
 from oleanderhitch.process.placement.messages import (
+    EndpointLimit,
     EndpointLoad,
     LoadsFound,
+    SendPermitReply,
+    SendPermitRequest,
 )
 from oleanderhitch.process.site.messages import (
+    NO_LIMITS,
     NO_STORES,
     EntryHello,
+    LimitsDigest,
     RoutingFound,
     SiteStatus,
     StoresDigest,
@@ -23,6 +28,7 @@
     make_stores_digest,
 )
 from oleanderhitch.values import Value
+from oleanderhitch.version.ids import EndpointId
 from oleanderhitch.version.routes.ids import NO_ROUTING, RoutingVersion
 
 # All hellos go to the store that leads. It pushes what changes to the entry hosts that
@@ -101,9 +107,29 @@
 
 
 class ReportPeerLoads(Value, frozen=True):
-    """Sends placement the loads that all other entry hosts cause."""
+    """Sends placement the loads that all other entry hosts cause, and their number."""
 
     loads: tuple[EndpointLoad, ...]
+    n_entry_hosts: int
+
+
+class ReportLimits(Value, frozen=True):
+    """Sends placement the limits that endpoints have named to any entry host."""
+
+    limits: tuple[EndpointLimit, ...]
+
+
+class AskForPermit(Value, frozen=True):
+    """Asks the leader for a send to a limited endpoint."""
+
+    leader: NodeId
+    request: SendPermitRequest
+
+
+class ReportPermit(Value, frozen=True):
+    """Sends placement the reply to its request for a permit."""
+
+    reply: SendPermitReply
 
 
 class LogLinkChange(Value, frozen=True):
@@ -132,6 +158,8 @@
     list_confirmed_at: datetime | None = None
     is_reader: bool = False
     loads: tuple[EndpointLoad, ...] = ()
+    limits: tuple[EndpointLimit, ...] = ()
+    known_limits: LimitsDigest = NO_LIMITS
     next_hello_at: datetime | None = None
     n_asked_rounds: int = 0
     leader: NodeId | None = None
@@ -168,13 +196,24 @@
 
 @handle.register
 def _(message: LoadsFound, state: SubscriptionState, now: datetime) -> list[object]:
-    is_new = message.loads != state.loads
-    state.loads = message.loads
+    is_new = message.loads != state.loads or _list_rates(message.limits) != _list_rates(
+        state.limits
+    )
+    state.loads, state.limits = message.loads, message.limits
     if not is_new:
         return []
     return [] if state.leader is None else [_make_hello(state, (state.leader,))]
 
 
+@handle.register
+def _(
+    message: SendPermitRequest, state: SubscriptionState, now: datetime
+) -> list[object]:
+    if state.leader is None:
+        return [ReportPermit(SendPermitReply(message.number, is_leader=False))]
+    return [AskForPermit(state.leader, message)]
+
+
 @handle.register
 def _(
     message: SeedsConfigured, state: SubscriptionState, now: datetime
@@ -215,7 +254,10 @@
     elif message.list_version is not None:
         effects.extend(_confirm_list(message.list_version, state, now))
     if message.other_loads is not None:
-        effects.append(ReportPeerLoads(message.other_loads))
+        effects.append(ReportPeerLoads(message.other_loads, message.n_entry_hosts))
+    if message.limits is not None:
+        state.known_limits = message.limits_digest
+        effects.append(ReportLimits(message.limits))
     return effects
 
 
@@ -274,10 +316,19 @@
         state.list_version,
         state.loads,
         state.known_stores,
+        state.limits,
+        state.known_limits,
     )
     return SendHello(hello, stores)
 
 
+def _list_rates(
+    limits: tuple[EndpointLimit, ...],
+) -> set[tuple[EndpointId, float | None]]:
+    """Return the limits without their ages."""
+    return {(limit.endpoint, limit.requests_per_s) for limit in limits}
+
+
 def _add_stores(stores: tuple[NodeId, ...], state: SubscriptionState) -> list[object]:
     if state.stores.issuperset(stores):
         return []
--- a/oleanderhitch/process/site/subscription/task.py
+++ b/oleanderhitch/process/site/subscription/task.py
@@ -15,17 +15,22 @@
     CacheCapacitiesUpdated,
     EndpointsListed,
     GetLoads,
+    LimitsReported,
     PeerLoadsReported,
+    SendPermitReply,
 )
 from oleanderhitch.process.roles.store_links import StoreLinks
 from oleanderhitch.process.site.subscription.core import (
     LOAD_CHECK_INTERVAL,
     LOCAL_TERM,
+    AskForPermit,
     InstallEndpoints,
     InstallRouting,
     LinkStores,
     LogLinkChange,
+    ReportLimits,
     ReportPeerLoads,
+    ReportPermit,
     RequestLoads,
     SendHello,
     SetLocalReader,
@@ -77,7 +82,29 @@
 
 @perform.register
 def _(effect: ReportPeerLoads, dependencies: SubscriptionDependencies) -> None:
-    dependencies.placement.send(PeerLoadsReported(effect.loads))
+    dependencies.placement.send(PeerLoadsReported(effect.loads, effect.n_entry_hosts))
+
+
+@perform.register
+def _(effect: ReportLimits, dependencies: SubscriptionDependencies) -> None:
+    dependencies.placement.send(LimitsReported(effect.limits))
+
+
+@perform.register
+def _(effect: AskForPermit, dependencies: SubscriptionDependencies) -> None:
+    link = dependencies.links.get_link(effect.leader)
+    if link is None:
+        perform(
+            ReportPermit(SendPermitReply(effect.request.number, is_leader=False)),
+            dependencies,
+        )
+    else:
+        link.send(effect.request)
+
+
+@perform.register
+def _(effect: ReportPermit, dependencies: SubscriptionDependencies) -> None:
+    dependencies.placement.send(effect.reply)
 
 
 @perform.register
