Gave the sends of a limited endpoint to the requests that gain most by them

Cause: a limited engine has little to do, so it is the cheapest for any request, and whoever came first took its few sends.

Each host now gives a send to a limited endpoint a price, in milliseconds of cost, that rises with a refusal and falls with a grant and with time.

--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -56,6 +56,7 @@
     allows_send,
     apply_reply,
     count_local_send,
+    get_price_ms,
     is_limited,
     is_local,
     list_observed_limits,
@@ -397,7 +398,8 @@
 
     def get_cost(endpoint: Endpoint) -> float:
         slowdown = get_slowdown(endpoint.latency, median_ms, now)
-        return get_cost_ms(endpoint, message, state, slowdown, now)
+        cost_ms = get_cost_ms(endpoint, message, state, slowdown, now)
+        return cost_ms + get_price_ms(endpoint, now)
 
     costs_ms = [get_cost(endpoint) for endpoint in available]
     alike = choose_alike(
--- a/oleanderhitch/process/placement/rate_limits.py
+++ b/oleanderhitch/process/placement/rate_limits.py
@@ -2,6 +2,10 @@
 
 The leader grants each send to a limited endpoint. While it does not answer, an entry
 host takes an equal share of each limit.
+
+The sends that a limit allows have a price that rises with each refusal and falls with
+each grant, so that they go to the requests that gain most by them, such as those whose
+prompts the endpoint has cached.
 """
 
 from collections.abc import Sequence
@@ -12,7 +16,7 @@
     SendPermitReply,
     SendPermitRequest,
 )
-from oleanderhitch.process.placement.records import Endpoint, PlacementState
+from oleanderhitch.process.placement.records import Endpoint, PlacementState, RateLimit
 
 # The leader answers within some milliseconds; after this time it has probably failed.
 PERMIT_TIMEOUT = timedelta(milliseconds=150)
@@ -24,6 +28,15 @@
 N_PERMIT_REQUESTS_LIMIT = 8
 # Endpoints that one question names, in the order of their cost.
 N_ENDPOINTS_PER_PERMIT = 8
+# Steps of the price of a send, in milliseconds of cost. With these, a fifth of the
+# questions is refused where demand exceeds a limit.
+PRICE_STEP_MIN_MS = 2.0
+PRICE_RISE = 1.5
+PRICE_FALL = 0.9
+# The prefill of the largest prompts takes 0.2 s; no request gains more.
+PRICE_MAX_MS = 300.0
+# Without questions nothing shows that a price has become too high.
+PRICE_HALF_LIFE = timedelta(seconds=2)
 # Observations that are older were reported before.
 REPORTED_AGE_MAX = timedelta(seconds=2)
 # A share of a limit that allows almost nothing is used at least this often, since only
@@ -112,11 +125,30 @@
     if not reply.is_leader:
         state.local_share_until = now + LOCAL_SHARE_DURATION
         return
+    granted = state.endpoints.get(reply.endpoint) if reply.endpoint else None
+    if granted is not None:
+        _set_price(granted.rate_limit, get_price_ms(granted, now) * PRICE_FALL, now)
     for exhausted in reply.exhausted:
         endpoint = state.endpoints.get(exhausted.endpoint)
         if endpoint is not None:
             until = now + exhausted.wait_ms * MILLISECOND
             endpoint.rate_limit.exhausted_until = until
+            price_ms = get_price_ms(endpoint, now)
+            price_ms = max(price_ms * PRICE_RISE, price_ms + PRICE_STEP_MIN_MS)
+            _set_price(endpoint.rate_limit, min(price_ms, PRICE_MAX_MS), now)
+
+
+def get_price_ms(endpoint: Endpoint, now: datetime) -> float:
+    """Return what a request must gain by a send to a limited endpoint."""
+    limit = endpoint.rate_limit
+    if limit.requests_per_s is None or limit.priced_at is None:
+        return 0.0
+    return limit.price_ms * float(0.5 ** ((now - limit.priced_at) / PRICE_HALF_LIFE))
+
+
+def _set_price(limit: RateLimit, price_ms: float, now: datetime) -> None:
+    limit.price_ms = price_ms
+    limit.priced_at = now
 
 
 def describe_limit(endpoint: Endpoint, now: datetime) -> EndpointLimit:
--- a/oleanderhitch/process/placement/records.py
+++ b/oleanderhitch/process/placement/records.py
@@ -26,13 +26,16 @@
     """Requests a second that an endpoint takes from all entry hosts together.
 
     None is no limit. The leader has said that it takes none until `exhausted_until`.
-    Without a leader this entry host may send at `next_local_send_at`.
+    Without a leader this entry host may send at `next_local_send_at`. `price_ms`, as of
+    `priced_at`, is what a request must gain by a send here for it to ask for one.
     """
 
     requests_per_s: float | None = None
     observed_at: datetime | None = None
     exhausted_until: datetime | None = None
     next_local_send_at: datetime | None = None
+    price_ms: float = 0.0
+    priced_at: datetime | None = None
 
 
 class Endpoint(Struct):
--- a/tests/process/site/test_rate_limits.py
+++ b/tests/process/site/test_rate_limits.py
@@ -20,6 +20,7 @@
 from oleanderhitch.process.placement.messages import (
     AcquireEndpoint,
     AttemptResult,
+    CacheContentsReported,
     EndpointGranted,
     EndpointLimit,
     EndpointRateLimited,
@@ -100,6 +101,22 @@
         self._next_start = NOW
         self.asked_at: dict[str, datetime] = {}
         self.waits: dict[str, timedelta] = {}
+        self._sessions: list[PromptPart] = []
+        self._parts: dict[str, PromptPart] = {}
+        self._granted: defaultdict[str, list[str]] = defaultdict(list)
+
+    def add_sessions(self, cached: dict[str, list[PromptPart]]) -> None:
+        """Let requests belong to sessions whose prompts endpoints have cached."""
+        shared = PromptPart("shared", 12_000)
+        for name, parts in cached.items():
+            self._sessions.extend(parts)
+            for host in self._hosts:
+                reported = CacheContentsReported(EndpointId(name), 0, (shared, *parts))
+                handle(reported, host, NOW)
+
+    def get_sessions_at(self, endpoint: str) -> list[PromptPart]:
+        """Return the session of each request that an endpoint got."""
+        return [self._parts[request] for request in self._granted[endpoint]]
 
     def play(self, requests_per_s: float, duration: timedelta) -> None:
         """Let requests arrive at uneven hosts for a time."""
@@ -142,8 +159,12 @@
     def _make_request(self, at: datetime) -> AcquireEndpoint:
         name = f"r{next(self._numbers)}"
         self.asked_at[name] = at
+        part = PromptPart(name, 2_000)
+        if self._sessions:
+            part = self._random.choice(self._sessions)
+        self._parts[name] = part
         workload = InferenceWorkload(
-            14_000, 200, 100, (PromptPart("shared", 12_000), PromptPart(name, 2_000))
+            12_000 + part.n_tokens, 200, 100, (PromptPart("shared", 12_000), part)
         )
         deadline = at + REQUEST_TIMEOUT
         return AcquireEndpoint(
@@ -176,6 +197,7 @@
             return
         name = granted.endpoint.endpoint
         self.sends[name].append(at)
+        self._granted[name].append(granted.request)
         self.waits[granted.request] = at - self.asked_at[granted.request]
         limit, permit = self._limits[name], granted.permit
         if limit is not None or granted.is_rate_limited:
@@ -240,6 +262,21 @@
     assert len(late) > 0.3 * 20.0 * 5
 
 
+def test_scarce_sends_go_to_those_who_gain_most_by_them() -> None:
+    """Guard against a limit that requests use up which are as well off elsewhere.
+
+    An endpoint in need has the prompts of some sessions. If any other request may take
+    its few sends, those sessions compute their prompts again elsewhere, which loads the
+    endpoints that are left.
+    """
+    fleet = LimitedFleet(1, {"e1": 5.0, "e2": None})
+    sessions = [PromptPart(f"session-{number}", 1_500) for number in range(400)]
+    fleet.add_sessions({"e1": sessions[::2], "e2": sessions[1::2]})
+    fleet.play(100.0, timedelta(seconds=6))
+    is_warm = [part in sessions[::2] for part in fleet.get_sessions_at("e1")]
+    assert sum(is_warm) > 0.8 * len(is_warm)
+
+
 def make_limit(
     requests_per_s: float | None, born_ms: int = 1, age_ms: int = 0
 ) -> EndpointLimit:
