Logged which requests an endpoint was running when it crashed

The logs could not tell a crash from a lost answer, nor which requests came again: a repetition has another id, program and connection. Each request now has a fingerprint of its content (method, host, path, body), which its first line names, and a crash gives a line with those that were running. A broken connection alone is no crash: the endpoint must be absent afterwards, by a refused connection, by another server at its address, or by the list. No choice depends on it yet.

--- a/oleanderhitch/connection/http/endpoint.py
+++ b/oleanderhitch/connection/http/endpoint.py
@@ -168,7 +168,7 @@
         try:
             self._read_response(state)
         except OSError as error:
-            _fail(exchange, True, f"connection broke: {error}")
+            _fail_lost(exchange, f"connection broke: {error}")
         except ResponseParseError as error:
             _fail(exchange, True, f"unreadable answer: {error}")
         except Exception as error:
@@ -278,7 +278,7 @@
             ResponseEnd(exchange.exchange_id, BodyEnd.CONNECTION)
         )
     else:
-        _fail(exchange, True, "endpoint closed the connection")
+        _fail_lost(exchange, "endpoint closed the connection")
 
 
 def _get_idle_timeout(headers: Headers) -> timedelta:
@@ -294,6 +294,12 @@
     exchange.reply_address.send(ExchangeFailed(exchange.exchange_id, was_sent, reason))
 
 
+def _fail_lost(exchange: Exchange, reason: str) -> None:
+    exchange.reply_address.send(
+        ExchangeFailed(exchange.exchange_id, True, reason, is_connection_lost=True)
+    )
+
+
 def _fail_reused(exchange: Exchange, reason: str) -> None:
     exchange.reply_address.send(
         ExchangeFailed(exchange.exchange_id, False, reason, True)
--- a/oleanderhitch/connection/http/messages.py
+++ b/oleanderhitch/connection/http/messages.py
@@ -106,13 +106,14 @@
     """Reports that an endpoint's response did not arrive or was truncated.
 
     A failure of a reused keep-alive connection doesn't mean that the endpoint itself is
-    unavailable.
+    unavailable. A lost connection may mean that it has crashed.
     """
 
     exchange_id: int
     was_sent: bool
     reason: str
     was_reused_connection: bool = False
+    is_connection_lost: bool = False
 
 
 def find_header(headers: Headers, name: str) -> str | None:
--- a/oleanderhitch/platform/requests.py
+++ b/oleanderhitch/platform/requests.py
@@ -6,6 +6,7 @@
 from http.cookies import CookieError, SimpleCookie
 
 import logbook
+import xxhash
 
 from oleanderhitch.connection.http.messages import (
     Headers,
@@ -25,7 +26,7 @@
     SendToEndpoint,
 )
 from oleanderhitch.request.forwarding.states import Verdict
-from oleanderhitch.request.ids import RequestId
+from oleanderhitch.request.ids import RequestFingerprint, RequestId
 
 log = logbook.Logger("request")
 
@@ -63,11 +64,11 @@
         request_id = request.find_header(header_names.REQUEST_ID)
         if not request_id:
             raise InvalidInputError(f"header {header_names.REQUEST_ID} is missing")
-        host = (request.find_header("host") or "").rpartition(":")
+        host = _read_host(request)
         return ForwardRequest(
             RequestId(request_id),
             request.method,
-            (host[0] or host[2]).lower(),
+            host,
             request.target,
             _select_forwarded_headers(request.headers),
             request.body,
@@ -76,6 +77,7 @@
             _read_workload(request),
             _read_turn(request),
             request.find_header(header_names.LAST_EVENT_ID),
+            _make_fingerprint(request, host),
         )
 
     def read_response_head(self, status: int, headers: Headers) -> EndpointResponseHead:
@@ -170,6 +172,23 @@
     return tuple((name, value) for name, value in headers if name not in dropped)
 
 
+def _read_host(request: HttpRequest) -> str:
+    """Return the host that a request names, without a port."""
+    host, _, port = (request.find_header("host") or "").rpartition(":")
+    return (host or port).lower()
+
+
+def _make_fingerprint(request: HttpRequest, host: str) -> RequestFingerprint:
+    """Return what is the same for all requests with this content.
+
+    Repetitions come with other ids, under other programs and from other connections.
+    """
+    head = f"{request.method} {host} {request.target}\n"
+    digest = xxhash.xxh3_64(head.encode("utf-8", "replace"))
+    digest.update(request.body)
+    return RequestFingerprint(digest.hexdigest())
+
+
 def _read_rate_limit(headers: Headers) -> tuple[float | None, bool]:
     """Return the requests a second that an endpoint takes, and whether that is known.
 
--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -3,6 +3,8 @@
 from datetime import datetime
 from functools import singledispatch
 
+from msgspec.structs import replace
+
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.directory.messages import ListedEndpoint
 from oleanderhitch.process.messages import Tick
@@ -18,6 +20,10 @@
     DECODE_MS_PER_TOKEN,
     get_cost_ms,
 )
+from oleanderhitch.process.placement.crashes import (
+    find_listed_crashes,
+    record_attempt_end,
+)
 from oleanderhitch.process.placement.health import (
     is_unresponsive,
     record_affinity_key,
@@ -126,6 +132,7 @@
 @handle.register
 def _(message: EndpointsListed, state: PlacementState, now: datetime) -> list[object]:
     previous = state.endpoints
+    crashes = find_listed_crashes(previous, message.endpoints, now)
     state.endpoints = {}
     for listed in message.endpoints:
         record = previous.get(listed.endpoint)
@@ -139,7 +146,7 @@
             record = Endpoint(listed, CacheEstimate(capacity), not previous)
         record.listed = listed
         state.endpoints[listed.endpoint] = record
-    return [*_query_caches(state), *_grant_waiting(state, now)]
+    return [*crashes, *_query_caches(state), *_grant_waiting(state, now)]
 
 
 @handle.register
@@ -274,10 +281,13 @@
     _finish_prefill(message.permit, permit, state)
     del state.permits[message.permit]
     endpoint = state.endpoints.get(permit.endpoint)
-    if endpoint is not None:
+    effects: list[object] = []
+    # An endpoint that was started again under its id has none of the earlier permits.
+    if endpoint is not None and message.permit in endpoint.permits:
         endpoint.permits.discard(message.permit)
         record_result(message.result, endpoint, now)
-    return _grant_waiting(state, now)
+        effects.extend(record_attempt_end(permit, message.result, endpoint, now))
+    return [*effects, *_grant_waiting(state, now)]
 
 
 @handle.register
@@ -349,7 +359,7 @@
 
 def _finish_prefill(permit_id: PermitId, permit: Permit, state: PlacementState) -> None:
     state.pending_prefill_tokens[permit.endpoint] -= permit.n_pending_prefill_tokens
-    state.permits[permit_id] = Permit(permit.endpoint, 0)
+    state.permits[permit_id] = replace(permit, n_pending_prefill_tokens=0)
 
 
 def _grant_waiting(state: PlacementState, now: datetime) -> list[object]:
@@ -440,7 +450,7 @@
         record_prompt(endpoint.cache, message.workload)
     endpoint_id = endpoint.listed.endpoint
     state.pending_prefill_tokens[endpoint_id] += n_uncached
-    state.permits[permit] = Permit(endpoint_id, n_uncached)
+    state.permits[permit] = Permit(endpoint_id, n_uncached, message.fingerprint, now)
     endpoint.permits.add(permit)
     granted = EndpointGranted(
         message.request, permit, endpoint.listed, is_limited(endpoint)
--- a/oleanderhitch/process/placement/health.py
+++ b/oleanderhitch/process/placement/health.py
@@ -26,6 +26,7 @@
 IS_FAILURE = {
     AttemptResult.COMPLETED: False,
     AttemptResult.FAILED: True,
+    AttemptResult.CONNECTION_LOST: True,
     AttemptResult.SILENT: True,
 }
 # Affinity keys kept per endpoint; bounds the memory use of an entry host.
--- a/oleanderhitch/process/placement/messages.py
+++ b/oleanderhitch/process/placement/messages.py
@@ -6,7 +6,7 @@
 
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.directory.messages import ListedEndpoint
-from oleanderhitch.request.ids import PermitId, RequestId
+from oleanderhitch.request.ids import PermitId, RequestFingerprint, RequestId
 from oleanderhitch.values import Value
 from oleanderhitch.version.ids import EndpointId, ServiceName
 
@@ -32,7 +32,7 @@
 
     A lower `rank` is served first. `is_retryable` is whether a request that may have
     run can be sent again. A request that still waits at the deadline is refused.
-    `workload` is None for a plain service.
+    `workload` is None for a plain service. `fingerprint` stands for its content.
     """
 
     request: RequestId
@@ -44,6 +44,7 @@
     is_retryable: bool
     deadline: datetime
     reply_address: Address
+    fingerprint: RequestFingerprint
 
 
 class WithdrawRequest(Value, frozen=True):
@@ -57,11 +58,12 @@
 
     STALE_CONNECTION: a reused connection broke before the request was sent. REFUSED and
     MISDIRECTED: the endpoint did not run the request. SILENT: the endpoint was
-    unresponsive.
+    unresponsive. CONNECTION_LOST: the connection broke after the request was sent.
     """
 
     COMPLETED = "completed"
     FAILED = "failed"
+    CONNECTION_LOST = "connection_lost"
     NOT_CONNECTED = "not_connected"
     STALE_CONNECTION = "stale_connection"
     REFUSED = "refused"
--- a/oleanderhitch/process/placement/records.py
+++ b/oleanderhitch/process/placement/records.py
@@ -12,7 +12,7 @@
 from oleanderhitch.process.placement.latency import LatencyAverage
 from oleanderhitch.process.placement.messages import AcquireEndpoint, EndpointLoad
 from oleanderhitch.process.placement.reliability import Reliability
-from oleanderhitch.request.ids import PermitId
+from oleanderhitch.request.ids import PermitId, RequestFingerprint
 from oleanderhitch.values import Value
 from oleanderhitch.version.ids import DataCentreName, EndpointId, ServiceName
 
@@ -38,6 +38,13 @@
     priced_at: datetime | None = None
 
 
+class InterruptedRequest(Value, frozen=True):
+    """The content of a request whose connection to its endpoint broke."""
+
+    fingerprint: RequestFingerprint
+    at: datetime
+
+
 class Endpoint(Struct):
     """State of one endpoint as observed by this entry host."""
 
@@ -57,6 +64,7 @@
     # Whether the endpoint itself has said that it will stop.
     has_announced_stop: bool = False
     rate_limit: RateLimit = field(default_factory=RateLimit)
+    interrupted: list[InterruptedRequest] = field(default_factory=list)
 
     @property
     def is_leaving(self) -> bool:
@@ -65,10 +73,12 @@
 
 
 class Permit(Value, frozen=True):
-    """Endpoint and pending prefill of one granted request."""
+    """Endpoint, pending prefill and content of one granted request."""
 
     endpoint: EndpointId
     n_pending_prefill_tokens: int
+    fingerprint: RequestFingerprint
+    granted_at: datetime
 
 
 class PendingPermitRequest(Value, frozen=True):
--- a/oleanderhitch/process/placement/task.py
+++ b/oleanderhitch/process/placement/task.py
@@ -20,6 +20,7 @@
     SendReply,
     handle,
 )
+from oleanderhitch.process.placement.crashes import EndpointCrashed
 from oleanderhitch.process.placement.messages import SendPermitRequest
 from oleanderhitch.process.placement.records import PlacementState
 from oleanderhitch.process.task import NO_TICK, Task, make_task
@@ -94,6 +95,16 @@
     log.info("endpoint announced its stop", endpoint=effect.endpoint)
 
 
+@_perform.register
+def _(effect: EndpointCrashed, dependencies: _Dependencies) -> None:
+    log.warning(
+        "endpoint crashed",
+        endpoint=effect.endpoint,
+        born_ms=effect.born_ms,
+        contents=list(effect.fingerprints),
+    )
+
+
 @_perform.register
 def _(effect: LogRateLimit, dependencies: _Dependencies) -> None:
     log.info(
--- a/oleanderhitch/request/forwarding/core.py
+++ b/oleanderhitch/request/forwarding/core.py
@@ -4,6 +4,7 @@
 from functools import singledispatch
 
 from oleanderhitch.connection.http.messages import (
+    BodyEnd,
     CallerDisconnected,
     ExchangeFailed,
     ResponseBody,
@@ -319,7 +320,10 @@
             state.splitter.incomplete_event, attempt.n_events, message.body_end
         )
         if end is not StreamEnd.COMPLETE:
-            return handle_failed_attempt(state, end.value, now)
+            result = AttemptResult.FAILED
+            if message.body_end is BodyEnd.CONNECTION:
+                result = AttemptResult.CONNECTION_LOST
+            return handle_failed_attempt(state, end.value, now, result)
     state.attempt = None
     result = AttemptResult.COMPLETED
     if (
@@ -360,7 +364,10 @@
         return handle_unexecuted_attempt(state, result, message.reason, now)
     if attempt.head is None:
         state.n_runs += 1
-    return handle_failed_attempt(state, message.reason, now)
+    result = AttemptResult.FAILED
+    if message.is_connection_lost:
+        result = AttemptResult.CONNECTION_LOST
+    return handle_failed_attempt(state, message.reason, now, result)
 
 
 @handle.register
--- a/oleanderhitch/request/forwarding/messages.py
+++ b/oleanderhitch/request/forwarding/messages.py
@@ -4,11 +4,14 @@
 
 from oleanderhitch.connection.http.messages import Headers
 from oleanderhitch.process.directory.messages import ListedEndpoint
-from oleanderhitch.process.placement.messages import AttemptResult, InferenceWorkload
+from oleanderhitch.process.placement.messages import (
+    AttemptResult,
+    InferenceWorkload,
+)
 from oleanderhitch.program.ids import ProgramId
 from oleanderhitch.program.turns.messages import BeginTurn, FindTurn, SettleTurn
 from oleanderhitch.request.forwarding.states import Verdict
-from oleanderhitch.request.ids import PermitId, RequestId
+from oleanderhitch.request.ids import PermitId, RequestFingerprint, RequestId
 from oleanderhitch.values import Value
 from oleanderhitch.version.ids import EndpointId, ServiceName
 
@@ -22,7 +25,10 @@
 
 
 class ForwardRequest(Value, frozen=True):
-    """A caller's request, with the headers that are forwarded to endpoints."""
+    """A caller's request, with the headers that are forwarded to endpoints.
+
+    `fingerprint` stands for its content, whichever caller, program or id it has.
+    """
 
     request: RequestId
     method: str
@@ -35,6 +41,7 @@
     workload: InferenceWorkload | None
     turn: ProgramTurn | None
     last_event_id: str | None
+    fingerprint: RequestFingerprint
 
     @property
     def path(self) -> str:
--- a/oleanderhitch/request/forwarding/task.py
+++ b/oleanderhitch/request/forwarding/task.py
@@ -218,6 +218,7 @@
         version=table.version,
         service=target,
         time_left_ms=round((state.deadline - now).total_seconds() * 1000),
+        content=request.fingerprint,
     )
 
     def tick() -> None:
@@ -399,6 +400,7 @@
             effect.is_retryable,
             effect.deadline,
             context.mailbox,
+            request.fingerprint,
         )
     )
 
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 
 import pytest
+from msgspec.structs import replace
 
 from oleanderhitch.connection.http.messages import (
     HttpRequest,
@@ -259,6 +260,20 @@
     assert head.is_rate_limit_known == is_known
 
 
+def test_fingerprint_is_that_of_the_content() -> None:
+    """Guard against repetitions that are not recognised, and against mix-ups."""
+    request = make_request(("x-program-id", "p1"))
+    again = make_request(("x-program-id", "p2"), ("user-agent", "another"))
+    fingerprint = DIALECT.read_request(request).fingerprint
+    assert DIALECT.read_request(again).fingerprint == fingerprint
+    for other in (
+        replace(request, body=b"other"),
+        replace(request, target="/p/z"),
+        replace(request, method="PUT"),
+    ):
+        assert DIALECT.read_request(other).fingerprint != fingerprint
+
+
 @pytest.mark.parametrize(("rank", "priority"), [(0, "0"), (3, "3"), (40, "9")])
 def test_engines_are_told_how_urgent_work_is(rank: int, priority: str) -> None:
     """Guard against urgent work that waits in an engine behind patient work.
--- a/tests/process/placement/test_core.py
+++ b/tests/process/placement/test_core.py
@@ -19,6 +19,7 @@
     SendReply,
     handle,
 )
+from oleanderhitch.process.placement.crashes import EndpointCrashed
 from oleanderhitch.process.placement.health import SILENCE_TIMEOUT
 from oleanderhitch.process.placement.latency import find_median_ms, get_slowdown
 from oleanderhitch.process.placement.messages import (
@@ -40,7 +41,7 @@
     WithdrawRequest,
 )
 from oleanderhitch.process.placement.records import PEER_LOAD_TTL, PlacementState
-from oleanderhitch.request.ids import RequestId
+from oleanderhitch.request.ids import RequestFingerprint, RequestId
 from oleanderhitch.version.ids import DataCentreName, EndpointId, ServiceName
 
 NOW = datetime(2026, 1, 1, tzinfo=UTC)
@@ -77,6 +78,7 @@
     tried: tuple[str, ...] = (),
     is_retryable: bool = False,
     affinity_key: str | None = None,
+    content: str = "content",
 ) -> AcquireEndpoint:
     """Return a request for an endpoint with a deadline in five seconds."""
     return AcquireEndpoint(
@@ -89,6 +91,7 @@
         is_retryable,
         NOW + timedelta(seconds=5),
         REPLY,
+        RequestFingerprint(content),
     )
 
 
@@ -467,3 +470,53 @@
     queries = handle(CacheCapacitiesUpdated({SERVICE: 900_000}), state, NOW)
     assert len(queries) == N_CACHE_QUERIES_LIMIT
     assert queries[0] == QueryCache(make_endpoint("near"))
+
+
+def interrupt(state: PlacementState, content: str) -> None:
+    """Let the only endpoint take a request and break its connection."""
+    granted = get_grant(handle(acquire(content, content=content), state, NOW))
+    released = ReleaseEndpoint(granted.permit, AttemptResult.CONNECTION_LOST)
+    assert handle(released, state, NOW) == []
+
+
+@pytest.mark.parametrize(
+    "result", [AttemptResult.NOT_CONNECTED, AttemptResult.MISDIRECTED]
+)
+def test_crash_is_found_with_the_requests_that_ran(result: AttemptResult) -> None:
+    """Guard against a crash that no log line connects with what the endpoint ran."""
+    state = make_state(make_endpoint("e1"))
+    interrupt(state, "a")
+    interrupt(state, "b")
+    probe = get_grant(handle(acquire("probe", content="c"), state, NOW))
+    effects = handle(ReleaseEndpoint(probe.permit, result), state, NOW)
+    contents = (RequestFingerprint("a"), RequestFingerprint("b"))
+    assert effects == [EndpointCrashed(EndpointId("e1"), 0, contents)]
+
+
+def test_crash_is_found_by_the_list() -> None:
+    """Guard against a crash that is missed since the endpoint is back before a try."""
+    for listed in ((), (replace(make_endpoint("e1"), born_ms=7),)):
+        state = make_state(make_endpoint("e1"))
+        interrupt(state, "a")
+        effects = handle(EndpointsListed(listed), state, NOW)
+        content = RequestFingerprint("a")
+        assert EndpointCrashed(EndpointId("e1"), 0, (content,)) in effects
+
+
+def test_lost_answer_is_no_crash() -> None:
+    """Guard against suspicion of a request whose answer was only lost on its way."""
+    state = make_state(make_endpoint("e1"))
+    interrupt(state, "a")
+    later = NOW + timedelta(milliseconds=1)
+    served = get_grant(handle(acquire("b", content="b"), state, later))
+    handle(ReleaseEndpoint(served.permit, AttemptResult.COMPLETED), state, later)
+    assert handle(EndpointsListed(()), state, later) == []
+
+
+def test_end_of_a_leaving_endpoint_is_no_crash() -> None:
+    """Guard against suspicion of what ran when an endpoint left as announced."""
+    state = make_state(make_endpoint("e1"))
+    interrupt(state, "a")
+    leaving = replace(make_endpoint("e1"), is_leaving=True)
+    handle(EndpointsListed((leaving,)), state, NOW)
+    assert handle(EndpointsListed(()), state, NOW) == []
--- a/tests/process/site/test_rate_limits.py
+++ b/tests/process/site/test_rate_limits.py
@@ -40,7 +40,7 @@
     LIMIT_TTL,
     SendPermits,
 )
-from oleanderhitch.request.ids import RequestId
+from oleanderhitch.request.ids import RequestFingerprint, RequestId
 from oleanderhitch.version.ids import DataCentreName, EndpointId, ServiceName
 
 NOW = datetime(2026, 1, 1, tzinfo=UTC)
@@ -166,9 +166,17 @@
         workload = InferenceWorkload(
             12_000 + part.n_tokens, 200, 100, (PromptPart("shared", 12_000), part)
         )
-        deadline = at + REQUEST_TIMEOUT
         return AcquireEndpoint(
-            RequestId(name), SERVICE, workload, None, 0, (), False, deadline, REPLY
+            RequestId(name),
+            SERVICE,
+            workload,
+            None,
+            0,
+            (),
+            False,
+            at + REQUEST_TIMEOUT,
+            REPLY,
+            RequestFingerprint(name),
         )
 
     def _schedule(self, at: datetime, host: PlacementState, message: object) -> None:
--- a/tests/request/forwarding/test_core.py
+++ b/tests/request/forwarding/test_core.py
@@ -65,7 +65,7 @@
 )
 from oleanderhitch.request.forwarding.state import ForwardState, make_forward_state
 from oleanderhitch.request.forwarding.states import Verdict
-from oleanderhitch.request.ids import PermitId, RequestId
+from oleanderhitch.request.ids import PermitId, RequestFingerprint, RequestId
 from oleanderhitch.version.ids import DataCentreName, EndpointId, ServiceName
 from oleanderhitch.version.routes.configuration import Route, Target
 from oleanderhitch.version.routes.ids import RouteName
@@ -114,6 +114,7 @@
         InferenceWorkload(100, 80, 80, ()) if is_turn else None,
         turn,
         None,
+        RequestFingerprint("content"),
     )
     return make_forward_state(request, route, SERVICE, 16, 1, NOW)
 
