--- a/oleanderhitch/platform/requests.py
+++ b/oleanderhitch/platform/requests.py
@@ -17,6 +17,7 @@
 )
 from oleanderhitch.exceptions import InvalidInputError
 from oleanderhitch.platform import headers as header_names
+from oleanderhitch.process.crashes.evidence import QUARANTINE_DURATION
 from oleanderhitch.process.placement.messages import InferenceWorkload, PromptPart
 from oleanderhitch.program.ids import ProgramId
 from oleanderhitch.request.forwarding.messages import (
@@ -50,6 +51,7 @@
     Verdict.RECORD_UNAVAILABLE: 503,
     Verdict.NO_ENDPOINT: 503,
     Verdict.ALL_REFUSED: 503,
+    Verdict.QUARANTINED: 503,
     Verdict.OUTCOME_UNKNOWN: 502,
     Verdict.TIMED_OUT: 504,
 }
@@ -155,6 +157,8 @@
             retry_after = min(
                 max(time_left * RETRY_AFTER_SHARE, RETRY_AFTER_MIN), RETRY_AFTER_MAX
             )
+            if verdict is Verdict.QUARANTINED:
+                retry_after = QUARANTINE_DURATION
             headers.append(("retry-after", f"{retry_after.total_seconds():.3f}"))
         body = f"{verdict.value}: {detail}\n".encode("utf-8", "replace")
         return HttpResponse(status, body, tuple(headers))
--- /dev/null
+++ b/oleanderhitch/process/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Evidence of requests that crash the endpoints that run them."""
--- /dev/null
+++ b/oleanderhitch/process/crashes/messages.py
@@ -0,0 +1,51 @@
+"""What the nodes of a site tell each other about requests that crash endpoints."""
+
+from enum import IntEnum
+
+from oleanderhitch.request.ids import RequestFingerprint
+from oleanderhitch.values import Value
+
+
+class Suspicion(IntEnum):
+    """How strongly a crash speaks against a request that the endpoint was running.
+
+    STARTED: it had begun to run and had no output yet. QUEUED: nothing shows whether it
+    had begun. RUNNING: it had run well until then. A third of CONVICTION each, or less.
+    """
+
+    RUNNING = 1
+    QUEUED = 2
+    STARTED = 4
+
+
+# Points at which content is sent no more: three endpoints crashed when it started.
+CONVICTION = 3 * Suspicion.STARTED
+
+
+class CrashRecord(Value, frozen=True):
+    """The crashes of endpoints that were running a content.
+
+    `crashes` has the points of each crash by the incarnation of its endpoint. Those
+    that `cleared` names count no more, since the content has been served after them.
+    `age_ms` is the time since the last crash.
+    """
+
+    fingerprint: RequestFingerprint
+    crashes: dict[str, int]
+    cleared: tuple[str, ...]
+    age_ms: int
+
+    @property
+    def n_points(self) -> int:
+        """The points that count."""
+        return sum(
+            points
+            for incarnation, points in self.crashes.items()
+            if incarnation not in self.cleared
+        )
+
+
+class CrashesObserved(Value, frozen=True):
+    """Reports crashes that this entry host has found."""
+
+    records: tuple[CrashRecord, ...]
--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -21,7 +21,9 @@
     get_cost_ms,
 )
 from oleanderhitch.process.placement.crashes import (
+    ContentServed,
     find_listed_crashes,
+    is_quarantined,
     record_attempt_end,
 )
 from oleanderhitch.process.placement.health import (
@@ -36,8 +38,10 @@
 )
 from oleanderhitch.process.placement.messages import (
     AcquireEndpoint,
+    AttemptResult,
     CacheCapacitiesUpdated,
     CacheContentsReported,
+    CrashesReported,
     EndpointGranted,
     EndpointLeaving,
     EndpointLoad,
@@ -180,7 +184,7 @@
     message: AcquireEndpoint, state: PlacementState, now: datetime
 ) -> list[object]:
     """Grant a request an endpoint, or ask for one, or let the request wait."""
-    effect = _find_grant(message, state, now)
+    effect = _find_decision(message, state, now)
     if effect is not None:
         return [effect]
     if now >= message.deadline:
@@ -255,7 +259,8 @@
     endpoint = None
     if message.endpoint is not None:
         endpoint = state.endpoints.get(message.endpoint)
-    if endpoint is not None and not endpoint.is_leaving:
+    is_sendable = not is_quarantined(pending.message.fingerprint, state)
+    if endpoint is not None and not endpoint.is_leaving and is_sendable:
         return [_grant(endpoint, pending.message, state, now)]
     return [*_place(pending.message, state, now), *_grant_waiting(state, now)]
 
@@ -286,10 +291,19 @@
     if endpoint is not None and message.permit in endpoint.permits:
         endpoint.permits.discard(message.permit)
         record_result(message.result, endpoint, now)
-        effects.extend(record_attempt_end(permit, message.result, endpoint, now))
+        effects.extend(record_attempt_end(permit, message, endpoint, now))
+    is_served = message.result is AttemptResult.COMPLETED
+    if is_served and permit.fingerprint in state.crash_points:
+        effects.append(ContentServed(permit.fingerprint))
     return [*effects, *_grant_waiting(state, now)]
 
 
+@handle.register
+def _(message: CrashesReported, state: PlacementState, now: datetime) -> list[object]:
+    state.crash_points = message.points
+    return _grant_waiting(state, now)
+
+
 @handle.register
 def _(message: Tick, state: PlacementState, now: datetime) -> list[object]:
     effects: list[object] = []
@@ -366,7 +380,7 @@
     effects: list[object] = []
     waiting, state.waiting = state.waiting, []
     for message in waiting:
-        effect = _find_grant(message, state, now)
+        effect = _find_decision(message, state, now)
         if effect is not None:
             effects.append(effect)
         elif now >= message.deadline:
@@ -380,6 +394,17 @@
     return SendReply(message.reply_address, EndpointRefused(message.request, reason))
 
 
+def _find_decision(
+    message: AcquireEndpoint, state: PlacementState, now: datetime
+) -> SendReply | AskLeader | None:
+    """Return what can be decided on a request, None if it has to wait."""
+    if is_quarantined(message.fingerprint, state):
+        reason = "its content crashes the endpoints that run it"
+        refused = EndpointRefused(message.request, reason, is_quarantined=True)
+        return SendReply(message.reply_address, refused)
+    return _find_grant(message, state, now)
+
+
 def _find_grant(
     message: AcquireEndpoint, state: PlacementState, now: datetime
 ) -> SendReply | AskLeader | None:
@@ -450,7 +475,13 @@
         record_prompt(endpoint.cache, message.workload)
     endpoint_id = endpoint.listed.endpoint
     state.pending_prefill_tokens[endpoint_id] += n_uncached
-    state.permits[permit] = Permit(endpoint_id, n_uncached, message.fingerprint, now)
+    state.permits[permit] = Permit(
+        endpoint_id,
+        n_uncached,
+        message.fingerprint,
+        message.workload is not None,
+        now,
+    )
     endpoint.permits.add(permit)
     granted = EndpointGranted(
         message.request, permit, endpoint.listed, is_limited(endpoint)
--- a/oleanderhitch/process/placement/crashes.py
+++ b/oleanderhitch/process/placement/crashes.py
@@ -1,53 +1,68 @@
 """Find out which requests an endpoint was running when it crashed.
 
 A connection that breaks proves nothing: an answer may be lost on its way. The endpoint
-has crashed if after it no connection can be made, another server answers at its
-address, or the list names it no more or as started again.
+has crashed if several connections break at once, or if after it no connection can be
+made, another server answers at its address, or the list names it no more or as started
+again.
 """
 
 from datetime import datetime, timedelta
 
+from oleanderhitch.process.crashes.messages import CONVICTION, CrashRecord, Suspicion
 from oleanderhitch.process.directory.messages import ListedEndpoint
-from oleanderhitch.process.placement.messages import AttemptResult
-from oleanderhitch.process.placement.records import Endpoint, InterruptedRequest, Permit
+from oleanderhitch.process.placement.messages import (
+    AttemptProgress,
+    AttemptResult,
+    ReleaseEndpoint,
+)
+from oleanderhitch.process.placement.records import (
+    Endpoint,
+    InterruptedRequest,
+    Permit,
+    PlacementState,
+)
 from oleanderhitch.request.ids import RequestFingerprint
 from oleanderhitch.values import Value
 from oleanderhitch.version.ids import EndpointId
 
 # The list names a crashed endpoint for some seconds more.
 CRASH_DETECTION_TIMEOUT = timedelta(seconds=10)
+# The connections of a process that ends break within a few round trips.
+SIMULTANEOUS_INTERVAL = timedelta(milliseconds=50)
 # Requests under way at one endpoint; more than these are not of interest.
 N_INTERRUPTED_LIMIT = 256
 # Results that show that the endpoint is not at its address.
 ABSENCE_RESULTS = (AttemptResult.NOT_CONNECTED, AttemptResult.MISDIRECTED)
+MILLISECOND = timedelta(milliseconds=1)
 
 
 class EndpointCrashed(Value, frozen=True):
-    """Logs that an endpoint has crashed and which requests it was running."""
+    """Logs and shares that an endpoint has crashed and what it was running."""
 
     endpoint: EndpointId
-    born_ms: int
-    fingerprints: tuple[RequestFingerprint, ...]
+    records: tuple[CrashRecord, ...]
+
+
+class ContentServed(Value, frozen=True):
+    """Shares that content was served which endpoints were running when they crashed."""
+
+    fingerprint: RequestFingerprint
 
 
 def record_attempt_end(
-    permit: Permit, result: AttemptResult, endpoint: Endpoint, now: datetime
+    permit: Permit, message: ReleaseEndpoint, endpoint: Endpoint, now: datetime
 ) -> list[EndpointCrashed]:
     """Record how an attempt has ended; return the crash that this shows, if any."""
-    if result is AttemptResult.CONNECTION_LOST:
+    if message.result is AttemptResult.CONNECTION_LOST:
+        suspicion = _get_suspicion(permit, message.progress)
+        interrupted = InterruptedRequest(permit.fingerprint, suspicion, now)
         if len(endpoint.interrupted) < N_INTERRUPTED_LIMIT:
-            interrupted = InterruptedRequest(permit.fingerprint, now)
             endpoint.interrupted.append(interrupted)
-        return []
-    if result in ABSENCE_RESULTS:
+        return find_crash(endpoint, now) if _has_crashed(endpoint, now) else []
+    if message.result in ABSENCE_RESULTS:
         return find_crash(endpoint, now)
-    if result is AttemptResult.COMPLETED:
-        # An endpoint that serves what it got after a connection broke is still there.
-        endpoint.interrupted = [
-            interrupted
-            for interrupted in endpoint.interrupted
-            if interrupted.at >= permit.granted_at
-        ]
+    if message.result is AttemptResult.COMPLETED:
+        _record_presence(permit.granted_at, endpoint)
     return []
 
 
@@ -69,14 +84,59 @@
 def find_crash(endpoint: Endpoint, now: datetime) -> list[EndpointCrashed]:
     """Return the crash of an endpoint that is absent, if it was running requests."""
     interrupted, endpoint.interrupted = endpoint.interrupted, []
-    fingerprints = sorted(
-        {
-            request.fingerprint
-            for request in interrupted
-            if now - request.at <= CRASH_DETECTION_TIMEOUT
-        }
-    )
-    if endpoint.is_leaving or not fingerprints:
+    recent = [
+        request
+        for request in interrupted
+        if now - request.at <= CRASH_DETECTION_TIMEOUT
+    ]
+    if endpoint.is_leaving or not recent:
         return []
+    endpoint.crash_found_at = now
     listed = endpoint.listed
-    return [EndpointCrashed(listed.endpoint, listed.born_ms, tuple(fingerprints))]
+    incarnation = f"{listed.endpoint}/{listed.born_ms}"
+    records = tuple(
+        CrashRecord(
+            request.fingerprint,
+            {incarnation: int(request.suspicion)},
+            (),
+            int((now - request.at) / MILLISECOND),
+        )
+        for request in recent
+    )
+    return [EndpointCrashed(listed.endpoint, records)]
+
+
+def is_quarantined(fingerprint: RequestFingerprint, state: PlacementState) -> bool:
+    """Return whether content is sent no more since it crashes endpoints."""
+    return state.crash_points.get(fingerprint, 0) >= CONVICTION
+
+
+def _get_suspicion(permit: Permit, progress: AttemptProgress) -> Suspicion:
+    if progress is AttemptProgress.OUTPUT:
+        return Suspicion.RUNNING
+    # A plain service answers only when it is done, so its silence shows nothing.
+    if progress is AttemptProgress.HEAD or not permit.is_engine:
+        return Suspicion.STARTED
+    return Suspicion.QUEUED
+
+
+def _has_crashed(endpoint: Endpoint, now: datetime) -> bool:
+    if endpoint.crash_found_at is not None:
+        return True
+    recent = [
+        request
+        for request in endpoint.interrupted
+        if now - request.at <= SIMULTANEOUS_INTERVAL
+    ]
+    return len(recent) > 1
+
+
+def _record_presence(granted_at: datetime, endpoint: Endpoint) -> None:
+    """Record that an endpoint has served what it got at a time, so it is there."""
+    if endpoint.crash_found_at is not None and granted_at > endpoint.crash_found_at:
+        endpoint.crash_found_at = None
+    endpoint.interrupted = [
+        interrupted
+        for interrupted in endpoint.interrupted
+        if interrupted.at >= granted_at
+    ]
--- a/oleanderhitch/process/placement/messages.py
+++ b/oleanderhitch/process/placement/messages.py
@@ -72,11 +72,20 @@
     CANCELLED = "cancelled"
 
 
+class AttemptProgress(Enum):
+    """What an endpoint had sent of its response when the attempt ended."""
+
+    NOTHING = "nothing"
+    HEAD = "head"
+    OUTPUT = "output"
+
+
 class ReleaseEndpoint(Value, frozen=True):
-    """Releases a permit and reports how the attempt ended."""
+    """Releases a permit and reports how the attempt ended, and how far it had come."""
 
     permit: PermitId
     result: AttemptResult
+    progress: AttemptProgress = AttemptProgress.NOTHING
 
 
 class EndpointLeaving(Value, frozen=True):
@@ -206,10 +215,20 @@
 
 
 class EndpointRefused(Value, frozen=True):
-    """Refuses a request that got no endpoint before its deadline."""
+    """Refuses a request that got no endpoint before its deadline.
+
+    Quarantined content gets none at all, since it crashes the endpoints that run it.
+    """
 
     request: RequestId
     reason: str
+    is_quarantined: bool = False
+
+
+class CrashesReported(Value, frozen=True):
+    """Reports the points against content that endpoints ran when they crashed."""
+
+    points: Mapping[RequestFingerprint, int]
 
 
 class CacheCapacitiesUpdated(Value, frozen=True):
--- a/oleanderhitch/process/placement/records.py
+++ b/oleanderhitch/process/placement/records.py
@@ -7,6 +7,7 @@
 
 from msgspec import Struct, field
 
+from oleanderhitch.process.crashes.messages import Suspicion
 from oleanderhitch.process.directory.messages import ListedEndpoint
 from oleanderhitch.process.placement.cache import CacheEstimate
 from oleanderhitch.process.placement.latency import LatencyAverage
@@ -42,6 +43,7 @@
     """The content of a request whose connection to its endpoint broke."""
 
     fingerprint: RequestFingerprint
+    suspicion: Suspicion
     at: datetime
 
 
@@ -65,6 +67,8 @@
     has_announced_stop: bool = False
     rate_limit: RateLimit = field(default_factory=RateLimit)
     interrupted: list[InterruptedRequest] = field(default_factory=list)
+    # When it was found that the endpoint has crashed, until it serves a later request.
+    crash_found_at: datetime | None = None
 
     @property
     def is_leaving(self) -> bool:
@@ -78,6 +82,7 @@
     endpoint: EndpointId
     n_pending_prefill_tokens: int
     fingerprint: RequestFingerprint
+    is_engine: bool
     granted_at: datetime
 
 
@@ -107,6 +112,8 @@
     # Until when this entry host goes by its own share of the limits.
     local_share_until: datetime | None = None
     n_entry_hosts: int = N_ENTRY_HOSTS_ASSUMED
+    # Points against content that endpoints ran when they crashed.
+    crash_points: Mapping[RequestFingerprint, int] = field(default_factory=dict)
 
 
 def find_peer_load(endpoint: Endpoint, now: datetime) -> EndpointLoad | None:
--- a/oleanderhitch/process/placement/task.py
+++ b/oleanderhitch/process/placement/task.py
@@ -11,6 +11,7 @@
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.caches.messages import ReadCache
 from oleanderhitch.process.clock import Clock
+from oleanderhitch.process.crashes.messages import CrashesObserved
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.placement.core import (
     AskLeader,
@@ -20,8 +21,7 @@
     SendReply,
     handle,
 )
-from oleanderhitch.process.placement.crashes import EndpointCrashed
-from oleanderhitch.process.placement.messages import SendPermitRequest
+from oleanderhitch.process.placement.crashes import ContentServed, EndpointCrashed
 from oleanderhitch.process.placement.records import PlacementState
 from oleanderhitch.process.task import NO_TICK, Task, make_task
 from oleanderhitch.version.ids import DataCentreName
@@ -35,7 +35,7 @@
     node: NodeId,
     data_centre: DataCentreName,
     caches: Address,
-    ask_leader: Callable[[SendPermitRequest], None],
+    tell_subscription: Callable[[object], None],
     clock: Clock,
     random_source: Random,
 ) -> Task[PlacementState]:
@@ -54,7 +54,7 @@
         TICK_INTERVAL,
         find_next_tick=_find_next_tick,
     )
-    dependencies = _Dependencies(caches, ask_leader, task)
+    dependencies = _Dependencies(caches, tell_subscription, task)
     return task
 
 
@@ -62,7 +62,7 @@
     """Collaborators that the effects of placement act on."""
 
     caches: Address
-    ask_leader: Callable[[SendPermitRequest], None]
+    tell_subscription: Callable[[object], None]
     task: Address
 
 
@@ -87,7 +87,7 @@
 
 @_perform.register
 def _(effect: AskLeader, dependencies: _Dependencies) -> None:
-    dependencies.ask_leader(effect.request)
+    dependencies.tell_subscription(effect.request)
 
 
 @_perform.register
@@ -100,9 +100,14 @@
     log.warning(
         "endpoint crashed",
         endpoint=effect.endpoint,
-        born_ms=effect.born_ms,
-        contents=list(effect.fingerprints),
+        contents={record.fingerprint: record.n_points for record in effect.records},
     )
+    dependencies.tell_subscription(CrashesObserved(effect.records))
+
+
+@_perform.register
+def _(effect: ContentServed, dependencies: _Dependencies) -> None:
+    dependencies.tell_subscription(effect)
 
 
 @_perform.register
--- a/oleanderhitch/process/site/entry.py
+++ b/oleanderhitch/process/site/entry.py
@@ -31,10 +31,7 @@
 from oleanderhitch.process.mailbox import Mailbox
 from oleanderhitch.process.metrics.core import Metrics, make_counter
 from oleanderhitch.process.metrics.states import Counter
-from oleanderhitch.process.placement.messages import (
-    SendPermitReply,
-    SendPermitRequest,
-)
+from oleanderhitch.process.placement.messages import SendPermitReply
 from oleanderhitch.process.placement.task import make_placement_task
 from oleanderhitch.process.site.application import make_site_codec
 from oleanderhitch.process.site.group import TURN_GROUPS, get_turn_group
@@ -114,7 +111,7 @@
             settings.site.node,
             settings.site.data_centre,
             self._caches,
-            self._ask_leader,
+            self._tell_subscription,
             clock,
             random.Random(uuid.uuid4().int),
         )
@@ -244,8 +241,8 @@
         else:
             log.warning("unexpected message type", type=type(message).__name__)
 
-    def _ask_leader(self, request: SendPermitRequest) -> None:
-        self._subscription.send(request)
+    def _tell_subscription(self, message: object) -> None:
+        self._subscription.send(message)
 
     def _handle_link_event(self, message: object) -> None:
         self._group_client.send(message)
--- a/oleanderhitch/process/site/messages.py
+++ b/oleanderhitch/process/site/messages.py
@@ -4,6 +4,8 @@
 
 import xxhash
 
+from oleanderhitch.process.crashes.ids import NO_CRASHES, CrashesDigest
+from oleanderhitch.process.crashes.messages import CrashRecord
 from oleanderhitch.process.directory.messages import EndpointList, ListVersion
 from oleanderhitch.process.ids import GroupId, NodeId, ReplicaId
 from oleanderhitch.process.placement.messages import (
@@ -71,7 +73,8 @@
 
     A store replies with a SiteStatus of what the entry host lacks. `known_stores` tells
     which stores the entry host was told of last, `known_limits` which limits of
-    endpoints. `limits` are those that it has observed lately itself.
+    endpoints. `limits` are those that it has observed lately itself. `crashes` are all
+    crashes that it knows of, if the leader knows others.
     """
 
     node: NodeId
@@ -81,6 +84,8 @@
     known_stores: StoresDigest = NO_STORES
     limits: tuple[EndpointLimit, ...] = ()
     known_limits: LimitsDigest = NO_LIMITS
+    crashes: tuple[CrashRecord, ...] = ()
+    crashes_digest: CrashesDigest = NO_CRASHES
 
 
 class StoreAnnouncement(Value, frozen=True):
@@ -106,7 +111,8 @@
     entry host already has that version; `endpoints` is only set if it has not.
     `routing` and `other_loads`, the loads that all other entry hosts cause, are only
     set by a leader whose state is known to be current, and so are the limits of
-    endpoints and the number of entry hosts.
+    endpoints, the number of entry hosts, and the crashes, which are not sent to a host
+    that knows the same.
     """
 
     stores: tuple[NodeId, ...]
@@ -118,6 +124,8 @@
     limits: tuple[EndpointLimit, ...] | None = None
     limits_digest: LimitsDigest = NO_LIMITS
     n_entry_hosts: int = 1
+    crashes: tuple[CrashRecord, ...] | None = None
+    crashes_digest: CrashesDigest = NO_CRASHES
 
 
 EMPTY_ROUTING = RoutingFound(NO_ROUTING, b"")
--- a/oleanderhitch/process/site/subscribers.py
+++ b/oleanderhitch/process/site/subscribers.py
@@ -8,6 +8,7 @@
 
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.clock import Clock
+from oleanderhitch.process.crashes.evidence import make_crash_evidence
 from oleanderhitch.process.directory.messages import EndpointList
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.placement.messages import (
@@ -55,6 +56,7 @@
         self._subscribers: dict[NodeId, Subscriber] = {}
         self._loads = LoadTotals()
         self._permits = SendPermits()
+        self._crashes = make_crash_evidence()
         self._endpoint_list: EndpointList | None = None
         # Routing is only sent after a read through the group has shown that this leader
         # has applied everything accepted before. A replica that replays its log passes
@@ -68,7 +70,18 @@
         self._subscribers[hello.node] = subscriber
         self._loads.report(hello.node, hello.loads, now)
         self._observe_limits(hello.limits, now)
-        self._notify(subscriber)
+        self._expire_crashes(now)
+        convicted = self._crashes.merge(hello.crashes, now) if hello.crashes else set()
+        if convicted and self._is_current:
+            # Each entry host may get the content next, so none waits for its hello.
+            log.warning("content quarantined", contents=sorted(convicted))
+            self.notify_all()
+        else:
+            self._notify(subscriber)
+
+    def _expire_crashes(self, now: datetime) -> None:
+        if self._crashes.records and self._crashes.expire(now):
+            log.info("crashes of long ago forgotten")
 
     def handle_permit_request(
         self, request: SendPermitRequest, reply_address: Address
@@ -135,13 +148,15 @@
         list_version = None if endpoint_list is None else endpoint_list.version
         needs_list = list_version != hello.list_version
         stores = self._list_stores()
-        other_loads = limits = None
+        other_loads = limits = crashes = None
         if self._is_current:
             now = self._clock.now()
             other_loads = self._loads.list_others(hello.node, now)
             self._permits.expire(now)
             if self._permits.digest != hello.known_limits:
                 limits = self._permits.list_limits(now)
+            if self._crashes.digest != hello.crashes_digest:
+                crashes = self._crashes.list_records(now)
         subscriber.reply_address.send(
             SiteStatus(
                 () if make_stores_digest(stores) == hello.known_stores else stores,
@@ -153,6 +168,8 @@
                 limits,
                 self._permits.digest,
                 len(self._subscribers),
+                crashes,
+                self._crashes.digest,
             )
         )
 
--- a/oleanderhitch/process/site/subscription/core.py
+++ b/oleanderhitch/process/site/subscription/core.py
@@ -1,14 +1,19 @@
 """Decide which state of the stores an entry host installs and when it sends hellos."""
 
+from collections.abc import Mapping
 from datetime import datetime, timedelta
 from functools import singledispatch
 
 from msgspec import Struct, field
 
 from oleanderhitch.connection.peer.messages import LinkDown, LinkUp
+from oleanderhitch.process.crashes.evidence import CrashEvidence, make_crash_evidence
+from oleanderhitch.process.crashes.ids import NO_CRASHES, CrashesDigest
+from oleanderhitch.process.crashes.messages import CrashesObserved
 from oleanderhitch.process.directory.messages import EndpointList, ListVersion
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.messages import Tick
+from oleanderhitch.process.placement.crashes import ContentServed
 from oleanderhitch.process.placement.messages import (
     EndpointLimit,
     EndpointLoad,
@@ -27,6 +32,7 @@
     hash_node,
     make_stores_digest,
 )
+from oleanderhitch.request.ids import RequestFingerprint
 from oleanderhitch.values import Value
 from oleanderhitch.version.ids import EndpointId
 from oleanderhitch.version.routes.ids import NO_ROUTING, RoutingVersion
@@ -119,6 +125,12 @@
     limits: tuple[EndpointLimit, ...]
 
 
+class ReportCrashes(Value, frozen=True):
+    """Sends placement the points against content that crashes endpoints."""
+
+    points: Mapping[RequestFingerprint, int]
+
+
 class AskForPermit(Value, frozen=True):
     """Asks the leader for a send to a limited endpoint."""
 
@@ -160,6 +172,9 @@
     loads: tuple[EndpointLoad, ...] = ()
     limits: tuple[EndpointLimit, ...] = ()
     known_limits: LimitsDigest = NO_LIMITS
+    # The crashes that any entry host has found, and what the leader knew last.
+    crashes: CrashEvidence = field(default_factory=make_crash_evidence)
+    leader_crashes: CrashesDigest = NO_CRASHES
     next_hello_at: datetime | None = None
     n_asked_rounds: int = 0
     leader: NodeId | None = None
@@ -184,10 +199,12 @@
     if state.leader_seen_at is not None and now - state.leader_seen_at > LEADER_TTL:
         _forget_leader(state)
     effects: list[object] = [RequestLoads()]
+    if state.crashes.expire(now):
+        effects.append(ReportCrashes(state.crashes.list_points()))
     if state.next_hello_at is None or now >= state.next_hello_at:
         is_led = state.leader is not None
         state.next_hello_at = now + (HELLO_INTERVAL if is_led else SEARCH_INTERVAL)
-        effects.extend(_send_regular_hello(state))
+        effects.extend(_send_regular_hello(state, now))
     if is_stale and not state.is_reader:
         state.is_reader = True
         effects.append(SetLocalReader(True))
@@ -202,7 +219,7 @@
     state.loads, state.limits = message.loads, message.limits
     if not is_new:
         return []
-    return [] if state.leader is None else [_make_hello(state, (state.leader,))]
+    return [] if state.leader is None else [_make_hello(state, (state.leader,), now)]
 
 
 @handle.register
@@ -214,6 +231,21 @@
     return [AskForPermit(state.leader, message)]
 
 
+@handle.register
+def _(
+    message: CrashesObserved, state: SubscriptionState, now: datetime
+) -> list[object]:
+    state.crashes.merge(message.records, now)
+    return _share_crashes(state, now)
+
+
+@handle.register
+def _(message: ContentServed, state: SubscriptionState, now: datetime) -> list[object]:
+    if not state.crashes.clear(message.fingerprint):
+        return []
+    return _share_crashes(state, now)
+
+
 @handle.register
 def _(
     message: SeedsConfigured, state: SubscriptionState, now: datetime
@@ -236,7 +268,7 @@
     if state.leader is None and named is not None and named not in state.asked_stores:
         state.asked_stores.add(named)
         effects.extend(_add_stores((named,), state))
-        effects.append(_make_hello(state, (named,)))
+        effects.append(_make_hello(state, (named,), now))
     return effects
 
 
@@ -248,7 +280,7 @@
         effects.append(InstallRouting(message.routing))
         if state.leader is not None:
             # Informs the leader of the new version before the next regular hello.
-            effects.append(_make_hello(state, (state.leader,)))
+            effects.append(_make_hello(state, (state.leader,), now))
     if message.endpoints is not None:
         effects.extend(_accept_list(message.endpoints, False, state, now))
     elif message.list_version is not None:
@@ -258,6 +290,11 @@
     if message.limits is not None:
         state.known_limits = message.limits_digest
         effects.append(ReportLimits(message.limits))
+    if message.other_loads is not None:
+        state.leader_crashes = message.crashes_digest
+    if message.crashes is not None:
+        state.crashes.merge(message.crashes, now)
+        effects.append(ReportCrashes(state.crashes.list_points()))
     return effects
 
 
@@ -286,9 +323,9 @@
     return [LogLinkChange("store disconnected", message.peer, message.reason)]
 
 
-def _send_regular_hello(state: SubscriptionState) -> list[object]:
+def _send_regular_hello(state: SubscriptionState, now: datetime) -> list[object]:
     if state.leader is not None:
-        return [_make_hello(state, (state.leader,))]
+        return [_make_hello(state, (state.leader,), now)]
     stores = sorted(state.stores)
     if not stores:
         return []
@@ -300,7 +337,15 @@
         for number in range(min(N_STORES_ASKED, len(stores)))
     )
     state.asked_stores = set(asked)
-    return [_make_hello(state, asked)]
+    return [_make_hello(state, asked, now)]
+
+
+def _share_crashes(state: SubscriptionState, now: datetime) -> list[object]:
+    """Tell placement and the leader at once what has come to be known of crashes."""
+    effects: list[object] = [ReportCrashes(state.crashes.list_points())]
+    if state.leader is not None:
+        effects.append(_make_hello(state, (state.leader,), now))
+    return effects
 
 
 def _forget_leader(state: SubscriptionState) -> None:
@@ -309,7 +354,10 @@
     state.next_hello_at = None
 
 
-def _make_hello(state: SubscriptionState, stores: tuple[NodeId, ...]) -> SendHello:
+def _make_hello(
+    state: SubscriptionState, stores: tuple[NodeId, ...], now: datetime
+) -> SendHello:
+    is_known = state.crashes.digest == state.leader_crashes
     hello = EntryHello(
         state.node,
         state.routing,
@@ -318,6 +366,8 @@
         state.known_stores,
         state.limits,
         state.known_limits,
+        () if is_known else state.crashes.list_records(now),
+        state.crashes.digest,
     )
     return SendHello(hello, stores)
 
--- a/oleanderhitch/process/site/subscription/task.py
+++ b/oleanderhitch/process/site/subscription/task.py
@@ -13,6 +13,7 @@
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.placement.messages import (
     CacheCapacitiesUpdated,
+    CrashesReported,
     EndpointsListed,
     GetLoads,
     LimitsReported,
@@ -28,6 +29,7 @@
     InstallRouting,
     LinkStores,
     LogLinkChange,
+    ReportCrashes,
     ReportLimits,
     ReportPeerLoads,
     ReportPermit,
@@ -90,6 +92,11 @@
     dependencies.placement.send(LimitsReported(effect.limits))
 
 
+@perform.register
+def _(effect: ReportCrashes, dependencies: SubscriptionDependencies) -> None:
+    dependencies.placement.send(CrashesReported(effect.points))
+
+
 @perform.register
 def _(effect: AskForPermit, dependencies: SubscriptionDependencies) -> None:
     link = dependencies.links.get_link(effect.leader)
--- a/oleanderhitch/request/forwarding/attempts.py
+++ b/oleanderhitch/request/forwarding/attempts.py
@@ -126,7 +126,7 @@
         state.tried_endpoints = (*state.tried_endpoints, attempt.endpoint)
     return [
         CancelEndpointExchange(attempt.exchange_id),
-        ReturnPermit(attempt.permit, result),
+        ReturnPermit(attempt.permit, result, attempt.progress),
     ]
 
 
--- a/oleanderhitch/request/forwarding/core.py
+++ b/oleanderhitch/request/forwarding/core.py
@@ -215,6 +215,8 @@
     if state.n_runs:
         return end_with_verdict(state, Verdict.OUTCOME_UNKNOWN, message.reason)
     verdict = Verdict.ALL_REFUSED if state.n_sends else Verdict.NO_ENDPOINT
+    if message.is_quarantined:
+        verdict = Verdict.QUARANTINED
     return [
         *release_reservation(state, now),
         *end_with_verdict(state, verdict, message.reason),
--- a/oleanderhitch/request/forwarding/messages.py
+++ b/oleanderhitch/request/forwarding/messages.py
@@ -5,6 +5,7 @@
 from oleanderhitch.connection.http.messages import Headers
 from oleanderhitch.process.directory.messages import ListedEndpoint
 from oleanderhitch.process.placement.messages import (
+    AttemptProgress,
     AttemptResult,
     InferenceWorkload,
 )
@@ -185,6 +186,7 @@
 
     permit: PermitId
     result: AttemptResult
+    progress: AttemptProgress = AttemptProgress.NOTHING
 
 
 class ReportFirstChunk(Value, frozen=True):
--- a/oleanderhitch/request/forwarding/state.py
+++ b/oleanderhitch/request/forwarding/state.py
@@ -5,6 +5,7 @@
 from msgspec import Struct, field
 
 from oleanderhitch.connection.http.messages import CallerDisconnected
+from oleanderhitch.process.placement.messages import AttemptProgress
 from oleanderhitch.request.forwarding.messages import (
     EndpointResponseHead,
     ForwardRequest,
@@ -36,6 +37,14 @@
     body_chunks: list[bytes] = field(default_factory=list)
     n_body_bytes: int = 0
 
+    @property
+    def progress(self) -> AttemptProgress:
+        """How far the response of the endpoint has come."""
+        if self.head is None:
+            return AttemptProgress.NOTHING
+        has_output = self.n_events > 0 or self.n_body_bytes > 0
+        return AttemptProgress.OUTPUT if has_output else AttemptProgress.HEAD
+
 
 class ForwardState(Struct):
     """The state of one request, owned by its task."""
--- a/oleanderhitch/request/forwarding/states.py
+++ b/oleanderhitch/request/forwarding/states.py
@@ -30,5 +30,6 @@
     RECORD_UNAVAILABLE = "record_unavailable"
     NO_ENDPOINT = "no_endpoint"
     ALL_REFUSED = "all_refused"
+    QUARANTINED = "quarantined"
     OUTCOME_UNKNOWN = "outcome_unknown"
     TIMED_OUT = "timed_out"
--- a/oleanderhitch/request/forwarding/task.py
+++ b/oleanderhitch/request/forwarding/task.py
@@ -431,7 +431,9 @@
 @perform.register
 def _(effect: ReturnPermit, context: ForwardContext) -> None:
     context.dependencies.metrics.count(Counter.ATTEMPTS, effect.result.value)
-    context.dependencies.placement.send(ReleaseEndpoint(effect.permit, effect.result))
+    context.dependencies.placement.send(
+        ReleaseEndpoint(effect.permit, effect.result, effect.progress)
+    )
 
 
 @perform.register
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -13,6 +13,7 @@
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.exceptions import InvalidInputError
 from oleanderhitch.platform.requests import VERDICT_STATUSES, make_platform_dialect
+from oleanderhitch.process.crashes.evidence import QUARANTINE_DURATION
 from oleanderhitch.process.directory.messages import ListedEndpoint
 from oleanderhitch.process.placement.messages import PromptPart
 from oleanderhitch.request.forwarding.messages import SendToEndpoint
@@ -160,11 +161,22 @@
         Verdict.RECORD_UNAVAILABLE,
         Verdict.NO_ENDPOINT,
         Verdict.ALL_REFUSED,
+        Verdict.QUARANTINED,
     }
     assert VERDICT_STATUSES[Verdict.OUTCOME_UNKNOWN] == 502
     assert VERDICT_STATUSES[Verdict.TIMED_OUT] == 504
 
 
+def test_quarantined_content_is_not_asked_to_come_back_soon() -> None:
+    """Guard against callers that bring back at once what can't be served."""
+    response = DIALECT.make_verdict(
+        RequestId("r1"), Verdict.QUARANTINED, "", timedelta(seconds=4)
+    )
+    retry_after = find_header(response.headers, "retry-after")
+    assert retry_after is not None
+    assert float(retry_after) == QUARANTINE_DURATION.total_seconds()
+
+
 def test_retry_after_fits_the_remaining_time() -> None:
     """Guard against a Retry-After that is too long for callers to wait.
 
--- /dev/null
+++ b/tests/process/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the evidence of crashes."""
--- /dev/null
+++ b/tests/process/crashes/test_evidence.py
@@ -0,0 +1,96 @@
+"""Guard against evidence of crashes that is lost, counted twice or kept for ever."""
+
+from datetime import UTC, datetime, timedelta
+
+from oleanderhitch.process.crashes.evidence import (
+    N_RECORDS_LIMIT,
+    QUARANTINE_DURATION,
+    make_crash_evidence,
+)
+from oleanderhitch.process.crashes.messages import CONVICTION, CrashRecord, Suspicion
+from oleanderhitch.request.ids import RequestFingerprint
+
+NOW = datetime(2026, 1, 1, tzinfo=UTC)
+CONTENT = RequestFingerprint("content")
+
+
+def make_record(
+    *incarnations: str,
+    suspicion: Suspicion = Suspicion.STARTED,
+    content: RequestFingerprint = CONTENT,
+    age_ms: int = 0,
+) -> CrashRecord:
+    """Return the record of content that endpoints were running when they crashed."""
+    crashes = dict.fromkeys(incarnations, int(suspicion))
+    return CrashRecord(content, crashes, (), age_ms)
+
+
+def test_crashes_that_different_hosts_have_found_add_up() -> None:
+    """Guard against content that crashes one endpoint for each entry host."""
+    evidence = make_crash_evidence()
+    assert not evidence.merge((make_record("a"),), NOW)
+    assert not evidence.merge((make_record("b"),), NOW)
+    assert evidence.merge((make_record("c"),), NOW) == {CONTENT}
+
+
+def test_a_crash_counts_once() -> None:
+    """Guard against a conviction by several hosts that have found the same crash."""
+    evidence = make_crash_evidence()
+    for _ in range(5):
+        assert not evidence.merge((make_record("a"),), NOW)
+    assert evidence.list_points() == {CONTENT: int(Suspicion.STARTED)}
+
+
+def test_content_that_ran_well_until_the_crash_is_hardly_suspected() -> None:
+    """Guard against the conviction of what happened to run on crashing endpoints."""
+    evidence = make_crash_evidence()
+    record = make_record("a", "b", "c", suspicion=Suspicion.RUNNING)
+    assert not evidence.merge((record,), NOW)
+
+
+def test_served_content_is_cleared_everywhere() -> None:
+    """Guard against a host that brings back the suspicion of served content."""
+    first, second = make_crash_evidence(), make_crash_evidence()
+    for evidence in (first, second):
+        evidence.merge((make_record("a", "b"),), NOW)
+    assert first.clear(CONTENT)
+    assert not first.clear(CONTENT)
+    first.merge(second.list_records(NOW), NOW)
+    second.merge(first.list_records(NOW), NOW)
+    assert first.digest == second.digest
+    assert first.list_points() == second.list_points() == {}
+    assert not second.merge((make_record("c", "d"),), NOW)
+
+
+def test_new_leader_has_the_evidence_from_the_first_host() -> None:
+    """Guard against content that crashes three more endpoints after an election."""
+    host, leader = make_crash_evidence(), make_crash_evidence()
+    host.merge((make_record("a", "b", "c"),), NOW)
+    assert leader.digest != host.digest
+    assert leader.merge(host.list_records(NOW), NOW) == {CONTENT}
+    assert leader.digest == host.digest
+
+
+def test_evidence_expires_and_does_not_come_back() -> None:
+    """Guard against content that is refused for ever, and against endless growth."""
+    evidence = make_crash_evidence()
+    evidence.merge((make_record("a", "b", "c"),), NOW)
+    later = NOW + QUARANTINE_DURATION
+    old = evidence.list_records(later)
+    assert evidence.expire(later)
+    assert not evidence.merge(old, later)
+    assert evidence.list_convicted() == set()
+
+
+def test_many_records_push_out_the_oldest_but_no_conviction() -> None:
+    """Guard against memory that grows with crashes, and against lost convictions."""
+    evidence = make_crash_evidence()
+    evidence.merge((make_record("a", "b", "c", age_ms=60_000),), NOW)
+    records = tuple(
+        make_record("d", content=RequestFingerprint(f"{number}"), age_ms=number)
+        for number in range(N_RECORDS_LIMIT + 10)
+    )
+    evidence.merge(records, NOW + timedelta(seconds=1))
+    assert len(evidence.records) == N_RECORDS_LIMIT
+    assert evidence.list_convicted() == {CONTENT}
+    assert evidence.list_points()[CONTENT] >= CONVICTION
--- a/tests/process/placement/test_core.py
+++ b/tests/process/placement/test_core.py
@@ -8,6 +8,7 @@
 from msgspec.structs import replace
 
 from oleanderhitch.connection.ids import HostAddress
+from oleanderhitch.process.crashes.messages import CONVICTION, Suspicion
 from oleanderhitch.process.directory.messages import ListedEndpoint
 from oleanderhitch.process.mailbox import make_mailbox
 from oleanderhitch.process.messages import Tick
@@ -24,9 +25,11 @@
 from oleanderhitch.process.placement.latency import find_median_ms, get_slowdown
 from oleanderhitch.process.placement.messages import (
     AcquireEndpoint,
+    AttemptProgress,
     AttemptResult,
     CacheCapacitiesUpdated,
     CacheContentsReported,
+    CrashesReported,
     EndpointGranted,
     EndpointLeaving,
     EndpointLoad,
@@ -486,11 +489,11 @@
     """Guard against a crash that no log line connects with what the endpoint ran."""
     state = make_state(make_endpoint("e1"))
     interrupt(state, "a")
-    interrupt(state, "b")
     probe = get_grant(handle(acquire("probe", content="c"), state, NOW))
-    effects = handle(ReleaseEndpoint(probe.permit, result), state, NOW)
-    contents = (RequestFingerprint("a"), RequestFingerprint("b"))
-    assert effects == [EndpointCrashed(EndpointId("e1"), 0, contents)]
+    (crash,) = handle(ReleaseEndpoint(probe.permit, result), state, NOW)
+    assert isinstance(crash, EndpointCrashed)
+    assert [record.fingerprint for record in crash.records] == ["a"]
+    assert crash.records[0].crashes == {"e1/0": int(Suspicion.STARTED)}
 
 
 def test_crash_is_found_by_the_list() -> None:
@@ -499,8 +502,8 @@
         state = make_state(make_endpoint("e1"))
         interrupt(state, "a")
         effects = handle(EndpointsListed(listed), state, NOW)
-        content = RequestFingerprint("a")
-        assert EndpointCrashed(EndpointId("e1"), 0, (content,)) in effects
+        (crash,) = (item for item in effects if isinstance(item, EndpointCrashed))
+        assert [record.fingerprint for record in crash.records] == ["a"]
 
 
 def test_lost_answer_is_no_crash() -> None:
@@ -520,3 +523,60 @@
     leaving = replace(make_endpoint("e1"), is_leaving=True)
     handle(EndpointsListed((leaving,)), state, NOW)
     assert handle(EndpointsListed(()), state, NOW) == []
+
+
+def test_connections_that_break_at_once_are_a_crash() -> None:
+    """Guard against a crash that is found only when the next request fails."""
+    state = make_state(make_endpoint("e1", n_slots=3))
+    grants = [
+        get_grant(handle(acquire(name, content=name), state, NOW)) for name in "abc"
+    ]
+    found = []
+    for granted in grants:
+        released = ReleaseEndpoint(granted.permit, AttemptResult.CONNECTION_LOST)
+        for effect in handle(released, state, NOW):
+            assert isinstance(effect, EndpointCrashed)
+            found.extend(record.fingerprint for record in effect.records)
+    assert found == ["a", "b", "c"]
+
+
+@pytest.mark.parametrize(
+    ("workload", "progress", "suspicion"),
+    [
+        (make_workload("a"), AttemptProgress.NOTHING, Suspicion.QUEUED),
+        (make_workload("a"), AttemptProgress.HEAD, Suspicion.STARTED),
+        (make_workload("a"), AttemptProgress.OUTPUT, Suspicion.RUNNING),
+        (None, AttemptProgress.NOTHING, Suspicion.STARTED),
+    ],
+)
+def test_content_that_had_just_begun_is_suspected_most(
+    workload: InferenceWorkload | None, progress: AttemptProgress, suspicion: Suspicion
+) -> None:
+    """Guard against suspicion of all that ran beside the content that crashes."""
+    state = make_state(make_endpoint("e1"))
+    granted = get_grant(handle(acquire("1", workload), state, NOW))
+    lost = ReleaseEndpoint(granted.permit, AttemptResult.CONNECTION_LOST, progress)
+    handle(lost, state, NOW)
+    (crash,) = (
+        effect
+        for effect in handle(EndpointsListed(()), state, NOW)
+        if isinstance(effect, EndpointCrashed)
+    )
+    assert crash.records[0].n_points == suspicion
+
+
+def test_quarantined_content_is_refused_at_once_also_while_it_waits() -> None:
+    """Guard against a send that was under way when the content was convicted."""
+    state = make_state(make_endpoint("e1", n_slots=1))
+    handle(acquire("0", content="sound"), state, NOW)
+    handle(acquire("1", content="sound"), state, NOW)
+    assert handle(acquire("2", content="bad"), state, NOW) == []
+    points = {RequestFingerprint("bad"): CONVICTION}
+    for effects in (
+        handle(CrashesReported(points), state, NOW),
+        handle(acquire("3", content="bad"), state, NOW),
+    ):
+        (effect,) = effects
+        assert isinstance(effect, SendReply)
+        assert isinstance(effect.message, EndpointRefused)
+        assert effect.message.is_quarantined
--- a/tests/process/site/test_crashing_requests.py
+++ b/tests/process/site/test_crashing_requests.py
@@ -15,13 +15,16 @@
 from msgspec import Struct, field
 
 from oleanderhitch.connection.ids import HostAddress
+from oleanderhitch.process.crashes.evidence import make_crash_evidence
 from oleanderhitch.process.directory.messages import ListedEndpoint
 from oleanderhitch.process.mailbox import make_mailbox
 from oleanderhitch.process.messages import Tick
 from oleanderhitch.process.placement.core import SendReply, handle
+from oleanderhitch.process.placement.crashes import ContentServed, EndpointCrashed
 from oleanderhitch.process.placement.messages import (
     AcquireEndpoint,
     AttemptResult,
+    CrashesReported,
     EndpointGranted,
     EndpointRefused,
     EndpointsListed,
@@ -82,6 +85,8 @@
             PlacementState(HOME, f"entry-{number}", Random(number))
             for number in range(n_hosts)
         ]
+        self._leader = make_crash_evidence()
+        self._evidence = {id(host): make_crash_evidence() for host in self.hosts}
         self._calls: dict[RequestId, Call] = {}
         self.crashed_at: list[datetime] = []
         self.poison_sent_at: list[datetime] = []
@@ -160,6 +165,12 @@
             self._perform(effect, host, now)
 
     def _perform(self, effect: object, host: PlacementState, now: datetime) -> None:
+        if isinstance(effect, EndpointCrashed):
+            self._evidence[id(host)].merge(effect.records, now)
+            self._share(host, now)
+        if isinstance(effect, ContentServed):
+            self._evidence[id(host)].clear(effect.fingerprint)
+            self._share(host, now)
         if not isinstance(effect, SendReply):
             return
         reply = effect.message
@@ -168,6 +179,19 @@
         elif isinstance(reply, EndpointRefused):
             self._end(self._calls[reply.request], "refused", now)
 
+    def _share(self, host: PlacementState, now: datetime) -> None:
+        """Tell the leader what a host knows, and others what that convicts."""
+        evidence = self._evidence[id(host)]
+        self._deliver(CrashesReported(evidence.list_points()), host, now)
+        convicted = self._leader.merge(evidence.list_records(now), now)
+        for other in self.hosts if convicted else [host]:
+            self.at(now + 2 * MS, lambda at, other=other: self._tell(other, at))
+
+    def _tell(self, host: PlacementState, now: datetime) -> None:
+        evidence = self._evidence[id(host)]
+        evidence.merge(self._leader.list_records(now), now)
+        self._deliver(CrashesReported(evidence.list_points()), host, now)
+
     def _send(self, granted: EndpointGranted, now: datetime) -> None:
         call = self._calls[granted.request]
         call.n_sends += 1
--- a/tests/process/site/test_subscribers.py
+++ b/tests/process/site/test_subscribers.py
@@ -2,9 +2,15 @@
 
 from datetime import UTC, datetime, timedelta
 
+from oleanderhitch.process.crashes.messages import CONVICTION, CrashRecord
 from oleanderhitch.process.directory.messages import EndpointList, ListVersion
 from oleanderhitch.process.ids import NodeId
-from oleanderhitch.process.placement.messages import EndpointLoad
+from oleanderhitch.process.placement.messages import (
+    EndpointLimit,
+    EndpointLoad,
+    SendPermitReply,
+    SendPermitRequest,
+)
 from oleanderhitch.process.site.messages import (
     EntryHello,
     RoutingFound,
@@ -12,6 +18,7 @@
     make_stores_digest,
 )
 from oleanderhitch.process.site.subscribers import Subscribers, make_subscribers
+from oleanderhitch.request.ids import RequestFingerprint
 from oleanderhitch.version.ids import EndpointId
 from oleanderhitch.version.routes.ids import NO_ROUTING, RoutingVersion
 
@@ -37,10 +44,14 @@
     def __init__(self, name: str, subscribers: Subscribers) -> None:
         self.node = NodeId(name)
         self.received: list[SiteStatus] = []
+        self.permits: list[SendPermitReply] = []
         self._subscribers = subscribers
 
     def send(self, message: object) -> None:
-        """Record a status."""
+        """Record a status or a reply to a request for a permit."""
+        if isinstance(message, SendPermitReply):
+            self.permits.append(message)
+            return
         assert isinstance(message, SiteStatus)
         self.received.append(message)
 
@@ -108,3 +119,38 @@
     hello = EntryHello(entry.node, NO_ROUTING, None, (), digest)
     subscribers.handle_hello(hello, entry)
     assert entry.received[-1].stores == ()
+
+
+def test_only_a_current_leader_grants_sends_to_limited_endpoints() -> None:
+    """Guard against two stores that each grant a whole limit."""
+    subscribers, _ = make_subscribers_and_clock()
+    entry = FakeEntryHost("e", subscribers)
+    limit = EndpointLimit(EndpointId("i-1"), 1, 5.0, 0)
+    request = SendPermitRequest(1, (limit,))
+    subscribers.handle_permit_request(request, entry)
+    assert not entry.permits[-1].is_leader
+    subscribers.confirm_current()
+    subscribers.handle_permit_request(request, entry)
+    assert entry.permits[-1].endpoint == EndpointId("i-1")
+    status = entry.send_hello()
+    assert status.limits == (limit,)
+    knowing = EntryHello(
+        entry.node, NO_ROUTING, None, known_limits=status.limits_digest
+    )
+    subscribers.handle_hello(knowing, entry)
+    assert entry.received[-1].limits is None
+
+
+def test_conviction_reaches_all_entry_hosts_at_once() -> None:
+    """Guard against hosts that send the content until their next hello."""
+    subscribers, _ = make_subscribers_and_clock()
+    subscribers.confirm_current()
+    first, second = (FakeEntryHost(name, subscribers) for name in "ab")
+    first.send_hello()
+    second.send_hello()
+    n_received = len(second.received)
+    record = CrashRecord(RequestFingerprint("c"), {"e1/1": CONVICTION}, (), 0)
+    hello = EntryHello(first.node, NO_ROUTING, None, crashes=(record,))
+    subscribers.handle_hello(hello, first)
+    assert len(second.received) == n_received + 1
+    assert second.received[-1].crashes == (record,)
--- a/tests/process/site/test_subscription.py
+++ b/tests/process/site/test_subscription.py
@@ -7,22 +7,32 @@
 
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.connection.peer.messages import LinkDown, LinkUp
+from oleanderhitch.process.crashes.messages import (
+    CONVICTION,
+    CrashesObserved,
+    CrashRecord,
+)
 from oleanderhitch.process.directory.messages import EndpointList, ListVersion
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.messages import Tick
+from oleanderhitch.process.placement.messages import SendPermitRequest
 from oleanderhitch.process.site.messages import RoutingFound, SiteStatus
 from oleanderhitch.process.site.subscription.core import (
     HELLO_INTERVAL,
+    AskForPermit,
     InstallEndpoints,
     InstallRouting,
     LinkStores,
     ListReadLocally,
+    ReportCrashes,
+    ReportPermit,
     SendHello,
     SetLocalReader,
     StatusReceived,
     SubscriptionState,
     handle,
 )
+from oleanderhitch.request.ids import RequestFingerprint
 from oleanderhitch.version.routes.ids import RoutingVersion
 
 NOW = datetime(2026, 1, 1, tzinfo=UTC)
@@ -174,3 +184,39 @@
     handle(LinkUp(HostAddress("s4")), state, later)
     handle(LinkDown(HostAddress("s4"), "ended"), state, later)
     assert len(list_receivers(state, 1, later)[0]) == 3
+
+
+LEADER_STATUS = replace(make_status(), other_loads=())
+
+
+def test_question_for_a_send_goes_to_the_leader_or_is_answered_at_once() -> None:
+    """Guard against requests that wait for a leader that is not known."""
+    state = SubscriptionState(NodeId("entry"))
+    request = SendPermitRequest(1, ())
+    (effect,) = handle(request, state, NOW)
+    assert isinstance(effect, ReportPermit)
+    assert not effect.reply.is_leader
+    handle(StatusReceived(NodeId("s1"), LEADER_STATUS), state, NOW)
+    assert handle(request, state, NOW) == [AskForPermit(NodeId("s1"), request)]
+
+
+def test_crashes_reach_the_leader_at_once_and_each_new_leader() -> None:
+    """Guard against evidence that waits for the next hello or ends with a leader."""
+    state = SubscriptionState(NodeId("entry"))
+    content = RequestFingerprint("content")
+    record = CrashRecord(content, {"e1/1": CONVICTION}, (), 0)
+    handle(StatusReceived(NodeId("s1"), LEADER_STATUS), state, NOW)
+    reported, hello = handle(CrashesObserved((record,)), state, NOW)
+    assert reported == ReportCrashes({content: CONVICTION})
+    assert isinstance(hello, SendHello)
+    assert hello.hello.crashes == (record,)
+    knowing = replace(LEADER_STATUS, crashes_digest=state.crashes.digest)
+    handle(StatusReceived(NodeId("s1"), knowing), state, NOW)
+    (hello,) = list_effects(state, Tick(), SendHello, NOW + HELLO_INTERVAL)
+    assert isinstance(hello, SendHello)
+    assert hello.hello.crashes == ()
+    handle(StatusReceived(NodeId("s2"), LEADER_STATUS), state, NOW)
+    (hello,) = list_effects(state, Tick(), SendHello, NOW + 2 * HELLO_INTERVAL)
+    assert isinstance(hello, SendHello)
+    (sent,) = hello.hello.crashes
+    assert (sent.fingerprint, sent.crashes) == (content, record.crashes)
--- a/tests/request/forwarding/test_core.py
+++ b/tests/request/forwarding/test_core.py
@@ -635,3 +635,18 @@
         effects = run(state, begun)
         reports = [item for item in effects if isinstance(item, ReportRateLimit)]
         assert reports == expected
+
+
+def test_quarantined_request_is_not_run_unless_it_may_have_run_before() -> None:
+    """Guard against "not run" for content that an endpoint ran and crashed by."""
+    refused = EndpointRefused(RequestId("q"), "crashes", is_quarantined=True)
+    effects = run(make_state(), Start(), refused)
+    assert SendVerdict(Verdict.QUARANTINED, "crashes") in effects
+    state = make_state(RouteKind.IDEMPOTENT, n_attempts=3)
+    run(state, Start(), grant("e1"))
+    assert state.attempt is not None
+    lost = ExchangeFailed(state.attempt.exchange_id, True, "", is_connection_lost=True)
+    effects = run(state, lost)
+    assert ReturnPermit(PermitId("permit-e1"), AttemptResult.CONNECTION_LOST) in effects
+    effects = run(state, refused)
+    assert SendVerdict(Verdict.OUTCOME_UNKNOWN, "crashes") in effects
