Counted endpoints that crash together as one crash of what they ran

Cause: points of crashes were added whenever they came. Content that many callers ask for, such as a status that everybody reads, runs on many endpoints; if their rack goes down, it would have been convicted at once, and once it is refused nothing can clear it.

A failed try (trial): a second fingerprint of the last 1,024 bytes of a body, to recognise content behind a prompt part that programs share.

--- a/oleanderhitch/process/crashes/evidence.py
+++ b/oleanderhitch/process/crashes/evidence.py
@@ -12,7 +12,7 @@
 from msgspec import Struct, field
 
 from oleanderhitch.process.crashes.ids import NO_CRASHES, CrashesDigest
-from oleanderhitch.process.crashes.messages import CONVICTION, CrashRecord
+from oleanderhitch.process.crashes.messages import CONVICTION, CrashRecord, CrashTrace
 from oleanderhitch.request.ids import RequestFingerprint
 
 # How long crashes are remembered. Content that was convicted may be sent once more
@@ -23,10 +23,20 @@
 MILLISECOND = timedelta(milliseconds=1)
 
 
+class _Crash(Struct):
+    n_points: int
+    sent_at: datetime
+    at: datetime
+
+
 class _Record(Struct):
-    crashes: dict[str, int]
-    cleared: set[str]
-    crashed_at: datetime
+    crashes: dict[str, _Crash] = field(default_factory=dict)
+    cleared: set[str] = field(default_factory=set)
+
+    @property
+    def crashed_at(self) -> datetime:
+        """The time of the last crash."""
+        return max(crash.at for crash in self.crashes.values())
 
 
 class CrashEvidence(Struct):
@@ -41,9 +51,9 @@
         """Add what another node knows; return the content that this convicts."""
         before = self.list_convicted()
         for record in records:
-            crashed_at = now - record.age_ms * MILLISECOND
-            if now - crashed_at < QUARANTINE_DURATION:
-                self._merge_record(record, crashed_at)
+            ages = [trace.age_ms for trace in record.crashes.values()]
+            if ages and min(ages) * MILLISECOND < QUARANTINE_DURATION:
+                self._merge_record(record, now)
         self._limit()
         self._update_digest()
         return self.list_convicted() - before
@@ -78,9 +88,15 @@
         return tuple(
             CrashRecord(
                 fingerprint,
-                dict(record.crashes),
+                {
+                    incarnation: CrashTrace(
+                        crash.n_points,
+                        _get_age_ms(crash.sent_at, now),
+                        _get_age_ms(crash.at, now),
+                    )
+                    for incarnation, crash in record.crashes.items()
+                },
                 tuple(sorted(record.cleared)),
-                max(0, int((now - record.crashed_at) / MILLISECOND)),
             )
             for fingerprint, record in self.records.items()
         )
@@ -101,17 +117,19 @@
             if _count_points(record) >= CONVICTION
         }
 
-    def _merge_record(self, record: CrashRecord, crashed_at: datetime) -> None:
-        known = self.records.get(record.fingerprint)
-        if known is None:
-            self.records[record.fingerprint] = _Record(
-                dict(record.crashes), set(record.cleared), crashed_at
-            )
-            return
-        for incarnation, points in record.crashes.items():
-            known.crashes[incarnation] = max(points, known.crashes.get(incarnation, 0))
+    def _merge_record(self, record: CrashRecord, now: datetime) -> None:
+        known = self.records.setdefault(record.fingerprint, _Record())
+        for incarnation, trace in record.crashes.items():
+            crash = known.crashes.get(incarnation)
+            if crash is None:
+                known.crashes[incarnation] = _Crash(
+                    trace.n_points,
+                    now - trace.sent_age_ms * MILLISECOND,
+                    now - trace.age_ms * MILLISECOND,
+                )
+            else:
+                crash.n_points = max(crash.n_points, trace.n_points)
         known.cleared.update(record.cleared)
-        known.crashed_at = max(known.crashed_at, crashed_at)
 
     def _limit(self) -> None:
         if len(self.records) <= N_RECORDS_LIMIT:
@@ -128,7 +146,7 @@
 
     def _update_digest(self) -> None:
         text = " ".join(
-            f"{fingerprint}/{sorted(record.crashes.items())}/{sorted(record.cleared)}"
+            f"{fingerprint}/{_describe(record)}/{sorted(record.cleared)}"
             for fingerprint, record in sorted(self.records.items())
         )
         digest = xxhash.xxh3_64_intdigest(text.encode())
@@ -136,11 +154,32 @@
 
 
 def _count_points(record: _Record) -> int:
-    return sum(
-        points
-        for incarnation, points in record.crashes.items()
+    """Return the points of crashes one after the other.
+
+    Content that many callers ask for runs on many endpoints. If these crash together,
+    as with their rack, that is one crash; only content that is sent again afterwards
+    and takes down the next one is suspected more.
+    """
+    n_points = 0
+    last_crash_at: datetime | None = None
+    counting = (
+        crash
+        for incarnation, crash in record.crashes.items()
         if incarnation not in record.cleared
     )
+    for crash in sorted(counting, key=lambda crash: crash.at):
+        if last_crash_at is None or crash.sent_at >= last_crash_at:
+            n_points += crash.n_points
+            last_crash_at = crash.at
+    return n_points
+
+
+def _describe(record: _Record) -> list[tuple[str, int]]:
+    return sorted((name, crash.n_points) for name, crash in record.crashes.items())
+
+
+def _get_age_ms(at: datetime, now: datetime) -> int:
+    return max(0, int((now - at) / MILLISECOND))
 
 
 def make_crash_evidence() -> CrashEvidence:
--- a/oleanderhitch/process/crashes/messages.py
+++ b/oleanderhitch/process/crashes/messages.py
@@ -22,27 +22,27 @@
 CONVICTION = 3 * Suspicion.STARTED
 
 
+class CrashTrace(Value, frozen=True):
+    """A crash of an endpoint that was running a content, with its points.
+
+    The ages are the times since the request was sent and since its connection broke.
+    """
+
+    n_points: int
+    sent_age_ms: int
+    age_ms: int
+
+
 class CrashRecord(Value, frozen=True):
     """The crashes of endpoints that were running a content.
 
-    `crashes` has the points of each crash by the incarnation of its endpoint. Those
-    that `cleared` names count no more, since the content has been served after them.
-    `age_ms` is the time since the last crash.
+    `crashes` has them by the incarnation of the endpoint. Those that `cleared` names
+    count no more, since the content has been served after them.
     """
 
     fingerprint: RequestFingerprint
-    crashes: dict[str, int]
-    cleared: tuple[str, ...]
-    age_ms: int
-
-    @property
-    def n_points(self) -> int:
-        """The points that count."""
-        return sum(
-            points
-            for incarnation, points in self.crashes.items()
-            if incarnation not in self.cleared
-        )
+    crashes: dict[str, CrashTrace]
+    cleared: tuple[str, ...] = ()
 
 
 class CrashesObserved(Value, frozen=True):
--- a/oleanderhitch/process/placement/crashes.py
+++ b/oleanderhitch/process/placement/crashes.py
@@ -8,7 +8,12 @@
 
 from datetime import datetime, timedelta
 
-from oleanderhitch.process.crashes.messages import CONVICTION, CrashRecord, Suspicion
+from oleanderhitch.process.crashes.messages import (
+    CONVICTION,
+    CrashRecord,
+    CrashTrace,
+    Suspicion,
+)
 from oleanderhitch.process.directory.messages import ListedEndpoint
 from oleanderhitch.process.placement.messages import (
     AttemptProgress,
@@ -55,7 +60,9 @@
     """Record how an attempt has ended; return the crash that this shows, if any."""
     if message.result is AttemptResult.CONNECTION_LOST:
         suspicion = _get_suspicion(permit, message.progress)
-        interrupted = InterruptedRequest(permit.fingerprint, suspicion, now)
+        interrupted = InterruptedRequest(
+            permit.fingerprint, suspicion, permit.granted_at, now
+        )
         if len(endpoint.interrupted) < N_INTERRUPTED_LIMIT:
             endpoint.interrupted.append(interrupted)
         return find_crash(endpoint, now) if _has_crashed(endpoint, now) else []
@@ -97,9 +104,13 @@
     records = tuple(
         CrashRecord(
             request.fingerprint,
-            {incarnation: int(request.suspicion)},
-            (),
-            int((now - request.at) / MILLISECOND),
+            {
+                incarnation: CrashTrace(
+                    int(request.suspicion),
+                    int((now - request.sent_at) / MILLISECOND),
+                    int((now - request.at) / MILLISECOND),
+                )
+            },
         )
         for request in recent
     )
--- a/oleanderhitch/process/placement/records.py
+++ b/oleanderhitch/process/placement/records.py
@@ -44,6 +44,7 @@
 
     fingerprint: RequestFingerprint
     suspicion: Suspicion
+    sent_at: datetime
     at: datetime
 
 
--- a/oleanderhitch/process/placement/task.py
+++ b/oleanderhitch/process/placement/task.py
@@ -100,7 +100,11 @@
     log.warning(
         "endpoint crashed",
         endpoint=effect.endpoint,
-        contents={record.fingerprint: record.n_points for record in effect.records},
+        contents={
+            record.fingerprint: trace.n_points
+            for record in effect.records
+            for trace in record.crashes.values()
+        },
     )
     dependencies.tell_subscription(CrashesObserved(effect.records))
 
