Failed a request at once whose endpoint has an impossible address

A port out of range raised an error that the connection's task did not expect: it ended without a word, and the request waited out its time, which counts as sent. It now fails as not connected and goes elsewhere.

test_malformed_address_fails_the_exchange_at_once failed before (no message).

--- a/oleanderhitch/connection/http/endpoint.py
+++ b/oleanderhitch/connection/http/endpoint.py
@@ -28,6 +28,7 @@
 )
 from oleanderhitch.connection.http.sockets import open_connection
 from oleanderhitch.connection.ids import HostAddress
+from oleanderhitch.exceptions import OleanderhitchError
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.mailbox import make_mailbox
 from oleanderhitch.values import Value
@@ -188,7 +189,7 @@
             try:
                 self._socket = open_connection(self._address, CONNECT_TIMEOUT)
                 self._socket.settimeout(None)
-            except OSError as error:
+            except (OSError, OleanderhitchError) as error:
                 return f"could not connect: {error}"
             return None
         return self._find_reuse_failure()
--- a/tests/connection/http/test_endpoint.py
+++ b/tests/connection/http/test_endpoint.py
@@ -296,6 +296,14 @@
     assert not end.was_sent
 
 
+def test_malformed_address_fails_the_exchange_at_once() -> None:
+    """Guard against a request that waits out its time for an odd entry of the list."""
+    address = HostAddress("10.0.0.1:99999")
+    _, end = receive_response(PoolClient().start_exchange(address, 1))
+    assert isinstance(end, ExchangeFailed)
+    assert not end.was_sent
+
+
 def test_cancelled_exchange_closes_its_connection(
     serve: Callable[[Script], ScriptedEndpoint],
 ) -> None:
