Went on reading the list of endpoints after an unexpected error

Reported by operators of similar systems: one odd entry, and hosts stopped following the list. Here: nesting too deep for the parser raises RecursionError, which the reading greenlet did not catch. It ended without a message, the directory waited for that read for ever, and no list came any more until the process ended.

Any error of a read is now a failed read. test_reads_go_on_after_an_unexpected_error failed before (no list within 5 s).

--- a/oleanderhitch/process/directory/task.py
+++ b/oleanderhitch/process/directory/task.py
@@ -71,6 +71,10 @@
         message: object = ListReadSucceeded(fetch())
     except OleanderhitchError as error:
         message = ListReadFailed(str(error))
+    except Exception as error:
+        # Without a message the next read would never start.
+        log.error("unexpected error", error=repr(error))
+        message = ListReadFailed(repr(error))
     task.send(message)
 
 
