Read the list of endpoints around entries that can't be parsed

One entry nested too deeply or with too many digits made a whole page unreadable, so that its other endpoints were not followed. Entries with numbers of more than 64 bits, ports out of range, names as addresses or control characters in their id were taken over: the first can't be encoded for the other hosts, so that no list reached them, and an id goes into a header of each request.

A page that the parser rejects is split into its entries without recursion, and each is parsed alone. Numbers, addresses and names are checked where they come in. Cache listings and settings that are nested too deeply are rejected, too.

--- a/oleanderhitch/platform/caches.py
+++ b/oleanderhitch/platform/caches.py
@@ -36,7 +36,7 @@
         """Parse the cached parts; raise InvalidInputError if there is no list."""
         try:
             content: Any = json.loads(body)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise InvalidInputError(
                 f"cache listing is not valid JSON: {error}"
             ) from None
--- a/oleanderhitch/platform/listing.py
+++ b/oleanderhitch/platform/listing.py
@@ -1,6 +1,5 @@
 """Client of the platform's paginated list of endpoints."""
 
-import json
 from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
@@ -8,15 +7,23 @@
 
 import logbook
 
+from oleanderhitch.connection.addresses import parse_address
 from oleanderhitch.connection.http.fetch import fetch
 from oleanderhitch.connection.http.messages import HttpRequest
 from oleanderhitch.connection.ids import HostAddress
-from oleanderhitch.exceptions import UnavailableError
+from oleanderhitch.exceptions import InvalidInputError, UnavailableError
+from oleanderhitch.platform.lenient_json import (
+    parse_or_none,
+    split_elements,
+    split_members,
+)
 from oleanderhitch.process.directory.messages import ListedEndpoint
 from oleanderhitch.version.ids import DataCentreName, EndpointId, ServiceName
 
 PAGE_TIMEOUT = timedelta(seconds=1)
 N_PAGES_LIMIT = 400
+# Messages between hosts hold integers of 64 bits.
+COUNT_MAX = 2**63 - 1
 IS_LEAVING_BY_STATE = {"ready": False, "draining": True}
 
 log = logbook.Logger("listing")
@@ -55,30 +62,43 @@
         raise UnavailableError(
             f"request for the list of endpoints got status {response.status}"
         )
-    try:
-        page = json.loads(response.body.decode("utf-8", "replace"))
-    except ValueError as error:
-        raise UnavailableError(
-            f"list of endpoints is not valid JSON: {error}"
-        ) from None
+    text = response.body.decode("utf-8", "replace")
+    page = parse_or_none(text)
+    if page is None:
+        page = _split_page(text)
     if not isinstance(page, dict) or not isinstance(page.get("instances"), list):
-        raise UnavailableError("list of endpoints has no array of instances")
+        raise UnavailableError("list of endpoints has no readable array of instances")
     return page
 
 
+def _split_page(text: str) -> dict[str, Any] | None:
+    """Return a page with what can be read of it, None without array and next token."""
+    members = split_members(text)
+    if "instances" not in members or "next" not in members:
+        return None
+    instances = [parse_or_none(entry) for entry in split_elements(members["instances"])]
+    log.warning(
+        "list of endpoints has unreadable entries",
+        n_entries=len(instances),
+        n_unreadable=instances.count(None),
+    )
+    return {"instances": instances, "next": parse_or_none(members["next"])}
+
+
 def _parse_endpoint(instance: Any) -> ListedEndpoint | None:
     """Parse an instance of the list; return None if it is malformed."""
     if not isinstance(instance, dict):
         return None
     fields = [instance.get(name) for name in ("id", "service", "addr", "zone")]
-    is_leaving = IS_LEAVING_BY_STATE.get(str(instance.get("state")))
+    state = instance.get("state")
+    is_leaving = IS_LEAVING_BY_STATE.get(state) if isinstance(state, str) else None
     slots = instance.get("slots")
-    has_all_fields = all(isinstance(text, str) and text for text in fields)
-    if not has_all_fields or is_leaving is None or _parse_count(slots) is None:
+    if not all(_is_name(field) for field in fields):
+        return None
+    if is_leaving is None or _parse_count(slots) is None:
         return None
     endpoint_id, service, address, zone = (str(field) for field in fields)
-    ip, _, port = address.rpartition(":")
-    if not ip or not port.isdecimal():
+    if not _is_reachable(HostAddress(address)):
         return None
     born_ms = instance.get("born")
     return ListedEndpoint(
@@ -92,6 +112,22 @@
     )
 
 
+def _is_name(value: Any) -> bool:
+    """Return whether a value can stand in a header, such as that of the instance."""
+    if not isinstance(value, str) or not value.isascii():
+        return False
+    return value.isprintable() and value != "" and " " not in value
+
+
+def _is_reachable(address: HostAddress) -> bool:
+    """Return whether a connection can be made to an address."""
+    try:
+        parse_address(address)
+    except InvalidInputError:
+        return False
+    return True
+
+
 def _parse_count(value: Any) -> int | None:
-    is_count = isinstance(value, int) and not isinstance(value, bool) and value >= 0
-    return value if is_count else None
+    is_count = isinstance(value, int) and not isinstance(value, bool)
+    return value if is_count and 0 <= value <= COUNT_MAX else None
--- a/oleanderhitch/platform/settings.py
+++ b/oleanderhitch/platform/settings.py
@@ -71,7 +71,7 @@
         raise InvalidInputError(f"environment variable {SETTINGS_VARIABLE} is not set")
     try:
         content: Any = json.loads(Path(path).read_text())
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise InvalidInputError(
             f"settings file {path} is unreadable: {error}"
         ) from None
--- a/tests/platform/test_caches.py
+++ b/tests/platform/test_caches.py
@@ -29,7 +29,9 @@
     assert CACHE_DIALECT.read_parts(body) == (make_prompt_part("m", "a", 7),)
 
 
-@pytest.mark.parametrize("body", [b"", b"\xff\x00", b"[]", b'{"held": 3}', b'{"he'])
+@pytest.mark.parametrize(
+    "body", [b"", b"\xff\x00", b"[]", b'{"held": 3}', b'{"he', b"[" * 100_000]
+)
 def test_malformed_response_is_rejected(body: bytes) -> None:
     """Guard against an error that the caches task does not handle."""
     with pytest.raises(InvalidInputError):
--- a/tests/platform/test_listing.py
+++ b/tests/platform/test_listing.py
@@ -8,6 +8,7 @@
 import pytest
 from gevent import socket
 
+from oleanderhitch.connection.addresses import parse_address
 from oleanderhitch.connection.http.caller import ResponseWriter
 from oleanderhitch.connection.http.messages import HttpRequest, HttpResponse
 from oleanderhitch.connection.http.server import make_http_server
@@ -15,7 +16,10 @@
 from oleanderhitch.exceptions import UnavailableError
 from oleanderhitch.platform.listing import make_list_reader
 from oleanderhitch.process.clock import make_system_clock
+from oleanderhitch.process.directory.messages import EndpointList, ListVersion
 from oleanderhitch.process.mailbox import Mailbox
+from oleanderhitch.process.site.messages import SiteStatus
+from oleanderhitch.process.site.peer_codec import make_site_peer_codec
 
 VALID_INSTANCE: dict[str, Any] = {
     "id": "i-1",
@@ -121,3 +125,47 @@
     """Guard against an error that the directory task does not handle."""
     with pytest.raises(UnavailableError):
         make_list_reader(HostAddress("127.0.0.1:1"))()
+
+
+NESTED = "[" * 100_000 + "]" * 100_000
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [
+        f'{{"id": "i-2", "service": {NESTED}}}',
+        NESTED,
+        '{"id": "i-2", "slots": ' + "9" * 5_000 + "}",
+        '{"id": "i-2", "born": 1e999}',
+        json.dumps({**VALID_INSTANCE, "id": "i-2", "slots": 2**64}),
+        json.dumps({**VALID_INSTANCE, "id": "i-2", "born": 2**70}),
+        json.dumps({**VALID_INSTANCE, "id": "i-2", "addr": "10.0.0.8:65536"}),
+        json.dumps({**VALID_INSTANCE, "id": "i-2", "addr": "10.0.0.8:0"}),
+        json.dumps({**VALID_INSTANCE, "id": "i-2", "addr": "somewhere:80"}),
+        json.dumps({**VALID_INSTANCE, "id": "i-2", "addr": "10.0.0.8:\u0668"}),
+        json.dumps({**VALID_INSTANCE, "id": "i-2\r\nx-kv-hold: 1"}),
+        json.dumps({**VALID_INSTANCE, "id": 'i-2", "[[[{{'}) + ', {"id": "[{\\""}',
+    ],
+    ids=lambda odd: odd[:40],
+)
+def test_one_odd_entry_of_another_writer_costs_no_other(
+    platform: tuple[FakePlatform, HostAddress], odd: str
+) -> None:
+    """Guard against hosts that stop to follow the list, or end, by one odd entry.
+
+    Whatever is listed is sent to all entry hosts and connected to.
+    """
+    fake_platform, address = platform
+    body = f'{{"instances": [{json.dumps(VALID_INSTANCE)}, {odd}], "next": "p2"}}'
+    fake_platform.pages["/instances"] = HttpResponse(200, body.encode())
+    second = {**VALID_INSTANCE, "id": "i-9"}
+    fake_platform.add_page("/instances?page_token=p2", [second], None)
+    listed = make_list_reader(address)()
+    codec = make_site_peer_codec()
+    for endpoint in listed:
+        endpoint_list = EndpointList(ListVersion(1, 1), (endpoint,))
+        codec.encode(SiteStatus((), None, None, endpoint_list))
+        parse_address(endpoint.address)
+    names = [endpoint.endpoint for endpoint in listed]
+    assert [name for name in names if name in ("i-1", "i-9")] == ["i-1", "i-9"]
+    assert all(name.isprintable() and " " not in name for name in names)
