Refused what a planned stop would cut, and answered what is left at its end

Reported by operators of similar systems: in a planned stop, requests that came late in the grace were taken, passed on and cut without an answer. Here too: a request whose body was on its way when the listener closed, or one with a route timeout beyond the end of the grace, went to an endpoint, and the process closed its connection at the end (n_cut in the log line of the stop).

From the signal on, a request that may outlast the process is refused at once as not run, so that its caller comes back to another host. What is still in progress at the end gets its last response: an unknown outcome, or a stream that is visibly broken off, and its tokens are settled.

--- a/oleanderhitch/connection/http/caller.py
+++ b/oleanderhitch/connection/http/caller.py
@@ -14,6 +14,7 @@
 from oleanderhitch.connection.http.messages import (
     CallerDisconnected,
     Headers,
+    HostStopping,
     HttpRequest,
     HttpResponse,
     RequestFault,
@@ -148,6 +149,11 @@
         else:
             self._mailbox.send(CallerDisconnected("this host stops"))
 
+    def end_request(self) -> None:
+        """Let the request in progress get its last response, if there is one."""
+        if self._is_serving:
+            self._mailbox.send(HostStopping())
+
     def _close_unused(self) -> None:
         self._awaits_request = False
         self.close_idle()
--- a/oleanderhitch/connection/http/messages.py
+++ b/oleanderhitch/connection/http/messages.py
@@ -58,6 +58,10 @@
     reason: str
 
 
+class HostStopping(Value, frozen=True):
+    """Reports that the process ends now, so requests get their last response."""
+
+
 class ResponseHead(Value, frozen=True):
     """Delivers the status and headers of an endpoint's response."""
 
--- a/oleanderhitch/connection/http/server.py
+++ b/oleanderhitch/connection/http/server.py
@@ -59,6 +59,11 @@
         for connection in list(self._connections):
             connection.close_idle()
 
+    def end_requests(self) -> None:
+        """Let all requests in progress get their last response at once."""
+        for connection in list(self._connections):
+            connection.end_request()
+
     def stop(self) -> None:
         """Accept the connections that wait and close the listening socket."""
         if self._acceptor is not None:
--- a/oleanderhitch/process/site/entry.py
+++ b/oleanderhitch/process/site/entry.py
@@ -59,6 +59,8 @@
 BALANCER_DRAIN_DELAY = timedelta(milliseconds=2600)
 # Part of the grace period that is left for the process to exit.
 STOP_MARGIN = timedelta(milliseconds=700)
+# Part of it in which the last requests get their responses.
+LAST_RESPONSE_TIME = timedelta(milliseconds=300)
 DRAIN_POLL_INTERVAL = timedelta(milliseconds=50)
 
 READY = HttpResponse(200)
@@ -90,6 +92,7 @@
         self._clock = clock
         self._installed_state = InstalledState()
         self._is_stopping = False
+        self._end_time: datetime | None = None
         codec = make_site_peer_codec()
         count_bytes = make_counter(metrics, Counter.PEER_BYTES)
         self._links = make_site_links(
@@ -142,6 +145,7 @@
             clock,
             random.Random(uuid.uuid4().int),
             metrics,
+            self._get_end_time,
         )
         self._caller_server = make_http_server(
             settings.caller_address,
@@ -175,21 +179,25 @@
 
     def stop(self) -> None:
         """Stop gracefully: fail the readiness check, drain requests, stop all tasks."""
-        started_at = self._clock.now()
-        self._is_stopping = True
         drain_timeout = self._settings.site.stop_grace_period - STOP_MARGIN
+        self._is_stopping = True
+        self._end_time = self._clock.now() + drain_timeout
         gevent.sleep(min(BALANCER_DRAIN_DELAY, drain_timeout).total_seconds())
-        # A request accepted from now on could outlast the process.
         self._caller_server.stop()
         self._caller_server.drain_connections()
-        while (
-            self._caller_server.n_active_requests
-            and self._clock.now() - started_at < drain_timeout
-        ):
-            gevent.sleep(DRAIN_POLL_INTERVAL.total_seconds())
-        log.info("entry host stopped", n_cut=self._caller_server.n_active_requests)
+        self._await_requests(self._end_time)
+        n_ended = self._caller_server.n_active_requests
+        self._caller_server.end_requests()
+        self._await_requests(self._end_time + LAST_RESPONSE_TIME)
+        n_cut = self._caller_server.n_active_requests
+        log.info("entry host stopped", n_ended=n_ended, n_cut=n_cut)
         self.close()
 
+    def _await_requests(self, until: datetime) -> None:
+        """Return once no request is in progress, or at the given time."""
+        while self._caller_server.n_active_requests and self._clock.now() < until:
+            gevent.sleep(DRAIN_POLL_INTERVAL.total_seconds())
+
     def close(self) -> None:
         """Stop all tasks without waiting for running requests."""
         self._caller_server.stop()
@@ -205,6 +213,9 @@
         ):
             task.stop()
 
+    def _get_end_time(self) -> datetime | None:
+        return self._end_time
+
     def _get_caller_limits(self) -> CallerLimits:
         table = self._installed_state.table
         return CallerLimits() if table is None else table.configuration.limits
--- a/oleanderhitch/request/forwarding/core.py
+++ b/oleanderhitch/request/forwarding/core.py
@@ -7,6 +7,7 @@
     BodyEnd,
     CallerDisconnected,
     ExchangeFailed,
+    HostStopping,
     ResponseBody,
     ResponseEnd,
 )
@@ -392,6 +393,15 @@
         return []
     if now < state.deadline:
         return fail_over_if_unresponsive(state, now)
+    return _end_out_of_time(state, now)
+
+
+@handle.register
+def _(message: HostStopping, state: ForwardState, now: datetime) -> list[object]:
+    return [] if state.has_ended else _end_out_of_time(state, now)
+
+
+def _end_out_of_time(state: ForwardState, now: datetime) -> list[object]:
     was_sent = state.n_runs > 0 or state.attempt is not None
     phase = state.phase
     effects = cancel_work(state)
--- a/oleanderhitch/request/forwarding/task.py
+++ b/oleanderhitch/request/forwarding/task.py
@@ -106,6 +106,8 @@
     clock: Clock
     random_source: Random
     metrics: Metrics
+    # When this process ends, once it has been told to stop.
+    get_end_time: Callable[[], datetime | None]
     request_numbers: "count[int]" = field(default_factory=lambda: count(1))
 
 
@@ -211,6 +213,11 @@
         now,
         len(dependencies.record_groups) - 1,
     )
+    end_time = dependencies.get_end_time()
+    if end_time is not None and state.deadline > end_time:
+        detail = "this host stops before the request's time is over"
+        _refuse(request, Verdict.NOT_READY, detail, writer, dependencies)
+        return None
     log.info(
         "request routed",
         request=request.request,
--- a/tests/process/site/harness.py
+++ b/tests/process/site/harness.py
@@ -78,6 +78,7 @@
 
     address: HostAddress = field(default_factory=get_free_address)
     bodies: list[bytes] = field(default_factory=list)
+    work_duration: timedelta = timedelta(0)
 
     def start(self) -> None:
         """Start listening."""
@@ -104,6 +105,7 @@
         at: datetime,
     ) -> None:
         self.bodies.append(request.body)
+        gevent.sleep(self.work_duration.total_seconds())
         request_id = request.find_header("x-request-id") or ""
         writer.start(200, (("x-request-id", request_id), ("x-server-stamp", "sig")))
         for number in range(N_EVENTS):
@@ -114,8 +116,14 @@
 class SiteHarness:
     """A site whose processes all run in the test process."""
 
-    def __init__(self, directory: Path, n_stores: int) -> None:
+    def __init__(
+        self,
+        directory: Path,
+        n_stores: int,
+        stop_grace_period: timedelta = timedelta(seconds=8),
+    ) -> None:
         self._directory = directory
+        self._stop_grace_period = stop_grace_period
         self._peer_addresses = [get_free_address() for _ in range(n_stores)]
         self._operator_addresses = [get_free_address() for _ in range(n_stores)]
         self._caller_address = get_free_address()
@@ -293,6 +301,6 @@
             NodeId(address),
             tuple(NodeId(address) for address in self._peer_addresses[:3]),
             b"key",
-            timedelta(seconds=8),
+            self._stop_grace_period,
             None,
         )
