Let the pool try kept connections again, not the request

An endpoint that ends closes all its kept connections at once.

The connection returns the exchange to the pool, which takes the next kept one or opens a new one. The result for stale connections is gone with its reason.

test_stale_connections_of_a_crashed_endpoint_cost_a_request_nothing failed before. Two tests said that such an exchange fails unsent; they now say that it is carried by a new connection, or comes back to the owner at once, and nothing else reaches the caller.

--- a/oleanderhitch/connection/http/endpoint.py
+++ b/oleanderhitch/connection/http/endpoint.py
@@ -77,6 +77,13 @@
     exchange_id: int
 
 
+class ExchangeUnsent(Value, frozen=True):
+    """Returns an exchange to the owner of a connection that can't be reused."""
+
+    connection: "EndpointConnection"
+    exchange: Exchange
+
+
 class _ExchangeState(Struct):
     """State of the exchange in progress."""
 
@@ -117,9 +124,9 @@
         self._greenlet = gevent.spawn(self._run)
 
     def send(self, message: Exchange) -> None:
-        """Queue an exchange; it fails if the connection has been closed."""
+        """Queue an exchange; the owner gets it back if the connection has ended."""
         if self._has_ended:
-            _fail_reused(message, "idle connection timed out")
+            self._return(message, "idle connection timed out")
         else:
             self._mailbox.send(message)
 
@@ -151,7 +158,7 @@
         while self._mailbox.n_waiting:
             waiting = self._mailbox.receive()
             if isinstance(waiting, Exchange):
-                _fail_reused(waiting, "idle connection timed out")
+                self._return(waiting, "idle connection timed out")
 
     def _run_exchange(self, exchange: Exchange) -> timedelta | None:
         """Run an exchange; return the idle timeout, or None to close the connection."""
@@ -159,7 +166,7 @@
         failure_reason = self._connect_or_check()
         if failure_reason is not None:
             if is_reused:
-                _fail_reused(exchange, failure_reason)
+                self._return(exchange, failure_reason)
             else:
                 _fail(exchange, False, failure_reason)
             return None
@@ -183,6 +190,10 @@
             state.idle_timeout if is_reusable and not state.has_surplus_bytes else None
         )
 
+    def _return(self, exchange: Exchange, reason: str) -> None:
+        log.debug("kept connection not reused", address=self._address, reason=reason)
+        self._owner.send(ExchangeUnsent(self, exchange))
+
     def _connect_or_check(self) -> str | None:
         """Open or check the connection; return the reason of a failure."""
         if self._socket is None:
@@ -301,12 +312,6 @@
     )
 
 
-def _fail_reused(exchange: Exchange, reason: str) -> None:
-    exchange.reply_address.send(
-        ExchangeFailed(exchange.exchange_id, False, reason, True)
-    )
-
-
 def make_endpoint_connection(
     address: HostAddress, owner: Address
 ) -> EndpointConnection:
--- a/oleanderhitch/connection/http/messages.py
+++ b/oleanderhitch/connection/http/messages.py
@@ -109,14 +109,12 @@
 class ExchangeFailed(Value, frozen=True):
     """Reports that an endpoint's response did not arrive or was truncated.
 
-    A failure of a reused keep-alive connection doesn't mean that the endpoint itself is
-    unavailable. A lost connection may mean that it has crashed.
+    A lost connection may mean that the endpoint has crashed.
     """
 
     exchange_id: int
     was_sent: bool
     reason: str
-    was_reused_connection: bool = False
     is_connection_lost: bool = False
 
 
--- a/oleanderhitch/connection/http/pool.py
+++ b/oleanderhitch/connection/http/pool.py
@@ -12,6 +12,7 @@
     ConnectionIdle,
     EndpointConnection,
     Exchange,
+    ExchangeUnsent,
 )
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.process.clock import Clock
@@ -96,9 +97,21 @@
     return []
 
 
+@handle.register
+def _(message: ExchangeUnsent, state: PoolState, now: datetime) -> list[object]:
+    exchange, connection = message.exchange, message.connection
+    if state.busy_connections.get(exchange.exchange_id) is not connection:
+        # It was cancelled meanwhile.
+        return []
+    # An endpoint that ends closes all its connections. A request goes through those
+    # that are kept without spending one of its sends on each.
+    return handle(StartExchange(connection.address, exchange), state, now)
+
+
 @handle.register
 def _(message: ConnectionClosed, state: PoolState, now: datetime) -> list[object]:
-    state.busy_connections.pop(message.exchange_id, None)
+    if state.busy_connections.get(message.exchange_id) is message.connection:
+        del state.busy_connections[message.exchange_id]
     idle = state.idle_connections[message.connection.address]
     if message.connection in idle:
         idle.remove(message.connection)
--- a/oleanderhitch/process/placement/messages.py
+++ b/oleanderhitch/process/placement/messages.py
@@ -56,16 +56,14 @@
 class AttemptResult(Enum):
     """Result of an attempt at an endpoint.
 
-    STALE_CONNECTION: a reused connection broke before the request was sent. REFUSED and
-    MISDIRECTED: the endpoint did not run the request. SILENT: the endpoint was
-    unresponsive. CONNECTION_LOST: the connection broke after the request was sent.
+    REFUSED and MISDIRECTED: the endpoint did not run the request. SILENT: the endpoint
+    was unresponsive. CONNECTION_LOST: the connection broke after the request was sent.
     """
 
     COMPLETED = "completed"
     FAILED = "failed"
     CONNECTION_LOST = "connection_lost"
     NOT_CONNECTED = "not_connected"
-    STALE_CONNECTION = "stale_connection"
     REFUSED = "refused"
     SILENT = "silent"
     MISDIRECTED = "misdirected"
--- a/oleanderhitch/request/forwarding/attempts.py
+++ b/oleanderhitch/request/forwarding/attempts.py
@@ -36,9 +36,6 @@
 SILENCE_TIMEOUT_MIN = timedelta(milliseconds=300)
 # Number of events over which one reported event latency is averaged.
 LATENCY_SAMPLE_EVENTS = 4
-# Results after which the same endpoint may be tried again: only a kept-alive connection
-# was closed, or the response was slow.
-RETRYABLE_RESULTS = (AttemptResult.STALE_CONNECTION, AttemptResult.SILENT)
 
 
 def find_failover_time(state: ForwardState, now: datetime) -> datetime | None:
@@ -122,7 +119,7 @@
         return []
     state.attempt = None
     state.failover_at = None
-    if result not in RETRYABLE_RESULTS:
+    if result is not AttemptResult.SILENT:
         state.tried_endpoints = (*state.tried_endpoints, attempt.endpoint)
     return [
         CancelEndpointExchange(attempt.exchange_id),
--- a/oleanderhitch/request/forwarding/core.py
+++ b/oleanderhitch/request/forwarding/core.py
@@ -361,10 +361,9 @@
     if attempt is None:
         return []
     if not message.was_sent:
-        result = AttemptResult.NOT_CONNECTED
-        if message.was_reused_connection:
-            result = AttemptResult.STALE_CONNECTION
-        return handle_unexecuted_attempt(state, result, message.reason, now)
+        return handle_unexecuted_attempt(
+            state, AttemptResult.NOT_CONNECTED, message.reason, now
+        )
     if attempt.head is None:
         state.n_runs += 1
     result = AttemptResult.FAILED
--- a/tests/connection/http/test_endpoint.py
+++ b/tests/connection/http/test_endpoint.py
@@ -8,7 +8,11 @@
 import pytest
 from gevent import socket
 
-from oleanderhitch.connection.http.endpoint import Exchange, make_endpoint_connection
+from oleanderhitch.connection.http.endpoint import (
+    Exchange,
+    ExchangeUnsent,
+    make_endpoint_connection,
+)
 from oleanderhitch.connection.http.messages import (
     BodyEnd,
     ExchangeFailed,
@@ -170,12 +174,11 @@
     client = PoolClient()
     assert receive_response(client.start_exchange(endpoint.address, 1))[0] == b"1"
     gevent.sleep(0.05)
+    # The surplus bytes are detected before anything is sent, so a new connection can
+    # carry the exchange.
     body, end = receive_response(client.start_exchange(endpoint.address, 2))
-    # The surplus bytes are detected before anything is sent.
-    assert body == b""
-    assert isinstance(end, ExchangeFailed)
-    assert not end.was_sent
-    assert receive_response(client.start_exchange(endpoint.address, 3))[0] == b"2"
+    assert body == b"2"
+    assert isinstance(end, ResponseEnd)
 
 
 REFUSAL = b"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
@@ -347,7 +350,7 @@
     assert endpoint.n_connections == 2
 
 
-def test_exchange_on_a_closed_idle_connection_fails_immediately(
+def test_exchange_on_a_closed_idle_connection_comes_back_immediately(
     serve: Callable[[Script], ScriptedEndpoint],
 ) -> None:
     """Guard against a request that waits for a connection that just timed out."""
@@ -357,14 +360,49 @@
             connected.sendall(make_response(1, b"ok"))
 
     endpoint = serve(script)
-    connection = make_endpoint_connection(endpoint.address, make_mailbox("owner"))
+    owner = make_mailbox("owner")
+    connection = make_endpoint_connection(endpoint.address, owner)
     connection.start()
     mailbox = make_mailbox("test")
     connection.send(Exchange(1, REQUEST, mailbox, lambda headers: True))
     assert receive_response(mailbox)[0] == b"ok"
     connection.cancel()
     gevent.sleep(0.01)
-    connection.send(Exchange(2, REQUEST, mailbox, lambda headers: True))
-    _, end = receive_response(mailbox)
-    assert isinstance(end, ExchangeFailed)
-    assert (end.was_sent, end.was_reused_connection) == (False, True)
+    exchange = Exchange(2, REQUEST, mailbox, lambda headers: True)
+    connection.send(exchange)
+    received = [owner.receive(RECEIVE_TIMEOUT) for _ in range(owner.n_waiting)]
+    assert received[-1] == ExchangeUnsent(connection, exchange)
+    assert not mailbox.n_waiting
+
+
+def test_stale_connections_of_a_crashed_endpoint_cost_a_request_nothing(
+    serve: Callable[[Script], ScriptedEndpoint],
+) -> None:
+    """Guard against a request that uses up its sends on connections of one endpoint.
+
+    An endpoint that ends closes all connections that are kept to it.
+    """
+    n_kept = 3
+    accepted: list[socket.socket] = []
+
+    def script(connected: socket.socket, number: int) -> None:
+        accepted.append(connected)
+        while connected.recv(4096):
+            gevent.sleep(0.02)
+            connected.sendall(make_response(1, b"%d" % number))
+
+    endpoint = serve(script)
+    client = PoolClient()
+    mailboxes = [
+        client.start_exchange(endpoint.address, number) for number in range(n_kept)
+    ]
+    for mailbox in mailboxes:
+        receive_response(mailbox)
+    for connected in accepted:
+        connected.close()
+    gevent.sleep(0.02)
+    body, _ = receive_response(client.start_exchange(endpoint.address, 9))
+    assert body == b"%d" % (n_kept + 1)
+    # The new connection can be cancelled and reused like any other.
+    again, _ = receive_response(client.start_exchange(endpoint.address, 10))
+    assert again == body
