--- a/review/common/bed.py
+++ b/review/bed.py
@@ -23,7 +23,7 @@
 from pathlib import Path
 from typing import Any
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 RUN_LIMIT_S = 112.0
 RESTART_DELAY_S = 0.5
 LIST_REST_S = 3.0
