--- a/review/bed.py
+++ b/review/bed.py
@@ -24,7 +24,7 @@
 from typing import Any
 
 ROOT = Path(__file__).resolve().parents[1]
-RUN_LIMIT_S = 112.0
+RUN_LIMIT_S = 115.0
 RESTART_DELAY_S = 0.5
 LIST_REST_S = 3.0
 ZONES = ("zone-a", "zone-b", "zone-c")
