Added client accounts: keys, priorities and separate records

Cause: a routing configuration with accounts was accepted without being read: requests without a key ran, keys reached endpoints, and a turn of another account could be continued.

Change: the configuration's accounts are parsed strictly, without keys in error texts; a request is identified by the digest of its key before anything is queued or recorded, else answered 401; endpoints get the account's name from this system alone; an account's rank goes before the route's; turns, chains and budgets are recorded under ids of the account. Without accounts in the configuration nothing changes.

--- a/oleanderhitch/platform/headers.py
+++ b/oleanderhitch/platform/headers.py
@@ -18,6 +18,8 @@
 PRIORITY = "x-request-priority"  # 0 to 9, where 0 is the most urgent
 NOT_RUN = "x-not-run"  # in responses of endpoints that refused the request
 AFFINITY_COOKIE = "X-Affinity-Key"
+AUTHORIZATION = "authorization"  # the key of a client account, as Token KEY
+ACCOUNT = "x-tenant"  # name of the client account, set by this system
 
 # These apply to a single connection, so they are not forwarded.
 HOP_BY_HOP = frozenset(
--- a/oleanderhitch/platform/requests.py
+++ b/oleanderhitch/platform/requests.py
@@ -28,10 +28,13 @@
 )
 from oleanderhitch.request.forwarding.states import Verdict
 from oleanderhitch.request.ids import RequestFingerprint, RequestId
+from oleanderhitch.version.routes.accounts import make_key_digest
+from oleanderhitch.version.routes.ids import KeyDigest
 
 log = logbook.Logger("request")
 
 MISDIRECTED_STATUS = 421
+KEY_SCHEME = "token"
 # Callers take these statuses as a promise that the request has not run and never will.
 NOT_RUN_STATUSES = frozenset({408, MISDIRECTED_STATUS, 429, 503})
 LOWEST_PRIORITY = 9
@@ -46,6 +49,9 @@
     Verdict.NOT_READY: 503,
     Verdict.NO_ROUTE: 404,
     Verdict.MALFORMED: 400,
+    Verdict.UNAUTHORIZED: 401,
+    Verdict.NOT_CURRENT: 503,
+    Verdict.OVER_QUOTA: 429,
     Verdict.NO_PREVIOUS_TURN: 404,
     Verdict.BUDGET_SPENT: 402,
     Verdict.RECORD_UNAVAILABLE: 503,
@@ -80,6 +86,7 @@
             _read_turn(request),
             request.find_header(header_names.LAST_EVENT_ID),
             _make_fingerprint(request, host),
+            _read_key(request.headers),
         )
 
     def read_response_head(self, status: int, headers: Headers) -> EndpointResponseHead:
@@ -134,10 +141,15 @@
             endpoint_headers.append((header_names.PRIORITY, str(priority)))
         if send.last_event_id is not None:
             endpoint_headers.append((header_names.LAST_EVENT_ID, send.last_event_id))
+        headers = request.headers
+        if send.hides_credentials:
+            headers = _remove_credentials(headers)
+        if send.account is not None:
+            endpoint_headers.append((header_names.ACCOUNT, send.account))
         return HttpRequest(
             request.method,
             request.target,
-            (*request.headers, *endpoint_headers),
+            (*headers, *endpoint_headers),
             send.body,
         )
 
@@ -176,6 +188,33 @@
     return tuple((name, value) for name, value in headers if name not in dropped)
 
 
+def _read_key(headers: Headers) -> KeyDigest | None:
+    """Return the digest of the key that a caller sends, None without exactly one."""
+    credentials = [value for name, value in headers if _is_credential(name)]
+    if len(credentials) != 1:
+        return None
+    scheme, _, key = credentials[0].strip().partition(" ")
+    if scheme.lower() != KEY_SCHEME or not key.strip():
+        return None
+    return make_key_digest(key.strip())
+
+
+def _is_credential(name: str) -> bool:
+    return name == header_names.AUTHORIZATION
+
+
+def _remove_credentials(headers: Headers) -> Headers:
+    """Return the headers without keys and without names of accounts.
+
+    Some servers take an underscore in a name for a hyphen.
+    """
+    return tuple(
+        (name, value)
+        for name, value in headers
+        if not _is_credential(name) and name.replace("_", "-") != header_names.ACCOUNT
+    )
+
+
 def _read_host(request: HttpRequest) -> str:
     """Return the host that a request names, without a port."""
     host, _, port = (request.find_header("host") or "").rpartition(":")
--- a/oleanderhitch/platform/routing.py
+++ b/oleanderhitch/platform/routing.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from oleanderhitch.exceptions import InvalidInputError
+from oleanderhitch.platform.accounts import parse_accounts
 from oleanderhitch.platform.documents import structure_document
 from oleanderhitch.version.ids import ServiceName
 from oleanderhitch.version.routes.checks import check_configuration
@@ -60,6 +61,7 @@
     sticky: bool = False
     resumable: bool = False
     itl_target_ms: float | None = None  # longest accepted time between stream events
+    public: bool = False  # whether requests need no key
 
 
 @dataclass(frozen=True)
@@ -118,6 +120,7 @@
             for wire_service in wire.services
         },
         CallerLimits() if wire.limits is None else _make_limits(wire.limits),
+        parse_accounts(parsed.get("tenants")),
     )
     route_faults = check_configuration(configuration)
     if route_faults:
@@ -172,6 +175,7 @@
         None
         if itl_target_ms is None
         else _make_duration("itl_target_ms", itl_target_ms / MILLISECONDS_PER_SECOND),
+        wire.public,
     )
 
 
--- a/oleanderhitch/request/forwarding/attempts.py
+++ b/oleanderhitch/request/forwarding/attempts.py
@@ -95,7 +95,7 @@
     return [
         RequestEndpoint(
             state.service,
-            route.rank,
+            state.rank,
             state.tried_endpoints,
             route.allows_retry,
             deadline,
--- a/oleanderhitch/request/forwarding/core.py
+++ b/oleanderhitch/request/forwarding/core.py
@@ -236,7 +236,9 @@
             body,
             time_left,
             state.last_event_id,
-            state.route.rank,
+            state.rank,
+            state.identity.account_id,
+            state.identity.is_checked,
         ),
     ]
 
--- a/oleanderhitch/request/forwarding/messages.py
+++ b/oleanderhitch/request/forwarding/messages.py
@@ -9,7 +9,7 @@
     AttemptResult,
     InferenceWorkload,
 )
-from oleanderhitch.program.ids import ProgramId
+from oleanderhitch.program.ids import AccountId, ProgramId
 from oleanderhitch.program.turns.messages import (
     BeginTurn,
     FindTurn,
@@ -20,6 +20,7 @@
 from oleanderhitch.request.ids import PermitId, RequestFingerprint, RequestId
 from oleanderhitch.values import Value
 from oleanderhitch.version.ids import EndpointId, ServiceName
+from oleanderhitch.version.routes.ids import KeyDigest
 
 
 class ProgramTurn(Value, frozen=True):
@@ -33,7 +34,8 @@
 class ForwardRequest(Value, frozen=True):
     """A caller's request, with the headers that are forwarded to endpoints.
 
-    `fingerprint` stands for its content, whichever caller, program or id it has.
+    `fingerprint` stands for its content, whichever caller, program or id it has. `key`
+    stands for the key of a client account that it came with.
     """
 
     request: RequestId
@@ -48,6 +50,7 @@
     turn: ProgramTurn | None
     last_event_id: str | None
     fingerprint: RequestFingerprint
+    key: KeyDigest | None = None
 
     @property
     def path(self) -> str:
@@ -162,7 +165,11 @@
 
 
 class SendToEndpoint(Value, frozen=True):
-    """Sends the request to an endpoint; a lower rank is more urgent."""
+    """Sends the request to an endpoint; a lower rank is more urgent.
+
+    The endpoint is told the client account, and must not see the credentials of the
+    caller where the configuration has accounts.
+    """
 
     exchange_id: int
     endpoint: ListedEndpoint
@@ -170,6 +177,8 @@
     time_left: timedelta
     last_event_id: str | None
     rank: int
+    account: AccountId | None = None
+    hides_credentials: bool = False
 
 
 class CancelEndpointExchange(Value, frozen=True):
--- a/oleanderhitch/request/forwarding/outcomes.py
+++ b/oleanderhitch/request/forwarding/outcomes.py
@@ -15,15 +15,16 @@
 
 def settle_completed_turn(state: ForwardState, now: datetime) -> SettleReservation:
     """Return the settlement that records a completed turn."""
-    turn = state.request.turn
+    turn = state.turn
     assert turn is not None
     completed_turn = WholeTurn(
         turn.previous,
         state.request.body + bytes(state.output),
         state.route.retention,
     )
-    request = state.request.request
-    command = SettleTurn(request, turn.program, state.spent_tokens, completed_turn, now)
+    command = SettleTurn(
+        state.record_id, turn.program, state.spent_tokens, completed_turn, now
+    )
     return SettleReservation(command, True)
 
 
@@ -41,11 +42,10 @@
     state: ForwardState, spent_tokens: int, now: datetime
 ) -> list[object]:
     """Replace the reservation of a turn with the tokens it spent."""
-    turn = state.request.turn
+    turn = state.turn
     if turn is None:
         return []
-    request = state.request.request
-    command = SettleTurn(request, turn.program, spent_tokens, None, now)
+    command = SettleTurn(state.record_id, turn.program, spent_tokens, None, now)
     return [SettleReservation(command, False)]
 
 
--- a/oleanderhitch/request/forwarding/reservation.py
+++ b/oleanderhitch/request/forwarding/reservation.py
@@ -27,12 +27,12 @@
     state: ForwardState, now: datetime, imported: WholeTurn | None = None
 ) -> list[object]:
     """Reserve the most tokens the turn may spend, and get its history."""
-    turn = state.request.turn
+    turn = state.turn
     assert turn is not None
     state.phase = Phase.RESERVING
     workload = state.request.workload
     command = BeginTurn(
-        state.request.request,
+        state.record_id,
         turn.program,
         turn.budget_tokens,
         0 if workload is None else workload.max_output_tokens,
@@ -48,7 +48,7 @@
     data: bytes, n_bytes_left: int, state: ForwardState, now: datetime
 ) -> list[object]:
     """Add a piece of the history; read the next one, or request an endpoint."""
-    turn = state.request.turn
+    turn = state.turn
     assert turn is not None
     state.history += data
     state.n_history_bytes_left = n_bytes_left
@@ -61,7 +61,7 @@
 
 def search_previous_turn(state: ForwardState) -> list[object]:
     """Ask all other groups for the turn to continue."""
-    turn = state.request.turn
+    turn = state.turn
     if turn is None or turn.previous is None or not state.n_other_record_groups:
         return _end_search(state)
     state.phase = Phase.SEARCHING
--- a/oleanderhitch/request/forwarding/state.py
+++ b/oleanderhitch/request/forwarding/state.py
@@ -6,13 +6,21 @@
 
 from oleanderhitch.connection.http.messages import CallerDisconnected
 from oleanderhitch.process.placement.messages import AttemptProgress
+from oleanderhitch.request.forwarding.identity import (
+    ANONYMOUS,
+    CallerIdentity,
+    get_rank,
+    qualify_request,
+    qualify_turn,
+)
 from oleanderhitch.request.forwarding.messages import (
     EndpointResponseHead,
     ForwardRequest,
+    ProgramTurn,
 )
 from oleanderhitch.request.forwarding.sse import EventSplitter, make_event_splitter
 from oleanderhitch.request.forwarding.states import Phase
-from oleanderhitch.request.ids import HolderId, PermitId
+from oleanderhitch.request.ids import HolderId, PermitId, RequestId
 from oleanderhitch.version.ids import EndpointId, ServiceName
 from oleanderhitch.version.routes.configuration import Route
 
@@ -58,6 +66,7 @@
     deadline: datetime
     # Groups of the record that may have the turn to continue, besides the program's.
     n_other_record_groups: int = 0
+    identity: CallerIdentity = ANONYMOUS
     phase: Phase = Phase.RESERVING
     # Groups that have not answered the search of the turn to continue yet, and why one
     # of them could not be searched.
@@ -94,6 +103,21 @@
         """What placement knows this request as."""
         return HolderId(f"{self.request.request}/{self.number}")
 
+    @property
+    def rank(self) -> int:
+        """How urgent the request is; a lower rank is more urgent."""
+        return get_rank(self.identity, self.route)
+
+    @property
+    def record_id(self) -> RequestId:
+        """The id under which the turn is recorded."""
+        return qualify_request(self.request.request, self.identity)
+
+    @property
+    def turn(self) -> ProgramTurn | None:
+        """The turn with the ids of the record, None for other requests."""
+        return qualify_turn(self.request.turn, self.identity)
+
     @property
     def next_tick_at(self) -> datetime:
         """The time at which the request needs a tick if no message arrives before."""
@@ -131,6 +155,7 @@
     request_number: int,
     now: datetime,
     n_other_record_groups: int = 0,
+    identity: CallerIdentity = ANONYMOUS,
 ) -> ForwardState:
     """Return the state of a request that was received at the given time."""
     timeout: timedelta = route.timeout
@@ -145,6 +170,7 @@
         now,
         now + timeout,
         n_other_record_groups,
+        identity,
     )
     if state.is_recorded:
         state.resume_after = request.last_event_id or None
--- a/oleanderhitch/request/forwarding/task.py
+++ b/oleanderhitch/request/forwarding/task.py
@@ -52,6 +52,7 @@
 from oleanderhitch.program.ids import ProgramId
 from oleanderhitch.request.forwarding.core import end_after_error, handle
 from oleanderhitch.request.forwarding.dialect import Dialect
+from oleanderhitch.request.forwarding.identity import identify_caller
 from oleanderhitch.request.forwarding.messages import (
     AbortResponse,
     CancelEndpointExchange,
@@ -248,6 +249,11 @@
         detail = f"no route in version {table.version}"
         _refuse(request, Verdict.NO_ROUTE, detail, writer, dependencies)
         return None
+    identity = identify_caller(request, route, table)
+    if identity is None:
+        detail = f"no account of version {table.version} has the key"
+        _refuse(request, Verdict.UNAUTHORIZED, detail, writer, dependencies)
+        return None
     target = choose_target(route, dependencies.random_source.random())
     service = table.find_service(target)
     engine = None if service is None else service.engine
@@ -259,6 +265,7 @@
         next(dependencies.request_numbers),
         now,
         len(dependencies.record_groups) - 1,
+        identity,
     )
     end_time = dependencies.get_end_time()
     if end_time is not None and state.deadline > end_time:
@@ -271,6 +278,7 @@
         route=route.name,
         version=table.version,
         service=target,
+        account=identity.account_id,
         time_left_ms=round((state.deadline - now).total_seconds() * 1000),
         content=request.fingerprint,
     )
--- a/oleanderhitch/version/routes/configuration.py
+++ b/oleanderhitch/version/routes/configuration.py
@@ -7,7 +7,8 @@
 
 from oleanderhitch.values import Value
 from oleanderhitch.version.ids import ServiceName
-from oleanderhitch.version.routes.ids import RouteName, RoutingVersion
+from oleanderhitch.version.routes.accounts import Account, index_accounts
+from oleanderhitch.version.routes.ids import KeyDigest, RouteName, RoutingVersion
 from oleanderhitch.version.routes.states import RouteKind
 
 
@@ -43,6 +44,8 @@
     is_sticky: bool = False
     is_resumable: bool = False
     event_latency_target: timedelta | None = None
+    # Whether requests need no key of a client account.
+    is_public: bool = False
 
     @property
     def allows_retry(self) -> bool:
@@ -80,12 +83,16 @@
 
 
 class RoutingConfiguration(Value, frozen=True):
-    """The routes, services and limits of one version."""
+    """The routes, services, limits and client accounts of one version.
+
+    Without `accounts`, nobody needs a key.
+    """
 
     version: RoutingVersion
     routes: tuple[Route, ...]
     services: Mapping[ServiceName, Service]
     limits: CallerLimits = field(default_factory=CallerLimits)
+    accounts: tuple[Account, ...] | None = None
 
 
 class RouteTable(Value, frozen=True):
@@ -93,6 +100,7 @@
 
     configuration: RoutingConfiguration
     routes_by_host: Mapping[str, Sequence[Route]]
+    accounts_by_key: Mapping[KeyDigest, Account] = field(default_factory=dict)
 
     @property
     def version(self) -> RoutingVersion:
@@ -106,6 +114,15 @@
                 return route
         return None
 
+    @property
+    def has_accounts(self) -> bool:
+        """Whether requests need the key of a client account."""
+        return self.configuration.accounts is not None
+
+    def find_account(self, key: KeyDigest | None) -> Account | None:
+        """Return the account that has a key, or None if the key is unknown."""
+        return None if key is None else self.accounts_by_key.get(key)
+
     def find_service(self, name: ServiceName) -> Service | None:
         """Return a service by its name, or None if it is not declared."""
         return self.configuration.services.get(name)
@@ -118,7 +135,8 @@
         routes_by_host.setdefault(route.host, []).append(route)
     for routes in routes_by_host.values():
         routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
-    return RouteTable(configuration, routes_by_host)
+    accounts_by_key = index_accounts(configuration.accounts or ())
+    return RouteTable(configuration, routes_by_host, accounts_by_key)
 
 
 def choose_target(route: Route, random_fraction: float) -> ServiceName:
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -158,6 +158,7 @@
     }
     assert not_run_verdicts == {
         Verdict.NOT_READY,
+        Verdict.NOT_CURRENT,
         Verdict.RECORD_UNAVAILABLE,
         Verdict.NO_ENDPOINT,
         Verdict.ALL_REFUSED,
