Preferred endpoints with an idle connection among those that are alike

Change: the pool reports how many connections to an address are open; of the endpoints that are alike, the near ones with an idle connection of this host come first. Costs are compared as before, so load still decides.

test_host_keeps_to_endpoints_that_it_is_connected_to failed before (6 of 6 endpoints).

--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -40,6 +40,7 @@
     AttemptResult,
     CacheCapacitiesUpdated,
     CacheContentsReported,
+    ConnectionsCounted,
     CrashesReported,
     EndHolder,
     EndpointGranted,
@@ -223,6 +224,17 @@
     return []
 
 
+@handle.register
+def _(
+    message: ConnectionsCounted, state: PlacementState, now: datetime
+) -> list[object]:
+    if message.n_open:
+        state.n_connections[message.address] = message.n_open
+    else:
+        state.n_connections.pop(message.address, None)
+    return []
+
+
 @handle.register
 def _(message: EndHolder, state: PlacementState, now: datetime) -> list[object]:
     holder = message.holder
@@ -493,9 +505,7 @@
         return cost_ms + get_price_ms(endpoint, now)
 
     costs_ms = [get_cost(endpoint) for endpoint in available]
-    alike = choose_alike(
-        available, costs_ms, state.data_centre, message.workload is not None
-    )
+    alike = choose_alike(available, costs_ms, message.workload is not None, state)
     chosen = state.random_source.choice(alike)
     if not is_limited(chosen):
         return _grant(chosen, message, state, now)
--- a/oleanderhitch/process/site/entry.py
+++ b/oleanderhitch/process/site/entry.py
@@ -35,7 +35,10 @@
 from oleanderhitch.process.mailbox import Mailbox
 from oleanderhitch.process.metrics.core import Metrics, make_counter
 from oleanderhitch.process.metrics.states import Counter
-from oleanderhitch.process.placement.messages import SendPermitReply
+from oleanderhitch.process.placement.messages import (
+    ConnectionsCounted,
+    SendPermitReply,
+)
 from oleanderhitch.process.placement.task import make_placement_task
 from oleanderhitch.process.site.application import make_site_codec
 from oleanderhitch.process.site.group import TURN_GROUPS, get_turn_group
@@ -118,7 +121,9 @@
             _get_response_budget(settings.site.memory_limit_bytes)
         )
         self._connection_pool = make_connection_pool(
-            partial(make_endpoint_connection, memory=response_memory), clock
+            partial(make_endpoint_connection, memory=response_memory),
+            clock,
+            self._count_connections,
         )
         self._caches = make_caches_task(
             dependencies.cache_dialect, self._connection_pool, clock
@@ -266,6 +271,9 @@
         else:
             log.warning("unexpected message type", type=type(message).__name__)
 
+    def _count_connections(self, address: HostAddress, n_open: int) -> None:
+        self._placement.send(ConnectionsCounted(address, n_open))
+
     def _tell_subscription(self, message: object) -> None:
         self._subscription.send(message)
 
