Ordered waiting requests by rank, fair share, stage and slack

Cause: requests that wait for an endpoint were ordered by rank and deadline only. An account that asked for more got more slots, new programs took the slots of programs in progress, and a low rank could wait for ever behind a busy higher one. Each release and report evaluated all endpoints for each waiting request.

Change: each service has its own queue, ordered by rank, share of the account, stage of the program and latest start (placement/ordering.py). Free endpoints are searched once per queue. Requests tell placement their account, their stage and X-Finish-Ms.

--- a/oleanderhitch/platform/headers.py
+++ b/oleanderhitch/platform/headers.py
@@ -8,6 +8,7 @@
 LENGTH_HINT = "x-length-hint"  # the caller's estimate of the output tokens
 PROMPT_PARTS = "x-prompt-prefix"  # parts of the prompt in order, as ID:TOKENS
 PROGRAM = "x-program-id"
+FINISH = "x-finish-ms"  # time left until the program should be finished
 TOKEN_BUDGET = "x-token-budget"  # shared by all turns of a program
 PREVIOUS_TURN = "x-previous-turn"  # request id of the turn to continue
 LAST_EVENT_ID = "last-event-id"
--- a/oleanderhitch/platform/requests.py
+++ b/oleanderhitch/platform/requests.py
@@ -39,6 +39,8 @@
 NOT_RUN_STATUSES = frozenset({408, MISDIRECTED_STATUS, 429, 503})
 LOWEST_PRIORITY = 9
 MILLISECOND = timedelta(milliseconds=1)
+# A year; longer times would exceed the range of points in time.
+TIME_TO_FINISH_MAX_MS = 365 * 24 * 3600 * 1000
 # Callers wait at most a third of their remaining time before they retry. The share
 # stays below that; RETRY_AFTER_MIN exceeds a third when less than 150 ms remain.
 RETRY_AFTER_SHARE = 0.25
@@ -87,6 +89,8 @@
             request.find_header(header_names.LAST_EVENT_ID),
             _make_fingerprint(request, host),
             _read_key(request.headers),
+            _read_program(request),
+            _read_time_to_finish(request),
         )
 
     def read_response_head(self, status: int, headers: Headers) -> EndpointResponseHead:
@@ -260,6 +264,20 @@
         raise InvalidInputError(f"{header_names.DEADLINE} is {text!r}") from None
 
 
+def _read_time_to_finish(request: HttpRequest) -> timedelta | None:
+    """Return the time left to finish the program, None without a usable one.
+
+    It orders waiting requests and binds nothing, so it is no reason for a refusal.
+    """
+    try:
+        time_ms = float(request.find_header(header_names.FINISH) or "nan")
+    except ValueError:
+        return None
+    if not abs(time_ms) <= TIME_TO_FINISH_MAX_MS:
+        return None
+    return time_ms * MILLISECOND
+
+
 def _find_affinity_key(request: HttpRequest) -> str | None:
     cookie = request.find_header("cookie")
     if cookie is None:
@@ -328,6 +346,11 @@
     return PromptPart(f"{model}/{part_id.lower()}", n_tokens)
 
 
+def _read_program(request: HttpRequest) -> ProgramId | None:
+    program = request.find_header(header_names.PROGRAM)
+    return ProgramId(program) if program else None
+
+
 def _read_turn(request: HttpRequest) -> ProgramTurn | None:
     program = request.find_header(header_names.PROGRAM)
     budget = request.find_header(header_names.TOKEN_BUDGET)
--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -51,7 +51,6 @@
     EventLatencyObserved,
     FirstChunkReceived,
     GetLoads,
-    InferenceWorkload,
     LimitsReported,
     LoadsFound,
     PeerLoadsReported,
@@ -59,6 +58,13 @@
     SendPermitReply,
     SendPermitRequest,
 )
+from oleanderhitch.process.placement.ordering import (
+    count_end,
+    count_grant,
+    count_start,
+    get_queue_id,
+    iterate_in_order,
+)
 from oleanderhitch.process.placement.rate_limits import (
     MILLISECOND,
     PERMIT_TIMEOUT,
@@ -77,13 +83,14 @@
     PendingPermitRequest,
     Permit,
     PlacementState,
+    QueueId,
     count_running,
     find_endpoint,
 )
 from oleanderhitch.process.placement.spreading import choose_alike
 from oleanderhitch.request.ids import HolderId, PermitId
 from oleanderhitch.values import Value
-from oleanderhitch.version.ids import EndpointId
+from oleanderhitch.version.ids import EndpointId, ServiceName
 
 # Cache capacity of an engine until the routing configuration states it.
 DEFAULT_CACHE_CAPACITY_TOKENS = 400_000
@@ -162,10 +169,20 @@
         record.listed = listed
         record.unlisted_at = None
         state.endpoints[listed.endpoint] = record
+    _drop_idle_queues(state)
     _keep_unlisted(known, state, now)
     return [*crashes, *_query_caches(state), *_grant_waiting(state, now)]
 
 
+def _drop_idle_queues(state: PlacementState) -> None:
+    """Drop the queues of services that no configuration may have any more."""
+    services = {endpoint.listed.service for endpoint in state.endpoints.values()}
+    for queue_id, queue in list(state.queues.items()):
+        is_idle = not queue.waiting and not queue.n_running
+        if is_idle and queue_id.service not in services:
+            del state.queues[queue_id]
+
+
 def _keep_unlisted(
     endpoints: dict[EndpointId, Endpoint], state: PlacementState, now: datetime
 ) -> None:
@@ -213,14 +230,16 @@
 ) -> list[object]:
     """Grant a request an endpoint, or ask for one, or let the request wait."""
     state.undecided.add(message.holder)
-    effect = _find_decision(message, state, now)
-    if effect is not None:
-        return [effect]
-    if now >= message.deadline:
-        return [_refuse(message, "no endpoint in time", state)]
-    state.waiting.append(message)
-    state.waiting.sort(key=lambda waiting: (waiting.rank, waiting.deadline))
-    return []
+    queue_id = get_queue_id(message)
+    queue = state.queues[queue_id]
+    is_sendable = message.fingerprint not in state.quarantined
+    if is_sendable and not queue.waiting:
+        free = _list_free(queue_id, state, now)
+        effect = _find_grant(message, free, state, now)
+        if effect is not None:
+            return [effect]
+    queue.waiting.append(message)
+    return _serve_queue(queue_id, state, now)
 
 
 @handle.register
@@ -228,9 +247,10 @@
     holder = message.holder
     if holder in state.undecided:
         state.undecided.discard(holder)
-        state.waiting = [
-            waiting for waiting in state.waiting if waiting.holder != holder
-        ]
+        for queue in state.queues.values():
+            queue.waiting = [
+                waiting for waiting in queue.waiting if waiting.holder != holder
+            ]
         state.permit_requests = {
             number: pending
             for number, pending in state.permit_requests.items()
@@ -325,6 +345,7 @@
     _finish_prefill(message.permit, permit, state)
     del state.permits[message.permit]
     _drop_held_permit(message.permit, permit.holder, state)
+    count_end(state.queues[permit.queue], permit.account)
     endpoint = find_endpoint(permit.endpoint, state)
     effects: list[object] = []
     # An endpoint that was started again under its id has none of the earlier permits.
@@ -335,7 +356,7 @@
     is_served = message.result is AttemptResult.COMPLETED
     if is_served and permit.fingerprint in state.suspected:
         effects.append(ContentServed(permit.fingerprint))
-    return [*effects, *_grant_waiting(state, now)]
+    return [*effects, *_grant_waiting(state, now, permit.queue.service)]
 
 
 @handle.register
@@ -426,17 +447,66 @@
     state.permits[permit_id] = replace(permit, n_pending_prefill_tokens=0)
 
 
-def _grant_waiting(state: PlacementState, now: datetime) -> list[object]:
+def _grant_waiting(
+    state: PlacementState, now: datetime, service: ServiceName | None = None
+) -> list[object]:
+    """Grant waiting requests what is free, those of one service or of all."""
+    return [
+        effect
+        for queue_id, queue in state.queues.items()
+        if queue.waiting and service in (None, queue_id.service)
+        for effect in _serve_queue(queue_id, state, now)
+    ]
+
+
+def _serve_queue(
+    queue_id: QueueId, state: PlacementState, now: datetime
+) -> list[object]:
+    """Decide on the waiting requests of one queue, as far as that is possible."""
+    queue = state.queues[queue_id]
     effects: list[object] = []
-    waiting, state.waiting = state.waiting, []
-    for message in waiting:
-        effect = _find_decision(message, state, now)
-        if effect is not None:
-            effects.append(effect)
-        elif now >= message.deadline:
-            effects.append(_refuse(message, "no endpoint in time", state))
-        else:
-            state.waiting.append(message)
+    for message in queue.waiting:
+        if message.fingerprint in state.quarantined:
+            reason = "its content crashes the endpoints that run it"
+            effects.append(_refuse(message, reason, state, is_quarantined=True))
+    if effects:
+        queue.waiting = [
+            message
+            for message in queue.waiting
+            if message.fingerprint not in state.quarantined
+        ]
+    effects.extend(_grant_free(queue_id, state, now))
+    expired = [message for message in queue.waiting if now >= message.deadline]
+    if expired:
+        queue.waiting = [message for message in queue.waiting if now < message.deadline]
+    return [
+        *effects,
+        *(_refuse(message, "no endpoint in time", state) for message in expired),
+    ]
+
+
+def _grant_free(
+    queue_id: QueueId, state: PlacementState, now: datetime
+) -> list[object]:
+    """Grant the free endpoints of a service to its waiting requests, in their order.
+
+    The endpoints are searched once and not for each waiting request, since there is
+    often none at the releases and reports that lead here.
+    """
+    free = _list_free(queue_id, state, now)
+    if not free:
+        return []
+    queue = state.queues[queue_id]
+    effects: list[object] = []
+    for message in iterate_in_order(queue, now):
+        effect = _find_grant(message, free, state, now)
+        if effect is None:
+            continue
+        effects.append(effect)
+        count_grant(queue, message)
+        free = [item for item in free if _is_free(item, queue_id, state, now)]
+        if not free:
+            break
     return effects
 
 
@@ -451,33 +521,39 @@
     return SendReply(message.reply_address, refused)
 
 
-def _find_decision(
-    message: AcquireEndpoint, state: PlacementState, now: datetime
-) -> SendReply | AskLeader | None:
-    """Return what can be decided on a request, None if it has to wait."""
-    if message.fingerprint in state.quarantined:
-        reason = "its content crashes the endpoints that run it"
-        return _refuse(message, reason, state, is_quarantined=True)
-    return _find_grant(message, state, now)
+def _list_free(
+    queue_id: QueueId, state: PlacementState, now: datetime
+) -> list[Endpoint]:
+    """Return the endpoints of a service that may get a request now."""
+    return [
+        endpoint
+        for endpoint in state.endpoints.values()
+        if endpoint.listed.service == queue_id.service
+        and _is_free(endpoint, queue_id, state, now)
+    ]
+
+
+def _is_free(
+    endpoint: Endpoint, queue_id: QueueId, state: PlacementState, now: datetime
+) -> bool:
+    """Return whether an endpoint of the service may get a request now."""
+    return (
+        not endpoint.is_leaving
+        and _has_capacity(endpoint, queue_id.is_engine, now)
+        and (endpoint.avoid_until is None or endpoint.avoid_until <= now)
+        and allows_send(endpoint, state, now)
+    )
 
 
 def _find_grant(
-    message: AcquireEndpoint, state: PlacementState, now: datetime
+    message: AcquireEndpoint,
+    free: list[Endpoint],
+    state: PlacementState,
+    now: datetime,
 ) -> SendReply | AskLeader | None:
     """Return the grant of an endpoint, or the question for one that is limited."""
-    candidates = [
-        endpoint
-        for endpoint in state.endpoints.values()
-        if endpoint.listed.service == message.service
-        and not endpoint.is_leaving
-        and endpoint.listed.endpoint not in message.tried
-        and _has_capacity(endpoint, message.workload, now)
-    ]
     available = [
-        endpoint
-        for endpoint in candidates
-        if (endpoint.avoid_until is None or endpoint.avoid_until <= now)
-        and allows_send(endpoint, state, now)
+        endpoint for endpoint in free if endpoint.listed.endpoint not in message.tried
     ]
     if not available:
         return None
@@ -507,11 +583,9 @@
     return AskLeader(request)
 
 
-def _has_capacity(
-    endpoint: Endpoint, workload: InferenceWorkload | None, now: datetime
-) -> bool:
+def _has_capacity(endpoint: Endpoint, is_engine: bool, now: datetime) -> bool:
     limit = endpoint.listed.n_slots
-    if workload is None:
+    if not is_engine:
         limit += int(limit * PLAIN_QUEUE_PER_SLOT)
     return count_running(endpoint, now) < limit
 
@@ -530,6 +604,7 @@
         n_uncached = count_uncached_tokens(endpoint.cache, message.workload)
         record_prompt(endpoint.cache, message.workload)
     endpoint_id = endpoint.listed.endpoint
+    queue_id = get_queue_id(message)
     state.pending_prefill_tokens[endpoint_id] += n_uncached
     state.permits[permit] = Permit(
         endpoint_id,
@@ -538,7 +613,10 @@
         message.workload is not None,
         now,
         message.holder,
+        queue_id,
+        message.account,
     )
+    count_start(state.queues[queue_id], message.account)
     endpoint.permits.add(permit)
     state.undecided.discard(message.holder)
     state.held_permits.setdefault(message.holder, set()).add(permit)
--- a/oleanderhitch/process/placement/messages.py
+++ b/oleanderhitch/process/placement/messages.py
@@ -6,6 +6,7 @@
 
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.directory.messages import ListedEndpoint
+from oleanderhitch.program.ids import AccountId
 from oleanderhitch.request.ids import HolderId, PermitId, RequestFingerprint
 from oleanderhitch.values import Value
 from oleanderhitch.version.ids import EndpointId, ServiceName
@@ -27,13 +28,28 @@
     parts: tuple[PromptPart, ...]
 
 
+class RequestStage(Enum):
+    """How much of its program a request continues.
+
+    REPEATED: an earlier attempt of the request itself may have run. STANDALONE: it
+    belongs to no program.
+    """
+
+    REPEATED = "repeated"
+    IN_PROGRESS = "in_progress"
+    STANDALONE = "standalone"
+    NEW_PROGRAM = "new_program"
+
+
 class AcquireEndpoint(Value, frozen=True):
     """Requests an endpoint of a service, except those that were tried.
 
     A lower `rank` is served first. `is_retryable` is whether a request that may have
     run can be sent again. A request that still waits at the deadline is refused.
     `workload` is None for a plain service. `fingerprint` stands for its content. What
-    is granted belongs to the holder until it is released or `EndHolder` comes.
+    is granted belongs to the holder until it is released or `EndHolder` comes. Slots
+    are shared out between accounts, if `account` is known. The program of the request
+    should be finished by `finish_at`.
     """
 
     holder: HolderId
@@ -46,6 +62,9 @@
     deadline: datetime
     reply_address: Address
     fingerprint: RequestFingerprint
+    account: AccountId | None = None
+    stage: RequestStage = RequestStage.STANDALONE
+    finish_at: datetime | None = None
 
 
 class EndHolder(Value, frozen=True):
--- a/oleanderhitch/process/placement/records.py
+++ b/oleanderhitch/process/placement/records.py
@@ -1,6 +1,6 @@
 """Define the state of the placement task."""
 
-from collections import OrderedDict, defaultdict
+from collections import Counter, OrderedDict, defaultdict
 from collections.abc import Mapping
 from datetime import datetime, timedelta
 from random import Random
@@ -13,6 +13,7 @@
 from oleanderhitch.process.placement.latency import LatencyAverage
 from oleanderhitch.process.placement.messages import AcquireEndpoint, EndpointLoad
 from oleanderhitch.process.placement.reliability import Reliability
+from oleanderhitch.program.ids import AccountId
 from oleanderhitch.request.ids import HolderId, PermitId, RequestFingerprint
 from oleanderhitch.values import Value
 from oleanderhitch.version.ids import DataCentreName, EndpointId, ServiceName
@@ -79,6 +80,24 @@
         return self.listed.is_leaving or self.has_announced_stop
 
 
+class QueueId(Value, frozen=True):
+    """Requests that compete for the same slots: those of one service and kind."""
+
+    service: ServiceName
+    is_engine: bool
+
+
+class ServiceQueue(Struct):
+    """Requests of this entry host that run at one service or wait for it."""
+
+    # In the order of their arrival.
+    waiting: list[AcquireEndpoint] = field(default_factory=list)
+    # Only accounts that have running requests.
+    n_running: Counter[AccountId | None] = field(default_factory=Counter)
+    # Grants since the last one to the request that had waited longest.
+    n_grants_by_order: int = 0
+
+
 class Permit(Value, frozen=True):
     """Endpoint, pending prefill and content of one granted request."""
 
@@ -88,6 +107,8 @@
     is_engine: bool
     granted_at: datetime
     holder: HolderId
+    queue: QueueId
+    account: AccountId | None
 
 
 class PendingPermitRequest(Value, frozen=True):
@@ -112,7 +133,9 @@
     held_permits: dict[HolderId, set[PermitId]] = field(default_factory=dict)
     # Requests that were neither granted nor refused an endpoint yet.
     undecided: set[HolderId] = field(default_factory=set)
-    waiting: list[AcquireEndpoint] = field(default_factory=list)
+    queues: defaultdict[QueueId, ServiceQueue] = field(
+        default_factory=lambda: defaultdict(ServiceQueue)
+    )
     pending_prefill_tokens: defaultdict[EndpointId, int] = field(
         default_factory=lambda: defaultdict(int)
     )
@@ -126,6 +149,11 @@
     suspected: frozenset[RequestFingerprint] = frozenset()
     quarantined: frozenset[RequestFingerprint] = frozenset()
 
+    @property
+    def has_waiting(self) -> bool:
+        """Whether any request waits for an endpoint."""
+        return any(queue.waiting for queue in self.queues.values())
+
 
 def find_endpoint(name: EndpointId, state: PlacementState) -> Endpoint | None:
     """Return what is known of an endpoint, whether the list names it or not."""
--- a/oleanderhitch/process/placement/task.py
+++ b/oleanderhitch/process/placement/task.py
@@ -68,7 +68,7 @@
 
 
 def _find_next_tick(state: PlacementState) -> datetime | None:
-    return None if state.waiting or state.permit_requests else NO_TICK
+    return None if state.has_waiting or state.permit_requests else NO_TICK
 
 
 @singledispatch
--- a/oleanderhitch/request/forwarding/attempts.py
+++ b/oleanderhitch/request/forwarding/attempts.py
@@ -3,6 +3,7 @@
 from datetime import datetime, timedelta
 
 from oleanderhitch.process.placement.messages import AttemptResult
+from oleanderhitch.request.forwarding.identity import get_share_account
 from oleanderhitch.request.forwarding.messages import (
     CancelEndpointExchange,
     LogDecision,
@@ -99,6 +100,9 @@
             state.tried_endpoints,
             route.allows_retry,
             deadline,
+            get_share_account(state.identity),
+            state.stage,
+            state.finish_at,
         )
     ]
 
--- a/oleanderhitch/request/forwarding/identity.py
+++ b/oleanderhitch/request/forwarding/identity.py
@@ -31,6 +31,8 @@
 
 
 ANONYMOUS = CallerIdentity()
+# No account of a configuration has an empty name.
+CALLERS_WITHOUT_KEY = AccountId("")
 
 
 def identify_caller(
@@ -53,6 +55,17 @@
     return account.rank
 
 
+def get_share_account(identity: CallerIdentity) -> AccountId | None:
+    """Return the account whose share of the slots a request uses, None without shares.
+
+    All callers without a known key have one share, so that they can't take the slots
+    of the accounts.
+    """
+    if not identity.is_checked:
+        return None
+    return identity.account_id or CALLERS_WITHOUT_KEY
+
+
 def qualify_request(request: RequestId, identity: CallerIdentity) -> RequestId:
     """Return the id under which a turn is recorded; each account has its own ids."""
     if identity.account is None:
--- a/oleanderhitch/request/forwarding/messages.py
+++ b/oleanderhitch/request/forwarding/messages.py
@@ -8,6 +8,7 @@
     AttemptProgress,
     AttemptResult,
     InferenceWorkload,
+    RequestStage,
 )
 from oleanderhitch.program.ids import AccountId, ProgramId
 from oleanderhitch.program.turns.messages import (
@@ -35,7 +36,9 @@
     """A caller's request, with the headers that are forwarded to endpoints.
 
     `fingerprint` stands for its content, whichever caller, program or id it has. `key`
-    stands for the key of a client account that it came with.
+    stands for the key of a client account that it came with. `turn` is None for calls
+    of a program that spend no tokens. The program should be finished `time_to_finish`
+    after the request was sent.
     """
 
     request: RequestId
@@ -51,6 +54,8 @@
     last_event_id: str | None
     fingerprint: RequestFingerprint
     key: KeyDigest | None = None
+    program: ProgramId | None = None
+    time_to_finish: timedelta | None = None
 
     @property
     def path(self) -> str:
@@ -162,6 +167,9 @@
     tried: tuple[EndpointId, ...]
     is_retryable: bool
     deadline: datetime
+    account: AccountId | None = None
+    stage: RequestStage = RequestStage.STANDALONE
+    finish_at: datetime | None = None
 
 
 class SendToEndpoint(Value, frozen=True):
--- a/oleanderhitch/request/forwarding/state.py
+++ b/oleanderhitch/request/forwarding/state.py
@@ -5,7 +5,7 @@
 from msgspec import Struct, field
 
 from oleanderhitch.connection.http.messages import CallerDisconnected
-from oleanderhitch.process.placement.messages import AttemptProgress
+from oleanderhitch.process.placement.messages import AttemptProgress, RequestStage
 from oleanderhitch.request.forwarding.identity import (
     ANONYMOUS,
     CallerIdentity,
@@ -108,6 +108,25 @@
         """How urgent the request is; a lower rank is more urgent."""
         return get_rank(self.identity, self.route)
 
+    @property
+    def stage(self) -> RequestStage:
+        """How much of its program the request continues."""
+        if self.n_runs or self.has_started_response:
+            return RequestStage.REPEATED
+        turn = self.request.turn
+        if self.request.program is None:
+            return RequestStage.STANDALONE
+        # Calls that spend no tokens follow a turn that asked for them.
+        if turn is None or turn.previous is not None:
+            return RequestStage.IN_PROGRESS
+        return RequestStage.NEW_PROGRAM
+
+    @property
+    def finish_at(self) -> datetime | None:
+        """The time by which the program of the request should be finished."""
+        time_to_finish = self.request.time_to_finish
+        return None if time_to_finish is None else self.started_at + time_to_finish
+
     @property
     def record_id(self) -> RequestId:
         """The id under which the turn is recorded."""
--- a/oleanderhitch/request/forwarding/task.py
+++ b/oleanderhitch/request/forwarding/task.py
@@ -472,6 +472,9 @@
             effect.deadline,
             context.mailbox,
             request.fingerprint,
+            effect.account,
+            effect.stage,
+            effect.finish_at,
         )
     )
 
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -124,6 +124,26 @@
     assert DIALECT.read_request(make_request(("x-program-id", "p"))).turn is None
 
 
+@pytest.mark.parametrize(
+    ("text", "time_to_finish"),
+    [
+        ("1250", timedelta(milliseconds=1250)),
+        ("-40.5", timedelta(milliseconds=-40.5)),
+        ("soon", None),
+        ("nan", None),
+        ("1e300", None),
+        ("", None),
+    ],
+)
+def test_time_to_finish_is_read_and_never_refused(
+    text: str, time_to_finish: timedelta | None
+) -> None:
+    """Guard against programs without a place in the order, and against errors 400."""
+    headers = (("x-program-id", "p"), ("x-finish-ms", text))
+    request = DIALECT.read_request(make_request(*headers))
+    assert (request.program, request.time_to_finish) == ("p", time_to_finish)
+
+
 @pytest.mark.parametrize(
     "header",
     [
--- a/tests/process/placement/test_permits.py
+++ b/tests/process/placement/test_permits.py
@@ -113,7 +113,8 @@
     assert not state.permits
     assert not state.held_permits
     assert not state.undecided
-    assert not state.waiting
+    assert not state.has_waiting
+    assert not any(queue.n_running for queue in state.queues.values())
     assert not state.permit_requests
     assert not any(state.pending_prefill_tokens.values())
     assert not any(endpoint.permits for endpoint in state.endpoints.values())
--- a/tests/request/forwarding/test_core.py
+++ b/tests/request/forwarding/test_core.py
@@ -20,8 +20,9 @@
     EndpointGranted,
     EndpointRefused,
     InferenceWorkload,
+    RequestStage,
 )
-from oleanderhitch.program.ids import ProgramId
+from oleanderhitch.program.ids import AccountId, ProgramId
 from oleanderhitch.program.turns.messages import (
     BudgetSpent,
     HistoryRead,
@@ -33,12 +34,14 @@
     TurnSettled,
     WholeTurn,
 )
+from oleanderhitch.request.forwarding.attempts import request_endpoint
 from oleanderhitch.request.forwarding.core import (
     COLLECTED_BODY_LIMIT_BYTES,
     EVENT_LIMIT_BYTES,
     end_after_error,
     handle,
 )
+from oleanderhitch.request.forwarding.identity import CallerIdentity
 from oleanderhitch.request.forwarding.messages import (
     AbortResponse,
     CancelEndpointExchange,
@@ -75,6 +78,7 @@
     RequestId,
 )
 from oleanderhitch.version.ids import DataCentreName, EndpointId, ServiceName
+from oleanderhitch.version.routes.accounts import Account
 from oleanderhitch.version.routes.configuration import Route, Target
 from oleanderhitch.version.routes.ids import RouteName
 from oleanderhitch.version.routes.states import RouteKind
@@ -194,6 +198,34 @@
     assert requests[0].tried == (EndpointId("e1"),)  # type: ignore[attr-defined]
 
 
+def test_placement_learns_what_a_request_continues() -> None:
+    """Guard against requests that wait in the order of another program's."""
+    state = make_state(RouteKind.IDEMPOTENT, n_attempts=2)
+    assert state.stage is RequestStage.STANDALONE
+    account = Account(AccountId("a"), ())
+    for turn, stage in (
+        (ProgramTurn(ProgramId("p"), 1000, None), RequestStage.NEW_PROGRAM),
+        (ProgramTurn(ProgramId("p"), None, RequestId("t")), RequestStage.IN_PROGRESS),
+        (None, RequestStage.IN_PROGRESS),
+    ):
+        state.request = replace(
+            state.request, program=ProgramId("p"), turn=turn, time_to_finish=TIMEOUT
+        )
+        state.identity = CallerIdentity(account, True)
+        (effect,) = request_endpoint(state, NOW)
+        assert isinstance(effect, RequestEndpoint)
+        assert (effect.account, effect.stage) == ("a", stage)
+        assert effect.finish_at == NOW + TIMEOUT
+    state.identity = CallerIdentity(None, True)
+    run(state, Start(), grant("e1"))
+    (again,) = find(
+        run(state, ExchangeFailed(get_exchange_id(state), True, "reset")),
+        RequestEndpoint,
+    )
+    assert isinstance(again, RequestEndpoint)
+    assert (again.account, again.stage) == ("", RequestStage.REPEATED)
+
+
 def test_idempotent_request_is_retried_up_to_the_attempt_limit() -> None:
     """Guard against more runs of a request than its route allows attempts."""
     state = make_state(RouteKind.IDEMPOTENT, n_attempts=2)
