Refused early what can't be served in time, with a measured Retry-After

Cause: a request without a slot waited for half of its time, however many waited before it, and came back too late to be served. Refused callers were told a quarter of their time left, whatever the load.

Change: each queue measures the rate at which slots become free while requests wait (placement/refusal.py). Requests behind more others than that rate serves before their deadlines are refused on arrival and at each tick, new programs first. The verdict is overloaded (503). The set of verdicts with status 503 in test_requests.py has one more for it.

--- a/oleanderhitch/platform/requests.py
+++ b/oleanderhitch/platform/requests.py
@@ -59,6 +59,7 @@
     Verdict.RECORD_UNAVAILABLE: 503,
     Verdict.NO_ENDPOINT: 503,
     Verdict.ALL_REFUSED: 503,
+    Verdict.OVERLOADED: 503,
     Verdict.QUARANTINED: 503,
     Verdict.OUTCOME_UNKNOWN: 502,
     Verdict.TIMED_OUT: 504,
@@ -163,6 +164,7 @@
         verdict: Verdict,
         detail: str,
         time_left: timedelta,
+        retry_after: timedelta | None = None,
     ) -> HttpResponse:
         """Return the response for a verdict."""
         status = VERDICT_STATUSES[verdict]
@@ -170,9 +172,9 @@
         if request is not None:
             headers.append((header_names.REQUEST_ID, request))
         if status == NOT_RUN_STATUS:
-            retry_after = min(
-                max(time_left * RETRY_AFTER_SHARE, RETRY_AFTER_MIN), RETRY_AFTER_MAX
-            )
+            if retry_after is None:
+                retry_after = min(time_left * RETRY_AFTER_SHARE, RETRY_AFTER_MAX)
+            retry_after = max(retry_after, RETRY_AFTER_MIN)
             if verdict is Verdict.QUARANTINED:
                 retry_after = FIRST_QUARANTINE_DURATION
             headers.append(("retry-after", f"{retry_after.total_seconds():.3f}"))
--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -87,6 +87,15 @@
     count_running,
     find_endpoint,
 )
+from oleanderhitch.process.placement.refusal import (
+    HopelessRequest,
+    describe_drain,
+    find_retry_after,
+    find_surplus,
+    list_hopeless,
+    observe_grant,
+    observe_time,
+)
 from oleanderhitch.process.placement.spreading import choose_alike
 from oleanderhitch.request.ids import HolderId, PermitId
 from oleanderhitch.values import Value
@@ -103,6 +112,8 @@
 # Requests that may queue at a plain service, per slot. Queueing there is better than
 # refusing the request, but only for a short queue.
 PLAIN_QUEUE_PER_SLOT = 1.0
+# Overload lasts for seconds; each refused request has its own line.
+OVERLOAD_LOG_INTERVAL = timedelta(seconds=1)
 
 
 class SendReply(Value, frozen=True):
@@ -137,6 +148,22 @@
     request: SendPermitRequest
 
 
+class LogOverload(Value, frozen=True):
+    """Logs that requests of a service are refused early; at most once a second."""
+
+    service: ServiceName
+    n_refused: int
+    n_waiting: int
+    freed_per_s: str
+
+
+class ReportQueueLength(Value, frozen=True):
+    """Reports how many requests wait for a service at this entry host."""
+
+    service: ServiceName
+    n_waiting: int
+
+
 class LogRateLimit(Value, frozen=True):
     """Logs that an endpoint has named, changed or dropped a rate limit."""
 
@@ -239,7 +266,8 @@
         if effect is not None:
             return [effect]
     queue.waiting.append(message)
-    return _serve_queue(queue_id, state, now)
+    effects = _serve_queue(queue_id, state, now)
+    return [*effects, *_refuse_early(queue_id, state, now)]
 
 
 @handle.register
@@ -251,6 +279,7 @@
             queue.waiting = [
                 waiting for waiting in queue.waiting if waiting.holder != holder
             ]
+            queue.drain.is_waiting &= bool(queue.waiting)
         state.permit_requests = {
             number: pending
             for number, pending in state.permit_requests.items()
@@ -373,7 +402,10 @@
         if now - pending.asked_at >= PERMIT_TIMEOUT:
             no_reply = SendPermitReply(number, is_leader=False)
             effects.extend(handle(no_reply, state, now))
-    return [*effects, *_grant_waiting(state, now)]
+    effects.extend(_grant_waiting(state, now))
+    for queue_id in state.queues:
+        effects.extend(_refuse_early(queue_id, state, now))
+    return effects
 
 
 @handle.register
@@ -404,7 +436,17 @@
         if endpoint.permits
     )
     found = LoadsFound(loads, list_observed_limits(state, now))
-    return [SendReply(message.reply_address, found)]
+    return [SendReply(message.reply_address, found), *_report_queues(state)]
+
+
+def _report_queues(state: PlacementState) -> list[object]:
+    """Return how many requests wait for each service where that has changed."""
+    effects: list[object] = []
+    for queue_id, queue in state.queues.items():
+        if queue.n_reported != len(queue.waiting):
+            queue.n_reported = len(queue.waiting)
+            effects.append(ReportQueueLength(queue_id.service, queue.n_reported))
+    return effects
 
 
 @handle.register
@@ -464,36 +506,103 @@
 ) -> list[object]:
     """Decide on the waiting requests of one queue, as far as that is possible."""
     queue = state.queues[queue_id]
+    observe_time(queue.drain, now)
     effects: list[object] = []
     for message in queue.waiting:
         if message.fingerprint in state.quarantined:
             reason = "its content crashes the endpoints that run it"
-            effects.append(_refuse(message, reason, state, is_quarantined=True))
+            refused = EndpointRefused(message.holder, reason, is_quarantined=True)
+            effects.append(_refuse(message, refused, state))
     if effects:
         queue.waiting = [
             message
             for message in queue.waiting
             if message.fingerprint not in state.quarantined
         ]
-    effects.extend(_grant_free(queue_id, state, now))
+    free = _list_free(queue_id, state, now)
+    effects.extend(_grant_free(queue_id, free, state, now))
+    queue.drain.is_waiting = (
+        bool(queue.waiting) and not free and _has_endpoint(queue_id.service, state)
+    )
     expired = [message for message in queue.waiting if now >= message.deadline]
     if expired:
         queue.waiting = [message for message in queue.waiting if now < message.deadline]
-    return [
-        *effects,
-        *(_refuse(message, "no endpoint in time", state) for message in expired),
-    ]
+    for message in expired:
+        retry_after = _find_retry_after(message, len(queue.waiting), state, now)
+        refused = EndpointRefused(
+            message.holder, "no endpoint in time", retry_after=retry_after
+        )
+        effects.append(_refuse(message, refused, state))
+    return effects
 
 
-def _grant_free(
+def _refuse_early(
     queue_id: QueueId, state: PlacementState, now: datetime
+) -> list[object]:
+    """Refuse the waiting requests of a queue that can't be served in time."""
+    queue = state.queues[queue_id]
+    if len(queue.waiting) < 2:
+        # The first in line is never refused early.
+        return []
+    hopeless = list_hopeless(queue, now)
+    n_waiting = len(queue.waiting)
+    surplus = None if hopeless else find_surplus(queue, now)
+    if surplus is not None:
+        hopeless = [HopelessRequest(surplus, n_waiting - 1)]
+    if not hopeless:
+        return []
+    refused = {item.message.holder for item in hopeless}
+    queue.waiting = [item for item in queue.waiting if item.holder not in refused]
+    effects = _log_overload(queue_id, len(hopeless), state, now)
+    for item in hopeless:
+        message = item.message
+        reason = (
+            f"{item.n_ahead} requests are ahead for {describe_drain(queue.drain)} a "
+            f"second, {round((message.deadline - now) / MILLISECOND)} ms are left"
+        )
+        retry_after = _find_retry_after(message, item.n_ahead, state, now)
+        reply = EndpointRefused(
+            message.holder, reason, is_overloaded=True, retry_after=retry_after
+        )
+        effects.append(_refuse(message, reply, state))
+    return effects
+
+
+def _log_overload(
+    queue_id: QueueId, n_refused: int, state: PlacementState, now: datetime
+) -> list[object]:
+    queue = state.queues[queue_id]
+    logged_at = queue.refusals_logged_at
+    if logged_at is not None and now - logged_at < OVERLOAD_LOG_INTERVAL:
+        return []
+    queue.refusals_logged_at = now
+    n_waiting = len(queue.waiting)
+    rate = describe_drain(queue.drain)
+    return [LogOverload(queue_id.service, n_refused, n_waiting, rate)]
+
+
+def _find_retry_after(
+    message: AcquireEndpoint, n_ahead: int, state: PlacementState, now: datetime
+) -> timedelta | None:
+    time_left = (message.caller_deadline or message.deadline) - now
+    drain = state.queues[get_queue_id(message)].drain
+    return find_retry_after(drain, n_ahead, time_left, state.random_source)
+
+
+def _has_endpoint(service: ServiceName, state: PlacementState) -> bool:
+    return any(
+        endpoint.listed.service == service and not endpoint.is_leaving
+        for endpoint in state.endpoints.values()
+    )
+
+
+def _grant_free(
+    queue_id: QueueId, free: list[Endpoint], state: PlacementState, now: datetime
 ) -> list[object]:
     """Grant the free endpoints of a service to its waiting requests, in their order.
 
-    The endpoints are searched once and not for each waiting request, since there is
-    often none at the releases and reports that lead here.
+    Endpoints that are free no longer are removed from `free`.
     """
-    free = _list_free(queue_id, state, now)
     if not free:
         return []
     queue = state.queues[queue_id]
@@ -504,20 +613,16 @@
             continue
         effects.append(effect)
         count_grant(queue, message)
-        free = [item for item in free if _is_free(item, queue_id, state, now)]
+        free[:] = [item for item in free if _is_free(item, queue_id, state, now)]
         if not free:
             break
     return effects
 
 
 def _refuse(
-    message: AcquireEndpoint,
-    reason: str,
-    state: PlacementState,
-    is_quarantined: bool = False,
+    message: AcquireEndpoint, refused: EndpointRefused, state: PlacementState
 ) -> SendReply:
     state.undecided.discard(message.holder)
-    refused = EndpointRefused(message.holder, reason, is_quarantined)
     return SendReply(message.reply_address, refused)
 
 
@@ -616,7 +721,9 @@
         queue_id,
         message.account,
     )
-    count_start(state.queues[queue_id], message.account)
+    queue = state.queues[queue_id]
+    count_start(queue, message.account)
+    observe_grant(queue.drain)
     endpoint.permits.add(permit)
     state.undecided.discard(message.holder)
     state.held_permits.setdefault(message.holder, set()).add(permit)
--- a/oleanderhitch/process/placement/messages.py
+++ b/oleanderhitch/process/placement/messages.py
@@ -49,7 +49,7 @@
     `workload` is None for a plain service. `fingerprint` stands for its content. What
     is granted belongs to the holder until it is released or `EndHolder` comes. Slots
     are shared out between accounts, if `account` is known. The program of the request
-    should be finished by `finish_at`.
+    should be finished by `finish_at`. The caller waits until `caller_deadline`.
     """
 
     holder: HolderId
@@ -65,6 +65,7 @@
     account: AccountId | None = None
     stage: RequestStage = RequestStage.STANDALONE
     finish_at: datetime | None = None
+    caller_deadline: datetime | None = None
 
 
 class EndHolder(Value, frozen=True):
@@ -236,14 +237,18 @@
 
 
 class EndpointRefused(Value, frozen=True):
-    """Refuses a request that got no endpoint before its deadline.
+    """Refuses a request that gets no endpoint before its deadline.
 
-    Quarantined content gets none at all, since it crashes the endpoints that run it.
+    Quarantined content gets none at all, since it crashes the endpoints that run it. An
+    overloaded service would serve the request too late. `retry_after` is None if it is
+    not known when there may be a slot.
     """
 
     holder: HolderId
     reason: str
     is_quarantined: bool = False
+    is_overloaded: bool = False
+    retry_after: timedelta | None = None
 
 
 class CrashesReported(Value, frozen=True):
--- a/oleanderhitch/process/placement/ordering.py
+++ b/oleanderhitch/process/placement/ordering.py
@@ -79,6 +79,17 @@
         yield message
 
 
+def sort_waiting(queue: ServiceQueue, now: datetime) -> list[AcquireEndpoint]:
+    """Return the waiting requests in the order in which they would get slots now."""
+    n_accounts = count_accounts(queue)
+    return sorted(
+        queue.waiting,
+        key=lambda message: get_order_key(
+            message, is_over_share(message.account, queue, n_accounts), now
+        ),
+    )
+
+
 def _find_aged(
     remaining: dict[int, AcquireEndpoint], queue: ServiceQueue, n_accounts: int
 ) -> int | None:
--- a/oleanderhitch/process/placement/records.py
+++ b/oleanderhitch/process/placement/records.py
@@ -87,6 +87,19 @@
     is_engine: bool
 
 
+class DrainRate(Struct):
+    """Grants of a service and the seconds in which requests waited for them.
+
+    Both lose their weight with time.
+    """
+
+    n_grants: float = 0.0
+    waiting_s: float = 0.0
+    observed_at: datetime | None = None
+    # Whether requests wait for slots, and none is free.
+    is_waiting: bool = False
+
+
 class ServiceQueue(Struct):
     """Requests of this entry host that run at one service or wait for it."""
 
@@ -96,6 +109,11 @@
     n_running: Counter[AccountId | None] = field(default_factory=Counter)
     # Grants since the last one to the request that had waited longest.
     n_grants_by_order: int = 0
+    drain: DrainRate = field(default_factory=DrainRate)
+    # When the last log line on early refusals was written.
+    refusals_logged_at: datetime | None = None
+    # The number of waiting requests in the metrics.
+    n_reported: int = 0
 
 
 class Permit(Value, frozen=True):
--- a/oleanderhitch/process/placement/task.py
+++ b/oleanderhitch/process/placement/task.py
@@ -13,12 +13,16 @@
 from oleanderhitch.process.clock import Clock
 from oleanderhitch.process.crashes.messages import CrashesObserved
 from oleanderhitch.process.ids import NodeId
+from oleanderhitch.process.metrics.core import Metrics
+from oleanderhitch.process.metrics.states import Gauge
 from oleanderhitch.process.placement.core import (
     AskLeader,
     LogEndpointLeaving,
+    LogOverload,
     LogPermitLeft,
     LogRateLimit,
     QueryCache,
+    ReportQueueLength,
     SendReply,
     handle,
 )
@@ -39,6 +43,7 @@
     tell_subscription: Callable[[object], None],
     clock: Clock,
     random_source: Random,
+    metrics: Metrics,
 ) -> Task[PlacementState]:
     """Return the task that selects endpoints for the requests of one entry host."""
 
@@ -55,7 +60,7 @@
         TICK_INTERVAL,
         find_next_tick=_find_next_tick,
     )
-    dependencies = _Dependencies(caches, tell_subscription, task)
+    dependencies = _Dependencies(caches, tell_subscription, task, metrics)
     return task
 
 
@@ -65,6 +70,7 @@
     caches: Address
     tell_subscription: Callable[[object], None]
     task: Address
+    metrics: Metrics
 
 
 def _find_next_tick(state: PlacementState) -> datetime | None:
@@ -122,6 +128,22 @@
     dependencies.tell_subscription(effect)
 
 
+@_perform.register
+def _(effect: LogOverload, dependencies: _Dependencies) -> None:
+    log.info(
+        "requests refused early",
+        service=effect.service,
+        n_refused=effect.n_refused,
+        n_waiting=effect.n_waiting,
+        freed_per_s=effect.freed_per_s,
+    )
+
+
+@_perform.register
+def _(effect: ReportQueueLength, dependencies: _Dependencies) -> None:
+    dependencies.metrics.set_gauge(Gauge.QUEUE_LENGTH, effect.n_waiting, effect.service)
+
+
 @_perform.register
 def _(effect: LogRateLimit, dependencies: _Dependencies) -> None:
     log.info(
--- a/oleanderhitch/request/forwarding/attempts.py
+++ b/oleanderhitch/request/forwarding/attempts.py
@@ -103,6 +103,7 @@
             get_share_account(state.identity),
             state.stage,
             state.finish_at,
+            state.deadline,
         )
     ]
 
--- a/oleanderhitch/request/forwarding/core.py
+++ b/oleanderhitch/request/forwarding/core.py
@@ -257,9 +257,11 @@
     verdict = Verdict.ALL_REFUSED if state.n_sends else Verdict.NO_ENDPOINT
     if message.is_quarantined:
         verdict = Verdict.QUARANTINED
+    elif message.is_overloaded:
+        verdict = Verdict.OVERLOADED
     return [
         *release_reservation(state, now),
-        *end_with_verdict(state, verdict, message.reason),
+        *end_with_verdict(state, verdict, message.reason, message.retry_after),
     ]
 
 
--- a/oleanderhitch/request/forwarding/dialect.py
+++ b/oleanderhitch/request/forwarding/dialect.py
@@ -44,5 +44,6 @@
         verdict: Verdict,
         detail: str,
         time_left: timedelta,
+        retry_after: timedelta | None = None,
     ) -> HttpResponse:
         """Return the response for a verdict."""
--- a/oleanderhitch/request/forwarding/messages.py
+++ b/oleanderhitch/request/forwarding/messages.py
@@ -170,6 +170,7 @@
     account: AccountId | None = None
     stage: RequestStage = RequestStage.STANDALONE
     finish_at: datetime | None = None
+    caller_deadline: datetime | None = None
 
 
 class SendToEndpoint(Value, frozen=True):
@@ -260,10 +261,14 @@
 
 
 class SendVerdict(Value, frozen=True):
-    """Sends the caller a response that this system generates."""
+    """Sends the caller a response that this system generates.
+
+    `retry_after` is None if it is not known when the request may be served.
+    """
 
     verdict: Verdict
     detail: str
+    retry_after: timedelta | None = None
 
 
 class LogDecision(Value, frozen=True):
--- a/oleanderhitch/request/forwarding/outcomes.py
+++ b/oleanderhitch/request/forwarding/outcomes.py
@@ -50,7 +50,10 @@
 
 
 def end_with_verdict(
-    state: ForwardState, verdict: Verdict, detail: str
+    state: ForwardState,
+    verdict: Verdict,
+    detail: str,
+    retry_after: timedelta | None = None,
 ) -> list[object]:
     """End the request with a response that this system generates."""
     if state.has_ended:
@@ -63,7 +66,7 @@
         ("n_runs", state.n_runs),
     )
     return [
-        SendVerdict(verdict, detail),
+        SendVerdict(verdict, detail, retry_after),
         LogDecision("request ended with verdict", fields),
     ]
 
--- a/oleanderhitch/request/forwarding/states.py
+++ b/oleanderhitch/request/forwarding/states.py
@@ -35,6 +35,7 @@
     RECORD_UNAVAILABLE = "record_unavailable"
     NO_ENDPOINT = "no_endpoint"
     ALL_REFUSED = "all_refused"
+    OVERLOADED = "overloaded"
     QUARANTINED = "quarantined"
     OUTCOME_UNKNOWN = "outcome_unknown"
     TIMED_OUT = "timed_out"
--- a/oleanderhitch/request/forwarding/task.py
+++ b/oleanderhitch/request/forwarding/task.py
@@ -475,6 +475,7 @@
             effect.account,
             effect.stage,
             effect.finish_at,
+            effect.caller_deadline,
         )
     )
 
@@ -569,6 +570,10 @@
     dependencies.metrics.count(Counter.REFUSALS, effect.verdict.value)
     time_left = context.state.deadline - dependencies.clock.now()
     response = dependencies.dialect.make_verdict(
-        context.request.request, effect.verdict, effect.detail, time_left
+        context.request.request,
+        effect.verdict,
+        effect.detail,
+        time_left,
+        effect.retry_after,
     )
     context.writer.respond(response)
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -182,6 +182,7 @@
         Verdict.RECORD_UNAVAILABLE,
         Verdict.NO_ENDPOINT,
         Verdict.ALL_REFUSED,
+        Verdict.OVERLOADED,
         Verdict.QUARANTINED,
     }
     assert VERDICT_STATUSES[Verdict.OUTCOME_UNKNOWN] == 502
@@ -212,6 +213,19 @@
     assert 0 < float(retry_after) <= time_left.total_seconds() / 3
 
 
+def test_measured_retry_after_is_passed_on() -> None:
+    """Guard against callers that come back before there may be a slot."""
+    response = DIALECT.make_verdict(
+        RequestId("r1"),
+        Verdict.OVERLOADED,
+        "full",
+        timedelta(seconds=9),
+        timedelta(seconds=2.5),
+    )
+    assert response.status == 503
+    assert find_header(response.headers, "retry-after") == "2.500"
+
+
 def test_response_to_another_request_is_detected() -> None:
     """Guard against taking a late response to another request for this one's."""
     find_owner = DIALECT.make_owner_finder(RequestId("r1"))
--- a/tests/request/forwarding/test_core.py
+++ b/tests/request/forwarding/test_core.py
@@ -249,6 +249,16 @@
     assert find(effects, SendVerdict) == [SendVerdict(Verdict.ALL_REFUSED, "full")]
 
 
+def test_overload_is_reported_with_the_time_to_come_back() -> None:
+    """Guard against callers that are not told when there may be a slot."""
+    state = make_state()
+    run(state, Start())
+    later = timedelta(milliseconds=300)
+    refused = EndpointRefused(HOLDER, "late", is_overloaded=True, retry_after=later)
+    verdict = SendVerdict(Verdict.OVERLOADED, "late", later)
+    assert find(run(state, refused), SendVerdict) == [verdict]
+
+
 def test_refusal_after_a_run_is_not_reported_as_not_run() -> None:
     """Guard against a false "not run" after an earlier attempt that may have run."""
     state = make_state(RouteKind.IDEMPOTENT, n_attempts=2)
