--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -52,7 +52,6 @@
     EventLatencyObserved,
     FirstChunkReceived,
     GetLoads,
-    InferenceWorkload,
     LimitsReported,
     LoadsFound,
     PeerLoadsReported,
@@ -60,6 +59,13 @@
     SendPermitReply,
     SendPermitRequest,
 )
+from oleanderhitch.process.placement.ordering import (
+    count_end,
+    count_grant,
+    count_start,
+    get_queue_id,
+    iterate_in_order,
+)
 from oleanderhitch.process.placement.rate_limits import (
     MILLISECOND,
     PERMIT_TIMEOUT,
@@ -78,13 +84,23 @@
     PendingPermitRequest,
     Permit,
     PlacementState,
+    QueueId,
     count_running,
     find_endpoint,
 )
+from oleanderhitch.process.placement.refusal import (
+    HopelessRequest,
+    describe_drain,
+    find_retry_after,
+    find_surplus,
+    list_hopeless,
+    observe_grant,
+    observe_time,
+)
 from oleanderhitch.process.placement.spreading import choose_alike
 from oleanderhitch.request.ids import HolderId, PermitId
 from oleanderhitch.values import Value
-from oleanderhitch.version.ids import EndpointId
+from oleanderhitch.version.ids import EndpointId, ServiceName
 
 # Cache capacity of an engine until the routing configuration states it.
 DEFAULT_CACHE_CAPACITY_TOKENS = 400_000
@@ -97,6 +113,8 @@
 # Requests that may queue at a plain service, per slot. Queueing there is better than
 # refusing the request, but only for a short queue.
 PLAIN_QUEUE_PER_SLOT = 1.0
+# Overload lasts for seconds; each refused request has its own line.
+OVERLOAD_LOG_INTERVAL = timedelta(seconds=1)
 
 
 class SendReply(Value, frozen=True):
@@ -131,6 +149,22 @@
     request: SendPermitRequest
 
 
+class LogOverload(Value, frozen=True):
+    """Logs that requests of a service are refused early; at most once a second."""
+
+    service: ServiceName
+    n_refused: int
+    n_waiting: int
+    freed_per_s: str
+
+
+class ReportQueueLength(Value, frozen=True):
+    """Reports how many requests wait for a service at this entry host."""
+
+    service: ServiceName
+    n_waiting: int
+
+
 class LogRateLimit(Value, frozen=True):
     """Logs that an endpoint has named, changed or dropped a rate limit."""
 
@@ -163,10 +197,20 @@
         record.listed = listed
         record.unlisted_at = None
         state.endpoints[listed.endpoint] = record
+    _drop_idle_queues(state)
     _keep_unlisted(known, state, now)
     return [*crashes, *_query_caches(state), *_grant_waiting(state, now)]
 
 
+def _drop_idle_queues(state: PlacementState) -> None:
+    """Drop the queues of services that no configuration may have any more."""
+    services = {endpoint.listed.service for endpoint in state.endpoints.values()}
+    for queue_id, queue in list(state.queues.items()):
+        is_idle = not queue.waiting and not queue.n_running
+        if is_idle and queue_id.service not in services:
+            del state.queues[queue_id]
+
+
 def _keep_unlisted(
     endpoints: dict[EndpointId, Endpoint], state: PlacementState, now: datetime
 ) -> None:
@@ -214,14 +258,17 @@
 ) -> list[object]:
     """Grant a request an endpoint, or ask for one, or let the request wait."""
     state.undecided.add(message.holder)
-    effect = _find_decision(message, state, now)
-    if effect is not None:
-        return [effect]
-    if now >= message.deadline:
-        return [_refuse(message, "no endpoint in time", state)]
-    state.waiting.append(message)
-    state.waiting.sort(key=lambda waiting: (waiting.rank, waiting.deadline))
-    return []
+    queue_id = get_queue_id(message)
+    queue = state.queues[queue_id]
+    is_sendable = message.fingerprint not in state.quarantined
+    if is_sendable and not queue.waiting:
+        free = _list_free(queue_id, state, now)
+        effect = _find_grant(message, free, state, now)
+        if effect is not None:
+            return [effect]
+    queue.waiting.append(message)
+    effects = _serve_queue(queue_id, state, now)
+    return [*effects, *_refuse_early(queue_id, state, now)]
 
 
 @handle.register
@@ -240,9 +287,11 @@
     holder = message.holder
     if holder in state.undecided:
         state.undecided.discard(holder)
-        state.waiting = [
-            waiting for waiting in state.waiting if waiting.holder != holder
-        ]
+        for queue in state.queues.values():
+            queue.waiting = [
+                waiting for waiting in queue.waiting if waiting.holder != holder
+            ]
+            queue.drain.is_waiting &= bool(queue.waiting)
         state.permit_requests = {
             number: pending
             for number, pending in state.permit_requests.items()
@@ -337,6 +386,7 @@
     _finish_prefill(message.permit, permit, state)
     del state.permits[message.permit]
     _drop_held_permit(message.permit, permit.holder, state)
+    count_end(state.queues[permit.queue], permit.account)
     endpoint = find_endpoint(permit.endpoint, state)
     effects: list[object] = []
     # An endpoint that was started again under its id has none of the earlier permits.
@@ -347,7 +397,7 @@
     is_served = message.result is AttemptResult.COMPLETED
     if is_served and permit.fingerprint in state.suspected:
         effects.append(ContentServed(permit.fingerprint))
-    return [*effects, *_grant_waiting(state, now)]
+    return [*effects, *_grant_waiting(state, now, permit.queue.service)]
 
 
 @handle.register
@@ -364,7 +414,10 @@
         if now - pending.asked_at >= PERMIT_TIMEOUT:
             no_reply = SendPermitReply(number, is_leader=False)
             effects.extend(handle(no_reply, state, now))
-    return [*effects, *_grant_waiting(state, now)]
+    effects.extend(_grant_waiting(state, now))
+    for queue_id in state.queues:
+        effects.extend(_refuse_early(queue_id, state, now))
+    return effects
 
 
 @handle.register
@@ -395,7 +448,17 @@
         if endpoint.permits
     )
     found = LoadsFound(loads, list_observed_limits(state, now))
-    return [SendReply(message.reply_address, found)]
+    return [SendReply(message.reply_address, found), *_report_queues(state)]
+
+
+def _report_queues(state: PlacementState) -> list[object]:
+    """Return how many requests wait for each service where that has changed."""
+    effects: list[object] = []
+    for queue_id, queue in state.queues.items():
+        if queue.n_reported != len(queue.waiting):
+            queue.n_reported = len(queue.waiting)
+            effects.append(ReportQueueLength(queue_id.service, queue.n_reported))
+    return effects
 
 
 @handle.register
@@ -438,58 +501,176 @@
     state.permits[permit_id] = replace(permit, n_pending_prefill_tokens=0)
 
 
-def _grant_waiting(state: PlacementState, now: datetime) -> list[object]:
+def _grant_waiting(
+    state: PlacementState, now: datetime, service: ServiceName | None = None
+) -> list[object]:
+    """Grant waiting requests what is free, those of one service or of all."""
+    return [
+        effect
+        for queue_id, queue in state.queues.items()
+        if queue.waiting and service in (None, queue_id.service)
+        for effect in _serve_queue(queue_id, state, now)
+    ]
+
+
+def _serve_queue(
+    queue_id: QueueId, state: PlacementState, now: datetime
+) -> list[object]:
+    """Decide on the waiting requests of one queue, as far as that is possible."""
+    queue = state.queues[queue_id]
+    observe_time(queue.drain, now)
     effects: list[object] = []
-    waiting, state.waiting = state.waiting, []
-    for message in waiting:
-        effect = _find_decision(message, state, now)
-        if effect is not None:
-            effects.append(effect)
-        elif now >= message.deadline:
-            effects.append(_refuse(message, "no endpoint in time", state))
-        else:
-            state.waiting.append(message)
+    for message in queue.waiting:
+        if message.fingerprint in state.quarantined:
+            reason = "its content crashes the endpoints that run it"
+            refused = EndpointRefused(message.holder, reason, is_quarantined=True)
+            effects.append(_refuse(message, refused, state))
+    if effects:
+        queue.waiting = [
+            message
+            for message in queue.waiting
+            if message.fingerprint not in state.quarantined
+        ]
+    free = _list_free(queue_id, state, now)
+    effects.extend(_grant_free(queue_id, free, state, now))
+    queue.drain.is_waiting = (
+        bool(queue.waiting) and not free and _has_endpoint(queue_id.service, state)
+    )
+    expired = [message for message in queue.waiting if now >= message.deadline]
+    if expired:
+        queue.waiting = [message for message in queue.waiting if now < message.deadline]
+    for message in expired:
+        retry_after = _find_retry_after(message, len(queue.waiting), state, now)
+        refused = EndpointRefused(
+            message.holder, "no endpoint in time", retry_after=retry_after
+        )
+        effects.append(_refuse(message, refused, state))
+    return effects
+
+
+def _refuse_early(
+    queue_id: QueueId, state: PlacementState, now: datetime
+) -> list[object]:
+    """Refuse the waiting requests of a queue that can't be served in time."""
+    queue = state.queues[queue_id]
+    if len(queue.waiting) < 2:
+        # The first in line is never refused early.
+        return []
+    hopeless = list_hopeless(queue, now)
+    n_waiting = len(queue.waiting)
+    surplus = None if hopeless else find_surplus(queue, now)
+    if surplus is not None:
+        hopeless = [HopelessRequest(surplus, n_waiting - 1)]
+    if not hopeless:
+        return []
+    refused = {item.message.holder for item in hopeless}
+    queue.waiting = [item for item in queue.waiting if item.holder not in refused]
+    effects = _log_overload(queue_id, len(hopeless), state, now)
+    for item in hopeless:
+        message = item.message
+        reason = (
+            f"{item.n_ahead} requests are ahead for {describe_drain(queue.drain)} a "
+            f"second, {round((message.deadline - now) / MILLISECOND)} ms are left"
+        )
+        retry_after = _find_retry_after(message, item.n_ahead, state, now)
+        reply = EndpointRefused(
+            message.holder, reason, is_overloaded=True, retry_after=retry_after
+        )
+        effects.append(_refuse(message, reply, state))
+    return effects
+
+
+def _log_overload(
+    queue_id: QueueId, n_refused: int, state: PlacementState, now: datetime
+) -> list[object]:
+    queue = state.queues[queue_id]
+    logged_at = queue.refusals_logged_at
+    if logged_at is not None and now - logged_at < OVERLOAD_LOG_INTERVAL:
+        return []
+    queue.refusals_logged_at = now
+    n_waiting = len(queue.waiting)
+    rate = describe_drain(queue.drain)
+    return [LogOverload(queue_id.service, n_refused, n_waiting, rate)]
+
+
+def _find_retry_after(
+    message: AcquireEndpoint, n_ahead: int, state: PlacementState, now: datetime
+) -> timedelta | None:
+    time_left = (message.caller_deadline or message.deadline) - now
+    drain = state.queues[get_queue_id(message)].drain
+    return find_retry_after(drain, n_ahead, time_left, state.random_source)
+
+
+def _has_endpoint(service: ServiceName, state: PlacementState) -> bool:
+    return any(
+        endpoint.listed.service == service and not endpoint.is_leaving
+        for endpoint in state.endpoints.values()
+    )
+
+
+def _grant_free(
+    queue_id: QueueId, free: list[Endpoint], state: PlacementState, now: datetime
+) -> list[object]:
+    """Grant the free endpoints of a service to its waiting requests, in their order.
+
+    Endpoints that are free no longer are removed from `free`.
+    """
+    if not free:
+        return []
+    queue = state.queues[queue_id]
+    effects: list[object] = []
+    for message in iterate_in_order(queue, now):
+        effect = _find_grant(message, free, state, now)
+        if effect is None:
+            continue
+        effects.append(effect)
+        count_grant(queue, message)
+        free[:] = [item for item in free if _is_free(item, queue_id, state, now)]
+        if not free:
+            break
     return effects
 
 
 def _refuse(
-    message: AcquireEndpoint,
-    reason: str,
-    state: PlacementState,
-    is_quarantined: bool = False,
+    message: AcquireEndpoint, refused: EndpointRefused, state: PlacementState
 ) -> SendReply:
     state.undecided.discard(message.holder)
-    refused = EndpointRefused(message.holder, reason, is_quarantined)
     return SendReply(message.reply_address, refused)
 
 
-def _find_decision(
-    message: AcquireEndpoint, state: PlacementState, now: datetime
-) -> SendReply | AskLeader | None:
-    """Return what can be decided on a request, None if it has to wait."""
-    if message.fingerprint in state.quarantined:
-        reason = "its content crashes the endpoints that run it"
-        return _refuse(message, reason, state, is_quarantined=True)
-    return _find_grant(message, state, now)
+def _list_free(
+    queue_id: QueueId, state: PlacementState, now: datetime
+) -> list[Endpoint]:
+    """Return the endpoints of a service that may get a request now."""
+    return [
+        endpoint
+        for endpoint in state.endpoints.values()
+        if endpoint.listed.service == queue_id.service
+        and _is_free(endpoint, queue_id, state, now)
+    ]
+
+
+def _is_free(
+    endpoint: Endpoint, queue_id: QueueId, state: PlacementState, now: datetime
+) -> bool:
+    """Return whether an endpoint of the service may get a request now."""
+    return (
+        not endpoint.is_leaving
+        and _has_capacity(endpoint, queue_id.is_engine, now)
+        and (endpoint.avoid_until is None or endpoint.avoid_until <= now)
+        and allows_send(endpoint, state, now)
+    )
 
 
 def _find_grant(
-    message: AcquireEndpoint, state: PlacementState, now: datetime
+    message: AcquireEndpoint,
+    free: list[Endpoint],
+    state: PlacementState,
+    now: datetime,
 ) -> SendReply | AskLeader | None:
     """Return the grant of an endpoint, or the question for one that is limited."""
-    candidates = [
-        endpoint
-        for endpoint in state.endpoints.values()
-        if endpoint.listed.service == message.service
-        and not endpoint.is_leaving
-        and endpoint.listed.endpoint not in message.tried
-        and _has_capacity(endpoint, message.workload, now)
-    ]
     available = [
-        endpoint
-        for endpoint in candidates
-        if (endpoint.avoid_until is None or endpoint.avoid_until <= now)
-        and allows_send(endpoint, state, now)
+        endpoint for endpoint in free if endpoint.listed.endpoint not in message.tried
     ]
     if not available:
         return None
@@ -517,11 +698,9 @@
     return AskLeader(request)
 
 
-def _has_capacity(
-    endpoint: Endpoint, workload: InferenceWorkload | None, now: datetime
-) -> bool:
+def _has_capacity(endpoint: Endpoint, is_engine: bool, now: datetime) -> bool:
     limit = endpoint.listed.n_slots
-    if workload is None:
+    if not is_engine:
         limit += int(limit * PLAIN_QUEUE_PER_SLOT)
     return count_running(endpoint, now) < limit
 
@@ -540,6 +719,7 @@
         n_uncached = count_uncached_tokens(endpoint.cache, message.workload)
         record_prompt(endpoint.cache, message.workload)
     endpoint_id = endpoint.listed.endpoint
+    queue_id = get_queue_id(message)
     state.pending_prefill_tokens[endpoint_id] += n_uncached
     state.permits[permit] = Permit(
         endpoint_id,
@@ -548,7 +728,12 @@
         message.workload is not None,
         now,
         message.holder,
+        queue_id,
+        message.account,
     )
+    queue = state.queues[queue_id]
+    count_start(queue, message.account)
+    observe_grant(queue.drain)
     endpoint.permits.add(permit)
     state.undecided.discard(message.holder)
     state.held_permits.setdefault(message.holder, set()).add(permit)
