Shared the speeds of endpoints among entry hosts

Cause: each entry host knew an endpoint's speed from its own streams of the last 2 s only, and saw an endpoint once in several seconds. Engines that are slow for good got as much work as the others, and the constants of the cost did not fit each deployment.

Change: a host fits the time of an output token over the size of the batch and the time until the first event over the uncached tokens, and reports in its hello by which ratio each endpoint deviates. The leader keeps decaying means and returns in its status what has changed by more than a tenth, with a version instead of a digest, since a change of one endpoint must not cost a list of all.

The stand-in of test_rate_limits.py answered each prompt after 3 ms, whatever it had cached. The host now learns from it that reading takes no time, so that the endpoint with cached prompts is no better than another. It now takes the time of the assumed prefill rate; the checks are the same.

--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -15,11 +15,7 @@
     record_prompt,
     resize,
 )
-from oleanderhitch.process.placement.cost import (
-    BATCH_OVERHEAD_MS_PER_TOKEN,
-    DECODE_MS_PER_TOKEN,
-    get_cost_ms,
-)
+from oleanderhitch.process.placement.cost import get_cost_ms
 from oleanderhitch.process.placement.crashes import (
     ContentServed,
     find_listed_crashes,
@@ -30,11 +26,7 @@
     record_affinity_key,
     record_result,
 )
-from oleanderhitch.process.placement.latency import (
-    find_median_ms,
-    get_slowdown,
-    record_latency,
-)
+from oleanderhitch.process.placement.latency import find_median_ms, get_slowdown
 from oleanderhitch.process.placement.messages import (
     AcquireEndpoint,
     AttemptResult,
@@ -58,6 +50,15 @@
     ReleaseEndpoint,
     SendPermitReply,
     SendPermitRequest,
+    SpeedsReported,
+)
+from oleanderhitch.process.placement.observations import (
+    apply_speeds,
+    find_measured_tokens,
+    list_observed_speeds,
+    record_event_latency,
+    record_first_event,
+    update_speeds,
 )
 from oleanderhitch.process.placement.rate_limits import (
     MILLISECOND,
@@ -163,6 +164,7 @@
         record.unlisted_at = None
         state.endpoints[listed.endpoint] = record
     _keep_unlisted(known, state, now)
+    update_speeds(state, now)
     return [*crashes, *_query_caches(state), *_grant_waiting(state, now)]
 
 
@@ -186,6 +188,7 @@
     message: CacheCapacitiesUpdated, state: PlacementState, now: datetime
 ) -> list[object]:
     state.cache_capacity_tokens = message.capacity_tokens
+    state.tokens_per_event = message.tokens_per_event
     for endpoint in state.endpoints.values():
         capacity = message.capacity_tokens.get(endpoint.listed.service)
         if capacity is not None:
@@ -310,6 +313,7 @@
 ) -> list[object]:
     permit = state.permits.get(message.permit)
     if permit is not None:
+        record_first_event(permit, state, now)
         _finish_prefill(message.permit, permit, state)
         endpoint = state.endpoints.get(permit.endpoint)
         if endpoint is not None:
@@ -362,15 +366,7 @@
     permit = state.permits.get(message.permit)
     endpoint = None if permit is None else find_endpoint(permit.endpoint, state)
     if endpoint is not None:
-        # A larger batch raises the latency by itself; dividing by its effect leaves the
-        # slowdown that has other causes.
-        batch_ratio = (
-            1
-            + BATCH_OVERHEAD_MS_PER_TOKEN
-            / DECODE_MS_PER_TOKEN
-            * count_running(endpoint, now)
-        )
-        record_latency(endpoint.latency, message.latency / batch_ratio, now)
+        record_event_latency(endpoint, message.latency, state, now)
         endpoint.last_activity_at = now
     return []
 
@@ -382,10 +378,18 @@
         for name, endpoint in state.endpoints.items()
         if endpoint.permits
     )
-    found = LoadsFound(loads, list_observed_limits(state, now))
+    found = LoadsFound(
+        loads, list_observed_limits(state, now), list_observed_speeds(state)
+    )
     return [SendReply(message.reply_address, found)]
 
 
+@handle.register
+def _(message: SpeedsReported, state: PlacementState, now: datetime) -> list[object]:
+    apply_speeds(message, state, now)
+    return []
+
+
 @handle.register
 def _(message: PeerLoadsReported, state: PlacementState, now: datetime) -> list[object]:
     state.n_entry_hosts = message.n_entry_hosts
@@ -526,8 +530,10 @@
     state.last_permit_number += 1
     permit = PermitId(f"{state.permit_prefix}-{state.last_permit_number}")
     n_uncached = 0
+    n_measured: int | None = None
     if message.workload is not None:
         n_uncached = count_uncached_tokens(endpoint.cache, message.workload)
+        n_measured = find_measured_tokens(endpoint, n_uncached, state, now)
         record_prompt(endpoint.cache, message.workload)
     endpoint_id = endpoint.listed.endpoint
     state.pending_prefill_tokens[endpoint_id] += n_uncached
@@ -538,6 +544,7 @@
         message.workload is not None,
         now,
         message.holder,
+        n_measured,
     )
     endpoint.permits.add(permit)
     state.undecided.discard(message.holder)
--- a/oleanderhitch/process/placement/cost.py
+++ b/oleanderhitch/process/placement/cost.py
@@ -16,13 +16,11 @@
     find_peer_load,
 )
 from oleanderhitch.process.placement.reliability import get_failure_rate
+from oleanderhitch.process.placement.speeds import (
+    BATCH_OVERHEAD_RATIO,
+    ServiceSpeeds,
+)
 
-# Engine speeds from the data sheets and deployment files of both sites: prefill rate,
-# time per output token on an idle engine, and the time that each further request in the
-# batch adds to every output token.
-PREFILL_TOKENS_PER_MS = 145.0
-DECODE_MS_PER_TOKEN = 1.0
-BATCH_OVERHEAD_MS_PER_TOKEN = 0.04
 # Requests that a prefill delays besides the running ones: its own and, while the engine
 # is busy, the next one.
 N_DELAYED_BY_PREFILL = 2.0
@@ -66,7 +64,11 @@
             0 if peer_load is None else peer_load.n_reading_tokens
         )
         cost_ms = _get_engine_cost_ms(
-            endpoint, message.workload, n_running, n_pending_prefill_tokens
+            endpoint,
+            state.service_speeds[message.service],
+            message.workload,
+            n_running,
+            n_pending_prefill_tokens,
         )
     cost_ms *= slowdown
     failure_cost_ms = (
@@ -80,6 +82,7 @@
 
 def _get_engine_cost_ms(
     endpoint: Endpoint,
+    service: ServiceSpeeds,
     workload: InferenceWorkload,
     n_running: int,
     n_pending_prefill_tokens: int,
@@ -87,15 +90,17 @@
     """Return the milliseconds of the request's latency plus the delay of its batch.
 
     Engines run prefill in chunks between the decode steps of the batch, so a prefill
-    delays each running request by its whole duration.
+    delays each running request by its whole duration. A batch costs what the data
+    sheets say also where its overhead is less: it takes slots from the next requests.
     """
+    prefill_token_ms = service.prefill_ms * endpoint.speeds.prefill_ratio
+    decode_token_ms = service.decode_ms * endpoint.speeds.decode_ratio
+    batch_overhead_ms = BATCH_OVERHEAD_RATIO * decode_token_ms
     n_output = workload.expected_output_tokens
-    prefill_ms = count_uncached_tokens(endpoint.cache, workload) / PREFILL_TOKENS_PER_MS
-    decode_ms = n_output * (
-        DECODE_MS_PER_TOKEN + BATCH_OVERHEAD_MS_PER_TOKEN * n_running
-    )
-    batch_delay_ms = REMAINING_OUTPUT_SHARE * n_output * BATCH_OVERHEAD_MS_PER_TOKEN
-    prefill_queue_ms = n_pending_prefill_tokens / PREFILL_TOKENS_PER_MS
+    prefill_ms = count_uncached_tokens(endpoint.cache, workload) * prefill_token_ms
+    decode_ms = n_output * (decode_token_ms + batch_overhead_ms * n_running)
+    batch_delay_ms = REMAINING_OUTPUT_SHARE * n_output * batch_overhead_ms
+    prefill_queue_ms = n_pending_prefill_tokens * prefill_token_ms
     n_delayed = N_DELAYED_BY_PREFILL + n_running
     return (
         prefill_queue_ms
--- a/oleanderhitch/process/placement/messages.py
+++ b/oleanderhitch/process/placement/messages.py
@@ -145,6 +145,44 @@
     age_ms: int
 
 
+class EndpointSpeed(Value, frozen=True, array_like=True):
+    """Times of an endpoint, started at `born_ms`, as all entry hosts observe them.
+
+    `decode` compares the time of an output token and `prefill` that until the first
+    event with those of the service's median endpoint, in thousandths.
+    """
+
+    endpoint: EndpointId
+    born_ms: int
+    decode: int
+    prefill: int
+
+
+class SpeedObservations(Value, frozen=True, array_like=True):
+    """Numbers and sums of the ratios that an entry host has observed, in thousandths.
+
+    They compare an endpoint with the median one of its service, as EndpointSpeed does.
+    """
+
+    endpoint: EndpointId
+    born_ms: int
+    n_decode: int
+    decode_sum: int
+    n_prefill: int
+    prefill_sum: int
+
+
+class SpeedsReported(Value, frozen=True):
+    """Reports the speeds that have changed, as all entry hosts observe them.
+
+    A complete report comes from a leader that this entry host has not heard before, and
+    holds all that it knows.
+    """
+
+    speeds: tuple[EndpointSpeed, ...]
+    is_complete: bool
+
+
 class SendPermitRequest(Value, frozen=True):
     """Requests the permit for one send to the first of these endpoints that takes it.
 
@@ -191,6 +229,8 @@
 
     loads: tuple[EndpointLoad, ...]
     limits: tuple[EndpointLimit, ...] = ()
+    # What was observed since the last reply.
+    speeds: tuple[SpeedObservations, ...] = ()
 
 
 class PeerLoadsReported(Value, frozen=True):
@@ -235,9 +275,13 @@
 
 
 class CacheCapacitiesUpdated(Value, frozen=True):
-    """Reports the prefix cache capacity of each service's engines, in tokens."""
+    """Reports the prefix cache capacity of each service's engines, in tokens.
+
+    `tokens_per_event` is the number of tokens that an event of a stream counts for.
+    """
 
     capacity_tokens: Mapping[ServiceName, int]
+    tokens_per_event: Mapping[ServiceName, int] = {}
 
 
 class CacheContentsReported(Value, frozen=True):
--- a/oleanderhitch/process/placement/records.py
+++ b/oleanderhitch/process/placement/records.py
@@ -13,6 +13,11 @@
 from oleanderhitch.process.placement.latency import LatencyAverage
 from oleanderhitch.process.placement.messages import AcquireEndpoint, EndpointLoad
 from oleanderhitch.process.placement.reliability import Reliability
+from oleanderhitch.process.placement.speeds import (
+    EndpointSpeeds,
+    ServiceSpeeds,
+    SpeedReports,
+)
 from oleanderhitch.request.ids import HolderId, PermitId, RequestFingerprint
 from oleanderhitch.values import Value
 from oleanderhitch.version.ids import DataCentreName, EndpointId, ServiceName
@@ -56,6 +61,7 @@
     needs_cache_query: bool
     latency: LatencyAverage = field(default_factory=LatencyAverage)
     reliability: Reliability = field(default_factory=Reliability)
+    speeds: EndpointSpeeds = field(default_factory=EndpointSpeeds)
     permits: set[PermitId] = field(default_factory=set)
     avoid_until: datetime | None = None
     # Affinity keys of the calls that were sent here, most recent last.
@@ -88,6 +94,9 @@
     is_engine: bool
     granted_at: datetime
     holder: HolderId
+    # Prompt tokens to read, if no other prefill had to end before: a first event then
+    # shows how fast the endpoint reads.
+    n_measured_tokens: int | None = None
 
 
 class PendingPermitRequest(Value, frozen=True):
@@ -107,6 +116,11 @@
     # Endpoints that the list does not name for a while, or whose entry can't be read.
     unlisted: dict[EndpointId, Endpoint] = field(default_factory=dict)
     cache_capacity_tokens: Mapping[ServiceName, int] = field(default_factory=dict)
+    tokens_per_event: Mapping[ServiceName, int] = field(default_factory=dict)
+    speed_reports: SpeedReports = field(default_factory=SpeedReports)
+    service_speeds: defaultdict[ServiceName, ServiceSpeeds] = field(
+        default_factory=lambda: defaultdict(ServiceSpeeds)
+    )
     permits: dict[PermitId, Permit] = field(default_factory=dict)
     # What each request holds: every permit belongs to one request in progress.
     held_permits: dict[HolderId, set[PermitId]] = field(default_factory=dict)
--- a/oleanderhitch/process/site/messages.py
+++ b/oleanderhitch/process/site/messages.py
@@ -11,8 +11,10 @@
 from oleanderhitch.process.placement.messages import (
     EndpointLimit,
     EndpointLoad,
+    EndpointSpeed,
     SendPermitReply,
     SendPermitRequest,
+    SpeedObservations,
 )
 from oleanderhitch.values import Value
 from oleanderhitch.version.ids import DataCentreName, HostName
@@ -24,6 +26,27 @@
 NO_LIMITS = LimitsDigest(0)
 
 
+class SpeedsVersion(Value, frozen=True, array_like=True):
+    """The version of the speeds of endpoints that one leader, the term, has learned."""
+
+    term: int
+    number: int
+
+
+NO_SPEEDS = SpeedsVersion(0, 0)
+
+
+class SpeedsChange(Value, frozen=True):
+    """The speeds that have changed since the version that an entry host knows.
+
+    A change is complete if that version was of another leader.
+    """
+
+    version: SpeedsVersion
+    is_complete: bool
+    speeds: tuple[EndpointSpeed, ...]
+
+
 def make_stores_digest(stores: tuple[NodeId, ...]) -> StoresDigest:
     """Return a number that stands for a set of stores."""
     return StoresDigest(xxhash.xxh3_64_intdigest(" ".join(sorted(stores)).encode()))
@@ -74,7 +97,8 @@
     A store replies with a SiteStatus of what the entry host lacks. `known_stores` tells
     which stores the entry host was told of last, `known_limits` which limits of
     endpoints. `limits` are those that it has observed lately itself. `crashes` are all
-    crashes that it knows of, if the leader knows others.
+    crashes that it knows of, if the leader knows others. `speeds` are what it has
+    observed since its last hello to a leader, `known_speeds` what it was told last.
     """
 
     node: NodeId
@@ -86,6 +110,8 @@
     known_limits: LimitsDigest = NO_LIMITS
     crashes: tuple[CrashRecord, ...] = ()
     crashes_digest: CrashesDigest = NO_CRASHES
+    speeds: tuple[SpeedObservations, ...] = ()
+    known_speeds: SpeedsVersion = NO_SPEEDS
 
 
 class StoreAnnouncement(Value, frozen=True):
@@ -111,8 +137,8 @@
     entry host already has that version; `endpoints` is only set if it has not.
     `routing` and `other_loads`, the loads that all other entry hosts cause, are only
     set by a leader whose state is known to be current, and so are the limits of
-    endpoints, the number of entry hosts, and the crashes, which are not sent to a host
-    that knows the same.
+    endpoints, the number of entry hosts, the speeds of endpoints that have changed, and
+    the crashes, which are not sent to a host that knows the same.
     """
 
     stores: tuple[NodeId, ...]
@@ -126,6 +152,7 @@
     n_entry_hosts: int = 1
     crashes: tuple[CrashRecord, ...] | None = None
     crashes_digest: CrashesDigest = NO_CRASHES
+    speeds: SpeedsChange | None = None
 
 
 EMPTY_ROUTING = RoutingFound(NO_ROUTING, b"")
--- /dev/null
+++ b/oleanderhitch/process/site/speed_totals.py
@@ -0,0 +1,135 @@
+"""Average the speeds of endpoints that all entry hosts observe.
+
+Answers many entry hosts that each see an endpoint once in several seconds, too seldom
+to tell a slow engine from one whose neighbour is busy for half a second. The cost of a
+hello grows with what the host has observed, that of a status with what has changed.
+"""
+
+from collections import OrderedDict
+from datetime import datetime, timedelta
+
+from msgspec import Struct, field
+
+from oleanderhitch.process.placement.messages import EndpointSpeed, SpeedObservations
+from oleanderhitch.process.placement.speeds import RATIO_UNIT
+from oleanderhitch.process.site.messages import SpeedsChange, SpeedsVersion
+from oleanderhitch.version.ids import EndpointId
+
+# An endpoint of 12 slots yields more than ten observations of its decode a second, and
+# about two of its prefill. With these half-lives the mean of either varies by 3 to 7%
+# while neighbours are noisy.
+DECODE_HALF_LIFE = timedelta(seconds=5)
+PREFILL_HALF_LIFE = timedelta(seconds=10)
+# Observations of the median speed that are assumed of each endpoint. One noisy
+# neighbour makes no endpoint slow, and one that gets no requests since it was slow
+# returns to the median within half a minute, so that requests show whether it still is.
+N_ASSUMED_OBSERVATIONS = 3.0
+# Smaller changes are not sent.
+CHANGE_MIN = 0.1
+# Endpoints with fewer observations left, decayed, are forgotten.
+N_OBSERVATIONS_MIN = 0.1
+# How often the means are checked that change since there are no observations.
+REVIEW_INTERVAL = timedelta(seconds=1)
+
+
+class _Mean(Struct):
+    """A decaying mean of ratios in thousandths, and the one that was published last."""
+
+    half_life: timedelta
+    n: float = 0.0
+    total: float = 0.0
+    updated_at: datetime | None = None
+    published: int = RATIO_UNIT
+
+    def add(self, n: int, total: int, now: datetime) -> None:
+        """Add the sum of `n` observations."""
+        if self.updated_at is not None:
+            age = max(now - self.updated_at, timedelta(0))
+            decay = float(0.5 ** (age / self.half_life))
+            self.n *= decay
+            self.total *= decay
+        self.n += n
+        self.total += total
+        self.updated_at = now
+
+    def publish(self) -> bool:
+        """Publish the mean if it has changed by a tenth; return whether it has."""
+        mean = (self.total + N_ASSUMED_OBSERVATIONS * RATIO_UNIT) / (
+            self.n + N_ASSUMED_OBSERVATIONS
+        )
+        if abs(mean - self.published) <= CHANGE_MIN * self.published:
+            return False
+        self.published = max(1, round(mean))
+        return True
+
+
+class _Endpoint(Struct):
+    """The speeds of an endpoint, changed last in the version `number`."""
+
+    born_ms: int
+    number: int = 0
+    decode: _Mean = field(default_factory=lambda: _Mean(DECODE_HALF_LIFE))
+    prefill: _Mean = field(default_factory=lambda: _Mean(PREFILL_HALF_LIFE))
+
+
+class SpeedTotals(Struct):
+    """The speeds of all endpoints, last changed last, as one leader learns them."""
+
+    term: int
+    number: int = 0
+    endpoints: OrderedDict[EndpointId, _Endpoint] = field(default_factory=OrderedDict)
+    reviewed_at: datetime | None = None
+
+    def observe(self, observed: SpeedObservations, now: datetime) -> None:
+        """Add what an entry host has observed of an endpoint."""
+        endpoint = self.endpoints.get(observed.endpoint)
+        if endpoint is None or observed.born_ms > endpoint.born_ms:
+            endpoint = self.endpoints[observed.endpoint] = _Endpoint(observed.born_ms)
+            self.endpoints.move_to_end(observed.endpoint, last=False)
+        elif observed.born_ms < endpoint.born_ms:
+            return
+        endpoint.decode.add(observed.n_decode, observed.decode_sum, now)
+        endpoint.prefill.add(observed.n_prefill, observed.prefill_sum, now)
+        self._publish(observed.endpoint, endpoint)
+
+    def find_change(self, known: SpeedsVersion, now: datetime) -> SpeedsChange | None:
+        """Return what has changed since a version, None if nothing has."""
+        self._review(now)
+        version = SpeedsVersion(self.term, self.number)
+        if known == version:
+            return None
+        is_complete = known.term != self.term
+        known_number = 0 if is_complete else known.number
+        speeds = []
+        for name, endpoint in reversed(self.endpoints.items()):
+            if endpoint.number <= known_number:
+                break
+            decode, prefill = endpoint.decode.published, endpoint.prefill.published
+            speeds.append(EndpointSpeed(name, endpoint.born_ms, decode, prefill))
+        return SpeedsChange(version, is_complete, tuple(speeds))
+
+    def _review(self, now: datetime) -> None:
+        """Let the speeds of endpoints return that are not observed any more."""
+        if self.reviewed_at is not None and now - self.reviewed_at < REVIEW_INTERVAL:
+            return
+        self.reviewed_at = now
+        for name, endpoint in list(self.endpoints.items()):
+            endpoint.decode.add(0, 0, now)
+            endpoint.prefill.add(0, 0, now)
+            n_left = max(endpoint.decode.n, endpoint.prefill.n)
+            if not self._publish(name, endpoint) and n_left < N_OBSERVATIONS_MIN:
+                del self.endpoints[name]
+
+    def _publish(self, name: EndpointId, endpoint: _Endpoint) -> bool:
+        is_decode_new = endpoint.decode.publish()
+        if not endpoint.prefill.publish() and not is_decode_new:
+            return False
+        self.number += 1
+        endpoint.number = self.number
+        self.endpoints.move_to_end(name)
+        return True
+
+
+def make_speed_totals(now: datetime) -> SpeedTotals:
+    """Return the totals of a leader that starts now."""
+    return SpeedTotals(int(now.timestamp() * 1000))
--- a/oleanderhitch/process/site/subscribers.py
+++ b/oleanderhitch/process/site/subscribers.py
@@ -24,6 +24,7 @@
     make_stores_digest,
 )
 from oleanderhitch.process.site.send_permits import SendPermits
+from oleanderhitch.process.site.speed_totals import make_speed_totals
 
 # An entry host that sent no hello for this long has stopped or uses another connection.
 ENTRY_CONTACT_TIMEOUT = timedelta(seconds=3)
@@ -56,6 +57,7 @@
         self._subscribers: dict[NodeId, Subscriber] = {}
         self._loads = LoadTotals()
         self._permits = SendPermits()
+        self._speeds = make_speed_totals(clock.now())
         self._crashes = make_crash_evidence()
         self._endpoint_list: EndpointList | None = None
         # Routing is only sent after a read through the group has shown that this leader
@@ -70,6 +72,8 @@
         self._subscribers[hello.node] = subscriber
         self._loads.report(hello.node, hello.loads, now)
         self._observe_limits(hello.limits, now)
+        for observed in hello.speeds:
+            self._speeds.observe(observed, now)
         self._expire_crashes(now)
         quarantined = self._crashes.merge(hello.crashes, now)
         if quarantined and self._is_current:
@@ -109,6 +113,9 @@
 
     def confirm_current(self) -> None:
         """Start sending the routing and peer loads, since the state is current."""
+        if not self._is_current:
+            # Another leader may have learned other speeds in the meantime.
+            self._speeds = make_speed_totals(self._clock.now())
         self._is_current = True
         self.notify_all()
 
@@ -148,7 +155,7 @@
         list_version = None if endpoint_list is None else endpoint_list.version
         needs_list = list_version != hello.list_version
         stores = self._list_stores()
-        other_loads = limits = crashes = None
+        other_loads = limits = crashes = speeds = None
         if self._is_current:
             now = self._clock.now()
             other_loads = self._loads.list_others(hello.node, now)
@@ -157,6 +164,7 @@
                 limits = self._permits.list_limits(now)
             if self._crashes.digest != hello.crashes_digest:
                 crashes = self._crashes.list_records(now)
+            speeds = self._speeds.find_change(hello.known_speeds, now)
         subscriber.reply_address.send(
             SiteStatus(
                 () if make_stores_digest(stores) == hello.known_stores else stores,
@@ -170,6 +178,7 @@
                 len(self._subscribers),
                 crashes,
                 self._crashes.digest,
+                speeds,
             )
         )
 
--- a/oleanderhitch/process/site/subscription/core.py
+++ b/oleanderhitch/process/site/subscription/core.py
@@ -19,14 +19,18 @@
     LoadsFound,
     SendPermitReply,
     SendPermitRequest,
+    SpeedObservations,
 )
 from oleanderhitch.process.site.messages import (
     NO_LIMITS,
+    NO_SPEEDS,
     NO_STORES,
     EntryHello,
     LimitsDigest,
     RoutingFound,
     SiteStatus,
+    SpeedsChange,
+    SpeedsVersion,
     StoresDigest,
     hash_node,
     make_stores_digest,
@@ -124,6 +128,12 @@
     limits: tuple[EndpointLimit, ...]
 
 
+class ReportSpeeds(Value, frozen=True):
+    """Sends placement the speeds of endpoints that have changed."""
+
+    change: SpeedsChange
+
+
 class ReportCrashes(Value, frozen=True):
     """Sends placement the content that is suspected of crashes or quarantined."""
 
@@ -172,6 +182,9 @@
     loads: tuple[EndpointLoad, ...] = ()
     limits: tuple[EndpointLimit, ...] = ()
     known_limits: LimitsDigest = NO_LIMITS
+    # What this entry host has observed since its last hello to a leader.
+    speeds: dict[EndpointId, SpeedObservations] = field(default_factory=dict)
+    known_speeds: SpeedsVersion = NO_SPEEDS
     # The crashes that any entry host has found, and what the leader knew last.
     crashes: CrashEvidence = field(default_factory=make_crash_evidence)
     leader_crashes: CrashesDigest = NO_CRASHES
@@ -219,6 +232,8 @@
         state.limits
     )
     state.loads, state.limits = message.loads, message.limits
+    for observed in message.speeds:
+        _add_observations(observed, state)
     if not is_new:
         return []
     return [] if state.leader is None else [_make_hello(state, (state.leader,), now)]
@@ -292,6 +307,9 @@
     if message.limits is not None:
         state.known_limits = message.limits_digest
         effects.append(ReportLimits(message.limits))
+    if message.speeds is not None:
+        state.known_speeds = message.speeds.version
+        effects.append(ReportSpeeds(message.speeds))
     if message.other_loads is not None:
         state.leader_crashes = message.crashes_digest
     if message.crashes is not None:
@@ -365,6 +383,10 @@
     state: SubscriptionState, stores: tuple[NodeId, ...], now: datetime
 ) -> SendHello:
     is_known = state.crashes.digest == state.leader_crashes
+    speeds: tuple[SpeedObservations, ...] = ()
+    if stores == (state.leader,):
+        speeds = tuple(state.speeds.values())
+        state.speeds.clear()
     hello = EntryHello(
         state.node,
         state.routing,
@@ -375,10 +397,27 @@
         state.known_limits,
         () if is_known else state.crashes.list_records(now),
         state.crashes.digest,
+        speeds,
+        state.known_speeds,
     )
     return SendHello(hello, stores)
 
 
+def _add_observations(observed: SpeedObservations, state: SubscriptionState) -> None:
+    """Add observations to those that the leader has not got yet."""
+    waiting = state.speeds.get(observed.endpoint)
+    if waiting is not None and waiting.born_ms == observed.born_ms:
+        observed = SpeedObservations(
+            observed.endpoint,
+            observed.born_ms,
+            waiting.n_decode + observed.n_decode,
+            waiting.decode_sum + observed.decode_sum,
+            waiting.n_prefill + observed.n_prefill,
+            waiting.prefill_sum + observed.prefill_sum,
+        )
+    state.speeds[observed.endpoint] = observed
+
+
 def _list_rates(
     limits: tuple[EndpointLimit, ...],
 ) -> set[tuple[EndpointId, float | None]]:
--- a/oleanderhitch/process/site/subscription/task.py
+++ b/oleanderhitch/process/site/subscription/task.py
@@ -19,6 +19,7 @@
     LimitsReported,
     PeerLoadsReported,
     SendPermitReply,
+    SpeedsReported,
 )
 from oleanderhitch.process.roles.store_links import StoreLinks
 from oleanderhitch.process.site.subscription.core import (
@@ -33,6 +34,7 @@
     ReportLimits,
     ReportPeerLoads,
     ReportPermit,
+    ReportSpeeds,
     RequestLoads,
     SendHello,
     SetLocalReader,
@@ -92,6 +94,12 @@
     dependencies.placement.send(LimitsReported(effect.limits))
 
 
+@perform.register
+def _(effect: ReportSpeeds, dependencies: SubscriptionDependencies) -> None:
+    change = effect.change
+    dependencies.placement.send(SpeedsReported(change.speeds, change.is_complete))
+
+
 @perform.register
 def _(effect: ReportCrashes, dependencies: SubscriptionDependencies) -> None:
     dependencies.placement.send(CrashesReported(effect.suspected, effect.quarantined))
@@ -133,7 +141,14 @@
         for service in services
         if service.engine is not None
     }
-    dependencies.placement.send(CacheCapacitiesUpdated(capacity_tokens))
+    tokens_per_event = {
+        service.name: service.engine.tokens_per_event
+        for service in services
+        if service.engine is not None
+    }
+    dependencies.placement.send(
+        CacheCapacitiesUpdated(capacity_tokens, tokens_per_event)
+    )
     log.info("routing installed", version=effect.routing.version)
 
 
--- a/tests/process/site/test_rate_limits.py
+++ b/tests/process/site/test_rate_limits.py
@@ -36,6 +36,7 @@
 )
 from oleanderhitch.process.placement.rate_limits import list_observed_limits
 from oleanderhitch.process.placement.records import PlacementState
+from oleanderhitch.process.placement.speeds import PREFILL_TOKENS_PER_MS
 from oleanderhitch.process.site.send_permits import (
     LIMIT_TTL,
     SendPermits,
@@ -210,7 +211,9 @@
         limit, permit = self._limits[name], granted.permit
         if limit is not None or granted.is_rate_limited:
             self._schedule(at + ANSWER_DELAY, host, EndpointRateLimited(permit, limit))
-        self._schedule(at + ANSWER_DELAY, host, FirstChunkReceived(permit))
+        read_ms = host.permits[permit].n_pending_prefill_tokens / PREFILL_TOKENS_PER_MS
+        first_at = at + ANSWER_DELAY + read_ms * MS
+        self._schedule(first_at, host, FirstChunkReceived(permit))
         released = ReleaseEndpoint(permit, AttemptResult.COMPLETED)
         self._schedule(at + WORK_DURATION, host, released)
 
