--- a/oleanderhitch/process/placement/ordering.py
+++ b/oleanderhitch/process/placement/ordering.py
@@ -13,13 +13,14 @@
 from datetime import datetime, timedelta
 from heapq import heapify, heappop, heappush
 
-from oleanderhitch.process.placement.cost import DECODE_MS_PER_TOKEN, PLAIN_CALL_MS
+from oleanderhitch.process.placement.cost import PLAIN_CALL_MS
 from oleanderhitch.process.placement.messages import (
     AcquireEndpoint,
     InferenceWorkload,
     RequestStage,
 )
 from oleanderhitch.process.placement.records import QueueId, ServiceQueue
+from oleanderhitch.process.placement.speeds import DECODE_MS_PER_TOKEN
 from oleanderhitch.program.ids import AccountId
 
 # Urgent requests lose at most this part of the slots to those that wait longest.
