Added the lease of entry hosts on the configuration

Cause: a host that was cut off from the stores, frozen or suspended served requests with a key for as long as it had the old table.

Change: where bounds.strict_revoke is set, an entry host numbers its hellos, and the leader confirms a number once a read of the routing through the group, begun after the hello arrived, has completed and the host has, or is sent, what it found. Requests that need a key are checked on arrival and when an endpoint is granted, and end with 503 without a lease, or 401 if the key is gone.

--- a/oleanderhitch/platform/settings.py
+++ b/oleanderhitch/platform/settings.py
@@ -43,6 +43,8 @@
     """Time limits that the platform sets."""
 
     grace_s: float  # from SIGTERM to SIGKILL
+    strict_revoke: bool = False  # whether revoke_ms holds on hosts cut off, too
+    revoke_ms: float = 5000  # from the removal of a key to its last use
 
 
 @dataclass(frozen=True)
@@ -131,6 +133,7 @@
         timedelta(seconds=file.bounds.grace_s),
         HostAddress(f"{file.ip}:{metrics_port}") if metrics_port else None,
         _find_memory_limit(file),
+        _find_revocation_limit(file.bounds),
     )
 
 
@@ -139,6 +142,20 @@
     return None if n_megabytes is None else int(n_megabytes * BYTES_PER_MEGABYTE)
 
 
+def _find_revocation_limit(bounds: Bounds) -> timedelta | None:
+    if not bounds.strict_revoke:
+        return None
+    try:
+        limit = timedelta(milliseconds=bounds.revoke_ms)
+    except (ValueError, OverflowError):
+        limit = timedelta(0)
+    if limit <= timedelta(0):
+        raise InvalidInputError(
+            f"setting bounds.revoke_ms is {bounds.revoke_ms}; expected more than 0"
+        )
+    return limit
+
+
 def _make_node_id(ip: str, file: SettingsFile) -> NodeId:
     """Return a node's id, which is the address where it listens for its peers.
 
--- a/oleanderhitch/process/metrics/states.py
+++ b/oleanderhitch/process/metrics/states.py
@@ -116,6 +116,10 @@
         "oleanderhitch_link_queue_length",
         "Messages that wait for the slowest link to another store.",
     )
+    LEASE_AGE = MetricName(
+        "oleanderhitch_lease_age_seconds",
+        "Time since the routing of this host was last known to be the newest.",
+    )
     GROUP_LOG_BYTES = MetricName(
         "oleanderhitch_group_log_bytes",
         "Log of this process's replica in memory.",
--- a/oleanderhitch/process/site/entry.py
+++ b/oleanderhitch/process/site/entry.py
@@ -49,6 +49,7 @@
     StatusReceived,
 )
 from oleanderhitch.process.site.subscription.installed_state import InstalledState
+from oleanderhitch.process.site.subscription.lease import make_lease_terms
 from oleanderhitch.process.site.subscription.task import (
     SubscriptionDependencies,
     make_subscription_task,
@@ -94,11 +95,15 @@
         settings: SiteEntrySettings,
         dependencies: EntryDependencies,
         clock: Clock,
+        boot_clock: Clock,
         metrics: Metrics,
     ) -> None:
         self._settings = settings
         self._clock = clock
-        self._installed_state = InstalledState()
+        limit = settings.site.revocation_limit
+        self._installed_state = InstalledState(
+            boot_clock, None if limit is None else make_lease_terms(limit)
+        )
         self._is_stopping = False
         self._end_time: datetime | None = None
         codec = make_site_peer_codec()
@@ -143,12 +148,13 @@
                 self._placement,
                 self._directory,
                 dependencies.read_routing,
+                metrics,
             ),
-            clock,
+            boot_clock,
         )
         forward_dependencies = ForwardDependencies(
             dependencies.dialect,
-            self._installed_state.await_table,
+            self._installed_state,
             TURN_GROUPS,
             get_turn_group,
             self._group_client,
@@ -236,8 +242,7 @@
 
     def _is_ready(self) -> bool:
         has_state = (
-            self._installed_state.table is not None
-            and self._installed_state.has_endpoints
+            self._installed_state.is_serving and self._installed_state.has_endpoints
         )
         return has_state and not self._is_stopping
 
@@ -297,7 +302,8 @@
     settings: SiteEntrySettings,
     dependencies: EntryDependencies,
     clock: Clock,
+    boot_clock: Clock,
     metrics: Metrics,
 ) -> EntryHost:
-    """Return an entry host that is not started yet."""
-    return EntryHost(settings, dependencies, clock, metrics)
+    """Return an entry host that is not started yet; `boot_clock` measures leases."""
+    return EntryHost(settings, dependencies, clock, boot_clock, metrics)
--- a/oleanderhitch/process/site/messages.py
+++ b/oleanderhitch/process/site/messages.py
@@ -22,6 +22,8 @@
 NO_STORES = StoresDigest(0)
 LimitsDigest = NewType("LimitsDigest", int)
 NO_LIMITS = LimitsDigest(0)
+# Tells the hellos of a process apart, also from those of earlier processes of its node.
+HelloNumber = NewType("HelloNumber", int)
 
 
 def make_stores_digest(stores: tuple[NodeId, ...]) -> StoresDigest:
@@ -74,7 +76,8 @@
     A store replies with a SiteStatus of what the entry host lacks. `known_stores` tells
     which stores the entry host was told of last, `known_limits` which limits of
     endpoints. `limits` are those that it has observed lately itself. `crashes` are all
-    crashes that it knows of, if the leader knows others.
+    crashes that it knows of, if the leader knows others. A hello with a `number` asks
+    for a confirmation that the routing it names is the newest.
     """
 
     node: NodeId
@@ -86,6 +89,7 @@
     known_limits: LimitsDigest = NO_LIMITS
     crashes: tuple[CrashRecord, ...] = ()
     crashes_digest: CrashesDigest = NO_CRASHES
+    number: HelloNumber | None = None
 
 
 class StoreAnnouncement(Value, frozen=True):
@@ -112,7 +116,8 @@
     `routing` and `other_loads`, the loads that all other entry hosts cause, are only
     set by a leader whose state is known to be current, and so are the limits of
     endpoints, the number of entry hosts, and the crashes, which are not sent to a host
-    that knows the same.
+    that knows the same. With `confirmed_hello`, no routing newer than what the entry
+    host has, or gets in this status, was accepted before that hello was sent.
     """
 
     stores: tuple[NodeId, ...]
@@ -126,6 +131,7 @@
     n_entry_hosts: int = 1
     crashes: tuple[CrashRecord, ...] | None = None
     crashes_digest: CrashesDigest = NO_CRASHES
+    confirmed_hello: HelloNumber | None = None
 
 
 EMPTY_ROUTING = RoutingFound(NO_ROUTING, b"")
--- a/oleanderhitch/process/site/settings.py
+++ b/oleanderhitch/process/site/settings.py
@@ -26,6 +26,9 @@
     stop_grace_period: timedelta
     metrics_address: HostAddress | None
     memory_limit_bytes: int | None = None
+    # No key may be of use for longer after the removal of it was acknowledged; None is
+    # no such limit.
+    revocation_limit: timedelta | None = None
 
 
 class SiteEntrySettings(Value, frozen=True):
--- a/oleanderhitch/process/site/store.py
+++ b/oleanderhitch/process/site/store.py
@@ -11,6 +11,7 @@
 import gevent.event
 import logbook
 
+from oleanderhitch.connection.codec import Codec
 from oleanderhitch.connection.http.server import make_http_server
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.connection.peer.handshake import Identity
@@ -43,6 +44,17 @@
 from oleanderhitch.process.replication.effects import LeadershipChanged
 from oleanderhitch.process.replication.states import Role
 from oleanderhitch.process.site.application import make_site_codec
+from oleanderhitch.process.site.currency import (
+    BeginRead,
+    ConfirmHellos,
+    CurrencyState,
+    HelloArrived,
+    LeadershipObserved,
+    ReadCompleted,
+    ReadFailed,
+    ReadNumber,
+)
+from oleanderhitch.process.site.currency import handle as handle_currency
 from oleanderhitch.process.site.group import SITE_GROUP, SITE_GROUPS
 from oleanderhitch.process.site.links import LINK_TIMING, make_site_links
 from oleanderhitch.process.site.member import (
@@ -66,6 +78,7 @@
 from oleanderhitch.process.site.settings import SiteStoreSettings
 from oleanderhitch.process.site.subscribers import make_subscribers
 from oleanderhitch.process.storage.identity import IDENTITY_FILE, get_node
+from oleanderhitch.process.task import make_task
 from oleanderhitch.process.usage.monitor import make_usage_monitor
 from oleanderhitch.values import Value
 from oleanderhitch.version.routes.configuration import CallerLimits
@@ -134,6 +147,25 @@
             self._store.retry_confirmation()
 
 
+class _CurrencyReplyAddress:
+    """Reply address of one read that confirms the hellos of entry hosts."""
+
+    def __init__(self, read: ReadNumber, currency: Address, codec: Codec) -> None:
+        self._read = read
+        self._currency = currency
+        self._codec = codec
+
+    def send(self, message: object) -> None:
+        """Report the version that the read found, or that it found none."""
+        result = None
+        if isinstance(message, GroupAnswer):
+            result = self._codec.decode(message.body)
+        if isinstance(result, RoutingFound):
+            self._currency.send(ReadCompleted(self._read, result.version))
+        else:
+            self._currency.send(ReadFailed(self._read))
+
+
 class Store:
     """Owner of the tasks of a store from its start until it is stopped or closed."""
 
@@ -165,6 +197,14 @@
         self._subscribers = make_subscribers(
             self._get_routing, self._list_stores, self._find_site_leader, clock
         )
+        self._currency = make_task(
+            "currency",
+            CurrencyState(),
+            handle_currency,
+            self._perform_currency,
+            clock,
+            find_next_tick=lambda state: state.next_tick_at,
+        )
         self._directory = make_directory_task(
             dependencies.fetch_list, self._handle_list, clock
         )
@@ -216,7 +256,7 @@
 
     def start(self) -> None:
         """Start all tasks and listen; raise OSError if an address is unavailable."""
-        for task in (self._group_client, self._directory):
+        for task in (self._group_client, self._directory, self._currency):
             task.start()
         self._links.start()
         self._peer_server.start()
@@ -274,7 +314,7 @@
         self._peer_server.stop()
         self._links.stop()
         self._usage_monitor.stop()
-        for task in (self._directory, self._group_client):
+        for task in (self._directory, self._group_client, self._currency):
             task.stop()
 
     def _open_members(self) -> None:
@@ -486,6 +526,8 @@
     def handle_entry_hello(self, hello: EntryHello, reply_address: Address) -> None:
         """Reply to an entry host with the state that it lacks."""
         self._subscribers.handle_hello(hello, reply_address)
+        if hello.number is not None:
+            self._currency.send(HelloArrived(hello.node, hello.number))
 
     def handle_permit_request(
         self, request: SendPermitRequest, reply_address: Address
@@ -553,6 +595,20 @@
         call = GroupCall(CallId(0), SITE_GROUP, body, True)
         self._members[SITE_GROUP].call(LocalCall(call, _ConfirmationReplyAddress(self)))
 
+    def _perform_currency(self, effect: object) -> None:
+        _perform_currency(effect, self)
+
+    def begin_read(self, read: ReadNumber) -> None:
+        """Read the routing through the group, for the hellos that wait for it."""
+        body = self._site_codec.encode(GetRouting())
+        call = GroupCall(CallId(0), SITE_GROUP, body, True)
+        address = _CurrencyReplyAddress(read, self._currency, self._site_codec)
+        self._members[SITE_GROUP].call(LocalCall(call, address))
+
+    def confirm_hellos(self, confirmation: ConfirmHellos) -> None:
+        """Confirm to entry hosts that their routing is the newest."""
+        self._subscribers.confirm_hellos(confirmation)
+
     def confirm_current(self) -> None:
         """Record that this store's state is current, if it still leads."""
         if self.is_leader:
@@ -583,6 +639,7 @@
         self._announcement_due.set()
         if group == SITE_GROUP:
             self._subscribers.handle_leadership_change(is_leader)
+            self._currency.send(LeadershipObserved(is_leader))
             self._directory.send(SetReaderTerm(change.term if is_leader else None))
             if is_leader:
                 self._request_confirmation()
@@ -634,6 +691,21 @@
     store.handle_permit_request(message, delivery.reply_address)
 
 
+@singledispatch
+def _perform_currency(effect: object, store: Store) -> None:
+    raise TypeError(f"currency does not support effect type {type(effect).__name__}")
+
+
+@_perform_currency.register
+def _(effect: BeginRead, store: Store) -> None:
+    store.begin_read(effect.read)
+
+
+@_perform_currency.register
+def _(effect: ConfirmHellos, store: Store) -> None:
+    store.confirm_hellos(effect)
+
+
 def make_store(
     settings: SiteStoreSettings,
     dependencies: StoreDependencies,
--- a/oleanderhitch/process/site/subscribers.py
+++ b/oleanderhitch/process/site/subscribers.py
@@ -16,9 +16,11 @@
     SendPermitReply,
     SendPermitRequest,
 )
+from oleanderhitch.process.site.currency import ConfirmHellos
 from oleanderhitch.process.site.load_totals import LoadTotals
 from oleanderhitch.process.site.messages import (
     EntryHello,
+    HelloNumber,
     RoutingFound,
     SiteStatus,
     make_stores_digest,
@@ -112,6 +114,21 @@
         self._is_current = True
         self.notify_all()
 
+    def confirm_hellos(self, confirmation: ConfirmHellos) -> None:
+        """Confirm the hellos of entry hosts that have, or get now, what a read found.
+
+        The others are confirmed by a later read.
+        """
+        if not self._is_current:
+            return
+        available = self._get_routing().version
+        for node, number in confirmation.hellos.items():
+            subscriber = self._subscribers.get(node)
+            if subscriber is not None and confirmation.version <= max(
+                available, subscriber.hello.routing
+            ):
+                self._notify(subscriber, number)
+
     def handle_leadership_change(self, is_leader: bool) -> None:
         """Send no routing until the next confirmation, and no list as a follower."""
         self._is_current = False
@@ -140,7 +157,9 @@
             else:
                 self._notify(subscriber)
 
-    def _notify(self, subscriber: Subscriber) -> None:
+    def _notify(
+        self, subscriber: Subscriber, confirmed_hello: HelloNumber | None = None
+    ) -> None:
         hello = subscriber.hello
         routing = self._get_routing()
         needs_routing = self._is_current and routing.version > hello.routing
@@ -170,6 +189,7 @@
                 len(self._subscribers),
                 crashes,
                 self._crashes.digest,
+                confirmed_hello,
             )
         )
 
--- a/oleanderhitch/process/site/subscription/core.py
+++ b/oleanderhitch/process/site/subscription/core.py
@@ -24,6 +24,7 @@
     NO_LIMITS,
     NO_STORES,
     EntryHello,
+    HelloNumber,
     LimitsDigest,
     RoutingFound,
     SiteStatus,
@@ -31,6 +32,7 @@
     hash_node,
     make_stores_digest,
 )
+from oleanderhitch.process.site.subscription.lease import Lease, LeaseRenewal
 from oleanderhitch.request.ids import RequestFingerprint
 from oleanderhitch.values import Value
 from oleanderhitch.version.ids import EndpointId
@@ -144,6 +146,25 @@
     reply: SendPermitReply
 
 
+class RenewLease(Value, frozen=True):
+    """Lets requests with a key be served until the lease ends."""
+
+    lease: Lease
+
+
+class ReportLease(Value, frozen=True):
+    """Reports the age of the lease; it has no age before the first one."""
+
+    age: timedelta | None
+
+
+class LogLeaseChange(Value, frozen=True):
+    """Logs that the lease was lost or gained."""
+
+    event: str
+    age: timedelta | None
+
+
 class LogLinkChange(Value, frozen=True):
     """Logs that the connection to a store was made or lost."""
 
@@ -182,6 +203,8 @@
     leader_seen_at: datetime | None = None
     asked_stores: set[NodeId] = field(default_factory=set)
     known_stores: StoresDigest = NO_STORES
+    # None where requests need no lease.
+    renewal: LeaseRenewal | None = None
 
 
 @singledispatch
@@ -199,7 +222,7 @@
     is_stale = now - state.list_confirmed_at > LIST_TTL
     if state.leader_seen_at is not None and now - state.leader_seen_at > LEADER_TTL:
         _forget_leader(state)
-    effects: list[object] = [RequestLoads()]
+    effects: list[object] = [RequestLoads(), *_report_lease(state, now)]
     state.crashes.expire(now)
     if state.quarantined and (state.quarantined != state.crashes.list_quarantined(now)):
         effects.append(_report_crashes(state, now))
@@ -283,6 +306,8 @@
         if state.leader is not None:
             # Informs the leader of the new version before the next regular hello.
             effects.append(_make_hello(state, (state.leader,), now))
+    if message.confirmed_hello is not None:
+        effects.extend(_renew_lease(message.confirmed_hello, state, now))
     if message.endpoints is not None:
         effects.extend(_accept_list(message.endpoints, False, state, now))
     elif message.list_version is not None:
@@ -375,10 +400,37 @@
         state.known_limits,
         () if is_known else state.crashes.list_records(now),
         state.crashes.digest,
+        None if state.renewal is None else state.renewal.number_hello(now),
     )
     return SendHello(hello, stores)
 
 
+def _renew_lease(
+    confirmed: HelloNumber, state: SubscriptionState, now: datetime
+) -> list[object]:
+    renewal = state.renewal
+    lease = None if renewal is None else renewal.renew(confirmed, state.routing)
+    if renewal is None or lease is None:
+        return []
+    effects: list[object] = [RenewLease(lease)]
+    if renewal.is_lost and renewal.has_lease(now):
+        renewal.is_lost = False
+        effects.append(LogLeaseChange("lease gained", now - lease.began_at))
+    return effects
+
+
+def _report_lease(state: SubscriptionState, now: datetime) -> list[object]:
+    renewal = state.renewal
+    if renewal is None:
+        return []
+    age = None if renewal.lease is None else now - renewal.lease.began_at
+    effects: list[object] = [ReportLease(age)]
+    if not renewal.is_lost and not renewal.has_lease(now):
+        renewal.is_lost = True
+        effects.append(LogLeaseChange("lease lost", age))
+    return effects
+
+
 def _list_rates(
     limits: tuple[EndpointLimit, ...],
 ) -> set[tuple[EndpointId, float | None]]:
--- a/oleanderhitch/process/site/subscription/task.py
+++ b/oleanderhitch/process/site/subscription/task.py
@@ -1,5 +1,6 @@
 """Run the subscription core in a task of the entry host."""
 
+import uuid
 from collections.abc import Callable
 from functools import singledispatch
 
@@ -11,6 +12,8 @@
 from oleanderhitch.process.directory.core import SetReaderTerm
 from oleanderhitch.process.groups.messages import StoresChanged
 from oleanderhitch.process.ids import NodeId
+from oleanderhitch.process.metrics.core import Metrics
+from oleanderhitch.process.metrics.states import Gauge
 from oleanderhitch.process.placement.messages import (
     CacheCapacitiesUpdated,
     CrashesReported,
@@ -21,6 +24,7 @@
     SendPermitReply,
 )
 from oleanderhitch.process.roles.store_links import StoreLinks
+from oleanderhitch.process.site.messages import HelloNumber
 from oleanderhitch.process.site.subscription.core import (
     LOAD_CHECK_INTERVAL,
     LOCAL_TERM,
@@ -28,8 +32,11 @@
     InstallEndpoints,
     InstallRouting,
     LinkStores,
+    LogLeaseChange,
     LogLinkChange,
+    RenewLease,
     ReportCrashes,
+    ReportLease,
     ReportLimits,
     ReportPeerLoads,
     ReportPermit,
@@ -40,6 +47,7 @@
     handle,
 )
 from oleanderhitch.process.site.subscription.installed_state import InstalledState
+from oleanderhitch.process.site.subscription.lease import LeaseRenewal
 from oleanderhitch.process.task import Task, make_task
 from oleanderhitch.version.routes.configuration import RouteTable
 
@@ -53,9 +61,13 @@
     placement: Address
     directory: Address
     read_routing: Callable[[bytes], RouteTable]
+    metrics: Metrics
     task_address: Address | None = None
 
 
+# Numbers of hellos are sent as 64-bit integers, whose upper half is left free.
+N_UNUSED_NUMBER_BITS = 128 - 62
+
 # The log channel has the name of the task, under which operators search for events.
 log = logbook.Logger("follower")
 
@@ -161,25 +173,55 @@
     dependencies.directory.send(SetReaderTerm(LOCAL_TERM if effect.is_reader else None))
 
 
+@perform.register
+def _(effect: RenewLease, dependencies: SubscriptionDependencies) -> None:
+    dependencies.installed_state.renew_lease(effect.lease)
+
+
+@perform.register
+def _(effect: ReportLease, dependencies: SubscriptionDependencies) -> None:
+    age = effect.age
+    if age is not None:
+        dependencies.metrics.set_gauge(Gauge.LEASE_AGE, age.total_seconds())
+
+
+@perform.register
+def _(effect: LogLeaseChange, dependencies: SubscriptionDependencies) -> None:
+    age_ms = None if effect.age is None else round(effect.age.total_seconds() * 1000)
+    log.warning(effect.event, age_ms=age_ms)
+
+
 @perform.register
 def _(effect: LogLinkChange, dependencies: SubscriptionDependencies) -> None:
     log.info(effect.event, store=effect.store, reason=effect.reason)
 
 
+def _choose_first_hello_number() -> HelloNumber:
+    """Return a number that no earlier process of this node has come close to."""
+    return HelloNumber(uuid.uuid4().int >> N_UNUSED_NUMBER_BITS)
+
+
 def make_subscription_task(
-    node: NodeId, dependencies: SubscriptionDependencies, clock: Clock
+    node: NodeId, dependencies: SubscriptionDependencies, boot_clock: Clock
 ) -> Task[SubscriptionState]:
-    """Return the task that keeps an entry host subscribed to the stores."""
+    """Return the task that keeps an entry host subscribed to the stores.
+
+    After a suspension it takes what it knew before for as old as it is.
+    """
+    terms = dependencies.installed_state.terms
+    renewal = None
+    if terms is not None:
+        renewal = LeaseRenewal(terms, _choose_first_hello_number())
 
     def perform_effect(effect: object) -> None:
         perform(effect, dependencies)
 
     task = make_task(
         "follower",
-        SubscriptionState(node),
+        SubscriptionState(node, renewal=renewal),
         handle,
         perform_effect,
-        clock,
+        boot_clock,
         tick_interval=LOAD_CHECK_INTERVAL,
     )
     dependencies.task_address = task
--- a/oleanderhitch/request/forwarding/core.py
+++ b/oleanderhitch/request/forwarding/core.py
@@ -43,6 +43,7 @@
     AbortResponse,
     EndpointResponseHead,
     FinishResponse,
+    GrantBarred,
     LogDecision,
     MemoryExhausted,
     RecordAway,
@@ -89,6 +90,10 @@
 EVENT_LIMIT_BYTES = 1024 * 1024
 # Lower bound of the time limit sent to an endpoint; no work completes in less.
 ENDPOINT_TIMEOUT_MIN = timedelta(milliseconds=10)
+BARRED_REASONS = {
+    Verdict.UNAUTHORIZED: "the key was removed while the request waited",
+    Verdict.NOT_CURRENT: "the lease on the configuration ended while it waited",
+}
 
 
 @singledispatch
@@ -243,6 +248,23 @@
     ]
 
 
+@handle.register
+def _(message: GrantBarred, state: ForwardState, now: datetime) -> list[object]:
+    grant, verdict = message.grant, message.verdict
+    if grant.holder != state.holder:
+        return []
+    effects: list[object] = [ReturnPermit(grant.permit, AttemptResult.CANCELLED)]
+    if state.phase is not Phase.WAITING or state.attempt is not None:
+        return effects
+    effects.extend(settle_spent_tokens(state, now))
+    reason = BARRED_REASONS[verdict]
+    if state.has_started_response:
+        return [*effects, *abort_response(state, reason)]
+    if state.n_runs:
+        verdict = Verdict.OUTCOME_UNKNOWN
+    return [*effects, *end_with_verdict(state, verdict, reason)]
+
+
 @handle.register
 def _(message: EndpointRefused, state: ForwardState, now: datetime) -> list[object]:
     if message.holder != state.holder or state.phase is not Phase.WAITING:
--- a/oleanderhitch/request/forwarding/identity.py
+++ b/oleanderhitch/request/forwarding/identity.py
@@ -2,8 +2,10 @@
 
 from msgspec.structs import replace
 
+from oleanderhitch.process.site.subscription.lease import LeaseState
 from oleanderhitch.program.ids import AccountId, ProgramId
 from oleanderhitch.request.forwarding.messages import ForwardRequest, ProgramTurn
+from oleanderhitch.request.forwarding.states import Verdict
 from oleanderhitch.request.ids import RequestId
 from oleanderhitch.values import Value
 from oleanderhitch.version.routes.accounts import Account
@@ -45,6 +47,55 @@
     return CallerIdentity(account, True)
 
 
+class Admission(Value, frozen=True):
+    """What a request is served by, according to the installed route table."""
+
+    table: RouteTable
+    route: Route
+    identity: CallerIdentity
+
+
+def judge_arrival(
+    request: ForwardRequest, table: RouteTable, lease: LeaseState
+) -> Admission | Verdict:
+    """Return how a request is served that arrives now, or why it is not.
+
+    A table with accounts may be outdated. A key in it counts only under a lease, and
+    the lack of a key or of a route only under a fresh one.
+    """
+    unknown = Verdict.NOT_CURRENT
+    if lease is LeaseState.FRESH or not table.has_accounts:
+        unknown = Verdict.UNAUTHORIZED
+    route = table.find_route(request.host, request.path)
+    if route is None:
+        return Verdict.NO_ROUTE if unknown is Verdict.UNAUTHORIZED else unknown
+    is_keyless = route.is_public and request.key is None
+    if table.has_accounts and not is_keyless and lease is LeaseState.LAPSED:
+        return Verdict.NOT_CURRENT
+    identity = identify_caller(request, route, table)
+    return unknown if identity is None else Admission(table, route, identity)
+
+
+def find_departure_fault(
+    request: ForwardRequest,
+    identity: CallerIdentity,
+    route: Route,
+    table: RouteTable | None,
+    lease: LeaseState,
+) -> Verdict | None:
+    """Return why an admitted request must not be sent to an endpoint now, or None.
+
+    The table is the newest installed one.
+    """
+    if identity.account is None or route.is_public:
+        return None
+    if table is None or not table.has_accounts:
+        return None
+    if lease is LeaseState.LAPSED:
+        return Verdict.NOT_CURRENT
+    return Verdict.UNAUTHORIZED if table.find_account(request.key) is None else None
+
+
 def get_rank(identity: CallerIdentity, route: Route) -> int:
     """Return the rank of a request; that of an account goes before the route's."""
     account = identity.account
--- a/oleanderhitch/request/forwarding/messages.py
+++ b/oleanderhitch/request/forwarding/messages.py
@@ -7,6 +7,7 @@
 from oleanderhitch.process.placement.messages import (
     AttemptProgress,
     AttemptResult,
+    EndpointGranted,
     InferenceWorkload,
 )
 from oleanderhitch.program.ids import AccountId, ProgramId
@@ -104,6 +105,13 @@
     reason: str
 
 
+class GrantBarred(Value, frozen=True):
+    """Reports that a granted endpoint must not be used, for the given reason."""
+
+    grant: EndpointGranted
+    verdict: Verdict
+
+
 class ResponseBegun(Value, frozen=True):
     """Reports that an endpoint's response has begun."""
 
--- a/oleanderhitch/request/forwarding/task.py
+++ b/oleanderhitch/request/forwarding/task.py
@@ -42,6 +42,7 @@
 from oleanderhitch.process.placement.messages import (
     AcquireEndpoint,
     EndHolder,
+    EndpointGranted,
     EndpointLeaving,
     EndpointRateLimited,
     EventLatencyObserved,
@@ -49,15 +50,21 @@
     ReleaseEndpoint,
 )
 from oleanderhitch.process.site.messages import CommandRefused
+from oleanderhitch.process.site.subscription.installed_state import InstalledState
 from oleanderhitch.program.ids import ProgramId
 from oleanderhitch.request.forwarding.core import end_after_error, handle
 from oleanderhitch.request.forwarding.dialect import Dialect
-from oleanderhitch.request.forwarding.identity import identify_caller
+from oleanderhitch.request.forwarding.identity import (
+    Admission,
+    find_departure_fault,
+    judge_arrival,
+)
 from oleanderhitch.request.forwarding.messages import (
     AbortResponse,
     CancelEndpointExchange,
     FinishResponse,
     ForwardRequest,
+    GrantBarred,
     LogDecision,
     MemoryExhausted,
     ReadMoreHistory,
@@ -82,7 +89,7 @@
 )
 from oleanderhitch.request.forwarding.state import ForwardState, make_forward_state
 from oleanderhitch.request.forwarding.states import Verdict
-from oleanderhitch.version.routes.configuration import RouteTable, choose_target
+from oleanderhitch.version.routes.configuration import choose_target
 from oleanderhitch.version.routes.states import RouteKind
 
 # Resending a settlement stops after this time; its tokens then stay reserved, so that
@@ -96,6 +103,15 @@
 ROUTE_TABLE_WAIT_TIMEOUT = timedelta(seconds=2)
 ROUTE_TABLE_WAIT_SHARE = 0.4
 
+# A table or a lease that a starting host gets soon may change these.
+AWAITED_VERDICTS = (Verdict.NOT_READY, Verdict.NOT_CURRENT)
+ARRIVAL_FAULTS = {
+    Verdict.NOT_READY: "no routing configuration yet",
+    Verdict.NOT_CURRENT: "version {version} may not be the newest",
+    Verdict.NO_ROUTE: "no route in version {version}",
+    Verdict.UNAUTHORIZED: "no account of version {version} has the key",
+}
+
 # Placement handles its messages within milliseconds.
 FULL_MAILBOX_RETRY_DELAY = timedelta(milliseconds=50)
 
@@ -106,7 +122,7 @@
     """Collaborators that all requests of an entry host share."""
 
     dialect: Dialect
-    await_table: Callable[[timedelta], RouteTable | None]
+    installed_state: InstalledState
     record_groups: tuple[GroupId, ...]
     get_record_group: Callable[[ProgramId], GroupId]
     group_client: Address
@@ -236,24 +252,14 @@
     except InvalidInputError as error:
         _refuse(None, Verdict.MALFORMED, str(error), writer, dependencies)
         return None
-    caller_timeout = request.caller_timeout or ROUTE_TABLE_WAIT_TIMEOUT
-    table = dependencies.await_table(
-        min(ROUTE_TABLE_WAIT_TIMEOUT, caller_timeout * ROUTE_TABLE_WAIT_SHARE)
-    )
-    if table is None:
-        detail = "no routing configuration yet"
-        _refuse(request, Verdict.NOT_READY, detail, writer, dependencies)
-        return None
-    route = table.find_route(request.host, request.path)
-    if route is None:
-        detail = f"no route in version {table.version}"
-        _refuse(request, Verdict.NO_ROUTE, detail, writer, dependencies)
-        return None
-    identity = identify_caller(request, route, table)
-    if identity is None:
-        detail = f"no account of version {table.version} has the key"
-        _refuse(request, Verdict.UNAUTHORIZED, detail, writer, dependencies)
+    admission = _await_admission(request, dependencies)
+    if isinstance(admission, Verdict):
+        table = dependencies.installed_state.table
+        version = None if table is None else table.version
+        detail = ARRIVAL_FAULTS[admission].format(version=version)
+        _refuse(request, admission, detail, writer, dependencies)
         return None
+    table, route, identity = admission.table, admission.route, admission.identity
     target = choose_target(route, dependencies.random_source.random())
     service = table.find_service(target)
     engine = None if service is None else service.engine
@@ -293,6 +299,25 @@
     return ForwardContext(dependencies, request, state, writer, mailbox, alarm, share)
 
 
+def _await_admission(
+    request: ForwardRequest, dependencies: ForwardDependencies
+) -> Admission | Verdict:
+    """Return how a request is served; wait for a table, and for a lease it needs."""
+    installed = dependencies.installed_state
+    caller_timeout = request.caller_timeout or ROUTE_TABLE_WAIT_TIMEOUT
+    deadline = dependencies.clock.now() + min(
+        ROUTE_TABLE_WAIT_TIMEOUT, caller_timeout * ROUTE_TABLE_WAIT_SHARE
+    )
+    while True:
+        judged: Admission | Verdict = Verdict.NOT_READY
+        if installed.table is not None:
+            judged = judge_arrival(request, installed.table, installed.lease_state)
+        time_left = deadline - dependencies.clock.now()
+        if judged not in AWAITED_VERDICTS or time_left <= timedelta(0):
+            return judged
+        installed.await_change(time_left)
+
+
 def _refuse(
     request: ForwardRequest | None,
     verdict: Verdict,
@@ -357,6 +382,20 @@
     return ResponseBegun(message.exchange_id, head)
 
 
+@_translate.register
+def _(message: EndpointGranted, context: ForwardContext) -> object | None:
+    # The request may have waited for long, or this host was suspended.
+    state, installed = context.state, context.dependencies.installed_state
+    fault = find_departure_fault(
+        context.request,
+        state.identity,
+        state.route,
+        installed.table,
+        installed.lease_state,
+    )
+    return message if fault is None else GrantBarred(message, fault)
+
+
 @_translate.register
 def _(message: GroupAway, context: ForwardContext) -> object | None:
     if message.tag != context.request.request:
--- a/scripts/bench_site.py
+++ b/scripts/bench_site.py
@@ -93,7 +93,7 @@
     from oleanderhitch.platform.caches import make_platform_cache_dialect
     from oleanderhitch.platform.requests import make_platform_dialect
     from oleanderhitch.platform.routing import parse_route_table
-    from oleanderhitch.process.clock import make_system_clock
+    from oleanderhitch.process.clock import make_boot_clock, make_system_clock
     from oleanderhitch.process.metrics.core import make_metrics
     from oleanderhitch.process.site.entry import EntryDependencies, make_entry_host
     from oleanderhitch.process.site.settings import SiteEntrySettings
@@ -112,7 +112,11 @@
         metrics = make_metrics()
         all_metrics.append(metrics)
         make_entry_host(
-            SiteEntrySettings(settings, caller, readiness), dependencies, clock, metrics
+            SiteEntrySettings(settings, caller, readiness),
+            dependencies,
+            clock,
+            make_boot_clock(),
+            metrics,
         ).start()
     measure("entry host", count, all_metrics, seconds)
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -76,3 +76,17 @@
     monkeypatch.delenv(PEER_KEY_VARIABLE)
     with pytest.raises(InvalidInputError, match=PEER_KEY_VARIABLE):
         make_store_settings(read_settings_file())
+
+
+def test_revocation_limit_holds_only_where_it_is_strict(environment: Path) -> None:
+    """Guard against leases where none are asked for, and against endless ones."""
+    assert make_store_settings(read_settings_file()).site.revocation_limit is None
+    bounds = {"grace_s": 8, "strict_revoke": True}
+    environment.write_text(json.dumps({**CONTENT, "bounds": bounds}))
+    site = make_store_settings(read_settings_file()).site
+    assert site.revocation_limit == timedelta(seconds=5)
+    for revoke_ms in (0, 1e300):
+        faulty = {**CONTENT, "bounds": {**bounds, "revoke_ms": revoke_ms}}
+        environment.write_text(json.dumps(faulty))
+        with pytest.raises(InvalidInputError, match="revoke_ms"):
+            make_store_settings(read_settings_file())
--- a/tests/process/site/harness.py
+++ b/tests/process/site/harness.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
+from itertools import count
 from pathlib import Path
 from typing import Any
 
@@ -19,7 +20,7 @@
 from oleanderhitch.platform.operators import make_platform_operator_dialect
 from oleanderhitch.platform.requests import make_platform_dialect
 from oleanderhitch.platform.routing import parse_route_table
-from oleanderhitch.process.clock import make_system_clock
+from oleanderhitch.process.clock import make_boot_clock, make_system_clock
 from oleanderhitch.process.directory.messages import ListedEndpoint
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.mailbox import Mailbox
@@ -121,7 +122,9 @@
         directory: Path,
         n_stores: int,
         stop_grace_period: timedelta = timedelta(seconds=8),
+        revocation_limit: timedelta | None = None,
     ) -> None:
+        self._revocation_limit = revocation_limit
         self._directory = directory
         self._stop_grace_period = stop_grace_period
         self._peer_addresses = [get_free_address() for _ in range(n_stores)]
@@ -132,6 +135,9 @@
         self.end_reasons: list[str] = []
         self.metrics: dict[int, Metrics] = {}
         self.entry: EntryHost | None = None
+        self.second_entry: EntryHost | None = None
+        self.second_caller_address = get_free_address()
+        self._request_numbers = count(1)
         self.http = urllib3.PoolManager(retries=False, timeout=5)
 
     def start(self) -> None:
@@ -139,10 +145,22 @@
         self.engine.start()
         for number in range(len(self._peer_addresses)):
             self.start_store(number, may_bootstrap=True)
-        self.entry = make_entry_host(
+        self.entry = self._start_entry("entry", self.caller_address)
+
+    def start_second_entry(self) -> None:
+        """Start another entry host."""
+        self.second_entry = self._start_entry("entry-2", self.second_caller_address)
+
+    def cut_off_second_entry(self) -> None:
+        """Close the second entry host's connections to the stores for good."""
+        assert self.second_entry is not None
+        self.second_entry._links.stop()
+
+    def _start_entry(self, name: str, caller_address: HostAddress) -> EntryHost:
+        entry = make_entry_host(
             SiteEntrySettings(
-                self._make_site_settings("entry", get_free_address()),
-                self.caller_address,
+                self._make_site_settings(name, get_free_address()),
+                caller_address,
                 get_free_address(),
             ),
             EntryDependencies(
@@ -152,9 +170,11 @@
                 self.engine.list_endpoints,
             ),
             CLOCK,
+            make_boot_clock(),
             make_metrics(),
         )
-        self.entry.start()
+        entry.start()
+        return entry
 
     def start_store(
         self, number: int, may_bootstrap: bool = False, disk: int = 0
@@ -221,9 +241,12 @@
         response = self.http.request(method, url, body=body)
         return response.status, json.loads(response.data or b"null")
 
-    def publish(self, version: int) -> None:
-        """Publish a routing configuration repeatedly until it is accepted."""
-        content = {
+    def publish(self, version: int, keys: list[str] | None = None) -> None:
+        """Publish a routing configuration repeatedly until it is accepted.
+
+        With keys it has an account.
+        """
+        content: dict[str, Any] = {
             "version": version,
             "routes": [
                 {
@@ -245,6 +268,9 @@
             ],
         }
 
+        if keys is not None:
+            content["tenants"] = [{"name": "desk", "api_keys": keys}]
+
         def is_accepted() -> bool:
             return (
                 self.call_store(min(self.stores), "PUT", "/-/config", content)[0] == 200
@@ -275,6 +301,18 @@
         response = self.http.request("POST", url, body=body, headers=headers)
         return response.status, response.data
 
+    def send_with_key(self, key: str, address: HostAddress) -> tuple[int, bytes]:
+        """Send a request that is no turn, which needs no store, to an entry host."""
+        headers = {
+            "Host": "h",
+            "X-Request-Id": f"keyed-{next(self._request_numbers)}",
+            "X-Deadline-Ms": "4000",
+            "Authorization": f"Token {key}",
+        }
+        url = f"http://{address}/p/x"
+        response = self.http.request("POST", url, body=b"x", headers=headers)
+        return response.status, response.data
+
     def wait_for_service(self, name: str) -> None:
         """Return once a turn is served; the name must differ for each call."""
         numbers = iter(range(1000))
@@ -291,8 +329,9 @@
         """Stop all stores and the entry host."""
         for number in list(self.stores):
             self.stop_store(number)
-        if self.entry is not None:
-            self.entry.close()
+        for entry in (self.entry, self.second_entry):
+            if entry is not None:
+                entry.close()
 
     def _make_site_settings(self, host: str, address: HostAddress) -> SiteSettings:
         return SiteSettings(
@@ -303,4 +342,5 @@
             b"key",
             self._stop_grace_period,
             None,
+            revocation_limit=self._revocation_limit,
         )
--- a/tests/request/forwarding/test_identity.py
+++ b/tests/request/forwarding/test_identity.py
@@ -2,23 +2,35 @@
 
 from datetime import timedelta
 
+import pytest
 from msgspec.structs import replace
 
 from oleanderhitch.connection.http.messages import HttpRequest
 from oleanderhitch.platform.requests import make_platform_dialect
 from oleanderhitch.platform.routing import parse_route_table
+from oleanderhitch.process.placement.messages import AttemptResult, EndpointGranted
+from oleanderhitch.process.site.subscription.lease import LeaseState
 from oleanderhitch.request.forwarding.core import handle
 from oleanderhitch.request.forwarding.identity import (
     ANONYMOUS,
     CallerIdentity,
+    find_departure_fault,
     get_rank,
     identify_caller,
+    judge_arrival,
 )
 from oleanderhitch.request.forwarding.messages import (
+    AbortResponse,
+    GrantBarred,
     ReserveTokens,
+    ReturnPermit,
     SendToEndpoint,
+    SendVerdict,
     Start,
 )
+from oleanderhitch.request.forwarding.states import Verdict
+from oleanderhitch.request.ids import HolderId, PermitId
+from oleanderhitch.version.routes.accounts import make_key_digest
 from oleanderhitch.version.routes.configuration import RouteTable
 from tests.platform.test_requests import ENDPOINT
 from tests.platform.test_routing import encode, make_configuration
@@ -137,3 +149,93 @@
         request, replace(send, account=None, hides_credentials=False)
     )
     assert ("authorization", "Token k1") in untouched.headers
+
+
+def judge(
+    table: RouteTable, lease: LeaseState, key: str, path: str = "/a/x"
+) -> CallerIdentity | Verdict:
+    """Return how a request with a key is judged on arrival."""
+    headers = (("host", "h.example"), ("x-request-id", "q"))
+    if key:
+        headers = (*headers, ("authorization", f"Token {key}"))
+    request = DIALECT.read_request(HttpRequest("POST", path, headers, b""))
+    judged = judge_arrival(request, table, lease)
+    return judged if isinstance(judged, Verdict) else judged.identity
+
+
+def test_arrival_without_a_lease_is_neither_served_nor_denied() -> None:
+    """Guard against removed keys that are served, and new ones that are refused."""
+    table = make_table()
+    assert judge(table, LeaseState.LAPSED, "k1") is Verdict.NOT_CURRENT
+    for lease in (LeaseState.LAPSED, LeaseState.VALID):
+        assert judge(table, lease, "new") is Verdict.NOT_CURRENT
+        assert judge(table, lease, "k1", "/new") is Verdict.NOT_CURRENT
+    assert isinstance(judge(table, LeaseState.VALID, "k1"), CallerIdentity)
+    assert judge(table, LeaseState.FRESH, "new") is Verdict.UNAUTHORIZED
+    assert judge(table, LeaseState.FRESH, "k1", "/new") is Verdict.NO_ROUTE
+
+
+def test_requests_that_need_no_key_need_no_lease() -> None:
+    """Guard against refusals of public requests while no store answers."""
+    public = make_table(is_public=True)
+    assert isinstance(judge(public, LeaseState.LAPSED, ""), CallerIdentity)
+    assert judge(public, LeaseState.LAPSED, "k1") is Verdict.NOT_CURRENT
+    unkeyed = parse_route_table(encode(make_configuration()))
+    assert judge(unkeyed, LeaseState.LAPSED, "k1") == ANONYMOUS
+    assert judge(unkeyed, LeaseState.LAPSED, "k1", "/new") is Verdict.NO_ROUTE
+
+
+@pytest.mark.parametrize(
+    ("key", "lease", "fault"),
+    [
+        ("k1", LeaseState.VALID, None),
+        ("k1", LeaseState.LAPSED, Verdict.NOT_CURRENT),
+        ("removed", LeaseState.VALID, Verdict.UNAUTHORIZED),
+        ("removed", LeaseState.LAPSED, Verdict.NOT_CURRENT),
+    ],
+)
+def test_departure_needs_the_key_and_a_lease(
+    key: str, lease: LeaseState, fault: Verdict | None
+) -> None:
+    """Guard against sending what waited while its key was removed."""
+    table = make_table()
+    identity = identify(table, ("authorization", "Token k1"))
+    assert identity is not None
+    request = replace(make_state().request, key=make_key_digest(key))
+    route = table.find_route("h.example", "/a/x")
+    assert route is not None
+    for newest, expected in (
+        (table, fault),
+        (parse_route_table(encode(make_configuration())), None),
+    ):
+        assert find_departure_fault(request, identity, route, newest, lease) is expected
+    assert find_departure_fault(request, ANONYMOUS, route, table, lease) is None
+
+
+@pytest.mark.parametrize(
+    ("n_runs", "verdict"), [(0, Verdict.UNAUTHORIZED), (1, Verdict.OUTCOME_UNKNOWN)]
+)
+def test_barred_request_is_not_sent(n_runs: int, verdict: Verdict) -> None:
+    """Guard against a 401 for a request that may have run, and a kept permit."""
+    state = make_state(n_attempts=2)
+    handle(Start(), state, NOW)
+    state.n_runs = n_runs
+    grant = EndpointGranted(state.holder, PermitId(1), ENDPOINT)
+    effects = handle(GrantBarred(grant, Verdict.UNAUTHORIZED), state, NOW)
+    assert ReturnPermit(grant.permit, AttemptResult.CANCELLED) in effects
+    verdicts = [effect.verdict for effect in effects if isinstance(effect, SendVerdict)]
+    assert verdicts == [verdict]
+    assert not any(isinstance(effect, SendToEndpoint) for effect in effects)
+    assert state.has_ended
+
+
+def test_barred_stream_is_cut() -> None:
+    """Guard against a second head in a response that has begun."""
+    state = make_state(n_attempts=2)
+    handle(Start(), state, NOW)
+    state.n_runs, state.has_started_response = 1, True
+    grant = EndpointGranted(state.holder, PermitId(1), ENDPOINT)
+    effects = handle(GrantBarred(grant, Verdict.NOT_CURRENT), state, NOW)
+    assert AbortResponse() in effects
+    other = replace(grant, holder=HolderId("other"))
+    assert handle(GrantBarred(other, Verdict.NOT_CURRENT), state, NOW) == []
