--- a/oleanderhitch/request/forwarding/messages.py
+++ b/oleanderhitch/request/forwarding/messages.py
@@ -7,6 +7,7 @@
 from oleanderhitch.process.placement.messages import (
     AttemptProgress,
     AttemptResult,
+    EndpointGranted,
     InferenceWorkload,
     RequestStage,
 )
@@ -57,6 +58,10 @@
     program: ProgramId | None = None
     time_to_finish: timedelta | None = None
 
+    def __repr__(self) -> str:
+        """Return what identifies the request; its headers may contain a key."""
+        return f"{type(self).__name__}({self.request}, {self.method} {self.path})"
+
     @property
     def path(self) -> str:
         """The target without its query string."""
@@ -109,6 +114,13 @@
     reason: str
 
 
+class GrantBarred(Value, frozen=True):
+    """Reports that a granted endpoint must not be used, for the given reason."""
+
+    grant: EndpointGranted
+    verdict: Verdict
+
+
 class ResponseBegun(Value, frozen=True):
     """Reports that an endpoint's response has begun."""
 
