Kept the age of requests that come back without a send permit

Cause: a request that the leader gave no permit for joined its queue anew, so that it was never the one that had waited longest. Queues in which all can be served were sorted at each tick to find that out.

Change: waiting requests are kept by the time since which placement has them. The search for requests that can't be served ends before the sort if the last place in the queue is served before the earliest deadline.

Result: test_request_without_a_send_permit_keeps_its_age fails with the order of before.

--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -1,5 +1,6 @@
 """Select endpoints by cached prompt parts, load, latency and failures."""
 
+from bisect import insort
 from datetime import datetime, timedelta
 from functools import singledispatch
 
@@ -256,7 +257,7 @@
     message: AcquireEndpoint, state: PlacementState, now: datetime
 ) -> list[object]:
     """Grant a request an endpoint, or ask for one, or let the request wait."""
-    state.undecided.add(message.holder)
+    state.undecided.setdefault(message.holder, now)
     queue_id = get_queue_id(message)
     queue = state.queues[queue_id]
     is_sendable = message.fingerprint not in state.quarantined
@@ -265,7 +266,10 @@
         effect = _find_grant(message, free, state, now)
         if effect is not None:
             return [effect]
-    queue.waiting.append(message)
+    # A request that comes back from the leader without a permit keeps its age.
+    insort(
+        queue.waiting, message, key=lambda item: state.undecided.get(item.holder, now)
+    )
     effects = _serve_queue(queue_id, state, now)
     return [*effects, *_refuse_early(queue_id, state, now)]
 
@@ -274,7 +278,7 @@
 def _(message: EndHolder, state: PlacementState, now: datetime) -> list[object]:
     holder = message.holder
     if holder in state.undecided:
-        state.undecided.discard(holder)
+        del state.undecided[holder]
         for queue in state.queues.values():
             queue.waiting = [
                 waiting for waiting in queue.waiting if waiting.holder != holder
@@ -622,7 +626,7 @@
 def _refuse(
     message: AcquireEndpoint, refused: EndpointRefused, state: PlacementState
 ) -> SendReply:
-    state.undecided.discard(message.holder)
+    state.undecided.pop(message.holder, None)
     return SendReply(message.reply_address, refused)
 
 
@@ -725,7 +729,7 @@
     count_start(queue, message.account)
     observe_grant(queue.drain)
     endpoint.permits.add(permit)
-    state.undecided.discard(message.holder)
+    state.undecided.pop(message.holder, None)
     state.held_permits.setdefault(message.holder, set()).add(permit)
     granted = EndpointGranted(
         message.holder, permit, endpoint.listed, is_limited(endpoint)
--- a/oleanderhitch/process/placement/records.py
+++ b/oleanderhitch/process/placement/records.py
@@ -149,8 +149,8 @@
     permits: dict[PermitId, Permit] = field(default_factory=dict)
     # What each request holds: every permit belongs to one request in progress.
     held_permits: dict[HolderId, set[PermitId]] = field(default_factory=dict)
-    # Requests that were neither granted nor refused an endpoint yet.
-    undecided: set[HolderId] = field(default_factory=set)
+    # Requests that were neither granted nor refused an endpoint yet, and since when.
+    undecided: dict[HolderId, datetime] = field(default_factory=dict)
     queues: defaultdict[QueueId, ServiceQueue] = field(
         default_factory=lambda: defaultdict(ServiceQueue)
     )
--- a/oleanderhitch/process/placement/refusal.py
+++ b/oleanderhitch/process/placement/refusal.py
@@ -88,11 +88,14 @@
 
     The first in line always stays, so that there is something to measure.
     """
-    rates_per_s = {
-        stage: find_highest_rate_per_s(queue.drain, n_deviations)
-        for stage, n_deviations in N_DEVIATIONS.items()
-    }
-    if not queue.drain.is_waiting or None in rates_per_s.values():
+    rates_per_s = {}
+    for stage, n_deviations in N_DEVIATIONS.items():
+        rate_per_s = find_highest_rate_per_s(queue.drain, n_deviations)
+        if rate_per_s is None or not queue.drain.is_waiting:
+            return []
+        rates_per_s[stage] = rate_per_s
+    least_s = min(message.deadline - now for message in queue.waiting).total_seconds()
+    if len(queue.waiting) <= min(rates_per_s.values()) * least_s:
         return []
     hopeless = []
     n_ahead = 0
--- a/tests/process/placement/test_ordering.py
+++ b/tests/process/placement/test_ordering.py
@@ -4,16 +4,19 @@
 
 from msgspec.structs import replace
 
-from oleanderhitch.process.placement.core import SendReply, handle
+from oleanderhitch.process.placement.core import AskLeader, SendReply, handle
 from oleanderhitch.process.placement.messages import (
     AcquireEndpoint,
     AttemptResult,
     EndpointGranted,
+    ExhaustedEndpoint,
     ReleaseEndpoint,
     RequestStage,
+    SendPermitReply,
 )
 from oleanderhitch.process.placement.ordering import N_GRANTS_PER_AGED
 from oleanderhitch.program.ids import AccountId
+from oleanderhitch.version.ids import EndpointId
 from tests.process.placement.test_core import (
     NOW,
     acquire,
@@ -114,6 +117,21 @@
     assert service.free_slot() == "last_chance"
 
 
+def test_request_without_a_send_permit_keeps_its_age() -> None:
+    """Guard against starvation of requests that ask the leader again and again."""
+    state = make_state(make_endpoint("e1", 9))
+    state.endpoints[EndpointId("e1")].rate_limit.requests_per_s = 1.0
+    for number, name in enumerate(("old", "young")):
+        (asked,) = handle(ask(name), state, NOW + timedelta(milliseconds=number))
+        assert isinstance(asked, AskLeader)
+    exhausted = (ExhaustedEndpoint(EndpointId("e1"), 1_000),)
+    for number in (2, 1):
+        reply = SendPermitReply(number, is_leader=True, exhausted=exhausted)
+        assert handle(reply, state, NOW + timedelta(milliseconds=5)) == []
+    (queue,) = state.queues.values()
+    assert [message.holder for message in queue.waiting] == ["old", "young"]
+
+
 def test_patient_request_is_served_beside_endless_urgent_ones() -> None:
     """Guard against a kind that never gets a slot while a more urgent one is busy."""
     service = Service(1)
