Made the silent-connection scenario independent of pauses of its process

Cause: the scenario counted 100 ms without a chunk as silence, while its engine shares the test's process. The product promises one replacement of a silent connection after its own limit (2 s by default); 100 ms is the test's timing. A pause of the process longer than that counts as silence and uses up the one replacement.

Change: the scenario counts 1 s as silence and is stricter otherwise: it checks that the whole answer was not resumed and the broken one exactly once. The tests of silence in test_model.py keep 100 ms.

--- a/tests/connection/endpoint/calls.py
+++ b/tests/connection/endpoint/calls.py
@@ -37,6 +37,16 @@
     return response.json()
 
 
+def count_resumed_streams():
+    """Return how many streams all attempts of this process have resumed."""
+    counters = METRICS.make_snapshot().counters
+    return sum(
+        counter.value
+        for counter in counters
+        if counter.name == "oleanderhitch_resumed_streams_total"
+    )
+
+
 def set_fault(address, kind, **options):
     """Make a stand-in inject a fault."""
     request_json("POST", address, "/v1/faults", {"kind": kind, **options})
@@ -49,6 +59,7 @@
         tracer = options.pop("tracer", None)
         pools = options.pop("pools", None) or make_pool_manager()
         limit_s = options.pop("deadline_s", 10)
+        timeouts = options.pop("timeouts", TIMEOUTS)
         fields = {
             "attempt": 1,
             "request": request,
@@ -64,7 +75,7 @@
         self.mailbox = make_mailbox(request)
         self.messages = []
         self.stream = make_endpoint_stream(
-            self.call, self.mailbox, pools, TIMEOUTS, CLOCK, tracer, METRICS
+            self.call, self.mailbox, pools, timeouts, CLOCK, tracer, METRICS
         )
         self.stream.start()
 
--- a/tests/connection/endpoint/test_scenarios.py
+++ b/tests/connection/endpoint/test_scenarios.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 import pytest
+from msgspec.structs import replace
 
 from oleanderhitch.connection.endpoint.messages import LookUpOperation, OperationFound
 from oleanderhitch.connection.endpoint.task import start_operation_lookup
@@ -17,6 +18,7 @@
     SERVICE_WORK,
     TIMEOUTS,
     Attempt,
+    count_resumed_streams,
     request_json,
     set_fault,
 )
@@ -34,6 +36,7 @@
         self._stack = stack
         self._addresses = {}
         self._attempts = {}
+        self._n_resumed_before = count_resumed_streams()
 
     def add_engine(self, name):
         """Serve an engine."""
@@ -54,15 +57,20 @@
         numbers = {key: int(value) for key, value in options.items()}
         set_fault(self._addresses[name], kind, **numbers)
 
-    def start_model(self, name, at, after=None):
-        """Start a model attempt; with `after`, continue another attempt's answer."""
+    def start_model(self, name, at, after=None, silence_s="0.1"):
+        """Start a model attempt; with `after`, continue another attempt's answer.
+
+        The connection counts as silent after `silence_s` without a chunk.
+        """
         partial_answer = self._attempts[after].answer if after else b""
+        silence = timedelta(seconds=float(silence_s))
         self._attempts[name] = Attempt(
             self._addresses[at],
             MODEL_WORK,
             name,
             program=name,
             partial_answer=partial_answer,
+            timeouts=replace(TIMEOUTS, between_chunks=silence),
         )
 
     def start_operation(self, name, at, deadline_s="10"):
@@ -96,6 +104,11 @@
         response = request_json("GET", self._addresses[name], "/v1/cache/programs")
         assert len(response["programs"]) == int(count), response
 
+    def check_resumed(self, count):
+        """Check how many streams were resumed on a new connection."""
+        n_resumed = count_resumed_streams() - self._n_resumed_before
+        assert n_resumed == int(count), n_resumed
+
     def check_lookup(self, name, at, found):
         """Check whether a lookup by key finds an answer."""
         mailbox = make_mailbox("lookup")
@@ -129,6 +142,7 @@
             "same": harness.check_same,
             "joined": harness.check_joined,
             "programs": harness.check_programs,
+            "resumed": harness.check_resumed,
             "lookup": harness.check_lookup,
             "runs": harness.check_runs,
         }
