Numbered only regular hellos, and tested frozen and starting hosts

Cause: hellos that follow changed loads asked for a confirmation, too, unless one was asked for in the last 0.1 of revoke_ms. A hello just before that time left up to 1.1 s between two numbers, close to the 1.5 s for which a lease is fresh.

Change: each regular hello (600 ms) has a number, others only without a lease.

--- a/oleanderhitch/process/site/subscription/core.py
+++ b/oleanderhitch/process/site/subscription/core.py
@@ -352,7 +352,7 @@
 
 def _send_regular_hello(state: SubscriptionState, now: datetime) -> list[object]:
     if state.leader is not None:
-        return [_make_hello(state, (state.leader,), now)]
+        return [_make_hello(state, (state.leader,), now, True)]
     stores = sorted(state.stores)
     if not stores:
         return []
@@ -364,7 +364,7 @@
         for number in range(min(N_STORES_ASKED, len(stores)))
     )
     state.asked_stores = set(asked)
-    return [_make_hello(state, asked, now)]
+    return [_make_hello(state, asked, now, True)]
 
 
 def _share_crashes(state: SubscriptionState, now: datetime) -> list[object]:
@@ -387,7 +387,10 @@
 
 
 def _make_hello(
-    state: SubscriptionState, stores: tuple[NodeId, ...], now: datetime
+    state: SubscriptionState,
+    stores: tuple[NodeId, ...],
+    now: datetime,
+    is_regular: bool = False,
 ) -> SendHello:
     is_known = state.crashes.digest == state.leader_crashes
     hello = EntryHello(
@@ -400,7 +403,7 @@
         state.known_limits,
         () if is_known else state.crashes.list_records(now),
         state.crashes.digest,
-        None if state.renewal is None else state.renewal.number_hello(now),
+        None if state.renewal is None else state.renewal.number_hello(is_regular, now),
     )
     return SendHello(hello, stores)
 
--- a/oleanderhitch/process/site/subscription/lease.py
+++ b/oleanderhitch/process/site/subscription/lease.py
@@ -19,8 +19,6 @@
 # A key may have been added since the lease began, and hosts have to know it after half
 # of `revoke_ms` (2.5 of 5 s). A younger lease proves that a key is unknown.
 FRESH_SHARE = 0.3
-# Several hellos may be lost before a lease is no longer fresh.
-RENEWAL_SHARE = 0.1
 # A host without a lease sends four hellos a second, and a lease lasts some seconds.
 N_SENT_HELLOS_LIMIT = 64
 
@@ -38,11 +36,10 @@
 
 
 class LeaseTerms(Value, frozen=True):
-    """How long a lease lasts and is fresh, and how often it is renewed."""
+    """How long a lease lasts, and how long it is fresh."""
 
     duration: timedelta
     fresh_duration: timedelta
-    renewal_interval: timedelta
 
 
 class Lease(Value, frozen=True):
@@ -54,11 +51,7 @@
 
 def make_lease_terms(revocation_limit: timedelta) -> LeaseTerms:
     """Return the terms by which no removed key is of use after the limit."""
-    return LeaseTerms(
-        revocation_limit * LEASE_SHARE,
-        revocation_limit * FRESH_SHARE,
-        revocation_limit * RENEWAL_SHARE,
-    )
+    return LeaseTerms(revocation_limit * LEASE_SHARE, revocation_limit * FRESH_SHARE)
 
 
 def judge_lease(
@@ -80,7 +73,6 @@
     terms: LeaseTerms
     next_number: HelloNumber
     sent_hellos: dict[HelloNumber, datetime] = field(default_factory=dict)
-    last_sent_at: datetime | None = None
     lease: Lease | None = None
     # Whether the loss of the lease has been reported, or that there was none.
     is_lost: bool = True
@@ -91,17 +83,16 @@
             now - self.lease.began_at < self.terms.duration
         )
 
-    def number_hello(self, now: datetime) -> HelloNumber | None:
-        """Return the number of a hello that is sent now, None if it needs none."""
-        is_recent = (
-            self.last_sent_at is not None
-            and now - self.last_sent_at < self.terms.renewal_interval
-        )
-        if is_recent and self.has_lease(now):
+    def number_hello(self, is_regular: bool, now: datetime) -> HelloNumber | None:
+        """Return the number of a hello that is sent now, None if it needs none.
+
+        Each number costs a further status. Those of the regular hellos keep the lease
+        fresh, while loads change up to four times a second.
+        """
+        if not is_regular and self.has_lease(now):
             return None
         number = self.next_number
         self.next_number = HelloNumber(number + 1)
-        self.last_sent_at = now
         for sent, sent_at in list(self.sent_hellos.items()):
             if now - sent_at >= self.terms.duration:
                 del self.sent_hellos[sent]
--- a/tests/process/site/harness.py
+++ b/tests/process/site/harness.py
@@ -1,7 +1,10 @@
 """Run the stores and the entry host of a site in the test process, on loopback."""
 
 import json
-from collections.abc import Callable
+import subprocess
+import sys
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from itertools import count
@@ -49,6 +52,26 @@
 N_EVENTS = 3
 
 
+ROOT = Path(__file__).parents[3]
+REVOCATION_LIMIT = timedelta(seconds=2)
+# Starts an entry host in a process of its own, which a test can freeze.
+ENTRY_SCRIPT = """
+import sys
+from oleanderhitch.process.runtime import select_event_loop
+select_event_loop()
+import gevent
+from pathlib import Path
+from tests.process.site import harness
+*stores, engine, address = sys.argv[1:]
+site = harness.SiteHarness(
+    Path(), 0, revocation_limit=harness.REVOCATION_LIMIT, stores=stores
+)
+site.engine.address = engine
+site.start_entry("entry-process", address)
+gevent.sleep(60)
+"""
+
+
 _given_addresses: set[HostAddress] = set()
 
 
@@ -123,11 +146,13 @@
         n_stores: int,
         stop_grace_period: timedelta = timedelta(seconds=8),
         revocation_limit: timedelta | None = None,
+        stores: Sequence[str] = (),
     ) -> None:
         self._revocation_limit = revocation_limit
         self._directory = directory
         self._stop_grace_period = stop_grace_period
-        self._peer_addresses = [get_free_address() for _ in range(n_stores)]
+        self._peer_addresses = [HostAddress(address) for address in stores]
+        self._peer_addresses += [get_free_address() for _ in range(n_stores)]
         self._operator_addresses = [get_free_address() for _ in range(n_stores)]
         self.caller_address = get_free_address()
         self.engine = FakeEngine()
@@ -145,18 +170,33 @@
         self.engine.start()
         for number in range(len(self._peer_addresses)):
             self.start_store(number, may_bootstrap=True)
-        self.entry = self._start_entry("entry", self.caller_address)
+        self.entry = self.start_entry("entry", self.caller_address)
 
     def start_second_entry(self) -> None:
         """Start another entry host."""
-        self.second_entry = self._start_entry("entry-2", self.second_caller_address)
+        self.second_entry = self.start_entry("entry-2", self.second_caller_address)
 
     def cut_off_second_entry(self) -> None:
         """Close the second entry host's connections to the stores for good."""
         assert self.second_entry is not None
         self.second_entry._links.stop()
 
-    def _start_entry(self, name: str, caller_address: HostAddress) -> EntryHost:
+    @contextmanager
+    def run_entry_process(self) -> Iterator[tuple[int, HostAddress]]:
+        """Run an entry host as a process; yield its id and its address for callers."""
+        address = get_free_address()
+        arguments = (*self._peer_addresses, self.engine.address, address)
+        process = subprocess.Popen(
+            [sys.executable, "-c", ENTRY_SCRIPT, *arguments], cwd=ROOT
+        )
+        try:
+            yield process.pid, address
+        finally:
+            process.kill()
+            process.wait()
+
+    def start_entry(self, name: str, caller_address: HostAddress) -> EntryHost:
+        """Start an entry host in this process."""
         entry = make_entry_host(
             SiteEntrySettings(
                 self._make_site_settings(name, get_free_address()),
