Started a store's replica with a damaged log anew under a new id

Change: the store opens its other groups and waits. Once another store has announced for 3 s without a pause that it leads the group, a majority stands without this replica (a leader without one gives up after 0.55 s, and an announcement counts for 1 s). Rule: without such a leader nothing is dropped; a store that is its own only seed ends as before, and one of two stores waits. Disk hosts (one log for all groups, no replacement by a leader) still wait for an operator.

Measured: test_store_with_a_gap_in_a_log_is_repaired_by_its_peers failed on the code before it ('not within 10.0 s: three voters, one with a new id').

--- a/oleanderhitch/process/site/member.py
+++ b/oleanderhitch/process/site/member.py
@@ -43,11 +43,13 @@
     SITE_TIMING,
 )
 from oleanderhitch.process.site.messages import EMPTY_ROUTING, RoutingFound
+from oleanderhitch.process.storage.files import sync_directory
 from oleanderhitch.process.storage.task import Storage, open_storage
 from oleanderhitch.process.task import Task
 from oleanderhitch.values import Value
 
 CONTENTS_FOLDER = "contents"
+DAMAGED_SUFFIX = ".damaged"
 STATUS_TIMEOUT = timedelta(milliseconds=500)
 # A replica that waits for its disk must not delay the exit of the process.
 REPLICA_STOP_TIMEOUT = timedelta(milliseconds=300)
@@ -220,8 +222,13 @@
         if self._role is Role.LEADER:
             self.send(OperatorCall(TransferLeadership(), _ReplySink()))
 
-    def start_anew(self, reason: str) -> None:
-        """Drop the replica and start with an empty directory."""
+    def start_anew(
+        self, reason: str, clear_directory: Callable[[Path], None] | None = None
+    ) -> None:
+        """Drop the replica and start with an empty directory.
+
+        `clear_directory` empties the directory; by default all files are removed.
+        """
         if not self._is_starting_anew:
             self._is_starting_anew = True
             log.warning(
@@ -229,7 +236,7 @@
                 group=self.group,
                 reason=reason,
             )
-            gevent.spawn(self._start_anew)
+            gevent.spawn(self._start_anew, clear_directory or empty_directory)
 
     def stop(self) -> None:
         """Stop the tasks of the replica."""
@@ -246,10 +253,10 @@
             self._storage.close()
         self._replica = self._repair = self._storage = None
 
-    def _start_anew(self) -> None:
+    def _start_anew(self, clear_directory: Callable[[Path], None]) -> None:
         try:
             self.close()
-            empty_directory(self._settings.directory)
+            clear_directory(self._settings.directory)
             # The group exists, so the empty replica must join it, not form a new one.
             self._may_bootstrap = False
             self._role, self._leader = Role.FOLLOWER, None
@@ -287,6 +294,21 @@
             path.unlink()
 
 
+def set_aside_directory(directory: Path) -> None:
+    """Keep the logs and snapshots of a data directory beside it and empty it.
+
+    A copy kept earlier is removed: a replica that is damaged again had been repaired.
+    Raise OSError.
+    """
+    kept = directory.with_name(directory.name + DAMAGED_SUFFIX)
+    shutil.rmtree(kept, ignore_errors=True)
+    directory.rename(kept)
+    directory.mkdir()
+    sync_directory(directory.parent)
+    # The contents of turns are large and can't explain the damage.
+    shutil.rmtree(kept / CONTENTS_FOLDER, ignore_errors=True)
+
+
 def make_group_member(
     settings: MemberSettings, dependencies: MemberDependencies, clock: Clock
 ) -> GroupMember:
--- a/oleanderhitch/process/site/store.py
+++ b/oleanderhitch/process/site/store.py
@@ -38,6 +38,7 @@
 from oleanderhitch.process.metrics.states import Counter, Gauge
 from oleanderhitch.process.placement.messages import SendPermitRequest
 from oleanderhitch.process.repair.core import BalanceSlot
+from oleanderhitch.process.repair.damage import LeadershipWatch, is_majority_proven
 from oleanderhitch.process.repair.messages import ReplicaRemoved, StoreHello
 from oleanderhitch.process.replication.effect_handlers import make_any_replica_receiver
 from oleanderhitch.process.replication.effects import LeadershipChanged
@@ -50,6 +51,7 @@
     MemberDependencies,
     MemberSettings,
     make_group_member,
+    set_aside_directory,
 )
 from oleanderhitch.process.site.messages import (
     EntryHello,
@@ -65,6 +67,7 @@
 from oleanderhitch.process.site.peer_codec import make_site_peer_codec
 from oleanderhitch.process.site.settings import SiteStoreSettings
 from oleanderhitch.process.site.subscribers import make_subscribers
+from oleanderhitch.process.storage.exceptions import DamagedDataError
 from oleanderhitch.process.storage.identity import IDENTITY_FILE, get_node
 from oleanderhitch.process.usage.monitor import make_usage_monitor
 from oleanderhitch.values import Value
@@ -84,6 +87,8 @@
 LEADERSHIP_TRANSFER_TIMEOUT = timedelta(milliseconds=600)
 # A new leader rejects reads until the first entry of its term is committed.
 CONFIRM_RETRY_INTERVAL = timedelta(milliseconds=50)
+# Short against the time for which a leader must have been announced.
+DAMAGE_CHECK_INTERVAL = timedelta(milliseconds=100)
 # One line on the process each second and one on each replica each five.
 USAGE_INTERVAL = timedelta(seconds=1)
 N_USAGES_PER_GROUP_STATE = 5
@@ -292,12 +297,35 @@
                 return
             try:
                 member.open()
+            except DamagedDataError as error:
+                if not self._has_other_seeds():
+                    self._end_process(f"group {member.group} can't be opened: {error}")
+                    return
+                gevent.spawn(self._replace_damaged, member, str(error))
             except (OSError, OleanderhitchError) as error:
                 self._end_process(f"group {member.group} can't be opened: {error}")
                 return
             self._announcement_due.set()
             gevent.sleep(0)
 
+    def _has_other_seeds(self) -> bool:
+        site = self._settings.site
+        return any(seed != site.node for seed in site.seeds)
+
+    def _replace_damaged(self, member: GroupMember, reason: str) -> None:
+        """Start a damaged replica anew once the group is led without it.
+
+        Until then its log may be needed, and the other replicas of this store run.
+        """
+        log.error("damaged replica waits for a leader", group=member.group, why=reason)
+        watch = LeadershipWatch()
+        while not self._has_stopped:
+            leader = self._find_announced_leader(member.group)
+            if is_majority_proven(watch, leader, self._clock.now()):
+                member.start_anew(reason, set_aside_directory)
+                return
+            gevent.sleep(DAMAGE_CHECK_INTERVAL.total_seconds())
+
     # The groups' tasks use this object as their transport.
 
     def send(self, message: object) -> None:
--- a/oleanderhitch/process/storage/exceptions.py
+++ b/oleanderhitch/process/storage/exceptions.py
@@ -7,11 +7,15 @@
     """The data directory can't be used."""
 
 
-class CorruptLogError(StorageError):
+class DamagedDataError(StorageError):
+    """The data directory has damage that a crash during a write can't have caused."""
+
+
+class CorruptLogError(DamagedDataError):
     """The log has damage that a crash during a write can't have caused."""
 
 
-class CorruptSnapshotError(StorageError):
+class CorruptSnapshotError(DamagedDataError):
     """A snapshot file is truncated, malformed or fails its checksum."""
 
 
--- a/tests/process/site/test_site.py
+++ b/tests/process/site/test_site.py
@@ -3,9 +3,15 @@
 from collections.abc import Iterator
 from pathlib import Path
 
+import gevent
 import pytest
 
-from oleanderhitch.process.site.group import SITE_GROUPS, get_turn_group
+from oleanderhitch.process.repair.damage import LED_WITHOUT_REPLICA_MIN
+from oleanderhitch.process.site.group import (
+    SITE_GROUP,
+    SITE_GROUPS,
+    get_turn_group,
+)
 from oleanderhitch.program.ids import ProgramId
 from tests.process.site.harness import SiteHarness, wait_until
 
@@ -207,3 +213,63 @@
         assert site.stores[0].replica_id is None
     finally:
         site.close()
+
+
+def make_gap(directory: Path) -> Path:
+    """Make the log in a directory miss a segment; return its last segment."""
+    path = directory / "log-000000009999.wal"
+    path.touch()
+    return path
+
+
+def test_store_with_a_gap_in_a_log_is_repaired_by_its_peers(
+    site: SiteHarness, tmp_path: Path
+) -> None:
+    """Guard against a store that ends at each start, or votes again under its old id.
+
+    As long as no other store leads the group, the log may be needed and is kept.
+    """
+    site.send_turn("t1", b"in1\n")
+    leader = site.wait_for_leader()
+    damaged, other = sorted(set(site.stores) - {leader})
+    old_replica = site.stores[damaged].replica_id
+    for number in range(3):
+        site.stop_store(number)
+    segment = make_gap(tmp_path / f"store-{damaged}-0" / SITE_GROUP)
+    site.start_store(damaged)
+    gevent.sleep(2 * LED_WITHOUT_REPLICA_MIN.total_seconds())
+    assert segment.exists()
+    site.start_store(leader)
+    site.start_store(other)
+
+    def is_repaired() -> bool:
+        voters = site.stores[leader].list_voters()
+        replica = site.stores[damaged].replica_id
+        return replica in voters and len(voters) == 3 and old_replica not in voters
+
+    wait_until(is_repaired, "three voters, one with a new id")
+    assert (tmp_path / f"store-{damaged}-0" / "site.damaged" / segment.name).exists()
+    site.stop_store(other)
+    site.wait_for_service("again")
+    assert site.send_turn("t2", b"in2\n", "t1")[0] == 200
+    assert site.end_reasons == []
+
+
+def test_only_store_keeps_a_log_with_a_gap(tmp_path: Path) -> None:
+    """Guard against a store that drops the only copy of its state."""
+    site = SiteHarness(tmp_path, 1)
+    site.start()
+    site.publish(1)
+    site.stop_store(0)
+    directory = tmp_path / "store-0-0" / SITE_GROUP
+    make_gap(directory)
+    before = {path.name: path.read_bytes() for path in directory.glob("*.*")}
+    site.start_store(0)
+    try:
+        wait_until(lambda: site.end_reasons != [], "a store that ends")
+        assert "missing" in site.end_reasons[0]
+        assert {path.name: path.read_bytes() for path in directory.glob("*.*")} == (
+            before
+        )
+    finally:
+        site.close()
