Ramped up endpoints that have started or recovered

Cause: a new endpoint is idle, so that all entry hosts find it cheapest within the same quarter of a second, before any of them knows the loads of the others.

Change: where the setting OLEANDERHITCH_ENDPOINT_RAMP_UP is on, or the list gives cold_left_ms above 0, hosts report fast and slow answers and failures, and the leader returns how many requests the endpoint may run at once: 1 at its start, one more with each fast answer, half after a failure, no limit from the number of slots on. A host sends within its part, or a trial by chance if the known load leaves room. A request that has no other endpoint is sent whatever the limit.

A mean of the speeds now assumes 8 observations of the median instead of 3: a single noisy first answer kept requests from a new endpoint for seconds.

--- a/oleanderhitch/platform/listing.py
+++ b/oleanderhitch/platform/listing.py
@@ -109,6 +109,9 @@
         _parse_count(slots) or 0,
         is_leaving,
         _parse_count(born_ms) or 0,
+        # The time itself is not kept: a list that changes as it passes would have a new
+        # version at each read.
+        bool(_parse_count(instance.get("cold_left_ms"))),
     )
 
 
--- a/oleanderhitch/platform/settings.py
+++ b/oleanderhitch/platform/settings.py
@@ -22,6 +22,8 @@
 SETTINGS_VARIABLE = "OLEANDERHITCH_CONFIG"
 PEER_KEY_VARIABLE = "OLEANDERHITCH_PEER_KEY"
 METRICS_PORT_VARIABLE = "OLEANDERHITCH_METRICS_PORT"
+RAMP_UP_VARIABLE = "OLEANDERHITCH_ENDPOINT_RAMP_UP"
+SWITCH_POSITIONS = {"": False, "off": False, "on": True}
 
 
 @dataclass(frozen=True)
@@ -96,6 +98,7 @@
         _make_site_settings(file),
         HostAddress(_get_listen_address(file, "front")),
         HostAddress(_get_listen_address(file, "ready_addr")),
+        _read_switch(RAMP_UP_VARIABLE),
     )
 
 
@@ -134,6 +137,15 @@
     )
 
 
+def _read_switch(variable: str) -> bool:
+    value = os.environ.get(variable, "")
+    if value not in SWITCH_POSITIONS:
+        raise InvalidInputError(
+            f"environment variable {variable} is {value!r}; expected on or off"
+        )
+    return SWITCH_POSITIONS[value]
+
+
 def _find_memory_limit(file: SettingsFile) -> int | None:
     n_megabytes = file.limits.memory_mb
     return None if n_megabytes is None else int(n_megabytes * BYTES_PER_MEGABYTE)
--- a/oleanderhitch/process/directory/messages.py
+++ b/oleanderhitch/process/directory/messages.py
@@ -8,7 +8,8 @@
 class ListedEndpoint(Value, frozen=True):
     """An endpoint in the platform's list.
 
-    A restarted endpoint keeps its id and gets another `born_ms`.
+    A restarted endpoint keeps its id and gets another `born_ms`. One that is cold says
+    that it remains slow for a time after its start.
     """
 
     endpoint: EndpointId
@@ -18,6 +19,7 @@
     n_slots: int
     is_leaving: bool
     born_ms: int = 0
+    is_cold: bool = False
 
 
 class ListVersion(Value, frozen=True, order=True):
--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -1,5 +1,6 @@
 """Select endpoints by cached prompt parts, load, latency and failures."""
 
+from collections.abc import Sequence
 from datetime import datetime, timedelta
 from functools import singledispatch
 
@@ -55,11 +56,19 @@
 from oleanderhitch.process.placement.observations import (
     apply_speeds,
     find_measured_tokens,
+    get_first_event_ms,
     list_observed_speeds,
     record_event_latency,
     record_first_event,
     update_speeds,
 )
+from oleanderhitch.process.placement.pace import (
+    begin_ramp,
+    draw_trial,
+    record_attempt_pace,
+    record_first_answer,
+    try_pace,
+)
 from oleanderhitch.process.placement.rate_limits import (
     MILLISECOND,
     PERMIT_TIMEOUT,
@@ -161,6 +170,7 @@
             # empty cache.
             record = Endpoint(listed, CacheEstimate(capacity), not previous)
         record.listed = listed
+        begin_ramp(record, bool(previous) and not is_same, state)
         record.unlisted_at = None
         state.endpoints[listed.endpoint] = record
     _keep_unlisted(known, state, now)
@@ -317,6 +327,7 @@
         _finish_prefill(message.permit, permit, state)
         endpoint = state.endpoints.get(permit.endpoint)
         if endpoint is not None:
+            record_first_answer(permit, endpoint, state, now)
             endpoint.last_activity_at = now
     return []
 
@@ -335,6 +346,7 @@
     if endpoint is not None and message.permit in endpoint.permits:
         endpoint.permits.discard(message.permit)
         record_result(message.result, endpoint, now)
+        record_attempt_pace(permit, message.result, endpoint, state, now)
         effects.extend(record_attempt_end(permit, message, endpoint, now))
     is_served = message.result is AttemptResult.COMPLETED
     if is_served and permit.fingerprint in state.suspected:
@@ -393,10 +405,12 @@
 @handle.register
 def _(message: PeerLoadsReported, state: PlacementState, now: datetime) -> list[object]:
     state.n_entry_hosts = message.n_entry_hosts
+    state.peer_loads_at = now
     loads = {load.endpoint: load for load in message.loads}
     for name, endpoint in state.endpoints.items():
         endpoint.peer_load = loads.get(name)
         endpoint.peer_load_at = now
+        draw_trial(endpoint, state, now)
     return _grant_waiting(state, now)
 
 
@@ -497,10 +511,7 @@
         return cost_ms + get_price_ms(endpoint, now)
 
     costs_ms = [get_cost(endpoint) for endpoint in available]
-    alike = choose_alike(
-        available, costs_ms, state.data_centre, message.workload is not None
-    )
-    chosen = state.random_source.choice(alike)
+    chosen = _choose(available, costs_ms, message, state, now)
     if not is_limited(chosen):
         return _grant(chosen, message, state, now)
     if is_local(state, now):
@@ -511,6 +522,32 @@
     return AskLeader(request)
 
 
+def _choose(
+    endpoints: Sequence[Endpoint],
+    costs_ms: Sequence[float],
+    message: AcquireEndpoint,
+    state: PlacementState,
+    now: datetime,
+) -> Endpoint:
+    """Return one of the cheapest endpoints, if possible one whose ramp allows it."""
+    is_engine = message.workload is not None
+    costs = dict(
+        zip((item.listed.endpoint for item in endpoints), costs_ms, strict=True)
+    )
+    first: Endpoint | None = None
+    left = list(endpoints)
+    while left:
+        left_ms = [costs[item.listed.endpoint] for item in left]
+        alike = choose_alike(left, left_ms, state.data_centre, is_engine)
+        chosen = state.random_source.choice(alike)
+        if try_pace(chosen, state, now):
+            return chosen
+        first = first or chosen
+        left.remove(chosen)
+    assert first is not None
+    return first
+
+
 def _has_capacity(
     endpoint: Endpoint, workload: InferenceWorkload | None, now: datetime
 ) -> bool:
@@ -523,6 +560,7 @@
 def _grant(
     endpoint: Endpoint, message: AcquireEndpoint, state: PlacementState, now: datetime
 ) -> SendReply:
+    endpoint.has_trial = False
     if not endpoint.permits:
         endpoint.last_activity_at = now
     if message.affinity_key is not None and message.workload is None:
@@ -531,9 +569,11 @@
     permit = PermitId(f"{state.permit_prefix}-{state.last_permit_number}")
     n_uncached = 0
     n_measured: int | None = None
+    expected_ms: float | None = None
     if message.workload is not None:
         n_uncached = count_uncached_tokens(endpoint.cache, message.workload)
         n_measured = find_measured_tokens(endpoint, n_uncached, state, now)
+        expected_ms = get_first_event_ms(endpoint, n_uncached, state, now)
         record_prompt(endpoint.cache, message.workload)
     endpoint_id = endpoint.listed.endpoint
     state.pending_prefill_tokens[endpoint_id] += n_uncached
@@ -545,6 +585,7 @@
         now,
         message.holder,
         n_measured,
+        expected_ms,
     )
     endpoint.permits.add(permit)
     state.undecided.discard(message.holder)
--- a/oleanderhitch/process/placement/messages.py
+++ b/oleanderhitch/process/placement/messages.py
@@ -149,13 +149,29 @@
     """Times of an endpoint, started at `born_ms`, as all entry hosts observe them.
 
     `decode` compares the time of an output token and `prefill` that until the first
-    event with those of the service's median endpoint, in thousandths.
+    event with those of the service's median endpoint, in thousandths. `n_allowed` is
+    how many requests it may run at once while it ramps up, 0 for no limit.
     """
 
     endpoint: EndpointId
     born_ms: int
     decode: int
     prefill: int
+    n_allowed: int = 0
+
+
+class RampObservations(Value, frozen=True, array_like=True):
+    """Answers and failures of an endpoint with `n_slots` that an entry host counted.
+
+    An answer is fast or slow in comparison with those of its peers. `has_started` is
+    set until the leader has set a limit for its start.
+    """
+
+    n_slots: int
+    has_started: bool
+    n_fast: int
+    n_slow: int
+    n_failed: int
 
 
 class SpeedObservations(Value, frozen=True, array_like=True):
@@ -170,6 +186,7 @@
     decode_sum: int
     n_prefill: int
     prefill_sum: int
+    ramp: RampObservations | None = None
 
 
 class SpeedsReported(Value, frozen=True):
--- a/oleanderhitch/process/placement/observations.py
+++ b/oleanderhitch/process/placement/observations.py
@@ -11,6 +11,7 @@
 
 from oleanderhitch.process.placement.latency import MILLISECOND, record_latency
 from oleanderhitch.process.placement.messages import SpeedObservations, SpeedsReported
+from oleanderhitch.process.placement.pace import take_ramp_observations
 from oleanderhitch.process.placement.records import (
     Endpoint,
     Permit,
@@ -57,6 +58,18 @@
     return None if n_before or _is_read_by_peers(endpoint, now) else n_uncached
 
 
+def get_first_event_ms(
+    endpoint: Endpoint, n_uncached: int, state: PlacementState, now: datetime
+) -> float:
+    """Return the expected time until the first event of a prompt to send now."""
+    service = state.service_speeds[endpoint.listed.service]
+    peer_load = find_peer_load(endpoint, now)
+    n_tokens = n_uncached + state.pending_prefill_tokens[endpoint.listed.endpoint]
+    n_tokens += 0 if peer_load is None else peer_load.n_reading_tokens
+    expected_ms = service.first_event_ms + n_tokens * service.prefill_ms
+    return expected_ms * endpoint.speeds.prefill_ratio
+
+
 def record_first_event(permit: Permit, state: PlacementState, now: datetime) -> None:
     """Record the time until the first event of a stream if it shows the prefill."""
     endpoint = state.endpoints.get(permit.endpoint)
@@ -76,7 +89,12 @@
 def list_observed_speeds(state: PlacementState) -> tuple[SpeedObservations, ...]:
     """Return what was observed since the last call."""
     found = (
-        take_observations(name, endpoint.listed.born_ms, endpoint.speeds)
+        take_observations(
+            name,
+            endpoint.listed.born_ms,
+            endpoint.speeds,
+            take_ramp_observations(endpoint),
+        )
         for name, endpoint in state.endpoints.items()
     )
     return tuple(observed for observed in found if observed is not None)
--- a/oleanderhitch/process/placement/records.py
+++ b/oleanderhitch/process/placement/records.py
@@ -53,6 +53,20 @@
     at: datetime
 
 
+class Ramping(Struct):
+    """What this host has counted of an endpoint and not yet reported, for its ramp.
+
+    `duration_ms` is the mean of its calls, None before the first. `has_started` is set
+    from its start until the leader has set a limit.
+    """
+
+    has_started: bool
+    n_fast: int = 0
+    n_slow: int = 0
+    n_failed: int = 0
+    duration_ms: float | None = None
+
+
 class Endpoint(Struct):
     """State of one endpoint as observed by this entry host."""
 
@@ -62,6 +76,13 @@
     latency: LatencyAverage = field(default_factory=LatencyAverage)
     reliability: Reliability = field(default_factory=Reliability)
     speeds: EndpointSpeeds = field(default_factory=EndpointSpeeds)
+    # None if the deployment asks for no ramp.
+    ramping: Ramping | None = None
+    # Whether this host may send a trial request before the next loads are reported.
+    has_trial: bool = False
+    # Whether it was chosen since the last report of loads, and in which share of them.
+    is_wanted: bool = False
+    wanted_share: float = 1.0
     permits: set[PermitId] = field(default_factory=set)
     avoid_until: datetime | None = None
     # Affinity keys of the calls that were sent here, most recent last.
@@ -97,6 +118,8 @@
     # Prompt tokens to read, if no other prefill had to end before: a first event then
     # shows how fast the endpoint reads.
     n_measured_tokens: int | None = None
+    # How long the first event of an engine should take.
+    expected_first_ms: float | None = None
 
 
 class PendingPermitRequest(Value, frozen=True):
@@ -130,6 +153,12 @@
     pending_prefill_tokens: defaultdict[EndpointId, int] = field(
         default_factory=lambda: defaultdict(int)
     )
+    # Whether endpoints ramp up that do not say themselves that they start cold.
+    is_ramp_up_enabled: bool = False
+    # Mean duration of the calls of each plain service.
+    durations_ms: dict[ServiceName, float] = field(default_factory=dict)
+    # When the leader has reported the loads of other entry hosts last.
+    peer_loads_at: datetime | None = None
     last_permit_number: int = 0
     permit_requests: dict[int, PendingPermitRequest] = field(default_factory=dict)
     last_permit_request: int = 0
--- a/oleanderhitch/process/placement/speeds.py
+++ b/oleanderhitch/process/placement/speeds.py
@@ -15,6 +15,7 @@
 
 from oleanderhitch.process.placement.messages import (
     EndpointSpeed,
+    RampObservations,
     SpeedObservations,
     SpeedsReported,
 )
@@ -221,10 +222,13 @@
 
 
 def take_observations(
-    endpoint: EndpointId, born_ms: int, speeds: EndpointSpeeds
+    endpoint: EndpointId,
+    born_ms: int,
+    speeds: EndpointSpeeds,
+    ramp: RampObservations | None,
 ) -> SpeedObservations | None:
     """Return what was observed since the last call, None if nothing was."""
-    if not speeds.n_decode and not speeds.n_prefill:
+    if not speeds.n_decode and not speeds.n_prefill and ramp is None:
         return None
     taken = SpeedObservations(
         endpoint,
@@ -233,6 +237,7 @@
         speeds.decode_sum,
         speeds.n_prefill,
         speeds.prefill_sum,
+        ramp,
     )
     speeds.n_decode = speeds.decode_sum = speeds.n_prefill = speeds.prefill_sum = 0
     return taken
--- a/oleanderhitch/process/placement/task.py
+++ b/oleanderhitch/process/placement/task.py
@@ -39,6 +39,7 @@
     tell_subscription: Callable[[object], None],
     clock: Clock,
     random_source: Random,
+    is_ramp_up_enabled: bool = False,
 ) -> Task[PlacementState]:
     """Return the task that selects endpoints for the requests of one entry host."""
 
@@ -46,6 +47,7 @@
         _perform(effect, dependencies)
 
     state = PlacementState(data_centre, node, random_source)
+    state.is_ramp_up_enabled = is_ramp_up_enabled
     task = make_task(
         "placement",
         state,
--- a/oleanderhitch/process/site/entry.py
+++ b/oleanderhitch/process/site/entry.py
@@ -130,6 +130,7 @@
             self._tell_subscription,
             clock,
             random.Random(uuid.uuid4().int),
+            settings.is_ramp_up_enabled,
         )
         self._directory = make_directory_task(
             dependencies.fetch_list, self._handle_local_list, clock
--- a/oleanderhitch/process/site/settings.py
+++ b/oleanderhitch/process/site/settings.py
@@ -29,11 +29,16 @@
 
 
 class SiteEntrySettings(Value, frozen=True):
-    """Settings of an entry host."""
+    """Settings of an entry host.
+
+    With `is_ramp_up_enabled`, all endpoints ramp up that have started or recovered;
+    otherwise only those that the list calls cold.
+    """
 
     site: SiteSettings
     caller_address: HostAddress
     readiness_address: HostAddress
+    is_ramp_up_enabled: bool = False
 
 
 class SiteStoreSettings(Value, frozen=True):
--- a/oleanderhitch/process/site/speed_totals.py
+++ b/oleanderhitch/process/site/speed_totals.py
@@ -13,6 +13,7 @@
 from oleanderhitch.process.placement.messages import EndpointSpeed, SpeedObservations
 from oleanderhitch.process.placement.speeds import RATIO_UNIT
 from oleanderhitch.process.site.messages import SpeedsChange, SpeedsVersion
+from oleanderhitch.process.site.ramps import Ramp, RampChange
 from oleanderhitch.version.ids import EndpointId
 
 # An endpoint of 12 slots yields more than ten observations of its decode a second, and
@@ -20,10 +21,11 @@
 # while neighbours are noisy.
 DECODE_HALF_LIFE = timedelta(seconds=5)
 PREFILL_HALF_LIFE = timedelta(seconds=10)
-# Observations of the median speed that are assumed of each endpoint. One noisy
-# neighbour makes no endpoint slow, and one that gets no requests since it was slow
-# returns to the median within half a minute, so that requests show whether it still is.
-N_ASSUMED_OBSERVATIONS = 3.0
+# Observations of the median speed that are assumed of each endpoint. With 3, a single
+# noisy first observation kept requests from a new endpoint for seconds. An endpoint
+# that gets none since it was slow returns to the median, so that requests show whether
+# it still is: after 40 observations of twice the time, within 20 s.
+N_ASSUMED_OBSERVATIONS = 8.0
 # Smaller changes are not sent.
 CHANGE_MIN = 0.1
 # Endpoints with fewer observations left, decayed, are forgotten.
@@ -70,6 +72,16 @@
     number: int = 0
     decode: _Mean = field(default_factory=lambda: _Mean(DECODE_HALF_LIFE))
     prefill: _Mean = field(default_factory=lambda: _Mean(PREFILL_HALF_LIFE))
+    ramp: Ramp = field(default_factory=Ramp)
+    published_allowed: int = 0
+
+    def publish(self) -> bool:
+        """Publish what has changed; return whether anything has."""
+        is_decode_new = self.decode.publish()
+        is_prefill_new = self.prefill.publish()
+        is_ramp_new = self.ramp.n_allowed != self.published_allowed
+        self.published_allowed = self.ramp.n_allowed
+        return is_decode_new or is_prefill_new or is_ramp_new
 
 
 class SpeedTotals(Struct):
@@ -80,17 +92,21 @@
     endpoints: OrderedDict[EndpointId, _Endpoint] = field(default_factory=OrderedDict)
     reviewed_at: datetime | None = None
 
-    def observe(self, observed: SpeedObservations, now: datetime) -> None:
-        """Add what an entry host has observed of an endpoint."""
+    def observe(self, observed: SpeedObservations, now: datetime) -> RampChange:
+        """Add what an entry host has observed; return what it changes of a ramp."""
         endpoint = self.endpoints.get(observed.endpoint)
         if endpoint is None or observed.born_ms > endpoint.born_ms:
             endpoint = self.endpoints[observed.endpoint] = _Endpoint(observed.born_ms)
             self.endpoints.move_to_end(observed.endpoint, last=False)
         elif observed.born_ms < endpoint.born_ms:
-            return
+            return RampChange.NONE
         endpoint.decode.add(observed.n_decode, observed.decode_sum, now)
         endpoint.prefill.add(observed.n_prefill, observed.prefill_sum, now)
+        change = RampChange.NONE
+        if observed.ramp is not None:
+            change = endpoint.ramp.observe(observed.ramp, now)
         self._publish(observed.endpoint, endpoint)
+        return change
 
     def find_change(self, known: SpeedsVersion, now: datetime) -> SpeedsChange | None:
         """Return what has changed since a version, None if nothing has."""
@@ -104,8 +120,15 @@
         for name, endpoint in reversed(self.endpoints.items()):
             if endpoint.number <= known_number:
                 break
-            decode, prefill = endpoint.decode.published, endpoint.prefill.published
-            speeds.append(EndpointSpeed(name, endpoint.born_ms, decode, prefill))
+            speeds.append(
+                EndpointSpeed(
+                    name,
+                    endpoint.born_ms,
+                    endpoint.decode.published,
+                    endpoint.prefill.published,
+                    endpoint.published_allowed,
+                )
+            )
         return SpeedsChange(version, is_complete, tuple(speeds))
 
     def _review(self, now: datetime) -> None:
@@ -117,12 +140,14 @@
             endpoint.decode.add(0, 0, now)
             endpoint.prefill.add(0, 0, now)
             n_left = max(endpoint.decode.n, endpoint.prefill.n)
-            if not self._publish(name, endpoint) and n_left < N_OBSERVATIONS_MIN:
+            endpoint.ramp.end_if_idle(now)
+            is_changed = self._publish(name, endpoint)
+            is_ramping = endpoint.ramp.n_allowed > 0
+            if n_left < N_OBSERVATIONS_MIN and not is_changed and not is_ramping:
                 del self.endpoints[name]
 
     def _publish(self, name: EndpointId, endpoint: _Endpoint) -> bool:
-        is_decode_new = endpoint.decode.publish()
-        if not endpoint.prefill.publish() and not is_decode_new:
+        if not endpoint.publish():
             return False
         self.number += 1
         endpoint.number = self.number
--- a/oleanderhitch/process/site/subscribers.py
+++ b/oleanderhitch/process/site/subscribers.py
@@ -23,6 +23,7 @@
     SiteStatus,
     make_stores_digest,
 )
+from oleanderhitch.process.site.ramps import RampChange
 from oleanderhitch.process.site.send_permits import SendPermits
 from oleanderhitch.process.site.speed_totals import make_speed_totals
 
@@ -73,7 +74,9 @@
         self._loads.report(hello.node, hello.loads, now)
         self._observe_limits(hello.limits, now)
         for observed in hello.speeds:
-            self._speeds.observe(observed, now)
+            change = self._speeds.observe(observed, now)
+            if self._is_current and change is not RampChange.NONE:
+                log.info(change.value, endpoint=observed.endpoint)
         self._expire_crashes(now)
         quarantined = self._crashes.merge(hello.crashes, now)
         if quarantined and self._is_current:
--- a/oleanderhitch/process/site/subscription/core.py
+++ b/oleanderhitch/process/site/subscription/core.py
@@ -17,6 +17,7 @@
     EndpointLimit,
     EndpointLoad,
     LoadsFound,
+    RampObservations,
     SendPermitReply,
     SendPermitRequest,
     SpeedObservations,
@@ -414,10 +415,25 @@
             waiting.decode_sum + observed.decode_sum,
             waiting.n_prefill + observed.n_prefill,
             waiting.prefill_sum + observed.prefill_sum,
+            _add_ramps(waiting.ramp, observed.ramp),
         )
     state.speeds[observed.endpoint] = observed
 
 
+def _add_ramps(
+    waiting: RampObservations | None, observed: RampObservations | None
+) -> RampObservations | None:
+    if waiting is None or observed is None:
+        return waiting or observed
+    return RampObservations(
+        observed.n_slots,
+        observed.has_started,
+        waiting.n_fast + observed.n_fast,
+        waiting.n_slow + observed.n_slow,
+        waiting.n_failed + observed.n_failed,
+    )
+
+
 def _list_rates(
     limits: tuple[EndpointLimit, ...],
 ) -> set[tuple[EndpointId, float | None]]:
--- a/tests/platform/test_listing.py
+++ b/tests/platform/test_listing.py
@@ -102,6 +102,21 @@
     assert listed[0].born_ms == 5
 
 
+def test_time_of_a_cold_start_that_passes_changes_nothing(
+    platform: tuple[FakePlatform, HostAddress],
+) -> None:
+    """Guard against a new version of the list at each read of a cold endpoint."""
+    fake_platform, address = platform
+    read_list = make_list_reader(address)
+    lists = []
+    for cold_left_ms in (900, 300, 0, "300"):
+        instance = {**VALID_INSTANCE, "cold_left_ms": cold_left_ms}
+        fake_platform.add_page("/instances", [instance], None)
+        lists.append(read_list())
+    assert lists[0] == lists[1]
+    assert [listed[0].is_cold for listed in lists] == [True, True, False, False]
+
+
 @pytest.mark.parametrize(
     "response",
     [
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -11,6 +11,7 @@
 from oleanderhitch.platform.settings import (
     METRICS_PORT_VARIABLE,
     PEER_KEY_VARIABLE,
+    RAMP_UP_VARIABLE,
     SETTINGS_VARIABLE,
     make_entry_settings,
     make_store_settings,
@@ -54,6 +55,20 @@
     assert settings.may_bootstrap
 
 
+def test_endpoints_ramp_up_only_if_asked_for(
+    environment: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guard against a limit in deployments that do not ask for it, or a misread one."""
+    listen = {"front": "10.1.0.32:80", "ready_addr": "10.1.0.32:81"}
+    environment.write_text(json.dumps({**CONTENT, "listen": listen}))
+    assert not make_entry_settings(read_settings_file()).is_ramp_up_enabled
+    monkeypatch.setenv(RAMP_UP_VARIABLE, "on")
+    assert make_entry_settings(read_settings_file()).is_ramp_up_enabled
+    monkeypatch.setenv(RAMP_UP_VARIABLE, "yes")
+    with pytest.raises(InvalidInputError, match="expected on or off"):
+        make_entry_settings(read_settings_file())
+
+
 def test_error_names_every_fault(environment: Path) -> None:
     """Guard against reporting one fault per attempt instead of all of them."""
     faulty = {**CONTENT, "seeds": 7, "bounds": {}}
