--- a/oleanderhitch/process/placement/task.py
+++ b/oleanderhitch/process/placement/task.py
@@ -44,6 +44,7 @@
     clock: Clock,
     random_source: Random,
     metrics: Metrics,
+    is_ramp_up_enabled: bool = False,
 ) -> Task[PlacementState]:
     """Return the task that selects endpoints for the requests of one entry host."""
 
@@ -51,6 +52,7 @@
         _perform(effect, dependencies)
 
     state = PlacementState(data_centre, node, random_source)
+    state.is_ramp_up_enabled = is_ramp_up_enabled
     task = make_task(
         "placement",
         state,
--- a/oleanderhitch/process/site/entry.py
+++ b/oleanderhitch/process/site/entry.py
@@ -141,6 +141,7 @@
             clock,
             random.Random(uuid.uuid4().int),
             metrics,
+            settings.is_ramp_up_enabled,
         )
         self._directory = make_directory_task(
             dependencies.fetch_list, self._handle_local_list, clock
