Added quotas of client accounts that hold over all entry hosts

Cause: the rate and burst of an account were read and had no effect.

Change: the leader of the group site keeps a token bucket for each account with a limit and lends credits that expire soon (process/site/quota_ledger.py). It lends only while a read through the group has confirmed it lately (quota_lender.py). A task of the entry host (process/quotas) asks for credits, and a request gets one before anything is reserved or queued for it, else 429 (or 503, quota_unavailable, if no leader answers). A request whose credit has expired by the time it gets an endpoint renews it before it is sent. Quotas are off where the bounds lack quota_window_s or an account has no rate.

tests/platform/test_requests.py lists the verdicts with status 503; the new one is of requests that did not run, and was added to the list.

--- a/oleanderhitch/platform/commands/run_store.py
+++ b/oleanderhitch/platform/commands/run_store.py
@@ -12,6 +12,7 @@
     run,
     start_stdout_logging,
 )
+from oleanderhitch.platform.routing import parse_route_table
 from oleanderhitch.platform.settings import (
     get_endpoint_list_address,
     make_store_settings,
@@ -41,6 +42,7 @@
     dependencies = StoreDependencies(
         make_platform_operator_dialect(settings.n_losses_tolerated),
         make_list_reader(get_endpoint_list_address(file)),
+        parse_route_table,
     )
     store = make_store(settings, dependencies, clock, metrics, lifetime.fail)
     address = settings.site.metrics_address
--- a/oleanderhitch/platform/requests.py
+++ b/oleanderhitch/platform/requests.py
@@ -52,6 +52,7 @@
     Verdict.UNAUTHORIZED: 401,
     Verdict.NOT_CURRENT: 503,
     Verdict.OVER_QUOTA: 429,
+    Verdict.QUOTA_UNAVAILABLE: 503,
     Verdict.NO_PREVIOUS_TURN: 404,
     Verdict.BUDGET_SPENT: 402,
     Verdict.RECORD_UNAVAILABLE: 503,
@@ -87,6 +88,7 @@
             request.find_header(header_names.LAST_EVENT_ID),
             _make_fingerprint(request, host),
             _read_key(request.headers),
+            *_read_program(request),
         )
 
     def read_response_head(self, status: int, headers: Headers) -> EndpointResponseHead:
@@ -159,18 +161,20 @@
         verdict: Verdict,
         detail: str,
         time_left: timedelta,
+        retry_after: timedelta | None = None,
     ) -> HttpResponse:
         """Return the response for a verdict."""
         status = VERDICT_STATUSES[verdict]
         headers: list[tuple[str, str]] = [("content-type", "text/plain")]
         if request is not None:
             headers.append((header_names.REQUEST_ID, request))
-        if status == NOT_RUN_STATUS:
+        if status == NOT_RUN_STATUS and retry_after is None:
             retry_after = min(
                 max(time_left * RETRY_AFTER_SHARE, RETRY_AFTER_MIN), RETRY_AFTER_MAX
             )
             if verdict is Verdict.QUARANTINED:
                 retry_after = FIRST_QUARANTINE_DURATION
+        if retry_after is not None:
             headers.append(("retry-after", f"{retry_after.total_seconds():.3f}"))
         body = f"{verdict.value}: {detail}\n".encode("utf-8", "replace")
         return HttpResponse(status, body, tuple(headers))
@@ -344,6 +348,21 @@
     )
 
 
+def _read_program(request: HttpRequest) -> tuple[ProgramId | None, bool]:
+    """Return the program of a request, and whether it shows that one is in progress.
+
+    Turns that continue another one and tool calls do.
+    """
+    program = request.find_header(header_names.PROGRAM)
+    if program is None:
+        return None, False
+    is_first_turn = (
+        request.find_header(header_names.TOKEN_BUDGET) is not None
+        and request.find_header(header_names.PREVIOUS_TURN) is None
+    )
+    return ProgramId(program), not is_first_turn
+
+
 def make_platform_dialect() -> PlatformDialect:
     """Return the platform's dialect of requests and responses."""
     return PlatformDialect()
--- a/oleanderhitch/platform/settings.py
+++ b/oleanderhitch/platform/settings.py
@@ -11,6 +11,7 @@
 from oleanderhitch.exceptions import InvalidInputError
 from oleanderhitch.platform.documents import structure_document
 from oleanderhitch.process.ids import NodeId
+from oleanderhitch.process.quotas.messages import QuotaBounds
 from oleanderhitch.process.site.settings import (
     SiteEntrySettings,
     SiteSettings,
@@ -43,6 +44,11 @@
     """Time limits that the platform sets."""
 
     grace_s: float  # from SIGTERM to SIGKILL
+    # In each window, an account may send a part and a number more than its quota. The
+    # limits of accounts have no effect without a window.
+    quota_window_s: float | None = None
+    quota_over: float = 0.0
+    quota_slack: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -131,6 +137,7 @@
         timedelta(seconds=file.bounds.grace_s),
         HostAddress(f"{file.ip}:{metrics_port}") if metrics_port else None,
         _find_memory_limit(file),
+        _find_quota_bounds(file),
     )
 
 
@@ -139,6 +146,14 @@
     return None if n_megabytes is None else int(n_megabytes * BYTES_PER_MEGABYTE)
 
 
+def _find_quota_bounds(file: SettingsFile) -> QuotaBounds | None:
+    bounds = file.bounds
+    if not bounds.quota_window_s:
+        return None
+    window = timedelta(seconds=bounds.quota_window_s)
+    return QuotaBounds(window, bounds.quota_over, bounds.quota_slack)
+
+
 def _make_node_id(ip: str, file: SettingsFile) -> NodeId:
     """Return a node's id, which is the address where it listens for its peers.
 
--- a/oleanderhitch/process/metrics/states.py
+++ b/oleanderhitch/process/metrics/states.py
@@ -82,6 +82,11 @@
     OPERATOR_CALLS = MetricName(
         "oleanderhitch_operator_calls_total", "Calls of operators.", "status"
     )
+    CREDITS = MetricName(
+        "oleanderhitch_credits_total",
+        "Requests of accounts with a limit by how their wait for a credit ended.",
+        "result",
+    )
     DROPPED_SPANS = MetricName(
         "oleanderhitch_dropped_spans_total", "Spans that found no room."
     )
--- /dev/null
+++ b/oleanderhitch/process/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas of client accounts on an entry host."""
--- /dev/null
+++ b/oleanderhitch/process/quotas/messages.py
@@ -0,0 +1,128 @@
+"""Credits of client accounts: requests, replies and the messages of the quotas task."""
+
+from datetime import datetime, timedelta
+from typing import NewType
+
+from oleanderhitch.process.address import Address
+from oleanderhitch.program.ids import AccountId, ProgramId
+from oleanderhitch.request.ids import HolderId
+from oleanderhitch.values import Value
+
+# Stands for one term of office of a leader, whose ledger is in its memory only.
+LedgerId = NewType("LedgerId", int)
+
+
+class QuotaBounds(Value, frozen=True):
+    """What the platform allows above a quota.
+
+    In each sliding window at most (rate x window + burst) x (1 + `over`) + `slack`
+    requests of an account may be sent, over all entry hosts together.
+    """
+
+    window: timedelta
+    over: float
+    slack: float
+
+
+# Messages between entry hosts and the leader of the group `site`.
+
+
+class CreditDemand(Value, frozen=True):
+    """The credits that an entry host asks for on behalf of one account.
+
+    `n_running` are for requests of programs in progress, `n_new` for first requests of
+    programs, and `n_ahead` for requests that are expected to arrive soon.
+    """
+
+    account: AccountId
+    n_running: int
+    n_new: int
+    n_ahead: int = 0
+
+
+class ReturnedCredits(Value, frozen=True):
+    """Credits of one loan that an entry host will not use any more."""
+
+    account: AccountId
+    ledger: LedgerId
+    lent_ms: int
+    n_credits: int
+
+
+class CreditRequest(Value, frozen=True):
+    """Asks the leader for credits of several accounts, and returns unused ones.
+
+    An entry host numbers its requests.
+    """
+
+    number: int
+    demands: tuple[CreditDemand, ...]
+    returns: tuple[ReturnedCredits, ...] = ()
+
+
+class CreditLoan(Value, frozen=True):
+    """The credits that are lent for one demand.
+
+    They can be used after `delay_ms` from the reply, for `ttl_ms`. `lent_ms` is when
+    they were lent by the time of the ledger. Requests without a credit are refused, and
+    can be retried after `retry_ms`. An entry host has more credits than it asked for if
+    its demand is of an account without a limit in the newest configuration.
+    """
+
+    account: AccountId
+    n_running: int
+    n_new: int
+    n_ahead: int
+    lent_ms: int
+    ttl_ms: int
+    delay_ms: int = 0
+    retry_ms: int = 0
+
+
+class CreditReply(Value, frozen=True):
+    """Lends credits; without `is_lending`, the sender is no leader that may lend."""
+
+    number: int
+    is_lending: bool
+    ledger: LedgerId = LedgerId(0)
+    loans: tuple[CreditLoan, ...] = ()
+
+
+# Messages of the requests of an entry host.
+
+
+class AcquireCredit(Value, frozen=True):
+    """Asks for the credit that one request of an account needs to be sent.
+
+    Without an answer of a leader, the request is refused at the deadline. `program` is
+    the program that it belongs to. With `continues_program` the request itself shows
+    that the program is in progress.
+    """
+
+    holder: HolderId
+    account: AccountId
+    program: ProgramId | None
+    continues_program: bool
+    deadline: datetime
+    reply_address: Address
+
+
+class CreditGranted(Value, frozen=True):
+    """Allows a request to be sent until its credit expires."""
+
+    holder: HolderId
+    expires_at: datetime
+
+
+class CreditRefused(Value, frozen=True):
+    """Refuses a credit, since the quota is used up or no leader answers."""
+
+    holder: HolderId
+    retry_after: timedelta
+    is_over_quota: bool
+
+
+class ReturnCredit(Value, frozen=True):
+    """Ends the claim of a request that was not run; another one may use its credit."""
+
+    holder: HolderId
--- a/oleanderhitch/process/site/entry.py
+++ b/oleanderhitch/process/site/entry.py
@@ -37,6 +37,8 @@
 from oleanderhitch.process.metrics.states import Counter
 from oleanderhitch.process.placement.messages import SendPermitReply
 from oleanderhitch.process.placement.task import make_placement_task
+from oleanderhitch.process.quotas.messages import CreditReply
+from oleanderhitch.process.quotas.task import make_quotas_task
 from oleanderhitch.process.site.application import make_site_codec
 from oleanderhitch.process.site.group import TURN_GROUPS, get_turn_group
 from oleanderhitch.process.site.links import make_site_links
@@ -134,18 +136,21 @@
         self._directory = make_directory_task(
             dependencies.fetch_list, self._handle_local_list, clock
         )
+        subscription_dependencies = SubscriptionDependencies(
+            self._installed_state,
+            self._links,
+            (self._group_client,),
+            self._placement,
+            self._directory,
+            dependencies.read_routing,
+        )
         self._subscription = make_subscription_task(
-            settings.site.node,
-            SubscriptionDependencies(
-                self._installed_state,
-                self._links,
-                (self._group_client,),
-                self._placement,
-                self._directory,
-                dependencies.read_routing,
-            ),
-            clock,
+            settings.site.node, subscription_dependencies, clock
+        )
+        self._quotas = make_quotas_task(
+            self._tell_subscription, clock, metrics, random.Random(uuid.uuid4().int)
         )
+        subscription_dependencies.quotas = self._quotas
         forward_dependencies = ForwardDependencies(
             dependencies.dialect,
             self._installed_state.await_table,
@@ -160,6 +165,7 @@
             metrics,
             response_memory,
             self._get_end_time,
+            quotas=None if settings.site.quota_bounds is None else self._quotas,
         )
         self._caller_server = make_http_server(
             settings.caller_address,
@@ -180,6 +186,7 @@
             self._placement,
             self._directory,
             self._subscription,
+            self._quotas,
         ):
             task.start()
         self._links.start()
@@ -218,6 +225,7 @@
         self._readiness_server.stop()
         self._links.stop()
         for task in (
+            self._quotas,
             self._subscription,
             self._directory,
             self._placement,
@@ -261,6 +269,8 @@
             self._subscription.send(StatusReceived(delivery.node, message))
         elif isinstance(message, SendPermitReply):
             self._placement.send(message)
+        elif isinstance(message, CreditReply):
+            self._quotas.send(message)
         elif isinstance(message, GroupAnswer | GroupRedirect | GroupUncertain):
             self._group_client.send(message)
         else:
--- a/oleanderhitch/process/site/messages.py
+++ b/oleanderhitch/process/site/messages.py
@@ -14,6 +14,7 @@
     SendPermitReply,
     SendPermitRequest,
 )
+from oleanderhitch.process.quotas.messages import CreditReply, CreditRequest
 from oleanderhitch.values import Value
 from oleanderhitch.version.ids import DataCentreName, HostName
 from oleanderhitch.version.routes.ids import NO_ROUTING, RoutingVersion
@@ -139,4 +140,6 @@
     StoreAnnouncement,
     SendPermitRequest,
     SendPermitReply,
+    CreditRequest,
+    CreditReply,
 )
--- /dev/null
+++ b/oleanderhitch/process/site/quota_lender.py
@@ -0,0 +1,179 @@
+"""Let only the one leader of the site lend the credits of client accounts.
+
+A leader lends while a read through the group has shown lately that no other store has
+become the leader. Its successor lends nothing until all such reads are too old, with
+buckets that are empty then, so that the loans of both are those of one bucket.
+"""
+
+import uuid
+from collections.abc import Callable
+from datetime import datetime, timedelta
+
+import logbook
+from msgspec import Struct
+
+from oleanderhitch.process.address import Address
+from oleanderhitch.process.clock import Clock
+from oleanderhitch.process.groups.messages import GroupAnswer
+from oleanderhitch.process.quotas.messages import (
+    CreditReply,
+    CreditRequest,
+    LedgerId,
+    QuotaBounds,
+)
+from oleanderhitch.process.site.messages import RoutingFound
+from oleanderhitch.process.site.quota_ledger import QuotaLedger, make_quota_ledger
+from oleanderhitch.version.routes.configuration import RouteTable
+from oleanderhitch.version.routes.ids import NO_ROUTING
+
+# A leader lends for this long after its last successful read began.
+READ_VALIDITY = timedelta(milliseconds=450)
+# Reads that are older are followed by another one at the next request.
+READ_INTERVAL = timedelta(milliseconds=150)
+# Longer than READ_VALIDITY and a loan in advance of the leader before.
+SILENCE_DURATION = timedelta(milliseconds=600)
+# Entry hosts ask again after this time.
+HELD_TTL = timedelta(milliseconds=150)
+# A few for each entry host of the largest deployment.
+N_HELD_MAX = 2000
+# A read without an answer for this long was lost.
+READ_TIMEOUT = timedelta(seconds=1)
+
+log = logbook.Logger("quotas")
+
+
+class _HeldRequest(Struct):
+    """A request that waits for a read."""
+
+    request: CreditRequest
+    reply_address: Address
+    received_at: datetime
+
+
+class _ReadReplyAddress:
+    """Reply address of a read that began at a time."""
+
+    def __init__(self, lender: "QuotaLender", began_at: datetime) -> None:
+        self._lender = lender
+        self._began_at = began_at
+
+    def send(self, message: object) -> None:
+        """Report whether the read has succeeded."""
+        self._lender.handle_read(self._began_at, isinstance(message, GroupAnswer))
+
+
+class QuotaLender:
+    """Owner of the ledger of a store while it leads."""
+
+    def __init__(
+        self,
+        bounds: QuotaBounds | None,
+        get_routing: Callable[[], RoutingFound],
+        read_routing: Callable[[bytes], RouteTable],
+        request_read: Callable[[Address], None],
+        clock: Clock,
+    ) -> None:
+        self._bounds = bounds
+        self._get_routing = get_routing
+        self._read_routing = read_routing
+        self._request_read = request_read
+        self._clock = clock
+        self._ledger: QuotaLedger | None = None
+        self._applied = NO_ROUTING
+        self._read_began_at: datetime | None = None
+        self._confirmed_at: datetime | None = None
+        self._held: list[_HeldRequest] = []
+
+    def handle_leadership_change(self, is_leader: bool) -> None:
+        """Begin with an empty ledger, or stop lending."""
+        self._refuse_held()
+        self._ledger = self._read_began_at = self._confirmed_at = None
+        self._applied = NO_ROUTING
+        if is_leader and self._bounds is not None:
+            # Restarted leaders must not take each other's credits back.
+            ledger = LedgerId(uuid.uuid4().int >> 66)
+            lends_from = self._clock.now() + SILENCE_DURATION
+            self._ledger = make_quota_ledger(ledger, self._bounds, lends_from)
+
+    def handle_request(self, request: CreditRequest, reply_address: Address) -> None:
+        """Reply to an entry host, once a read shows that this store may lend."""
+        now = self._clock.now()
+        if self._ledger is None or now < self._ledger.lends_from:
+            reply_address.send(CreditReply(request.number, is_lending=False))
+            return
+        if self._is_confirmed(now):
+            self._lend(self._ledger, request, reply_address, now)
+        elif len(self._held) < N_HELD_MAX:
+            self._held.append(_HeldRequest(request, reply_address, now))
+        self._read_if_due(now)
+
+    def handle_read(self, began_at: datetime, is_success: bool) -> None:
+        """Answer the requests that wait for the read."""
+        if began_at != self._read_began_at:
+            return
+        self._read_began_at = None
+        if not is_success:
+            self._refuse_held()
+            return
+        now = self._clock.now()
+        self._confirmed_at = began_at
+        if self._ledger is None or not self._is_confirmed(now):
+            return
+        held, self._held = self._held, []
+        for waiting in held:
+            if now - waiting.received_at < HELD_TTL:
+                self._lend(self._ledger, waiting.request, waiting.reply_address, now)
+
+    def _is_confirmed(self, now: datetime) -> bool:
+        return (
+            self._confirmed_at is not None and now - self._confirmed_at < READ_VALIDITY
+        )
+
+    def _read_if_due(self, now: datetime) -> None:
+        is_reading = (
+            self._read_began_at is not None and now - self._read_began_at < READ_TIMEOUT
+        )
+        is_recent = (
+            self._confirmed_at is not None and now - self._confirmed_at < READ_INTERVAL
+        )
+        if not is_reading and not is_recent:
+            self._read_began_at = now
+            self._request_read(_ReadReplyAddress(self, now))
+
+    def _lend(
+        self,
+        ledger: QuotaLedger,
+        request: CreditRequest,
+        reply_address: Address,
+        now: datetime,
+    ) -> None:
+        routing = self._get_routing()
+        if routing.version != self._applied:
+            self._applied = routing.version
+            accounts = self._read_routing(routing.content).configuration.accounts or ()
+            ledger.apply_limits(accounts, now)
+            log.info(
+                "limits of accounts applied",
+                version=routing.version,
+                n_limited=sum(
+                    account.requests_per_s is not None for account in accounts
+                ),
+            )
+        reply_address.send(ledger.lend(request, now))
+
+    def _refuse_held(self) -> None:
+        held, self._held = self._held, []
+        for waiting in held:
+            reply = CreditReply(waiting.request.number, is_lending=False)
+            waiting.reply_address.send(reply)
+
+
+def make_quota_lender(
+    bounds: QuotaBounds | None,
+    get_routing: Callable[[], RoutingFound],
+    read_routing: Callable[[bytes], RouteTable],
+    request_read: Callable[[Address], None],
+    clock: Clock,
+) -> QuotaLender:
+    """Return the lender of a store; without bounds it lends nothing."""
+    return QuotaLender(bounds, get_routing, read_routing, request_read, clock)
--- a/oleanderhitch/process/site/settings.py
+++ b/oleanderhitch/process/site/settings.py
@@ -5,6 +5,7 @@
 
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.process.ids import NodeId
+from oleanderhitch.process.quotas.messages import QuotaBounds
 from oleanderhitch.values import Value
 from oleanderhitch.version.ids import DataCentreName, HostName
 
@@ -15,7 +16,8 @@
     The node id of a store is the address it listens on for other nodes; replica ids
     contain it, so that every known replica can be reached. The seeds are the stores
     that a process contacts first. `stop_grace_period` is the time from SIGTERM to
-    SIGKILL. A process that takes more than `memory_limit_bytes` is ended.
+    SIGKILL. A process that takes more than `memory_limit_bytes` is ended. Without
+    `quota_bounds`, the limits of client accounts have no effect.
     """
 
     host: HostName
@@ -26,6 +28,7 @@
     stop_grace_period: timedelta
     metrics_address: HostAddress | None
     memory_limit_bytes: int | None = None
+    quota_bounds: QuotaBounds | None = None
 
 
 class SiteEntrySettings(Value, frozen=True):
--- a/oleanderhitch/process/site/store.py
+++ b/oleanderhitch/process/site/store.py
@@ -37,6 +37,7 @@
 from oleanderhitch.process.metrics.core import Metrics, make_counter
 from oleanderhitch.process.metrics.states import Counter, Gauge
 from oleanderhitch.process.placement.messages import SendPermitRequest
+from oleanderhitch.process.quotas.messages import CreditRequest
 from oleanderhitch.process.repair.core import BalanceSlot
 from oleanderhitch.process.repair.messages import ReplicaRemoved, StoreHello
 from oleanderhitch.process.replication.effect_handlers import make_any_replica_receiver
@@ -63,12 +64,13 @@
     make_operator_service,
 )
 from oleanderhitch.process.site.peer_codec import make_site_peer_codec
+from oleanderhitch.process.site.quota_lender import make_quota_lender
 from oleanderhitch.process.site.settings import SiteStoreSettings
 from oleanderhitch.process.site.subscribers import make_subscribers
 from oleanderhitch.process.storage.identity import IDENTITY_FILE, get_node
 from oleanderhitch.process.usage.monitor import make_usage_monitor
 from oleanderhitch.values import Value
-from oleanderhitch.version.routes.configuration import CallerLimits
+from oleanderhitch.version.routes.configuration import CallerLimits, RouteTable
 
 ANNOUNCEMENT_INTERVAL = timedelta(milliseconds=400)
 # Leaders tell all stores that they lead and need to know which stores there are. The
@@ -100,6 +102,7 @@
 
     dialect: OperatorDialect
     fetch_list: FetchList
+    read_routing: Callable[[bytes], RouteTable]
 
 
 class StoreContact(Value, frozen=True):
@@ -165,6 +168,13 @@
         self._subscribers = make_subscribers(
             self._get_routing, self._list_stores, self._find_site_leader, clock
         )
+        self._quota_lender = make_quota_lender(
+            site.quota_bounds,
+            self._get_routing,
+            dependencies.read_routing,
+            self._request_read,
+            clock,
+        )
         self._directory = make_directory_task(
             dependencies.fetch_list, self._handle_list, clock
         )
@@ -493,6 +503,12 @@
         """Reply to an entry host that asks for a send to a limited endpoint."""
         self._subscribers.handle_permit_request(request, reply_address)
 
+    def handle_credit_request(
+        self, request: CreditRequest, reply_address: Address
+    ) -> None:
+        """Reply to an entry host that asks for credits of client accounts."""
+        self._quota_lender.handle_request(request, reply_address)
+
     def handle_replica_removed(self, message: ReplicaRemoved) -> None:
         """Start the replica anew that was removed from its group."""
         for member in self._members.values():
@@ -549,9 +565,13 @@
             self._subscribers.notify_all()
 
     def _request_confirmation(self) -> None:
+        self._request_read(_ConfirmationReplyAddress(self))
+
+    def _request_read(self, reply_address: Address) -> None:
+        """Read the routing through the group, which only the leader can."""
         body = self._site_codec.encode(GetRouting())
         call = GroupCall(CallId(0), SITE_GROUP, body, True)
-        self._members[SITE_GROUP].call(LocalCall(call, _ConfirmationReplyAddress(self)))
+        self._members[SITE_GROUP].call(LocalCall(call, reply_address))
 
     def confirm_current(self) -> None:
         """Record that this store's state is current, if it still leads."""
@@ -583,6 +603,7 @@
         self._announcement_due.set()
         if group == SITE_GROUP:
             self._subscribers.handle_leadership_change(is_leader)
+            self._quota_lender.handle_leadership_change(is_leader)
             self._directory.send(SetReaderTerm(change.term if is_leader else None))
             if is_leader:
                 self._request_confirmation()
@@ -634,6 +655,11 @@
     store.handle_permit_request(message, delivery.reply_address)
 
 
+@_receive.register
+def _(message: CreditRequest, delivery: PeerMessage, store: Store) -> None:
+    store.handle_credit_request(message, delivery.reply_address)
+
+
 def make_store(
     settings: SiteStoreSettings,
     dependencies: StoreDependencies,
--- a/oleanderhitch/process/site/subscription/core.py
+++ b/oleanderhitch/process/site/subscription/core.py
@@ -20,6 +20,7 @@
     SendPermitReply,
     SendPermitRequest,
 )
+from oleanderhitch.process.quotas.messages import CreditReply, CreditRequest
 from oleanderhitch.process.site.messages import (
     NO_LIMITS,
     NO_STORES,
@@ -144,6 +145,19 @@
     reply: SendPermitReply
 
 
+class AskForCredits(Value, frozen=True):
+    """Asks the leader for credits of client accounts."""
+
+    leader: NodeId
+    request: CreditRequest
+
+
+class ReportCredits(Value, frozen=True):
+    """Sends quotas the reply to their request for credits."""
+
+    reply: CreditReply
+
+
 class LogLinkChange(Value, frozen=True):
     """Logs that the connection to a store was made or lost."""
 
@@ -233,6 +247,13 @@
     return [AskForPermit(state.leader, message)]
 
 
+@handle.register
+def _(message: CreditRequest, state: SubscriptionState, now: datetime) -> list[object]:
+    if state.leader is None:
+        return [ReportCredits(CreditReply(message.number, is_lending=False))]
+    return [AskForCredits(state.leader, message)]
+
+
 @handle.register
 def _(
     message: CrashesObserved, state: SubscriptionState, now: datetime
--- a/oleanderhitch/process/site/subscription/task.py
+++ b/oleanderhitch/process/site/subscription/task.py
@@ -20,16 +20,19 @@
     PeerLoadsReported,
     SendPermitReply,
 )
+from oleanderhitch.process.quotas.messages import CreditReply
 from oleanderhitch.process.roles.store_links import StoreLinks
 from oleanderhitch.process.site.subscription.core import (
     LOAD_CHECK_INTERVAL,
     LOCAL_TERM,
+    AskForCredits,
     AskForPermit,
     InstallEndpoints,
     InstallRouting,
     LinkStores,
     LogLinkChange,
     ReportCrashes,
+    ReportCredits,
     ReportLimits,
     ReportPeerLoads,
     ReportPermit,
@@ -54,6 +57,7 @@
     directory: Address
     read_routing: Callable[[bytes], RouteTable]
     task_address: Address | None = None
+    quotas: Address | None = None
 
 
 # The log channel has the name of the task, under which operators search for events.
@@ -114,6 +118,22 @@
     dependencies.placement.send(effect.reply)
 
 
+@perform.register
+def _(effect: AskForCredits, dependencies: SubscriptionDependencies) -> None:
+    link = dependencies.links.get_link(effect.leader)
+    if link is None:
+        no_reply = CreditReply(effect.request.number, is_lending=False)
+        perform(ReportCredits(no_reply), dependencies)
+    else:
+        link.send(effect.request)
+
+
+@perform.register
+def _(effect: ReportCredits, dependencies: SubscriptionDependencies) -> None:
+    if dependencies.quotas is not None:
+        dependencies.quotas.send(effect.reply)
+
+
 @perform.register
 def _(effect: LinkStores, dependencies: SubscriptionDependencies) -> None:
     for node in effect.stores:
--- a/oleanderhitch/request/forwarding/attempts.py
+++ b/oleanderhitch/request/forwarding/attempts.py
@@ -136,6 +136,7 @@
 ) -> list[object]:
     """Retry a request that its endpoint did not run; end it at the send limit."""
     attempt = state.attempt
+    state.n_unexecuted += 1
     endpoint = None if attempt is None else attempt.endpoint
     fields = (("endpoint", endpoint), ("result", result.value), ("reason", reason))
     effects = [
--- a/oleanderhitch/request/forwarding/core.py
+++ b/oleanderhitch/request/forwarding/core.py
@@ -17,6 +17,7 @@
     EndpointGranted,
     EndpointRefused,
 )
+from oleanderhitch.process.quotas.messages import CreditGranted, CreditRefused
 from oleanderhitch.program.turns.messages import (
     BudgetSpent,
     HistoryRead,
@@ -38,6 +39,13 @@
     report_event_latency,
     request_endpoint,
 )
+from oleanderhitch.request.forwarding.crediting import (
+    end_renewal,
+    end_without_credit,
+    lacks_credit,
+    renew_credit,
+    request_credit,
+)
 from oleanderhitch.request.forwarding.delimiting import StreamEnd, judge_stream_end
 from oleanderhitch.request.forwarding.messages import (
     AbortResponse,
@@ -99,6 +107,13 @@
 
 @handle.register
 def _(message: Start, state: ForwardState, now: datetime) -> list[object]:
+    if state.needs_credit:
+        return request_credit(state, now)
+    return _begin(state, now)
+
+
+def _begin(state: ForwardState, now: datetime) -> list[object]:
+    """Begin the work on a request that may be sent."""
     if state.request.turn is None:
         return request_endpoint(state, now)
     effects = reserve_tokens(state, now)
@@ -108,6 +123,31 @@
     return effects
 
 
+@handle.register
+def _(message: CreditGranted, state: ForwardState, now: datetime) -> list[object]:
+    if message.holder != state.holder:
+        return []
+    state.credit_expires_at = message.expires_at
+    if state.phase is Phase.ADMITTING:
+        return _begin(state, now)
+    if state.phase is Phase.RENEWING:
+        granted, state.granted_endpoint = state.granted_endpoint, None
+        assert granted is not None
+        return _send(granted, state, now)
+    return []
+
+
+@handle.register
+def _(message: CreditRefused, state: ForwardState, now: datetime) -> list[object]:
+    if message.holder != state.holder:
+        return []
+    if state.phase is Phase.ADMITTING:
+        return end_without_credit(message, state)
+    if state.phase is Phase.RENEWING:
+        return end_renewal(message, state, now)
+    return []
+
+
 @handle.register
 def _(message: TurnBegun, state: ForwardState, now: datetime) -> list[object]:
     if state.phase is not Phase.RESERVING:
@@ -212,6 +252,12 @@
         return []
     if state.phase is not Phase.WAITING or state.attempt is not None:
         return [ReturnPermit(message.permit, AttemptResult.CANCELLED)]
+    if lacks_credit(state, now):
+        return renew_credit(message, state, now)
+    return _send(message, state, now)
+
+
+def _send(message: EndpointGranted, state: ForwardState, now: datetime) -> list[object]:
     state.n_sends += 1
     exchange_id = state.exchange_id_base + state.n_sends
     endpoint = message.endpoint
@@ -481,6 +527,8 @@
             *end_with_verdict(state, Verdict.TIMED_OUT, f"while {phase.value}"),
         ]
     verdict = Verdict.NO_ENDPOINT
+    if phase is Phase.ADMITTING:
+        verdict = Verdict.QUOTA_UNAVAILABLE
     if phase in (Phase.RESERVING, Phase.SEARCHING, Phase.READING):
         verdict = Verdict.RECORD_UNAVAILABLE
     return [*effects, *end_with_verdict(state, verdict, "no time is left")]
--- a/oleanderhitch/request/forwarding/dialect.py
+++ b/oleanderhitch/request/forwarding/dialect.py
@@ -44,5 +44,9 @@
         verdict: Verdict,
         detail: str,
         time_left: timedelta,
+        retry_after: timedelta | None = None,
     ) -> HttpResponse:
-        """Return the response for a verdict."""
+        """Return the response for a verdict.
+
+        `retry_after` is when a retry can succeed, None if that is not known.
+        """
--- a/oleanderhitch/request/forwarding/identity.py
+++ b/oleanderhitch/request/forwarding/identity.py
@@ -29,6 +29,11 @@
         """The id of the account, None without one."""
         return None if self.account is None else self.account.account
 
+    @property
+    def is_limited(self) -> bool:
+        """Whether the account has a limit."""
+        return self.account is not None and self.account.requests_per_s is not None
+
 
 ANONYMOUS = CallerIdentity()
 
--- a/oleanderhitch/request/forwarding/messages.py
+++ b/oleanderhitch/request/forwarding/messages.py
@@ -51,6 +51,10 @@
     last_event_id: str | None
     fingerprint: RequestFingerprint
     key: KeyDigest | None = None
+    # The program that it belongs to, also if it is no turn, and whether the request
+    # itself shows that the program is in progress.
+    program: ProgramId | None = None
+    continues_program: bool = False
 
     @property
     def path(self) -> str:
@@ -118,6 +122,13 @@
 # Effects. Their class names appear in log lines.
 
 
+class RequestCredit(Value, frozen=True):
+    """Requests the credit without which the request must not be sent."""
+
+    account: AccountId
+    deadline: datetime
+
+
 class ReserveTokens(Value, frozen=True):
     """Reserves tokens for the turn in the program record."""
 
@@ -256,6 +267,7 @@
 
     verdict: Verdict
     detail: str
+    retry_after: timedelta | None = None
 
 
 class LogDecision(Value, frozen=True):
--- a/oleanderhitch/request/forwarding/outcomes.py
+++ b/oleanderhitch/request/forwarding/outcomes.py
@@ -43,14 +43,17 @@
 ) -> list[object]:
     """Replace the reservation of a turn with the tokens it spent."""
     turn = state.turn
-    if turn is None:
+    if turn is None or state.phase is Phase.ADMITTING:
         return []
     command = SettleTurn(state.record_id, turn.program, spent_tokens, None, now)
     return [SettleReservation(command, False)]
 
 
 def end_with_verdict(
-    state: ForwardState, verdict: Verdict, detail: str
+    state: ForwardState,
+    verdict: Verdict,
+    detail: str,
+    retry_after: timedelta | None = None,
 ) -> list[object]:
     """End the request with a response that this system generates."""
     if state.has_ended:
@@ -63,7 +66,7 @@
         ("n_runs", state.n_runs),
     )
     return [
-        SendVerdict(verdict, detail),
+        SendVerdict(verdict, detail, retry_after),
         LogDecision("request ended with verdict", fields),
     ]
 
--- a/oleanderhitch/request/forwarding/state.py
+++ b/oleanderhitch/request/forwarding/state.py
@@ -5,7 +5,7 @@
 from msgspec import Struct, field
 
 from oleanderhitch.connection.http.messages import CallerDisconnected
-from oleanderhitch.process.placement.messages import AttemptProgress
+from oleanderhitch.process.placement.messages import AttemptProgress, EndpointGranted
 from oleanderhitch.request.forwarding.identity import (
     ANONYMOUS,
     CallerIdentity,
@@ -67,6 +67,11 @@
     # Groups of the record that may have the turn to continue, besides the program's.
     n_other_record_groups: int = 0
     identity: CallerIdentity = ANONYMOUS
+    # Whether the request needs a credit of its account, and until when it has one.
+    needs_credit: bool = False
+    credit_expires_at: datetime | None = None
+    # The endpoint that was granted while the credit is renewed.
+    granted_endpoint: EndpointGranted | None = None
     phase: Phase = Phase.RESERVING
     # Groups that have not answered the search of the turn to continue yet, and why one
     # of them could not be searched.
@@ -77,6 +82,8 @@
     attempt: Attempt | None = None
     tried_endpoints: tuple[EndpointId, ...] = ()
     n_sends: int = 0
+    # Sends that the endpoint did not run.
+    n_unexecuted: int = 0
     # Attempts that ran or may have run.
     n_runs: int = 0
     has_started_response: bool = False
@@ -98,6 +105,16 @@
         """The id before those of this request's exchanges."""
         return self.number * N_EXCHANGES_PER_REQUEST
 
+    @property
+    def has_been_admitted(self) -> bool:
+        """Whether the request had a credit of its account."""
+        return self.credit_expires_at is not None
+
+    @property
+    def has_not_run(self) -> bool:
+        """Whether no endpoint runs, ran or may have run the request."""
+        return self.n_sends == self.n_unexecuted
+
     @property
     def holder(self) -> HolderId:
         """What placement knows this request as."""
@@ -156,6 +173,7 @@
     now: datetime,
     n_other_record_groups: int = 0,
     identity: CallerIdentity = ANONYMOUS,
+    has_quotas: bool = False,
 ) -> ForwardState:
     """Return the state of a request that was received at the given time."""
     timeout: timedelta = route.timeout
@@ -171,6 +189,7 @@
         now + timeout,
         n_other_record_groups,
         identity,
+        has_quotas and identity.is_limited,
     )
     if state.is_recorded:
         state.resume_after = request.last_event_id or None
--- a/oleanderhitch/request/forwarding/states.py
+++ b/oleanderhitch/request/forwarding/states.py
@@ -6,14 +6,18 @@
 class Phase(Enum):
     """What a request is doing; WAITING is for an endpoint, SENT for its response.
 
+    ADMITTING is for a credit of its account, before anything is reserved for it.
+    RENEWING is for another one in place of a credit that expired while it waited.
     SEARCHING is for the turn to continue, if it is one of another program. READING is
     for the rest of a long history.
     """
 
+    ADMITTING = "admitting"
     RESERVING = "reserving"
     SEARCHING = "searching"
     READING = "reading"
     WAITING = "waiting"
+    RENEWING = "renewing"
     SENT = "sent"
     COLLECTING = "collecting"
     RELAYING = "relaying"
@@ -30,6 +34,7 @@
     UNAUTHORIZED = "unauthorized"
     NOT_CURRENT = "not_current"
     OVER_QUOTA = "over_quota"
+    QUOTA_UNAVAILABLE = "quota_unavailable"
     NO_PREVIOUS_TURN = "no_previous_turn"
     BUDGET_SPENT = "budget_spent"
     RECORD_UNAVAILABLE = "record_unavailable"
--- a/oleanderhitch/request/forwarding/task.py
+++ b/oleanderhitch/request/forwarding/task.py
@@ -48,6 +48,7 @@
     FirstChunkReceived,
     ReleaseEndpoint,
 )
+from oleanderhitch.process.quotas.messages import AcquireCredit, ReturnCredit
 from oleanderhitch.process.site.messages import CommandRefused
 from oleanderhitch.program.ids import ProgramId
 from oleanderhitch.request.forwarding.core import end_after_error, handle
@@ -67,6 +68,7 @@
     ReportFirstChunk,
     ReportLeaving,
     ReportRateLimit,
+    RequestCredit,
     RequestEndpoint,
     ReserveTokens,
     ResponseBegun,
@@ -119,6 +121,8 @@
     response_memory: ResponseMemory
     # When this process ends, once it has been told to stop.
     get_end_time: Callable[[], datetime | None]
+    # None where the limits of client accounts have no effect.
+    quotas: Address | None = None
     request_numbers: "count[int]" = field(default_factory=lambda: count(1))
 
 
@@ -177,6 +181,8 @@
         context.share.close()
         if context.has_acquired:
             _end_holder(context)
+        if state.needs_credit and state.has_not_run:
+            _return_credit(context)
     if state.disconnect_message is not None:
         # The loop of the connection shares the mailbox and needs the message too.
         mailbox.send(state.disconnect_message)
@@ -193,6 +199,14 @@
             return
 
 
+def _return_credit(context: ForwardContext) -> None:
+    """Let another request use the credit; it expires if the mailbox is full."""
+    quotas = context.dependencies.quotas
+    if quotas is not None:
+        with suppress(MailboxFullError):
+            quotas.send(ReturnCredit(context.state.holder))
+
+
 def _run_request(context: ForwardContext) -> None:
     message: object = Start()
     while True:
@@ -266,6 +280,7 @@
         now,
         len(dependencies.record_groups) - 1,
         identity,
+        dependencies.quotas is not None,
     )
     end_time = dependencies.get_end_time()
     if end_time is not None and state.deadline > end_time:
@@ -396,6 +411,22 @@
     log.info(effect.event, request=context.request.request, **dict(effect.fields))
 
 
+@perform.register
+def _(effect: RequestCredit, context: ForwardContext) -> None:
+    quotas = context.dependencies.quotas
+    assert quotas is not None
+    quotas.send(
+        AcquireCredit(
+            context.state.holder,
+            effect.account,
+            context.request.program,
+            context.request.continues_program or context.state.has_been_admitted,
+            effect.deadline,
+            context.mailbox,
+        )
+    )
+
+
 @perform.register
 def _(effect: ReserveTokens, context: ForwardContext) -> None:
     dependencies = context.dependencies
@@ -566,6 +597,10 @@
     dependencies.metrics.count(Counter.REFUSALS, effect.verdict.value)
     time_left = context.state.deadline - dependencies.clock.now()
     response = dependencies.dialect.make_verdict(
-        context.request.request, effect.verdict, effect.detail, time_left
+        context.request.request,
+        effect.verdict,
+        effect.detail,
+        time_left,
+        effect.retry_after,
     )
     context.writer.respond(response)
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -159,6 +159,7 @@
     assert not_run_verdicts == {
         Verdict.NOT_READY,
         Verdict.NOT_CURRENT,
+        Verdict.QUOTA_UNAVAILABLE,
         Verdict.RECORD_UNAVAILABLE,
         Verdict.NO_ENDPOINT,
         Verdict.ALL_REFUSED,
@@ -192,6 +193,27 @@
     assert 0 < float(retry_after) <= time_left.total_seconds() / 3
 
 
+def test_refusal_over_quota_says_when_there_is_room() -> None:
+    """Guard against callers that can't tell an account's quota from a full site."""
+    retry_after = timedelta(seconds=2)
+    response = DIALECT.make_verdict(
+        RequestId("r1"), Verdict.OVER_QUOTA, "", timedelta(seconds=1), retry_after
+    )
+    assert response.status == 429
+    assert find_header(response.headers, "retry-after") == "2.000"
+
+
+def test_programs_in_progress_are_recognized() -> None:
+    """Guard against turns and tool calls that are taken for the start of a program."""
+    program = ("x-program-id", "p")
+    first = DIALECT.read_request(make_request(program, ("x-token-budget", "100")))
+    assert first.program == "p" and not first.continues_program
+    turn = ("x-token-budget", "100"), ("x-previous-turn", "t")
+    assert DIALECT.read_request(make_request(program, *turn)).continues_program
+    assert DIALECT.read_request(make_request(program)).continues_program
+    assert not DIALECT.read_request(make_request()).continues_program
+
+
 def test_response_to_another_request_is_detected() -> None:
     """Guard against taking a late response to another request for this one's."""
     find_owner = DIALECT.make_owner_finder(RequestId("r1"))
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -16,6 +16,7 @@
     make_store_settings,
     read_settings_file,
 )
+from oleanderhitch.process.quotas.messages import QuotaBounds
 
 CONTENT: dict[str, Any] = {
     "node": "store-a-1",
@@ -54,6 +55,15 @@
     assert settings.may_bootstrap
 
 
+def test_quotas_are_off_without_a_window(environment: Path) -> None:
+    """Guard against limits in a deployment that has not asked for them."""
+    assert make_store_settings(read_settings_file()).site.quota_bounds is None
+    bounds = {"grace_s": 8, "quota_window_s": 5, "quota_over": 0.1, "quota_slack": 20}
+    environment.write_text(json.dumps({**CONTENT, "bounds": bounds}))
+    expected = QuotaBounds(timedelta(seconds=5), 0.1, 20)
+    assert make_store_settings(read_settings_file()).site.quota_bounds == expected
+
+
 def test_error_names_every_fault(environment: Path) -> None:
     """Guard against reporting one fault per attempt instead of all of them."""
     faulty = {**CONTENT, "seeds": 7, "bounds": {}}
--- /dev/null
+++ b/tests/process/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the quotas of client accounts."""
--- a/tests/process/site/harness.py
+++ b/tests/process/site/harness.py
@@ -25,6 +25,7 @@
 from oleanderhitch.process.mailbox import Mailbox
 from oleanderhitch.process.metrics.core import Metrics, make_metrics
 from oleanderhitch.process.metrics.states import Gauge
+from oleanderhitch.process.quotas.messages import QuotaBounds
 from oleanderhitch.process.site.entry import (
     EntryDependencies,
     EntryHost,
@@ -121,7 +122,9 @@
         directory: Path,
         n_stores: int,
         stop_grace_period: timedelta = timedelta(seconds=8),
+        quota_bounds: QuotaBounds | None = None,
     ) -> None:
+        self._quota_bounds = quota_bounds
         self._directory = directory
         self._stop_grace_period = stop_grace_period
         self._peer_addresses = [get_free_address() for _ in range(n_stores)]
@@ -132,6 +135,7 @@
         self.end_reasons: list[str] = []
         self.metrics: dict[int, Metrics] = {}
         self.entry: EntryHost | None = None
+        self._other_entries: list[EntryHost] = []
         self.http = urllib3.PoolManager(retries=False, timeout=5)
 
     def start(self) -> None:
@@ -139,10 +143,20 @@
         self.engine.start()
         for number in range(len(self._peer_addresses)):
             self.start_store(number, may_bootstrap=True)
-        self.entry = make_entry_host(
+        self.entry = self._start_entry("entry", self.caller_address)
+
+    def add_entry(self) -> HostAddress:
+        """Start another entry host and return its address for callers."""
+        address = get_free_address()
+        name = f"entry-{len(self._other_entries)}"
+        self._other_entries.append(self._start_entry(name, address))
+        return address
+
+    def _start_entry(self, name: str, caller_address: HostAddress) -> EntryHost:
+        entry = make_entry_host(
             SiteEntrySettings(
-                self._make_site_settings("entry", get_free_address()),
-                self.caller_address,
+                self._make_site_settings(name, get_free_address()),
+                caller_address,
                 get_free_address(),
             ),
             EntryDependencies(
@@ -154,14 +168,17 @@
             CLOCK,
             make_metrics(),
         )
-        self.entry.start()
+        entry.start()
+        return entry
 
     def start_store(
         self, number: int, may_bootstrap: bool = False, disk: int = 0
     ) -> None:
         """Start a store; each disk number has a data directory of its own."""
         dependencies = StoreDependencies(
-            make_platform_operator_dialect(1), self.engine.list_endpoints
+            make_platform_operator_dialect(1),
+            self.engine.list_endpoints,
+            parse_route_table,
         )
 
         self.metrics[number] = make_metrics()
@@ -221,7 +238,7 @@
         response = self.http.request(method, url, body=body)
         return response.status, json.loads(response.data or b"null")
 
-    def publish(self, version: int) -> None:
+    def publish(self, version: int, **entries: Any) -> None:
         """Publish a routing configuration repeatedly until it is accepted."""
         content = {
             "version": version,
@@ -243,6 +260,7 @@
                     "engine": {"slots": 8, "kv_capacity": 1000, "chunk_tokens": 10},
                 }
             ],
+            **entries,
         }
 
         def is_accepted() -> bool:
@@ -293,6 +311,8 @@
             self.stop_store(number)
         if self.entry is not None:
             self.entry.close()
+        for entry in self._other_entries:
+            entry.close()
 
     def _make_site_settings(self, host: str, address: HostAddress) -> SiteSettings:
         return SiteSettings(
@@ -303,4 +323,5 @@
             b"key",
             self._stop_grace_period,
             None,
+            quota_bounds=self._quota_bounds,
         )
--- /dev/null
+++ b/tests/process/site/test_quota_ledger.py
@@ -0,0 +1,127 @@
+"""Guard against two leaders, or two uses of a credit, that exceed a limit together."""
+
+from datetime import timedelta
+
+from oleanderhitch.process.address import Address
+from oleanderhitch.process.groups.messages import GroupAnswer
+from oleanderhitch.process.ids import CallId
+from oleanderhitch.process.quotas.messages import (
+    CreditDemand,
+    CreditReply,
+    CreditRequest,
+    LedgerId,
+    QuotaBounds,
+    ReturnedCredits,
+)
+from oleanderhitch.process.site.messages import RoutingFound
+from oleanderhitch.process.site.quota_ledger import QuotaLedger, make_quota_ledger
+from oleanderhitch.process.site.quota_lender import (
+    READ_VALIDITY,
+    SILENCE_DURATION,
+    make_quota_lender,
+)
+from oleanderhitch.program.ids import AccountId
+from oleanderhitch.version.routes.accounts import Account
+from oleanderhitch.version.routes.configuration import (
+    RouteTable,
+    RoutingConfiguration,
+    make_route_table,
+)
+from oleanderhitch.version.routes.ids import RoutingVersion
+from tests.process.site.test_subscribers import ManualClock
+
+NOW = ManualClock().now()
+MS = timedelta(milliseconds=1)
+BOUNDS = QuotaBounds(timedelta(seconds=5), 0.1, 20)
+ACCOUNT = Account(AccountId("a"), (), None, 10.0, 10.0)
+LEDGER = LedgerId(7)
+ALL = CreditRequest(1, (CreditDemand(ACCOUNT.account, 1000, 0),))
+
+
+def make_full_ledger() -> QuotaLedger:
+    """Return a ledger with a full bucket for the account."""
+    ledger = make_quota_ledger(LEDGER, BOUNDS, NOW)
+    ledger.apply_limits([], NOW)
+    ledger.apply_limits([ACCOUNT], NOW)
+    return ledger
+
+
+def count_lent(ledger: QuotaLedger, *returns: ReturnedCredits, at_ms: int) -> int:
+    """Return how many credits a ledger lends at a time at most."""
+    request = CreditRequest(1, ALL.demands, returns)
+    return ledger.lend(request, NOW + at_ms * MS).loans[0].n_running
+
+
+def test_unused_credits_can_be_lent_again() -> None:
+    """Guard against a limit that is lost to hosts that ask for too much."""
+    ledger = make_full_ledger()
+    n_lent = count_lent(ledger, at_ms=0)
+    assert n_lent > 10
+    unused = ReturnedCredits(ACCOUNT.account, LEDGER, 0, n_lent)
+    # The slot of the loan began with a full bucket, which has no room for them.
+    assert count_lent(ledger, unused, at_ms=100) <= 1
+    later = ReturnedCredits(ACCOUNT.account, LEDGER, 100, 1)
+    assert count_lent(ledger, later, at_ms=200) == 2
+
+
+def test_credits_of_another_ledger_or_of_a_full_bucket_are_not_taken_back() -> None:
+    """Guard against credits that return to a bucket that was full without them."""
+    ledger = make_full_ledger()
+    n_lent = count_lent(ledger, at_ms=0)
+    other = ReturnedCredits(ACCOUNT.account, LedgerId(8), 0, n_lent)
+    assert count_lent(ledger, other, at_ms=50) <= 1
+    full = make_full_ledger()
+    one = CreditRequest(1, (CreditDemand(ACCOUNT.account, 1, 0),))
+    full.lend(one, NOW)
+    full.find_level(ACCOUNT.account, NOW + 2000 * MS)
+    returned = ReturnedCredits(ACCOUNT.account, LEDGER, 0, 1)
+    assert count_lent(full, returned, at_ms=2000) <= n_lent
+
+
+class _Host:
+    """Records the replies to an entry host, and reads that wait for an answer."""
+
+    def __init__(self) -> None:
+        self.replies: list[CreditReply] = []
+        self.reads: list[Address] = []
+
+    def send(self, message: object) -> None:
+        """Record a reply."""
+        assert isinstance(message, CreditReply)
+        self.replies.append(message)
+
+    def answer_reads(self) -> None:
+        """Answer all reads."""
+        while self.reads:
+            self.reads.pop().send(GroupAnswer(CallId(0), b""))
+
+
+def read_routing(content: bytes) -> RouteTable:
+    """Return a configuration with one account."""
+    version = RoutingVersion(1)
+    return make_route_table(RoutingConfiguration(version, (), {}, accounts=(ACCOUNT,)))
+
+
+def test_leader_lends_only_after_a_read_and_a_silence() -> None:
+    """Guard against a deposed leader that lends beside its successor."""
+    clock, host = ManualClock(), _Host()
+    routing = RoutingFound(RoutingVersion(1), b"")
+    lender = make_quota_lender(
+        BOUNDS, lambda: routing, read_routing, host.reads.append, clock
+    )
+    lender.handle_request(ALL, host)
+    lender.handle_leadership_change(True)
+    lender.handle_request(ALL, host)
+    assert [reply.is_lending for reply in host.replies] == [False, False]
+    clock.time += SILENCE_DURATION + timedelta(seconds=1)
+    lender.handle_request(ALL, host)
+    assert len(host.replies) == 2, "lent before a read"
+    host.answer_reads()
+    # The bucket was empty when the silence ended.
+    assert host.replies[-1].is_lending
+    assert 10 <= host.replies[-1].loans[0].n_running <= 11
+    clock.time += READ_VALIDITY
+    lender.handle_request(ALL, host)
+    assert len(host.replies) == 3, "lent without a read of late"
+    lender.handle_leadership_change(False)
+    assert not host.replies[-1].is_lending
