--- a/oleanderhitch/platform/requests.py
+++ b/oleanderhitch/platform/requests.py
@@ -54,6 +54,7 @@
     Verdict.UNAUTHORIZED: 401,
     Verdict.NOT_CURRENT: 503,
     Verdict.OVER_QUOTA: 429,
+    Verdict.QUOTA_UNAVAILABLE: 503,
     Verdict.NO_PREVIOUS_TURN: 404,
     Verdict.BUDGET_SPENT: 402,
     Verdict.RECORD_UNAVAILABLE: 503,
@@ -90,7 +91,7 @@
             request.find_header(header_names.LAST_EVENT_ID),
             _make_fingerprint(request, host),
             _read_key(request.headers),
-            _read_program(request),
+            *_read_program(request),
             _read_time_to_finish(request),
         )
 
@@ -177,6 +178,7 @@
             retry_after = max(retry_after, RETRY_AFTER_MIN)
             if verdict is Verdict.QUARANTINED:
                 retry_after = FIRST_QUARANTINE_DURATION
+        if retry_after is not None:
             headers.append(("retry-after", f"{retry_after.total_seconds():.3f}"))
         body = f"{verdict.value}: {detail}\n".encode("utf-8", "replace")
         return HttpResponse(status, body, tuple(headers))
@@ -348,11 +350,6 @@
     return PromptPart(f"{model}/{part_id.lower()}", n_tokens)
 
 
-def _read_program(request: HttpRequest) -> ProgramId | None:
-    program = request.find_header(header_names.PROGRAM)
-    return ProgramId(program) if program else None
-
-
 def _read_turn(request: HttpRequest) -> ProgramTurn | None:
     program = request.find_header(header_names.PROGRAM)
     budget = request.find_header(header_names.TOKEN_BUDGET)
@@ -369,6 +366,21 @@
     )
 
 
+def _read_program(request: HttpRequest) -> tuple[ProgramId | None, bool]:
+    """Return the program of a request, and whether it shows that one is in progress.
+
+    Turns that continue another one and tool calls do.
+    """
+    program = request.find_header(header_names.PROGRAM)
+    if not program:
+        return None, False
+    is_first_turn = (
+        request.find_header(header_names.TOKEN_BUDGET) is not None
+        and request.find_header(header_names.PREVIOUS_TURN) is None
+    )
+    return ProgramId(program), not is_first_turn
+
+
 def make_platform_dialect() -> PlatformDialect:
     """Return the platform's dialect of requests and responses."""
     return PlatformDialect()
--- a/oleanderhitch/platform/settings.py
+++ b/oleanderhitch/platform/settings.py
@@ -11,6 +11,7 @@
 from oleanderhitch.exceptions import InvalidInputError
 from oleanderhitch.platform.documents import structure_document
 from oleanderhitch.process.ids import NodeId
+from oleanderhitch.process.quotas.messages import QuotaBounds
 from oleanderhitch.process.site.settings import (
     SiteEntrySettings,
     SiteSettings,
@@ -47,6 +48,11 @@
     grace_s: float  # from SIGTERM to SIGKILL
     strict_revoke: bool = False  # whether revoke_ms holds on hosts cut off, too
     revoke_ms: float = 5000  # from the removal of a key to its last use
+    # In each window, an account may send a part and a number more than its quota. The
+    # limits of accounts have no effect without a window.
+    quota_window_s: float | None = None
+    quota_over: float = 0.0
+    quota_slack: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -137,6 +143,7 @@
         HostAddress(f"{file.ip}:{metrics_port}") if metrics_port else None,
         _find_memory_limit(file),
         _find_revocation_limit(file.bounds),
+        _find_quota_bounds(file),
     )
 
 
@@ -168,6 +175,14 @@
     return limit
 
 
+def _find_quota_bounds(file: SettingsFile) -> QuotaBounds | None:
+    bounds = file.bounds
+    if not bounds.quota_window_s:
+        return None
+    window = timedelta(seconds=bounds.quota_window_s)
+    return QuotaBounds(window, bounds.quota_over, bounds.quota_slack)
+
+
 def _make_node_id(ip: str, file: SettingsFile) -> NodeId:
     """Return a node's id, which is the address where it listens for its peers.
 
--- a/oleanderhitch/process/site/messages.py
+++ b/oleanderhitch/process/site/messages.py
@@ -16,6 +16,7 @@
     SendPermitRequest,
     SpeedObservations,
 )
+from oleanderhitch.process.quotas.messages import CreditReply, CreditRequest
 from oleanderhitch.values import Value
 from oleanderhitch.version.ids import DataCentreName, HostName
 from oleanderhitch.version.routes.ids import NO_ROUTING, RoutingVersion
@@ -174,4 +175,6 @@
     StoreAnnouncement,
     SendPermitRequest,
     SendPermitReply,
+    CreditRequest,
+    CreditReply,
 )
--- a/oleanderhitch/process/site/subscription/task.py
+++ b/oleanderhitch/process/site/subscription/task.py
@@ -24,11 +24,13 @@
     SendPermitReply,
     SpeedsReported,
 )
+from oleanderhitch.process.quotas.messages import CreditReply
 from oleanderhitch.process.roles.store_links import StoreLinks
 from oleanderhitch.process.site.messages import HelloNumber
 from oleanderhitch.process.site.subscription.core import (
     LOAD_CHECK_INTERVAL,
     LOCAL_TERM,
+    AskForCredits,
     AskForPermit,
     InstallEndpoints,
     InstallRouting,
@@ -37,6 +39,7 @@
     LogLinkChange,
     RenewLease,
     ReportCrashes,
+    ReportCredits,
     ReportLease,
     ReportLimits,
     ReportPeerLoads,
@@ -65,6 +68,7 @@
     read_routing: Callable[[bytes], RouteTable]
     metrics: Metrics
     task_address: Address | None = None
+    quotas: Address | None = None
 
 
 # Numbers of hellos are sent as 64-bit integers, whose upper half is left free.
@@ -134,6 +138,22 @@
     dependencies.placement.send(effect.reply)
 
 
+@perform.register
+def _(effect: AskForCredits, dependencies: SubscriptionDependencies) -> None:
+    link = dependencies.links.get_link(effect.leader)
+    if link is None:
+        no_reply = CreditReply(effect.request.number, is_lending=False)
+        perform(ReportCredits(no_reply), dependencies)
+    else:
+        link.send(effect.request)
+
+
+@perform.register
+def _(effect: ReportCredits, dependencies: SubscriptionDependencies) -> None:
+    if dependencies.quotas is not None:
+        dependencies.quotas.send(effect.reply)
+
+
 @perform.register
 def _(effect: LinkStores, dependencies: SubscriptionDependencies) -> None:
     for node in effect.stores:
--- a/oleanderhitch/request/forwarding/dialect.py
+++ b/oleanderhitch/request/forwarding/dialect.py
@@ -46,4 +46,7 @@
         time_left: timedelta,
         retry_after: timedelta | None = None,
     ) -> HttpResponse:
-        """Return the response for a verdict."""
+        """Return the response for a verdict.
+
+        `retry_after` is when a retry can succeed, None if that is not known.
+        """
--- a/oleanderhitch/request/forwarding/outcomes.py
+++ b/oleanderhitch/request/forwarding/outcomes.py
@@ -43,7 +43,7 @@
 ) -> list[object]:
     """Replace the reservation of a turn with the tokens it spent."""
     turn = state.turn
-    if turn is None:
+    if turn is None or state.phase is Phase.ADMITTING:
         return []
     command = SettleTurn(state.record_id, turn.program, spent_tokens, None, now)
     return [SettleReservation(command, False)]
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -17,6 +17,7 @@
     make_store_settings,
     read_settings_file,
 )
+from oleanderhitch.process.quotas.messages import QuotaBounds
 
 CONTENT: dict[str, Any] = {
     "node": "store-a-1",
@@ -69,6 +70,15 @@
         make_entry_settings(read_settings_file())
 
 
+def test_quotas_are_off_without_a_window(environment: Path) -> None:
+    """Guard against limits in a deployment that has not asked for them."""
+    assert make_store_settings(read_settings_file()).site.quota_bounds is None
+    bounds = {"grace_s": 8, "quota_window_s": 5, "quota_over": 0.1, "quota_slack": 20}
+    environment.write_text(json.dumps({**CONTENT, "bounds": bounds}))
+    expected = QuotaBounds(timedelta(seconds=5), 0.1, 20)
+    assert make_store_settings(read_settings_file()).site.quota_bounds == expected
+
+
 def test_error_names_every_fault(environment: Path) -> None:
     """Guard against reporting one fault per attempt instead of all of them."""
     faulty = {**CONTENT, "seeds": 7, "bounds": {}}
--- a/tests/process/site/harness.py
+++ b/tests/process/site/harness.py
@@ -29,6 +29,7 @@
 from oleanderhitch.process.mailbox import Mailbox
 from oleanderhitch.process.metrics.core import Metrics, make_metrics
 from oleanderhitch.process.metrics.states import Gauge
+from oleanderhitch.process.quotas.messages import QuotaBounds
 from oleanderhitch.process.site.entry import (
     EntryDependencies,
     EntryHost,
@@ -147,8 +148,10 @@
         stop_grace_period: timedelta = timedelta(seconds=8),
         revocation_limit: timedelta | None = None,
         stores: Sequence[str] = (),
+        quota_bounds: QuotaBounds | None = None,
     ) -> None:
         self._revocation_limit = revocation_limit
+        self._quota_bounds = quota_bounds
         self._directory = directory
         self._stop_grace_period = stop_grace_period
         self._peer_addresses = [HostAddress(address) for address in stores]
@@ -163,6 +166,7 @@
         self.second_entry: EntryHost | None = None
         self.second_caller_address = get_free_address()
         self._request_numbers = count(1)
+        self._other_entries: list[EntryHost] = []
         self.http = urllib3.PoolManager(retries=False, timeout=5)
 
     def start(self) -> None:
@@ -172,6 +176,13 @@
             self.start_store(number, may_bootstrap=True)
         self.entry = self.start_entry("entry", self.caller_address)
 
+    def add_entry(self) -> HostAddress:
+        """Start another entry host and return its address for callers."""
+        address = get_free_address()
+        name = f"entry-{len(self._other_entries)}"
+        self._other_entries.append(self.start_entry(name, address))
+        return address
+
     def start_second_entry(self) -> None:
         """Start another entry host."""
         self.second_entry = self.start_entry("entry-2", self.second_caller_address)
@@ -221,7 +232,9 @@
     ) -> None:
         """Start a store; each disk number has a data directory of its own."""
         dependencies = StoreDependencies(
-            make_platform_operator_dialect(1), self.engine.list_endpoints
+            make_platform_operator_dialect(1),
+            self.engine.list_endpoints,
+            parse_route_table,
         )
 
         self.metrics[number] = make_metrics()
@@ -281,7 +294,9 @@
         response = self.http.request(method, url, body=body)
         return response.status, json.loads(response.data or b"null")
 
-    def publish(self, version: int, keys: list[str] | None = None) -> None:
+    def publish(
+        self, version: int, keys: list[str] | None = None, **entries: Any
+    ) -> None:
         """Publish a routing configuration repeatedly until it is accepted.
 
         With keys it has an account.
@@ -306,6 +321,7 @@
                     "engine": {"slots": 8, "kv_capacity": 1000, "chunk_tokens": 10},
                 }
             ],
+            **entries,
         }
 
         if keys is not None:
@@ -369,7 +385,7 @@
         """Stop all stores and the entry host."""
         for number in list(self.stores):
             self.stop_store(number)
-        for entry in (self.entry, self.second_entry):
+        for entry in (self.entry, self.second_entry, *self._other_entries):
             if entry is not None:
                 entry.close()
 
@@ -383,4 +399,5 @@
             self._stop_grace_period,
             None,
             revocation_limit=self._revocation_limit,
+            quota_bounds=self._quota_bounds,
         )
