--- a/tests/process/site/harness.py
+++ b/tests/process/site/harness.py
@@ -16,7 +16,7 @@
 from gevent import socket
 
 from oleanderhitch.connection.http.caller import ResponseWriter
-from oleanderhitch.connection.http.messages import HttpRequest
+from oleanderhitch.connection.http.messages import Headers, HttpRequest
 from oleanderhitch.connection.http.server import make_http_server
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.platform.caches import make_platform_cache_dialect
@@ -102,6 +102,7 @@
 
     address: HostAddress = field(default_factory=get_free_address)
     bodies: list[bytes] = field(default_factory=list)
+    headers: list[Headers] = field(default_factory=list)
     work_duration: timedelta = timedelta(0)
 
     def start(self) -> None:
@@ -129,6 +130,7 @@
         at: datetime,
     ) -> None:
         self.bodies.append(request.body)
+        self.headers.append(request.headers)
         gevent.sleep(self.work_duration.total_seconds())
         request_id = request.find_header("x-request-id") or ""
         writer.start(200, (("x-request-id", request_id), ("x-server-stamp", "sig")))
@@ -281,10 +283,12 @@
         response = self.http.request(method, url, body=body)
         return response.status, json.loads(response.data or b"null")
 
-    def publish(self, version: int, keys: list[str] | None = None) -> None:
+    def publish(
+        self, version: int, accounts: dict[str, list[str]] | None = None
+    ) -> None:
         """Publish a routing configuration repeatedly until it is accepted.
 
-        With keys it has an account.
+        `accounts` are the keys of each account.
         """
         content: dict[str, Any] = {
             "version": version,
@@ -308,8 +312,10 @@
             ],
         }
 
-        if keys is not None:
-            content["tenants"] = [{"name": "desk", "api_keys": keys}]
+        if accounts is not None:
+            content["tenants"] = [
+                {"name": name, "api_keys": keys} for name, keys in accounts.items()
+            ]
 
         def is_accepted() -> bool:
             return (
@@ -325,6 +331,7 @@
         previous: str | None = None,
         budget: int = 1000,
         program: str = "p",
+        key: str | None = None,
     ) -> tuple[int, bytes]:
         """Send a turn to the entry host; return the status and body of the response."""
         headers = {
@@ -335,6 +342,8 @@
             "X-Token-Budget": str(budget),
             "X-Token-Usage": "100,50",
         }
+        if key is not None:
+            headers["Authorization"] = f"Token {key}"
         if previous is not None:
             headers["X-Previous-Turn"] = previous
         url = f"http://{self.caller_address}/p/x"
--- a/tests/process/site/test_lease.py
+++ b/tests/process/site/test_lease.py
@@ -25,7 +25,7 @@
     with logbook.TestHandler().applicationbound() as handler:
         harness.start()
         harness.start_second_entry()
-        harness.publish(1, [KEPT_KEY, REMOVED_KEY])
+        harness.publish(1, {"desk": [KEPT_KEY, REMOVED_KEY]})
         for address in (harness.caller_address, harness.second_caller_address):
             wait_until(partial(is_served, harness, address), f"a response of {address}")
         yield harness
@@ -51,7 +51,7 @@
     second = site.second_caller_address
     site.cut_off_second_entry()
     assert is_served(site, second)
-    site.publish(2, [KEPT_KEY])
+    site.publish(2, {"desk": [KEPT_KEY]})
     removed_at = CLOCK.now()
     gevent.sleep((removed_at + REVOCATION_LIMIT - CLOCK.now()).total_seconds())
     n_bodies = count_runs(site)
@@ -75,7 +75,7 @@
         os.kill(process, signal.SIGSTOP)
         try:
             gevent.sleep(2 * ENTRY_CONTACT_TIMEOUT.total_seconds())
-            site.publish(2, [KEPT_KEY])
+            site.publish(2, {"desk": [KEPT_KEY]})
             gevent.sleep(REVOCATION_LIMIT.total_seconds())
             late = gevent.spawn(site.send_with_key, REMOVED_KEY, address)
             gevent.sleep(0.2)
