Admitted whole programs of an account that is over its limit

Cause: new programs took the credits that turns of begun programs needed.

Change: while more programs begin than the limit can complete, the ledger lets them begin at rate / (requests for each program, measured for the account) and keeps a quarter of the bucket for programs in progress (process/site/program_pace.py).

--- a/oleanderhitch/process/quotas/core.py
+++ b/oleanderhitch/process/quotas/core.py
@@ -102,10 +102,9 @@
 def _(message: AcquireCredit, state: QuotasState, now: datetime) -> list[object]:
     account = state.get_account(message.account)
     account.count_arrival(now)
-    is_new = not message.continues_program
-    if message.program is not None:
-        is_known = state.record_program(message.account, message.program, now)
-        is_new = is_new and not is_known
+    is_new = not message.continues_program and not state.knows_program(
+        message.account, message.program, now
+    )
     account.waiting[message.holder] = WaitingRequest(message, is_new)
     return [*_serve(message.account, state, now), *_ask(state, now)]
 
@@ -230,6 +229,9 @@
             account.balance.popleft()
         acquire = waiting.acquire
         del account.waiting[acquire.holder]
+        account.count_served(waiting)
+        if acquire.program is not None:
+            state.record_program(name, acquire.program, now)
         granted = GrantedCredit(
             acquire.holder,
             name,
@@ -390,7 +392,10 @@
     if not unasked and n_ahead <= account.n_held:
         return None
     n_new = sum(waiting.is_new for waiting in unasked)
-    return CreditDemand(name, len(unasked) - n_new, n_new, n_ahead)
+    n_served_running, account.n_served_running = account.n_served_running, 0
+    n_served_new, account.n_served_new = account.n_served_new, 0
+    n_running = len(unasked) - n_new
+    return CreditDemand(name, n_running, n_new, n_ahead, n_served_running, n_served_new)
 
 
 def _take_returns(
--- a/oleanderhitch/process/quotas/messages.py
+++ b/oleanderhitch/process/quotas/messages.py
@@ -31,13 +31,16 @@
     """The credits that an entry host asks for on behalf of one account.
 
     `n_running` are for requests of programs in progress, `n_new` for first requests of
-    programs, and `n_ahead` for requests that are expected to arrive soon.
+    programs, and `n_ahead` for requests that are expected to arrive soon. The host has
+    served others from its balance since the last demand.
     """
 
     account: AccountId
     n_running: int
     n_new: int
     n_ahead: int = 0
+    n_served_running: int = 0
+    n_served_new: int = 0
 
 
 class ReturnedCredits(Value, frozen=True):
--- a/oleanderhitch/process/quotas/records.py
+++ b/oleanderhitch/process/quotas/records.py
@@ -66,6 +66,9 @@
     ask_from: datetime | None = None
     n_arrivals: float = 0.0
     arrived_at: datetime | None = None
+    # Requests that got credits from the balance, which no question has counted.
+    n_served_running: int = 0
+    n_served_new: int = 0
     n_refused: int = 0
     logged_at: datetime | None = None
 
@@ -90,6 +93,12 @@
         self.arrived_at = now
         self.has_arrived = True
 
+    def count_served(self, waiting: WaitingRequest) -> None:
+        """Count a request that gets a credit, unless a question has counted it."""
+        if waiting.asked_in is None:
+            self.n_served_new += waiting.is_new
+            self.n_served_running += not waiting.is_new
+
     def get_expected(self, duration: timedelta, now: datetime) -> int:
         """Return how many requests are expected in a time."""
         return int(self._get_recent_arrivals(now) * (duration / ARRIVAL_MEMORY))
@@ -135,16 +144,24 @@
         for account in sorted(self.active):
             yield account, self.accounts[account]
 
+    def knows_program(
+        self, account: AccountId, program: ProgramId | None, now: datetime
+    ) -> bool:
+        """Return whether a request of a program got a credit of late."""
+        if program is None:
+            return False
+        served_at = self.programs.get((account, program))
+        return served_at is not None and now - served_at <= PROGRAM_TTL
+
     def record_program(
         self, account: AccountId, program: ProgramId, now: datetime
-    ) -> bool:
-        """Record a request of a program; return whether the program was known."""
+    ) -> None:
+        """Record that a request of a program got a credit."""
         key = account, program
-        seen_at = self.programs.pop(key, None)
+        self.programs.pop(key, None)
         self.programs[key] = now
         while self.programs and (
             len(self.programs) > N_PROGRAMS_MAX
             or now - next(iter(self.programs.values())) > PROGRAM_TTL
         ):
             self.programs.popitem(last=False)
-        return seen_at is not None and now - seen_at <= PROGRAM_TTL
--- a/oleanderhitch/process/site/quota_ledger.py
+++ b/oleanderhitch/process/site/quota_ledger.py
@@ -26,6 +26,7 @@
     QuotaBounds,
     ReturnedCredits,
 )
+from oleanderhitch.process.site.program_pace import ProgramPace, make_program_pace
 from oleanderhitch.program.ids import AccountId
 from oleanderhitch.version.routes.accounts import Account
 
@@ -80,6 +81,7 @@
     peaks: deque[_Peak] = field(default_factory=lambda: deque(maxlen=N_PEAKS + 1))
     n_refused: float = 0.0
     refused_at: datetime | None = None
+    pace: ProgramPace = field(default_factory=make_program_pace)
 
     def fill(self, now: datetime) -> None:
         """Add the credits of the time since the last call."""
@@ -161,6 +163,7 @@
             if known is not None:
                 bucket.level = min(known.level, bucket.capacity)
                 bucket.peaks = known.peaks
+                bucket.pace = known.pace
             self.buckets[name] = bucket
         self.has_limits = True
 
@@ -216,17 +219,28 @@
         advance = bucket.requests_per_s * ADVANCE_DURATION.total_seconds()
         n_available = max(0, math.floor(bucket.level + advance))
         n_running = min(demand.n_running, n_available)
-        n_new = min(demand.n_new, n_available - n_running)
+        bucket.pace.count_served(demand.n_served_running, demand.n_served_new, now)
+        bucket.pace.count_demand(demand.n_running, demand.n_new, now)
+        n_new = bucket.pace.limit_new(
+            min(demand.n_new, n_available - n_running),
+            bucket.level - n_running,
+            bucket.requests_per_s,
+            bucket.capacity,
+            now,
+        )
         n_left = math.floor(
             bucket.level - n_running - n_new - bucket.capacity * AHEAD_LEVEL_SHARE
         )
-        n_ahead = max(0, min(demand.n_ahead, n_left))
+        n_ahead = 0
+        if not bucket.pace.is_over:
+            n_ahead = max(0, min(demand.n_ahead, n_left))
         bucket.take(n_running + n_new + n_ahead, self._get_slot(lent_ms))
         n_refused = demand.n_running + demand.n_new - n_running - n_new
         retry = timedelta(0)
         if n_refused:
             bucket.count_refused(n_refused, now)
-            retry = bucket.get_retry_time(now)
+            wait = bucket.pace.get_wait(bucket.requests_per_s, now)
+            retry = max(bucket.get_retry_time(now), min(wait, RETRY_MAX))
         delay_ms = math.ceil(max(0.0, -bucket.level) / bucket.requests_per_s * 1000)
         return CreditLoan(
             demand.account,
--- a/tests/process/quotas/test_quotas.py
+++ b/tests/process/quotas/test_quotas.py
@@ -4,7 +4,7 @@
 """
 
 from collections.abc import Callable
-from datetime import timedelta
+from datetime import datetime, timedelta
 
 import pytest
 from hypothesis import given
@@ -19,6 +19,7 @@
     make_quota_ledger,
 )
 from oleanderhitch.program.ids import AccountId
+from oleanderhitch.request.ids import HolderId
 from oleanderhitch.version.routes.accounts import Account
 from tests.process.quotas.fleet import BOUNDS, LINK_DELAY, MS, NOW, QuotaFleet
 
@@ -230,3 +231,59 @@
         counts.append(fleet.n_messages / n_hosts)
     assert max(counts) <= 1.1 * min(counts)
     assert max(counts) <= 1.2 * 4 * 4 * load
+
+
+class _Programs:
+    """Programs of several turns, which fail with the first turn that is refused."""
+
+    def __init__(self, fleet: QuotaFleet, account: Account, n_turns: int) -> None:
+        self._fleet = fleet
+        self._account = account.account
+        self._n_turns = n_turns
+        self._turns: dict[HolderId, tuple[str, int]] = {}
+        self.n_begun = self.n_completed = self.n_broken = 0
+
+    def play(self, programs_per_s: float, duration: timedelta) -> None:
+        """Begin programs at random hosts, and go on with those that were begun."""
+        random, start = self._fleet.random, self._fleet.now
+        at = start
+        while True:
+            at += timedelta(seconds=random.expovariate(programs_per_s))
+            if at > start + duration:
+                break
+            self._arrive(f"p{self.n_begun}-{at.timestamp()}", 1, at)
+        while self._fleet.now < start + duration:
+            self._fleet.run(self._fleet.now + 5 * MS)
+            for holder in list(self._fleet.granted):
+                self._fleet.send_granted(holder)
+                self._continue(*self._turns.pop(holder))
+            for holder in self._fleet.refused:
+                self.n_broken += self._turns.pop(holder)[1] > 1
+            self._fleet.refused.clear()
+
+    def _arrive(self, program: str, turn: int, at: datetime) -> None:
+        host = self._fleet.random.randrange(len(self._fleet.hosts))
+        holder = self._fleet.arrive(host, self._account, at, program, turn > 1)
+        self._turns[holder] = program, turn
+
+    def _continue(self, program: str, turn: int) -> None:
+        self.n_begun += turn == 1
+        self.n_completed += turn == self._n_turns
+        if turn < self._n_turns:
+            self._arrive(program, turn + 1, self._fleet.now + 250 * MS)
+
+
+@pytest.mark.parametrize("account", [LARGE, MEDIUM])
+def test_whole_programs_are_served_above_the_limit(account: Account) -> None:
+    """Guard against a flood of which no program gets all of its turns."""
+    fleet = QuotaFleet(20, account)
+    fleet.elect()
+    programs, n_turns = _Programs(fleet, account, 6), 6
+    capacity = (account.requests_per_s or 0.0) / n_turns
+    programs.play(0.7 * capacity, 20 * SECOND)
+    assert programs.n_broken <= 0.02 * programs.n_begun
+    n_before = programs.n_completed
+    programs.play(6 * capacity, 20 * SECOND)
+    n_completed = programs.n_completed - n_before
+    assert n_completed >= 0.85 * capacity * 20
+    assert programs.n_broken <= 0.1 * n_completed
