Forgot credits of ended requests and idle accounts

Cause: both were dropped at ticks only, and accounts at rest get none.

Change: expired credits are dropped when another one is granted, idle accounts before each question.

test_nothing_is_kept_of_ended_requests failed before.

--- a/oleanderhitch/process/quotas/core.py
+++ b/oleanderhitch/process/quotas/core.py
@@ -164,14 +164,10 @@
             _end_question(number, sent, None, state)
         if now - sent.sent_at >= SENT_TTL:
             del state.sent[number]
-    while state.granted and next(iter(state.granted.values())).expires_at <= now:
-        state.granted.popitem(last=False)
     for name, account in list(state.list_active()):
         effects.extend(_refuse_expired(name, account, state, now))
         _drop_expired(account, now)
         effects.extend(_serve(name, state, now))
-        if account.is_idle:
-            state.active.discard(name)
     return [*effects, *_ask(state, now)]
 
 
@@ -243,8 +239,7 @@
             credits.lent_ms,
             acquire.reply_address,
         )
-        state.granted.pop(acquire.holder, None)
-        state.granted[acquire.holder] = granted
+        state.record_granted(granted, now)
         if credits.usable_at > now:
             state.scheduled.append(granted)
         else:
@@ -357,6 +352,7 @@
 
 def _ask(state: QuotasState, now: datetime) -> list[object]:
     """Ask for the credits that all accounts need, and return those not needed."""
+    state.drop_idle()
     if state.last_sent_at is not None and now < state.last_sent_at + BATCH_INTERVAL:
         return []
     number = state.last_number + 1
--- a/oleanderhitch/process/quotas/records.py
+++ b/oleanderhitch/process/quotas/records.py
@@ -144,6 +144,17 @@
         for account in sorted(self.active):
             yield account, self.accounts[account]
 
+    def drop_idle(self) -> None:
+        """Skip the accounts that are idle from now on."""
+        self.active -= {name for name in self.active if self.accounts[name].is_idle}
+
+    def record_granted(self, granted: GrantedCredit, now: datetime) -> None:
+        """Record the credit of a request, and forget those that have expired."""
+        self.granted.pop(granted.holder, None)
+        self.granted[granted.holder] = granted
+        while self.granted and next(iter(self.granted.values())).expires_at <= now:
+            self.granted.popitem(last=False)
+
     def knows_program(
         self, account: AccountId, program: ProgramId | None, now: datetime
     ) -> bool:
--- a/tests/process/quotas/fleet.py
+++ b/tests/process/quotas/fleet.py
@@ -137,7 +137,9 @@
             elif isinstance(effect, SendReply):
                 self._record(host, effect.message)
         tick_at = find_next_tick(state)
-        if tick_at != NO_TICK and self._ticks.get(host) != tick_at:
+        if tick_at == NO_TICK:
+            self._ticks.pop(host, None)
+        elif self._ticks.get(host) != tick_at:
             tick_at = max(tick_at, self.now)
             self._ticks[host] = tick_at
             self._schedule(tick_at, host, Tick())
--- a/tests/process/quotas/test_quotas.py
+++ b/tests/process/quotas/test_quotas.py
@@ -287,3 +287,16 @@
     n_completed = programs.n_completed - n_before
     assert n_completed >= 0.85 * capacity * 20
     assert programs.n_broken <= 0.1 * n_completed
+
+
+def test_nothing_is_kept_of_ended_requests() -> None:
+    """Guard against memory that grows with the requests of accounts at rest."""
+    fleet = QuotaFleet(1, SMALL, LARGE)
+    fleet.elect()
+    fleet.fill()
+    for number in range(200):
+        fleet.arrive(0, "small", NOW + number * 1.1 * SECOND)
+    fleet.run(NOW + 220 * SECOND)
+    (state,) = fleet.hosts
+    assert len(state.granted) <= 4
+    assert not state.active and not state.sent and not state.scheduled
