--- a/oleanderhitch/process/quotas/core.py
+++ b/oleanderhitch/process/quotas/core.py
@@ -63,9 +63,10 @@
 
 
 class AskForCredits(Value, frozen=True):
-    """Asks the leader for credits."""
+    """Asks the leader for credits; some are in the balance of this host."""
 
     request: CreditRequest
+    n_held: int
 
 
 class SendReply(Value, frozen=True):
@@ -102,10 +103,9 @@
 def _(message: AcquireCredit, state: QuotasState, now: datetime) -> list[object]:
     account = state.get_account(message.account)
     account.count_arrival(now)
-    is_new = not message.continues_program
-    if message.program is not None:
-        is_known = state.record_program(message.account, message.program, now)
-        is_new = is_new and not is_known
+    is_new = not message.continues_program and not state.knows_program(
+        message.account, message.program, now
+    )
     account.waiting[message.holder] = WaitingRequest(message, is_new)
     return [*_serve(message.account, state, now), *_ask(state, now)]
 
@@ -164,14 +164,10 @@
             _end_question(number, sent, None, state)
         if now - sent.sent_at >= SENT_TTL:
             del state.sent[number]
-    while state.granted and next(iter(state.granted.values())).expires_at <= now:
-        state.granted.popitem(last=False)
     for name, account in list(state.list_active()):
         effects.extend(_refuse_expired(name, account, state, now))
         _drop_expired(account, now)
         effects.extend(_serve(name, state, now))
-        if account.is_idle:
-            state.active.discard(name)
     return [*effects, *_ask(state, now)]
 
 
@@ -230,6 +226,9 @@
             account.balance.popleft()
         acquire = waiting.acquire
         del account.waiting[acquire.holder]
+        account.count_served(waiting)
+        if acquire.program is not None:
+            state.record_program(name, acquire.program, now)
         granted = GrantedCredit(
             acquire.holder,
             name,
@@ -240,8 +239,7 @@
             credits.lent_ms,
             acquire.reply_address,
         )
-        state.granted.pop(acquire.holder, None)
-        state.granted[acquire.holder] = granted
+        state.record_granted(granted, now)
         if credits.usable_at > now:
             state.scheduled.append(granted)
         else:
@@ -354,6 +352,7 @@
 
 def _ask(state: QuotasState, now: datetime) -> list[object]:
     """Ask for the credits that all accounts need, and return those not needed."""
+    state.drop_idle()
     if state.last_sent_at is not None and now < state.last_sent_at + BATCH_INTERVAL:
         return []
     number = state.last_number + 1
@@ -373,7 +372,9 @@
     state.last_number, state.last_sent_at = number, now
     accounts = tuple(demand.account for demand in demands)
     state.sent[number] = SentRequest(now, accounts)
-    return [AskForCredits(CreditRequest(number, tuple(demands), tuple(returns)))]
+    request = CreditRequest(number, tuple(demands), tuple(returns))
+    n_held = sum(account.n_held for _, account in state.list_active())
+    return [AskForCredits(request, n_held)]
 
 
 def _make_demand(
@@ -390,7 +391,10 @@
     if not unasked and n_ahead <= account.n_held:
         return None
     n_new = sum(waiting.is_new for waiting in unasked)
-    return CreditDemand(name, len(unasked) - n_new, n_new, n_ahead)
+    n_served_running, account.n_served_running = account.n_served_running, 0
+    n_served_new, account.n_served_new = account.n_served_new, 0
+    n_running = len(unasked) - n_new
+    return CreditDemand(name, n_running, n_new, n_ahead, n_served_running, n_served_new)
 
 
 def _take_returns(
