Imported a long history of another program's group in pieces

Cause: a turn that continues a chain of more than 4 MiB in another group was answered 503 in each try, since its history had to come in one message.

Change: the group that has the history names its size; the entry host reads it piece by piece and stores each in the group of the turn's program as a turn that continues the piece before. The last piece comes with BeginTurn, as short histories do. No command or result of the replicated log is new; BeginTurn keeps the pieces before the imported one, which replicas of an earlier build leave to their own retention. If the import breaks off, nothing is reserved and the turn has not run.

Tests: test_turn_continues_a_long_chain_of_a_program_in_another_group failed on the code before ('503 == 200'). The engine of the site's tests now takes bodies of 16 MiB, since it gets whole histories.

--- a/oleanderhitch/program/turns/core.py
+++ b/oleanderhitch/program/turns/core.py
@@ -86,9 +86,12 @@
     if chain is None:
         if command.previous is None or command.imported is None:
             return PreviousTurnMissing()
+        pieces = _find_chain(command.imported.previous, state)
+        if pieces is None:
+            return PreviousTurnMissing()
         imported = _make_turn(command.imported, state)
         state.turns[command.previous] = imported
-        chain = [imported]
+        chain = [*pieces, imported]
     program = _get_or_create_program(command.program, state)
     if command.request in program.settled:
         return TurnClosed()
@@ -147,7 +150,7 @@
         return TurnNotFound()
     n_bytes = _get_chain_size(chain)
     if n_bytes > HISTORY_PIECE_BYTES:
-        return HistoryTooLong(n_bytes)
+        return HistoryTooLong(n_bytes, chain[-1].retention)
     return TurnFound(WholeTurn(None, _read_piece(chain, 0), chain[-1].retention))
 
 
--- a/oleanderhitch/program/turns/messages.py
+++ b/oleanderhitch/program/turns/messages.py
@@ -13,9 +13,9 @@
 class BeginTurn(Value, frozen=True):
     """Reserves the most tokens a turn may spend and reads the turns it continues.
 
-    `imported` is the history up to the previous turn, if another group has it; it is
-    stored under the id of the previous turn. The turn ends within `time_limit`, until
-    when the turns that it continues are kept.
+    `imported` is the history up to the previous turn, if another group has it, or the
+    last piece of it; it is stored under the id of the previous turn. The turn ends
+    within `time_limit`, until when the turns that it continues are kept.
     """
 
     request: RequestId
@@ -78,6 +78,7 @@
     """Reports that a turn with all turns that it continues exceeds one message."""
 
     n_bytes: int
+    retention: timedelta
 
 
 class TurnFound(Value, frozen=True):
--- a/oleanderhitch/request/forwarding/core.py
+++ b/oleanderhitch/request/forwarding/core.py
@@ -20,7 +20,6 @@
 from oleanderhitch.program.turns.messages import (
     BudgetSpent,
     HistoryRead,
-    HistoryTooLong,
     PreviousTurnMissing,
     TurnBegun,
     TurnClosed,
@@ -39,11 +38,18 @@
     request_endpoint,
 )
 from oleanderhitch.request.forwarding.delimiting import StreamEnd, judge_stream_end
+from oleanderhitch.request.forwarding.importing import (
+    begin_import,
+    end_import,
+    read_next_piece,
+    store_piece,
+)
 from oleanderhitch.request.forwarding.messages import (
     AbortResponse,
     EndpointResponseHead,
     FinishResponse,
     LogDecision,
+    LongHistoryFound,
     MemoryExhausted,
     RecordAway,
     RecordFailed,
@@ -117,6 +123,8 @@
 
 @handle.register
 def _(message: HistoryRead, state: ForwardState, now: datetime) -> list[object]:
+    if state.phase is Phase.IMPORTING:
+        return store_piece(message.data, state, now)
     if state.phase is not Phase.READING:
         return []
     n_bytes_left = state.n_history_bytes_left - len(message.data)
@@ -126,10 +134,10 @@
 
 
 @handle.register
-def _(message: HistoryTooLong, state: ForwardState, now: datetime) -> list[object]:
-    # The other program's history would have to be stored in this one's group.
-    reason = f"a history of {message.n_bytes} bytes is too long to be imported"
-    return record_fruitless_search(state, reason)
+def _(message: LongHistoryFound, state: ForwardState, now: datetime) -> list[object]:
+    if state.phase is not Phase.SEARCHING:
+        return []
+    return begin_import(message, state)
 
 
 def _end_unread(state: ForwardState, reason: str, now: datetime) -> list[object]:
@@ -157,6 +165,8 @@
 def _(message: TurnNotFound, state: ForwardState, now: datetime) -> list[object]:
     if state.phase is Phase.READING:
         return _end_unread(state, "the history is gone", now)
+    if state.phase is Phase.IMPORTING:
+        return end_import(state, "the history to import is gone")
     return record_fruitless_search(state, "")
 
 
@@ -179,6 +189,8 @@
         return _end_unread(state, message.reason, now)
     if state.phase is Phase.SEARCHING:
         return record_fruitless_search(state, message.reason)
+    if state.phase is Phase.IMPORTING:
+        return end_import(state, message.reason)
     if state.phase is Phase.RECORDING:
         # An unrecorded turn cannot be continued, so it must not appear complete.
         return abort_response(state, f"turn not recorded: {message.reason}")
@@ -191,7 +203,7 @@
         return record_fruitless_search(state, message.reason)
     if state.phase is Phase.READING:
         return _end_unread(state, message.reason, now)
-    if state.phase is not Phase.RESERVING:
+    if state.phase not in (Phase.RESERVING, Phase.IMPORTING):
         return []
     # Nothing was reserved, so there is nothing to release.
     return end_with_verdict(state, Verdict.RECORD_UNAVAILABLE, message.reason)
@@ -199,6 +211,8 @@
 
 @handle.register
 def _(message: TurnSettled, state: ForwardState, now: datetime) -> list[object]:
+    if state.phase is Phase.IMPORTING:
+        return read_next_piece(state)
     if state.phase is not Phase.RECORDING:
         return []
     state.phase = Phase.ENDED
@@ -481,7 +495,7 @@
             *end_with_verdict(state, Verdict.TIMED_OUT, f"while {phase.value}"),
         ]
     verdict = Verdict.NO_ENDPOINT
-    if phase in (Phase.RESERVING, Phase.SEARCHING, Phase.READING):
+    if phase in (Phase.RESERVING, Phase.SEARCHING, Phase.READING, Phase.IMPORTING):
         verdict = Verdict.RECORD_UNAVAILABLE
     return [*effects, *end_with_verdict(state, verdict, "no time is left")]
 
--- a/oleanderhitch/request/forwarding/messages.py
+++ b/oleanderhitch/request/forwarding/messages.py
@@ -4,6 +4,7 @@
 
 from oleanderhitch.connection.http.messages import Headers
 from oleanderhitch.process.directory.messages import ListedEndpoint
+from oleanderhitch.process.ids import GroupId
 from oleanderhitch.process.placement.messages import (
     AttemptProgress,
     AttemptResult,
@@ -111,6 +112,14 @@
     head: EndpointResponseHead
 
 
+class LongHistoryFound(Value, frozen=True):
+    """Reports that a group has the turn to continue, with a history of many pieces."""
+
+    group: GroupId
+    n_bytes: int
+    retention: timedelta
+
+
 class MemoryExhausted(Value, frozen=True):
     """Reports that the memory for responses has no room for what this one keeps."""
 
@@ -133,6 +142,14 @@
     deadline: datetime
 
 
+class ReadOtherHistory(Value, frozen=True):
+    """Reads a piece of the history to import in the group that has it."""
+
+    query: ReadHistory
+    group: GroupId
+    deadline: datetime
+
+
 class SearchTurn(Value, frozen=True):
     """Searches the turn to continue in all groups except that of the program."""
 
--- a/oleanderhitch/request/forwarding/reservation.py
+++ b/oleanderhitch/request/forwarding/reservation.py
@@ -64,6 +64,9 @@
     turn = state.turn
     if turn is None or turn.previous is None or not state.n_other_record_groups:
         return _end_search(state)
+    if state.history_import is not None:
+        reason = "the imported history is gone"
+        return end_with_verdict(state, Verdict.RECORD_UNAVAILABLE, reason)
     state.phase = Phase.SEARCHING
     state.n_searches = state.n_other_record_groups
     query = FindTurn(turn.previous)
--- a/oleanderhitch/request/forwarding/state.py
+++ b/oleanderhitch/request/forwarding/state.py
@@ -5,6 +5,7 @@
 from msgspec import Struct, field
 
 from oleanderhitch.connection.http.messages import CallerDisconnected
+from oleanderhitch.process.ids import GroupId
 from oleanderhitch.process.placement.messages import AttemptProgress
 from oleanderhitch.request.forwarding.identity import (
     ANONYMOUS,
@@ -54,6 +55,19 @@
         return AttemptProgress.OUTPUT if has_output else AttemptProgress.HEAD
 
 
+class HistoryImport(Struct):
+    """The copy of another program's history, so far as it is stored.
+
+    `last_piece` is the id under which the last piece is stored.
+    """
+
+    group: GroupId
+    n_bytes: int
+    retention: timedelta
+    n_bytes_stored: int = 0
+    last_piece: RequestId | None = None
+
+
 class ForwardState(Struct):
     """The state of one request, owned by its task."""
 
@@ -72,6 +86,7 @@
     # of them could not be searched.
     n_searches: int = 0
     search_failure: str = ""
+    history_import: HistoryImport | None = None
     history: bytearray = field(default_factory=bytearray)
     n_history_bytes_left: int = 0
     attempt: Attempt | None = None
--- a/oleanderhitch/request/forwarding/states.py
+++ b/oleanderhitch/request/forwarding/states.py
@@ -7,12 +7,14 @@
     """What a request is doing; WAITING is for an endpoint, SENT for its response.
 
     SEARCHING is for the turn to continue, if it is one of another program. READING is
-    for the rest of a long history.
+    for the rest of a long history. IMPORTING is for the pieces of a long history of
+    another program.
     """
 
     RESERVING = "reserving"
     SEARCHING = "searching"
     READING = "reading"
+    IMPORTING = "importing"
     WAITING = "waiting"
     SENT = "sent"
     COLLECTING = "collecting"
--- a/oleanderhitch/request/forwarding/task.py
+++ b/oleanderhitch/request/forwarding/task.py
@@ -50,6 +50,7 @@
 )
 from oleanderhitch.process.site.messages import CommandRefused
 from oleanderhitch.program.ids import ProgramId
+from oleanderhitch.program.turns.messages import HistoryTooLong
 from oleanderhitch.request.forwarding.core import end_after_error, handle
 from oleanderhitch.request.forwarding.dialect import Dialect
 from oleanderhitch.request.forwarding.identity import identify_caller
@@ -59,8 +60,10 @@
     FinishResponse,
     ForwardRequest,
     LogDecision,
+    LongHistoryFound,
     MemoryExhausted,
     ReadMoreHistory,
+    ReadOtherHistory,
     RecordAway,
     RecordFailed,
     ReportEventLatency,
@@ -96,6 +99,9 @@
 ROUTE_TABLE_WAIT_TIMEOUT = timedelta(seconds=2)
 ROUTE_TABLE_WAIT_SHARE = 0.4
 
+# Separates the request from the group in the tag of a search. No caller's id has it.
+GROUP_SEPARATOR = "\n"
+
 # Placement handles its messages within milliseconds.
 FULL_MAILBOX_RETRY_DELAY = timedelta(milliseconds=50)
 
@@ -331,20 +337,38 @@
     return message
 
 
+def _make_search_tag(group: GroupId, context: ForwardContext) -> str:
+    return f"{context.request.request}{GROUP_SEPARATOR}{group}"
+
+
+def _is_expected(tag: str, context: ForwardContext) -> bool:
+    """Return whether a result belongs to the request.
+
+    While a history is imported, the results of the search in other groups do not count.
+    """
+    request, _, group = tag.partition(GROUP_SEPARATOR)
+    history = context.state.history_import
+    is_of_source = not group or history is None or group == history.group
+    return request == context.request.request and is_of_source
+
+
 @_translate.register
 def _(message: GroupResult, context: ForwardContext) -> object | None:
-    if message.tag != context.request.request:
+    if not _is_expected(message.tag, context):
         return None
     try:
         result = context.dependencies.codec.decode(message.body)
     except OleanderhitchError as error:
         return RecordFailed(f"unreadable result: {error}")
+    if isinstance(result, HistoryTooLong):
+        group = GroupId(message.tag.partition(GROUP_SEPARATOR)[2])
+        return LongHistoryFound(group, result.n_bytes, result.retention)
     return RecordFailed(result.reason) if isinstance(result, CommandRefused) else result
 
 
 @_translate.register
 def _(message: GroupTimedOut, context: ForwardContext) -> object | None:
-    if message.tag != context.request.request:
+    if not _is_expected(message.tag, context):
         return None
     return RecordFailed(message.reason)
 
@@ -359,7 +383,7 @@
 
 @_translate.register
 def _(message: GroupAway, context: ForwardContext) -> object | None:
-    if message.tag != context.request.request:
+    if not _is_expected(message.tag, context):
         return None
     return RecordAway(message.reason)
 
@@ -409,12 +433,22 @@
     _submit_unless_away(group, effect.query, True, effect.deadline, context)
 
 
+@perform.register
+def _(effect: ReadOtherHistory, context: ForwardContext) -> None:
+    group = effect.group
+    tag = _make_search_tag(group, context)
+    _submit_unless_away(group, effect.query, True, effect.deadline, context, tag)
+
+
 @perform.register
 def _(effect: SearchTurn, context: ForwardContext) -> None:
     dependencies = context.dependencies
     for group in dependencies.record_groups:
         if group != dependencies.get_record_group(effect.program):
-            _submit_unless_away(group, effect.query, True, effect.deadline, context)
+            tag = _make_search_tag(group, context)
+            _submit_unless_away(
+                group, effect.query, True, effect.deadline, context, tag
+            )
 
 
 def _submit_unless_away(
@@ -423,6 +457,7 @@
     is_read: bool,
     deadline: datetime,
     context: ForwardContext,
+    tag: str = "",
 ) -> None:
     dependencies = context.dependencies
     dependencies.group_client.send(
@@ -431,7 +466,7 @@
             dependencies.codec.encode(message),
             is_read,
             max(deadline - dependencies.clock.now(), timedelta(0)),
-            context.request.request,
+            tag or context.request.request,
             context.mailbox,
             is_rejected_while_away=True,
         )
--- a/tests/process/site/harness.py
+++ b/tests/process/site/harness.py
@@ -42,10 +42,13 @@
     HostName,
     ServiceName,
 )
+from oleanderhitch.version.routes.configuration import CallerLimits
 
 CLOCK = make_system_clock()
 WAIT_TIMEOUT_S = 10.0
 N_EVENTS = 3
+# Engines get whole histories.
+ENGINE_LIMITS = CallerLimits(body_bytes=16 * 1024 * 1024)
 
 
 _given_addresses: set[HostAddress] = set()
@@ -82,7 +85,9 @@
 
     def start(self) -> None:
         """Start listening."""
-        make_http_server(self.address, self._serve, CLOCK).start()
+        make_http_server(
+            self.address, self._serve, CLOCK, lambda: ENGINE_LIMITS
+        ).start()
 
     def list_endpoints(self) -> tuple[ListedEndpoint, ...]:
         """Return the platform's list of endpoints, which has this engine only."""
--- a/tests/process/site/test_site.py
+++ b/tests/process/site/test_site.py
@@ -200,6 +200,28 @@
         assert site.engine.bodies[-1] == expected
 
 
+def test_turn_continues_a_long_chain_of_a_program_in_another_group(
+    site: SiteHarness,
+) -> None:
+    """Guard against status 503 for each try to continue it."""
+    names = iter(f"p{number}" for number in range(20))
+    other = next(
+        name
+        for name in names
+        if get_turn_group(ProgramId(name)) != get_turn_group(ProgramId("p"))
+    )
+    content = b"x" * 2_500_000
+    history = b""
+    for number in range(2):
+        previous = f"t{number - 1}" if number else None
+        assert site.send_turn(f"t{number}", content, previous)[0] == 200
+        history += content + ENGINE_OUTPUT
+    assert site.send_turn("next", b"in\n", "t1", program=other)[0] == 200
+    assert site.engine.bodies[-1] == history + b"in\n"
+    assert site.send_turn("last", b"in\n", "next", program=other)[0] == 200
+    assert site.engine.bodies[-1] == history + b"in\n" + ENGINE_OUTPUT + b"in\n"
+
+
 def test_data_of_an_earlier_release_is_not_passed_over(tmp_path: Path) -> None:
     """Guard against a store that starts empty beside state that it does not read."""
     site = SiteHarness(tmp_path, 3)
--- a/tests/program/turns/test_core.py
+++ b/tests/program/turns/test_core.py
@@ -5,6 +5,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from oleanderhitch.program.ids import ProgramId
 from oleanderhitch.program.turns.core import (
@@ -224,7 +225,20 @@
     end = apply(ReadHistory(RequestId("c"), sum(map(len, contents))), state)
     assert end == HistoryRead(b"")
     found = apply(FindTurn(RequestId("c")), state)
-    assert found == HistoryTooLong(sum(map(len, contents)))
+    assert found == HistoryTooLong(sum(map(len, contents)), RETENTION)
+
+
+def test_history_is_imported_in_pieces() -> None:
+    """Guard against a history that can't be imported, or that lacks a piece."""
+    state = TurnsState()
+    last = WholeTurn(RequestId("p0"), b"B", RETENTION)
+    command = replace(begin("c", "b"), imported=last)
+    assert apply(command, state) == PreviousTurnMissing()
+    assert state.turns == {}
+    apply(settle("p0", b"A"), state)
+    assert apply(command, state) == TurnBegun(b"AB", 2)
+    apply(settle("c", b"C", "b"), state)
+    assert apply(begin("d", "c"), state) == TurnBegun(b"ABC", 3)
 
 
 def test_a_turn_that_names_itself_is_answered_as_missing() -> None:
--- a/tests/request/forwarding/test_core.py
+++ b/tests/request/forwarding/test_core.py
@@ -14,6 +14,7 @@
 )
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.process.directory.messages import ListedEndpoint
+from oleanderhitch.process.ids import GroupId
 from oleanderhitch.process.messages import Tick
 from oleanderhitch.process.placement.messages import (
     AttemptResult,
@@ -46,9 +47,11 @@
     FinishResponse,
     ForwardRequest,
     LogDecision,
+    LongHistoryFound,
     MemoryExhausted,
     ProgramTurn,
     ReadMoreHistory,
+    ReadOtherHistory,
     RecordAway,
     RecordFailed,
     ReportLeaving,
@@ -612,6 +615,57 @@
     assert run(state, TurnNotFound()) == []
 
 
+def begin_import() -> ForwardState:
+    """Return a request that has asked for the first of the pieces `one` and `two`."""
+    state = search()
+    found = LongHistoryFound(GroupId("turns-1"), 6, timedelta(seconds=60))
+    (read,) = run(state, found)
+    assert isinstance(read, ReadOtherHistory)
+    assert (read.group, read.query.offset) == ("turns-1", 0)
+    return state
+
+
+def test_long_history_of_another_group_is_imported_in_pieces() -> None:
+    """Guard against a long chain that no other program can continue."""
+    state = begin_import()
+    (store,) = run(state, HistoryRead(b"one"))
+    assert isinstance(store, SettleReservation)
+    assert (store.command.turn.content, store.is_awaited) == (b"one", True)
+    (read,) = run(state, TurnSettled())
+    assert isinstance(read, ReadOtherHistory)
+    assert read.query.offset == 3
+    (reserve,) = run(state, HistoryRead(b"two"))
+    assert isinstance(reserve, ReserveTokens)
+    piece = WholeTurn(store.command.request, b"two", timedelta(seconds=60))
+    assert reserve.command.imported == piece
+    effects = run(state, TurnBegun(b"onetwo", 2), grant("e1"))
+    assert find(effects, SendToEndpoint)[0].body == b"onetwoinput"  # type: ignore[attr-defined]
+
+
+@pytest.mark.parametrize(
+    "failure",
+    [
+        HistoryRead(b""),
+        HistoryRead(b"too long"),
+        TurnNotFound(),
+        RecordFailed("timeout"),
+        RecordAway("away"),
+    ],
+)
+def test_turn_whose_history_is_not_imported_has_not_run(failure: object) -> None:
+    """Guard against a turn that runs with a part of its history, or hangs."""
+    verdicts = list_verdicts(run(begin_import(), failure))
+    assert verdicts == [Verdict.RECORD_UNAVAILABLE]
+
+
+def test_imported_history_that_is_gone_is_not_searched_again() -> None:
+    """Guard against a request that imports the same history until its deadline."""
+    state = begin_import()
+    run(state, HistoryRead(b"onetwo"))
+    verdicts = list_verdicts(run(state, PreviousTurnMissing()))
+    assert verdicts == [Verdict.RECORD_UNAVAILABLE]
+
+
 def test_turn_is_unknown_only_if_no_group_has_it() -> None:
     """Guard against status 404 for a turn that a silent group may have."""
     state = search()
