--- a/oleanderhitch/request/forwarding/states.py
+++ b/oleanderhitch/request/forwarding/states.py
@@ -9,13 +9,15 @@
     ADMITTING is for a credit of its account, before anything is reserved for it.
     RENEWING is for another one in place of a credit that expired while it waited.
     SEARCHING is for the turn to continue, if it is one of another program. READING is
-    for the rest of a long history.
+    for the rest of a long history. IMPORTING is for the pieces of a long history of
+    another program.
     """
 
     ADMITTING = "admitting"
     RESERVING = "reserving"
     SEARCHING = "searching"
     READING = "reading"
+    IMPORTING = "importing"
     WAITING = "waiting"
     RENEWING = "renewing"
     SENT = "sent"
