Bounded what callers make an entry host hold

Cause: bodies, pipelined requests, header fields and connections of callers had bounds each, and no bound together. Change: one budget for requests and responses of a process, from limits.memory_mb, which requests that have not arrived whole leave to smaller ones; connections bounded by limits.max_fds and memory, the unused ones closed first; parsing of a few requests at a time; at most 1,024 fields; one copy of a body. The product's own interface runs on the same server instead of pywsgi.

--- a/oleanderhitch/connection/caller/app.py
+++ b/oleanderhitch/connection/caller/app.py
@@ -136,7 +136,8 @@
             Reason.BODY_TOO_LARGE,
             f"body has {length} bytes; at most {BODY_LIMIT_BYTES} are allowed",
         )
-    body: bytes = bottle.request.body.read(BODY_LIMIT_BYTES + 1)
+    # Bottle would copy a large body to a temporary file.
+    body: bytes = bottle.request.environ["wsgi.input"].read(BODY_LIMIT_BYTES + 1)
     return body
 
 
--- a/oleanderhitch/connection/endpoint/client.py
+++ b/oleanderhitch/connection/endpoint/client.py
@@ -11,7 +11,7 @@
     start_operation_lookup,
 )
 from oleanderhitch.connection.endpoint.transport import make_pool_manager
-from oleanderhitch.connection.http.memory import make_response_memory
+from oleanderhitch.connection.http.memory import make_traffic_memory
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.clock import Clock
 from oleanderhitch.process.metrics.core import Metrics
@@ -43,7 +43,7 @@
         self._metrics = metrics
         self._timeouts = timeouts
         self._pool_manager = make_pool_manager()
-        self._memory = make_response_memory()
+        self._memory = make_traffic_memory()
 
     def start(
         self,
--- a/oleanderhitch/connection/endpoint/task.py
+++ b/oleanderhitch/connection/endpoint/task.py
@@ -22,7 +22,7 @@
     call_service,
     look_up_operation,
 )
-from oleanderhitch.connection.http.memory import ResponseMemory, make_response_memory
+from oleanderhitch.connection.http.memory import TrafficMemory, make_traffic_memory
 from oleanderhitch.exceptions import OleanderhitchError
 from oleanderhitch.process.clock import Clock
 from oleanderhitch.process.mailbox import Address
@@ -159,10 +159,10 @@
     clock: Clock,
     tracer: Tracer | None = None,
     metrics: Metrics | None = None,
-    memory: ResponseMemory | None = None,
+    memory: TrafficMemory | None = None,
 ) -> EndpointStream:
     """Return the task of one attempt, which has not been started."""
-    share = (memory or make_response_memory()).make_share()
+    share = (memory or make_traffic_memory()).make_share()
     context = AttemptContext(
         call, reply_address, pool_manager, timeouts, clock, share, metrics
     )
@@ -175,12 +175,12 @@
     pool_manager: urllib3.PoolManager,
     timeouts: EndpointTimeouts,
     clock: Clock,
-    memory: ResponseMemory | None = None,
+    memory: TrafficMemory | None = None,
 ) -> None:
     """Start a lookup; the reply is OperationFound or OperationNotFound."""
 
     def run() -> None:
-        with (memory or make_response_memory()).make_share() as share:
+        with (memory or make_traffic_memory()).make_share() as share:
             result = look_up_operation(lookup, pool_manager, timeouts, clock, share)
             reply_address.send(result)
 
--- a/oleanderhitch/connection/http/caller.py
+++ b/oleanderhitch/connection/http/caller.py
@@ -7,10 +7,11 @@
 
 import gevent
 import gevent.event
-import logbook
 from gevent import socket
 
+from oleanderhitch.connection.http.budget import is_too_slow
 from oleanderhitch.connection.http.exceptions import RequestParseError
+from oleanderhitch.connection.http.memory import TrafficMemory
 from oleanderhitch.connection.http.messages import (
     CallerDisconnected,
     Headers,
@@ -20,7 +21,11 @@
     RequestFault,
     RequestRejected,
 )
-from oleanderhitch.connection.http.parsing import make_request_parser
+from oleanderhitch.connection.http.parsing import (
+    RequestParser,
+    get_held_bytes,
+    make_request_parser,
+)
 from oleanderhitch.connection.http.rendering import (
     CONTINUE_RESPONSE,
     render_chunk,
@@ -48,8 +53,6 @@
 # Larger bodies are sent after their heads, not copied behind them.
 JOINED_BODY_LIMIT_BYTES = 64 * 1024
 
-log = logbook.Logger("caller")
-
 
 class ResponseWriter(Protocol):
     """Writes the response of one request to its caller."""
@@ -70,9 +73,35 @@
         """Close the connection, so that the response does not look complete."""
 
 
+_NO_MEMORY = RequestRejected(
+    RequestFault.NO_MEMORY, "too much other traffic; the request was not run"
+)
 ServeRequest = Callable[[HttpRequest, ResponseWriter, Mailbox, datetime], None]
 GetLimits = Callable[[], CallerLimits]
-IsStopping = Callable[[], bool]
+
+
+class ConnectionOwner(Protocol):
+    """The server of a connection."""
+
+    @property
+    def is_stopping(self) -> bool:
+        """Whether connections close after their current response."""
+
+    @property
+    def memory(self) -> TrafficMemory:
+        """The budget that holds the requests of all connections."""
+
+    def get_limits(self) -> CallerLimits:
+        """Return the limits in force."""
+
+    def get_now(self) -> datetime:
+        """Return the current time."""
+
+    def handle_first_request(self, connection: "CallerConnection") -> None:
+        """Record that a connection has brought a whole request."""
+
+    def make_rejection(self, rejection: RequestRejected) -> HttpResponse:
+        """Return the response to a request that is not served, and count it."""
 
 
 class CallerConnection:
@@ -86,15 +115,17 @@
         self,
         connected: socket.socket,
         serve: ServeRequest,
-        get_limits: GetLimits,
-        is_stopping: IsStopping,
-        get_now: Callable[[], datetime],
+        owner: ConnectionOwner,
     ) -> None:
         self._socket = connected
         self._serve = serve
-        self._get_limits = get_limits
-        self._is_stopping = is_stopping
-        self._get_now = get_now
+        self._owner = owner
+        self._parser = make_request_parser(owner.get_limits())
+        # Holds the requests that are arriving, queued and in progress.
+        self._share = owner.memory.make_share(self._drop_request)
+        self._n_request_bytes = 0
+        self._last_served_at: datetime | None = None
+        self._is_evicted = False
         self._mailbox = make_mailbox("caller", MAILBOX_CAPACITY_MESSAGES)
         self._pipelined: deque[HttpRequest] = deque()
         self._resume_reading = gevent.event.Event()
@@ -105,6 +136,7 @@
         self._keeps_alive = True
         self._has_responded = False
         self._is_open = True
+        self._received_since: datetime | None = None
 
     @property
     def is_busy(self) -> bool:
@@ -116,6 +148,16 @@
             or bool(self._pipelined)
         )
 
+    @property
+    def is_evictable(self) -> bool:
+        """Whether no request is in progress or queued."""
+        return not self._is_serving and not self._is_evicted
+
+    @property
+    def last_served_at(self) -> datetime | None:
+        """When the last request began, or None if there was none."""
+        return self._last_served_at
+
     def run(self) -> None:
         """Serve requests until either side closes the connection."""
         set_tcp_options(self._socket)
@@ -136,6 +178,12 @@
             # once, and the event loop would miss the events of the new socket.
             reader.kill()
             self._socket.close()
+            self._share.close()
+
+    def evict(self) -> None:
+        """Close a connection without a request in progress, to make room for others."""
+        self._is_evicted = True
+        self._mailbox.send(CallerDisconnected("too many connections"))
 
     def close_idle(self) -> None:
         """Close the connection, after the next request if one is on its way.
@@ -205,21 +253,37 @@
         self._is_new = self._awaits_request = False
         self._has_responded = False
         self._keeps_alive = request.keeps_alive
-        self._serve(request, self, self._mailbox, self._get_now())
-        self._is_serving = False
+        now = self._owner.get_now()
+        if self._last_served_at is None:
+            self._owner.handle_first_request(self)
+        self._last_served_at = now
+        self._serve(request, self, self._mailbox, now)
+        n_bytes = get_held_bytes(request)
+        self._n_request_bytes -= n_bytes
+        self._share.resize(max(self._share.n_bytes - n_bytes, 0))
         if not self._has_responded or self._must_close():
             self._is_open = False
-        elif self._pipelined:
+        if self._is_open and self._pipelined:
             self._mailbox.send(self._pipelined.popleft())
+        else:
+            self._is_serving = False
+            self._share.set_protected(False)
         self._resume_reading.set()
 
     def _must_close(self) -> bool:
-        return not self._keeps_alive or self._is_stopping()
+        return not self._keeps_alive or self._owner.is_stopping
+
+    def _drop_request(self) -> None:
+        """Reject the request that is arriving: its memory goes to others."""
+        self._is_evicted = True
+        self._parser.discard()
+        self._mailbox.send(_NO_MEMORY)
 
     def _reject(self, message: RequestRejected) -> None:
-        log.info("request rejected", fault=message.fault.name, detail=message.detail)
-        response = HttpResponse(message.fault.value, message.detail.encode())
-        self._send(render_response(response, True))
+        self._is_evicted = True
+        self._parser.discard()
+        self._share.close()
+        self._send(render_response(self._owner.make_rejection(message), True))
         if self._is_open:
             self._socket.shutdown(socket.SHUT_WR)
             gevent.sleep(LINGER_TIME.total_seconds())
@@ -234,32 +298,10 @@
             self._mailbox.send(CallerDisconnected(f"write failed: {error}"))
 
     def _read(self) -> None:
-        parser = make_request_parser(self._get_limits())
+        parser = self._parser
         try:
-            while True:
-                limits = self._get_limits()
-                parser.set_limits(limits)
-                if parser.is_idle:
-                    has_data = self._await_request(limits)
-                else:
-                    has_data = self._await_bytes(limits.header_timeout)
-                if not has_data:
-                    self._end_after_timeout(parser.is_idle)
-                    return
-                data = self._socket.recv(RECEIVE_BYTES)
-                if not data:
-                    self._mailbox.send(
-                        CallerDisconnected("caller closed the connection")
-                    )
-                    return
-                for request in parser.feed(data):
-                    self._queue_request(request)
-                self._is_receiving = not parser.is_idle
-                if parser.error is not None:
-                    raise parser.error
-                if parser.expects_continue and not self._is_serving:
-                    self._send(CONTINUE_RESPONSE)
-                self._await_responses(N_PIPELINED_LIMIT)
+            while self._receive(parser):
+                pass
         except RequestParseError as error:
             self._is_receiving = False
             self._await_responses(0)
@@ -267,6 +309,61 @@
         except OSError as error:
             self._mailbox.send(CallerDisconnected(f"connection broke: {error}"))
 
+    def _receive(self, parser: RequestParser) -> bool:
+        """Read once and queue the requests; return whether to read on."""
+        limits = self._owner.get_limits()
+        parser.set_limits(limits)
+        if parser.is_idle:
+            has_data = self._await_request(limits)
+        else:
+            has_data = self._await_bytes(limits.header_timeout)
+        if self._is_evicted:
+            return False
+        if not has_data:
+            self._end_after_timeout(parser.is_idle)
+            return False
+        data = self._socket.recv(RECEIVE_BYTES)
+        if not data:
+            self._mailbox.send(CallerDisconnected("caller closed the connection"))
+            return False
+        requests = parser.feed(data)
+        # This frame stays while the caller is waited for.
+        del data
+        self._handle_parsed(requests, parser)
+        while parser.has_unparsed and not self._is_evicted:
+            self._handle_parsed(parser.feed(b""), parser)
+        return True
+
+    def _handle_parsed(
+        self, requests: list[HttpRequest], parser: RequestParser
+    ) -> None:
+        for request in requests:
+            self._queue_request(request)
+        self._is_receiving = not parser.is_idle
+        if parser.error is not None:
+            raise parser.error
+        self._hold_bytes(parser)
+        if parser.is_idle:
+            self._received_since = None
+        elif requests or self._received_since is None:
+            self._received_since = self._owner.get_now()
+        elif is_too_slow(
+            self._owner.get_now() - self._received_since, parser.n_received_bytes
+        ):
+            raise RequestParseError(RequestFault.TIMED_OUT, "request came too slowly")
+        if parser.expects_continue and not self._is_serving:
+            self._send(CONTINUE_RESPONSE)
+        self._await_responses(N_PIPELINED_LIMIT)
+
+    def _hold_bytes(self, parser: RequestParser) -> None:
+        """Count what has arrived; raise RequestParseError if it does not fit."""
+        if self._share.resize(self._n_request_bytes + parser.n_held_bytes):
+            return
+        # The requests before it get their responses first.
+        self._await_responses(0)
+        if not self._share.resize(self._n_request_bytes + parser.n_held_bytes):
+            raise RequestParseError(_NO_MEMORY.fault, _NO_MEMORY.detail)
+
     def _await_responses(self, n_pipelined: int) -> None:
         """Wait until fewer than `n_pipelined` requests are queued.
 
@@ -279,10 +376,12 @@
             self._resume_reading.wait()
 
     def _queue_request(self, request: HttpRequest) -> None:
+        self._n_request_bytes += get_held_bytes(request)
         if self._is_serving or self._pipelined or self._mailbox.n_waiting:
             self._pipelined.append(request)
         else:
             self._is_serving = True
+            self._share.set_protected(True)
             self._mailbox.send(request)
 
     def _await_request(self, limits: CallerLimits) -> bool:
@@ -314,9 +413,7 @@
 def make_caller_connection(
     connected: socket.socket,
     serve: ServeRequest,
-    get_limits: GetLimits,
-    is_stopping: IsStopping,
-    get_now: Callable[[], datetime],
+    owner: ConnectionOwner,
 ) -> CallerConnection:
     """Return the connection of an accepted socket."""
-    return CallerConnection(connected, serve, get_limits, is_stopping, get_now)
+    return CallerConnection(connected, serve, owner)
--- a/oleanderhitch/connection/http/endpoint.py
+++ b/oleanderhitch/connection/http/endpoint.py
@@ -14,8 +14,8 @@
 from oleanderhitch.connection.http.flow import ResponseFlow
 from oleanderhitch.connection.http.memory import (
     MemoryShare,
-    ResponseMemory,
-    make_response_memory,
+    TrafficMemory,
+    make_traffic_memory,
 )
 from oleanderhitch.connection.http.messages import (
     BodyEnd,
@@ -129,7 +129,7 @@
     """Task that owns one connection to an endpoint, from open to close."""
 
     def __init__(
-        self, address: HostAddress, owner: Address, memory: ResponseMemory
+        self, address: HostAddress, owner: Address, memory: TrafficMemory
     ) -> None:
         self._address = address
         self._owner = owner
@@ -387,7 +387,7 @@
 
 
 def make_endpoint_connection(
-    address: HostAddress, owner: Address, memory: ResponseMemory | None = None
+    address: HostAddress, owner: Address, memory: TrafficMemory | None = None
 ) -> EndpointConnection:
     """Return a connection that has not been started."""
-    return EndpointConnection(address, owner, memory or make_response_memory())
+    return EndpointConnection(address, owner, memory or make_traffic_memory())
--- a/oleanderhitch/connection/http/messages.py
+++ b/oleanderhitch/connection/http/messages.py
@@ -43,6 +43,7 @@
     TIMED_OUT = 408
     BODY_TOO_LARGE = 413
     HEADERS_TOO_LARGE = 431
+    NO_MEMORY = 503
 
 
 class RequestRejected(Value, frozen=True):
--- a/oleanderhitch/connection/http/parsing.py
+++ b/oleanderhitch/connection/http/parsing.py
@@ -19,9 +19,23 @@
 from oleanderhitch.values import Value
 from oleanderhitch.version.routes.configuration import CallerLimits
 
+# A piece of this size has a few dozen requests at most. Without it, one read would give
+# more than a thousand pipelined requests at once.
+PARSED_PIECE_BYTES = 1024
+# A caller's head has some dozen fields, and 16 KiB of ordinary ones are 400.
+N_REQUEST_HEADERS_LIMIT = 1024
+# Half of what a field takes besides its text: a tuple and two strings. A share of the
+# memory counts half of what its message takes, see `TRAFFIC_MEMORY_SHARE`.
+HEADER_COST_BYTES = 100
+REQUEST_COST_BYTES = 512
+
 
 class RequestParser:
-    """Parses a caller's bytes into complete requests and enforces the limits."""
+    """Parses a caller's bytes into complete requests and enforces the limits.
+
+    It stops after the piece that completes a request; the rest waits until the next
+    call of `feed`.
+    """
 
     def __init__(self, limits: CallerLimits) -> None:
         self._limits = limits
@@ -29,12 +43,32 @@
         self._ready: deque[HttpRequest] = deque()
         self._error: RequestParseError | None = None
         self._has_started = False
+        self._unparsed = b""
         self._reset()
 
     @property
     def is_idle(self) -> bool:
         """Whether no byte of the next request has arrived."""
-        return not self._has_started
+        return not self._has_started and not self._unparsed
+
+    @property
+    def has_unparsed(self) -> bool:
+        """Whether `feed` has stopped before the end of the bytes."""
+        return bool(self._unparsed)
+
+    @property
+    def n_received_bytes(self) -> int:
+        """The bytes of the request that has not arrived whole."""
+        return self._n_parsed_header_bytes + self._n_body_bytes
+
+    @property
+    def n_held_bytes(self) -> int:
+        """What this parser holds, as a share of the memory counts it."""
+        return (
+            len(self._body)
+            + len(self._headers) * HEADER_COST_BYTES
+            + len(self._unparsed)
+        )
 
     @property
     def error(self) -> RequestParseError | None:
@@ -52,12 +86,41 @@
         self._limits = limits
 
     def feed(self, data: bytes) -> list[HttpRequest]:
-        """Return the requests that the bytes complete.
+        """Return the next requests that the bytes complete.
 
         If the bytes are invalid, the requests before the error are returned and `error`
         is set. RequestParseError is raised if no request precedes the error.
         """
-        self._has_started = self._has_started or bool(data)
+        rest = self._unparsed + data if self._unparsed else data
+        self._unparsed = b""
+        position = 0
+        while position < len(rest) and not self._ready and self._error is None:
+            end = position + self._get_piece_bytes()
+            whole = position == 0 and end >= len(rest)
+            self._feed_piece(rest if whole else rest[position:end])
+            position = end
+        if self._error is None:
+            self._unparsed = rest[position:]
+        ready = list(self._ready)
+        self._ready.clear()
+        if self._error is not None and not ready:
+            raise self._error
+        return ready
+
+    def discard(self) -> None:
+        """Drop what has arrived; no bytes may be fed after it."""
+        self._unparsed = b""
+        self._reset()
+
+    def _get_piece_bytes(self) -> int:
+        """Return how many of the next bytes can't complete many requests."""
+        if self._n_expected_body_bytes is None:
+            return PARSED_PIECE_BYTES
+        n_missing = self._n_expected_body_bytes - self._n_body_bytes
+        return max(n_missing, PARSED_PIECE_BYTES)
+
+    def _feed_piece(self, data: bytes) -> None:
+        self._has_started = True
         if not self._has_headers:
             self._n_header_bytes += len(data)
         try:
@@ -68,7 +131,7 @@
             self._error = self._error or _make_error(
                 RequestFault.MALFORMED, f"not HTTP/1.1: {error!r}"
             )
-        # Bounds headers that never end, with a tolerance of one read; `on_header`
+        # Bounds headers that never end, with a tolerance of one piece; `on_header`
         # checks complete headers.
         if not self._has_headers and (
             self._n_header_bytes > self._limits.header_bytes + len(data)
@@ -77,19 +140,16 @@
                 RequestFault.HEADERS_TOO_LARGE,
                 f"headers exceed {self._limits.header_bytes} bytes",
             )
-        ready = list(self._ready)
-        self._ready.clear()
-        if self._error is not None and not ready:
-            raise self._error
-        return ready
 
     def _reset(self) -> None:
         self._target = b""
         self._headers: list[tuple[str, str]] = []
-        self._body: list[bytes] = []
+        # One piece as it came, or all pieces joined: many pieces would take a multiple.
+        self._body: bytes | bytearray = b""
         self._n_header_bytes = 0
         self._n_parsed_header_bytes = 0
         self._n_body_bytes = 0
+        self._n_expected_body_bytes: int | None = None
         self._has_headers = False
         self._has_started = False
 
@@ -104,7 +164,12 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header and check the size of all headers."""
+        """Add a header and check the size and number of all headers."""
+        if len(self._headers) == N_REQUEST_HEADERS_LIMIT:
+            self._reject(
+                RequestFault.HEADERS_TOO_LARGE,
+                f"the number of headers exceeds {N_REQUEST_HEADERS_LIMIT}",
+            )
         header = (name.decode("latin-1").lower(), value.decode("latin-1"))
         self._headers.append(header)
         # Each header line adds a colon, a space and a line end of 2 bytes.
@@ -128,12 +193,18 @@
         length = find_header(tuple(self._headers), "content-length")
         if length is not None and length.isdecimal():
             self._check_body_size(int(length))
+            self._n_expected_body_bytes = int(length)
 
     def on_body(self, data: bytes) -> None:
         """Add a part of the body and check the body's size."""
         self._n_body_bytes += len(data)
         self._check_body_size(self._n_body_bytes)
-        self._body.append(data)
+        if not self._body:
+            self._body = data
+            return
+        if isinstance(self._body, bytes):
+            self._body = bytearray(self._body)
+        self._body += data
 
     def on_message_complete(self) -> None:
         """Add the complete request to those that `feed` returns."""
@@ -142,7 +213,7 @@
                 self._parser.get_method().decode("latin-1"),
                 self._target.decode("latin-1"),
                 tuple(self._headers),
-                b"".join(self._body),
+                bytes(self._body),
                 bool(self._parser.should_keep_alive()),
             )
         )
@@ -160,6 +231,15 @@
         raise self._error
 
 
+def get_held_bytes(request: HttpRequest) -> int:
+    """Return what a request holds, as a share of the memory counts it."""
+    return (
+        len(request.body)
+        + len(request.headers) * HEADER_COST_BYTES
+        + REQUEST_COST_BYTES
+    )
+
+
 def _make_error(fault: RequestFault, detail: str) -> RequestParseError:
     return RequestParseError(fault, detail)
 
--- a/oleanderhitch/platform/process.py
+++ b/oleanderhitch/platform/process.py
@@ -12,7 +12,14 @@
 import gevent.event
 import logbook
 
+from oleanderhitch.connection.http.budget import (
+    N_STATUS_CONNECTIONS,
+    STATUS_BUDGET_BYTES,
+    STATUS_LIMITS,
+    ServerBudget,
+)
 from oleanderhitch.connection.http.caller import ResponseWriter
+from oleanderhitch.connection.http.memory import make_traffic_memory
 from oleanderhitch.connection.http.messages import HttpRequest, HttpResponse
 from oleanderhitch.connection.http.server import make_http_server
 from oleanderhitch.connection.ids import HostAddress
@@ -101,7 +108,15 @@
     metrics_task.start()
     runnable.start()
     if metrics_address is not None:
-        make_http_server(metrics_address, _make_metrics_service(metrics), clock).start()
+        make_http_server(
+            metrics_address,
+            _make_metrics_service(metrics),
+            clock,
+            lambda: STATUS_LIMITS,
+            ServerBudget(
+                make_traffic_memory(STATUS_BUDGET_BYTES), N_STATUS_CONNECTIONS
+            ),
+        ).start()
     gevent.spawn(_watch_settings, runnable, read_settings, reload_requested)
     log.info("started")
     lifetime.wait()
--- a/oleanderhitch/platform/settings.py
+++ b/oleanderhitch/platform/settings.py
@@ -50,6 +50,7 @@
     """What a process may use of its host."""
 
     memory_mb: float | None = None
+    max_fds: int | None = None
 
 
 @dataclass(frozen=True)
@@ -131,6 +132,7 @@
         timedelta(seconds=file.bounds.grace_s),
         HostAddress(f"{file.ip}:{metrics_port}") if metrics_port else None,
         _find_memory_limit(file),
+        file.limits.max_fds,
     )
 
 
--- a/oleanderhitch/process/engines/client.py
+++ b/oleanderhitch/process/engines/client.py
@@ -16,7 +16,7 @@
     read_whole,
 )
 from oleanderhitch.connection.exceptions import ConnectionLostError
-from oleanderhitch.connection.http.memory import make_response_memory
+from oleanderhitch.connection.http.memory import make_traffic_memory
 from oleanderhitch.exceptions import OleanderhitchError
 from oleanderhitch.process.clock import Clock
 from oleanderhitch.process.engines.messages import (
@@ -68,7 +68,7 @@
         self._pool_manager = pool_manager
         self._clock = clock
         self._mailbox = mailbox
-        self._memory = make_response_memory()
+        self._memory = make_traffic_memory()
 
     def send(self, message: object) -> None:
         """Enqueue a CallEngine; raise MailboxFullError if the mailbox is full."""
--- a/oleanderhitch/process/metrics/core.py
+++ b/oleanderhitch/process/metrics/core.py
@@ -55,6 +55,7 @@
         self._latencies = {name: _LatencyRecord() for name in Latency}
         self._counters: defaultdict[tuple[Counter, str], float] = defaultdict(float)
         self._gauges: dict[tuple[Gauge, str], float] = {}
+        self._sources: dict[tuple[Gauge, str], Callable[[], float]] = {}
 
     def record(self, metric: Latency, duration: timedelta) -> None:
         """Record a latency; one above an hour is recorded as an hour."""
@@ -73,6 +74,12 @@
         """Set a gauge."""
         self._gauges[metric, label] = value
 
+    def observe_gauge(
+        self, metric: Gauge, get_value: Callable[[], float], label: str = ""
+    ) -> None:
+        """Set a gauge at each snapshot: its value changes too often to record."""
+        self._sources[metric, label] = get_value
+
     def rotate_windows(self) -> None:
         """Start a new window and drop the oldest one."""
         for latency in self._latencies.values():
@@ -81,6 +88,8 @@
 
     def make_snapshot(self) -> MetricsSnapshot:
         """Return the metrics as a message that can be sent to other processes."""
+        for gauge, get_value in self._sources.items():
+            self._gauges[gauge] = get_value()
         return MetricsSnapshot(
             tuple(
                 _make_latency_sample(name, latency)
@@ -111,6 +120,15 @@
     return count
 
 
+def make_label_counter(metrics: Metrics, metric: Counter) -> Callable[[str], None]:
+    """Return a function that increases one counter by 1 for a label."""
+
+    def count(label: str) -> None:
+        metrics.count(metric, label)
+
+    return count
+
+
 @singledispatch
 def handle(message: object, metrics: Metrics, now: datetime) -> list[object]:
     """Handle a message and return its effects."""
--- a/oleanderhitch/process/metrics/states.py
+++ b/oleanderhitch/process/metrics/states.py
@@ -55,6 +55,11 @@
     REFUSALS = MetricName(
         "oleanderhitch_refusals_total", "Calls refused before they ran.", "reason"
     )
+    CALLER_REFUSALS = MetricName(
+        "oleanderhitch_caller_refusals_total",
+        "Requests and connections that a server did not serve.",
+        "reason",
+    )
     PROMPT_TOKENS = MetricName(
         "oleanderhitch_prompt_tokens_total", "Prompt tokens sent to engines."
     )
@@ -126,6 +131,14 @@
         "Newest snapshot of this process's replica.",
         "group",
     )
+    HELD_BYTES = MetricName(
+        "oleanderhitch_held_bytes",
+        "Share of the memory that requests and responses hold.",
+        "kind",
+    )
+    CALLER_CONNECTIONS = MetricName(
+        "oleanderhitch_caller_connections", "Open connections of a server.", "server"
+    )
     GROUP_TURNS = MetricName(
         "oleanderhitch_group_turns", "Stored turns of programs.", "group"
     )
--- a/oleanderhitch/process/roles/entry.py
+++ b/oleanderhitch/process/roles/entry.py
@@ -12,6 +12,7 @@
 from oleanderhitch.connection.caller.server import CallerServer, make_caller_server
 from oleanderhitch.connection.codec import Codec
 from oleanderhitch.connection.endpoint.client import make_endpoint_client
+from oleanderhitch.connection.http.server_metrics import observe_servers
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.connection.peer.handshake import Identity
 from oleanderhitch.connection.peer.link import PeerLink, make_peer_link
@@ -45,7 +46,11 @@
     StoreUnreachable,
 )
 from oleanderhitch.process.membership.node.task import make_node_task
-from oleanderhitch.process.metrics.core import Metrics, make_counter
+from oleanderhitch.process.metrics.core import (
+    Metrics,
+    make_counter,
+    make_label_counter,
+)
 from oleanderhitch.process.metrics.states import Counter
 from oleanderhitch.process.roles.engines import EngineComponents, make_engine_components
 from oleanderhitch.process.roles.status import StatusApi
@@ -248,6 +253,14 @@
     program_api = ProgramApi(group_client, intake, codec, get_group, clock, metrics)
     status_api = StatusApi(metrics, tracer, intake, router)
     app = make_caller_app(intake, program_api, status_api, tracer)
+    budget = settings.make_server_budget()
+    caller_server = make_caller_server(
+        HostAddress(settings.listen),
+        app,
+        budget,
+        make_label_counter(metrics, Counter.CALLER_REFUSALS),
+    )
+    observe_servers(metrics, budget.memory, {"callers": caller_server.http_server})
     components = EntryComponents(
         node_task,
         group_client,
@@ -262,7 +275,7 @@
             deliver,
             count_bytes=count_bytes,
         ),
-        make_caller_server(HostAddress(settings.listen), app),
+        caller_server,
     )
     return components
 
--- a/oleanderhitch/process/settings.py
+++ b/oleanderhitch/process/settings.py
@@ -8,12 +8,14 @@
 from pydantic_settings import BaseSettings, SettingsConfigDict
 
 from oleanderhitch.connection.addresses import parse_address
+from oleanderhitch.connection.http.budget import ServerBudget, make_server_budget
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.exceptions import InvalidInputError
 from oleanderhitch.process.groups.placement import DEFAULT_N_SHARDS, Store, parse_stores
 from oleanderhitch.process.tracing.settings import TracingSettings
 
 KEY_MIN_BYTES = 16
+BYTES_PER_MEGABYTE = 1_000_000
 
 
 def _check_address(value: str) -> str:
@@ -112,6 +114,25 @@
         600.0, gt=0, description="longest wait for running requests at a stop"
     )
 
+    memory_limit_mb: float | None = Field(
+        None,
+        gt=0,
+        description="memory of this host in MB; bounds what callers make it hold",
+    )
+    n_descriptors_limit: int | None = Field(
+        None,
+        ge=1,
+        description="files and connections that may be open; bounds those of callers",
+    )
+
+    def make_server_budget(self) -> ServerBudget:
+        """Return what the callers of this process may use."""
+        limit_mb = self.memory_limit_mb
+        return make_server_budget(
+            None if limit_mb is None else int(limit_mb * BYTES_PER_MEGABYTE),
+            self.n_descriptors_limit,
+        )
+
     def get_drain_timeout(self) -> timedelta:
         """Return how long a stopping process waits for running requests."""
         return timedelta(seconds=self.drain_timeout_s)
--- a/oleanderhitch/process/site/entry.py
+++ b/oleanderhitch/process/site/entry.py
@@ -10,15 +10,18 @@
 import gevent.event
 import logbook
 
+from oleanderhitch.connection.http.budget import (
+    N_STATUS_CONNECTIONS,
+    STATUS_LIMITS,
+    ServerBudget,
+    make_server_budget,
+)
 from oleanderhitch.connection.http.caller import ResponseWriter
 from oleanderhitch.connection.http.endpoint import make_endpoint_connection
-from oleanderhitch.connection.http.memory import (
-    DEFAULT_BUDGET_BYTES,
-    make_response_memory,
-)
 from oleanderhitch.connection.http.messages import HttpRequest, HttpResponse
 from oleanderhitch.connection.http.pool import make_connection_pool
 from oleanderhitch.connection.http.server import make_http_server
+from oleanderhitch.connection.http.server_metrics import observe_servers
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.connection.peer.messages import PeerMessage
 from oleanderhitch.process.caches.dialect import CacheDialect
@@ -33,7 +36,11 @@
     GroupUncertain,
 )
 from oleanderhitch.process.mailbox import Mailbox
-from oleanderhitch.process.metrics.core import Metrics, make_counter
+from oleanderhitch.process.metrics.core import (
+    Metrics,
+    make_counter,
+    make_label_counter,
+)
 from oleanderhitch.process.metrics.states import Counter
 from oleanderhitch.process.placement.messages import SendPermitReply
 from oleanderhitch.process.placement.task import make_placement_task
@@ -67,10 +74,6 @@
 LAST_RESPONSE_TIME = timedelta(milliseconds=300)
 DRAIN_POLL_INTERVAL = timedelta(milliseconds=50)
 
-# Part of the memory of a host that responses of endpoints may take. The process itself
-# takes up to a half, and a response takes twice its size while it grows and is sent on.
-RESPONSE_MEMORY_SHARE = 0.125
-
 READY = HttpResponse(200)
 NOT_READY = HttpResponse(503)
 
@@ -114,11 +117,11 @@
         self._group_client = make_group_client(
             self._links.list_addresses(), self._send_to_store, clock
         )
-        response_memory = make_response_memory(
-            _get_response_budget(settings.site.memory_limit_bytes)
+        budget = make_server_budget(
+            settings.site.memory_limit_bytes, settings.site.n_descriptors_limit
         )
         self._connection_pool = make_connection_pool(
-            partial(make_endpoint_connection, memory=response_memory), clock
+            partial(make_endpoint_connection, memory=budget.memory), clock
         )
         self._caches = make_caches_task(
             dependencies.cache_dialect, self._connection_pool, clock
@@ -158,17 +161,30 @@
             clock,
             random.Random(uuid.uuid4().int),
             metrics,
-            response_memory,
+            budget.memory,
             self._get_end_time,
         )
+        count_refusal = make_label_counter(metrics, Counter.CALLER_REFUSALS)
         self._caller_server = make_http_server(
             settings.caller_address,
             partial(_serve, dependencies=forward_dependencies),
             clock,
             self._get_caller_limits,
+            budget,
+            count_refusal,
         )
         self._readiness_server = make_http_server(
-            settings.readiness_address, self._serve_readiness, clock
+            settings.readiness_address,
+            self._serve_readiness,
+            clock,
+            lambda: STATUS_LIMITS,
+            ServerBudget(budget.memory, N_STATUS_CONNECTIONS),
+            count_refusal,
+        )
+        observe_servers(
+            metrics,
+            budget.memory,
+            {"callers": self._caller_server, "readiness": self._readiness_server},
         )
 
     def start(self) -> None:
@@ -277,12 +293,6 @@
         self._subscription.send(ListReadLocally(endpoint_list))
 
 
-def _get_response_budget(memory_limit_bytes: int | None) -> int:
-    if memory_limit_bytes is None:
-        return DEFAULT_BUDGET_BYTES
-    return int(memory_limit_bytes * RESPONSE_MEMORY_SHARE)
-
-
 def _serve(
     request: HttpRequest,
     writer: ResponseWriter,
--- a/oleanderhitch/process/site/settings.py
+++ b/oleanderhitch/process/site/settings.py
@@ -15,7 +15,8 @@
     The node id of a store is the address it listens on for other nodes; replica ids
     contain it, so that every known replica can be reached. The seeds are the stores
     that a process contacts first. `stop_grace_period` is the time from SIGTERM to
-    SIGKILL. A process that takes more than `memory_limit_bytes` is ended.
+    SIGKILL. A process that takes more than `memory_limit_bytes` is ended, and it can't
+    open more than `n_descriptors_limit` files and connections.
     """
 
     host: HostName
@@ -26,6 +27,7 @@
     stop_grace_period: timedelta
     metrics_address: HostAddress | None
     memory_limit_bytes: int | None = None
+    n_descriptors_limit: int | None = None
 
 
 class SiteEntrySettings(Value, frozen=True):
--- a/oleanderhitch/process/site/store.py
+++ b/oleanderhitch/process/site/store.py
@@ -11,7 +11,9 @@
 import gevent.event
 import logbook
 
+from oleanderhitch.connection.http.budget import make_server_budget
 from oleanderhitch.connection.http.server import make_http_server
+from oleanderhitch.connection.http.server_metrics import observe_servers
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.connection.peer.handshake import Identity
 from oleanderhitch.connection.peer.link import PeerLink
@@ -34,7 +36,11 @@
     StoresChanged,
 )
 from oleanderhitch.process.ids import CallId, GroupId, NodeId, ReplicaId
-from oleanderhitch.process.metrics.core import Metrics, make_counter
+from oleanderhitch.process.metrics.core import (
+    Metrics,
+    make_counter,
+    make_label_counter,
+)
 from oleanderhitch.process.metrics.states import Counter, Gauge
 from oleanderhitch.process.placement.messages import SendPermitRequest
 from oleanderhitch.process.repair.core import BalanceSlot
@@ -191,6 +197,8 @@
             LINK_TIMING,
             count_bytes,
         )
+        # Operators have a budget of their own: what stores hold is not theirs.
+        budget = make_server_budget(site.memory_limit_bytes, site.n_descriptors_limit)
         self._operator_server = make_http_server(
             settings.operator_address,
             make_operator_service(
@@ -200,7 +208,10 @@
             ),
             clock,
             lambda: OPERATOR_LIMITS,
+            budget,
+            make_label_counter(metrics, Counter.CALLER_REFUSALS),
         )
+        observe_servers(metrics, budget.memory, {"operators": self._operator_server})
 
     def _make_member_settings(self, group: GroupId) -> MemberSettings:
         settings = self._settings
--- a/oleanderhitch/request/forwarding/task.py
+++ b/oleanderhitch/request/forwarding/task.py
@@ -15,7 +15,7 @@
 from oleanderhitch.connection.http.caller import ResponseWriter
 from oleanderhitch.connection.http.endpoint import Exchange
 from oleanderhitch.connection.http.flow import ResponseFlow, make_response_flow
-from oleanderhitch.connection.http.memory import MemoryShare, ResponseMemory
+from oleanderhitch.connection.http.memory import MemoryShare, TrafficMemory
 from oleanderhitch.connection.http.messages import (
     HttpRequest,
     HttpResponse,
@@ -116,7 +116,7 @@
     clock: Clock
     random_source: Random
     metrics: Metrics
-    response_memory: ResponseMemory
+    response_memory: TrafficMemory
     # When this process ends, once it has been told to stop.
     get_end_time: Callable[[], datetime | None]
     request_numbers: "count[int]" = field(default_factory=lambda: count(1))
--- a/standins/connection/common_http.py
+++ b/standins/connection/common_http.py
@@ -8,8 +8,8 @@
 
 import bottle
 from gevent.event import Event
+from gevent.pywsgi import WSGIHandler
 
-from oleanderhitch.connection.caller.server import NoDelayHandler
 from oleanderhitch.process.mailbox import Address, Mailbox, make_mailbox
 from standins.request.messages import Response, SetFault
 from standins.request.states import FaultKind
@@ -42,8 +42,17 @@
         return bool(self._idle.wait(timeout.total_seconds()))
 
 
-class SocketHandler(NoDelayHandler):
-    """Gives request handlers access to their socket, so that they can inject faults."""
+class SocketHandler(WSGIHandler):  # type: ignore[misc]
+    """Gives request handlers access to their socket, so that they can inject faults.
+
+    Sets TCP_NODELAY so that each chunk of an answer is sent immediately. With Nagle's
+    algorithm a chunk waits until the caller's host acknowledges the preceding one,
+    which it delays by 40 ms.
+    """
+
+    def __init__(self, accepted: socket.socket, remote: object, server: object) -> None:
+        accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super().__init__(accepted, remote, server)
 
     def get_environ(self) -> dict[str, Any]:
         """Return the WSGI environment with the socket added."""
--- a/tests/connection/endpoint/test_endless_responses.py
+++ b/tests/connection/endpoint/test_endless_responses.py
@@ -16,7 +16,7 @@
     release_connection,
 )
 from oleanderhitch.connection.exceptions import ConnectionLostError
-from oleanderhitch.connection.http.memory import make_response_memory
+from oleanderhitch.connection.http.memory import make_traffic_memory
 from oleanderhitch.process.clock import make_system_clock
 
 CLOCK = make_system_clock()
@@ -49,7 +49,7 @@
 def read(url: str) -> None:
     """Read a whole response."""
     response = open_response(make_pool_manager(), "GET", url, TIMEOUT, TIMEOUT)
-    share = make_response_memory().make_share()
+    share = make_traffic_memory().make_share()
     read_whole(response, TIMEOUT, LIMIT_BYTES, share)
 
 
@@ -80,7 +80,7 @@
 
 def test_answers_share_the_memory_of_the_process(flood: Flood) -> None:
     """Guard against answers that fit one by one and not all at once."""
-    memory = make_response_memory(LIMIT_BYTES)
+    memory = make_traffic_memory(LIMIT_BYTES)
     url = flood("body")
     for _ in range(10):
         response = open_response(make_pool_manager(), "GET", url, TIMEOUT, TIMEOUT)
--- a/tests/connection/http/test_caller.py
+++ b/tests/connection/http/test_caller.py
@@ -8,7 +8,9 @@
 import pytest
 from gevent import monkey, socket
 
+from oleanderhitch.connection.http.budget import ServerBudget
 from oleanderhitch.connection.http.caller import ResponseWriter
+from oleanderhitch.connection.http.memory import FREE_SHARE_BYTES, make_traffic_memory
 from oleanderhitch.connection.http.messages import (
     CallerDisconnected,
     HttpRequest,
@@ -23,6 +25,8 @@
 LIMITS = CallerLimits(
     header_timeout=timedelta(milliseconds=200), idle_timeout=timedelta(seconds=2)
 )
+BUDGET_BYTES = 100_000
+N_CONNECTIONS = 20
 GET = b"GET %b HTTP/1.1\r\nHost: h\r\n\r\n"
 ServeRequest = Callable[[HttpRequest, ResponseWriter, Mailbox, datetime], None]
 
@@ -37,7 +41,9 @@
         free.bind(("127.0.0.1", 0))
         address = HostAddress(f"127.0.0.1:{free.getsockname()[1]}")
         free.close()
-        server = make_http_server(address, serve, make_system_clock(), lambda: LIMITS)
+        budget = ServerBudget(make_traffic_memory(BUDGET_BYTES), N_CONNECTIONS)
+        clock = make_system_clock()
+        server = make_http_server(address, serve, clock, lambda: LIMITS, budget)
         server.start()
         servers.append(server)
         return server, address
@@ -243,3 +249,52 @@
     data = read_all(busy)
     assert b"connection: close" in data
     assert data.endswith(b"/busy")
+
+
+def test_connections_without_a_request_make_room(
+    start: Callable[[ServeRequest], tuple[HttpServer, HostAddress]],
+) -> None:
+    """Guard against descriptors that idle callers use up, and against cut responses."""
+    release = gevent.event.Event()
+
+    def serve(
+        request: HttpRequest, writer: ResponseWriter, mailbox: Mailbox, now: datetime
+    ) -> None:
+        release.wait()
+        echo(request, writer, mailbox, now)
+
+    server, address = start(serve)
+    served = connect(address)
+    served.sendall(GET % b"/served")
+    idle = [connect(address) for _ in range(N_CONNECTIONS)]
+    assert idle[0].recv(1) == b""
+    assert server.n_connections <= N_CONNECTIONS
+    last = connect(address)
+    last.sendall(GET % b"/last")
+    release.set()
+    assert b"/served" in served.recv(4096)
+    assert b"/last" in last.recv(4096)
+
+
+def test_stalled_bodies_leave_room_for_an_ordinary_one(
+    start: Callable[[ServeRequest], tuple[HttpServer, HostAddress]],
+) -> None:
+    """Guard against bodies just short of their end that no other request fits beside.
+
+    The one that is dropped is told that it did not run.
+    """
+    server, address = start(echo)
+    head = b"POST %b HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
+    stalled = [connect(address) for _ in range(10)]
+    for connected in stalled:
+        connected.sendall(head % (b"/stalled", 45_000) + b"a" * 44_990)
+    gevent.sleep(0.05)
+    last = connect(address)
+    last.sendall(head % (b"/last", 30_000) + b"a" * 30_000)
+    assert b"/last" in last.recv(4096)
+    assert stalled[-1].recv(4096).startswith(b"HTTP/1.1 503")
+    assert server.memory.n_bytes <= BUDGET_BYTES + N_CONNECTIONS * FREE_SHARE_BYTES
+    for connected in stalled:
+        connected.close()
+    gevent.sleep(0.05)
+    assert server.memory.n_bytes == 0
--- a/tests/connection/http/test_memory.py
+++ b/tests/connection/http/test_memory.py
@@ -6,7 +6,7 @@
 from oleanderhitch.connection.http.memory import (
     FREE_SHARE_BYTES,
     MemoryShare,
-    make_response_memory,
+    make_traffic_memory,
 )
 
 BUDGET_BYTES = 1_000_000
@@ -22,13 +22,13 @@
 
 def test_one_response_gets_half_of_the_budget() -> None:
     """Guard against a large sound response that is cut off without need."""
-    share = make_response_memory(BUDGET_BYTES).make_share()
+    share = make_traffic_memory(BUDGET_BYTES).make_share()
     assert fill(share) == BUDGET_BYTES // 2
 
 
 def test_many_responses_fit_into_the_budget_together() -> None:
     """Guard against a bound of each response that is no bound of the host."""
-    memory = make_response_memory(BUDGET_BYTES)
+    memory = make_traffic_memory(BUDGET_BYTES)
     shares = [memory.make_share() for _ in range(20)]
     for share in shares:
         fill(share)
@@ -41,7 +41,7 @@
 )
 def test_closed_shares_hold_nothing(steps: list[tuple[int, int]]) -> None:
     """Guard against memory that stays taken after its response."""
-    memory = make_response_memory(BUDGET_BYTES)
+    memory = make_traffic_memory(BUDGET_BYTES)
     shares = [memory.make_share() for _ in range(10)]
     for number, n_bytes in steps:
         shares[number].resize(n_bytes)
@@ -49,3 +49,23 @@
     for share in shares:
         share.close()
     assert memory.n_bytes == 0
+
+
+def test_a_smaller_request_displaces_the_largest_that_has_not_arrived() -> None:
+    """Guard against stalled bodies that leave no room for ordinary requests."""
+    memory = make_traffic_memory(BUDGET_BYTES)
+    evicted: list[int] = []
+    arriving = [memory.make_share(lambda n=n: evicted.append(n)) for n in range(3)]
+    running = memory.make_share(lambda: evicted.append(9))
+    assert running.resize(400_000)
+    running.set_protected(True)
+    assert arriving[0].resize(200_000)
+    assert arriving[1].resize(150_000)
+    assert not arriving[2].resize(210_000)
+    assert evicted == []
+    assert arriving[2].resize(130_000)
+    assert evicted == [0]
+    assert arriving[0].n_bytes == 0
+    assert memory.make_share().resize(250_000)
+    assert evicted == [0, 1, 2]
+    assert running.n_bytes == 400_000
--- a/tests/connection/http/test_parsing.py
+++ b/tests/connection/http/test_parsing.py
@@ -10,6 +10,8 @@
 )
 from oleanderhitch.connection.http.messages import BodyEnd, HttpRequest, RequestFault
 from oleanderhitch.connection.http.parsing import (
+    N_REQUEST_HEADERS_LIMIT,
+    PARSED_PIECE_BYTES,
     RESPONSE_HEAD_LIMIT_BYTES,
     ParsedBody,
     ParsedEnd,
@@ -68,6 +70,10 @@
             b"GET / HTTP/1.1\r\nHost: h\r\nA: " + b"x" * 600 + b"\r\n\r\n",
             RequestFault.HEADERS_TOO_LARGE,
         ),
+        (
+            b"GET / HTTP/1.1\r\nHost: h\r\n" + b"a:\r\n" * N_REQUEST_HEADERS_LIMIT,
+            RequestFault.HEADERS_TOO_LARGE,
+        ),
         (
             b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n",
             RequestFault.BODY_TOO_LARGE,
@@ -88,6 +94,21 @@
     assert caught.value.fault is fault
 
 
+def test_pipelined_requests_are_parsed_a_few_at_a_time() -> None:
+    """Guard against one read that makes a thousand requests."""
+    parser = make_request_parser(LIMITS)
+    request = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+    n_requests = 0
+    data = PLAIN + request * 1000
+    while data or parser.has_unparsed:
+        requests = parser.feed(data)
+        data = b""
+        assert len(requests) <= 1 + PARSED_PIECE_BYTES // len(request)
+        n_requests += len(requests)
+    assert n_requests == 1001
+    assert parser.is_idle
+
+
 def test_response_with_content_length_is_framed() -> None:
     """Guard against bytes after a framed response that are added to its body."""
     parser = make_response_parser()
--- a/tests/process/site/harness.py
+++ b/tests/process/site/harness.py
@@ -183,6 +183,10 @@
         store.start()
         self.stores[number] = store
 
+    def get_peer_address(self, number: int) -> HostAddress:
+        """Return the address of a store for other processes."""
+        return self._peer_addresses[number]
+
     def stop_store(self, number: int) -> None:
         """Stop a store without a leadership transfer and release its files."""
         self.stores.pop(number).close()
--- a/tests/request/forwarding/test_alarms.py
+++ b/tests/request/forwarding/test_alarms.py
@@ -5,7 +5,7 @@
 import gevent
 import pytest
 
-from oleanderhitch.connection.http.memory import make_response_memory
+from oleanderhitch.connection.http.memory import make_traffic_memory
 from oleanderhitch.process import alarm as alarm_module
 from oleanderhitch.process.clock import make_system_clock
 from oleanderhitch.process.mailbox import make_mailbox
@@ -33,7 +33,7 @@
     state = make_state()
     state.deadline = CLOCK.now() + timedelta(milliseconds=100)
     alarm = alarm_module.make_alarm(lambda: mailbox.send(Tick()), CLOCK)
-    share = make_response_memory().make_share()
+    share = make_traffic_memory().make_share()
     return ForwardContext(Dependencies(), None, state, None, mailbox, alarm, share)  # type: ignore[arg-type]
 
 
@@ -58,7 +58,7 @@
 def test_exhausted_memory_ends_an_attempt_once(has_attempt: bool) -> None:
     """Guard against a request that reports the same shortage for ever."""
     context = make_context()
-    context.share = make_response_memory(1000).make_share()
+    context.share = make_traffic_memory(1000).make_share()
     context.state.output += b"a" * 100_000
     if has_attempt:
         run(context.state, Start(), grant("e1"))
