--- a/oleanderhitch/platform/settings.py
+++ b/oleanderhitch/platform/settings.py
@@ -60,6 +60,7 @@
     """What a process may use of its host."""
 
     memory_mb: float | None = None
+    max_fds: int | None = None
 
 
 @dataclass(frozen=True)
@@ -144,6 +145,7 @@
         _find_memory_limit(file),
         _find_revocation_limit(file.bounds),
         _find_quota_bounds(file),
+        file.limits.max_fds,
     )
 
 
--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -272,7 +272,7 @@
 ) -> list[object]:
     """Grant a request an endpoint, or ask for one, or let the request wait."""
     state.undecided.setdefault(message.holder, now)
-    queue_id = get_queue_id(message)
+    queue_id = get_queue_id(message, state)
     queue = state.queues[queue_id]
     is_sendable = message.fingerprint not in state.quarantined
     if is_sendable and not queue.waiting:
@@ -619,7 +619,7 @@
     message: AcquireEndpoint, n_ahead: int, state: PlacementState, now: datetime
 ) -> timedelta | None:
     time_left = (message.caller_deadline or message.deadline) - now
-    drain = state.queues[get_queue_id(message)].drain
+    drain = state.queues[get_queue_id(message, state)].drain
     return find_retry_after(drain, n_ahead, time_left, state.random_source)
 
 
@@ -771,7 +771,7 @@
         expected_ms = get_first_event_ms(endpoint, n_uncached, state, now)
         record_prompt(endpoint.cache, message.workload)
     endpoint_id = endpoint.listed.endpoint
-    queue_id = get_queue_id(message)
+    queue_id = get_queue_id(message, state)
     state.pending_prefill_tokens[endpoint_id] += n_uncached
     state.permits[permit] = Permit(
         endpoint_id,
--- a/oleanderhitch/process/placement/ordering.py
+++ b/oleanderhitch/process/placement/ordering.py
@@ -19,7 +19,11 @@
     InferenceWorkload,
     RequestStage,
 )
-from oleanderhitch.process.placement.records import QueueId, ServiceQueue
+from oleanderhitch.process.placement.records import (
+    PlacementState,
+    QueueId,
+    ServiceQueue,
+)
 from oleanderhitch.process.placement.speeds import DECODE_MS_PER_TOKEN
 from oleanderhitch.program.ids import AccountId
 
@@ -39,9 +43,16 @@
 OrderKey = tuple[int, bool, int, bool, datetime]
 
 
-def get_queue_id(message: AcquireEndpoint) -> QueueId:
-    """Return the queue in which a request waits."""
-    return QueueId(message.service, message.workload is not None)
+def get_queue_id(message: AcquireEndpoint, state: PlacementState) -> QueueId:
+    """Return the queue in which a request waits.
+
+    All requests of a service of engines share one queue, also those that name no
+    prompt. With a queue of their own, these could take all slots of the engines.
+    """
+    is_engine = (
+        message.workload is not None or message.service in state.cache_capacity_tokens
+    )
+    return QueueId(message.service, is_engine)
 
 
 def iterate_in_order(queue: ServiceQueue, now: datetime) -> Iterator[AcquireEndpoint]:
--- a/oleanderhitch/process/site/settings.py
+++ b/oleanderhitch/process/site/settings.py
@@ -16,8 +16,9 @@
     The node id of a store is the address it listens on for other nodes; replica ids
     contain it, so that every known replica can be reached. The seeds are the stores
     that a process contacts first. `stop_grace_period` is the time from SIGTERM to
-    SIGKILL. A process that takes more than `memory_limit_bytes` is ended. Without
-    `quota_bounds`, the limits of client accounts have no effect.
+    SIGKILL. A process that takes more than `memory_limit_bytes` is ended, and it can't
+    open more than `n_descriptors_limit` files and connections. Without `quota_bounds`,
+    the limits of client accounts have no effect.
     """
 
     host: HostName
@@ -32,6 +33,7 @@
     # no such limit.
     revocation_limit: timedelta | None = None
     quota_bounds: QuotaBounds | None = None
+    n_descriptors_limit: int | None = None
 
 
 class SiteEntrySettings(Value, frozen=True):
--- a/tests/process/placement/test_ordering.py
+++ b/tests/process/placement/test_ordering.py
@@ -8,6 +8,7 @@
 from oleanderhitch.process.placement.messages import (
     AcquireEndpoint,
     AttemptResult,
+    CacheCapacitiesUpdated,
     EndpointGranted,
     ExhaustedEndpoint,
     ReleaseEndpoint,
@@ -19,6 +20,7 @@
 from oleanderhitch.version.ids import EndpointId
 from tests.process.placement.test_core import (
     NOW,
+    SERVICE,
     acquire,
     make_endpoint,
     make_state,
@@ -142,3 +144,27 @@
         served.append(service.free_slot())
     assert served.index("patient") < N_GRANTS_PER_AGED
     assert len(served) - served.count("patient") == 2 * N_GRANTS_PER_AGED - 1
+
+
+def test_requests_without_a_prompt_leave_engines_to_others() -> None:
+    """Guard against callers that take all slots of the engines for good.
+
+    Answers a crowd at an engine service whose requests name no prompt: in a queue of
+    their own they took more slots than the engines have, and the others got none.
+    """
+    state = make_state(make_endpoint("e1", 2))
+    handle(CacheCapacitiesUpdated({SERVICE: 1000}), state, NOW)
+    for number in range(9):
+        handle(acquire(f"crowd{number}"), state, NOW)
+    handle(ask("prompt"), state, NOW)
+    served = []
+    for number in range(20):
+        # A caller of the crowd comes back at once.
+        permit = next(iter(state.permits))
+        released = ReleaseEndpoint(permit, AttemptResult.COMPLETED)
+        for effect in handle(released, state, NOW):
+            assert isinstance(effect, SendReply)
+            assert isinstance(effect.message, EndpointGranted)
+            served.append(effect.message.holder)
+        handle(acquire(f"again{number}"), state, NOW)
+    assert "prompt" in served
