--- a/oleanderhitch/request/forwarding/identity.py
+++ b/oleanderhitch/request/forwarding/identity.py
@@ -63,17 +63,17 @@
     A table with accounts may be outdated. A key in it counts only under a lease, and
     the lack of a key or of a route only under a fresh one.
     """
-    unknown = Verdict.NOT_CURRENT
-    if lease is LeaseState.FRESH or not table.has_accounts:
-        unknown = Verdict.UNAUTHORIZED
+    may_deny = lease is LeaseState.FRESH or not table.has_accounts
     route = table.find_route(request.host, request.path)
     if route is None:
-        return Verdict.NO_ROUTE if unknown is Verdict.UNAUTHORIZED else unknown
+        return Verdict.NO_ROUTE if may_deny else Verdict.NOT_CURRENT
     is_keyless = route.is_public and request.key is None
     if table.has_accounts and not is_keyless and lease is LeaseState.LAPSED:
         return Verdict.NOT_CURRENT
     identity = identify_caller(request, route, table)
-    return unknown if identity is None else Admission(table, route, identity)
+    if identity is None:
+        return Verdict.UNAUTHORIZED if may_deny else Verdict.NOT_CURRENT
+    return Admission(table, route, identity)
 
 
 def find_departure_fault(
--- a/tests/request/forwarding/test_arrival.py
+++ b/tests/request/forwarding/test_arrival.py
@@ -7,15 +7,25 @@
 
 from oleanderhitch.connection.http.messages import HttpRequest
 from oleanderhitch.platform.requests import make_platform_dialect
-from oleanderhitch.process.clock import make_boot_clock, make_system_clock
+from oleanderhitch.platform.routing import parse_route_table
+from oleanderhitch.process.clock import make_system_clock
+from oleanderhitch.process.placement.messages import EndpointGranted
 from oleanderhitch.process.site.subscription.installed_state import InstalledState
 from oleanderhitch.process.site.subscription.lease import Lease, make_lease_terms
 from oleanderhitch.request.forwarding.identity import Admission
+from oleanderhitch.request.forwarding.messages import GrantBarred
 from oleanderhitch.request.forwarding.states import Verdict
 from oleanderhitch.request.forwarding.task import (
     ROUTE_TABLE_WAIT_SHARE,
+    ForwardContext,
     _await_admission,
+    _translate,
 )
+from oleanderhitch.request.ids import PermitId
+from tests.platform.test_requests import ENDPOINT
+from tests.platform.test_routing import encode, make_configuration
+from tests.process.site.test_subscribers import ManualClock
+from tests.request.forwarding.test_core import make_state
 from tests.request.forwarding.test_identity import make_table
 
 CALLER_TIMEOUT = timedelta(milliseconds=500)
@@ -35,7 +45,7 @@
 
     def __init__(self) -> None:
         self.clock = make_system_clock()
-        self.boot_clock = make_boot_clock()
+        self.boot_clock = ManualClock()
         self.installed_state = InstalledState(
             self.boot_clock, make_lease_terms(timedelta(seconds=5))
         )
@@ -74,3 +84,23 @@
     assert _await_admission(REQUEST, dependencies) is verdict  # type: ignore[arg-type]
     waited = dependencies.clock.now() - started_at
     assert waited / CALLER_TIMEOUT == pytest.approx(ROUTE_TABLE_WAIT_SHARE, rel=0.5)
+
+
+def test_grant_is_not_used_after_a_suspension() -> None:
+    """Guard against sending what was admitted before the host was suspended."""
+    dependencies = Dependencies()
+    dependencies.installed_state.install(make_table())
+    dependencies.renew_lease()
+    admission = _await_admission(REQUEST, dependencies)  # type: ignore[arg-type]
+    assert isinstance(admission, Admission)
+    state = make_state()
+    state.identity, state.route = admission.identity, admission.route
+    context = ForwardContext(dependencies, REQUEST, state, *[None] * 4)  # type: ignore[arg-type]
+    grant = EndpointGranted(state.holder, PermitId(1), ENDPOINT)
+    assert _translate(grant, context) == grant
+    dependencies.boot_clock.time += timedelta(seconds=60)
+    assert _translate(grant, context) == GrantBarred(grant, Verdict.NOT_CURRENT)
+    dependencies.renew_lease()
+    configuration = make_configuration(tenants=[])
+    dependencies.installed_state.install(parse_route_table(encode(configuration)))
+    assert _translate(grant, context) == GrantBarred(grant, Verdict.UNAUTHORIZED)
