--- a/tests/process/quotas/test_quotas.py
+++ b/tests/process/quotas/test_quotas.py
@@ -311,6 +311,18 @@
     assert programs.n_broken <= 0.1 * n_completed
 
 
+def test_credits_expire_by_the_time_of_the_question() -> None:
+    """Guard against slow links that make credits valid for longer."""
+    fleet = QuotaFleet(1, SMALL)
+    fleet.elect()
+    fleet.fill()
+    fleet.link_delay = 70 * MS
+    fleet.arrive(0, "small", NOW)
+    fleet.run(NOW + SECOND)
+    ((_, granted),) = fleet.granted.values()
+    assert granted.expires_at <= NOW + make_bucket(SMALL).ttl
+
+
 def test_nothing_is_kept_of_ended_requests() -> None:
     """Guard against memory that grows with the requests of accounts at rest."""
     fleet = QuotaFleet(1, SMALL, LARGE)
--- a/tests/process/site/test_quota_ledger.py
+++ b/tests/process/site/test_quota_ledger.py
@@ -69,8 +69,9 @@
     """Guard against credits that return to a bucket that was full without them."""
     ledger = make_full_ledger()
     n_lent = count_lent(ledger, at_ms=0)
-    other = ReturnedCredits(ACCOUNT.account, LedgerId(8), 0, n_lent)
-    assert count_lent(ledger, other, at_ms=50) <= 1
+    count_lent(ledger, at_ms=100)
+    other = ReturnedCredits(ACCOUNT.account, LedgerId(8), 100, n_lent)
+    assert count_lent(ledger, other, at_ms=200) <= 1
     full = make_full_ledger()
     one = CreditRequest(1, (CreditDemand(ACCOUNT.account, 1, 0),))
     full.lend(one, NOW)
@@ -79,6 +80,19 @@
     assert count_lent(full, returned, at_ms=2000) <= n_lent
 
 
+def test_returned_credits_leave_less_room_for_others() -> None:
+    """Guard against a bucket that would have been full if neither had been lent."""
+    ledger = make_full_ledger()
+    for at_ms, n_credits in ((0, 7), (100, 5), (200, 5), (1000, 10)):
+        request = CreditRequest(1, (CreditDemand(ACCOUNT.account, n_credits, 0),))
+        assert ledger.lend(request, NOW + at_ms * MS).loans[0].n_running == n_credits
+    first, second = (
+        ReturnedCredits(ACCOUNT.account, LEDGER, at_ms, 5) for at_ms in (100, 200)
+    )
+    # The first five fit. With them, the bucket had room for two more at 1000 ms.
+    assert count_lent(ledger, first, second, at_ms=1000) == 7
+
+
 class _Host:
     """Records the replies to an entry host, and reads that wait for an answer."""
 
