--- a/tests/process/quotas/test_quotas.py
+++ b/tests/process/quotas/test_quotas.py
@@ -334,3 +334,18 @@
     (state,) = fleet.hosts
     assert len(state.granted) <= 10
     assert not state.active and not state.sent and not state.scheduled
+
+
+def test_host_without_a_leader_refuses_in_time_and_recovers() -> None:
+    """Guard against callers that are told of a quota while nobody counts."""
+    fleet = QuotaFleet(1, SMALL)
+    fleet.elect()
+    fleet.fill()
+    fleet.lost_links.add(0)
+    fleet.arrive(0, "small", NOW)
+    fleet.arrive(0, "small", NOW + 400 * MS)
+    fleet.run(NOW + 600 * MS)
+    assert (fleet.n_unanswered, fleet.n_refused["small"]) == (1, 0)
+    fleet.lost_links.clear()
+    fleet.run(NOW + 850 * MS)
+    assert len(fleet.granted) == 1
