--- a/oleanderhitch/process/quotas/core.py
+++ b/oleanderhitch/process/quotas/core.py
@@ -228,6 +228,8 @@
     if not account.waiting:
         return []
     _sort_out_expired(account, now)
+    if not account.balance:
+        return []
     effects: list[object] = []
     for waiting in sorted(account.waiting.values(), key=lambda waiting: waiting.is_new):
         if not account.balance:
