Made the shared speeds robust against noisy neighbours

Cause: a noisy neighbour slows all observations of an engine for half a second, of all hosts at once, so that their number gave a certainty that they do not have. Requests then avoided engines whose neighbour had been busy.

Change: a half-life of 15 s instead of 5 and 10, 20 assumed observations of the median instead of 8, an observation counts as at most 1.5 times the known ratio instead of 2, and the prefill of an endpoint is assumed to be as slow as its decode until it was observed.

--- a/oleanderhitch/process/placement/speeds.py
+++ b/oleanderhitch/process/placement/speeds.py
@@ -35,7 +35,7 @@
 EQUAL_RATIO_MAX = 1.15
 # A neighbour slows an engine down 2.5 times for 0.6 s at a time. An observation counts
 # as at most this multiple of the known ratio, so that such times move it little.
-OBSERVATION_RATIO_MAX = 2.0
+OBSERVATION_RATIO_MAX = 1.5
 # How long estimates of an earlier leader count that the present one has not returned.
 UNCONFIRMED_SPEED_TTL = timedelta(seconds=30)
 # Shorter prompts tell more of the time until the first event without the prefill.
--- a/oleanderhitch/process/site/speed_totals.py
+++ b/oleanderhitch/process/site/speed_totals.py
@@ -16,16 +16,16 @@
 from oleanderhitch.process.site.ramps import Ramp, RampChange
 from oleanderhitch.version.ids import EndpointId
 
-# An endpoint of 12 slots yields more than ten observations of its decode a second, and
-# about two of its prefill. With these half-lives the mean of either varies by 3 to 7%
-# while neighbours are noisy.
-DECODE_HALF_LIFE = timedelta(seconds=5)
-PREFILL_HALF_LIFE = timedelta(seconds=10)
-# Observations of the median speed that are assumed of each endpoint. With 3, a single
-# noisy first observation kept requests from a new endpoint for seconds. An endpoint
-# that gets none since it was slow returns to the median, so that requests show whether
-# it still is: after 40 observations of twice the time, within 20 s.
-N_ASSUMED_OBSERVATIONS = 8.0
+# A noisy neighbour slows all observations of half a second, so that their number does
+# not make a mean certain. Over this time it varies by a few percent. With 5 s, requests
+# avoided engines whose neighbour had been busy, and equal engines were slower by 5 to
+# 10% in trials.
+HALF_LIFE = timedelta(seconds=15)
+# Observations of the median speed, or for the prefill of the speed of the decode, that
+# are assumed of each endpoint: more than there are while a neighbour is noisy. One that
+# gets no requests since it was slow returns to the median, so that requests show
+# whether it still is: after 60 observations of twice the time, within 90 s.
+N_ASSUMED_OBSERVATIONS = 20.0
 # Smaller changes are not sent.
 CHANGE_MIN = 0.1
 # Endpoints with fewer observations left, decayed, are forgotten.
@@ -37,7 +37,6 @@
 class _Mean(Struct):
     """A decaying mean of ratios in thousandths, and the one that was published last."""
 
-    half_life: timedelta
     n: float = 0.0
     total: float = 0.0
     updated_at: datetime | None = None
@@ -47,18 +46,20 @@
         """Add the sum of `n` observations."""
         if self.updated_at is not None:
             age = max(now - self.updated_at, timedelta(0))
-            decay = float(0.5 ** (age / self.half_life))
+            decay = float(0.5 ** (age / HALF_LIFE))
             self.n *= decay
             self.total *= decay
         self.n += n
         self.total += total
         self.updated_at = now
 
-    def publish(self) -> bool:
-        """Publish the mean if it has changed by a tenth; return whether it has."""
-        mean = (self.total + N_ASSUMED_OBSERVATIONS * RATIO_UNIT) / (
-            self.n + N_ASSUMED_OBSERVATIONS
-        )
+    def estimate(self, assumed: float) -> float:
+        """Return the mean together with the observations that are assumed."""
+        total = self.total + N_ASSUMED_OBSERVATIONS * assumed
+        return total / (self.n + N_ASSUMED_OBSERVATIONS)
+
+    def publish(self, mean: float) -> bool:
+        """Publish a mean if it has changed by a tenth; return whether it has."""
         if abs(mean - self.published) <= CHANGE_MIN * self.published:
             return False
         self.published = max(1, round(mean))
@@ -70,15 +71,17 @@
 
     born_ms: int
     number: int = 0
-    decode: _Mean = field(default_factory=lambda: _Mean(DECODE_HALF_LIFE))
-    prefill: _Mean = field(default_factory=lambda: _Mean(PREFILL_HALF_LIFE))
+    decode: _Mean = field(default_factory=_Mean)
+    prefill: _Mean = field(default_factory=_Mean)
     ramp: Ramp = field(default_factory=Ramp)
     published_allowed: int = 0
 
     def publish(self) -> bool:
         """Publish what has changed; return whether anything has."""
-        is_decode_new = self.decode.publish()
-        is_prefill_new = self.prefill.publish()
+        decode = self.decode.estimate(RATIO_UNIT)
+        is_decode_new = self.decode.publish(decode)
+        # A slow machine is slow at both, and its prefill is observed more seldom.
+        is_prefill_new = self.prefill.publish(self.prefill.estimate(decode))
         is_ramp_new = self.ramp.n_allowed != self.published_allowed
         self.published_allowed = self.ramp.n_allowed
         return is_decode_new or is_prefill_new or is_ramp_new
