--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -531,19 +531,20 @@
 ) -> Endpoint:
     """Return one of the cheapest endpoints, if possible one whose ramp allows it."""
     is_engine = message.workload is not None
-    costs = dict(
-        zip((item.listed.endpoint for item in endpoints), costs_ms, strict=True)
-    )
     first: Endpoint | None = None
-    left = list(endpoints)
-    while left:
-        left_ms = [costs[item.listed.endpoint] for item in left]
-        alike = choose_alike(left, left_ms, state.data_centre, is_engine)
+    while endpoints:
+        alike = choose_alike(endpoints, costs_ms, state.data_centre, is_engine)
         chosen = state.random_source.choice(alike)
         if try_pace(chosen, state, now):
             return chosen
         first = first or chosen
-        left.remove(chosen)
+        left = [
+            (endpoint, cost_ms)
+            for endpoint, cost_ms in zip(endpoints, costs_ms, strict=True)
+            if endpoint is not chosen
+        ]
+        endpoints = [endpoint for endpoint, _ in left]
+        costs_ms = [cost_ms for _, cost_ms in left]
     assert first is not None
     return first
 
