Opened data directories in a thread, so that the event loop runs on

Cause: a store opened the directories of its nine groups on the event loop: three to five syncs each, and the reading of the whole log. The groups opened before stand still meanwhile, and on a slow disk each sync adds its time.

Change: files are opened and read in the thread pool, tasks are made on the loop. A member that is stopped while its files are opened releases them.

--- a/oleanderhitch/process/site/member.py
+++ b/oleanderhitch/process/site/member.py
@@ -9,6 +9,7 @@
 
 import gevent
 import logbook
+from gevent.lock import BoundedSemaphore
 
 from oleanderhitch.connection.codec import Codec
 from oleanderhitch.exceptions import OleanderhitchError
@@ -111,6 +112,9 @@
         self._role = Role.FOLLOWER
         self._leader: ReplicaId | None = None
         self._is_starting_anew = False
+        self._has_stopped = False
+        # The files are opened in a thread and must not be opened again meanwhile.
+        self._files_lock = BoundedSemaphore()
         self._storage: Storage | None = None
         self._application: SiteApplication | None = None
         self._replica: Task[GroupState] | None = None
@@ -151,9 +155,15 @@
         """Recover the replica and start its tasks; raise StorageError or OSError."""
         settings, dependencies = self._settings, self._dependencies
         directory = settings.directory
-        self._storage = open_storage(
-            directory, settings.node, self._clock, SITE_STORAGE_LIMITS
-        )
+        with self._files_lock:
+            if self._has_stopped:
+                return
+            self._storage = open_storage(
+                directory, settings.node, self._clock, SITE_STORAGE_LIMITS
+            )
+        if self._has_stopped:
+            self._release()
+            return
         self._application = make_site_application(
             directory / CONTENTS_FOLDER,
             self._handle_routing_change,
@@ -239,7 +249,11 @@
             gevent.spawn(self._start_anew, clear_directory or empty_directory)
 
     def stop(self) -> None:
-        """Stop the tasks of the replica."""
+        """Stop the tasks of the replica for good."""
+        self._has_stopped = True
+        self._stop_tasks()
+
+    def _stop_tasks(self) -> None:
         for task in (self._replica, self._repair):
             if task is not None:
                 task.stop()
@@ -247,15 +261,20 @@
             self._replica.join(REPLICA_STOP_TIMEOUT)
 
     def close(self) -> None:
-        """Stop the tasks and release the files."""
-        self.stop()
-        if self._storage is not None:
-            self._storage.close()
-        self._replica = self._repair = self._storage = None
+        """Stop the tasks for good and release the files."""
+        self._has_stopped = True
+        self._release()
+
+    def _release(self) -> None:
+        self._stop_tasks()
+        with self._files_lock:
+            if self._storage is not None:
+                self._storage.close()
+            self._replica = self._repair = self._storage = None
 
     def _start_anew(self, clear_directory: Callable[[Path], None]) -> None:
         try:
-            self.close()
+            self._release()
             clear_directory(self._settings.directory)
             # The group exists, so the empty replica must join it, not form a new one.
             self._may_bootstrap = False
--- a/oleanderhitch/process/storage/task.py
+++ b/oleanderhitch/process/storage/task.py
@@ -7,6 +7,7 @@
 
 import gevent
 import logbook
+from gevent.util import wrap_errors
 from msgspec import Struct
 
 from oleanderhitch.process.clock import Clock
@@ -69,6 +70,16 @@
     batch_greenlet: gevent.Greenlet | None = None
 
 
+class OpenedDirectory(Struct):
+    """A locked data directory, with what its files have."""
+
+    replica: ReplicaId
+    groups: RecoveredGroups
+    state: StorageState
+    writer: LogWriter
+    lock_descriptor: int
+
+
 class Storage(Struct):
     """Open data directory, its recovered groups and the task that owns it."""
 
@@ -107,16 +118,45 @@
     limits: StorageLimits | None = None,
     disk: Disk | None = None,
 ) -> Storage:
-    """Open a data directory and recover its groups; raise StorageError."""
-    disk = disk or make_system_disk()
+    """Open a data directory and recover its groups; raise StorageError or OSError.
+
+    Other greenlets run meanwhile.
+    """
     started_at = clock.now()
+    pool = gevent.get_hub().threadpool
+    # Errors are returned, since the pool logs those that are raised.
+    opened = pool.apply(
+        wrap_errors((OSError, StorageError), _open_directory),
+        (directory, node, limits or StorageLimits(), disk or make_system_disk()),
+    )
+    if not isinstance(opened, OpenedDirectory):
+        raise opened
+    state = opened.state
+    logbook.Logger("storage").info(
+        "log read",
+        directory=directory.name,
+        n_segments=len(state.segments),
+        n_bytes=sum(segment.n_bytes for segment in state.segments),
+        n_entries=sum(len(group.entries) for group in opened.groups.values()),
+        took_ms=round((clock.now() - started_at).total_seconds() * 1000),
+    )
+    return _make_storage(opened, clock)
+
+
+def _open_directory(
+    directory: Path, node: NodeId, limits: StorageLimits, disk: Disk
+) -> OpenedDirectory:
+    """Lock a data directory and read its files; raise StorageError or OSError.
+
+    Runs in a thread, since a sync would block the gevent hub.
+    """
     directory.mkdir(parents=True, exist_ok=True)
     lock_descriptor = lock_directory(directory)
     writer: LogWriter | None = None
     try:
         replica = load_or_create_identity(directory, node, disk)
         groups: RecoveredGroups = {}
-        state = StorageState(limits or StorageLimits(), [])
+        state = StorageState(limits, [])
         end = read_log(directory, partial(_load_frame, state, groups))
         writer = _open_writer(directory, disk, state, end)
         _load_snapshots(directory, state, groups, writer)
@@ -129,25 +169,11 @@
         raise StorageError(
             f"data directory {directory} can't be used: {error}"
         ) from error
-    logbook.Logger("storage").info(
-        "log read",
-        directory=directory.name,
-        n_segments=len(state.segments),
-        n_bytes=sum(segment.n_bytes for segment in state.segments),
-        n_entries=sum(len(group.entries) for group in groups.values()),
-        took_ms=round((clock.now() - started_at).total_seconds() * 1000),
-    )
-    return _make_storage(replica, groups, state, writer, clock, lock_descriptor)
+    return OpenedDirectory(replica, groups, state, writer, lock_descriptor)
 
 
-def _make_storage(
-    replica: ReplicaId,
-    groups: RecoveredGroups,
-    state: StorageState,
-    writer: LogWriter,
-    clock: Clock,
-    lock_descriptor: int,
-) -> Storage:
+def _make_storage(opened: OpenedDirectory, clock: Clock) -> Storage:
+    writer = opened.writer
     log = logbook.Logger("storage")
 
     def perform(effect: object) -> None:
@@ -155,13 +181,13 @@
 
     task = make_task(
         "storage",
-        state,
+        opened.state,
         handle,
         perform,
         clock,
         capacity_messages=MAILBOX_CAPACITY_MESSAGES,
     )
-    return Storage(replica, groups, task, writer, lock_descriptor)
+    return Storage(opened.replica, opened.groups, task, writer, opened.lock_descriptor)
 
 
 def _load_frame(
--- a/tests/process/storage/test_files.py
+++ b/tests/process/storage/test_files.py
@@ -5,7 +5,9 @@
 from itertools import product
 from pathlib import Path
 
+import gevent
 import pytest
+from gevent import monkey
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -53,6 +55,8 @@
 )
 
 REPLY = make_mailbox("reply")
+LOOP = gevent.get_hub().loop
+allocate_lock = monkey.get_original("_thread", "allocate_lock")
 GROUPS = ("shard-1", "shard-2")
 
 
@@ -370,3 +374,26 @@
     (tmp_path / "second" / "identity.json").unlink()
     with pytest.raises(StorageError, match=r"identity.json is missing"):
         open_files(tmp_path / "second")
+
+
+class WaitingDisk(SimulatedDisk):
+    """Disk whose syncs last until the event loop has run; False if it did not run."""
+
+    def __init__(self):
+        super().__init__()
+        self.results = []
+
+    def sync(self, descriptor):
+        """Wait until a callback of the event loop releases the sync."""
+        released = allocate_lock()
+        released.acquire()
+        LOOP.run_callback_threadsafe(released.release)
+        self.results.append(released.acquire(timeout=2))
+
+
+def test_event_loop_runs_while_a_directory_is_opened(tmp_path):
+    """Guard against a store whose other groups stand still while a disk is slow."""
+    disk = WaitingDisk()
+    close_files(open_files(tmp_path, disk))
+    assert disk.results
+    assert all(disk.results)
