Deleted old contents of turns in a thread

Change: files are deleted in the thread pool, one removal at a time in each directory. A file that can't be deleted is logged and left for the next removal, as old log segments are; before, it stopped the replica.

Measured: test_files_are_deleted_in_a_thread fails with the deletion on the loop ('assert get_ident() not in threads'). Passing: it, site/test_application.py, site/test_growth.py, tests/program.

--- a/oleanderhitch/process/site/application.py
+++ b/oleanderhitch/process/site/application.py
@@ -233,6 +233,10 @@
         data.new_contents = None
         self._contents.remove_others(data.file_numbers, newest)
 
+    def join_removal(self) -> None:
+        """Wait until the files that no snapshot refers to are deleted."""
+        self._contents.join_removal()
+
     def _decode_index(self, index: bytes) -> list[object]:
         decoder = self._snapshot_codec.make_decoder()
         return [
--- a/oleanderhitch/program/turns/content_files.py
+++ b/oleanderhitch/program/turns/content_files.py
@@ -10,6 +10,10 @@
 from collections.abc import Sequence
 from pathlib import Path
 
+import gevent
+import logbook
+from gevent.util import wrap_errors
+
 from oleanderhitch.process.storage.disk import Disk
 from oleanderhitch.process.storage.files import sync_directory
 from oleanderhitch.program.exceptions import (
@@ -21,6 +25,8 @@
 
 FILE_PATTERN = "contents-*.bin"
 
+log = logbook.Logger("contents")
+
 
 class ContentFile:
     """A file of contents; it can be read after its deletion, until it is dropped."""
@@ -99,6 +105,8 @@
         self._directory = directory
         directory.mkdir(parents=True, exist_ok=True)
         self._last_number = max(self._list_numbers(), default=0)
+        self._due_removal: tuple[set[int], int] | None = None
+        self._removal: gevent.Greenlet | None = None
 
     def make_file(self) -> ContentFile:
         """Return a new file, which is not written yet."""
@@ -119,7 +127,29 @@
         return file
 
     def remove_others(self, kept: set[int], newest: int) -> None:
-        """Delete the files up to a number that no snapshot refers to; raise OSError."""
+        """Start to delete the files up to a number that no snapshot refers to.
+
+        Files that can't be deleted are left for the next removal.
+        """
+        self._due_removal = (kept, newest)
+        if self._removal is None or self._removal.dead:
+            self._removal = gevent.spawn(self._run_removals)
+
+    def join_removal(self) -> None:
+        """Wait until no file is being deleted."""
+        if self._removal is not None:
+            self._removal.join()
+
+    def _run_removals(self) -> None:
+        pool = gevent.get_hub().threadpool
+        while self._due_removal is not None:
+            due, self._due_removal = self._due_removal, None
+            # Runs in a thread, since a slow disk would block the event loop.
+            error = pool.apply(wrap_errors(OSError, self._remove_others), due)
+            if error is not None:
+                log.warning("old contents can't be removed", error=str(error))
+
+    def _remove_others(self, kept: set[int], newest: int) -> None:
         for number in self._list_numbers():
             if number <= newest and number not in kept:
                 self._get_path(number).unlink(missing_ok=True)
--- a/tests/process/site/test_application.py
+++ b/tests/process/site/test_application.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 import pytest
+from gevent import monkey
 
 from oleanderhitch.process.ids import NodeId, ReplicaId
 from oleanderhitch.process.repair.messages import RegisterStore
@@ -74,6 +75,7 @@
     snapshot = application.take_snapshot()
     stored = store_snapshot_data(snapshot, make_system_disk())
     application.confirm_snapshot(snapshot)
+    application.join_removal()
     return snapshot, stored
 
 
@@ -195,6 +197,24 @@
     assert second.file_numbers == {2}
 
 
+def test_files_are_deleted_in_a_thread(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guard against a store that stands still while a disk is slow."""
+    get_ident = monkey.get_original("_thread", "get_ident")
+    threads = []
+    unlink = Path.unlink
+
+    def record_thread(path: Path, missing_ok: bool = False) -> None:
+        threads.append(get_ident())
+        unlink(path, missing_ok)
+
+    monkeypatch.setattr(Path, "unlink", record_thread)
+    test_files_go_once_no_snapshot_refers_to_them(tmp_path)
+    assert threads
+    assert get_ident() not in threads
+
+
 def test_damaged_content_is_not_used(tmp_path: Path) -> None:
     """Guard against a history with bytes that no caller or endpoint has sent."""
     application = make_application(tmp_path)
