Waited for the deletion of old contents before a replica starts anew

Cause: since files are deleted in a thread, a deletion could go on while the directory is emptied and used by a new replica, which numbers its files from 1 again.

Change: a member that releases its files waits for the deletion.

Measured: tests/process/site/{test_site,test_application}.py pass. The overlap itself was found by reading and has no test of its own.

--- a/oleanderhitch/process/site/member.py
+++ b/oleanderhitch/process/site/member.py
@@ -270,6 +270,9 @@
         with self._files_lock:
             if self._storage is not None:
                 self._storage.close()
+            if self._application is not None:
+                # A later replica in this directory uses the numbers of files again.
+                self._application.join_removal()
             self._replica = self._repair = self._storage = None
 
     def _start_anew(self, clear_directory: Callable[[Path], None]) -> None:
