Counted the answers of endpoints in the budget of the product's callers

Cause: the product's endpoint client had a budget of its own, 32 MiB whatever the host has. Change: it shares that of the callers; the budget is at least 9 MiB, so that one body of 4 MiB always fits.

--- a/oleanderhitch/connection/endpoint/client.py
+++ b/oleanderhitch/connection/endpoint/client.py
@@ -11,7 +11,7 @@
     start_operation_lookup,
 )
 from oleanderhitch.connection.endpoint.transport import make_pool_manager
-from oleanderhitch.connection.http.memory import make_traffic_memory
+from oleanderhitch.connection.http.memory import TrafficMemory
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.clock import Clock
 from oleanderhitch.process.metrics.core import Metrics
@@ -37,13 +37,14 @@
         timeouts: EndpointTimeouts,
         tracer: Tracer,
         metrics: Metrics,
+        memory: TrafficMemory,
     ) -> None:
         self._clock = clock
         self._tracer = tracer
         self._metrics = metrics
         self._timeouts = timeouts
         self._pool_manager = make_pool_manager()
-        self._memory = make_traffic_memory()
+        self._memory = memory
 
     def start(
         self,
@@ -132,7 +133,10 @@
     clock: Clock,
     tracer: Tracer,
     metrics: Metrics,
+    memory: TrafficMemory,
     timeouts: EndpointTimeouts | None = None,
 ) -> HttpEndpointClient:
     """Return the endpoint client of one process."""
-    return HttpEndpointClient(clock, timeouts or EndpointTimeouts(), tracer, metrics)
+    return HttpEndpointClient(
+        clock, timeouts or EndpointTimeouts(), tracer, metrics, memory
+    )
--- a/oleanderhitch/connection/http/memory.py
+++ b/oleanderhitch/connection/http/memory.py
@@ -15,6 +15,8 @@
 # Part of the memory of a host that requests and responses may hold. The process itself
 # takes up to a half, and a message takes twice its size while it grows and is sent on.
 TRAFFIC_MEMORY_SHARE = 0.125
+# Room for one body of the default limit, 4 MiB, beside small requests.
+BUDGET_BYTES_MIN = 9 * 1024 * 1024
 # What every share may hold, so that floods do not break off the sound ones.
 FREE_SHARE_BYTES = 16 * 1024
 
@@ -153,4 +155,4 @@
     """Return the budget in bytes of a process that may take this much memory."""
     if memory_limit_bytes is None:
         return DEFAULT_BUDGET_BYTES
-    return int(memory_limit_bytes * TRAFFIC_MEMORY_SHARE)
+    return max(int(memory_limit_bytes * TRAFFIC_MEMORY_SHARE), BUDGET_BYTES_MIN)
--- a/oleanderhitch/process/roles/entry.py
+++ b/oleanderhitch/process/roles/entry.py
@@ -199,7 +199,8 @@
     router = make_pool_router(
         node, make_node_link, PoolSettings(), clock, random.Random(uuid.uuid4().int)
     )
-    endpoint_client = make_endpoint_client(clock, tracer, metrics)
+    budget = settings.make_server_budget()
+    endpoint_client = make_endpoint_client(clock, tracer, metrics, budget.memory)
     engines = make_engine_components(
         node,
         group_client,
@@ -253,7 +254,6 @@
     program_api = ProgramApi(group_client, intake, codec, get_group, clock, metrics)
     status_api = StatusApi(metrics, tracer, intake, router)
     app = make_caller_app(intake, program_api, status_api, tracer)
-    budget = settings.make_server_budget()
     caller_server = make_caller_server(
         HostAddress(settings.listen),
         app,
