Refused whole requests that find no room before they run

Cause: a request that came whole in one read was queued before its memory was counted, so each connection could exceed the budget by one read. Change: it is counted first, and answered 503 without having run if it does not fit.

--- a/oleanderhitch/connection/http/caller.py
+++ b/oleanderhitch/connection/http/caller.py
@@ -337,12 +337,14 @@
     def _handle_parsed(
         self, requests: list[HttpRequest], parser: RequestParser
     ) -> None:
+        self._hold_bytes(requests, parser)
+        if self._is_evicted:
+            return
         for request in requests:
             self._queue_request(request)
         self._is_receiving = not parser.is_idle
         if parser.error is not None:
             raise parser.error
-        self._hold_bytes(parser)
         if parser.is_idle:
             self._received_since = None
         elif requests or self._received_since is None:
@@ -355,13 +357,14 @@
             self._send(CONTINUE_RESPONSE)
         self._await_responses(N_PIPELINED_LIMIT)
 
-    def _hold_bytes(self, parser: RequestParser) -> None:
+    def _hold_bytes(self, requests: list[HttpRequest], parser: RequestParser) -> None:
         """Count what has arrived; raise RequestParseError if it does not fit."""
-        if self._share.resize(self._n_request_bytes + parser.n_held_bytes):
+        n_arrived = parser.n_held_bytes + sum(map(get_held_bytes, requests))
+        if self._share.resize(self._n_request_bytes + n_arrived):
             return
         # The requests before it get their responses first.
         self._await_responses(0)
-        if not self._share.resize(self._n_request_bytes + parser.n_held_bytes):
+        if not self._share.resize(self._n_request_bytes + n_arrived):
             raise RequestParseError(_NO_MEMORY.fault, _NO_MEMORY.detail)
 
     def _await_responses(self, n_pipelined: int) -> None:
--- a/tests/connection/http/test_caller.py
+++ b/tests/connection/http/test_caller.py
@@ -298,3 +298,35 @@
         connected.close()
     gevent.sleep(0.05)
     assert server.memory.n_bytes == 0
+
+
+def test_a_request_without_room_does_not_run(
+    start: Callable[[ServeRequest], tuple[HttpServer, HostAddress]],
+) -> None:
+    """Guard against whole requests that run beyond the budget, or run and are refused.
+
+    The requests in progress keep their connections and their responses.
+    """
+    release = gevent.event.Event()
+    served = []
+
+    def serve(
+        request: HttpRequest, writer: ResponseWriter, mailbox: Mailbox, now: datetime
+    ) -> None:
+        served.append(request.target)
+        release.wait()
+        echo(request, writer, mailbox, now)
+
+    _, address = start(serve)
+    head = b"POST /%d HTTP/1.1\r\nHost: h\r\nContent-Length: 30000\r\n\r\n"
+    callers = [connect(address) for _ in range(8)]
+    for number, connected in enumerate(callers):
+        connected.sendall(head % number + b"a" * 30_000)
+        gevent.sleep(0.05)
+    n_running = len(served)
+    assert 0 < n_running < len(callers)
+    release.set()
+    for number, connected in enumerate(callers):
+        status = b"200" if f"/{number}" in served else b"503"
+        assert connected.recv(4096).startswith(b"HTTP/1.1 " + status)
+    assert len(served) == n_running
--- a/tests/process/metrics/test_metrics.py
+++ b/tests/process/metrics/test_metrics.py
@@ -111,3 +111,17 @@
     """Guard against two metrics that are exposed under the same name."""
     names = [metric.value.name for kind in (Latency, Counter, Gauge) for metric in kind]
     assert len(set(names)) == len(names)
+
+
+def test_observed_gauge_has_its_value_at_the_snapshot():
+    """Guard against gauges of bytes held that show the value of another moment."""
+    metrics = make_metrics()
+    values = [1]
+    metrics.observe_gauge(Gauge.HELD_BYTES, lambda: values[0], "all")
+    values[0] = 2
+    sample = metrics.make_snapshot().gauges[0]
+    assert (sample.name, sample.label, sample.value) == (
+        Gauge.HELD_BYTES.value.name,
+        "all",
+        2,
+    )
