Freed the memory of a connection at its end

Cause: parser, share and the traceback of a rejection refer to each other, so what a closed connection had read stayed until a garbage collection. Change: the references are dropped at the end. A connection counts 40 KiB: 390 silent ones took 10.4 MB.

--- a/oleanderhitch/connection/http/budget.py
+++ b/oleanderhitch/connection/http/budget.py
@@ -25,8 +25,8 @@
 N_CONNECTIONS_MIN = 16
 # Part of the memory of a host that connections may take.
 CONNECTION_MEMORY_SHARE = 0.2
-# A connection with a small request in progress: two greenlets, socket and parser.
-CONNECTION_BYTES = 64 * 1024
+# A silent connection takes 27 KB (two greenlets, socket, parser), measured with 390.
+CONNECTION_BYTES = 40 * 1024
 # Readiness and metrics have one or two clients each.
 N_STATUS_CONNECTIONS = 32
 # A check has no body and few headers.
--- a/oleanderhitch/connection/http/caller.py
+++ b/oleanderhitch/connection/http/caller.py
@@ -179,6 +179,7 @@
             reader.kill()
             self._socket.close()
             self._share.close()
+            self._parser.close()
 
     def evict(self) -> None:
         """Close a connection without a request in progress, to make room for others."""
@@ -276,12 +277,12 @@
     def _drop_request(self) -> None:
         """Reject the request that is arriving: its memory goes to others."""
         self._is_evicted = True
-        self._parser.discard()
+        self._parser.close()
         self._mailbox.send(_NO_MEMORY)
 
     def _reject(self, message: RequestRejected) -> None:
         self._is_evicted = True
-        self._parser.discard()
+        self._parser.close()
         self._share.close()
         self._send(render_response(self._owner.make_rejection(message), True))
         if self._is_open:
--- a/oleanderhitch/connection/http/memory.py
+++ b/oleanderhitch/connection/http/memory.py
@@ -127,12 +127,15 @@
     def evict(self) -> None:
         """Let the owner drop what this share holds."""
         assert self._evict is not None
-        self.close()
+        self.resize(0)
         self._evict()
 
     def close(self) -> None:
-        """Hold nothing any more."""
+        """Hold nothing any more; the share can't be evicted from now on."""
         self.resize(0)
+        # Its owner refers to the share: both would wait for the garbage collector.
+        self._evict = None
+        self._is_protected = True
 
     def _update_evictable(self) -> None:
         self._memory.update_evictable(
--- a/oleanderhitch/connection/http/parsing.py
+++ b/oleanderhitch/connection/http/parsing.py
@@ -107,10 +107,17 @@
             raise self._error
         return ready
 
-    def discard(self) -> None:
-        """Drop what has arrived; no bytes may be fed after it."""
+    def close(self) -> None:
+        """Drop what has arrived; no bytes may be fed after it.
+
+        The parser of the library and the traceback of an error refer to this object.
+        Without the references back, the memory is free at once, not at the next garbage
+        collection.
+        """
         self._unparsed = b""
         self._reset()
+        self._error = None
+        self._parser = None
 
     def _get_piece_bytes(self) -> int:
         """Return how many of the next bytes can't complete many requests."""
