Spread requests by how many begin unseen between two reports of loads

Cause: all hosts learn the loads a quarter of a second late and took the endpoints within 5 ms of the cheapest. With 68 hosts and calls of 0.3 s about a hundred requests begin between two reports, so that they met at the few engines that were idle before and queued there, while others had free slots.

Change: each host estimates how many requests begin unseen (running ones by their mean duration) and chooses with the weights that level the costs of the endpoints if all hosts do so.

--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -19,6 +19,7 @@
 from oleanderhitch.process.placement.cost import (
     BATCH_OVERHEAD_MS_PER_TOKEN,
     DECODE_MS_PER_TOKEN,
+    get_added_cost_ms,
     get_cost_ms,
 )
 from oleanderhitch.process.placement.crashes import (
@@ -97,7 +98,11 @@
     observe_grant,
     observe_time,
 )
-from oleanderhitch.process.placement.spreading import choose_alike
+from oleanderhitch.process.placement.spreading import (
+    choose_endpoint,
+    count_unseen,
+    observe_duration,
+)
 from oleanderhitch.request.ids import HolderId, PermitId
 from oleanderhitch.values import Value
 from oleanderhitch.version.ids import EndpointId, ServiceName
@@ -378,7 +383,10 @@
     _finish_prefill(message.permit, permit, state)
     del state.permits[message.permit]
     _drop_held_permit(message.permit, permit.holder, state)
-    count_end(state.queues[permit.queue], permit.account)
+    queue = state.queues[permit.queue]
+    count_end(queue, permit.account)
+    if message.result is AttemptResult.COMPLETED:
+        observe_duration(queue, now - permit.granted_at)
     endpoint = find_endpoint(permit.endpoint, state)
     effects: list[object] = []
     # An endpoint that was started again under its id has none of the earlier permits.
@@ -678,10 +686,16 @@
         return cost_ms + get_price_ms(endpoint, now)
 
     costs_ms = [get_cost(endpoint) for endpoint in available]
-    alike = choose_alike(
-        available, costs_ms, state.data_centre, message.workload is not None
+    queue = state.queues[get_queue_id(message)]
+    n_unseen = count_unseen(available, queue, now)
+    chosen = choose_endpoint(
+        available,
+        costs_ms,
+        n_unseen * get_added_cost_ms(message.workload),
+        state.data_centre,
+        message.workload is not None,
+        state.random_source,
     )
-    chosen = state.random_source.choice(alike)
     if not is_limited(chosen):
         return _grant(chosen, message, state, now)
     if is_local(state, now):
--- a/oleanderhitch/process/placement/records.py
+++ b/oleanderhitch/process/placement/records.py
@@ -112,6 +112,8 @@
     drain: DrainRate = field(default_factory=DrainRate)
     # When the last log line on early refusals was written.
     refusals_logged_at: datetime | None = None
+    # How long a request holds its endpoint.
+    mean_duration: timedelta | None = None
     # The number of waiting requests in the metrics.
     n_reported: int = 0
 
--- a/oleanderhitch/process/placement/spreading.py
+++ b/oleanderhitch/process/placement/spreading.py
@@ -1,12 +1,20 @@
 """Spread requests of many entry hosts over endpoints that cost about the same.
 
 Answers the herd: all entry hosts learn the same loads a quarter of a second late. If
-each took the cheapest endpoint, all arrivals of that time would meet at one.
+each took the cheapest endpoint, all arrivals of that time would meet at one. The more
+arrivals of other hosts go unseen, the less the known loads say, and the wider the
+choice is. Load interpretation (Dahlin, 1999) is the usual name.
 """
 
 from collections.abc import Sequence
+from datetime import datetime, timedelta
+from random import Random
 
-from oleanderhitch.process.placement.records import Endpoint
+from oleanderhitch.process.placement.records import (
+    Endpoint,
+    ServiceQueue,
+    find_peer_load,
+)
 from oleanderhitch.version.ids import DataCentreName
 
 # What one more request in the batch costs, which another entry host may have sent
@@ -17,6 +25,73 @@
 PLAIN_COST_TOLERANCE_MS = 1.0
 
 
+# Entry hosts check their loads for changes at this interval, so that a report is older
+# by half of it than its arrival here, on average.
+REPORT_DELAY = timedelta(milliseconds=125)
+# Weight of the duration of one more request in the mean.
+DURATION_WEIGHT = 0.1
+
+
+def observe_duration(queue: ServiceQueue, duration: timedelta) -> None:
+    """Add the time that a completed request held its endpoint to the mean."""
+    mean = queue.mean_duration
+    if mean is None:
+        queue.mean_duration = duration
+    else:
+        queue.mean_duration = mean + (duration - mean) * DURATION_WEIGHT
+
+
+def count_unseen(
+    endpoints: Sequence[Endpoint], queue: ServiceQueue, now: datetime
+) -> float:
+    """Return how many requests other hosts have probably sent since their reports.
+
+    As many begin as end: the running ones, for each mean duration.
+    """
+    if not queue.mean_duration:
+        return 0.0
+    n_unseen = 0.0
+    for endpoint in endpoints:
+        load = find_peer_load(endpoint, now)
+        if load is not None and endpoint.peer_load_at is not None:
+            age = now - endpoint.peer_load_at + REPORT_DELAY
+            n_unseen += load.n_running * (age / queue.mean_duration)
+    return n_unseen
+
+
+def choose_endpoint(
+    endpoints: Sequence[Endpoint],
+    costs_ms: Sequence[float],
+    unseen_ms: float,
+    data_centre: DataCentreName,
+    is_engine: bool,
+    random_source: Random,
+) -> Endpoint:
+    """Return one of the endpoints, so that all hosts together level their costs.
+
+    `unseen_ms` is what the unseen requests add to the costs. Spent on the cheapest
+    endpoints, they raise these to one level; each gets as much as it lacks.
+    """
+    alike = choose_alike(endpoints, costs_ms, data_centre, is_engine)
+    level_ms = find_level_ms(costs_ms, unseen_ms)
+    weights = [max(0.0, level_ms - cost_ms) for cost_ms in costs_ms]
+    tolerance_ms = ENGINE_COST_TOLERANCE_MS if is_engine else PLAIN_COST_TOLERANCE_MS
+    if level_ms - min(costs_ms) <= tolerance_ms:
+        return random_source.choice(alike)
+    return random_source.choices(endpoints, weights)[0]
+
+
+def find_level_ms(costs_ms: Sequence[float], added_ms: float) -> float:
+    """Return the level to which additional costs raise the lowest costs."""
+    ranked = sorted(costs_ms)
+    total_ms = added_ms
+    for n_below, cost_ms in enumerate(ranked):
+        if n_below and total_ms / n_below <= cost_ms:
+            return total_ms / n_below
+        total_ms += cost_ms
+    return total_ms / len(ranked)
+
+
 def choose_alike(
     endpoints: Sequence[Endpoint],
     costs_ms: Sequence[float],
