--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -17,7 +17,7 @@
     record_prompt,
     resize,
 )
-from oleanderhitch.process.placement.cost import get_cost_ms
+from oleanderhitch.process.placement.cost import get_added_cost_ms, get_cost_ms
 from oleanderhitch.process.placement.crashes import (
     ContentServed,
     find_listed_crashes,
@@ -108,7 +108,11 @@
     observe_grant,
     observe_time,
 )
-from oleanderhitch.process.placement.spreading import choose_alike
+from oleanderhitch.process.placement.spreading import (
+    choose_endpoint,
+    count_unseen,
+    observe_duration,
+)
 from oleanderhitch.request.ids import HolderId, PermitId
 from oleanderhitch.values import Value
 from oleanderhitch.version.ids import EndpointId, ServiceName
@@ -405,7 +409,10 @@
     _finish_prefill(message.permit, permit, state)
     del state.permits[message.permit]
     _drop_held_permit(message.permit, permit.holder, state)
-    count_end(state.queues[permit.queue], permit.account)
+    queue = state.queues[permit.queue]
+    count_end(queue, permit.account)
+    if message.result is AttemptResult.COMPLETED:
+        observe_duration(queue, now - permit.granted_at)
     endpoint = find_endpoint(permit.endpoint, state)
     effects: list[object] = []
     # An endpoint that was started again under its id has none of the earlier permits.
@@ -728,10 +735,13 @@
 ) -> Endpoint:
     """Return one of the cheapest endpoints, if possible one whose ramp allows it."""
     is_engine = message.workload is not None
+    queue = state.queues[get_queue_id(message, state)]
+    service = state.service_speeds[message.service]
+    added_ms = get_added_cost_ms(message.workload, service)
+    unseen_ms = count_unseen(endpoints, queue, now) * added_ms
     first: Endpoint | None = None
     while endpoints:
-        alike = choose_alike(endpoints, costs_ms, is_engine, state)
-        chosen = state.random_source.choice(alike)
+        chosen = choose_endpoint(endpoints, costs_ms, unseen_ms, is_engine, state)
         if try_pace(chosen, state, now):
             return chosen
         first = first or chosen
