Closed dropped files of contents in a thread

Cause: the descriptor of a content file is closed when the file is dropped, on the event loop or in a garbage collection there. The last close of a deleted file frees its blocks.

Change: descriptors are closed in the thread pool of the loop that made the file, whichever thread drops it.

Measured: test_dropped_files_are_closed_in_a_thread fails with the close on the loop. Passing: tests/process/site/{test_application,test_site,test_growth}.py and tests/program.

--- a/oleanderhitch/program/turns/content_files.py
+++ b/oleanderhitch/program/turns/content_files.py
@@ -9,9 +9,11 @@
 import zlib
 from collections.abc import Sequence
 from pathlib import Path
+from typing import Any
 
 import gevent
 import logbook
+from gevent import monkey
 from gevent.util import wrap_errors
 
 from oleanderhitch.process.storage.disk import Disk
@@ -26,6 +28,25 @@
 FILE_PATTERN = "contents-*.bin"
 
 log = logbook.Logger("contents")
+# gevent's own function may hand the descriptor to the event loop of a thread.
+close_descriptor = monkey.get_original("os", "close")
+
+
+def _close_in_thread(loop: Any, descriptor: int) -> None:
+    """Close a descriptor in a thread of the pool; may be called in any thread.
+
+    The last close of a deleted file frees its blocks, which takes up to 40 ms, and a
+    garbage collection may drop hundreds of files at once.
+    """
+    try:
+        loop.run_callback_threadsafe(gevent.spawn, _close_in_pool, descriptor)
+    except ValueError:
+        # The loop has been destroyed, so that nothing is delayed by a close.
+        close_descriptor(descriptor)
+
+
+def _close_in_pool(descriptor: int) -> None:
+    gevent.get_hub().threadpool.apply(close_descriptor, (descriptor,))
 
 
 class ContentFile:
@@ -35,6 +56,13 @@
         self.number = number
         self._path = path
         self._descriptor = -1
+        # Files are written in threads, whose own loops never run.
+        self._loop = gevent.get_hub().loop
+
+    @property
+    def descriptor(self) -> int:
+        """The descriptor of the open file."""
+        return self._descriptor
 
     def write(self, chunks: Sequence[bytes | memoryview], disk: Disk) -> None:
         """Write and sync the whole file, then open it; raise OSError."""
@@ -66,7 +94,9 @@
 
     def _keep_open(self, descriptor: int) -> None:
         self._descriptor = descriptor
-        weakref.finalize(self, os.close, descriptor)
+        finalizer = weakref.finalize(self, _close_in_thread, self._loop, descriptor)
+        # The end of the process closes its descriptors.
+        finalizer.atexit = False
 
 
 class StoredContent(Value, frozen=True):
--- a/tests/process/site/test_application.py
+++ b/tests/process/site/test_application.py
@@ -3,6 +3,7 @@
 from datetime import UTC, datetime, timedelta
 from pathlib import Path
 
+import gevent
 import pytest
 from gevent import monkey
 
@@ -24,10 +25,12 @@
 from oleanderhitch.process.storage.disk import make_system_disk
 from oleanderhitch.process.storage.files import store_snapshot_data
 from oleanderhitch.program.exceptions import HistoryCorruptError
+from oleanderhitch.program.turns import content_files
 from oleanderhitch.program.turns.content_files import FILE_PATTERN
 from oleanderhitch.program.turns.messages import ExpireTurns, TurnBegun
 from oleanderhitch.version.ids import HostName
 from oleanderhitch.version.routes.ids import RoutingVersion
+from tests.process.site.harness import wait_until
 from tests.program.turns.test_core import NOW, begin, settle
 
 CODEC = make_site_codec()
@@ -215,6 +218,33 @@
     assert get_ident() not in threads
 
 
+def test_dropped_files_are_closed_in_a_thread(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guard against a pause of the store while the blocks of deleted files are freed.
+
+    Each file must be closed, since every snapshot with new contents opens one.
+    """
+    get_ident = monkey.get_original("_thread", "get_ident")
+    closed = {}
+    close = content_files.close_descriptor
+
+    def record_thread(descriptor: int) -> None:
+        close(descriptor)
+        closed[descriptor] = get_ident()
+
+    monkeypatch.setattr(content_files, "close_descriptor", record_thread)
+    files = [content_files.ContentFile(tmp_path / name, 1) for name in ("a", "b")]
+    pool = gevent.get_hub().threadpool
+    for file in files:
+        pool.apply(file.write, ([b"content"], make_system_disk()))
+    descriptors = {file.descriptor for file in files}
+    files.clear()
+    del file
+    wait_until(lambda: descriptors <= closed.keys(), "closed files")
+    assert get_ident() not in closed.values()
+
+
 def test_damaged_content_is_not_used(tmp_path: Path) -> None:
     """Guard against a history with bytes that no caller or endpoint has sent."""
     application = make_application(tmp_path)
