--- a/tests/process/site/test_ramps.py
+++ b/tests/process/site/test_ramps.py
@@ -6,15 +6,8 @@
 from msgspec.structs import replace
 
 from oleanderhitch.process.directory.messages import ListedEndpoint
+from oleanderhitch.process.placement import messages
 from oleanderhitch.process.placement.core import handle
-from oleanderhitch.process.placement.messages import (
-    AttemptResult,
-    EndpointsListed,
-    PeerLoadsReported,
-    RampObservations,
-    ReleaseEndpoint,
-    SpeedObservations,
-)
 from oleanderhitch.process.placement.pace import take_ramp_observations
 from oleanderhitch.process.placement.records import PlacementState
 from oleanderhitch.process.site.messages import NO_SPEEDS
@@ -33,10 +26,10 @@
 
 N_SLOTS = 12
 NEW = replace(make_endpoint("new", N_SLOTS), born_ms=5)
-STARTED = RampObservations(N_SLOTS, True, 0, 0, 0)
-FAST = RampObservations(N_SLOTS, False, 1, 0, 0)
-SLOW = RampObservations(N_SLOTS, False, 0, 1, 0)
-FAILED = RampObservations(N_SLOTS, False, 0, 0, 1)
+STARTED = messages.RampObservations(N_SLOTS, True, 0, 0, 0)
+FAST = messages.RampObservations(N_SLOTS, False, 1, 0, 0)
+SLOW = messages.RampObservations(N_SLOTS, False, 0, 1, 0)
+FAILED = messages.RampObservations(N_SLOTS, False, 0, 0, 1)
 
 
 def play_start(new: ListedEndpoint, is_enabled: bool) -> tuple[list[int], int]:
@@ -50,7 +43,7 @@
         placement.is_ramp_up_enabled = is_enabled
     site.play(4)
     for placement, _ in site.hosts:
-        handle(EndpointsListed((*ENGINES, new)), placement, site.time)
+        handle(messages.EndpointsListed((*ENGINES, new)), placement, site.time)
     most = []
     for number in range(20):
         if number == 8:
@@ -87,7 +80,7 @@
     ],
 )
 def test_limit_follows_the_answers(
-    observed: tuple[RampObservations, ...], n_allowed: int
+    observed: tuple[messages.RampObservations, ...], n_allowed: int
 ) -> None:
     """Guard against a ramp in time, and one host that limits an endpoint for all."""
     ramp = Ramp()
@@ -101,7 +94,9 @@
 def test_ramp_without_requests_ends() -> None:
     """Guard against an endpoint that is limited for ever since nobody needs it."""
     totals = make_speed_totals(NOW)
-    totals.observe(SpeedObservations(NEW.endpoint, 5, 0, 0, 0, 0, STARTED), NOW)
+    totals.observe(
+        messages.SpeedObservations(NEW.endpoint, 5, 0, 0, 0, 0, STARTED), NOW
+    )
     change = totals.find_change(NO_SPEEDS, NOW)
     assert change is not None
     assert change.speeds[0].n_allowed == 1
@@ -111,43 +106,44 @@
     assert change.speeds[0].n_allowed == 0
 
 
+def make_ramping_state(n_old_slots: int) -> PlacementState:
+    """Return the state of a host after an endpoint has started beside another."""
+    state = PlacementState(HOME, "h", is_ramp_up_enabled=True)
+    old = make_endpoint("old", n_old_slots)
+    handle(messages.EndpointsListed((old,)), state, NOW)
+    handle(messages.EndpointsListed((old, NEW)), state, NOW)
+    return state
+
+
 def test_ramp_lets_no_request_wait() -> None:
     """Guard against a limit that refuses requests while slots are free."""
-    state = PlacementState(HOME, "h", is_ramp_up_enabled=True)
-    old = replace(make_endpoint("old", 1), born_ms=1)
-    handle(EndpointsListed((old,)), state, NOW)
-    handle(EndpointsListed((old, NEW)), state, NOW)
-    handle(PeerLoadsReported((), 50), state, NOW)
-    state.endpoints[EndpointId("new")].has_trial = False
-    for expected in (old, NEW):
-        request = acquire(expected.endpoint, make_workload("a"))
-        assert get_grant(handle(request, state, NOW)).endpoint == expected
+    state = make_ramping_state(n_old_slots=1)
+    handle(messages.PeerLoadsReported((), 50), state, NOW)
+    state.endpoints[NEW.endpoint].has_trial = False
+    for expected in ("old", "new"):
+        request = acquire(expected, make_workload("a"))
+        assert get_grant(handle(request, state, NOW)).endpoint.endpoint == expected
 
 
 def test_without_a_leader_each_host_sends_one_at_a_time() -> None:
     """Guard against hosts that wait for a leader, or that all flood an endpoint."""
-    state = PlacementState(HOME, "h", is_ramp_up_enabled=True)
-    old = replace(make_endpoint("old", 9), born_ms=1)
-    handle(EndpointsListed((old,)), state, NOW)
-    handle(EndpointsListed((old, NEW)), state, NOW)
-    grants = [
-        get_grant(handle(acquire(str(number)), state, NOW)) for number in range(6)
-    ]
-    endpoints = [grant.endpoint for grant in grants]
-    assert endpoints.count(NEW) == 1
+    state = make_ramping_state(n_old_slots=9)
+    for number in range(6):
+        handle(acquire(str(number)), state, NOW)
+    assert len(state.endpoints[NEW.endpoint].permits) == 1
 
 
 def test_calls_are_compared_with_those_of_peers_and_earlier_ones() -> None:
     """Guard against an endpoint that is slow for good and is never used."""
-    state = PlacementState(HOME, "h", is_ramp_up_enabled=True)
-    old = replace(make_endpoint("old", 9), born_ms=1)
-    handle(EndpointsListed((old, NEW)), state, NOW)
+    state = make_ramping_state(n_old_slots=9)
     found = []
     for name, duration_ms in (("new", 10), ("new", 60), *[("old", 60)] * 20):
         other = "old" if name == "new" else "new"
         grant = get_grant(handle(acquire("r", tried=(other,)), state, NOW))
         at = NOW + timedelta(milliseconds=duration_ms)
-        released = ReleaseEndpoint(grant.permit, AttemptResult.COMPLETED)
+        released = messages.ReleaseEndpoint(
+            grant.permit, messages.AttemptResult.COMPLETED
+        )
         handle(released, state, at)
         found.append(take_ramp_observations(state.endpoints[EndpointId(name)]))
     is_fast = [item is not None and item.n_fast == 1 for item in found]
--- a/tests/process/site/test_speeds.py
+++ b/tests/process/site/test_speeds.py
@@ -12,29 +12,14 @@
 
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.messages import Tick
+from oleanderhitch.process.placement import messages
 from oleanderhitch.process.placement.core import SendReply
 from oleanderhitch.process.placement.core import handle as handle_placement
-from oleanderhitch.process.placement.messages import (
-    AttemptResult,
-    CacheCapacitiesUpdated,
-    EndpointGranted,
-    EndpointsListed,
-    EndpointSpeed,
-    EventLatencyObserved,
-    FirstChunkReceived,
-    GetLoads,
-    InferenceWorkload,
-    PeerLoadsReported,
-    PromptPart,
-    ReleaseEndpoint,
-    SpeedObservations,
-    SpeedsReported,
-)
 from oleanderhitch.process.placement.records import PlacementState
 from oleanderhitch.process.placement.speeds import UNCONFIRMED_SPEED_TTL
-from oleanderhitch.process.site.messages import NO_SPEEDS, RoutingFound
+from oleanderhitch.process.site.messages import EMPTY_ROUTING, NO_SPEEDS
 from oleanderhitch.process.site.speed_totals import make_speed_totals
-from oleanderhitch.process.site.subscribers import Subscribers, make_subscribers
+from oleanderhitch.process.site.subscribers import make_subscribers
 from oleanderhitch.process.site.subscription.core import (
     ReportPeerLoads,
     ReportSpeeds,
@@ -46,13 +31,13 @@
 )
 from oleanderhitch.request.ids import PermitId
 from oleanderhitch.version.ids import EndpointId
-from oleanderhitch.version.routes.ids import RoutingVersion
 from tests.process.placement.test_core import (
     HOME,
     NOW,
     REPLY,
     SERVICE,
     acquire,
+    get_grant,
     make_endpoint,
 )
 from tests.process.site.test_fleet import _Reply
@@ -83,17 +68,16 @@
         self.n_running: Counter[str] = Counter()
         self.n_most: Counter[str] = Counter()
         self.turns: dict[str, list[tuple[PermitId, str, float]]] = {}
-        self.leader = self._make_leader()
-        listed = EndpointsListed(ENGINES)
+        self.leader = make_subscribers(
+            lambda: EMPTY_ROUTING, lambda: (LEADER,), lambda: LEADER, self
+        )
+        self.leader.confirm_current()
         self.counts: Counter[str] = Counter()
         self.hosts = []
         for number in range(N_HOSTS):
             placement = PlacementState(HOME, f"h{number}", Random(number))
-            capacities = CacheCapacitiesUpdated(
-                {SERVICE: 400_000}, {SERVICE: TOKENS_PER_EVENT}
-            )
-            handle_placement(capacities, placement, NOW)
-            handle_placement(listed, placement, NOW)
+            placement.tokens_per_event = {SERVICE: TOKENS_PER_EVENT}
+            handle_placement(messages.EndpointsListed(ENGINES), placement, NOW)
             subscription = SubscriptionState(NodeId(f"h{number}"))
             self.hosts.append((placement, subscription))
             self._subscribe(placement, subscription, SeedsConfigured((LEADER,)))
@@ -117,30 +101,17 @@
 
     def _report_all(self) -> None:
         for placement, subscription in self.hosts:
-            (reply,) = handle_placement(GetLoads(REPLY), placement, self.time)
+            (reply,) = handle_placement(messages.GetLoads(REPLY), placement, self.time)
             assert isinstance(reply, SendReply)
             self._subscribe(placement, subscription, reply.message)
             self._subscribe(placement, subscription, Tick())
 
-    def _make_leader(self) -> Subscribers:
-        subscribers = make_subscribers(
-            lambda: RoutingFound(RoutingVersion(0), b""),
-            lambda: (LEADER,),
-            lambda: LEADER,
-            self,
-        )
-        subscribers.confirm_current()
-        return subscribers
-
     def _send_turn(self, placement: PlacementState) -> None:
         n_tokens = self.random.randrange(1_000, 9_000)
-        part = PromptPart(str(self.random.random()), n_tokens)
-        workload = InferenceWorkload(n_tokens, 200, 100, (part,))
+        part = messages.PromptPart(str(self.random.random()), n_tokens)
+        workload = messages.InferenceWorkload(n_tokens, 200, 100, (part,))
         request = replace(acquire("r", workload), deadline=self.time + ROUND)
-        (effect,) = handle_placement(request, placement, self.time)
-        assert isinstance(effect, SendReply)
-        granted = effect.message
-        assert isinstance(granted, EndpointGranted)
+        granted = get_grant(handle_placement(request, placement, self.time))
         name = granted.endpoint.endpoint
         self.counts[name] += 1
         self.n_running[name] += 1
@@ -149,7 +120,7 @@
         slowness *= NOISE if self.random.random() < NOISE_SHARE else 1.0
         first_ms = slowness * (FIRST_EVENT_MS + n_tokens / PREFILL_TOKENS_PER_MS)
         at = self.time + timedelta(milliseconds=first_ms)
-        handle_placement(FirstChunkReceived(granted.permit), placement, at)
+        handle_placement(messages.FirstChunkReceived(granted.permit), placement, at)
         turns = self.turns.setdefault(placement.permit_prefix, [])
         turns.append((granted.permit, name, slowness))
 
@@ -160,8 +131,10 @@
         batch_ratio = 1 + BATCH_RATIO * (self.n_running[name] - 1)
         event_ms = slowness * DECODE_MS * batch_ratio * TOKENS_PER_EVENT
         latency = timedelta(milliseconds=event_ms * self.random.uniform(0.9, 1.1))
-        handle_placement(EventLatencyObserved(permit, latency), placement, self.time)
-        released = ReleaseEndpoint(permit, AttemptResult.COMPLETED)
+        handle_placement(
+            messages.EventLatencyObserved(permit, latency), placement, self.time
+        )
+        released = messages.ReleaseEndpoint(permit, messages.AttemptResult.COMPLETED)
         handle_placement(released, placement, self.time)
         self.n_running[name] -= 1
 
@@ -171,10 +144,10 @@
         for effect in handle(message, state, self.time):
             if isinstance(effect, ReportSpeeds):
                 change = effect.change
-                report = SpeedsReported(change.speeds, change.is_complete)
+                report = messages.SpeedsReported(change.speeds, change.is_complete)
                 handle_placement(report, placement, self.time)
             elif isinstance(effect, ReportPeerLoads):
-                loads = PeerLoadsReported(effect.loads, effect.n_entry_hosts)
+                loads = messages.PeerLoadsReported(effect.loads, effect.n_entry_hosts)
                 handle_placement(loads, placement, self.time)
             elif isinstance(effect, SendHello):
                 statuses: list[object] = []
@@ -227,17 +200,17 @@
     totals = make_speed_totals(NOW)
     endpoints = [EndpointId(f"e{number}") for number in range(100)]
     for name in endpoints:
-        totals.observe(SpeedObservations(name, 7, 400, 880_000, 0, 0), NOW)
+        totals.observe(messages.SpeedObservations(name, 7, 400, 880_000, 0, 0), NOW)
     first = totals.find_change(NO_SPEEDS, NOW)
     assert first is not None
     assert first.is_complete
     assert len(first.speeds) == 100
     assert first.speeds[0].decode == pytest.approx(2_200, rel=0.1)
     assert totals.find_change(first.version, NOW) is None
-    totals.observe(SpeedObservations(endpoints[3], 7, 400, 900_000, 0, 0), NOW)
+    totals.observe(messages.SpeedObservations(endpoints[3], 7, 400, 900_000, 0, 0), NOW)
     assert totals.find_change(first.version, NOW) is None
-    totals.observe(SpeedObservations(endpoints[3], 7, 400, 400_000, 0, 0), NOW)
-    totals.observe(SpeedObservations(endpoints[4], 6, 90, 1, 0, 0), NOW)
+    totals.observe(messages.SpeedObservations(endpoints[3], 7, 400, 400_000, 0, 0), NOW)
+    totals.observe(messages.SpeedObservations(endpoints[4], 6, 90, 1, 0, 0), NOW)
     change = totals.find_change(first.version, NOW)
     assert change is not None
     assert not change.is_complete
@@ -248,7 +221,7 @@
     """Guard against an engine that stays avoided after it has recovered."""
     totals = make_speed_totals(NOW)
     name = EndpointId("e1")
-    totals.observe(SpeedObservations(name, 7, 60, 120_000, 0, 0), NOW)
+    totals.observe(messages.SpeedObservations(name, 7, 60, 120_000, 0, 0), NOW)
     known = totals.find_change(NO_SPEEDS, NOW)
     assert known is not None
     for number in range(150):
@@ -265,16 +238,16 @@
     endpoint = replace(make_endpoint("e1"), born_ms=7)
     others = tuple(make_endpoint(f"e{number}") for number in (2, 3))
     state = PlacementState(HOME, "h")
-    handle_placement(EndpointsListed((endpoint, *others)), state, NOW)
-    slow = EndpointSpeed(endpoint.endpoint, 7, 2_000, 1_000)
-    handle_placement(SpeedsReported((slow,), True), state, NOW)
+    handle_placement(messages.EndpointsListed((endpoint, *others)), state, NOW)
+    slow = messages.EndpointSpeed(endpoint.endpoint, 7, 2_000, 1_000)
+    handle_placement(messages.SpeedsReported((slow,), True), state, NOW)
     speeds = state.endpoints[endpoint.endpoint].speeds
-    handle_placement(SpeedsReported((), True), state, NOW)
+    handle_placement(messages.SpeedsReported((), True), state, NOW)
     assert speeds.decode_ratio == 2.0
     late = NOW + UNCONFIRMED_SPEED_TTL
-    handle_placement(SpeedsReported((), False), state, late)
+    handle_placement(messages.SpeedsReported((), False), state, late)
     assert speeds.decode_ratio == 1.0
-    handle_placement(SpeedsReported((slow,), False), state, late)
+    handle_placement(messages.SpeedsReported((slow,), False), state, late)
     restarted = replace(endpoint, born_ms=8)
-    handle_placement(EndpointsListed((restarted, *others)), state, late)
+    handle_placement(messages.EndpointsListed((restarted, *others)), state, late)
     assert state.endpoints[endpoint.endpoint].speeds.decode_ratio == 1.0
