--- a/oleanderhitch/platform/requests.py
+++ b/oleanderhitch/platform/requests.py
@@ -39,6 +39,8 @@
 NOT_RUN_STATUSES = frozenset({408, MISDIRECTED_STATUS, 429, 503})
 LOWEST_PRIORITY = 9
 MILLISECOND = timedelta(milliseconds=1)
+# A year; longer times would exceed the range of points in time.
+TIME_TO_FINISH_MAX_MS = 365 * 24 * 3600 * 1000
 # Callers wait at most a third of their remaining time before they retry. The share
 # stays below that; RETRY_AFTER_MIN exceeds a third when less than 150 ms remain.
 RETRY_AFTER_SHARE = 0.25
@@ -52,11 +54,13 @@
     Verdict.UNAUTHORIZED: 401,
     Verdict.NOT_CURRENT: 503,
     Verdict.OVER_QUOTA: 429,
+    Verdict.QUOTA_UNAVAILABLE: 503,
     Verdict.NO_PREVIOUS_TURN: 404,
     Verdict.BUDGET_SPENT: 402,
     Verdict.RECORD_UNAVAILABLE: 503,
     Verdict.NO_ENDPOINT: 503,
     Verdict.ALL_REFUSED: 503,
+    Verdict.OVERLOADED: 503,
     Verdict.QUARANTINED: 503,
     Verdict.OUTCOME_UNKNOWN: 502,
     Verdict.TIMED_OUT: 504,
@@ -87,6 +91,8 @@
             request.find_header(header_names.LAST_EVENT_ID),
             _make_fingerprint(request, host),
             _read_key(request.headers),
+            *_read_program(request),
+            _read_time_to_finish(request),
         )
 
     def read_response_head(self, status: int, headers: Headers) -> EndpointResponseHead:
@@ -159,6 +165,7 @@
         verdict: Verdict,
         detail: str,
         time_left: timedelta,
+        retry_after: timedelta | None = None,
     ) -> HttpResponse:
         """Return the response for a verdict."""
         status = VERDICT_STATUSES[verdict]
@@ -166,11 +173,12 @@
         if request is not None:
             headers.append((header_names.REQUEST_ID, request))
         if status == NOT_RUN_STATUS:
-            retry_after = min(
-                max(time_left * RETRY_AFTER_SHARE, RETRY_AFTER_MIN), RETRY_AFTER_MAX
-            )
+            if retry_after is None:
+                retry_after = min(time_left * RETRY_AFTER_SHARE, RETRY_AFTER_MAX)
+            retry_after = max(retry_after, RETRY_AFTER_MIN)
             if verdict is Verdict.QUARANTINED:
                 retry_after = FIRST_QUARANTINE_DURATION
+        if retry_after is not None:
             headers.append(("retry-after", f"{retry_after.total_seconds():.3f}"))
         body = f"{verdict.value}: {detail}\n".encode("utf-8", "replace")
         return HttpResponse(status, body, tuple(headers))
@@ -260,6 +268,20 @@
         raise InvalidInputError(f"{header_names.DEADLINE} is {text!r}") from None
 
 
+def _read_time_to_finish(request: HttpRequest) -> timedelta | None:
+    """Return the time left to finish the program, None without a usable one.
+
+    It orders waiting requests and binds nothing, so it is no reason for a refusal.
+    """
+    try:
+        time_ms = float(request.find_header(header_names.FINISH) or "nan")
+    except ValueError:
+        return None
+    if not abs(time_ms) <= TIME_TO_FINISH_MAX_MS:
+        return None
+    return time_ms * MILLISECOND
+
+
 def _find_affinity_key(request: HttpRequest) -> str | None:
     cookie = request.find_header("cookie")
     if cookie is None:
@@ -344,6 +366,21 @@
     )
 
 
+def _read_program(request: HttpRequest) -> tuple[ProgramId | None, bool]:
+    """Return the program of a request, and whether it shows that one is in progress.
+
+    Turns that continue another one and tool calls do.
+    """
+    program = request.find_header(header_names.PROGRAM)
+    if not program:
+        return None, False
+    is_first_turn = (
+        request.find_header(header_names.TOKEN_BUDGET) is not None
+        and request.find_header(header_names.PREVIOUS_TURN) is None
+    )
+    return ProgramId(program), not is_first_turn
+
+
 def make_platform_dialect() -> PlatformDialect:
     """Return the platform's dialect of requests and responses."""
     return PlatformDialect()
--- a/oleanderhitch/platform/settings.py
+++ b/oleanderhitch/platform/settings.py
@@ -11,6 +11,7 @@
 from oleanderhitch.exceptions import InvalidInputError
 from oleanderhitch.platform.documents import structure_document
 from oleanderhitch.process.ids import NodeId
+from oleanderhitch.process.quotas.messages import QuotaBounds
 from oleanderhitch.process.site.settings import (
     SiteEntrySettings,
     SiteSettings,
@@ -45,6 +46,13 @@
     """Time limits that the platform sets."""
 
     grace_s: float  # from SIGTERM to SIGKILL
+    strict_revoke: bool = False  # whether revoke_ms holds on hosts cut off, too
+    revoke_ms: float = 5000  # from the removal of a key to its last use
+    # In each window, an account may send a part and a number more than its quota. The
+    # limits of accounts have no effect without a window.
+    quota_window_s: float | None = None
+    quota_over: float = 0.0
+    quota_slack: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -52,6 +60,7 @@
     """What a process may use of its host."""
 
     memory_mb: float | None = None
+    max_fds: int | None = None
 
 
 @dataclass(frozen=True)
@@ -134,6 +143,9 @@
         timedelta(seconds=file.bounds.grace_s),
         HostAddress(f"{file.ip}:{metrics_port}") if metrics_port else None,
         _find_memory_limit(file),
+        _find_revocation_limit(file.bounds),
+        _find_quota_bounds(file),
+        file.limits.max_fds,
     )
 
 
@@ -151,6 +163,28 @@
     return None if n_megabytes is None else int(n_megabytes * BYTES_PER_MEGABYTE)
 
 
+def _find_revocation_limit(bounds: Bounds) -> timedelta | None:
+    if not bounds.strict_revoke:
+        return None
+    try:
+        limit = timedelta(milliseconds=bounds.revoke_ms)
+    except (ValueError, OverflowError):
+        limit = timedelta(0)
+    if limit <= timedelta(0):
+        raise InvalidInputError(
+            f"setting bounds.revoke_ms is {bounds.revoke_ms}; expected more than 0"
+        )
+    return limit
+
+
+def _find_quota_bounds(file: SettingsFile) -> QuotaBounds | None:
+    bounds = file.bounds
+    if not bounds.quota_window_s:
+        return None
+    window = timedelta(seconds=bounds.quota_window_s)
+    return QuotaBounds(window, bounds.quota_over, bounds.quota_slack)
+
+
 def _make_node_id(ip: str, file: SettingsFile) -> NodeId:
     """Return a node's id, which is the address where it listens for its peers.
 
--- a/oleanderhitch/process/metrics/states.py
+++ b/oleanderhitch/process/metrics/states.py
@@ -55,6 +55,11 @@
     REFUSALS = MetricName(
         "oleanderhitch_refusals_total", "Calls refused before they ran.", "reason"
     )
+    CALLER_REFUSALS = MetricName(
+        "oleanderhitch_caller_refusals_total",
+        "Requests and connections that a server did not serve.",
+        "reason",
+    )
     PROMPT_TOKENS = MetricName(
         "oleanderhitch_prompt_tokens_total", "Prompt tokens sent to engines."
     )
@@ -82,6 +87,15 @@
     OPERATOR_CALLS = MetricName(
         "oleanderhitch_operator_calls_total", "Calls of operators.", "status"
     )
+    CREDITS = MetricName(
+        "oleanderhitch_credits_total",
+        "Requests of accounts with a limit by how their wait for a credit ended.",
+        "result",
+    )
+    CREDITS_LENT = MetricName(
+        "oleanderhitch_credits_lent_total",
+        "Credits of accounts with a limit that this leader has lent.",
+    )
     DROPPED_SPANS = MetricName(
         "oleanderhitch_dropped_spans_total", "Spans that found no room."
     )
@@ -102,6 +116,10 @@
     CONFIGURATION_VERSION = MetricName(
         "oleanderhitch_configuration_version", "Version of the configuration in use."
     )
+    CREDITS_HELD = MetricName(
+        "oleanderhitch_credits_held",
+        "Unused credits of accounts with a limit at the last question to the leader.",
+    )
     LEADER = MetricName(
         "oleanderhitch_leader", "1 where this process leads the group.", "group"
     )
@@ -116,6 +134,10 @@
         "oleanderhitch_link_queue_length",
         "Messages that wait for the slowest link to another store.",
     )
+    LEASE_AGE = MetricName(
+        "oleanderhitch_lease_age_seconds",
+        "Time since the routing of this host was last known to be the newest.",
+    )
     GROUP_LOG_BYTES = MetricName(
         "oleanderhitch_group_log_bytes",
         "Log of this process's replica in memory.",
@@ -126,6 +148,14 @@
         "Newest snapshot of this process's replica.",
         "group",
     )
+    HELD_BYTES = MetricName(
+        "oleanderhitch_held_bytes",
+        "Share of the memory that requests and responses hold.",
+        "kind",
+    )
+    CALLER_CONNECTIONS = MetricName(
+        "oleanderhitch_caller_connections", "Open connections of a server.", "server"
+    )
     GROUP_TURNS = MetricName(
         "oleanderhitch_group_turns", "Stored turns of programs.", "group"
     )
--- a/oleanderhitch/process/placement/messages.py
+++ b/oleanderhitch/process/placement/messages.py
@@ -4,8 +4,10 @@
 from datetime import datetime, timedelta
 from enum import Enum
 
+from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.directory.messages import ListedEndpoint
+from oleanderhitch.program.ids import AccountId
 from oleanderhitch.request.ids import HolderId, PermitId, RequestFingerprint
 from oleanderhitch.values import Value
 from oleanderhitch.version.ids import EndpointId, ServiceName
@@ -27,13 +29,28 @@
     parts: tuple[PromptPart, ...]
 
 
+class RequestStage(Enum):
+    """How much of its program a request continues.
+
+    REPEATED: an earlier attempt of the request itself may have run. STANDALONE: it
+    belongs to no program.
+    """
+
+    REPEATED = "repeated"
+    IN_PROGRESS = "in_progress"
+    STANDALONE = "standalone"
+    NEW_PROGRAM = "new_program"
+
+
 class AcquireEndpoint(Value, frozen=True):
     """Requests an endpoint of a service, except those that were tried.
 
     A lower `rank` is served first. `is_retryable` is whether a request that may have
     run can be sent again. A request that still waits at the deadline is refused.
     `workload` is None for a plain service. `fingerprint` stands for its content. What
-    is granted belongs to the holder until it is released or `EndHolder` comes.
+    is granted belongs to the holder until it is released or `EndHolder` comes. Slots
+    are shared out between accounts, if `account` is known. The program of the request
+    should be finished by `finish_at`. The caller waits until `caller_deadline`.
     """
 
     holder: HolderId
@@ -46,6 +63,10 @@
     deadline: datetime
     reply_address: Address
     fingerprint: RequestFingerprint
+    account: AccountId | None = None
+    stage: RequestStage = RequestStage.STANDALONE
+    finish_at: datetime | None = None
+    caller_deadline: datetime | None = None
 
 
 class EndHolder(Value, frozen=True):
@@ -109,6 +130,13 @@
     requests_per_s: float | None
 
 
+class ConnectionsCounted(Value, frozen=True):
+    """Reports how many connections of this host to an address are open."""
+
+    address: HostAddress
+    n_open: int
+
+
 class FirstChunkReceived(Value, frozen=True):
     """Reports the first chunk of a response, which shows that prefill has finished."""
 
@@ -274,14 +302,18 @@
 
 
 class EndpointRefused(Value, frozen=True):
-    """Refuses a request that got no endpoint before its deadline.
+    """Refuses a request that gets no endpoint before its deadline.
 
-    Quarantined content gets none at all, since it crashes the endpoints that run it.
+    Quarantined content gets none at all, since it crashes the endpoints that run it. An
+    overloaded service would serve the request too late. `retry_after` is None if it is
+    not known when there may be a slot.
     """
 
     holder: HolderId
     reason: str
     is_quarantined: bool = False
+    is_overloaded: bool = False
+    retry_after: timedelta | None = None
 
 
 class CrashesReported(Value, frozen=True):
--- a/oleanderhitch/process/placement/records.py
+++ b/oleanderhitch/process/placement/records.py
@@ -1,12 +1,13 @@
 """Define the state of the placement task."""
 
-from collections import OrderedDict, defaultdict
+from collections import Counter, OrderedDict, defaultdict
 from collections.abc import Mapping
 from datetime import datetime, timedelta
 from random import Random
 
 from msgspec import Struct, field
 
+from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.process.crashes.messages import Suspicion
 from oleanderhitch.process.directory.messages import ListedEndpoint
 from oleanderhitch.process.placement.cache import CacheEstimate
@@ -18,6 +19,7 @@
     ServiceSpeeds,
     SpeedReports,
 )
+from oleanderhitch.program.ids import AccountId
 from oleanderhitch.request.ids import HolderId, PermitId, RequestFingerprint
 from oleanderhitch.values import Value
 from oleanderhitch.version.ids import DataCentreName, EndpointId, ServiceName
@@ -106,6 +108,42 @@
         return self.listed.is_leaving or self.has_announced_stop
 
 
+class QueueId(Value, frozen=True):
+    """Requests that compete for the same slots: those of one service and kind."""
+
+    service: ServiceName
+    is_engine: bool
+
+
+class DrainRate(Struct):
+    """Grants of a service and the seconds in which requests waited for them.
+
+    Both lose their weight with time.
+    """
+
+    n_grants: float = 0.0
+    waiting_s: float = 0.0
+    observed_at: datetime | None = None
+    # Whether requests wait for slots, and none is free.
+    is_waiting: bool = False
+
+
+class ServiceQueue(Struct):
+    """Requests of this entry host that run at one service or wait for it."""
+
+    # In the order of their arrival.
+    waiting: list[AcquireEndpoint] = field(default_factory=list)
+    # Only accounts that have running requests.
+    n_running: Counter[AccountId | None] = field(default_factory=Counter)
+    # Grants since the last one to the request that had waited longest.
+    n_grants_by_order: int = 0
+    drain: DrainRate = field(default_factory=DrainRate)
+    # When the last log line on early refusals was written.
+    refusals_logged_at: datetime | None = None
+    # The number of waiting requests in the metrics.
+    n_reported: int = 0
+
+
 class Permit(Value, frozen=True):
     """Endpoint, pending prefill and content of one granted request."""
 
@@ -115,6 +153,8 @@
     is_engine: bool
     granted_at: datetime
     holder: HolderId
+    queue: QueueId
+    account: AccountId | None
     # Prompt tokens to read, if no other prefill had to end before: a first event then
     # shows how fast the endpoint reads.
     n_measured_tokens: int | None = None
@@ -147,12 +187,16 @@
     permits: dict[PermitId, Permit] = field(default_factory=dict)
     # What each request holds: every permit belongs to one request in progress.
     held_permits: dict[HolderId, set[PermitId]] = field(default_factory=dict)
-    # Requests that were neither granted nor refused an endpoint yet.
-    undecided: set[HolderId] = field(default_factory=set)
-    waiting: list[AcquireEndpoint] = field(default_factory=list)
+    # Requests that were neither granted nor refused an endpoint yet, and since when.
+    undecided: dict[HolderId, datetime] = field(default_factory=dict)
+    queues: defaultdict[QueueId, ServiceQueue] = field(
+        default_factory=lambda: defaultdict(ServiceQueue)
+    )
     pending_prefill_tokens: defaultdict[EndpointId, int] = field(
         default_factory=lambda: defaultdict(int)
     )
+    # Open connections of this host, busy or idle.
+    n_connections: dict[HostAddress, int] = field(default_factory=dict)
     # Whether endpoints ramp up that do not say themselves that they start cold.
     is_ramp_up_enabled: bool = False
     # Mean duration of the calls of each plain service.
@@ -169,6 +213,11 @@
     suspected: frozenset[RequestFingerprint] = frozenset()
     quarantined: frozenset[RequestFingerprint] = frozenset()
 
+    @property
+    def has_waiting(self) -> bool:
+        """Whether any request waits for an endpoint."""
+        return any(queue.waiting for queue in self.queues.values())
+
 
 def find_endpoint(name: EndpointId, state: PlacementState) -> Endpoint | None:
     """Return what is known of an endpoint, whether the list names it or not."""
@@ -183,6 +232,12 @@
     return endpoint.peer_load
 
 
+def has_idle_connection(endpoint: Endpoint, state: PlacementState) -> bool:
+    """Return whether a request to an endpoint needs no new connection."""
+    n_open = state.n_connections.get(endpoint.listed.address, 0)
+    return n_open > len(endpoint.permits)
+
+
 def count_running(endpoint: Endpoint, now: datetime) -> int:
     """Return the known number of running requests, of all entry hosts."""
     peer_load = find_peer_load(endpoint, now)
--- a/oleanderhitch/process/site/entry.py
+++ b/oleanderhitch/process/site/entry.py
@@ -10,15 +10,18 @@
 import gevent.event
 import logbook
 
+from oleanderhitch.connection.http.budget import (
+    N_STATUS_CONNECTIONS,
+    STATUS_LIMITS,
+    ServerBudget,
+    make_server_budget,
+)
 from oleanderhitch.connection.http.caller import ResponseWriter
 from oleanderhitch.connection.http.endpoint import make_endpoint_connection
-from oleanderhitch.connection.http.memory import (
-    DEFAULT_BUDGET_BYTES,
-    make_response_memory,
-)
 from oleanderhitch.connection.http.messages import HttpRequest, HttpResponse
 from oleanderhitch.connection.http.pool import make_connection_pool
 from oleanderhitch.connection.http.server import make_http_server
+from oleanderhitch.connection.http.server_metrics import observe_servers
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.connection.peer.messages import PeerMessage
 from oleanderhitch.process.caches.dialect import CacheDialect
@@ -33,10 +36,19 @@
     GroupUncertain,
 )
 from oleanderhitch.process.mailbox import Mailbox
-from oleanderhitch.process.metrics.core import Metrics, make_counter
+from oleanderhitch.process.metrics.core import (
+    Metrics,
+    make_counter,
+    make_label_counter,
+)
 from oleanderhitch.process.metrics.states import Counter
-from oleanderhitch.process.placement.messages import SendPermitReply
+from oleanderhitch.process.placement.messages import (
+    ConnectionsCounted,
+    SendPermitReply,
+)
 from oleanderhitch.process.placement.task import make_placement_task
+from oleanderhitch.process.quotas.messages import CreditReply
+from oleanderhitch.process.quotas.task import make_quotas_task
 from oleanderhitch.process.site.application import make_site_codec
 from oleanderhitch.process.site.group import TURN_GROUPS, get_turn_group
 from oleanderhitch.process.site.links import make_site_links
@@ -49,6 +61,7 @@
     StatusReceived,
 )
 from oleanderhitch.process.site.subscription.installed_state import InstalledState
+from oleanderhitch.process.site.subscription.lease import make_lease_terms
 from oleanderhitch.process.site.subscription.task import (
     SubscriptionDependencies,
     make_subscription_task,
@@ -67,10 +80,6 @@
 LAST_RESPONSE_TIME = timedelta(milliseconds=300)
 DRAIN_POLL_INTERVAL = timedelta(milliseconds=50)
 
-# Part of the memory of a host that responses of endpoints may take. The process itself
-# takes up to a half, and a response takes twice its size while it grows and is sent on.
-RESPONSE_MEMORY_SHARE = 0.125
-
 READY = HttpResponse(200)
 NOT_READY = HttpResponse(503)
 
@@ -94,11 +103,15 @@
         settings: SiteEntrySettings,
         dependencies: EntryDependencies,
         clock: Clock,
+        boot_clock: Clock,
         metrics: Metrics,
     ) -> None:
         self._settings = settings
         self._clock = clock
-        self._installed_state = InstalledState()
+        limit = settings.site.revocation_limit
+        self._installed_state = InstalledState(
+            boot_clock, None if limit is None else make_lease_terms(limit)
+        )
         self._is_stopping = False
         self._end_time: datetime | None = None
         codec = make_site_peer_codec()
@@ -114,11 +127,13 @@
         self._group_client = make_group_client(
             self._links.list_addresses(), self._send_to_store, clock
         )
-        response_memory = make_response_memory(
-            _get_response_budget(settings.site.memory_limit_bytes)
+        budget = make_server_budget(
+            settings.site.memory_limit_bytes, settings.site.n_descriptors_limit
         )
         self._connection_pool = make_connection_pool(
-            partial(make_endpoint_connection, memory=response_memory), clock
+            partial(make_endpoint_connection, memory=budget.memory),
+            clock,
+            self._count_connections,
         )
         self._caches = make_caches_task(
             dependencies.cache_dialect, self._connection_pool, clock
@@ -130,26 +145,31 @@
             self._tell_subscription,
             clock,
             random.Random(uuid.uuid4().int),
+            metrics,
             settings.is_ramp_up_enabled,
         )
         self._directory = make_directory_task(
             dependencies.fetch_list, self._handle_local_list, clock
         )
+        subscription_dependencies = SubscriptionDependencies(
+            self._installed_state,
+            self._links,
+            (self._group_client,),
+            self._placement,
+            self._directory,
+            dependencies.read_routing,
+            metrics,
+        )
         self._subscription = make_subscription_task(
-            settings.site.node,
-            SubscriptionDependencies(
-                self._installed_state,
-                self._links,
-                (self._group_client,),
-                self._placement,
-                self._directory,
-                dependencies.read_routing,
-            ),
-            clock,
+            settings.site.node, subscription_dependencies, boot_clock
         )
+        self._quotas = make_quotas_task(
+            self._tell_subscription, clock, metrics, random.Random(uuid.uuid4().int)
+        )
+        subscription_dependencies.quotas = self._quotas
         forward_dependencies = ForwardDependencies(
             dependencies.dialect,
-            self._installed_state.await_table,
+            self._installed_state,
             TURN_GROUPS,
             get_turn_group,
             self._group_client,
@@ -159,17 +179,31 @@
             clock,
             random.Random(uuid.uuid4().int),
             metrics,
-            response_memory,
+            budget.memory,
             self._get_end_time,
+            quotas=None if settings.site.quota_bounds is None else self._quotas,
         )
+        count_refusal = make_label_counter(metrics, Counter.CALLER_REFUSALS)
         self._caller_server = make_http_server(
             settings.caller_address,
             partial(_serve, dependencies=forward_dependencies),
             clock,
             self._get_caller_limits,
+            budget,
+            count_refusal,
         )
         self._readiness_server = make_http_server(
-            settings.readiness_address, self._serve_readiness, clock
+            settings.readiness_address,
+            self._serve_readiness,
+            clock,
+            lambda: STATUS_LIMITS,
+            ServerBudget(budget.memory, N_STATUS_CONNECTIONS),
+            count_refusal,
+        )
+        observe_servers(
+            metrics,
+            budget.memory,
+            {"callers": self._caller_server, "readiness": self._readiness_server},
         )
 
     def start(self) -> None:
@@ -181,6 +215,7 @@
             self._placement,
             self._directory,
             self._subscription,
+            self._quotas,
         ):
             task.start()
         self._links.start()
@@ -219,6 +254,7 @@
         self._readiness_server.stop()
         self._links.stop()
         for task in (
+            self._quotas,
             self._subscription,
             self._directory,
             self._placement,
@@ -237,8 +273,7 @@
 
     def _is_ready(self) -> bool:
         has_state = (
-            self._installed_state.table is not None
-            and self._installed_state.has_endpoints
+            self._installed_state.is_serving and self._installed_state.has_endpoints
         )
         return has_state and not self._is_stopping
 
@@ -262,11 +297,16 @@
             self._subscription.send(StatusReceived(delivery.node, message))
         elif isinstance(message, SendPermitReply):
             self._placement.send(message)
+        elif isinstance(message, CreditReply):
+            self._quotas.send(message)
         elif isinstance(message, GroupAnswer | GroupRedirect | GroupUncertain):
             self._group_client.send(message)
         else:
             log.warning("unexpected message type", type=type(message).__name__)
 
+    def _count_connections(self, address: HostAddress, n_open: int) -> None:
+        self._placement.send(ConnectionsCounted(address, n_open))
+
     def _tell_subscription(self, message: object) -> None:
         self._subscription.send(message)
 
@@ -278,12 +318,6 @@
         self._subscription.send(ListReadLocally(endpoint_list))
 
 
-def _get_response_budget(memory_limit_bytes: int | None) -> int:
-    if memory_limit_bytes is None:
-        return DEFAULT_BUDGET_BYTES
-    return int(memory_limit_bytes * RESPONSE_MEMORY_SHARE)
-
-
 def _serve(
     request: HttpRequest,
     writer: ResponseWriter,
@@ -298,7 +332,8 @@
     settings: SiteEntrySettings,
     dependencies: EntryDependencies,
     clock: Clock,
+    boot_clock: Clock,
     metrics: Metrics,
 ) -> EntryHost:
-    """Return an entry host that is not started yet."""
-    return EntryHost(settings, dependencies, clock, metrics)
+    """Return an entry host that is not started yet; `boot_clock` measures leases."""
+    return EntryHost(settings, dependencies, clock, boot_clock, metrics)
--- a/oleanderhitch/process/site/messages.py
+++ b/oleanderhitch/process/site/messages.py
@@ -16,6 +16,7 @@
     SendPermitRequest,
     SpeedObservations,
 )
+from oleanderhitch.process.quotas.messages import CreditReply, CreditRequest
 from oleanderhitch.values import Value
 from oleanderhitch.version.ids import DataCentreName, HostName
 from oleanderhitch.version.routes.ids import NO_ROUTING, RoutingVersion
@@ -24,6 +25,8 @@
 NO_STORES = StoresDigest(0)
 LimitsDigest = NewType("LimitsDigest", int)
 NO_LIMITS = LimitsDigest(0)
+# Tells the hellos of a process apart, also from those of earlier processes of its node.
+HelloNumber = NewType("HelloNumber", int)
 
 
 class SpeedsVersion(Value, frozen=True, array_like=True):
@@ -98,7 +101,9 @@
     which stores the entry host was told of last, `known_limits` which limits of
     endpoints. `limits` are those that it has observed lately itself. `crashes` are all
     crashes that it knows of, if the leader knows others. `speeds` are what it has
-    observed since its last hello to a leader, `known_speeds` what it was told last.
+    observed since its last hello to a leader, `known_speeds` what it was told last. A
+    hello with a `number` asks for a confirmation that the routing it names is the
+    newest.
     """
 
     node: NodeId
@@ -112,6 +117,7 @@
     crashes_digest: CrashesDigest = NO_CRASHES
     speeds: tuple[SpeedObservations, ...] = ()
     known_speeds: SpeedsVersion = NO_SPEEDS
+    number: HelloNumber | None = None
 
 
 class StoreAnnouncement(Value, frozen=True):
@@ -138,7 +144,9 @@
     `routing` and `other_loads`, the loads that all other entry hosts cause, are only
     set by a leader whose state is known to be current, and so are the limits of
     endpoints, the number of entry hosts, the speeds of endpoints that have changed, and
-    the crashes, which are not sent to a host that knows the same.
+    the crashes, which are not sent to a host that knows the same. With
+    `confirmed_hello`, no routing newer than what the entry host has, or gets in this
+    status, was accepted before that hello was sent.
     """
 
     stores: tuple[NodeId, ...]
@@ -153,6 +161,7 @@
     crashes: tuple[CrashRecord, ...] | None = None
     crashes_digest: CrashesDigest = NO_CRASHES
     speeds: SpeedsChange | None = None
+    confirmed_hello: HelloNumber | None = None
 
 
 EMPTY_ROUTING = RoutingFound(NO_ROUTING, b"")
@@ -166,4 +175,6 @@
     StoreAnnouncement,
     SendPermitRequest,
     SendPermitReply,
+    CreditRequest,
+    CreditReply,
 )
--- a/oleanderhitch/process/site/store.py
+++ b/oleanderhitch/process/site/store.py
@@ -11,7 +11,10 @@
 import gevent.event
 import logbook
 
+from oleanderhitch.connection.codec import Codec
+from oleanderhitch.connection.http.budget import make_server_budget
 from oleanderhitch.connection.http.server import make_http_server
+from oleanderhitch.connection.http.server_metrics import observe_servers
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.connection.peer.handshake import Identity
 from oleanderhitch.connection.peer.link import PeerLink
@@ -34,15 +37,32 @@
     StoresChanged,
 )
 from oleanderhitch.process.ids import CallId, GroupId, NodeId, ReplicaId
-from oleanderhitch.process.metrics.core import Metrics, make_counter
+from oleanderhitch.process.metrics.core import (
+    Metrics,
+    make_counter,
+    make_label_counter,
+)
 from oleanderhitch.process.metrics.states import Counter, Gauge
 from oleanderhitch.process.placement.messages import SendPermitRequest
+from oleanderhitch.process.quotas.messages import CreditRequest
 from oleanderhitch.process.repair.core import BalanceSlot
+from oleanderhitch.process.repair.damage import LeadershipWatch, is_majority_proven
 from oleanderhitch.process.repair.messages import ReplicaRemoved, StoreHello
 from oleanderhitch.process.replication.effect_handlers import make_any_replica_receiver
 from oleanderhitch.process.replication.effects import LeadershipChanged
 from oleanderhitch.process.replication.states import Role
 from oleanderhitch.process.site.application import make_site_codec
+from oleanderhitch.process.site.currency import (
+    BeginRead,
+    ConfirmHellos,
+    CurrencyState,
+    HelloArrived,
+    LeadershipObserved,
+    ReadCompleted,
+    ReadFailed,
+    ReadNumber,
+)
+from oleanderhitch.process.site.currency import handle as handle_currency
 from oleanderhitch.process.site.group import SITE_GROUP, SITE_GROUPS
 from oleanderhitch.process.site.links import LINK_TIMING, make_site_links
 from oleanderhitch.process.site.member import (
@@ -50,6 +70,7 @@
     MemberDependencies,
     MemberSettings,
     make_group_member,
+    set_aside_directory,
 )
 from oleanderhitch.process.site.messages import (
     EntryHello,
@@ -63,12 +84,15 @@
     make_operator_service,
 )
 from oleanderhitch.process.site.peer_codec import make_site_peer_codec
+from oleanderhitch.process.site.quota_lender import make_quota_lender
 from oleanderhitch.process.site.settings import SiteStoreSettings
 from oleanderhitch.process.site.subscribers import make_subscribers
+from oleanderhitch.process.storage.exceptions import DamagedDataError
 from oleanderhitch.process.storage.identity import IDENTITY_FILE, get_node
+from oleanderhitch.process.task import make_task
 from oleanderhitch.process.usage.monitor import make_usage_monitor
 from oleanderhitch.values import Value
-from oleanderhitch.version.routes.configuration import CallerLimits
+from oleanderhitch.version.routes.configuration import CallerLimits, RouteTable
 
 ANNOUNCEMENT_INTERVAL = timedelta(milliseconds=400)
 # Leaders tell all stores that they lead and need to know which stores there are. The
@@ -84,6 +108,8 @@
 LEADERSHIP_TRANSFER_TIMEOUT = timedelta(milliseconds=600)
 # A new leader rejects reads until the first entry of its term is committed.
 CONFIRM_RETRY_INTERVAL = timedelta(milliseconds=50)
+# Short against the time for which a leader must have been announced.
+DAMAGE_CHECK_INTERVAL = timedelta(milliseconds=100)
 # One line on the process each second and one on each replica each five.
 USAGE_INTERVAL = timedelta(seconds=1)
 N_USAGES_PER_GROUP_STATE = 5
@@ -100,6 +126,7 @@
 
     dialect: OperatorDialect
     fetch_list: FetchList
+    read_routing: Callable[[bytes], RouteTable]
 
 
 class StoreContact(Value, frozen=True):
@@ -134,6 +161,25 @@
             self._store.retry_confirmation()
 
 
+class _CurrencyReplyAddress:
+    """Reply address of one read that confirms the hellos of entry hosts."""
+
+    def __init__(self, read: ReadNumber, currency: Address, codec: Codec) -> None:
+        self._read = read
+        self._currency = currency
+        self._codec = codec
+
+    def send(self, message: object) -> None:
+        """Report the version that the read found, or that it found none."""
+        result = None
+        if isinstance(message, GroupAnswer):
+            result = self._codec.decode(message.body)
+        if isinstance(result, RoutingFound):
+            self._currency.send(ReadCompleted(self._read, result.version))
+        else:
+            self._currency.send(ReadFailed(self._read))
+
+
 class Store:
     """Owner of the tasks of a store from its start until it is stopped or closed."""
 
@@ -165,6 +211,22 @@
         self._subscribers = make_subscribers(
             self._get_routing, self._list_stores, self._find_site_leader, clock
         )
+        self._currency = make_task(
+            "currency",
+            CurrencyState(),
+            handle_currency,
+            self._perform_currency,
+            clock,
+            find_next_tick=lambda state: state.next_tick_at,
+        )
+        self._quota_lender = make_quota_lender(
+            site.quota_bounds,
+            self._get_routing,
+            dependencies.read_routing,
+            self._request_read,
+            clock,
+            metrics,
+        )
         self._directory = make_directory_task(
             dependencies.fetch_list, self._handle_list, clock
         )
@@ -191,6 +253,8 @@
             LINK_TIMING,
             count_bytes,
         )
+        # Operators have a budget of their own: what stores hold is not theirs.
+        budget = make_server_budget(site.memory_limit_bytes, site.n_descriptors_limit)
         self._operator_server = make_http_server(
             settings.operator_address,
             make_operator_service(
@@ -200,7 +264,10 @@
             ),
             clock,
             lambda: OPERATOR_LIMITS,
+            budget,
+            make_label_counter(metrics, Counter.CALLER_REFUSALS),
         )
+        observe_servers(metrics, budget.memory, {"operators": self._operator_server})
 
     def _make_member_settings(self, group: GroupId) -> MemberSettings:
         settings = self._settings
@@ -216,7 +283,7 @@
 
     def start(self) -> None:
         """Start all tasks and listen; raise OSError if an address is unavailable."""
-        for task in (self._group_client, self._directory):
+        for task in (self._group_client, self._directory, self._currency):
             task.start()
         self._links.start()
         self._peer_server.start()
@@ -274,7 +341,7 @@
         self._peer_server.stop()
         self._links.stop()
         self._usage_monitor.stop()
-        for task in (self._directory, self._group_client):
+        for task in (self._directory, self._group_client, self._currency):
             task.stop()
 
     def _open_members(self) -> None:
@@ -292,12 +359,35 @@
                 return
             try:
                 member.open()
+            except DamagedDataError as error:
+                if not self._has_other_seeds():
+                    self._end_process(f"group {member.group} can't be opened: {error}")
+                    return
+                gevent.spawn(self._replace_damaged, member, str(error))
             except (OSError, OleanderhitchError) as error:
                 self._end_process(f"group {member.group} can't be opened: {error}")
                 return
             self._announcement_due.set()
             gevent.sleep(0)
 
+    def _has_other_seeds(self) -> bool:
+        site = self._settings.site
+        return any(seed != site.node for seed in site.seeds)
+
+    def _replace_damaged(self, member: GroupMember, reason: str) -> None:
+        """Start a damaged replica anew once the group is led without it.
+
+        Until then its log may be needed, and the other replicas of this store run.
+        """
+        log.error("damaged replica waits for a leader", group=member.group, why=reason)
+        watch = LeadershipWatch()
+        while not self._has_stopped:
+            leader = self._find_announced_leader(member.group)
+            if is_majority_proven(watch, leader, self._clock.now()):
+                member.start_anew(reason, set_aside_directory)
+                return
+            gevent.sleep(DAMAGE_CHECK_INTERVAL.total_seconds())
+
     # The groups' tasks use this object as their transport.
 
     def send(self, message: object) -> None:
@@ -486,6 +576,8 @@
     def handle_entry_hello(self, hello: EntryHello, reply_address: Address) -> None:
         """Reply to an entry host with the state that it lacks."""
         self._subscribers.handle_hello(hello, reply_address)
+        if hello.number is not None:
+            self._currency.send(HelloArrived(hello.node, hello.number))
 
     def handle_permit_request(
         self, request: SendPermitRequest, reply_address: Address
@@ -493,6 +585,12 @@
         """Reply to an entry host that asks for a send to a limited endpoint."""
         self._subscribers.handle_permit_request(request, reply_address)
 
+    def handle_credit_request(
+        self, request: CreditRequest, reply_address: Address
+    ) -> None:
+        """Reply to an entry host that asks for credits of client accounts."""
+        self._quota_lender.handle_request(request, reply_address)
+
     def handle_replica_removed(self, message: ReplicaRemoved) -> None:
         """Start the replica anew that was removed from its group."""
         for member in self._members.values():
@@ -549,9 +647,26 @@
             self._subscribers.notify_all()
 
     def _request_confirmation(self) -> None:
+        self._request_read(_ConfirmationReplyAddress(self))
+
+    def _request_read(self, reply_address: Address) -> None:
+        """Read the routing through the group, which only the leader can."""
         body = self._site_codec.encode(GetRouting())
         call = GroupCall(CallId(0), SITE_GROUP, body, True)
-        self._members[SITE_GROUP].call(LocalCall(call, _ConfirmationReplyAddress(self)))
+        self._members[SITE_GROUP].call(LocalCall(call, reply_address))
+
+    def _perform_currency(self, effect: object) -> None:
+        _perform_currency(effect, self)
+
+    def begin_read(self, read: ReadNumber) -> None:
+        """Read the routing through the group, for the hellos that wait for it."""
+        self._request_read(
+            _CurrencyReplyAddress(read, self._currency, self._site_codec)
+        )
+
+    def confirm_hellos(self, confirmation: ConfirmHellos) -> None:
+        """Confirm to entry hosts that their routing is the newest."""
+        self._subscribers.confirm_hellos(confirmation)
 
     def confirm_current(self) -> None:
         """Record that this store's state is current, if it still leads."""
@@ -583,6 +698,8 @@
         self._announcement_due.set()
         if group == SITE_GROUP:
             self._subscribers.handle_leadership_change(is_leader)
+            self._currency.send(LeadershipObserved(is_leader))
+            self._quota_lender.handle_leadership_change(is_leader)
             self._directory.send(SetReaderTerm(change.term if is_leader else None))
             if is_leader:
                 self._request_confirmation()
@@ -634,6 +751,26 @@
     store.handle_permit_request(message, delivery.reply_address)
 
 
+@singledispatch
+def _perform_currency(effect: object, store: Store) -> None:
+    raise TypeError(f"currency does not support effect type {type(effect).__name__}")
+
+
+@_perform_currency.register
+def _(effect: BeginRead, store: Store) -> None:
+    store.begin_read(effect.read)
+
+
+@_perform_currency.register
+def _(effect: ConfirmHellos, store: Store) -> None:
+    store.confirm_hellos(effect)
+
+
+@_receive.register
+def _(message: CreditRequest, delivery: PeerMessage, store: Store) -> None:
+    store.handle_credit_request(message, delivery.reply_address)
+
+
 def make_store(
     settings: SiteStoreSettings,
     dependencies: StoreDependencies,
--- a/oleanderhitch/process/site/subscription/core.py
+++ b/oleanderhitch/process/site/subscription/core.py
@@ -22,11 +22,13 @@
     SendPermitRequest,
     SpeedObservations,
 )
+from oleanderhitch.process.quotas.messages import CreditReply, CreditRequest
 from oleanderhitch.process.site.messages import (
     NO_LIMITS,
     NO_SPEEDS,
     NO_STORES,
     EntryHello,
+    HelloNumber,
     LimitsDigest,
     RoutingFound,
     SiteStatus,
@@ -36,6 +38,7 @@
     hash_node,
     make_stores_digest,
 )
+from oleanderhitch.process.site.subscription.lease import Lease, LeaseRenewal
 from oleanderhitch.request.ids import RequestFingerprint
 from oleanderhitch.values import Value
 from oleanderhitch.version.ids import EndpointId
@@ -155,6 +158,38 @@
     reply: SendPermitReply
 
 
+class RenewLease(Value, frozen=True):
+    """Lets requests with a key be served until the lease ends."""
+
+    lease: Lease
+
+
+class ReportLease(Value, frozen=True):
+    """Reports the age of the lease; it has no age before the first one."""
+
+    age: timedelta | None
+
+
+class LogLeaseChange(Value, frozen=True):
+    """Logs that the lease was lost or gained."""
+
+    event: str
+    age: timedelta | None
+
+
+class AskForCredits(Value, frozen=True):
+    """Asks the leader for credits of client accounts."""
+
+    leader: NodeId
+    request: CreditRequest
+
+
+class ReportCredits(Value, frozen=True):
+    """Sends quotas the reply to their request for credits."""
+
+    reply: CreditReply
+
+
 class LogLinkChange(Value, frozen=True):
     """Logs that the connection to a store was made or lost."""
 
@@ -196,6 +231,8 @@
     leader_seen_at: datetime | None = None
     asked_stores: set[NodeId] = field(default_factory=set)
     known_stores: StoresDigest = NO_STORES
+    # None where requests need no lease.
+    renewal: LeaseRenewal | None = None
 
 
 @singledispatch
@@ -213,7 +250,7 @@
     is_stale = now - state.list_confirmed_at > LIST_TTL
     if state.leader_seen_at is not None and now - state.leader_seen_at > LEADER_TTL:
         _forget_leader(state)
-    effects: list[object] = [RequestLoads()]
+    effects: list[object] = [RequestLoads(), *_report_lease(state, now)]
     state.crashes.expire(now)
     if state.quarantined and (state.quarantined != state.crashes.list_quarantined(now)):
         effects.append(_report_crashes(state, now))
@@ -249,6 +286,13 @@
     return [AskForPermit(state.leader, message)]
 
 
+@handle.register
+def _(message: CreditRequest, state: SubscriptionState, now: datetime) -> list[object]:
+    if state.leader is None:
+        return [ReportCredits(CreditReply(message.number, is_lending=False))]
+    return [AskForCredits(state.leader, message)]
+
+
 @handle.register
 def _(
     message: CrashesObserved, state: SubscriptionState, now: datetime
@@ -299,20 +343,29 @@
         if state.leader is not None:
             # Informs the leader of the new version before the next regular hello.
             effects.append(_make_hello(state, (state.leader,), now))
+    if message.confirmed_hello is not None:
+        effects.extend(_renew_lease(message.confirmed_hello, state, now))
     if message.endpoints is not None:
         effects.extend(_accept_list(message.endpoints, False, state, now))
     elif message.list_version is not None:
         effects.extend(_confirm_list(message.list_version, state, now))
+    return [*effects, *_accept_observations(message, state, now)]
+
+
+def _accept_observations(
+    message: SiteStatus, state: SubscriptionState, now: datetime
+) -> list[object]:
+    """Accept what the leader knows of the endpoints from all entry hosts."""
+    effects: list[object] = []
     if message.other_loads is not None:
         effects.append(ReportPeerLoads(message.other_loads, message.n_entry_hosts))
+        state.leader_crashes = message.crashes_digest
     if message.limits is not None:
         state.known_limits = message.limits_digest
         effects.append(ReportLimits(message.limits))
     if message.speeds is not None:
         state.known_speeds = message.speeds.version
         effects.append(ReportSpeeds(message.speeds))
-    if message.other_loads is not None:
-        state.leader_crashes = message.crashes_digest
     if message.crashes is not None:
         state.crashes.merge(message.crashes, now)
         effects.append(_report_crashes(state, now))
@@ -346,7 +399,7 @@
 
 def _send_regular_hello(state: SubscriptionState, now: datetime) -> list[object]:
     if state.leader is not None:
-        return [_make_hello(state, (state.leader,), now)]
+        return [_make_hello(state, (state.leader,), now, True)]
     stores = sorted(state.stores)
     if not stores:
         return []
@@ -358,7 +411,7 @@
         for number in range(min(N_STORES_ASKED, len(stores)))
     )
     state.asked_stores = set(asked)
-    return [_make_hello(state, asked, now)]
+    return [_make_hello(state, asked, now, True)]
 
 
 def _share_crashes(state: SubscriptionState, now: datetime) -> list[object]:
@@ -381,7 +434,10 @@
 
 
 def _make_hello(
-    state: SubscriptionState, stores: tuple[NodeId, ...], now: datetime
+    state: SubscriptionState,
+    stores: tuple[NodeId, ...],
+    now: datetime,
+    is_regular: bool = False,
 ) -> SendHello:
     is_known = state.crashes.digest == state.leader_crashes
     speeds: tuple[SpeedObservations, ...] = ()
@@ -400,6 +456,7 @@
         state.crashes.digest,
         speeds,
         state.known_speeds,
+        None if state.renewal is None else state.renewal.number_hello(is_regular, now),
     )
     return SendHello(hello, stores)
 
@@ -420,6 +477,32 @@
     state.speeds[observed.endpoint] = observed
 
 
+def _renew_lease(
+    confirmed: HelloNumber, state: SubscriptionState, now: datetime
+) -> list[object]:
+    renewal = state.renewal
+    lease = None if renewal is None else renewal.renew(confirmed, state.routing)
+    if renewal is None or lease is None:
+        return []
+    effects: list[object] = [RenewLease(lease)]
+    if renewal.is_lost and renewal.has_lease(now):
+        renewal.is_lost = False
+        effects.append(LogLeaseChange("lease gained", now - lease.began_at))
+    return effects
+
+
+def _report_lease(state: SubscriptionState, now: datetime) -> list[object]:
+    renewal = state.renewal
+    if renewal is None:
+        return []
+    age = None if renewal.lease is None else now - renewal.lease.began_at
+    effects: list[object] = [ReportLease(age)]
+    if not renewal.is_lost and not renewal.has_lease(now):
+        renewal.is_lost = True
+        effects.append(LogLeaseChange("lease lost", age))
+    return effects
+
+
 def _add_ramps(
     waiting: RampObservations | None, observed: RampObservations | None
 ) -> RampObservations | None:
--- a/oleanderhitch/request/forwarding/attempts.py
+++ b/oleanderhitch/request/forwarding/attempts.py
@@ -3,6 +3,7 @@
 from datetime import datetime, timedelta
 
 from oleanderhitch.process.placement.messages import AttemptResult
+from oleanderhitch.request.forwarding.identity import get_share_account
 from oleanderhitch.request.forwarding.messages import (
     CancelEndpointExchange,
     LogDecision,
@@ -115,6 +116,10 @@
             state.tried_endpoints,
             route.allows_retry,
             deadline,
+            get_share_account(state.identity),
+            state.stage,
+            state.finish_at,
+            state.deadline,
         )
     ]
 
@@ -152,6 +157,7 @@
 ) -> list[object]:
     """Retry a request that its endpoint did not run; end it at the send limit."""
     attempt = state.attempt
+    state.n_unexecuted += 1
     endpoint = None if attempt is None else attempt.endpoint
     fields = (("endpoint", endpoint), ("result", result.value), ("reason", reason))
     effects = [
--- a/oleanderhitch/request/forwarding/core.py
+++ b/oleanderhitch/request/forwarding/core.py
@@ -17,10 +17,10 @@
     EndpointGranted,
     EndpointRefused,
 )
+from oleanderhitch.process.quotas.messages import CreditGranted, CreditRefused
 from oleanderhitch.program.turns.messages import (
     BudgetSpent,
     HistoryRead,
-    HistoryTooLong,
     PreviousTurnMissing,
     TurnBegun,
     TurnClosed,
@@ -39,12 +39,27 @@
     report_short_stream,
     request_endpoint,
 )
+from oleanderhitch.request.forwarding.crediting import (
+    end_renewal,
+    end_without_credit,
+    lacks_credit,
+    renew_credit,
+    request_credit,
+)
 from oleanderhitch.request.forwarding.delimiting import StreamEnd, judge_stream_end
+from oleanderhitch.request.forwarding.importing import (
+    begin_import,
+    end_import,
+    read_next_piece,
+    store_piece,
+)
 from oleanderhitch.request.forwarding.messages import (
     AbortResponse,
     EndpointResponseHead,
     FinishResponse,
+    GrantBarred,
     LogDecision,
+    LongHistoryFound,
     MemoryExhausted,
     RecordAway,
     RecordFailed,
@@ -90,6 +105,10 @@
 EVENT_LIMIT_BYTES = 1024 * 1024
 # Lower bound of the time limit sent to an endpoint; no work completes in less.
 ENDPOINT_TIMEOUT_MIN = timedelta(milliseconds=10)
+BARRED_REASONS = {
+    Verdict.UNAUTHORIZED: "the key was removed while the request waited",
+    Verdict.NOT_CURRENT: "the lease on the configuration ended while it waited",
+}
 
 
 @singledispatch
@@ -100,6 +119,13 @@
 
 @handle.register
 def _(message: Start, state: ForwardState, now: datetime) -> list[object]:
+    if state.needs_credit:
+        return request_credit(state, now)
+    return _begin(state, now)
+
+
+def _begin(state: ForwardState, now: datetime) -> list[object]:
+    """Begin the work on a request that may be sent."""
     if state.request.turn is None:
         return request_endpoint(state, now)
     effects = reserve_tokens(state, now)
@@ -109,6 +135,31 @@
     return effects
 
 
+@handle.register
+def _(message: CreditGranted, state: ForwardState, now: datetime) -> list[object]:
+    if message.holder != state.holder:
+        return []
+    state.credit_expires_at = message.expires_at
+    if state.phase is Phase.ADMITTING:
+        return _begin(state, now)
+    if state.phase is Phase.RENEWING:
+        granted, state.granted_endpoint = state.granted_endpoint, None
+        assert granted is not None
+        return _send(granted, state, now)
+    return []
+
+
+@handle.register
+def _(message: CreditRefused, state: ForwardState, now: datetime) -> list[object]:
+    if message.holder != state.holder:
+        return []
+    if state.phase is Phase.ADMITTING:
+        return end_without_credit(message, state)
+    if state.phase is Phase.RENEWING:
+        return end_renewal(message, state, now)
+    return []
+
+
 @handle.register
 def _(message: TurnBegun, state: ForwardState, now: datetime) -> list[object]:
     if state.phase is not Phase.RESERVING:
@@ -118,6 +169,8 @@
 
 @handle.register
 def _(message: HistoryRead, state: ForwardState, now: datetime) -> list[object]:
+    if state.phase is Phase.IMPORTING:
+        return store_piece(message.data, state, now)
     if state.phase is not Phase.READING:
         return []
     n_bytes_left = state.n_history_bytes_left - len(message.data)
@@ -127,10 +180,10 @@
 
 
 @handle.register
-def _(message: HistoryTooLong, state: ForwardState, now: datetime) -> list[object]:
-    # The other program's history would have to be stored in this one's group.
-    reason = f"a history of {message.n_bytes} bytes is too long to be imported"
-    return record_fruitless_search(state, reason)
+def _(message: LongHistoryFound, state: ForwardState, now: datetime) -> list[object]:
+    if state.phase is not Phase.SEARCHING:
+        return []
+    return begin_import(message, state)
 
 
 def _end_unread(state: ForwardState, reason: str, now: datetime) -> list[object]:
@@ -158,6 +211,8 @@
 def _(message: TurnNotFound, state: ForwardState, now: datetime) -> list[object]:
     if state.phase is Phase.READING:
         return _end_unread(state, "the history is gone", now)
+    if state.phase is Phase.IMPORTING:
+        return end_import(state, "the history to import is gone")
     return record_fruitless_search(state, "")
 
 
@@ -180,6 +235,8 @@
         return _end_unread(state, message.reason, now)
     if state.phase is Phase.SEARCHING:
         return record_fruitless_search(state, message.reason)
+    if state.phase is Phase.IMPORTING:
+        return end_import(state, message.reason)
     if state.phase is Phase.RECORDING:
         # An unrecorded turn cannot be continued, so it must not appear complete.
         return abort_response(state, f"turn not recorded: {message.reason}")
@@ -192,7 +249,7 @@
         return record_fruitless_search(state, message.reason)
     if state.phase is Phase.READING:
         return _end_unread(state, message.reason, now)
-    if state.phase is not Phase.RESERVING:
+    if state.phase not in (Phase.RESERVING, Phase.IMPORTING):
         return []
     # Nothing was reserved, so there is nothing to release.
     return end_with_verdict(state, Verdict.RECORD_UNAVAILABLE, message.reason)
@@ -200,6 +257,8 @@
 
 @handle.register
 def _(message: TurnSettled, state: ForwardState, now: datetime) -> list[object]:
+    if state.phase is Phase.IMPORTING:
+        return read_next_piece(state)
     if state.phase is not Phase.RECORDING:
         return []
     state.phase = Phase.ENDED
@@ -213,6 +272,12 @@
         return []
     if state.phase is not Phase.WAITING or state.attempt is not None:
         return [ReturnPermit(message.permit, AttemptResult.CANCELLED)]
+    if lacks_credit(state, now):
+        return renew_credit(message, state, now)
+    return _send(message, state, now)
+
+
+def _send(message: EndpointGranted, state: ForwardState, now: datetime) -> list[object]:
     state.n_sends += 1
     exchange_id = state.exchange_id_base + state.n_sends
     endpoint = message.endpoint
@@ -244,6 +309,23 @@
     ]
 
 
+@handle.register
+def _(message: GrantBarred, state: ForwardState, now: datetime) -> list[object]:
+    grant, verdict = message.grant, message.verdict
+    if grant.holder != state.holder:
+        return []
+    effects: list[object] = [ReturnPermit(grant.permit, AttemptResult.CANCELLED)]
+    if state.phase is not Phase.WAITING or state.attempt is not None:
+        return effects
+    effects.extend(settle_spent_tokens(state, now))
+    reason = BARRED_REASONS[verdict]
+    if state.has_started_response:
+        return [*effects, *abort_response(state, reason)]
+    if state.n_runs:
+        verdict = Verdict.OUTCOME_UNKNOWN
+    return [*effects, *end_with_verdict(state, verdict, reason)]
+
+
 @handle.register
 def _(message: EndpointRefused, state: ForwardState, now: datetime) -> list[object]:
     if message.holder != state.holder or state.phase is not Phase.WAITING:
@@ -258,9 +340,11 @@
     verdict = Verdict.ALL_REFUSED if state.n_sends else Verdict.NO_ENDPOINT
     if message.is_quarantined:
         verdict = Verdict.QUARANTINED
+    elif message.is_overloaded:
+        verdict = Verdict.OVERLOADED
     return [
         *release_reservation(state, now),
-        *end_with_verdict(state, verdict, message.reason),
+        *end_with_verdict(state, verdict, message.reason, message.retry_after),
     ]
 
 
@@ -485,7 +569,9 @@
             *end_with_verdict(state, Verdict.TIMED_OUT, f"while {phase.value}"),
         ]
     verdict = Verdict.NO_ENDPOINT
-    if phase in (Phase.RESERVING, Phase.SEARCHING, Phase.READING):
+    if phase is Phase.ADMITTING:
+        verdict = Verdict.QUOTA_UNAVAILABLE
+    if phase in (Phase.RESERVING, Phase.SEARCHING, Phase.READING, Phase.IMPORTING):
         verdict = Verdict.RECORD_UNAVAILABLE
     return [*effects, *end_with_verdict(state, verdict, "no time is left")]
 
--- a/oleanderhitch/request/forwarding/messages.py
+++ b/oleanderhitch/request/forwarding/messages.py
@@ -4,10 +4,13 @@
 
 from oleanderhitch.connection.http.messages import Headers
 from oleanderhitch.process.directory.messages import ListedEndpoint
+from oleanderhitch.process.ids import GroupId
 from oleanderhitch.process.placement.messages import (
     AttemptProgress,
     AttemptResult,
+    EndpointGranted,
     InferenceWorkload,
+    RequestStage,
 )
 from oleanderhitch.program.ids import AccountId, ProgramId
 from oleanderhitch.program.turns.messages import (
@@ -35,7 +38,9 @@
     """A caller's request, with the headers that are forwarded to endpoints.
 
     `fingerprint` stands for its content, whichever caller, program or id it has. `key`
-    stands for the key of a client account that it came with.
+    stands for the key of a client account that it came with. `turn` is None for calls
+    of a program that spend no tokens. The program should be finished `time_to_finish`
+    after the request was sent.
     """
 
     request: RequestId
@@ -51,6 +56,15 @@
     last_event_id: str | None
     fingerprint: RequestFingerprint
     key: KeyDigest | None = None
+    # The program that it belongs to, also if it is no turn, and whether the request
+    # itself shows that the program is in progress.
+    program: ProgramId | None = None
+    continues_program: bool = False
+    time_to_finish: timedelta | None = None
+
+    def __repr__(self) -> str:
+        """Return what identifies the request; its headers may contain a key."""
+        return f"{type(self).__name__}({self.request}, {self.method} {self.path})"
 
     @property
     def path(self) -> str:
@@ -104,6 +118,13 @@
     reason: str
 
 
+class GrantBarred(Value, frozen=True):
+    """Reports that a granted endpoint must not be used, for the given reason."""
+
+    grant: EndpointGranted
+    verdict: Verdict
+
+
 class ResponseBegun(Value, frozen=True):
     """Reports that an endpoint's response has begun."""
 
@@ -111,6 +132,14 @@
     head: EndpointResponseHead
 
 
+class LongHistoryFound(Value, frozen=True):
+    """Reports that a group has the turn to continue, with a history of many pieces."""
+
+    group: GroupId
+    n_bytes: int
+    retention: timedelta
+
+
 class MemoryExhausted(Value, frozen=True):
     """Reports that the memory for responses has no room for what this one keeps."""
 
@@ -118,6 +147,14 @@
 # Effects. Their class names appear in log lines.
 
 
+class RequestCredit(Value, frozen=True):
+    """Requests the credit without which the request must not be sent."""
+
+    account: AccountId
+    deadline: datetime
+    is_renewal: bool = False
+
+
 class ReserveTokens(Value, frozen=True):
     """Reserves tokens for the turn in the program record."""
 
@@ -133,6 +170,14 @@
     deadline: datetime
 
 
+class ReadOtherHistory(Value, frozen=True):
+    """Reads a piece of the history to import in the group that has it."""
+
+    query: ReadHistory
+    group: GroupId
+    deadline: datetime
+
+
 class SearchTurn(Value, frozen=True):
     """Searches the turn to continue in all groups except that of the program."""
 
@@ -162,6 +207,10 @@
     tried: tuple[EndpointId, ...]
     is_retryable: bool
     deadline: datetime
+    account: AccountId | None = None
+    stage: RequestStage = RequestStage.STANDALONE
+    finish_at: datetime | None = None
+    caller_deadline: datetime | None = None
 
 
 class SendToEndpoint(Value, frozen=True):
@@ -252,10 +301,14 @@
 
 
 class SendVerdict(Value, frozen=True):
-    """Sends the caller a response that this system generates."""
+    """Sends the caller a response that this system generates.
+
+    `retry_after` is None if it is not known when the request may be served.
+    """
 
     verdict: Verdict
     detail: str
+    retry_after: timedelta | None = None
 
 
 class LogDecision(Value, frozen=True):
--- a/oleanderhitch/request/forwarding/state.py
+++ b/oleanderhitch/request/forwarding/state.py
@@ -5,7 +5,12 @@
 from msgspec import Struct, field
 
 from oleanderhitch.connection.http.messages import CallerDisconnected
-from oleanderhitch.process.placement.messages import AttemptProgress
+from oleanderhitch.process.ids import GroupId
+from oleanderhitch.process.placement.messages import (
+    AttemptProgress,
+    EndpointGranted,
+    RequestStage,
+)
 from oleanderhitch.request.forwarding.identity import (
     ANONYMOUS,
     CallerIdentity,
@@ -56,6 +61,19 @@
         return AttemptProgress.OUTPUT if has_output else AttemptProgress.HEAD
 
 
+class HistoryImport(Struct):
+    """The copy of another program's history, so far as it is stored.
+
+    `last_piece` is the id under which the last piece is stored.
+    """
+
+    group: GroupId
+    n_bytes: int
+    retention: timedelta
+    n_bytes_stored: int = 0
+    last_piece: RequestId | None = None
+
+
 class ForwardState(Struct):
     """The state of one request, owned by its task."""
 
@@ -69,16 +87,24 @@
     # Groups of the record that may have the turn to continue, besides the program's.
     n_other_record_groups: int = 0
     identity: CallerIdentity = ANONYMOUS
+    # Whether the request needs a credit of its account, and until when it has one.
+    needs_credit: bool = False
+    credit_expires_at: datetime | None = None
+    # The endpoint that was granted while the credit is renewed.
+    granted_endpoint: EndpointGranted | None = None
     phase: Phase = Phase.RESERVING
     # Groups that have not answered the search of the turn to continue yet, and why one
     # of them could not be searched.
     n_searches: int = 0
     search_failure: str = ""
+    history_import: HistoryImport | None = None
     history: bytearray = field(default_factory=bytearray)
     n_history_bytes_left: int = 0
     attempt: Attempt | None = None
     tried_endpoints: tuple[EndpointId, ...] = ()
     n_sends: int = 0
+    # Sends that the endpoint did not run.
+    n_unexecuted: int = 0
     # Attempts that ran or may have run.
     n_runs: int = 0
     has_started_response: bool = False
@@ -100,6 +126,16 @@
         """The id before those of this request's exchanges."""
         return self.number * N_EXCHANGES_PER_REQUEST
 
+    @property
+    def has_been_admitted(self) -> bool:
+        """Whether the request had a credit of its account."""
+        return self.credit_expires_at is not None
+
+    @property
+    def has_not_run(self) -> bool:
+        """Whether no endpoint runs, ran or may have run the request."""
+        return self.n_sends == self.n_unexecuted
+
     @property
     def holder(self) -> HolderId:
         """What placement knows this request as."""
@@ -110,6 +146,25 @@
         """How urgent the request is; a lower rank is more urgent."""
         return get_rank(self.identity, self.route)
 
+    @property
+    def stage(self) -> RequestStage:
+        """How much of its program the request continues."""
+        if self.n_runs or self.has_started_response:
+            return RequestStage.REPEATED
+        turn = self.request.turn
+        if self.request.program is None:
+            return RequestStage.STANDALONE
+        # Calls that spend no tokens follow a turn that asked for them.
+        if turn is None or turn.previous is not None:
+            return RequestStage.IN_PROGRESS
+        return RequestStage.NEW_PROGRAM
+
+    @property
+    def finish_at(self) -> datetime | None:
+        """The time by which the program of the request should be finished."""
+        time_to_finish = self.request.time_to_finish
+        return None if time_to_finish is None else self.started_at + time_to_finish
+
     @property
     def record_id(self) -> RequestId:
         """The id under which the turn is recorded."""
@@ -158,6 +213,7 @@
     now: datetime,
     n_other_record_groups: int = 0,
     identity: CallerIdentity = ANONYMOUS,
+    has_quotas: bool = False,
 ) -> ForwardState:
     """Return the state of a request that was received at the given time."""
     timeout: timedelta = route.timeout
@@ -173,6 +229,7 @@
         now + timeout,
         n_other_record_groups,
         identity,
+        has_quotas and identity.is_limited,
     )
     if state.is_recorded:
         state.resume_after = request.last_event_id or None
--- a/oleanderhitch/request/forwarding/task.py
+++ b/oleanderhitch/request/forwarding/task.py
@@ -15,7 +15,7 @@
 from oleanderhitch.connection.http.caller import ResponseWriter
 from oleanderhitch.connection.http.endpoint import Exchange
 from oleanderhitch.connection.http.flow import ResponseFlow, make_response_flow
-from oleanderhitch.connection.http.memory import MemoryShare, ResponseMemory
+from oleanderhitch.connection.http.memory import MemoryShare, TrafficMemory
 from oleanderhitch.connection.http.messages import (
     HttpRequest,
     HttpResponse,
@@ -42,31 +42,43 @@
 from oleanderhitch.process.placement.messages import (
     AcquireEndpoint,
     EndHolder,
+    EndpointGranted,
     EndpointLeaving,
     EndpointRateLimited,
     EventLatencyObserved,
     FirstChunkReceived,
     ReleaseEndpoint,
 )
+from oleanderhitch.process.quotas.messages import AcquireCredit, ReturnCredit
 from oleanderhitch.process.site.messages import CommandRefused
+from oleanderhitch.process.site.subscription.installed_state import InstalledState
 from oleanderhitch.program.ids import ProgramId
+from oleanderhitch.program.turns.messages import HistoryTooLong
 from oleanderhitch.request.forwarding.core import end_after_error, handle
 from oleanderhitch.request.forwarding.dialect import Dialect
-from oleanderhitch.request.forwarding.identity import identify_caller
+from oleanderhitch.request.forwarding.identity import (
+    Admission,
+    find_departure_fault,
+    judge_arrival,
+)
 from oleanderhitch.request.forwarding.messages import (
     AbortResponse,
     CancelEndpointExchange,
     FinishResponse,
     ForwardRequest,
+    GrantBarred,
     LogDecision,
+    LongHistoryFound,
     MemoryExhausted,
     ReadMoreHistory,
+    ReadOtherHistory,
     RecordAway,
     RecordFailed,
     ReportEventLatency,
     ReportFirstChunk,
     ReportLeaving,
     ReportRateLimit,
+    RequestCredit,
     RequestEndpoint,
     ReserveTokens,
     ResponseBegun,
@@ -82,7 +94,7 @@
 )
 from oleanderhitch.request.forwarding.state import ForwardState, make_forward_state
 from oleanderhitch.request.forwarding.states import Verdict
-from oleanderhitch.version.routes.configuration import RouteTable, choose_target
+from oleanderhitch.version.routes.configuration import choose_target
 from oleanderhitch.version.routes.states import RouteKind
 
 # Resending a settlement stops after this time; its tokens then stay reserved, so that
@@ -96,6 +108,17 @@
 ROUTE_TABLE_WAIT_TIMEOUT = timedelta(seconds=2)
 ROUTE_TABLE_WAIT_SHARE = 0.4
 
+# A table or a lease that a starting host gets soon may change these.
+AWAITED_VERDICTS = (Verdict.NOT_READY, Verdict.NOT_CURRENT)
+ARRIVAL_FAULTS = {
+    Verdict.NOT_READY: "no routing configuration yet",
+    Verdict.NOT_CURRENT: "version {version} may not be the newest",
+    Verdict.NO_ROUTE: "no route in version {version}",
+    Verdict.UNAUTHORIZED: "no account of version {version} has the key",
+}
+# Separates the request from the group in the tag of a search. No caller's id has it.
+GROUP_SEPARATOR = "\n"
+
 # Placement handles its messages within milliseconds.
 FULL_MAILBOX_RETRY_DELAY = timedelta(milliseconds=50)
 
@@ -106,7 +129,7 @@
     """Collaborators that all requests of an entry host share."""
 
     dialect: Dialect
-    await_table: Callable[[timedelta], RouteTable | None]
+    installed_state: InstalledState
     record_groups: tuple[GroupId, ...]
     get_record_group: Callable[[ProgramId], GroupId]
     group_client: Address
@@ -116,9 +139,11 @@
     clock: Clock
     random_source: Random
     metrics: Metrics
-    response_memory: ResponseMemory
+    response_memory: TrafficMemory
     # When this process ends, once it has been told to stop.
     get_end_time: Callable[[], datetime | None]
+    # None where the limits of client accounts have no effect.
+    quotas: Address | None = None
     request_numbers: "count[int]" = field(default_factory=lambda: count(1))
 
 
@@ -177,6 +202,8 @@
         context.share.close()
         if context.has_acquired:
             _end_holder(context)
+        if state.needs_credit and state.has_not_run:
+            _return_credit(context)
     if state.disconnect_message is not None:
         # The loop of the connection shares the mailbox and needs the message too.
         mailbox.send(state.disconnect_message)
@@ -193,6 +220,14 @@
             return
 
 
+def _return_credit(context: ForwardContext) -> None:
+    """Let another request use the credit; it expires if the mailbox is full."""
+    quotas = context.dependencies.quotas
+    if quotas is not None:
+        with suppress(MailboxFullError):
+            quotas.send(ReturnCredit(context.state.holder))
+
+
 def _run_request(context: ForwardContext) -> None:
     message: object = Start()
     while True:
@@ -236,24 +271,14 @@
     except InvalidInputError as error:
         _refuse(None, Verdict.MALFORMED, str(error), writer, dependencies)
         return None
-    caller_timeout = request.caller_timeout or ROUTE_TABLE_WAIT_TIMEOUT
-    table = dependencies.await_table(
-        min(ROUTE_TABLE_WAIT_TIMEOUT, caller_timeout * ROUTE_TABLE_WAIT_SHARE)
-    )
-    if table is None:
-        detail = "no routing configuration yet"
-        _refuse(request, Verdict.NOT_READY, detail, writer, dependencies)
-        return None
-    route = table.find_route(request.host, request.path)
-    if route is None:
-        detail = f"no route in version {table.version}"
-        _refuse(request, Verdict.NO_ROUTE, detail, writer, dependencies)
-        return None
-    identity = identify_caller(request, route, table)
-    if identity is None:
-        detail = f"no account of version {table.version} has the key"
-        _refuse(request, Verdict.UNAUTHORIZED, detail, writer, dependencies)
+    admission = _await_admission(request, dependencies)
+    if isinstance(admission, Verdict):
+        table = dependencies.installed_state.table
+        version = None if table is None else table.version
+        detail = ARRIVAL_FAULTS[admission].format(version=version)
+        _refuse(request, admission, detail, writer, dependencies)
         return None
+    table, route, identity = admission.table, admission.route, admission.identity
     target = choose_target(route, dependencies.random_source.random())
     service = table.find_service(target)
     engine = None if service is None else service.engine
@@ -266,6 +291,7 @@
         now,
         len(dependencies.record_groups) - 1,
         identity,
+        dependencies.quotas is not None,
     )
     end_time = dependencies.get_end_time()
     if end_time is not None and state.deadline > end_time:
@@ -293,6 +319,25 @@
     return ForwardContext(dependencies, request, state, writer, mailbox, alarm, share)
 
 
+def _await_admission(
+    request: ForwardRequest, dependencies: ForwardDependencies
+) -> Admission | Verdict:
+    """Return how a request is served; wait for a table, and for a lease it needs."""
+    installed = dependencies.installed_state
+    caller_timeout = request.caller_timeout or ROUTE_TABLE_WAIT_TIMEOUT
+    deadline = dependencies.clock.now() + min(
+        ROUTE_TABLE_WAIT_TIMEOUT, caller_timeout * ROUTE_TABLE_WAIT_SHARE
+    )
+    while True:
+        judged: Admission | Verdict = Verdict.NOT_READY
+        if installed.table is not None:
+            judged = judge_arrival(request, installed.table, installed.lease_state)
+        time_left = deadline - dependencies.clock.now()
+        if judged not in AWAITED_VERDICTS or time_left <= timedelta(0):
+            return judged
+        installed.await_change(time_left)
+
+
 def _refuse(
     request: ForwardRequest | None,
     verdict: Verdict,
@@ -331,20 +376,38 @@
     return message
 
 
+def _make_search_tag(group: GroupId, context: ForwardContext) -> str:
+    return f"{context.request.request}{GROUP_SEPARATOR}{group}"
+
+
+def _is_expected(tag: str, context: ForwardContext) -> bool:
+    """Return whether a result belongs to the request.
+
+    While a history is imported, the results of the search in other groups do not count.
+    """
+    request, _, group = tag.partition(GROUP_SEPARATOR)
+    history = context.state.history_import
+    is_of_source = not group or history is None or group == history.group
+    return request == context.request.request and is_of_source
+
+
 @_translate.register
 def _(message: GroupResult, context: ForwardContext) -> object | None:
-    if message.tag != context.request.request:
+    if not _is_expected(message.tag, context):
         return None
     try:
         result = context.dependencies.codec.decode(message.body)
     except OleanderhitchError as error:
         return RecordFailed(f"unreadable result: {error}")
+    if isinstance(result, HistoryTooLong):
+        group = GroupId(message.tag.partition(GROUP_SEPARATOR)[2])
+        return LongHistoryFound(group, result.n_bytes, result.retention)
     return RecordFailed(result.reason) if isinstance(result, CommandRefused) else result
 
 
 @_translate.register
 def _(message: GroupTimedOut, context: ForwardContext) -> object | None:
-    if message.tag != context.request.request:
+    if not _is_expected(message.tag, context):
         return None
     return RecordFailed(message.reason)
 
@@ -357,9 +420,23 @@
     return ResponseBegun(message.exchange_id, head)
 
 
+@_translate.register
+def _(message: EndpointGranted, context: ForwardContext) -> object | None:
+    # The request may have waited for long, or this host was suspended.
+    state, installed = context.state, context.dependencies.installed_state
+    fault = find_departure_fault(
+        context.request,
+        state.identity,
+        state.route,
+        installed.table,
+        installed.lease_state,
+    )
+    return message if fault is None else GrantBarred(message, fault)
+
+
 @_translate.register
 def _(message: GroupAway, context: ForwardContext) -> object | None:
-    if message.tag != context.request.request:
+    if not _is_expected(message.tag, context):
         return None
     return RecordAway(message.reason)
 
@@ -396,6 +473,23 @@
     log.info(effect.event, request=context.request.request, **dict(effect.fields))
 
 
+@perform.register
+def _(effect: RequestCredit, context: ForwardContext) -> None:
+    quotas = context.dependencies.quotas
+    assert quotas is not None
+    quotas.send(
+        AcquireCredit(
+            context.state.holder,
+            effect.account,
+            context.request.program,
+            context.request.continues_program,
+            effect.deadline,
+            context.mailbox,
+            effect.is_renewal,
+        )
+    )
+
+
 @perform.register
 def _(effect: ReserveTokens, context: ForwardContext) -> None:
     dependencies = context.dependencies
@@ -409,12 +503,22 @@
     _submit_unless_away(group, effect.query, True, effect.deadline, context)
 
 
+@perform.register
+def _(effect: ReadOtherHistory, context: ForwardContext) -> None:
+    group = effect.group
+    tag = _make_search_tag(group, context)
+    _submit_unless_away(group, effect.query, True, effect.deadline, context, tag)
+
+
 @perform.register
 def _(effect: SearchTurn, context: ForwardContext) -> None:
     dependencies = context.dependencies
     for group in dependencies.record_groups:
         if group != dependencies.get_record_group(effect.program):
-            _submit_unless_away(group, effect.query, True, effect.deadline, context)
+            tag = _make_search_tag(group, context)
+            _submit_unless_away(
+                group, effect.query, True, effect.deadline, context, tag
+            )
 
 
 def _submit_unless_away(
@@ -423,6 +527,7 @@
     is_read: bool,
     deadline: datetime,
     context: ForwardContext,
+    tag: str = "",
 ) -> None:
     dependencies = context.dependencies
     dependencies.group_client.send(
@@ -431,7 +536,7 @@
             dependencies.codec.encode(message),
             is_read,
             max(deadline - dependencies.clock.now(), timedelta(0)),
-            context.request.request,
+            tag or context.request.request,
             context.mailbox,
             is_rejected_while_away=True,
         )
@@ -472,6 +577,10 @@
             effect.deadline,
             context.mailbox,
             request.fingerprint,
+            effect.account,
+            effect.stage,
+            effect.finish_at,
+            effect.caller_deadline,
         )
     )
 
@@ -566,6 +675,10 @@
     dependencies.metrics.count(Counter.REFUSALS, effect.verdict.value)
     time_left = context.state.deadline - dependencies.clock.now()
     response = dependencies.dialect.make_verdict(
-        context.request.request, effect.verdict, effect.detail, time_left
+        context.request.request,
+        effect.verdict,
+        effect.detail,
+        time_left,
+        effect.retry_after,
     )
     context.writer.respond(response)
--- a/tests/process/site/harness.py
+++ b/tests/process/site/harness.py
@@ -1,9 +1,13 @@
 """Run the stores and the entry host of a site in the test process, on loopback."""
 
 import json
-from collections.abc import Callable
+import subprocess
+import sys
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
+from itertools import count
 from pathlib import Path
 from typing import Any
 
@@ -12,19 +16,20 @@
 from gevent import socket
 
 from oleanderhitch.connection.http.caller import ResponseWriter
-from oleanderhitch.connection.http.messages import HttpRequest
+from oleanderhitch.connection.http.messages import Headers, HttpRequest
 from oleanderhitch.connection.http.server import make_http_server
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.platform.caches import make_platform_cache_dialect
 from oleanderhitch.platform.operators import make_platform_operator_dialect
 from oleanderhitch.platform.requests import make_platform_dialect
 from oleanderhitch.platform.routing import parse_route_table
-from oleanderhitch.process.clock import make_system_clock
+from oleanderhitch.process.clock import make_boot_clock, make_system_clock
 from oleanderhitch.process.directory.messages import ListedEndpoint
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.mailbox import Mailbox
 from oleanderhitch.process.metrics.core import Metrics, make_metrics
 from oleanderhitch.process.metrics.states import Gauge
+from oleanderhitch.process.quotas.messages import QuotaBounds
 from oleanderhitch.process.site.entry import (
     EntryDependencies,
     EntryHost,
@@ -42,10 +47,33 @@
     HostName,
     ServiceName,
 )
+from oleanderhitch.version.routes.configuration import CallerLimits
 
 CLOCK = make_system_clock()
 WAIT_TIMEOUT_S = 10.0
 N_EVENTS = 3
+# Engines get whole histories.
+ENGINE_LIMITS = CallerLimits(body_bytes=16 * 1024 * 1024)
+
+
+ROOT = Path(__file__).parents[3]
+REVOCATION_LIMIT = timedelta(seconds=2)
+# Starts an entry host in a process of its own, which a test can freeze.
+ENTRY_SCRIPT = """
+import sys
+from oleanderhitch.process.runtime import select_event_loop
+select_event_loop()
+import gevent
+from pathlib import Path
+from tests.process.site import harness
+*stores, engine, address = sys.argv[1:]
+site = harness.SiteHarness(
+    Path(), 0, revocation_limit=harness.REVOCATION_LIMIT, stores=stores
+)
+site.engine.address = engine
+site.start_entry("entry-process", address)
+gevent.sleep(60)
+"""
 
 
 _given_addresses: set[HostAddress] = set()
@@ -78,11 +106,14 @@
 
     address: HostAddress = field(default_factory=get_free_address)
     bodies: list[bytes] = field(default_factory=list)
+    headers: list[Headers] = field(default_factory=list)
     work_duration: timedelta = timedelta(0)
 
     def start(self) -> None:
         """Start listening."""
-        make_http_server(self.address, self._serve, CLOCK).start()
+        make_http_server(
+            self.address, self._serve, CLOCK, lambda: ENGINE_LIMITS
+        ).start()
 
     def list_endpoints(self) -> tuple[ListedEndpoint, ...]:
         """Return the platform's list of endpoints, which has this engine only."""
@@ -105,6 +136,7 @@
         at: datetime,
     ) -> None:
         self.bodies.append(request.body)
+        self.headers.append(request.headers)
         gevent.sleep(self.work_duration.total_seconds())
         request_id = request.find_header("x-request-id") or ""
         writer.start(200, (("x-request-id", request_id), ("x-server-stamp", "sig")))
@@ -121,10 +153,16 @@
         directory: Path,
         n_stores: int,
         stop_grace_period: timedelta = timedelta(seconds=8),
+        revocation_limit: timedelta | None = None,
+        stores: Sequence[str] = (),
+        quota_bounds: QuotaBounds | None = None,
     ) -> None:
+        self._revocation_limit = revocation_limit
+        self._quota_bounds = quota_bounds
         self._directory = directory
         self._stop_grace_period = stop_grace_period
-        self._peer_addresses = [get_free_address() for _ in range(n_stores)]
+        self._peer_addresses = [HostAddress(address) for address in stores]
+        self._peer_addresses += [get_free_address() for _ in range(n_stores)]
         self._operator_addresses = [get_free_address() for _ in range(n_stores)]
         self.caller_address = get_free_address()
         self.engine = FakeEngine()
@@ -132,6 +170,10 @@
         self.end_reasons: list[str] = []
         self.metrics: dict[int, Metrics] = {}
         self.entry: EntryHost | None = None
+        self.second_entry: EntryHost | None = None
+        self.second_caller_address = get_free_address()
+        self._request_numbers = count(1)
+        self._other_entries: list[EntryHost] = []
         self.http = urllib3.PoolManager(retries=False, timeout=5)
 
     def start(self) -> None:
@@ -139,10 +181,44 @@
         self.engine.start()
         for number in range(len(self._peer_addresses)):
             self.start_store(number, may_bootstrap=True)
-        self.entry = make_entry_host(
+        self.entry = self.start_entry("entry", self.caller_address)
+
+    def add_entry(self) -> HostAddress:
+        """Start another entry host and return its address for callers."""
+        address = get_free_address()
+        name = f"entry-{len(self._other_entries)}"
+        self._other_entries.append(self.start_entry(name, address))
+        return address
+
+    def start_second_entry(self) -> None:
+        """Start another entry host."""
+        self.second_entry = self.start_entry("entry-2", self.second_caller_address)
+
+    def cut_off_second_entry(self) -> None:
+        """Close the second entry host's connections to the stores for good."""
+        assert self.second_entry is not None
+        self.second_entry._links.stop()
+
+    @contextmanager
+    def run_entry_process(self) -> Iterator[tuple[int, HostAddress]]:
+        """Run an entry host as a process; yield its id and its address for callers."""
+        address = get_free_address()
+        arguments = (*self._peer_addresses, self.engine.address, address)
+        process = subprocess.Popen(
+            [sys.executable, "-c", ENTRY_SCRIPT, *arguments], cwd=ROOT
+        )
+        try:
+            yield process.pid, address
+        finally:
+            process.kill()
+            process.wait()
+
+    def start_entry(self, name: str, caller_address: HostAddress) -> EntryHost:
+        """Start an entry host in this process."""
+        entry = make_entry_host(
             SiteEntrySettings(
-                self._make_site_settings("entry", get_free_address()),
-                self.caller_address,
+                self._make_site_settings(name, get_free_address()),
+                caller_address,
                 get_free_address(),
             ),
             EntryDependencies(
@@ -152,16 +228,20 @@
                 self.engine.list_endpoints,
             ),
             CLOCK,
+            make_boot_clock(),
             make_metrics(),
         )
-        self.entry.start()
+        entry.start()
+        return entry
 
     def start_store(
         self, number: int, may_bootstrap: bool = False, disk: int = 0
     ) -> None:
         """Start a store; each disk number has a data directory of its own."""
         dependencies = StoreDependencies(
-            make_platform_operator_dialect(1), self.engine.list_endpoints
+            make_platform_operator_dialect(1),
+            self.engine.list_endpoints,
+            parse_route_table,
         )
 
         self.metrics[number] = make_metrics()
@@ -183,6 +263,10 @@
         store.start()
         self.stores[number] = store
 
+    def get_peer_address(self, number: int) -> HostAddress:
+        """Return the address of a store for other processes."""
+        return self._peer_addresses[number]
+
     def stop_store(self, number: int) -> None:
         """Stop a store without a leadership transfer and release its files."""
         self.stores.pop(number).close()
@@ -221,9 +305,17 @@
         response = self.http.request(method, url, body=body)
         return response.status, json.loads(response.data or b"null")
 
-    def publish(self, version: int) -> None:
-        """Publish a routing configuration repeatedly until it is accepted."""
-        content = {
+    def publish(
+        self,
+        version: int,
+        accounts: dict[str, list[str]] | None = None,
+        **entries: Any,
+    ) -> None:
+        """Publish a routing configuration repeatedly until it is accepted.
+
+        `accounts` are the keys of each account.
+        """
+        content: dict[str, Any] = {
             "version": version,
             "routes": [
                 {
@@ -243,8 +335,14 @@
                     "engine": {"slots": 8, "kv_capacity": 1000, "chunk_tokens": 10},
                 }
             ],
+            **entries,
         }
 
+        if accounts is not None:
+            content["tenants"] = [
+                {"name": name, "api_keys": keys} for name, keys in accounts.items()
+            ]
+
         def is_accepted() -> bool:
             return (
                 self.call_store(min(self.stores), "PUT", "/-/config", content)[0] == 200
@@ -259,6 +357,7 @@
         previous: str | None = None,
         budget: int = 1000,
         program: str = "p",
+        key: str | None = None,
     ) -> tuple[int, bytes]:
         """Send a turn to the entry host; return the status and body of the response."""
         headers = {
@@ -269,12 +368,26 @@
             "X-Token-Budget": str(budget),
             "X-Token-Usage": "100,50",
         }
+        if key is not None:
+            headers["Authorization"] = f"Token {key}"
         if previous is not None:
             headers["X-Previous-Turn"] = previous
         url = f"http://{self.caller_address}/p/x"
         response = self.http.request("POST", url, body=body, headers=headers)
         return response.status, response.data
 
+    def send_with_key(self, key: str, address: HostAddress) -> tuple[int, bytes]:
+        """Send a request that is no turn, which needs no store, to an entry host."""
+        headers = {
+            "Host": "h",
+            "X-Request-Id": f"keyed-{next(self._request_numbers)}",
+            "X-Deadline-Ms": "4000",
+            "Authorization": f"Token {key}",
+        }
+        url = f"http://{address}/p/x"
+        response = self.http.request("POST", url, body=b"x", headers=headers)
+        return response.status, response.data
+
     def wait_for_service(self, name: str) -> None:
         """Return once a turn is served; the name must differ for each call."""
         numbers = iter(range(1000))
@@ -291,8 +404,9 @@
         """Stop all stores and the entry host."""
         for number in list(self.stores):
             self.stop_store(number)
-        if self.entry is not None:
-            self.entry.close()
+        for entry in (self.entry, self.second_entry, *self._other_entries):
+            if entry is not None:
+                entry.close()
 
     def _make_site_settings(self, host: str, address: HostAddress) -> SiteSettings:
         return SiteSettings(
@@ -303,4 +417,6 @@
             b"key",
             self._stop_grace_period,
             None,
+            revocation_limit=self._revocation_limit,
+            quota_bounds=self._quota_bounds,
         )
--- a/tests/request/forwarding/test_core.py
+++ b/tests/request/forwarding/test_core.py
@@ -14,14 +14,16 @@
 )
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.process.directory.messages import ListedEndpoint
+from oleanderhitch.process.ids import GroupId
 from oleanderhitch.process.messages import Tick
 from oleanderhitch.process.placement.messages import (
     AttemptResult,
     EndpointGranted,
     EndpointRefused,
     InferenceWorkload,
+    RequestStage,
 )
-from oleanderhitch.program.ids import ProgramId
+from oleanderhitch.program.ids import AccountId, ProgramId
 from oleanderhitch.program.turns.messages import (
     BudgetSpent,
     HistoryRead,
@@ -33,12 +35,14 @@
     TurnSettled,
     WholeTurn,
 )
+from oleanderhitch.request.forwarding.attempts import request_endpoint
 from oleanderhitch.request.forwarding.core import (
     COLLECTED_BODY_LIMIT_BYTES,
     EVENT_LIMIT_BYTES,
     end_after_error,
     handle,
 )
+from oleanderhitch.request.forwarding.identity import CallerIdentity
 from oleanderhitch.request.forwarding.messages import (
     AbortResponse,
     CancelEndpointExchange,
@@ -46,9 +50,11 @@
     FinishResponse,
     ForwardRequest,
     LogDecision,
+    LongHistoryFound,
     MemoryExhausted,
     ProgramTurn,
     ReadMoreHistory,
+    ReadOtherHistory,
     RecordAway,
     RecordFailed,
     ReportEventLatency,
@@ -76,6 +82,7 @@
     RequestId,
 )
 from oleanderhitch.version.ids import DataCentreName, EndpointId, ServiceName
+from oleanderhitch.version.routes.accounts import Account
 from oleanderhitch.version.routes.configuration import Route, Target
 from oleanderhitch.version.routes.ids import RouteName
 from oleanderhitch.version.routes.states import RouteKind
@@ -195,6 +202,34 @@
     assert requests[0].tried == (EndpointId("e1"),)  # type: ignore[attr-defined]
 
 
+def test_placement_learns_what_a_request_continues() -> None:
+    """Guard against requests that wait in the order of another program's."""
+    state = make_state(RouteKind.IDEMPOTENT, n_attempts=2)
+    assert state.stage is RequestStage.STANDALONE
+    account = Account(AccountId("a"), ())
+    for turn, stage in (
+        (ProgramTurn(ProgramId("p"), 1000, None), RequestStage.NEW_PROGRAM),
+        (ProgramTurn(ProgramId("p"), None, RequestId("t")), RequestStage.IN_PROGRESS),
+        (None, RequestStage.IN_PROGRESS),
+    ):
+        state.request = replace(
+            state.request, program=ProgramId("p"), turn=turn, time_to_finish=TIMEOUT
+        )
+        state.identity = CallerIdentity(account, True)
+        (effect,) = request_endpoint(state, NOW)
+        assert isinstance(effect, RequestEndpoint)
+        assert (effect.account, effect.stage) == ("a", stage)
+        assert effect.finish_at == NOW + TIMEOUT
+    state.identity = CallerIdentity(None, True)
+    run(state, Start(), grant("e1"))
+    (again,) = find(
+        run(state, ExchangeFailed(get_exchange_id(state), True, "reset")),
+        RequestEndpoint,
+    )
+    assert isinstance(again, RequestEndpoint)
+    assert (again.account, again.stage) == ("", RequestStage.REPEATED)
+
+
 def test_idempotent_request_is_retried_up_to_the_attempt_limit() -> None:
     """Guard against more runs of a request than its route allows attempts."""
     state = make_state(RouteKind.IDEMPOTENT, n_attempts=2)
@@ -218,6 +253,16 @@
     assert find(effects, SendVerdict) == [SendVerdict(Verdict.ALL_REFUSED, "full")]
 
 
+def test_overload_is_reported_with_the_time_to_come_back() -> None:
+    """Guard against callers that are not told when there may be a slot."""
+    state = make_state()
+    run(state, Start())
+    later = timedelta(milliseconds=300)
+    refused = EndpointRefused(HOLDER, "late", is_overloaded=True, retry_after=later)
+    verdict = SendVerdict(Verdict.OVERLOADED, "late", later)
+    assert find(run(state, refused), SendVerdict) == [verdict]
+
+
 def test_refusal_after_a_run_is_not_reported_as_not_run() -> None:
     """Guard against a false "not run" after an earlier attempt that may have run."""
     state = make_state(RouteKind.IDEMPOTENT, n_attempts=2)
@@ -613,6 +658,57 @@
     assert run(state, TurnNotFound()) == []
 
 
+def begin_import() -> ForwardState:
+    """Return a request that has asked for the first of the pieces `one` and `two`."""
+    state = search()
+    found = LongHistoryFound(GroupId("turns-1"), 6, timedelta(seconds=60))
+    (read,) = run(state, found)
+    assert isinstance(read, ReadOtherHistory)
+    assert (read.group, read.query.offset) == ("turns-1", 0)
+    return state
+
+
+def test_long_history_of_another_group_is_imported_in_pieces() -> None:
+    """Guard against a long chain that no other program can continue."""
+    state = begin_import()
+    (store,) = run(state, HistoryRead(b"one"))
+    assert isinstance(store, SettleReservation)
+    assert (store.command.turn.content, store.is_awaited) == (b"one", True)
+    (read,) = run(state, TurnSettled())
+    assert isinstance(read, ReadOtherHistory)
+    assert read.query.offset == 3
+    (reserve,) = run(state, HistoryRead(b"two"))
+    assert isinstance(reserve, ReserveTokens)
+    piece = WholeTurn(store.command.request, b"two", timedelta(seconds=60))
+    assert reserve.command.imported == piece
+    effects = run(state, TurnBegun(b"onetwo", 2), grant("e1"))
+    assert find(effects, SendToEndpoint)[0].body == b"onetwoinput"  # type: ignore[attr-defined]
+
+
+@pytest.mark.parametrize(
+    "failure",
+    [
+        HistoryRead(b""),
+        HistoryRead(b"too long"),
+        TurnNotFound(),
+        RecordFailed("timeout"),
+        RecordAway("away"),
+    ],
+)
+def test_turn_whose_history_is_not_imported_has_not_run(failure: object) -> None:
+    """Guard against a turn that runs with a part of its history, or hangs."""
+    verdicts = list_verdicts(run(begin_import(), failure))
+    assert verdicts == [Verdict.RECORD_UNAVAILABLE]
+
+
+def test_imported_history_that_is_gone_is_not_searched_again() -> None:
+    """Guard against a request that imports the same history until its deadline."""
+    state = begin_import()
+    run(state, HistoryRead(b"onetwo"))
+    verdicts = list_verdicts(run(state, PreviousTurnMissing()))
+    assert verdicts == [Verdict.RECORD_UNAVAILABLE]
+
+
 def test_turn_is_unknown_only_if_no_group_has_it() -> None:
     """Guard against status 404 for a turn that a silent group may have."""
     state = search()
