--- a/oleanderhitch/process/metrics/states.py
+++ b/oleanderhitch/process/metrics/states.py
@@ -116,6 +116,14 @@
     CONFIGURATION_VERSION = MetricName(
         "oleanderhitch_configuration_version", "Version of the configuration in use."
     )
+    SLOW_ENDPOINTS = MetricName(
+        "oleanderhitch_slow_endpoints",
+        "Endpoints that count as slower than the median of their service.",
+    )
+    RAMPING_ENDPOINTS = MetricName(
+        "oleanderhitch_ramping_endpoints",
+        "Endpoints that have started or failed and take a limited number of requests.",
+    )
     CREDITS_HELD = MetricName(
         "oleanderhitch_credits_held",
         "Unused credits of accounts with a limit at the last question to the leader.",
--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -73,6 +73,7 @@
 from oleanderhitch.process.placement.pace import (
     begin_ramp,
     draw_trial,
+    find_allowed,
     record_attempt_pace,
     record_first_answer,
     try_pace,
@@ -108,6 +109,7 @@
     observe_grant,
     observe_time,
 )
+from oleanderhitch.process.placement.speeds import is_slow
 from oleanderhitch.process.placement.spreading import choose_alike
 from oleanderhitch.request.ids import HolderId, PermitId
 from oleanderhitch.values import Value
@@ -183,6 +185,13 @@
     requests_per_s: float | None
 
 
+class ReportSpeedCounts(Value, frozen=True):
+    """Reports how many endpoints are slow, and how many ramp up, to the metrics."""
+
+    n_slow: int
+    n_ramping: int
+
+
 @singledispatch
 def handle(message: object, state: PlacementState, now: datetime) -> list[object]:
     """Handle a message and return its effects."""
@@ -478,7 +487,10 @@
 @handle.register
 def _(message: SpeedsReported, state: PlacementState, now: datetime) -> list[object]:
     apply_speeds(message, state, now)
-    return []
+    endpoints = state.endpoints.values()
+    n_slow = sum(is_slow(endpoint.speeds) for endpoint in endpoints)
+    n_ramping = sum(find_allowed(endpoint) is not None for endpoint in endpoints)
+    return [ReportSpeedCounts(n_slow, n_ramping)]
 
 
 @handle.register
--- a/oleanderhitch/process/placement/speeds.py
+++ b/oleanderhitch/process/placement/speeds.py
@@ -275,6 +275,11 @@
         speeds.decode_ratio, speeds.prefill_ratio = decode_ratio, prefill_ratio
 
 
+def is_slow(speeds: EndpointSpeeds) -> bool:
+    """Return whether an endpoint counts as slower than the median in either way."""
+    return max(speeds.decode_ratio, speeds.prefill_ratio) > 1.0
+
+
 def _compare(
     all_speeds: Sequence[EndpointSpeeds], get_ratio: Callable[[EndpointSpeed], int]
 ) -> list[float]:
--- a/oleanderhitch/process/placement/task.py
+++ b/oleanderhitch/process/placement/task.py
@@ -23,6 +23,7 @@
     LogRateLimit,
     QueryCache,
     ReportQueueLength,
+    ReportSpeedCounts,
     SendReply,
     handle,
 )
@@ -153,3 +154,9 @@
         endpoint=effect.endpoint,
         requests_per_s=effect.requests_per_s,
     )
+
+
+@_perform.register
+def _(effect: ReportSpeedCounts, dependencies: _Dependencies) -> None:
+    dependencies.metrics.set_gauge(Gauge.SLOW_ENDPOINTS, effect.n_slow)
+    dependencies.metrics.set_gauge(Gauge.RAMPING_ENDPOINTS, effect.n_ramping)
--- a/tests/process/site/test_speeds.py
+++ b/tests/process/site/test_speeds.py
@@ -13,7 +13,7 @@
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.messages import Tick
 from oleanderhitch.process.placement import messages
-from oleanderhitch.process.placement.core import SendReply
+from oleanderhitch.process.placement.core import ReportSpeedCounts, SendReply
 from oleanderhitch.process.placement.core import handle as handle_placement
 from oleanderhitch.process.placement.records import PlacementState
 from oleanderhitch.process.placement.speeds import UNCONFIRMED_SPEED_TTL
@@ -240,7 +240,8 @@
     state = PlacementState(HOME, "h")
     handle_placement(messages.EndpointsListed((endpoint, *others)), state, NOW)
     slow = messages.EndpointSpeed(endpoint.endpoint, 7, 2_000, 1_000)
-    handle_placement(messages.SpeedsReported((slow,), True), state, NOW)
+    effects = handle_placement(messages.SpeedsReported((slow,), True), state, NOW)
+    assert effects == [ReportSpeedCounts(n_slow=1, n_ramping=0)]
     speeds = state.endpoints[endpoint.endpoint].speeds
     handle_placement(messages.SpeedsReported((), True), state, NOW)
     assert speeds.decode_ratio == 2.0
