--- a/oleanderhitch/connection/http/pool.py
+++ b/oleanderhitch/connection/http/pool.py
@@ -48,13 +48,6 @@
     connection: EndpointConnection
 
 
-class ReportConnections(Value, frozen=True):
-    """Reports how many connections to an endpoint's address are open."""
-
-    address: HostAddress
-    n_open: int
-
-
 class PoolState(Struct):
     """Connections to all endpoints; owned by the pool's task.
 
@@ -67,9 +60,6 @@
     )
     busy_connections: dict[int, EndpointConnection] = field(default_factory=dict)
     n_opened: int = 0
-    n_open: defaultdict[HostAddress, int] = field(
-        default_factory=lambda: defaultdict(int)
-    )
 
 
 @singledispatch
@@ -83,17 +73,14 @@
 @handle.register
 def _(message: StartExchange, state: PoolState, now: datetime) -> list[object]:
     idle = state.idle_connections[message.address]
-    effects: list[object] = []
     if idle:
         # The most recently used connection is the least likely to time out.
         connection = idle.pop()
     else:
         connection = state.open_connection(message.address)
         state.n_opened += 1
-        state.n_open[message.address] += 1
-        effects.append(_report_connections(message.address, state))
     state.busy_connections[message.exchange.exchange_id] = connection
-    return [SendExchange(connection, message.exchange), *effects]
+    return [SendExchange(connection, message.exchange)]
 
 
 @handle.register
@@ -128,25 +115,13 @@
     idle = state.idle_connections[message.connection.address]
     if message.connection in idle:
         idle.remove(message.connection)
-    address = message.connection.address
     if not idle:
-        del state.idle_connections[address]
-    state.n_open[address] -= 1
-    effects: list[object] = [_report_connections(address, state)]
-    if state.n_open[address] <= 0:
-        del state.n_open[address]
-    return effects
-
-
-def _report_connections(address: HostAddress, state: PoolState) -> ReportConnections:
-    return ReportConnections(address, state.n_open[address])
-
-
-ObserveConnections = Callable[[HostAddress, int], None]
+        del state.idle_connections[message.connection.address]
+    return []
 
 
 @singledispatch
-def perform(effect: object, observe: ObserveConnections) -> None:
+def perform(effect: object) -> None:
     """Perform an effect of the pool."""
     raise TypeError(
         f"connection pool does not support effect type {type(effect).__name__}"
@@ -154,41 +129,25 @@
 
 
 @perform.register
-def _(effect: SendExchange, observe: ObserveConnections) -> None:
+def _(effect: SendExchange) -> None:
     effect.connection.send(effect.exchange)
 
 
 @perform.register
-def _(effect: CloseConnection, observe: ObserveConnections) -> None:
+def _(effect: CloseConnection) -> None:
     effect.connection.cancel()
 
 
-@perform.register
-def _(effect: ReportConnections, observe: ObserveConnections) -> None:
-    observe(effect.address, effect.n_open)
-
-
-def _ignore_connections(address: HostAddress, n_open: int) -> None:
-    """Ignore the number of connections."""
-
-
 def make_connection_pool(
     open_connection: Callable[[HostAddress, Task[PoolState]], EndpointConnection],
     clock: Clock,
-    observe: ObserveConnections = _ignore_connections,
 ) -> Task[PoolState]:
-    """Return the task of the connection pool.
-
-    `observe` is told how many connections to an address are open after each change.
-    """
+    """Return the task of the connection pool."""
 
     def start_connection(address: HostAddress) -> EndpointConnection:
         connection = open_connection(address, task)
         connection.start()
         return connection
 
-    def perform_effect(effect: object) -> None:
-        perform(effect, observe)
-
-    task = make_task("pool", PoolState(start_connection), handle, perform_effect, clock)
+    task = make_task("pool", PoolState(start_connection), handle, perform, clock)
     return task
--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -34,7 +34,6 @@
     AttemptResult,
     CacheCapacitiesUpdated,
     CacheContentsReported,
-    ConnectionsCounted,
     CrashesReported,
     EndHolder,
     EndpointGranted,
@@ -301,17 +300,6 @@
     return [*effects, *_refuse_early(queue_id, state, now)]
 
 
-@handle.register
-def _(
-    message: ConnectionsCounted, state: PlacementState, now: datetime
-) -> list[object]:
-    if message.n_open:
-        state.n_connections[message.address] = message.n_open
-    else:
-        state.n_connections.pop(message.address, None)
-    return []
-
-
 @handle.register
 def _(message: EndHolder, state: PlacementState, now: datetime) -> list[object]:
     holder = message.holder
--- a/oleanderhitch/process/placement/messages.py
+++ b/oleanderhitch/process/placement/messages.py
@@ -4,7 +4,6 @@
 from datetime import datetime, timedelta
 from enum import Enum
 
-from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.directory.messages import ListedEndpoint
 from oleanderhitch.program.ids import AccountId
@@ -130,13 +129,6 @@
     requests_per_s: float | None
 
 
-class ConnectionsCounted(Value, frozen=True):
-    """Reports how many connections of this host to an address are open."""
-
-    address: HostAddress
-    n_open: int
-
-
 class FirstChunkReceived(Value, frozen=True):
     """Reports the first chunk of a response, which shows that prefill has finished."""
 
--- a/oleanderhitch/process/placement/records.py
+++ b/oleanderhitch/process/placement/records.py
@@ -7,7 +7,6 @@
 
 from msgspec import Struct, field
 
-from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.process.crashes.messages import Suspicion
 from oleanderhitch.process.directory.messages import ListedEndpoint
 from oleanderhitch.process.placement.cache import CacheEstimate
@@ -197,8 +196,6 @@
     pending_prefill_tokens: defaultdict[EndpointId, int] = field(
         default_factory=lambda: defaultdict(int)
     )
-    # Open connections of this host, busy or idle.
-    n_connections: dict[HostAddress, int] = field(default_factory=dict)
     # Whether endpoints ramp up that do not say themselves that they start cold.
     is_ramp_up_enabled: bool = False
     # Mean duration of the calls of each plain service.
@@ -234,12 +231,6 @@
     return endpoint.peer_load
 
 
-def has_idle_connection(endpoint: Endpoint, state: PlacementState) -> bool:
-    """Return whether a request to an endpoint needs no new connection."""
-    n_open = state.n_connections.get(endpoint.listed.address, 0)
-    return n_open > len(endpoint.permits)
-
-
 def count_running(endpoint: Endpoint, now: datetime) -> int:
     """Return the known number of running requests, of all entry hosts."""
     peer_load = find_peer_load(endpoint, now)
--- a/oleanderhitch/process/placement/spreading.py
+++ b/oleanderhitch/process/placement/spreading.py
@@ -14,8 +14,8 @@
     PlacementState,
     ServiceQueue,
     find_peer_load,
-    has_idle_connection,
 )
+from oleanderhitch.version.ids import DataCentreName
 
 # What one more request in the batch costs, which another entry host may have sent
 # unseen: 80 output tokens at the overhead of a batch, for it and half for the others.
@@ -74,7 +74,7 @@
     level_ms = find_level_ms(costs_ms, unseen_ms)
     tolerance_ms = ENGINE_COST_TOLERANCE_MS if is_engine else PLAIN_COST_TOLERANCE_MS
     if level_ms - min(costs_ms) <= tolerance_ms:
-        alike = choose_alike(endpoints, costs_ms, is_engine, state)
+        alike = choose_alike(endpoints, costs_ms, state.data_centre, is_engine)
         return state.random_source.choice(alike)
     weights = [max(0.0, level_ms - cost_ms) for cost_ms in costs_ms]
     return state.random_source.choices(endpoints, weights)[0]
@@ -94,14 +94,12 @@
 def choose_alike(
     endpoints: Sequence[Endpoint],
     costs_ms: Sequence[float],
+    data_centre: DataCentreName,
     is_engine: bool,
-    state: PlacementState,
 ) -> list[Endpoint]:
     """Return the cheapest endpoint and those that cost about the same.
 
-    If some are in the own data centre, only those: the others cost traffic. Of these,
-    the ones with an idle connection of this host, if there are any: each host keeps to
-    a part of the endpoints while they are alike, and opens fewer connections.
+    If some are in the own data centre, only those: the others cost traffic.
     """
     tolerance_ms = ENGINE_COST_TOLERANCE_MS if is_engine else PLAIN_COST_TOLERANCE_MS
     limit_ms = min(costs_ms) + tolerance_ms
@@ -110,6 +108,5 @@
         for endpoint, cost_ms in zip(endpoints, costs_ms, strict=True)
         if cost_ms <= limit_ms
     ]
-    local = [item for item in alike if item.listed.data_centre == state.data_centre]
-    near = local or alike
-    return [item for item in near if has_idle_connection(item, state)] or near
+    local = [item for item in alike if item.listed.data_centre == data_centre]
+    return local or alike
--- a/oleanderhitch/process/site/entry.py
+++ b/oleanderhitch/process/site/entry.py
@@ -42,10 +42,7 @@
     make_label_counter,
 )
 from oleanderhitch.process.metrics.states import Counter
-from oleanderhitch.process.placement.messages import (
-    ConnectionsCounted,
-    SendPermitReply,
-)
+from oleanderhitch.process.placement.messages import SendPermitReply
 from oleanderhitch.process.placement.task import make_placement_task
 from oleanderhitch.process.quotas.messages import CreditReply
 from oleanderhitch.process.quotas.task import make_quotas_task
@@ -133,7 +130,6 @@
         self._connection_pool = make_connection_pool(
             partial(make_endpoint_connection, memory=budget.memory),
             clock,
-            self._count_connections,
         )
         self._caches = make_caches_task(
             dependencies.cache_dialect, self._connection_pool, clock
@@ -304,9 +300,6 @@
         else:
             log.warning("unexpected message type", type=type(message).__name__)
 
-    def _count_connections(self, address: HostAddress, n_open: int) -> None:
-        self._placement.send(ConnectionsCounted(address, n_open))
-
     def _tell_subscription(self, message: object) -> None:
         self._subscription.send(message)
 
