Read the directory of contents in a thread

Cause: a replica that opens created and listed its directory of contents on the event loop. Traced in 6 plays of test_growth.py at a load of 26 on 7 cores: one scandir blocked the loop for 1.35 s (0.02 s of it waiting for a processor) while the stores restarted, and in the same play a turn after the restart was broken off ('IncompleteRead(54 bytes read)').

Change: the directory is created and listed in the thread pool. A member makes its application while it holds its files, so that a stop waits for both.

Measured: test_directory_is_read_in_a_thread is new (the listing was made in the constructor, on the loop).

--- a/oleanderhitch/process/site/member.py
+++ b/oleanderhitch/process/site/member.py
@@ -161,14 +161,14 @@
             self._storage = open_storage(
                 directory, settings.node, self._clock, SITE_STORAGE_LIMITS
             )
+            self._application = make_site_application(
+                directory / CONTENTS_FOLDER,
+                self._handle_routing_change,
+                self._send_records_to_repair,
+            )
         if self._has_stopped:
             self._release()
             return
-        self._application = make_site_application(
-            directory / CONTENTS_FOLDER,
-            self._handle_routing_change,
-            self._send_records_to_repair,
-        )
         self._replica = make_group_task(
             settings.group,
             settings.node,
--- a/oleanderhitch/program/turns/content_files.py
+++ b/oleanderhitch/program/turns/content_files.py
@@ -133,11 +133,18 @@
 
     def __init__(self, directory: Path) -> None:
         self._directory = directory
-        directory.mkdir(parents=True, exist_ok=True)
-        self._last_number = max(self._list_numbers(), default=0)
+        # Runs in a thread, since a slow disk would block the event loop.
+        numbers = gevent.get_hub().threadpool.apply(wrap_errors(OSError, self._prepare))
+        if isinstance(numbers, OSError):
+            raise numbers
+        self._last_number = max(numbers, default=0)
         self._due_removal: tuple[set[int], int] | None = None
         self._removal: gevent.Greenlet | None = None
 
+    def _prepare(self) -> list[int]:
+        self._directory.mkdir(parents=True, exist_ok=True)
+        return self._list_numbers()
+
     def make_file(self) -> ContentFile:
         """Return a new file, which is not written yet."""
         self._last_number += 1
--- a/tests/process/site/test_application.py
+++ b/tests/process/site/test_application.py
@@ -218,6 +218,23 @@
     assert get_ident() not in threads
 
 
+def test_directory_is_read_in_a_thread(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guard against a store whose other groups stand still while a disk is slow."""
+    get_ident = monkey.get_original("_thread", "get_ident")
+    threads = []
+
+    def record_thread(path: Path, pattern: str) -> list[Path]:
+        threads.append(get_ident())
+        return []
+
+    monkeypatch.setattr(Path, "glob", record_thread)
+    make_application(tmp_path)
+    assert threads
+    assert get_ident() not in threads
+
+
 def test_dropped_files_are_closed_in_a_thread(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
