--- a/oleanderhitch/process/roles/status.py
+++ b/oleanderhitch/process/roles/status.py
@@ -5,6 +5,12 @@
 import bottle
 
 from oleanderhitch.connection.caller.server import CallerServer, make_caller_server
+from oleanderhitch.connection.http.budget import (
+    N_STATUS_CONNECTIONS,
+    STATUS_BUDGET_BYTES,
+    ServerBudget,
+)
+from oleanderhitch.connection.http.memory import make_traffic_memory
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.intake.messages import GetReadiness, Readiness
@@ -74,4 +80,7 @@
         bottle.response.content_type = CONTENT_TYPE
         return format_metrics(metrics.make_snapshot())
 
-    return make_caller_server(listen, app)
+    budget = ServerBudget(
+        make_traffic_memory(STATUS_BUDGET_BYTES), N_STATUS_CONNECTIONS
+    )
+    return make_caller_server(listen, app, budget)
