Freed the head of a rejected request before the next one is read

Cause: a crowd of 600 heads with thousands of fields took 134 MB of an entry host with 128 MB: the readers of all connections parsed up to the limit of fields before the first rejection was sent. Change: the reader drops what it has parsed itself.

--- a/oleanderhitch/connection/http/caller.py
+++ b/oleanderhitch/connection/http/caller.py
@@ -308,8 +308,12 @@
                 pass
         except RequestParseError as error:
             self._is_receiving = False
+            rejection = RequestRejected(error.fault, str(error))
+            # At once: the other readers of a crowd may run before the rejection does.
+            parser.close()
+            del error
             self._await_responses(0)
-            self._mailbox.send(RequestRejected(error.fault, str(error)))
+            self._mailbox.send(rejection)
         except OSError as error:
             self._mailbox.send(CallerDisconnected(f"connection broke: {error}"))
 
