Weighted unseen requests by the reported ones that still run

Cause: of the loads in a report, a share has ended when it is used, so that differences between endpoints count for less than reported; and the cost that one more request adds left out the prefill, which the costs have.

Change: the number of unseen requests is related to the reported ones that still run, and the added cost has the prefill of the request.

--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -688,10 +688,11 @@
     costs_ms = [get_cost(endpoint) for endpoint in available]
     queue = state.queues[get_queue_id(message)]
     n_unseen = count_unseen(available, queue, now)
+    cheapest = available[costs_ms.index(min(costs_ms))]
     chosen = choose_endpoint(
         available,
         costs_ms,
-        n_unseen * get_added_cost_ms(message.workload),
+        n_unseen * get_added_cost_ms(cheapest, message.workload),
         state.data_centre,
         message.workload is not None,
         state.random_source,
--- a/oleanderhitch/process/placement/cost.py
+++ b/oleanderhitch/process/placement/cost.py
@@ -78,15 +78,14 @@
     return cost_ms
 
 
-def get_added_cost_ms(workload: InferenceWorkload | None) -> float:
-    """Return the cost that one more running request adds, in milliseconds.
-
-    Prompts are cached for the most part, so their prefill does not count.
-    """
+def get_added_cost_ms(endpoint: Endpoint, workload: InferenceWorkload | None) -> float:
+    """Return what one more running request adds to the cost, in milliseconds."""
     if workload is None:
         return PLAIN_CALL_MS
     n_output = workload.expected_output_tokens
-    return n_output * BATCH_OVERHEAD_MS_PER_TOKEN * (1 + REMAINING_OUTPUT_SHARE)
+    prefill_ms = count_uncached_tokens(endpoint.cache, workload) / PREFILL_TOKENS_PER_MS
+    batch_ms = n_output * BATCH_OVERHEAD_MS_PER_TOKEN * (1 + REMAINING_OUTPUT_SHARE)
+    return prefill_ms + batch_ms
 
 
 def _get_engine_cost_ms(
--- a/oleanderhitch/process/placement/spreading.py
+++ b/oleanderhitch/process/placement/spreading.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Sequence
 from datetime import datetime, timedelta
+from math import expm1
 from random import Random
 
 from oleanderhitch.process.placement.records import (
@@ -28,6 +29,8 @@
 # Entry hosts check their loads for changes at this interval, so that a report is older
 # by half of it than its arrival here, on average.
 REPORT_DELAY = timedelta(milliseconds=125)
+# Loads of so many mean durations ago say nothing; the choice is then random.
+N_DURATIONS_MAX = 5.0
 # Weight of the duration of one more request in the mean.
 DURATION_WEIGHT = 0.1
 
@@ -46,7 +49,9 @@
 ) -> float:
     """Return how many requests other hosts have probably sent since their reports.
 
-    As many begin as end: the running ones, for each mean duration.
+    As many begin as end. Of the reported ones and of the unseen ones some have ended, a
+    share of 1/e in each mean duration; the number is related to the reported ones that
+    still run, since only these tell endpoints apart.
     """
     if not queue.mean_duration:
         return 0.0
@@ -55,7 +60,8 @@
         load = find_peer_load(endpoint, now)
         if load is not None and endpoint.peer_load_at is not None:
             age = now - endpoint.peer_load_at + REPORT_DELAY
-            n_unseen += load.n_running * (age / queue.mean_duration)
+            n_durations = min(age / queue.mean_duration, N_DURATIONS_MAX)
+            n_unseen += load.n_running * expm1(n_durations)
     return n_unseen
 
 
