--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -736,8 +736,8 @@
     """Return one of the cheapest endpoints, if possible one whose ramp allows it."""
     is_engine = message.workload is not None
     queue = state.queues[get_queue_id(message, state)]
-    service = state.service_speeds[message.service]
-    added_ms = get_added_cost_ms(message.workload, service)
+    cheapest = endpoints[costs_ms.index(min(costs_ms))]
+    added_ms = get_added_cost_ms(cheapest, message.workload, state)
     unseen_ms = count_unseen(endpoints, queue, now) * added_ms
     first: Endpoint | None = None
     while endpoints:
--- a/oleanderhitch/process/placement/cost.py
+++ b/oleanderhitch/process/placement/cost.py
@@ -81,17 +81,16 @@
 
 
 def get_added_cost_ms(
-    workload: InferenceWorkload | None, service: ServiceSpeeds
+    endpoint: Endpoint, workload: InferenceWorkload | None, state: PlacementState
 ) -> float:
-    """Return the cost that one more running request adds, in milliseconds.
-
-    Prompts are cached for the most part, so their prefill does not count.
-    """
+    """Return what one more running request adds to the cost, in milliseconds."""
     if workload is None:
         return PLAIN_CALL_MS
+    service = state.service_speeds[endpoint.listed.service]
     n_output = workload.expected_output_tokens
+    prefill_ms = count_uncached_tokens(endpoint.cache, workload) * service.prefill_ms
     batch_overhead_ms = BATCH_OVERHEAD_RATIO * service.decode_ms
-    return n_output * batch_overhead_ms * (1 + REMAINING_OUTPUT_SHARE)
+    return prefill_ms + n_output * batch_overhead_ms * (1 + REMAINING_OUTPUT_SHARE)
 
 
 def _get_engine_cost_ms(
