--- a/oleanderhitch/process/placement/cost.py
+++ b/oleanderhitch/process/placement/cost.py
@@ -80,6 +80,20 @@
     return cost_ms
 
 
+def get_added_cost_ms(
+    workload: InferenceWorkload | None, service: ServiceSpeeds
+) -> float:
+    """Return the cost that one more running request adds, in milliseconds.
+
+    Prompts are cached for the most part, so their prefill does not count.
+    """
+    if workload is None:
+        return PLAIN_CALL_MS
+    n_output = workload.expected_output_tokens
+    batch_overhead_ms = BATCH_OVERHEAD_RATIO * service.decode_ms
+    return n_output * batch_overhead_ms * (1 + REMAINING_OUTPUT_SHARE)
+
+
 def _get_engine_cost_ms(
     endpoint: Endpoint,
     service: ServiceSpeeds,
