--- a/oleanderhitch/process/quotas/core.py
+++ b/oleanderhitch/process/quotas/core.py
@@ -85,13 +85,17 @@
 
 
 class LogRefusals(Value, frozen=True):
-    """Logs that requests of an account were refused."""
+    """Logs that requests of an account were refused.
+
+    `level` is what the leader had left for the account, None without an answer.
+    """
 
     account: AccountId
     result: CreditResult
     n_requests: int
     n_held: int
     retry_after: timedelta
+    level: int | None
 
 
 @singledispatch
@@ -154,7 +158,7 @@
         if now - sent.sent_at >= SENT_TTL:
             del state.sent[number]
     for name, account in list(state.list_active()):
-        effects.extend(_refuse_expired(name, account, state, now))
+        effects.extend(_refuse_expired(account, state, now))
         _sort_out_expired(account, now)
         effects.extend(_serve(name, state, now))
     return [*effects, *_ask(state, now)]
@@ -291,48 +295,45 @@
     if not unserved:
         return []
     account.ask_from = now + OVER_QUOTA_INTERVAL
-    result = CreditResult.OVER_QUOTA
-    retry_after = loan.retry_ms * MILLISECOND
-    return _refuse(loan.account, unserved, result, retry_after, state, now)
+    return _refuse(unserved, loan, account, state, now)
 
 
 def _refuse_expired(
-    name: AccountId, account: AccountCredits, state: QuotasState, now: datetime
+    account: AccountCredits, state: QuotasState, now: datetime
 ) -> list[object]:
     expired = [
         waiting
         for waiting in account.waiting.values()
         if waiting.acquire.deadline <= now
     ]
-    result = CreditResult.NO_LEADER
-    return _refuse(name, expired, result, NO_LEADER_INTERVAL, state, now)
+    return _refuse(expired, None, account, state, now)
 
 
 def _refuse(
-    name: AccountId,
     refused: list[WaitingRequest],
-    result: CreditResult,
-    retry_after: timedelta,
+    loan: CreditLoan | None,
+    account: AccountCredits,
     state: QuotasState,
     now: datetime,
 ) -> list[object]:
+    """Refuse requests by the answer of the leader, or for want of one."""
     if not refused:
         return []
-    account = state.accounts[name]
-    is_over_quota = result is CreditResult.OVER_QUOTA
+    result, retry_after, level = CreditResult.NO_LEADER, NO_LEADER_INTERVAL, None
+    if loan is not None:
+        result, level = CreditResult.OVER_QUOTA, loan.level
+        retry_after = loan.retry_ms * MILLISECOND
     effects: list[object] = [CountCredits(result, len(refused))]
     for waiting in refused:
-        holder = waiting.acquire.holder
-        del account.waiting[holder]
+        acquire = waiting.acquire
+        del account.waiting[acquire.holder]
         spread = 1 + state.random_source.random() * RETRY_SPREAD
-        message = CreditRefused(holder, retry_after * spread, is_over_quota)
-        effects.append(SendReply(waiting.acquire.reply_address, message))
+        message = CreditRefused(acquire.holder, retry_after * spread, loan is not None)
+        effects.append(SendReply(acquire.reply_address, message))
     account.n_refused += len(refused)
     if account.logged_at is None or now - account.logged_at >= LOG_INTERVAL:
-        n_held = account.n_held
-        effects.append(
-            LogRefusals(name, result, account.n_refused, n_held, retry_after)
-        )
+        name, n_refused, n_held = acquire.account, account.n_refused, account.n_held
+        effects.append(LogRefusals(name, result, n_refused, n_held, retry_after, level))
         account.logged_at, account.n_refused = now, 0
     return effects
 
--- a/oleanderhitch/process/quotas/messages.py
+++ b/oleanderhitch/process/quotas/messages.py
@@ -70,8 +70,8 @@
 
     They can be used after `delay_ms` from the reply, for `ttl_ms`. `lent_ms` is when
     they were lent by the time of the ledger. Requests without a credit are refused, and
-    can be retried after `retry_ms`. An entry host has more credits than it asked for if
-    its demand is of an account without a limit in the newest configuration.
+    can be retried after `retry_ms`. `level` is what is left in the bucket. An account
+    without a limit in the newest configuration is lent all that is asked for.
     """
 
     account: AccountId
@@ -82,6 +82,7 @@
     ttl_ms: int
     delay_ms: int = 0
     retry_ms: int = 0
+    level: int = 0
 
 
 class CreditReply(Value, frozen=True):
--- a/oleanderhitch/process/quotas/task.py
+++ b/oleanderhitch/process/quotas/task.py
@@ -82,5 +82,6 @@
         rule=effect.result.value,
         n_requests=effect.n_requests,
         n_held=effect.n_held,
+        level=effect.level,
         retry_after_ms=round(effect.retry_after.total_seconds() * 1000),
     )
--- a/oleanderhitch/process/site/quota_ledger.py
+++ b/oleanderhitch/process/site/quota_ledger.py
@@ -254,6 +254,7 @@
             int(bucket.ttl / MILLISECOND),
             delay_ms,
             int(retry / MILLISECOND),
+            math.floor(bucket.level),
         )
 
     def _get_ms(self, now: datetime) -> int:
