--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -738,10 +738,12 @@
     queue = state.queues[get_queue_id(message, state)]
     cheapest = endpoints[costs_ms.index(min(costs_ms))]
     added_ms = get_added_cost_ms(cheapest, message.workload, state)
-    unseen_ms = count_unseen(endpoints, queue, now) * added_ms
+    n_unseen = count_unseen(endpoints, queue, now)
     first: Endpoint | None = None
     while endpoints:
-        chosen = choose_endpoint(endpoints, costs_ms, unseen_ms, is_engine, state)
+        chosen = choose_endpoint(
+            endpoints, costs_ms, n_unseen, added_ms, state, is_engine, now
+        )
         if try_pace(chosen, state, now):
             return chosen
         first = first or chosen
