--- a/oleanderhitch/process/site/quota_ledger.py
+++ b/oleanderhitch/process/site/quota_ledger.py
@@ -136,8 +136,8 @@
 class QuotaLedger(Struct):
     """The buckets of all accounts with a limit; lives as long as a leader leads.
 
-    The buckets are empty at `lends_from`, since nothing is known of the loans of the
-    leader before.
+    At `lends_from` the buckets hold the part of the tolerance that no ledger uses up,
+    since nothing is known of the loans of the leader before.
     """
 
     ledger: LedgerId
@@ -194,7 +194,10 @@
         capacity = max(1.0, account.n_burst + n_extra)
         if self.has_limits:
             return Bucket(account.requests_per_s, capacity, ttl, capacity, now)
-        return Bucket(account.requests_per_s, capacity, ttl, 0.0, self.lends_from)
+        # What the leader before may have lent fills its part of the tolerance.
+        advance = account.requests_per_s * ADVANCE_DURATION.total_seconds()
+        level = max(0.0, (1 - USED_SHARE) * tolerance - advance)
+        return Bucket(account.requests_per_s, capacity, ttl, level, self.lends_from)
 
     def _take_back(self, returned: ReturnedCredits, now: datetime) -> None:
         bucket = self.buckets.get(returned.account)
--- a/tests/process/site/test_quota_ledger.py
+++ b/tests/process/site/test_quota_ledger.py
@@ -140,3 +140,29 @@
     assert len(host.replies) == 3, "lent without a read of late"
     lender.handle_leadership_change(False)
     assert not host.replies[-1].is_lending
+
+
+def test_new_leader_has_credits_for_small_accounts() -> None:
+    """Guard against accounts that get nothing after a leader was lost.
+
+    Answers the moment after an election: at one request a second, the next credit of an
+    empty bucket comes a second later, and the callers have given up by then.
+    """
+    small = Account(AccountId("a"), (), None, 1.0, 1.0)
+    ledger = make_quota_ledger(LEDGER, BOUNDS, NOW)
+    ledger.apply_limits([small], NOW)
+    assert 1 <= count_lent(ledger, at_ms=0) <= 0.25 * (0.1 * 6 + 20)
+
+
+def test_two_leaders_stay_within_the_tolerance() -> None:
+    """Guard against a window with the loans of two leaders that exceeds the quota."""
+    for rate in (1.0, 10.0, 319.0):
+        account = Account(AccountId("a"), (), None, rate, rate)
+        first = make_quota_ledger(LEDGER, BOUNDS, NOW)
+        first.apply_limits([], NOW)
+        first.apply_limits([account], NOW)
+        second = make_quota_ledger(LedgerId(8), BOUNDS, NOW)
+        second.apply_limits([account], NOW)
+        n_lent = count_lent(first, at_ms=0)
+        n_lent += sum(count_lent(second, at_ms=at) for at in range(0, 5000, 50))
+        assert n_lent <= (rate * 5 + rate) * 1.1 + 20
