Kept placement running when a service becomes one of engines

Requests that wait without a prompt are in the queue of plain calls. If the configuration then declares the service as one of engines, a decision on them makes the queue of engines, while the queues are iterated over: RuntimeError, dictionary changed size during iteration, in the placement task. The queues are now copied before they are iterated over.

The new test failed with that error before and passes now.

--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -439,7 +439,7 @@
             no_reply = SendPermitReply(number, is_leader=False)
             effects.extend(handle(no_reply, state, now))
     effects.extend(_grant_waiting(state, now))
-    for queue_id in state.queues:
+    for queue_id in list(state.queues):
         effects.extend(_refuse_early(queue_id, state, now))
     return effects
 
@@ -533,10 +533,14 @@
 def _grant_waiting(
     state: PlacementState, now: datetime, service: ServiceName | None = None
 ) -> list[object]:
-    """Grant waiting requests what is free, those of one service or of all."""
+    """Grant waiting requests what is free, those of one service or of all.
+
+    A request that waited before its service became one of engines, or stopped to be
+    one, makes a new queue when it is decided on.
+    """
     return [
         effect
-        for queue_id, queue in state.queues.items()
+        for queue_id, queue in list(state.queues.items())
         if queue.waiting and service in (None, queue_id.service)
         for effect in _serve_queue(queue_id, state, now)
     ]
--- a/tests/process/placement/test_ordering.py
+++ b/tests/process/placement/test_ordering.py
@@ -168,3 +168,18 @@
             served.append(effect.message.holder)
         handle(acquire(f"again{number}"), state, NOW)
     assert "prompt" in served
+
+
+def test_service_that_becomes_one_of_engines_keeps_its_waiting_requests() -> None:
+    """Guard against a failure of placement when the queue of a service changes.
+
+    The grant of a request that waits in the earlier queue made the new queue, while
+    the queues were iterated over.
+    """
+    state = make_state(make_endpoint("e1", 1))
+    for name in ("first", "second", "third"):
+        handle(acquire(name), state, NOW)
+    handle(CacheCapacitiesUpdated({SERVICE: 1000}), state, NOW)
+    permit = next(iter(state.permits))
+    handle(ReleaseEndpoint(permit, AttemptResult.COMPLETED), state, NOW)
+    assert "second" in [permit.holder for permit in state.permits.values()]
