Served requests that arrive while an earlier one's message waits

The reader queued a request as pipelined if the mailbox of its connection held any message. Only the end of another request takes from that queue. With a message for the request before, which has ended (a reply that came too late, the notice of a stop), the new request and all after it were never served, and the connection, which counted them as queued, never became idle. A request is now queued only while another one is served, which is set once it is sent to the mailbox.

--- a/oleanderhitch/connection/http/caller.py
+++ b/oleanderhitch/connection/http/caller.py
@@ -392,7 +392,7 @@
 
     def _queue_request(self, request: HttpRequest) -> None:
         self._n_request_bytes += get_held_bytes(request)
-        if self._is_serving or self._pipelined or self._mailbox.n_waiting:
+        if self._is_serving:
             self._pipelined.append(request)
         else:
             self._is_serving = True
--- a/tests/connection/http/test_caller.py
+++ b/tests/connection/http/test_caller.py
@@ -91,6 +91,40 @@
     assert bodies[1:] == [*targets, b"/last"]
 
 
+def test_late_message_does_not_hold_up_the_next_request(
+    start: Callable[[ServeRequest], tuple[HttpServer, HostAddress]],
+) -> None:
+    """Guard against a request that is never served.
+
+    A message for the request before it, as a reply that came too late, was waiting when
+    it arrived.
+    """
+    mailboxes: list[Mailbox] = []
+    wake, waker = socket.socketpair()
+
+    def serve(
+        request: HttpRequest, writer: ResponseWriter, mailbox: Mailbox, now: datetime
+    ) -> None:
+        mailboxes.append(mailbox)
+        echo(request, writer, mailbox, now)
+
+    def send_late() -> None:
+        wake.recv(1)
+        mailboxes[0].send("late reply")
+
+    _, address = start(serve)
+    connected = connect(address)
+    connected.sendall(GET % b"/first")
+    assert connected.recv(4096).endswith(b"/first")
+    gevent.spawn(send_late)
+    gevent.sleep(0.02)
+    # Sends to empty buffers do not let the server run; the event loop handles the
+    # last one first.
+    connected.send(GET % b"/second")
+    waker.send(b"w")
+    assert connected.recv(4096).endswith(b"/second")
+
+
 def test_disconnect_of_the_caller_is_reported_to_the_request(
     start: Callable[[ServeRequest], tuple[HttpServer, HostAddress]],
 ) -> None:
