Ended the speeds of an earlier leader after their time at a quiet site

What an earlier leader has returned counts for 30 s. That it is over was only looked at when the list of endpoints or a speed changed, so that at a quiet site a slow engine stayed slow, and a limit of the earlier leader stayed in force. It is now looked at with each report of loads.

The test of it, which had sent a change of speeds, sends a report of loads now and failed before (a ratio of 2.0 in place of 1.0); tests/process/placement, test_speeds.py and test_ramps.py pass.

--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -55,6 +55,7 @@
 )
 from oleanderhitch.process.placement.observations import (
     apply_speeds,
+    expire_speeds,
     find_measured_tokens,
     get_first_event_ms,
     list_observed_speeds,
@@ -492,6 +493,7 @@
 def _(message: PeerLoadsReported, state: PlacementState, now: datetime) -> list[object]:
     state.n_entry_hosts = message.n_entry_hosts
     state.peer_loads_at = now
+    expire_speeds(state, now)
     loads = {load.endpoint: load for load in message.loads}
     for name, endpoint in state.endpoints.items():
         endpoint.peer_load = loads.get(name)
--- a/oleanderhitch/process/placement/observations.py
+++ b/oleanderhitch/process/placement/observations.py
@@ -106,6 +106,13 @@
     update_speeds(state, now)
 
 
+def expire_speeds(state: PlacementState, now: datetime) -> None:
+    """Drop what an earlier leader has returned once its time is over."""
+    reports = state.speed_reports
+    if reports.unconfirmed and now >= reports.unconfirmed_until:
+        update_speeds(state, now)
+
+
 def update_speeds(state: PlacementState, now: datetime) -> None:
     """Compare the endpoints of each service with their median."""
     speeds = defaultdict[ServiceName, list[EndpointSpeeds]](list)
--- a/tests/process/site/test_speeds.py
+++ b/tests/process/site/test_speeds.py
@@ -246,7 +246,8 @@
     handle_placement(messages.SpeedsReported((), True), state, NOW)
     assert speeds.decode_ratio == 2.0
     late = NOW + UNCONFIRMED_SPEED_TTL
-    handle_placement(messages.SpeedsReported((), False), state, late)
+    # No change of any speed has to come for it: a site may be quiet for long.
+    handle_placement(messages.PeerLoadsReported((), 2), state, late)
     assert speeds.decode_ratio == 1.0
     handle_placement(messages.SpeedsReported((slow,), False), state, late)
     restarted = replace(endpoint, born_ms=8)
