Sent status 100 only before the body of a request

A caller that announces its body (Expect: 100-continue) got a status 100 after each read until its request was whole, also with the body on its way. It gets one while no byte of the body has arrived.

The new test found three before and finds one now; test_caller.py and test_parsing.py pass.

--- a/oleanderhitch/connection/http/parsing.py
+++ b/oleanderhitch/connection/http/parsing.py
@@ -81,8 +81,10 @@
     @property
     def expects_continue(self) -> bool:
         """Whether the caller waits for status 100 before it sends the body."""
+        if not self._has_headers or self._n_body_bytes:
+            return False
         expect = find_header(tuple(self._headers), "expect")
-        return self._has_headers and (expect or "").lower() == "100-continue"
+        return (expect or "").lower() == "100-continue"
 
     def set_limits(self, limits: CallerLimits) -> None:
         """Replace the limits; they apply to the bytes fed from now on."""
--- a/tests/connection/http/test_caller.py
+++ b/tests/connection/http/test_caller.py
@@ -198,6 +198,24 @@
     assert second.startswith(b"HTTP/1.1 408")
 
 
+def test_body_in_pieces_gets_one_continue(
+    start: Callable[[ServeRequest], tuple[HttpServer, HostAddress]],
+) -> None:
+    """Guard against a status 100 for each piece of a body that a caller announces."""
+    _, address = start(echo)
+    connected = connect(address)
+    connected.sendall(
+        b"POST /body HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
+        b"Content-Length: 3\r\nConnection: close\r\n\r\n"
+    )
+    for _ in range(3):
+        gevent.sleep(0.02)
+        connected.sendall(b"a")
+    data = read_all(connected)
+    assert data.count(b"100 Continue") == 1
+    assert data.endswith(b"/body")
+
+
 def test_invalid_bytes_get_status_400_and_a_close(
     start: Callable[[ServeRequest], tuple[HttpServer, HostAddress]],
 ) -> None:
