Kept answers of an earlier start out of the ramp and speeds of the next one

First events and latencies of a permit were counted for the endpoint that has its id now, also if it was started again since the grant. Fast answers of the old process so raised the limit of the new one, which is cold.

--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -389,13 +389,17 @@
     message: FirstChunkReceived, state: PlacementState, now: datetime
 ) -> list[object]:
     permit = state.permits.get(message.permit)
-    if permit is not None:
+    if permit is None:
+        return []
+    endpoint = state.endpoints.get(permit.endpoint)
+    # An endpoint that was started again under its id has none of the earlier permits.
+    is_current = endpoint is not None and message.permit in endpoint.permits
+    if is_current:
         record_first_event(permit, state, now)
-        _finish_prefill(message.permit, permit, state)
-        endpoint = state.endpoints.get(permit.endpoint)
-        if endpoint is not None:
-            record_first_answer(permit, endpoint, state, now)
-            endpoint.last_activity_at = now
+    _finish_prefill(message.permit, permit, state)
+    if endpoint is not None and is_current:
+        record_first_answer(permit, endpoint, state, now)
+        endpoint.last_activity_at = now
     return []
 
 
@@ -451,7 +455,7 @@
 ) -> list[object]:
     permit = state.permits.get(message.permit)
     endpoint = None if permit is None else find_endpoint(permit.endpoint, state)
-    if endpoint is not None:
+    if endpoint is not None and message.permit in endpoint.permits:
         record_event_latency(endpoint, message.latency, state, now)
         endpoint.last_activity_at = now
     return []
--- a/tests/process/site/test_ramps.py
+++ b/tests/process/site/test_ramps.py
@@ -149,3 +149,18 @@
     is_fast = [item is not None and item.n_fast == 1 for item in found]
     assert is_fast[:2] == [True, False]
     assert is_fast[-10:] == [True] * 10
+
+
+def test_answers_of_an_earlier_start_do_not_end_the_ramp() -> None:
+    """Guard against a new endpoint that is flooded for the answers of the old one."""
+    state = PlacementState(HOME, "h", is_ramp_up_enabled=True)
+    handle(messages.EndpointsListed((NEW,)), state, NOW)
+    request = acquire("r", make_workload("a"))
+    permit = get_grant(handle(request, state, NOW)).permit
+    again = replace(NEW, born_ms=NEW.born_ms + 1)
+    handle(messages.EndpointsListed((again,)), state, NOW)
+    handle(messages.FirstChunkReceived(permit), state, NOW)
+    found = take_ramp_observations(state.endpoints[NEW.endpoint])
+    assert found is not None
+    assert found.has_started
+    assert not found.n_fast
