Reported the queue of a service that has gone as empty

The queue of a service without endpoints was dropped once it was idle, also if the metrics had last shown waiting requests: oleanderhitch_queue_length then showed them for good. It is dropped after the next report.

The new test failed before; tests/process/placement passes.

--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -232,7 +232,8 @@
     """Drop the queues of services that no configuration may have any more."""
     services = {endpoint.listed.service for endpoint in state.endpoints.values()}
     for queue_id, queue in list(state.queues.items()):
-        is_idle = not queue.waiting and not queue.n_running
+        # Until the metrics show it as empty, it is kept.
+        is_idle = not queue.waiting and not queue.n_running and not queue.n_reported
         if is_idle and queue_id.service not in services:
             del state.queues[queue_id]
 
--- a/tests/process/placement/test_ordering.py
+++ b/tests/process/placement/test_ordering.py
@@ -4,22 +4,32 @@
 
 from msgspec.structs import replace
 
-from oleanderhitch.process.placement.core import AskLeader, SendReply, handle
+from oleanderhitch.process.placement.core import (
+    AskLeader,
+    ReportQueueLength,
+    SendReply,
+    handle,
+)
 from oleanderhitch.process.placement.messages import (
     AcquireEndpoint,
     AttemptResult,
     CacheCapacitiesUpdated,
+    EndHolder,
     EndpointGranted,
+    EndpointsListed,
     ExhaustedEndpoint,
+    GetLoads,
     ReleaseEndpoint,
     RequestStage,
     SendPermitReply,
 )
 from oleanderhitch.process.placement.ordering import N_GRANTS_PER_AGED
 from oleanderhitch.program.ids import AccountId
+from oleanderhitch.request.ids import HolderId
 from oleanderhitch.version.ids import EndpointId
 from tests.process.placement.test_core import (
     NOW,
+    REPLY,
     SERVICE,
     acquire,
     make_endpoint,
@@ -183,3 +193,20 @@
     permit = next(iter(state.permits))
     handle(ReleaseEndpoint(permit, AttemptResult.COMPLETED), state, NOW)
     assert "second" in [permit.holder for permit in state.permits.values()]
+
+
+def test_queue_of_a_service_that_has_gone_is_reported_as_empty() -> None:
+    """Guard against a metric that shows waiting requests for good."""
+    state = make_state(make_endpoint("e1", 1))
+    for name in ("first", "second", "third"):
+        handle(acquire(name), state, NOW)
+    reported = handle(GetLoads(REPLY), state, NOW)
+    assert ReportQueueLength(SERVICE, 1) in reported
+    for name in ("first", "second", "third"):
+        handle(EndHolder(HolderId(name)), state, NOW)
+    for _ in range(2):
+        handle(EndpointsListed(()), state, NOW)
+        reported.extend(handle(GetLoads(REPLY), state, NOW))
+    assert ReportQueueLength(SERVICE, 0) in reported
+    handle(EndpointsListed(()), state, NOW)
+    assert not state.queues
