Rejected token counts that no engine reads or generates

A request may name any number of tokens. The order of waiting requests subtracts the expected time of the work from a point in time: with 10^15 output tokens and X-Finish-Ms that overflowed, at each decision on the queue of its service. As long as it waited, no other request there got a free slot or was refused at its deadline, since the task drops the message whose handling failed (trial with placement: OverflowError at the release of a slot and at the tick 20 s later). Numbers of more than 4,300 digits in the token budget or the hint failed in int(), so that the connection closed without an answer. Counts above 10^9 and budgets of more than 18 digits are malformed (400) now; such a hint is ignored.

Five of the new cases failed before; tests/platform/test_requests.py passes.

--- a/oleanderhitch/platform/requests.py
+++ b/oleanderhitch/platform/requests.py
@@ -41,6 +41,11 @@
 MILLISECOND = timedelta(milliseconds=1)
 # A year; longer times would exceed the range of points in time.
 TIME_TO_FINISH_MAX_MS = 365 * 24 * 3600 * 1000
+# More than any engine reads or generates. Expected times that follow from larger counts
+# would exceed the range of points in time, and fail the placement of other requests.
+N_TOKENS_MAX = 10**9
+# Larger numbers may not fit the 64 bits of a record, or be refused by `int()`.
+N_DIGITS_MAX = 18
 # Callers wait at most a third of their remaining time before they retry. The share
 # stays below that; RETRY_AFTER_MIN exceeds a third when less than 150 ms remain.
 RETRY_AFTER_SHARE = 0.25
@@ -320,9 +325,9 @@
 def _read_token_count(text: str) -> int:
     """Parse a number of tokens; raise ValueError if it is not one."""
     count = int(text)
-    if count < 0:
-        # A negative number would release budget that other turns have reserved.
-        raise ValueError(f"{text!r} is negative")
+    # A negative number would release budget that other turns have reserved.
+    if not 0 <= count <= N_TOKENS_MAX:
+        raise ValueError(f"{text!r} is no number of tokens")
     return count
 
 
@@ -335,11 +340,15 @@
     hint = request.find_header(header_names.LENGTH_HINT) or ""
     return (
         min(int(hint), max_output_tokens)
-        if hint.isdecimal()
+        if _is_number(hint)
         else max_output_tokens // 2
     )
 
 
+def _is_number(text: str) -> bool:
+    return text.isdecimal() and len(text) <= N_DIGITS_MAX
+
+
 def _read_prompt_part(raw: str, model: str) -> PromptPart:
     part_id, _, n_tokens = raw.strip().partition(":")
     return make_prompt_part(model, part_id, _read_token_count(n_tokens))
@@ -357,7 +366,7 @@
     if program is None or (budget is None and previous is None):
         # Tool calls carry the program id too, but spend no tokens.
         return None
-    if budget is not None and not budget.isdecimal():
+    if budget is not None and not _is_number(budget):
         raise InvalidInputError(f"{header_names.TOKEN_BUDGET} is {budget!r}")
     return ProgramTurn(
         ProgramId(program),
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -150,6 +150,12 @@
         ("x-token-usage", "many"),
         ("x-token-budget", "-4"),
         ("x-deadline-ms", "soon"),
+        # Numbers beyond what points in time, 64 bits or `int()` hold.
+        ("x-token-usage", "100000000000000,5"),
+        ("x-token-usage", "5,100000000000000"),
+        ("x-token-usage", "9" * 5000 + ",5"),
+        ("x-token-budget", "9" * 30),
+        ("x-token-budget", "9" * 5000),
     ],
 )
 def test_malformed_value_is_rejected(header: tuple[str, str]) -> None:
@@ -256,7 +262,7 @@
     assert find_owner((("x-not-run", "1"),)) is ResponseOwner.UNKNOWN
 
 
-@pytest.mark.parametrize("hint", ["", "-5", "\u00b2", "many", "9" * 30])
+@pytest.mark.parametrize("hint", ["", "-5", "\u00b2", "many", "9" * 30, "9" * 5000])
 def test_malformed_length_hint_is_accepted(hint: str) -> None:
     """Guard against rejecting a request for its hint, which is never binding."""
     request = DIALECT.read_request(
