Answered bodies that nest deeply and endless numbers as bad requests

At the product's own interface, a JSON body of 100,000 brackets and a header number of 5,000 digits got status 500 with an unknown outcome, for exceptions that were not expected there. They get 400 and the outcome not_run.

Both new cases failed before; tests/connection/caller passes.

--- a/oleanderhitch/connection/caller/parsing.py
+++ b/oleanderhitch/connection/caller/parsing.py
@@ -23,6 +23,8 @@
 DEADLINE_LIMIT_MS = 3_600_000
 DEFAULT_OUTPUT_TOKENS = 512
 OUTPUT_LIMIT_TOKENS = 32_768
+# Larger numbers do not fit the 64 bits of a record.
+N_DIGITS_MAX = 18
 ROLES = ("system", "user", "assistant", "tool")
 
 Headers = Mapping[str, str]
@@ -56,7 +58,7 @@
     _check_body_size(body)
     try:
         document = json.loads(body or b"{}")
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise CallRefusedError(
             Reason.BAD_REQUEST, f"body is not JSON: {error}"
         ) from None
@@ -128,10 +130,12 @@
     text = headers.get(name, "")
     if not text and default is not None:
         return default
-    if not text.isascii() or not text.isdecimal() or int(text) == 0:
+    is_number = text.isascii() and text.isdecimal() and len(text) <= N_DIGITS_MAX
+    if not is_number or int(text) == 0:
         raise CallRefusedError(
             Reason.BAD_REQUEST,
-            f"header {name} must be a whole number from 1, got {text!r}",
+            f"header {name} must be a whole number from 1 with at most {N_DIGITS_MAX} "
+            f"digits, got {text[:80]!r}",
         )
     return int(text)
 
--- a/tests/connection/caller/test_app.py
+++ b/tests/connection/caller/test_app.py
@@ -72,6 +72,8 @@
     [
         (b"{", HEADERS, 400, "bad_request"),
         (b"[]", HEADERS, 400, "bad_request"),
+        (b"[" * 100_000, HEADERS, 400, "bad_request"),
+        (CHAT, {**HEADERS, "X-Sequence": "9" * 5000}, 400, "bad_request"),
         ({**CHAT, "messages": []}, HEADERS, 400, "bad_request"),
         ({**CHAT, "messages": [{"role": "x", "content": ""}]}, HEADERS, 400, None),
         ({**CHAT, "max_tokens": 0}, HEADERS, 400, "bad_request"),
