Refused connections beyond the bound at once during a stop

Where all places had a request in progress, each of them was kept for 100 ms in the hope of room, so that a crowd could hold up the stop for more than a minute before the other connections were told of it. They are refused at once then.

--- a/oleanderhitch/connection/http/server.py
+++ b/oleanderhitch/connection/http/server.py
@@ -87,6 +87,7 @@
         self._listener: socket.socket | None = None
         self._acceptor: gevent.Greenlet | None = None
         self._is_stopping = False
+        self._has_stopped = False
         self._has_closed = gevent.event.Event()
 
     @property
@@ -126,7 +127,11 @@
             connection.end_request()
 
     def stop(self) -> None:
-        """Accept the connections that wait and close the listening socket."""
+        """Accept the connections that wait and close the listening socket.
+
+        Without room, those are refused at once, or the stop would wait for each.
+        """
+        self._has_stopped = True
         if self._acceptor is not None:
             self._acceptor.kill()
         if self._listener is not None:
@@ -169,7 +174,7 @@
     def _make_room(self) -> None:
         """Close a connection without a request in progress, if there is one."""
         connection = self._find_evictable()
-        if connection is None:
+        if connection is None and not self._has_stopped:
             # All without a request are new: ordinary callers send theirs at once.
             gevent.sleep(UNUSED_CONNECTION_TIME.total_seconds())
             connection = self._find_evictable()
--- a/tests/connection/http/test_caller.py
+++ b/tests/connection/http/test_caller.py
@@ -303,6 +303,39 @@
     assert data.endswith(b"/busy")
 
 
+def test_stop_does_not_wait_for_each_connection_beyond_the_bound(
+    start: Callable[[ServeRequest], tuple[HttpServer, HostAddress]],
+) -> None:
+    """Guard against a planned stop that a crowd in the backlog holds up.
+
+    Connections that wait for room took a tenth of a second each before the others
+    were told of the stop.
+    """
+    release = gevent.event.Event()
+
+    def serve(
+        request: HttpRequest, writer: ResponseWriter, mailbox: Mailbox, now: datetime
+    ) -> None:
+        release.wait()
+        echo(request, writer, mailbox, now)
+
+    server, address = start(serve)
+    served = [connect(address) for _ in range(N_CONNECTIONS)]
+    for connected in served:
+        connected.sendall(GET % b"/served")
+    gevent.sleep(0.05)
+    ip, _, port = address.rpartition(":")
+    crowd = [monkey.get_original("socket", "socket")() for _ in range(50)]
+    # Sockets that block do not let the server run, so that all wait for the stop.
+    for waiting in crowd:
+        waiting.connect((ip, int(port)))
+    with gevent.Timeout(2):
+        server.stop()
+    assert all(waiting.recv(99).startswith(b"HTTP/1.1 503") for waiting in crowd)
+    release.set()
+    assert all(b"/served" in connected.recv(4096) for connected in served)
+
+
 def test_connections_without_a_request_make_room(
     start: Callable[[ServeRequest], tuple[HttpServer, HostAddress]],
 ) -> None:
