Kept the log free of tracebacks of rejected callers that have gone

A caller that sends an invalid request and closes at once resets the connection with its answer to the response. The shutdown of the socket then raised OSError, whose traceback was printed for each such connection, without the bound that log lines of refusals have. The error is ignored now.

The new test found a traceback before; test_caller.py passes.

--- a/oleanderhitch/connection/http/caller.py
+++ b/oleanderhitch/connection/http/caller.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from collections.abc import Callable
+from contextlib import suppress
 from datetime import UTC, datetime, timedelta
 from typing import Protocol
 
@@ -289,7 +290,9 @@
         self._share.close()
         self._send(render_response(self._owner.make_rejection(message), True))
         if self._is_open:
-            self._socket.shutdown(socket.SHUT_WR)
+            # The caller may have reset the connection after the response was sent.
+            with suppress(OSError):
+                self._socket.shutdown(socket.SHUT_WR)
             gevent.sleep(LINGER_TIME.total_seconds())
 
     def _send(self, data: bytes) -> None:
--- a/tests/connection/http/test_caller.py
+++ b/tests/connection/http/test_caller.py
@@ -9,7 +9,7 @@
 from gevent import monkey, socket
 
 from oleanderhitch.connection.http.budget import ServerBudget
-from oleanderhitch.connection.http.caller import ResponseWriter
+from oleanderhitch.connection.http.caller import LINGER_TIME, ResponseWriter
 from oleanderhitch.connection.http.memory import FREE_SHARE_BYTES, make_traffic_memory
 from oleanderhitch.connection.http.messages import (
     CallerDisconnected,
@@ -229,6 +229,24 @@
     assert server.n_active_requests == 0
 
 
+def test_rejected_caller_that_has_gone_leaves_no_trace(
+    start: Callable[[ServeRequest], tuple[HttpServer, HostAddress]],
+    capfd: pytest.CaptureFixture[str],
+) -> None:
+    """Guard against a crowd that fills the log with tracebacks.
+
+    The response to a connection that its caller has closed resets it before it is shut
+    down here.
+    """
+    server, address = start(echo)
+    connected = connect(address)
+    connected.sendall(b"nonsense\r\n\r\n")
+    connected.close()
+    gevent.sleep(LINGER_TIME.total_seconds() + 0.2)
+    assert server.n_connections == 0
+    assert capfd.readouterr().err == ""
+
+
 def test_stop_answers_requests_that_were_just_accepted(
     start: Callable[[ServeRequest], tuple[HttpServer, HostAddress]],
 ) -> None:
