--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -55,6 +55,7 @@
 )
 from oleanderhitch.process.placement.observations import (
     apply_speeds,
+    expire_speeds,
     find_measured_tokens,
     get_first_event_ms,
     list_observed_speeds,
@@ -231,7 +232,8 @@
     """Drop the queues of services that no configuration may have any more."""
     services = {endpoint.listed.service for endpoint in state.endpoints.values()}
     for queue_id, queue in list(state.queues.items()):
-        is_idle = not queue.waiting and not queue.n_running
+        # Until the metrics show it as empty, it is kept.
+        is_idle = not queue.waiting and not queue.n_running and not queue.n_reported
         if is_idle and queue_id.service not in services:
             del state.queues[queue_id]
 
@@ -388,13 +390,17 @@
     message: FirstChunkReceived, state: PlacementState, now: datetime
 ) -> list[object]:
     permit = state.permits.get(message.permit)
-    if permit is not None:
+    if permit is None:
+        return []
+    endpoint = state.endpoints.get(permit.endpoint)
+    # An endpoint that was started again under its id has none of the earlier permits.
+    is_current = endpoint is not None and message.permit in endpoint.permits
+    if is_current:
         record_first_event(permit, state, now)
-        _finish_prefill(message.permit, permit, state)
-        endpoint = state.endpoints.get(permit.endpoint)
-        if endpoint is not None:
-            record_first_answer(permit, endpoint, state, now)
-            endpoint.last_activity_at = now
+    _finish_prefill(message.permit, permit, state)
+    if endpoint is not None and is_current:
+        record_first_answer(permit, endpoint, state, now)
+        endpoint.last_activity_at = now
     return []
 
 
@@ -439,7 +445,7 @@
             no_reply = SendPermitReply(number, is_leader=False)
             effects.extend(handle(no_reply, state, now))
     effects.extend(_grant_waiting(state, now))
-    for queue_id in state.queues:
+    for queue_id in list(state.queues):
         effects.extend(_refuse_early(queue_id, state, now))
     return effects
 
@@ -450,7 +456,7 @@
 ) -> list[object]:
     permit = state.permits.get(message.permit)
     endpoint = None if permit is None else find_endpoint(permit.endpoint, state)
-    if endpoint is not None:
+    if endpoint is not None and message.permit in endpoint.permits:
         record_event_latency(endpoint, message.latency, state, now)
         endpoint.last_activity_at = now
     return []
@@ -492,6 +498,7 @@
 def _(message: PeerLoadsReported, state: PlacementState, now: datetime) -> list[object]:
     state.n_entry_hosts = message.n_entry_hosts
     state.peer_loads_at = now
+    expire_speeds(state, now)
     loads = {load.endpoint: load for load in message.loads}
     for name, endpoint in state.endpoints.items():
         endpoint.peer_load = loads.get(name)
@@ -533,10 +540,14 @@
 def _grant_waiting(
     state: PlacementState, now: datetime, service: ServiceName | None = None
 ) -> list[object]:
-    """Grant waiting requests what is free, those of one service or of all."""
+    """Grant waiting requests what is free, those of one service or of all.
+
+    A request that waited before its service became one of engines, or stopped to be
+    one, makes a new queue when it is decided on.
+    """
     return [
         effect
-        for queue_id, queue in state.queues.items()
+        for queue_id, queue in list(state.queues.items())
         if queue.waiting and service in (None, queue_id.service)
         for effect in _serve_queue(queue_id, state, now)
     ]
--- a/tests/connection/http/test_caller.py
+++ b/tests/connection/http/test_caller.py
@@ -9,7 +9,7 @@
 from gevent import monkey, socket
 
 from oleanderhitch.connection.http.budget import ServerBudget
-from oleanderhitch.connection.http.caller import ResponseWriter
+from oleanderhitch.connection.http.caller import LINGER_TIME, ResponseWriter
 from oleanderhitch.connection.http.memory import FREE_SHARE_BYTES, make_traffic_memory
 from oleanderhitch.connection.http.messages import (
     CallerDisconnected,
@@ -91,6 +91,40 @@
     assert bodies[1:] == [*targets, b"/last"]
 
 
+def test_late_message_does_not_hold_up_the_next_request(
+    start: Callable[[ServeRequest], tuple[HttpServer, HostAddress]],
+) -> None:
+    """Guard against a request that is never served.
+
+    A message for the request before it, as a reply that came too late, was waiting when
+    it arrived.
+    """
+    mailboxes: list[Mailbox] = []
+    wake, waker = socket.socketpair()
+
+    def serve(
+        request: HttpRequest, writer: ResponseWriter, mailbox: Mailbox, now: datetime
+    ) -> None:
+        mailboxes.append(mailbox)
+        echo(request, writer, mailbox, now)
+
+    def send_late() -> None:
+        wake.recv(1)
+        mailboxes[0].send("late reply")
+
+    _, address = start(serve)
+    connected = connect(address)
+    connected.sendall(GET % b"/first")
+    assert connected.recv(4096).endswith(b"/first")
+    gevent.spawn(send_late)
+    gevent.sleep(0.02)
+    # Sends to empty buffers do not let the server run; the event loop handles the
+    # last one first.
+    connected.send(GET % b"/second")
+    waker.send(b"w")
+    assert connected.recv(4096).endswith(b"/second")
+
+
 def test_disconnect_of_the_caller_is_reported_to_the_request(
     start: Callable[[ServeRequest], tuple[HttpServer, HostAddress]],
 ) -> None:
@@ -164,6 +198,24 @@
     assert second.startswith(b"HTTP/1.1 408")
 
 
+def test_body_in_pieces_gets_one_continue(
+    start: Callable[[ServeRequest], tuple[HttpServer, HostAddress]],
+) -> None:
+    """Guard against a status 100 for each piece of a body that a caller announces."""
+    _, address = start(echo)
+    connected = connect(address)
+    connected.sendall(
+        b"POST /body HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
+        b"Content-Length: 3\r\nConnection: close\r\n\r\n"
+    )
+    for _ in range(3):
+        gevent.sleep(0.02)
+        connected.sendall(b"a")
+    data = read_all(connected)
+    assert data.count(b"100 Continue") == 1
+    assert data.endswith(b"/body")
+
+
 def test_invalid_bytes_get_status_400_and_a_close(
     start: Callable[[ServeRequest], tuple[HttpServer, HostAddress]],
 ) -> None:
@@ -177,6 +229,24 @@
     assert server.n_active_requests == 0
 
 
+def test_rejected_caller_that_has_gone_leaves_no_trace(
+    start: Callable[[ServeRequest], tuple[HttpServer, HostAddress]],
+    capfd: pytest.CaptureFixture[str],
+) -> None:
+    """Guard against a crowd that fills the log with tracebacks.
+
+    The response to a connection that its caller has closed resets it before it is shut
+    down here.
+    """
+    server, address = start(echo)
+    connected = connect(address)
+    connected.sendall(b"nonsense\r\n\r\n")
+    connected.close()
+    gevent.sleep(LINGER_TIME.total_seconds() + 0.2)
+    assert server.n_connections == 0
+    assert capfd.readouterr().err == ""
+
+
 def test_stop_answers_requests_that_were_just_accepted(
     start: Callable[[ServeRequest], tuple[HttpServer, HostAddress]],
 ) -> None:
@@ -251,6 +321,39 @@
     assert data.endswith(b"/busy")
 
 
+def test_stop_does_not_wait_for_each_connection_beyond_the_bound(
+    start: Callable[[ServeRequest], tuple[HttpServer, HostAddress]],
+) -> None:
+    """Guard against a planned stop that a crowd in the backlog holds up.
+
+    Connections that wait for room took a tenth of a second each before the others
+    were told of the stop.
+    """
+    release = gevent.event.Event()
+
+    def serve(
+        request: HttpRequest, writer: ResponseWriter, mailbox: Mailbox, now: datetime
+    ) -> None:
+        release.wait()
+        echo(request, writer, mailbox, now)
+
+    server, address = start(serve)
+    served = [connect(address) for _ in range(N_CONNECTIONS)]
+    for connected in served:
+        connected.sendall(GET % b"/served")
+    gevent.sleep(0.05)
+    ip, _, port = address.rpartition(":")
+    crowd = [monkey.get_original("socket", "socket")() for _ in range(50)]
+    # Sockets that block do not let the server run, so that all wait for the stop.
+    for waiting in crowd:
+        waiting.connect((ip, int(port)))
+    with gevent.Timeout(2):
+        server.stop()
+    assert all(waiting.recv(99).startswith(b"HTTP/1.1 503") for waiting in crowd)
+    release.set()
+    assert all(b"/served" in connected.recv(4096) for connected in served)
+
+
 def test_connections_without_a_request_make_room(
     start: Callable[[ServeRequest], tuple[HttpServer, HostAddress]],
 ) -> None:
