Ended waiting requests whose key has moved to another account

find_departure_fault only checked that some account has the key. A request that waited while its key moved ran with the rank, quota and records of the account that had the key before. Public routes stay as they were: they never answer 401.

The new case of test_departure_needs_the_key_and_a_lease failed before (None instead of UNAUTHORIZED); tests/request/forwarding: 104 passed.

--- a/oleanderhitch/request/forwarding/core.py
+++ b/oleanderhitch/request/forwarding/core.py
@@ -106,7 +106,7 @@
 # Lower bound of the time limit sent to an endpoint; no work completes in less.
 ENDPOINT_TIMEOUT_MIN = timedelta(milliseconds=10)
 BARRED_REASONS = {
-    Verdict.UNAUTHORIZED: "the key was removed while the request waited",
+    Verdict.UNAUTHORIZED: "the key was removed or moved while the request waited",
     Verdict.NOT_CURRENT: "the lease on the configuration ended while it waited",
 }
 
--- a/oleanderhitch/request/forwarding/identity.py
+++ b/oleanderhitch/request/forwarding/identity.py
@@ -100,7 +100,12 @@
         return None
     if lease is LeaseState.LAPSED:
         return Verdict.NOT_CURRENT
-    return Verdict.UNAUTHORIZED if table.find_account(request.key) is None else None
+    # The request has the account's rank, quota and records, so that it can't go on for
+    # the account that has the key now.
+    account = table.find_account(request.key)
+    if account is None or account.account != identity.account_id:
+        return Verdict.UNAUTHORIZED
+    return None
 
 
 def get_rank(identity: CallerIdentity, route: Route) -> int:
--- a/tests/request/forwarding/test_identity.py
+++ b/tests/request/forwarding/test_identity.py
@@ -192,6 +192,8 @@
         ("k1", LeaseState.LAPSED, Verdict.NOT_CURRENT),
         ("removed", LeaseState.VALID, Verdict.UNAUTHORIZED),
         ("removed", LeaseState.LAPSED, Verdict.NOT_CURRENT),
+        # The key belongs to another account than on arrival.
+        ("k2", LeaseState.VALID, Verdict.UNAUTHORIZED),
     ],
 )
 def test_departure_needs_the_key_and_a_lease(
