--- a/oleanderhitch/request/forwarding/core.py
+++ b/oleanderhitch/request/forwarding/core.py
@@ -145,6 +145,9 @@
     if state.phase is Phase.RENEWING:
         granted, state.granted_endpoint = state.granted_endpoint, None
         assert granted is not None
+        if lacks_credit(state, now):
+            # This host was suspended before it handled the message.
+            return renew_credit(granted, state, now)
         return _send(granted, state, now)
     return []
 
@@ -315,8 +318,10 @@
     if grant.holder != state.holder:
         return []
     effects: list[object] = [ReturnPermit(grant.permit, AttemptResult.CANCELLED)]
-    if state.phase is not Phase.WAITING or state.attempt is not None:
+    is_kept = grant == state.granted_endpoint
+    if not is_kept and (state.phase is not Phase.WAITING or state.attempt is not None):
         return effects
+    state.granted_endpoint = None
     effects.extend(settle_spent_tokens(state, now))
     reason = BARRED_REASONS[verdict]
     if state.has_started_response:
--- a/oleanderhitch/request/forwarding/task.py
+++ b/oleanderhitch/request/forwarding/task.py
@@ -49,7 +49,11 @@
     FirstChunkReceived,
     ReleaseEndpoint,
 )
-from oleanderhitch.process.quotas.messages import AcquireCredit, ReturnCredit
+from oleanderhitch.process.quotas.messages import (
+    AcquireCredit,
+    CreditGranted,
+    ReturnCredit,
+)
 from oleanderhitch.process.site.messages import CommandRefused
 from oleanderhitch.process.site.subscription.installed_state import InstalledState
 from oleanderhitch.program.ids import ProgramId
@@ -423,6 +427,20 @@
 @_translate.register
 def _(message: EndpointGranted, context: ForwardContext) -> object | None:
     # The request may have waited for long, or this host was suspended.
+    return _find_bar(message, context) or message
+
+
+@_translate.register
+def _(message: CreditGranted, context: ForwardContext) -> object | None:
+    # With a renewed credit the request leaves for the endpoint granted before.
+    granted = context.state.granted_endpoint
+    if granted is None or message.holder != context.state.holder:
+        return message
+    return _find_bar(granted, context) or message
+
+
+def _find_bar(grant: EndpointGranted, context: ForwardContext) -> GrantBarred | None:
+    """Return why the request must not be sent to an endpoint now, or None."""
     state, installed = context.state, context.dependencies.installed_state
     fault = find_departure_fault(
         context.request,
@@ -431,7 +449,7 @@
         installed.table,
         installed.lease_state,
     )
-    return message if fault is None else GrantBarred(message, fault)
+    return None if fault is None else GrantBarred(grant, fault)
 
 
 @_translate.register
--- a/tests/request/forwarding/test_arrival.py
+++ b/tests/request/forwarding/test_arrival.py
@@ -9,12 +9,14 @@
 from oleanderhitch.platform.requests import make_platform_dialect
 from oleanderhitch.platform.routing import parse_route_table
 from oleanderhitch.process.clock import make_system_clock
-from oleanderhitch.process.placement.messages import EndpointGranted
+from oleanderhitch.process.placement.messages import AttemptResult, EndpointGranted
+from oleanderhitch.process.quotas.messages import CreditGranted
 from oleanderhitch.process.site.subscription.installed_state import InstalledState
 from oleanderhitch.process.site.subscription.lease import Lease, make_lease_terms
+from oleanderhitch.request.forwarding.core import handle
 from oleanderhitch.request.forwarding.identity import Admission
-from oleanderhitch.request.forwarding.messages import GrantBarred
-from oleanderhitch.request.forwarding.states import Verdict
+from oleanderhitch.request.forwarding.messages import GrantBarred, ReturnPermit
+from oleanderhitch.request.forwarding.states import Phase, Verdict
 from oleanderhitch.request.forwarding.task import (
     ROUTE_TABLE_WAIT_SHARE,
     ForwardContext,
@@ -25,7 +27,7 @@
 from tests.platform.test_requests import ENDPOINT
 from tests.platform.test_routing import encode, make_configuration
 from tests.process.site.test_subscribers import ManualClock
-from tests.request.forwarding.test_core import make_state
+from tests.request.forwarding.test_core import NOW, make_state
 from tests.request.forwarding.test_identity import make_table
 
 CALLER_TIMEOUT = timedelta(milliseconds=500)
@@ -104,3 +106,25 @@
     configuration = make_configuration(tenants=[])
     dependencies.installed_state.install(parse_route_table(encode(configuration)))
     assert _translate(grant, context) == GrantBarred(grant, Verdict.UNAUTHORIZED)
+
+
+def test_kept_grant_is_not_used_after_a_suspension() -> None:
+    """Guard against sending with a renewed credit what has lost its lease."""
+    dependencies = Dependencies()
+    dependencies.installed_state.install(make_table())
+    dependencies.renew_lease()
+    admission = _await_admission(REQUEST, dependencies)  # type: ignore[arg-type]
+    assert isinstance(admission, Admission)
+    state = make_state()
+    state.identity, state.route = admission.identity, admission.route
+    grant = EndpointGranted(state.holder, PermitId(1), ENDPOINT)
+    state.phase, state.granted_endpoint = Phase.RENEWING, grant
+    context = ForwardContext(dependencies, REQUEST, state, *[None] * 4)  # type: ignore[arg-type]
+    renewed = CreditGranted(state.holder, NOW)
+    assert _translate(renewed, context) == renewed
+    dependencies.boot_clock.time += timedelta(seconds=60)
+    barred = _translate(renewed, context)
+    assert barred == GrantBarred(grant, Verdict.NOT_CURRENT)
+    effects = handle(barred, state, NOW)
+    assert ReturnPermit(grant.permit, AttemptResult.CANCELLED) in effects
+    assert state.has_ended
--- a/tests/request/forwarding/test_crediting.py
+++ b/tests/request/forwarding/test_crediting.py
@@ -99,3 +99,13 @@
     effects = run(state, grant("e1"), OVER_QUOTA, at=NOW + TTL)
     assert find(effects, ReturnPermit)
     assert find(effects, SendVerdict)
+
+
+def test_renewed_credit_that_has_expired_is_renewed_again() -> None:
+    """Guard against a credit that a suspended host handles after its time."""
+    state = make_limited_state()
+    run(state, Start(), CREDIT)
+    late = NOW + TTL
+    run(state, grant("e1"), at=late)
+    effects = run(state, CreditGranted(HOLDER, late + TTL), at=late + TTL)
+    assert find(effects, RequestCredit) and not find(effects, SendToEndpoint)
