Ran entry hosts by one clock that counts suspensions

The quotas task and the requests measured the life of a credit by the monotonic clock, which stands still while a machine is suspended, so that a host could spend after it what it held before. The subscription went by CLOCK_BOOTTIME, and lists and crashes came to it with times of the other clock. The whole entry host now goes by CLOCK_BOOTTIME.

--- a/oleanderhitch/platform/commands/run_entry.py
+++ b/oleanderhitch/platform/commands/run_entry.py
@@ -18,7 +18,7 @@
     make_entry_settings,
     read_settings_file,
 )
-from oleanderhitch.process.clock import make_boot_clock, make_system_clock
+from oleanderhitch.process.clock import make_boot_clock
 from oleanderhitch.process.metrics.core import make_metrics
 from oleanderhitch.process.site.entry import EntryDependencies, make_entry_host
 from oleanderhitch.process.site.settings import SiteEntrySettings
@@ -33,7 +33,7 @@
         sys.stderr.write(f"entry: {error}\n")
         return EXIT_FAILED
     start_stdout_logging(settings.site.host)
-    clock = make_system_clock()
+    clock = make_boot_clock()
     metrics = make_metrics()
     lifetime = Lifetime()
     dependencies = EntryDependencies(
@@ -42,7 +42,7 @@
         parse_route_table,
         make_list_reader(get_endpoint_list_address(file)),
     )
-    entry = make_entry_host(settings, dependencies, clock, make_boot_clock(), metrics)
+    entry = make_entry_host(settings, dependencies, clock, metrics)
     address = settings.site.metrics_address
     run(entry, _read_settings, lifetime, metrics, address, clock)
     return lifetime.exit_code
--- a/oleanderhitch/process/site/entry.py
+++ b/oleanderhitch/process/site/entry.py
@@ -100,14 +100,13 @@
         settings: SiteEntrySettings,
         dependencies: EntryDependencies,
         clock: Clock,
-        boot_clock: Clock,
         metrics: Metrics,
     ) -> None:
         self._settings = settings
         self._clock = clock
         limit = settings.site.revocation_limit
         self._installed_state = InstalledState(
-            boot_clock, None if limit is None else make_lease_terms(limit)
+            clock, None if limit is None else make_lease_terms(limit)
         )
         self._is_stopping = False
         self._end_time: datetime | None = None
@@ -157,7 +156,7 @@
             metrics,
         )
         self._subscription = make_subscription_task(
-            settings.site.node, subscription_dependencies, boot_clock
+            settings.site.node, subscription_dependencies, clock
         )
         self._quotas = make_quotas_task(
             self._tell_subscription, clock, metrics, random.Random(uuid.uuid4().int)
@@ -325,8 +324,10 @@
     settings: SiteEntrySettings,
     dependencies: EntryDependencies,
     clock: Clock,
-    boot_clock: Clock,
     metrics: Metrics,
 ) -> EntryHost:
-    """Return an entry host that is not started yet; `boot_clock` measures leases."""
-    return EntryHost(settings, dependencies, clock, boot_clock, metrics)
+    """Return an entry host that is not started yet.
+
+    `clock` has to count suspensions of the host: leases and credits end by it.
+    """
+    return EntryHost(settings, dependencies, clock, metrics)
--- a/scripts/bench_site.py
+++ b/scripts/bench_site.py
@@ -93,12 +93,12 @@
     from oleanderhitch.platform.caches import make_platform_cache_dialect
     from oleanderhitch.platform.requests import make_platform_dialect
     from oleanderhitch.platform.routing import parse_route_table
-    from oleanderhitch.process.clock import make_boot_clock, make_system_clock
+    from oleanderhitch.process.clock import make_boot_clock
     from oleanderhitch.process.metrics.core import make_metrics
     from oleanderhitch.process.site.entry import EntryDependencies, make_entry_host
     from oleanderhitch.process.site.settings import SiteEntrySettings
 
-    clock = make_system_clock()
+    clock = make_boot_clock()
     dependencies = EntryDependencies(
         make_platform_dialect(),
         make_platform_cache_dialect(),
@@ -115,7 +115,6 @@
             SiteEntrySettings(settings, caller, readiness),
             dependencies,
             clock,
-            make_boot_clock(),
             metrics,
         ).start()
     measure("entry host", count, all_metrics, seconds)
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -2,9 +2,13 @@
 
 import subprocess
 import sys
+from importlib import import_module
+from unittest.mock import Mock
 
 import pytest
 
+from oleanderhitch.process.clock import BootClock, SystemClock
+
 # Structured from files with all faults listed, which a library does for dataclasses.
 FILE_MODULES = ("oleanderhitch.platform.routing", "oleanderhitch.platform.settings")
 # Imported only to explain a faulty file, or not at all.
@@ -57,3 +61,24 @@
     modules = run_python(LIST_MODULES.format(role=role))
     assert f"oleanderhitch.platform.commands.run_{role}" in modules
     assert not set(SLOW_MODULES) & set(modules)
+
+
+def test_an_entry_host_counts_suspensions(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guard against credits that outlive a suspension of their host.
+
+    With two clocks, a time of one would also be compared with the other's.
+    """
+    command = import_module("oleanderhitch.platform.commands.run_entry")
+    made: list[object] = []
+    for name in (
+        "read_settings_file",
+        "make_entry_settings",
+        "start_stdout_logging",
+        "get_endpoint_list_address",
+        "run",
+    ):
+        monkeypatch.setattr(command, name, Mock())
+    monkeypatch.setattr(command, "make_entry_host", lambda *args: made.extend(args))
+    command.run_entry()
+    clocks = [type(each) for each in made if isinstance(each, BootClock | SystemClock)]
+    assert clocks == [BootClock]
--- a/tests/process/site/harness.py
+++ b/tests/process/site/harness.py
@@ -227,7 +227,6 @@
                 parse_route_table,
                 self.engine.list_endpoints,
             ),
-            CLOCK,
             make_boot_clock(),
             make_metrics(),
         )
