Lent credits by a clock that counts suspensions

A leader lends for 350 ms after its last confirmed read began, by the monotonic clock of its store. A store that was suspended as leader took that read for a recent one when it went on, and lent what its old ledger held beside its successor until it heard of it. The lender now goes by CLOCK_BOOTTIME.

The store case of test_credits_end_while_a_host_is_suspended (which replaces the test of entry hosts alone) failed before. tests/platform/test_start.py and test_quotas, test_lease of tests/process/site: 10 passed.

--- a/oleanderhitch/platform/commands/run_store.py
+++ b/oleanderhitch/platform/commands/run_store.py
@@ -18,7 +18,7 @@
     make_store_settings,
     read_settings_file,
 )
-from oleanderhitch.process.clock import make_system_clock
+from oleanderhitch.process.clock import make_boot_clock, make_system_clock
 from oleanderhitch.process.metrics.core import make_metrics
 from oleanderhitch.process.site.settings import SiteStoreSettings
 from oleanderhitch.process.site.store import StoreDependencies, make_store
@@ -44,7 +44,9 @@
         make_list_reader(get_endpoint_list_address(file)),
         parse_route_table,
     )
-    store = make_store(settings, dependencies, clock, metrics, lifetime.fail)
+    store = make_store(
+        settings, dependencies, clock, make_boot_clock(), metrics, lifetime.fail
+    )
     address = settings.site.metrics_address
     run(store, _read_settings, lifetime, metrics, address, clock)
     # A normal exit would wait for threads that a stalled disk may block.
--- a/oleanderhitch/process/site/store.py
+++ b/oleanderhitch/process/site/store.py
@@ -188,6 +188,7 @@
         settings: SiteStoreSettings,
         dependencies: StoreDependencies,
         clock: Clock,
+        boot_clock: Clock,
         metrics: Metrics,
         end_process: Callable[[str], None],
     ) -> None:
@@ -224,7 +225,7 @@
             self._get_routing,
             dependencies.read_routing,
             self._request_read,
-            clock,
+            boot_clock,
             metrics,
         )
         self._directory = make_directory_task(
@@ -775,11 +776,13 @@
     settings: SiteStoreSettings,
     dependencies: StoreDependencies,
     clock: Clock,
+    boot_clock: Clock,
     metrics: Metrics,
     end_process: Callable[[str], None],
 ) -> Store:
     """Return a store that is not started yet.
 
-    `end_process` is called with the reason when the store can't continue.
+    `boot_clock` counts suspensions of the host; credits are lent by it. `end_process`
+    is called with the reason when the store can't continue.
     """
-    return Store(settings, dependencies, clock, metrics, end_process)
+    return Store(settings, dependencies, clock, boot_clock, metrics, end_process)
--- a/scripts/bench_site.py
+++ b/scripts/bench_site.py
@@ -60,7 +60,7 @@
     """Run all stores and print what they cost."""
     select_event_loop()
     from oleanderhitch.platform.operators import make_platform_operator_dialect
-    from oleanderhitch.process.clock import make_system_clock
+    from oleanderhitch.process.clock import make_boot_clock, make_system_clock
     from oleanderhitch.process.metrics.core import make_metrics
     from oleanderhitch.process.site.settings import SiteStoreSettings
     from oleanderhitch.process.site.store import StoreDependencies, make_store
@@ -81,6 +81,7 @@
                 ),
                 StoreDependencies(make_platform_operator_dialect(1), lambda: ()),
                 clock,
+                make_boot_clock(),
                 metrics,
                 print,
             ).start()
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -63,22 +63,33 @@
     assert not set(SLOW_MODULES) & set(modules)
 
 
-def test_an_entry_host_counts_suspensions(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Guard against credits that outlive a suspension of their host.
+@pytest.mark.parametrize(
+    ("role", "maker", "clocks"),
+    [
+        ("entry", "make_entry_host", [BootClock]),
+        ("store", "make_store", [SystemClock, BootClock]),
+    ],
+)
+def test_credits_end_while_a_host_is_suspended(
+    role: str, maker: str, clocks: list[type], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guard against credits, and rights to lend them, that outlive a suspension.
 
-    With two clocks, a time of one would also be compared with the other's.
+    With two clocks in an entry host, a time of one would be compared with the other's.
     """
-    command = import_module("oleanderhitch.platform.commands.run_entry")
+    command = import_module(f"oleanderhitch.platform.commands.run_{role}")
     made: list[object] = []
     for name in (
         "read_settings_file",
-        "make_entry_settings",
+        f"make_{role}_settings",
+        "make_platform_operator_dialect",
         "start_stdout_logging",
         "get_endpoint_list_address",
         "run",
     ):
-        monkeypatch.setattr(command, name, Mock())
-    monkeypatch.setattr(command, "make_entry_host", lambda *args: made.extend(args))
-    command.run_entry()
-    clocks = [type(each) for each in made if isinstance(each, BootClock | SystemClock)]
-    assert clocks == [BootClock]
+        monkeypatch.setattr(command, name, Mock(), raising=False)
+    monkeypatch.setattr(command, maker, lambda *args: made.extend(args))
+    monkeypatch.setattr("os._exit", Mock())
+    getattr(command, f"run_{role}")()
+    given = [type(each) for each in made if isinstance(each, BootClock | SystemClock)]
+    assert given == clocks
--- a/tests/process/site/harness.py
+++ b/tests/process/site/harness.py
@@ -256,6 +256,7 @@
             ),
             dependencies,
             CLOCK,
+            make_boot_clock(),
             self.metrics[number],
             self.end_reasons.append,
         )
