Bounded the limits of accounts that the ledger computes with

A burst of 1e20 made a level that is no 64-bit integer, so that no reply to a question with that account could be sent; questions of several accounts share a reply, so that others got 503 as well. Limits beyond 1e9, and rates below 1e-6 a second, now act like these bounds; configurations are accepted as before.

The three cases of test_limits_of_any_size_can_be_lent failed before; tests/process/quotas and test_quota_ledger: 24 passed.

--- a/oleanderhitch/process/site/quota_ledger.py
+++ b/oleanderhitch/process/site/quota_ledger.py
@@ -16,6 +16,7 @@
 from datetime import datetime, timedelta
 
 from msgspec import Struct, field
+from msgspec.structs import replace
 
 from oleanderhitch.process.quotas.messages import (
     CreditDemand,
@@ -54,6 +55,12 @@
 N_PEAKS = int(RETURN_DURATION_MAX / PEAK_SLOT)
 # An account that was removed or had no limit for this long starts with a full bucket.
 BUCKET_TTL = timedelta(seconds=60)
+# Levels are sent as 64-bit integers, and waits have to be representable durations.
+# Limits beyond these bounds act like them: no account sends that much, and one request
+# in eleven days is none.
+REQUESTS_PER_S_MIN = 1e-6
+REQUESTS_PER_S_MAX = 1e9
+N_BURST_MAX = 1e9
 MILLISECOND = timedelta(milliseconds=1)
 
 
@@ -186,15 +193,18 @@
 
     def _make_bucket(self, account: Account, now: datetime) -> Bucket:
         assert account.requests_per_s is not None
+        rate = min(max(account.requests_per_s, REQUESTS_PER_S_MIN), REQUESTS_PER_S_MAX)
+        n_burst = min(account.n_burst, N_BURST_MAX)
+        account = replace(account, requests_per_s=rate, n_burst=n_burst)
         tolerance = get_tolerance(account, self.bounds)
-        ttl_s = LATE_USE_SHARE * tolerance / account.requests_per_s
+        ttl_s = LATE_USE_SHARE * tolerance / rate
         ttl_s = min(ttl_s, CREDIT_TTL_MAX.total_seconds())
         ttl = timedelta(seconds=ttl_s)
-        n_extra = USED_SHARE * tolerance - ttl_s * account.requests_per_s
-        capacity = max(1.0, account.n_burst + n_extra)
+        n_extra = USED_SHARE * tolerance - ttl_s * rate
+        capacity = max(1.0, n_burst + n_extra)
         if self.has_limits:
-            return Bucket(account.requests_per_s, capacity, ttl, capacity, now)
-        return Bucket(account.requests_per_s, capacity, ttl, 0.0, self.lends_from)
+            return Bucket(rate, capacity, ttl, capacity, now)
+        return Bucket(rate, capacity, ttl, 0.0, self.lends_from)
 
     def _take_back(self, returned: ReturnedCredits, now: datetime) -> None:
         bucket = self.buckets.get(returned.account)
--- a/tests/process/site/test_quota_ledger.py
+++ b/tests/process/site/test_quota_ledger.py
@@ -2,6 +2,9 @@
 
 from datetime import timedelta
 
+import pytest
+from msgspec.structs import replace
+
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.groups.messages import GroupAnswer
 from oleanderhitch.process.ids import CallId
@@ -15,6 +18,7 @@
     ReturnedCredits,
 )
 from oleanderhitch.process.site.messages import RoutingFound
+from oleanderhitch.process.site.peer_codec import make_site_peer_codec
 from oleanderhitch.process.site.quota_ledger import QuotaLedger, make_quota_ledger
 from oleanderhitch.process.site.quota_lender import (
     READ_VALIDITY,
@@ -111,6 +115,22 @@
             self.reads.pop().send(GroupAnswer(CallId(0), b""))
 
 
+@pytest.mark.parametrize(
+    ("requests_per_s", "n_burst"), [(1.0, 1e20), (1e308, 0.0), (5e-324, 1e308)]
+)
+def test_limits_of_any_size_can_be_lent(requests_per_s: float, n_burst: float) -> None:
+    """Guard against one account's limit that loses the replies for all accounts."""
+    ledger = make_full_ledger()
+    extreme = replace(ACCOUNT, requests_per_s=requests_per_s, n_burst=n_burst)
+    slow = replace(ACCOUNT, requests_per_s=5e-324)
+    for account in (extreme, slow, extreme):
+        ledger.apply_limits([account], NOW)
+        for demand in (CreditDemand(ACCOUNT.account, 5, 5, 5), ALL.demands[0]):
+            reply = ledger.lend(CreditRequest(1, (demand,)), NOW + SILENCE_DURATION)
+            assert make_site_peer_codec().encode(reply)
+            assert abs(reply.loans[0].delay_ms) * MS < timedelta.max
+
+
 def read_routing(content: bytes) -> RouteTable:
     """Return a configuration with one account."""
     version = RoutingVersion(1)
