Kept loans in advance to their part of the tolerance

Loans in advance were those of 100 ms, whatever the bounds. That is the last quarter of the tolerance only where the window is 5 s and quota_over 0.1; with a window of 1 s and 0.1, they took 90 % of it and late use half.

The cases 0.05 and 0.1 of the new test failed before (10 lent in advance where 2.5 and 5 are allowed); test_quota_ledger and tests/process/quotas: 27 passed.

--- a/oleanderhitch/process/site/quota_ledger.py
+++ b/oleanderhitch/process/site/quota_ledger.py
@@ -39,7 +39,7 @@
 USED_SHARE = 0.75
 CREDIT_TTL_MAX = timedelta(seconds=3)
 # Credits that become available within this time are lent in advance, which costs less
-# than a refusal and a retry.
+# than a refusal and a retry; no more than a quarter of the tolerance allows.
 ADVANCE_DURATION = timedelta(milliseconds=100)
 # Credits for requests that have not arrived yet are lent only from a bucket that has
 # more than this share of its credits.
@@ -83,6 +83,7 @@
     requests_per_s: float
     capacity: float
     ttl: timedelta
+    n_advance_max: float
     level: float
     filled_at: datetime
     # When the limit ended, or the account was removed.
@@ -202,9 +203,13 @@
         ttl = timedelta(seconds=ttl_s)
         n_extra = USED_SHARE * tolerance - ttl_s * rate
         capacity = max(1.0, n_burst + n_extra)
+        n_advance_max = min(
+            rate * ADVANCE_DURATION.total_seconds(), (1 - USED_SHARE) * tolerance
+        )
+        level, filled_at = 0.0, self.lends_from
         if self.has_limits:
-            return Bucket(rate, capacity, ttl, capacity, now)
-        return Bucket(rate, capacity, ttl, 0.0, self.lends_from)
+            level, filled_at = capacity, now
+        return Bucket(rate, capacity, ttl, n_advance_max, level, filled_at)
 
     def _take_back(self, returned: ReturnedCredits, now: datetime) -> None:
         bucket = self.buckets.get(returned.account)
@@ -228,8 +233,7 @@
                 int(CREDIT_TTL_MAX / MILLISECOND),
             )
         bucket.fill(now)
-        advance = bucket.requests_per_s * ADVANCE_DURATION.total_seconds()
-        n_available = max(0, math.floor(bucket.level + advance))
+        n_available = max(0, math.floor(bucket.level + bucket.n_advance_max))
         n_running = min(demand.n_running, n_available)
         bucket.pace.count_served(demand.n_served_running, demand.n_served_new, now)
         n_first = demand.n_running - demand.n_renewed
--- a/tests/process/site/test_quota_ledger.py
+++ b/tests/process/site/test_quota_ledger.py
@@ -115,6 +115,16 @@
             self.reads.pop().send(GroupAnswer(CallId(0), b""))
 
 
+@pytest.mark.parametrize("over", [0.05, 0.1, 0.4])
+def test_loans_in_advance_keep_to_their_part_of_the_tolerance(over: float) -> None:
+    """Guard against a limit that is exceeded where the platform's window is short."""
+    bounds = QuotaBounds(timedelta(seconds=1), over, 0)
+    ledger = make_quota_ledger(LEDGER, bounds, NOW)
+    account = replace(ACCOUNT, requests_per_s=100.0, n_burst=100.0)
+    ledger.apply_limits([account], NOW)
+    assert count_lent(ledger, at_ms=0) <= over * 200 / 4
+
+
 @pytest.mark.parametrize(
     ("requests_per_s", "n_burst"), [(1.0, 1e20), (1e308, 0.0), (5e-324, 1e308)]
 )
