Dropped loans in advance of a higher limit when it is lowered

A bucket keeps its level when its limit changes, so that loans of 100 ms in advance under 319 requests a second stopped an account with 1 a second for half a minute. The level is now at least that of loans in advance under the new limit.

The new test failed before (0 lent after 2 s); test_quota_ledger and tests/process/quotas, with the property test that changes limits: 28 passed.

--- a/oleanderhitch/process/site/quota_ledger.py
+++ b/oleanderhitch/process/site/quota_ledger.py
@@ -171,7 +171,9 @@
             known = self.buckets.get(name)
             bucket = self._make_bucket(account, now)
             if known is not None:
-                bucket.level = min(known.level, bucket.capacity)
+                # Loans in advance under a higher limit could last for minutes.
+                level = max(known.level, -bucket.n_advance_max)
+                bucket.level = min(level, bucket.capacity)
                 bucket.peaks = known.peaks
                 bucket.pace = known.pace
             self.buckets[name] = bucket
--- a/tests/process/site/test_quota_ledger.py
+++ b/tests/process/site/test_quota_ledger.py
@@ -125,6 +125,15 @@
     assert count_lent(ledger, at_ms=0) <= over * 200 / 4
 
 
+def test_lower_limit_does_not_count_loans_in_advance_of_the_higher_one() -> None:
+    """Guard against half a minute of refusals after a limit was lowered."""
+    ledger = make_full_ledger()
+    ledger.apply_limits([replace(ACCOUNT, requests_per_s=319.0)], NOW)
+    assert count_lent(ledger, at_ms=0)
+    ledger.apply_limits([replace(ACCOUNT, requests_per_s=1.0)], NOW)
+    assert count_lent(ledger, at_ms=2000) >= 2
+
+
 @pytest.mark.parametrize(
     ("requests_per_s", "n_burst"), [(1.0, 1e20), (1e308, 0.0), (5e-324, 1e308)]
 )
