Lent credits that last for a round trip under any tolerance

The life of a credit is half of the tolerance by the rate. With quota_over and quota_slack at their default of 0 it was 0, so that each credit had expired on arrival and each request of a limited account got 429. Credits now last 100 ms at least; the late use that the tolerance does not cover takes a part of the burst, so that the limit still holds.

The new test failed before (ttl 0 ms); test_quota_ledger and tests/process/quotas: 29 passed.

--- a/oleanderhitch/process/site/quota_ledger.py
+++ b/oleanderhitch/process/site/quota_ledger.py
@@ -38,6 +38,9 @@
 LATE_USE_SHARE = 0.5
 USED_SHARE = 0.75
 CREDIT_TTL_MAX = timedelta(seconds=3)
+# Credits that expire before the reply has arrived are of no use. Where the tolerance
+# allows less, the late use takes a part of the burst.
+CREDIT_TTL_MIN = timedelta(milliseconds=100)
 # Credits that become available within this time are lent in advance, which costs less
 # than a refusal and a retry; no more than a quarter of the tolerance allows.
 ADVANCE_DURATION = timedelta(milliseconds=100)
@@ -202,6 +205,8 @@
         tolerance = get_tolerance(account, self.bounds)
         ttl_s = LATE_USE_SHARE * tolerance / rate
         ttl_s = min(ttl_s, CREDIT_TTL_MAX.total_seconds())
+        n_late_max = max(0.0, n_burst + USED_SHARE * tolerance - 1)
+        ttl_s = max(ttl_s, min(CREDIT_TTL_MIN.total_seconds(), n_late_max / rate))
         ttl = timedelta(seconds=ttl_s)
         n_extra = USED_SHARE * tolerance - ttl_s * rate
         capacity = max(1.0, n_burst + n_extra)
--- a/tests/process/site/test_quota_ledger.py
+++ b/tests/process/site/test_quota_ledger.py
@@ -115,6 +115,19 @@
             self.reads.pop().send(GroupAnswer(CallId(0), b""))
 
 
+def test_quota_without_a_tolerance_can_be_used() -> None:
+    """Guard against credits that have expired when they arrive."""
+    ledger = make_quota_ledger(LEDGER, QuotaBounds(timedelta(seconds=5), 0, 0), NOW)
+    ledger.apply_limits([], NOW)
+    ledger.apply_limits([ACCOUNT], NOW)
+    loan = ledger.lend(ALL, NOW).loans[0]
+    assert loan.ttl_ms >= 100
+    n_late = (
+        ACCOUNT.requests_per_s * loan.ttl_ms / 1000 if ACCOUNT.requests_per_s else 0
+    )
+    assert 0 < loan.n_running <= ACCOUNT.n_burst - n_late
+
+
 @pytest.mark.parametrize("over", [0.05, 0.1, 0.4])
 def test_loans_in_advance_keep_to_their_part_of_the_tolerance(over: float) -> None:
     """Guard against a limit that is exceeded where the platform's window is short."""
