--- a/oleanderhitch/process/site/quota_ledger.py
+++ b/oleanderhitch/process/site/quota_ledger.py
@@ -16,6 +16,7 @@
 from datetime import datetime, timedelta
 
 from msgspec import Struct, field
+from msgspec.structs import replace
 
 from oleanderhitch.process.quotas.messages import (
     CreditDemand,
@@ -37,8 +38,11 @@
 LATE_USE_SHARE = 0.5
 USED_SHARE = 0.75
 CREDIT_TTL_MAX = timedelta(seconds=3)
+# Credits that expire before the reply has arrived are of no use. Where the tolerance
+# allows less, the late use takes a part of the burst.
+CREDIT_TTL_MIN = timedelta(milliseconds=100)
 # Credits that become available within this time are lent in advance, which costs less
-# than a refusal and a retry.
+# than a refusal and a retry; no more than a quarter of the tolerance allows.
 ADVANCE_DURATION = timedelta(milliseconds=100)
 # Credits for requests that have not arrived yet are lent only from a bucket that has
 # more than this share of its credits.
@@ -54,6 +58,12 @@
 N_PEAKS = int(RETURN_DURATION_MAX / PEAK_SLOT)
 # An account that was removed or had no limit for this long starts with a full bucket.
 BUCKET_TTL = timedelta(seconds=60)
+# Levels are sent as 64-bit integers, and waits have to be representable durations.
+# Limits beyond these bounds act like them: no account sends that much, and one request
+# in eleven days is none.
+REQUESTS_PER_S_MIN = 1e-6
+REQUESTS_PER_S_MAX = 1e9
+N_BURST_MAX = 1e9
 MILLISECOND = timedelta(milliseconds=1)
 
 
@@ -76,6 +86,7 @@
     requests_per_s: float
     capacity: float
     ttl: timedelta
+    n_advance_max: float
     level: float
     filled_at: datetime
     # When the limit ended, or the account was removed.
@@ -136,8 +147,8 @@
 class QuotaLedger(Struct):
     """The buckets of all accounts with a limit; lives as long as a leader leads.
 
-    At `lends_from` the buckets hold the part of the tolerance that no ledger uses up,
-    since nothing is known of the loans of the leader before.
+    The buckets are empty at `lends_from`, since nothing is known of the loans of the
+    leader before.
     """
 
     ledger: LedgerId
@@ -163,7 +174,9 @@
             known = self.buckets.get(name)
             bucket = self._make_bucket(account, now)
             if known is not None:
-                bucket.level = min(known.level, bucket.capacity)
+                # Loans in advance under a higher limit could last for minutes.
+                level = max(known.level, -bucket.n_advance_max)
+                bucket.level = min(level, bucket.capacity)
                 bucket.peaks = known.peaks
                 bucket.pace = known.pace
             self.buckets[name] = bucket
@@ -186,18 +199,24 @@
 
     def _make_bucket(self, account: Account, now: datetime) -> Bucket:
         assert account.requests_per_s is not None
+        rate = min(max(account.requests_per_s, REQUESTS_PER_S_MIN), REQUESTS_PER_S_MAX)
+        n_burst = min(account.n_burst, N_BURST_MAX)
+        account = replace(account, requests_per_s=rate, n_burst=n_burst)
         tolerance = get_tolerance(account, self.bounds)
-        ttl_s = LATE_USE_SHARE * tolerance / account.requests_per_s
+        ttl_s = LATE_USE_SHARE * tolerance / rate
         ttl_s = min(ttl_s, CREDIT_TTL_MAX.total_seconds())
+        n_late_max = max(0.0, n_burst + USED_SHARE * tolerance - 1)
+        ttl_s = max(ttl_s, min(CREDIT_TTL_MIN.total_seconds(), n_late_max / rate))
         ttl = timedelta(seconds=ttl_s)
-        n_extra = USED_SHARE * tolerance - ttl_s * account.requests_per_s
-        capacity = max(1.0, account.n_burst + n_extra)
+        n_extra = USED_SHARE * tolerance - ttl_s * rate
+        capacity = max(1.0, n_burst + n_extra)
+        n_advance_max = min(
+            rate * ADVANCE_DURATION.total_seconds(), (1 - USED_SHARE) * tolerance
+        )
+        level, filled_at = 0.0, self.lends_from
         if self.has_limits:
-            return Bucket(account.requests_per_s, capacity, ttl, capacity, now)
-        # What the leader before may have lent fills its part of the tolerance.
-        advance = account.requests_per_s * ADVANCE_DURATION.total_seconds()
-        level = max(0.0, (1 - USED_SHARE) * tolerance - advance)
-        return Bucket(account.requests_per_s, capacity, ttl, level, self.lends_from)
+            level, filled_at = capacity, now
+        return Bucket(rate, capacity, ttl, n_advance_max, level, filled_at)
 
     def _take_back(self, returned: ReturnedCredits, now: datetime) -> None:
         bucket = self.buckets.get(returned.account)
@@ -221,8 +240,7 @@
                 int(CREDIT_TTL_MAX / MILLISECOND),
             )
         bucket.fill(now)
-        advance = bucket.requests_per_s * ADVANCE_DURATION.total_seconds()
-        n_available = max(0, math.floor(bucket.level + advance))
+        n_available = max(0, math.floor(bucket.level + bucket.n_advance_max))
         n_running = min(demand.n_running, n_available)
         bucket.pace.count_served(demand.n_served_running, demand.n_served_new, now)
         n_first = demand.n_running - demand.n_renewed
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -2,9 +2,13 @@
 
 import subprocess
 import sys
+from importlib import import_module
+from unittest.mock import Mock
 
 import pytest
 
+from oleanderhitch.process.clock import BootClock, SystemClock
+
 # Structured from files with all faults listed, which a library does for dataclasses.
 FILE_MODULES = ("oleanderhitch.platform.routing", "oleanderhitch.platform.settings")
 # Imported only to explain a faulty file, or not at all.
@@ -57,3 +61,35 @@
     modules = run_python(LIST_MODULES.format(role=role))
     assert f"oleanderhitch.platform.commands.run_{role}" in modules
     assert not set(SLOW_MODULES) & set(modules)
+
+
+@pytest.mark.parametrize(
+    ("role", "maker", "clocks"),
+    [
+        ("entry", "make_entry_host", [BootClock]),
+        ("store", "make_store", [SystemClock, BootClock]),
+    ],
+)
+def test_credits_end_while_a_host_is_suspended(
+    role: str, maker: str, clocks: list[type], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guard against credits, and rights to lend them, that outlive a suspension.
+
+    With two clocks in an entry host, a time of one would be compared with the other's.
+    """
+    command = import_module(f"oleanderhitch.platform.commands.run_{role}")
+    made: list[object] = []
+    for name in (
+        "read_settings_file",
+        f"make_{role}_settings",
+        "make_platform_operator_dialect",
+        "start_stdout_logging",
+        "get_endpoint_list_address",
+        "run",
+    ):
+        monkeypatch.setattr(command, name, Mock(), raising=False)
+    monkeypatch.setattr(command, maker, lambda *args: made.extend(args))
+    monkeypatch.setattr("os._exit", Mock())
+    getattr(command, f"run_{role}")()
+    given = [type(each) for each in made if isinstance(each, BootClock | SystemClock)]
+    assert given == clocks
