Returned the endpoint of a request that ends while it renews its credit

The request left the permit to placement, which released it when the holder ended and logged it as left behind. The request returns it itself now.

The new test failed before (no ReturnPermit); tests/request: 121 passed.

--- a/oleanderhitch/request/forwarding/attempts.py
+++ b/oleanderhitch/request/forwarding/attempts.py
@@ -148,8 +148,15 @@
 
 
 def cancel_work(state: ForwardState) -> list[object]:
-    """End the running attempt; placement forgets a request that has ended."""
-    return end_attempt(state, AttemptResult.CANCELLED)
+    """End the running attempt, and return an endpoint that was kept for one.
+
+    Placement forgets a request that has ended.
+    """
+    effects = end_attempt(state, AttemptResult.CANCELLED)
+    if state.granted_endpoint is not None:
+        permit, state.granted_endpoint = state.granted_endpoint.permit, None
+        effects.append(ReturnPermit(permit, AttemptResult.CANCELLED))
+    return effects
 
 
 def handle_unexecuted_attempt(
--- a/tests/request/forwarding/test_crediting.py
+++ b/tests/request/forwarding/test_crediting.py
@@ -109,3 +109,12 @@
     run(state, grant("e1"), at=late)
     effects = run(state, CreditGranted(HOLDER, late + TTL), at=late + TTL)
     assert find(effects, RequestCredit) and not find(effects, SendToEndpoint)
+
+
+def test_endpoint_is_returned_if_the_request_ends_during_the_renewal() -> None:
+    """Guard against log lines on permits that requests have left."""
+    for message in (CallerDisconnected("gone"), Tick()):
+        state = make_limited_state()
+        run(state, Start(), CREDIT)
+        run(state, grant("e1"), at=NOW + TTL)
+        assert find(handle(message, state, state.deadline), ReturnPermit)
