--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -1,34 +1,34 @@
 """Select endpoints by cached prompt parts, load, latency and failures."""
 
 from bisect import insort
-from collections.abc import Sequence
 from datetime import datetime, timedelta
 from functools import singledispatch
 
 from msgspec.structs import replace
 
-from oleanderhitch.process.address import Address
-from oleanderhitch.process.directory.messages import ListedEndpoint
 from oleanderhitch.process.messages import Tick
 from oleanderhitch.process.placement.cache import (
     CacheEstimate,
     add_reported_parts,
-    count_uncached_tokens,
-    record_prompt,
     resize,
 )
-from oleanderhitch.process.placement.cost import get_added_cost_ms, get_cost_ms
 from oleanderhitch.process.placement.crashes import (
     ContentServed,
     find_listed_crashes,
     record_attempt_end,
 )
+from oleanderhitch.process.placement.effects import (
+    LogEndpointLeaving,
+    LogPermitLeft,
+    LogRateLimit,
+    QueryCache,
+    ReportQueueLength,
+    ReportSpeedCounts,
+    SendReply,
+)
 from oleanderhitch.process.placement.health import (
-    is_unresponsive,
-    record_affinity_key,
     record_result,
 )
-from oleanderhitch.process.placement.latency import find_median_ms, get_slowdown
 from oleanderhitch.process.placement.messages import (
     AcquireEndpoint,
     AttemptResult,
@@ -36,11 +36,9 @@
     CacheContentsReported,
     CrashesReported,
     EndHolder,
-    EndpointGranted,
     EndpointLeaving,
     EndpointLoad,
     EndpointRateLimited,
-    EndpointRefused,
     EndpointsListed,
     EventLatencyObserved,
     FirstChunkReceived,
@@ -50,14 +48,11 @@
     PeerLoadsReported,
     ReleaseEndpoint,
     SendPermitReply,
-    SendPermitRequest,
     SpeedsReported,
 )
 from oleanderhitch.process.placement.observations import (
     apply_speeds,
     expire_speeds,
-    find_measured_tokens,
-    get_first_event_ms,
     list_observed_speeds,
     record_event_latency,
     record_first_event,
@@ -65,10 +60,7 @@
 )
 from oleanderhitch.process.placement.ordering import (
     count_end,
-    count_grant,
-    count_start,
     get_queue_id,
-    iterate_in_order,
 )
 from oleanderhitch.process.placement.pace import (
     begin_ramp,
@@ -76,48 +68,34 @@
     find_allowed,
     record_attempt_pace,
     record_first_answer,
-    try_pace,
+)
+from oleanderhitch.process.placement.queues import (
+    find_grant,
+    grant_endpoint,
+    grant_waiting,
+    list_free,
+    refuse_early,
+    serve_queue,
 )
 from oleanderhitch.process.placement.rate_limits import (
     MILLISECOND,
     PERMIT_TIMEOUT,
-    allows_send,
     apply_reply,
-    count_local_send,
-    get_price_ms,
-    is_limited,
-    is_local,
     list_observed_limits,
-    make_permit_request,
     observe_limit,
 )
 from oleanderhitch.process.placement.records import (
     Endpoint,
-    PendingPermitRequest,
     Permit,
     PlacementState,
-    QueueId,
-    count_running,
     find_endpoint,
 )
-from oleanderhitch.process.placement.refusal import (
-    HopelessRequest,
-    describe_drain,
-    find_retry_after,
-    find_surplus,
-    list_hopeless,
-    observe_grant,
-    observe_time,
-)
 from oleanderhitch.process.placement.speeds import is_slow
 from oleanderhitch.process.placement.spreading import (
-    choose_endpoint,
-    count_unseen,
     observe_duration,
 )
 from oleanderhitch.request.ids import HolderId, PermitId
-from oleanderhitch.values import Value
-from oleanderhitch.version.ids import EndpointId, ServiceName
+from oleanderhitch.version.ids import EndpointId
 
 # Cache capacity of an engine until the routing configuration states it.
 DEFAULT_CACHE_CAPACITY_TOKENS = 400_000
@@ -127,73 +105,6 @@
 # An entry of the list can be unreadable for some seconds. An endpoint that ends is
 # listed again with a later start.
 UNLISTED_MEMORY_DURATION = timedelta(seconds=60)
-# Requests that may queue at a plain service, per slot. Queueing there is better than
-# refusing the request, but only for a short queue.
-PLAIN_QUEUE_PER_SLOT = 1.0
-# Overload lasts for seconds; each refused request has its own line.
-OVERLOAD_LOG_INTERVAL = timedelta(seconds=1)
-
-
-class SendReply(Value, frozen=True):
-    """Sends a message to a reply address."""
-
-    reply_address: Address
-    message: EndpointGranted | EndpointRefused | LoadsFound
-
-
-class QueryCache(Value, frozen=True):
-    """Queries an engine for the prompt parts that it has cached."""
-
-    endpoint: ListedEndpoint
-
-
-class LogEndpointLeaving(Value, frozen=True):
-    """Logs that an endpoint has said that it will stop."""
-
-    endpoint: EndpointId
-
-
-class LogPermitLeft(Value, frozen=True):
-    """Logs that a request has ended without returning a permit, which is returned."""
-
-    permit: PermitId
-    holder: HolderId
-
-
-class AskLeader(Value, frozen=True):
-    """Asks the leader for the permit to send to a limited endpoint."""
-
-    request: SendPermitRequest
-
-
-class LogOverload(Value, frozen=True):
-    """Logs that requests of a service are refused early; at most once a second."""
-
-    service: ServiceName
-    n_refused: int
-    n_waiting: int
-    freed_per_s: str
-
-
-class ReportQueueLength(Value, frozen=True):
-    """Reports how many requests wait for a service at this entry host."""
-
-    service: ServiceName
-    n_waiting: int
-
-
-class LogRateLimit(Value, frozen=True):
-    """Logs that an endpoint has named, changed or dropped a rate limit."""
-
-    endpoint: EndpointId
-    requests_per_s: float | None
-
-
-class ReportSpeedCounts(Value, frozen=True):
-    """Reports how many endpoints are slow, and how many ramp up, to the metrics."""
-
-    n_slow: int
-    n_ramping: int
 
 
 @singledispatch
@@ -225,7 +136,7 @@
     _drop_idle_queues(state)
     _keep_unlisted(known, state, now)
     update_speeds(state, now)
-    return [*crashes, *_query_caches(state), *_grant_waiting(state, now)]
+    return [*crashes, *_query_caches(state), *grant_waiting(state, now)]
 
 
 def _drop_idle_queues(state: PlacementState) -> None:
@@ -290,16 +201,16 @@
     queue = state.queues[queue_id]
     is_sendable = message.fingerprint not in state.quarantined
     if is_sendable and not queue.waiting:
-        free = _list_free(queue_id, state, now)
-        effect = _find_grant(message, free, state, now)
+        free = list_free(queue_id, state, now)
+        effect = find_grant(message, free, state, now)
         if effect is not None:
             return [effect]
     # A request that comes back from the leader without a permit keeps its age.
     insort(
         queue.waiting, message, key=lambda item: state.undecided.get(item.holder, now)
     )
-    effects = _serve_queue(queue_id, state, now)
-    return [*effects, *_refuse_early(queue_id, state, now)]
+    effects = serve_queue(queue_id, state, now)
+    return [*effects, *refuse_early(queue_id, state, now)]
 
 
 @handle.register
@@ -381,8 +292,8 @@
         endpoint = state.endpoints.get(message.endpoint)
     is_sendable = pending.message.fingerprint not in state.quarantined
     if endpoint is not None and not endpoint.is_leaving and is_sendable:
-        return [_grant(endpoint, pending.message, state, now)]
-    return [*_place(pending.message, state, now), *_grant_waiting(state, now)]
+        return [grant_endpoint(endpoint, pending.message, state, now)]
+    return [*_place(pending.message, state, now), *grant_waiting(state, now)]
 
 
 @handle.register
@@ -427,14 +338,14 @@
     is_served = message.result is AttemptResult.COMPLETED
     if is_served and permit.fingerprint in state.suspected:
         effects.append(ContentServed(permit.fingerprint))
-    return [*effects, *_grant_waiting(state, now, permit.queue.service)]
+    return [*effects, *grant_waiting(state, now, permit.queue.service)]
 
 
 @handle.register
 def _(message: CrashesReported, state: PlacementState, now: datetime) -> list[object]:
     state.suspected = message.suspected
     state.quarantined = message.quarantined
-    return _grant_waiting(state, now)
+    return grant_waiting(state, now)
 
 
 @handle.register
@@ -444,9 +355,9 @@
         if now - pending.asked_at >= PERMIT_TIMEOUT:
             no_reply = SendPermitReply(number, is_leader=False)
             effects.extend(handle(no_reply, state, now))
-    effects.extend(_grant_waiting(state, now))
+    effects.extend(grant_waiting(state, now))
     for queue_id in list(state.queues):
-        effects.extend(_refuse_early(queue_id, state, now))
+        effects.extend(refuse_early(queue_id, state, now))
     return effects
 
 
@@ -504,7 +415,7 @@
         endpoint.peer_load = loads.get(name)
         endpoint.peer_load_at = now
         draw_trial(endpoint, state, now)
-    return _grant_waiting(state, now)
+    return grant_waiting(state, now)
 
 
 def _query_caches(state: PlacementState) -> list[object]:
@@ -535,287 +446,3 @@
 def _finish_prefill(permit_id: PermitId, permit: Permit, state: PlacementState) -> None:
     state.pending_prefill_tokens[permit.endpoint] -= permit.n_pending_prefill_tokens
     state.permits[permit_id] = replace(permit, n_pending_prefill_tokens=0)
-
-
-def _grant_waiting(
-    state: PlacementState, now: datetime, service: ServiceName | None = None
-) -> list[object]:
-    """Grant waiting requests what is free, those of one service or of all.
-
-    A request that waited before its service became one of engines, or stopped to be
-    one, makes a new queue when it is decided on.
-    """
-    return [
-        effect
-        for queue_id, queue in list(state.queues.items())
-        if queue.waiting and service in (None, queue_id.service)
-        for effect in _serve_queue(queue_id, state, now)
-    ]
-
-
-def _serve_queue(
-    queue_id: QueueId, state: PlacementState, now: datetime
-) -> list[object]:
-    """Decide on the waiting requests of one queue, as far as that is possible."""
-    queue = state.queues[queue_id]
-    observe_time(queue.drain, now)
-    effects: list[object] = []
-    for message in queue.waiting:
-        if message.fingerprint in state.quarantined:
-            reason = "its content crashes the endpoints that run it"
-            refused = EndpointRefused(message.holder, reason, is_quarantined=True)
-            effects.append(_refuse(message, refused, state))
-    if effects:
-        queue.waiting = [
-            message
-            for message in queue.waiting
-            if message.fingerprint not in state.quarantined
-        ]
-    free = _list_free(queue_id, state, now)
-    effects.extend(_grant_free(queue_id, free, state, now))
-    queue.drain.is_waiting = (
-        bool(queue.waiting) and not free and _has_endpoint(queue_id.service, state)
-    )
-    expired = [message for message in queue.waiting if now >= message.deadline]
-    if expired:
-        queue.waiting = [message for message in queue.waiting if now < message.deadline]
-    for message in expired:
-        retry_after = _find_retry_after(message, len(queue.waiting), state, now)
-        refused = EndpointRefused(
-            message.holder, "no endpoint in time", retry_after=retry_after
-        )
-        effects.append(_refuse(message, refused, state))
-    return effects
-
-
-def _refuse_early(
-    queue_id: QueueId, state: PlacementState, now: datetime
-) -> list[object]:
-    """Refuse the waiting requests of a queue that can't be served in time."""
-    queue = state.queues[queue_id]
-    if len(queue.waiting) < 2:
-        # The first in line is never refused early.
-        return []
-    hopeless = list_hopeless(queue, now)
-    n_waiting = len(queue.waiting)
-    surplus = None if hopeless else find_surplus(queue, now)
-    if surplus is not None:
-        hopeless = [HopelessRequest(surplus, n_waiting - 1)]
-    if not hopeless:
-        return []
-    refused = {item.message.holder for item in hopeless}
-    queue.waiting = [item for item in queue.waiting if item.holder not in refused]
-    effects = _log_overload(queue_id, len(hopeless), state, now)
-    for item in hopeless:
-        message = item.message
-        reason = (
-            f"{item.n_ahead} requests are ahead for {describe_drain(queue.drain)} a "
-            f"second, {round((message.deadline - now) / MILLISECOND)} ms are left"
-        )
-        retry_after = _find_retry_after(message, item.n_ahead, state, now)
-        reply = EndpointRefused(
-            message.holder, reason, is_overloaded=True, retry_after=retry_after
-        )
-        effects.append(_refuse(message, reply, state))
-    return effects
-
-
-def _log_overload(
-    queue_id: QueueId, n_refused: int, state: PlacementState, now: datetime
-) -> list[object]:
-    queue = state.queues[queue_id]
-    logged_at = queue.refusals_logged_at
-    if logged_at is not None and now - logged_at < OVERLOAD_LOG_INTERVAL:
-        return []
-    queue.refusals_logged_at = now
-    n_waiting = len(queue.waiting)
-    rate = describe_drain(queue.drain)
-    return [LogOverload(queue_id.service, n_refused, n_waiting, rate)]
-
-
-def _find_retry_after(
-    message: AcquireEndpoint, n_ahead: int, state: PlacementState, now: datetime
-) -> timedelta | None:
-    time_left = (message.caller_deadline or message.deadline) - now
-    drain = state.queues[get_queue_id(message, state)].drain
-    return find_retry_after(drain, n_ahead, time_left, state.random_source)
-
-
-def _has_endpoint(service: ServiceName, state: PlacementState) -> bool:
-    return any(
-        endpoint.listed.service == service and not endpoint.is_leaving
-        for endpoint in state.endpoints.values()
-    )
-
-
-def _grant_free(
-    queue_id: QueueId, free: list[Endpoint], state: PlacementState, now: datetime
-) -> list[object]:
-    """Grant the free endpoints of a service to its waiting requests, in their order.
-
-    Endpoints that are free no longer are removed from `free`.
-    """
-    if not free:
-        return []
-    queue = state.queues[queue_id]
-    effects: list[object] = []
-    for message in iterate_in_order(queue, now):
-        effect = _find_grant(message, free, state, now)
-        if effect is None:
-            continue
-        effects.append(effect)
-        count_grant(queue, message)
-        free[:] = [item for item in free if _is_free(item, queue_id, state, now)]
-        if not free:
-            break
-    return effects
-
-
-def _refuse(
-    message: AcquireEndpoint, refused: EndpointRefused, state: PlacementState
-) -> SendReply:
-    state.undecided.pop(message.holder, None)
-    return SendReply(message.reply_address, refused)
-
-
-def _list_free(
-    queue_id: QueueId, state: PlacementState, now: datetime
-) -> list[Endpoint]:
-    """Return the endpoints of a service that may get a request now."""
-    return [
-        endpoint
-        for endpoint in state.endpoints.values()
-        if endpoint.listed.service == queue_id.service
-        and _is_free(endpoint, queue_id, state, now)
-    ]
-
-
-def _is_free(
-    endpoint: Endpoint, queue_id: QueueId, state: PlacementState, now: datetime
-) -> bool:
-    """Return whether an endpoint of the service may get a request now."""
-    return (
-        not endpoint.is_leaving
-        and _has_capacity(endpoint, queue_id.is_engine, now)
-        and (endpoint.avoid_until is None or endpoint.avoid_until <= now)
-        and allows_send(endpoint, state, now)
-    )
-
-
-def _find_grant(
-    message: AcquireEndpoint,
-    free: list[Endpoint],
-    state: PlacementState,
-    now: datetime,
-) -> SendReply | AskLeader | None:
-    """Return the grant of an endpoint, or the question for one that is limited."""
-    available = [
-        endpoint for endpoint in free if endpoint.listed.endpoint not in message.tried
-    ]
-    if not available:
-        return None
-    # An unresponsive endpoint may have failed; it is used only if there is no other.
-    available = [
-        candidate for candidate in available if not is_unresponsive(candidate, now)
-    ] or available
-    median_ms = find_median_ms([endpoint.latency for endpoint in available], now)
-
-    def get_cost(endpoint: Endpoint) -> float:
-        slowdown = get_slowdown(endpoint.latency, median_ms, now)
-        cost_ms = get_cost_ms(endpoint, message, state, slowdown, now)
-        return cost_ms + get_price_ms(endpoint, now)
-
-    costs_ms = [get_cost(endpoint) for endpoint in available]
-    chosen = _choose(available, costs_ms, message, state, now)
-    if not is_limited(chosen):
-        return _grant(chosen, message, state, now)
-    if is_local(state, now):
-        count_local_send(chosen, state, now)
-        return _grant(chosen, message, state, now)
-    request = make_permit_request(available, costs_ms, chosen, state, now)
-    state.permit_requests[request.number] = PendingPermitRequest(message, now)
-    return AskLeader(request)
-
-
-def _choose(
-    endpoints: Sequence[Endpoint],
-    costs_ms: Sequence[float],
-    message: AcquireEndpoint,
-    state: PlacementState,
-    now: datetime,
-) -> Endpoint:
-    """Return one of the cheapest endpoints, if possible one whose ramp allows it."""
-    is_engine = message.workload is not None
-    queue = state.queues[get_queue_id(message, state)]
-    cheapest = endpoints[costs_ms.index(min(costs_ms))]
-    added_ms = get_added_cost_ms(cheapest, message.workload, state)
-    n_unseen = count_unseen(endpoints, queue, now)
-    first: Endpoint | None = None
-    while endpoints:
-        chosen = choose_endpoint(
-            endpoints, costs_ms, n_unseen, added_ms, state, is_engine, now
-        )
-        if try_pace(chosen, state, now):
-            return chosen
-        first = first or chosen
-        left = [
-            (endpoint, cost_ms)
-            for endpoint, cost_ms in zip(endpoints, costs_ms, strict=True)
-            if endpoint is not chosen
-        ]
-        endpoints = [endpoint for endpoint, _ in left]
-        costs_ms = [cost_ms for _, cost_ms in left]
-    assert first is not None
-    return first
-
-
-def _has_capacity(endpoint: Endpoint, is_engine: bool, now: datetime) -> bool:
-    limit = endpoint.listed.n_slots
-    if not is_engine:
-        limit += int(limit * PLAIN_QUEUE_PER_SLOT)
-    return count_running(endpoint, now) < limit
-
-
-def _grant(
-    endpoint: Endpoint, message: AcquireEndpoint, state: PlacementState, now: datetime
-) -> SendReply:
-    endpoint.has_trial = False
-    if not endpoint.permits:
-        endpoint.last_activity_at = now
-    if message.affinity_key is not None and message.workload is None:
-        record_affinity_key(message.affinity_key, endpoint)
-    state.last_permit_number += 1
-    permit = PermitId(f"{state.permit_prefix}-{state.last_permit_number}")
-    n_uncached = 0
-    n_measured: int | None = None
-    expected_ms: float | None = None
-    if message.workload is not None:
-        n_uncached = count_uncached_tokens(endpoint.cache, message.workload)
-        n_measured = find_measured_tokens(endpoint, n_uncached, state, now)
-        expected_ms = get_first_event_ms(endpoint, n_uncached, state, now)
-        record_prompt(endpoint.cache, message.workload)
-    endpoint_id = endpoint.listed.endpoint
-    queue_id = get_queue_id(message, state)
-    state.pending_prefill_tokens[endpoint_id] += n_uncached
-    state.permits[permit] = Permit(
-        endpoint_id,
-        n_uncached,
-        message.fingerprint,
-        message.workload is not None,
-        now,
-        message.holder,
-        queue_id,
-        message.account,
-        n_measured,
-        expected_ms,
-    )
-    queue = state.queues[queue_id]
-    count_start(queue, message.account)
-    observe_grant(queue.drain)
-    endpoint.permits.add(permit)
-    state.undecided.pop(message.holder, None)
-    state.held_permits.setdefault(message.holder, set()).add(permit)
-    granted = EndpointGranted(
-        message.holder, permit, endpoint.listed, is_limited(endpoint)
-    )
-    return SendReply(message.reply_address, granted)
--- /dev/null
+++ b/oleanderhitch/process/placement/effects.py
@@ -0,0 +1,75 @@
+"""Effects of the placement task."""
+
+from oleanderhitch.process.address import Address
+from oleanderhitch.process.directory.messages import ListedEndpoint
+from oleanderhitch.process.placement.messages import (
+    EndpointGranted,
+    EndpointRefused,
+    LoadsFound,
+    SendPermitRequest,
+)
+from oleanderhitch.request.ids import HolderId, PermitId
+from oleanderhitch.values import Value
+from oleanderhitch.version.ids import EndpointId, ServiceName
+
+
+class SendReply(Value, frozen=True):
+    """Sends a message to a reply address."""
+
+    reply_address: Address
+    message: EndpointGranted | EndpointRefused | LoadsFound
+
+
+class QueryCache(Value, frozen=True):
+    """Queries an engine for the prompt parts that it has cached."""
+
+    endpoint: ListedEndpoint
+
+
+class LogEndpointLeaving(Value, frozen=True):
+    """Logs that an endpoint has said that it will stop."""
+
+    endpoint: EndpointId
+
+
+class LogPermitLeft(Value, frozen=True):
+    """Logs that a request has ended without returning a permit, which is returned."""
+
+    permit: PermitId
+    holder: HolderId
+
+
+class AskLeader(Value, frozen=True):
+    """Asks the leader for the permit to send to a limited endpoint."""
+
+    request: SendPermitRequest
+
+
+class LogOverload(Value, frozen=True):
+    """Logs that requests of a service are refused early; at most once a second."""
+
+    service: ServiceName
+    n_refused: int
+    n_waiting: int
+    freed_per_s: str
+
+
+class ReportQueueLength(Value, frozen=True):
+    """Reports how many requests wait for a service at this entry host."""
+
+    service: ServiceName
+    n_waiting: int
+
+
+class LogRateLimit(Value, frozen=True):
+    """Logs that an endpoint has named, changed or dropped a rate limit."""
+
+    endpoint: EndpointId
+    requests_per_s: float | None
+
+
+class ReportSpeedCounts(Value, frozen=True):
+    """Reports how many endpoints are slow, and how many ramp up, to the metrics."""
+
+    n_slow: int
+    n_ramping: int
--- a/oleanderhitch/process/placement/task.py
+++ b/oleanderhitch/process/placement/task.py
@@ -15,7 +15,9 @@
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.metrics.core import Metrics
 from oleanderhitch.process.metrics.states import Gauge
-from oleanderhitch.process.placement.core import (
+from oleanderhitch.process.placement.core import handle
+from oleanderhitch.process.placement.crashes import ContentServed, EndpointCrashed
+from oleanderhitch.process.placement.effects import (
     AskLeader,
     LogEndpointLeaving,
     LogOverload,
@@ -25,9 +27,7 @@
     ReportQueueLength,
     ReportSpeedCounts,
     SendReply,
-    handle,
 )
-from oleanderhitch.process.placement.crashes import ContentServed, EndpointCrashed
 from oleanderhitch.process.placement.records import PlacementState
 from oleanderhitch.process.task import NO_TICK, Task, make_task
 from oleanderhitch.version.ids import DataCentreName
--- a/tests/process/placement/test_core.py
+++ b/tests/process/placement/test_core.py
@@ -16,12 +16,14 @@
 from oleanderhitch.process.placement.core import (
     N_CACHE_QUERIES_LIMIT,
     UNLISTED_MEMORY_DURATION,
+    handle,
+)
+from oleanderhitch.process.placement.crashes import EndpointCrashed
+from oleanderhitch.process.placement.effects import (
     LogEndpointLeaving,
     QueryCache,
     SendReply,
-    handle,
 )
-from oleanderhitch.process.placement.crashes import EndpointCrashed
 from oleanderhitch.process.placement.health import SILENCE_TIMEOUT
 from oleanderhitch.process.placement.latency import find_median_ms, get_slowdown
 from oleanderhitch.process.placement.messages import (
--- a/tests/process/placement/test_ordering.py
+++ b/tests/process/placement/test_ordering.py
@@ -4,11 +4,11 @@
 
 from msgspec.structs import replace
 
-from oleanderhitch.process.placement.core import (
+from oleanderhitch.process.placement.core import handle
+from oleanderhitch.process.placement.effects import (
     AskLeader,
     ReportQueueLength,
     SendReply,
-    handle,
 )
 from oleanderhitch.process.placement.messages import (
     AcquireEndpoint,
--- a/tests/process/placement/test_permits.py
+++ b/tests/process/placement/test_permits.py
@@ -8,7 +8,8 @@
 from msgspec.structs import replace
 
 from oleanderhitch.process.directory.messages import ListedEndpoint
-from oleanderhitch.process.placement.core import AskLeader, SendReply, handle
+from oleanderhitch.process.placement.core import handle
+from oleanderhitch.process.placement.effects import AskLeader, SendReply
 from oleanderhitch.process.placement.messages import (
     AttemptResult,
     EndHolder,
--- a/tests/process/placement/test_refusal.py
+++ b/tests/process/placement/test_refusal.py
@@ -7,7 +7,8 @@
 from msgspec.structs import replace
 
 from oleanderhitch.process.messages import Tick
-from oleanderhitch.process.placement.core import LogOverload, SendReply, handle
+from oleanderhitch.process.placement.core import handle
+from oleanderhitch.process.placement.effects import LogOverload, SendReply
 from oleanderhitch.process.placement.messages import (
     AttemptResult,
     EndpointGranted,
--- a/tests/process/placement/test_spreading.py
+++ b/tests/process/placement/test_spreading.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from oleanderhitch.process.placement.core import SendReply, handle
+from oleanderhitch.process.placement.core import handle
+from oleanderhitch.process.placement.effects import SendReply
 from oleanderhitch.process.placement.messages import (
     AttemptResult,
     EndpointGranted,
--- a/tests/process/site/test_crashing_requests.py
+++ b/tests/process/site/test_crashing_requests.py
@@ -22,8 +22,9 @@
 from oleanderhitch.process.directory.messages import ListedEndpoint
 from oleanderhitch.process.mailbox import make_mailbox
 from oleanderhitch.process.messages import Tick
-from oleanderhitch.process.placement.core import SendReply, handle
+from oleanderhitch.process.placement.core import handle
 from oleanderhitch.process.placement.crashes import ContentServed, EndpointCrashed
+from oleanderhitch.process.placement.effects import SendReply
 from oleanderhitch.process.placement.messages import (
     AcquireEndpoint,
     AttemptResult,
--- a/tests/process/site/test_rate_limits.py
+++ b/tests/process/site/test_rate_limits.py
@@ -16,7 +16,8 @@
 from oleanderhitch.process.directory.messages import ListedEndpoint
 from oleanderhitch.process.mailbox import make_mailbox
 from oleanderhitch.process.messages import Tick
-from oleanderhitch.process.placement.core import AskLeader, SendReply, handle
+from oleanderhitch.process.placement.core import handle
+from oleanderhitch.process.placement.effects import AskLeader, SendReply
 from oleanderhitch.process.placement.messages import (
     AcquireEndpoint,
     AttemptResult,
--- a/tests/process/site/test_speeds.py
+++ b/tests/process/site/test_speeds.py
@@ -13,8 +13,8 @@
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.messages import Tick
 from oleanderhitch.process.placement import messages
-from oleanderhitch.process.placement.core import ReportSpeedCounts, SendReply
 from oleanderhitch.process.placement.core import handle as handle_placement
+from oleanderhitch.process.placement.effects import ReportSpeedCounts, SendReply
 from oleanderhitch.process.placement.records import PlacementState
 from oleanderhitch.process.placement.speeds import UNCONFIRMED_SPEED_TTL
 from oleanderhitch.process.site.messages import EMPTY_ROUTING, NO_SPEEDS
