Shared speeds and spread unseen requests only where there are many entry hosts

There each host sees each endpoint itself.

Change: with fewer than 20 entry hosts, costs use the assumed speeds and no requests count as unseen, as before.

test_few_hosts_go_by_their_own_observations failed before.

--- a/oleanderhitch/process/placement/cost.py
+++ b/oleanderhitch/process/placement/cost.py
@@ -14,6 +14,7 @@
     PlacementState,
     count_running,
     find_peer_load,
+    get_cost_speeds,
 )
 from oleanderhitch.process.placement.reliability import get_failure_rate
 from oleanderhitch.process.placement.speeds import (
@@ -65,7 +66,7 @@
         )
         cost_ms = _get_engine_cost_ms(
             endpoint,
-            state.service_speeds[message.service],
+            get_cost_speeds(message.service, state),
             message.workload,
             n_running,
             n_pending_prefill_tokens,
@@ -86,7 +87,7 @@
     """Return what one more running request adds to the cost, in milliseconds."""
     if workload is None:
         return PLAIN_CALL_MS
-    service = state.service_speeds[endpoint.listed.service]
+    service = get_cost_speeds(endpoint.listed.service, state)
     n_output = workload.expected_output_tokens
     prefill_ms = count_uncached_tokens(endpoint.cache, workload) * service.prefill_ms
     batch_overhead_ms = BATCH_OVERHEAD_RATIO * service.decode_ms
--- a/oleanderhitch/process/placement/observations.py
+++ b/oleanderhitch/process/placement/observations.py
@@ -18,6 +18,7 @@
     PlacementState,
     count_running,
     find_peer_load,
+    get_cost_speeds,
 )
 from oleanderhitch.process.placement.speeds import (
     EndpointSpeeds,
@@ -43,7 +44,8 @@
     service = state.service_speeds[endpoint.listed.service]
     speeds = endpoint.speeds
     n_further = max(0, count_running(endpoint, now) - 1)
-    ratio = get_batch_ratio(service, n_further) * speeds.decode_ratio
+    assumed = get_cost_speeds(endpoint.listed.service, state)
+    ratio = get_batch_ratio(assumed, n_further) * speeds.decode_ratio
     record_latency(endpoint.latency, latency / ratio, now)
     n_tokens = state.tokens_per_event.get(endpoint.listed.service)
     if n_tokens:
@@ -121,6 +123,9 @@
         reported = find_report(state.speed_reports, name, born_ms, now)
         endpoint.speeds.reported = reported
         speeds[endpoint.listed.service].append(endpoint.speeds)
+        endpoint.speeds.decode_ratio = endpoint.speeds.prefill_ratio = 1.0
+    if not state.has_many_hosts:
+        return
     for service_speeds in speeds.values():
         update_ratios(service_speeds)
 
--- a/oleanderhitch/process/placement/queues.py
+++ b/oleanderhitch/process/placement/queues.py
@@ -288,7 +288,7 @@
     queue = state.queues[get_queue_id(message, state)]
     cheapest = endpoints[costs_ms.index(min(costs_ms))]
     added_ms = get_added_cost_ms(cheapest, message.workload, state)
-    n_unseen = count_unseen(endpoints, queue, now)
+    n_unseen = count_unseen(endpoints, queue, state, now)
     first: Endpoint | None = None
     while endpoints:
         chosen = choose_endpoint(
--- a/oleanderhitch/process/placement/records.py
+++ b/oleanderhitch/process/placement/records.py
@@ -25,6 +25,12 @@
 
 # Entry hosts of a usual deployment, until the leader has said how many there are.
 N_ENTRY_HOSTS_ASSUMED = 7
+# With fewer entry hosts, each sees an endpoint often enough to judge it by itself, and
+# few requests of others go unseen. With twenty, a host sends a twentieth of what an
+# endpoint gets.
+N_ENTRY_HOSTS_MANY = 20
+# Never changed.
+ASSUMED_SPEEDS = ServiceSpeeds()
 # Loads change within half a second; reports older than this no longer describe them.
 PEER_LOAD_TTL = timedelta(seconds=1)
 
@@ -212,6 +218,11 @@
     suspected: frozenset[RequestFingerprint] = frozenset()
     quarantined: frozenset[RequestFingerprint] = frozenset()
 
+    @property
+    def has_many_hosts(self) -> bool:
+        """Whether a host has to go by what others observe, too."""
+        return self.n_entry_hosts >= N_ENTRY_HOSTS_MANY
+
     @property
     def has_waiting(self) -> bool:
         """Whether any request waits for an endpoint."""
@@ -223,6 +234,15 @@
     return state.endpoints.get(name) or state.unlisted.get(name)
 
 
+def get_cost_speeds(service: ServiceName, state: PlacementState) -> ServiceSpeeds:
+    """Return the speeds that the costs of a service's endpoints are estimated with.
+
+    With few entry hosts, these are the assumed ones: each compares the endpoints by
+    what it observes itself.
+    """
+    return state.service_speeds[service] if state.has_many_hosts else ASSUMED_SPEEDS
+
+
 def find_peer_load(endpoint: Endpoint, now: datetime) -> EndpointLoad | None:
     """Return the load that other entry hosts cause, unless its report is outdated."""
     reported_at = endpoint.peer_load_at
--- a/oleanderhitch/process/placement/spreading.py
+++ b/oleanderhitch/process/placement/spreading.py
@@ -50,7 +50,10 @@
 
 
 def count_unseen(
-    endpoints: Sequence[Endpoint], queue: ServiceQueue, now: datetime
+    endpoints: Sequence[Endpoint],
+    queue: ServiceQueue,
+    state: PlacementState,
+    now: datetime,
 ) -> float:
     """Return how many requests other hosts have probably sent since their reports.
 
@@ -58,7 +61,7 @@
     share of 1/e in each mean duration; the number is related to the reported ones that
     still run, since only these tell endpoints apart.
     """
-    if not queue.mean_duration:
+    if not queue.mean_duration or not state.has_many_hosts:
         return 0.0
     n_unseen = 0.0
     for endpoint in endpoints:
--- a/tests/process/site/test_speeds.py
+++ b/tests/process/site/test_speeds.py
@@ -15,7 +15,10 @@
 from oleanderhitch.process.placement import messages
 from oleanderhitch.process.placement.core import handle as handle_placement
 from oleanderhitch.process.placement.effects import ReportSpeedCounts, SendReply
-from oleanderhitch.process.placement.records import PlacementState
+from oleanderhitch.process.placement.records import (
+    N_ENTRY_HOSTS_MANY,
+    PlacementState,
+)
 from oleanderhitch.process.placement.speeds import UNCONFIRMED_SPEED_TTL
 from oleanderhitch.process.site.messages import EMPTY_ROUTING, NO_SPEEDS
 from oleanderhitch.process.site.speed_totals import make_speed_totals
@@ -237,7 +240,7 @@
     """Guard against hosts that forget all speeds when the leader changes."""
     endpoint = replace(make_endpoint("e1"), born_ms=7)
     others = tuple(make_endpoint(f"e{number}") for number in (2, 3))
-    state = PlacementState(HOME, "h")
+    state = PlacementState(HOME, "h", n_entry_hosts=N_ENTRY_HOSTS_MANY)
     handle_placement(messages.EndpointsListed((endpoint, *others)), state, NOW)
     slow = messages.EndpointSpeed(endpoint.endpoint, 7, 2_000, 1_000)
     effects = handle_placement(messages.SpeedsReported((slow,), True), state, NOW)
@@ -247,9 +250,24 @@
     assert speeds.decode_ratio == 2.0
     late = NOW + UNCONFIRMED_SPEED_TTL
     # No change of any speed has to come for it: a site may be quiet for long.
-    handle_placement(messages.PeerLoadsReported((), 2), state, late)
+    loads = messages.PeerLoadsReported((), N_ENTRY_HOSTS_MANY)
+    handle_placement(loads, state, late)
     assert speeds.decode_ratio == 1.0
     handle_placement(messages.SpeedsReported((slow,), False), state, late)
     restarted = replace(endpoint, born_ms=8)
     handle_placement(messages.EndpointsListed((restarted, *others)), state, late)
     assert state.endpoints[endpoint.endpoint].speeds.decode_ratio == 1.0
+
+
+def test_few_hosts_go_by_their_own_observations() -> None:
+    """Guard against shared speeds where each host sees each endpoint itself."""
+    endpoint = replace(make_endpoint("e1"), born_ms=7)
+    others = tuple(make_endpoint(f"e{number}") for number in (2, 3))
+    slow = messages.EndpointSpeed(endpoint.endpoint, 7, 2_000, 1_000)
+    ratios = []
+    for n_hosts in (N_ENTRY_HOSTS_MANY, N_ENTRY_HOSTS_MANY - 1):
+        state = PlacementState(HOME, "h", n_entry_hosts=n_hosts)
+        handle_placement(messages.EndpointsListed((endpoint, *others)), state, NOW)
+        handle_placement(messages.SpeedsReported((slow,), True), state, NOW)
+        ratios.append(state.endpoints[endpoint.endpoint].speeds.decode_ratio)
+    assert ratios == [2.0, 1.0]
