--- a/oleanderhitch/process/placement/cache.py
+++ b/oleanderhitch/process/placement/cache.py
@@ -15,19 +15,34 @@
     n_tokens: int = 0
 
 
-def count_uncached_tokens(cache: CacheEstimate, workload: InferenceWorkload) -> int:
-    """Return how many prompt tokens the endpoint still has to compute."""
+def count_uncached_tokens(
+    cache: CacheEstimate, workload: InferenceWorkload, has_prefix: bool = False
+) -> int:
+    """Return how many prompt tokens the endpoint still has to compute.
+
+    `has_prefix` is whether it is assumed to have the first part.
+    """
     n_cached = 0
-    for part in workload.parts:
+    for number, part in enumerate(workload.parts):
         # The part of a session keeps its id and grows with each turn; the tokens of the
         # previous turns stay cached.
         n_part_cached = min(cache.parts.get(part.id, 0), part.n_tokens)
+        if has_prefix and not number:
+            n_part_cached = part.n_tokens
         n_cached += n_part_cached
         if n_part_cached < part.n_tokens:
             break
     return max(0, workload.prompt_tokens - n_cached)
 
 
+def knows_prefix(cache: CacheEstimate, workload: InferenceWorkload) -> bool:
+    """Return whether the part that a prompt shares with others is known to be cached.
+
+    The last part belongs to the request or to its session.
+    """
+    return len(workload.parts) < 2 or workload.parts[0].id in cache.parts
+
+
 def record_prompt(cache: CacheEstimate, workload: InferenceWorkload) -> None:
     """Record that an endpoint computes, and thereby caches, a prompt."""
     for part in workload.parts:
--- a/oleanderhitch/process/placement/cost.py
+++ b/oleanderhitch/process/placement/cost.py
@@ -49,8 +49,13 @@
     state: PlacementState,
     slowdown: float,
     now: datetime,
+    has_prefix: bool = False,
 ) -> float:
-    """Return the cost of a request on an endpoint, in milliseconds."""
+    """Return the cost of a request on an endpoint, in milliseconds.
+
+    `has_prefix` is whether the endpoint is assumed to have the shared prefix of the
+    prompt cached.
+    """
     n_running = count_running(endpoint, now)
     if message.workload is None:
         cost_ms = n_running * PLAIN_CALL_MS
@@ -70,6 +75,7 @@
             message.workload,
             n_running,
             n_pending_prefill_tokens,
+            count_uncached_tokens(endpoint.cache, message.workload, has_prefix),
         )
     cost_ms *= slowdown
     failure_cost_ms = (
@@ -82,14 +88,18 @@
 
 
 def get_added_cost_ms(
-    endpoint: Endpoint, workload: InferenceWorkload | None, state: PlacementState
+    endpoint: Endpoint,
+    workload: InferenceWorkload | None,
+    state: PlacementState,
+    has_prefix: bool = False,
 ) -> float:
     """Return what one more running request adds to the cost, in milliseconds."""
     if workload is None:
         return PLAIN_CALL_MS
     service = get_cost_speeds(endpoint.listed.service, state)
     n_output = workload.expected_output_tokens
-    prefill_ms = count_uncached_tokens(endpoint.cache, workload) * service.prefill_ms
+    n_uncached_tokens = count_uncached_tokens(endpoint.cache, workload, has_prefix)
+    prefill_ms = n_uncached_tokens * service.prefill_ms
     batch_overhead_ms = BATCH_OVERHEAD_RATIO * service.decode_ms
     return prefill_ms + n_output * batch_overhead_ms * (1 + REMAINING_OUTPUT_SHARE)
 
@@ -100,6 +110,7 @@
     workload: InferenceWorkload,
     n_running: int,
     n_pending_prefill_tokens: int,
+    n_uncached_tokens: int,
 ) -> float:
     """Return the milliseconds of the request's latency plus the delay of its batch.
 
@@ -111,7 +122,7 @@
     decode_token_ms = service.decode_ms * endpoint.speeds.decode_ratio
     batch_overhead_ms = BATCH_OVERHEAD_RATIO * decode_token_ms
     n_output = workload.expected_output_tokens
-    prefill_ms = count_uncached_tokens(endpoint.cache, workload) * prefill_token_ms
+    prefill_ms = n_uncached_tokens * prefill_token_ms
     decode_ms = n_output * (decode_token_ms + batch_overhead_ms * n_running)
     batch_delay_ms = REMAINING_OUTPUT_SHARE * n_output * batch_overhead_ms
     prefill_queue_ms = n_pending_prefill_tokens * prefill_token_ms
--- a/oleanderhitch/process/placement/queues.py
+++ b/oleanderhitch/process/placement/queues.py
@@ -5,6 +5,7 @@
 
 from oleanderhitch.process.placement.cache import (
     count_uncached_tokens,
+    knows_prefix,
     record_prompt,
 )
 from oleanderhitch.process.placement.cost import get_added_cost_ms, get_cost_ms
@@ -36,6 +37,7 @@
 from oleanderhitch.process.placement.pace import (
     try_pace,
 )
+from oleanderhitch.process.placement.prefixes import find_prefix, list_homes
 from oleanderhitch.process.placement.rate_limits import (
     MILLISECOND,
     allows_send,
@@ -67,7 +69,7 @@
     count_unseen,
 )
 from oleanderhitch.request.ids import PermitId
-from oleanderhitch.version.ids import ServiceName
+from oleanderhitch.version.ids import EndpointId, ServiceName
 
 # Requests that may queue at a plain service, per slot. Queueing there is better than
 # refusing the request, but only for a short queue.
@@ -258,14 +260,16 @@
         candidate for candidate in available if not is_unresponsive(candidate, now)
     ] or available
     median_ms = find_median_ms([endpoint.latency for endpoint in available], now)
+    homes = _list_homes(message, state, now)
 
     def get_cost(endpoint: Endpoint) -> float:
         slowdown = get_slowdown(endpoint.latency, median_ms, now)
-        cost_ms = get_cost_ms(endpoint, message, state, slowdown, now)
+        is_home = endpoint.listed.endpoint in homes
+        cost_ms = get_cost_ms(endpoint, message, state, slowdown, now, is_home)
         return cost_ms + get_price_ms(endpoint, now)
 
     costs_ms = [get_cost(endpoint) for endpoint in available]
-    chosen = _choose(available, costs_ms, message, state, now)
+    chosen = _choose(available, costs_ms, homes, message, state, now)
     if not is_limited(chosen):
         return grant_endpoint(chosen, message, state, now)
     if is_local(state, now):
@@ -276,9 +280,23 @@
     return AskLeader(request)
 
 
+def _list_homes(
+    message: AcquireEndpoint, state: PlacementState, now: datetime
+) -> frozenset[EndpointId]:
+    """Return the endpoints that should have the prefix of a prompt cached.
+
+    With few entry hosts, each sends enough prompts to know where they are cached.
+    """
+    prefix = None if message.workload is None else find_prefix(message.workload)
+    if prefix is None or not state.has_many_hosts:
+        return frozenset()
+    return list_homes(message.service, prefix, state, now)
+
+
 def _choose(
     endpoints: Sequence[Endpoint],
     costs_ms: Sequence[float],
+    homes: frozenset[EndpointId],
     message: AcquireEndpoint,
     state: PlacementState,
     now: datetime,
@@ -287,7 +305,8 @@
     is_engine = message.workload is not None
     queue = state.queues[get_queue_id(message, state)]
     cheapest = endpoints[costs_ms.index(min(costs_ms))]
-    added_ms = get_added_cost_ms(cheapest, message.workload, state)
+    is_home = cheapest.listed.endpoint in homes
+    added_ms = get_added_cost_ms(cheapest, message.workload, state, is_home)
     n_unseen = count_unseen(endpoints, queue, state, now)
     first: Endpoint | None = None
     while endpoints:
@@ -331,7 +350,9 @@
     expected_ms: float | None = None
     if message.workload is not None:
         n_uncached = count_uncached_tokens(endpoint.cache, message.workload)
-        n_measured = find_measured_tokens(endpoint, n_uncached, state, now)
+        # Other entry hosts may have sent a prefix that this one has not.
+        if not state.has_many_hosts or knows_prefix(endpoint.cache, message.workload):
+            n_measured = find_measured_tokens(endpoint, n_uncached, state, now)
         expected_ms = get_first_event_ms(endpoint, n_uncached, state, now)
         record_prompt(endpoint.cache, message.workload)
     endpoint_id = endpoint.listed.endpoint
--- a/oleanderhitch/process/placement/records.py
+++ b/oleanderhitch/process/placement/records.py
@@ -214,6 +214,11 @@
     # Until when this entry host goes by its own share of the limits.
     local_share_until: datetime | None = None
     n_entry_hosts: int = N_ENTRY_HOSTS_ASSUMED
+    # Endpoints in the order in which they cache a shared prefix of prompts, least
+    # recently used prefix first.
+    prefix_orders: OrderedDict[tuple[ServiceName, str], tuple[EndpointId, ...]] = field(
+        default_factory=OrderedDict
+    )
     # Content that endpoints ran when they crashed, and what is not sent for it.
     suspected: frozenset[RequestFingerprint] = frozenset()
     quarantined: frozenset[RequestFingerprint] = frozenset()
