Split the cost of a request on an endpoint into its components

The decision compares endpoints by the sum of the components, which an explanation is to show, and one function says why an endpoint is not free. The price of a rate limit and the gain by an assumed cached prefix are components like the others.

--- /dev/null
+++ b/oleanderhitch/process/explaining/__init__.py
@@ -0,0 +1,1 @@
+"""Explain where a request would go now, without sending it."""
--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -1,6 +1,5 @@
 """Select endpoints by cached prompt parts, load, latency and failures."""
 
-from bisect import insort
 from datetime import datetime, timedelta
 from functools import singledispatch
 
@@ -58,10 +57,7 @@
     record_first_event,
     update_speeds,
 )
-from oleanderhitch.process.placement.ordering import (
-    count_end,
-    get_queue_id,
-)
+from oleanderhitch.process.placement.ordering import count_end
 from oleanderhitch.process.placement.pace import (
     begin_ramp,
     draw_trial,
@@ -70,12 +66,10 @@
     record_first_answer,
 )
 from oleanderhitch.process.placement.queues import (
-    find_grant,
     grant_endpoint,
     grant_waiting,
-    list_free,
+    place,
     refuse_early,
-    serve_queue,
 )
 from oleanderhitch.process.placement.rate_limits import (
     MILLISECOND,
@@ -189,28 +183,7 @@
 
 @handle.register
 def _(message: AcquireEndpoint, state: PlacementState, now: datetime) -> list[object]:
-    return _place(message, state, now)
-
-
-def _place(
-    message: AcquireEndpoint, state: PlacementState, now: datetime
-) -> list[object]:
-    """Grant a request an endpoint, or ask for one, or let the request wait."""
-    state.undecided.setdefault(message.holder, now)
-    queue_id = get_queue_id(message, state)
-    queue = state.queues[queue_id]
-    is_sendable = message.fingerprint not in state.quarantined
-    if is_sendable and not queue.waiting:
-        free = list_free(queue_id, state, now)
-        effect = find_grant(message, free, state, now)
-        if effect is not None:
-            return [effect]
-    # A request that comes back from the leader without a permit keeps its age.
-    insort(
-        queue.waiting, message, key=lambda item: state.undecided.get(item.holder, now)
-    )
-    effects = serve_queue(queue_id, state, now)
-    return [*effects, *refuse_early(queue_id, state, now)]
+    return place(message, state, now)
 
 
 @handle.register
@@ -293,7 +266,7 @@
     is_sendable = pending.message.fingerprint not in state.quarantined
     if endpoint is not None and not endpoint.is_leaving and is_sendable:
         return [grant_endpoint(endpoint, pending.message, state, now)]
-    return [*_place(pending.message, state, now), *grant_waiting(state, now)]
+    return [*place(pending.message, state, now), *grant_waiting(state, now)]
 
 
 @handle.register
--- a/oleanderhitch/process/placement/queues.py
+++ b/oleanderhitch/process/placement/queues.py
@@ -1,14 +1,16 @@
 """Serve the queues of placement: grant free endpoints, refuse what can't be served."""
 
+from bisect import insort
 from collections.abc import Sequence
 from datetime import datetime, timedelta
 
+from oleanderhitch.process.explaining.states import Exclusion
 from oleanderhitch.process.placement.cache import (
     count_uncached_tokens,
     knows_prefix,
     record_prompt,
 )
-from oleanderhitch.process.placement.cost import get_added_cost_ms, get_cost_ms
+from oleanderhitch.process.placement.cost import CostMs, get_added_cost_ms, get_cost
 from oleanderhitch.process.placement.effects import (
     AskLeader,
     LogOverload,
@@ -42,7 +44,6 @@
     MILLISECOND,
     allows_send,
     count_local_send,
-    get_price_ms,
     is_limited,
     is_local,
     make_permit_request,
@@ -78,6 +79,27 @@
 OVERLOAD_LOG_INTERVAL = timedelta(seconds=1)
 
 
+def place(
+    message: AcquireEndpoint, state: PlacementState, now: datetime
+) -> list[object]:
+    """Grant a request an endpoint, or ask for one, or let the request wait."""
+    state.undecided.setdefault(message.holder, now)
+    queue_id = get_queue_id(message, state)
+    queue = state.queues[queue_id]
+    is_sendable = message.fingerprint not in state.quarantined
+    if is_sendable and not queue.waiting:
+        free = list_free(queue_id, state, now)
+        effect = find_grant(message, free, state, now)
+        if effect is not None:
+            return [effect]
+    # A request that comes back from the leader without a permit keeps its age.
+    insort(
+        queue.waiting, message, key=lambda item: state.undecided.get(item.holder, now)
+    )
+    effects = serve_queue(queue_id, state, now)
+    return [*effects, *refuse_early(queue_id, state, now)]
+
+
 def grant_waiting(
     state: PlacementState, now: datetime, service: ServiceName | None = None
 ) -> list[object]:
@@ -206,7 +228,9 @@
             continue
         effects.append(effect)
         count_grant(queue, message)
-        free[:] = [item for item in free if _is_free(item, queue_id, state, now)]
+        free[:] = [
+            item for item in free if find_exclusion(item, queue_id, state, now) is None
+        ]
         if not free:
             break
     return effects
@@ -227,20 +251,24 @@
         endpoint
         for endpoint in state.endpoints.values()
         if endpoint.listed.service == queue_id.service
-        and _is_free(endpoint, queue_id, state, now)
+        and find_exclusion(endpoint, queue_id, state, now) is None
     ]
 
 
-def _is_free(
+def find_exclusion(
     endpoint: Endpoint, queue_id: QueueId, state: PlacementState, now: datetime
-) -> bool:
-    """Return whether an endpoint of the service may get a request now."""
-    return (
-        not endpoint.is_leaving
-        and _has_capacity(endpoint, queue_id.is_engine, now)
-        and (endpoint.avoid_until is None or endpoint.avoid_until <= now)
-        and allows_send(endpoint, state, now)
-    )
+) -> Exclusion | None:
+    """Return why an endpoint of the service gets no request now, None if it may."""
+    if endpoint.is_leaving:
+        return Exclusion.LEAVING
+    limit = endpoint.listed.n_slots
+    if not queue_id.is_engine:
+        limit += int(limit * PLAIN_QUEUE_PER_SLOT)
+    if count_running(endpoint, now) >= limit:
+        return Exclusion.FULL
+    if endpoint.avoid_until is not None and endpoint.avoid_until > now:
+        return Exclusion.AVOIDED
+    return None if allows_send(endpoint, state, now) else Exclusion.RATE_LIMITED
 
 
 def find_grant(
@@ -250,25 +278,12 @@
     now: datetime,
 ) -> SendReply | AskLeader | None:
     """Return the grant of an endpoint, or the question for one that is limited."""
-    available = [
-        endpoint for endpoint in free if endpoint.listed.endpoint not in message.tried
-    ]
+    available = list_available(message, free, now)
     if not available:
         return None
-    # An unresponsive endpoint may have failed; it is used only if there is no other.
-    available = [
-        candidate for candidate in available if not is_unresponsive(candidate, now)
-    ] or available
-    median_ms = find_median_ms([endpoint.latency for endpoint in available], now)
-    homes = _list_homes(message, state, now)
-
-    def get_cost(endpoint: Endpoint) -> float:
-        slowdown = get_slowdown(endpoint.latency, median_ms, now)
-        is_home = endpoint.listed.endpoint in homes
-        cost_ms = get_cost_ms(endpoint, message, state, slowdown, now, is_home)
-        return cost_ms + get_price_ms(endpoint, now)
-
-    costs_ms = [get_cost(endpoint) for endpoint in available]
+    homes = list_prefix_homes(message, state, now)
+    costs = list_costs(message, available, homes, state, now)
+    costs_ms = list(map(sum, costs))
     chosen = _choose(available, costs_ms, homes, message, state, now)
     if not is_limited(chosen):
         return grant_endpoint(chosen, message, state, now)
@@ -280,7 +295,46 @@
     return AskLeader(request)
 
 
-def _list_homes(
+def list_available(
+    message: AcquireEndpoint, free: Sequence[Endpoint], now: datetime
+) -> list[Endpoint]:
+    """Return the free endpoints that are compared for a request.
+
+    An unresponsive endpoint may have failed; it is used only if there is no other.
+    """
+    available = [
+        endpoint for endpoint in free if endpoint.listed.endpoint not in message.tried
+    ]
+    return [
+        candidate for candidate in available if not is_unresponsive(candidate, now)
+    ] or available
+
+
+def list_costs(
+    message: AcquireEndpoint,
+    available: Sequence[Endpoint],
+    homes: frozenset[EndpointId],
+    state: PlacementState,
+    now: datetime,
+) -> list[CostMs]:
+    """Return the cost of a request on each of the available endpoints."""
+    median_ms = find_median_ms([endpoint.latency for endpoint in available], now)
+    return [
+        get_cost(
+            endpoint,
+            message,
+            state,
+            1.0
+            if median_ms is None
+            else get_slowdown(endpoint.latency, median_ms, now),
+            now,
+            endpoint.listed.endpoint in homes,
+        )
+        for endpoint in available
+    ]
+
+
+def list_prefix_homes(
     message: AcquireEndpoint, state: PlacementState, now: datetime
 ) -> frozenset[EndpointId]:
     """Return the endpoints that should have the prefix of a prompt cached.
@@ -327,13 +381,6 @@
     return first
 
 
-def _has_capacity(endpoint: Endpoint, is_engine: bool, now: datetime) -> bool:
-    limit = endpoint.listed.n_slots
-    if not is_engine:
-        limit += int(limit * PLAIN_QUEUE_PER_SLOT)
-    return count_running(endpoint, now) < limit
-
-
 def grant_endpoint(
     endpoint: Endpoint, message: AcquireEndpoint, state: PlacementState, now: datetime
 ) -> SendReply:
--- a/oleanderhitch/process/placement/records.py
+++ b/oleanderhitch/process/placement/records.py
@@ -258,5 +258,8 @@
 
 def count_running(endpoint: Endpoint, now: datetime) -> int:
     """Return the known number of running requests, of all entry hosts."""
+    n_own = len(endpoint.permits)
+    if endpoint.peer_load is None:
+        return n_own
     peer_load = find_peer_load(endpoint, now)
-    return len(endpoint.permits) + (0 if peer_load is None else peer_load.n_running)
+    return n_own + (0 if peer_load is None else peer_load.n_running)
--- a/oleanderhitch/process/placement/refusal.py
+++ b/oleanderhitch/process/placement/refusal.py
@@ -42,6 +42,8 @@
 N_WAITING_LIMIT = 256
 # Callers honour no more than this share of the time that they have left.
 RETRY_AFTER_SHARE = 1 / 3
+# Longer times say only that hardly any slot becomes free.
+DRAIN_MAX_S = 60.0
 # Retries are spread at random up to this multiple of the expected time.
 RETRY_SPREAD = 1.5
 
@@ -134,13 +136,22 @@
     if drain.waiting_s < OBSERVED_TIME_MIN.total_seconds():
         return None
     longest = max(time_left, timedelta(0)) * RETRY_AFTER_SHARE / RETRY_SPREAD
-    drain_time = longest
-    if drain.n_grants:
-        drain_s = (n_ahead + 1) * drain.waiting_s / drain.n_grants
-        drain_time = min(timedelta(seconds=min(drain_s, 60.0)), longest)
+    drain_time = find_drain_time(drain, n_ahead)
+    drain_time = longest if drain_time is None else min(drain_time, longest)
     return drain_time * random_source.uniform(1.0, RETRY_SPREAD)
 
 
+def find_drain_time(drain: DrainRate, n_ahead: int) -> timedelta | None:
+    """Return when the requests ahead and the next one should have their slots.
+
+    None without grants to measure it by.
+    """
+    if not drain.n_grants:
+        return None
+    drain_s = (n_ahead + 1) * drain.waiting_s / drain.n_grants
+    return timedelta(seconds=min(drain_s, DRAIN_MAX_S))
+
+
 def describe_drain(drain: DrainRate) -> str:
     """Return the measured rate for the text of a refusal."""
     if not drain.waiting_s:
--- a/oleanderhitch/process/placement/spreading.py
+++ b/oleanderhitch/process/placement/spreading.py
@@ -91,9 +91,7 @@
     if not n_unseen:
         alike = choose_alike(endpoints, costs_ms, state.data_centre, is_engine)
         return state.random_source.choice(alike)
-    loads = [float(count_running(endpoint, now)) for endpoint in endpoints]
-    level = find_level(loads, n_unseen)
-    missing = [max(0.0, level - load) for load in loads]
+    missing = list_unseen(endpoints, n_unseen, now)
     expected_ms = [
         cost_ms + n_missing * added_cost_ms
         for cost_ms, n_missing in zip(costs_ms, missing, strict=True)
@@ -107,6 +105,15 @@
     return state.random_source.choices(alike, weights)[0]
 
 
+def list_unseen(
+    endpoints: Sequence[Endpoint], n_unseen: float, now: datetime
+) -> list[float]:
+    """Return how many of the unseen requests each endpoint has probably got."""
+    loads = [float(count_running(endpoint, now)) for endpoint in endpoints]
+    level = find_level(loads, n_unseen)
+    return [max(0.0, level - load) for load in loads]
+
+
 def find_level(loads: Sequence[float], n_added: float) -> float:
     """Return the level to which additional requests raise the lowest loads."""
     total = n_added
