Explained what placement would do with a request

`explain` runs the decision itself on a copy of the state, with its random source, and reports the verdict, the components of each cost, what excludes the other endpoints, the share of the account and the ages of what it goes by.

--- a/oleanderhitch/process/placement/cache.py
+++ b/oleanderhitch/process/placement/cache.py
@@ -14,6 +14,10 @@
     parts: OrderedDict[str, int] = field(default_factory=OrderedDict)
     n_tokens: int = 0
 
+    def __deepcopy__(self, memo: object) -> "CacheEstimate":
+        """Copy the parts at once; an explanation copies those of a whole service."""
+        return CacheEstimate(self.capacity_tokens, self.parts.copy(), self.n_tokens)
+
 
 def count_uncached_tokens(
     cache: CacheEstimate, workload: InferenceWorkload, has_prefix: bool = False
--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -25,6 +25,7 @@
     ReportSpeedCounts,
     SendReply,
 )
+from oleanderhitch.process.placement.explaining import explain
 from oleanderhitch.process.placement.health import (
     record_result,
 )
@@ -40,6 +41,7 @@
     EndpointRateLimited,
     EndpointsListed,
     EventLatencyObserved,
+    ExplainPlacement,
     FirstChunkReceived,
     GetLoads,
     LimitsReported,
@@ -112,7 +114,7 @@
     previous = state.endpoints
     crashes = find_listed_crashes(previous, message.endpoints, now)
     known = {**state.unlisted, **previous}
-    state.endpoints = {}
+    state.endpoints, state.listed_at = {}, now
     for listed in message.endpoints:
         record = known.pop(listed.endpoint, None)
         is_same = record is not None and record.listed.born_ms == listed.born_ms
@@ -186,6 +188,11 @@
     return place(message, state, now)
 
 
+@handle.register
+def _(message: ExplainPlacement, state: PlacementState, now: datetime) -> list[object]:
+    return [SendReply(message.reply_address, explain(message.acquire, state, now))]
+
+
 @handle.register
 def _(message: EndHolder, state: PlacementState, now: datetime) -> list[object]:
     holder = message.holder
--- a/oleanderhitch/process/placement/effects.py
+++ b/oleanderhitch/process/placement/effects.py
@@ -2,6 +2,7 @@
 
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.directory.messages import ListedEndpoint
+from oleanderhitch.process.explaining.messages import SchedulingExplanation
 from oleanderhitch.process.placement.messages import (
     EndpointGranted,
     EndpointRefused,
@@ -17,7 +18,7 @@
     """Sends a message to a reply address."""
 
     reply_address: Address
-    message: EndpointGranted | EndpointRefused | LoadsFound
+    message: EndpointGranted | EndpointRefused | LoadsFound | SchedulingExplanation
 
 
 class QueryCache(Value, frozen=True):
--- a/oleanderhitch/process/placement/messages.py
+++ b/oleanderhitch/process/placement/messages.py
@@ -68,6 +68,13 @@
     caller_deadline: datetime | None = None
 
 
+class ExplainPlacement(Value, frozen=True):
+    """Asks what would be done with a request, which is not placed."""
+
+    acquire: AcquireEndpoint
+    reply_address: Address
+
+
 class EndHolder(Value, frozen=True):
     """Reports that a request has ended, however, and holds nothing any more.
 
--- a/oleanderhitch/process/placement/records.py
+++ b/oleanderhitch/process/placement/records.py
@@ -183,6 +183,8 @@
     permit_prefix: str
     random_source: Random = field(default_factory=lambda: Random(0))
     endpoints: dict[EndpointId, Endpoint] = field(default_factory=dict)
+    # When the list of endpoints changed last.
+    listed_at: datetime | None = None
     # Endpoints that the list does not name for a while, or whose entry can't be read.
     unlisted: dict[EndpointId, Endpoint] = field(default_factory=dict)
     cache_capacity_tokens: Mapping[ServiceName, int] = field(default_factory=dict)
--- a/oleanderhitch/values.py
+++ b/oleanderhitch/values.py
@@ -1,5 +1,7 @@
 """Provide the base of immutable values: messages, effects, settings and records."""
 
+from typing import Self
+
 from msgspec import Struct
 
 
@@ -22,6 +24,13 @@
         )
         return f"{type(self).__name__}({', '.join(fields)})"
 
+    def __deepcopy__(self, memo: object) -> Self:
+        """Return the value itself: a deep copy of a task's state shares its values.
+
+        They may hold addresses of tasks, which can't be copied.
+        """
+        return self
+
 
 def _describe(field: object) -> str:
     if isinstance(field, bytes | bytearray):
