Explained whether a request would get a credit

Quotas run their decision on a copy of what they hold of the account, and say whether a credit is held for the request, or when the leader would be asked.

--- a/oleanderhitch/process/quotas/core.py
+++ b/oleanderhitch/process/quotas/core.py
@@ -14,6 +14,7 @@
 from oleanderhitch.process.quotas.messages import (
     AcquireCredit,
     CreditDemand,
+    CreditExplained,
     CreditGranted,
     CreditLoan,
     CreditRefused,
@@ -74,7 +75,7 @@
     """Replies to a request of this host."""
 
     reply_address: Address
-    message: CreditGranted | CreditRefused
+    message: CreditGranted | CreditRefused | CreditExplained
 
 
 class CountCredits(Value, frozen=True):
@@ -172,13 +173,13 @@
     for _, account in state.list_active():
         due.extend(waiting.acquire.deadline for waiting in account.waiting.values())
         due.extend(
-            max(credits.return_at, _get_ask_time(None, state))
+            max(credits.return_at, get_ask_time(None, state))
             for credits in account.balance
         )
         if account.unused:
-            due.append(_get_ask_time(None, state))
+            due.append(get_ask_time(None, state))
         if account.n_unasked and len(account.pending) < N_QUESTIONS_MAX:
-            due.append(_get_ask_time(account.ask_from, state))
+            due.append(get_ask_time(account.ask_from, state))
     return min(due, default=NO_TICK)
 
 
@@ -358,7 +359,7 @@
                 waiting.asked_in = None
 
 
-def _get_ask_time(ask_from: datetime | None, state: QuotasState) -> datetime:
+def get_ask_time(ask_from: datetime | None, state: QuotasState) -> datetime:
     """Return when the next question can be asked."""
     times = [] if ask_from is None else [ask_from]
     if state.last_sent_at is not None:
--- a/oleanderhitch/process/quotas/messages.py
+++ b/oleanderhitch/process/quotas/messages.py
@@ -115,6 +115,26 @@
     is_renewal: bool = False
 
 
+class ExplainCredit(Value, frozen=True):
+    """Asks whether a request would get a credit, which it does not get."""
+
+    acquire: AcquireCredit
+
+
+class CreditExplained(Value, frozen=True):
+    """Reports what would become of the request for a credit.
+
+    With `is_held`, the host has a credit for it, which can be used after `wait`. If
+    not, the host would ask the leader after `wait`. The leader was asked last
+    at `asked_at`.
+    """
+
+    is_held: bool
+    wait: timedelta
+    n_held: int
+    asked_at: datetime | None
+
+
 class CreditGranted(Value, frozen=True):
     """Allows a request to be sent until its credit expires."""
 
