Answered operators who ask an entry host where a request would go

`oleanderhitch explain` sends a request as a caller would to the host's address for other nodes, with the handshake of the other operators' calls, and has an exit code for each verdict. The host reads, judges and routes it with its own code, and asks quotas and placement for their explanations.

--- a/oleanderhitch/connection/peer/server.py
+++ b/oleanderhitch/connection/peer/server.py
@@ -37,6 +37,7 @@
         timing: StreamTiming,
         count_bytes: CountBytes,
         clock: Clock,
+        n_streams_limit: int | None,
     ) -> None:
         self._codec = codec
         self._identity = identity
@@ -44,7 +45,9 @@
         self._timing = timing
         self._count_bytes = count_bytes
         self._clock = clock
-        self._server = StreamServer(parse_address(listen), self._serve, spawn=Pool())
+        self._server = StreamServer(
+            parse_address(listen), self._serve, spawn=Pool(n_streams_limit)
+        )
 
     def start(self) -> None:
         """Start to accept streams."""
@@ -83,8 +86,21 @@
     timing: StreamTiming | None = None,
     count_bytes: CountBytes = ignore_bytes,
     clock: Clock | None = None,
+    n_streams_limit: int | None = None,
 ) -> PeerServer:
-    """Return a server that has not been started."""
+    """Return a server that has not been started.
+
+    With a limit on its streams, further peers wait until one has ended.
+    """
     timing = timing or StreamTiming()
     clock = clock or make_system_clock()
-    return PeerServer(listen, codec, identity, deliver, timing, count_bytes, clock)
+    return PeerServer(
+        listen,
+        codec,
+        identity,
+        deliver,
+        timing,
+        count_bytes,
+        clock,
+        n_streams_limit,
+    )
--- a/oleanderhitch/platform/settings.py
+++ b/oleanderhitch/platform/settings.py
@@ -24,6 +24,7 @@
 PEER_KEY_VARIABLE = "OLEANDERHITCH_PEER_KEY"
 METRICS_PORT_VARIABLE = "OLEANDERHITCH_METRICS_PORT"
 RAMP_UP_VARIABLE = "OLEANDERHITCH_ENDPOINT_RAMP_UP"
+OPERATOR_CALLS_VARIABLE = "OLEANDERHITCH_OPERATOR_CALLS"
 SWITCH_POSITIONS = {"": False, "off": False, "on": True}
 
 
@@ -108,6 +109,7 @@
         HostAddress(_get_listen_address(file, "front")),
         HostAddress(_get_listen_address(file, "ready_addr")),
         _read_switch(RAMP_UP_VARIABLE),
+        _read_switch(OPERATOR_CALLS_VARIABLE),
     )
 
 
--- a/oleanderhitch/process/commands/operator_application.py
+++ b/oleanderhitch/process/commands/operator_application.py
@@ -11,6 +11,7 @@
     make_command_dependencies,
 )
 from oleanderhitch.process.commands.operator_check import CheckCommand
+from oleanderhitch.process.commands.operator_explain import ExplainCommand
 from oleanderhitch.process.commands.operator_history import HistoryCommand
 from oleanderhitch.process.commands.operator_hosts import HostsCommand
 from oleanderhitch.process.commands.operator_outcome import OutcomeCommand
@@ -18,6 +19,7 @@
 from oleanderhitch.process.commands.operator_replace import ReplaceCommand
 from oleanderhitch.process.commands.operator_status import StatusCommand
 from oleanderhitch.process.commands.trace_show import TraceShowCommand
+from oleanderhitch.process.operators.explaining import send_explain_request
 from oleanderhitch.process.operators.network import (
     make_configuration_client,
     make_hosts_client,
@@ -33,6 +35,7 @@
     OutcomeCommand,
     HostsCommand,
     ReplaceCommand,
+    ExplainCommand,
 ]
 
 
@@ -52,7 +55,9 @@
 def run() -> int:
     """Run the command line of this process and return its exit code."""
     application = make_application(
-        make_command_dependencies(make_configuration_client, make_hosts_client)
+        make_command_dependencies(
+            make_configuration_client, make_hosts_client, send_explain_request
+        )
     )
     # Reads local trace files and needs no client of a deployment.
     application.add(TraceShowCommand())
--- a/oleanderhitch/process/commands/operator_base.py
+++ b/oleanderhitch/process/commands/operator_base.py
@@ -17,6 +17,7 @@
 from pydantic import ValidationError
 from pydantic_settings import BaseSettings, SettingsConfigDict
 
+from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.exceptions import InvalidInputError, UnavailableError
 from oleanderhitch.process.clock import Clock, make_system_clock
 from oleanderhitch.process.commands.operator_client import (
@@ -24,6 +25,7 @@
     ConfigurationClient,
     MakeConfigurationClient,
 )
+from oleanderhitch.process.explaining.messages import ExplainRequest, Explanation
 from oleanderhitch.process.groups.placement import (
     DEFAULT_N_SHARDS,
     Store,
@@ -48,6 +50,21 @@
     UNREACHABLE = 3
     # The version is accepted but was not in force within the time of --wait.
     NOT_IN_FORCE = 4
+    # The verdicts of `explain`, of which `sent_now` is 0. What would be refused ends
+    # with 20 or more.
+    QUEUED = 10
+    ASKS_LEADER = 11
+    BUSY = 12
+    NOT_CURRENT = 13
+    UNKNOWN_ROUTE = 20
+    UNKNOWN_KEY = 21
+    UNKNOWN_ID = 22
+    MALFORMED = 23
+    STOPPING = 24
+    OVER_LIMIT = 25
+    OVERLOADED = 26
+    QUARANTINED = 27
+    NO_ENDPOINT = 28
 
 
 class OperatorSettings(BaseSettings):
@@ -61,12 +78,20 @@
 
 
 MakeHostsClient = Callable[[ClientSettings], HostsClient]
+# Sends a call to the entry host at an address, with the key in a file.
+SendExplainRequest = Callable[[HostAddress, Path | None, ExplainRequest], Explanation]
 
 
 def _raise_no_hosts_client(settings: ClientSettings) -> HostsClient:
     raise UnavailableError("no client for the disk hosts is configured")
 
 
+def _raise_no_explain_client(
+    host: HostAddress, key_file: Path | None, request: ExplainRequest
+) -> Explanation:
+    raise UnavailableError("no client for entry hosts is configured")
+
+
 class CommandDependencies(Value, frozen=True):
     """Clients, clock and output of the commands, which tests replace."""
 
@@ -75,11 +100,13 @@
     sleep: Callable[[timedelta], None]
     write_line: Callable[[str], None]
     make_hosts_client: MakeHostsClient = _raise_no_hosts_client
+    send_explain_request: SendExplainRequest = _raise_no_explain_client
 
 
 def make_command_dependencies(
     make_configuration_client: MakeConfigurationClient,
     make_hosts_client: MakeHostsClient,
+    send_explain_request: SendExplainRequest = _raise_no_explain_client,
 ) -> CommandDependencies:
     """Return dependencies with the system clock and standard output."""
     return CommandDependencies(
@@ -88,6 +115,7 @@
         lambda duration: gevent.sleep(duration.total_seconds()),
         lambda text: print(text, file=sys.stdout),
         make_hosts_client,
+        send_explain_request,
     )
 
 
@@ -138,6 +166,11 @@
         """
         return self.dependencies.make_hosts_client(self._read_settings())
 
+    def get_key_file(self) -> Path | None:
+        """Return the file with the shared key, from the option or environment."""
+        key_file = self.option("key-file")
+        return Path(key_file) if key_file else _read_environment().key_file
+
     def write_result(self, result: dict[str, Any], lines: list[str]) -> None:
         """Write the result as JSON or as lines of text."""
         if self.option("json"):
@@ -159,15 +192,16 @@
         return code
 
     def _read_settings(self) -> ClientSettings:
-        try:
-            settings = OperatorSettings()
-        except ValidationError as error:
-            raise InvalidInputError(f"settings are invalid: {error}") from None
+        settings = _read_environment()
         stores = _parse_stores(self.option("stores") or settings.stores)
-        key_file = self.option("key-file")
-        return ClientSettings(
-            stores, Path(key_file) if key_file else settings.key_file, settings.n_shards
-        )
+        return ClientSettings(stores, self.get_key_file(), settings.n_shards)
+
+
+def _read_environment() -> OperatorSettings:
+    try:
+        return OperatorSettings()
+    except ValidationError as error:
+        raise InvalidInputError(f"settings are invalid: {error}") from None
 
 
 def make_json_value(value: Any) -> Any:
--- a/oleanderhitch/process/explaining/states.py
+++ b/oleanderhitch/process/explaining/states.py
@@ -8,8 +8,9 @@
 
     ASKS_LEADER: the host asks the leader for a credit or a permit, and its answer
     decides. NOT_CURRENT: the host has no configuration that it may go by. Verdicts from
-    UNKNOWN_ROUTE to UNKNOWN_ID name what the configuration in force does not have. All
-    others are refusals.
+    UNKNOWN_ROUTE to UNKNOWN_ID name what the configuration in force does not have. BUSY
+    is no answer: the host explains another request, or is overloaded. All others are
+    refusals.
     """
 
     SENT = "sent_now"
@@ -19,6 +20,7 @@
     UNKNOWN_ROUTE = "unknown_route"
     UNKNOWN_KEY = "unknown_key"
     UNKNOWN_ID = "unknown_id"
+    BUSY = "busy"
     MALFORMED = "malformed"
     STOPPING = "stopping"
     OVER_LIMIT = "over_limit"
--- a/oleanderhitch/process/operators/network.py
+++ b/oleanderhitch/process/operators/network.py
@@ -1,5 +1,6 @@
 """Implement the clients of operators' commands over peer streams."""
 
+from pathlib import Path
 from typing import TypeVar
 
 from oleanderhitch.connection.peer.handshake import Identity
@@ -111,14 +112,19 @@
     return HostsClient(start_operator_client(settings))
 
 
-def start_operator_client(settings: ClientSettings) -> OperatorClient:
-    """Start a client of the stores; raise InvalidInputError without a key."""
-    if settings.key_file is None or not settings.key_file.is_file():
+def read_key(key_file: Path | None) -> bytes:
+    """Return the shared key; raise InvalidInputError without a file."""
+    if key_file is None or not key_file.is_file():
         raise InvalidInputError(
-            f"expected a file with the shared key, got {settings.key_file}; "
+            f"expected a file with the shared key, got {key_file}; "
             "use --key-file or OLEANDERHITCH_KEY_FILE"
         )
-    identity = Identity(OPERATOR_NODE, settings.key_file.read_bytes().strip())
+    return key_file.read_bytes().strip()
+
+
+def start_operator_client(settings: ClientSettings) -> OperatorClient:
+    """Start a client of the stores; raise InvalidInputError without a key."""
+    identity = Identity(OPERATOR_NODE, read_key(settings.key_file))
     client = make_operator_client(
         settings.stores, make_project_codec(), identity, make_system_clock()
     )
--- a/oleanderhitch/process/site/entry.py
+++ b/oleanderhitch/process/site/entry.py
@@ -23,12 +23,15 @@
 from oleanderhitch.connection.http.server import make_http_server
 from oleanderhitch.connection.http.server_metrics import observe_servers
 from oleanderhitch.connection.ids import HostAddress
+from oleanderhitch.connection.peer.handshake import Identity
 from oleanderhitch.connection.peer.messages import PeerMessage
+from oleanderhitch.connection.peer.server import PeerServer
 from oleanderhitch.process.caches.dialect import CacheDialect
 from oleanderhitch.process.caches.task import make_caches_task
 from oleanderhitch.process.clock import Clock
 from oleanderhitch.process.directory.messages import EndpointList
 from oleanderhitch.process.directory.task import FetchList, make_directory_task
+from oleanderhitch.process.explaining.service import make_explain_server
 from oleanderhitch.process.groups.client.task import make_group_client
 from oleanderhitch.process.groups.messages import (
     GroupAnswer,
@@ -47,6 +50,7 @@
 from oleanderhitch.process.quotas.messages import CreditReply
 from oleanderhitch.process.quotas.task import make_quotas_task
 from oleanderhitch.process.site.application import make_site_codec
+from oleanderhitch.process.site.explaining import make_site_explain_service
 from oleanderhitch.process.site.group import TURN_GROUPS, get_turn_group
 from oleanderhitch.process.site.links import make_site_links
 from oleanderhitch.process.site.messages import SiteStatus
@@ -195,6 +199,13 @@
             ServerBudget(budget.memory, N_STATUS_CONNECTIONS),
             count_refusal,
         )
+        self._explain_server: PeerServer | None = None
+        if settings.has_operator_calls:
+            node = settings.site.node
+            service = make_site_explain_service(node, forward_dependencies)
+            self._explain_server = make_explain_server(
+                HostAddress(node), Identity(node, settings.site.peer_key), service
+            )
         observe_servers(
             metrics,
             budget.memory,
@@ -217,6 +228,8 @@
         self._subscription.send(SeedsConfigured(self._settings.site.seeds))
         self._caller_server.start()
         self._readiness_server.start()
+        if self._explain_server is not None:
+            self._explain_server.start()
 
     def apply_settings(self, settings: SiteEntrySettings) -> None:
         """Open links to new seeds; ignore all other changes of the settings."""
@@ -247,6 +260,8 @@
         """Stop all tasks without waiting for running requests."""
         self._caller_server.stop()
         self._readiness_server.stop()
+        if self._explain_server is not None:
+            self._explain_server.stop()
         self._links.stop()
         for task in (
             self._quotas,
--- a/oleanderhitch/process/site/settings.py
+++ b/oleanderhitch/process/site/settings.py
@@ -40,13 +40,15 @@
     """Settings of an entry host.
 
     With `is_ramp_up_enabled`, all endpoints ramp up that have started or recovered;
-    otherwise only those that the list calls cold.
+    otherwise only those that the list calls cold. With `has_operator_calls`, it answers
+    operators at the address that its node id is.
     """
 
     site: SiteSettings
     caller_address: HostAddress
     readiness_address: HostAddress
     is_ramp_up_enabled: bool = False
+    has_operator_calls: bool = False
 
 
 class SiteStoreSettings(Value, frozen=True):
--- a/oleanderhitch/process/site/subscription/installed_state.py
+++ b/oleanderhitch/process/site/subscription/installed_state.py
@@ -1,6 +1,6 @@
 """State that an entry host has installed, shared with its connections."""
 
-from datetime import timedelta
+from datetime import datetime, timedelta
 
 from gevent.event import Event
 from msgspec import Struct, field
@@ -26,6 +26,7 @@
     boot_clock: Clock
     terms: LeaseTerms | None = None
     table: RouteTable | None = None
+    installed_at: datetime | None = None
     lease: Lease | None = None
     has_endpoints: bool = False
     changed: Event = field(default_factory=Event)
@@ -50,7 +51,7 @@
 
     def install(self, table: RouteTable) -> None:
         """Install a newer table and wake the requests that wait for it."""
-        self.table = table
+        self.table, self.installed_at = table, self.boot_clock.now()
         self._notify()
 
     def renew_lease(self, lease: Lease) -> None:
--- a/oleanderhitch/request/forwarding/task.py
+++ b/oleanderhitch/request/forwarding/task.py
@@ -120,6 +120,7 @@
     Verdict.NO_ROUTE: "no route in version {version}",
     Verdict.UNAUTHORIZED: "no account of version {version} has the key",
 }
+STOPPING_FAULT = "this host stops before the request's time is over"
 # Separates the request from the group in the tag of a search. No caller's id has it.
 GROUP_SEPARATOR = "\n"
 
@@ -282,33 +283,24 @@
         detail = ARRIVAL_FAULTS[admission].format(version=version)
         _refuse(request, admission, detail, writer, dependencies)
         return None
-    table, route, identity = admission.table, admission.route, admission.identity
-    target = choose_target(route, dependencies.random_source.random())
-    service = table.find_service(target)
-    engine = None if service is None else service.engine
-    state = make_forward_state(
+    state = make_admitted_state(
         request,
-        route,
-        target,
-        0 if engine is None else engine.tokens_per_event,
+        admission,
+        dependencies.random_source.random(),
         next(dependencies.request_numbers),
         now,
-        len(dependencies.record_groups) - 1,
-        identity,
-        dependencies.quotas is not None,
+        dependencies,
     )
-    end_time = dependencies.get_end_time()
-    if end_time is not None and state.deadline > end_time:
-        detail = "this host stops before the request's time is over"
-        _refuse(request, Verdict.NOT_READY, detail, writer, dependencies)
+    if outlasts_host(state, dependencies):
+        _refuse(request, Verdict.NOT_READY, STOPPING_FAULT, writer, dependencies)
         return None
     log.info(
         "request routed",
         request=request.request,
-        route=route.name,
-        version=table.version,
-        service=target,
-        account=identity.account_id,
+        route=admission.route.name,
+        version=admission.table.version,
+        service=state.service,
+        account=admission.identity.account_id,
         time_left_ms=round((state.deadline - now).total_seconds() * 1000),
         content=request.fingerprint,
     )
@@ -323,6 +315,37 @@
     return ForwardContext(dependencies, request, state, writer, mailbox, alarm, share)
 
 
+def make_admitted_state(
+    request: ForwardRequest,
+    admission: Admission,
+    random_fraction: float,
+    number: int,
+    now: datetime,
+    dependencies: ForwardDependencies,
+) -> ForwardState:
+    """Return the state of a request that may be served."""
+    target = choose_target(admission.route, random_fraction)
+    service = admission.table.find_service(target)
+    engine = None if service is None else service.engine
+    return make_forward_state(
+        request,
+        admission.route,
+        target,
+        0 if engine is None else engine.tokens_per_event,
+        number,
+        now,
+        len(dependencies.record_groups) - 1,
+        admission.identity,
+        dependencies.quotas is not None,
+    )
+
+
+def outlasts_host(state: ForwardState, dependencies: ForwardDependencies) -> bool:
+    """Return whether a request may take until after this process has ended."""
+    end_time = dependencies.get_end_time()
+    return end_time is not None and state.deadline > end_time
+
+
 def _await_admission(
     request: ForwardRequest, dependencies: ForwardDependencies
 ) -> Admission | Verdict:
@@ -495,16 +518,21 @@
 def _(effect: RequestCredit, context: ForwardContext) -> None:
     quotas = context.dependencies.quotas
     assert quotas is not None
-    quotas.send(
-        AcquireCredit(
-            context.state.holder,
-            effect.account,
-            context.request.program,
-            context.request.continues_program,
-            effect.deadline,
-            context.mailbox,
-            effect.is_renewal,
-        )
+    quotas.send(make_acquire_credit(effect, context.state, context.mailbox))
+
+
+def make_acquire_credit(
+    effect: RequestCredit, state: ForwardState, reply_address: Address
+) -> AcquireCredit:
+    """Return the message to quotas for a request."""
+    return AcquireCredit(
+        state.holder,
+        effect.account,
+        state.request.program,
+        state.request.continues_program,
+        effect.deadline,
+        reply_address,
+        effect.is_renewal,
     )
 
 
@@ -581,25 +609,32 @@
 
 @perform.register
 def _(effect: RequestEndpoint, context: ForwardContext) -> None:
-    request = context.request
     context.has_acquired = True
     context.dependencies.placement.send(
-        AcquireEndpoint(
-            context.state.holder,
-            effect.service,
-            request.workload,
-            request.affinity_key if context.state.route.is_sticky else None,
-            effect.rank,
-            effect.tried,
-            effect.is_retryable,
-            effect.deadline,
-            context.mailbox,
-            request.fingerprint,
-            effect.account,
-            effect.stage,
-            effect.finish_at,
-            effect.caller_deadline,
-        )
+        make_acquire(effect, context.state, context.mailbox)
+    )
+
+
+def make_acquire(
+    effect: RequestEndpoint, state: ForwardState, reply_address: Address
+) -> AcquireEndpoint:
+    """Return the message to placement for a request."""
+    request = state.request
+    return AcquireEndpoint(
+        state.holder,
+        effect.service,
+        request.workload,
+        request.affinity_key if state.route.is_sticky else None,
+        effect.rank,
+        effect.tried,
+        effect.is_retryable,
+        effect.deadline,
+        reply_address,
+        request.fingerprint,
+        effect.account,
+        effect.stage,
+        effect.finish_at,
+        effect.caller_deadline,
     )
 
 
