--- a/tests/process/site/harness.py
+++ b/tests/process/site/harness.py
@@ -66,12 +66,12 @@
 import gevent
 from pathlib import Path
 from tests.process.site import harness
-*stores, engine, address = sys.argv[1:]
+*stores, engine, address, operators = sys.argv[1:]
 site = harness.SiteHarness(
     Path(), 0, revocation_limit=harness.REVOCATION_LIMIT, stores=stores
 )
 site.engine.address = engine
-site.start_entry("entry-process", address)
+site.start_entry("entry-process", address, operators)
 gevent.sleep(60)
 """
 
@@ -200,10 +200,20 @@
         self.second_entry._links.stop()
 
     @contextmanager
-    def run_entry_process(self) -> Iterator[tuple[int, HostAddress]]:
-        """Run an entry host as a process; yield its id and its address for callers."""
+    def run_entry_process(
+        self, operators: HostAddress | None = None
+    ) -> Iterator[tuple[int, HostAddress]]:
+        """Run an entry host as a process; yield its id and its address for callers.
+
+        It answers operators at the given address.
+        """
         address = get_free_address()
-        arguments = (*self._peer_addresses, self.engine.address, address)
+        arguments = (
+            *self._peer_addresses,
+            self.engine.address,
+            address,
+            operators or get_free_address(),
+        )
         process = subprocess.Popen(
             [sys.executable, "-c", ENTRY_SCRIPT, *arguments], cwd=ROOT
         )
@@ -213,13 +223,19 @@
             process.kill()
             process.wait()
 
-    def start_entry(self, name: str, caller_address: HostAddress) -> EntryHost:
-        """Start an entry host in this process."""
+    def start_entry(
+        self,
+        name: str,
+        caller_address: HostAddress,
+        operators: HostAddress | None = None,
+    ) -> EntryHost:
+        """Start an entry host in this process, which may answer operators."""
         entry = make_entry_host(
             SiteEntrySettings(
-                self._make_site_settings(name, get_free_address()),
+                self._make_site_settings(name, operators or get_free_address()),
                 caller_address,
                 get_free_address(),
+                has_operator_calls=operators is not None,
             ),
             EntryDependencies(
                 make_platform_dialect(),
