Explained what the product's own intake and queues would do with a call

The intake runs its admission on a copy of its counts, and the queue of a pool its decision on a copy of its state. A host that does not own the pool names the owner. Stores answer a new read, the context of a program without beginning a call. The cost of a free endpoint is split into its components.

--- a/oleanderhitch/process/commands/operator_base.py
+++ b/oleanderhitch/process/commands/operator_base.py
@@ -56,6 +56,7 @@
     ASKS_LEADER = 11
     BUSY = 12
     NOT_CURRENT = 13
+    ASKS_OWNER = 14
     UNKNOWN_ROUTE = 20
     UNKNOWN_KEY = 21
     UNKNOWN_ID = 22
@@ -65,6 +66,7 @@
     OVERLOADED = 26
     QUARANTINED = 27
     NO_ENDPOINT = 28
+    IN_PROGRESS = 29
 
 
 class OperatorSettings(BaseSettings):
--- a/oleanderhitch/process/explaining/states.py
+++ b/oleanderhitch/process/explaining/states.py
@@ -7,7 +7,8 @@
     """What would happen to a request now.
 
     ASKS_LEADER: the host asks the leader for a credit or a permit, and its answer
-    decides. NOT_CURRENT: the host has no configuration that it may go by. Verdicts from
+    decides. ASKS_OWNER: it asks the owner of the pool, which is another entry host.
+    NOT_CURRENT: the host has no configuration that it may go by. Verdicts from
     UNKNOWN_ROUTE to UNKNOWN_ID name what the configuration in force does not have. BUSY
     is no answer: the host explains another request, or is overloaded. All others are
     refusals.
@@ -16,6 +17,7 @@
     SENT = "sent_now"
     QUEUED = "queued"
     ASKS_LEADER = "asks_leader"
+    ASKS_OWNER = "asks_owner"
     NOT_CURRENT = "not_current"
     UNKNOWN_ROUTE = "unknown_route"
     UNKNOWN_KEY = "unknown_key"
@@ -27,6 +29,7 @@
     OVERLOADED = "overloaded"
     QUARANTINED = "quarantined"
     NO_ENDPOINT = "no_endpoint"
+    IN_PROGRESS = "in_progress"
 
 
 class Exclusion(Enum):
@@ -60,7 +63,8 @@
     DISTANCE = "distance"
     PRICE = "price"
     UNSEEN = "unseen_requests"
-    PENDING_PREFILL = "pending_prefill"
+    PREFILL_BACKLOG = "prefill_backlog"
+    CACHE_LOAD = "cache_load"
 
 
 class FactKind(Enum):
--- a/oleanderhitch/process/intake/core.py
+++ b/oleanderhitch/process/intake/core.py
@@ -80,13 +80,16 @@
 class IntakeState(Struct):
     """State from which an entry host admits calls.
 
-    `first_view_at` is when the first node table arrived; `absent_since` is when a node
+    `first_view_at` is when the first node table arrived, `viewed_at` when the last one
+    did; `absent_since` is when a node
     disappeared from it.
     """
 
     node: NodeId
     data_centre: DataCentreName
     configuration: Configuration | None = None
+    configured_at: datetime | None = None
+    viewed_at: datetime | None = None
     lease_until: datetime = NEVER
     live_nodes: frozenset[NodeId] = frozenset()
     absent_since: dict[NodeId, datetime] = field(default_factory=dict)
@@ -112,7 +115,7 @@
 
 @handle.register
 def _(message: SubmitCall, state: IntakeState, now: datetime) -> list[object]:
-    result = _admit(message.call, state, now)
+    result = admit(message.call, state, now)
     if isinstance(result, RespondToCaller):
         return [SendReply(message.reply_address, result)]
     state.requests.add(result.request)
@@ -147,7 +150,7 @@
 ) -> list[object]:
     # VersionInstalled confirms to the leader that this host admits every further call
     # under the new version.
-    state.configuration = message.configuration
+    state.configuration, state.configured_at = message.configuration, now
     installed = VersionInstalled(message.configuration.version)
     return [
         SendReply(message.reply_address, installed),
@@ -176,7 +179,7 @@
     }
     gone_nodes = tuple(node for node in state.live_nodes if node not in addresses)
     state.live_nodes = frozenset(addresses)
-    state.first_view_at = state.first_view_at or now
+    state.first_view_at, state.viewed_at = state.first_view_at or now, now
     state.absent_since.update(dict.fromkeys(gone_nodes, now))
     for node in addresses:
         state.absent_since.pop(node, None)
@@ -264,9 +267,10 @@
     return [SendReply(state.drain_reply_address, Drained())]
 
 
-def _admit(
+def admit(
     call: IncomingCall, state: IntakeState, now: datetime
 ) -> Call | RespondToCaller:
+    """Return the call to start, counted against the limits, or why it is refused."""
     refusal = _check_readiness(state, now)
     if refusal is not None:
         return _allow_for_earlier_delivery(refusal, call)
--- a/oleanderhitch/process/intake/messages.py
+++ b/oleanderhitch/process/intake/messages.py
@@ -5,6 +5,7 @@
 from msgspec import field
 
 from oleanderhitch.process.address import Address
+from oleanderhitch.process.explaining.messages import Fact
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.routing.messages import (
     NodesGone,
@@ -13,7 +14,7 @@
 )
 from oleanderhitch.program.ids import AccountId, ProgramId, SequenceNumber
 from oleanderhitch.request.ids import RequestId
-from oleanderhitch.request.messages import Call, Work
+from oleanderhitch.request.messages import Call, RespondToCaller, Work
 from oleanderhitch.values import Value
 from oleanderhitch.version.configuration import Configuration
 from oleanderhitch.version.ids import ConfigurationVersion, PoolId
@@ -44,6 +45,21 @@
     reply_address: Address
 
 
+class ExplainCall(Value, frozen=True):
+    """Asks whether a call would be admitted, which it is not."""
+
+    call: IncomingCall
+    reply_address: Address
+
+
+class CallExplained(Value, frozen=True):
+    """Reports what the intake would do with a call, and what it goes by."""
+
+    result: Call | RespondToCaller
+    version: ConfigurationVersion
+    facts: tuple[Fact, ...]
+
+
 class ProgramLimits(Value, frozen=True):
     """Reports the limits that apply to a new program."""
 
--- a/oleanderhitch/process/intake/task.py
+++ b/oleanderhitch/process/intake/task.py
@@ -6,7 +6,8 @@
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.clock import Clock
 from oleanderhitch.process.ids import NodeId
-from oleanderhitch.process.intake.core import IntakeState, handle, make_intake_state
+from oleanderhitch.process.intake.core import IntakeState, make_intake_state
+from oleanderhitch.process.intake.explaining import handle
 from oleanderhitch.process.intake.messages import (
     PropagateConfiguration,
     SendReply,
--- a/oleanderhitch/process/routing/core.py
+++ b/oleanderhitch/process/routing/core.py
@@ -17,9 +17,12 @@
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.routing.messages import (
+    AskQueue,
+    ExplainEnqueue,
     GetQueueStatus,
     NodesGone,
     NotifyRequest,
+    OwnerElsewhere,
     OwnersChanged,
     PoolsChanged,
     QueueDecided,
@@ -38,6 +41,7 @@
 from oleanderhitch.process.scheduling.messages import (
     EndpointsChanged,
     EnqueueRequest,
+    ExplainSlot,
     GrantSlot,
     HoldSlot,
     NodeGone,
@@ -259,6 +263,15 @@
     return effects
 
 
+@handle.register
+def _(message: ExplainEnqueue, state: RouterState, now: datetime) -> list[object]:
+    queue = _choose_queue(state, message.enqueue.pool)
+    if queue.node != state.node:
+        elsewhere = OwnerElsewhere(queue.node, state.addresses.get(queue.node))
+        return [SendReply(message.reply_address, elsewhere)]
+    return [AskQueue(queue.role, ExplainSlot(message.enqueue, message.reply_address))]
+
+
 @handle.register
 def _(message: GetQueueStatus, state: RouterState, now: datetime) -> list[object]:
     n_waiting = dict.fromkeys(state.owners, 0)
--- a/oleanderhitch/process/routing/messages.py
+++ b/oleanderhitch/process/routing/messages.py
@@ -7,6 +7,7 @@
 from oleanderhitch.process.scheduling.messages import (
     EndpointOffer,
     EnqueueRequest,
+    ExplainSlot,
     GrantSlot,
     RefuseRequest,
     ReleaseSlot,
@@ -64,6 +65,30 @@
     nodes: tuple[NodeId, ...]
 
 
+class ExplainEnqueue(Value, frozen=True):
+    """Asks what the pool's queue would do with a request, which is not queued.
+
+    The reply is SchedulingExplanation, or OwnerElsewhere if another host has the queue.
+    """
+
+    enqueue: EnqueueRequest
+    reply_address: Address
+
+
+class OwnerElsewhere(Value, frozen=True):
+    """Reports that another entry host has the queue of a pool."""
+
+    node: NodeId
+    address: HostAddress | None
+
+
+class AskQueue(Value, frozen=True):
+    """Asks a queue of this host, which need not exist, for an explanation."""
+
+    role: QueueRole
+    question: ExplainSlot
+
+
 class GetQueueStatus(Value, frozen=True):
     """Requests the number of waiting requests and running attempts of this host."""
 
@@ -119,4 +144,4 @@
     """Sends a message to a reply address."""
 
     reply_address: Address
-    message: QueueStatus
+    message: QueueStatus | OwnerElsewhere
--- a/oleanderhitch/process/routing/task.py
+++ b/oleanderhitch/process/routing/task.py
@@ -13,6 +13,7 @@
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.routing.core import RouterState, handle, make_router_state
 from oleanderhitch.process.routing.messages import (
+    AskQueue,
     NotifyRequest,
     QueueDecided,
     ReplyToNode,
@@ -22,9 +23,14 @@
     SetPeerLinks,
 )
 from oleanderhitch.process.routing.states import QueueRole
-from oleanderhitch.process.scheduling.core import handle as handle_queue_message
 from oleanderhitch.process.scheduling.core import make_pool_state
-from oleanderhitch.process.scheduling.messages import GrantSlot, RefuseRequest
+from oleanderhitch.process.scheduling.explaining import explain
+from oleanderhitch.process.scheduling.explaining import handle as handle_queue_message
+from oleanderhitch.process.scheduling.messages import (
+    GrantSlot,
+    RefuseRequest,
+    SlotExplained,
+)
 from oleanderhitch.process.scheduling.records import PoolState
 from oleanderhitch.process.scheduling.settings import PoolSettings
 from oleanderhitch.process.task import NO_TICK, Task, make_task
@@ -83,6 +89,20 @@
     queue.send(effect.message)
 
 
+@perform_effect.register
+def _(effect: AskQueue, resources: RouterResources) -> None:
+    question = effect.question
+    pool = question.enqueue.pool
+    queue = resources.queues.get((pool, effect.role))
+    if queue is not None:
+        queue.send(question)
+        return
+    # The first request would start the queue.
+    empty = make_pool_state(pool, resources.settings, random.Random(0))
+    explained = explain(question.enqueue, empty, resources.clock.now())
+    question.reply_address.send(explained)
+
+
 @perform_effect.register
 def _(effect: SendToNode, resources: RouterResources) -> None:
     link = resources.links.get(effect.node)
@@ -130,6 +150,9 @@
     assert router is not None
 
     def perform(effect: object) -> None:
+        if isinstance(effect, SlotExplained):
+            effect.reply_address.send(effect.explanation)
+            return
         assert isinstance(effect, GrantSlot | RefuseRequest)
         router.send(QueueDecided(role, effect))
 
--- a/oleanderhitch/process/scheduling/affinity.py
+++ b/oleanderhitch/process/scheduling/affinity.py
@@ -1,11 +1,16 @@
 """Track cached prefixes and decide how long a request waits for one."""
 
+from oleanderhitch.process.explaining.states import CostPart
 from oleanderhitch.process.scheduling import health
 from oleanderhitch.process.scheduling.messages import EnqueueRequest
 from oleanderhitch.process.scheduling.records import CachedPrefix, Endpoint, PoolState
 from oleanderhitch.process.scheduling.states import Health
 from oleanderhitch.program.ids import ProgramId
 
+# Seconds of each component; endpoints are compared by the sum.
+CostSeconds = tuple[float, float, float]
+COST_PARTS = (CostPart.PREFILL_BACKLOG, CostPart.BATCH_DELAY, CostPart.CACHE_LOAD)
+
 
 def find_holder(
     state: PoolState, enqueue: EnqueueRequest
@@ -71,14 +76,14 @@
     endpoint.prefill_done_s = max(now_s, endpoint.prefill_done_s) + seconds
 
 
-def get_cost_s(state: PoolState, endpoint: Endpoint, now_s: float) -> float:
-    """Return the estimated cost, in seconds, of a request without a cached prefix."""
+def get_cost_s(state: PoolState, endpoint: Endpoint, now_s: float) -> CostSeconds:
+    """Return the components of the cost of a request without a cached prefix."""
     backlog_s = (
         max(0.0, endpoint.prefill_done_s - now_s) * state.settings.prefill_weight
     )
     batch_s = state.averages.slot_s * endpoint.n_in_flight / endpoint.n_slots
     cache_load_s = state.settings.cache_load_weight_s * get_cache_load(endpoint)
-    return backlog_s + batch_s + cache_load_s
+    return backlog_s, batch_s, cache_load_s
 
 
 def get_cache_load(endpoint: Endpoint) -> float:
--- a/oleanderhitch/process/scheduling/dispatching.py
+++ b/oleanderhitch/process/scheduling/dispatching.py
@@ -22,6 +22,7 @@
     QueuedRequest,
 )
 from oleanderhitch.process.scheduling.states import Health
+from oleanderhitch.version.ids import EndpointId
 
 # Engines serve lower priority numbers first. The number of a request grows with the
 # logarithm of its uncached prompt tokens, in units of this many tokens.
@@ -41,9 +42,7 @@
 ) -> Iterator[GrantSlot]:
     """Yield grants of an endpoint's free slots to its own and the general queue."""
     while endpoint.n_in_flight < endpoint.n_slots:
-        next_item = _find_next(
-            state, endpoint, _accepts_general(state, endpoint, now_s)
-        )
+        next_item = _find_next(state, endpoint, accepts_general(state, endpoint, now_s))
         if next_item is None:
             return
         heap, item = next_item
@@ -132,7 +131,8 @@
     state.probation[endpoint.endpoint] = None
 
 
-def _accepts_general(state: PoolState, endpoint: Endpoint, now_s: float) -> bool:
+def accepts_general(state: PoolState, endpoint: Endpoint, now_s: float) -> bool:
+    """Return whether an endpoint may get requests of the general queue."""
     if endpoint.n_in_flight >= endpoint.n_slots:
         return False
     if endpoint.health is Health.PROBATION:
@@ -152,7 +152,7 @@
 def _find_probation_endpoint(state: PoolState, now_s: float) -> Endpoint | None:
     for name in islice(state.probation, N_PROBE_CANDIDATES_LIMIT):
         endpoint = state.endpoints[name]
-        if _accepts_general(state, endpoint, now_s):
+        if accepts_general(state, endpoint, now_s):
             return endpoint
     return None
 
@@ -187,17 +187,23 @@
     may_probe = waiting.enqueue.is_idempotent or not state.free_endpoints.nonempty_mask
     if on_probation is not None and may_probe and on_probation.endpoint not in excluded:
         return on_probation
-    names = free_index.list_least_loaded(
-        state.free_endpoints, N_CANDIDATES_LIMIT + len(excluded)
-    )
-    free = [state.endpoints[name] for name in names if name not in excluded]
     return min(
-        free,
-        key=lambda endpoint: affinity.get_cost_s(state, endpoint, now_s),
+        list_candidates(state, excluded),
+        key=lambda endpoint: sum(affinity.get_cost_s(state, endpoint, now_s)),
         default=None,
     )
 
 
+def list_candidates(
+    state: PoolState, excluded: tuple[EndpointId, ...]
+) -> list[Endpoint]:
+    """Return the free endpoints that are compared for a request."""
+    names = free_index.list_least_loaded(
+        state.free_endpoints, N_CANDIDATES_LIMIT + len(excluded)
+    )
+    return [state.endpoints[name] for name in names if name not in excluded]
+
+
 def _find_hedge_endpoint(state: PoolState, first: Permit) -> Endpoint | None:
     avoided = (first.endpoint, *first.excluded)
     for name in free_index.list_least_loaded(state.free_endpoints, 1 + len(avoided)):
--- a/oleanderhitch/process/scheduling/limits.py
+++ b/oleanderhitch/process/scheduling/limits.py
@@ -16,9 +16,14 @@
 
     It is 0 while the pool has no slots.
     """
+    return get_drain_time_s(state, len(state.waiting))
+
+
+def get_drain_time_s(state: PoolState, n_waiting: int) -> float:
+    """Return the estimated seconds until a number of requests have a slot."""
     if state.n_slots == 0:
         return 0.0
-    return len(state.waiting) * state.averages.slot_s / state.n_slots
+    return n_waiting * state.averages.slot_s / state.n_slots
 
 
 def find_refusal(state: PoolState, enqueue: EnqueueRequest) -> str | None:
--- a/oleanderhitch/process/scheduling/messages.py
+++ b/oleanderhitch/process/scheduling/messages.py
@@ -1,10 +1,12 @@
 """Define the messages and effects of a pool's queue.
 
-The class names and fields are part of the protocol between hosts.
+The class names and fields of those in MESSAGES are part of the protocol between hosts.
 """
 
 from datetime import timedelta
 
+from oleanderhitch.process.address import Address
+from oleanderhitch.process.explaining.messages import SchedulingExplanation
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.program.ids import AccountId, ProgramId
 from oleanderhitch.request.ids import PermitId, RequestId
@@ -132,6 +134,21 @@
     retry_after: timedelta
 
 
+class ExplainSlot(Value, frozen=True):
+    """Asks what would be done with a request, which is not queued."""
+
+    enqueue: EnqueueRequest
+    reply_address: Address
+
+
+class SlotExplained(Value, frozen=True):
+    """Delivers an explanation to the address that asked for it."""
+
+    reply_address: Address
+    explanation: SchedulingExplanation
+
+
+# Messages that are sent between hosts.
 MESSAGES: tuple[type, ...] = (
     EnqueueRequest,
     WithdrawRequest,
--- a/oleanderhitch/program/core.py
+++ b/oleanderhitch/program/core.py
@@ -23,6 +23,7 @@
     ExpirePrograms,
     FailAttempt,
     FinishRequest,
+    GetContext,
     GetHistory,
     GetOutcome,
     GetProgram,
@@ -33,7 +34,11 @@
     Refused,
     StartProgram,
 )
-from oleanderhitch.program.ordering import begin_request
+from oleanderhitch.program.ordering import (
+    begin_request,
+    make_begun,
+    refuse_other_account,
+)
 from oleanderhitch.program.outcomes import (
     close_request,
     finish_request,
@@ -55,6 +60,7 @@
     | CloseRequest
     | EndProgram
     | GetProgram
+    | GetContext
     | GetOutcome
     | GetHistory
 )
@@ -111,6 +117,7 @@
 @apply.register(CloseRequest)
 @apply.register(EndProgram)
 @apply.register(GetProgram)
+@apply.register(GetContext)
 @apply.register(GetOutcome)
 @apply.register(GetHistory)
 def _(command: ProgramCommand, state: ShardState) -> object:
@@ -182,6 +189,13 @@
     return Done()
 
 
+@_apply_to_program.register
+def _(command: GetContext, state: ShardState, entry: ProgramEntry) -> object:
+    if command.account != entry.account:
+        return refuse_other_account(command.program, command.account)
+    return make_begun(state, entry, 0)
+
+
 @_apply_to_program.register
 def _(command: GetProgram, state: ShardState, entry: ProgramEntry) -> object:
     open_request = entry.open_request
--- a/oleanderhitch/program/messages.py
+++ b/oleanderhitch/program/messages.py
@@ -164,6 +164,13 @@
     program: ProgramId
 
 
+class GetContext(Value, frozen=True):
+    """Reads what Begun would report of a program, without beginning a call."""
+
+    program: ProgramId
+    account: AccountId
+
+
 class GetOutcome(Value, frozen=True):
     """Reads what is recorded of a request."""
 
@@ -282,6 +289,7 @@
 )
 READS: tuple[type, ...] = (
     GetProgram,
+    GetContext,
     GetOutcome,
     GetHistory,
     ListReleases,
--- a/oleanderhitch/program/ordering.py
+++ b/oleanderhitch/program/ordering.py
@@ -10,7 +10,7 @@
     record_activity,
 )
 from oleanderhitch.program.history import make_ended_request_record
-from oleanderhitch.program.ids import SequenceNumber
+from oleanderhitch.program.ids import AccountId, ProgramId, SequenceNumber
 from oleanderhitch.program.lifecycle import end_program
 from oleanderhitch.program.messages import NO_RUN, BeginRequest, Begun, Refused
 from oleanderhitch.program.outcomes import (
@@ -35,10 +35,7 @@
     of the request.
     """
     if command.account not in (None, entry.account):
-        return Refused(
-            RefusalReason.UNKNOWN_PROGRAM,
-            f"account {command.account} has no program {command.program}",
-        )
+        return refuse_other_account(command.program, command.account)
     open_request = entry.open_request
     if open_request is not None and open_request.request == command.request:
         return _handle_duplicate_begin(state, entry, open_request, command)
@@ -68,7 +65,14 @@
         _get_reserved_tokens(entry, command),
     )
     record_activity(state, entry, command.at)
-    return _make_begun(state, entry, command)
+    return make_begun(state, entry, _get_reserved_tokens(entry, command))
+
+
+def refuse_other_account(program: ProgramId, account: AccountId | None) -> Refused:
+    """Return the refusal for a program of another account."""
+    return Refused(
+        RefusalReason.UNKNOWN_PROGRAM, f"account {account} has no program {program}"
+    )
 
 
 def _get_reserved_tokens(entry: ProgramEntry, command: BeginRequest) -> int:
@@ -89,7 +93,7 @@
         return _restart_request(state, entry, open_request, command)
     is_resent = command.run == open_request.run != NO_RUN
     if is_resent and not open_request.is_interrupted:
-        return _make_begun(state, entry, command)
+        return make_begun(state, entry, _get_reserved_tokens(entry, command))
     return make_open_request_record(entry, open_request)
 
 
@@ -108,13 +112,13 @@
     open_request.spare_tokens = reserved_tokens
     open_request.is_interrupted = False
     record_activity(state, entry, command.at)
-    return _make_begun(state, entry, command)
+    return make_begun(state, entry, reserved_tokens)
 
 
-def _make_begun(state: ShardState, entry: ProgramEntry, command: BeginRequest) -> Begun:
+def make_begun(state: ShardState, entry: ProgramEntry, reserved_tokens: int) -> Begun:
+    """Return the history of a program, its usage and what may cache its prompt."""
     include_history = state.include_history
     history = state.history.read_turns(entry.program) if include_history else ()
-    reserved_tokens = _get_reserved_tokens(entry, command)
     return Begun(history, entry.spent_tokens, tuple(entry.holders), reserved_tokens)
 
 
