Tested explanations by an entry host of the product

An entry process with its own store is asked before it has a configuration, for an unknown program and account, and for a call that the engine would get; the program is as before.

--- a/oleanderhitch/connection/caller/app.py
+++ b/oleanderhitch/connection/caller/app.py
@@ -12,6 +12,8 @@
 from oleanderhitch.connection.caller.exceptions import CallRefusedError
 from oleanderhitch.connection.caller.parsing import (
     BODY_LIMIT_BYTES,
+    MODEL_CALL_PATH,
+    SERVICE_CALL_PATH,
     parse_model_call,
     parse_service_call,
 )
@@ -142,7 +144,7 @@
 
 
 def _add_call_routes(app: bottle.Bottle, submitter: CallSubmitter) -> None:
-    @app.post("/v1/chat/completions")
+    @app.post(MODEL_CALL_PATH)
     def complete_chat() -> Any:
         call, is_streamed = parse_model_call(bottle.request.headers, _read_body())
         pending = submitter.submit(call)
@@ -150,7 +152,7 @@
             return _make_stream_response(pending)
         return _make_complete_response(pending)
 
-    @app.post("/v1/services/<service>/<operation>")
+    @app.post(f"{SERVICE_CALL_PATH}<service>/<operation>")
     def call_service(service: str, operation: str) -> Any:
         call = parse_service_call(
             bottle.request.headers, service, operation, _read_body()
--- a/oleanderhitch/connection/caller/parsing.py
+++ b/oleanderhitch/connection/caller/parsing.py
@@ -25,6 +25,8 @@
 OUTPUT_LIMIT_TOKENS = 32_768
 # Larger numbers do not fit the 64 bits of a record.
 N_DIGITS_MAX = 18
+MODEL_CALL_PATH = "/v1/chat/completions"
+SERVICE_CALL_PATH = "/v1/services/"
 ROLES = ("system", "user", "assistant", "tool")
 
 Headers = Mapping[str, str]
@@ -53,6 +55,17 @@
     return _make_call(headers, ServiceWork(service, operation, body), body)
 
 
+def parse_call(method: str, path: str, headers: Headers, body: bytes) -> IncomingCall:
+    """Return the call that a request makes; raise CallRefusedError."""
+    if method == "POST" and path == MODEL_CALL_PATH:
+        return parse_model_call(headers, body)[0]
+    service, _, operation = path.removeprefix(SERVICE_CALL_PATH).partition("/")
+    is_service_call = path.startswith(SERVICE_CALL_PATH) and service and operation
+    if method != "POST" or not is_service_call or "/" in operation:
+        raise CallRefusedError(Reason.NOT_FOUND, "no call has this method and path")
+    return parse_service_call(headers, service, operation, body)
+
+
 def parse_json_object(body: bytes) -> dict[str, Any]:
     """Return the JSON object of a body; raise CallRefusedError."""
     _check_body_size(body)
--- a/oleanderhitch/connection/peer_codec.py
+++ b/oleanderhitch/connection/peer_codec.py
@@ -3,6 +3,7 @@
 from oleanderhitch.connection.codec import Codec, make_codec
 from oleanderhitch.connection.peer import messages as peer
 from oleanderhitch.process.configuration import messages as configuration
+from oleanderhitch.process.explaining import messages as explaining
 from oleanderhitch.process.groups import messages as groups
 from oleanderhitch.process.membership import messages as membership
 from oleanderhitch.process.replication import messages as replication
@@ -17,6 +18,7 @@
     configuration,
     membership,
     scheduling,
+    explaining,
     program,
     request,
 )
--- a/oleanderhitch/process/commands/operator_base.py
+++ b/oleanderhitch/process/commands/operator_base.py
@@ -67,6 +67,7 @@
     QUARANTINED = 27
     NO_ENDPOINT = 28
     IN_PROGRESS = 29
+    NOT_ALLOWED = 30
 
 
 class OperatorSettings(BaseSettings):
--- a/oleanderhitch/process/explaining/service.py
+++ b/oleanderhitch/process/explaining/service.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from datetime import timedelta
+from typing import TypeVar
 
 import logbook
 
@@ -12,10 +13,12 @@
 from oleanderhitch.connection.peer.messages import PeerMessage
 from oleanderhitch.connection.peer.server import PeerServer, make_peer_server
 from oleanderhitch.exceptions import UnavailableError
+from oleanderhitch.process.address import Address
 from oleanderhitch.process.explaining import messages
 from oleanderhitch.process.explaining.messages import ExplainRequest, Explanation
 from oleanderhitch.process.explaining.states import ExplainVerdict
 from oleanderhitch.process.ids import NodeId
+from oleanderhitch.process.mailbox import Mailbox
 from oleanderhitch.process.metrics.core import Metrics
 from oleanderhitch.process.metrics.states import Counter
 
@@ -29,6 +32,21 @@
 log = logbook.Logger("operators")
 
 
+Expected = TypeVar("Expected")
+
+
+def ask_task(
+    task: Address, question: object, mailbox: Mailbox, expected: type[Expected]
+) -> Expected:
+    """Return the reply of a task; raise UnavailableError if it does not answer."""
+    task.send(question)
+    reply = mailbox.receive(ANSWER_TIMEOUT)
+    if reply is None or not isinstance(reply, expected):
+        seconds = ANSWER_TIMEOUT.total_seconds()
+        raise UnavailableError(f"a task of the host did not answer within {seconds} s")
+    return reply
+
+
 class ExplainService:
     """Answers one call at a time, since each delays the requests of the host."""
 
--- a/oleanderhitch/process/explaining/states.py
+++ b/oleanderhitch/process/explaining/states.py
@@ -30,6 +30,7 @@
     QUARANTINED = "quarantined"
     NO_ENDPOINT = "no_endpoint"
     IN_PROGRESS = "in_progress"
+    NOT_ALLOWED = "not_allowed"
 
 
 class Exclusion(Enum):
--- a/oleanderhitch/process/intake/explaining.py
+++ b/oleanderhitch/process/intake/explaining.py
@@ -21,6 +21,8 @@
     IncomingCall,
     SendReply,
 )
+from oleanderhitch.program.ids import AccountId
+from oleanderhitch.version.exceptions import UndeclaredNameError
 from oleanderhitch.version.ids import NO_VERSION
 
 
@@ -35,9 +37,20 @@
     configuration = state.configuration
     return CallExplained(
         admit(call, copied, now),
+        _is_account_known(call.account, state),
         NO_VERSION if configuration is None else configuration.version,
         (
             make_fact(FactKind.CONFIGURATION, state.configured_at, now),
             make_fact(FactKind.OWNERSHIP, state.viewed_at, now),
         ),
     )
+
+
+def _is_account_known(account: AccountId, state: IntakeState) -> bool:
+    if state.configuration is None:
+        return False
+    try:
+        state.configuration.get_account_rules(account)
+    except UndeclaredNameError:
+        return False
+    return True
--- a/oleanderhitch/process/intake/messages.py
+++ b/oleanderhitch/process/intake/messages.py
@@ -56,6 +56,7 @@
     """Reports what the intake would do with a call, and what it goes by."""
 
     result: Call | RespondToCaller
+    is_account_known: bool
     version: ConfigurationVersion
     facts: tuple[Fact, ...]
 
--- a/oleanderhitch/process/roles/entry.py
+++ b/oleanderhitch/process/roles/entry.py
@@ -20,6 +20,8 @@
 from oleanderhitch.connection.peer.server import PeerServer, make_peer_server
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.clock import Clock
+from oleanderhitch.process.explaining.messages import ExplainRequest
+from oleanderhitch.process.explaining.service import ExplainService
 from oleanderhitch.process.groups.client.core import ClientState
 from oleanderhitch.process.groups.client.task import make_group_client
 from oleanderhitch.process.groups.messages import (
@@ -53,6 +55,10 @@
 )
 from oleanderhitch.process.metrics.states import Counter
 from oleanderhitch.process.roles.engines import EngineComponents, make_engine_components
+from oleanderhitch.process.roles.explaining import (
+    EntryExplainDependencies,
+    make_entry_explain_service,
+)
 from oleanderhitch.process.roles.status import StatusApi
 from oleanderhitch.process.roles.store_access import StoreAccess
 from oleanderhitch.process.routing.core import RouterState
@@ -90,6 +96,7 @@
     store_access: StoreAccess
     peer_server: PeerServer
     caller_server: CallerServer
+    explain_service: ExplainService
 
     def start(self) -> None:
         """Start all tasks, then listen for peers and callers."""
@@ -138,6 +145,11 @@
     components.node_task.send(message)
 
 
+@receive.register(ExplainRequest)
+def _(message: object, delivery: PeerMessage, components: EntryComponents) -> None:
+    components.explain_service.serve(delivery)
+
+
 @receive.register(EnqueueRequest)
 @receive.register(WithdrawRequest)
 @receive.register(ReleaseSlot)
@@ -276,6 +288,12 @@
             count_bytes=count_bytes,
         ),
         caller_server,
+        make_entry_explain_service(
+            EntryExplainDependencies(
+                node, clock, codec, group_client, intake, router, get_group
+            ),
+            metrics,
+        ),
     )
     return components
 
--- a/oleanderhitch/process/site/explaining.py
+++ b/oleanderhitch/process/site/explaining.py
@@ -7,12 +7,10 @@
 from copy import deepcopy
 from datetime import datetime, timedelta
 from functools import partial
-from typing import TypeVar
 
 from msgspec.structs import replace
 
-from oleanderhitch.exceptions import InvalidInputError, UnavailableError
-from oleanderhitch.process.address import Address
+from oleanderhitch.exceptions import InvalidInputError
 from oleanderhitch.process.explaining.messages import (
     ExplainRequest,
     Explanation,
@@ -21,8 +19,8 @@
     make_fact,
 )
 from oleanderhitch.process.explaining.service import (
-    ANSWER_TIMEOUT,
     ExplainService,
+    ask_task,
     make_explain_service,
 )
 from oleanderhitch.process.explaining.states import (
@@ -31,7 +29,7 @@
     Unchecked,
 )
 from oleanderhitch.process.ids import NodeId
-from oleanderhitch.process.mailbox import Mailbox, make_mailbox
+from oleanderhitch.process.mailbox import make_mailbox
 from oleanderhitch.process.placement.messages import ExplainPlacement
 from oleanderhitch.process.quotas.messages import CreditExplained, ExplainCredit
 from oleanderhitch.process.site.subscription.installed_state import InstalledState
@@ -65,8 +63,6 @@
     Verdict.UNAUTHORIZED: ExplainVerdict.UNKNOWN_KEY,
 }
 
-Expected = TypeVar("Expected")
-
 
 def make_site_explain_service(
     host: NodeId, dependencies: ForwardDependencies
@@ -187,7 +183,9 @@
     assert isinstance(effect, RequestCredit)
     mailbox = make_mailbox("explained credit")
     acquire = make_acquire_credit(effect, state, mailbox)
-    return _ask(dependencies.quotas, ExplainCredit(acquire), mailbox, CreditExplained)
+    return ask_task(
+        dependencies.quotas, ExplainCredit(acquire), mailbox, CreditExplained
+    )
 
 
 def _explain_placement(
@@ -197,18 +195,7 @@
     assert isinstance(effect, RequestEndpoint)
     mailbox = make_mailbox("explained placement")
     question = ExplainPlacement(make_acquire(effect, state, mailbox), mailbox)
-    return _ask(dependencies.placement, question, mailbox, SchedulingExplanation)
-
-
-def _ask(
-    task: Address, question: object, mailbox: Mailbox, expected: type[Expected]
-) -> Expected:
-    task.send(question)
-    reply = mailbox.receive(ANSWER_TIMEOUT)
-    if not isinstance(reply, expected):
-        seconds = ANSWER_TIMEOUT.total_seconds()
-        raise UnavailableError(f"a task of the host did not answer within {seconds} s")
-    return reply
+    return ask_task(dependencies.placement, question, mailbox, SchedulingExplanation)
 
 
 def _list_facts(installed: InstalledState) -> tuple[Fact, ...]:
--- a/oleanderhitch/request/task.py
+++ b/oleanderhitch/request/task.py
@@ -258,14 +258,22 @@
 
 @perform_effect.register
 def _(effect: EnqueueCall, resources: RequestResources) -> None:
-    call = resources.call
-    now = resources.dependencies.clock.now()
-    enqueue = EnqueueRequest(
+    dependencies = resources.dependencies
+    now = dependencies.clock.now()
+    enqueue = make_enqueue(effect, resources.call, dependencies.node, now)
+    dependencies.router.send(RouteEnqueue(enqueue, resources.get_task()))
+
+
+def make_enqueue(
+    effect: EnqueueCall, call: Call, node: NodeId, now: datetime
+) -> EnqueueRequest:
+    """Return the message to the pool's queue for a call."""
+    return EnqueueRequest(
         call.pool,
         call.request,
         call.program,
         call.account,
-        resources.dependencies.node,
+        node,
         call.is_idempotent,
         effect.n_turns,
         effect.attained_tokens,
@@ -276,7 +284,6 @@
         call.deadline - now,
         timedelta(0),
     )
-    resources.dependencies.router.send(RouteEnqueue(enqueue, resources.get_task()))
 
 
 @perform_effect.register
--- a/tests/process/scheduling/test_properties.py
+++ b/tests/process/scheduling/test_properties.py
@@ -67,7 +67,8 @@
     harness.offer(leaving=leaving, **slots)
 
 
-def _run(harness, steps):
+def run(harness, steps):
+    """Perform steps."""
     verbs = {
         "release": lambda *args: _release(harness, *args),
         "withdraw": lambda *args: _withdraw(harness, *args),
@@ -98,7 +99,7 @@
     """Guard against lost requests and leaked slots after any sequence of messages."""
     harness = PoolHarness(n_waiting_limit=n_waiting_limit, n_slow_observations=1)
     harness.offer(e1=2, e2=2, e3=2)
-    _run(harness, steps)
+    run(harness, steps)
     _drain(harness)
     assert set(harness.ended) == set(harness.sent)
     state = harness.state
@@ -114,7 +115,7 @@
     """Guard against a new owner that doesn't count the slots in use."""
     harness = PoolHarness()
     harness.offer(e1=2, e2=2, e3=2)
-    _run(harness, steps)
+    run(harness, steps)
     before = {name: harness.count_in_flight(name) for name in harness.slots}
     n_waiting = len(harness.waiting)
     harness.replace_owner()
--- a/tests/process/site/test_explaining.py
+++ b/tests/process/site/test_explaining.py
@@ -1,21 +1,12 @@
 """Guard against explanations by an entry process that err, act or show a key."""
 
-import json
 from collections.abc import Iterator
 from pathlib import Path
-from typing import Any
 
 import pytest
-from cleo.testers.application_tester import ApplicationTester
 
-from oleanderhitch.connection.ids import HostAddress
-from oleanderhitch.process.clock import make_system_clock
-from oleanderhitch.process.commands.operator_application import make_application
-from oleanderhitch.process.commands.operator_base import (
-    CommandDependencies,
-    ExitCode,
-)
-from oleanderhitch.process.operators.explaining import send_explain_request
+from oleanderhitch.process.commands.operator_base import ExitCode
+from tests.process.operator import Operator
 from tests.process.site.harness import (
     REVOCATION_LIMIT,
     SiteHarness,
@@ -28,54 +19,6 @@
 HEADERS = "X-Request-Id: 1\nX-Token-Usage: 100,50\nX-Program-Id: p\n"
 
 
-class Operator:
-    """Runs the command against one host and keeps all that it writes."""
-
-    def __init__(self, directory: Path, entry: HostAddress) -> None:
-        self._directory = directory
-        self._entry = entry
-        self.written: list[str] = []
-        self._write("shared", "key")
-
-    def _write(self, name: str, content: str) -> Path:
-        path = self._directory / name
-        path.write_text(content)
-        return path
-
-    def explain(
-        self,
-        url: str = URL,
-        key: str | None = None,
-        options: str = "",
-        entry: HostAddress | None = None,
-    ) -> tuple[ExitCode, dict[str, Any]]:
-        """Return the exit code and the content; the lines for people are kept too."""
-        credential = "" if key is None else f"Authorization: Token {key}\n"
-        headers = self._write("headers", HEADERS + credential)
-        line = (
-            f"explain POST {url} --entry {entry or self._entry} --header @{headers} "
-            f"--key-file {self._directory / 'shared'} {options}"
-        )
-        assert self._run(line) is self._run(f"{line} --json")
-        code = self._run(f"{line} --json")
-        content: dict[str, Any] = json.loads(self.written[-1])
-        return code, content.get("explanation", content)
-
-    def _run(self, line: str) -> ExitCode:
-        dependencies = CommandDependencies(
-            lambda settings: pytest.fail("no store is asked"),
-            make_system_clock(),
-            lambda duration: None,
-            self.written.append,
-            send_explain_request=send_explain_request,
-        )
-        tester = ApplicationTester(make_application(dependencies))
-        tester.execute(line)
-        self.written.append(tester.io.fetch_output() + tester.io.fetch_error())
-        self.written.pop() if not self.written[-1] else None
-        return ExitCode(tester.status_code)
-
-
 @pytest.fixture
 def site(tmp_path: Path) -> Iterator[SiteHarness]:
     """Return a site that is not started."""
@@ -92,7 +35,7 @@
 def test_entry_process_explains_requests(site: SiteHarness, tmp_path: Path) -> None:
     """Guard against wrong verdicts, sent requests and keys in the output."""
     operators = get_free_address()
-    operator = Operator(tmp_path, operators)
+    operator = Operator(tmp_path, operators, URL, HEADERS)
     code, content = operator.explain()
     assert code is ExitCode.UNREACHABLE and "can't be reached" in content["error"]
     with site.run_entry_process(operators) as (_, address):
