Tested explanations of limited accounts, and calls at the same time

A host that holds no credit says that the leader decides, and what placement would do with one. A second call at the same time is answered as busy.

--- a/tests/process/site/test_explaining.py
+++ b/tests/process/site/test_explaining.py
@@ -1,11 +1,22 @@
 """Guard against explanations by an entry process that err, act or show a key."""
 
 from collections.abc import Iterator
+from datetime import timedelta
 from pathlib import Path
 
 import pytest
 
+from oleanderhitch.connection.http.messages import HttpRequest
+from oleanderhitch.connection.peer.messages import PeerMessage
+from oleanderhitch.exceptions import UnavailableError
 from oleanderhitch.process.commands.operator_base import ExitCode
+from oleanderhitch.process.explaining.messages import ExplainRequest, Explanation
+from oleanderhitch.process.explaining.service import make_explain_service
+from oleanderhitch.process.explaining.states import ExplainVerdict
+from oleanderhitch.process.ids import NodeId
+from oleanderhitch.process.mailbox import make_mailbox
+from oleanderhitch.process.metrics.core import make_metrics
+from oleanderhitch.process.quotas.messages import QuotaBounds
 from tests.process.operator import Operator
 from tests.process.site.harness import (
     REVOCATION_LIMIT,
@@ -27,6 +38,50 @@
     harness.close()
 
 
+def test_explanation_says_what_the_leader_of_quotas_decides(tmp_path: Path) -> None:
+    """Guard against a request that is said to be sent before the leader is asked."""
+    bounds = QuotaBounds(timedelta(seconds=5), 0.1, 20)
+    site = SiteHarness(tmp_path, 1, quota_bounds=bounds)
+    operators = get_free_address()
+    operator = Operator(tmp_path, operators, URL, HEADERS)
+    try:
+        site.start()
+        account = {"name": "desk", "api_keys": [KEY], "rate_per_s": 5, "burst": 5}
+        site.publish(1, tenants=[account])
+        entry = site.start_entry("entry-1", get_free_address(), operators)
+        wait_until(lambda: operator.explain()[0] is ExitCode.UNKNOWN_KEY, "its table")
+        code, content = operator.explain(key=KEY)
+        assert code is ExitCode.ASKS_LEADER, content
+        assert content["unchecked"] == ["credit_of_the_leader"]
+        assert "sent_now" in content["detail"] and content["endpoints"]
+        share = content["share"]
+        assert (share["requests_per_s"], share["n_credits"]) == (5, 0)
+        entry.close()
+    finally:
+        site.close()
+
+
+def test_host_explains_one_request_at_a_time() -> None:
+    """Guard against calls that pile up at a host, and calls without an answer."""
+    request = ExplainRequest(1, HttpRequest("GET", "/", (), b""))
+    mailbox = make_mailbox("test")
+    delivery = PeerMessage(NodeId("operator"), request, mailbox)
+
+    def answer(request: ExplainRequest) -> Explanation:
+        service.serve(delivery)
+        raise UnavailableError("a task does not answer")
+
+    service = make_explain_service(NodeId("entry"), answer, make_metrics())
+    service.serve(delivery)
+    details = []
+    while mailbox.n_waiting:
+        explanation = mailbox.receive()
+        assert isinstance(explanation, Explanation)
+        assert explanation.verdict is ExplainVerdict.BUSY
+        details.append(explanation.detail)
+    assert details == ["the host explains another request", "a task does not answer"]
+
+
 def count_runs(site: SiteHarness) -> int:
     """Return how many requests ran; those without a body are reads of the cache."""
     return sum(bool(body) for body in site.engine.bodies)
