Handed the ledger of quotas over when the leadership is moved

Cause: each new leader of the group `site` began with empty buckets and lent nothing for 500 ms, also after a planned transfer. The balance of leaderships moves `site` in the first seconds of a site, when its turn comes.

Change: a new leader asks the other stores for the ledger of the term before. The leader of that term ends its ledger and hands it over, once and only to the next term; the new one goes on with its levels. Without an answer the silence is as before. A cancelled transfer keeps its ledger, and a stopping store waits for its successor within its 600 ms.

The property-based test of the limit has handovers among its steps and passes.

--- a/oleanderhitch/process/quotas/messages.py
+++ b/oleanderhitch/process/quotas/messages.py
@@ -4,6 +4,7 @@
 from typing import NewType
 
 from oleanderhitch.process.address import Address
+from oleanderhitch.process.ids import Term
 from oleanderhitch.program.ids import AccountId, ProgramId
 from oleanderhitch.request.ids import HolderId
 from oleanderhitch.values import Value
@@ -94,6 +95,41 @@
     loans: tuple[CreditLoan, ...] = ()
 
 
+# Messages between the leaders of two terms.
+
+
+class GetLedger(Value, frozen=True):
+    """Asks for the ledger of the term before `term`, which its leader then ends.
+
+    The leader of `term` sends it to all stores.
+    """
+
+    term: Term
+
+
+class BucketLevel(Value, frozen=True):
+    """What the bucket of an account has left, and how it fills."""
+
+    account: AccountId
+    requests_per_s: float
+    capacity: float
+    level: float
+
+
+class LedgerHandedOver(Value, frozen=True):
+    """Hands the ledger of the term before over to the leader of `term`.
+
+    The ledger lends from `lends_from_ms` after this message; the time is negative for
+    one that has lent already. Without `has_limits`, it has lent nothing of an account
+    with a limit.
+    """
+
+    term: Term
+    lends_from_ms: int
+    has_limits: bool
+    buckets: tuple[BucketLevel, ...]
+
+
 # Messages of the requests of an entry host.
 
 
--- a/oleanderhitch/process/site/messages.py
+++ b/oleanderhitch/process/site/messages.py
@@ -16,7 +16,12 @@
     SendPermitRequest,
     SpeedObservations,
 )
-from oleanderhitch.process.quotas.messages import CreditReply, CreditRequest
+from oleanderhitch.process.quotas.messages import (
+    CreditReply,
+    CreditRequest,
+    GetLedger,
+    LedgerHandedOver,
+)
 from oleanderhitch.values import Value
 from oleanderhitch.version.ids import DataCentreName, HostName
 from oleanderhitch.version.routes.ids import NO_ROUTING, RoutingVersion
@@ -177,4 +182,6 @@
     SendPermitReply,
     CreditRequest,
     CreditReply,
+    GetLedger,
+    LedgerHandedOver,
 )
--- a/oleanderhitch/process/site/quota_ledger.py
+++ b/oleanderhitch/process/site/quota_ledger.py
@@ -18,11 +18,14 @@
 from msgspec import Struct, field
 from msgspec.structs import replace
 
+from oleanderhitch.process.ids import Term
 from oleanderhitch.process.quotas.messages import (
+    BucketLevel,
     CreditDemand,
     CreditLoan,
     CreditReply,
     CreditRequest,
+    LedgerHandedOver,
     LedgerId,
     QuotaBounds,
     ReturnedCredits,
@@ -148,7 +151,7 @@
     """The buckets of all accounts with a limit; lives as long as a leader leads.
 
     The buckets are empty at `lends_from`, since nothing is known of the loans of the
-    leader before.
+    leader before, unless that leader has handed its ledger over.
     """
 
     ledger: LedgerId
@@ -189,6 +192,17 @@
         loans = tuple(self._lend(demand, now) for demand in request.demands)
         return CreditReply(request.number, True, self.ledger, loans)
 
+    def hand_over(self, term: Term, now: datetime) -> LedgerHandedOver:
+        """Return what the leader of the next term needs to go on with this ledger."""
+        for bucket in self.buckets.values():
+            bucket.fill(now)
+        buckets = tuple(
+            BucketLevel(name, bucket.requests_per_s, bucket.capacity, bucket.level)
+            for name, bucket in self.buckets.items()
+        )
+        lends_from_ms = -math.floor((now - self.lends_from) / MILLISECOND)
+        return LedgerHandedOver(term, lends_from_ms, self.has_limits, buckets)
+
     def find_level(self, account: AccountId, now: datetime) -> float | None:
         """Return the credits of an account, None without a limit."""
         bucket = self.buckets.get(account)
@@ -290,3 +304,26 @@
 ) -> QuotaLedger:
     """Return a ledger that has no limits yet."""
     return QuotaLedger(ledger, bounds, lends_from)
+
+
+def continue_ledger(
+    ledger: LedgerId, bounds: QuotaBounds, handed_over: LedgerHandedOver, now: datetime
+) -> QuotaLedger:
+    """Return a ledger that goes on with the buckets of the term before.
+
+    They have not filled while the message was on its way. Credits that the term before
+    has lent do not return, since their peaks are not known.
+    """
+    buckets = {
+        bucket.account: Bucket(
+            bucket.requests_per_s,
+            bucket.capacity,
+            timedelta(0),
+            0.0,
+            bucket.level,
+            now,
+        )
+        for bucket in handed_over.buckets
+    }
+    lends_from = now + handed_over.lends_from_ms * MILLISECOND
+    return QuotaLedger(ledger, bounds, lends_from, buckets, handed_over.has_limits)
--- a/oleanderhitch/process/site/quota_lender.py
+++ b/oleanderhitch/process/site/quota_lender.py
@@ -3,6 +3,9 @@
 A leader lends while a read through the group has shown lately that no other store has
 become the leader. Its successor lends nothing until all such reads are too old, with
 buckets that are empty then, so that the loans of both are those of one bucket.
+
+A leader that is still there when its successor is elected, as after a planned transfer,
+ends its ledger and hands it over instead.
 """
 
 import uuid
@@ -15,16 +18,24 @@
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.clock import Clock
 from oleanderhitch.process.groups.messages import GroupAnswer
+from oleanderhitch.process.ids import Term
 from oleanderhitch.process.metrics.core import Metrics
 from oleanderhitch.process.metrics.states import Counter
 from oleanderhitch.process.quotas.messages import (
     CreditReply,
     CreditRequest,
+    GetLedger,
+    LedgerHandedOver,
     LedgerId,
     QuotaBounds,
 )
+from oleanderhitch.process.replication.messages import NO_TERM
 from oleanderhitch.process.site.messages import RoutingFound
-from oleanderhitch.process.site.quota_ledger import QuotaLedger, make_quota_ledger
+from oleanderhitch.process.site.quota_ledger import (
+    QuotaLedger,
+    continue_ledger,
+    make_quota_ledger,
+)
 from oleanderhitch.version.routes.configuration import RouteTable
 from oleanderhitch.version.routes.ids import NO_ROUTING
 
@@ -65,7 +76,7 @@
 
 
 class QuotaLender:
-    """Owner of the ledger of a store while it leads."""
+    """Owner of the ledger of a store while it leads, and until its successor asks."""
 
     def __init__(
         self,
@@ -73,6 +84,7 @@
         get_routing: Callable[[], RoutingFound],
         read_routing: Callable[[bytes], RouteTable],
         request_read: Callable[[Address], None],
+        request_ledger: Callable[[GetLedger], None],
         clock: Clock,
         metrics: Metrics,
     ) -> None:
@@ -81,28 +93,75 @@
         self._get_routing = get_routing
         self._read_routing = read_routing
         self._request_read = request_read
+        self._request_ledger = request_ledger
         self._clock = clock
+        self._is_leader = False
+        # The last term in which this store led, and its ledger.
+        self._term = NO_TERM
         self._ledger: QuotaLedger | None = None
         self._applied = NO_ROUTING
         self._read_began_at: datetime | None = None
         self._confirmed_at: datetime | None = None
         self._held: list[_HeldRequest] = []
 
-    def handle_leadership_change(self, is_leader: bool) -> None:
-        """Begin with an empty ledger, or stop lending."""
+    @property
+    def has_ledger_to_hand_over(self) -> bool:
+        """Whether a successor can still ask for the ledger of this store."""
+        return self._ledger is not None and not self._is_leader
+
+    def handle_leadership_change(self, is_leader: bool, term: Term) -> None:
+        """Stop lending, or begin with an empty ledger unless the term goes on."""
+        self._refuse_held()
+        self._is_leader = is_leader
+        self._read_began_at = self._confirmed_at = None
+        if not is_leader or self._bounds is None:
+            return
+        if term == self._term and self._ledger is not None:
+            # A transfer was cancelled, and no successor has asked for the ledger.
+            return
+        lends_from = self._clock.now() + SILENCE_DURATION
+        self._begin(term, make_quota_ledger(_make_id(), self._bounds, lends_from))
+        self._request_ledger(GetLedger(term))
+
+    def handle_ledger_request(self, request: GetLedger, reply_address: Address) -> None:
+        """End the ledger of the term before, and hand it over to the new leader.
+
+        The loans of both leaders are those of one ledger then. Another term in between
+        may have lent as well.
+        """
+        if self._ledger is None or request.term != self._term + 1:
+            return
+        handed_over = self._ledger.hand_over(request.term, self._clock.now())
         self._refuse_held()
-        self._ledger = self._read_began_at = self._confirmed_at = None
+        self._ledger = None
+        log.info("limits of accounts handed over", term=request.term)
+        reply_address.send(handed_over)
+
+    def handle_ledger(self, handed_over: LedgerHandedOver) -> None:
+        """Go on with the ledger of the term before, if this leader has lent nothing."""
+        now = self._clock.now()
+        ledger = self._ledger
+        if ledger is None or self._bounds is None or not self._is_leader:
+            return
+        if handed_over.term != self._term or now >= ledger.lends_from:
+            return
+        self._begin(
+            self._term, continue_ledger(_make_id(), self._bounds, handed_over, now)
+        )
+        log.info(
+            "limits of accounts taken over",
+            term=self._term,
+            n_limited=len(handed_over.buckets),
+        )
+
+    def _begin(self, term: Term, ledger: QuotaLedger) -> None:
+        self._term, self._ledger = term, ledger
         self._applied = NO_ROUTING
-        if is_leader and self._bounds is not None:
-            # Restarted leaders must not take each other's credits back.
-            ledger = LedgerId(uuid.uuid4().int >> 66)
-            lends_from = self._clock.now() + SILENCE_DURATION
-            self._ledger = make_quota_ledger(ledger, self._bounds, lends_from)
 
     def handle_request(self, request: CreditRequest, reply_address: Address) -> None:
         """Reply to an entry host, once a read shows that this store may lend."""
         now = self._clock.now()
-        if self._ledger is None or now < self._ledger.lends_from:
+        if not self._is_leader or self._ledger is None or now < self._ledger.lends_from:
             reply_address.send(CreditReply(request.number, is_lending=False))
             return
         if self._is_confirmed(now):
@@ -121,7 +180,7 @@
             return
         now = self._clock.now()
         self._confirmed_at = began_at
-        if self._ledger is None or not self._is_confirmed(now):
+        if not self._is_leader or self._ledger is None or not self._is_confirmed(now):
             return
         held, self._held = self._held, []
         for waiting in held:
@@ -175,13 +234,27 @@
             waiting.reply_address.send(reply)
 
 
+def _make_id() -> LedgerId:
+    # Restarted leaders must not take each other's credits back.
+    return LedgerId(uuid.uuid4().int >> 66)
+
+
 def make_quota_lender(
     bounds: QuotaBounds | None,
     get_routing: Callable[[], RoutingFound],
     read_routing: Callable[[bytes], RouteTable],
     request_read: Callable[[Address], None],
+    request_ledger: Callable[[GetLedger], None],
     clock: Clock,
     metrics: Metrics,
 ) -> QuotaLender:
     """Return the lender of a store; without bounds it lends nothing."""
-    return QuotaLender(bounds, get_routing, read_routing, request_read, clock, metrics)
+    return QuotaLender(
+        bounds,
+        get_routing,
+        read_routing,
+        request_read,
+        request_ledger,
+        clock,
+        metrics,
+    )
--- a/oleanderhitch/process/site/store.py
+++ b/oleanderhitch/process/site/store.py
@@ -44,7 +44,11 @@
 )
 from oleanderhitch.process.metrics.states import Counter, Gauge
 from oleanderhitch.process.placement.messages import SendPermitRequest
-from oleanderhitch.process.quotas.messages import CreditRequest
+from oleanderhitch.process.quotas.messages import (
+    CreditRequest,
+    GetLedger,
+    LedgerHandedOver,
+)
 from oleanderhitch.process.repair.core import BalanceSlot
 from oleanderhitch.process.repair.damage import LeadershipWatch, is_majority_proven
 from oleanderhitch.process.repair.messages import ReplicaRemoved, StoreHello
@@ -225,6 +229,7 @@
             self._get_routing,
             dependencies.read_routing,
             self._request_read,
+            self._request_ledger,
             boot_clock,
             metrics,
         )
@@ -323,7 +328,9 @@
         for member in self._members.values():
             member.transfer_leadership()
         deadline = self._clock.now() + LEADERSHIP_TRANSFER_TIMEOUT
-        while self._list_led_groups() and self._clock.now() < deadline:
+        while self._clock.now() < deadline and (
+            self._list_led_groups() or self._quota_lender.has_ledger_to_hand_over
+        ):
             gevent.sleep(0.02)
         self._stop_tasks()
         for member in self._members.values():
@@ -592,6 +599,14 @@
         """Reply to an entry host that asks for credits of client accounts."""
         self._quota_lender.handle_request(request, reply_address)
 
+    def handle_ledger_request(self, request: GetLedger, reply_address: Address) -> None:
+        """Hand the credits of client accounts over to the next leader."""
+        self._quota_lender.handle_ledger_request(request, reply_address)
+
+    def handle_ledger(self, handed_over: LedgerHandedOver) -> None:
+        """Take the credits of client accounts over from the leader before."""
+        self._quota_lender.handle_ledger(handed_over)
+
     def handle_replica_removed(self, message: ReplicaRemoved) -> None:
         """Start the replica anew that was removed from its group."""
         for member in self._members.values():
@@ -656,6 +671,11 @@
         call = GroupCall(CallId(0), SITE_GROUP, body, True)
         self._members[SITE_GROUP].call(LocalCall(call, reply_address))
 
+    def _request_ledger(self, request: GetLedger) -> None:
+        """Ask all stores, since this one may not know which of them led before."""
+        for link in self._links.links.values():
+            link.send(request)
+
     def _perform_currency(self, effect: object) -> None:
         _perform_currency(effect, self)
 
@@ -700,7 +720,7 @@
         if group == SITE_GROUP:
             self._subscribers.handle_leadership_change(is_leader)
             self._currency.send(LeadershipObserved(is_leader))
-            self._quota_lender.handle_leadership_change(is_leader)
+            self._quota_lender.handle_leadership_change(is_leader, change.term)
             self._directory.send(SetReaderTerm(change.term if is_leader else None))
             if is_leader:
                 self._request_confirmation()
@@ -772,6 +792,16 @@
     store.handle_credit_request(message, delivery.reply_address)
 
 
+@_receive.register
+def _(message: GetLedger, delivery: PeerMessage, store: Store) -> None:
+    store.handle_ledger_request(message, delivery.reply_address)
+
+
+@_receive.register
+def _(message: LedgerHandedOver, delivery: PeerMessage, store: Store) -> None:
+    store.handle_ledger(message)
+
+
 def make_store(
     settings: SiteStoreSettings,
     dependencies: StoreDependencies,
--- a/tests/process/quotas/fleet.py
+++ b/tests/process/quotas/fleet.py
@@ -6,6 +6,7 @@
 from itertools import count
 from random import Random
 
+from oleanderhitch.process.ids import Term
 from oleanderhitch.process.messages import Tick
 from oleanderhitch.process.quotas.core import (
     AskForCredits,
@@ -25,6 +26,7 @@
 from oleanderhitch.process.quotas.records import QuotasState
 from oleanderhitch.process.site.quota_ledger import (
     QuotaLedger,
+    continue_ledger,
     get_tolerance,
     make_quota_ledger,
 )
@@ -83,6 +85,16 @@
         self.ledger = make_quota_ledger(number, BOUNDS, lends_from or self.now)
         self.ledger.apply_limits(self.accounts.values(), self.now)
 
+    def hand_over(self, delay: timedelta) -> None:
+        """Let the ledger go to another leader, which gets it after a delay."""
+        assert self.ledger is not None
+        handed_over = self.ledger.hand_over(Term(1), self.now)
+        self.ledger = None
+        self.run(self.now + delay)
+        number = LedgerId(next(self._numbers))
+        self.ledger = continue_ledger(number, BOUNDS, handed_over, self.now)
+        self.ledger.apply_limits(self.accounts.values(), self.now)
+
     def fill(self) -> None:
         """Let all buckets be full, as long after an election."""
         assert self.ledger is not None
--- a/tests/process/quotas/test_quotas.py
+++ b/tests/process/quotas/test_quotas.py
@@ -41,6 +41,7 @@
         st.tuples(st.just("delay"), st.sampled_from([2, 50, 140, 400])),
         st.tuples(st.just("restart"), st.integers(0, N_HOSTS - 1)),
         st.tuples(st.just("elect"), st.none()),
+        st.tuples(st.just("hand over"), st.sampled_from([0, 30, 400])),
         st.tuples(st.just("raise"), st.sampled_from([1.0, 1.5, 3.0])),
     ),
     min_size=10,
@@ -115,6 +116,9 @@
     def _elect(self, _: None) -> None:
         self.fleet.elect()
 
+    def _hand_over(self, n_ms: int) -> None:
+        self.fleet.hand_over(n_ms * MS)
+
     def _raise(self, factor: float) -> None:
         # The bound is that of the highest limit, so that it holds at any time.
         highest = replace(MEDIUM, requests_per_s=20.0 * factor)
--- a/tests/process/site/test_quota_ledger.py
+++ b/tests/process/site/test_quota_ledger.py
@@ -7,12 +7,14 @@
 
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.groups.messages import GroupAnswer
-from oleanderhitch.process.ids import CallId
+from oleanderhitch.process.ids import CallId, Term
 from oleanderhitch.process.metrics.core import make_metrics
 from oleanderhitch.process.quotas.messages import (
     CreditDemand,
     CreditReply,
     CreditRequest,
+    GetLedger,
+    LedgerHandedOver,
     LedgerId,
     QuotaBounds,
     ReturnedCredits,
@@ -23,6 +25,7 @@
 from oleanderhitch.process.site.quota_lender import (
     READ_VALIDITY,
     SILENCE_DURATION,
+    QuotaLender,
     make_quota_lender,
 )
 from oleanderhitch.program.ids import AccountId
@@ -109,6 +112,12 @@
         assert isinstance(message, CreditReply)
         self.replies.append(message)
 
+    def ask(self, lender: QuotaLender) -> int:
+        """Return how many credits a lender lends, after a read if it needs one."""
+        lender.handle_request(ALL, self)
+        self.answer_reads()
+        return sum(loan.n_running for loan in self.replies[-1].loans)
+
     def answer_reads(self) -> None:
         """Answer all reads."""
         while self.reads:
@@ -169,15 +178,94 @@
     return make_route_table(RoutingConfiguration(version, (), {}, accounts=(ACCOUNT,)))
 
 
+def make_lender(clock: ManualClock, host: _Host) -> QuotaLender:
+    """Return the lender of a store whose reads the host answers."""
+    routing = RoutingFound(RoutingVersion(1), b"")
+    return make_quota_lender(
+        BOUNDS,
+        lambda: routing,
+        read_routing,
+        host.reads.append,
+        lambda request: None,
+        clock,
+        make_metrics(),
+    )
+
+
+class _Successor:
+    """Hands what it gets to a lender, or keeps it."""
+
+    def __init__(self, lender: QuotaLender) -> None:
+        self._lender = lender
+        self.n_handed_over = 0
+
+    def send(self, message: object) -> None:
+        """Hand a ledger over."""
+        assert isinstance(message, LedgerHandedOver)
+        self.n_handed_over += 1
+        self._lender.handle_ledger(message)
+
+
+def make_leader(clock: ManualClock, host: _Host, term: int) -> QuotaLender:
+    """Return a lender whose silence has just ended."""
+    lender = make_lender(clock, host)
+    lender.handle_leadership_change(True, Term(term))
+    clock.time += SILENCE_DURATION
+    return lender
+
+
+def test_ledger_is_handed_over_without_a_silence() -> None:
+    """Guard against refusals below the limit each time the leadership is moved."""
+    clock, host = ManualClock(), _Host()
+    old, new = make_leader(clock, host, 3), make_lender(clock, host)
+    clock.time += timedelta(seconds=1)
+    assert host.ask(old) > 10
+    clock.time += timedelta(seconds=1)
+    old.handle_leadership_change(False, Term(3))
+    assert old.has_ledger_to_hand_over
+    new.handle_leadership_change(True, Term(4))
+    assert host.ask(new) == 0
+    old.handle_ledger_request(GetLedger(Term(4)), _Successor(new))
+    # One second has filled the bucket since the loan of all that was in it.
+    assert not old.has_ledger_to_hand_over
+    assert 9 <= host.ask(new) <= 11
+    assert host.ask(old) == 0
+
+
+def test_ledger_is_handed_over_once_and_to_the_next_term_only() -> None:
+    """Guard against two leaders that lend what one of them was given."""
+    clock, host = ManualClock(), _Host()
+    old = make_leader(clock, host, 3)
+    late = _Successor(make_leader(clock, host, 5))
+    old.handle_ledger_request(GetLedger(Term(5)), late)
+    assert late.n_handed_over == 0, "the leader of term 4 may have lent"
+    n_lent = host.ask(late._lender)
+    # Its own silence has ended, so that it has lent already.
+    handed_over = LedgerHandedOver(Term(5), -1000, True, ())
+    late._lender.handle_ledger(handed_over)
+    assert n_lent and host.ask(late._lender) <= 1
+    # A leader that has handed its ledger over does not lend, although it still leads.
+    old.handle_ledger_request(GetLedger(Term(4)), _Successor(make_lender(clock, host)))
+    assert host.ask(old) == 0
+
+
+def test_cancelled_transfer_keeps_the_ledger() -> None:
+    """Guard against refusals after a transfer that did not take place."""
+    clock, host = ManualClock(), _Host()
+    lender = make_leader(clock, host, 3)
+    lender.handle_leadership_change(False, Term(3))
+    assert host.ask(lender) == 0
+    clock.time += timedelta(seconds=1)
+    lender.handle_leadership_change(True, Term(3))
+    assert host.ask(lender) > 10
+
+
 def test_leader_lends_only_after_a_read_and_a_silence() -> None:
     """Guard against a deposed leader that lends beside its successor."""
     clock, host = ManualClock(), _Host()
-    routing = RoutingFound(RoutingVersion(1), b"")
-    lender = make_quota_lender(
-        BOUNDS, lambda: routing, read_routing, host.reads.append, clock, make_metrics()
-    )
+    lender = make_lender(clock, host)
     lender.handle_request(ALL, host)
-    lender.handle_leadership_change(True)
+    lender.handle_leadership_change(True, Term(1))
     lender.handle_request(ALL, host)
     assert [reply.is_lending for reply in host.replies] == [False, False]
     clock.time += SILENCE_DURATION + timedelta(seconds=1)
@@ -190,5 +278,5 @@
     clock.time += READ_VALIDITY
     lender.handle_request(ALL, host)
     assert len(host.replies) == 3, "lent without a read of late"
-    lender.handle_leadership_change(False)
+    lender.handle_leadership_change(False, Term(1))
     assert not host.replies[-1].is_lending
--- a/tests/process/site/test_quotas.py
+++ b/tests/process/site/test_quotas.py
@@ -109,3 +109,31 @@
     # Most of the limit is used, and the others notice nothing.
     assert flood.statuses.count(200) > 0.8 * 3 * RATE_PER_S
     assert set(calm.statuses) == set(free.statuses) == {200}
+
+
+def test_planned_transfer_refuses_nothing_below_the_limit(tmp_path: Path) -> None:
+    """Guard against 503 and 429 each time the leadership is moved or a store stops."""
+    site = SiteHarness(tmp_path, 3, quota_bounds=BOUNDS)
+    try:
+        site.start()
+        addresses = (site.caller_address, site.add_entry())
+        site.publish(1, tenants=TENANTS)
+        calm = _Callers(site)
+        for address in addresses:
+            wait_until(partial(_is_served, calm, address), "a request served")
+        calm.statuses.clear()
+        # The bucket fills, as that of an account below its limit does.
+        gevent.sleep(0.5)
+        pool = Pool(10)
+        for number in range(30):
+            if number == 5:
+                leader = site.wait_for_leader()
+                moving = gevent.spawn(site.stores[leader].stop)
+            pool.spawn(calm.send, addresses[number % 2], "k1")
+            gevent.sleep(0.1)
+        pool.join()
+        moving.join()
+        assert site.find_leader() != leader
+    finally:
+        site.close()
+    assert calm.statuses == [200] * 30
