Gave a starting host its first lease right after the election

Cause, counted without a network: the first hello of a host was sent by the first tick, 250 ms after its start. Hellos that reached a store before it was elected were dropped, so that the lease waited for the next one, up to 250 ms. The read for hellos that came before the first entry of a term was committed was rejected and repeated after 200 ms. A host that knew a store which did not lead waited for its next round to learn of the leader.

Change: the first hello is sent at the start, stores keep the latest hello of each host until they lead, reads begin once the term is confirmed, and a store names a new leader to the hosts that it knows. A read still begins after the hellos that it confirms have arrived, so that the rule of the lease is as it was. The two new tests in test_lease_core.py fail without the change.

--- a/oleanderhitch/process/site/currency.py
+++ b/oleanderhitch/process/site/currency.py
@@ -22,6 +22,9 @@
 
 # Bounds the reads that all hellos together cause to five a second.
 READ_INTERVAL = timedelta(milliseconds=200)
+# More than the entry hosts of the largest deployment. A store that does not lead keeps
+# the hellos of all hosts that it has heard of.
+N_WAITING_MAX = 2000
 # A read takes a round trip to a majority. Without a reply for this long, the reply is
 # lost or the leader is cut off, and a new read is begun.
 READ_TIMEOUT = timedelta(seconds=2)
@@ -35,7 +38,11 @@
 
 
 class LeadershipObserved(Value, frozen=True):
-    """Reports whether this store leads the group that has the routing."""
+    """Reports whether this store leads the group that has the routing.
+
+    A new leader rejects reads until an entry of its term is committed, and counts as
+    one from then on.
+    """
 
     is_leader: bool
 
@@ -69,8 +76,8 @@
 class CurrencyState(Struct):
     """The hellos to confirm; owned by the currency task.
 
-    `waiting` are the hellos that no read has begun for, and `covered` those that the
-    read in progress was begun for; each has the latest hello of a node.
+    `waiting` are the hellos that no read has begun for, the latest last. `covered` are
+    those that the read in progress was begun for. Each has the latest hello of a node.
     """
 
     is_leader: bool = False
@@ -83,7 +90,7 @@
     @property
     def next_tick_at(self) -> datetime:
         """When the next read may begin, NO_TICK if none is needed."""
-        if not self.waiting or self.last_read_at is None:
+        if not (self.is_leader and self.waiting) or self.last_read_at is None:
             return NO_TICK
         is_reading = self.read is not None
         return self.last_read_at + (READ_TIMEOUT if is_reading else READ_INTERVAL)
@@ -97,20 +104,21 @@
 
 @handle.register
 def _(message: HelloArrived, state: CurrencyState, now: datetime) -> list[object]:
-    if not state.is_leader:
-        return []
+    state.waiting.pop(message.node, None)
     state.waiting[message.node] = message.number
+    if len(state.waiting) > N_WAITING_MAX:
+        del state.waiting[next(iter(state.waiting))]
     return _begin_read(state, now)
 
 
 @handle.register
 def _(message: LeadershipObserved, state: CurrencyState, now: datetime) -> list[object]:
-    # A read that began before says nothing about what has been accepted since.
+    # A read that began before says nothing about what has been accepted since. Hellos
+    # that came before an election wait for its end: hosts that start together with the
+    # stores would wait for their next hello otherwise.
     state.is_leader = message.is_leader
-    state.waiting = {}
-    state.covered = {}
-    state.read = None
-    return []
+    _give_up_read(state)
+    return _begin_read(state, now)
 
 
 @handle.register
@@ -138,7 +146,9 @@
 
 def _begin_read(state: CurrencyState, now: datetime) -> list[object]:
     """Begin a read for all waiting hellos, unless one is in progress or was lately."""
-    if not state.waiting or (state.last_read_at and now < state.next_tick_at):
+    if not (state.is_leader and state.waiting):
+        return []
+    if state.last_read_at and now < state.next_tick_at:
         return []
     _give_up_read(state)
     state.n_reads += 1
--- a/oleanderhitch/process/site/store.py
+++ b/oleanderhitch/process/site/store.py
@@ -693,6 +693,7 @@
         """Record that this store's state is current, if it still leads."""
         if self.is_leader:
             self._subscribers.confirm_current()
+            self._currency.send(LeadershipObserved(True))
 
     def retry_confirmation(self) -> None:
         """Retry the confirming read after a delay, if this store still leads."""
@@ -719,11 +720,14 @@
         self._announcement_due.set()
         if group == SITE_GROUP:
             self._subscribers.handle_leadership_change(is_leader)
-            self._currency.send(LeadershipObserved(is_leader))
+            self._currency.send(LeadershipObserved(False))
             self._quota_lender.handle_leadership_change(is_leader, change.term)
             self._directory.send(SetReaderTerm(change.term if is_leader else None))
             if is_leader:
                 self._request_confirmation()
+            elif change.leader is not None:
+                # Entry hosts look for this leader.
+                self._subscribers.notify_all()
         if change.role is Role.STOPPED:
             self._end_process(f"the replica of group {group} stopped")
 
--- a/oleanderhitch/process/site/subscription/core.py
+++ b/oleanderhitch/process/site/subscription/core.py
@@ -312,7 +312,12 @@
 def _(
     message: SeedsConfigured, state: SubscriptionState, now: datetime
 ) -> list[object]:
-    return _add_stores(message.stores, state)
+    effects = _add_stores(message.stores, state)
+    if state.next_hello_at is None and state.leader is None:
+        # Nothing is served before the first status, so it is asked for at once.
+        state.next_hello_at = now + SEARCH_INTERVAL
+        effects.extend(_send_regular_hello(state, now))
+    return effects
 
 
 @handle.register
@@ -431,6 +436,7 @@
     """Look for the next leader at the next tick."""
     state.leader = state.leader_seen_at = None
     state.next_hello_at = None
+    state.asked_stores = set()
 
 
 def _make_hello(
--- a/tests/process/site/test_lease_core.py
+++ b/tests/process/site/test_lease_core.py
@@ -8,11 +8,20 @@
 from oleanderhitch.process.clock import make_boot_clock, make_system_clock
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.messages import Tick
+from oleanderhitch.process.site.currency import (
+    BeginRead,
+    CurrencyState,
+    HelloArrived,
+    LeadershipObserved,
+    ReadNumber,
+)
+from oleanderhitch.process.site.currency import handle as handle_currency
 from oleanderhitch.process.site.messages import HelloNumber, RoutingFound, SiteStatus
 from oleanderhitch.process.site.subscription.core import (
     InstallRouting,
     LogLeaseChange,
     RenewLease,
+    SeedsConfigured,
     SendHello,
     StatusReceived,
     SubscriptionState,
@@ -106,6 +115,39 @@
     assert len(state.renewal.sent_hellos) == 1
 
 
+def test_first_lease_waits_for_nothing_but_the_election() -> None:
+    """Guard against hosts that start with the stores and wait for their next hello.
+
+    Their first hello took 250 ms, another one after the election up to 250 ms, and a
+    read that a new leader rejected was repeated after 200 ms.
+    """
+    renewal = LeaseRenewal(TERMS, HelloNumber(100))
+    state = SubscriptionState(NodeId("entry"), renewal=renewal)
+    (hello,) = [
+        effect.hello
+        for effect in handle(SeedsConfigured((LEADER,)), state, NOW)
+        if isinstance(effect, SendHello)
+    ]
+    assert hello.number is not None
+    store = CurrencyState()
+    assert handle_currency(HelloArrived(hello.node, hello.number), store, NOW) == []
+    elected_at = NOW + SECOND / 5
+    read = BeginRead(ReadNumber(1))
+    assert handle_currency(LeadershipObserved(True), store, elected_at) == [read]
+    assert store.covered == {hello.node: hello.number}
+    assert renew(state, hello.number, elected_at) == [Lease(NOW, NO_ROUTING)]
+
+
+def test_named_leader_is_asked_at_once_after_a_transfer() -> None:
+    """Guard against hosts that go on asking the leader before, or wait for a tick."""
+    state = make_subscription()
+    state.asked_stores = {LEADER, NodeId("s2")}
+    status = SiteStatus((), None, None, None, leader=NodeId("s2"))
+    effects = handle(StatusReceived(LEADER, status), state, NOW)
+    hellos = [effect for effect in effects if isinstance(effect, SendHello)]
+    assert [hello.stores for hello in hellos] == [(NodeId("s2"),)]
+
+
 def test_loss_and_gain_of_a_lease_are_logged_once() -> None:
     """Guard against a host that refuses all keys without a word, or floods its log."""
     state = make_subscription()
