--- a/tests/connection/http/test_parsing.py
+++ b/tests/connection/http/test_parsing.py
@@ -155,3 +155,46 @@
     for _ in range(20):
         parser.feed(whole[:30])
         parser.feed(whole[30:])
+
+
+RESPONSE_HEADS = st.sampled_from(
+    [
+        b"HTTP/1.1 200 OK\r\n",
+        b"HTTP/1.0 200 OK\r\n",
+        b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Busy\r\n",
+        b"HTTP/1.1 200 OK\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n",
+        b"HTTP/1.1 200 OK\r\nConnection: close\r\nTrailer: X-A\r\n",
+    ]
+)
+
+
+@given(
+    RESPONSE_HEADS,
+    st.lists(st.binary(min_size=1, max_size=9), max_size=4),
+    st.booleans(),
+    st.lists(st.integers(1, 40), max_size=20),
+    st.integers(1, 200),
+)
+def test_response_that_is_cut_anywhere_does_not_end(
+    head: bytes, pieces: list[bytes], is_chunked: bool, sizes: list[int], n_cut: int
+) -> None:
+    """Guard against a part of a response that counts as the whole."""
+    body = b"".join(pieces)
+    data = head + b"Content-Length: %d\r\n\r\n" % len(body) + body
+    if is_chunked:
+        chunks = b"".join(b"%x\r\n%b\r\n" % (len(piece), piece) for piece in pieces)
+        data = head + b"Transfer-Encoding: chunked\r\n\r\n" + chunks + b"0\r\n\r\n"
+    # An interim response has an end of its own.
+    n_interim = head.count(b"100 Continue")
+    for is_cut in (True, False):
+        rest = data[: len(data) - min(n_cut, len(data) - 1)] if is_cut else data
+        parser = make_response_parser()
+        parts = []
+        for size in [*sizes, len(data)]:
+            parts.extend(parser.feed(rest[:size]))
+            rest = rest[size:]
+        n_ends = sum(isinstance(part, ParsedEnd) for part in parts)
+        assert n_ends <= n_interim if is_cut else n_ends == n_interim + 1
+        if not is_cut:
+            received = [part.data for part in parts if isinstance(part, ParsedBody)]
+            assert b"".join(received) == body
