Matched no late duplicate to a request that is sent again

Cause: a connection that had carried a refused request carried it again when its caller sent it again, so the earlier refusal, written once more, was taken for the new one: "not run" while it runs. A cache read took any response without an id for its listing, also on a kept connection.

--- a/oleanderhitch/connection/http/endpoint.py
+++ b/oleanderhitch/connection/http/endpoint.py
@@ -1,5 +1,6 @@
 """Connection to one endpoint: sends requests and streams back the responses."""
 
+from collections import deque
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from datetime import timedelta
@@ -39,6 +40,7 @@
 from oleanderhitch.exceptions import OleanderhitchError
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.mailbox import make_mailbox
+from oleanderhitch.request.ids import RequestId
 from oleanderhitch.values import Value
 
 RECEIVE_BYTES = 64 * 1024
@@ -56,6 +58,8 @@
 # so that no request is sent while the endpoint closes the connection. Timeouts under
 # 2 s are halved instead.
 IDLE_TIMEOUT_MARGIN = timedelta(milliseconds=1000)
+# Callers send a request again within seconds, in which a connection carries fewer.
+N_CARRIED_REQUESTS_LIMIT = 128
 # For endpoints that announce no timeout.
 DEFAULT_IDLE_TIMEOUT = timedelta(seconds=20)
 # Event mask of libev.
@@ -72,7 +76,9 @@
     `find_owner` tells from its headers whose response one is; one to another request
     is skipped. One that names no request counts as the response to this one only if
     nothing was received on the connection before. The body is read no faster than the
-    receiver removes it from the flow, if there is one.
+    receiver removes it from the flow, if there is one. A connection carries a request
+    that `request_id` names only once: a late duplicate of its first response would look
+    like the second.
     """
 
     exchange_id: int
@@ -80,6 +86,7 @@
     reply_address: Address
     find_owner: Callable[[Headers], ResponseOwner]
     flow: ResponseFlow | None = None
+    request_id: RequestId | None = None
 
 
 class ConnectionDisturbed(Value, frozen=True):
@@ -140,6 +147,7 @@
         self._socket: socket.socket | None = None
         self._greenlet: gevent.Greenlet | None = None
         self._current_exchange_id = 0
+        self._carried: deque[RequestId] = deque(maxlen=N_CARRIED_REQUESTS_LIMIT)
         self._has_ended = False
 
     @property
@@ -192,7 +200,7 @@
     def _run_exchange(self, exchange: Exchange) -> timedelta | None:
         """Run an exchange; return the idle timeout, or None to close the connection."""
         is_reused = self._socket is not None
-        failure_reason = self._connect_or_check()
+        failure_reason = self._connect_or_check(exchange)
         if failure_reason is not None:
             if is_reused:
                 self._return(exchange, failure_reason)
@@ -200,6 +208,8 @@
                 _fail(exchange, False, failure_reason)
             return None
         assert self._socket is not None
+        if exchange.request_id is not None:
+            self._carried.append(exchange.request_id)
         writer = gevent.spawn(_write_request, self._socket, exchange.request)
         share = self._memory.make_share()
         state = _ExchangeState(
@@ -245,7 +255,7 @@
         log.debug("kept connection not reused", address=self._address, reason=reason)
         self._owner.send(ExchangeUnsent(self, exchange))
 
-    def _connect_or_check(self) -> str | None:
+    def _connect_or_check(self, exchange: Exchange) -> str | None:
         """Open or check the connection; return the reason of a failure."""
         if self._socket is None:
             try:
@@ -257,6 +267,8 @@
             except (OSError, OleanderhitchError) as error:
                 return f"could not connect: {error}"
             return None
+        if exchange.request_id in self._carried:
+            return "the connection has carried the same request"
         return self._find_reuse_failure()
 
     def _find_reuse_failure(self) -> str | None:
--- a/oleanderhitch/connection/http/pool.py
+++ b/oleanderhitch/connection/http/pool.py
@@ -23,10 +23,15 @@
 
 
 class StartExchange(Value, frozen=True):
-    """Starts an exchange with an endpoint."""
+    """Starts an exchange with an endpoint.
+
+    One whose response names no request needs a new connection: only there is it known
+    whose response comes first.
+    """
 
     address: HostAddress
     exchange: Exchange
+    needs_new_connection: bool = False
 
 
 class CancelExchange(Value, frozen=True):
@@ -73,7 +78,7 @@
 @handle.register
 def _(message: StartExchange, state: PoolState, now: datetime) -> list[object]:
     idle = state.idle_connections[message.address]
-    if idle:
+    if idle and not message.needs_new_connection:
         # The most recently used connection is the least likely to time out.
         connection = idle.pop()
     else:
--- a/oleanderhitch/platform/caches.py
+++ b/oleanderhitch/platform/caches.py
@@ -29,7 +29,7 @@
     def find_owner(self, headers: Headers) -> ResponseOwner:
         """Return whose response one is; a listing has no request id."""
         if find_header(headers, header_names.REQUEST_ID) is None:
-            return ResponseOwner.THIS_REQUEST
+            return ResponseOwner.UNKNOWN
         return ResponseOwner.ANOTHER_REQUEST
 
     def read_parts(self, body: bytes) -> tuple[PromptPart, ...]:
--- a/oleanderhitch/process/caches/task.py
+++ b/oleanderhitch/process/caches/task.py
@@ -68,7 +68,9 @@
 ) -> None:
     request = render_request(dialect.make_request(effect.address))
     exchange = Exchange(effect.exchange_id, request, task, dialect.find_owner)
-    connection_pool.send(StartExchange(effect.address, exchange))
+    connection_pool.send(
+        StartExchange(effect.address, exchange, needs_new_connection=True)
+    )
 
 
 @_perform.register
--- a/oleanderhitch/request/forwarding/task.py
+++ b/oleanderhitch/request/forwarding/task.py
@@ -615,6 +615,7 @@
         context.mailbox,
         find_owner,
         context.flow,
+        context.request.request,
     )
     context.dependencies.connection_pool.send(
         StartExchange(effect.endpoint.address, exchange)
