Heeded the stop that an engine announces in a cache listing

Cause: the header was read in responses to forwarded requests only; a starting host that had read an engine's cache still sent it work. Change: reads of caches report it to placement, with the start of the engine. A test shows that neither a cache, an affinity key, a retry nor a grant of the leader leads back to a leaving endpoint.

--- a/oleanderhitch/platform/caches.py
+++ b/oleanderhitch/platform/caches.py
@@ -32,6 +32,10 @@
             return ResponseOwner.UNKNOWN
         return ResponseOwner.ANOTHER_REQUEST
 
+    def is_leaving(self, headers: Headers) -> bool:
+        """Return whether the headers of a response say that its engine will stop."""
+        return find_header(headers, header_names.LEAVING) is not None
+
     def read_parts(self, body: bytes) -> tuple[PromptPart, ...]:
         """Parse the cached parts; raise InvalidInputError if there is no list."""
         try:
--- a/oleanderhitch/process/caches/core.py
+++ b/oleanderhitch/process/caches/core.py
@@ -7,6 +7,7 @@
 
 from oleanderhitch.connection.http.messages import (
     ExchangeFailed,
+    Headers,
     ResponseBody,
     ResponseEnd,
     ResponseHead,
@@ -39,6 +40,13 @@
     exchange_id: int
 
 
+class ReportAnnouncements(Value, frozen=True):
+    """Tells the requester what the headers of a response say of the engine itself."""
+
+    request: ReadCache
+    headers: Headers
+
+
 class SendCacheContents(Value, frozen=True):
     """Sends the requester the prompt parts that are listed in a response body."""
 
@@ -85,9 +93,14 @@
 
 @handle.register
 def _(message: ResponseHead, state: CachesState, now: datetime) -> list[object]:
-    if message.status == STATUS_OK:
+    read = state.pending_reads.get(message.exchange_id)
+    if read is None:
         return []
-    return _abort_read(message.exchange_id, f"engine answered {message.status}", state)
+    effects: list[object] = [ReportAnnouncements(read.request, message.headers)]
+    if message.status != STATUS_OK:
+        reason = f"engine answered {message.status}"
+        effects.extend(_abort_read(message.exchange_id, reason, state))
+    return effects
 
 
 @handle.register
--- a/oleanderhitch/process/caches/dialect.py
+++ b/oleanderhitch/process/caches/dialect.py
@@ -16,5 +16,8 @@
     def find_owner(self, headers: Headers) -> ResponseOwner:
         """Return whose response one with these headers is."""
 
+    def is_leaving(self, headers: Headers) -> bool:
+        """Return whether the headers of a response say that its engine will stop."""
+
     def read_parts(self, body: bytes) -> tuple[PromptPart, ...]:
         """Return the parts listed in a response body; raise InvalidInputError."""
--- a/oleanderhitch/process/caches/task.py
+++ b/oleanderhitch/process/caches/task.py
@@ -14,13 +14,17 @@
     CachesState,
     CancelCacheRequest,
     LogCacheReadFailure,
+    ReportAnnouncements,
     SendCacheContents,
     SendCacheRequest,
     handle,
 )
 from oleanderhitch.process.caches.dialect import CacheDialect
 from oleanderhitch.process.clock import Clock
-from oleanderhitch.process.placement.messages import CacheContentsReported
+from oleanderhitch.process.placement.messages import (
+    CacheContentsReported,
+    StopAnnounced,
+)
 from oleanderhitch.process.task import NO_TICK, Task, make_task
 
 TICK_INTERVAL = timedelta(milliseconds=200)
@@ -83,6 +87,19 @@
     connection_pool.send(CancelExchange(effect.exchange_id))
 
 
+@_perform.register
+def _(
+    effect: ReportAnnouncements,
+    dialect: CacheDialect,
+    connection_pool: Address,
+    task: Address,
+) -> None:
+    if dialect.is_leaving(effect.headers):
+        endpoint = effect.request.endpoint
+        announced = StopAnnounced(endpoint.endpoint, endpoint.born_ms)
+        effect.request.reply_address.send(announced)
+
+
 @_perform.register
 def _(
     effect: SendCacheContents,
--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -49,6 +49,7 @@
     ReleaseEndpoint,
     SendPermitReply,
     SpeedsReported,
+    StopAnnounced,
 )
 from oleanderhitch.process.placement.observations import (
     apply_speeds,
@@ -253,6 +254,19 @@
     return [LogEndpointLeaving(endpoint.listed.endpoint)]
 
 
+@handle.register
+def _(message: StopAnnounced, state: PlacementState, now: datetime) -> list[object]:
+    endpoint = find_endpoint(message.endpoint, state)
+    if (
+        endpoint is None
+        or endpoint.has_announced_stop
+        or endpoint.listed.born_ms != message.born_ms
+    ):
+        return []
+    endpoint.has_announced_stop = True
+    return [LogEndpointLeaving(message.endpoint)]
+
+
 @handle.register
 def _(
     message: EndpointRateLimited, state: PlacementState, now: datetime
--- a/oleanderhitch/process/placement/messages.py
+++ b/oleanderhitch/process/placement/messages.py
@@ -119,6 +119,13 @@
     permit: PermitId
 
 
+class StopAnnounced(Value, frozen=True):
+    """Reports that an endpoint has said that it will stop, without a request to run."""
+
+    endpoint: EndpointId
+    born_ms: int
+
+
 class EndpointRateLimited(Value, frozen=True):
     """Reports how many requests a second the endpoint of a permit takes from all hosts.
 
--- a/tests/platform/test_caches.py
+++ b/tests/platform/test_caches.py
@@ -38,6 +38,12 @@
         CACHE_DIALECT.read_parts(body)
 
 
+def test_leaving_engine_is_recognised() -> None:
+    """Guard against requests at an engine that said in a listing that it leaves."""
+    assert CACHE_DIALECT.is_leaving((("server-leaving", "2"),))
+    assert not CACHE_DIALECT.is_leaving((("content-type", "application/json"),))
+
+
 def test_late_response_to_a_request_is_ignored() -> None:
     """Guard against reading the late response to a request as a cache listing.
 
--- a/tests/process/caches/test_core.py
+++ b/tests/process/caches/test_core.py
@@ -17,6 +17,7 @@
     CachesState,
     CancelCacheRequest,
     LogCacheReadFailure,
+    ReportAnnouncements,
     SendCacheContents,
     SendCacheRequest,
     handle,
@@ -92,10 +93,16 @@
 
 
 def test_refused_or_failed_read_ends() -> None:
-    """Guard against a read that stays pending after an error response or a failure."""
+    """Guard against a read that stays pending after an error response or a failure.
+
+    A refusal may also say that its engine leaves.
+    """
     state = CachesState()
-    one = start_read(state, make_request("a"))
-    cancel, failure = handle(ResponseHead(one, 429), state, NOW)
+    request = make_request("a")
+    one = start_read(state, request)
+    headers = (("server-leaving", "1"),)
+    report, cancel, failure = handle(ResponseHead(one, 429, headers), state, NOW)
+    assert report == ReportAnnouncements(request, headers)
     assert cancel == CancelCacheRequest(one)
     assert isinstance(failure, LogCacheReadFailure)
     two = start_read(state, make_request("b"))
--- a/tests/process/placement/test_core.py
+++ b/tests/process/placement/test_core.py
@@ -20,6 +20,7 @@
 )
 from oleanderhitch.process.placement.crashes import EndpointCrashed
 from oleanderhitch.process.placement.effects import (
+    AskLeader,
     LogEndpointLeaving,
     QueryCache,
     SendReply,
@@ -46,6 +47,8 @@
     PeerLoadsReported,
     PromptPart,
     ReleaseEndpoint,
+    SendPermitReply,
+    StopAnnounced,
 )
 from oleanderhitch.process.placement.records import PEER_LOAD_TTL, PlacementState
 from oleanderhitch.request.ids import HolderId, RequestFingerprint
@@ -173,6 +176,45 @@
     assert get_grant(effects).endpoint.endpoint == "e2"
 
 
+def test_nothing_prefers_an_endpoint_that_has_announced_its_stop() -> None:
+    """Guard against work that goes back to a leaving endpoint for what it knows there.
+
+    A warm cache, an affinity key, a retry, or a send that the leader has granted, asked
+    before the announcement.
+    """
+    state = make_state(make_endpoint("e1", 20))
+    warm = make_workload("a")
+    grant = get_grant(handle(acquire("1", warm, affinity_key="k"), state, NOW))
+    handle(acquire("2", affinity_key="k"), state, NOW)
+    handle(EndpointRateLimited(grant.permit, 9.0), state, NOW)
+    (asked,) = handle(acquire("3"), state, NOW)
+    assert isinstance(asked, AskLeader)
+    handle(EndpointLeaving(grant.permit), state, NOW)
+    reply = SendPermitReply(asked.request.number, True, EndpointId("e1"))
+    assert handle(reply, state, NOW) == []
+    endpoints = (make_endpoint("e1", 20), make_endpoint("e2", 20))
+    granted = [get_grant(handle(EndpointsListed(endpoints), state, NOW))]
+    for number, retry in enumerate((False, True)):
+        for workload, key in ((warm, None), (None, "k")):
+            message = acquire(f"{number}{key}", workload, 0, (), retry, key)
+            granted.append(get_grant(handle(message, state, NOW)))
+    assert {item.endpoint.endpoint for item in granted} == {"e2"}
+
+
+def test_stop_announced_in_a_cache_listing_counts() -> None:
+    """Guard against requests at an engine that leaves before any of them asks it.
+
+    What the engine has said before its last start does not count.
+    """
+    state = make_state(replace(make_endpoint("e1"), born_ms=7))
+    assert handle(StopAnnounced(EndpointId("e1"), 5), state, NOW) == []
+    assert handle(StopAnnounced(EndpointId("e1"), 7), state, NOW) == [
+        LogEndpointLeaving(EndpointId("e1"))
+    ]
+    assert handle(StopAnnounced(EndpointId("e1"), 7), state, NOW) == []
+    assert handle(acquire("1"), state, NOW) == []
+
+
 def test_endpoint_that_was_started_again_is_not_leaving() -> None:
     """Guard against an endpoint that gets no work since its last start announced it."""
     state = make_state(make_endpoint("e1"))
