Waited for the engine before a planned stop in its test

Cause of the 503 instead of 504: the test stopped the host 200 ms after it had sent the request, whether the request had been routed or not. One that is routed after the stop has begun and has more time than the grace is refused as not run, as test_request_that_the_stop_would_cut_is_refused_at_once wants.

No 503 is possible for a request that was sent: by reading, a stop answers 504 if there is an attempt or a run, and an attempt ends as not run only if the connection could not be made or the endpoint says so. The new test of the core checks it for a running request, one with a response head and one that waits again after failed runs; it passes without a change of the code.

The test now stops the host once the engine has the request, which is at least as strict: the request is under way for certain.

--- a/tests/process/site/test_planned_stop.py
+++ b/tests/process/site/test_planned_stop.py
@@ -7,7 +7,7 @@
 import gevent
 import pytest
 
-from tests.process.site.harness import CLOCK, SiteHarness
+from tests.process.site.harness import CLOCK, SiteHarness, wait_until
 
 # The harness's requests have 4 s, which is more than this.
 GRACE_PERIOD = timedelta(seconds=3)
@@ -47,8 +47,10 @@
 ) -> None:
     """Guard against a connection that closes on a request without any answer."""
     assert site.entry is not None
+    n_bodies = len(site.engine.bodies)
     under_way = gevent.spawn(site.send_turn, "under-way", b"in")
-    gevent.sleep(0.2)
+    # Before it is routed, the stop refuses it, since it has more time than the grace.
+    wait_until(lambda: len(site.engine.bodies) > n_bodies, "the request at the engine")
     started_at = CLOCK.now()
     site.entry.stop()
     assert CLOCK.now() - started_at < GRACE_PERIOD
--- a/tests/request/forwarding/test_core.py
+++ b/tests/request/forwarding/test_core.py
@@ -9,6 +9,7 @@
     BodyEnd,
     CallerDisconnected,
     ExchangeFailed,
+    HostStopping,
     ResponseBody,
     ResponseEnd,
 )
@@ -192,6 +193,26 @@
     assert not find(effects, RequestEndpoint)
 
 
+@pytest.mark.parametrize("n_failures", [0, 1, 2])
+@pytest.mark.parametrize("has_head", [False, True])
+def test_stop_does_not_report_a_sent_request_as_not_run(
+    n_failures: int, has_head: bool
+) -> None:
+    """Guard against a 503 for a request that an endpoint runs, ran or may have run."""
+    state = make_state(RouteKind.IDEMPOTENT, n_attempts=3)
+    run(state, Start(), grant("e0"))
+    for number in range(n_failures):
+        run(state, ExchangeFailed(get_exchange_id(state), True, "reset"))
+        if number < n_failures - 1 or has_head:
+            run(state, grant(f"e{number + 1}"))
+    if has_head:
+        head = make_response_head(200)
+        run(state, ResponseBegun(get_exchange_id(state), head))
+    (verdict,) = find(run(state, HostStopping()), SendVerdict)
+    assert isinstance(verdict, SendVerdict)
+    assert verdict.verdict is Verdict.TIMED_OUT
+
+
 def test_unsent_request_is_retried_on_another_endpoint() -> None:
     """Guard against a request that fails although no endpoint has received it."""
     state = make_state()
