Counted the silence of a new lender from the last contact with a leader

Cause: after the loss of a leader, and of the power of all stores, a new leader lent nothing for 500 ms from its election, although no read of an earlier leader could have been confirmed for the whole time of the election.

Change: replicas keep when they were last in contact with a leader, and report it to the next one, once they are in its term. The silence ends 500 ms after the last contact of a majority: any confirmed read of an earlier leader had an answer of one of them. Buckets are empty at that time, as before.

--- a/oleanderhitch/process/replication/core.py
+++ b/oleanderhitch/process/replication/core.py
@@ -115,6 +115,7 @@
     """Handle a message and return its effects."""
     effects: list[object] = []
     if state.election_deadline is None:
+        state.contacts.started_at = now
         # After a start, the first election begins with a pre-vote, which disrupts no
         # leader, so the replica need not wait for a whole election timeout.
         reset_election_deadline(state, now, is_retry=True)
--- a/oleanderhitch/process/replication/messages.py
+++ b/oleanderhitch/process/replication/messages.py
@@ -307,6 +307,24 @@
     group: GroupId
 
 
+class GetLeaderContact(Value, frozen=True):
+    """Asks a replica for its last contact with a leader of a term before `term`.
+
+    There is no reply while the replica could still follow such a leader.
+    """
+
+    term: Term
+
+
+class LeaderContact(Value, frozen=True):
+    """Returns how long ago that contact was; `voters` are those that it knows."""
+
+    replica: ReplicaId
+    term: Term
+    age_ms: int
+    voters: tuple[ReplicaId, ...]
+
+
 class MembershipAnswer(Value, frozen=True):
     """Replies to a request to change the membership."""
 
--- a/oleanderhitch/process/replication/peers.py
+++ b/oleanderhitch/process/replication/peers.py
@@ -258,6 +258,7 @@
     if term > state.term or state.role is not Role.FOLLOWER or state.leader != leader:
         become_follower(state, term, leader, now, effects)
     state.last_leader_contact_at = now
+    state.contacts.record(term, now)
     reset_election_deadline(state, now)
     return True
 
--- a/oleanderhitch/process/replication/replica.py
+++ b/oleanderhitch/process/replication/replica.py
@@ -7,6 +7,7 @@
 from msgspec import Struct, field
 
 from oleanderhitch.process.ids import GroupId, LogIndex, ReplicaId, Term
+from oleanderhitch.process.replication.contacts import LeaderContacts
 from oleanderhitch.process.replication.effects import (
     SendToReplica,
     TakeSnapshot,
@@ -115,6 +116,7 @@
     last_tick_at: datetime | None = None
     election_deadline: datetime | None = None
     last_leader_contact_at: datetime | None = None
+    contacts: LeaderContacts = field(default_factory=LeaderContacts)
     # Messages are deferred while a hard state is being synced: a message must not
     # depend on a term or a vote that a crash would undo.
     n_unsynced_hard_states: int = 0
--- a/oleanderhitch/process/replication/roles.py
+++ b/oleanderhitch/process/replication/roles.py
@@ -105,6 +105,8 @@
     The leader is None while it is not known.
     """
     was_leader = state.role is Role.LEADER
+    if was_leader:
+        state.contacts.record(state.term, now)
     if term > state.term:
         state.leader_match_index = 0
         state.incoming_snapshot = None
--- a/oleanderhitch/process/replication/task.py
+++ b/oleanderhitch/process/replication/task.py
@@ -1,7 +1,8 @@
 """Task that runs one replica of a group: its core, storage and application."""
 
+import math
 from collections.abc import Callable
-from datetime import datetime
+from datetime import datetime, timedelta
 from functools import singledispatch
 from random import Random
 
@@ -53,7 +54,9 @@
     CompactLog,
     DeclareReplicaLost,
     EntriesPersisted,
+    GetLeaderContact,
     GetReplicationStatus,
+    LeaderContact,
     Propose,
     ReadBarrier,
     RemoveReplica,
@@ -366,6 +369,21 @@
     return core.handle(request, state.replica, now)
 
 
+@_handle_operator_request.register
+def _(
+    request: GetLeaderContact, request_number: int, state: GroupState, now: datetime
+) -> list[object]:
+    call = state.pending_operator_calls.pop(request_number)
+    replica = state.replica
+    contact_at = replica.contacts.find_before(request.term)
+    if replica.term < request.term or contact_at is None:
+        return []
+    age_ms = math.floor((now - contact_at) / timedelta(milliseconds=1))
+    voters = replica.membership.voters
+    contact = LeaderContact(replica.replica, request.term, age_ms, voters)
+    return [SendReply(call.reply_address, contact)]
+
+
 @_handle_operator_request.register
 def _(
     request: GetReplicationStatus, request_number: int, state: GroupState, now: datetime
--- a/oleanderhitch/process/site/messages.py
+++ b/oleanderhitch/process/site/messages.py
@@ -22,6 +22,7 @@
     GetLedger,
     LedgerHandedOver,
 )
+from oleanderhitch.process.replication.messages import LeaderContact
 from oleanderhitch.values import Value
 from oleanderhitch.version.ids import DataCentreName, HostName
 from oleanderhitch.version.routes.ids import NO_ROUTING, RoutingVersion
@@ -184,4 +185,5 @@
     CreditReply,
     GetLedger,
     LedgerHandedOver,
+    LeaderContact,
 )
--- a/oleanderhitch/process/site/quota_lender.py
+++ b/oleanderhitch/process/site/quota_lender.py
@@ -2,7 +2,8 @@
 
 A leader lends while a read through the group has shown lately that no other store has
 become the leader. Its successor lends nothing until all such reads are too old, with
-buckets that are empty then, so that the loans of both are those of one bucket.
+buckets that are empty then, so that the loans of both are those of one bucket. Reports
+of the voters show when that was.
 
 A leader that is still there when its successor is elected, as after a planned transfer,
 ends its ledger and hands it over instead.
@@ -29,7 +30,12 @@
     LedgerId,
     QuotaBounds,
 )
-from oleanderhitch.process.replication.messages import NO_TERM
+from oleanderhitch.process.replication.messages import NO_TERM, LeaderContact
+from oleanderhitch.process.site.lender_silence import (
+    READ_VALIDITY,
+    SILENCE_DURATION,
+    LenderSilence,
+)
 from oleanderhitch.process.site.messages import RoutingFound
 from oleanderhitch.process.site.quota_ledger import (
     QuotaLedger,
@@ -39,12 +45,8 @@
 from oleanderhitch.version.routes.configuration import RouteTable
 from oleanderhitch.version.routes.ids import NO_ROUTING
 
-# A leader lends for this long after its last successful read began.
-READ_VALIDITY = timedelta(milliseconds=350)
 # Reads that are older are followed by another one at the next request.
 READ_INTERVAL = timedelta(milliseconds=100)
-# Longer than READ_VALIDITY and a loan in advance of the leader before.
-SILENCE_DURATION = timedelta(milliseconds=500)
 # Entry hosts ask again after this time.
 HELD_TTL = timedelta(milliseconds=150)
 # A few for each entry host of the largest deployment.
@@ -99,6 +101,7 @@
         # The last term in which this store led, and its ledger.
         self._term = NO_TERM
         self._ledger: QuotaLedger | None = None
+        self._silence = LenderSilence()
         self._applied = NO_ROUTING
         self._read_began_at: datetime | None = None
         self._confirmed_at: datetime | None = None
@@ -119,6 +122,7 @@
         if term == self._term and self._ledger is not None:
             # A transfer was cancelled, and no successor has asked for the ledger.
             return
+        self._silence = LenderSilence()
         lends_from = self._clock.now() + SILENCE_DURATION
         self._begin(term, make_quota_ledger(_make_id(), self._bounds, lends_from))
         self._request_ledger(GetLedger(term))
@@ -154,6 +158,20 @@
             n_limited=len(handed_over.buckets),
         )
 
+    def handle_contact(self, contact: LeaderContact, is_own: bool = False) -> None:
+        """Lend earlier if a majority has not been in contact with a leader lately."""
+        ledger = self._ledger
+        if ledger is None or not self._is_leader or contact.term != self._term:
+            return
+        now = self._clock.now()
+        age = timedelta(milliseconds=contact.age_ms)
+        self._silence.quiet_since[contact.replica] = now - age
+        if is_own:
+            self._silence.voters = contact.voters
+        end = self._silence.find_end()
+        if end is not None and end < ledger.lends_from and now < ledger.lends_from:
+            ledger.lends_from = end
+
     def _begin(self, term: Term, ledger: QuotaLedger) -> None:
         self._term, self._ledger = term, ledger
         self._applied = NO_ROUTING
--- a/oleanderhitch/process/site/store.py
+++ b/oleanderhitch/process/site/store.py
@@ -52,8 +52,15 @@
 from oleanderhitch.process.repair.core import BalanceSlot
 from oleanderhitch.process.repair.damage import LeadershipWatch, is_majority_proven
 from oleanderhitch.process.repair.messages import ReplicaRemoved, StoreHello
-from oleanderhitch.process.replication.effect_handlers import make_any_replica_receiver
+from oleanderhitch.process.replication.effect_handlers import (
+    OperatorCall,
+    make_any_replica_receiver,
+)
 from oleanderhitch.process.replication.effects import LeadershipChanged
+from oleanderhitch.process.replication.messages import (
+    GetLeaderContact,
+    LeaderContact,
+)
 from oleanderhitch.process.replication.states import Role
 from oleanderhitch.process.site.application import make_site_codec
 from oleanderhitch.process.site.currency import (
@@ -88,7 +95,7 @@
     make_operator_service,
 )
 from oleanderhitch.process.site.peer_codec import make_site_peer_codec
-from oleanderhitch.process.site.quota_lender import make_quota_lender
+from oleanderhitch.process.site.quota_lender import QuotaLender, make_quota_lender
 from oleanderhitch.process.site.settings import SiteStoreSettings
 from oleanderhitch.process.site.subscribers import make_subscribers
 from oleanderhitch.process.storage.exceptions import DamagedDataError
@@ -184,6 +191,18 @@
             self._currency.send(ReadFailed(self._read))
 
 
+class _OwnContactAddress:
+    """Reply address of the question for the last leader of this store's replica."""
+
+    def __init__(self, lender: QuotaLender) -> None:
+        self._lender = lender
+
+    def send(self, message: object) -> None:
+        """Report the contact to the lender."""
+        assert isinstance(message, LeaderContact)
+        self._lender.handle_contact(message, is_own=True)
+
+
 class Store:
     """Owner of the tasks of a store from its start until it is stopped or closed."""
 
@@ -600,13 +619,23 @@
         self._quota_lender.handle_request(request, reply_address)
 
     def handle_ledger_request(self, request: GetLedger, reply_address: Address) -> None:
-        """Hand the credits of client accounts over to the next leader."""
+        """Hand the credits of client accounts over to the next leader.
+
+        It is told as well when this store's replica followed a leader before it.
+        """
         self._quota_lender.handle_ledger_request(request, reply_address)
+        self._members[SITE_GROUP].send(
+            OperatorCall(GetLeaderContact(request.term), reply_address)
+        )
 
     def handle_ledger(self, handed_over: LedgerHandedOver) -> None:
         """Take the credits of client accounts over from the leader before."""
         self._quota_lender.handle_ledger(handed_over)
 
+    def handle_leader_contact(self, contact: LeaderContact) -> None:
+        """Take account of the last contact of a replica with an earlier leader."""
+        self._quota_lender.handle_contact(contact)
+
     def handle_replica_removed(self, message: ReplicaRemoved) -> None:
         """Start the replica anew that was removed from its group."""
         for member in self._members.values():
@@ -675,6 +704,11 @@
         """Ask all stores, since this one may not know which of them led before."""
         for link in self._links.links.values():
             link.send(request)
+        self._members[SITE_GROUP].send(
+            OperatorCall(
+                GetLeaderContact(request.term), _OwnContactAddress(self._quota_lender)
+            )
+        )
 
     def _perform_currency(self, effect: object) -> None:
         _perform_currency(effect, self)
@@ -806,6 +840,11 @@
     store.handle_ledger(message)
 
 
+@_receive.register
+def _(message: LeaderContact, delivery: PeerMessage, store: Store) -> None:
+    store.handle_leader_contact(message)
+
+
 def make_store(
     settings: SiteStoreSettings,
     dependencies: StoreDependencies,
--- a/tests/process/site/test_quota_ledger.py
+++ b/tests/process/site/test_quota_ledger.py
@@ -7,7 +7,7 @@
 
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.groups.messages import GroupAnswer
-from oleanderhitch.process.ids import CallId, Term
+from oleanderhitch.process.ids import CallId, ReplicaId, Term
 from oleanderhitch.process.metrics.core import make_metrics
 from oleanderhitch.process.quotas.messages import (
     CreditDemand,
@@ -19,15 +19,13 @@
     QuotaBounds,
     ReturnedCredits,
 )
+from oleanderhitch.process.replication.contacts import LeaderContacts
+from oleanderhitch.process.replication.messages import LeaderContact
+from oleanderhitch.process.site.lender_silence import READ_VALIDITY, SILENCE_DURATION
 from oleanderhitch.process.site.messages import RoutingFound
 from oleanderhitch.process.site.peer_codec import make_site_peer_codec
 from oleanderhitch.process.site.quota_ledger import QuotaLedger, make_quota_ledger
-from oleanderhitch.process.site.quota_lender import (
-    READ_VALIDITY,
-    SILENCE_DURATION,
-    QuotaLender,
-    make_quota_lender,
-)
+from oleanderhitch.process.site.quota_lender import QuotaLender, make_quota_lender
 from oleanderhitch.program.ids import AccountId
 from oleanderhitch.version.routes.accounts import Account
 from oleanderhitch.version.routes.configuration import (
@@ -280,3 +278,48 @@
     assert len(host.replies) == 3, "lent without a read of late"
     lender.handle_leadership_change(False, Term(1))
     assert not host.replies[-1].is_lending
+
+
+VOTERS = tuple(ReplicaId(f"s{number}") for number in range(3))
+
+
+def report(lender: QuotaLender, voter: int, age_ms: int, term: int = 4) -> None:
+    """Let a voter report its last contact with an earlier leader."""
+    contact = LeaderContact(VOTERS[voter], Term(term), age_ms, VOTERS)
+    lender.handle_contact(contact, is_own=voter == 0)
+
+
+def test_silence_counts_from_the_last_contact_of_a_majority() -> None:
+    """Guard against half a second without credits after each loss of a leader.
+
+    Also guard against a leader that lends while the one before may still do.
+    """
+    clock, host = ManualClock(), _Host()
+    lender = make_lender(clock, host)
+    lender.handle_leadership_change(True, Term(4))
+    report(lender, 0, 5000)
+    report(lender, 1, 9000, term=3)
+    assert host.ask(lender) == 0, "a voter of another term counts"
+    report(lender, 2, 450)
+    assert host.ask(lender) == 0
+    clock.time += 49 * MS
+    assert host.ask(lender) == 0, "another majority may have confirmed its read"
+    clock.time += 2 * MS
+    host.ask(lender)
+    assert host.replies[-1].is_lending
+    # Its bucket has been empty then, also if another voter reports an earlier time.
+    report(lender, 1, 9000)
+    clock.time += 100 * MS
+    assert host.ask(lender) <= 2
+
+
+def test_contact_with_the_new_leader_does_not_count() -> None:
+    """Guard against silences that begin anew with the first heartbeat of a term."""
+    contacts = LeaderContacts(started_at=NOW)
+    assert contacts.find_before(Term(4)) == NOW
+    contacts.record(Term(3), NOW + MS)
+    contacts.record(Term(4), NOW + 2 * MS)
+    contacts.record(Term(4), NOW + 3 * MS)
+    assert contacts.find_before(Term(4)) == NOW + MS
+    assert contacts.find_before(Term(5)) == NOW + 3 * MS
+    assert contacts.find_before(Term(3)) is None
