Rejected settings and configurations that no message or duration can hold

Weights that are NaN and counts beyond 64 bits were accepted. Change: each is a fault that names the setting or the place, before it is used.

--- a/oleanderhitch/platform/routing.py
+++ b/oleanderhitch/platform/routing.py
@@ -27,6 +27,8 @@
 MILLISECONDS_PER_SECOND = 1000
 # Longer durations are as good as endless, and a time after one can't be represented.
 LONGEST_DURATION = timedelta(days=36_500)
+# Messages between processes hold integers of 64 bits.
+COUNT_MAX = 2**63 - 1
 ROUTE_KINDS = {
     "safe": RouteKind.IDEMPOTENT,
     "unsafe": RouteKind.NON_IDEMPOTENT,
@@ -142,6 +144,8 @@
         # Any part of the document may be there, also keys of accounts.
         kind = type(version).__name__
         raise InvalidInputError(f"version is of type {kind}; expected a whole number")
+    if abs(version) > COUNT_MAX:
+        raise InvalidInputError(f"version exceeds {COUNT_MAX}")
     for name in ("routes", "services"):
         if not isinstance(parsed.get(name), list):
             raise InvalidInputError(f"{name} is missing or no list")
@@ -154,6 +158,11 @@
             f"route {wire.name!r} has kind {wire.kind!r}; "
             f"expected one of {list(ROUTE_KINDS)}"
         )
+    _check_count(f"route {wire.name!r}: attempts", wire.attempts)
+    _check_count(f"route {wire.name!r}: priority", abs(wire.priority))
+    for target in wire.split:
+        if not math.isfinite(target.weight):
+            raise InvalidInputError(f"route {wire.name!r} has weight {target.weight}")
     targets = tuple(
         Target(ServiceName(target.service), target.weight) for target in wire.split
     )
@@ -181,6 +190,12 @@
     )
 
 
+def _check_count(name: str, value: int) -> None:
+    """Raise InvalidInputError if a number is negative or takes more than 64 bits."""
+    if not 0 <= value <= COUNT_MAX:
+        raise InvalidInputError(f"{name} is not from 0 to {COUNT_MAX}")
+
+
 def _make_duration(name: str, seconds: float) -> timedelta:
     """Return a duration, LONGEST_DURATION at most; raise InvalidInputError."""
     if math.isnan(seconds) or seconds < 0:
@@ -191,6 +206,9 @@
 def _make_service(wire: WireService) -> Service:
     engine = None
     if wire.engine is not None:
+        for name in ("slots", "kv_capacity", "chunk_tokens"):
+            place = f"service {wire.name!r}: {name}"
+            _check_count(place, getattr(wire.engine, name))
         engine = EngineTraits(
             wire.engine.slots,
             wire.engine.kv_capacity,
@@ -200,6 +218,8 @@
 
 
 def _make_limits(wire: WireLimits) -> CallerLimits:
+    _check_count("max_header_bytes", wire.max_header_bytes)
+    _check_count("max_body_bytes", wire.max_body_bytes)
     return CallerLimits(
         wire.max_header_bytes,
         wire.max_body_bytes,
--- a/oleanderhitch/platform/settings.py
+++ b/oleanderhitch/platform/settings.py
@@ -1,6 +1,7 @@
 """Conversion of the platform's settings file to the settings of a process."""
 
 import json
+import math
 import os
 from dataclasses import dataclass
 from datetime import timedelta
@@ -19,6 +20,8 @@
 )
 from oleanderhitch.version.ids import DataCentreName, HostName
 
+SECOND = timedelta(seconds=1)
+MILLISECOND = timedelta(milliseconds=1)
 BYTES_PER_MEGABYTE = 1_000_000
 SETTINGS_VARIABLE = "OLEANDERHITCH_CONFIG"
 PEER_KEY_VARIABLE = "OLEANDERHITCH_PEER_KEY"
@@ -140,7 +143,7 @@
         _make_node_id(file.ip, file),
         tuple(_make_node_id(seed.rpartition(":")[0], file) for seed in file.seeds),
         key.encode(),
-        timedelta(seconds=file.bounds.grace_s),
+        _make_duration("bounds.grace_s", file.bounds.grace_s),
         HostAddress(f"{file.ip}:{metrics_port}") if metrics_port else None,
         _find_memory_limit(file),
         _find_revocation_limit(file.bounds),
@@ -160,20 +163,21 @@
 
 def _find_memory_limit(file: SettingsFile) -> int | None:
     n_megabytes = file.limits.memory_mb
-    return None if n_megabytes is None else int(n_megabytes * BYTES_PER_MEGABYTE)
+    if n_megabytes is None:
+        return None
+    if not 0 < n_megabytes * BYTES_PER_MEGABYTE < math.inf:
+        raise InvalidInputError(
+            f"setting limits.memory_mb is {n_megabytes}; expected more than 0"
+        )
+    return int(n_megabytes * BYTES_PER_MEGABYTE)
 
 
 def _find_revocation_limit(bounds: Bounds) -> timedelta | None:
     if not bounds.strict_revoke:
         return None
-    try:
-        limit = timedelta(milliseconds=bounds.revoke_ms)
-    except (ValueError, OverflowError):
-        limit = timedelta(0)
-    if limit <= timedelta(0):
-        raise InvalidInputError(
-            f"setting bounds.revoke_ms is {bounds.revoke_ms}; expected more than 0"
-        )
+    limit = _make_duration("bounds.revoke_ms", bounds.revoke_ms, MILLISECOND)
+    if not limit:
+        raise InvalidInputError("setting bounds.revoke_ms is 0; expected more than 0")
     return limit
 
 
@@ -181,7 +185,7 @@
     bounds = file.bounds
     if not bounds.quota_window_s:
         return None
-    window = timedelta(seconds=bounds.quota_window_s)
+    window = _make_duration("bounds.quota_window_s", bounds.quota_window_s)
     return QuotaBounds(window, bounds.quota_over, bounds.quota_slack)
 
 
@@ -190,9 +194,22 @@
 
     All hosts use the same port.
     """
+    if not file.port_range:
+        raise InvalidInputError("setting port_range is empty")
     return NodeId(f"{ip}:{file.port_range[0]}")
 
 
+def _make_duration(name: str, number: float, unit: timedelta = SECOND) -> timedelta:
+    """Return a number of units as a duration; raise InvalidInputError."""
+    try:
+        duration = unit * number
+    except (ValueError, OverflowError):
+        duration = -unit
+    if duration < timedelta(0):
+        raise InvalidInputError(f"setting {name} is {number}; expected 0 or more")
+    return duration
+
+
 def _get_listen_address(file: SettingsFile, name: str) -> str:
     address = file.listen.get(name)
     if address is None:
