Took odd numbers and texts of endpoints and callers as malformed

Cause: a Keep-Alive timeout of 30 digits failed a whole response; an event id or Last-Event-ID of 5,000 digits ended its request with an unexpected error; in the product's interface an event that nests too deeply or has an infinite offset raised another error, and half of a surrogate pair failed where it is sent on. Change: the number of digits is bounded or does not matter, and the decoders refuse such events and calls.

--- a/oleanderhitch/connection/caller/parsing.py
+++ b/oleanderhitch/connection/caller/parsing.py
@@ -58,6 +58,9 @@
     _check_body_size(body)
     try:
         document = json.loads(body or b"{}")
+        if b"\\u" in body:
+            # Half of an escaped surrogate pair can't be sent to other processes.
+            json.dumps(document, ensure_ascii=False).encode()
     except (ValueError, RecursionError) as error:
         raise CallRefusedError(
             Reason.BAD_REQUEST, f"body is not JSON: {error}"
--- a/oleanderhitch/connection/endpoint/events.py
+++ b/oleanderhitch/connection/endpoint/events.py
@@ -9,6 +9,16 @@
 
 # An event contains one token or a few, so a larger one is malformed.
 EVENT_LIMIT_BYTES = 1024 * 1024
+# An event of another shape, with an infinite number, or nested too deeply.
+_PARSING_ERRORS = (
+    ValueError,
+    KeyError,
+    IndexError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
 _DATA_PREFIX = b"data:"
 _DONE = b"[DONE]"
 
@@ -70,8 +80,10 @@
             if "usage" in body:
                 return _parse_usage(body["usage"])
             text = str(body["choices"][0]["delta"]["content"])
+            # Half of a surrogate pair can't be relayed.
+            text.encode()
             return ChunkEvent(int(body["offset"]), text)
-        except (ValueError, KeyError, IndexError, TypeError, AttributeError) as error:
+        except _PARSING_ERRORS as error:
             raise MalformedResponseError(f"event is malformed: {error!r}") from None
 
     def _check_stream_id(self, body: dict[str, Any]) -> None:
--- a/oleanderhitch/connection/http/endpoint.py
+++ b/oleanderhitch/connection/http/endpoint.py
@@ -62,6 +62,8 @@
 N_CARRIED_REQUESTS_LIMIT = 128
 # For endpoints that announce no timeout.
 DEFAULT_IDLE_TIMEOUT = timedelta(seconds=20)
+# Some years; connections are closed long before that.
+N_TIMEOUT_DIGITS = 8
 # Event mask of libev.
 READABLE = 1
 # Responses with a status below this are interim (RFC 9110).
@@ -383,7 +385,8 @@
     for parameter in (find_header(headers, "keep-alive") or "").split(","):
         name, _, value = parameter.strip().partition("=")
         if name == "timeout" and value.isdecimal():
-            endpoint_timeout = timedelta(seconds=int(value))
+            seconds = int(value[:N_TIMEOUT_DIGITS])
+            endpoint_timeout = timedelta(seconds=seconds)
             return max(endpoint_timeout - IDLE_TIMEOUT_MARGIN, endpoint_timeout / 2)
     return DEFAULT_IDLE_TIMEOUT
 
--- a/oleanderhitch/request/forwarding/resumption.py
+++ b/oleanderhitch/request/forwarding/resumption.py
@@ -21,8 +21,14 @@
     if event_id is None:
         return EventPosition.BEFORE
     if event_id.isdecimal() and last_event_id.isdecimal():
-        number, last_number = int(event_id), int(last_event_id)
+        number, last_number = _make_ordinal(event_id), _make_ordinal(last_event_id)
         if number > last_number:
             return EventPosition.AFTER
         return EventPosition.LAST if number == last_number else EventPosition.BEFORE
     return EventPosition.LAST if event_id == last_event_id else EventPosition.BEFORE
+
+
+def _make_ordinal(digits: str) -> tuple[int, str]:
+    """Return what orders texts of digits as numbers, which `int` limits in length."""
+    digits = digits.lstrip("0")
+    return len(digits), digits
--- a/tests/connection/http/test_endpoint.py
+++ b/tests/connection/http/test_endpoint.py
@@ -151,6 +151,26 @@
     assert endpoint.n_connections == 1
 
 
+@pytest.mark.parametrize("timeout", [b"9" * 30, b"9" * 5000, b"-1", b"x"])
+def test_odd_keep_alive_does_not_cost_the_response(
+    serve: Callable[[Script], ScriptedEndpoint], timeout: bytes
+) -> None:
+    """Guard against a whole response that fails by what its connection announces."""
+    response = make_response(1, b"ok")
+    keep_alive = b"Keep-Alive: timeout=%b\r\nX-Id" % timeout
+
+    def script(connected: socket.socket, number: int) -> None:
+        while connected.recv(4096):
+            connected.sendall(response.replace(b"X-Id", keep_alive))
+
+    endpoint = serve(script)
+    client = PoolClient()
+    for number in (1, 2):
+        body, end = receive_response(client.start_exchange(endpoint.address, number))
+        assert (body, end) == (b"ok", ResponseEnd(number, BodyEnd.FRAMED))
+        gevent.sleep(0.01)
+
+
 def test_late_response_to_another_request_is_skipped(
     serve: Callable[[Script], ScriptedEndpoint],
 ) -> None:
--- a/tests/request/forwarding/test_core.py
+++ b/tests/request/forwarding/test_core.py
@@ -3,6 +3,8 @@
 from datetime import UTC, datetime, timedelta
 
 import pytest
+from hypothesis import example, given
+from hypothesis import strategies as st
 from msgspec.structs import replace
 
 from oleanderhitch.connection.http.messages import (
@@ -952,3 +954,26 @@
     reports = find(effects, ReportEventLatency)
     expected = ReportEventLatency(PermitId("permit-e1"), timedelta(milliseconds=30))
     assert reports == [expected] * n_reports
+
+
+@given(st.lists(st.binary(max_size=30), max_size=6), st.sampled_from(["", "9" * 5000]))
+@example([b"id: " + b"9" * 5000 + b"\ndata: a\n\n"], "7")
+@example([b"id: 7\x00\ndata\ndata:\n\n", b"\n\n\n\n"], "9" * 5000)
+def test_odd_events_cost_their_request_only(
+    pieces: list[bytes], last_event_id: str
+) -> None:
+    """Guard against bytes of an endpoint, or an id of a caller, that raise an error."""
+    state = make_state(
+        RouteKind.STREAM,
+        n_attempts=2,
+        keeps_history=True,
+        is_resumable=True,
+        is_turn=True,
+        last_event_id=last_event_id,
+    )
+    run(state, Start(), TurnBegun(b"", 0), grant("e1"))
+    exchange_id = get_exchange_id(state)
+    run(state, ResponseBegun(exchange_id, make_response_head()))
+    for piece in pieces:
+        run(state, ResponseBody(exchange_id, piece))
+    run(state, ResponseEnd(exchange_id, BodyEnd.FRAMED))
