Closed all idle connections to an endpoint whose connection is lost

Cause: a request went through the stale connections one by one; to an endpoint whose host is gone, which closes none, each request in turn met one and waited 2 s for an acknowledgement. Change: a connection that breaks in use, can't be made, or was ended by its endpoint when it is to be reused closes the idle ones to the same address.

--- a/oleanderhitch/connection/http/endpoint.py
+++ b/oleanderhitch/connection/http/endpoint.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from datetime import timedelta
+from enum import Enum
 from typing import Any
 
 import gevent
@@ -91,6 +92,20 @@
     request_id: RequestId | None = None
 
 
+class ReuseFault(Enum):
+    """Why an idle connection can't be reused."""
+
+    TIMED_OUT = "idle connection timed out"
+    CARRIED = "idle connection has carried the same request"
+    SURPLUS = "idle connection has surplus bytes"
+    CLOSED = "idle connection closed"
+    BROKEN = "idle connection broke"
+
+
+# What the endpoint has done; older connections to it have probably ended as well.
+LOST_FAULTS = (ReuseFault.CLOSED, ReuseFault.BROKEN)
+
+
 class ConnectionDisturbed(Value, frozen=True):
     """Reports that an idle connection was closed or has received something."""
 
@@ -103,17 +118,25 @@
 
 
 class ConnectionClosed(Value, frozen=True):
-    """Reports that the connection is closed; `exchange_id` is its last exchange."""
+    """Reports that the connection is closed; `exchange_id` is its last exchange.
+
+    `is_lost` is whether it broke in use, or could not be made.
+    """
 
     connection: "EndpointConnection"
     exchange_id: int
+    is_lost: bool = False
 
 
 class ExchangeUnsent(Value, frozen=True):
-    """Returns an exchange to the owner of a connection that can't be reused."""
+    """Returns an exchange to the owner of a connection that can't be reused.
+
+    `is_lost` is whether its endpoint has ended the connection.
+    """
 
     connection: "EndpointConnection"
     exchange: Exchange
+    is_lost: bool = False
 
 
 class _ExchangeState(Struct):
@@ -128,6 +151,7 @@
     n_skipped_bytes: int = 0
     has_head: bool = False
     has_ended: bool = False
+    is_lost: bool = False
     keeps_alive: bool = False
     is_close_delimited: bool = False
     idle_timeout: timedelta = DEFAULT_IDLE_TIMEOUT
@@ -151,6 +175,7 @@
         self._current_exchange_id = 0
         self._carried: deque[RequestId] = deque(maxlen=N_CARRIED_REQUESTS_LIMIT)
         self._has_ended = False
+        self._is_lost = False
 
     @property
     def address(self) -> HostAddress:
@@ -164,7 +189,7 @@
     def send(self, message: Exchange) -> None:
         """Queue an exchange; the owner gets it back if the connection has ended."""
         if self._has_ended:
-            self._return(message, "idle connection timed out")
+            self._return(message, ReuseFault.TIMED_OUT)
         else:
             self._mailbox.send(message)
 
@@ -191,23 +216,25 @@
             if self._socket is not None:
                 self._socket.close()
             self._fail_queued()
-            self._owner.send(ConnectionClosed(self, self._current_exchange_id))
+            exchange_id = self._current_exchange_id
+            self._owner.send(ConnectionClosed(self, exchange_id, self._is_lost))
 
     def _fail_queued(self) -> None:
         while self._mailbox.n_waiting:
             waiting = self._mailbox.receive()
             if isinstance(waiting, Exchange):
-                self._return(waiting, "idle connection timed out")
+                self._return(waiting, ReuseFault.TIMED_OUT)
 
     def _run_exchange(self, exchange: Exchange) -> timedelta | None:
         """Run an exchange; return the idle timeout, or None to close the connection."""
         is_reused = self._socket is not None
-        failure_reason = self._connect_or_check(exchange)
-        if failure_reason is not None:
-            if is_reused:
-                self._return(exchange, failure_reason)
-            else:
-                _fail(exchange, False, failure_reason)
+        if is_reused:
+            fault = self._find_reuse_fault(exchange)
+            if fault is not None:
+                self._return(exchange, fault)
+                return None
+        elif not self._connect(exchange):
+            self._is_lost = True
             return None
         assert self._socket is not None
         if exchange.request_id is not None:
@@ -220,6 +247,7 @@
         try:
             self._read_response(state)
         except OSError as error:
+            state.is_lost = True
             _fail_lost(exchange, f"connection broke: {error}")
         except ResponseParseError as error:
             _fail(exchange, True, f"unreadable answer: {error}")
@@ -230,6 +258,7 @@
             is_written = writer.ready()
             writer.kill(block=False)
             share.close()
+        self._is_lost = state.is_lost
         is_reusable = state.has_ended and state.keeps_alive and is_written
         return (
             state.idle_timeout if is_reusable and not state.has_surplus_bytes else None
@@ -253,39 +282,40 @@
         watcher.stop()
         self._mailbox.send(ConnectionDisturbed())
 
-    def _return(self, exchange: Exchange, reason: str) -> None:
-        log.debug("kept connection not reused", address=self._address, reason=reason)
-        self._owner.send(ExchangeUnsent(self, exchange))
-
-    def _connect_or_check(self, exchange: Exchange) -> str | None:
-        """Open or check the connection; return the reason of a failure."""
-        if self._socket is None:
-            try:
-                self._socket = open_connection(self._address, CONNECT_TIMEOUT)
-                self._socket.settimeout(None)
-                self._socket.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
-                )
-            except (OSError, OleanderhitchError) as error:
-                return f"could not connect: {error}"
-            return None
-        if exchange.request_id in self._carried:
-            return "the connection has carried the same request"
-        return self._find_reuse_failure()
+    def _return(self, exchange: Exchange, fault: ReuseFault) -> None:
+        log.debug(
+            "kept connection not reused", address=self._address, reason=fault.value
+        )
+        self._owner.send(ExchangeUnsent(self, exchange, fault in LOST_FAULTS))
 
-    def _find_reuse_failure(self) -> str | None:
-        """Return why an idle connection can't be reused, or None if it can."""
+    def _connect(self, exchange: Exchange) -> bool:
+        """Open the connection, or report the failure and return False."""
+        try:
+            self._socket = open_connection(self._address, CONNECT_TIMEOUT)
+            self._socket.settimeout(None)
+            self._socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+            )
+        except (OSError, OleanderhitchError) as error:
+            _fail(exchange, False, f"could not connect: {error}")
+            return False
+        return True
+
+    def _find_reuse_fault(self, exchange: Exchange) -> ReuseFault | None:
+        """Return why the idle connection can't be reused, or None if it can."""
         assert self._socket is not None
+        if exchange.request_id in self._carried:
+            return ReuseFault.CARRIED
         self._socket.setblocking(False)
         try:
             data = self._socket.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
             return None
-        except OSError as error:
-            return f"idle connection broke: {error}"
+        except OSError:
+            return ReuseFault.BROKEN
         finally:
             self._socket.settimeout(None)
-        return "idle connection has surplus bytes" if data else "idle connection closed"
+        return ReuseFault.SURPLUS if data else ReuseFault.CLOSED
 
     def _read_response(self, state: _ExchangeState) -> None:
         assert self._socket is not None
@@ -378,6 +408,7 @@
             ResponseEnd(exchange.exchange_id, BodyEnd.CONNECTION)
         )
     else:
+        state.is_lost = True
         _fail_lost(exchange, "endpoint closed the connection")
 
 
--- a/oleanderhitch/connection/http/pool.py
+++ b/oleanderhitch/connection/http/pool.py
@@ -108,21 +108,31 @@
     if state.busy_connections.get(exchange.exchange_id) is not connection:
         # It was cancelled meanwhile.
         return []
-    # An endpoint that ends closes all its connections. A request goes through those
-    # that are kept without spending one of its sends on each.
-    return handle(StartExchange(connection.address, exchange), state, now)
+    # An endpoint that ends closes all its connections. The request spends none of its
+    # sends on them.
+    effects = _close_idle(connection.address, state) if message.is_lost else []
+    start = StartExchange(connection.address, exchange)
+    return [*effects, *handle(start, state, now)]
 
 
 @handle.register
 def _(message: ConnectionClosed, state: PoolState, now: datetime) -> list[object]:
     if state.busy_connections.get(message.exchange_id) is message.connection:
         del state.busy_connections[message.exchange_id]
-    idle = state.idle_connections[message.connection.address]
+    address = message.connection.address
+    idle = state.idle_connections[address]
     if message.connection in idle:
         idle.remove(message.connection)
     if not idle:
-        del state.idle_connections[message.connection.address]
-    return []
+        del state.idle_connections[address]
+    # An endpoint that vanished with its host does not close them.
+    return _close_idle(address, state) if message.is_lost else []
+
+
+def _close_idle(address: HostAddress, state: PoolState) -> list[object]:
+    """Return the effects that close all idle connections to an endpoint."""
+    idle = state.idle_connections.pop(address, [])
+    return [CloseConnection(connection) for connection in idle]
 
 
 @singledispatch
--- /dev/null
+++ b/tests/connection/http/test_pool.py
@@ -0,0 +1,85 @@
+"""Guard against requests that meet the stale connections of a crashed endpoint."""
+
+from datetime import UTC, datetime
+from typing import Any
+
+import pytest
+
+from oleanderhitch.connection.http.endpoint import (
+    ConnectionClosed,
+    ConnectionIdle,
+    Exchange,
+    ExchangeUnsent,
+)
+from oleanderhitch.connection.http.messages import ResponseOwner
+from oleanderhitch.connection.http.pool import (
+    CloseConnection,
+    PoolState,
+    SendExchange,
+    StartExchange,
+    handle,
+)
+from oleanderhitch.connection.ids import HostAddress
+from oleanderhitch.process.mailbox import make_mailbox
+
+NOW = datetime(2026, 1, 1, tzinfo=UTC)
+CRASHED, OTHER = HostAddress("10.0.0.1:80"), HostAddress("10.0.0.2:80")
+REPLY = make_mailbox("test")
+
+
+class FakeConnection:
+    """Connection that only has an address."""
+
+    def __init__(self, address: HostAddress) -> None:
+        self.address = address
+
+
+def make_exchange(number: int) -> Exchange:
+    """Return an exchange with an endpoint."""
+    return Exchange(number, b"", REPLY, lambda headers: ResponseOwner.UNKNOWN)
+
+
+def make_pool(n_idle: int) -> tuple[PoolState, list[Any]]:
+    """Return a pool with idle connections to two endpoints, those to the first one."""
+    state = PoolState(FakeConnection)  # type: ignore[arg-type]
+    for number in range(n_idle):
+        for address in (CRASHED, OTHER):
+            exchange_id = 10 * number + (address == OTHER)
+            message = StartExchange(address, make_exchange(exchange_id))
+            handle(message, state, NOW)
+    for exchange_id, connection in list(state.busy_connections.items()):
+        handle(ConnectionIdle(connection, exchange_id), state, NOW)
+    return state, list(state.idle_connections[CRASHED])
+
+
+def list_closed(effects: list[object]) -> list[object]:
+    """Return the connections that effects close."""
+    return [item.connection for item in effects if isinstance(item, CloseConnection)]
+
+
+def test_stale_connection_closes_all_idle_ones_to_the_endpoint() -> None:
+    """Guard against one request after the other that meets a stale connection."""
+    state, idle = make_pool(3)
+    (sent,) = handle(StartExchange(CRASHED, make_exchange(99)), state, NOW)
+    assert isinstance(sent, SendExchange)
+    assert sent.connection is idle[-1]
+    unsent = ExchangeUnsent(idle[-1], make_exchange(99), is_lost=True)
+    *closed, again = handle(unsent, state, NOW)
+    assert list_closed(closed) == idle[:-1]
+    assert isinstance(again, SendExchange)
+    assert again.connection not in idle
+    assert not state.idle_connections[CRASHED]
+    assert len(state.idle_connections[OTHER]) == 3
+
+
+@pytest.mark.parametrize("is_lost", [False, True])
+def test_connection_lost_in_use_closes_all_idle_ones(is_lost: bool) -> None:
+    """Guard against requests that wait at an endpoint that vanished without a word.
+
+    A connection that ends for another reason says nothing about the others.
+    """
+    state, idle = make_pool(3)
+    handle(StartExchange(CRASHED, make_exchange(99)), state, NOW)
+    effects = handle(ConnectionClosed(idle[-1], 99, is_lost), state, NOW)
+    assert list_closed(effects) == (idle[:-1] if is_lost else [])
+    assert 99 not in state.busy_connections
