Let one request find out whether an unreachable endpoint is back

Cause: 1 s after a refused connection or a misdirected request all waiting requests were sent to the endpoint at once, and each spent one of its sends if it was still gone. Change: the first request tries it; the others follow with its first answer, or after 300 ms, in which a connection that can't be made has failed. A scenario without a network has endpoints that crash in turn and come back in place.

--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -27,6 +27,7 @@
     SendReply,
 )
 from oleanderhitch.process.placement.health import (
+    record_answer,
     record_result,
 )
 from oleanderhitch.process.placement.messages import (
@@ -326,6 +327,8 @@
     if endpoint is not None and is_current:
         record_first_answer(permit, endpoint, state, now)
         endpoint.last_activity_at = now
+        if record_answer(permit.granted_at, endpoint):
+            return grant_waiting(state, now, permit.queue.service)
     return []
 
 
--- a/oleanderhitch/process/placement/health.py
+++ b/oleanderhitch/process/placement/health.py
@@ -10,6 +10,9 @@
 # after a refusal. The list of endpoints still contains a crashed one for some seconds.
 AVOID_AFTER_UNREACHABLE = timedelta(seconds=1)
 AVOID_AFTER_REFUSAL = timedelta(milliseconds=150)
+# One request tries an endpoint that was unreachable. A connection that can't be made
+# fails sooner: see `CONNECT_TIMEOUT` of `connection/http/endpoint.py`.
+TRIAL_DURATION = timedelta(milliseconds=300)
 # An unresponsive endpoint may be slowed down by a noisy neighbour; such slowdowns last
 # about this long.
 AVOID_AFTER_SILENCE = timedelta(milliseconds=300)
@@ -45,8 +48,38 @@
         endpoint.avoid_until = now + AVOID_AFTER_REFUSAL
     elif result in (AttemptResult.NOT_CONNECTED, AttemptResult.MISDIRECTED):
         endpoint.avoid_until = now + AVOID_AFTER_UNREACHABLE
+        endpoint.unreachable_at, endpoint.trial_at = now, None
     elif result is AttemptResult.COMPLETED:
         endpoint.avoid_until = None
+        _end_trial(endpoint)
+
+
+def begin_trial(endpoint: Endpoint, now: datetime) -> None:
+    """Record that a request is sent to an endpoint that may be back."""
+    if endpoint.unreachable_at is None:
+        return
+    if endpoint.trial_at is None:
+        endpoint.trial_at = now
+    elif not is_on_trial(endpoint, now):
+        # The connection was made, or its failure would have been reported.
+        _end_trial(endpoint)
+
+
+def is_on_trial(endpoint: Endpoint, now: datetime) -> bool:
+    """Return whether one request finds out if an endpoint is back, and others wait."""
+    return endpoint.trial_at is not None and now - endpoint.trial_at < TRIAL_DURATION
+
+
+def record_answer(granted_at: datetime, endpoint: Endpoint) -> bool:
+    """Return whether the answer to what was granted at a time ends a trial."""
+    if endpoint.unreachable_at is None or granted_at <= endpoint.unreachable_at:
+        return False
+    _end_trial(endpoint)
+    return True
+
+
+def _end_trial(endpoint: Endpoint) -> None:
+    endpoint.unreachable_at = endpoint.trial_at = None
 
 
 def is_unresponsive(endpoint: Endpoint, now: datetime) -> bool:
--- a/oleanderhitch/process/placement/queues.py
+++ b/oleanderhitch/process/placement/queues.py
@@ -14,6 +14,8 @@
     SendReply,
 )
 from oleanderhitch.process.placement.health import (
+    begin_trial,
+    is_on_trial,
     is_unresponsive,
     record_affinity_key,
 )
@@ -237,6 +239,7 @@
         not endpoint.is_leaving
         and _has_capacity(endpoint, queue_id.is_engine, now)
         and (endpoint.avoid_until is None or endpoint.avoid_until <= now)
+        and not is_on_trial(endpoint, now)
         and allows_send(endpoint, state, now)
     )
 
@@ -320,6 +323,7 @@
 ) -> SendReply:
     """Grant an endpoint to a request, and record what it adds there."""
     endpoint.has_trial = False
+    begin_trial(endpoint, now)
     if not endpoint.permits:
         endpoint.last_activity_at = now
     if message.affinity_key is not None and message.workload is None:
--- a/oleanderhitch/process/placement/records.py
+++ b/oleanderhitch/process/placement/records.py
@@ -92,6 +92,10 @@
     wanted_share: float = 1.0
     permits: set[PermitId] = field(default_factory=set)
     avoid_until: datetime | None = None
+    # Since when it is known that no request reaches it, until one is answered, and when
+    # the first one after that was sent.
+    unreachable_at: datetime | None = None
+    trial_at: datetime | None = None
     # Affinity keys of the calls that were sent here, most recent last.
     affinity_keys: OrderedDict[str, None] = field(default_factory=OrderedDict)
     # Time of the last response, or of the first request after an idle period.
--- a/tests/process/site/test_crashing_requests.py
+++ b/tests/process/site/test_crashing_requests.py
@@ -47,6 +47,8 @@
 CRASH_DELAY = 60 * MS
 WORK_DURATION = 150 * MS
 DOWN_TIME = 3000 * MS
+# Of an endpoint that comes back under its name and address.
+RESTART_TIME = 400 * MS
 LIST_DELAY = 800 * MS
 TICK_INTERVAL = 50 * MS
 REQUEST_TIMEOUT = 2000 * MS
@@ -80,7 +82,10 @@
 class CrashingFleet:
     """Entry hosts, without a network, before endpoints that the content crashes."""
 
-    def __init__(self, n_hosts: int, n_endpoints: int) -> None:
+    def __init__(
+        self, n_hosts: int, n_endpoints: int, is_restarted_in_place: bool = False
+    ) -> None:
+        self._is_restarted_in_place = is_restarted_in_place
         self._random = Random(2)
         self._numbers = count()
         self._due: list[tuple[datetime, int, Callable[[datetime], None]]] = []
@@ -131,6 +136,10 @@
         up = [server for server in self.servers.values() if server.is_up]
         self._crash(min(up, key=lambda server: int(server.name[2:])), now)
 
+    def crash_named(self, name: EndpointId, now: datetime) -> None:
+        """Crash an endpoint."""
+        self._crash(self.servers[name], now)
+
     def count_late_sends(self) -> int:
         """Return how often the content was sent after the users' grace."""
         if len(self.crashed_at) < N_CRASHES:
@@ -252,9 +261,13 @@
             released = ReleaseEndpoint(permit, AttemptResult.CONNECTION_LOST)
             self._deliver(released, call.host, now)
             self._end(call, "interrupted", now)
-        self.at(now + DOWN_TIME, lambda at: self._replace(server, at))
+        down_time = RESTART_TIME if self._is_restarted_in_place else DOWN_TIME
+        self.at(now + down_time, lambda at: self._replace(server, at))
 
     def _replace(self, server: Server, now: datetime) -> None:
+        if self._is_restarted_in_place:
+            server.is_up = True
+            return
         del self.servers[server.name]
         self._start_server(now)
 
@@ -308,3 +321,30 @@
     assert during["served"] >= 0.9 * during.total()
     # The last crash is at 8 s.
     assert after["served"] == after.total()
+
+
+def test_service_returns_while_endpoints_restart_in_turn() -> None:
+    """Guard against endpoints that stay unused, or are flooded, after a short crash.
+
+    The list shows nothing of it: each is back under its name and address.
+    """
+    fleet = CrashingFleet(6, 6, is_restarted_in_place=True)
+    n_crashes, interval_s = 18, 0.5
+    names = sorted(fleet.servers)
+    for number in range(n_crashes):
+        name = names[number % len(names)]
+        time = NOW + timedelta(seconds=3 + interval_s * number)
+        fleet.at(time, lambda now, name=name: fleet.crash_named(name, now))
+    fleet.play(timedelta(seconds=17), 60.0, has_poison=False)
+    assert len(fleet.crashed_at) == n_crashes
+    before, during, after = Counter[str](), Counter[str](), Counter[str]()
+    for second in range(3):
+        before.update(fleet.ends[second])
+    # The last crash is at 11.5 s.
+    for second in range(3, 12):
+        during.update(fleet.ends[second])
+    for second in range(14, 17):
+        after.update(fleet.ends[second])
+    assert before["served"] == before.total()
+    assert during["served"] / 9 >= 0.9 * before["served"] / 3
+    assert after["served"] == after.total()
