--- a/oleanderhitch/process/explaining/states.py
+++ b/oleanderhitch/process/explaining/states.py
@@ -42,6 +42,7 @@
     LEAVING = "leaving"
     FULL = "full"
     AVOIDED = "avoided_after_failure"
+    ON_TRIAL = "another_request_tries_it"
     RATE_LIMITED = "rate_limited"
     TRIED = "tried"
     UNRESPONSIVE = "unresponsive"
--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -27,6 +27,7 @@
 )
 from oleanderhitch.process.placement.explaining import explain
 from oleanderhitch.process.placement.health import (
+    record_answer,
     record_result,
 )
 from oleanderhitch.process.placement.messages import (
@@ -50,6 +51,7 @@
     ReleaseEndpoint,
     SendPermitReply,
     SpeedsReported,
+    StopAnnounced,
 )
 from oleanderhitch.process.placement.observations import (
     apply_speeds,
@@ -233,6 +235,19 @@
     return [LogEndpointLeaving(endpoint.listed.endpoint)]
 
 
+@handle.register
+def _(message: StopAnnounced, state: PlacementState, now: datetime) -> list[object]:
+    endpoint = find_endpoint(message.endpoint, state)
+    if (
+        endpoint is None
+        or endpoint.has_announced_stop
+        or endpoint.listed.born_ms != message.born_ms
+    ):
+        return []
+    endpoint.has_announced_stop = True
+    return [LogEndpointLeaving(message.endpoint)]
+
+
 @handle.register
 def _(
     message: EndpointRateLimited, state: PlacementState, now: datetime
@@ -292,6 +307,8 @@
     if endpoint is not None and is_current:
         record_first_answer(permit, endpoint, state, now)
         endpoint.last_activity_at = now
+        if record_answer(permit.granted_at, endpoint):
+            return grant_waiting(state, now, permit.queue.service)
     return []
 
 
--- a/oleanderhitch/process/placement/queues.py
+++ b/oleanderhitch/process/placement/queues.py
@@ -17,6 +17,8 @@
     SendReply,
 )
 from oleanderhitch.process.placement.health import (
+    begin_trial,
+    is_on_trial,
     is_unresponsive,
     record_affinity_key,
 )
@@ -268,6 +270,8 @@
         return Exclusion.FULL
     if endpoint.avoid_until is not None and endpoint.avoid_until > now:
         return Exclusion.AVOIDED
+    if is_on_trial(endpoint, now):
+        return Exclusion.ON_TRIAL
     return None if allows_send(endpoint, state, now) else Exclusion.RATE_LIMITED
 
 
@@ -386,6 +390,7 @@
 ) -> SendReply:
     """Grant an endpoint to a request, and record what it adds there."""
     endpoint.has_trial = False
+    begin_trial(endpoint, now)
     if not endpoint.permits:
         endpoint.last_activity_at = now
     if message.affinity_key is not None and message.workload is None:
--- a/tests/process/site/test_quota_ledger.py
+++ b/tests/process/site/test_quota_ledger.py
@@ -7,24 +7,25 @@
 
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.groups.messages import GroupAnswer
-from oleanderhitch.process.ids import CallId
+from oleanderhitch.process.ids import CallId, ReplicaId, Term
 from oleanderhitch.process.metrics.core import make_metrics
 from oleanderhitch.process.quotas.messages import (
     CreditDemand,
     CreditReply,
     CreditRequest,
+    GetLedger,
+    LedgerHandedOver,
     LedgerId,
     QuotaBounds,
     ReturnedCredits,
 )
+from oleanderhitch.process.replication.contacts import LeaderContacts
+from oleanderhitch.process.replication.messages import LeaderContact
+from oleanderhitch.process.site.lender_silence import READ_VALIDITY, SILENCE_DURATION
 from oleanderhitch.process.site.messages import RoutingFound
 from oleanderhitch.process.site.peer_codec import make_site_peer_codec
 from oleanderhitch.process.site.quota_ledger import QuotaLedger, make_quota_ledger
-from oleanderhitch.process.site.quota_lender import (
-    READ_VALIDITY,
-    SILENCE_DURATION,
-    make_quota_lender,
-)
+from oleanderhitch.process.site.quota_lender import QuotaLender, make_quota_lender
 from oleanderhitch.program.ids import AccountId
 from oleanderhitch.version.routes.accounts import Account
 from oleanderhitch.version.routes.configuration import (
@@ -109,6 +110,12 @@
         assert isinstance(message, CreditReply)
         self.replies.append(message)
 
+    def ask(self, lender: QuotaLender) -> int:
+        """Return how many credits a lender lends, after a read if it needs one."""
+        lender.handle_request(ALL, self)
+        self.answer_reads()
+        return sum(loan.n_running for loan in self.replies[-1].loans)
+
     def answer_reads(self) -> None:
         """Answer all reads."""
         while self.reads:
@@ -169,15 +176,94 @@
     return make_route_table(RoutingConfiguration(version, (), {}, accounts=(ACCOUNT,)))
 
 
+def make_lender(clock: ManualClock, host: _Host) -> QuotaLender:
+    """Return the lender of a store whose reads the host answers."""
+    routing = RoutingFound(RoutingVersion(1), b"")
+    return make_quota_lender(
+        BOUNDS,
+        lambda: routing,
+        read_routing,
+        host.reads.append,
+        lambda request: None,
+        clock,
+        make_metrics(),
+    )
+
+
+class _Successor:
+    """Hands what it gets to a lender, or keeps it."""
+
+    def __init__(self, lender: QuotaLender) -> None:
+        self._lender = lender
+        self.n_handed_over = 0
+
+    def send(self, message: object) -> None:
+        """Hand a ledger over."""
+        assert isinstance(message, LedgerHandedOver)
+        self.n_handed_over += 1
+        self._lender.handle_ledger(message)
+
+
+def make_leader(clock: ManualClock, host: _Host, term: int) -> QuotaLender:
+    """Return a lender whose silence has just ended."""
+    lender = make_lender(clock, host)
+    lender.handle_leadership_change(True, Term(term))
+    clock.time += SILENCE_DURATION
+    return lender
+
+
+def test_ledger_is_handed_over_without_a_silence() -> None:
+    """Guard against refusals below the limit each time the leadership is moved."""
+    clock, host = ManualClock(), _Host()
+    old, new = make_leader(clock, host, 3), make_lender(clock, host)
+    clock.time += timedelta(seconds=1)
+    assert host.ask(old) > 10
+    clock.time += timedelta(seconds=1)
+    old.handle_leadership_change(False, Term(3))
+    assert old.has_ledger_to_hand_over
+    new.handle_leadership_change(True, Term(4))
+    assert host.ask(new) == 0
+    old.handle_ledger_request(GetLedger(Term(4)), _Successor(new))
+    # One second has filled the bucket since the loan of all that was in it.
+    assert not old.has_ledger_to_hand_over
+    assert 9 <= host.ask(new) <= 11
+    assert host.ask(old) == 0
+
+
+def test_ledger_is_handed_over_once_and_to_the_next_term_only() -> None:
+    """Guard against two leaders that lend what one of them was given."""
+    clock, host = ManualClock(), _Host()
+    old = make_leader(clock, host, 3)
+    late = _Successor(make_leader(clock, host, 5))
+    old.handle_ledger_request(GetLedger(Term(5)), late)
+    assert late.n_handed_over == 0, "the leader of term 4 may have lent"
+    n_lent = host.ask(late._lender)
+    # Its own silence has ended, so that it has lent already.
+    handed_over = LedgerHandedOver(Term(5), -1000, True, ())
+    late._lender.handle_ledger(handed_over)
+    assert n_lent and host.ask(late._lender) <= 1
+    # A leader that has handed its ledger over does not lend, although it still leads.
+    old.handle_ledger_request(GetLedger(Term(4)), _Successor(make_lender(clock, host)))
+    assert host.ask(old) == 0
+
+
+def test_cancelled_transfer_keeps_the_ledger() -> None:
+    """Guard against refusals after a transfer that did not take place."""
+    clock, host = ManualClock(), _Host()
+    lender = make_leader(clock, host, 3)
+    lender.handle_leadership_change(False, Term(3))
+    assert host.ask(lender) == 0
+    clock.time += timedelta(seconds=1)
+    lender.handle_leadership_change(True, Term(3))
+    assert host.ask(lender) > 10
+
+
 def test_leader_lends_only_after_a_read_and_a_silence() -> None:
     """Guard against a deposed leader that lends beside its successor."""
     clock, host = ManualClock(), _Host()
-    routing = RoutingFound(RoutingVersion(1), b"")
-    lender = make_quota_lender(
-        BOUNDS, lambda: routing, read_routing, host.reads.append, clock, make_metrics()
-    )
+    lender = make_lender(clock, host)
     lender.handle_request(ALL, host)
-    lender.handle_leadership_change(True)
+    lender.handle_leadership_change(True, Term(1))
     lender.handle_request(ALL, host)
     assert [reply.is_lending for reply in host.replies] == [False, False]
     clock.time += SILENCE_DURATION + timedelta(seconds=1)
@@ -190,5 +276,50 @@
     clock.time += READ_VALIDITY
     lender.handle_request(ALL, host)
     assert len(host.replies) == 3, "lent without a read of late"
-    lender.handle_leadership_change(False)
+    lender.handle_leadership_change(False, Term(1))
     assert not host.replies[-1].is_lending
+
+
+VOTERS = tuple(ReplicaId(f"s{number}") for number in range(3))
+
+
+def report(lender: QuotaLender, voter: int, age_ms: int, term: int = 4) -> None:
+    """Let a voter report its last contact with an earlier leader."""
+    contact = LeaderContact(VOTERS[voter], Term(term), age_ms, VOTERS)
+    lender.handle_contact(contact, is_own=voter == 0)
+
+
+def test_silence_counts_from_the_last_contact_of_a_majority() -> None:
+    """Guard against half a second without credits after each loss of a leader.
+
+    Also guard against a leader that lends while the one before may still do.
+    """
+    clock, host = ManualClock(), _Host()
+    lender = make_lender(clock, host)
+    lender.handle_leadership_change(True, Term(4))
+    report(lender, 0, 5000)
+    report(lender, 1, 9000, term=3)
+    assert host.ask(lender) == 0, "a voter of another term counts"
+    report(lender, 2, 450)
+    assert host.ask(lender) == 0
+    clock.time += 49 * MS
+    assert host.ask(lender) == 0, "another majority may have confirmed its read"
+    clock.time += 2 * MS
+    host.ask(lender)
+    assert host.replies[-1].is_lending
+    # Its bucket has been empty then, also if another voter reports an earlier time.
+    report(lender, 1, 9000)
+    clock.time += 100 * MS
+    assert host.ask(lender) <= 2
+
+
+def test_contact_with_the_new_leader_does_not_count() -> None:
+    """Guard against silences that begin anew with the first heartbeat of a term."""
+    contacts = LeaderContacts(started_at=NOW)
+    assert contacts.find_before(Term(4)) == NOW
+    contacts.record(Term(3), NOW + MS)
+    contacts.record(Term(4), NOW + 2 * MS)
+    contacts.record(Term(4), NOW + 3 * MS)
+    assert contacts.find_before(Term(4)) == NOW + MS
+    assert contacts.find_before(Term(5)) == NOW + 3 * MS
+    assert contacts.find_before(Term(3)) is None
--- a/tests/request/forwarding/test_core.py
+++ b/tests/request/forwarding/test_core.py
@@ -3,12 +3,15 @@
 from datetime import UTC, datetime, timedelta
 
 import pytest
+from hypothesis import example, given
+from hypothesis import strategies as st
 from msgspec.structs import replace
 
 from oleanderhitch.connection.http.messages import (
     BodyEnd,
     CallerDisconnected,
     ExchangeFailed,
+    HostStopping,
     ResponseBody,
     ResponseEnd,
 )
@@ -192,6 +195,26 @@
     assert not find(effects, RequestEndpoint)
 
 
+@pytest.mark.parametrize("n_failures", [0, 1, 2])
+@pytest.mark.parametrize("has_head", [False, True])
+def test_stop_does_not_report_a_sent_request_as_not_run(
+    n_failures: int, has_head: bool
+) -> None:
+    """Guard against a 503 for a request that an endpoint runs, ran or may have run."""
+    state = make_state(RouteKind.IDEMPOTENT, n_attempts=3)
+    run(state, Start(), grant("e0"))
+    for number in range(n_failures):
+        run(state, ExchangeFailed(get_exchange_id(state), True, "reset"))
+        if number < n_failures - 1 or has_head:
+            run(state, grant(f"e{number + 1}"))
+    if has_head:
+        head = make_response_head(200)
+        run(state, ResponseBegun(get_exchange_id(state), head))
+    (verdict,) = find(run(state, HostStopping()), SendVerdict)
+    assert isinstance(verdict, SendVerdict)
+    assert verdict.verdict is Verdict.TIMED_OUT
+
+
 def test_unsent_request_is_retried_on_another_endpoint() -> None:
     """Guard against a request that fails although no endpoint has received it."""
     state = make_state()
@@ -952,3 +975,26 @@
     reports = find(effects, ReportEventLatency)
     expected = ReportEventLatency(PermitId("permit-e1"), timedelta(milliseconds=30))
     assert reports == [expected] * n_reports
+
+
+@given(st.lists(st.binary(max_size=30), max_size=6), st.sampled_from(["", "9" * 5000]))
+@example([b"id: " + b"9" * 5000 + b"\ndata: a\n\n"], "7")
+@example([b"id: 7\x00\ndata\ndata:\n\n", b"\n\n\n\n"], "9" * 5000)
+def test_odd_events_cost_their_request_only(
+    pieces: list[bytes], last_event_id: str
+) -> None:
+    """Guard against bytes of an endpoint, or an id of a caller, that raise an error."""
+    state = make_state(
+        RouteKind.STREAM,
+        n_attempts=2,
+        keeps_history=True,
+        is_resumable=True,
+        is_turn=True,
+        last_event_id=last_event_id,
+    )
+    run(state, Start(), TurnBegun(b"", 0), grant("e1"))
+    exchange_id = get_exchange_id(state)
+    run(state, ResponseBegun(exchange_id, make_response_head()))
+    for piece in pieces:
+        run(state, ResponseBody(exchange_id, piece))
+    run(state, ResponseEnd(exchange_id, BodyEnd.FRAMED))
