--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -11,6 +11,7 @@
 from oleanderhitch.platform.settings import (
     METRICS_PORT_VARIABLE,
     PEER_KEY_VARIABLE,
+    OPERATOR_CALLS_VARIABLE,
     RAMP_UP_VARIABLE,
     SETTINGS_VARIABLE,
     make_entry_settings,
@@ -70,6 +71,17 @@
         make_entry_settings(read_settings_file())
 
 
+def test_operators_are_answered_only_if_asked_for(
+    environment: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guard against entry hosts that listen in deployments that do not ask for it."""
+    listen = {"front": "10.1.0.32:80", "ready_addr": "10.1.0.32:81"}
+    environment.write_text(json.dumps({**CONTENT, "listen": listen}))
+    assert not make_entry_settings(read_settings_file()).has_operator_calls
+    monkeypatch.setenv(OPERATOR_CALLS_VARIABLE, "on")
+    assert make_entry_settings(read_settings_file()).has_operator_calls
+
+
 def test_quotas_are_off_without_a_window(environment: Path) -> None:
     """Guard against limits in a deployment that has not asked for them."""
     assert make_store_settings(read_settings_file()).site.quota_bounds is None
