Bounded what peers may make an entry host keep before they are operators

The server for operators took frames of 8 MiB from eight peers that had proved nothing, and kept each twice: as much as the memory of the smallest entry host. It takes a body of 1 MiB at most, and four streams.

--- a/oleanderhitch/connection/codec.py
+++ b/oleanderhitch/connection/codec.py
@@ -22,7 +22,8 @@
     def __init__(self, codec: "Codec") -> None:
         self._codec = codec
         # The unpacker finds where frames end; the codec decodes their content.
-        self._unpacker = msgpack.Unpacker(max_buffer_size=FRAME_LIMIT_BYTES)
+        self._limit_bytes = codec.frame_limit_bytes
+        self._unpacker = msgpack.Unpacker(max_buffer_size=self._limit_bytes)
         self._received = bytearray()
         self._n_decoded_bytes = 0
 
@@ -38,7 +39,7 @@
             return
         except msgpack.exceptions.BufferFull:
             raise MalformedFrameError(
-                f"frame is larger than {FRAME_LIMIT_BYTES} bytes"
+                f"frame is larger than {self._limit_bytes} bytes"
             ) from None
         except (msgpack.exceptions.UnpackException, ValueError) as error:
             raise MalformedFrameError(f"frame is not msgpack: {error}") from None
@@ -58,7 +59,8 @@
     A frame is a pair of the type's class name and a map of its fields.
     """
 
-    def __init__(self, message_types: Iterable[type]) -> None:
+    def __init__(self, message_types: Iterable[type], frame_limit_bytes: int) -> None:
+        self._frame_limit_bytes = frame_limit_bytes
         self._encoder = msgspec.msgpack.Encoder()
         self._decoders: dict[str, msgspec.msgpack.Decoder[object]] = {}
         self._types: dict[str, type] = {}
@@ -70,6 +72,11 @@
             # Earlier builds stored times as numbers, which a strict decoder rejects.
             self._decoders[name] = msgspec.msgpack.Decoder(message_type, strict=False)
 
+    @property
+    def frame_limit_bytes(self) -> int:
+        """The size of the largest frame."""
+        return self._frame_limit_bytes
+
     def encode(self, message: object) -> bytes:
         """Return the frame of a message.
 
@@ -80,10 +87,10 @@
         if self._types.get(name) is not type(message):
             raise MalformedFrameError(f"message type {name} is not registered")
         frame = self._encoder.encode((name, message))
-        if len(frame) > FRAME_LIMIT_BYTES:
+        if len(frame) > self._frame_limit_bytes:
             raise MalformedFrameError(
                 f"{name} takes {len(frame)} bytes; "
-                f"at most {FRAME_LIMIT_BYTES} are allowed"
+                f"at most {self._frame_limit_bytes} are allowed"
             )
         return frame
 
@@ -108,6 +115,8 @@
         return Decoder(self)
 
 
-def make_codec(message_types: Iterable[type]) -> Codec:
+def make_codec(
+    message_types: Iterable[type], frame_limit_bytes: int = FRAME_LIMIT_BYTES
+) -> Codec:
     """Return a codec for the given message types."""
-    return Codec(message_types)
+    return Codec(message_types, frame_limit_bytes)
--- a/oleanderhitch/process/commands/operator_explain.py
+++ b/oleanderhitch/process/commands/operator_explain.py
@@ -18,6 +18,7 @@
     OperatorCommand,
 )
 from oleanderhitch.process.explaining.messages import (
+    BODY_LIMIT_BYTES,
     AccountShare,
     ExplainedEndpoint,
     ExplainRequest,
@@ -94,6 +95,10 @@
         headers = tuple(_read_headers(self.option("header")))
         body_file = self.option("body")
         body = b"" if not body_file else _read_file(body_file)
+        if len(body) > BODY_LIMIT_BYTES:
+            raise InvalidInputError(
+                f"body has {len(body)} bytes; at most {BODY_LIMIT_BYTES} are allowed"
+            )
         return HttpRequest(
             self.argument("method").upper(),
             target,
--- a/oleanderhitch/process/explaining/messages.py
+++ b/oleanderhitch/process/explaining/messages.py
@@ -15,6 +15,8 @@
 from oleanderhitch.values import Value
 from oleanderhitch.version.ids import DataCentreName, EndpointId
 
+# The body only shows whether its content is quarantined.
+BODY_LIMIT_BYTES = 1024 * 1024
 MILLISECOND = timedelta(milliseconds=1)
 
 
--- a/oleanderhitch/process/explaining/service.py
+++ b/oleanderhitch/process/explaining/service.py
@@ -15,7 +15,11 @@
 from oleanderhitch.exceptions import UnavailableError
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.explaining import messages
-from oleanderhitch.process.explaining.messages import ExplainRequest, Explanation
+from oleanderhitch.process.explaining.messages import (
+    BODY_LIMIT_BYTES,
+    ExplainRequest,
+    Explanation,
+)
 from oleanderhitch.process.explaining.states import ExplainVerdict
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.mailbox import Mailbox
@@ -23,7 +27,10 @@
 from oleanderhitch.process.metrics.states import Counter
 
 # An operator has one stream, and a few may work at the same time.
-N_OPERATOR_STREAMS = 8
+N_OPERATOR_STREAMS = 4
+# Peers that have not proved to be operators yet may send a frame, which is kept twice:
+# 9 MB in all, where the smallest entry host has 128 MB.
+FRAME_LIMIT_BYTES = BODY_LIMIT_BYTES + 64 * 1024
 # Tasks answer within milliseconds unless the host is overloaded.
 ANSWER_TIMEOUT = timedelta(seconds=1)
 
@@ -97,7 +104,7 @@
 
 def make_explain_codec() -> Codec:
     """Return the codec of the calls between operators and entry hosts."""
-    return make_codec((*peer.MESSAGES, *messages.MESSAGES))
+    return make_codec((*peer.MESSAGES, *messages.MESSAGES), FRAME_LIMIT_BYTES)
 
 
 def make_explain_server(
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -10,8 +10,8 @@
 from oleanderhitch.exceptions import InvalidInputError
 from oleanderhitch.platform.settings import (
     METRICS_PORT_VARIABLE,
-    PEER_KEY_VARIABLE,
     OPERATOR_CALLS_VARIABLE,
+    PEER_KEY_VARIABLE,
     RAMP_UP_VARIABLE,
     SETTINGS_VARIABLE,
     make_entry_settings,
--- a/tests/process/site/test_explaining.py
+++ b/tests/process/site/test_explaining.py
@@ -10,7 +10,11 @@
 from oleanderhitch.connection.peer.messages import PeerMessage
 from oleanderhitch.exceptions import UnavailableError
 from oleanderhitch.process.commands.operator_base import ExitCode
-from oleanderhitch.process.explaining.messages import ExplainRequest, Explanation
+from oleanderhitch.process.explaining.messages import (
+    BODY_LIMIT_BYTES,
+    ExplainRequest,
+    Explanation,
+)
 from oleanderhitch.process.explaining.service import make_explain_service
 from oleanderhitch.process.explaining.states import ExplainVerdict
 from oleanderhitch.process.ids import NodeId
@@ -118,6 +122,11 @@
         assert operator.explain("http://h/q")[0] is ExitCode.UNKNOWN_ROUTE
         usage = "--header 'X-Token-Budget: many'"
         assert operator.explain(key=KEY, options=usage)[0] is ExitCode.MALFORMED
+        (tmp_path / "body").write_bytes(bytes(BODY_LIMIT_BYTES + 1))
+        options = f"--body {tmp_path / 'body'}"
+        assert operator.explain(options=options)[0] is ExitCode.ERROR
+        (tmp_path / "body").write_bytes(bytes(BODY_LIMIT_BYTES))
+        assert operator.explain(key=KEY, options=options)[0] is ExitCode.OK
         # A header without its name could be a key.
         code, _ = operator.explain(options=f"--header {UNKNOWN_KEY}")
         assert code is ExitCode.ERROR
