--- a/tests/process/placement/test_explaining.py
+++ b/tests/process/placement/test_explaining.py
@@ -17,7 +17,7 @@
 )
 from oleanderhitch.process.messages import Tick
 from oleanderhitch.process.placement.core import handle
-from oleanderhitch.process.placement.effects import AskLeader, SendReply
+from oleanderhitch.process.placement.effects import AskLeader
 from oleanderhitch.process.placement.explaining import explain
 from oleanderhitch.process.placement.messages import (
     AcquireEndpoint,
@@ -95,7 +95,7 @@
     return draw(st.sampled_from(messages))
 
 
-def freeze(state: PlacementState) -> tuple[PlacementState, object]:
+def freeze(state: Any) -> tuple[object, object]:
     """Return a copy that can be compared, and the state of the random source."""
     source = state.random_source
     return replace(deepcopy(state), random_source=None), source.getstate()
@@ -106,24 +106,19 @@
 ) -> Outcome:
     """Return what was done with a request."""
     for effect in effects:
-        if isinstance(effect, AskLeader):
-            pending = state.permit_requests[effect.request.number]
-            if pending.message is request:
-                return ExplainVerdict.ASKS_LEADER, effect.request.limits[0].endpoint
-        if not isinstance(effect, SendReply):
+        asked = effect.request if isinstance(effect, AskLeader) else None
+        if asked and state.permit_requests[asked.number].message is request:
+            return ExplainVerdict.ASKS_LEADER, asked.limits[0].endpoint
+        reply = getattr(effect, "message", None)
+        if getattr(reply, "holder", None) != request.holder:
             continue
-        reply = effect.message
-        if isinstance(reply, EndpointGranted) and reply.holder == request.holder:
+        if isinstance(reply, EndpointGranted):
             return ExplainVerdict.SENT, reply.endpoint.endpoint
-        if isinstance(reply, EndpointRefused) and reply.holder == request.holder:
-            if reply.is_quarantined:
-                return ExplainVerdict.QUARANTINED, None
-            is_overloaded = reply.is_overloaded
-            return (
-                ExplainVerdict.OVERLOADED
-                if is_overloaded
-                else ExplainVerdict.NO_ENDPOINT
-            ), None
+        assert isinstance(reply, EndpointRefused)
+        if reply.is_quarantined:
+            return ExplainVerdict.QUARANTINED, None
+        is_late = not reply.is_overloaded
+        return [ExplainVerdict.OVERLOADED, ExplainVerdict.NO_ENDPOINT][is_late], None
     return ExplainVerdict.QUEUED, None
 
 
--- a/tests/process/quotas/test_explaining.py
+++ b/tests/process/quotas/test_explaining.py
@@ -1,12 +1,10 @@
 """Guard against explanations of credits that differ from what is done, or change it."""
 
-from copy import deepcopy
 from datetime import timedelta
 from random import Random
 
 from hypothesis import given
 from hypothesis import strategies as st
-from msgspec.structs import replace
 
 from oleanderhitch.process.mailbox import make_mailbox
 from oleanderhitch.process.messages import Tick
@@ -23,6 +21,7 @@
 from oleanderhitch.process.quotas.records import QuotasState
 from oleanderhitch.program.ids import AccountId, ProgramId
 from oleanderhitch.request.ids import HolderId
+from tests.process.placement.test_explaining import freeze
 from tests.process.quotas.fleet import MS, NOW
 
 REPLY = make_mailbox("test")
@@ -65,12 +64,6 @@
     return CreditReply(max(state.sent, default=0), True, LedgerId(1), (loan,))
 
 
-def freeze(state: QuotasState) -> object:
-    """Return a copy that can be compared."""
-    source = state.random_source
-    return replace(deepcopy(state), random_source=None), source.getstate()
-
-
 @given(steps=steps, account=accounts, program=programs)
 def test_explanation_of_a_credit_is_what_is_then_done(
     steps: list[tuple[str, AccountId, object]],
