--- a/oleanderhitch/process/metrics/states.py
+++ b/oleanderhitch/process/metrics/states.py
@@ -78,6 +78,11 @@
     CACHE_EVENT_GAPS = MetricName(
         "oleanderhitch_cache_event_gaps_total", "Gaps in the cache events of engines."
     )
+    PREFIXES = MetricName(
+        "oleanderhitch_shared_prefixes_total",
+        "Prompts with a shared prefix by what is known of it at their endpoint.",
+        "knowledge",
+    )
     ELECTIONS = MetricName(
         "oleanderhitch_elections_total", "Changes of a group's leader.", "group"
     )
--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -21,6 +21,7 @@
     LogPermitLeft,
     LogRateLimit,
     QueryCache,
+    ReportPrefixes,
     ReportQueueLength,
     ReportSpeedCounts,
     SendReply,
@@ -380,7 +381,12 @@
     found = LoadsFound(
         loads, list_observed_limits(state, now), list_observed_speeds(state)
     )
-    return [SendReply(message.reply_address, found), *_report_queues(state)]
+    reply = SendReply(message.reply_address, found)
+    effects: list[object] = [reply, *_report_queues(state)]
+    if state.prefix_counts:
+        effects.append(ReportPrefixes(tuple(state.prefix_counts.items())))
+        state.prefix_counts.clear()
+    return effects
 
 
 def _report_queues(state: PlacementState) -> list[object]:
--- a/oleanderhitch/process/placement/effects.py
+++ b/oleanderhitch/process/placement/effects.py
@@ -9,6 +9,7 @@
     LoadsFound,
     SendPermitRequest,
 )
+from oleanderhitch.process.placement.records import PrefixKnowledge
 from oleanderhitch.request.ids import HolderId, PermitId
 from oleanderhitch.values import Value
 from oleanderhitch.version.ids import EndpointId, ServiceName
@@ -69,6 +70,12 @@
     requests_per_s: float | None
 
 
+class ReportPrefixes(Value, frozen=True):
+    """Reports how many prompts were sent where their prefix is cached, or not."""
+
+    counts: tuple[tuple[PrefixKnowledge, int], ...]
+
+
 class ReportSpeedCounts(Value, frozen=True):
     """Reports how many endpoints are slow, and how many ramp up, to the metrics."""
 
--- a/oleanderhitch/process/placement/queues.py
+++ b/oleanderhitch/process/placement/queues.py
@@ -55,6 +55,7 @@
     PendingPermitRequest,
     Permit,
     PlacementState,
+    PrefixKnowledge,
     QueueId,
     count_running,
 )
@@ -289,6 +290,7 @@
     costs = list_costs(message, available, homes, state, now)
     costs_ms = list(map(sum, costs))
     chosen = _choose(available, costs_ms, homes, message, state, now)
+    _count_prefix(chosen, message, homes, state)
     if not is_limited(chosen):
         return grant_endpoint(chosen, message, state, now)
     if is_local(state, now):
@@ -351,6 +353,23 @@
     return list_homes(message.service, prefix, state, now)
 
 
+def _count_prefix(
+    endpoint: Endpoint,
+    message: AcquireEndpoint,
+    homes: frozenset[EndpointId],
+    state: PlacementState,
+) -> None:
+    """Count for the metrics what is known of the prefix of a prompt, if it has one."""
+    if message.workload is None or find_prefix(message.workload) is None:
+        return
+    knowledge = PrefixKnowledge.MISSING
+    if knows_prefix(endpoint.cache, message.workload):
+        knowledge = PrefixKnowledge.KNOWN
+    elif endpoint.listed.endpoint in homes:
+        knowledge = PrefixKnowledge.ASSUMED
+    state.prefix_counts[knowledge] += 1
+
+
 def _choose(
     endpoints: Sequence[Endpoint],
     costs_ms: Sequence[float],
--- a/oleanderhitch/process/placement/records.py
+++ b/oleanderhitch/process/placement/records.py
@@ -3,6 +3,7 @@
 from collections import Counter, OrderedDict, defaultdict
 from collections.abc import Mapping
 from datetime import datetime, timedelta
+from enum import Enum
 from random import Random
 
 from msgspec import Struct, field
@@ -155,6 +156,17 @@
     n_reported: int = 0
 
 
+class PrefixKnowledge(Enum):
+    """What an entry host knows of the shared prefix of a prompt at its endpoint.
+
+    ASSUMED: the endpoint is one of its homes.
+    """
+
+    KNOWN = "known"
+    ASSUMED = "assumed"
+    MISSING = "missing"
+
+
 class Permit(Value, frozen=True):
     """Endpoint, pending prefill and content of one granted request."""
 
@@ -225,6 +237,8 @@
     prefix_orders: OrderedDict[tuple[ServiceName, str], tuple[EndpointId, ...]] = field(
         default_factory=OrderedDict
     )
+    # Grants since the last report to the metrics.
+    prefix_counts: Counter[PrefixKnowledge] = field(default_factory=Counter)
     # Content that endpoints ran when they crashed, and what is not sent for it.
     suspected: frozenset[RequestFingerprint] = frozenset()
     quarantined: frozenset[RequestFingerprint] = frozenset()
--- a/oleanderhitch/process/placement/task.py
+++ b/oleanderhitch/process/placement/task.py
@@ -14,7 +14,7 @@
 from oleanderhitch.process.crashes.messages import CrashesObserved
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.metrics.core import Metrics
-from oleanderhitch.process.metrics.states import Gauge
+from oleanderhitch.process.metrics.states import Counter, Gauge
 from oleanderhitch.process.placement.core import handle
 from oleanderhitch.process.placement.crashes import ContentServed, EndpointCrashed
 from oleanderhitch.process.placement.effects import (
@@ -24,6 +24,7 @@
     LogPermitLeft,
     LogRateLimit,
     QueryCache,
+    ReportPrefixes,
     ReportQueueLength,
     ReportSpeedCounts,
     SendReply,
@@ -156,6 +157,12 @@
     )
 
 
+@_perform.register
+def _(effect: ReportPrefixes, dependencies: _Dependencies) -> None:
+    for knowledge, number in effect.counts:
+        dependencies.metrics.count(Counter.PREFIXES, knowledge.value, number)
+
+
 @_perform.register
 def _(effect: ReportSpeedCounts, dependencies: _Dependencies) -> None:
     dependencies.metrics.set_gauge(Gauge.SLOW_ENDPOINTS, effect.n_slow)
--- a/tests/process/placement/test_prefixes.py
+++ b/tests/process/placement/test_prefixes.py
@@ -7,20 +7,27 @@
 from msgspec.structs import replace
 
 from oleanderhitch.process.placement.core import handle
+from oleanderhitch.process.placement.effects import ReportPrefixes
 from oleanderhitch.process.placement.messages import (
     EndpointLoad,
     EndpointsListed,
     FirstChunkReceived,
+    GetLoads,
     InferenceWorkload,
     PeerLoadsReported,
     PromptPart,
 )
 from oleanderhitch.process.placement.prefixes import N_ORDERS_MAX, list_homes
-from oleanderhitch.process.placement.records import PlacementState
+from oleanderhitch.process.placement.records import (
+    N_ENTRY_HOSTS_MANY,
+    PlacementState,
+    PrefixKnowledge,
+)
 from oleanderhitch.version.ids import DataCentreName, EndpointId
 from tests.process.placement.test_core import (
     HOME,
     NOW,
+    REPLY,
     SERVICE,
     acquire,
     get_grant,
@@ -125,3 +132,17 @@
     for number in range(N_ORDERS_MAX + 10):
         list_homes(SERVICE, f"made-up-{number}", state, NOW)
     assert len(state.prefix_orders) == N_ORDERS_MAX
+
+
+def test_metrics_tell_how_many_prompts_went_to_a_home() -> None:
+    """Guard against homes that an operator can't see work."""
+    (state,) = make_hosts(1)
+    state.n_entry_hosts = N_ENTRY_HOSTS_MANY
+    for number in range(3):
+        send_turn(state, "p", f"{number}")
+    counts = ((PrefixKnowledge.ASSUMED, 1), (PrefixKnowledge.KNOWN, 2))
+    assert ReportPrefixes(counts) in handle(GetLoads(REPLY), state, NOW)
+    assert not any(
+        isinstance(effect, ReportPrefixes)
+        for effect in handle(GetLoads(REPLY), state, NOW)
+    )
