Kept the limit of frames that no codec sets itself where tests set it

The limit was read when a codec was made, so that test_result_that_exceeds_a_frame_is_refused failed. A codec without a limit of its own reads it when it encodes or decodes; a new test covers smaller ones.

--- a/oleanderhitch/connection/codec.py
+++ b/oleanderhitch/connection/codec.py
@@ -59,7 +59,9 @@
     A frame is a pair of the type's class name and a map of its fields.
     """
 
-    def __init__(self, message_types: Iterable[type], frame_limit_bytes: int) -> None:
+    def __init__(
+        self, message_types: Iterable[type], frame_limit_bytes: int | None
+    ) -> None:
         self._frame_limit_bytes = frame_limit_bytes
         self._encoder = msgspec.msgpack.Encoder()
         self._decoders: dict[str, msgspec.msgpack.Decoder[object]] = {}
@@ -75,7 +77,7 @@
     @property
     def frame_limit_bytes(self) -> int:
         """The size of the largest frame."""
-        return self._frame_limit_bytes
+        return self._frame_limit_bytes or FRAME_LIMIT_BYTES
 
     def encode(self, message: object) -> bytes:
         """Return the frame of a message.
@@ -87,10 +89,10 @@
         if self._types.get(name) is not type(message):
             raise MalformedFrameError(f"message type {name} is not registered")
         frame = self._encoder.encode((name, message))
-        if len(frame) > self._frame_limit_bytes:
+        if len(frame) > self.frame_limit_bytes:
             raise MalformedFrameError(
                 f"{name} takes {len(frame)} bytes; "
-                f"at most {self._frame_limit_bytes} are allowed"
+                f"at most {self.frame_limit_bytes} are allowed"
             )
         return frame
 
@@ -116,7 +118,7 @@
 
 
 def make_codec(
-    message_types: Iterable[type], frame_limit_bytes: int = FRAME_LIMIT_BYTES
+    message_types: Iterable[type], frame_limit_bytes: int | None = None
 ) -> Codec:
-    """Return a codec for the given message types."""
+    """Return a codec for the given message types, by default for large frames."""
     return Codec(message_types, frame_limit_bytes)
--- a/tests/connection/test_codec.py
+++ b/tests/connection/test_codec.py
@@ -99,3 +99,14 @@
     decoder = make_codec(MESSAGES).make_decoder()
     with pytest.raises(MalformedFrameError):
         list(decoder.feed(data))
+
+
+def test_a_codec_for_small_frames_takes_no_larger_ones():
+    """Guard against peers that fill the memory of a host before they are known."""
+    small = make_codec(MESSAGES, frame_limit_bytes=100)
+    command = EndProgram(ProgramId("p" * 100), EndReason.FINISHED, datetime.now(UTC))
+    with pytest.raises(MalformedFrameError, match="at most 100"):
+        small.encode(command)
+    frame = make_codec(MESSAGES).encode(command)
+    with pytest.raises(MalformedFrameError):
+        list(small.make_decoder().feed(frame))
