--- a/tests/process/site/test_explaining.py
+++ b/tests/process/site/test_explaining.py
@@ -1,21 +1,27 @@
 """Guard against explanations by an entry process that err, act or show a key."""
 
-import json
 from collections.abc import Iterator
+from datetime import timedelta
 from pathlib import Path
-from typing import Any
 
 import pytest
-from cleo.testers.application_tester import ApplicationTester
-
-from oleanderhitch.connection.ids import HostAddress
-from oleanderhitch.process.clock import make_system_clock
-from oleanderhitch.process.commands.operator_application import make_application
-from oleanderhitch.process.commands.operator_base import (
-    CommandDependencies,
-    ExitCode,
+
+from oleanderhitch.connection.http.messages import HttpRequest
+from oleanderhitch.connection.peer.messages import PeerMessage
+from oleanderhitch.exceptions import UnavailableError
+from oleanderhitch.process.commands.operator_base import ExitCode
+from oleanderhitch.process.explaining.messages import (
+    BODY_LIMIT_BYTES,
+    ExplainRequest,
+    Explanation,
 )
-from oleanderhitch.process.operators.explaining import send_explain_request
+from oleanderhitch.process.explaining.service import make_explain_service
+from oleanderhitch.process.explaining.states import ExplainVerdict
+from oleanderhitch.process.ids import NodeId
+from oleanderhitch.process.mailbox import make_mailbox
+from oleanderhitch.process.metrics.core import make_metrics
+from oleanderhitch.process.quotas.messages import QuotaBounds
+from tests.process.operator import Operator
 from tests.process.site.harness import (
     REVOCATION_LIMIT,
     SiteHarness,
@@ -28,54 +34,6 @@
 HEADERS = "X-Request-Id: 1\nX-Token-Usage: 100,50\nX-Program-Id: p\n"
 
 
-class Operator:
-    """Runs the command against one host and keeps all that it writes."""
-
-    def __init__(self, directory: Path, entry: HostAddress) -> None:
-        self._directory = directory
-        self._entry = entry
-        self.written: list[str] = []
-        self._write("shared", "key")
-
-    def _write(self, name: str, content: str) -> Path:
-        path = self._directory / name
-        path.write_text(content)
-        return path
-
-    def explain(
-        self,
-        url: str = URL,
-        key: str | None = None,
-        options: str = "",
-        entry: HostAddress | None = None,
-    ) -> tuple[ExitCode, dict[str, Any]]:
-        """Return the exit code and the content; the lines for people are kept too."""
-        credential = "" if key is None else f"Authorization: Token {key}\n"
-        headers = self._write("headers", HEADERS + credential)
-        line = (
-            f"explain POST {url} --entry {entry or self._entry} --header @{headers} "
-            f"--key-file {self._directory / 'shared'} {options}"
-        )
-        assert self._run(line) is self._run(f"{line} --json")
-        code = self._run(f"{line} --json")
-        content: dict[str, Any] = json.loads(self.written[-1])
-        return code, content.get("explanation", content)
-
-    def _run(self, line: str) -> ExitCode:
-        dependencies = CommandDependencies(
-            lambda settings: pytest.fail("no store is asked"),
-            make_system_clock(),
-            lambda duration: None,
-            self.written.append,
-            send_explain_request=send_explain_request,
-        )
-        tester = ApplicationTester(make_application(dependencies))
-        tester.execute(line)
-        self.written.append(tester.io.fetch_output() + tester.io.fetch_error())
-        self.written.pop() if not self.written[-1] else None
-        return ExitCode(tester.status_code)
-
-
 @pytest.fixture
 def site(tmp_path: Path) -> Iterator[SiteHarness]:
     """Return a site that is not started."""
@@ -84,6 +42,50 @@
     harness.close()
 
 
+def test_explanation_says_what_the_leader_of_quotas_decides(tmp_path: Path) -> None:
+    """Guard against a request that is said to be sent before the leader is asked."""
+    bounds = QuotaBounds(timedelta(seconds=5), 0.1, 20)
+    site = SiteHarness(tmp_path, 1, quota_bounds=bounds)
+    operators = get_free_address()
+    operator = Operator(tmp_path, operators, URL, HEADERS)
+    try:
+        site.start()
+        account = {"name": "desk", "api_keys": [KEY], "rate_per_s": 5, "burst": 5}
+        site.publish(1, tenants=[account])
+        entry = site.start_entry("entry-1", get_free_address(), operators)
+        wait_until(lambda: operator.explain()[0] is ExitCode.UNKNOWN_KEY, "its table")
+        code, content = operator.explain(key=KEY)
+        assert code is ExitCode.ASKS_LEADER, content
+        assert content["unchecked"] == ["credit_of_the_leader"]
+        assert "sent_now" in content["detail"] and content["endpoints"]
+        share = content["share"]
+        assert (share["requests_per_s"], share["n_credits"]) == (5, 0)
+        entry.close()
+    finally:
+        site.close()
+
+
+def test_host_explains_one_request_at_a_time() -> None:
+    """Guard against calls that pile up at a host, and calls without an answer."""
+    request = ExplainRequest(1, HttpRequest("GET", "/", (), b""))
+    mailbox = make_mailbox("test")
+    delivery = PeerMessage(NodeId("operator"), request, mailbox)
+
+    def answer(request: ExplainRequest) -> Explanation:
+        service.serve(delivery)
+        raise UnavailableError("a task does not answer")
+
+    service = make_explain_service(NodeId("entry"), answer, make_metrics())
+    service.serve(delivery)
+    details = []
+    while mailbox.n_waiting:
+        explanation = mailbox.receive()
+        assert isinstance(explanation, Explanation)
+        assert explanation.verdict is ExplainVerdict.BUSY
+        details.append(explanation.detail)
+    assert details == ["the host explains another request", "a task does not answer"]
+
+
 def count_runs(site: SiteHarness) -> int:
     """Return how many requests ran; those without a body are reads of the cache."""
     return sum(bool(body) for body in site.engine.bodies)
@@ -92,7 +94,7 @@
 def test_entry_process_explains_requests(site: SiteHarness, tmp_path: Path) -> None:
     """Guard against wrong verdicts, sent requests and keys in the output."""
     operators = get_free_address()
-    operator = Operator(tmp_path, operators)
+    operator = Operator(tmp_path, operators, URL, HEADERS)
     code, content = operator.explain()
     assert code is ExitCode.UNREACHABLE and "can't be reached" in content["error"]
     with site.run_entry_process(operators) as (_, address):
@@ -120,6 +122,11 @@
         assert operator.explain("http://h/q")[0] is ExitCode.UNKNOWN_ROUTE
         usage = "--header 'X-Token-Budget: many'"
         assert operator.explain(key=KEY, options=usage)[0] is ExitCode.MALFORMED
+        (tmp_path / "body").write_bytes(bytes(BODY_LIMIT_BYTES + 1))
+        options = f"--body {tmp_path / 'body'}"
+        assert operator.explain(options=options)[0] is ExitCode.ERROR
+        (tmp_path / "body").write_bytes(bytes(BODY_LIMIT_BYTES))
+        assert operator.explain(key=KEY, options=options)[0] is ExitCode.OK
         # A header without its name could be a key.
         code, _ = operator.explain(options=f"--header {UNKNOWN_KEY}")
         assert code is ExitCode.ERROR
