Let the first requests of a term wait for a bucket that fills

Cause: a bucket is empty at the beginning of a ledger, and requests that have waited for the leader use up its first credits. Requests of an account below its limit got 429 until the bucket had filled.

Change: for the first 3 s of a ledger, a loan tells in what time the bucket gets a credit, and a host keeps the requests that can have one by their deadline instead of refusing them. Floods of programs are refused as before. A leader in its silence tells hosts when it ends. No credit is lent that would not have been lent before, so the limit holds as it did.

--- a/oleanderhitch/process/quotas/core.py
+++ b/oleanderhitch/process/quotas/core.py
@@ -136,7 +136,10 @@
     if sent is None:
         return []
     if not message.is_lending:
-        _end_question(message.number, sent, now + NO_LEADER_INTERVAL, state)
+        wait = NO_LEADER_INTERVAL
+        if message.lends_in_ms is not None:
+            wait = min(wait, message.lends_in_ms * MILLISECOND)
+        _end_question(message.number, sent, now + wait, state)
         return _ask(state, now)
     effects: list[object] = []
     for loan in message.loans:
@@ -294,8 +297,31 @@
     ]
     if not unserved:
         return []
-    account.ask_from = now + OVER_QUOTA_INTERVAL
-    return _refuse(unserved, loan, account, state, now)
+    retry_at = now + OVER_QUOTA_INTERVAL
+    refused = unserved
+    if loan.fill_ms:
+        retry_at = max(retry_at, now + loan.retry_ms * MILLISECOND)
+        refused = _keep_while_filling(unserved, loan, now)
+    account.ask_from = retry_at
+    return _refuse(refused, loan, account, state, now)
+
+
+def _keep_while_filling(
+    unserved: list[WaitingRequest], loan: CreditLoan, now: datetime
+) -> list[WaitingRequest]:
+    """Let requests wait that a filling bucket can serve in time; return the others.
+
+    Those of programs in progress get credits first.
+    """
+    refused = []
+    ready_at = now + loan.retry_ms * MILLISECOND
+    for waiting in sorted(unserved, key=lambda waiting: waiting.is_new):
+        if ready_at < waiting.acquire.deadline:
+            waiting.asked_in, waiting.last_loan = None, loan
+            ready_at += loan.fill_ms * MILLISECOND
+        else:
+            refused.append(waiting)
+    return refused
 
 
 def _refuse_expired(
@@ -306,7 +332,12 @@
         for waiting in account.waiting.values()
         if waiting.acquire.deadline <= now
     ]
-    return _refuse(expired, None, account, state, now)
+    unanswered = [waiting for waiting in expired if waiting.last_loan is None]
+    effects = _refuse(unanswered, None, account, state, now)
+    for waiting in expired:
+        if waiting.last_loan is not None:
+            effects.extend(_refuse([waiting], waiting.last_loan, account, state, now))
+    return effects
 
 
 def _refuse(
@@ -355,7 +386,8 @@
         account.ask_from = ask_from or account.ask_from
         for waiting in account.waiting.values():
             if waiting.asked_in == number:
-                waiting.asked_in = None
+                # Without an answer, the next leader counts it for the first time.
+                waiting.asked_in = waiting.last_loan = None
 
 
 def _get_ask_time(ask_from: datetime | None, state: QuotasState) -> datetime:
@@ -417,7 +449,8 @@
         n_ahead,
         n_served_running,
         n_served_new,
-        sum(waiting.acquire.is_renewal for waiting in unasked),
+        sum(waiting.was_counted and not waiting.is_new for waiting in unasked),
+        sum(waiting.was_counted and waiting.is_new for waiting in unasked),
     )
 
 
--- a/oleanderhitch/process/quotas/messages.py
+++ b/oleanderhitch/process/quotas/messages.py
@@ -32,9 +32,10 @@
     """The credits that an entry host asks for on behalf of one account.
 
     `n_running` are for requests of programs in progress, of which `n_renewed` have had
-    a credit that expired unused. `n_new` are for first requests of programs, and
-    `n_ahead` for requests that are expected to arrive soon. The host has served others
-    from its balance since the last demand.
+    a credit that expired unused, or were asked for before. `n_new` are for first
+    requests of programs, of which `n_new_again` were asked for before, and `n_ahead`
+    for requests that are expected to arrive soon. The host has served others from its
+    balance since the last demand.
     """
 
     account: AccountId
@@ -44,6 +45,7 @@
     n_served_running: int = 0
     n_served_new: int = 0
     n_renewed: int = 0
+    n_new_again: int = 0
 
 
 class ReturnedCredits(Value, frozen=True):
@@ -73,6 +75,9 @@
     they were lent by the time of the ledger. Requests without a credit are refused, and
     can be retried after `retry_ms`. `level` is what is left in the bucket. An account
     without a limit in the newest configuration is lent all that is asked for.
+
+    With `fill_ms`, the bucket has been empty at the beginning of the ledger and gets a
+    credit in each such time. Requests that can have one in time wait for it.
     """
 
     account: AccountId
@@ -84,15 +89,20 @@
     delay_ms: int = 0
     retry_ms: int = 0
     level: int = 0
+    fill_ms: int = 0
 
 
 class CreditReply(Value, frozen=True):
-    """Lends credits; without `is_lending`, the sender is no leader that may lend."""
+    """Lends credits; without `is_lending`, the sender is no leader that may lend.
+
+    A leader that may do so soon tells in what time.
+    """
 
     number: int
     is_lending: bool
     ledger: LedgerId = LedgerId(0)
     loans: tuple[CreditLoan, ...] = ()
+    lends_in_ms: int | None = None
 
 
 # Messages between the leaders of two terms.
--- a/oleanderhitch/process/quotas/records.py
+++ b/oleanderhitch/process/quotas/records.py
@@ -9,7 +9,11 @@
 from msgspec import Struct, field
 
 from oleanderhitch.process.address import Address
-from oleanderhitch.process.quotas.messages import AcquireCredit, LedgerId
+from oleanderhitch.process.quotas.messages import (
+    AcquireCredit,
+    CreditLoan,
+    LedgerId,
+)
 from oleanderhitch.program.ids import AccountId, ProgramId
 from oleanderhitch.request.ids import HolderId
 from oleanderhitch.values import Value
@@ -49,11 +53,20 @@
 
 
 class WaitingRequest(Struct):
-    """A request without a credit; `asked_in` is the question that counts it."""
+    """A request without a credit; `asked_in` is the question that counts it.
+
+    `last_loan` is the answer that had no credit for it, while it waits for another.
+    """
 
     acquire: AcquireCredit
     is_new: bool
     asked_in: int | None = None
+    last_loan: CreditLoan | None = None
+
+    @property
+    def was_counted(self) -> bool:
+        """Whether the ledger has counted it before."""
+        return self.acquire.is_renewal or self.last_loan is not None
 
 
 class AccountCredits(Struct):
@@ -99,7 +112,7 @@
 
     def count_served(self, waiting: WaitingRequest) -> None:
         """Count a request that gets a credit, unless a question has counted it."""
-        if waiting.asked_in is None and not waiting.acquire.is_renewal:
+        if waiting.asked_in is None and not waiting.was_counted:
             self.n_served_new += waiting.is_new
             self.n_served_running += not waiting.is_new
 
--- a/oleanderhitch/process/site/quota_ledger.py
+++ b/oleanderhitch/process/site/quota_ledger.py
@@ -54,6 +54,9 @@
 REFUSAL_MEMORY = timedelta(seconds=1)
 RETRY_MIN = timedelta(milliseconds=50)
 RETRY_MAX = timedelta(seconds=3)
+# Requests that have waited for a leader use up the credits of the time after it. For
+# this long after the beginning of a ledger, others wait instead of being refused.
+FILL_DURATION = timedelta(seconds=3)
 # Highest levels are kept for slots of time, which bounds their number, and for as long
 # as credits can return: requests wait for an endpoint for some seconds.
 PEAK_SLOT = timedelta(milliseconds=50)
@@ -141,6 +144,12 @@
         wait_s = min(n_credits / self.requests_per_s, RETRY_MAX.total_seconds())
         return max(timedelta(seconds=wait_s), RETRY_MIN)
 
+    def get_credit_time(self) -> timedelta:
+        """Return after what time the next credit can be lent in advance."""
+        n_credits = 1 - self.level - self.n_advance_max
+        wait_s = min(n_credits / self.requests_per_s, RETRY_MAX.total_seconds())
+        return max(timedelta(seconds=wait_s), RETRY_MIN)
+
     def _get_recently_refused(self, now: datetime) -> float:
         if self.refused_at is None:
             return 0.0
@@ -258,7 +267,7 @@
         n_running = min(demand.n_running, n_available)
         bucket.pace.count_served(demand.n_served_running, demand.n_served_new, now)
         n_first = demand.n_running - demand.n_renewed
-        bucket.pace.count_demand(n_first, demand.n_new, now)
+        bucket.pace.count_demand(n_first, demand.n_new - demand.n_new_again, now)
         n_new = bucket.pace.limit_new(
             min(demand.n_new, n_available - n_running),
             bucket.level - n_running,
@@ -275,7 +284,10 @@
         bucket.take(n_running + n_new + n_ahead, self._get_slot(lent_ms))
         n_refused = demand.n_running + demand.n_new - n_running - n_new
         retry = timedelta(0)
-        if n_refused:
+        fill_ms = self._get_fill_ms(bucket, now) if n_refused else 0
+        if fill_ms:
+            retry = bucket.get_credit_time()
+        elif n_refused:
             bucket.count_refused(n_refused, now)
             wait = bucket.pace.get_wait(bucket.requests_per_s, now)
             retry = max(bucket.get_retry_time(now), min(wait, RETRY_MAX))
@@ -290,8 +302,19 @@
             delay_ms,
             int(retry / MILLISECOND),
             math.floor(bucket.level),
+            fill_ms,
         )
 
+    def _get_fill_ms(self, bucket: Bucket, now: datetime) -> int:
+        """Return in what time a bucket that was empty gets a credit, 0 afterwards.
+
+        An account that begins more programs than its limit can complete is refused at
+        once.
+        """
+        if bucket.pace.is_over or now >= self.lends_from + FILL_DURATION:
+            return 0
+        return math.ceil(1000 / bucket.requests_per_s)
+
     def _get_ms(self, now: datetime) -> int:
         return int((now - self.lends_from) / MILLISECOND)
 
--- a/oleanderhitch/process/site/quota_lender.py
+++ b/oleanderhitch/process/site/quota_lender.py
@@ -9,6 +9,7 @@
 ends its ledger and hands it over instead.
 """
 
+import math
 import uuid
 from collections.abc import Callable
 from datetime import datetime, timedelta
@@ -51,6 +52,7 @@
 HELD_TTL = timedelta(milliseconds=150)
 # A few for each entry host of the largest deployment.
 N_HELD_MAX = 2000
+MILLISECOND = timedelta(milliseconds=1)
 # A read without an answer for this long was lost.
 READ_TIMEOUT = timedelta(seconds=1)
 
@@ -179,9 +181,15 @@
     def handle_request(self, request: CreditRequest, reply_address: Address) -> None:
         """Reply to an entry host, once a read shows that this store may lend."""
         now = self._clock.now()
-        if not self._is_leader or self._ledger is None or now < self._ledger.lends_from:
+        if not self._is_leader or self._ledger is None:
             reply_address.send(CreditReply(request.number, is_lending=False))
             return
+        if now < self._ledger.lends_from:
+            lends_in_ms = math.ceil((self._ledger.lends_from - now) / MILLISECOND)
+            reply_address.send(
+                CreditReply(request.number, False, lends_in_ms=lends_in_ms)
+            )
+            return
         if self._is_confirmed(now):
             self._lend(self._ledger, request, reply_address, now)
         elif len(self._held) < N_HELD_MAX:
--- a/tests/process/quotas/test_quotas.py
+++ b/tests/process/quotas/test_quotas.py
@@ -230,6 +230,32 @@
     assert sum(wait == timedelta(0) for wait in fleet.waits) > 0
 
 
+def test_first_requests_of_a_term_wait_for_a_bucket_that_fills() -> None:
+    """Guard against refusals below the limit after each loss of a leader.
+
+    Also guard against a queue of requests that the limit can't serve in time.
+    """
+    fleet = QuotaFleet(2, MEDIUM)
+    fleet.elect()
+    # The bucket gets ten credits in the half second that they may wait.
+    for number in range(8):
+        fleet.arrive(number % 2, "medium", NOW + number * MS)
+    fleet.run(NOW + 500 * MS)
+    assert not fleet.refused
+    assert len(fleet.granted) == 8
+    for _ in range(40):
+        fleet.arrive(0, "medium", fleet.now)
+    fleet.run(fleet.now + 20 * MS)
+    assert 20 <= len(fleet.refused) <= 40
+    # After the time in which it fills, nothing waits for more than a loan in advance.
+    fleet.run(fleet.now + 3 * SECOND)
+    n_before = len(fleet.refused) + len(fleet.granted)
+    for _ in range(100):
+        fleet.arrive(0, "medium", fleet.now)
+    fleet.run(fleet.now + ADVANCE_DURATION + 20 * MS)
+    assert len(fleet.refused) + len(fleet.granted) - n_before == 100
+
+
 def test_flood_of_one_account_costs_others_nothing() -> None:
     """Guard against a flood that uses the credits or the questions of others."""
     fleet = QuotaFleet(4, LARGE, SMALL)
