Answered the connection that waits for room at a planned stop

Cause: the stop ends the task that accepts. While that one waits for room for a connection, which takes up to 1 s, the connection was left open and unserved. Change: it is served or refused as those in the listen queue are.

--- a/oleanderhitch/connection/http/server.py
+++ b/oleanderhitch/connection/http/server.py
@@ -158,7 +158,12 @@
                 log.error("could not accept a connection", reason=str(error))
                 gevent.sleep(ACCEPT_RETRY_DELAY.total_seconds())
                 continue
-            self._serve_connection(accepted)
+            try:
+                self._serve_connection(accepted)
+            except gevent.GreenletExit:
+                # The stop came while this one waited for room.
+                self._serve_connection(accepted)
+                raise
 
     def _serve_connection(self, accepted: socket.socket) -> None:
         if len(self._connections) >= self._budget.n_connections:
--- a/tests/connection/http/test_caller.py
+++ b/tests/connection/http/test_caller.py
@@ -354,6 +354,32 @@
     assert all(b"/served" in connected.recv(4096) for connected in served)
 
 
+def test_stop_answers_a_connection_that_waits_for_room(
+    start: Callable[[ServeRequest], tuple[HttpServer, HostAddress]],
+) -> None:
+    """Guard against a stop that resets the connection being accepted at that moment."""
+    release = gevent.event.Event()
+
+    def serve(
+        request: HttpRequest, writer: ResponseWriter, mailbox: Mailbox, now: datetime
+    ) -> None:
+        release.wait()
+        echo(request, writer, mailbox, now)
+
+    server, address = start(serve)
+    served = [connect(address) for _ in range(N_CONNECTIONS)]
+    for connected in served:
+        connected.sendall(GET % b"/served")
+    gevent.sleep(0.05)
+    waiting = connect(address)
+    # The server waits for up to UNUSED_CONNECTION_TIME before it refuses this one.
+    gevent.sleep(0.02)
+    server.stop()
+    assert waiting.recv(99).startswith(b"HTTP/1.1 503")
+    release.set()
+    assert all(b"/served" in connected.recv(4096) for connected in served)
+
+
 def test_connections_without_a_request_make_room(
     start: Callable[[ServeRequest], tuple[HttpServer, HostAddress]],
 ) -> None:
