Counted only events with data as progress of a stream

Cause: blank lines and comments completed an "event": a stalled stream that sent one now and then was not given up, and one closed after them looked whole. Change: failover, the first event, the pace and the end of a stream go by events with data; the rest is relayed as before.

--- a/oleanderhitch/request/forwarding/core.py
+++ b/oleanderhitch/request/forwarding/core.py
@@ -423,18 +423,29 @@
     events = state.splitter.feed(message.data)
     if state.splitter.n_incomplete_bytes > EVENT_LIMIT_BYTES:
         return handle_failed_attempt(state, "an event is too large", now)
-    if not events:
+    effects = _observe_progress(events, attempt, state, now)
+    if data := b"".join(event.raw for event in _record_events(events, state)):
+        effects.append(WriteResponseChunk(data))
+    return effects
+
+
+def _observe_progress(
+    events: list[StreamEvent], attempt: Attempt, state: ForwardState, now: datetime
+) -> list[object]:
+    """Record the progress of a stream, and report its pace.
+
+    Bytes that complete no event with data are no progress: an endpoint that sends some
+    now and then, or a comment, is as stalled as a silent one.
+    """
+    n_events = sum(event.data is not None for event in events)
+    if not n_events:
         return []
-    # Bytes that complete no event are no progress: an endpoint that sends one now and
-    # then is as stalled as a silent one.
     state.failover_at = find_failover_time(state, now)
     effects: list[object] = []
     if not attempt.n_events:
         effects.append(ReportFirstChunk(attempt.permit))
-    attempt.n_events += len(events)
-    if data := b"".join(event.raw for event in _record_events(events, state)):
-        effects.append(WriteResponseChunk(data))
-    effects.extend(report_event_latency(attempt, len(events), now))
+    attempt.n_events += n_events
+    effects.extend(report_event_latency(attempt, n_events, now))
     return effects
 
 
--- a/tests/request/forwarding/test_core.py
+++ b/tests/request/forwarding/test_core.py
@@ -60,6 +60,7 @@
     RecordAway,
     RecordFailed,
     ReportEventLatency,
+    ReportFirstChunk,
     ReportLeaving,
     ReportRateLimit,
     RequestEndpoint,
@@ -857,6 +858,37 @@
     assert state.next_tick_at > failover_at
 
 
+@pytest.mark.parametrize("data", [b"\n\n", b":\n\n", b": alive\n\n", b"id: 3\n\n"])
+def test_blank_lines_and_comments_are_no_events(data: bytes) -> None:
+    """Guard against a stalled stream that looks alive, and whole once it is closed."""
+    state = make_state(RouteKind.STREAM, n_attempts=2, is_resumable=True)
+    run(state, Start(), grant("e1"))
+    exchange_id = get_exchange_id(state)
+    run(state, ResponseBegun(exchange_id, make_response_head()))
+    failover_at = state.next_tick_at
+    later = NOW + timedelta(milliseconds=400)
+    assert not find(
+        run(state, ResponseBody(exchange_id, data), at=later), ReportFirstChunk
+    )
+    assert state.next_tick_at == failover_at
+    effects = run(state, ResponseEnd(exchange_id, BodyEnd.CONNECTION), at=later)
+    assert find(effects, RequestEndpoint)
+    assert not find(effects, FinishResponse)
+
+
+def test_stalled_stream_that_must_not_be_repeated_ends_with_its_route() -> None:
+    """Guard against a stream that a byte now and then keeps open without end."""
+    state = make_state(RouteKind.STREAM, keeps_history=True, is_turn=True)
+    exchange_id = start_stream(state)
+    for number in range(4):
+        later = NOW + number * TIMEOUT / 4
+        assert not find(run(state, ResponseBody(exchange_id, b":"), at=later), object)
+        assert not run(state, Tick(), at=later)
+    effects = run(state, Tick(), at=NOW + TIMEOUT)
+    assert find(effects, AbortResponse)
+    assert not find(effects, FinishResponse)
+
+
 def test_unproven_refusal_has_an_unknown_outcome() -> None:
     """Guard against a promise to the caller that the endpoint has not made."""
     state = make_state()
