Showed that nothing reaches an endpoint that has announced its stop

Cause: the statement was tested in the core of placement only. Change: one of six stub endpoints behind an entry host announces its stop in its answers, and the list, which is read twice more, does not say so.

--- a/tests/process/site/test_endpoints_crash_in_turn.py
+++ b/tests/process/site/test_endpoint_fleet.py
@@ -1,4 +1,4 @@
-"""Guard against an outage of a service whose endpoints crash one after the other."""
+"""Guard against outages and lost work when endpoints of a service crash or leave."""
 
 from collections import Counter
 from collections.abc import Iterator
@@ -39,6 +39,7 @@
 
     def __init__(self, number: int) -> None:
         self.run: list[str] = []
+        self.is_leaving = False
         self._name = EndpointId(f"i-{number}")
         self._address = get_free_address()
         self._tasks = Group()
@@ -79,8 +80,10 @@
                 request_id = request.find_header("x-request-id") or ""
                 self.run.append(request_id)
                 gevent.sleep(WORK_S)
-                headers = (("x-request-id", request_id), ("x-server-stamp", "s"))
-                response = HttpResponse(200, b"ok", headers)
+                headers = [("x-request-id", request_id), ("x-server-stamp", "s")]
+                if self.is_leaving:
+                    headers.append(("server-leaving", "1"))
+                response = HttpResponse(200, b"ok", tuple(headers))
                 accepted.sendall(render_response(response, False))
 
 
@@ -201,3 +204,24 @@
         if answer.kind == "unsafe":
             assert runs[answer.request] <= 1, answer
         assert answer.kind == "unsafe" or answer.status != 502, answer
+
+
+def test_nothing_reaches_an_endpoint_that_has_announced_its_stop(
+    site: SiteHarness, endpoints: list[StubEndpoint]
+) -> None:
+    """Guard against work for an endpoint that leaves while the list does not say so."""
+    crowd = Crowd(site)
+    wait_until(lambda: crowd.send() == 200, "an answer")
+    n_ready = len(crowd.answers)
+    leaving = endpoints[0]
+    leaving.is_leaving = True
+    n_before = len(leaving.run)
+    crowd.send_for(1)
+    wait_until(lambda: len(crowd.answers) == crowd.n_sent, "all answers")
+    n_run = len(leaving.run)
+    assert n_run > n_before
+    # The list is read again meanwhile.
+    crowd.send_for(1.5)
+    wait_until(lambda: len(crowd.answers) == crowd.n_sent, "all answers")
+    assert len(leaving.run) == n_run
+    assert {answer.status for answer in crowd.answers[n_ready:]} == {200}
