Took an answer that ends inside its head for broken off, at plain services too

Cause: in the product's interface the client library takes a head that ends with its connection for a whole one, so that a cut head was a complete answer with an empty body. Change: an empty body counts only if the head says where the body ends. Result: the case of the cut head failed first; the tests of connection/endpoint pass.

--- a/oleanderhitch/connection/endpoint/transport.py
+++ b/oleanderhitch/connection/endpoint/transport.py
@@ -25,6 +25,8 @@
 # a process connects to the endpoints of its region.
 N_POOLS_LIMIT = 1024
 N_IDLE_CONNECTIONS_PER_ENDPOINT_LIMIT = 16
+# Statuses whose responses have no body (RFC 9112).
+BODILESS_STATUSES = (204, 304)
 READ_BYTES = 64 * 1024
 # Reads of 8 KiB from a socket after which other greenlets run.
 N_READS_IN_A_ROW = 8
@@ -178,6 +180,8 @@
         while True:
             chunk = response.read(READ_BYTES)
             if not chunk:
+                if not n_bytes and not _has_length(response):
+                    raise ConnectionLostError("answer ended inside its head")
                 return b"".join(chunks)
             n_bytes += len(chunk)
             if n_bytes > limit_bytes:
@@ -187,6 +191,19 @@
             chunks.append(chunk)
 
 
+def _has_length(response: urllib3.BaseHTTPResponse) -> bool:
+    """Return whether the head of a response says where its body ends.
+
+    The library takes a head that ends with the connection for a whole one, so that
+    without this an empty body proves nothing.
+    """
+    return (
+        response.headers.get("Content-Length", "").strip().isdecimal()
+        or "chunked" in response.headers.get("Transfer-Encoding", "").lower()
+        or response.status in BODILESS_STATUSES
+    )
+
+
 def release_connection(response: urllib3.BaseHTTPResponse) -> None:
     """Read the rest of a body and return the connection to the pool, or close it."""
     try:
--- a/tests/connection/endpoint/test_service.py
+++ b/tests/connection/endpoint/test_service.py
@@ -22,6 +22,7 @@
     request_json,
     set_fault,
 )
+from tests.connection.http.test_endpoint import ScriptedEndpoint
 from tests.standins.serving import CLOCK, serve, serve_service
 
 
@@ -104,6 +105,37 @@
     assert len(ports) == n_expected
 
 
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"HTTP/1.1 200 OK\r\nContent-Le",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}",
+        CHUNKED,
+        CHUNKED + b"2\r\n{",
+        CHUNKED + b"2\r\n{}\r\n",
+    ],
+)
+def test_answer_that_broke_off_is_not_complete(data):
+    """Guard against a part of an answer that is recorded as the whole."""
+
+    def script(connected, number):
+        connected.recv(65536)
+        connected.sendall(data)
+        connected.close()
+
+    endpoint = ScriptedEndpoint(script)
+    attempt = call(endpoint.address)
+    failure = attempt.messages[-1]
+    assert isinstance(failure, StreamFailed)
+    assert failure.was_sent
+    assert not failure.is_final
+    endpoint.stop()
+
+
 @pytest.mark.parametrize("kind", ["drop_answer", "die_mid_stream"])
 def test_lost_answer_is_found_by_key_without_a_second_run(kind):
     """Guard against a second run of a call after its answer was lost."""
