--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -1,6 +1,5 @@
 """Select endpoints by cached prompt parts, load, latency and failures."""
 
-from bisect import insort
 from datetime import datetime, timedelta
 from functools import singledispatch
 
@@ -22,10 +21,12 @@
     LogPermitLeft,
     LogRateLimit,
     QueryCache,
+    ReportPrefixes,
     ReportQueueLength,
     ReportSpeedCounts,
     SendReply,
 )
+from oleanderhitch.process.placement.explaining import explain
 from oleanderhitch.process.placement.health import (
     record_answer,
     record_result,
@@ -42,6 +43,7 @@
     EndpointRateLimited,
     EndpointsListed,
     EventLatencyObserved,
+    ExplainPlacement,
     FirstChunkReceived,
     GetLoads,
     LimitsReported,
@@ -60,10 +62,7 @@
     record_first_event,
     update_speeds,
 )
-from oleanderhitch.process.placement.ordering import (
-    count_end,
-    get_queue_id,
-)
+from oleanderhitch.process.placement.ordering import count_end
 from oleanderhitch.process.placement.pace import (
     begin_ramp,
     draw_trial,
@@ -72,12 +71,10 @@
     record_first_answer,
 )
 from oleanderhitch.process.placement.queues import (
-    find_grant,
     grant_endpoint,
     grant_waiting,
-    list_free,
+    place,
     refuse_early,
-    serve_queue,
 )
 from oleanderhitch.process.placement.rate_limits import (
     MILLISECOND,
@@ -120,7 +117,7 @@
     previous = state.endpoints
     crashes = find_listed_crashes(previous, message.endpoints, now)
     known = {**state.unlisted, **previous}
-    state.endpoints = {}
+    state.endpoints, state.listed_at = {}, now
     for listed in message.endpoints:
         record = known.pop(listed.endpoint, None)
         is_same = record is not None and record.listed.born_ms == listed.born_ms
@@ -191,28 +188,12 @@
 
 @handle.register
 def _(message: AcquireEndpoint, state: PlacementState, now: datetime) -> list[object]:
-    return _place(message, state, now)
+    return place(message, state, now)
 
 
-def _place(
-    message: AcquireEndpoint, state: PlacementState, now: datetime
-) -> list[object]:
-    """Grant a request an endpoint, or ask for one, or let the request wait."""
-    state.undecided.setdefault(message.holder, now)
-    queue_id = get_queue_id(message, state)
-    queue = state.queues[queue_id]
-    is_sendable = message.fingerprint not in state.quarantined
-    if is_sendable and not queue.waiting:
-        free = list_free(queue_id, state, now)
-        effect = find_grant(message, free, state, now)
-        if effect is not None:
-            return [effect]
-    # A request that comes back from the leader without a permit keeps its age.
-    insort(
-        queue.waiting, message, key=lambda item: state.undecided.get(item.holder, now)
-    )
-    effects = serve_queue(queue_id, state, now)
-    return [*effects, *refuse_early(queue_id, state, now)]
+@handle.register
+def _(message: ExplainPlacement, state: PlacementState, now: datetime) -> list[object]:
+    return [SendReply(message.reply_address, explain(message.acquire, state, now))]
 
 
 @handle.register
@@ -308,7 +289,7 @@
     is_sendable = pending.message.fingerprint not in state.quarantined
     if endpoint is not None and not endpoint.is_leaving and is_sendable:
         return [grant_endpoint(endpoint, pending.message, state, now)]
-    return [*_place(pending.message, state, now), *grant_waiting(state, now)]
+    return [*place(pending.message, state, now), *grant_waiting(state, now)]
 
 
 @handle.register
@@ -400,7 +381,12 @@
     found = LoadsFound(
         loads, list_observed_limits(state, now), list_observed_speeds(state)
     )
-    return [SendReply(message.reply_address, found), *_report_queues(state)]
+    reply = SendReply(message.reply_address, found)
+    effects: list[object] = [reply, *_report_queues(state)]
+    if state.prefix_counts:
+        effects.append(ReportPrefixes(tuple(state.prefix_counts.items())))
+        state.prefix_counts.clear()
+    return effects
 
 
 def _report_queues(state: PlacementState) -> list[object]:
--- a/oleanderhitch/process/placement/effects.py
+++ b/oleanderhitch/process/placement/effects.py
@@ -2,12 +2,14 @@
 
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.directory.messages import ListedEndpoint
+from oleanderhitch.process.explaining.messages import SchedulingExplanation
 from oleanderhitch.process.placement.messages import (
     EndpointGranted,
     EndpointRefused,
     LoadsFound,
     SendPermitRequest,
 )
+from oleanderhitch.process.placement.records import PrefixKnowledge
 from oleanderhitch.request.ids import HolderId, PermitId
 from oleanderhitch.values import Value
 from oleanderhitch.version.ids import EndpointId, ServiceName
@@ -17,7 +19,7 @@
     """Sends a message to a reply address."""
 
     reply_address: Address
-    message: EndpointGranted | EndpointRefused | LoadsFound
+    message: EndpointGranted | EndpointRefused | LoadsFound | SchedulingExplanation
 
 
 class QueryCache(Value, frozen=True):
@@ -68,6 +70,12 @@
     requests_per_s: float | None
 
 
+class ReportPrefixes(Value, frozen=True):
+    """Reports how many prompts were sent where their prefix is cached, or not."""
+
+    counts: tuple[tuple[PrefixKnowledge, int], ...]
+
+
 class ReportSpeedCounts(Value, frozen=True):
     """Reports how many endpoints are slow, and how many ramp up, to the metrics."""
 
--- a/oleanderhitch/process/placement/queues.py
+++ b/oleanderhitch/process/placement/queues.py
@@ -1,13 +1,16 @@
 """Serve the queues of placement: grant free endpoints, refuse what can't be served."""
 
+from bisect import insort
 from collections.abc import Sequence
 from datetime import datetime, timedelta
 
+from oleanderhitch.process.explaining.states import Exclusion
 from oleanderhitch.process.placement.cache import (
     count_uncached_tokens,
+    knows_prefix,
     record_prompt,
 )
-from oleanderhitch.process.placement.cost import get_added_cost_ms, get_cost_ms
+from oleanderhitch.process.placement.cost import CostMs, get_added_cost_ms, get_cost
 from oleanderhitch.process.placement.effects import (
     AskLeader,
     LogOverload,
@@ -38,11 +41,11 @@
 from oleanderhitch.process.placement.pace import (
     try_pace,
 )
+from oleanderhitch.process.placement.prefixes import find_prefix, list_homes
 from oleanderhitch.process.placement.rate_limits import (
     MILLISECOND,
     allows_send,
     count_local_send,
-    get_price_ms,
     is_limited,
     is_local,
     make_permit_request,
@@ -52,6 +55,7 @@
     PendingPermitRequest,
     Permit,
     PlacementState,
+    PrefixKnowledge,
     QueueId,
     count_running,
 )
@@ -69,7 +73,7 @@
     count_unseen,
 )
 from oleanderhitch.request.ids import PermitId
-from oleanderhitch.version.ids import ServiceName
+from oleanderhitch.version.ids import EndpointId, ServiceName
 
 # Requests that may queue at a plain service, per slot. Queueing there is better than
 # refusing the request, but only for a short queue.
@@ -78,6 +82,27 @@
 OVERLOAD_LOG_INTERVAL = timedelta(seconds=1)
 
 
+def place(
+    message: AcquireEndpoint, state: PlacementState, now: datetime
+) -> list[object]:
+    """Grant a request an endpoint, or ask for one, or let the request wait."""
+    state.undecided.setdefault(message.holder, now)
+    queue_id = get_queue_id(message, state)
+    queue = state.queues[queue_id]
+    is_sendable = message.fingerprint not in state.quarantined
+    if is_sendable and not queue.waiting:
+        free = list_free(queue_id, state, now)
+        effect = find_grant(message, free, state, now)
+        if effect is not None:
+            return [effect]
+    # A request that comes back from the leader without a permit keeps its age.
+    insort(
+        queue.waiting, message, key=lambda item: state.undecided.get(item.holder, now)
+    )
+    effects = serve_queue(queue_id, state, now)
+    return [*effects, *refuse_early(queue_id, state, now)]
+
+
 def grant_waiting(
     state: PlacementState, now: datetime, service: ServiceName | None = None
 ) -> list[object]:
@@ -206,7 +231,9 @@
             continue
         effects.append(effect)
         count_grant(queue, message)
-        free[:] = [item for item in free if _is_free(item, queue_id, state, now)]
+        free[:] = [
+            item for item in free if find_exclusion(item, queue_id, state, now) is None
+        ]
         if not free:
             break
     return effects
@@ -227,21 +254,26 @@
         endpoint
         for endpoint in state.endpoints.values()
         if endpoint.listed.service == queue_id.service
-        and _is_free(endpoint, queue_id, state, now)
+        and find_exclusion(endpoint, queue_id, state, now) is None
     ]
 
 
-def _is_free(
+def find_exclusion(
     endpoint: Endpoint, queue_id: QueueId, state: PlacementState, now: datetime
-) -> bool:
-    """Return whether an endpoint of the service may get a request now."""
-    return (
-        not endpoint.is_leaving
-        and _has_capacity(endpoint, queue_id.is_engine, now)
-        and (endpoint.avoid_until is None or endpoint.avoid_until <= now)
-        and not is_on_trial(endpoint, now)
-        and allows_send(endpoint, state, now)
-    )
+) -> Exclusion | None:
+    """Return why an endpoint of the service gets no request now, None if it may."""
+    if endpoint.is_leaving:
+        return Exclusion.LEAVING
+    limit = endpoint.listed.n_slots
+    if not queue_id.is_engine:
+        limit += int(limit * PLAIN_QUEUE_PER_SLOT)
+    if count_running(endpoint, now) >= limit:
+        return Exclusion.FULL
+    if endpoint.avoid_until is not None and endpoint.avoid_until > now:
+        return Exclusion.AVOIDED
+    if is_on_trial(endpoint, now):
+        return Exclusion.ON_TRIAL
+    return None if allows_send(endpoint, state, now) else Exclusion.RATE_LIMITED
 
 
 def find_grant(
@@ -251,24 +283,14 @@
     now: datetime,
 ) -> SendReply | AskLeader | None:
     """Return the grant of an endpoint, or the question for one that is limited."""
-    available = [
-        endpoint for endpoint in free if endpoint.listed.endpoint not in message.tried
-    ]
+    available = list_available(message, free, now)
     if not available:
         return None
-    # An unresponsive endpoint may have failed; it is used only if there is no other.
-    available = [
-        candidate for candidate in available if not is_unresponsive(candidate, now)
-    ] or available
-    median_ms = find_median_ms([endpoint.latency for endpoint in available], now)
-
-    def get_cost(endpoint: Endpoint) -> float:
-        slowdown = get_slowdown(endpoint.latency, median_ms, now)
-        cost_ms = get_cost_ms(endpoint, message, state, slowdown, now)
-        return cost_ms + get_price_ms(endpoint, now)
-
-    costs_ms = [get_cost(endpoint) for endpoint in available]
-    chosen = _choose(available, costs_ms, message, state, now)
+    homes = list_prefix_homes(message, state, now)
+    costs = list_costs(message, available, homes, state, now)
+    costs_ms = list(map(sum, costs))
+    chosen = _choose(available, costs_ms, homes, message, state, now)
+    _count_prefix(chosen, message, homes, state)
     if not is_limited(chosen):
         return grant_endpoint(chosen, message, state, now)
     if is_local(state, now):
@@ -279,9 +301,79 @@
     return AskLeader(request)
 
 
+def list_available(
+    message: AcquireEndpoint, free: Sequence[Endpoint], now: datetime
+) -> list[Endpoint]:
+    """Return the free endpoints that are compared for a request.
+
+    An unresponsive endpoint may have failed; it is used only if there is no other.
+    """
+    available = [
+        endpoint for endpoint in free if endpoint.listed.endpoint not in message.tried
+    ]
+    return [
+        candidate for candidate in available if not is_unresponsive(candidate, now)
+    ] or available
+
+
+def list_costs(
+    message: AcquireEndpoint,
+    available: Sequence[Endpoint],
+    homes: frozenset[EndpointId],
+    state: PlacementState,
+    now: datetime,
+) -> list[CostMs]:
+    """Return the cost of a request on each of the available endpoints."""
+    median_ms = find_median_ms([endpoint.latency for endpoint in available], now)
+    return [
+        get_cost(
+            endpoint,
+            message,
+            state,
+            1.0
+            if median_ms is None
+            else get_slowdown(endpoint.latency, median_ms, now),
+            now,
+            endpoint.listed.endpoint in homes,
+        )
+        for endpoint in available
+    ]
+
+
+def list_prefix_homes(
+    message: AcquireEndpoint, state: PlacementState, now: datetime
+) -> frozenset[EndpointId]:
+    """Return the endpoints that should have the prefix of a prompt cached.
+
+    With few entry hosts, each sends enough prompts to know where they are cached.
+    """
+    prefix = None if message.workload is None else find_prefix(message.workload)
+    if prefix is None or not state.has_many_hosts:
+        return frozenset()
+    return list_homes(message.service, prefix, state, now)
+
+
+def _count_prefix(
+    endpoint: Endpoint,
+    message: AcquireEndpoint,
+    homes: frozenset[EndpointId],
+    state: PlacementState,
+) -> None:
+    """Count for the metrics what is known of the prefix of a prompt, if it has one."""
+    if message.workload is None or find_prefix(message.workload) is None:
+        return
+    knowledge = PrefixKnowledge.MISSING
+    if knows_prefix(endpoint.cache, message.workload):
+        knowledge = PrefixKnowledge.KNOWN
+    elif endpoint.listed.endpoint in homes:
+        knowledge = PrefixKnowledge.ASSUMED
+    state.prefix_counts[knowledge] += 1
+
+
 def _choose(
     endpoints: Sequence[Endpoint],
     costs_ms: Sequence[float],
+    homes: frozenset[EndpointId],
     message: AcquireEndpoint,
     state: PlacementState,
     now: datetime,
@@ -290,7 +382,8 @@
     is_engine = message.workload is not None
     queue = state.queues[get_queue_id(message, state)]
     cheapest = endpoints[costs_ms.index(min(costs_ms))]
-    added_ms = get_added_cost_ms(cheapest, message.workload, state)
+    is_home = cheapest.listed.endpoint in homes
+    added_ms = get_added_cost_ms(cheapest, message.workload, state, is_home)
     n_unseen = count_unseen(endpoints, queue, state, now)
     first: Endpoint | None = None
     while endpoints:
@@ -311,13 +404,6 @@
     return first
 
 
-def _has_capacity(endpoint: Endpoint, is_engine: bool, now: datetime) -> bool:
-    limit = endpoint.listed.n_slots
-    if not is_engine:
-        limit += int(limit * PLAIN_QUEUE_PER_SLOT)
-    return count_running(endpoint, now) < limit
-
-
 def grant_endpoint(
     endpoint: Endpoint, message: AcquireEndpoint, state: PlacementState, now: datetime
 ) -> SendReply:
@@ -335,7 +421,9 @@
     expected_ms: float | None = None
     if message.workload is not None:
         n_uncached = count_uncached_tokens(endpoint.cache, message.workload)
-        n_measured = find_measured_tokens(endpoint, n_uncached, state, now)
+        # Other entry hosts may have sent a prefix that this one has not.
+        if not state.has_many_hosts or knows_prefix(endpoint.cache, message.workload):
+            n_measured = find_measured_tokens(endpoint, n_uncached, state, now)
         expected_ms = get_first_event_ms(endpoint, n_uncached, state, now)
         record_prompt(endpoint.cache, message.workload)
     endpoint_id = endpoint.listed.endpoint
--- a/oleanderhitch/process/placement/records.py
+++ b/oleanderhitch/process/placement/records.py
@@ -3,6 +3,7 @@
 from collections import Counter, OrderedDict, defaultdict
 from collections.abc import Mapping
 from datetime import datetime, timedelta
+from enum import Enum
 from random import Random
 
 from msgspec import Struct, field
@@ -155,6 +156,17 @@
     n_reported: int = 0
 
 
+class PrefixKnowledge(Enum):
+    """What an entry host knows of the shared prefix of a prompt at its endpoint.
+
+    ASSUMED: the endpoint is one of its homes.
+    """
+
+    KNOWN = "known"
+    ASSUMED = "assumed"
+    MISSING = "missing"
+
+
 class Permit(Value, frozen=True):
     """Endpoint, pending prefill and content of one granted request."""
 
@@ -187,6 +199,8 @@
     permit_prefix: str
     random_source: Random = field(default_factory=lambda: Random(0))
     endpoints: dict[EndpointId, Endpoint] = field(default_factory=dict)
+    # When the list of endpoints changed last.
+    listed_at: datetime | None = None
     # Endpoints that the list does not name for a while, or whose entry can't be read.
     unlisted: dict[EndpointId, Endpoint] = field(default_factory=dict)
     cache_capacity_tokens: Mapping[ServiceName, int] = field(default_factory=dict)
@@ -218,6 +232,13 @@
     # Until when this entry host goes by its own share of the limits.
     local_share_until: datetime | None = None
     n_entry_hosts: int = N_ENTRY_HOSTS_ASSUMED
+    # Endpoints in the order in which they cache a shared prefix of prompts, least
+    # recently used prefix first.
+    prefix_orders: OrderedDict[tuple[ServiceName, str], tuple[EndpointId, ...]] = field(
+        default_factory=OrderedDict
+    )
+    # Grants since the last report to the metrics.
+    prefix_counts: Counter[PrefixKnowledge] = field(default_factory=Counter)
     # Content that endpoints ran when they crashed, and what is not sent for it.
     suspected: frozenset[RequestFingerprint] = frozenset()
     quarantined: frozenset[RequestFingerprint] = frozenset()
@@ -257,5 +278,8 @@
 
 def count_running(endpoint: Endpoint, now: datetime) -> int:
     """Return the known number of running requests, of all entry hosts."""
+    n_own = len(endpoint.permits)
+    if endpoint.peer_load is None:
+        return n_own
     peer_load = find_peer_load(endpoint, now)
-    return len(endpoint.permits) + (0 if peer_load is None else peer_load.n_running)
+    return n_own + (0 if peer_load is None else peer_load.n_running)
--- a/oleanderhitch/process/quotas/messages.py
+++ b/oleanderhitch/process/quotas/messages.py
@@ -4,6 +4,7 @@
 from typing import NewType
 
 from oleanderhitch.process.address import Address
+from oleanderhitch.process.ids import Term
 from oleanderhitch.program.ids import AccountId, ProgramId
 from oleanderhitch.request.ids import HolderId
 from oleanderhitch.values import Value
@@ -94,6 +95,41 @@
     loans: tuple[CreditLoan, ...] = ()
 
 
+# Messages between the leaders of two terms.
+
+
+class GetLedger(Value, frozen=True):
+    """Asks for the ledger of the term before `term`, which its leader then ends.
+
+    The leader of `term` sends it to all stores.
+    """
+
+    term: Term
+
+
+class BucketLevel(Value, frozen=True):
+    """What the bucket of an account has left, and how it fills."""
+
+    account: AccountId
+    requests_per_s: float
+    capacity: float
+    level: float
+
+
+class LedgerHandedOver(Value, frozen=True):
+    """Hands the ledger of the term before over to the leader of `term`.
+
+    The ledger lends from `lends_from_ms` after this message; the time is negative for
+    one that has lent already. Without `has_limits`, it has lent nothing of an account
+    with a limit.
+    """
+
+    term: Term
+    lends_from_ms: int
+    has_limits: bool
+    buckets: tuple[BucketLevel, ...]
+
+
 # Messages of the requests of an entry host.
 
 
@@ -115,6 +151,26 @@
     is_renewal: bool = False
 
 
+class ExplainCredit(Value, frozen=True):
+    """Asks whether a request would get a credit, which it does not get."""
+
+    acquire: AcquireCredit
+
+
+class CreditExplained(Value, frozen=True):
+    """Reports what would become of the request for a credit.
+
+    With `is_held`, the host has a credit for it, which can be used after `wait`. If
+    not, the host would ask the leader after `wait`. The leader was asked last
+    at `asked_at`.
+    """
+
+    is_held: bool
+    wait: timedelta
+    n_held: int
+    asked_at: datetime | None
+
+
 class CreditGranted(Value, frozen=True):
     """Allows a request to be sent until its credit expires."""
 
