Logged how many entries of the list are malformed, when that changes

Cause: a malformed entry of a readable page was left out without a trace. Result: the test failed first; the tests of the list and of the docs pass.

--- a/oleanderhitch/platform/listing.py
+++ b/oleanderhitch/platform/listing.py
@@ -33,18 +33,30 @@
     address: HostAddress,
 ) -> Callable[[], tuple[ListedEndpoint, ...]]:
     """Return a function that reads all pages; it raises UnavailableError."""
+    n_logged = 0
+
+    def log_malformed(n_malformed: int) -> None:
+        # The list is read every second.
+        nonlocal n_logged
+        if n_malformed != n_logged:
+            n_logged = n_malformed
+            log.warning("list has malformed entries", n_malformed=n_malformed)
 
     def read_list() -> tuple[ListedEndpoint, ...]:
         endpoints: dict[EndpointId, ListedEndpoint] = {}
+        n_malformed = 0
         page_token: str | None = None
         for _ in range(N_PAGES_LIMIT):
             page = _read_page(address, page_token)
             for instance in page["instances"]:
                 endpoint = _parse_endpoint(instance)
-                if endpoint is not None:
+                if endpoint is None:
+                    n_malformed += 1
+                else:
                     endpoints[endpoint.endpoint] = endpoint
             page_token = page.get("next")
             if page_token is None:
+                log_malformed(n_malformed)
                 return tuple(
                     endpoints[endpoint_id] for endpoint_id in sorted(endpoints)
                 )
--- a/tests/platform/test_listing.py
+++ b/tests/platform/test_listing.py
@@ -5,6 +5,7 @@
 from datetime import datetime
 from typing import Any
 
+import logbook
 import pytest
 from gevent import socket
 
@@ -102,6 +103,20 @@
     assert listed[0].born_ms == 5
 
 
+def test_malformed_instances_are_logged_when_their_number_changes(
+    platform: tuple[FakePlatform, HostAddress],
+) -> None:
+    """Guard against entries that are left out silently, or logged at each read."""
+    fake_platform, address = platform
+    read_list = make_list_reader(address)
+    with logbook.TestHandler() as handler:
+        for entries in ([7], [7], [7, None], [], []):
+            fake_platform.add_page("/instances", [VALID_INSTANCE, *entries], None)
+            read_list()
+    counts = [record.kwargs.get("n_malformed") for record in handler.records]
+    assert counts == [1, 2, 0]
+
+
 def test_time_of_a_cold_start_that_passes_changes_nothing(
     platform: tuple[FakePlatform, HostAddress],
 ) -> None:
