--- a/oleanderhitch/platform/process.py
+++ b/oleanderhitch/platform/process.py
@@ -144,6 +144,9 @@
             log.info("settings reloaded", is_signalled=is_signalled)
         except (OSError, OleanderhitchError) as error:
             log.error("settings not reloaded", reason=str(error))
+        except Exception as error:
+            # Later settings are to be read in any case.
+            log.error("unexpected error; settings not reloaded", error=repr(error))
 
 
 def _make_metrics_service(
