Imported what only explanations need when one is asked for

A start of an entry host on the platform imported twelve modules more than before explanations existed (gevent.server and gevent.pool with three of gevent's own, the peer server, and the explaining modules of the host, of placement and of quotas), also where it answers no operators. The server is now imported by hosts that answer operators, the rest in the handlers of the two messages.

test_a_start_of_an_entry_host_imports_nothing_for_explanations failed before.

--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -26,7 +26,6 @@
     ReportSpeedCounts,
     SendReply,
 )
-from oleanderhitch.process.placement.explaining import explain
 from oleanderhitch.process.placement.health import (
     record_answer,
     record_result,
@@ -193,6 +192,9 @@
 
 @handle.register
 def _(message: ExplainPlacement, state: PlacementState, now: datetime) -> list[object]:
+    # A start does not pay for it.
+    from oleanderhitch.process.placement.explaining import explain
+
     return [SendReply(message.reply_address, explain(message.acquire, state, now))]
 
 
--- a/oleanderhitch/process/placement/effects.py
+++ b/oleanderhitch/process/placement/effects.py
@@ -1,8 +1,9 @@
 """Effects of the placement task."""
 
+from typing import TYPE_CHECKING
+
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.directory.messages import ListedEndpoint
-from oleanderhitch.process.explaining.messages import SchedulingExplanation
 from oleanderhitch.process.placement.messages import (
     EndpointGranted,
     EndpointRefused,
@@ -14,12 +15,16 @@
 from oleanderhitch.values import Value
 from oleanderhitch.version.ids import EndpointId, ServiceName
 
+if TYPE_CHECKING:
+    # Hosts that explain nothing do not import it.
+    from oleanderhitch.process.explaining.messages import SchedulingExplanation
+
 
 class SendReply(Value, frozen=True):
     """Sends a message to a reply address."""
 
     reply_address: Address
-    message: EndpointGranted | EndpointRefused | LoadsFound | SchedulingExplanation
+    message: "EndpointGranted | EndpointRefused | LoadsFound | SchedulingExplanation"
 
 
 class QueryCache(Value, frozen=True):
--- a/oleanderhitch/process/quotas/core.py
+++ b/oleanderhitch/process/quotas/core.py
@@ -20,6 +20,7 @@
     CreditRefused,
     CreditReply,
     CreditRequest,
+    ExplainCredit,
     LedgerId,
     ReturnCredit,
     ReturnedCredits,
@@ -131,6 +132,15 @@
     return [*effects, *_ask(state, now)]
 
 
+@handle.register
+def _(message: ExplainCredit, state: QuotasState, now: datetime) -> list[object]:
+    # A start does not pay for it.
+    from oleanderhitch.process.quotas.explaining import explain
+
+    explained = explain(message.acquire, state, now)
+    return [SendReply(message.acquire.reply_address, explained)]
+
+
 @handle.register
 def _(message: CreditReply, state: QuotasState, now: datetime) -> list[object]:
     sent = state.sent.pop(message.number, None)
--- a/oleanderhitch/process/quotas/explaining.py
+++ b/oleanderhitch/process/quotas/explaining.py
@@ -10,25 +10,15 @@
 
 from msgspec.structs import replace
 
-from oleanderhitch.process.quotas.core import SendReply, get_ask_time
-
-# The task takes it from here, so that it also handles the message below.
-from oleanderhitch.process.quotas.core import handle as handle
+from oleanderhitch.process.quotas.core import SendReply, get_ask_time, handle
 from oleanderhitch.process.quotas.messages import (
     AcquireCredit,
     CreditExplained,
     CreditGranted,
-    ExplainCredit,
 )
 from oleanderhitch.process.quotas.records import QuotasState
 
 
-@handle.register
-def _(message: ExplainCredit, state: QuotasState, now: datetime) -> list[object]:
-    explained = explain(message.acquire, state, now)
-    return [SendReply(message.acquire.reply_address, explained)]
-
-
 def explain(
     message: AcquireCredit, state: QuotasState, now: datetime
 ) -> CreditExplained:
--- a/oleanderhitch/process/quotas/task.py
+++ b/oleanderhitch/process/quotas/task.py
@@ -16,8 +16,8 @@
     LogRefusals,
     SendReply,
     find_next_tick,
+    handle,
 )
-from oleanderhitch.process.quotas.explaining import handle
 from oleanderhitch.process.quotas.records import QuotasState
 from oleanderhitch.process.task import Task, make_task
 
--- a/oleanderhitch/process/site/entry.py
+++ b/oleanderhitch/process/site/entry.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from datetime import datetime, timedelta
 from functools import partial
+from typing import TYPE_CHECKING
 
 import gevent
 import gevent.event
@@ -23,15 +24,12 @@
 from oleanderhitch.connection.http.server import make_http_server
 from oleanderhitch.connection.http.server_metrics import observe_servers
 from oleanderhitch.connection.ids import HostAddress
-from oleanderhitch.connection.peer.handshake import Identity
 from oleanderhitch.connection.peer.messages import PeerMessage
-from oleanderhitch.connection.peer.server import PeerServer
 from oleanderhitch.process.caches.dialect import CacheDialect
 from oleanderhitch.process.caches.task import make_caches_task
 from oleanderhitch.process.clock import Clock
 from oleanderhitch.process.directory.messages import EndpointList
 from oleanderhitch.process.directory.task import FetchList, make_directory_task
-from oleanderhitch.process.explaining.service import make_explain_server
 from oleanderhitch.process.groups.client.task import make_group_client
 from oleanderhitch.process.groups.messages import (
     GroupAnswer,
@@ -50,7 +48,6 @@
 from oleanderhitch.process.quotas.messages import CreditReply
 from oleanderhitch.process.quotas.task import make_quotas_task
 from oleanderhitch.process.site.application import make_site_codec
-from oleanderhitch.process.site.explaining import make_site_explain_service
 from oleanderhitch.process.site.group import TURN_GROUPS, get_turn_group
 from oleanderhitch.process.site.links import make_site_links
 from oleanderhitch.process.site.messages import SiteStatus
@@ -72,6 +69,9 @@
 from oleanderhitch.values import Value
 from oleanderhitch.version.routes.configuration import CallerLimits, RouteTable
 
+if TYPE_CHECKING:
+    from oleanderhitch.connection.peer.server import PeerServer
+
 # The load balancer stops sending connections once two readiness checks, which are 1 s
 # apart, have failed.
 BALANCER_DRAIN_DELAY = timedelta(milliseconds=2600)
@@ -201,10 +201,11 @@
         )
         self._explain_server: PeerServer | None = None
         if settings.has_operator_calls:
-            node = settings.site.node
-            service = make_site_explain_service(node, forward_dependencies)
-            self._explain_server = make_explain_server(
-                HostAddress(node), Identity(node, settings.site.peer_key), service
+            # Other hosts do not pay for it at their start.
+            from oleanderhitch.process.site.explaining import make_site_explain_server
+
+            self._explain_server = make_site_explain_server(
+                settings.site, forward_dependencies
             )
         observe_servers(
             metrics,
--- a/oleanderhitch/process/site/explaining.py
+++ b/oleanderhitch/process/site/explaining.py
@@ -10,6 +10,9 @@
 
 from msgspec.structs import replace
 
+from oleanderhitch.connection.ids import HostAddress
+from oleanderhitch.connection.peer.handshake import Identity
+from oleanderhitch.connection.peer.server import PeerServer
 from oleanderhitch.exceptions import InvalidInputError
 from oleanderhitch.process.explaining.messages import (
     ExplainRequest,
@@ -19,8 +22,8 @@
     make_fact,
 )
 from oleanderhitch.process.explaining.service import (
-    ExplainService,
     ask_task,
+    make_explain_server,
     make_explain_service,
 )
 from oleanderhitch.process.explaining.states import (
@@ -32,6 +35,7 @@
 from oleanderhitch.process.mailbox import make_mailbox
 from oleanderhitch.process.placement.messages import ExplainPlacement
 from oleanderhitch.process.quotas.messages import CreditExplained, ExplainCredit
+from oleanderhitch.process.site.settings import SiteSettings
 from oleanderhitch.process.site.subscription.installed_state import InstalledState
 from oleanderhitch.program.ids import AccountId
 from oleanderhitch.request.forwarding.attempts import request_endpoint
@@ -64,12 +68,18 @@
 }
 
 
-def make_site_explain_service(
-    host: NodeId, dependencies: ForwardDependencies
-) -> ExplainService:
-    """Return the service that explains what the host does with callers' requests."""
-    answer = partial(explain_request, host=host, dependencies=dependencies)
-    return make_explain_service(host, answer, dependencies.metrics)
+def make_site_explain_server(
+    settings: SiteSettings, dependencies: ForwardDependencies
+) -> PeerServer:
+    """Return the server that explains what a host does with callers' requests.
+
+    It listens, once it is started, at the address that the host's node id is.
+    """
+    node = settings.node
+    answer = partial(explain_request, host=node, dependencies=dependencies)
+    service = make_explain_service(node, answer, dependencies.metrics)
+    identity = Identity(node, settings.peer_key)
+    return make_explain_server(HostAddress(node), identity, service)
 
 
 def explain_request(
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -13,6 +13,16 @@
 FILE_MODULES = ("oleanderhitch.platform.routing", "oleanderhitch.platform.settings")
 # Imported only to explain a faulty file, or not at all.
 SLOW_MODULES = ("cattrs", "importlib.metadata", "pydantic")
+# Imported for the first explanation, or by a host that answers operators.
+EXPLAINING_MODULES = (
+    "gevent.server",
+    "oleanderhitch.connection.peer.server",
+    "oleanderhitch.process.explaining.messages",
+    "oleanderhitch.process.explaining.service",
+    "oleanderhitch.process.placement.explaining",
+    "oleanderhitch.process.quotas.explaining",
+    "oleanderhitch.process.site.explaining",
+)
 
 LIST_MODULES = """
 import sys
@@ -63,6 +73,12 @@
     assert not set(SLOW_MODULES) & set(modules)
 
 
+def test_a_start_of_an_entry_host_imports_nothing_for_explanations() -> None:
+    """Guard against a start that pays for calls which few hosts answer."""
+    modules = run_python(LIST_MODULES.format(role="entry"))
+    assert not set(EXPLAINING_MODULES) & set(modules)
+
+
 @pytest.mark.parametrize(
     ("role", "maker", "clocks"),
     [
--- a/tests/process/quotas/test_explaining.py
+++ b/tests/process/quotas/test_explaining.py
@@ -8,8 +8,8 @@
 
 from oleanderhitch.process.mailbox import make_mailbox
 from oleanderhitch.process.messages import Tick
-from oleanderhitch.process.quotas.core import AskForCredits, SendReply
-from oleanderhitch.process.quotas.explaining import explain, handle
+from oleanderhitch.process.quotas.core import AskForCredits, SendReply, handle
+from oleanderhitch.process.quotas.explaining import explain
 from oleanderhitch.process.quotas.messages import (
     AcquireCredit,
     CreditGranted,
