Gave up peers that take longer than a timeout to authenticate

The timeout of the socket starts again with each byte, so that a peer without the key held one of the few streams of a server of operators for as long as it liked, and four of them kept all operators out.

--- a/oleanderhitch/connection/peer/stream.py
+++ b/oleanderhitch/connection/peer/stream.py
@@ -110,11 +110,20 @@
     def authenticate_as_server(self) -> NodeId:
         """Authenticate the client and return its node id.
 
-        Raise HandshakeError, or ConnectionLostError if the connection fails.
+        Raise HandshakeError, or ConnectionLostError if the connection fails or the
+        client does not answer within `receive_timeout`.
         """
         challenge = make_challenge()
         self._send(challenge)
-        proof = self._receive_expected(ChallengeProof)
+        # The timeout of the socket starts again with each byte.
+        timeout = self._timing.receive_timeout
+        fail = partial(self._fail, f"peer did not authenticate within {timeout}")
+        alarm = make_alarm(fail, self._clock)
+        alarm.set(self._clock.now() + timeout)
+        try:
+            proof = self._receive_expected(ChallengeProof)
+        finally:
+            alarm.close()
         self._send(verify_proof(self._identity, challenge, proof))
         return proof.node
 
--- a/tests/connection/peer/test_stream.py
+++ b/tests/connection/peer/test_stream.py
@@ -116,6 +116,25 @@
     peers.stop()
 
 
+def test_peer_that_authenticates_slowly_is_given_up():
+    """Guard against unknown peers that hold the few streams of a server for hours."""
+    address = "127.0.0.1", find_port()
+    server = make_peer_server(
+        "{}:{}".format(*address), make_project_codec(), Identity("s", KEY), print, FAST
+    )
+    server.start()
+    with socket.create_connection(address) as peer:
+        assert peer.recv(1000)
+        # The start of a frame of 100 bytes; each byte is faster than a timeout.
+        started_at = CLOCK.now()
+        with pytest.raises(OSError):
+            for byte in b"\xc6\0\0\0\x64" + bytes(16):
+                peer.send(bytes([byte]))
+                gevent.sleep(0.1)
+    assert CLOCK.now() - started_at < 4 * FAST.receive_timeout
+    server.stop()
+
+
 def test_link_replaces_a_hung_connection():
     """Guard against a host that counts as lost because one connection hangs."""
     relay = SilentRelay()
