--- a/tests/process/site/test_explaining.py
+++ b/tests/process/site/test_explaining.py
@@ -2,11 +2,16 @@
 
 from collections.abc import Iterator
 from datetime import timedelta
+from functools import partial
 from pathlib import Path
+from unittest.mock import Mock
 
 import pytest
+from gevent import socket
 
+from oleanderhitch.connection.addresses import parse_address
 from oleanderhitch.connection.http.messages import HttpRequest
+from oleanderhitch.connection.peer.handshake import Identity
 from oleanderhitch.connection.peer.messages import PeerMessage
 from oleanderhitch.exceptions import UnavailableError
 from oleanderhitch.process.commands.operator_base import ExitCode
@@ -15,7 +20,11 @@
     ExplainRequest,
     Explanation,
 )
-from oleanderhitch.process.explaining.service import make_explain_service
+from oleanderhitch.process.explaining.service import (
+    N_OPERATOR_STREAMS,
+    make_explain_server,
+    make_explain_service,
+)
 from oleanderhitch.process.explaining.states import ExplainVerdict
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.mailbox import make_mailbox
@@ -86,6 +95,25 @@
     assert details == ["the host explains another request", "a task does not answer"]
 
 
+def test_host_serves_few_streams_of_operators() -> None:
+    """Guard against peers that open streams until a host has no memory for callers."""
+    address = get_free_address()
+    host = NodeId(address)
+    service = make_explain_service(host, Mock(), make_metrics())
+    server = make_explain_server(address, Identity(host, b"k" * 32), service)
+    server.start()
+    connect = partial(socket.create_connection, parse_address(address))
+    peers = [connect(timeout=5) for _ in range(N_OPERATOR_STREAMS)]
+    assert all(peer.recv(1000) for peer in peers)
+    further = connect(timeout=0.2)
+    with pytest.raises(TimeoutError):
+        further.recv(1000)
+    peers[0].close()
+    further.settimeout(5)
+    assert further.recv(1000)
+    server.stop()
+
+
 def count_runs(site: SiteHarness) -> int:
     """Return how many requests ran; those without a body are reads of the cache."""
     return sum(bool(body) for body in site.engine.bodies)
