Rejected requests that no caller can send before asking a host

A URL or a header with a character outside of Latin-1 made the greenlet of the stream end with a UnicodeEncodeError at a host of the product, so that the operator was told that the host can't be reached; a URL like http://[h/ ended the command with a traceback. Both are invalid arguments now, exit code 1.

The four cases of the test failed before (exit code 3, or a ValueError).

--- a/oleanderhitch/process/commands/operator_explain.py
+++ b/oleanderhitch/process/commands/operator_explain.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Iterator
 from pathlib import Path
 from typing import ClassVar
-from urllib.parse import urlsplit
+from urllib.parse import SplitResult, urlsplit
 
 from cleo.helpers import argument, option
 from cleo.io.inputs.argument import Argument
@@ -32,6 +32,8 @@
     verdict: ExitCode.OK if verdict is ExplainVerdict.SENT else ExitCode[verdict.name]
     for verdict in ExplainVerdict
 }
+# HTTP sends each character of a header as a byte.
+LATIN_SIZE = 256
 # Marks the value of --header as the name of a file with headers.
 FILE_MARK = "@"
 HELP = "Exit codes: " + ", ".join(
@@ -86,9 +88,10 @@
         return EXIT_CODES[explanation.verdict]
 
     def _make_request(self) -> HttpRequest:
-        url = urlsplit(self.argument("url"))
-        if url.scheme != "http" or not url.netloc or "@" in url.netloc:
-            raise InvalidInputError("expected a URL in the form http://HOST/PATH")
+        method = self.argument("method").upper()
+        if not method.isascii() or not method.isalpha():
+            raise InvalidInputError("expected a method such as POST")
+        url = _parse_url(self.argument("url"))
         target = url.path or "/"
         if url.query:
             target = f"{target}?{url.query}"
@@ -100,13 +103,28 @@
                 f"body has {len(body)} bytes; at most {BODY_LIMIT_BYTES} are allowed"
             )
         return HttpRequest(
-            self.argument("method").upper(),
+            method,
             target,
             (("host", url.netloc), *headers),
             body,
         )
 
 
+def _parse_url(text: str) -> SplitResult:
+    error = InvalidInputError(
+        "expected a URL in the form http://HOST/PATH, with %XX for spaces and for "
+        "characters outside of ASCII"
+    )
+    try:
+        url = urlsplit(text)
+    except ValueError:
+        raise error from None
+    is_http = url.scheme == "http" and url.netloc and "@" not in url.netloc
+    if not is_http or not text.isascii() or text.split() != [text]:
+        raise error
+    return url
+
+
 def _read_headers(options: Iterable[str]) -> Headers:
     """Return headers; errors do not contain them, since one may hold a key."""
     lines: list[str] = []
@@ -119,13 +137,21 @@
     headers = []
     for number, line in enumerate(lines, 1):
         name, separator, value = line.partition(":")
-        if line.strip() and not (separator and name.strip()):
-            raise InvalidInputError(f"header {number} is not in the form NAME: VALUE")
+        is_header = separator and name.strip() and name.isascii()
+        if line.strip() and not (is_header and _is_latin(value)):
+            raise InvalidInputError(
+                f"header {number}: expected the form NAME: VALUE, with the characters "
+                "of ASCII in the name and of Latin-1 in the value"
+            )
         if line.strip():
             headers.append((name.strip().lower(), value.strip()))
     return tuple(headers)
 
 
+def _is_latin(text: str) -> bool:
+    return all(ord(character) < LATIN_SIZE for character in text)
+
+
 def _read_file(name: str) -> bytes:
     try:
         return Path(name).read_bytes()
--- a/tests/process/commands/test_explaining.py
+++ b/tests/process/commands/test_explaining.py
@@ -83,6 +83,24 @@
     assert tester.status_code == 0
 
 
+@pytest.mark.parametrize(
+    ("url", "options"),
+    [
+        ("http://h/\u20ac", ""),
+        ("http://[h/", ""),
+        (URL, "--header 'X-Program: \u20ac'"),
+        (URL, "--header 'X-\u00fc: p'"),
+    ],
+)
+def test_request_that_no_caller_can_send_is_an_invalid_argument(
+    url: str, options: str, tmp_path: Path
+) -> None:
+    """Guard against a host that is said to be gone when it can't read a request."""
+    operator = Operator(tmp_path, get_free_address(), url, HEADERS)
+    code, content = operator.explain(options=options)
+    assert code is ExitCode.ERROR and "expected" in content["error"]
+
+
 def test_entry_host_explains_calls(
     addresses: tuple[HostAddress, HostAddress], tmp_path: Path
 ) -> None:
