--- a/oleanderhitch/process/roles/explaining.py
+++ b/oleanderhitch/process/roles/explaining.py
@@ -183,7 +183,8 @@
     question = ExplainEnqueue(enqueue, mailbox)
     answer = ask_task(dependencies.router, question, mailbox, object)
     if isinstance(answer, OwnerElsewhere):
-        detail = f"{answer.node} at {answer.address} owns the pool; ask that host"
+        at = "" if answer.address is None else f" at {answer.address}"
+        detail = f"{answer.node}{at} owns the pool; ask that host"
         return explain(
             ExplainVerdict.ASKS_OWNER,
             detail,
