Tested that the log of an entry host has no keys, and the stop of one

Entry processes of tests now write their log. The test asks that neither the log of a served call nor that of explanations has a key, and that no line of a caller's request has the id of an explained one; another test asks a host during its planned stop.

--- a/tests/process/site/harness.py
+++ b/tests/process/site/harness.py
@@ -65,12 +65,14 @@
 select_event_loop()
 import gevent
 from pathlib import Path
+from oleanderhitch.process.logs.writer import start_json_log
 from tests.process.site import harness
 *stores, engine, address, operators = sys.argv[1:]
 site = harness.SiteHarness(
     Path(), 0, revocation_limit=harness.REVOCATION_LIMIT, stores=stores
 )
 site.engine.address = engine
+start_json_log(1, "DEBUG", {})
 site.start_entry("entry-process", address, operators)
 gevent.sleep(60)
 """
--- a/tests/process/site/test_explaining.py
+++ b/tests/process/site/test_explaining.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from unittest.mock import Mock
 
+import gevent
 import pytest
 from gevent import socket
 
@@ -40,7 +41,7 @@
 
 KEY, UNKNOWN_KEY = "desk-key-1", "other-key-2"
 URL = "http://h/p/x"
-HEADERS = "X-Request-Id: 1\nX-Token-Usage: 100,50\nX-Program-Id: p\n"
+HEADERS = "X-Request-Id: explained\nX-Token-Usage: 100,50\nX-Program-Id: p\n"
 
 
 @pytest.fixture
@@ -54,7 +55,8 @@
 def test_explanation_says_what_the_leader_of_quotas_decides(tmp_path: Path) -> None:
     """Guard against a request that is said to be sent before the leader is asked."""
     bounds = QuotaBounds(timedelta(seconds=5), 0.1, 20)
-    site = SiteHarness(tmp_path, 1, quota_bounds=bounds)
+    grace_period = timedelta(seconds=3)
+    site = SiteHarness(tmp_path, 1, quota_bounds=bounds, stop_grace_period=grace_period)
     operators = get_free_address()
     operator = Operator(tmp_path, operators, URL, HEADERS)
     try:
@@ -69,7 +71,10 @@
         assert "sent_now" in content["detail"] and content["endpoints"]
         share = content["share"]
         assert (share["requests_per_s"], share["n_credits"]) == (5, 0)
-        entry.close()
+        stop = gevent.spawn(entry.stop)
+        gevent.sleep(0)
+        assert operator.explain(key=KEY)[0] is ExitCode.STOPPING
+        stop.join()
     finally:
         site.close()
 
@@ -119,8 +124,10 @@
     return sum(bool(body) for body in site.engine.bodies)
 
 
-def test_entry_process_explains_requests(site: SiteHarness, tmp_path: Path) -> None:
-    """Guard against wrong verdicts, sent requests and keys in the output."""
+def test_entry_process_explains_requests(
+    site: SiteHarness, tmp_path: Path, capfd: pytest.CaptureFixture[str]
+) -> None:
+    """Guard against wrong verdicts, sent requests, and keys in output or log."""
     operators = get_free_address()
     operator = Operator(tmp_path, operators, URL, HEADERS)
     code, content = operator.explain()
@@ -133,6 +140,13 @@
         site.publish(1, {"desk": [KEY]})
         wait_until(lambda: site.send_with_key(KEY, address)[0] == 200, "a served call")
         n_runs = count_runs(site)
+        log: list[str] = []
+
+        def has_logged(text: str) -> bool:
+            log.append(capfd.readouterr().out)
+            return text in "".join(log)
+
+        wait_until(lambda: has_logged("request routed"), "the line of the call")
         code, content = operator.explain(key=KEY)
         assert code is ExitCode.OK, content
         assert (content["verdict"], content["version"]) == ("sent_now", 1)
@@ -163,5 +177,7 @@
         (tmp_path / "shared").write_text("another")
         assert operator.explain(key=KEY)[0] is ExitCode.UNREACHABLE
         assert count_runs(site) == n_runs
-    written = "\n".join(operator.written)
+        wait_until(lambda: has_logged('"status":"malformed"'), "a call of an operator")
+        assert not has_logged('"request":"explained"')
+    written = "\n".join([*operator.written, *log])
     assert KEY not in written and UNKNOWN_KEY not in written
