Counted a shared prefix when an endpoint is granted

oleanderhitch_shared_prefixes_total counted choices. A prompt whose endpoint has a rate limit counted at each question to the leader, and with what is known of the endpoint that was chosen first, although the leader may grant another one. The count is made with the grant now.

test_prompt_that_asks_the_leader_twice_counts_once failed before.

--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -72,6 +72,7 @@
 from oleanderhitch.process.placement.queues import (
     grant_endpoint,
     grant_waiting,
+    list_prefix_homes,
     place,
     refuse_early,
 )
@@ -290,7 +291,8 @@
         endpoint = state.endpoints.get(message.endpoint)
     is_sendable = pending.message.fingerprint not in state.quarantined
     if endpoint is not None and not endpoint.is_leaving and is_sendable:
-        return [grant_endpoint(endpoint, pending.message, state, now)]
+        homes = list_prefix_homes(pending.message, state, now)
+        return [grant_endpoint(endpoint, pending.message, homes, state, now)]
     return [*place(pending.message, state, now), *grant_waiting(state, now)]
 
 
--- a/oleanderhitch/process/placement/queues.py
+++ b/oleanderhitch/process/placement/queues.py
@@ -27,6 +27,7 @@
     AcquireEndpoint,
     EndpointGranted,
     EndpointRefused,
+    InferenceWorkload,
 )
 from oleanderhitch.process.placement.observations import (
     find_measured_tokens,
@@ -290,12 +291,11 @@
     costs = list_costs(message, available, homes, state, now)
     costs_ms = list(map(sum, costs))
     chosen = _choose(available, costs_ms, homes, message, state, now)
-    _count_prefix(chosen, message, homes, state)
     if not is_limited(chosen):
-        return grant_endpoint(chosen, message, state, now)
+        return grant_endpoint(chosen, message, homes, state, now)
     if is_local(state, now):
         count_local_send(chosen, state, now)
-        return grant_endpoint(chosen, message, state, now)
+        return grant_endpoint(chosen, message, homes, state, now)
     request = make_permit_request(available, costs_ms, chosen, state, now)
     state.permit_requests[request.number] = PendingPermitRequest(message, now)
     return AskLeader(request)
@@ -355,15 +355,15 @@
 
 def _count_prefix(
     endpoint: Endpoint,
-    message: AcquireEndpoint,
+    workload: InferenceWorkload,
     homes: frozenset[EndpointId],
     state: PlacementState,
 ) -> None:
     """Count for the metrics what is known of the prefix of a prompt, if it has one."""
-    if message.workload is None or find_prefix(message.workload) is None:
+    if find_prefix(workload) is None:
         return
     knowledge = PrefixKnowledge.MISSING
-    if knows_prefix(endpoint.cache, message.workload):
+    if knows_prefix(endpoint.cache, workload):
         knowledge = PrefixKnowledge.KNOWN
     elif endpoint.listed.endpoint in homes:
         knowledge = PrefixKnowledge.ASSUMED
@@ -405,9 +405,16 @@
 
 
 def grant_endpoint(
-    endpoint: Endpoint, message: AcquireEndpoint, state: PlacementState, now: datetime
+    endpoint: Endpoint,
+    message: AcquireEndpoint,
+    homes: frozenset[EndpointId],
+    state: PlacementState,
+    now: datetime,
 ) -> SendReply:
-    """Grant an endpoint to a request, and record what it adds there."""
+    """Grant an endpoint to a request, and record what it adds there.
+
+    `homes` are the endpoints that are assumed to have the prefix of its prompt cached.
+    """
     endpoint.has_trial = False
     begin_trial(endpoint, now)
     if not endpoint.permits:
@@ -420,6 +427,7 @@
     n_measured: int | None = None
     expected_ms: float | None = None
     if message.workload is not None:
+        _count_prefix(endpoint, message.workload, homes, state)
         n_uncached = count_uncached_tokens(endpoint.cache, message.workload)
         # Other entry hosts may have sent a prefix that this one has not.
         if not state.has_many_hosts or knows_prefix(endpoint.cache, message.workload):
