Reported no read of a shared prefix at its home

The cost takes the prefix as cached at its homes, but a grant there added all of its tokens to those that the endpoint still has to read, and the hello reported them to all hosts. Each of 68 hosts has a first prompt with each prefix, so homes looked busy for others with reads that do not happen. The expected time of the first event, by which ramps judge answers, stays the longer one.

test_first_prompt_of_a_host_reports_no_read_of_a_prefix_at_a_home failed before.

--- a/oleanderhitch/process/placement/queues.py
+++ b/oleanderhitch/process/placement/queues.py
@@ -423,11 +423,16 @@
         record_affinity_key(message.affinity_key, endpoint)
     state.last_permit_number += 1
     permit = PermitId(f"{state.permit_prefix}-{state.last_permit_number}")
-    n_uncached = 0
+    n_pending = 0
     n_measured: int | None = None
     expected_ms: float | None = None
     if message.workload is not None:
         _count_prefix(endpoint, message.workload, homes, state)
+        # Each of many hosts has a first prompt with a prefix. If all reported that a
+        # home reads it, it would look too busy for the others.
+        n_pending = count_uncached_tokens(
+            endpoint.cache, message.workload, endpoint.listed.endpoint in homes
+        )
         n_uncached = count_uncached_tokens(endpoint.cache, message.workload)
         # Other entry hosts may have sent a prefix that this one has not.
         if not state.has_many_hosts or knows_prefix(endpoint.cache, message.workload):
@@ -436,10 +441,10 @@
         record_prompt(endpoint.cache, message.workload)
     endpoint_id = endpoint.listed.endpoint
     queue_id = get_queue_id(message, state)
-    state.pending_prefill_tokens[endpoint_id] += n_uncached
+    state.pending_prefill_tokens[endpoint_id] += n_pending
     state.permits[permit] = Permit(
         endpoint_id,
-        n_uncached,
+        n_pending,
         message.fingerprint,
         message.workload is not None,
         now,
--- a/tests/process/placement/test_prefix_grants.py
+++ b/tests/process/placement/test_prefix_grants.py
@@ -3,11 +3,14 @@
 from oleanderhitch.process.placement.core import handle
 from oleanderhitch.process.placement.messages import (
     EndpointRateLimited,
+    GetLoads,
     InferenceWorkload,
+    LoadsFound,
     PromptPart,
     SendPermitReply,
 )
-from tests.process.placement.test_core import NOW, acquire, get_grant
+from oleanderhitch.process.placement.prefixes import list_homes
+from tests.process.placement.test_core import NOW, REPLY, SERVICE, acquire, get_grant
 from tests.process.placement.test_prefixes import NAMES, make_hosts
 
 OWN_TOKENS = 1_000
@@ -30,3 +33,17 @@
     assert not state.prefix_counts
     get_grant(handle(SendPermitReply(2, True, NAMES[0]), state, NOW))
     assert state.prefix_counts.total() == 1
+
+
+def test_first_prompt_of_a_host_reports_no_read_of_a_prefix_at_a_home() -> None:
+    """Guard against homes that look busy to all with reads that do not happen.
+
+    Each of many hosts has a first prompt with the prefix.
+    """
+    (state, *_) = make_hosts(68)
+    homes = list_homes(SERVICE, "p", state, NOW)
+    granted = get_grant(handle(acquire("1", WORKLOAD), state, NOW))
+    assert granted.endpoint.endpoint in homes
+    reply = handle(GetLoads(REPLY), state, NOW)[0].message
+    assert isinstance(reply, LoadsFound)
+    assert [load.n_reading_tokens for load in reply.loads] == [OWN_TOKENS]
