Said what the numbers of an explanation are

The text showed the Retry-After of a refusal as an expected wait, a share of 0 of 0 accounts where another host has the queue, a share without accounts, and "no limit" on the product's own interface, whose limits are of another kind. An endpoint that an account may not use was excluded as "tried".

The three cases of test_text_says_what_its_numbers_are failed before.

--- a/oleanderhitch/process/commands/operator_explain.py
+++ b/oleanderhitch/process/commands/operator_explain.py
@@ -32,6 +32,8 @@
     verdict: ExitCode.OK if verdict is ExplainVerdict.SENT else ExitCode[verdict.name]
     for verdict in ExplainVerdict
 }
+# What would be refused ends with this exit code or a higher one.
+FIRST_REFUSAL_CODE = ExitCode.UNKNOWN_ROUTE
 # HTTP sends each character of a header as a byte.
 LATIN_SIZE = 256
 # Marks the value of --header as the name of a file with headers.
@@ -170,10 +172,12 @@
         yield f"route: {explanation.route}, service {explanation.service}"
     if explanation.verdict is ExplainVerdict.QUEUED:
         yield f"requests ahead: {explanation.n_ahead}"
-    if explanation.service is not None:
-        wait = explanation.expected_wait
+    wait = explanation.expected_wait
+    if explanation.service is not None or wait is not None:
         wait_ms = None if wait is None else wait.total_seconds() * 1000
-        yield f"expected wait: {_format_ms(wait_ms)}"
+        is_refused = EXIT_CODES[explanation.verdict] >= FIRST_REFUSAL_CODE
+        label = "retry after" if is_refused else "expected wait"
+        yield f"{label}: {_format_ms(wait_ms)}"
     if explanation.share is not None:
         yield _format_share(explanation.share)
     if explanation.unchecked:
@@ -188,14 +192,17 @@
 
 
 def _format_share(share: AccountShare) -> str:
-    limit = share.requests_per_s
-    parts = [
-        f"account: {share.account or 'none'}",
-        f"{share.n_running} running and {share.n_waiting} waiting here",
-        f"equal share {share.n_equal:.1f} of {share.n_accounts} accounts"
-        + (" (above it)" if share.is_over else ""),
-        "no limit" if limit is None else f"limit {limit:g} requests a second",
-    ]
+    parts = [f"account: {share.account or 'none'}"]
+    if share.n_accounts:
+        parts.append(f"{share.n_running} running and {share.n_waiting} waiting here")
+    if share.n_accounts and share.account is not None:
+        relation = "more than" if share.is_over else "within"
+        parts.append(
+            f"{relation} its equal share of {share.n_equal:.1f} "
+            f"({share.n_accounts} accounts)"
+        )
+    if share.requests_per_s is not None:
+        parts.append(f"{share.requests_per_s:g} requests a second")
     if share.n_credits is not None:
         parts.append(f"{share.n_credits} credits held")
     return ", ".join(parts)
--- a/oleanderhitch/process/explaining/messages.py
+++ b/oleanderhitch/process/explaining/messages.py
@@ -41,8 +41,10 @@
 class AccountShare(Value, frozen=True):
     """The account of a request, and how much of its service it uses at the host.
 
-    `n_equal` requests are its equal share of those that run. `n_credits` are held for
-    it, None where it needs none.
+    `n_equal` is its equal share of the running requests: their number divided by
+    `n_accounts`, the accounts with running or waiting requests, of which there are none
+    where the host does not know them. The host holds `n_credits` for the account, None
+    where it needs none.
     """
 
     account: AccountId | None
@@ -99,7 +101,9 @@
 class Explanation(Value, frozen=True):
     """Answers ExplainRequest.
 
-    `unchecked` is what would also decide and is not known to this host.
+    `expected_wait` is the time until the request is sent or, if it is refused, until
+    its caller should try again; None if it is not known. `unchecked` is what would also
+    decide and is not known to this host.
     """
 
     number: int
--- a/oleanderhitch/process/explaining/states.py
+++ b/oleanderhitch/process/explaining/states.py
@@ -9,7 +9,8 @@
     ASKS_LEADER: the host asks the leader for a credit or a permit, and its answer
     decides. ASKS_OWNER: it asks the owner of the pool, which is another entry host.
     NOT_CURRENT: the host has no configuration that it may go by. Verdicts from
-    UNKNOWN_ROUTE to UNKNOWN_ID name what the configuration in force does not have. BUSY
+    UNKNOWN_ROUTE to UNKNOWN_ID name what the configuration in force does not have, the
+    last one also a program that is not known. BUSY
     is no answer: the host explains another request, or is overloaded. All others are
     refusals.
     """
@@ -37,6 +38,7 @@
     """Why an endpoint does not get a request now.
 
     RAMPING, UNRESPONSIVE and NOT_COMPARED endpoints are used if there is no other.
+    TRIED: the request was there, or its account may not use the endpoint.
     """
 
     LEAVING = "leaving"
@@ -44,7 +46,7 @@
     AVOIDED = "avoided_after_failure"
     ON_TRIAL = "another_request_tries_it"
     RATE_LIMITED = "rate_limited"
-    TRIED = "tried"
+    TRIED = "tried_or_not_allowed"
     UNRESPONSIVE = "unresponsive"
     RAMPING = "ramping"
     ON_PROBATION = "on_probation"
--- a/tests/process/commands/test_explaining.py
+++ b/tests/process/commands/test_explaining.py
@@ -4,6 +4,7 @@
 import subprocess
 import sys
 from collections.abc import Iterator
+from datetime import timedelta
 from pathlib import Path
 
 import pytest
@@ -16,10 +17,15 @@
     ExitCode,
     make_command_dependencies,
 )
+from oleanderhitch.process.commands.operator_explain import format_explanation
+from oleanderhitch.process.explaining.messages import AccountShare, Explanation
+from oleanderhitch.process.explaining.states import ExplainVerdict
+from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.operators.network import (
     make_configuration_client,
     make_hosts_client,
 )
+from oleanderhitch.program.ids import AccountId
 from tests.process.operator import Operator
 from tests.process.site.harness import get_free_address, wait_until
 
@@ -140,3 +146,38 @@
         http.request("GET", f"{programs}/p", headers=account).data.decode()
     )
     assert (summary["next_sequence"], summary["reserved_tokens"]) == (1, 0)
+
+
+@pytest.mark.parametrize(
+    ("verdict", "share", "lines"),
+    [
+        (
+            ExplainVerdict.OVERLOADED,
+            AccountShare(AccountId("desk"), 3, 1, 2, 1.5, True, 20.0, 4),
+            [
+                "retry after: 500.0 ms",
+                "account: desk, 3 running and 1 waiting here, more than its equal "
+                "share of 1.5 (2 accounts), 20 requests a second, 4 credits held",
+            ],
+        ),
+        (
+            ExplainVerdict.SENT,
+            AccountShare(None, 3, 0, 1, 3.0),
+            ["expected wait: 500.0 ms", "account: none, 3 running and 0 waiting here"],
+        ),
+        (
+            ExplainVerdict.ASKS_OWNER,
+            AccountShare(AccountId("desk")),
+            ["expected wait: 500.0 ms", "account: desk"],
+        ),
+    ],
+)
+def test_text_says_what_its_numbers_are(
+    verdict: ExplainVerdict, share: AccountShare, lines: list[str]
+) -> None:
+    """Guard against a share that is not known, and a wait that nobody waits."""
+    wait = timedelta(milliseconds=500)
+    explanation = Explanation(
+        1, NodeId("e"), verdict, service="s", expected_wait=wait, share=share
+    )
+    assert list(format_explanation(explanation))[-2:] == lines
