Copied no running requests for an explanation

The copy had all permits of the host and the sets of them by request, of all services, which the decision does not read.

--- a/oleanderhitch/process/placement/explaining.py
+++ b/oleanderhitch/process/placement/explaining.py
@@ -125,9 +125,10 @@
 
 
 def copy_state(service: ServiceName, state: PlacementState) -> PlacementState:
-    """Return a deep copy of the state, without the endpoints of other services.
+    """Return a deep copy of the state, without other services and running requests.
 
-    Decisions on a request read nothing of these, and a site may have thousands.
+    Decisions on a request read nothing of these, and a site may have thousands. The
+    number of requests that run at each endpoint is copied with the endpoint.
     """
     kept = {
         name: endpoint
@@ -147,6 +148,8 @@
             state,
             endpoints=kept,
             unlisted={},
+            permits={},
+            held_permits={},
             queues=defaultdict(ServiceQueue, queues),
             prefix_orders=orders,
         )
--- a/tests/process/placement/test_explaining.py
+++ b/tests/process/placement/test_explaining.py
@@ -18,7 +18,7 @@
 from oleanderhitch.process.messages import Tick
 from oleanderhitch.process.placement.core import handle
 from oleanderhitch.process.placement.effects import AskLeader
-from oleanderhitch.process.placement.explaining import explain
+from oleanderhitch.process.placement.explaining import copy_state, explain
 from oleanderhitch.process.placement.messages import (
     AcquireEndpoint,
     AttemptResult,
@@ -40,6 +40,7 @@
 from tests.process.placement.test_core import (
     HOME,
     NOW,
+    SERVICE,
     acquire,
     make_endpoint,
     make_state,
@@ -178,3 +179,12 @@
     queued = explain(acquire("5", workload), state, NOW)
     assert (queued.verdict, queued.n_ahead) == (ExplainVerdict.QUEUED, 1)
     assert queued.expected_wait == timedelta(seconds=1)
+
+
+def test_copy_has_no_requests_that_run() -> None:
+    """Guard against a host that stands still longer the more requests it runs."""
+    state = make_state(make_endpoint("e0", 4))
+    handle(acquire("1", make_workload("a")), state, NOW)
+    copied = copy_state(SERVICE, state)
+    assert copied.endpoints[EndpointId("e0")].permits == state.permits.keys() != set()
+    assert not copied.permits and not copied.held_permits
