--- a/oleanderhitch/process/explaining/service.py
+++ b/oleanderhitch/process/explaining/service.py
@@ -31,6 +31,8 @@
 # Peers that have not proved to be operators yet may send a frame, which is kept twice:
 # 9 MB in all, where the smallest entry host has 128 MB.
 FRAME_LIMIT_BYTES = BODY_LIMIT_BYTES + 64 * 1024
+# Callers' paths are shorter; a frame has room for a path of a megabyte.
+LOGGED_TARGET_LENGTH = 200
 # Tasks answer within milliseconds unless the host is overloaded.
 ANSWER_TIMEOUT = timedelta(seconds=1)
 
@@ -73,7 +75,7 @@
         log.info(
             "operator call answered",
             method="explain",
-            target=request.request.path,
+            target=request.request.path[:LOGGED_TARGET_LENGTH],
             status=explanation.verdict.value,
             operator=delivery.node,
         )
--- a/tests/process/site/test_explaining.py
+++ b/tests/process/site/test_explaining.py
@@ -7,6 +7,7 @@
 from unittest.mock import Mock
 
 import gevent
+import logbook
 import pytest
 from gevent import socket
 
@@ -80,8 +81,8 @@
 
 
 def test_host_explains_one_request_at_a_time() -> None:
-    """Guard against calls that pile up at a host, and calls without an answer."""
-    request = ExplainRequest(1, HttpRequest("GET", "/", (), b""))
+    """Guard against calls that pile up at a host, have no answer, or fill its log."""
+    request = ExplainRequest(1, HttpRequest("GET", "/" * 100_000, (), b""))
     mailbox = make_mailbox("test")
     delivery = PeerMessage(NodeId("operator"), request, mailbox)
 
@@ -90,7 +91,9 @@
         raise UnavailableError("a task does not answer")
 
     service = make_explain_service(NodeId("entry"), answer, make_metrics())
-    service.serve(delivery)
+    with logbook.TestHandler() as handler:
+        service.serve(delivery)
+    assert all(len(record.kwargs["target"]) <= 200 for record in handler.records)
     details = []
     while mailbox.n_waiting:
         explanation = mailbox.receive()
