Failed the read of a list whose next token is no text by its own error

Cause: a token that is a number, or half of a surrogate pair, raised another error, which the directory logs as unexpected.

--- a/oleanderhitch/platform/listing.py
+++ b/oleanderhitch/platform/listing.py
@@ -66,7 +66,7 @@
 
 
 def _read_page(address: HostAddress, page_token: str | None) -> dict[str, Any]:
-    query = "" if page_token is None else f"?page_token={quote(page_token, safe='')}"
+    query = "" if page_token is None else f"?page_token={_quote_token(page_token)}"
     headers = (("host", address),)
     request = HttpRequest("GET", f"/instances{query}", headers, b"")
     response = fetch(address, request, PAGE_TIMEOUT)
@@ -83,6 +83,14 @@
     return page
 
 
+def _quote_token(page_token: Any) -> str:
+    """Return the token of a page for a query; raise UnavailableError."""
+    try:
+        return quote(page_token, safe="")
+    except (TypeError, UnicodeEncodeError):
+        raise UnavailableError("list of endpoints has no readable next token") from None
+
+
 def _split_page(text: str) -> dict[str, Any] | None:
     """Return a page with what can be read of it, None without array and next token."""
     members = split_members(text)
--- a/tests/platform/test_malformed.py
+++ b/tests/platform/test_malformed.py
@@ -180,6 +180,8 @@
 
 
 @given(make_odd_documents({"instances": [VALID_INSTANCE, VALID_INSTANCE], "next": "p"}))
+@example(b'{"instances": [], "next": true}')
+@example(b'{"instances": [], "next": "\\ud800"}')
 def test_odd_list_of_endpoints_is_read_as_far_as_possible(body: bytes) -> None:
     """Guard against an error of another type, and entries that no host can use."""
     pages = {"/instances": body}
