Tested the limit while a deposed leader still lends

The property-based test of the limit replaced leaders at once. It has a step now in which the leader before lends to one host by its last read, while the next one waits for the end of its silence.

A stopping store waits for its successor to ask for the ledger for 500 ms after its leadership at most: it would have waited each time if a successor had not asked since.

--- a/oleanderhitch/process/site/quota_lender.py
+++ b/oleanderhitch/process/site/quota_lender.py
@@ -100,6 +100,7 @@
         self._request_ledger = request_ledger
         self._clock = clock
         self._is_leader = False
+        self._led_until: datetime | None = None
         # The last term in which this store led, and its ledger.
         self._term = NO_TERM
         self._ledger: QuotaLedger | None = None
@@ -111,12 +112,16 @@
 
     @property
     def has_ledger_to_hand_over(self) -> bool:
-        """Whether a successor can still ask for the ledger of this store."""
-        return self._ledger is not None and not self._is_leader
+        """Whether a successor may still ask; it has a silence for it."""
+        if self._ledger is None or self._is_leader or self._led_until is None:
+            return False
+        return self._clock.now() - self._led_until < SILENCE_DURATION
 
     def handle_leadership_change(self, is_leader: bool, term: Term) -> None:
         """Stop lending, or begin with an empty ledger unless the term goes on."""
         self._refuse_held()
+        if self._is_leader and not is_leader:
+            self._led_until = self._clock.now()
         self._is_leader = is_leader
         self._read_began_at = self._confirmed_at = None
         if not is_leader or self._bounds is None:
--- a/tests/process/quotas/test_quotas.py
+++ b/tests/process/quotas/test_quotas.py
@@ -41,6 +41,7 @@
         st.tuples(st.just("delay"), st.sampled_from([2, 50, 140, 400])),
         st.tuples(st.just("restart"), st.integers(0, N_HOSTS - 1)),
         st.tuples(st.just("elect"), st.none()),
+        st.tuples(st.just("depose"), st.none()),
         st.tuples(st.just("hand over"), st.sampled_from([0, 30, 400])),
         st.tuples(st.just("raise"), st.sampled_from([1.0, 1.5, 3.0])),
     ),
@@ -116,6 +117,9 @@
     def _elect(self, _: None) -> None:
         self.fleet.elect()
 
+    def _depose(self, _: None) -> None:
+        self.fleet.depose()
+
     def _hand_over(self, n_ms: int) -> None:
         self.fleet.hand_over(n_ms * MS)
 
