--- a/tests/process/site/test_explaining.py
+++ b/tests/process/site/test_explaining.py
@@ -2,11 +2,17 @@
 
 from collections.abc import Iterator
 from datetime import timedelta
+from functools import partial
 from pathlib import Path
+from unittest.mock import Mock
 
+import gevent
 import pytest
+from gevent import socket
 
+from oleanderhitch.connection.addresses import parse_address
 from oleanderhitch.connection.http.messages import HttpRequest
+from oleanderhitch.connection.peer.handshake import Identity
 from oleanderhitch.connection.peer.messages import PeerMessage
 from oleanderhitch.exceptions import UnavailableError
 from oleanderhitch.process.commands.operator_base import ExitCode
@@ -15,7 +21,11 @@
     ExplainRequest,
     Explanation,
 )
-from oleanderhitch.process.explaining.service import make_explain_service
+from oleanderhitch.process.explaining.service import (
+    N_OPERATOR_STREAMS,
+    make_explain_server,
+    make_explain_service,
+)
 from oleanderhitch.process.explaining.states import ExplainVerdict
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.mailbox import make_mailbox
@@ -31,7 +41,7 @@
 
 KEY, UNKNOWN_KEY = "desk-key-1", "other-key-2"
 URL = "http://h/p/x"
-HEADERS = "X-Request-Id: 1\nX-Token-Usage: 100,50\nX-Program-Id: p\n"
+HEADERS = "X-Request-Id: explained\nX-Token-Usage: 100,50\nX-Program-Id: p\n"
 
 
 @pytest.fixture
@@ -45,7 +55,8 @@
 def test_explanation_says_what_the_leader_of_quotas_decides(tmp_path: Path) -> None:
     """Guard against a request that is said to be sent before the leader is asked."""
     bounds = QuotaBounds(timedelta(seconds=5), 0.1, 20)
-    site = SiteHarness(tmp_path, 1, quota_bounds=bounds)
+    grace_period = timedelta(seconds=3)
+    site = SiteHarness(tmp_path, 1, quota_bounds=bounds, stop_grace_period=grace_period)
     operators = get_free_address()
     operator = Operator(tmp_path, operators, URL, HEADERS)
     try:
@@ -60,7 +71,10 @@
         assert "sent_now" in content["detail"] and content["endpoints"]
         share = content["share"]
         assert (share["requests_per_s"], share["n_credits"]) == (5, 0)
-        entry.close()
+        stop = gevent.spawn(entry.stop)
+        gevent.sleep(0)
+        assert operator.explain(key=KEY)[0] is ExitCode.STOPPING
+        stop.join()
     finally:
         site.close()
 
@@ -86,13 +100,34 @@
     assert details == ["the host explains another request", "a task does not answer"]
 
 
+def test_host_serves_few_streams_of_operators() -> None:
+    """Guard against peers that open streams until a host has no memory for callers."""
+    address = get_free_address()
+    host = NodeId(address)
+    service = make_explain_service(host, Mock(), make_metrics())
+    server = make_explain_server(address, Identity(host, b"k" * 32), service)
+    server.start()
+    connect = partial(socket.create_connection, parse_address(address))
+    peers = [connect(timeout=5) for _ in range(N_OPERATOR_STREAMS)]
+    assert all(peer.recv(1000) for peer in peers)
+    further = connect(timeout=0.2)
+    with pytest.raises(TimeoutError):
+        further.recv(1000)
+    peers[0].close()
+    further.settimeout(5)
+    assert further.recv(1000)
+    server.stop()
+
+
 def count_runs(site: SiteHarness) -> int:
     """Return how many requests ran; those without a body are reads of the cache."""
     return sum(bool(body) for body in site.engine.bodies)
 
 
-def test_entry_process_explains_requests(site: SiteHarness, tmp_path: Path) -> None:
-    """Guard against wrong verdicts, sent requests and keys in the output."""
+def test_entry_process_explains_requests(
+    site: SiteHarness, tmp_path: Path, capfd: pytest.CaptureFixture[str]
+) -> None:
+    """Guard against wrong verdicts, sent requests, and keys in output or log."""
     operators = get_free_address()
     operator = Operator(tmp_path, operators, URL, HEADERS)
     code, content = operator.explain()
@@ -105,6 +140,13 @@
         site.publish(1, {"desk": [KEY]})
         wait_until(lambda: site.send_with_key(KEY, address)[0] == 200, "a served call")
         n_runs = count_runs(site)
+        log: list[str] = []
+
+        def has_logged(text: str) -> bool:
+            log.append(capfd.readouterr().out)
+            return text in "".join(log)
+
+        wait_until(lambda: has_logged("request routed"), "the line of the call")
         code, content = operator.explain(key=KEY)
         assert code is ExitCode.OK, content
         assert (content["verdict"], content["version"]) == ("sent_now", 1)
@@ -135,5 +177,7 @@
         (tmp_path / "shared").write_text("another")
         assert operator.explain(key=KEY)[0] is ExitCode.UNREACHABLE
         assert count_runs(site) == n_runs
-    written = "\n".join(operator.written)
+        wait_until(lambda: has_logged('"status":"malformed"'), "a call of an operator")
+        assert not has_logged('"request":"explained"')
+    written = "\n".join([*operator.written, *log])
     assert KEY not in written and UNKNOWN_KEY not in written
