Gave each shared prefix a choice of two homes

Cause: with one home, programs stay at an engine that is slow for good until its speed is known, and engines that are home to many prefixes get more than others.

--- a/oleanderhitch/process/placement/prefixes.py
+++ b/oleanderhitch/process/placement/prefixes.py
@@ -4,7 +4,8 @@
 A host knows only the prompts that it has sent itself, and if each host warmed endpoints
 of its own choice, every endpoint would read every prefix. Instead, each prefix has
 homes: the first endpoints of its rendezvous order, as many as its load takes. This is
-consistent hashing with bounded loads (Mirrokni, Thorup, Zadimoghaddam, 2018).
+consistent hashing with bounded loads (Mirrokni, Thorup, Zadimoghaddam, 2018), with a
+choice between two.
 """
 
 from collections.abc import Mapping, Sequence
@@ -24,6 +25,9 @@
 # Up to this share of its slots, a request at a home delays less than one more prefill
 # of a prefix does, however idle the other endpoints are.
 SLOT_SHARE = 0.25
+# A choice between two levels the loads of homes, of which some have more prefixes than
+# others, and lets a slow one be passed over.
+N_SPARE_HOMES = 2
 # Prefixes whose orders are kept, a few kilobytes each with 100 endpoints.
 N_ORDERS_MAX = 256
 
@@ -41,8 +45,8 @@
 ) -> frozenset[EndpointId]:
     """Return the endpoints that are assumed to have a prefix cached.
 
-    Those before the first one in the order that has load to spare, and this one. An
-    endpoint that leaves gets no new prefixes.
+    Those in the order up to the second one that has room for more load. An endpoint
+    that leaves gets no new prefixes.
     """
     endpoints = {
         name: endpoint
@@ -52,11 +56,13 @@
     loads = {name: count_running(item, now) for name, item in endpoints.items()}
     mean = sum(loads.values()) / max(1, len(loads))
     homes = []
+    n_spare = 0
     for name in _get_order(service, prefix, endpoints, state):
         homes.append(name)
         n_slots = endpoints[name].listed.n_slots
         bound = min(n_slots, max(LOAD_FACTOR * mean, SLOT_SHARE * n_slots))
-        if loads[name] < bound:
+        n_spare += loads[name] < bound
+        if n_spare == N_SPARE_HOMES:
             break
     return frozenset(homes)
 
