Passed over homes of prefixes that are avoided, and kept no order of an old list

Cause: an avoided endpoint counted as a home with room. An order that was kept ignored an endpoint that is listed in another data centre.

Measured: test_homes_that_have_failed_share_their_prefix_with_the_next_engines and test_engine_that_is_listed_elsewhere_changes_its_place fail before.

--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -118,6 +118,7 @@
     crashes = find_listed_crashes(previous, message.endpoints, now)
     known = {**state.unlisted, **previous}
     state.endpoints, state.listed_at = {}, now
+    state.prefix_orders.clear()
     for listed in message.endpoints:
         record = known.pop(listed.endpoint, None)
         is_same = record is not None and record.listed.born_ms == listed.born_ms
--- a/oleanderhitch/process/placement/prefixes.py
+++ b/oleanderhitch/process/placement/prefixes.py
@@ -8,10 +8,11 @@
 choice between two.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 from datetime import datetime
 from hashlib import blake2b
 
+from oleanderhitch.process.placement.health import is_on_trial
 from oleanderhitch.process.placement.messages import InferenceWorkload
 from oleanderhitch.process.placement.records import (
     Endpoint,
@@ -48,45 +49,48 @@
     Those in the order up to the second one that has room for more load. An endpoint
     that leaves gets no new prefixes.
     """
-    endpoints = {
-        name: endpoint
-        for name, endpoint in state.endpoints.items()
-        if endpoint.listed.service == service and not endpoint.is_leaving
-    }
-    loads = {name: count_running(item, now) for name, item in endpoints.items()}
-    mean = sum(loads.values()) / max(1, len(loads))
+    endpoints = [
+        endpoint
+        for name in _get_order(service, prefix, state)
+        if not (endpoint := state.endpoints[name]).is_leaving
+    ]
+    loads = [count_running(endpoint, now) for endpoint in endpoints]
+    mean = sum(loads) / max(1, len(loads))
     homes = []
     n_spare = 0
-    for name in _get_order(service, prefix, endpoints, state):
-        homes.append(name)
-        n_slots = endpoints[name].listed.n_slots
-        bound = min(n_slots, max(LOAD_FACTOR * mean, SLOT_SHARE * n_slots))
-        n_spare += loads[name] < bound
+    for endpoint, load in zip(endpoints, loads, strict=True):
+        homes.append(endpoint.listed.endpoint)
+        n_spare += _has_room(endpoint, load, mean, now)
         if n_spare == N_SPARE_HOMES:
             break
     return frozenset(homes)
 
 
+def _has_room(endpoint: Endpoint, load: int, mean: float, now: datetime) -> bool:
+    if endpoint.avoid_until is not None and endpoint.avoid_until > now:
+        return False
+    n_slots = endpoint.listed.n_slots
+    bound = min(n_slots, max(LOAD_FACTOR * mean, SLOT_SHARE * n_slots))
+    return load < bound and not is_on_trial(endpoint, now)
+
+
 def _get_order(
-    service: ServiceName,
-    prefix: str,
-    endpoints: Mapping[EndpointId, Endpoint],
-    state: PlacementState,
+    service: ServiceName, prefix: str, state: PlacementState
 ) -> tuple[EndpointId, ...]:
+    """Return the order of a prefix, which is kept until the list changes."""
     orders = state.prefix_orders
     key = (service, prefix)
-    order = orders.get(key)
-    if (
-        order is None
-        or len(order) != len(endpoints)
-        or not endpoints.keys() >= {*order}
-    ):
-        order = make_order(prefix, list(endpoints.values()), state.data_centre)
-        orders[key] = order
+    if key not in orders:
+        endpoints = [
+            endpoint
+            for endpoint in state.endpoints.values()
+            if endpoint.listed.service == service
+        ]
+        orders[key] = make_order(prefix, endpoints, state.data_centre)
     orders.move_to_end(key)
     if len(orders) > N_ORDERS_MAX:
         orders.popitem(last=False)
-    return order
+    return orders[key]
 
 
 def make_order(
--- a/tests/process/placement/test_prefixes.py
+++ b/tests/process/placement/test_prefixes.py
@@ -2,6 +2,7 @@
 
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
+from datetime import timedelta
 from random import Random
 
 from msgspec.structs import replace
@@ -41,6 +42,7 @@
 NAMES = tuple(EndpointId(f"e{number}") for number in range(24))
 PREFIXES = tuple(f"p{number}" for number in range(16))
 N_SLOTS = 12
+SECOND = timedelta(seconds=1)
 AWAY = DataCentreName("away")
 
 
@@ -104,6 +106,28 @@
     assert readers <= more_homes - {loaded}
 
 
+def test_homes_that_have_failed_share_their_prefix_with_the_next_engines() -> None:
+    """Guard against all engines reading a prefix while its homes are avoided."""
+    (state,) = make_hosts(1)
+    homes = list_homes(SERVICE, "p", state, NOW)
+    for name in homes:
+        state.endpoints[name].avoid_until = NOW + SECOND
+    assert len(list_homes(SERVICE, "p", state, NOW)) == 2 * N_SPARE_HOMES
+    assert list_homes(SERVICE, "p", state, NOW + SECOND) == homes
+
+
+def test_engine_that_is_listed_elsewhere_changes_its_place() -> None:
+    """Guard against homes that go by a data centre of the past."""
+    (state,) = make_hosts(1)
+    homes = list_homes(SERVICE, "p", state, NOW)
+    listed = tuple(
+        replace(endpoint.listed, data_centre=AWAY if name in homes else HOME)
+        for name, endpoint in state.endpoints.items()
+    )
+    handle(EndpointsListed(listed), state, NOW)
+    assert not homes & list_homes(SERVICE, "p", state, NOW)
+
+
 def test_everywhere_is_home_when_all_slots_are_taken() -> None:
     """Guard against a prefix that has no home at a time of overload."""
     (state,) = make_hosts(1, loads=dict.fromkeys(NAMES, N_SLOTS))
