Woke replicas that wait to be added at their timeouts only

Cause: a replica that did not found its group had ticks at a third of the heartbeat interval, 30 a second, as before a group is formed. With nine groups of three to five voters, most replicas of a deployment with 12 stores are such replicas.

--- a/oleanderhitch/process/replication/task.py
+++ b/oleanderhitch/process/replication/task.py
@@ -160,7 +160,7 @@
         perform,
         clock,
         tick_interval=timing.heartbeat_interval / N_TICKS_PER_HEARTBEAT,
-        find_next_tick=_find_next_tick,
+        find_next_tick=find_next_tick,
     )
     context = GroupContext(
         state, storage, application, transport, clock, task, log, on_leadership_change
@@ -168,13 +168,15 @@
     return task
 
 
-def _find_next_tick(state: GroupState) -> datetime | None:
+def find_next_tick(state: GroupState) -> datetime | None:
     """Return the time at which a timeout or a heartbeat is due, if it is known.
 
-    None means ticks at the interval, as before the group is formed.
+    None means ticks at the interval, as before the group is formed. A replica that did
+    not found its group waits to be added, or has been.
     """
     replica = state.replica
-    if replica.role is Role.FOLLOWER and state.bootstrap.is_formed:
+    bootstrap = state.bootstrap
+    if replica.role is Role.FOLLOWER and (bootstrap.is_formed or bootstrap.is_excluded):
         return replica.election_deadline
     if replica.role is Role.LEADER and replica.heartbeat_due_at is not None:
         # Reads move the heartbeat, but must not delay the checks of a tick.
--- a/tests/process/replication/test_task.py
+++ b/tests/process/replication/test_task.py
@@ -1,6 +1,7 @@
 """Guard against a replica task that loses commands or fails without a report."""
 
-from datetime import timedelta
+from datetime import UTC, datetime, timedelta
+from random import Random
 
 import gevent
 
@@ -13,9 +14,15 @@
     LocalCall,
     ReplicaEnvelope,
 )
+from oleanderhitch.process.ids import NodeId, ReplicaId
 from oleanderhitch.process.mailbox import make_mailbox
-from oleanderhitch.process.replication.bootstrap import FoundingHello
-from oleanderhitch.process.replication.effect_handlers import make_any_replica_receiver
+from oleanderhitch.process.messages import Tick
+from oleanderhitch.process.replication.bootstrap import BootstrapState, FoundingHello
+from oleanderhitch.process.replication.core import make_replica
+from oleanderhitch.process.replication.effect_handlers import (
+    GroupState,
+    make_any_replica_receiver,
+)
 from oleanderhitch.process.replication.messages import (
     MESSAGES,
     AppendEntries,
@@ -29,6 +36,7 @@
     ReplicationTiming,
 )
 from oleanderhitch.process.replication.states import ChangeOutcome, EntryKind
+from oleanderhitch.process.replication.task import find_next_tick, handle
 from tests.process.replication.hosts import (
     GROUP,
     Host,
@@ -284,3 +292,22 @@
         in send_operator_request(host, GetReplicationStatus(1, GROUP)).fault
     )
     host.stop(network)
+
+
+def test_replica_that_waits_to_be_added_rarely_wakes_up():
+    """Guard against stores that spend their processor time on ticks of spare replicas.
+
+    A store has a replica of each group and is a voter of few.
+    """
+    now = datetime(2026, 1, 1, tzinfo=UTC)
+    replica = make_replica(GROUP, ReplicaId("s1"), (), (), Random(1), FAST_TIMING)
+    bootstrap = BootstrapState(NodeId("s1"), ReplicaId("s1"), (), is_excluded=True)
+    state = GroupState(replica, bootstrap, make_codec(MESSAGES))
+    n_ticks = 0
+    end = now + timedelta(seconds=10)
+    while now < end:
+        handle(Tick(), state, now)
+        n_ticks += 1
+        now = find_next_tick(state) or now + FAST_TIMING.heartbeat_interval / 3
+    # Two for each election timeout; 600 at the interval of other ticks.
+    assert n_ticks <= 2 * 10 / 0.4
