Counted a refused trial as a sign that its endpoint is back

An endpoint that had been unreachable and refused its trial request was avoided for 150 ms as after any refusal, and got nothing until the end of the trial, 300 ms after it began. The refusal is an answer and now ends the trial; a refusal of a request from before it says nothing.

The new test failed before (no grant at the end of the avoidance).

--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -29,6 +29,7 @@
 from oleanderhitch.process.placement.health import (
     record_answer,
     record_result,
+    record_trial_end,
 )
 from oleanderhitch.process.placement.messages import (
     AcquireEndpoint,
@@ -336,6 +337,7 @@
     if endpoint is not None and message.permit in endpoint.permits:
         endpoint.permits.discard(message.permit)
         record_result(message.result, endpoint, now)
+        record_trial_end(message.result, permit.granted_at, endpoint)
         record_attempt_pace(permit, message.result, endpoint, state, now)
         effects.extend(record_attempt_end(permit, message, endpoint, now))
     is_served = message.result is AttemptResult.COMPLETED
--- a/oleanderhitch/process/placement/health.py
+++ b/oleanderhitch/process/placement/health.py
@@ -70,6 +70,17 @@
     return endpoint.trial_at is not None and now - endpoint.trial_at < TRIAL_DURATION
 
 
+def record_trial_end(
+    result: AttemptResult, granted_at: datetime, endpoint: Endpoint
+) -> None:
+    """Record what the end of an attempt says of an endpoint that may be back.
+
+    A refusal is an answer.
+    """
+    if result is AttemptResult.REFUSED:
+        record_answer(granted_at, endpoint)
+
+
 def record_answer(granted_at: datetime, endpoint: Endpoint) -> bool:
     """Return whether the answer to what was granted at a time ends a trial."""
     if endpoint.unreachable_at is None or granted_at <= endpoint.unreachable_at:
--- a/tests/process/placement/test_availability.py
+++ b/tests/process/placement/test_availability.py
@@ -9,6 +9,7 @@
 from oleanderhitch.process.placement.core import handle
 from oleanderhitch.process.placement.effects import SendReply
 from oleanderhitch.process.placement.health import (
+    AVOID_AFTER_REFUSAL,
     AVOID_AFTER_UNREACHABLE,
     TRIAL_DURATION,
 )
@@ -126,3 +127,14 @@
         counts[get_grant(handle(message, state, NOW)).endpoint.endpoint] += 1
     assert set(counts) == set(names[1:])
     assert max(counts.values()) <= 2 * n_requests / len(counts)
+
+
+def test_refusal_of_the_trial_shows_that_the_endpoint_is_back() -> None:
+    """Guard against waits for a trial that has ended with an answer."""
+    state, trial = make_unreachable(AttemptResult.NOT_CONNECTED)
+    soon = BACK_AT + timedelta(milliseconds=5)
+    handle(ReleaseEndpoint(trial.permit, AttemptResult.REFUSED), state, soon)
+    avoided = handle(Tick(), state, soon + AVOID_AFTER_REFUSAL / 2)
+    assert not list_grants(avoided)
+    effects = handle(Tick(), state, soon + AVOID_AFTER_REFUSAL)
+    assert len(list_grants(effects)) == N_WAITING - 1
