Tried an endpoint again after a trial that was not sent

A grant that its request returned without sending it (no credit, a key that is gone, a request that had ended) was reported as cancelled. As the trial of an unreachable endpoint it held the others back for 300 ms, after which the endpoint counted as back although nothing had been sent there, and all waiting requests spent a send on it. Such a grant is now reported as unsent (also in the attempts metric), and the next request is the trial.

--- a/oleanderhitch/process/placement/core.py
+++ b/oleanderhitch/process/placement/core.py
@@ -337,7 +337,7 @@
     if endpoint is not None and message.permit in endpoint.permits:
         endpoint.permits.discard(message.permit)
         record_result(message.result, endpoint, now)
-        record_trial_end(message.result, permit.granted_at, endpoint)
+        record_trial_end(message.result, permit.granted_at, endpoint, now)
         record_attempt_pace(permit, message.result, endpoint, state, now)
         effects.extend(record_attempt_end(permit, message, endpoint, now))
     is_served = message.result is AttemptResult.COMPLETED
--- a/oleanderhitch/process/placement/health.py
+++ b/oleanderhitch/process/placement/health.py
@@ -71,14 +71,21 @@
 
 
 def record_trial_end(
-    result: AttemptResult, granted_at: datetime, endpoint: Endpoint
+    result: AttemptResult, granted_at: datetime, endpoint: Endpoint, now: datetime
 ) -> None:
     """Record what the end of an attempt says of an endpoint that may be back.
 
-    A refusal is an answer.
+    A refusal is an answer. A trial that was not sent has shown nothing, and another
+    request may try.
     """
     if result is AttemptResult.REFUSED:
         record_answer(granted_at, endpoint)
+    elif (
+        result is AttemptResult.UNSENT
+        and is_on_trial(endpoint, now)
+        and granted_at == endpoint.trial_at
+    ):
+        endpoint.trial_at = None
 
 
 def record_answer(granted_at: datetime, endpoint: Endpoint) -> bool:
--- a/oleanderhitch/process/placement/messages.py
+++ b/oleanderhitch/process/placement/messages.py
@@ -89,6 +89,7 @@
 
     REFUSED and MISDIRECTED: the endpoint did not run the request. SILENT: the endpoint
     was unresponsive. CONNECTION_LOST: the connection broke after the request was sent.
+    UNSENT: the endpoint was granted, and nothing was sent to it.
     """
 
     COMPLETED = "completed"
@@ -99,6 +100,7 @@
     SILENT = "silent"
     MISDIRECTED = "misdirected"
     CANCELLED = "cancelled"
+    UNSENT = "unsent"
 
 
 class AttemptProgress(Enum):
--- a/oleanderhitch/request/forwarding/attempts.py
+++ b/oleanderhitch/request/forwarding/attempts.py
@@ -155,7 +155,7 @@
     effects = end_attempt(state, AttemptResult.CANCELLED)
     if state.granted_endpoint is not None:
         permit, state.granted_endpoint = state.granted_endpoint.permit, None
-        effects.append(ReturnPermit(permit, AttemptResult.CANCELLED))
+        effects.append(ReturnPermit(permit, AttemptResult.UNSENT))
     return effects
 
 
--- a/oleanderhitch/request/forwarding/core.py
+++ b/oleanderhitch/request/forwarding/core.py
@@ -274,7 +274,7 @@
         # It is for an earlier request of the connection, for which it was returned.
         return []
     if state.phase is not Phase.WAITING or state.attempt is not None:
-        return [ReturnPermit(message.permit, AttemptResult.CANCELLED)]
+        return [ReturnPermit(message.permit, AttemptResult.UNSENT)]
     if lacks_credit(state, now):
         return renew_credit(message, state, now)
     return _send(message, state, now)
@@ -317,7 +317,7 @@
     grant, verdict = message.grant, message.verdict
     if grant.holder != state.holder:
         return []
-    effects: list[object] = [ReturnPermit(grant.permit, AttemptResult.CANCELLED)]
+    effects: list[object] = [ReturnPermit(grant.permit, AttemptResult.UNSENT)]
     is_kept = grant == state.granted_endpoint
     if not is_kept and (state.phase is not Phase.WAITING or state.attempt is not None):
         return effects
--- a/oleanderhitch/request/forwarding/crediting.py
+++ b/oleanderhitch/request/forwarding/crediting.py
@@ -63,7 +63,7 @@
     assert granted is not None
     state.granted_endpoint = None
     return [
-        ReturnPermit(granted.permit, AttemptResult.CANCELLED),
+        ReturnPermit(granted.permit, AttemptResult.UNSENT),
         *release_reservation(state, now),
         *end_without_credit(message, state),
     ]
--- a/tests/process/placement/test_availability.py
+++ b/tests/process/placement/test_availability.py
@@ -138,3 +138,30 @@
     assert not list_grants(avoided)
     effects = handle(Tick(), state, soon + AVOID_AFTER_REFUSAL)
     assert len(list_grants(effects)) == N_WAITING - 1
+
+
+def test_trial_that_was_not_sent_is_followed_by_another_one() -> None:
+    """Guard against a crowd at an endpoint that is gone, after an unsent trial."""
+    state, trial = make_unreachable(AttemptResult.NOT_CONNECTED)
+    soon = BACK_AT + timedelta(milliseconds=5)
+    unsent = ReleaseEndpoint(trial.permit, AttemptResult.UNSENT)
+    (again,) = list_grants(handle(unsent, state, soon))
+    assert not list_grants(handle(Tick(), state, BACK_AT + TRIAL_DURATION))
+    failed = ReleaseEndpoint(again.permit, AttemptResult.NOT_CONNECTED)
+    later = BACK_AT + TRIAL_DURATION + timedelta(milliseconds=1)
+    assert not list_grants(handle(failed, state, later))
+
+
+@pytest.mark.parametrize("delay", [timedelta(0), timedelta(milliseconds=1)])
+def test_unsent_earlier_request_does_not_end_a_trial(delay: timedelta) -> None:
+    """Guard against two trials at once, where an earlier request ends unsent."""
+    state = make_state(make_endpoint("e1", 20))
+    earlier = get_grant(handle(acquire("1"), state, NOW))
+    grant = get_grant(handle(acquire("2"), state, NOW))
+    refused = ReleaseEndpoint(grant.permit, AttemptResult.NOT_CONNECTED)
+    handle(refused, state, NOW)
+    for number in range(N_WAITING):
+        handle(acquire(f"w{number}"), state, NOW)
+    assert len(list_grants(handle(Tick(), state, BACK_AT))) == 1
+    unsent = ReleaseEndpoint(earlier.permit, AttemptResult.UNSENT)
+    assert not list_grants(handle(unsent, state, BACK_AT + delay))
