Kept no entry for an endpoint whose exchange was cancelled at once

The pool made an empty list of idle connections for each address, and removed it when a connection to it was closed. A connection that is cancelled before its task runs does not report that, and the entry stayed. The pool no longer makes the entry when it opens a connection.

The new test failed before.

--- a/oleanderhitch/connection/http/pool.py
+++ b/oleanderhitch/connection/http/pool.py
@@ -77,7 +77,7 @@
 
 @handle.register
 def _(message: StartExchange, state: PoolState, now: datetime) -> list[object]:
-    idle = state.idle_connections[message.address]
+    idle = state.idle_connections.get(message.address)
     if idle and not message.needs_new_connection:
         # The most recently used connection is the least likely to time out.
         connection = idle.pop()
--- a/tests/connection/http/test_pool.py
+++ b/tests/connection/http/test_pool.py
@@ -13,6 +13,7 @@
 )
 from oleanderhitch.connection.http.messages import ResponseOwner
 from oleanderhitch.connection.http.pool import (
+    CancelExchange,
     CloseConnection,
     PoolState,
     SendExchange,
@@ -83,3 +84,16 @@
     effects = handle(ConnectionClosed(idle[-1], 99, is_lost), state, NOW)
     assert list_closed(effects) == (idle[:-1] if is_lost else [])
     assert 99 not in state.busy_connections
+
+
+def test_pool_keeps_nothing_of_a_cancelled_exchange() -> None:
+    """Guard against growth with the addresses of endpoints.
+
+    A connection that is cancelled before it runs does not report that it is closed.
+    """
+    state = PoolState(FakeConnection)  # type: ignore[arg-type]
+    handle(StartExchange(CRASHED, make_exchange(1)), state, NOW)
+    (cancelled,) = handle(CancelExchange(1), state, NOW)
+    assert isinstance(cancelled, CloseConnection)
+    assert not state.busy_connections
+    assert not state.idle_connections
