Bounded the hellos that wait after reads without a reply

The hellos of a read that was given up were added to those that wait without regard to the bound, and only one was dropped for each that came. A host in both kept the position of its earlier hello and was dropped before hosts whose last hello was older.

--- a/oleanderhitch/process/site/currency.py
+++ b/oleanderhitch/process/site/currency.py
@@ -106,8 +106,7 @@
 def _(message: HelloArrived, state: CurrencyState, now: datetime) -> list[object]:
     state.waiting.pop(message.node, None)
     state.waiting[message.node] = message.number
-    if len(state.waiting) > N_WAITING_MAX:
-        del state.waiting[next(iter(state.waiting))]
+    _drop_oldest(state)
     return _begin_read(state, now)
 
 
@@ -159,6 +158,17 @@
 
 
 def _give_up_read(state: CurrencyState) -> None:
-    state.waiting = {**state.covered, **state.waiting}
+    earlier = {
+        node: number
+        for node, number in state.covered.items()
+        if node not in state.waiting
+    }
+    state.waiting = {**earlier, **state.waiting}
+    _drop_oldest(state)
     state.covered = {}
     state.read = None
+
+
+def _drop_oldest(state: CurrencyState) -> None:
+    while len(state.waiting) > N_WAITING_MAX:
+        del state.waiting[next(iter(state.waiting))]
--- a/tests/process/site/test_currency.py
+++ b/tests/process/site/test_currency.py
@@ -5,6 +5,7 @@
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.messages import Tick
 from oleanderhitch.process.site.currency import (
+    N_WAITING_MAX,
     READ_INTERVAL,
     READ_TIMEOUT,
     BeginRead,
@@ -110,3 +111,26 @@
     assert status.confirmed_hello == 4
     assert status.routing is not None
     assert status.routing.version == VERSION
+
+
+def test_hellos_of_reads_without_a_reply_are_bounded() -> None:
+    """Guard against growth while no read completes and other hosts come."""
+    state = make_leader()
+    at = NOW
+    for number in range(3 * N_WAITING_MAX):
+        if number % N_WAITING_MAX == 0:
+            at += READ_TIMEOUT
+        handle(make_hello(f"n{number}", number), state, at)
+    handle(LeadershipObserved(False), state, at)
+    assert len(state.waiting) == N_WAITING_MAX
+    assert NodeId(f"n{number}") in state.waiting
+
+
+def test_hello_that_a_read_covered_is_as_old_as_the_latest_of_its_host() -> None:
+    """Guard against the loss of a host's latest hello where too many wait."""
+    state = make_leader()
+    for node, number in (("a", 1), ("b", 2), ("a", 3)):
+        handle(make_hello(node, number), state, NOW)
+    handle(LeadershipObserved(False), state, NOW)
+    assert list(state.waiting) == [NodeId("b"), NodeId("a")]
+    assert state.waiting[NodeId("a")] == HelloNumber(3)
