Forgot idle accounts of earlier configurations in entry hosts

An entry host kept the credits of each account that a configuration ever had a limit for, for as long as the process ran. Beyond 1,000 accounts it now forgets those for which nothing waits, is held or is asked for.

--- a/oleanderhitch/process/quotas/core.py
+++ b/oleanderhitch/process/quotas/core.py
@@ -392,7 +392,7 @@
     number: int, sent: SentRequest, ask_from: datetime | None, state: QuotasState
 ) -> None:
     for name in sent.accounts:
-        account = state.accounts[name]
+        account = state.get_account(name)
         account.pending.discard(number)
         account.ask_from = ask_from or account.ask_from
         for waiting in account.waiting.values():
--- a/oleanderhitch/process/quotas/records.py
+++ b/oleanderhitch/process/quotas/records.py
@@ -26,6 +26,9 @@
 PROGRAM_TTL = timedelta(seconds=60)
 # About 5 MB. With more programs in a minute, the least recent ones count as new again.
 N_PROGRAMS_MAX = 20_000
+# Several times the accounts of a large deployment. Those that are idle are forgotten
+# beyond it, as configurations add and remove accounts.
+N_ACCOUNTS_MAX = 1000
 
 
 class Credits(Struct):
@@ -153,8 +156,12 @@
 
     def get_account(self, account: AccountId) -> AccountCredits:
         """Return what is held and needed for an account, and mark it as active."""
+        if account not in self.accounts:
+            if len(self.accounts) >= N_ACCOUNTS_MAX:
+                self.accounts = {name: self.accounts[name] for name in self.active}
+            self.accounts[account] = AccountCredits()
         self.active.add(account)
-        return self.accounts.setdefault(account, AccountCredits())
+        return self.accounts[account]
 
     def list_active(self) -> Iterator[tuple[AccountId, AccountCredits]]:
         """Return the accounts that are not idle, in a fixed order."""
--- a/tests/process/quotas/test_quotas.py
+++ b/tests/process/quotas/test_quotas.py
@@ -5,14 +5,20 @@
 
 from collections.abc import Callable
 from datetime import datetime, timedelta
+from random import Random
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from msgspec.structs import replace
 
-from oleanderhitch.process.quotas.core import BATCH_INTERVAL
-from oleanderhitch.process.quotas.messages import LedgerId
+from oleanderhitch.process.quotas.core import BATCH_INTERVAL, handle
+from oleanderhitch.process.quotas.messages import CreditReply, LedgerId
+from oleanderhitch.process.quotas.records import (
+    N_ACCOUNTS_MAX,
+    QuotasState,
+    SentRequest,
+)
 from oleanderhitch.process.site.quota_ledger import (
     ADVANCE_DURATION,
     Bucket,
@@ -383,3 +389,19 @@
     fleet.lost_links.clear()
     fleet.run(NOW + 850 * MS)
     assert len(fleet.granted) == 1
+
+
+def test_accounts_of_earlier_configurations_are_forgotten() -> None:
+    """Guard against growth with each account that a configuration ever had."""
+    state = QuotasState(Random(0))
+    in_use = AccountId("in use")
+    state.get_account(in_use).pending.add(1)
+    state.sent[1] = SentRequest(NOW, (in_use, AccountId("0")))
+    for number in range(2 * N_ACCOUNTS_MAX):
+        state.get_account(AccountId(str(number)))
+        state.drop_idle()
+    assert len(state.accounts) <= N_ACCOUNTS_MAX
+    assert in_use in state.accounts
+    # A late answer may name one of them.
+    handle(CreditReply(1, False), state, NOW)
+    assert not state.sent
