Left out of the confirmation of a hello what the reply to it has

Cause: where leases are asked for, each host gets a second status every 600 ms with the loads of all endpoints, which it has got a few milliseconds before.

Measured: test_confirmation_does_not_repeat_the_reply_to_its_hello fails before.

--- a/oleanderhitch/process/site/subscribers.py
+++ b/oleanderhitch/process/site/subscribers.py
@@ -178,7 +178,8 @@
         needs_list = list_version != hello.list_version
         stores = self._list_stores()
         other_loads = limits = crashes = speeds = None
-        if self._is_current:
+        # A confirmation follows the reply to its hello by a few milliseconds.
+        if self._is_current and confirmed_hello is None:
             now = self._clock.now()
             other_loads = self._loads.list_others(hello.node, now)
             self._permits.expire(now)
--- a/tests/process/site/test_subscribers.py
+++ b/tests/process/site/test_subscribers.py
@@ -11,8 +11,10 @@
     SendPermitReply,
     SendPermitRequest,
 )
+from oleanderhitch.process.site.currency import ConfirmHellos
 from oleanderhitch.process.site.messages import (
     EntryHello,
+    HelloNumber,
     RoutingFound,
     SiteStatus,
     make_stores_digest,
@@ -156,3 +158,19 @@
     subscribers.handle_hello(hello, first)
     assert len(second.received) == n_received + 1
     assert second.received[-1].crashes == (record,)
+
+
+def test_confirmation_does_not_repeat_the_reply_to_its_hello() -> None:
+    """Guard against twice the loads, and twice the work with them, at each lease."""
+    subscribers, _ = make_subscribers_and_clock()
+    entry = FakeEntryHost("e", subscribers)
+    peer = FakeEntryHost("p", subscribers)
+    subscribers.confirm_current()
+    peer.send_hello(EndpointLoad(EndpointId("e1"), 3, 0))
+    assert entry.send_hello().other_loads
+    number = HelloNumber(1)
+    subscribers.confirm_hellos(ConfirmHellos({entry.node: number}, RoutingVersion(7)))
+    confirmation = entry.received[-1]
+    assert confirmation.confirmed_hello == number
+    assert confirmation.routing == ROUTING
+    assert confirmation.other_loads is None
