Kept the time without requests when earlier requests end later

An endpoint that could not be connected to gets no request for 1 s. When an earlier request to it was given up as silent, or refused, the time was replaced by the one of that result, 300 or 150 ms, and the endpoint was tried sooner. The later of both times applies now. An answer that ends the avoidance still does.

The new test failed before, in both cases.

--- a/oleanderhitch/process/placement/health.py
+++ b/oleanderhitch/process/placement/health.py
@@ -43,11 +43,11 @@
     if result in IS_FAILURE:
         record_attempt(endpoint.reliability, IS_FAILURE[result], now)
     if result is AttemptResult.SILENT:
-        endpoint.avoid_until = now + AVOID_AFTER_SILENCE
+        _avoid(endpoint, now + AVOID_AFTER_SILENCE)
     elif result is AttemptResult.REFUSED:
-        endpoint.avoid_until = now + AVOID_AFTER_REFUSAL
+        _avoid(endpoint, now + AVOID_AFTER_REFUSAL)
     elif result in (AttemptResult.NOT_CONNECTED, AttemptResult.MISDIRECTED):
-        endpoint.avoid_until = now + AVOID_AFTER_UNREACHABLE
+        _avoid(endpoint, now + AVOID_AFTER_UNREACHABLE)
         endpoint.unreachable_at, endpoint.trial_at = now, None
     elif result is AttemptResult.COMPLETED:
         endpoint.avoid_until = None
@@ -70,6 +70,11 @@
     return endpoint.trial_at is not None and now - endpoint.trial_at < TRIAL_DURATION
 
 
+def _avoid(endpoint: Endpoint, until: datetime) -> None:
+    # Late results of earlier requests must not shorten it.
+    endpoint.avoid_until = max(until, endpoint.avoid_until or until)
+
+
 def record_trial_end(
     result: AttemptResult, granted_at: datetime, endpoint: Endpoint, now: datetime
 ) -> None:
--- a/tests/process/placement/test_availability.py
+++ b/tests/process/placement/test_availability.py
@@ -165,3 +165,20 @@
     assert len(list_grants(handle(Tick(), state, BACK_AT))) == 1
     unsent = ReleaseEndpoint(earlier.permit, AttemptResult.UNSENT)
     assert not list_grants(handle(unsent, state, BACK_AT + delay))
+
+
+@pytest.mark.parametrize("result", [AttemptResult.SILENT, AttemptResult.REFUSED])
+def test_earlier_request_does_not_shorten_the_time_without_requests(
+    result: AttemptResult,
+) -> None:
+    """Guard against sends to a lost endpoint as each of its requests is given up."""
+    state = make_state(make_endpoint("e1", 20))
+    earlier = get_grant(handle(acquire("1"), state, NOW))
+    grant = get_grant(handle(acquire("2"), state, NOW))
+    lost = ReleaseEndpoint(grant.permit, AttemptResult.NOT_CONNECTED)
+    handle(lost, state, NOW)
+    handle(acquire("3"), state, NOW)
+    assert not list_grants(handle(ReleaseEndpoint(earlier.permit, result), state, NOW))
+    soon = BACK_AT - timedelta(milliseconds=1)
+    assert not list_grants(handle(Tick(), state, soon))
+    assert len(list_grants(handle(Tick(), state, BACK_AT))) == 1
