--- a/oleanderhitch/connection/http/server.py
+++ b/oleanderhitch/connection/http/server.py
@@ -31,7 +31,7 @@
 # When file descriptors run out, gives open connections time to close.
 ACCEPT_RETRY_DELAY = timedelta(milliseconds=50)
 
-# Where connections run out, a new one is kept for so long without a request. Ordinary
+# Where connections run out, a new one without a request is kept for this long. Ordinary
 # callers send theirs at once; the next connections wait in the backlog meanwhile.
 UNUSED_CONNECTION_TIME = timedelta(milliseconds=100)
 # A connection without a request closes within a few turns of the loop.
--- a/oleanderhitch/process/quotas/core.py
+++ b/oleanderhitch/process/quotas/core.py
@@ -358,7 +358,7 @@
     state: QuotasState,
     now: datetime,
 ) -> list[object]:
-    """Refuse requests by the answer of the leader, or for want of one."""
+    """Refuse requests by the answer of the leader, or because there was none."""
     if not refused:
         return []
     result, retry_after, level = CreditResult.NO_LEADER, NO_LEADER_INTERVAL, None
--- a/oleanderhitch/process/quotas/records.py
+++ b/oleanderhitch/process/quotas/records.py
@@ -182,7 +182,7 @@
     def knows_program(
         self, account: AccountId, program: ProgramId | None, now: datetime
     ) -> bool:
-        """Return whether a request of a program got a credit of late."""
+        """Return whether a request of a program got a credit recently."""
         if program is None:
             return False
         served_at = self.programs.get((account, program))
--- a/oleanderhitch/process/site/currency.py
+++ b/oleanderhitch/process/site/currency.py
@@ -144,7 +144,7 @@
 
 
 def _begin_read(state: CurrencyState, now: datetime) -> list[object]:
-    """Begin a read for all waiting hellos, unless one is in progress or was lately."""
+    """Begin a read for all waiting hellos, unless one is in progress or recent."""
     if not (state.is_leader and state.waiting):
         return []
     if state.last_read_at and now < state.next_tick_at:
--- a/oleanderhitch/process/site/quota_lender.py
+++ b/oleanderhitch/process/site/quota_lender.py
@@ -1,6 +1,6 @@
 """Let only the one leader of the site lend the credits of client accounts.
 
-A leader lends while a read through the group has shown lately that no other store has
+A leader lends while a read through the group has shown recently that no other store has
 become the leader. Its successor lends nothing until all such reads are too old, with
 buckets that are empty then, so that the loans of both are those of one bucket. Reports
 of the voters show when that was.
@@ -166,7 +166,7 @@
         )
 
     def handle_contact(self, contact: LeaderContact, is_own: bool = False) -> None:
-        """Lend earlier if a majority has not been in contact with a leader lately."""
+        """Lend earlier if a majority lost its earlier leaders before the election."""
         ledger = self._ledger
         if ledger is None or not self._is_leader or contact.term != self._term:
             return
