Counted a wait for a slow caller as no silence of the endpoint

A request handles the messages of its endpoint one after the other, and a write waits for a caller that reads slowly. The time of the wait counted as silence: a tick that came meanwhile moved a resumable stream to another endpoint, and the sound one was recorded as failed and avoided for 300 ms. Callers that read slowly could so take endpoints from all others. The time of a write is now added to the failover time; the route's timeout still ends the request.

The new test failed before (the tick ended the attempt as silent).

--- a/oleanderhitch/request/forwarding/attempts.py
+++ b/oleanderhitch/request/forwarding/attempts.py
@@ -75,6 +75,15 @@
     )
 
 
+def excuse_wait(state: ForwardState, waited: timedelta) -> None:
+    """Count the time for which the request waited for its caller as no silence.
+
+    Nothing that the endpoint sent meanwhile was handled.
+    """
+    if state.failover_at is not None:
+        state.failover_at += waited
+
+
 def report_event_latency(
     attempt: Attempt, n_events: int, now: datetime
 ) -> list[object]:
--- a/oleanderhitch/request/forwarding/task.py
+++ b/oleanderhitch/request/forwarding/task.py
@@ -58,6 +58,7 @@
 from oleanderhitch.process.site.subscription.installed_state import InstalledState
 from oleanderhitch.program.ids import ProgramId
 from oleanderhitch.program.turns.messages import HistoryTooLong
+from oleanderhitch.request.forwarding.attempts import excuse_wait
 from oleanderhitch.request.forwarding.core import end_after_error, handle
 from oleanderhitch.request.forwarding.dialect import Dialect
 from oleanderhitch.request.forwarding.identity import (
@@ -708,7 +709,10 @@
 
 @perform.register
 def _(effect: WriteResponseChunk, context: ForwardContext) -> None:
+    clock = context.dependencies.clock
+    began_at = clock.now()
     context.writer.write(effect.data)
+    excuse_wait(context.state, clock.now() - began_at)
 
 
 @perform.register
--- a/tests/request/forwarding/test_alarms.py
+++ b/tests/request/forwarding/test_alarms.py
@@ -6,17 +6,34 @@
 import pytest
 
 from oleanderhitch.connection.http.memory import make_traffic_memory
+from oleanderhitch.connection.http.messages import ResponseBody
 from oleanderhitch.process import alarm as alarm_module
 from oleanderhitch.process.clock import make_system_clock
 from oleanderhitch.process.mailbox import make_mailbox
 from oleanderhitch.process.messages import Tick
-from oleanderhitch.request.forwarding.messages import MemoryExhausted, Start
+from oleanderhitch.request.forwarding.core import handle
+from oleanderhitch.request.forwarding.messages import (
+    MemoryExhausted,
+    ResponseBegun,
+    Start,
+    WriteResponseChunk,
+)
 from oleanderhitch.request.forwarding.task import (
     ForwardContext,
     _get_next_message,
     _receive,
+    perform,
+)
+from oleanderhitch.version.routes.states import RouteKind
+from tests.process.site.test_subscribers import ManualClock
+from tests.request.forwarding.test_core import (
+    NOW,
+    get_exchange_id,
+    grant,
+    make_response_head,
+    make_state,
+    run,
 )
-from tests.request.forwarding.test_core import grant, make_state, run
 
 CLOCK = make_system_clock()
 
@@ -74,3 +91,37 @@
     assert isinstance(message, Tick)
     assert CLOCK.now() >= context.state.deadline
     context.alarm.close()
+
+
+class SlowCaller:
+    """Writer to a caller that reads nothing for two seconds."""
+
+    def __init__(self, clock: ManualClock) -> None:
+        self._clock = clock
+
+    def write(self, data: bytes) -> None:
+        """Write a chunk."""
+        self._clock.time += timedelta(seconds=2)
+
+
+def test_wait_for_a_slow_caller_is_no_silence_of_the_endpoint() -> None:
+    """Guard against callers that read slowly and make sound endpoints look silent."""
+    context = make_context()
+    state = make_state(RouteKind.STREAM, n_attempts=2, is_resumable=True)
+    state.deadline += timedelta(seconds=60)
+    context.state, clock = state, ManualClock()
+    context.dependencies.clock = clock
+    context.writer = SlowCaller(clock)  # type: ignore[assignment]
+    run(state, Start(), grant("e1"))
+    exchange_id = get_exchange_id(state)
+    run(state, ResponseBegun(exchange_id, make_response_head()), at=clock.time)
+    event = ResponseBody(exchange_id, b"id: 1\ndata: a\n\n")
+    for effect in handle(event, state, clock.time):
+        if isinstance(effect, WriteResponseChunk):
+            perform(effect, context)
+    assert clock.time == NOW + timedelta(seconds=2)
+    # It came while the request waited for its caller.
+    assert handle(Tick(), state, clock.time) == []
+    # A silence of the endpoint after that still counts.
+    assert state.next_tick_at < clock.time + timedelta(seconds=2)
+    assert handle(Tick(), state, state.next_tick_at)
