--- a/oleanderhitch/process/explaining/messages.py
+++ b/oleanderhitch/process/explaining/messages.py
@@ -17,6 +17,8 @@
 
 # The body only shows whether its content is quarantined.
 BODY_LIMIT_BYTES = 1024 * 1024
+# An operator reads a few endpoints; more only make the answer long.
+N_ENDPOINTS_MAX = 200
 MILLISECOND = timedelta(milliseconds=1)
 
 
@@ -81,6 +83,16 @@
     facts: tuple[Fact, ...]
 
 
+class Decision(Value, frozen=True):
+    """What placement, or the queue of a pool, does with a request."""
+
+    verdict: ExplainVerdict
+    detail: str = ""
+    endpoint: EndpointId | None = None
+    wait: timedelta | None = None
+    n_ahead: int = 0
+
+
 class SchedulingExplanation(Value, frozen=True):
     """What the queue of a service, or of a pool, would do with a request now.
 
--- a/oleanderhitch/process/placement/explaining.py
+++ b/oleanderhitch/process/placement/explaining.py
@@ -11,7 +11,9 @@
 from msgspec.structs import replace
 
 from oleanderhitch.process.explaining.messages import (
+    N_ENDPOINTS_MAX,
     AccountShare,
+    Decision,
     ExplainedEndpoint,
     Fact,
     PartCost,
@@ -61,18 +63,6 @@
 from oleanderhitch.values import Value
 from oleanderhitch.version.ids import EndpointId, ServiceName
 
-# An operator reads a few; more only make the answer long.
-N_ENDPOINTS_MAX = 200
-
-
-class _Decision(Value, frozen=True):
-    """What placement does with a request."""
-
-    verdict: ExplainVerdict
-    detail: str = ""
-    endpoint: EndpointId | None = None
-    wait: timedelta | None = None
-
 
 class _Weighed(Value, frozen=True):
     """An endpoint, what excludes it and the components of its cost."""
@@ -156,16 +146,14 @@
     )
 
 
-def _decide(
-    message: AcquireEndpoint, state: PlacementState, now: datetime
-) -> _Decision:
+def _decide(message: AcquireEndpoint, state: PlacementState, now: datetime) -> Decision:
     """Return what the decision code does with the request, on a copied state."""
     for effect in place(message, state, now):
         if isinstance(effect, AskLeader):
             pending = state.permit_requests[effect.request.number]
             if pending.message.holder == message.holder:
                 limits = effect.request.limits
-                return _Decision(
+                return Decision(
                     ExplainVerdict.ASKS_LEADER,
                     "for the permit of a send to an endpoint with a rate limit",
                     limits[0].endpoint,
@@ -174,7 +162,7 @@
             continue
         reply = effect.message
         if isinstance(reply, EndpointGranted) and reply.holder == message.holder:
-            return _Decision(
+            return Decision(
                 ExplainVerdict.SENT,
                 endpoint=reply.endpoint.endpoint,
                 wait=timedelta(0),
@@ -182,17 +170,17 @@
         if isinstance(reply, EndpointRefused) and reply.holder == message.holder:
             return _judge_refusal(reply)
     if not state.endpoints:
-        return _Decision(ExplainVerdict.QUEUED, "the service has no endpoints")
-    return _Decision(ExplainVerdict.QUEUED)
+        return Decision(ExplainVerdict.QUEUED, "the service has no endpoints")
+    return Decision(ExplainVerdict.QUEUED)
 
 
-def _judge_refusal(refused: EndpointRefused) -> _Decision:
+def _judge_refusal(refused: EndpointRefused) -> Decision:
     verdict = ExplainVerdict.NO_ENDPOINT
     if refused.is_quarantined:
         verdict = ExplainVerdict.QUARANTINED
     elif refused.is_overloaded:
         verdict = ExplainVerdict.OVERLOADED
-    return _Decision(verdict, refused.reason, wait=refused.retry_after)
+    return Decision(verdict, refused.reason, wait=refused.retry_after)
 
 
 def _weigh_endpoints(
--- a/oleanderhitch/process/scheduling/explaining.py
+++ b/oleanderhitch/process/scheduling/explaining.py
@@ -11,7 +11,9 @@
 from msgspec.structs import replace
 
 from oleanderhitch.process.explaining.messages import (
+    N_ENDPOINTS_MAX,
     AccountShare,
+    Decision,
     ExplainedEndpoint,
     Fact,
     PartCost,
@@ -35,22 +37,9 @@
 )
 from oleanderhitch.process.scheduling.records import Endpoint, PoolState, QueuedRequest
 from oleanderhitch.process.scheduling.states import Health
-from oleanderhitch.values import Value
-from oleanderhitch.version.ids import DataCentreName, EndpointId
+from oleanderhitch.version.ids import DataCentreName
 
 MS_PER_S = 1000.0
-# An operator reads a few; more only make the answer long.
-N_ENDPOINTS_MAX = 200
-
-
-class _Decision(Value, frozen=True):
-    """What the queue does with a request."""
-
-    verdict: ExplainVerdict
-    detail: str = ""
-    endpoint: EndpointId | None = None
-    wait: timedelta | None = None
-    n_ahead: int = 0
 
 
 @handle.register
@@ -105,28 +94,28 @@
     return deepcopy(state, memo)
 
 
-def _decide(enqueue: EnqueueRequest, state: PoolState, now: datetime) -> _Decision:
+def _decide(enqueue: EnqueueRequest, state: PoolState, now: datetime) -> Decision:
     """Return what the queue's code does with a request, on a copied state."""
     for effect in handle(enqueue, state, now):
         if effect.request != enqueue.request:
             continue
         if isinstance(effect, RefuseRequest):
-            return _Decision(
+            return Decision(
                 ExplainVerdict.OVERLOADED, effect.reason, wait=effect.retry_after
             )
         if isinstance(effect, GrantSlot):
-            return _Decision(
+            return Decision(
                 ExplainVerdict.SENT, endpoint=effect.endpoint, wait=timedelta(0)
             )
     waiting = state.waiting.get(enqueue.request)
     if waiting is None:
-        return _Decision(ExplainVerdict.IN_PROGRESS, "the request runs already")
+        return Decision(ExplainVerdict.IN_PROGRESS, "the request runs already")
     if not state.n_slots:
-        return _Decision(ExplainVerdict.QUEUED, "the pool has no slots")
+        return Decision(ExplainVerdict.QUEUED, "the pool has no slots")
     n_ahead = _count_ahead(waiting, state)
     wait_s = limits.get_drain_time_s(state, n_ahead + 1)
     wait = timedelta(seconds=wait_s)
-    return _Decision(ExplainVerdict.QUEUED, wait=wait, n_ahead=n_ahead)
+    return Decision(ExplainVerdict.QUEUED, wait=wait, n_ahead=n_ahead)
 
 
 def _count_ahead(waiting: QueuedRequest, state: PoolState) -> int:
