--- a/oleanderhitch/process/explaining/states.py
+++ b/oleanderhitch/process/explaining/states.py
@@ -10,9 +10,8 @@
     decides. ASKS_OWNER: it asks the owner of the pool, which is another entry host.
     NOT_CURRENT: the host has no configuration that it may go by. Verdicts from
     UNKNOWN_ROUTE to UNKNOWN_ID name what the configuration in force does not have, the
-    last one also a program that is not known. BUSY
-    is no answer: the host explains another request, or is overloaded. All others are
-    refusals.
+    last one also a program that is not known. BUSY is no answer: the host explains
+    another request, or is overloaded. All others are refusals.
     """
 
     SENT = "sent_now"
