Showed stores that do not come back from full disks

Nothing bounds what the contents of turns take on disk. The stand-in for the disk is a file size limit of the process that the test has started.

--- a/review/lib2/crowd.py
+++ b/review/lib2/crowd.py
@@ -8,6 +8,8 @@
 from lib2.wire import Answer
 
 PING_GAP_S = 0.1
+# Processes that serve control may end by themselves this often.
+N_ENDS_ALLOWED = 2
 
 
 async def call_often(site: Site, node: Node, statuses: list[int]) -> None:
@@ -53,3 +55,15 @@
         for node in site.nodes
         if node.n_ends or node.n_kills_for_memory
     ]
+
+
+def list_core_ends(site: Site) -> list[str]:
+    """Return a text for each store if half of them ended three times or more each."""
+    ended = [node for node in site.stores if node.n_ends >= N_ENDS_ALLOWED + 1]
+    if 2 * len(ended) < len(site.stores):
+        return []
+    return [
+        f"{node.name} was ended {node.n_ends} times, {node.n_kills_for_memory} of them "
+        f"for memory"
+        for node in site.stores
+    ]
--- a/review/lib2/site.py
+++ b/review/lib2/site.py
@@ -4,6 +4,7 @@
 import json
 import os
 import random
+import resource
 import shutil
 import signal
 import socket
@@ -12,7 +13,8 @@
 import time
 import tomllib
 from pathlib import Path
-from typing import Any
+from threading import Thread
+from typing import IO, Any
 
 from lib2.servers import Platform, Runner
 from lib2.wire import Answer, call
@@ -40,6 +42,8 @@
     "deadline_s": 10,
     "settle_ms": 1000,
 }
+DISK_MB = 450
+UNLIMITED = resource.RLIM_INFINITY
 # Time between the end of a process and its next start by the platform.
 RESTART_S = 0.5
 
@@ -81,6 +85,8 @@
         self.began = time.monotonic()
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.keeps_memory_limit = True
+        self.keeps_disk_limit = False
+        self.full_disks: set[str] = set()
         net, ports = find_free_ports(n_entries + n_stores)
         self.ports = dict(
             zip(("front", "ready", "control", "metrics", "peer"), ports, strict=False)
@@ -185,10 +191,16 @@
         env["OLEANDERHITCH_CONFIG"] = str(settings)
         env["PYTHONPATH"] = str(ROOT / "target" / "deps")
         env["PYTHONDONTWRITEBYTECODE"] = "1"
-        with (self.folder / f"{node.name}.log").open("ab") as log:
-            node.process = subprocess.Popen(
-                role["run"].split(), cwd=ROOT, env=env, stdout=log, stderr=log
-            )
+        node.process = subprocess.Popen(
+            role["run"].split(),
+            cwd=ROOT,
+            env=env,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+        )
+        # A log that the process wrote itself would meet the limit of its disk.
+        log = self.folder / f"{node.name}.log"
+        Thread(target=keep_log, args=(node.process.stdout, log), daemon=True).start()
         node.has_started = node.is_wanted = True
         self.record("start", node=node.name, pid=node.process.pid)
 
@@ -227,7 +239,7 @@
                 "memory_mb": MEMORY_MB[node.role],
                 "max_fds": MAX_FDS[node.role],
                 "link_mbps": 1000.0,
-                "disk_mb": 450 if data_dir else 0,
+                "disk_mb": DISK_MB if data_dir else 0,
             },
             "data_dir": data_dir,
             "discovery": "cloud",
@@ -459,6 +471,8 @@
                 del ended[node.name]
                 self.start_node(node)
             return
+        if self.keeps_disk_limit and node.role == "store":
+            self._watch_disk(node, process.pid)
         megabytes = read_memory_mb(process.pid)
         node.peak_mb = max(node.peak_mb, megabytes)
         if self.keeps_memory_limit and megabytes > MEMORY_MB[node.role]:
@@ -471,6 +485,42 @@
             )
             process.send_signal(signal.SIGKILL)
 
+    def _watch_disk(self, node: Node, pid: int) -> None:
+        """Let a disk refuse every write while it is full.
+
+        The limit is one of this process alone, whose writes then fail.
+        """
+        megabytes = count_disk_mb(self.folder / f"{node.name}-data")
+        is_full = megabytes >= DISK_MB
+        if is_full != (node.name in self.full_disks):
+            self.full_disks ^= {node.name}
+            self.record("disk", node=node.name, full=is_full, mb=f"{megabytes:.0f}")
+        try:
+            limit = 0 if is_full else UNLIMITED
+            resource.prlimit(pid, resource.RLIMIT_FSIZE, (limit, UNLIMITED))
+        except OSError:
+            # The process has just ended.
+            return
+
+
+def keep_log(stream: IO[bytes] | None, path: Path) -> None:
+    """Write what a process prints to a file, until it ends."""
+    assert stream is not None
+    with path.open("ab") as log:
+        for line in stream:
+            log.write(line)
+
+
+def count_disk_mb(folder: Path) -> float:
+    """Return what the files of a folder take of a disk, in MB."""
+    n_bytes = 0
+    for path in folder.rglob("*"):
+        try:
+            n_bytes += path.stat().st_blocks * 512
+        except OSError:
+            continue
+    return n_bytes / 1e6
+
 
 def read_memory_mb(pid: int) -> float:
     """Return what a process holds by itself, without files, in MB."""
