--- a/review/deadly_call.py
+++ b/review/deadly_call.py
@@ -1,17 +1,17 @@
 """A call that crashes each runner that begins to run it, and comes again.
 
-No case, see REPORT-2.md. Run it with PYTHONPATH=review; TROUBLE=0 is without crashes.
+No case, see REPORT-2.md. Run it with PYTHONPATH=review/6; TROUBLE=0 is without crashes.
 """
 
 import asyncio
 import time
 from collections import Counter
 
-from lib2.crowd import start_callers
-from lib2.play import run_case
-from lib2.servers import Runner
-from lib2.site import Site
-from lib2.wire import Request, render
+from stand_ins.crowd import start_callers
+from stand_ins.play import run_case
+from stand_ins.servers import Runner
+from stand_ins.site import Site
+from stand_ins.wire import Request, render
 
 DEADLY = b"a body that crashes its runner"
 # "The runner is back after some seconds."
--- a/review/lib2/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Parts that the cases of the second review share; standard library only."""
--- a/review/many_parts.py
+++ b/review/many_parts.py
@@ -1,15 +1,15 @@
 """Requests whose prompts have very many short parts.
 
-No case, see REPORT-2.md. Run it with PYTHONPATH=review; TROUBLE=0 sends two parts.
+No case, see REPORT-2.md. Run it with PYTHONPATH=review/6; TROUBLE=0 sends two parts.
 """
 
 import asyncio
 from collections import Counter
 
-from lib2.crowd import list_ended, send_crowd, start_callers
-from lib2.play import run_case
-from lib2.site import Site
-from lib2.wire import Answer
+from stand_ins.crowd import list_ended, send_crowd, start_callers
+from stand_ins.play import run_case
+from stand_ins.site import Site
+from stand_ins.wire import Answer
 
 # 11 bytes each, so that the head stays below the 16,384 bytes that are allowed.
 N_PARTS = 1400
