Logged the peak of memory and what a starting store holds

A store that passes its memory limit within a second of its start left no line on its memory: usage was logged once a second, as it was at that moment.

--- a/oleanderhitch/connection/peer/server.py
+++ b/oleanderhitch/connection/peer/server.py
@@ -45,10 +45,16 @@
         self._timing = timing
         self._count_bytes = count_bytes
         self._clock = clock
+        self._streams = Pool(n_streams_limit)
         self._server = StreamServer(
-            parse_address(listen), self._serve, spawn=Pool(n_streams_limit)
+            parse_address(listen), self._serve, spawn=self._streams
         )
 
+    @property
+    def n_streams(self) -> int:
+        """The number of open streams."""
+        return len(self._streams)
+
     def start(self) -> None:
         """Start to accept streams."""
         self._server.start()
--- a/oleanderhitch/process/replication/log.py
+++ b/oleanderhitch/process/replication/log.py
@@ -99,6 +99,11 @@
         """Return the entries, newest first."""
         return reversed(self._entries)
 
+    def count_bytes_after(self, index: int) -> int:
+        """Return the estimated size of the entries after an index, in bytes."""
+        offset = max(0, index - self._base_index)
+        return sum(map(estimate_entry_bytes, self._entries[offset:]))
+
     def append(self, entry: LogEntry) -> None:
         """Append an entry; raise LogInvariantError if its index isn't the next."""
         if entry.index != self.last_index + 1:
--- a/oleanderhitch/process/replication/messages.py
+++ b/oleanderhitch/process/replication/messages.py
@@ -346,7 +346,9 @@
 class ReplicationStatus(Value, frozen=True):
     """Reports the status of a replica and, from the leader, of its followers.
 
-    `n_log_bytes` are in memory; `n_snapshot_bytes` are what a transfer sends.
+    `n_log_bytes` are in memory, `n_uncommitted_bytes` of them not committed;
+    `n_snapshot_bytes` are what a transfer sends, `n_incoming_bytes` what has arrived of
+    a snapshot.
     """
 
     request: int
@@ -364,6 +366,9 @@
     fault: str
     n_log_bytes: int
     n_snapshot_bytes: int
+    # Stores of an earlier release do not report these.
+    n_uncommitted_bytes: int = 0
+    n_incoming_bytes: int = 0
 
 
 OPERATOR_REQUESTS: tuple[type, ...] = (
--- a/oleanderhitch/process/site/store.py
+++ b/oleanderhitch/process/site/store.py
@@ -123,6 +123,10 @@
 DAMAGE_CHECK_INTERVAL = timedelta(milliseconds=100)
 # One line on the process each second and one on each replica each five.
 USAGE_INTERVAL = timedelta(seconds=1)
+# A process that passes its memory limit while it recovers may run for less than a
+# second.
+START_USAGE_INTERVAL = timedelta(milliseconds=200)
+N_START_USAGES = 10
 N_USAGES_PER_GROUP_STATE = 5
 N_VOTERS_MIN = 3
 # Commands of the group are smaller than this. The limits in the routing configuration
@@ -394,6 +398,14 @@
             except (OSError, OleanderhitchError) as error:
                 self._end_process(f"group {member.group} can't be opened: {error}")
                 return
+            usage = self._usage_monitor.take()
+            log.info(
+                "replica opened",
+                group=member.group,
+                replica=member.replica_id,
+                memory_bytes=usage.memory_bytes,
+                peak_memory_bytes=usage.peak_memory_bytes,
+            )
             self._announcement_due.set()
             gevent.sleep(0)
 
@@ -536,7 +548,9 @@
     def _report_usage(self) -> None:
         n_reports = 0
         while not self._has_stopped:
-            gevent.sleep(USAGE_INTERVAL.total_seconds())
+            is_starting = n_reports < N_START_USAGES
+            interval = START_USAGE_INTERVAL if is_starting else USAGE_INTERVAL
+            gevent.sleep(interval.total_seconds())
             self._report_process_usage()
             n_reports += 1
             if n_reports % N_USAGES_PER_GROUP_STATE == 0:
@@ -556,6 +570,8 @@
         log.info(
             "process usage",
             memory_bytes=usage.memory_bytes,
+            peak_memory_bytes=usage.peak_memory_bytes,
+            n_streams=self._peer_server.n_streams,
             loop_delay_ms=round(delay_s * 1000),
             link_queue_length=n_waiting,
         )
@@ -579,6 +595,8 @@
             commit_index=status.commit_index,
             n_uncommitted=status.last_index - status.commit_index,
             log_bytes=status.n_log_bytes,
+            uncommitted_bytes=status.n_uncommitted_bytes,
+            incoming_snapshot_bytes=status.n_incoming_bytes,
             snapshot_bytes=status.n_snapshot_bytes,
             n_turns=n_turns,
         )
--- a/oleanderhitch/process/usage/monitor.py
+++ b/oleanderhitch/process/usage/monitor.py
@@ -15,22 +15,27 @@
 
 
 class ProcessUsage(Value, frozen=True):
-    """Resident memory, None where the system hides it, and the longest loop delay."""
+    """Resident memory now and at its peak, and the longest delay of the event loop.
+
+    Memory is None where the system hides it.
+    """
 
     memory_bytes: int | None
+    peak_memory_bytes: int | None
     loop_delay: timedelta
 
 
 class UsageMonitor:
-    """Owner of a greenlet that notices when the event loop was blocked."""
+    """Owner of a greenlet that samples the memory and the delay of the event loop."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._loop_delay = timedelta(0)
+        self._peak_memory_bytes: int | None = None
         self._greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
-        """Start to measure the delay of the event loop."""
+        """Start to sample."""
         self._greenlet = gevent.spawn(self._run)
 
     def stop(self) -> None:
@@ -39,15 +44,25 @@
             self._greenlet.kill()
 
     def take(self) -> ProcessUsage:
-        """Return the usage and start a new maximum of the delay."""
-        loop_delay, self._loop_delay = self._loop_delay, timedelta(0)
-        return ProcessUsage(_read_memory(), loop_delay)
+        """Return the usage and start new maxima."""
+        memory_bytes = self._sample_memory()
+        usage = ProcessUsage(memory_bytes, self._peak_memory_bytes, self._loop_delay)
+        self._loop_delay = timedelta(0)
+        self._peak_memory_bytes = memory_bytes
+        return usage
+
+    def _sample_memory(self) -> int | None:
+        memory_bytes = _read_memory()
+        if memory_bytes is not None:
+            self._peak_memory_bytes = max(self._peak_memory_bytes or 0, memory_bytes)
+        return memory_bytes
 
     def _run(self) -> None:
         while True:
             due_at = self._clock.now() + PROBE_INTERVAL
             gevent.sleep(PROBE_INTERVAL.total_seconds())
             self._loop_delay = max(self._loop_delay, self._clock.now() - due_at)
+            self._sample_memory()
 
 
 def _read_memory() -> int | None:
