Kept no megabyte for each stream of peers

A store holds more with each connection of a peer, until it passes its memory limit.

Cause: the unpacker that finds where frames end begins with a buffer of 1 MiB, and keeps the size of the largest frame it has seen. Pages of it become resident as bytes pass through the stream, so that each stream took 1 MiB after its first megabyte. A store of the record has a stream of each of 52 entry hosts and two with each of eight stores.

Change: the buffer begins with 16 KiB, and one that had to grow over 64 KiB for a frame is dropped after it. A frame is copied once less.

The test failed before for frames of 1 KB, 20 KB and 1.5 MB.

--- a/oleanderhitch/connection/codec.py
+++ b/oleanderhitch/connection/codec.py
@@ -13,25 +13,36 @@
 # A frame that nests deeper than the recursion limit raises RecursionError.
 DECODING_ERRORS = (msgspec.DecodeError, ValueError, RecursionError)
 
+# First size of the buffer in which the end of a frame is looked for. It grows with a
+# frame, and has to hold what is fed at once.
+UNPACKER_BUFFER_BYTES = 16 * 1024
+# A buffer that had to hold a larger frame is dropped after it.
+KEPT_BUFFER_BYTES = 64 * 1024
+
 _FRAME_DECODER = msgspec.msgpack.Decoder(tuple[str, msgspec.Raw])
 
 
 class Decoder:
-    """Decoder of a byte stream that may be split at any point."""
+    """Decoder of a byte stream that may be split at any point.
+
+    Between two frames it keeps little memory: a process has one for each stream.
+    """
 
     def __init__(self, codec: "Codec") -> None:
         self._codec = codec
-        # The unpacker finds where frames end; the codec decodes their content.
         self._limit_bytes = codec.frame_limit_bytes
-        self._unpacker = msgpack.Unpacker(max_buffer_size=self._limit_bytes)
         self._received = bytearray()
-        self._n_decoded_bytes = 0
+        self._renew_unpacker()
 
     def feed(self, data: bytes) -> Iterator[object]:
         """Yield the messages that the data completes; raise MalformedFrameError."""
-        self._received += data
+        for start in range(0, len(data), UNPACKER_BUFFER_BYTES):
+            yield from self._feed_piece(data[start : start + UNPACKER_BUFFER_BYTES])
+
+    def _feed_piece(self, piece: bytes) -> Iterator[object]:
+        self._received += piece
         try:
-            self._unpacker.feed(data)
+            self._unpacker.feed(piece)
             while True:
                 self._unpacker.skip()
                 yield self._codec.decode(self._take_frame())
@@ -48,10 +59,23 @@
         end = self._unpacker.tell()
         n_bytes = end - self._n_decoded_bytes
         self._n_decoded_bytes = end
-        frame = bytes(self._received[:n_bytes])
+        with memoryview(self._received) as received:
+            frame = bytes(received[:n_bytes])
         del self._received[:n_bytes]
+        if n_bytes > KEPT_BUFFER_BYTES:
+            # The buffer of the unpacker has grown and would stay as large.
+            self._renew_unpacker()
+            self._unpacker.feed(self._received)
         return frame
 
+    def _renew_unpacker(self) -> None:
+        # The unpacker finds where frames end; the codec decodes their content.
+        self._unpacker = msgpack.Unpacker(
+            read_size=min(UNPACKER_BUFFER_BYTES, self._limit_bytes),
+            max_buffer_size=self._limit_bytes,
+        )
+        self._n_decoded_bytes = 0
+
 
 class Codec:
     """Encoder and decoder of a fixed set of message types.
--- a/tests/connection/test_codec.py
+++ b/tests/connection/test_codec.py
@@ -1,5 +1,6 @@
 """Guard against messages that encoding changes and malformed frames that pass."""
 
+import tracemalloc
 from datetime import UTC, datetime, timedelta
 
 import msgpack
@@ -20,6 +21,9 @@
     timedelta(minutes=5),
     datetime(2026, 1, 1, tzinfo=UTC),
 )
+# Together these are most of the memory that a store has.
+N_STREAMS = 64
+STREAM_LIMIT_BYTES = 256 * 1024
 TIMESTAMP = msgpack.Timestamp.from_datetime(START.at)
 
 
@@ -35,6 +39,26 @@
     assert received == [START, end]
 
 
+# Guards against stores that pass their memory limit by the number of their peers: each
+# stream kept a megabyte once that much had passed through it.
+@pytest.mark.parametrize("frame_bytes", [1_000, 20_000, 1_500_000])
+def test_idle_streams_do_not_keep_what_has_passed_through_them(frame_bytes):
+    """Hold little for each stream between two frames, whatever came before."""
+    codec = make_codec(MESSAGES)
+    message = EndProgram(ProgramId("p" * frame_bytes), EndReason.FINISHED, START.at)
+    frame = codec.encode(message)
+    tracemalloc.start()
+    try:
+        decoders = [codec.make_decoder() for _ in range(N_STREAMS)]
+        for decoder in decoders:
+            for _ in range(max(2, 2_000_000 // frame_bytes)):
+                assert list(decoder.feed(frame)) == [message]
+        n_bytes, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert n_bytes < N_STREAMS * STREAM_LIMIT_BYTES
+
+
 def make_frame(**fields):
     """Return the frame of an EndProgram with some fields replaced or added."""
     body = {"program": "p", "reason": "finished", "at": TIMESTAMP, **fields}
