--- a/oleanderhitch/connection/codec.py
+++ b/oleanderhitch/connection/codec.py
@@ -32,6 +32,7 @@
         self._codec = codec
         self._limit_bytes = codec.frame_limit_bytes
         self._received = bytearray()
+        self._n_decoded_bytes = 0
         self._renew_unpacker()
 
     def feed(self, data: bytes) -> Iterator[object]:
--- a/oleanderhitch/process/configuration/application.py
+++ b/oleanderhitch/process/configuration/application.py
@@ -29,6 +29,10 @@
 from oleanderhitch.process.groups.application import REPEATABLE_ERRORS
 from oleanderhitch.process.mailbox import Address
 from oleanderhitch.process.replication.snapshot_data import SnapshotData
+from oleanderhitch.process.replication.snapshot_sink import (
+    SnapshotSink,
+    make_memory_sink,
+)
 from oleanderhitch.values import Value
 from oleanderhitch.version.checks import Fault
 from oleanderhitch.version.compile import compile_configuration
@@ -137,7 +141,11 @@
         """Replace the whole state with that of a stored snapshot."""
         return self.restore_snapshot(stored)
 
-    def restore_snapshot(self, data: bytes) -> SnapshotData:
+    def make_snapshot_sink(self) -> SnapshotSink:
+        """Return a sink in memory."""
+        return make_memory_sink()
+
+    def restore_snapshot(self, data: SnapshotData) -> SnapshotData:
         """Replace the whole state with that of a snapshot."""
         restored = make_configuration_state()
         decoder = self._snapshot_codec.make_decoder()
--- a/oleanderhitch/process/groups/application.py
+++ b/oleanderhitch/process/groups/application.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from oleanderhitch.process.replication.snapshot_data import SnapshotData
+from oleanderhitch.process.replication.snapshot_sink import SnapshotSink
 
 # Errors that follow from the state and the command alone, so that they are the same on
 # every replica and at each start. An application answers them as refusals: raising them
@@ -33,10 +34,14 @@
     def load_snapshot(self, stored: bytes) -> SnapshotData:
         """Replace the whole state with that of a stored snapshot, and return it."""
 
-    def restore_snapshot(self, data: bytes) -> SnapshotData:
+    def make_snapshot_sink(self) -> SnapshotSink:
+        """Return an empty sink for a snapshot of another replica."""
+
+    def restore_snapshot(self, data: SnapshotData) -> SnapshotData:
         """Replace the whole state with that of another replica's snapshot.
 
-        Return the data that is to be stored.
+        The data comes from a sink of this application. Return the data that is to be
+        stored.
         """
 
     def confirm_snapshot(self, data: SnapshotData) -> None:
--- a/oleanderhitch/process/mailbox.py
+++ b/oleanderhitch/process/mailbox.py
@@ -2,12 +2,14 @@
 
 from datetime import timedelta
 
+import gevent
 from gevent import queue as gevent_queue
 
 from oleanderhitch.process.address import Address as Address
 from oleanderhitch.process.address import MailboxFullError as MailboxFullError
 
 MAILBOX_CAPACITY_MESSAGES = 10_000
+FULL_MAILBOX_RETRY_INTERVAL = timedelta(milliseconds=10)
 
 
 class Mailbox:
@@ -47,3 +49,12 @@
 ) -> Mailbox:
     """Return an empty mailbox."""
     return Mailbox(name, capacity_messages)
+
+
+def send_with_retry(address: Address, message: object) -> None:
+    """Send a message that must not be lost, again and again if the mailbox is full."""
+    try:
+        address.send(message)
+    except MailboxFullError:
+        delay_s = FULL_MAILBOX_RETRY_INTERVAL.total_seconds()
+        gevent.spawn_later(delay_s, send_with_retry, address, message)
--- a/oleanderhitch/process/replication/core.py
+++ b/oleanderhitch/process/replication/core.py
@@ -46,6 +46,8 @@
     ReadBarrier,
     ReplicaMessage,
     Snapshot,
+    SnapshotPieceStored,
+    SnapshotReceived,
     SnapshotRestored,
     SnapshotTaken,
     StorageFailed,
@@ -71,6 +73,8 @@
     set_role,
 )
 from oleanderhitch.process.replication.snapshots import (
+    handle_piece_stored,
+    handle_snapshot_received,
     handle_snapshot_restored,
     handle_snapshot_taken,
     restart_stalled_snapshot_transfer,
@@ -259,6 +263,23 @@
     handle_snapshot_taken(state, message, effects)
 
 
+@_handle.register
+def _(
+    message: SnapshotPieceStored,
+    state: ReplicaState,
+    now: datetime,
+    effects: list[object],
+) -> None:
+    handle_piece_stored(state, message, effects)
+
+
+@_handle.register
+def _(
+    message: SnapshotReceived, state: ReplicaState, now: datetime, effects: list[object]
+) -> None:
+    handle_snapshot_received(state, message, effects)
+
+
 @_handle.register
 def _(
     message: SnapshotRestored, state: ReplicaState, now: datetime, effects: list[object]
--- a/oleanderhitch/process/replication/effect_handlers.py
+++ b/oleanderhitch/process/replication/effect_handlers.py
@@ -5,7 +5,9 @@
 from datetime import datetime
 from functools import singledispatch
 
+import gevent
 import logbook
+from gevent.util import wrap_errors
 from msgspec import Struct, field
 from msgspec.structs import replace
 
@@ -21,7 +23,11 @@
     ReplicaEnvelope,
 )
 from oleanderhitch.process.ids import NodeId, ReplicaId
-from oleanderhitch.process.mailbox import Address, MailboxFullError
+from oleanderhitch.process.mailbox import (
+    Address,
+    MailboxFullError,
+    send_with_retry,
+)
 from oleanderhitch.process.replication import core
 from oleanderhitch.process.replication.bootstrap import (
     BootstrapState,
@@ -45,6 +51,7 @@
     RestoreSnapshot,
     SendToReplica,
     SnapshotSaved,
+    StoreSnapshotPiece,
     TakeSnapshot,
     TruncateLog,
 )
@@ -54,18 +61,24 @@
     HardStatePersisted,
     MembershipAnswer,
     Snapshot,
+    SnapshotPieceStored,
+    SnapshotReceived,
     SnapshotRestored,
     SnapshotTaken,
     StorageFailed,
 )
 from oleanderhitch.process.replication.replica import ReplicaState
+from oleanderhitch.process.replication.snapshot_data import SnapshotData
+from oleanderhitch.process.replication.snapshot_sink import SnapshotSink
 from oleanderhitch.process.replication.states import Role
+from oleanderhitch.process.storage.disk import Disk
 from oleanderhitch.process.storage.messages import (
     EntryRecord,
     FoundingRecord,
     HardStateRecord,
     SaveSnapshot,
     TruncationRecord,
+    WriteFailed,
     WriteRecords,
 )
 from oleanderhitch.process.storage.task import Storage
@@ -135,6 +148,8 @@
     log: logbook.Logger
     on_leadership_change: Callable[[LeadershipChanged], None] | None = None
     has_failed: bool = False
+    # Takes the snapshot that is arriving, or has arrived and is not restored yet.
+    sink: SnapshotSink | None = None
     # Result of the last command applied, until ProposalCommitted sends it to its
     # caller.
     last_result: bytes = b""
@@ -271,12 +286,48 @@
     )
 
 
+@perform.register
+def _(effect: StoreSnapshotPiece, context: GroupContext) -> None:
+    if effect.offset == 0:
+        if context.sink is not None:
+            context.sink.discard()
+        context.sink = context.application.make_snapshot_sink()
+    if context.sink is not None:
+        gevent.spawn(_store_piece, effect, context.sink, context)
+
+
+def _store_piece(
+    effect: StoreSnapshotPiece, sink: SnapshotSink, context: GroupContext
+) -> None:
+    # Runs in a thread, since a slow disk would block the event loop.
+    store = wrap_errors(OSError, _append_piece)
+    pool = gevent.get_hub().threadpool
+    stored = pool.apply(store, (effect, sink, context.storage.disk))
+    report: object
+    if isinstance(stored, OSError):
+        report = WriteFailed(f"an arriving snapshot can't be stored: {stored}")
+    elif effect.is_last:
+        report = SnapshotReceived(effect.transfer, stored)
+    else:
+        next_offset = effect.offset + len(effect.data)
+        report = SnapshotPieceStored(effect.transfer, next_offset)
+    send_with_retry(context.task, report)
+
+
+def _append_piece(
+    effect: StoreSnapshotPiece, sink: SnapshotSink, disk: Disk
+) -> SnapshotData | None:
+    sink.append(effect.data, disk)
+    return sink.finish(disk) if effect.is_last else None
+
+
 @perform.register
 def _(effect: RestoreSnapshot, context: GroupContext) -> None:
     snapshot = effect.snapshot
+    context.sink = None
     started_at = context.clock.now()
     try:
-        data = context.application.restore_snapshot(snapshot.data[:])
+        data = context.application.restore_snapshot(snapshot.data)
     except Exception as error:
         _stop_replica(
             context, f"snapshot {snapshot.index} can't be restored: {error!r}"
--- a/oleanderhitch/process/replication/effects.py
+++ b/oleanderhitch/process/replication/effects.py
@@ -88,6 +88,19 @@
     membership: Membership
 
 
+class StoreSnapshotPiece(Value, frozen=True):
+    """Stores a piece of an arriving snapshot, then reports SnapshotPieceStored.
+
+    With the last piece it reports SnapshotReceived. A piece at offset 0 begins a new
+    snapshot, which replaces one that has not arrived whole. `transfer` is its number.
+    """
+
+    transfer: int
+    offset: int
+    data: bytes
+    is_last: bool
+
+
 class RestoreSnapshot(Value, frozen=True):
     """Restores and syncs a received snapshot, then reports SnapshotRestored.
 
--- a/oleanderhitch/process/replication/messages.py
+++ b/oleanderhitch/process/replication/messages.py
@@ -244,6 +244,20 @@
     data: SnapshotData
 
 
+class SnapshotPieceStored(Value, frozen=True):
+    """Reports that a piece of an arriving snapshot is stored, but not synced."""
+
+    transfer: int
+    next_offset: int
+
+
+class SnapshotReceived(Value, frozen=True):
+    """Reports that all pieces of an arriving snapshot are stored and synced."""
+
+    transfer: int
+    data: SnapshotData
+
+
 class SnapshotRestored(Value, frozen=True):
     """Reports that a received snapshot is synced and restored.
 
--- a/oleanderhitch/process/replication/replica.py
+++ b/oleanderhitch/process/replication/replica.py
@@ -76,12 +76,18 @@
 
 
 class IncomingSnapshot(Struct):
-    """Pieces of a snapshot received so far."""
+    """A snapshot of which some pieces have been received.
 
+    The pieces themselves are in storage, of which one is written at a time. `transfer`
+    tells the reports on this snapshot from late ones on another.
+    """
+
+    transfer: int
     index: LogIndex
     term: Term
     membership: Membership
-    data: bytearray = field(default_factory=bytearray)
+    n_bytes: int = 0
+    is_writing: bool = False
 
 
 class PendingRead(Value, frozen=True):
@@ -129,6 +135,7 @@
     # On a follower, the last index at which its log is known to match the leader's.
     leader_match_index: int = 0
     incoming_snapshot: IncomingSnapshot | None = None
+    n_incoming_snapshots: int = 0
     restoring_snapshot: Snapshot | None = None
     snapshot_request: TakeSnapshot | None = None
     progress: dict[ReplicaId, FollowerProgress] = field(default_factory=dict)
--- a/oleanderhitch/process/replication/snapshots.py
+++ b/oleanderhitch/process/replication/snapshots.py
@@ -8,12 +8,15 @@
 from oleanderhitch.process.replication.effects import (
     RestoreSnapshot,
     SnapshotSaved,
+    StoreSnapshotPiece,
 )
 from oleanderhitch.process.replication.messages import (
     AppendReply,
     InstallSnapshot,
     InstallSnapshotReply,
     Snapshot,
+    SnapshotPieceStored,
+    SnapshotReceived,
     SnapshotRestored,
     SnapshotTaken,
 )
@@ -105,7 +108,7 @@
     message: InstallSnapshot,
     effects: list[object],
 ) -> None:
-    """Store a piece, and restore the snapshot once it is complete."""
+    """Store a piece, unless another one is being stored."""
     if message.index <= state.commit_index:
         state.leader_match_index = max(state.leader_match_index, state.commit_index)
         index = LogIndex(min(state.leader_match_index, state.persisted_index))
@@ -116,26 +119,56 @@
         message.index,
         message.snapshot_term,
     ):
+        state.n_incoming_snapshots += 1
         incoming = IncomingSnapshot(
-            message.index, message.snapshot_term, message.membership
+            state.n_incoming_snapshots,
+            message.index,
+            message.snapshot_term,
+            message.membership,
         )
         state.incoming_snapshot = incoming
-    if message.offset == len(incoming.data):
-        incoming.data.extend(message.data)
-        if message.is_last:
-            _restore(state, incoming, effects)
-            return
-    reply = InstallSnapshotReply(state.term, message.index, len(incoming.data))
-    send(state, leader, reply, effects)
+    if incoming.is_writing:
+        # The piece that is being stored is answered once it is.
+        return
+    if message.offset != incoming.n_bytes:
+        reply = InstallSnapshotReply(state.term, message.index, incoming.n_bytes)
+        send(state, leader, reply, effects)
+        return
+    incoming.is_writing = True
+    effects.append(
+        StoreSnapshotPiece(
+            incoming.transfer, message.offset, message.data, message.is_last
+        )
+    )
 
 
-def _restore(
-    state: ReplicaState, incoming: IncomingSnapshot, effects: list[object]
+def handle_piece_stored(
+    state: ReplicaState, message: SnapshotPieceStored, effects: list[object]
 ) -> None:
+    """Request the next piece of an arriving snapshot."""
+    incoming = _find_incoming(state, message.transfer)
+    if incoming is None:
+        return
+    incoming.n_bytes = message.next_offset
+    incoming.is_writing = False
+    if state.leader is not None:
+        reply = InstallSnapshotReply(state.term, incoming.index, incoming.n_bytes)
+        send(state, state.leader, reply, effects)
+
+
+def handle_snapshot_received(
+    state: ReplicaState, message: SnapshotReceived, effects: list[object]
+) -> None:
+    """Restore a snapshot that has arrived whole."""
+    incoming = _find_incoming(state, message.transfer)
+    if incoming is None:
+        return
+    state.incoming_snapshot = None
+    if incoming.index <= state.commit_index:
+        return
     snapshot = Snapshot(
-        incoming.index, incoming.term, incoming.membership, bytes(incoming.data)
+        incoming.index, incoming.term, incoming.membership, message.data
     )
-    state.incoming_snapshot = None
     state.restoring_snapshot = snapshot
     is_log_kept = state.log.find_term(snapshot.index) == snapshot.term
     if not is_log_kept:
@@ -143,6 +176,11 @@
     effects.append(RestoreSnapshot(snapshot, is_log_kept))
 
 
+def _find_incoming(state: ReplicaState, transfer: int) -> IncomingSnapshot | None:
+    incoming = state.incoming_snapshot
+    return None if incoming is None or incoming.transfer != transfer else incoming
+
+
 def handle_snapshot_restored(
     state: ReplicaState, message: SnapshotRestored, effects: list[object]
 ) -> None:
--- a/oleanderhitch/process/replication/status.py
+++ b/oleanderhitch/process/replication/status.py
@@ -45,5 +45,5 @@
         state.log.n_bytes,
         0 if state.snapshot is None else len(state.snapshot.data),
         state.log.count_bytes_after(state.commit_index),
-        0 if state.incoming_snapshot is None else len(state.incoming_snapshot.data),
+        0 if state.incoming_snapshot is None else state.incoming_snapshot.n_bytes,
     )
--- a/oleanderhitch/process/site/application.py
+++ b/oleanderhitch/process/site/application.py
@@ -8,17 +8,21 @@
 from functools import singledispatch
 from pathlib import Path
 
+import gevent
 import logbook
+from gevent.util import wrap_errors
 from msgspec import Struct, field
 
 from oleanderhitch.connection.codec import Codec, make_codec
 from oleanderhitch.connection.exceptions import MalformedFrameError
+from oleanderhitch.exceptions import OleanderhitchError
 from oleanderhitch.process.groups.application import REPEATABLE_ERRORS
 from oleanderhitch.process.repair import messages as repair
 from oleanderhitch.process.repair import registry
 from oleanderhitch.process.repair.messages import StoreRecord
 from oleanderhitch.process.repair.registry import RegistryState
 from oleanderhitch.process.replication.snapshot_data import SnapshotData
+from oleanderhitch.process.replication.snapshot_sink import SnapshotSink
 from oleanderhitch.process.site import messages as site
 from oleanderhitch.process.site.messages import (
     EMPTY_ROUTING,
@@ -30,10 +34,10 @@
 )
 from oleanderhitch.process.site.snapshot import (
     NewContents,
+    ReceivedSnapshot,
     SiteSnapshot,
     load_site_snapshot,
-    split_contents,
-    split_index,
+    make_content_sink,
 )
 from oleanderhitch.program.turns import core as turns
 from oleanderhitch.program.turns import messages as turn_messages
@@ -207,9 +211,17 @@
         self._restore(self._decode_index(snapshot.index), iter(snapshot.contents))
         return snapshot
 
-    def restore_snapshot(self, data: bytes) -> SiteSnapshot:
-        """Replace the whole state; raise OleanderhitchError if it is damaged."""
-        index, contents = split_index(data)
+    def make_snapshot_sink(self) -> SnapshotSink:
+        """Return a sink that writes to a file of contents."""
+        return make_content_sink(self._contents)
+
+    def restore_snapshot(self, data: SnapshotData) -> SiteSnapshot:
+        """Replace the whole state; raise OleanderhitchError if it is damaged.
+
+        The contents are checked in a thread and stay in the file.
+        """
+        assert isinstance(data, ReceivedSnapshot)
+        index = data.read_index()
         records = self._decode_index(index)
         sizes = [
             (turn.n_bytes, turn.checksum)
@@ -217,12 +229,32 @@
             if isinstance(record, SavedTurns)
             for turn in record.turns
         ]
-        self._restore(records, split_contents(contents, sizes))
-        return self.take_snapshot()
+        places = gevent.get_hub().threadpool.apply(
+            wrap_errors(OleanderhitchError, data.locate_contents), (len(index), sizes)
+        )
+        if isinstance(places, OleanderhitchError):
+            raise places
+        self._restore(records, iter(places))
+        return SiteSnapshot(index, places, received_file=data.file)
+
+    def remove_unused_files(self) -> None:
+        """Start to delete the files that an earlier process left half written."""
+        contents = [turn.content for turn in self._state.turns.turns.values()]
+        self._contents.remove_unused(
+            {
+                place.file.number
+                for place in contents
+                if isinstance(place, StoredContent)
+            }
+        )
 
     def confirm_snapshot(self, data: SnapshotData) -> None:
         """Read the contents that a synced snapshot has from its files from now on."""
         assert isinstance(data, SiteSnapshot)
+        if data.received_file is not None:
+            self._contents.release(data.received_file)
+            # A replica takes no snapshot while it restores one.
+            self._contents.remove_unused(data.file_numbers)
         if data.new_contents is None:
             return
         turns = self._state.turns.turns
--- a/oleanderhitch/process/site/member.py
+++ b/oleanderhitch/process/site/member.py
@@ -183,6 +183,7 @@
             self._handle_leadership_change,
             may_bootstrap=self._may_bootstrap,
         )
+        self._application.remove_unused_files()
         self._repair = make_repair_task(
             settings.n_target_voters,
             settings.balance_slot,
--- a/oleanderhitch/process/site/snapshot.py
+++ b/oleanderhitch/process/site/snapshot.py
@@ -21,8 +21,8 @@
     ContentDirectory,
     ContentFile,
     StoredContent,
-    check_content,
 )
+from oleanderhitch.program.turns.contents import read_content
 from oleanderhitch.request.ids import RequestId
 
 # Length of the index in bytes.
@@ -63,10 +63,12 @@
         index: bytes,
         contents: Sequence[StoredContent],
         new_contents: NewContents | None = None,
+        received_file: ContentFile | None = None,
     ) -> None:
         self.index = index
         self.contents = contents
         self.new_contents = new_contents
+        self.received_file = received_file
         self._head = INDEX_HEADER.pack(len(index)) + index
         # The offset of each content in the transferred form, and the end of the last.
         self._offsets = list(
@@ -149,32 +151,74 @@
     )
 
 
-def split_index(data: bytes) -> tuple[bytes, memoryview]:
-    """Return the index and the contents of a transferred snapshot.
+class ReceivedSnapshot:
+    """A transferred snapshot in a file of contents, which it stays in."""
 
-    Raise SnapshotError if the index is truncated.
-    """
-    view = memoryview(data)
-    end = INDEX_HEADER.size
-    if len(view) >= end:
-        end += INDEX_HEADER.unpack_from(view)[0]
-    if len(view) < max(end, INDEX_HEADER.size):
-        raise SnapshotError(f"the snapshot is truncated after {len(view)} bytes")
-    return bytes(view[INDEX_HEADER.size : end]), view[end:]
+    def __init__(self, file: ContentFile, n_bytes: int) -> None:
+        self.file = file
+        self._n_bytes = n_bytes
+
+    def __len__(self) -> int:
+        return self._n_bytes
+
+    def __getitem__(self, part: slice, /) -> bytes:
+        start, stop, _ = part.indices(self._n_bytes)
+        return self.file.read(start, max(0, stop - start))
+
+    def read_index(self) -> bytes:
+        """Return the index; raise OleanderhitchError if it is truncated."""
+        header = self[: INDEX_HEADER.size]
+        end = INDEX_HEADER.size
+        if len(header) == end:
+            end += INDEX_HEADER.unpack(header)[0]
+        if self._n_bytes < end:
+            raise SnapshotError(f"the snapshot is truncated after {len(self)} bytes")
+        return self[INDEX_HEADER.size : end]
+
+    def locate_contents(
+        self, n_index_bytes: int, sizes: Sequence[tuple[int, int]]
+    ) -> list[StoredContent]:
+        """Return the places of the contents of the given sizes and checksums.
+
+        Raise SnapshotError if one is truncated, HistoryCorruptError if one is damaged.
+        Reads one content at a time, and runs in a thread.
+        """
+        places = []
+        offset = INDEX_HEADER.size + n_index_bytes
+        for n_bytes, checksum in sizes:
+            if offset + n_bytes > self._n_bytes:
+                raise SnapshotError("the contents of a snapshot are truncated")
+            place = StoredContent(self.file, offset, n_bytes, checksum)
+            read_content(place)
+            places.append(place)
+            offset += n_bytes
+        return places
+
+
+class ContentSink:
+    """Writes a snapshot of another replica to a file of contents as it arrives."""
+
+    def __init__(self, directory: ContentDirectory) -> None:
+        self._directory = directory
+        self._file = directory.make_file()
+        self._n_bytes = 0
+        directory.hold(self._file)
 
+    def append(self, piece: bytes, disk: Disk) -> None:
+        """Write a piece; raise OSError."""
+        self._file.append(piece, disk)
+        self._n_bytes += len(piece)
 
-def split_contents(
-    contents: memoryview, sizes: Sequence[tuple[int, int]]
-) -> Iterator[memoryview]:
-    """Yield the contents of the given sizes and checksums.
+    def finish(self, disk: Disk) -> ReceivedSnapshot:
+        """Sync the file and return the snapshot in it; raise OSError."""
+        self._file.sync(disk)
+        return ReceivedSnapshot(self._file, self._n_bytes)
 
-    Raise SnapshotError if one is truncated, HistoryCorruptError if one is damaged.
-    """
-    start = 0
-    for n_bytes, checksum in sizes:
-        content = contents[start : start + n_bytes]
-        if len(content) != n_bytes:
-            raise SnapshotError("the contents of a snapshot are truncated")
-        check_content(content, checksum)
-        yield content
-        start += n_bytes
+    def discard(self) -> None:
+        """Leave the file to the next removal."""
+        self._directory.release(self._file)
+
+
+def make_content_sink(directory: ContentDirectory) -> ContentSink:
+    """Return a sink with a new file of the directory."""
+    return ContentSink(directory)
--- a/oleanderhitch/process/site/store.py
+++ b/oleanderhitch/process/site/store.py
@@ -341,6 +341,10 @@
         status = self._members[group].find_status()
         return () if status is None else status.membership.voters
 
+    def count_turns(self) -> int:
+        """Return the number of turns in the replicas of this store."""
+        return sum(member.n_turns for member in self._members.values())
+
     def find_replica_id(self, group: GroupId) -> ReplicaId | None:
         """Return the id of this store's replica of a group, None before it is open."""
         return self._members[group].replica_id
--- a/oleanderhitch/process/storage/task.py
+++ b/oleanderhitch/process/storage/task.py
@@ -1,7 +1,6 @@
 """Run the storage task, which alone writes to the process's data directory."""
 
 import os
-from datetime import timedelta
 from functools import partial, singledispatch
 from pathlib import Path
 
@@ -12,7 +11,7 @@
 
 from oleanderhitch.process.clock import Clock
 from oleanderhitch.process.ids import GroupId, NodeId, ReplicaId
-from oleanderhitch.process.mailbox import Address, MailboxFullError
+from oleanderhitch.process.mailbox import Address, send_with_retry
 from oleanderhitch.process.storage.core import (
     Segment,
     StorageLimits,
@@ -54,7 +53,6 @@
 # A dropped request would leave a gap in a group's log, so the mailbox must never be
 # full. Callers' requests are rejected long before this many messages wait.
 MAILBOX_CAPACITY_MESSAGES = 200_000
-REPLY_RETRY_INTERVAL = timedelta(milliseconds=10)
 
 
 class LogWriter(Struct):
@@ -89,6 +87,11 @@
     writer: LogWriter
     lock_descriptor: int
 
+    @property
+    def disk(self) -> Disk:
+        """The disk that the directory is written through."""
+        return self.writer.disk
+
     def send(self, message: object) -> None:
         """Send a request to the task."""
         self.task.send(message)
@@ -324,17 +327,5 @@
 
 @_perform.register
 def _(effect: SendReply, writer: LogWriter, task: Address, log: logbook.Logger) -> None:
-    _send_with_retry(effect.reply_address, effect.message)
-
-
-def _send_with_retry(reply_address: Address, message: object) -> None:
-    try:
-        reply_address.send(message)
-    except MailboxFullError:
-        # A lost acknowledgement would block the group forever.
-        gevent.spawn_later(
-            REPLY_RETRY_INTERVAL.total_seconds(),
-            _send_with_retry,
-            reply_address,
-            message,
-        )
+    # A lost acknowledgement would block the group forever.
+    send_with_retry(effect.reply_address, effect.message)
--- a/oleanderhitch/program/application.py
+++ b/oleanderhitch/program/application.py
@@ -11,6 +11,10 @@
 from oleanderhitch.connection.exceptions import MalformedFrameError
 from oleanderhitch.process.groups.application import REPEATABLE_ERRORS
 from oleanderhitch.process.replication.snapshot_data import SnapshotData
+from oleanderhitch.process.replication.snapshot_sink import (
+    SnapshotSink,
+    make_memory_sink,
+)
 from oleanderhitch.program.core import ENDED_PROGRAM_RETENTION, apply, make_shard_state
 from oleanderhitch.program.entries import ShardState
 from oleanderhitch.program.history import HistoryStore
@@ -71,9 +75,13 @@
         """Replace the whole shard; raise SnapshotError if the data is damaged."""
         return self.restore_snapshot(stored)
 
-    def restore_snapshot(self, data: bytes) -> SnapshotData:
+    def make_snapshot_sink(self) -> SnapshotSink:
+        """Return a sink in memory."""
+        return make_memory_sink()
+
+    def restore_snapshot(self, data: SnapshotData) -> SnapshotData:
         """Replace the whole shard; raise SnapshotError if the data is damaged."""
-        restore_snapshot(self._state, data, self._snapshot_codec)
+        restore_snapshot(self._state, data[:], self._snapshot_codec)
         return data
 
     def confirm_snapshot(self, data: SnapshotData) -> None:
--- a/oleanderhitch/program/turns/content_files.py
+++ b/oleanderhitch/program/turns/content_files.py
@@ -65,12 +65,21 @@
         return self._descriptor
 
     def write(self, chunks: Sequence[bytes | memoryview], disk: Disk) -> None:
-        """Write and sync the whole file, then open it; raise OSError."""
-        descriptor = os.open(self._path, os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o600)
-        self._keep_open(descriptor)
+        """Write and sync the whole file, and leave it open; raise OSError."""
         for chunk in chunks:
-            disk.append(descriptor, chunk)
-        disk.sync(descriptor)
+            self.append(chunk, disk)
+        self.sync(disk)
+
+    def append(self, chunk: bytes | memoryview, disk: Disk) -> None:
+        """Write bytes at the end of the file, which the first ones create."""
+        if self._descriptor < 0:
+            flags = os.O_RDWR | os.O_CREAT | os.O_TRUNC
+            self._keep_open(os.open(self._path, flags, 0o600))
+        disk.append(self._descriptor, chunk)
+
+    def sync(self, disk: Disk) -> None:
+        """Make the file and its name durable; raise OSError."""
+        disk.sync(self._descriptor)
         sync_directory(self._path.parent)
 
     def open(self) -> None:
@@ -138,6 +147,8 @@
         if isinstance(numbers, OSError):
             raise numbers
         self._last_number = max(numbers, default=0)
+        # The files that are being written, to which no snapshot refers yet.
+        self._held: set[int] = set()
         self._due_removal: tuple[set[int], int] | None = None
         self._removal: gevent.Greenlet | None = None
 
@@ -150,6 +161,18 @@
         self._last_number += 1
         return ContentFile(self._get_path(self._last_number), self._last_number)
 
+    def hold(self, file: ContentFile) -> None:
+        """Keep a file that no snapshot refers to yet."""
+        self._held.add(file.number)
+
+    def release(self, file: ContentFile) -> None:
+        """Leave it to the snapshots whether a file is kept."""
+        self._held.discard(file.number)
+
+    def remove_unused(self, kept: set[int]) -> None:
+        """Start to delete all files but the given ones and those that are held."""
+        self.remove_others(kept, self._last_number)
+
     def open_file(self, number: int) -> ContentFile:
         """Return a file that an earlier process wrote.
 
@@ -168,7 +191,7 @@
 
         Files that can't be deleted are left for the next removal.
         """
-        self._due_removal = (kept, newest)
+        self._due_removal = (kept | self._held, newest)
         if self._removal is None or self._removal.dead:
             self._removal = gevent.spawn(self._run_removals)
 
--- a/tests/process/replication/cluster.py
+++ b/tests/process/replication/cluster.py
@@ -99,6 +99,7 @@
         self.state = None
         self.commands = []
         self.applied_index = 0
+        self.arriving = b""
 
 
 class Cluster:
@@ -350,6 +351,17 @@
         acknowledgement = m.SnapshotTaken(effect.index, data)
         host.disk.write((record,), acknowledgement, snapshot)
 
+    @_perform.register
+    def _(self, effect: e.StoreSnapshotPiece, host):
+        if effect.offset == 0:
+            host.arriving = b""
+        assert effect.offset == len(host.arriving), "a piece of a snapshot is missing"
+        host.arriving += effect.data
+        acknowledgement = m.SnapshotPieceStored(effect.transfer, len(host.arriving))
+        if effect.is_last:
+            acknowledgement = m.SnapshotReceived(effect.transfer, host.arriving)
+        host.disk.write((), acknowledgement)
+
     @_perform.register
     def _(self, effect: e.RestoreSnapshot, host):
         snapshot = effect.snapshot
--- a/tests/process/replication/hosts.py
+++ b/tests/process/replication/hosts.py
@@ -7,6 +7,7 @@
 from oleanderhitch.process.clock import make_system_clock
 from oleanderhitch.process.groups.messages import GroupCall, LocalCall
 from oleanderhitch.process.mailbox import make_mailbox
+from oleanderhitch.process.replication.snapshot_sink import make_memory_sink
 from oleanderhitch.process.replication.states import Role
 from oleanderhitch.process.replication.task import OperatorCall, make_group_task
 from oleanderhitch.process.storage.identity import get_node
@@ -44,6 +45,10 @@
         """Replace the commands by those of a snapshot."""
         return self.restore_snapshot(stored)
 
+    def make_snapshot_sink(self):
+        """Return a sink in memory."""
+        return make_memory_sink()
+
     def restore_snapshot(self, data):
         """Replace the commands by those of a snapshot."""
         self.commands = data.split(b"\n") if data else []
--- a/tests/process/site/harness.py
+++ b/tests/process/site/harness.py
@@ -307,6 +307,10 @@
             for number in self.stores
         }
 
+    def count_turns(self, number: int) -> int:
+        """Return how many turns a running store has."""
+        return self.stores[number].count_turns()
+
     def wait_for_leader(self) -> int:
         """Return the number of the leader once there is one."""
         wait_until(lambda: self.find_leader() is not None, "a leader")
--- a/tests/process/site/test_growth.py
+++ b/tests/process/site/test_growth.py
@@ -37,6 +37,35 @@
         site.close()
 
 
+# Guards against stores that pass their memory limit when they have lost their disks or
+# are added, at each start again, since they receive the contents of all turns.
+def test_store_without_its_disk_does_not_hold_the_content_it_receives(
+    tmp_path: Path,
+) -> None:
+    """Hold less than half of the content in a store that gets all of it."""
+    site = SiteHarness(tmp_path, 3)
+    site.start()
+    site.publish(1)
+    site.wait_for_service("first")
+    try:
+        for number in range(N_TURNS):
+            status, _ = site.send_turn(f"t{number}", b"x" * MIB, budget=100_000)
+            assert status == 200
+        site.engine.bodies.clear()
+        empty = next(n for n in site.stores if n != site.find_leader())
+        site.stop_store(empty)
+        tracemalloc.start()
+        site.start_store(empty, disk=1)
+        wait_until(
+            lambda: site.count_turns(empty) >= N_TURNS, "all turns at the empty store"
+        )
+        _, peak_bytes = tracemalloc.get_traced_memory()
+        assert peak_bytes < N_TURNS * MIB / 2
+    finally:
+        tracemalloc.stop()
+        site.close()
+
+
 # Guards against one store that carries the turns of all programs, whose overload takes
 # away the acknowledgement of configuration and the service of all programs.
 def test_several_stores_lead_the_turns_of_programs(tmp_path: Path) -> None:
