Bounded what a group has that is not committed, in bytes and in copies

Clients sent each waiting call again each 400 ms to a slow leader, which appended it again, and each 50 ms to a store that knew no leader: what a group has to do grew with the time that it was behind.

Evidence: tests only. On the code before, a call that comes five times while the disk stalls is appended five times, 20 waiting calls are sent 20 times a round to stores without a leader, and a log takes any number of bytes.

Change: proposals are rejected at 4 MiB of uncommitted entries; a call that is pending at its leader is not proposed again; the oldest waiting call of a group alone looks for the leader, and the others follow it or are sent again after 1.6 s.

--- a/oleanderhitch/process/groups/client/core.py
+++ b/oleanderhitch/process/groups/client/core.py
@@ -29,6 +29,10 @@
 # A leader replies within a few milliseconds, so a store that takes longer than this has
 # probably failed or is isolated.
 RESEND_INTERVAL = timedelta(milliseconds=400)
+# The oldest waiting call of a group finds out whether its leader has changed. The
+# others follow it, or are sent again after this time: a group that is behind would fall
+# back further by what it is sent twice.
+LATE_RESEND_INTERVAL = timedelta(milliseconds=1600)
 # While a group has no leader, every store redirects immediately; the delay keeps the
 # client from resending in a tight loop.
 REDIRECT_DELAY = timedelta(milliseconds=50)
@@ -39,7 +43,10 @@
 
 
 class PendingCall(Struct):
-    """Call that has no reply yet."""
+    """Call that has no reply yet.
+
+    `store` is where it was sent last or, if that store has refused it, goes next.
+    """
 
     submission: SubmitToGroup
     call: GroupCall
@@ -47,6 +54,7 @@
     sent_at: datetime
     resend_at: datetime
     store: HostAddress
+    is_refused: bool = False
 
 
 class ClientState(Struct):
@@ -119,8 +127,7 @@
         state.leaders[pending.call.group] = leader_store
         return _send(pending, leader_store, now)
     state.leaders.pop(pending.call.group, None)
-    pending.store = _get_next_store(state, pending.store)
-    pending.resend_at = now + REDIRECT_DELAY
+    _refuse(pending, pending.store, state, now)
     return []
 
 
@@ -128,8 +135,7 @@
 def _(message: GroupUncertain, state: ClientState, now: datetime) -> list[object]:
     pending = state.pending.get(message.call)
     if pending is not None:
-        pending.resend_at = now + REDIRECT_DELAY
-        pending.store = _get_next_store(state, pending.store)
+        _refuse(pending, pending.store, state, now)
     return []
 
 
@@ -139,8 +145,9 @@
         del state.leaders[group]
     for pending in state.pending.values():
         if pending.store == message.peer:
-            pending.store = _get_next_store(state, message.peer)
-            pending.resend_at = min(pending.resend_at, now + REDIRECT_DELAY)
+            resend_at = pending.resend_at
+            _refuse(pending, message.peer, state, now)
+            pending.resend_at = min(pending.resend_at, resend_at)
     return []
 
 
@@ -158,7 +165,9 @@
 @handle.register
 def _(message: Tick, state: ClientState, now: datetime) -> list[object]:
     effects: list[object] = []
+    probed_groups: set[GroupId] = set()
     for pending in list(state.pending.values()):
+        group = pending.call.group
         if now >= pending.expires_at:
             del state.pending[pending.call.call]
             timed_out = GroupTimedOut(
@@ -167,8 +176,15 @@
                 f"{pending.submission.timeout.total_seconds():.1f} s",
             )
             effects.append(SendReply(pending.submission.reply_address, timed_out))
-        elif now >= pending.resend_at:
+            continue
+        is_oldest = group not in probed_groups
+        probed_groups.add(group)
+        if now < pending.resend_at:
+            continue
+        if is_oldest:
             effects.extend(_resend(pending, state, now))
+        else:
+            effects.extend(_follow(pending, state, now))
     return effects
 
 
@@ -199,8 +215,28 @@
     return _send(pending, store, now)
 
 
+def _follow(pending: PendingCall, state: ClientState, now: datetime) -> list[object]:
+    """Send a call to a leader that has not got it, or again after a long time."""
+    leader = state.leaders.get(pending.call.group)
+    if leader is not None and (pending.is_refused or leader != pending.store):
+        return _send(pending, leader, now)
+    if not pending.is_refused and now - pending.sent_at >= LATE_RESEND_INTERVAL:
+        return _send(pending, leader or pending.store, now)
+    return []
+
+
+def _refuse(
+    pending: PendingCall, store: HostAddress, state: ClientState, now: datetime
+) -> None:
+    """Let the next store get a call that a store did not take."""
+    pending.store = _get_next_store(state, store)
+    pending.resend_at = now + REDIRECT_DELAY
+    pending.is_refused = True
+
+
 def _send(pending: PendingCall, store: HostAddress, now: datetime) -> list[object]:
     pending.store = store
+    pending.is_refused = False
     pending.sent_at = now
     pending.resend_at = now + RESEND_INTERVAL
     return [SendToStore(store, pending.call)]
--- a/oleanderhitch/process/replication/core.py
+++ b/oleanderhitch/process/replication/core.py
@@ -192,6 +192,8 @@
         state.role is not Role.LEADER
         or state.transfer_target is not None
         or n_uncommitted >= state.limits.n_uncommitted_entries
+        or state.log.count_bytes_after(state.commit_index)
+        >= state.limits.uncommitted_bytes
     ):
         effects.append(ProposalRejected(message.proposal_id, state.leader))
         return
--- a/oleanderhitch/process/replication/effect_handlers.py
+++ b/oleanderhitch/process/replication/effect_handlers.py
@@ -22,7 +22,7 @@
     LocalCall,
     ReplicaEnvelope,
 )
-from oleanderhitch.process.ids import NodeId, ReplicaId
+from oleanderhitch.process.ids import CallId, NodeId, ReplicaId
 from oleanderhitch.process.mailbox import (
     Address,
     MailboxFullError,
@@ -121,10 +121,26 @@
     # proposal, read or membership change in the core.
     last_request_number: int = 0
     pending_calls: dict[int, LocalCall] = field(default_factory=dict)
+    # Which calls are pending. A call is sent again while its answer is late, and a
+    # second entry for it would make all answers later still.
+    pending_call_keys: set[tuple[int, CallId]] = field(default_factory=set)
     pending_leader_commands: set[int] = field(default_factory=set)
     pending_operator_calls: dict[int, OperatorCall] = field(default_factory=dict)
 
 
+def make_call_key(call: LocalCall) -> tuple[int, CallId]:
+    """Return what tells a pending call from those of other senders."""
+    return id(call.reply_address), call.group_call.call
+
+
+def pop_call(state: GroupState, request_number: int) -> LocalCall | None:
+    """Remove and return a pending call, or return None if there is none."""
+    call = state.pending_calls.pop(request_number, None)
+    if call is not None:
+        state.pending_call_keys.discard(make_call_key(call))
+    return call
+
+
 # The only effects performed once a replica has failed in the middle of a step.
 EFFECTS_AFTER_FAILURE = (
     SendReply,
@@ -212,6 +228,7 @@
         StorageFailed(reason), state.replica, context.clock.now()
     ):
         perform(effect, context)
+    state.pending_call_keys.clear()
     while state.pending_calls:
         _, call = state.pending_calls.popitem()
         call.reply_address.send(GroupUncertain(call.group_call.call, reason))
@@ -374,7 +391,7 @@
 @perform.register
 def _(effect: ProposalCommitted, context: GroupContext) -> None:
     context.state.pending_leader_commands.discard(effect.proposal_id)
-    call = context.state.pending_calls.pop(effect.proposal_id, None)
+    call = pop_call(context.state, effect.proposal_id)
     if call is not None:
         call.reply_address.send(GroupAnswer(call.group_call.call, context.last_result))
 
@@ -393,7 +410,7 @@
 def _redirect(
     request_number: int, leader: ReplicaId | None, context: GroupContext
 ) -> None:
-    call = context.state.pending_calls.pop(request_number, None)
+    call = pop_call(context.state, request_number)
     if call is not None:
         call.reply_address.send(GroupRedirect(call.group_call.call, leader))
 
@@ -401,14 +418,14 @@
 @perform.register
 def _(effect: ProposalUncertain, context: GroupContext) -> None:
     context.state.pending_leader_commands.discard(effect.proposal_id)
-    call = context.state.pending_calls.pop(effect.proposal_id, None)
+    call = pop_call(context.state, effect.proposal_id)
     if call is not None:
         call.reply_address.send(GroupUncertain(call.group_call.call, effect.reason))
 
 
 @perform.register
 def _(effect: ReadReady, context: GroupContext) -> None:
-    call = context.state.pending_calls.pop(effect.read_id, None)
+    call = pop_call(context.state, effect.read_id)
     if call is None:
         return
     try:
--- a/oleanderhitch/process/replication/log.py
+++ b/oleanderhitch/process/replication/log.py
@@ -27,7 +27,9 @@
         self._base_index = base_index
         self._base_term = base_term
         self._entries: list[LogEntry] = []
-        self._n_bytes = 0
+        # The estimated size of all entries ever appended up to each one.
+        self._sizes: list[int] = []
+        self._base_size = 0
 
     @property
     def base_index(self) -> LogIndex:
@@ -37,7 +39,11 @@
     @property
     def n_bytes(self) -> int:
         """The estimated size of all entries in the log, in bytes."""
-        return self._n_bytes
+        return self._last_size - self._base_size
+
+    @property
+    def _last_size(self) -> int:
+        return self._sizes[-1] if self._sizes else self._base_size
 
     @property
     def last_index(self) -> LogIndex:
@@ -101,8 +107,10 @@
 
     def count_bytes_after(self, index: int) -> int:
         """Return the estimated size of the entries after an index, in bytes."""
-        offset = max(0, index - self._base_index)
-        return sum(map(estimate_entry_bytes, self._entries[offset:]))
+        position = index - self._base_index - 1
+        return self._last_size - (
+            self._sizes[position] if position >= 0 else self._base_size
+        )
 
     def append(self, entry: LogEntry) -> None:
         """Append an entry; raise LogInvariantError if its index isn't the next."""
@@ -110,14 +118,14 @@
             raise LogInvariantError(
                 f"entry {entry.index} does not follow entry {self.last_index}"
             )
+        self._sizes.append(self._last_size + estimate_entry_bytes(entry))
         self._entries.append(entry)
-        self._n_bytes += estimate_entry_bytes(entry)
 
     def truncate(self, first_index: int) -> None:
         """Remove the entries at and after an index."""
         offset = max(0, first_index - self._base_index - 1)
-        self._n_bytes -= sum(map(estimate_entry_bytes, self._entries[offset:]))
         del self._entries[offset:]
+        del self._sizes[offset:]
 
     def compact(self, index: int) -> None:
         """Remove the entries up to and including an index.
@@ -127,16 +135,17 @@
         if index <= self._base_index:
             return
         term = self.get_entry(index).term
-        self._n_bytes -= sum(
-            map(estimate_entry_bytes, self._entries[: index - self._base_index])
-        )
-        del self._entries[: index - self._base_index]
+        n_removed = index - self._base_index
+        self._base_size = self._sizes[n_removed - 1]
+        del self._entries[:n_removed]
+        del self._sizes[:n_removed]
         self._base_index = LogIndex(index)
         self._base_term = term
 
     def reset(self, index: LogIndex, term: Term) -> None:
         """Remove all entries and continue after the given base entry."""
         self._entries.clear()
-        self._n_bytes = 0
+        self._sizes.clear()
+        self._base_size = 0
         self._base_index = index
         self._base_term = term
--- a/oleanderhitch/process/replication/replica.py
+++ b/oleanderhitch/process/replication/replica.py
@@ -54,8 +54,9 @@
     # A snapshot is due when the log has grown to this size or that of the last
     # snapshot, whichever is larger: so snapshots are at most half of all writes.
     log_bytes_per_snapshot: int = 32 * 1024 * 1024
-    # With this many uncommitted entries, new proposals are rejected.
+    # With this many uncommitted entries, or bytes of them, new proposals are rejected.
     n_uncommitted_entries: int = 8_192
+    uncommitted_bytes: int = 32 * 1024 * 1024
 
 
 class FollowerProgress(Struct):
--- a/oleanderhitch/process/replication/task.py
+++ b/oleanderhitch/process/replication/task.py
@@ -40,6 +40,7 @@
     ProposeLeaderCommands,
     SendReply,
     make_any_replica_receiver,
+    make_call_key,
 )
 from oleanderhitch.process.replication.effect_handlers import perform as perform_effect
 from oleanderhitch.process.replication.effects import (
@@ -223,8 +224,12 @@
     if len(call.body) > COMMAND_LIMIT_BYTES:
         # Too large for a frame. The client tries other stores until it times out.
         return [SendReply(message.reply_address, GroupRedirect(call.call, None))]
+    key = make_call_key(message)
+    if key in state.pending_call_keys:
+        return []
     request_number = _allocate_request_number(state)
     state.pending_calls[request_number] = message
+    state.pending_call_keys.add(key)
     if call.is_read:
         return core.handle(ReadBarrier(request_number), state.replica, now)
     return core.handle(Propose(request_number, call.body), state.replica, now)
--- a/oleanderhitch/process/site/group.py
+++ b/oleanderhitch/process/site/group.py
@@ -37,11 +37,13 @@
 SITE_STORAGE_LIMITS = StorageLimits(segment_bytes=MIB, snapshot_threshold_segments=6)
 # The contents of turns are in memory only as part of the log, and as long as no
 # snapshot has stored them. A snapshot writes only what is new, so that it is cheap
-# enough to keep the log this short.
+# enough to keep the log this short. Entries that are not committed can be in no
+# snapshot; a store may lead all groups, each with the limit and one more command.
 SITE_LIMITS = ReplicationLimits(
     n_trailing_entries=400,
     trailing_bytes=2 * MIB,
     log_bytes_per_snapshot=2 * MIB,
+    uncommitted_bytes=4 * MIB,
 )
 
 
--- a/oleanderhitch/process/site/store.py
+++ b/oleanderhitch/process/site/store.py
@@ -236,6 +236,7 @@
         self._group_client = make_group_client(
             self._list_addresses(), self._send_to_store, clock
         )
+        self._local_reply_address = _LocalReplyAddress(self._group_client)
         self._subscribers = make_subscribers(
             self._get_routing, self._list_stores, self._find_site_leader, clock
         )
@@ -467,7 +468,7 @@
     def _send_to_store(self, address: HostAddress, message: object) -> None:
         if address == HostAddress(self._settings.site.node):
             assert isinstance(message, GroupCall)
-            self.deliver_call(message, _LocalReplyAddress(self._group_client))
+            self.deliver_call(message, self._local_reply_address)
             return
         link = self._links.find_by_address(address)
         if link is not None:
--- a/tests/process/groups/test_client_core.py
+++ b/tests/process/groups/test_client_core.py
@@ -168,3 +168,65 @@
     for at in (later, later + STEP):
         (effect,) = handle(call, state, at)
         assert isinstance(effect, SendToStore)
+
+
+# Guards against a group that is flooded while it has no leader or is behind, by what
+# each entry host sends again for all of its waiting calls.
+def test_one_call_of_a_group_finds_the_leader_for_all_others():
+    """Send one waiting call at a time to find the leader, then all of them to it."""
+    state = make_client_state(STORES)
+    now = START
+    waiting = [effect for n in range(20) for effect in handle(submit(n), state, now)]
+    other = handle(replace(submit("other"), group="h"), state, now)
+    for effect in waiting + other:
+        handle(GroupRedirect(effect.call.call, None), state, now)
+    n_sent = 0
+    while now < START + timedelta(seconds=1):
+        now += STEP
+        effects = handle(Tick(), state, now)
+        assert len(effects) <= 2, "one call of each group"
+        n_sent += len(effects)
+        for effect in effects:
+            handle(GroupRedirect(effect.call.call, None), state, now)
+    assert n_sent > 20
+    now += timedelta(milliseconds=50)
+    probe = next(e for e in handle(Tick(), state, now) if e.call.group == "g")
+    handle(GroupRedirect(probe.call.call, "s2/1"), state, now)
+    followers = [e for e in handle(Tick(), state, now + STEP) if e.call.group == "g"]
+    assert len(followers) == 19
+    assert {effect.store for effect in followers} == {STORES["s2"]}
+
+
+def test_calls_that_a_leader_has_are_seldom_sent_again():
+    """Guard against a leader that gets behind by answering and is sent more for it."""
+    state = make_client_state(STORES)
+    run_until_result(state, "s3", START)
+    now = START + timedelta(seconds=1)
+    calls = [effect for n in range(20) for effect in handle(submit(n), state, now)]
+    assert {effect.store for effect in calls} == {STORES["s3"]}
+    n_sent = 0
+    for _ in range(60):
+        now += STEP
+        for effect in handle(Tick(), state, now):
+            n_sent += 1
+            if effect.store != STORES["s3"]:
+                handle(GroupRedirect(effect.call.call, "s3/1"), state, now)
+    assert n_sent <= 10, "the oldest call, which looks for another leader"
+    now += timedelta(milliseconds=200)
+    assert len(handle(Tick(), state, now)) >= 19, "lost calls are sent again"
+
+
+def test_calls_follow_a_leader_that_has_changed():
+    """Guard against calls that wait for a store that no longer leads."""
+    state = make_client_state(STORES)
+    run_until_result(state, "s3", START)
+    now = START + timedelta(seconds=1)
+    for number in range(5):
+        handle(submit(number), state, now)
+    now += timedelta(milliseconds=425)
+    (probe,) = handle(Tick(), state, now)
+    assert probe.store != STORES["s3"]
+    handle(GroupRedirect(probe.call.call, "s2/1"), state, now)
+    followers = handle(Tick(), state, now + STEP)
+    assert {effect.store for effect in followers} == {STORES["s2"]}
+    assert len(followers) >= 4
--- a/tests/process/replication/test_core.py
+++ b/tests/process/replication/test_core.py
@@ -15,12 +15,15 @@
     LeadershipChanged,
     PersistEntries,
     ProposalCommitted,
+    ProposalRejected,
     RestoreSnapshot,
     SendToReplica,
     StoreSnapshotPiece,
     TruncateLog,
 )
 from oleanderhitch.process.replication.exceptions import LogInvariantError
+from oleanderhitch.process.replication.log import ReplicaLog
+from oleanderhitch.process.replication.replica import ReplicationLimits
 from oleanderhitch.process.replication.states import (
     ChangeKind,
     ChangeOutcome,
@@ -38,7 +41,7 @@
     return m.LogEntry(index, term, EntryKind.COMMAND, b"c%d.%d" % (index, term))
 
 
-def make_replica(name="a", entries=(), term=0, voters=VOTERS):
+def make_replica(name="a", entries=(), term=0, voters=VOTERS, limits=None):
     """Return a replica whose log is synced."""
     return core.make_replica(
         "g",
@@ -46,6 +49,7 @@
         voters,
         (),
         Random(1),
+        limits=limits,
         hard_state=m.HardState(term),
         entries=tuple(entries),
     )
@@ -75,9 +79,9 @@
     return m.EntriesPersisted(last.index, last.term, effect.n_truncations)
 
 
-def make_leader(entries=(), term=0):
+def make_leader(entries=(), term=0, limits=None):
     """Return a replica that leads, and the effects of its election."""
-    state = make_replica("a", entries, term)
+    state = make_replica("a", entries, term, limits=limits)
     handle(state, Tick())
     handle(state, Tick(), now=LATER)
     handle(state, m.PreVoteReply(term + 1, True), "b", LATER)
@@ -159,6 +163,40 @@
     assert state.persisted_index == 0
 
 
+# Guards against stores that pass their memory limit at each start, since their logs
+# have grown while nothing could be committed.
+def test_proposals_are_rejected_while_too_many_bytes_are_not_committed():
+    """Reject by size, long before the number of entries is too large."""
+    state, _ = make_leader(limits=ReplicationLimits(uncommitted_bytes=3000))
+    accepted = []
+    for number in range(10):
+        effects = handle(state, m.Propose(number, b"x" * 1000), now=LATER)
+        if not any(isinstance(e, ProposalRejected) for e in effects):
+            accepted.append(number)
+    assert accepted == [0, 1, 2]
+    assert state.log.count_bytes_after(state.commit_index) < 3000 + 1200
+
+
+def test_log_counts_the_bytes_after_an_index():
+    """Guard against a bound on bytes that compaction or a new leader shifts."""
+    log = ReplicaLog(0, 0)
+    for number in range(1, 9):
+        log.append(make_entry(number, 1))
+    size = log.n_bytes // 8
+    assert [log.count_bytes_after(index) for index in (0, 3, 8)] == [
+        8 * size,
+        5 * size,
+        0,
+    ]
+    log.compact(3)
+    log.truncate(7)
+    assert log.n_bytes == log.count_bytes_after(3) == 3 * size
+    assert log.count_bytes_after(5) == size
+    log.reset(20, 2)
+    log.append(make_entry(21, 2))
+    assert log.n_bytes == log.count_bytes_after(20) > 0
+
+
 def test_second_leader_of_a_term_is_an_error():
     """Guard against a replica that continues after two leaders in one term."""
     state, _ = make_leader()
--- a/tests/process/replication/test_task.py
+++ b/tests/process/replication/test_task.py
@@ -4,6 +4,7 @@
 from random import Random
 
 import gevent
+from gevent import monkey
 
 from oleanderhitch.connection.codec import make_codec
 from oleanderhitch.process.groups.messages import (
@@ -49,6 +50,8 @@
 from tests.process.storage.driver import SimulatedDisk
 
 # Shorter than the defaults, but longer than the scheduling pauses of a busy machine.
+sleep_in_thread = monkey.get_original("time", "sleep")
+
 FAST_TIMING = ReplicationTiming(
     heartbeat_interval=timedelta(milliseconds=50),
     election_timeout_min=timedelta(milliseconds=400),
@@ -253,6 +256,44 @@
     host.stop(network)
 
 
+class StallingDisk(SimulatedDisk):
+    """Disk whose syncs last until the stall ends."""
+
+    def __init__(self):
+        super().__init__()
+        self.is_stalled = False
+
+    def sync(self, descriptor):
+        """Wait for the end of the stall; runs in a thread."""
+        while self.is_stalled:
+            sleep_in_thread(0.01)
+
+
+# Guards against stores that pass their memory limit since a group that is slow to
+# commit gets each command again and again, and appends it each time.
+def test_call_that_is_sent_again_is_appended_once(tmp_path):
+    """Append one entry, and answer the call once, however often it arrives."""
+    network = Network()
+    disk = StallingDisk()
+    host = Host("a", tmp_path, network, ("a",), FAST_TIMING, disk=disk)
+    wait_for(lambda: find_leader([host]))
+    last_index = host.state.log.last_index
+    disk.is_stalled = True
+    replies, others = make_mailbox("reply"), make_mailbox("others")
+    for _ in range(5):
+        host.task.send(LocalCall(GroupCall(7, GROUP, b"one", False), replies))
+    host.task.send(LocalCall(GroupCall(7, GROUP, b"two", False), others))
+    wait_for(lambda: host.state.log.last_index == last_index + 2)
+    disk.is_stalled = False
+    assert isinstance(others.receive(timedelta(seconds=5)), GroupAnswer)
+    assert isinstance(replies.receive(timedelta(seconds=5)), GroupAnswer)
+    assert host.application.commands == [b"one", b"two"]
+    # An answered call may come once more, as before.
+    assert isinstance(call(host, b"three"), GroupAnswer)
+    assert replies.n_waiting == 0
+    host.stop(network)
+
+
 def test_failed_read_affects_only_its_caller(tmp_path):
     """Guard against a malformed read that terminates the task of the group."""
     network = Network()
