Kept nothing of refused programs, and long ids by their digests

Cause: the first turn of a program made its record before the budget was looked at, and a refused turn left it for five minutes, under an id of any length.

A program that exists is still kept after a refused turn, so that its budget is not forgotten.

--- a/oleanderhitch/program/turns/core.py
+++ b/oleanderhitch/program/turns/core.py
@@ -92,7 +92,9 @@
         imported = _make_turn(command.imported, state)
         state.turns[command.previous] = imported
         chain = [*pieces, imported]
-    program = _get_or_create_program(command.program, state)
+    # A program is recorded with its first reservation: a refused turn leaves nothing.
+    program = state.programs.get(command.program, ProgramRecord())
+    _keep_program(program, _get_expiry(PROGRAM_RETENTION, state))
     if command.request in program.settled:
         return TurnClosed()
     if command.request not in program.reserved:
@@ -101,6 +103,7 @@
         if command.budget_tokens is not None and needed > command.budget_tokens:
             return BudgetSpent(program.spent_tokens, reserved)
         program.reserved[command.request] = command.most_tokens
+    state.programs[command.program] = program
     _keep_program(program, _get_expiry(PROGRAM_RETENTION, state, command.time_limit))
     _keep_chain(chain, command.time_limit, state)
     if not state.include_history:
--- a/oleanderhitch/request/forwarding/identity.py
+++ b/oleanderhitch/request/forwarding/identity.py
@@ -1,5 +1,7 @@
 """Identify the client account of a request, and separate the records of accounts."""
 
+import hashlib
+
 from msgspec.structs import replace
 
 from oleanderhitch.process.site.subscription.lease import LeaseState
@@ -14,6 +16,11 @@
 # Names of accounts have no control characters, so that no two pairs of an account and
 # an id are qualified alike.
 SEPARATOR = "\n"
+# The stores keep the ids of programs and turns for minutes, and callers choose them.
+# Longer ones are recorded by their digests.
+RECORDED_ID_LIMIT_CHARACTERS = 128
+# No id of a caller has a control character either.
+DIGEST_MARK = "\x1f"
 
 
 class CallerIdentity(Value, frozen=True):
@@ -129,20 +136,27 @@
 
 def qualify_request(request: RequestId, identity: CallerIdentity) -> RequestId:
     """Return the id under which a turn is recorded; each account has its own ids."""
-    if identity.account is None:
-        return request
-    return RequestId(f"{identity.account.account}{SEPARATOR}{request}")
+    return RequestId(_make_recorded_id(request, identity))
 
 
 def qualify_turn(
     turn: ProgramTurn | None, identity: CallerIdentity
 ) -> ProgramTurn | None:
     """Return a turn with the recorded ids of its program and of the previous turn."""
-    if turn is None or identity.account is None:
+    if turn is None:
         return turn
     previous = turn.previous
     return replace(
         turn,
-        program=ProgramId(f"{identity.account.account}{SEPARATOR}{turn.program}"),
+        program=ProgramId(_make_recorded_id(turn.program, identity)),
         previous=None if previous is None else qualify_request(previous, identity),
     )
+
+
+def _make_recorded_id(caller_id: str, identity: CallerIdentity) -> str:
+    if len(caller_id) > RECORDED_ID_LIMIT_CHARACTERS:
+        digest = hashlib.sha256(caller_id.encode("utf-8", "surrogateescape"))
+        caller_id = DIGEST_MARK + digest.hexdigest()
+    if identity.account is None:
+        return caller_id
+    return f"{identity.account.account}{SEPARATOR}{caller_id}"
--- a/tests/program/turns/test_core.py
+++ b/tests/program/turns/test_core.py
@@ -291,3 +291,25 @@
             if isinstance(apply(command, state), TurnBegun):
                 running[request] = amount
         assert sum(spent_tokens.values()) + sum(running.values()) <= budget
+
+
+# Guards against stores that end for memory by programs that never ran a turn.
+def test_refused_turn_of_an_unknown_program_leaves_nothing() -> None:
+    """Keep no record of a program whose first turn exceeds its budget."""
+    state = TurnsState()
+    assert isinstance(apply(begin("a", budget=0), state), BudgetSpent)
+    assert not state.programs
+    assert isinstance(apply(begin("a", budget=100), state), TurnBegun)
+    assert isinstance(apply(begin("b", budget=100), state), BudgetSpent)
+    assert list(state.programs) == ["p"]
+
+
+def test_refused_turns_keep_the_record_of_their_program() -> None:
+    """Guard against a budget that is forgotten while a program asks for more."""
+    state = TurnsState()
+    apply(begin("a", budget=100), state)
+    apply(settle("a", spent=100), state)
+    for minutes in range(0, 12, 4):
+        at = NOW + timedelta(minutes=minutes)
+        apply(ExpireTurns(at), state)
+        assert isinstance(apply(begin("b", budget=100, at=at), state), BudgetSpent)
--- a/tests/request/forwarding/test_identity.py
+++ b/tests/request/forwarding/test_identity.py
@@ -10,6 +10,7 @@
 from oleanderhitch.platform.routing import parse_route_table
 from oleanderhitch.process.placement.messages import AttemptResult, EndpointGranted
 from oleanderhitch.process.site.subscription.lease import LeaseState
+from oleanderhitch.program.ids import AccountId, ProgramId
 from oleanderhitch.request.forwarding.core import handle
 from oleanderhitch.request.forwarding.identity import (
     ANONYMOUS,
@@ -18,10 +19,13 @@
     get_rank,
     identify_caller,
     judge_arrival,
+    qualify_request,
+    qualify_turn,
 )
 from oleanderhitch.request.forwarding.messages import (
     AbortResponse,
     GrantBarred,
+    ProgramTurn,
     ReserveTokens,
     ReturnPermit,
     SendToEndpoint,
@@ -29,8 +33,8 @@
     Start,
 )
 from oleanderhitch.request.forwarding.states import Verdict
-from oleanderhitch.request.ids import HolderId, PermitId
-from oleanderhitch.version.routes.accounts import make_key_digest
+from oleanderhitch.request.ids import HolderId, PermitId, RequestId
+from oleanderhitch.version.routes.accounts import Account, make_key_digest
 from oleanderhitch.version.routes.configuration import RouteTable
 from tests.platform.test_requests import ENDPOINT
 from tests.platform.test_routing import encode, make_configuration
@@ -241,3 +245,25 @@
     assert AbortResponse() in effects
     other = replace(grant, holder=HolderId("other"))
     assert handle(GrantBarred(other, Verdict.NOT_CURRENT), state, NOW) == []
+
+
+# Guards against stores that end for memory by the ids that callers choose.
+@pytest.mark.parametrize("account", [None, "desk"])
+def test_long_ids_are_recorded_by_their_digests(account: str | None) -> None:
+    """Record short ids as they are, long ones shortly, and no two alike."""
+    identity = ANONYMOUS
+    if account is not None:
+        identity = CallerIdentity(Account(AccountId(account), ()), True)
+    ids = ["p", "p" * 128, "p" * 129, "p" * 15_000, "p" * 15_000 + "q"]
+    recorded = set()
+    for caller_id in ids:
+        request = qualify_request(RequestId(caller_id), identity)
+        turn = qualify_turn(
+            ProgramTurn(ProgramId(caller_id), None, RequestId(caller_id)), identity
+        )
+        assert turn is not None
+        assert turn.program == turn.previous == request
+        assert len(request) < 150
+        recorded.add(request)
+    assert len(recorded) == len(ids)
+    assert any(request.endswith("p" * 128) for request in recorded)
