Reached endpoints through other hosts while the own links are lost

Cause: hypothesis 1 holds: each request is sent by the host that took it, which then has no way. Hypothesis 2 (late detection) costs up to 2.5 s at the start of a silent cut, and hypothesis 3 was not built: readiness moves new connections only.

Change: a host that fails to connect to three endpoints one after the other, with no success between, takes its links for lost. Its next hello asks the leading store for hosts that have theirs; new connections are opened through those, in turn, two tries each. Such a host passes the bytes of one connection to an endpoint on and keeps nothing: what decides on a request, its attempts, its budget, leaving endpoints and its deadline stays where the request came in, and a connection that could not be made is known not to have carried it. A reset is passed on as a reset. A probe each 500 ms finds that the links are back. Open connections are closed if the cut is silent, and kept if new ones are refused.

The product's own interface does not have this: its hosts share one queue per pool, whose owner is another host already.

--- a/oleanderhitch/connection/http/budget.py
+++ b/oleanderhitch/connection/http/budget.py
@@ -23,6 +23,9 @@
 # Peers, the list of endpoints, and the servers for operators, readiness and metrics.
 N_SERVICE_DESCRIPTORS = 100
 N_CONNECTIONS_MIN = 16
+# Part of the descriptors for tunnels that other hosts use; each takes two.
+TUNNEL_DESCRIPTORS_SHARE = 1 / 8
+DEFAULT_N_TUNNELS = 256
 # Part of the memory of a host that connections may take.
 CONNECTION_MEMORY_SHARE = 0.2
 # A silent connection takes 27 KB (two greenlets, socket, parser), measured with 390.
@@ -90,6 +93,7 @@
     bounds = [DEFAULT_N_CONNECTIONS]
     if n_descriptors_limit is not None:
         n_free = n_descriptors_limit - N_FILE_DESCRIPTORS - N_SERVICE_DESCRIPTORS
+        n_free -= 2 * get_tunnels_limit(n_descriptors_limit)
         bounds.append(n_free // 2)
     if memory_limit_bytes is not None:
         bounds.append(
@@ -98,6 +102,14 @@
     return max(N_CONNECTIONS_MIN, min(bounds))
 
 
+def get_tunnels_limit(n_descriptors_limit: int | None) -> int:
+    """Return how many tunnels to endpoints other hosts may have open."""
+    if n_descriptors_limit is None:
+        return DEFAULT_N_TUNNELS
+    n_descriptors = int(n_descriptors_limit * TUNNEL_DESCRIPTORS_SHARE)
+    return min(DEFAULT_N_TUNNELS, n_descriptors // 2)
+
+
 def make_server_budget(
     memory_limit_bytes: int | None, n_descriptors_limit: int | None
 ) -> ServerBudget:
--- a/oleanderhitch/connection/http/endpoint.py
+++ b/oleanderhitch/connection/http/endpoint.py
@@ -36,7 +36,7 @@
     ResponseParser,
     make_response_parser,
 )
-from oleanderhitch.connection.http.sockets import open_connection
+from oleanderhitch.connection.http.sockets import EndpointSocket, open_connection
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.exceptions import OleanderhitchError
 from oleanderhitch.process.address import Address
@@ -72,6 +72,14 @@
 
 log = logbook.Logger("endpoint")
 
+# Raises OSError or OleanderhitchError if nothing was sent to the endpoint.
+ConnectToEndpoint = Callable[[HostAddress], EndpointSocket]
+
+
+def connect_directly(address: HostAddress) -> EndpointSocket:
+    """Return a socket connected to an endpoint; raise OSError."""
+    return EndpointSocket(open_connection(address, CONNECT_TIMEOUT))
+
 
 class Exchange(Value, frozen=True):
     """Sends a request; the response goes to the reply address.
@@ -162,11 +170,17 @@
     """Task that owns one connection to an endpoint, from open to close."""
 
     def __init__(
-        self, address: HostAddress, owner: Address, memory: TrafficMemory
+        self,
+        address: HostAddress,
+        owner: Address,
+        memory: TrafficMemory,
+        connect: ConnectToEndpoint,
     ) -> None:
         self._address = address
         self._owner = owner
         self._memory = memory
+        self._open = connect
+        self._is_relayed = False
         # A small capacity is enough: the pool sends the next exchange only after
         # ConnectionIdle, and `fetch` sends a single one.
         self._mailbox = make_mailbox(f"endpoint {address}", 4)
@@ -182,6 +196,11 @@
         """The endpoint's address."""
         return self._address
 
+    @property
+    def is_relayed(self) -> bool:
+        """Whether the bytes pass through another host."""
+        return self._is_relayed
+
     def start(self) -> None:
         """Start the task; the first exchange opens the connection."""
         self._greenlet = gevent.spawn(self._run)
@@ -291,7 +310,8 @@
     def _connect(self, exchange: Exchange) -> bool:
         """Open the connection, or report the failure and return False."""
         try:
-            self._socket = open_connection(self._address, CONNECT_TIMEOUT)
+            opened = self._open(self._address)
+            self._socket, self._is_relayed = opened.connected, opened.is_relayed
             self._socket.settimeout(None)
             self._socket.setsockopt(
                 socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
@@ -433,7 +453,10 @@
 
 
 def make_endpoint_connection(
-    address: HostAddress, owner: Address, memory: TrafficMemory | None = None
+    address: HostAddress,
+    owner: Address,
+    memory: TrafficMemory | None = None,
+    connect: ConnectToEndpoint = connect_directly,
 ) -> EndpointConnection:
     """Return a connection that has not been started."""
-    return EndpointConnection(address, owner, memory or make_traffic_memory())
+    return EndpointConnection(address, owner, memory or make_traffic_memory(), connect)
--- a/oleanderhitch/connection/http/pool.py
+++ b/oleanderhitch/connection/http/pool.py
@@ -40,6 +40,17 @@
     exchange_id: int
 
 
+class LinksChanged(Value, frozen=True):
+    """Reports that this host lost or regained its links to the endpoints.
+
+    With `is_silent`, open connections are lost without a sign. Those that pass through
+    other hosts are only of use while the links are lost.
+    """
+
+    is_isolated: bool
+    is_silent: bool
+
+
 class SendExchange(Value, frozen=True):
     """Sends an exchange over a connection."""
 
@@ -65,6 +76,7 @@
     )
     busy_connections: dict[int, EndpointConnection] = field(default_factory=dict)
     n_opened: int = 0
+    is_isolated: bool = False
 
 
 @singledispatch
@@ -98,6 +110,8 @@
 def _(message: ConnectionIdle, state: PoolState, now: datetime) -> list[object]:
     if state.busy_connections.pop(message.exchange_id, None) is None:
         return [CloseConnection(message.connection)]
+    if message.connection.is_relayed and not state.is_isolated:
+        return [CloseConnection(message.connection)]
     state.idle_connections[message.connection.address].append(message.connection)
     return []
 
@@ -129,6 +143,21 @@
     return _close_idle(address, state) if message.is_lost else []
 
 
+@handle.register
+def _(message: LinksChanged, state: PoolState, now: datetime) -> list[object]:
+    state.is_isolated = message.is_isolated
+    effects: list[object] = []
+    for address, idle in list(state.idle_connections.items()):
+        lost = [
+            connection
+            for connection in idle
+            if message.is_silent or (connection.is_relayed and not state.is_isolated)
+        ]
+        state.idle_connections[address] = [c for c in idle if c not in lost]
+        effects.extend(CloseConnection(connection) for connection in lost)
+    return effects
+
+
 def _close_idle(address: HostAddress, state: PoolState) -> list[object]:
     """Return the effects that close all idle connections to an endpoint."""
     idle = state.idle_connections.pop(address, [])
--- a/oleanderhitch/connection/http/sockets.py
+++ b/oleanderhitch/connection/http/sockets.py
@@ -6,6 +6,7 @@
 
 from oleanderhitch.connection.addresses import parse_address
 from oleanderhitch.connection.ids import HostAddress
+from oleanderhitch.values import Value
 
 BACKLOG_CONNECTIONS = 1024
 # Without this timeout, TCP would go on retransmitting over a path that drops all
@@ -18,6 +19,16 @@
 N_KEEPALIVE_PROBES = 2
 
 
+class EndpointSocket(Value, frozen=True):
+    """A socket connected to an endpoint, and whether another host passes its bytes on.
+
+    The endpoint may be connected in a few ways; each opens a socket like this one.
+    """
+
+    connected: socket.socket
+    is_relayed: bool = False
+
+
 def open_listener(address: HostAddress) -> socket.socket:
     """Return a listening socket.
 
--- a/oleanderhitch/connection/peer/stream.py
+++ b/oleanderhitch/connection/peer/stream.py
@@ -150,6 +150,24 @@
             else:
                 deliver(PeerMessage(peer, message, outgoing))
 
+    def send_message(self, message: object) -> None:
+        """Send a message before the stream runs; raise ConnectionLostError."""
+        self._send(message)
+
+    def receive_message(self) -> object:
+        """Return the next message before the stream runs.
+
+        Raise ConnectionLostError, or MalformedFrameError on a malformed frame.
+        """
+        return next(self._received)
+
+    def detach(self) -> socket.socket:
+        """Return the socket, whose bytes are no messages from now on.
+
+        The peer must not have sent any of them with its last message.
+        """
+        return self._socket
+
     def close(self) -> None:
         """Close the socket."""
         self._socket.close()
--- /dev/null
+++ b/oleanderhitch/connection/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Tunnels to endpoints through an entry host that reaches them."""
--- /dev/null
+++ b/oleanderhitch/connection/relay/exceptions.py
@@ -0,0 +1,16 @@
+"""Errors of tunnels through another entry host."""
+
+from oleanderhitch.connection.relay.states import RelayRefusal
+from oleanderhitch.exceptions import UnavailableError
+
+
+class RelayError(UnavailableError):
+    """No tunnel was opened through an entry host, so that nothing was sent."""
+
+
+class TunnelRefusedError(RelayError):
+    """An entry host has refused to open a tunnel."""
+
+    def __init__(self, refusal: RelayRefusal) -> None:
+        super().__init__(f"no tunnel: {refusal.value}")
+        self.refusal = refusal
--- a/oleanderhitch/platform/settings.py
+++ b/oleanderhitch/platform/settings.py
@@ -113,6 +113,7 @@
         HostAddress(_get_listen_address(file, "ready_addr")),
         _read_switch(RAMP_UP_VARIABLE),
         _read_switch(OPERATOR_CALLS_VARIABLE),
+        _find_relay_address(file),
     )
 
 
@@ -201,6 +202,15 @@
     return NodeId(f"{ip}:{file.port_range[0]}")
 
 
+def _find_relay_address(file: SettingsFile) -> HostAddress | None:
+    """Return the address with the second port, None if there is only one."""
+    first, *others = file.port_range
+    # The range is given by its first and its last port.
+    if not others or others[-1] <= first:
+        return None
+    return HostAddress(f"{file.ip}:{first + 1}")
+
+
 def _make_duration(name: str, number: float, unit: timedelta = SECOND) -> timedelta:
     """Return a number of units as a duration; raise InvalidInputError."""
     try:
--- /dev/null
+++ b/oleanderhitch/process/reachability/states.py
@@ -0,0 +1,23 @@
+"""States of the way from an entry host to the endpoints."""
+
+from enum import Enum
+
+
+class Reach(Enum):
+    """Whether this host can connect to endpoints by itself."""
+
+    CONNECTED = "connected"
+    ISOLATED = "isolated"
+
+
+class AttemptOutcome(Enum):
+    """How an attempt to connect to an endpoint ended.
+
+    SILENT: no answer came in time. REFUSED: the attempt was refused or reset. UNUSABLE:
+    the other host did not open a tunnel, whatever the endpoint does.
+    """
+
+    CONNECTED = "connected"
+    SILENT = "silent"
+    REFUSED = "refused"
+    UNUSABLE = "unusable"
--- a/oleanderhitch/process/site/entry.py
+++ b/oleanderhitch/process/site/entry.py
@@ -15,16 +15,19 @@
     N_STATUS_CONNECTIONS,
     STATUS_LIMITS,
     ServerBudget,
+    get_tunnels_limit,
     make_server_budget,
 )
 from oleanderhitch.connection.http.caller import ResponseWriter
 from oleanderhitch.connection.http.endpoint import make_endpoint_connection
 from oleanderhitch.connection.http.messages import HttpRequest, HttpResponse
-from oleanderhitch.connection.http.pool import make_connection_pool
+from oleanderhitch.connection.http.pool import LinksChanged, make_connection_pool
 from oleanderhitch.connection.http.server import make_http_server
 from oleanderhitch.connection.http.server_metrics import observe_servers
 from oleanderhitch.connection.ids import HostAddress
+from oleanderhitch.connection.peer.handshake import Identity
 from oleanderhitch.connection.peer.messages import PeerMessage
+from oleanderhitch.connection.relay.server import RelayServer, make_relay_server
 from oleanderhitch.process.caches.dialect import CacheDialect
 from oleanderhitch.process.caches.task import make_caches_task
 from oleanderhitch.process.clock import Clock
@@ -47,6 +50,13 @@
 from oleanderhitch.process.placement.task import make_placement_task
 from oleanderhitch.process.quotas.messages import CreditReply
 from oleanderhitch.process.quotas.task import make_quotas_task
+from oleanderhitch.process.reachability.messages import ReportReach
+from oleanderhitch.process.reachability.states import Reach
+from oleanderhitch.process.reachability.task import (
+    ConnectorDependencies,
+    connect_to_endpoint,
+    make_reachability_task,
+)
 from oleanderhitch.process.site.application import make_site_codec
 from oleanderhitch.process.site.group import TURN_GROUPS, get_turn_group
 from oleanderhitch.process.site.links import make_site_links
@@ -54,8 +64,10 @@
 from oleanderhitch.process.site.peer_codec import make_site_peer_codec
 from oleanderhitch.process.site.settings import SiteEntrySettings
 from oleanderhitch.process.site.subscription.core import (
+    EndRelaying,
     ListReadLocally,
     SeedsConfigured,
+    SetRelaysWanted,
     StatusReceived,
 )
 from oleanderhitch.process.site.subscription.installed_state import InstalledState
@@ -130,10 +142,26 @@
         budget = make_server_budget(
             settings.site.memory_limit_bytes, settings.site.n_descriptors_limit
         )
+        identity = Identity(settings.site.node, settings.site.peer_key)
+        self._reachability = make_reachability_task(self._handle_reach, clock)
+        connector = ConnectorDependencies(self._reachability, codec, identity, clock)
         self._connection_pool = make_connection_pool(
-            partial(make_endpoint_connection, memory=budget.memory),
+            partial(
+                make_endpoint_connection,
+                memory=budget.memory,
+                connect=partial(connect_to_endpoint, dependencies=connector),
+            ),
             clock,
         )
+        self._relay_server: RelayServer | None = None
+        if settings.relay_address is not None:
+            self._relay_server = make_relay_server(
+                settings.relay_address,
+                codec,
+                identity,
+                clock,
+                get_tunnels_limit(settings.site.n_descriptors_limit),
+            )
         self._caches = make_caches_task(
             dependencies.cache_dialect, self._connection_pool, clock
         )
@@ -158,9 +186,14 @@
             self._directory,
             dependencies.read_routing,
             metrics,
+            reachability=self._reachability,
         )
         self._subscription = make_subscription_task(
-            settings.site.node, subscription_dependencies, clock
+            settings.site.node,
+            subscription_dependencies,
+            clock,
+            settings.site.data_centre,
+            settings.relay_address,
         )
         self._quotas = make_quotas_task(
             self._tell_subscription, clock, metrics, random.Random(uuid.uuid4().int)
@@ -217,6 +250,7 @@
         """Start all tasks and listen; raise OSError if an address is unavailable."""
         for task in (
             self._group_client,
+            self._reachability,
             self._connection_pool,
             self._caches,
             self._placement,
@@ -225,6 +259,8 @@
             self._quotas,
         ):
             task.start()
+        if self._relay_server is not None:
+            self._relay_server.start()
         self._links.start()
         self._subscription.send(SeedsConfigured(self._settings.site.seeds))
         self._caller_server.start()
@@ -240,6 +276,8 @@
         """Stop gracefully: fail the readiness check, drain requests, stop all tasks."""
         drain_timeout = self._settings.site.stop_grace_period - STOP_MARGIN
         self._is_stopping = True
+        # Tunnels that are open stay so until the end.
+        self._subscription.send(EndRelaying())
         self._end_time = self._clock.now() + drain_timeout
         gevent.sleep(min(BALANCER_DRAIN_DELAY, drain_timeout).total_seconds())
         self._caller_server.stop()
@@ -263,6 +301,8 @@
         self._readiness_server.stop()
         if self._explain_server is not None:
             self._explain_server.stop()
+        if self._relay_server is not None:
+            self._relay_server.stop()
         self._links.stop()
         for task in (
             self._quotas,
@@ -271,10 +311,16 @@
             self._placement,
             self._caches,
             self._connection_pool,
+            self._reachability,
             self._group_client,
         ):
             task.stop()
 
+    def _handle_reach(self, report: ReportReach) -> None:
+        is_isolated = report.reach is Reach.ISOLATED
+        self._connection_pool.send(LinksChanged(is_isolated, report.is_silent))
+        self._subscription.send(SetRelaysWanted(is_isolated))
+
     def _get_end_time(self) -> datetime | None:
         return self._end_time
 
--- a/oleanderhitch/process/site/messages.py
+++ b/oleanderhitch/process/site/messages.py
@@ -4,6 +4,7 @@
 
 import xxhash
 
+from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.process.crashes.ids import NO_CRASHES, CrashesDigest
 from oleanderhitch.process.crashes.messages import CrashRecord
 from oleanderhitch.process.directory.messages import EndpointList, ListVersion
@@ -100,7 +101,7 @@
     reason: str
 
 
-class EntryHello(Value, frozen=True):
+class EntryHello(Value, frozen=True, omit_defaults=True):
     """Announces an entry host, its installed versions and the loads that it causes.
 
     A store replies with a SiteStatus of what the entry host lacks. `known_stores` tells
@@ -109,7 +110,8 @@
     crashes that it knows of, if the leader knows others. `speeds` are what it has
     observed since its last hello to a leader, `known_speeds` what it was told last. A
     hello with a `number` asks for a confirmation that the routing it names is the
-    newest.
+    newest. `relay` is where it opens tunnels to endpoints for other entry hosts; with
+    `wants_relays` it has lost its own links and asks for such hosts, near ones first.
     """
 
     node: NodeId
@@ -124,6 +126,9 @@
     speeds: tuple[SpeedObservations, ...] = ()
     known_speeds: SpeedsVersion = NO_SPEEDS
     number: HelloNumber | None = None
+    data_centre: DataCentreName | None = None
+    relay: HostAddress | None = None
+    wants_relays: bool = False
 
 
 class StoreAnnouncement(Value, frozen=True):
@@ -142,7 +147,7 @@
     known: tuple[NodeId, ...]
 
 
-class SiteStatus(Value, frozen=True):
+class SiteStatus(Value, frozen=True, omit_defaults=True):
     """Sends an entry host the parts of the site's state that it lacks.
 
     `list_version` is set by the store that reads the list of endpoints, even if the
@@ -152,7 +157,8 @@
     endpoints, the number of entry hosts, the speeds of endpoints that have changed, and
     the crashes, which are not sent to a host that knows the same. With
     `confirmed_hello`, no routing newer than what the entry host has, or gets in this
-    status, was accepted before that hello was sent.
+    status, was accepted before that hello was sent. `relays` are for an entry host that
+    wants them.
     """
 
     stores: tuple[NodeId, ...]
@@ -168,6 +174,7 @@
     crashes_digest: CrashesDigest = NO_CRASHES
     speeds: SpeedsChange | None = None
     confirmed_hello: HelloNumber | None = None
+    relays: tuple[HostAddress, ...] | None = None
 
 
 EMPTY_ROUTING = RoutingFound(NO_ROUTING, b"")
--- a/oleanderhitch/process/site/peer_codec.py
+++ b/oleanderhitch/process/site/peer_codec.py
@@ -2,11 +2,12 @@
 
 from oleanderhitch.connection.codec import Codec, make_codec
 from oleanderhitch.connection.peer import messages as peer
+from oleanderhitch.connection.relay import messages as relay
 from oleanderhitch.process.groups import messages as groups
 from oleanderhitch.process.repair import messages as repair
 from oleanderhitch.process.site import messages as site
 
-MODULES = (peer, groups, repair, site)
+MODULES = (peer, relay, groups, repair, site)
 
 
 def make_site_peer_codec() -> Codec:
--- a/oleanderhitch/process/site/settings.py
+++ b/oleanderhitch/process/site/settings.py
@@ -41,7 +41,8 @@
 
     With `is_ramp_up_enabled`, all endpoints ramp up that have started or recovered;
     otherwise only those that the list calls cold. With `has_operator_calls`, it answers
-    operators at the address that its node id is.
+    operators at the address that its node id is. At `relay_address` it opens tunnels to
+    endpoints for entry hosts that have lost their own links.
     """
 
     site: SiteSettings
@@ -49,6 +50,7 @@
     readiness_address: HostAddress
     is_ramp_up_enabled: bool = False
     has_operator_calls: bool = False
+    relay_address: HostAddress | None = None
 
 
 class SiteStoreSettings(Value, frozen=True):
--- a/oleanderhitch/process/site/subscribers.py
+++ b/oleanderhitch/process/site/subscribers.py
@@ -6,6 +6,7 @@
 import logbook
 from msgspec import Struct
 
+from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.clock import Clock
 from oleanderhitch.process.crashes.evidence import make_crash_evidence
@@ -23,6 +24,7 @@
     HelloNumber,
     RoutingFound,
     SiteStatus,
+    hash_node,
     make_stores_digest,
 )
 from oleanderhitch.process.site.ramps import RampChange
@@ -32,6 +34,9 @@
 # An entry host that sent no hello for this long has stopped or uses another connection.
 ENTRY_CONTACT_TIMEOUT = timedelta(seconds=3)
 
+# Entry hosts that a host without links to the endpoints is told of.
+N_RELAYS = 4
+
 log = logbook.Logger("subscribers")
 
 
@@ -177,7 +182,7 @@
         list_version = None if endpoint_list is None else endpoint_list.version
         needs_list = list_version != hello.list_version
         stores = self._list_stores()
-        other_loads = limits = crashes = speeds = None
+        other_loads = limits = crashes = speeds = relays = None
         # A confirmation follows the reply to its hello by a few milliseconds.
         if self._is_current and confirmed_hello is None:
             now = self._clock.now()
@@ -188,6 +193,8 @@
             if self._crashes.digest != hello.crashes_digest:
                 crashes = self._crashes.list_records(now)
             speeds = self._speeds.find_change(hello.known_speeds, now)
+            if hello.wants_relays:
+                relays = self._choose_relays(hello, now)
         subscriber.reply_address.send(
             SiteStatus(
                 () if make_stores_digest(stores) == hello.known_stores else stores,
@@ -203,9 +210,34 @@
                 self._crashes.digest,
                 speeds,
                 confirmed_hello,
+                relays,
             )
         )
 
+    def _choose_relays(
+        self, hello: EntryHello, now: datetime
+    ) -> tuple[HostAddress, ...]:
+        """Return entry hosts that open tunnels, those of the same data centre first.
+
+        Each asking host gets others, so that all of them share the load.
+        """
+        offers = [
+            subscriber.hello
+            for subscriber in self._subscribers.values()
+            if now - subscriber.last_contact_at <= ENTRY_CONTACT_TIMEOUT
+            and subscriber.hello.relay is not None
+            and subscriber.hello.node != hello.node
+        ]
+        offers.sort(
+            key=lambda offer: (
+                offer.data_centre != hello.data_centre,
+                hash_node(NodeId(f"{hello.node} {offer.node}")),
+            )
+        )
+        return tuple(
+            offer.relay for offer in offers[:N_RELAYS] if offer.relay is not None
+        )
+
 
 def make_subscribers(
     get_routing: Callable[[], RoutingFound],
--- a/oleanderhitch/process/site/subscription/core.py
+++ b/oleanderhitch/process/site/subscription/core.py
@@ -5,6 +5,7 @@
 
 from msgspec import Struct, field
 
+from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.connection.peer.messages import LinkDown, LinkUp
 from oleanderhitch.process.crashes.evidence import CrashEvidence, make_crash_evidence
 from oleanderhitch.process.crashes.ids import NO_CRASHES, CrashesDigest
@@ -41,7 +42,7 @@
 from oleanderhitch.process.site.subscription.lease import Lease, LeaseRenewal
 from oleanderhitch.request.ids import RequestFingerprint
 from oleanderhitch.values import Value
-from oleanderhitch.version.ids import EndpointId
+from oleanderhitch.version.ids import DataCentreName, EndpointId
 from oleanderhitch.version.routes.ids import NO_ROUTING, RoutingVersion
 
 # All hellos go to the store that leads. It pushes what changes to the entry hosts that
@@ -190,6 +191,22 @@
     reply: CreditReply
 
 
+class SetRelaysWanted(Value, frozen=True):
+    """Tells whether this entry host needs others to reach the endpoints."""
+
+    are_wanted: bool
+
+
+class EndRelaying(Value, frozen=True):
+    """Tells the stores that this entry host opens no more tunnels for others."""
+
+
+class ReportRelays(Value, frozen=True):
+    """Reports the entry hosts that open tunnels to endpoints for this one."""
+
+    relays: tuple[HostAddress, ...]
+
+
 class LogLinkChange(Value, frozen=True):
     """Logs that the connection to a store was made or lost."""
 
@@ -233,6 +250,10 @@
     known_stores: StoresDigest = NO_STORES
     # None where requests need no lease.
     renewal: LeaseRenewal | None = None
+    data_centre: DataCentreName | None = None
+    # Where this entry host opens tunnels for others, None where it does not.
+    relay: HostAddress | None = None
+    wants_relays: bool = False
 
 
 @singledispatch
@@ -293,6 +314,20 @@
     return [AskForCredits(state.leader, message)]
 
 
+@handle.register
+def _(
+    message: SetRelaysWanted, state: SubscriptionState, now: datetime
+) -> list[object]:
+    state.wants_relays = message.are_wanted
+    return [] if state.leader is None else [_make_hello(state, (state.leader,), now)]
+
+
+@handle.register
+def _(message: EndRelaying, state: SubscriptionState, now: datetime) -> list[object]:
+    state.relay = None
+    return [] if state.leader is None else [_make_hello(state, (state.leader,), now)]
+
+
 @handle.register
 def _(
     message: CrashesObserved, state: SubscriptionState, now: datetime
@@ -363,6 +398,8 @@
 ) -> list[object]:
     """Accept what the leader knows of the endpoints from all entry hosts."""
     effects: list[object] = []
+    if message.relays is not None and state.wants_relays:
+        effects.append(ReportRelays(message.relays))
     if message.other_loads is not None:
         effects.append(ReportPeerLoads(message.other_loads, message.n_entry_hosts))
         state.leader_crashes = message.crashes_digest
@@ -464,6 +501,10 @@
         speeds,
         state.known_speeds,
         None if state.renewal is None else state.renewal.number_hello(is_regular, now),
+        state.data_centre,
+        # A host without links of its own is of no use to others.
+        None if state.wants_relays else state.relay,
+        state.wants_relays,
     )
     return SendHello(hello, stores)
 
--- a/oleanderhitch/process/site/subscription/task.py
+++ b/oleanderhitch/process/site/subscription/task.py
@@ -7,6 +7,7 @@
 import logbook
 from msgspec import Struct
 
+from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.clock import Clock
 from oleanderhitch.process.directory.core import SetReaderTerm
@@ -25,6 +26,10 @@
     SpeedsReported,
 )
 from oleanderhitch.process.quotas.messages import CreditReply
+from oleanderhitch.process.reachability.messages import (
+    EndpointAddressesListed,
+    RelaysFound,
+)
 from oleanderhitch.process.roles.store_links import StoreLinks
 from oleanderhitch.process.site.messages import HelloNumber
 from oleanderhitch.process.site.subscription.core import (
@@ -44,6 +49,7 @@
     ReportLimits,
     ReportPeerLoads,
     ReportPermit,
+    ReportRelays,
     ReportSpeeds,
     RequestLoads,
     SendHello,
@@ -54,6 +60,7 @@
 from oleanderhitch.process.site.subscription.installed_state import InstalledState
 from oleanderhitch.process.site.subscription.lease import LeaseRenewal
 from oleanderhitch.process.task import Task, make_task
+from oleanderhitch.version.ids import DataCentreName
 from oleanderhitch.version.routes.configuration import RouteTable
 
 
@@ -69,6 +76,7 @@
     metrics: Metrics
     task_address: Address | None = None
     quotas: Address | None = None
+    reachability: Address | None = None
 
 
 # Numbers of hellos are sent as 64-bit integers, whose upper half is left free.
@@ -138,6 +146,12 @@
     dependencies.placement.send(effect.reply)
 
 
+@perform.register
+def _(effect: ReportRelays, dependencies: SubscriptionDependencies) -> None:
+    if dependencies.reachability is not None:
+        dependencies.reachability.send(RelaysFound(effect.relays))
+
+
 @perform.register
 def _(effect: AskForCredits, dependencies: SubscriptionDependencies) -> None:
     link = dependencies.links.get_link(effect.leader)
@@ -198,6 +212,9 @@
     )
     dependencies.installed_state.has_endpoints = True
     dependencies.placement.send(EndpointsListed(endpoints))
+    if dependencies.reachability is not None:
+        addresses = tuple(endpoint.address for endpoint in endpoints)
+        dependencies.reachability.send(EndpointAddressesListed(addresses))
 
 
 @perform.register
@@ -237,11 +254,16 @@
 
 
 def make_subscription_task(
-    node: NodeId, dependencies: SubscriptionDependencies, boot_clock: Clock
+    node: NodeId,
+    dependencies: SubscriptionDependencies,
+    boot_clock: Clock,
+    data_centre: DataCentreName | None = None,
+    relay: HostAddress | None = None,
 ) -> Task[SubscriptionState]:
     """Return the task that keeps an entry host subscribed to the stores.
 
-    After a suspension it takes what it knew before for as old as it is.
+    After a suspension it takes what it knew before for as old as it is. `relay` is
+    where the host opens tunnels to endpoints for others, if it does.
     """
     terms = dependencies.installed_state.terms
     renewal = None
@@ -253,7 +275,7 @@
 
     task = make_task(
         "follower",
-        SubscriptionState(node, renewal=renewal),
+        SubscriptionState(node, renewal=renewal, data_centre=data_centre, relay=relay),
         handle,
         perform_effect,
         boot_clock,
--- a/tests/connection/http/test_pool.py
+++ b/tests/connection/http/test_pool.py
@@ -15,6 +15,7 @@
 from oleanderhitch.connection.http.pool import (
     CancelExchange,
     CloseConnection,
+    LinksChanged,
     PoolState,
     SendExchange,
     StartExchange,
@@ -29,10 +30,11 @@
 
 
 class FakeConnection:
-    """Connection that only has an address."""
+    """Connection that only has an address and a way."""
 
-    def __init__(self, address: HostAddress) -> None:
+    def __init__(self, address: HostAddress, is_relayed: bool = False) -> None:
         self.address = address
+        self.is_relayed = is_relayed
 
 
 def make_exchange(number: int) -> Exchange:
@@ -86,6 +88,32 @@
     assert 99 not in state.busy_connections
 
 
+def test_lost_links_close_connections_that_hang() -> None:
+    """Guard against one request after the other that meets a silent connection.
+
+    Connections that live on while new ones are refused stay.
+    """
+    state, _ = make_pool(3)
+    assert handle(LinksChanged(True, False), state, NOW) == []
+    assert len(list_closed(handle(LinksChanged(True, True), state, NOW))) == 6
+
+
+def test_relayed_connections_go_once_the_links_are_back() -> None:
+    """Guard against a hop that lasts as long as connections are kept."""
+    state, direct = make_pool(1)
+    handle(LinksChanged(True, False), state, NOW)
+    relayed = [FakeConnection(CRASHED, is_relayed=True) for _ in range(2)]
+    for number, connection in enumerate(relayed, 50):
+        state.busy_connections[number] = connection  # type: ignore[assignment]
+    idle: Any = relayed[0]
+    assert handle(ConnectionIdle(idle, 50), state, NOW) == []
+    closed = list_closed(handle(LinksChanged(False, False), state, NOW))
+    assert closed == [relayed[0]]
+    busy: Any = relayed[1]
+    assert list_closed(handle(ConnectionIdle(busy, 51), state, NOW)) == [busy]
+    assert state.idle_connections[CRASHED] == direct
+
+
 def test_pool_keeps_nothing_of_a_cancelled_exchange() -> None:
     """Guard against growth with the addresses of endpoints.
 
--- /dev/null
+++ b/tests/connection/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of tunnels through another entry host."""
--- a/tests/process/site/harness.py
+++ b/tests/process/site/harness.py
@@ -238,6 +238,7 @@
                 caller_address,
                 get_free_address(),
                 has_operator_calls=operators is not None,
+                relay_address=get_free_address(),
             ),
             EntryDependencies(
                 make_platform_dialect(),
@@ -311,6 +312,12 @@
         """Return how many turns a running store has."""
         return self.stores[number].count_turns()
 
+    def count_relays(self) -> int:
+        """Return how many entry hosts offer tunnels, as a store has heard."""
+        store = next(iter(self.stores.values()))
+        subscribers = store._subscribers._subscribers.values()
+        return sum(subscriber.hello.relay is not None for subscriber in subscribers)
+
     def wait_for_leader(self) -> int:
         """Return the number of the leader once there is one."""
         wait_until(lambda: self.find_leader() is not None, "a leader")
--- a/tests/process/site/test_subscribers.py
+++ b/tests/process/site/test_subscribers.py
@@ -2,6 +2,7 @@
 
 from datetime import UTC, datetime, timedelta
 
+from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.process.crashes.messages import CONVICTION, CrashRecord, CrashTrace
 from oleanderhitch.process.directory.messages import EndpointList, ListVersion
 from oleanderhitch.process.ids import NodeId
@@ -19,9 +20,14 @@
     SiteStatus,
     make_stores_digest,
 )
-from oleanderhitch.process.site.subscribers import Subscribers, make_subscribers
+from oleanderhitch.process.site.subscribers import (
+    ENTRY_CONTACT_TIMEOUT,
+    N_RELAYS,
+    Subscribers,
+    make_subscribers,
+)
 from oleanderhitch.request.ids import RequestFingerprint
-from oleanderhitch.version.ids import EndpointId
+from oleanderhitch.version.ids import DataCentreName, EndpointId
 from oleanderhitch.version.routes.ids import NO_ROUTING, RoutingVersion
 
 STORES = (NodeId("s1"), NodeId("s2"))
@@ -174,3 +180,38 @@
     assert confirmation.confirmed_hello == number
     assert confirmation.routing == ROUTING
     assert confirmation.other_loads is None
+
+
+def test_host_without_links_is_told_of_hosts_that_have_theirs() -> None:
+    """Guard against a host that asks others that are as isolated as it is."""
+    subscribers, clock = make_subscribers_and_clock()
+    subscribers.confirm_current()
+
+    def send(name: str, place: str, has_links: bool) -> SiteStatus:
+        host = FakeEntryHost(name, subscribers)
+        hello = EntryHello(
+            NodeId(name),
+            NO_ROUTING,
+            None,
+            data_centre=DataCentreName(place),
+            relay=HostAddress(f"{name}:1") if has_links else None,
+            wants_relays=not has_links,
+        )
+        subscribers.handle_hello(hello, host)
+        return host.received[-1]
+
+    assert send("a1", "a", True).relays is None
+    send("a2", "a", True)
+    send("a3", "a", False)
+    for number in range(6):
+        send(f"b{number}", "b", True)
+    relays = send("a4", "a", False).relays
+    assert relays is not None
+    assert set(relays[:2]) == {"a1:1", "a2:1"}, "near ones first"
+    assert all(relay.startswith("b") for relay in relays[2:])
+    assert len(relays) == N_RELAYS
+    # Each host asks others, so that no far host gets the load of all.
+    far = {send(f"c{number}", "c", False).relays for number in range(8)}
+    assert len(far) > 1
+    clock.time += ENTRY_CONTACT_TIMEOUT * 2
+    assert send("a4", "a", False).relays == ()
