Took an answer that is reset during its request for broken off

Cause: the system reports a reset once. If the greenlet that writes the request got the error, the one that reads the answer saw an end in good order, which completes an answer without a length.

Change: the end of the connection completes no answer once the writer has failed. The tunnels through other hosts tell a reset from an end in the same way. An answer that the endpoint ends in good order while the request is written is still complete.

--- a/oleanderhitch/connection/http/endpoint.py
+++ b/oleanderhitch/connection/http/endpoint.py
@@ -358,12 +358,14 @@
                 gevent.sleep(0)
 
 
-def _write_request(connected: socket.socket, data: bytes) -> None:
+def _write_request(connected: socket.socket, data: bytes) -> bool:
+    """Return whether the whole request was sent; the reader reports what follows."""
     try:
         connected.sendall(data)
     except OSError as error:
-        # The reader gets the same error and reports it to the request.
         log.debug("could not send the whole request", reason=str(error))
+        return False
+    return True
 
 
 def _handle_part(
@@ -423,7 +425,10 @@
 
 def _handle_close(state: _ExchangeState) -> None:
     exchange = state.exchange
-    if state.has_head and state.is_close_delimited:
+    # The system reports a reset once. If the writer has got it, it looks like an end in
+    # good order here.
+    is_reset = state.writer.ready() and not state.writer.value
+    if state.has_head and state.is_close_delimited and not is_reset:
         exchange.reply_address.send(
             ResponseEnd(exchange.exchange_id, BodyEnd.CONNECTION)
         )
--- a/oleanderhitch/connection/relay/server.py
+++ b/oleanderhitch/connection/relay/server.py
@@ -11,6 +11,7 @@
 import logbook
 from gevent import socket
 from gevent.pool import Pool
+from msgspec import Struct
 
 from oleanderhitch.connection.codec import Codec
 from oleanderhitch.connection.exceptions import HandshakeError
@@ -132,6 +133,14 @@
         return endpoint
 
 
+class _Tunnel(Struct):
+    """The two connections of a tunnel, and whether the endpoint took no more bytes."""
+
+    host: socket.socket
+    endpoint: socket.socket
+    is_endpoint_lost: bool = False
+
+
 def _pass_on(host: socket.socket, endpoint: socket.socket) -> None:
     """Pass bytes on in both directions until one side ends the connection."""
     set_tcp_options(host)
@@ -141,8 +150,9 @@
     first = host.recv(PIECE_BYTES)
     if not first:
         return
-    upward = gevent.spawn(_pass_requests_on, first, host, endpoint)
-    downward = gevent.spawn(_pass_answers_on, endpoint, host)
+    tunnel = _Tunnel(host, endpoint)
+    upward = gevent.spawn(_pass_requests_on, first, tunnel)
+    downward = gevent.spawn(_pass_answers_on, tunnel)
     try:
         # Once the other host has left, its request is cancelled.
         gevent.wait([upward, downward], count=1)
@@ -153,43 +163,44 @@
         gevent.killall([upward, downward])
 
 
-def _pass_requests_on(
-    data: bytes, host: socket.socket, endpoint: socket.socket
-) -> None:
+def _pass_requests_on(data: bytes, tunnel: _Tunnel) -> None:
     """Pass bytes on until the other host leaves; the endpoint may fail before.
 
     What the endpoint has answered by then may still be on its way.
     """
-    is_connected = True
     try:
         while data:
-            if is_connected:
-                is_connected = _send_all(data, endpoint)
-            data = host.recv(PIECE_BYTES)
+            if not tunnel.is_endpoint_lost:
+                _send_to_endpoint(data, tunnel)
+            data = tunnel.host.recv(PIECE_BYTES)
     except OSError as error:
         log.debug("other host lost", reason=str(error))
 
 
-def _send_all(data: bytes, endpoint: socket.socket) -> bool:
+def _send_to_endpoint(data: bytes, tunnel: _Tunnel) -> None:
     try:
-        endpoint.sendall(data)
+        tunnel.endpoint.sendall(data)
     except OSError as error:
         log.debug("endpoint takes no more bytes", reason=str(error))
-        return False
-    return True
+        tunnel.is_endpoint_lost = True
 
 
-def _pass_answers_on(endpoint: socket.socket, host: socket.socket) -> bool:
+def _pass_answers_on(tunnel: _Tunnel) -> bool:
     """Return whether the endpoint has ended the connection in good order."""
+    host = tunnel.host
     try:
-        while data := endpoint.recv(PIECE_BYTES):
+        while data := tunnel.endpoint.recv(PIECE_BYTES):
             host.sendall(data)
-        host.shutdown(socket.SHUT_WR)
+        if not tunnel.is_endpoint_lost:
+            host.shutdown(socket.SHUT_WR)
+            return True
+        # The system reports a reset once, here to the sender.
+        reason = "reset while it was sent a request"
     except OSError as error:
-        log.debug("endpoint lost", reason=str(error))
-        host.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        return False
-    return True
+        reason = str(error)
+    log.debug("endpoint lost", reason=reason)
+    host.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    return False
 
 
 def make_relay_server(
--- a/tests/connection/http/test_endpoint.py
+++ b/tests/connection/http/test_endpoint.py
@@ -1,5 +1,6 @@
 """Guard against swapped or truncated responses and stale connections."""
 
+import struct
 from collections.abc import Callable, Iterator
 from datetime import timedelta
 
@@ -361,6 +362,57 @@
     assert end.was_sent
 
 
+# Guards against callers that get the beginning of an answer as a complete one (MIXED):
+# the error of the connection is reported once, here to the writer of the request.
+def test_response_that_is_reset_during_the_request_is_a_failure(
+    serve: Callable[[Script], ScriptedEndpoint],
+) -> None:
+    """Report a response without a length as broken off, whoever notices the reset."""
+
+    def script(connected: socket.socket, number: int) -> None:
+        connected.recv(10)
+        connected.sendall(b"HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\npart of it")
+        gevent.sleep(0.01)
+        reset = struct.pack("ii", 1, 0)
+        connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset)
+        connected.close()
+
+    endpoint = serve(script)
+    pool = make_connection_pool(make_endpoint_connection, make_system_clock())
+    pool.start()
+    for number in range(20):
+        mailbox = make_mailbox("test")
+        request = REQUEST + b"x" * 20_000_000
+        exchange = Exchange(number, request, mailbox, lambda headers: True)
+        pool.send(StartExchange(endpoint.address, exchange, True))
+        body, end = receive_response(mailbox)
+        assert b"part of it".startswith(body)
+        assert isinstance(end, ExchangeFailed)
+        assert end.was_sent
+
+
+def test_response_that_ends_during_the_request_is_complete(
+    serve: Callable[[Script], ScriptedEndpoint],
+) -> None:
+    """Guard against early answers that are lost, since their requests are long."""
+
+    def script(connected: socket.socket, number: int) -> None:
+        connected.recv(10)
+        connected.sendall(b"HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nall of it")
+        connected.shutdown(socket.SHUT_WR)
+        gevent.sleep(0.3)
+
+    endpoint = serve(script)
+    pool = make_connection_pool(make_endpoint_connection, make_system_clock())
+    pool.start()
+    mailbox = make_mailbox("test")
+    request = REQUEST + b"x" * 20_000_000
+    exchange = Exchange(1, request, mailbox, lambda headers: True)
+    pool.send(StartExchange(endpoint.address, exchange))
+    body, end = receive_response(mailbox)
+    assert (body, end) == (b"all of it", ResponseEnd(1, BodyEnd.CONNECTION))
+
+
 def test_refused_connection_was_not_sent() -> None:
     """Guard against a request that isn't retried although it was never sent."""
     closed = socket.socket()
--- a/tests/connection/relay/test_tunnel.py
+++ b/tests/connection/relay/test_tunnel.py
@@ -1,6 +1,7 @@
 """Guard against tunnels that change, keep or hide what an endpoint has sent."""
 
 from collections.abc import Callable, Iterator
+from contextlib import suppress
 
 import gevent
 import pytest
@@ -81,6 +82,12 @@
     return tunnel
 
 
+def send_quietly(tunnel: socket.socket, data: bytes) -> None:
+    """Send as much as the other side takes."""
+    with suppress(OSError):
+        tunnel.sendall(data)
+
+
 def read_all(tunnel: socket.socket) -> bytes:
     """Return what arrives until the connection ends in good order."""
     data = b""
@@ -123,6 +130,24 @@
         tunnel.recv(1)
 
 
+def test_reset_during_the_request_does_not_look_like_an_end(relay: RelayServer) -> None:
+    """Guard against a cut response that looks complete, whoever notices the reset."""
+
+    def reset(accepted: socket.socket) -> None:
+        accepted.recv(10)
+        accepted.sendall(b"part")
+        gevent.sleep(0.05)
+        accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
+    endpoint = FakeEndpoint(reset)
+    for _ in range(10):
+        tunnel = connect(relay, endpoint.address)
+        gevent.spawn(send_quietly, tunnel, b"x" * LARGE_BYTES)
+        with pytest.raises(ConnectionResetError):
+            read_all(tunnel)
+        tunnel.close()
+
+
 def test_early_answer_arrives_while_the_request_is_sent(relay: RelayServer) -> None:
     """Guard against an answer that is lost, since its endpoint reads no further."""
 
