Refused answers whose status does not exist

Here 000 to 099 were taken for interim responses, and what followed for the answer; 600 to 999 were passed on.

Cause: the library takes any number of three digits.

Change: a status outside of 100 to 599 makes the answer unreadable, so that the attempt has failed and may have run.

The test failed before for 000, 001, 099, 600 and 999; 20, 2000, 2x0 and -20 were refused already.

--- a/oleanderhitch/connection/http/parsing.py
+++ b/oleanderhitch/connection/http/parsing.py
@@ -285,6 +285,8 @@
 
 ParsedPart = ParsedHead | ParsedBody | ParsedEnd
 
+# The parser of the library takes any number of three digits (RFC 9110, section 15).
+STATUSES = range(100, 600)
 _BODILESS_STATUSES = (204, 304)
 # An endpoint that fails may send bytes without end. Several times the limits that
 # servers usually have for heads. It also bounds whatever else is not the body: interim
@@ -373,6 +375,8 @@
         self._headers = []
         self._is_in_head = False
         status = self._parser.get_status_code()
+        if status not in STATUSES:
+            raise ResponseParseError(f"status {status} does not exist")
         is_framed = (
             find_header(headers, "content-length") is not None
             or "chunked" in (find_header(headers, "transfer-encoding") or "").lower()
--- a/tests/connection/http/test_endpoint.py
+++ b/tests/connection/http/test_endpoint.py
@@ -413,6 +413,28 @@
     assert (body, end) == (b"all of it", ResponseEnd(1, BodyEnd.CONNECTION))
 
 
+# Guards against callers that get as an answer what no server may answer (MIXED).
+@pytest.mark.parametrize(
+    "status", [b"000", b"001", b"099", b"600", b"999", b"20", b"2000", b"2x0", b"-20"]
+)
+def test_status_that_does_not_exist_is_a_failure(
+    serve: Callable[[Script], ScriptedEndpoint], status: bytes
+) -> None:
+    """Report an answer with such a status as unreadable."""
+
+    def script(connected: socket.socket, number: int) -> None:
+        connected.recv(4096)
+        head = b"HTTP/1.1 %s Trouble\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\n"
+        connected.sendall(head % status + b"ok")
+        gevent.sleep(1)
+
+    endpoint = serve(script)
+    mailbox = PoolClient().start_exchange(endpoint.address, 1)
+    first = mailbox.receive(RECEIVE_TIMEOUT)
+    assert isinstance(first, ExchangeFailed)
+    assert first.was_sent
+
+
 def test_refused_connection_was_not_sent() -> None:
     """Guard against a request that isn't retried although it was never sent."""
     closed = socket.socket()
