Bounded the histories that short requests make a host hold

Cause: the history of a turn counted in no budget, since the caller sends nothing of it, and the stores sent the first 4 MiB before the host knew how long it is.

Change: histories over 64 KiB share a budget of an eighth of the memory of the host; a turn without room is answered 503 and releases its reservation, and the longest history is taken while it is the only one. The first piece has 1 MiB now. One copy of the history less is made when it is sent.

--- a/oleanderhitch/process/site/entry.py
+++ b/oleanderhitch/process/site/entry.py
@@ -20,6 +20,7 @@
 )
 from oleanderhitch.connection.http.caller import ResponseWriter
 from oleanderhitch.connection.http.endpoint import make_endpoint_connection
+from oleanderhitch.connection.http.memory import get_memory_budget
 from oleanderhitch.connection.http.messages import HttpRequest, HttpResponse
 from oleanderhitch.connection.http.pool import LinksChanged, make_connection_pool
 from oleanderhitch.connection.http.server import make_http_server
@@ -77,6 +78,7 @@
     make_subscription_task,
 )
 from oleanderhitch.request.forwarding.dialect import Dialect
+from oleanderhitch.request.forwarding.history_memory import make_history_memory
 from oleanderhitch.request.forwarding.task import ForwardDependencies, serve_request
 from oleanderhitch.values import Value
 from oleanderhitch.version.routes.configuration import CallerLimits, RouteTable
@@ -214,6 +216,9 @@
             budget.memory,
             self._get_end_time,
             quotas=None if settings.site.quota_bounds is None else self._quotas,
+            history_memory=make_history_memory(
+                get_memory_budget(settings.site.memory_limit_bytes)
+            ),
         )
         count_refusal = make_label_counter(metrics, Counter.CALLER_REFUSALS)
         self._caller_server = make_http_server(
--- a/oleanderhitch/program/turns/core.py
+++ b/oleanderhitch/program/turns/core.py
@@ -33,9 +33,9 @@
 # Programs are kept at least this long after their last command, even without stored
 # turns, so that the spent tokens still count when a program continues after a pause.
 PROGRAM_RETENTION = timedelta(seconds=300)
-# Several pieces fit into the memory of a host, and each into a frame of a link. A
-# history of 150,000 tokens, about 1 MB, is one piece.
-HISTORY_PIECE_BYTES = 4 * 1024 * 1024
+# A host gets the first piece before it knows how long the history is, and finds room
+# for the others. A history of 150,000 tokens, about 1 MB, is one piece.
+HISTORY_PIECE_BYTES = 1024 * 1024
 # No time is later than this one.
 LATEST_TIME = datetime.max.replace(tzinfo=UTC)
 EPOCH = datetime.fromtimestamp(0, UTC)
--- a/oleanderhitch/request/forwarding/core.py
+++ b/oleanderhitch/request/forwarding/core.py
@@ -58,6 +58,7 @@
     EndpointResponseHead,
     FinishResponse,
     GrantBarred,
+    HistoryMemoryExhausted,
     LogDecision,
     LongHistoryFound,
     MemoryExhausted,
@@ -295,7 +296,7 @@
         ("send", state.n_sends),
         ("waited_ms", to_ms(now - state.started_at)),
     )
-    body = bytes(state.history) + state.request.body
+    body = b"".join((state.history, state.request.body))
     time_left = max(ENDPOINT_TIMEOUT_MIN, state.deadline - now)
     return [
         LogDecision("sent to endpoint", fields),
@@ -474,6 +475,13 @@
     return handle_failed_attempt(state, "responses take too much memory", now)
 
 
+@handle.register
+def _(
+    message: HistoryMemoryExhausted, state: ForwardState, now: datetime
+) -> list[object]:
+    return _end_unread(state, "histories take too much memory", now)
+
+
 @handle.register
 def _(message: ResponseEnd, state: ForwardState, now: datetime) -> list[object]:
     attempt = find_attempt(message.exchange_id, state)
--- a/oleanderhitch/request/forwarding/messages.py
+++ b/oleanderhitch/request/forwarding/messages.py
@@ -144,6 +144,10 @@
     """Reports that the memory for responses has no room for what this one keeps."""
 
 
+class HistoryMemoryExhausted(Value, frozen=True):
+    """Reports that there is no room for the history that the turn continues."""
+
+
 # Effects. Their class names appear in log lines.
 
 
--- a/oleanderhitch/request/forwarding/state.py
+++ b/oleanderhitch/request/forwarding/state.py
@@ -190,6 +190,11 @@
         """Whether later turns may continue this request."""
         return self.request.turn is not None and self.route.keeps_history
 
+    @property
+    def n_history_bytes(self) -> int:
+        """The size of the history that the turn continues, once it is known."""
+        return len(self.history) + self.n_history_bytes_left
+
     @property
     def n_kept_bytes(self) -> int:
         """The bytes of the response that are kept in memory."""
--- a/oleanderhitch/request/forwarding/task.py
+++ b/oleanderhitch/request/forwarding/task.py
@@ -61,6 +61,10 @@
 from oleanderhitch.request.forwarding.attempts import excuse_wait
 from oleanderhitch.request.forwarding.core import end_after_error, handle
 from oleanderhitch.request.forwarding.dialect import Dialect
+from oleanderhitch.request.forwarding.history_memory import (
+    HistoryMemory,
+    make_history_memory,
+)
 from oleanderhitch.request.forwarding.identity import (
     Admission,
     find_departure_fault,
@@ -72,6 +76,7 @@
     FinishResponse,
     ForwardRequest,
     GrantBarred,
+    HistoryMemoryExhausted,
     LogDecision,
     LongHistoryFound,
     MemoryExhausted,
@@ -150,6 +155,7 @@
     get_end_time: Callable[[], datetime | None]
     # None where the limits of client accounts have no effect.
     quotas: Address | None = None
+    history_memory: HistoryMemory = field(default_factory=make_history_memory)
     request_numbers: "count[int]" = field(default_factory=lambda: count(1))
 
 
@@ -206,6 +212,7 @@
     finally:
         context.alarm.close()
         context.share.close()
+        dependencies.history_memory.release(state.holder)
         if context.has_acquired:
             _end_holder(context)
         if state.needs_credit and state.has_not_run:
@@ -249,8 +256,12 @@
 
 def _get_next_message(context: ForwardContext) -> object:
     """Return the next message; a running attempt without room in memory comes first."""
-    has_room = context.share.resize(context.state.n_kept_bytes)
-    if has_room or context.state.attempt is None:
+    state = context.state
+    memory = context.dependencies.history_memory
+    if not memory.hold(state.holder, state.n_history_bytes):
+        return HistoryMemoryExhausted()
+    has_room = context.share.resize(state.n_kept_bytes)
+    if has_room or state.attempt is None:
         return _receive(context)
     return MemoryExhausted()
 
--- a/tests/request/forwarding/test_alarms.py
+++ b/tests/request/forwarding/test_alarms.py
@@ -12,6 +12,7 @@
 from oleanderhitch.process.mailbox import make_mailbox
 from oleanderhitch.process.messages import Tick
 from oleanderhitch.request.forwarding.core import handle
+from oleanderhitch.request.forwarding.history_memory import make_history_memory
 from oleanderhitch.request.forwarding.messages import (
     MemoryExhausted,
     ResponseBegun,
@@ -42,6 +43,7 @@
     """The part of the collaborators that waiting uses."""
 
     clock = CLOCK
+    history_memory = make_history_memory()
 
 
 def make_context() -> ForwardContext:
