Confirmed the list of endpoints only while it is read

Cause: a leading store confirmed the version of its list with each hello, however long ago it had read it. Entry hosts read the list themselves only if nobody confirms it, so that all of them kept an old one for as long as the reads of that store failed.

Change: a list that is older than two reads is neither sent nor confirmed.

--- a/oleanderhitch/process/site/subscribers.py
+++ b/oleanderhitch/process/site/subscribers.py
@@ -10,6 +10,7 @@
 from oleanderhitch.process.address import Address
 from oleanderhitch.process.clock import Clock
 from oleanderhitch.process.crashes.evidence import make_crash_evidence
+from oleanderhitch.process.directory.core import READ_INTERVAL
 from oleanderhitch.process.directory.messages import EndpointList
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.placement.messages import (
@@ -34,6 +35,9 @@
 # An entry host that sent no hello for this long has stopped or uses another connection.
 ENTRY_CONTACT_TIMEOUT = timedelta(seconds=3)
 
+# Two reads of the list and what they take. A list that is older may lack endpoints that
+# leave, and entry hosts had better read it themselves.
+LIST_CONFIRMATION_TTL = 2 * READ_INTERVAL + timedelta(milliseconds=200)
 # Entry hosts that a host without links to the endpoints is told of.
 N_RELAYS = 4
 
@@ -68,6 +72,7 @@
         self._speeds = make_speed_totals(clock.now())
         self._crashes = make_crash_evidence()
         self._endpoint_list: EndpointList | None = None
+        self._list_read_at = clock.now()
         # Routing is only sent after a read through the group has shown that this leader
         # has applied everything accepted before. A replica that replays its log passes
         # through older versions.
@@ -159,6 +164,7 @@
             or self._endpoint_list.version != endpoint_list.version
         )
         self._endpoint_list = endpoint_list
+        self._list_read_at = self._clock.now()
         if is_new:
             self.notify_all()
         return is_new
@@ -179,6 +185,8 @@
         routing = self._get_routing()
         needs_routing = self._is_current and routing.version > hello.routing
         endpoint_list = self._endpoint_list
+        if self._clock.now() - self._list_read_at > LIST_CONFIRMATION_TTL:
+            endpoint_list = None
         list_version = None if endpoint_list is None else endpoint_list.version
         needs_list = list_version != hello.list_version
         stores = self._list_stores()
--- a/tests/process/site/test_subscribers.py
+++ b/tests/process/site/test_subscribers.py
@@ -22,6 +22,7 @@
 )
 from oleanderhitch.process.site.subscribers import (
     ENTRY_CONTACT_TIMEOUT,
+    LIST_CONFIRMATION_TTL,
     N_RELAYS,
     Subscribers,
     make_subscribers,
@@ -102,6 +103,27 @@
     assert entry.send_hello().list_version is None
 
 
+# Guards against endpoints that get requests long after they have said that they leave
+# (DRAIN): entry hosts read the list themselves only if no store confirms it.
+def test_list_that_is_not_read_any_more_is_not_confirmed() -> None:
+    """Confirm a list only for as long as the store that sends it reads it."""
+    subscribers, clock = make_subscribers_and_clock()
+    entry = FakeEntryHost("e", subscribers)
+    endpoint_list = EndpointList(ListVersion(1, 1), ())
+    subscribers.update_list(endpoint_list)
+    assert entry.send_hello().list_version == ListVersion(1, 1)
+    clock.time += LIST_CONFIRMATION_TTL
+    subscribers.update_list(endpoint_list)
+    clock.time += LIST_CONFIRMATION_TTL
+    assert entry.send_hello().list_version == ListVersion(1, 1)
+    clock.time += timedelta(milliseconds=1)
+    late = entry.send_hello()
+    assert late.list_version is None
+    assert late.endpoints is None
+    subscribers.update_list(endpoint_list)
+    assert entry.send_hello().list_version == ListVersion(1, 1)
+
+
 def test_entry_host_receives_only_the_loads_of_its_peers() -> None:
     """Guard against an entry host that counts its own loads twice."""
     subscribers, clock = make_subscribers_and_clock()
