Held a long frame once while it arrives

Change: beyond 64 KiB the end is found by reading the heads of the items alone, and a frame over the limit is refused as soon as a length says so. Frames below are found as before. A list of 6,900 endpoints would take some 110,000 items, each list once.

--- a/oleanderhitch/connection/codec.py
+++ b/oleanderhitch/connection/codec.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from oleanderhitch.connection.exceptions import MalformedFrameError
+from oleanderhitch.connection.frame_scanner import FrameScanner
 
 # A program's history has up to 150,000 tokens, about 1 MB of text; a reply that
 # contains one such history fits into a frame.
@@ -16,7 +17,7 @@
 # First size of the buffer in which the end of a frame is looked for. It grows with a
 # frame, and has to hold what is fed at once.
 UNPACKER_BUFFER_BYTES = 16 * 1024
-# A buffer that had to hold a larger frame is dropped after it.
+# The end of a frame that is longer than this is looked for without that buffer.
 KEPT_BUFFER_BYTES = 64 * 1024
 
 _FRAME_DECODER = msgspec.msgpack.Decoder(tuple[str, msgspec.Raw])
@@ -32,6 +33,7 @@
         self._codec = codec
         self._limit_bytes = codec.frame_limit_bytes
         self._received = bytearray()
+        self._scanner: FrameScanner | None = None
         self._n_decoded_bytes = 0
         self._renew_unpacker()
 
@@ -42,6 +44,26 @@
 
     def _feed_piece(self, piece: bytes) -> Iterator[object]:
         self._received += piece
+        if self._scanner is None:
+            yield from self._feed_unpacker(piece)
+        if self._scanner is None and len(self._received) > KEPT_BUFFER_BYTES:
+            # A long frame has begun. The unpacker would hold a second copy of it.
+            self._scanner = FrameScanner()
+            self._renew_unpacker()
+        if self._scanner is not None:
+            yield from self._feed_scanner(self._scanner)
+
+    def _feed_scanner(self, scanner: FrameScanner) -> Iterator[object]:
+        is_complete = scanner.is_complete(self._received)
+        if scanner.position > self._limit_bytes:
+            raise MalformedFrameError(f"frame is larger than {self._limit_bytes} bytes")
+        if not is_complete:
+            return
+        self._scanner = None
+        yield self._codec.decode(self._take_bytes(scanner.position))
+        yield from self._feed_unpacker(bytes(self._received))
+
+    def _feed_unpacker(self, piece: bytes) -> Iterator[object]:
         try:
             self._unpacker.feed(piece)
             while True:
@@ -60,13 +82,12 @@
         end = self._unpacker.tell()
         n_bytes = end - self._n_decoded_bytes
         self._n_decoded_bytes = end
+        return self._take_bytes(n_bytes)
+
+    def _take_bytes(self, n_bytes: int) -> bytes:
         with memoryview(self._received) as received:
             frame = bytes(received[:n_bytes])
         del self._received[:n_bytes]
-        if n_bytes > KEPT_BUFFER_BYTES:
-            # The buffer of the unpacker has grown and would stay as large.
-            self._renew_unpacker()
-            self._unpacker.feed(self._received)
         return frame
 
     def _renew_unpacker(self) -> None:
--- a/tests/connection/test_codec.py
+++ b/tests/connection/test_codec.py
@@ -5,9 +5,12 @@
 
 import msgpack
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from oleanderhitch.connection.codec import make_codec
 from oleanderhitch.connection.exceptions import MalformedFrameError
+from oleanderhitch.connection.frame_scanner import FrameScanner
 from oleanderhitch.program.ids import AccountId, ProgramId
 from oleanderhitch.program.messages import MESSAGES, EndProgram, StartProgram
 from oleanderhitch.program.states import EndReason
@@ -24,6 +27,7 @@
 # Together these are most of the memory that a store has.
 N_STREAMS = 64
 STREAM_LIMIT_BYTES = 256 * 1024
+LONG_BYTES = 4_000_000
 TIMESTAMP = msgpack.Timestamp.from_datetime(START.at)
 
 
@@ -59,6 +63,70 @@
     assert n_bytes < N_STREAMS * STREAM_LIMIT_BYTES
 
 
+# Guards against stores that pass their memory limit by a few long messages that arrive
+# at the same time.
+def test_long_frame_is_held_once_while_it_arrives():
+    """Hold little more than the bytes that have come, and a copy of a whole frame."""
+    codec = make_codec(MESSAGES)
+    message = EndProgram(ProgramId("p" * LONG_BYTES), EndReason.FINISHED, START.at)
+    frame = codec.encode(message)
+    decoder = codec.make_decoder()
+    tracemalloc.start()
+    try:
+        assert list(decoder.feed(frame[:-1])) == []
+        n_bytes, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert n_bytes < 1.5 * LONG_BYTES
+    assert peak_bytes < 2.5 * LONG_BYTES
+    following = codec.encode(START)
+    assert list(decoder.feed(frame[-1:] + following * 3)) == [message, *[START] * 3]
+
+
+def test_frame_over_the_limit_is_refused_before_it_has_arrived():
+    """Guard against a peer that makes a process hold what it will not take."""
+    codec = make_codec(MESSAGES, frame_limit_bytes=200_000)
+    decoder = codec.make_decoder()
+    head = b"\x92\xaaEndProgram\x81\xa7program\xdb" + (10**9).to_bytes(4, "big")
+    with pytest.raises(MalformedFrameError, match="larger than 200000"):
+        list(decoder.feed(head + b"p" * 100_000))
+
+
+ITEMS = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers(-(2**63), 2**64 - 1)
+    | st.floats(allow_nan=False)
+    | st.text(max_size=40)
+    | st.binary(max_size=300)
+    | st.builds(msgpack.ExtType, st.integers(0, 127), st.binary(max_size=70)),
+    lambda items: (
+        st.lists(items, max_size=20)
+        | st.dictionaries(st.text(max_size=5), items, max_size=20)
+    ),
+    max_leaves=60,
+)
+
+
+@given(ITEMS, st.lists(st.integers(1, 50), max_size=30))
+def test_scanner_finds_the_end_of_any_frame(item, sizes):
+    """Guard against frames that are cut short or run into the next one."""
+    frame = msgpack.packb(item)
+    scanner, data = FrameScanner(), bytearray()
+    for size in sizes:
+        data += frame[len(data) : len(data) + size]
+        assert scanner.is_complete(data) == (len(data) == len(frame))
+    data += frame[len(data) :] + b"next"
+    assert scanner.is_complete(data)
+    assert scanner.position == len(frame)
+
+
+def test_scanner_refuses_a_byte_that_begins_no_item():
+    """Guard against a stream that hangs at a malformed frame."""
+    with pytest.raises(MalformedFrameError):
+        FrameScanner().is_complete(bytearray(b"\x92\x01\xc1"))
+
+
 def make_frame(**fields):
     """Return the frame of an EndProgram with some fields replaced or added."""
     body = {"program": "p", "reason": "finished", "at": TIMESTAMP, **fields}
