Encoded what goes to several replicas once

Change: a message that equals the last one is not encoded again, and a long message is sent without a copy. The test failed before: two encodings for two followers.

--- a/oleanderhitch/connection/peer/stream.py
+++ b/oleanderhitch/connection/peer/stream.py
@@ -234,13 +234,9 @@
             message = outgoing.receive()
             if isinstance(message, StopTask):
                 break
-            data = bytearray(self._encode(message))
-            while outgoing.n_waiting and len(data) < WRITE_BATCH_LIMIT_BYTES:
-                following = outgoing.receive()
-                if isinstance(following, StopTask):
-                    outgoing.send(following)
-                    break
-                data += self._encode(following)
+            data: bytes | bytearray = self._encode(message)
+            if outgoing.n_waiting and len(data) < WRITE_BATCH_LIMIT_BYTES:
+                data = self._add_waiting(data, outgoing)
             self._note_sent()
             try:
                 self._send_all(data)
@@ -250,6 +246,16 @@
         # The closed socket makes the reader end the stream.
         self._socket.close()
 
+    def _add_waiting(self, first: bytes | bytearray, outgoing: Mailbox) -> bytearray:
+        data = bytearray(first)
+        while outgoing.n_waiting and len(data) < WRITE_BATCH_LIMIT_BYTES:
+            following = outgoing.receive()
+            if isinstance(following, StopTask):
+                outgoing.send(following)
+                break
+            data += self._encode(following)
+        return data
+
     def _note_sent(self) -> None:
         self._last_sent_at = self._clock.now()
         if self._probe_alarm is not None and self._unanswered_since is None:
@@ -257,7 +263,7 @@
             probe_at = self._last_sent_at + self._timing.receive_timeout / 2
             self._probe_alarm.advance(probe_at)
 
-    def _send_all(self, data: bytearray) -> None:
+    def _send_all(self, data: bytes | bytearray) -> None:
         # Creates a timer only if the peer does not read.
         timeout_s = self._timing.receive_timeout.total_seconds()
         rest = memoryview(data)
--- a/oleanderhitch/process/replication/effect_handlers.py
+++ b/oleanderhitch/process/replication/effect_handlers.py
@@ -166,6 +166,9 @@
     has_failed: bool = False
     # Takes the snapshot that is arriving, or has arrived and is not restored yet.
     sink: SnapshotSink | None = None
+    # The last message to another replica, as sent; the next one follows soon.
+    last_message: object = None
+    last_body: bytes = b""
     # Result of the last command applied, until ProposalCommitted sends it to its
     # caller.
     last_result: bytes = b""
@@ -204,13 +207,21 @@
 
 def _send_envelope(receiver: ReplicaId, message: object, context: GroupContext) -> None:
     replica = context.state.replica
-    body = context.state.codec.encode(message)
+    body = _encode_once(message, context)
     envelope = ReplicaEnvelope(replica.group, replica.replica, receiver, body)
     # An unreachable peer is normal; the core retransmits after its own timeouts.
     with suppress(UnavailableError):
         context.transport.send(envelope)
 
 
+def _encode_once(message: object, context: GroupContext) -> bytes:
+    """Return an encoded message; what goes to several replicas is encoded once."""
+    if message != context.last_message:
+        context.last_message = message
+        context.last_body = context.state.codec.encode(message)
+    return context.last_body
+
+
 def _write(context: GroupContext, message: WriteRecords | SaveSnapshot) -> None:
     try:
         context.storage.send(message)
--- a/tests/process/replication/test_task.py
+++ b/tests/process/replication/test_task.py
@@ -294,6 +294,30 @@
     host.stop(network)
 
 
+# Guards against leaders that pass their memory limit by the copies of long commands.
+def test_command_is_encoded_once_for_all_followers(tmp_path, monkeypatch):
+    """Share the encoded entries between the followers that lack the same ones."""
+    network = Network()
+    names = ("a", "b", "c")
+    hosts = [Host(n, tmp_path / n, network, names, FAST_TIMING) for n in names]
+    leader = wait_for(lambda: find_leader(hosts))
+    assert isinstance(call_leader(hosts, b"first"), GroupAnswer)
+    wait_for(lambda: all(h.state.commit_index >= 2 for h in hosts))
+    codec = leader.task._state.codec
+    encode, encoded = codec.encode, []
+
+    def record(message):
+        encoded.append(message)
+        return encode(message)
+
+    monkeypatch.setattr(codec, "encode", record)
+    assert isinstance(call(leader, b"x" * 100_000), GroupAnswer)
+    appends = [m for m in encoded if isinstance(m, AppendEntries) and m.entries]
+    assert len(appends) == 1
+    for host in hosts:
+        host.stop(network)
+
+
 def test_failed_read_affects_only_its_caller(tmp_path):
     """Guard against a malformed read that terminates the task of the group."""
     network = Network()
