Waited for tunnels in a planned stop

What callers see: a host that passes bytes on for another one closed its tunnels as soon as its own requests were done, also with answers on their way through them.

Change: a stopping host opens no tunnel and waits for the open ones as for its own requests, at most until it has to end.

The test failed before: the stop ended under an open tunnel.

--- a/oleanderhitch/connection/relay/server.py
+++ b/oleanderhitch/connection/relay/server.py
@@ -76,12 +76,16 @@
         self._listener = open_listener(self._listen)
         self._acceptor = gevent.spawn(self._accept, self._listener)
 
-    def stop(self) -> None:
-        """Close the listening socket and all tunnels."""
+    def stop_accepting(self) -> None:
+        """Close the listening socket; the tunnels that are open stay so."""
         if self._acceptor is not None:
             self._acceptor.kill()
         if self._listener is not None:
             self._listener.close()
+
+    def stop(self) -> None:
+        """Close the listening socket and all tunnels."""
+        self.stop_accepting()
         self._tunnels.kill(block=False)
 
     def _accept(self, listener: socket.socket) -> None:
--- a/oleanderhitch/process/site/entry.py
+++ b/oleanderhitch/process/site/entry.py
@@ -281,8 +281,9 @@
         """Stop gracefully: fail the readiness check, drain requests, stop all tasks."""
         drain_timeout = self._settings.site.stop_grace_period - STOP_MARGIN
         self._is_stopping = True
-        # Tunnels that are open stay so until the end.
         self._subscription.send(EndRelaying())
+        if self._relay_server is not None:
+            self._relay_server.stop_accepting()
         self._end_time = self._clock.now() + drain_timeout
         gevent.sleep(min(BALANCER_DRAIN_DELAY, drain_timeout).total_seconds())
         self._caller_server.stop()
@@ -296,10 +297,19 @@
         self.close()
 
     def _await_requests(self, until: datetime) -> None:
-        """Return once no request is in progress, or at the given time."""
-        while self._caller_server.n_active_requests and self._clock.now() < until:
+        """Return once no request is in progress, or at the given time.
+
+        Requests of other hosts may be in progress in their tunnels.
+        """
+        while self._clock.now() < until and (
+            self._caller_server.n_active_requests or self._has_tunnels
+        ):
             gevent.sleep(DRAIN_POLL_INTERVAL.total_seconds())
 
+    @property
+    def _has_tunnels(self) -> bool:
+        return self._relay_server is not None and self._relay_server.n_tunnels > 0
+
     def close(self) -> None:
         """Stop all tasks without waiting for running requests."""
         self._caller_server.stop()
--- a/tests/process/site/test_isolated_hosts.py
+++ b/tests/process/site/test_isolated_hosts.py
@@ -3,15 +3,26 @@
 from itertools import count
 from pathlib import Path
 
+import gevent
 import pytest
 from gevent import socket
 
 from oleanderhitch.connection.http import endpoint
 from oleanderhitch.connection.http.pool import LinksChanged
 from oleanderhitch.connection.ids import HostAddress
+from oleanderhitch.connection.peer.handshake import Identity
+from oleanderhitch.connection.relay.client import open_tunnel
+from oleanderhitch.connection.relay.exceptions import RelayError
+from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.reachability import task as reachability
 from oleanderhitch.process.reachability.states import Reach
-from tests.process.site.harness import SiteHarness, wait_until
+from oleanderhitch.process.site.entry import BALANCER_DRAIN_DELAY
+from oleanderhitch.process.site.peer_codec import make_site_peer_codec
+from tests.process.site.harness import CLOCK, SiteHarness, wait_until
+
+REQUEST = (
+    b"POST /p/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: q\r\nContent-Length: 1\r\n\r\nx"
+)
 
 
 # Guards against callers of a host that has lost its links to all endpoints, who are
@@ -60,3 +71,40 @@
         assert sum(is_served(f"back-{n}") for n in range(10)) == 10
     finally:
         site.close()
+
+
+# Guards against requests that a planned stop breaks off, since another host sends them
+# through the one that stops.
+def test_stopping_host_keeps_its_tunnels_until_they_are_closed(tmp_path: Path) -> None:
+    """Pass bytes on during a stop, open no new tunnel, and end with the last one."""
+    site = SiteHarness(tmp_path, 1)
+    site.start()
+    entry = site.entry
+    assert entry is not None
+    relay = entry._settings.relay_address
+    assert relay is not None
+    identity = Identity(NodeId("other"), entry._settings.site.peer_key)
+
+    def connect() -> socket.socket:
+        codec = make_site_peer_codec()
+        return open_tunnel(relay, site.engine.address, codec, identity, CLOCK)
+
+    try:
+        tunnel = connect()
+        tunnel.settimeout(5)
+        tunnel.sendall(REQUEST)
+        assert tunnel.recv(15) == b"HTTP/1.1 200 OK"
+        stop = gevent.spawn(entry.stop)
+        gevent.sleep(BALANCER_DRAIN_DELAY.total_seconds() + 0.5)
+        assert not stop.ready()
+        with pytest.raises(RelayError):
+            connect()
+        while b"out2" not in tunnel.recv(65536):
+            pass
+        tunnel.sendall(REQUEST)
+        assert tunnel.recv(65536)
+        tunnel.close()
+        stop.join(2)
+        assert stop.ready()
+    finally:
+        site.close()
