--- a/tests/process/site/test_application.py
+++ b/tests/process/site/test_application.py
@@ -28,7 +28,13 @@
 from oleanderhitch.program.exceptions import HistoryCorruptError
 from oleanderhitch.program.turns import content_files
 from oleanderhitch.program.turns.content_files import FILE_PATTERN
-from oleanderhitch.program.turns.messages import ExpireTurns, TurnBegun
+from oleanderhitch.program.turns.messages import (
+    ExpireTurns,
+    HistoryRead,
+    ReadHistory,
+    TurnBegun,
+)
+from oleanderhitch.request.ids import RequestId
 from oleanderhitch.version.ids import HostName
 from oleanderhitch.version.routes.ids import RoutingVersion
 from tests.process.site.harness import wait_until
@@ -98,7 +104,14 @@
     command = begin(f"after-{previous}", previous, budget=10_000_000)
     result = CODEC.decode(application.apply(CODEC.encode(command)))
     assert isinstance(result, TurnBegun)
-    return result.history
+    history = result.history
+    while len(history) < len(result.history) + result.n_bytes_left:
+        query = ReadHistory(RequestId(previous), len(history))
+        read = CODEC.decode(application.read(CODEC.encode(query)))
+        assert isinstance(read, HistoryRead)
+        assert read.data
+        history += read.data
+    return history
 
 
 def test_result_that_exceeds_a_frame_is_refused(
