--- a/review/bed3.py
+++ b/review/bed3.py
@@ -699,13 +699,13 @@
     ]
 
 
-def make_turn_headers(program, previous=None):
+def make_turn_headers(program, previous=None, budget=100_000):
     """Return the headers of a turn of a program."""
     headers = [
         ("X-Program-Id", program),
         ("X-Session-Id", f"{program}-line"),
         ("X-Finish-Ms", "5200"),
-        ("X-Token-Budget", "100000"),
+        ("X-Token-Budget", str(budget)),
         ("X-Model", "m"),
         ("X-Token-Usage", "1460,592"),
         ("X-Prompt-Prefix", f"5c1e07a2:800,{program.encode().hex()}:660"),
