--- a/review/bed3.py
+++ b/review/bed3.py
@@ -389,6 +389,8 @@
         self._list = Listener(self.list_address, self._serve_list)
         self.stores = []
         self.entries = []
+        # The cores that the project's processes share; all of them if it is empty.
+        self.cores = set()
 
     def _find_ports(self):
         """Return ports that are free on the wildcard address now."""
@@ -530,10 +532,14 @@
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
+                preexec_fn=self._restrict if self.cores else None,
             )
         self.processes[name] = process
         self.record.write(f"{name} is started")
 
+    def _restrict(self):
+        os.sched_setaffinity(0, self.cores)
+
     def kill(self, name):
         """End a process with SIGKILL and wait for its end."""
         self.processes[name].kill()
