--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,127 +1,77 @@
-"""An entry host dies while it passes answers without a length on for another one."""
+"""A client offers an upgrade in a request with a body, as HTTP/1.1 allows."""
 
-import threading
-import time
 from pathlib import Path
 
 from bed3 import (
-    CaseError,
     Client,
-    make_events,
+    answer_plain,
     make_route,
     make_services,
-    make_stream_answer,
     run_case,
 )
 
-N_EVENTS = 20
-GAP_S = 0.12
-PLAIN_PARTS = 10
-PART = b"0123456789abcdef" * 5
-CUT_S = 1.2
-
-
-def answer_plain_in_parts(runner, connection, headers, body):
-    """Answer with a body that ends with its connection and takes a second."""
-    framing = "Content-Type: text/plain\r\nConnection: close\r\n"
-    connection.socket.sendall(runner.make_head(headers, framing))
-    for _ in range(PLAIN_PARTS):
-        time.sleep(0.1)
-        connection.socket.sendall(PART)
-    return False
-
-
-def answer(runner, connection, headers, body):
-    """Answer a stream or a plain request, as its id says."""
-    if headers["x-request-id"].startswith("chat"):
-        stream = make_stream_answer(N_EVENTS, GAP_S, is_framed=False)
-        return stream(runner, connection, headers, body)
-    return answer_plain_in_parts(runner, connection, headers, body)
+BODY = b'{"waiver": "two kayaks", "signed": true, "guest": "A. Horvat"}'
+# What a client of HTTP/2 sends with its first request on a plain connection, to learn
+# whether the server can speak it (RFC 7540, section 3.2; RFC 9110, section 7.8).
+OFFER = (
+    ("Connection", "Upgrade, HTTP2-Settings"),
+    ("Upgrade", "h2c"),
+    ("HTTP2-Settings", "AAMAAABkAAQAoAAAAAIAAAAA"),
+)
 
 
 def play(bed):
-    """Cut one entry host off, let another one pass bytes on for it, and kill that."""
+    """Send records with and without the offer, and compare what runs."""
     for zone in ("split-a", "zadar-b", "rijeka-c"):
         bed.start(bed.add_store(zone), is_first=True)
-    isolated, relay = bed.add_entry("split-a"), bed.add_entry("split-a")
-    for name in (isolated, relay):
-        bed.start(name, is_first=True)
-    for _ in range(3):
-        bed.add_runner("app", answer, slots=6)
-    routes = [
-        make_route("r-chat", "/chat/", "stream", "app", itl_target_ms=400),
-        make_route("r-ping", "/ping/", "safe", "app", attempts=2),
-    ]
+    front = bed.add_entry("split-a")
+    bed.start(front, is_first=True)
+    for _ in range(2):
+        bed.add_runner("app", answer_plain, slots=6)
+    routes = [make_route("r-file", "/file/", "unsafe", "app", timeout_ms=2000)]
     bed.publish(routes, make_services())
-    bed.wait_ready([isolated, relay])
-    # The hosts must have told the stores of each other.
-    time.sleep(1.5)
-    cut_off(bed, isolated)
-    answers = {}
-    callers = [
-        threading.Thread(target=call, args=(bed, isolated, request, answers))
-        for request in ("chat-1", "ping-1", "chat-2")
-    ]
-    for caller in callers:
-        caller.start()
-    time.sleep(0.6)
-    n_tunnels = bed.read_log(relay).count("tunnel opened")
-    bed.record.write(f"{relay} has opened {n_tunnels} tunnels")
-    if n_tunnels == 0:
-        raise CaseError("no answer went through another host")
-    if bed.has_trouble:
-        bed.kill(relay)
-    for caller in callers:
-        caller.join(12)
-    return [problem for request in answers for problem in judge(request, answers)]
-
-
-def cut_off(bed, isolated):
-    """Refuse the connections of a host to all runners for a moment.
-
-    The other host opens none meanwhile, so that it sees nothing of it.
-    """
-    for runner in bed.runners:
-        runner.listener.close()
-    bed.record.write(f"{isolated} is cut off from all runners")
-    client = Client(bed, bed.get_front(isolated), 0.5)
-    client.send("GET", "/ping/0", "probe-0", [("X-Deadline-Ms", "400")])
-    time.sleep(CUT_S)
-    client.close()
-    for runner in bed.runners:
-        runner.listener.open()
-    bed.record.write("the runners take connections again")
-
-
-def call(bed, entry, request, answers):
-    """Send a request and keep its answer."""
-    client = Client(bed, bed.get_front(entry))
-    method = "POST" if request.startswith("chat") else "GET"
-    path = "/chat/1" if request.startswith("chat") else "/ping/1"
-    deadline_ms = 4000
-    headers = [("X-Deadline-Ms", str(deadline_ms))]
-    answers[request] = client.call(method, path, request, headers, b"")
-    client.close()
-
-
-def judge(request, answers):
-    """Return what is wrong with a success that looks whole."""
-    answer_got = answers[request]
-    if answer_got.status != 200 or not answer_got.is_whole:
-        return []
-    if request.startswith("chat"):
-        expected = b"".join(make_events(request, N_EVENTS))
-        rule = "ORDER"
-    else:
-        expected = PART * PLAIN_PARTS
-        rule = "MIXED"
-    if answer_got.body == expected:
+    bed.wait_ready([front])
+    problems = []
+    for number in range(3):
+        request = f"file-{number}"
+        client = Client(bed, bed.get_front(front))
+        headers = [("X-Deadline-Ms", "2000")]
+        if bed.has_trouble:
+            headers.extend(OFFER)
+        answer = client.call("POST", "/file/4b", request, headers, BODY)
+        problems.extend(judge(bed, request, answer))
+        # The client keeps the connection, as the answer allows, and uses it again.
+        if "close" not in answer.headers.get("connection", "").lower():
+            problems.extend(reuse(bed, client, f"next-{number}"))
+        client.close()
+    return problems
+
+
+def judge(bed, request, answer):
+    """Return what is wrong with the runs and the answer of a request."""
+    problems = []
+    for runner, _, _, _, body in bed.find_runs(request):
+        if body != BODY:
+            problems.append(
+                f"UNASKED: {runner} ran {request} with a body of {len(body)} bytes; "
+                f"the client sent {len(BODY)}; it was answered {answer.status}"
+            )
+    if not answer.is_whole and not bed.find_runs(request):
+        bed.record.write(f"{request} was not served")
+    return problems
+
+
+def reuse(bed, client, request):
+    """Send an ordinary request on the kept connection and judge its answer."""
+    headers = [("X-Deadline-Ms", "2000")]
+    try:
+        answer = client.call("POST", "/file/4b", request, headers, BODY)
+    except OSError as error:
+        bed.record.write(f"the kept connection was closed: {error}")
         return []
-    n_bytes = len(answer_got.body)
-    return [
-        f"{rule}: {request} got a signed 200 that looks whole with {n_bytes} of "
-        f"{len(expected)} bytes"
-    ]
+    if answer.status == 400 and not bed.find_runs(request):
+        bed.record.write(f"{request} got an answer that was not made for it")
+    return judge(bed, request, answer)
 
 
 if __name__ == "__main__":
