--- a/review/bed3.py
+++ b/review/bed3.py
@@ -724,6 +724,8 @@
 
 def run_case(folder, play):
     """Run a case and exit: 1 if the rule was broken, 0 if it held, 2 if it failed."""
+    # All processes are ended in this case, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     bed = Bed(folder)
     try:
         problems = play(bed)
