Ignored offers of another protocol in requests

Cause: the parser library ends each message that offers an upgrade after its head, as it does for CONNECT, and reports the end to our callback.

Change: the head is parsed again without the field, so that the library goes on with the body. CONNECT, whose body has no defined length, is rejected before it can run.

--- a/oleanderhitch/connection/http/parsing.py
+++ b/oleanderhitch/connection/http/parsing.py
@@ -16,6 +16,7 @@
     RequestFault,
     find_header,
 )
+from oleanderhitch.connection.http.rendering import render_request_head
 from oleanderhitch.values import Value
 from oleanderhitch.version.routes.configuration import CallerLimits
 
@@ -103,8 +104,7 @@
         position = 0
         while position < len(rest) and not self._ready and self._error is None:
             end = self._find_piece_end(rest, position)
-            self._feed_piece(view[position:end])
-            position = end
+            position += self._feed_piece(view[position:end])
         if self._error is None and position < len(rest):
             self._unparsed = rest[position:]
         ready = list(self._ready)
@@ -138,14 +138,14 @@
         head_end = data.find(_HEAD_END, start, end)
         return end if head_end < 0 else head_end + len(_HEAD_END)
 
-    def _feed_piece(self, data: memoryview) -> None:
+    def _feed_piece(self, data: memoryview) -> int:
+        """Parse a piece and return how many of its bytes were used."""
         self._has_started = True
+        n_used_bytes = len(data)
         if not self._has_headers:
             self._n_header_bytes += len(data)
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._error = _make_error(RequestFault.MALFORMED, "upgrade is not offered")
+            n_used_bytes = self._parse(data)
         except httptools.HttpParserError as error:
             self._error = self._error or _make_error(
                 RequestFault.MALFORMED, f"not HTTP/1.1: {error!r}"
@@ -159,6 +159,32 @@
                 RequestFault.HEADERS_TOO_LARGE,
                 f"headers exceed {self._limits.header_bytes} bytes",
             )
+        return n_used_bytes
+
+    def _parse(self, data: memoryview) -> int:
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as upgrade:
+            n_used_bytes: int = upgrade.args[0]
+            self._parse_head_without_upgrade()
+            return n_used_bytes
+        return len(data)
+
+    def _parse_head_without_upgrade(self) -> None:
+        """Parse the head again without the field that offers another protocol.
+
+        A server may ignore the offer (RFC 9110, section 7.8), but the library ends each
+        message that has one after its head and never reads its body.
+        """
+        head = render_request_head(
+            self._parser.get_method().decode("latin-1"),
+            self._target.decode("latin-1"),
+            ((name, value) for name, value in self._headers if name != "upgrade"),
+            self._parser.get_http_version(),
+        )
+        self._parser = httptools.HttpRequestParser(self)
+        self._reset()
+        self._parser.feed_data(head)
 
     def _reset(self) -> None:
         self._target = b""
@@ -202,6 +228,9 @@
     def on_headers_complete(self) -> None:
         """Check the Host header and the body length before the body is read."""
         self._has_headers = True
+        if self._parser.get_method() == b"CONNECT":
+            # Its body has no defined length (RFC 9110, section 9.3.6).
+            self._reject(RequestFault.MALFORMED, "CONNECT is not supported")
         names = [name for name, _ in self._headers]
         if names.count("host") != 1:
             self._reject(RequestFault.MALFORMED, "expected one Host header")
@@ -228,6 +257,9 @@
 
     def on_message_complete(self) -> None:
         """Add the complete request to those that `feed` returns."""
+        if self._parser.should_upgrade():
+            # Only the head has ended; `_parse_head_without_upgrade` goes on with it.
+            return
         self._ready.append(
             HttpRequest(
                 self._parser.get_method().decode("latin-1"),
--- a/oleanderhitch/connection/http/rendering.py
+++ b/oleanderhitch/connection/http/rendering.py
@@ -11,11 +11,22 @@
 
 def render_request(request: HttpRequest) -> bytes:
     """Return the bytes of a request, with a Content-Length if it may have a body."""
-    lines = [f"{request.method} {request.target} HTTP/1.1"]
-    lines.extend(f"{name}: {value}" for name, value in request.headers)
+    headers = request.headers
     if request.body or request.method not in ("GET", "HEAD", "DELETE"):
-        lines.append(f"content-length: {len(request.body)}")
-    return _join_header_lines(lines) + request.body
+        headers = (*headers, ("content-length", str(len(request.body))))
+    return render_request_head(request.method, request.target, headers) + request.body
+
+
+def render_request_head(
+    method: str,
+    target: str,
+    headers: Iterable[tuple[str, str]],
+    version: str = "1.1",
+) -> bytes:
+    """Return the request line and headers of a request."""
+    lines = [f"{method} {target} HTTP/{version}"]
+    lines.extend(f"{name}: {value}" for name, value in headers)
+    return _join_header_lines(lines)
 
 
 def render_response(response: HttpResponse, closes_connection: bool) -> bytes:
--- a/tests/connection/http/test_caller.py
+++ b/tests/connection/http/test_caller.py
@@ -229,6 +229,33 @@
     assert server.n_active_requests == 0
 
 
+def echo_body(
+    request: HttpRequest, writer: ResponseWriter, mailbox: Mailbox, now: datetime
+) -> None:
+    """Respond with the body of the request."""
+    writer.respond(HttpResponse(200, request.body))
+
+
+# Guards against a request that runs without its body, since it offers to go on with
+# another protocol, and against a rejection that belongs to no request.
+def test_request_that_offers_an_upgrade_gets_one_response(
+    start: Callable[[ServeRequest], tuple[HttpServer, HostAddress]],
+) -> None:
+    """Serve it as the HTTP/1.1 request that it is, and the next one after it."""
+    _, address = start(echo_body)
+    connected = connect(address)
+    head = b"POST / HTTP/1.1\r\nHost: h\r\n"
+    offer = b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n"
+    for body in (b"first", b"later"):
+        connected.sendall(head + offer + b"Content-Length: 5\r\n\r\n" + body)
+        response = connected.recv(4096)
+        assert response.startswith(b"HTTP/1.1 200 ")
+        assert response.endswith(b"\r\n\r\n" + body)
+    connected.settimeout(LIMITS.header_timeout.total_seconds() * 2)
+    with pytest.raises(TimeoutError):
+        connected.recv(1)
+
+
 def test_rejected_caller_that_has_gone_leaves_no_trace(
     start: Callable[[ServeRequest], tuple[HttpServer, HostAddress]],
     capfd: pytest.CaptureFixture[str],
--- a/tests/connection/http/test_parsing.py
+++ b/tests/connection/http/test_parsing.py
@@ -16,6 +16,7 @@
     ParsedBody,
     ParsedEnd,
     ParsedHead,
+    RequestParser,
     make_request_parser,
     make_response_parser,
 )
@@ -94,6 +95,100 @@
     assert caught.value.fault is fault
 
 
+OFFERS = st.sampled_from(
+    [
+        b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n"
+        b"HTTP2-Settings: AA\r\n",
+        b"Upgrade: websocket\r\nConnection: keep-alive\r\nConnection: upgrade\r\n",
+        b"upgrade: h2c, foo/2\r\nX-Empty:\r\nUpgrade:\r\nconnection:UPGRADE\r\n",
+    ]
+)
+
+
+def parse_pieces(
+    parser: RequestParser, data: bytes, sizes: list[int]
+) -> list[HttpRequest]:
+    """Return the requests in some bytes that arrive in pieces."""
+    requests = []
+    for size in [*sizes, len(data)]:
+        requests.extend(parser.feed(data[:size]))
+        data = data[size:]
+        while parser.has_unparsed:
+            requests.extend(parser.feed(b""))
+    return requests
+
+
+# Guards against a request that runs without its body, since it offers to go on with
+# another protocol, and against its body that is read as the next request.
+@given(
+    OFFERS,
+    st.sampled_from([b"GET", b"POST", b"PUT", b"DELETE", b"OPTIONS"]),
+    st.sampled_from([b"1.1", b"1.0"]),
+    st.sampled_from(
+        [
+            (b"", b"", b""),
+            (b"Content-Length: 0\r\n", b"", b""),
+            (b"Content-Length: 42\r\n", (PLAIN * 2)[:42], (PLAIN * 2)[:42]),
+            (
+                b"Transfer-Encoding: chunked\r\n",
+                b"3\r\nabc\r\n0\r\nA: b\r\n\r\n",
+                b"abc",
+            ),
+        ]
+    ),
+    st.lists(st.integers(1, 60), max_size=20),
+)
+def test_request_that_offers_an_upgrade_is_parsed_with_its_body(
+    offer: bytes,
+    method: bytes,
+    version: bytes,
+    framed: tuple[bytes, bytes, bytes],
+    sizes: list[int],
+) -> None:
+    """Parse it like the same request without the field, and the next one after it."""
+    framing, wire_body, body = framed
+    start = b"%b /a?b HTTP/%b\r\nHost: h\r\n" % (method, version)
+    rest = framing + b"X-Last: 1\r\n\r\n" + wire_body + PLAIN
+    if version == b"1.0":
+        rest = b"Connection: keep-alive\r\n" + rest
+    parser = make_request_parser(LIMITS)
+    requests = parse_pieces(parser, start + offer + rest, sizes)
+    first = requests[0]
+    assert (first.method, first.target) == (method.decode(), "/a?b")
+    assert first.body == body
+    assert first.keeps_alive
+    offered = start + offer.replace(b"Upgrade:", b"X:").replace(b"upgrade:", b"X:")
+    ordinary = parse_requests(offered + rest)[0]
+    assert first.headers == tuple(h for h in ordinary.headers if h[0] != "x")
+    assert [request.body for request in requests[1:]] == [b"body"]
+    assert parser.error is None
+    assert parser.is_idle
+
+
+def test_upgrade_does_not_extend_the_limits() -> None:
+    """Guard against oversized requests that are read because they offer an upgrade."""
+    offer = b"POST / HTTP/1.1\r\nHost: h\r\nConnection: upgrade\r\nUpgrade: h2c\r\n"
+    for rest, fault in (
+        (b"Content-Length: 2000\r\n\r\n", RequestFault.BODY_TOO_LARGE),
+        (b"A: " + b"x" * 600 + b"\r\n\r\n", RequestFault.HEADERS_TOO_LARGE),
+        (
+            b"Transfer-Encoding: chunked\r\n\r\n7d0\r\n" + b"x" * 2000,
+            RequestFault.BODY_TOO_LARGE,
+        ),
+    ):
+        with pytest.raises(RequestParseError) as caught:
+            parse_requests(offer + rest)
+        assert caught.value.fault is fault
+
+
+def test_connect_is_rejected_once() -> None:
+    """Guard against a request without a defined body that runs, then is rejected."""
+    for fields in (b"", b"Content-Length: 3\r\n"):
+        with pytest.raises(RequestParseError) as caught:
+            parse_requests(b"CONNECT h:1 HTTP/1.1\r\nHost: h\r\n" + fields + b"\r\nabc")
+        assert caught.value.fault is RequestFault.MALFORMED
+
+
 def test_pipelined_requests_are_parsed_a_few_at_a_time() -> None:
     """Guard against one read that makes a thousand requests."""
     parser = make_request_parser(LIMITS)
