Ignored empty lines between requests

What callers saw: an empty line after an answered request, which some clients send after a body, was answered 408 after the time for a head.

Cause: each byte counted as the begin of a request, and each error of the bytes between two requests was answered.

Change: a request begins where the parser says so. What goes wrong before that closes the connection without a response.

The tests failed before:

FAILED test_caller.py::test_empty_lines_between_requests_get_no_response Failed: DID NOT RAISE TimeoutError FAILED test_caller.py::test_endless_empty_lines_end_the_connection_without_a_response AssertionError: assert 2 == 1

--- a/oleanderhitch/connection/http/caller.py
+++ b/oleanderhitch/connection/http/caller.py
@@ -311,12 +311,17 @@
                 pass
         except RequestParseError as error:
             self._is_receiving = False
-            rejection = RequestRejected(error.fault, str(error))
-            # At once: the other readers of a crowd may run before the rejection does.
+            # A response without a request would be taken for that to the next one.
+            end = (
+                RequestRejected(error.fault, str(error))
+                if error.has_begun
+                else CallerDisconnected(str(error))
+            )
+            # At once: the other readers of a crowd may run before this one's end does.
             parser.close()
             del error
             self._await_responses(0)
-            self._mailbox.send(rejection)
+            self._mailbox.send(end)
         except OSError as error:
             self._mailbox.send(CallerDisconnected(f"connection broke: {error}"))
 
--- a/oleanderhitch/connection/http/parsing.py
+++ b/oleanderhitch/connection/http/parsing.py
@@ -52,7 +52,10 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no byte of the next request has arrived."""
+        """Whether no byte of the next request has arrived.
+
+        Empty lines before a request are ignored (RFC 9112, section 2.2).
+        """
         return not self._has_started and not self._unparsed
 
     @property
@@ -140,14 +143,13 @@
 
     def _feed_piece(self, data: memoryview) -> int:
         """Parse a piece and return how many of its bytes were used."""
-        self._has_started = True
         n_used_bytes = len(data)
         if not self._has_headers:
             self._n_header_bytes += len(data)
         try:
             n_used_bytes = self._parse(data)
         except httptools.HttpParserError as error:
-            self._error = self._error or _make_error(
+            self._error = self._error or self._make_error(
                 RequestFault.MALFORMED, f"not HTTP/1.1: {error!r}"
             )
         # Bounds headers that never end, with a tolerance of one piece; `on_header`
@@ -155,7 +157,7 @@
         if not self._has_headers and (
             self._n_header_bytes > self._limits.header_bytes + len(data)
         ):
-            self._error = self._error or _make_error(
+            self._error = self._error or self._make_error(
                 RequestFault.HEADERS_TOO_LARGE,
                 f"headers exceed {self._limits.header_bytes} bytes",
             )
@@ -279,9 +281,12 @@
             )
 
     def _reject(self, fault: RequestFault, detail: str) -> None:
-        self._error = _make_error(fault, detail)
+        self._error = self._make_error(fault, detail)
         raise self._error
 
+    def _make_error(self, fault: RequestFault, detail: str) -> RequestParseError:
+        return RequestParseError(fault, detail, self._has_started)
+
 
 def get_held_bytes(request: HttpRequest) -> int:
     """Return what a request holds, as a share of the memory counts it."""
@@ -292,10 +297,6 @@
     )
 
 
-def _make_error(fault: RequestFault, detail: str) -> RequestParseError:
-    return RequestParseError(fault, detail)
-
-
 class ParsedHead(Value, frozen=True):
     """Status and headers of a response."""
 
--- a/tests/connection/http/test_caller.py
+++ b/tests/connection/http/test_caller.py
@@ -256,6 +256,34 @@
         connected.recv(1)
 
 
+# Guards against a rejection that the caller takes for the response to its next request,
+# sent since some clients end a body with a line of its own (RFC 9112, section 2.2).
+def test_empty_lines_between_requests_get_no_response(
+    start: Callable[[ServeRequest], tuple[HttpServer, HostAddress]],
+) -> None:
+    """Keep a connection on which empty lines follow a request."""
+    _, address = start(echo)
+    connected = connect(address)
+    for target in (b"/first", b"/later"):
+        connected.sendall(GET % target + b"\r\n\n")
+        response = connected.recv(4096)
+        assert response.startswith(b"HTTP/1.1 200 ")
+        assert response.endswith(target)
+        connected.settimeout(LIMITS.header_timeout.total_seconds() * 2)
+        with pytest.raises(TimeoutError):
+            connected.recv(1)
+
+
+def test_endless_empty_lines_end_the_connection_without_a_response(
+    start: Callable[[ServeRequest], tuple[HttpServer, HostAddress]],
+) -> None:
+    """Guard against a caller that is read for good, or is told of no request."""
+    _, address = start(echo)
+    connected = connect(address)
+    connected.sendall(GET % b"/first" + b"\r\n" * LIMITS.header_bytes)
+    assert read_all(connected).count(b"HTTP/1.1 ") == 1
+
+
 def test_rejected_caller_that_has_gone_leaves_no_trace(
     start: Callable[[ServeRequest], tuple[HttpServer, HostAddress]],
     capfd: pytest.CaptureFixture[str],
