Failed exchanges at an error behind valid bytes

What callers saw: a request whose endpoint answered 101 without having been offered anything waited until its deadline.

Cause: where an error came in the same read as valid bytes of a response, the parser returned these and kept the error to itself. After a 101 the library goes on with the next read as if it were a new response, so that a part of a body could have passed for one.

The tests failed before:

FAILED test_endpoint.py::test_switched_protocol_ends_the_exchange_at_once assert isinstance(None, ExchangeFailed) FAILED test_parsing.py::test_error_after_valid_bytes_of_a_response_is_known_at_once AttributeError: 'ResponseParser' object has no attribute 'error'; with the attribute alone, for the 101: DID NOT RAISE ResponseParseError

--- a/oleanderhitch/connection/http/endpoint.py
+++ b/oleanderhitch/connection/http/endpoint.py
@@ -351,6 +351,8 @@
                 raise ResponseParseError("responses take too much memory")
             if state.has_ended and not state.parser.is_between_responses:
                 state.has_surplus_bytes = True
+            if state.parser.error is not None and not state.has_ended:
+                raise state.parser.error
             if state.exchange.flow is not None and not state.has_ended:
                 state.exchange.flow.wait()
             n_reads += 1
--- a/oleanderhitch/connection/http/parsing.py
+++ b/oleanderhitch/connection/http/parsing.py
@@ -344,6 +344,12 @@
         self._has_too_many_headers = False
         self._body: list[bytes] = []
         self._parts: list[ParsedPart] = []
+        self._error: ResponseParseError | None = None
+
+    @property
+    def error(self) -> ResponseParseError | None:
+        """The error in the bytes after the last valid part, if any."""
+        return self._error
 
     @property
     def is_between_responses(self) -> bool:
@@ -353,9 +359,12 @@
     def feed(self, data: bytes) -> list[ParsedPart]:
         """Return the parts that the bytes complete.
 
-        Raise ResponseParseError if the bytes are invalid and no part precedes the
-        error; otherwise the parts that precede it are returned.
+        If the bytes are invalid, the parts before the error are returned and `error` is
+        set. ResponseParseError is raised if no part precedes the error.
         """
+        if self._error is not None:
+            # After an upgrade, the library would go on with whatever comes next.
+            raise self._error
         self._n_bytes_without_body += len(data)
         try:
             self._parser.feed_data(data)
@@ -365,8 +374,10 @@
                 raise ResponseParseError(
                     f"the number of headers exceeds {N_RESPONSE_HEADERS_LIMIT}"
                 ) from None
+            # An upgrade is an error too: no request here offers one.
+            self._error = ResponseParseError(f"not HTTP/1.1: {error!r}")
             if not self._parts and not self._body:
-                raise ResponseParseError(f"not HTTP/1.1: {error!r}") from None
+                raise self._error from None
         if self._n_bytes_without_body > RESPONSE_HEAD_LIMIT_BYTES:
             raise ResponseParseError(
                 f"what is not the body exceeds {RESPONSE_HEAD_LIMIT_BYTES} bytes"
--- a/tests/connection/http/test_endpoint.py
+++ b/tests/connection/http/test_endpoint.py
@@ -209,6 +209,29 @@
     assert isinstance(end, ResponseEnd)
 
 
+# Guards against a request that waits until its deadline for an endpoint that has
+# switched to a protocol that nobody offered it.
+def test_switched_protocol_ends_the_exchange_at_once(
+    serve: Callable[[Script], ScriptedEndpoint],
+) -> None:
+    """Report an unreadable response while the connection stays open."""
+    switched = (
+        b"HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\n"
+        b"Upgrade: h2c\r\n\r\n"
+    )
+
+    def script(connected: socket.socket, number: int) -> None:
+        connected.recv(4096)
+        connected.sendall(switched + make_response(1, b"ok"))
+        connected.recv(4096)
+
+    mailbox = PoolClient().start_exchange(serve(script).address, 1)
+    _, end = receive_response(mailbox)
+    assert isinstance(end, ExchangeFailed)
+    assert end.was_sent
+    assert "unreadable answer" in end.reason
+
+
 REFUSAL = b"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
 
 
--- a/tests/connection/http/test_parsing.py
+++ b/tests/connection/http/test_parsing.py
@@ -230,6 +230,25 @@
         make_response_parser().feed(b"\x00\x01garbage\r\n\r\n")
 
 
+# Guards against a request that waits until its deadline for an endpoint whose response
+# can't be read any more, since the error came with bytes that are valid.
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n"
+        b"\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\nnonsense\r\n",
+    ],
+)
+def test_error_after_valid_bytes_of_a_response_is_known_at_once(data: bytes) -> None:
+    """Return the valid parts, and the error beside them."""
+    parser = make_response_parser()
+    assert parser.feed(data)
+    assert parser.error is not None
+    with pytest.raises(ResponseParseError):
+        parser.feed(b"\r\n")
+
+
 # Guards against an endpoint whose head never ends, which would fill the memory of the
 # entry host until the deadline of the request.
 def test_endless_head_of_a_response_is_rejected() -> None:
