Confirmed the ends of endpoints through tunnels

What callers saw: an entry host without links sent its requests through another one, which was killed in the middle of answers without a length.

Cause: such an answer ends with its connection, and the system closes the connections of a process that ends in good order. Only the host next to the endpoint knows who ended it, and it passed bytes on without a word of its own.

Change: the bytes of an endpoint come in frames, and an empty one after the last byte says that the endpoint has closed the connection in good order. An end without it is a broken connection. Whatever else closes a tunnel resets it, which askers of an earlier build understand. Hosts that confirm ends come first; an earlier build closes the connection at the unknown request, is asked for a tunnel as before, and its ends count as broken.

--- a/oleanderhitch/connection/exceptions.py
+++ b/oleanderhitch/connection/exceptions.py
@@ -13,3 +13,7 @@
 
 class ConnectionLostError(UnavailableError):
     """A connection failed, was closed or timed out."""
+
+
+class PeerClosedError(ConnectionLostError):
+    """The peer has closed a connection in good order."""
--- a/oleanderhitch/connection/http/endpoint.py
+++ b/oleanderhitch/connection/http/endpoint.py
@@ -36,7 +36,11 @@
     ResponseParser,
     make_response_parser,
 )
-from oleanderhitch.connection.http.sockets import EndpointSocket, open_connection
+from oleanderhitch.connection.http.sockets import (
+    EndpointSocket,
+    Receive,
+    open_connection,
+)
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.exceptions import OleanderhitchError
 from oleanderhitch.process.address import Address
@@ -78,7 +82,8 @@
 
 def connect_directly(address: HostAddress) -> EndpointSocket:
     """Return a socket connected to an endpoint; raise OSError."""
-    return EndpointSocket(open_connection(address, CONNECT_TIMEOUT))
+    connected = open_connection(address, CONNECT_TIMEOUT)
+    return EndpointSocket(connected, connected.recv)
 
 
 class Exchange(Value, frozen=True):
@@ -180,11 +185,10 @@
         self._owner = owner
         self._memory = memory
         self._open = connect
-        self._is_relayed = False
+        self._opened: EndpointSocket | None = None
         # A small capacity is enough: the pool sends the next exchange only after
         # ConnectionIdle, and `fetch` sends a single one.
         self._mailbox = make_mailbox(f"endpoint {address}", 4)
-        self._socket: socket.socket | None = None
         self._greenlet: gevent.Greenlet | None = None
         self._current_exchange_id = 0
         self._carried: deque[RequestId] = deque(maxlen=N_CARRIED_REQUESTS_LIMIT)
@@ -199,7 +203,7 @@
     @property
     def is_relayed(self) -> bool:
         """Whether the bytes pass through another host."""
-        return self._is_relayed
+        return self._opened is not None and self._opened.is_relayed
 
     def start(self) -> None:
         """Start the task; the first exchange opens the connection."""
@@ -232,8 +236,8 @@
                 self._owner.send(ConnectionIdle(self, exchange.exchange_id))
         finally:
             self._has_ended = True
-            if self._socket is not None:
-                self._socket.close()
+            if self._opened is not None:
+                self._opened.connected.close()
             self._fail_queued()
             exchange_id = self._current_exchange_id
             self._owner.send(ConnectionClosed(self, exchange_id, self._is_lost))
@@ -246,25 +250,26 @@
 
     def _run_exchange(self, exchange: Exchange) -> timedelta | None:
         """Run an exchange; return the idle timeout, or None to close the connection."""
-        is_reused = self._socket is not None
-        if is_reused:
-            fault = self._find_reuse_fault(exchange)
+        is_reused = self._opened is not None
+        if self._opened is not None:
+            fault = self._find_reuse_fault(exchange, self._opened)
             if fault is not None:
                 self._return(exchange, fault)
                 return None
         elif not self._connect(exchange):
             self._is_lost = True
             return None
-        assert self._socket is not None
+        assert self._opened is not None
         if exchange.request_id is not None:
             self._carried.append(exchange.request_id)
-        writer = gevent.spawn(_write_request, self._socket, exchange.request)
+        connected = self._opened.connected
+        writer = gevent.spawn(_write_request, connected, exchange.request)
         share = self._memory.make_share()
         state = _ExchangeState(
             exchange, make_response_parser(), writer, not is_reused, share
         )
         try:
-            self._read_response(state)
+            _read_response(state, self._opened.receive)
         except OSError as error:
             state.is_lost = True
             _fail_lost(exchange, f"connection broke: {error}")
@@ -286,10 +291,11 @@
     @contextmanager
     def _watch_idle_socket(self) -> Iterator[None]:
         """Close the idle connection once it is closed or receives anything."""
-        if self._socket is None:
+        if self._opened is None:
             yield
             return
-        watcher = gevent.get_hub().loop.io(self._socket.fileno(), READABLE)
+        connected = self._opened.connected
+        watcher = gevent.get_hub().loop.io(connected.fileno(), READABLE)
         watcher.start(self._report_disturbance, watcher)
         try:
             yield
@@ -311,53 +317,54 @@
         """Open the connection, or report the failure and return False."""
         try:
             opened = self._open(self._address)
-            self._socket, self._is_relayed = opened.connected, opened.is_relayed
-            self._socket.settimeout(None)
-            self._socket.setsockopt(
+            opened.connected.settimeout(None)
+            opened.connected.setsockopt(
                 socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
             )
+            self._opened = opened
         except (OSError, OleanderhitchError) as error:
             _fail(exchange, False, f"could not connect: {error}")
             return False
         return True
 
-    def _find_reuse_fault(self, exchange: Exchange) -> ReuseFault | None:
+    def _find_reuse_fault(
+        self, exchange: Exchange, opened: EndpointSocket
+    ) -> ReuseFault | None:
         """Return why the idle connection can't be reused, or None if it can."""
-        assert self._socket is not None
         if exchange.request_id in self._carried:
             return ReuseFault.CARRIED
-        self._socket.setblocking(False)
+        opened.connected.setblocking(False)
         try:
-            data = self._socket.recv(1, socket.MSG_PEEK)
+            data = opened.receive(1)
         except BlockingIOError:
             return None
         except OSError:
             return ReuseFault.BROKEN
         finally:
-            self._socket.settimeout(None)
+            opened.connected.settimeout(None)
         return ReuseFault.SURPLUS if data else ReuseFault.CLOSED
 
-    def _read_response(self, state: _ExchangeState) -> None:
-        assert self._socket is not None
-        n_reads = 0
-        while not state.has_ended:
-            data = self._socket.recv(RECEIVE_BYTES)
-            if not data:
-                _handle_close(state)
-                return
-            for part in state.parser.feed(data):
-                _handle_part(part, state)
-            if not state.share.resize(state.parser.n_unfinished_bytes):
-                raise ResponseParseError("responses take too much memory")
-            if state.has_ended and not state.parser.is_between_responses:
-                state.has_surplus_bytes = True
-            if state.parser.error is not None and not state.has_ended:
-                raise state.parser.error
-            if state.exchange.flow is not None and not state.has_ended:
-                state.exchange.flow.wait()
-            n_reads += 1
-            if n_reads % N_READS_IN_A_ROW == 0 or len(data) == RECEIVE_BYTES:
-                gevent.sleep(0)
+
+def _read_response(state: _ExchangeState, receive: Receive) -> None:
+    n_reads = 0
+    while not state.has_ended:
+        data = receive(RECEIVE_BYTES)
+        if not data:
+            _handle_close(state)
+            return
+        for part in state.parser.feed(data):
+            _handle_part(part, state)
+        if not state.share.resize(state.parser.n_unfinished_bytes):
+            raise ResponseParseError("responses take too much memory")
+        if state.has_ended and not state.parser.is_between_responses:
+            state.has_surplus_bytes = True
+        if state.parser.error is not None and not state.has_ended:
+            raise state.parser.error
+        if state.exchange.flow is not None and not state.has_ended:
+            state.exchange.flow.wait()
+        n_reads += 1
+        if n_reads % N_READS_IN_A_ROW == 0 or len(data) == RECEIVE_BYTES:
+            gevent.sleep(0)
 
 
 def _write_request(connected: socket.socket, data: bytes) -> bool:
--- a/oleanderhitch/connection/http/sockets.py
+++ b/oleanderhitch/connection/http/sockets.py
@@ -1,5 +1,6 @@
 """Open listening and client sockets with the TCP options of this system."""
 
+from collections.abc import Callable
 from datetime import timedelta
 
 from gevent import socket
@@ -19,13 +20,20 @@
 N_KEEPALIVE_PROBES = 2
 
 
+# Returns received bytes, none once the endpoint has ended the connection in good order.
+# Takes their largest number; raises OSError if the connection is broken.
+Receive = Callable[[int], bytes]
+
+
 class EndpointSocket(Value, frozen=True):
     """A socket connected to an endpoint, and whether another host passes its bytes on.
 
     The endpoint may be connected in a few ways; each opens a socket like this one.
+    `receive` reads what the endpoint sends, which may not be what the socket receives.
     """
 
     connected: socket.socket
+    receive: Receive
     is_relayed: bool = False
 
 
--- a/oleanderhitch/connection/peer/stream.py
+++ b/oleanderhitch/connection/peer/stream.py
@@ -14,6 +14,7 @@
     ConnectionLostError,
     HandshakeError,
     MalformedFrameError,
+    PeerClosedError,
 )
 from oleanderhitch.connection.peer.handshake import (
     Identity,
@@ -305,7 +306,7 @@
                 reason = self._failure or f"could not receive: {error}"
                 raise ConnectionLostError(reason) from None
             if not data:
-                raise ConnectionLostError("peer closed the connection")
+                raise PeerClosedError("peer closed the connection")
             self._last_received_at = self._clock.now()
             self._unanswered_since = None
             self._has_probed = False
--- a/oleanderhitch/connection/relay/exceptions.py
+++ b/oleanderhitch/connection/relay/exceptions.py
@@ -1,5 +1,6 @@
 """Errors of tunnels through another entry host."""
 
+from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.connection.relay.states import RelayRefusal
 from oleanderhitch.exceptions import UnavailableError
 
@@ -14,3 +15,11 @@
     def __init__(self, refusal: RelayRefusal) -> None:
         super().__init__(f"no tunnel: {refusal.value}")
         self.refusal = refusal
+
+
+class TunnelUnconfirmedError(RelayError):
+    """An entry host of an earlier build opens no tunnel that confirms its end."""
+
+    def __init__(self, relay: HostAddress) -> None:
+        super().__init__(f"{relay} does not know tunnels that confirm their end")
+        self.relay = relay
--- a/oleanderhitch/connection/relay/messages.py
+++ b/oleanderhitch/connection/relay/messages.py
@@ -11,6 +11,15 @@
     endpoint: HostAddress
 
 
+class OpenConfirmedTunnel(Value, frozen=True):
+    """Requests a connection to an endpoint, of which the end is confirmed.
+
+    Hosts of builds before this message close the connection instead of an answer.
+    """
+
+    endpoint: HostAddress
+
+
 class TunnelOpened(Value, frozen=True):
     """Reports that the endpoint is connected, and that bytes are passed on from now."""
 
@@ -21,4 +30,9 @@
     refusal: RelayRefusal
 
 
-MESSAGES: tuple[type, ...] = (OpenTunnel, TunnelOpened, TunnelRefused)
+MESSAGES: tuple[type, ...] = (
+    OpenTunnel,
+    OpenConfirmedTunnel,
+    TunnelOpened,
+    TunnelRefused,
+)
--- a/oleanderhitch/connection/relay/server.py
+++ b/oleanderhitch/connection/relay/server.py
@@ -1,7 +1,8 @@
 """Server that passes bytes between other entry hosts and the endpoints they name.
 
-A tunnel changes nothing and keeps nothing: an answer that is reset on its way is reset
-towards the other host too, and one that ends in good order ends so there.
+A tunnel changes nothing and keeps nothing. The connection to the other host is closed
+in good order only if the endpoint has closed its own so; whatever else ends a tunnel,
+also the end of this process, resets it.
 """
 
 import struct
@@ -24,7 +25,9 @@
 from oleanderhitch.connection.peer.handshake import Identity
 from oleanderhitch.connection.peer.stream import PeerStream
 from oleanderhitch.connection.relay.client import RELAY_TIMING
+from oleanderhitch.connection.relay.framing import PIECE_BYTES, Framing, get_framing
 from oleanderhitch.connection.relay.messages import (
+    OpenConfirmedTunnel,
     OpenTunnel,
     TunnelOpened,
     TunnelRefused,
@@ -34,14 +37,15 @@
 from oleanderhitch.process.clock import Clock
 
 # Each tunnel holds two pieces and what its two sockets have received.
-PIECE_BYTES = 16 * 1024
 RECEIVE_BUFFER_BYTES = 32 * 1024
 # Short against the timeout of the other host; descriptors are freed all the time.
 ACCEPT_RETRY_DELAY = timedelta(milliseconds=50)
 # Time for the other host to close a connection that the endpoint has ended.
 CLOSE_TIMEOUT = timedelta(seconds=2)
-# SO_LINGER with a time of 0: a close resets the connection.
+# SO_LINGER with a time of 0: a close resets the connection, also the one by the system
+# when the process ends.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+FINISH_ON_CLOSE = struct.pack("ii", 0, 0)
 
 log = logbook.Logger("relay")
 
@@ -106,12 +110,12 @@
         try:
             node = stream.authenticate_as_server()
             request = stream.receive_message()
-            if not isinstance(request, OpenTunnel):
+            if not isinstance(request, OpenTunnel | OpenConfirmedTunnel):
                 raise HandshakeError(f"unexpected message {type(request).__name__}")
             endpoint = self._connect(request.endpoint, stream)
             if endpoint is not None:
                 log.info("tunnel opened", peer=node, address=request.endpoint)
-                _pass_on(stream.detach(), endpoint)
+                _pass_on(stream.detach(), endpoint, get_framing(request))
         except (OleanderhitchError, OSError) as error:
             log.info("tunnel not opened", peer=str(remote), reason=str(error))
         finally:
@@ -142,19 +146,21 @@
 
     host: socket.socket
     endpoint: socket.socket
+    framing: Framing
     is_endpoint_lost: bool = False
 
 
-def _pass_on(host: socket.socket, endpoint: socket.socket) -> None:
+def _pass_on(host: socket.socket, endpoint: socket.socket, framing: Framing) -> None:
     """Pass bytes on in both directions until one side ends the connection."""
     set_tcp_options(host)
     host.settimeout(None)
+    host.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
     host.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
     # The other host must not read bytes of the endpoint with the messages before.
     first = host.recv(PIECE_BYTES)
     if not first:
         return
-    tunnel = _Tunnel(host, endpoint)
+    tunnel = _Tunnel(host, endpoint, framing)
     upward = gevent.spawn(_pass_requests_on, first, tunnel)
     downward = gevent.spawn(_pass_answers_on, tunnel)
     try:
@@ -191,19 +197,20 @@
 
 def _pass_answers_on(tunnel: _Tunnel) -> bool:
     """Return whether the endpoint has ended the connection in good order."""
-    host = tunnel.host
+    host, framing = tunnel.host, tunnel.framing
     try:
         while data := tunnel.endpoint.recv(PIECE_BYTES):
-            host.sendall(data)
+            host.sendall(framing.frame(data))
         if not tunnel.is_endpoint_lost:
+            host.sendall(framing.end)
             host.shutdown(socket.SHUT_WR)
+            host.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, FINISH_ON_CLOSE)
             return True
         # The system reports a reset once, here to the sender.
         reason = "reset while it was sent a request"
     except OSError as error:
         reason = str(error)
     log.debug("endpoint lost", reason=reason)
-    host.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
     return False
 
 
--- a/oleanderhitch/process/reachability/core.py
+++ b/oleanderhitch/process/reachability/core.py
@@ -37,6 +37,8 @@
 PROBE_INTERVAL = timedelta(milliseconds=500)
 # An entry host that opened no tunnel has ended, is overloaded or is isolated itself.
 AVOID_RELAY_DURATION = timedelta(seconds=1)
+# A host that confirms no ends is of an earlier build, and may be replaced any time.
+UNCONFIRMED_DURATION = timedelta(seconds=5)
 # Further attempts would take the time that the caller has for a retry.
 N_RELAYS_TRIED = 2
 
@@ -45,7 +47,8 @@
     """What this host knows of its links to the endpoints; owned by its task.
 
     `failed_at` has the endpoints that could not be connected to since the last one that
-    could, `silent` those of them that did not answer at all.
+    could, `silent` those of them that did not answer at all. `unconfirmed_until` has
+    the other hosts that are not asked for tunnels with confirmed ends.
     """
 
     reach: Reach = Reach.CONNECTED
@@ -54,6 +57,7 @@
     silent: set[HostAddress] = field(default_factory=set)
     relays: tuple[HostAddress, ...] = ()
     avoided_until: dict[HostAddress, datetime] = field(default_factory=dict)
+    unconfirmed_until: dict[HostAddress, datetime] = field(default_factory=dict)
     n_ways_found: int = 0
     n_probes: int = 0
     next_probe_at: datetime | None = None
@@ -79,11 +83,9 @@
 @handle.register
 def _(message: RelaysFound, state: ReachabilityState, now: datetime) -> list[object]:
     state.relays = message.relays
-    state.avoided_until = {
-        relay: until
-        for relay, until in state.avoided_until.items()
-        if relay in message.relays
-    }
+    for untils in (state.avoided_until, state.unconfirmed_until):
+        for relay in set(untils).difference(message.relays):
+            del untils[relay]
     return []
 
 
@@ -103,8 +105,12 @@
     # In turn, so that no host carries all connections of this one.
     start = state.n_ways_found % len(usable)
     state.n_ways_found += 1
-    in_turn = usable[start:] + usable[:start]
-    return tuple(Through(relay) for relay in in_turn[:N_RELAYS_TRIED])
+    in_turn = (
+        Through(relay, now >= state.unconfirmed_until.get(relay, now))
+        for relay in usable[start:] + usable[:start]
+    )
+    best_first = sorted(in_turn, key=lambda way: not way.confirms_ends)
+    return tuple(best_first[:N_RELAYS_TRIED])
 
 
 @handle.register
@@ -125,6 +131,8 @@
 ) -> list[object]:
     if message.outcome is AttemptOutcome.UNUSABLE:
         state.avoided_until[way.relay] = now + AVOID_RELAY_DURATION
+    elif message.outcome is AttemptOutcome.UNCONFIRMED:
+        state.unconfirmed_until[way.relay] = now + UNCONFIRMED_DURATION
     return []
 
 
--- a/oleanderhitch/process/reachability/messages.py
+++ b/oleanderhitch/process/reachability/messages.py
@@ -11,9 +11,13 @@
 
 
 class Through(Value, frozen=True):
-    """The way through another entry host."""
+    """The way through another entry host.
+
+    Without `confirms_ends`, responses that end with the connection count as broken off.
+    """
 
     relay: HostAddress
+    confirms_ends: bool = True
 
 
 Way = Direct | Through
--- a/oleanderhitch/process/reachability/task.py
+++ b/oleanderhitch/process/reachability/task.py
@@ -1,5 +1,6 @@
 """Run the decisions on ways to the endpoints, and the connections along them."""
 
+from collections import deque
 from collections.abc import Callable
 from datetime import datetime, timedelta
 from functools import partial, singledispatch
@@ -12,8 +13,15 @@
 from oleanderhitch.connection.http.sockets import EndpointSocket, open_connection
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.connection.peer.handshake import Identity
-from oleanderhitch.connection.relay.client import open_tunnel
-from oleanderhitch.connection.relay.exceptions import RelayError, TunnelRefusedError
+from oleanderhitch.connection.relay.client import (
+    open_tunnel,
+    open_unconfirmed_tunnel,
+)
+from oleanderhitch.connection.relay.exceptions import (
+    RelayError,
+    TunnelRefusedError,
+    TunnelUnconfirmedError,
+)
 from oleanderhitch.connection.relay.states import RelayRefusal
 from oleanderhitch.exceptions import OleanderhitchError, UnavailableError
 from oleanderhitch.process.address import Address
@@ -64,14 +72,18 @@
     found = mailbox.receive(ANSWER_TIMEOUT)
     ways: tuple[Way, ...] = found.ways if isinstance(found, WaysFound) else (Direct(),)
     failure: Exception = UnavailableError(f"no way to {endpoint}")
-    for way in ways:
+    untried = deque(ways)
+    while untried:
+        way = untried.popleft()
         try:
             connected = _open(way, endpoint, dependencies)
         except (OSError, OleanderhitchError) as error:
             failure = error
             outcome = _judge(error)
             dependencies.reachability.send(AttemptEnded(way, endpoint, outcome))
-            if outcome is not AttemptOutcome.UNUSABLE:
+            if isinstance(error, TunnelUnconfirmedError):
+                untried.append(Through(error.relay, confirms_ends=False))
+            elif outcome is not AttemptOutcome.UNUSABLE:
                 break
         else:
             connected_report = AttemptEnded(way, endpoint, AttemptOutcome.CONNECTED)
@@ -98,14 +110,14 @@
 def _(
     way: Through, endpoint: HostAddress, dependencies: ConnectorDependencies
 ) -> EndpointSocket:
-    tunnel = open_tunnel(
+    open_through = open_tunnel if way.confirms_ends else open_unconfirmed_tunnel
+    return open_through(
         way.relay,
         endpoint,
         dependencies.codec,
         dependencies.identity,
         dependencies.clock,
     )
-    return EndpointSocket(tunnel, is_relayed=True)
 
 
 @singledispatch
@@ -124,6 +136,11 @@
     return AttemptOutcome.UNUSABLE
 
 
+@_judge.register
+def _(error: TunnelUnconfirmedError) -> AttemptOutcome:
+    return AttemptOutcome.UNCONFIRMED
+
+
 @_judge.register
 def _(error: TunnelRefusedError) -> AttemptOutcome:
     is_reached = error.refusal is RelayRefusal.UNREACHABLE
--- a/tests/process/reachability/test_core.py
+++ b/tests/process/reachability/test_core.py
@@ -11,6 +11,7 @@
     AVOID_RELAY_DURATION,
     EVIDENCE_DURATION,
     PROBE_INTERVAL,
+    UNCONFIRMED_DURATION,
     ReachabilityState,
     handle,
 )
@@ -139,6 +140,21 @@
     assert len(find_ways(state, later)) == len(RELAYS)
 
 
+def test_hosts_that_confirm_ends_come_first() -> None:
+    """Guard against responses that are broken off though another host confirms them."""
+    state = make_state()
+    isolate(state)
+    handle(RelaysFound(RELAYS), state, NOW)
+    end_attempt(state, 3, AttemptOutcome.UNCONFIRMED, way=Through(RELAYS[0]))
+    expected = (Through(RELAYS[1]), Through(RELAYS[0], confirms_ends=False))
+    assert [find_ways(state) for _ in range(2)] == [expected] * 2
+    later = NOW + UNCONFIRMED_DURATION
+    assert set(find_ways(state, later)) == {Through(relay) for relay in RELAYS}
+    handle(RelaysFound(RELAYS[1:]), state, NOW)
+    handle(RelaysFound(RELAYS), state, NOW)
+    assert set(find_ways(state)) == {Through(relay) for relay in RELAYS}
+
+
 def test_endpoint_that_others_do_not_reach_says_nothing_of_them() -> None:
     """Guard against tunnels that are given up for an endpoint that has ended."""
     state = make_state()
--- a/tests/process/site/test_isolated_hosts.py
+++ b/tests/process/site/test_isolated_hosts.py
@@ -9,10 +9,12 @@
 
 from oleanderhitch.connection.http import endpoint
 from oleanderhitch.connection.http.pool import LinksChanged
+from oleanderhitch.connection.http.sockets import EndpointSocket
 from oleanderhitch.connection.ids import HostAddress
 from oleanderhitch.connection.peer.handshake import Identity
 from oleanderhitch.connection.relay.client import open_tunnel
 from oleanderhitch.connection.relay.exceptions import RelayError
+from oleanderhitch.connection.relay.framing import HEADER_BYTES
 from oleanderhitch.process.ids import NodeId
 from oleanderhitch.process.reachability import task as reachability
 from oleanderhitch.process.reachability.states import Reach
@@ -85,25 +87,26 @@
     assert relay is not None
     identity = Identity(NodeId("other"), entry._settings.site.peer_key)
 
-    def connect() -> socket.socket:
+    def connect() -> EndpointSocket:
         codec = make_site_peer_codec()
         return open_tunnel(relay, site.engine.address, codec, identity, CLOCK)
 
     try:
         tunnel = connect()
-        tunnel.settimeout(5)
-        tunnel.sendall(REQUEST)
-        assert tunnel.recv(15) == b"HTTP/1.1 200 OK"
+        connected = tunnel.connected
+        connected.settimeout(5)
+        connected.sendall(REQUEST)
+        assert tunnel.receive(15 + HEADER_BYTES) == b"HTTP/1.1 200 OK"
         stop = gevent.spawn(entry.stop)
         gevent.sleep(BALANCER_DRAIN_DELAY.total_seconds() + 0.5)
         assert not stop.ready()
         with pytest.raises(RelayError):
             connect()
-        while b"out2" not in tunnel.recv(65536):
+        while b"out2" not in tunnel.receive(65536):
             pass
-        tunnel.sendall(REQUEST)
-        assert tunnel.recv(65536)
-        tunnel.close()
+        connected.sendall(REQUEST)
+        assert tunnel.receive(65536)
+        connected.close()
         stop.join(2)
         assert stop.ready()
     finally:
