Sent no body in responses to HEAD

What callers saw: the body of a response to HEAD followed its head on the kept connection, where the next request takes it for its own response. A HEAD request whose endpoint gave a length and, rightly, no body waited until its deadline.

Cause: neither side of an exchange knew that such a response ends with its head.

Change: a caller's connection sends the head alone, and an exchange for HEAD ends with the head; its connection is not used again, since the parser library can't be told.

The tests failed before:

FAILED test_caller.py::test_response_to_head_has_no_body b'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nxxxxx'.endswith(b'\r\n\r\n') an exchange with a response like that of test_response_to_head_ends_with_its_head, on: no end within 2 s

--- a/oleanderhitch/connection/http/caller.py
+++ b/oleanderhitch/connection/http/caller.py
@@ -137,6 +137,7 @@
         self._is_new = True
         self._awaits_request = False
         self._keeps_alive = True
+        self._omits_body = False
         self._has_responded = False
         self._is_open = True
         self._n_reads = 0
@@ -229,6 +230,11 @@
     def respond(self, response: HttpResponse) -> None:
         """Write a complete response."""
         self._has_responded = True
+        if self._omits_body:
+            # The length of a body that an endpoint left out is unknown.
+            has_length = bool(response.body)
+            self._send(render_response_head(response, self._must_close(), has_length))
+            return
         if len(response.body) <= JOINED_BODY_LIMIT_BYTES:
             self._send(render_response(response, self._must_close()))
             return
@@ -241,13 +247,14 @@
 
     def write(self, data: bytes) -> None:
         """Write a chunk."""
-        if data:
+        if data and not self._omits_body:
             self._send(render_chunk(data))
 
     def finish(self) -> None:
         """Write the last chunk, which marks the response as complete."""
         self._has_responded = True
-        self._send(render_last_chunk())
+        if not self._omits_body:
+            self._send(render_last_chunk())
 
     def abort(self) -> None:
         """Close the connection, so that the response does not look complete."""
@@ -258,6 +265,7 @@
         self._is_new = self._awaits_request = False
         self._has_responded = False
         self._keeps_alive = request.keeps_alive
+        self._omits_body = request.method == "HEAD"
         now = self._owner.get_now()
         if self._last_served_at is None:
             self._owner.handle_first_request(self)
--- a/oleanderhitch/connection/http/endpoint.py
+++ b/oleanderhitch/connection/http/endpoint.py
@@ -30,6 +30,7 @@
     find_header,
 )
 from oleanderhitch.connection.http.parsing import (
+    FIRST_FINAL_STATUS,
     ParsedBody,
     ParsedEnd,
     ParsedHead,
@@ -71,8 +72,6 @@
 N_TIMEOUT_DIGITS = 8
 # Event mask of libev.
 READABLE = 1
-# Responses with a status below this are interim (RFC 9110).
-FIRST_FINAL_STATUS = 200
 
 log = logbook.Logger("endpoint")
 
@@ -92,7 +91,8 @@
     `find_owner` tells from its headers whose response one is; one to another request
     is skipped. One that names no request counts as the response to this one only if
     nothing was received on the connection before. The body is read no faster than the
-    receiver removes it from the flow, if there is one. A connection carries a request
+    receiver removes it from the flow, if there is one. A response without a body, as to
+    HEAD, ends with its head. A connection carries a request
     that `request_id` names only once: a late duplicate of its first response would look
     like the second.
     """
@@ -103,6 +103,7 @@
     find_owner: Callable[[Headers], ResponseOwner]
     flow: ResponseFlow | None = None
     request_id: RequestId | None = None
+    has_response_body: bool = True
 
 
 class ReuseFault(Enum):
@@ -266,7 +267,11 @@
         writer = gevent.spawn(_write_request, connected, exchange.request)
         share = self._memory.make_share()
         state = _ExchangeState(
-            exchange, make_response_parser(), writer, not is_reused, share
+            exchange,
+            make_response_parser(exchange.has_response_body),
+            writer,
+            not is_reused,
+            share,
         )
         try:
             _read_response(state, self._opened.receive)
--- a/oleanderhitch/connection/http/parsing.py
+++ b/oleanderhitch/connection/http/parsing.py
@@ -320,6 +320,8 @@
 
 # The parser of the library takes any number of three digits (RFC 9110, section 15).
 STATUSES = range(100, 600)
+# Responses with a status below this are interim.
+FIRST_FINAL_STATUS = 200
 _BODILESS_STATUSES = (204, 304)
 # An endpoint that fails may send bytes without end. Several times the limits that
 # servers usually have for heads. It also bounds whatever else is not the body: interim
@@ -332,10 +334,12 @@
 class ResponseParser:
     """Parses an endpoint's bytes into the parts of its responses.
 
-    Trailers are dropped: nothing here reads them.
+    Trailers are dropped: nothing here reads them. Without `has_body`, a response ends
+    with its head.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, has_body: bool) -> None:
+        self._has_body = has_body
         self._parser: Any = httptools.HttpResponseParser(self)
         self._is_in_head = True
         self._is_between_responses = True
@@ -434,6 +438,10 @@
                 BodyEnd.FRAMED if is_framed else BodyEnd.CONNECTION,
             )
         )
+        if not self._has_body and status >= FIRST_FINAL_STATUS:
+            self._parts.append(ParsedEnd())
+            # The library can't be told, so that it reads no further.
+            raise ResponseParseError("a response without a body has ended")
 
     def on_body(self, data: bytes) -> None:
         """Add a piece of the body, which may have a byte, to what `feed` returns."""
@@ -452,6 +460,9 @@
     return RequestParser(limits)
 
 
-def make_response_parser() -> ResponseParser:
-    """Return a parser for one endpoint's connection."""
-    return ResponseParser()
+def make_response_parser(has_body: bool = True) -> ResponseParser:
+    """Return a parser for one endpoint's connection.
+
+    `has_body` is whether responses have a body, which those to HEAD have not.
+    """
+    return ResponseParser(has_body)
--- a/oleanderhitch/connection/http/rendering.py
+++ b/oleanderhitch/connection/http/rendering.py
@@ -34,11 +34,14 @@
     return render_response_head(response, closes_connection) + response.body
 
 
-def render_response_head(response: HttpResponse, closes_connection: bool) -> bytes:
+def render_response_head(
+    response: HttpResponse, closes_connection: bool, has_length: bool = True
+) -> bytes:
     """Return the status line and headers of a complete response."""
     lines = [_render_status_line(response.status)]
     lines.extend(f"{name}: {value}" for name, value in response.headers)
-    lines.append(f"content-length: {len(response.body)}")
+    if has_length:
+        lines.append(f"content-length: {len(response.body)}")
     if closes_connection:
         lines.append("connection: close")
     return _join_header_lines(lines)
--- a/oleanderhitch/request/forwarding/task.py
+++ b/oleanderhitch/request/forwarding/task.py
@@ -663,6 +663,7 @@
         find_owner,
         context.flow,
         context.request.request,
+        has_response_body=http.method != "HEAD",
     )
     context.dependencies.connection_pool.send(
         StartExchange(effect.endpoint.address, exchange)
--- a/tests/connection/http/test_caller.py
+++ b/tests/connection/http/test_caller.py
@@ -9,7 +9,11 @@
 from gevent import monkey, socket
 
 from oleanderhitch.connection.http.budget import ServerBudget
-from oleanderhitch.connection.http.caller import LINGER_TIME, ResponseWriter
+from oleanderhitch.connection.http.caller import (
+    JOINED_BODY_LIMIT_BYTES,
+    LINGER_TIME,
+    ResponseWriter,
+)
 from oleanderhitch.connection.http.memory import FREE_SHARE_BYTES, make_traffic_memory
 from oleanderhitch.connection.http.messages import (
     CallerDisconnected,
@@ -284,6 +288,35 @@
     assert read_all(connected).count(b"HTTP/1.1 ") == 1
 
 
+# Guards against the body of a response to HEAD, which the caller takes for the next
+# response (RFC 9110, section 9.3.2).
+def test_response_to_head_has_no_body(
+    start: Callable[[ServeRequest], tuple[HttpServer, HostAddress]],
+) -> None:
+    """Send no body of a complete, a large or a chunked response."""
+
+    def serve(
+        request: HttpRequest, writer: ResponseWriter, mailbox: Mailbox, now: datetime
+    ) -> None:
+        if request.target == "/chunked":
+            writer.start(200, ())
+            writer.write(b"piece")
+            writer.finish()
+            return
+        n_bytes = 2 * JOINED_BODY_LIMIT_BYTES if request.target == "/large" else 5
+        writer.respond(HttpResponse(200, b"x" * n_bytes))
+
+    _, address = start(serve)
+    connected = connect(address)
+    for target in (b"/plain", b"/large", b"/chunked"):
+        connected.sendall(b"HEAD %b HTTP/1.1\r\nHost: h\r\n\r\n" % target)
+        response = connected.recv(4096)
+        assert response.startswith(b"HTTP/1.1 200 ")
+        assert response.endswith(b"\r\n\r\n")
+    connected.sendall(GET % b"/plain")
+    assert connected.recv(4096).endswith(b"\r\n\r\nxxxxx")
+
+
 def test_rejected_caller_that_has_gone_leaves_no_trace(
     start: Callable[[ServeRequest], tuple[HttpServer, HostAddress]],
     capfd: pytest.CaptureFixture[str],
--- a/tests/connection/http/test_endpoint.py
+++ b/tests/connection/http/test_endpoint.py
@@ -106,6 +106,7 @@
         exchange_id: int,
         request_id: int = 1,
         request: RequestId | None = None,
+        has_response_body: bool = True,
     ) -> Mailbox:
         """Start an exchange and return the mailbox for its response."""
         mailbox = make_mailbox("test")
@@ -119,7 +120,12 @@
             return ResponseOwner.ANOTHER_REQUEST
 
         exchange = Exchange(
-            exchange_id, REQUEST, mailbox, find_owner, request_id=request
+            exchange_id,
+            REQUEST,
+            mailbox,
+            find_owner,
+            request_id=request,
+            has_response_body=has_response_body,
         )
         self.pool.send(StartExchange(address, exchange))
         return mailbox
@@ -232,6 +238,31 @@
     assert "unreadable answer" in end.reason
 
 
+# Guards against a HEAD request that waits until its deadline for a body, and against a
+# body that comes nevertheless and is taken for the next response.
+@pytest.mark.parametrize("surplus", [b"", b"HTTP/1.1 200 OK\r\n\r\n"])
+def test_response_to_head_ends_with_its_head(
+    serve: Callable[[Script], ScriptedEndpoint], surplus: bytes
+) -> None:
+    """End the exchange with the head, and use the connection no more."""
+    head = b"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 50\r\n\r\n"
+
+    def script(connected: socket.socket, number: int) -> None:
+        while connected.recv(4096):
+            connected.sendall(head + surplus)
+
+    endpoint = serve(script)
+    client = PoolClient()
+    for number in (1, 2):
+        mailbox = client.start_exchange(
+            endpoint.address, number, has_response_body=False
+        )
+        body, end = receive_response(mailbox)
+        assert (body, end) == (b"", ResponseEnd(number, BodyEnd.FRAMED))
+        gevent.sleep(0.01)
+    assert endpoint.n_connections == 2
+
+
 REFUSAL = b"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
 
 
