Dropped headers that any Connection header names

What endpoints saw: of two `Connection` headers only the first was read, so that a header which the second one names, such as `HTTP2-Settings` of an offered upgrade, was forwarded.

The test failed before:

FAILED test_requests.py::test_headers_that_any_connection_header_names_are_dropped AssertionError: assert not ({'host', 'http2-settings', ...} & {'connection', 'http2-settings', 'upgrade'})

--- a/oleanderhitch/platform/requests.py
+++ b/oleanderhitch/platform/requests.py
@@ -191,9 +191,10 @@
 
 def _select_forwarded_headers(headers: Headers) -> Headers:
     dropped = set(header_names.HOP_BY_HOP | header_names.SET_BY_SYSTEM)
-    for connection_option in (find_header(headers, "connection") or "").split(","):
-        # Connection options name further headers that apply to one connection.
-        dropped.add(connection_option.strip().lower())
+    for name, value in headers:
+        if name == "connection":
+            # Connection options name further headers that apply to one connection.
+            dropped.update(option.strip().lower() for option in value.split(","))
     # Connection options must not remove the host or the request id, by which responses
     # are matched.
     dropped.discard("host")
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -91,6 +91,18 @@
     assert find_header(sent.headers, "a") == "b"
 
 
+def test_headers_that_any_connection_header_names_are_dropped() -> None:
+    """Guard against an offer of another protocol that goes on to an endpoint."""
+    sent = make_endpoint_request(
+        ("connection", "keep-alive"),
+        ("connection", "Upgrade, HTTP2-Settings"),
+        ("upgrade", "h2c"),
+        ("http2-settings", "AA"),
+    )
+    names = {name for name, _ in sent.headers}
+    assert not names & {"connection", "upgrade", "http2-settings"}
+
+
 def test_connection_options_cannot_drop_the_request_id() -> None:
     """Guard against dropping the id by which a response is matched to its request."""
     sent = make_endpoint_request(("connection", "x-request-id, host"))
