Logged hosts that do not confirm ends

The fallback to a tunnel without a confirmed end left no line on the asking host. Also: a socket whose options can't be set is closed with its connection, not at the next garbage collection.

--- a/oleanderhitch/connection/http/endpoint.py
+++ b/oleanderhitch/connection/http/endpoint.py
@@ -92,9 +92,8 @@
     is skipped. One that names no request counts as the response to this one only if
     nothing was received on the connection before. The body is read no faster than the
     receiver removes it from the flow, if there is one. A response without a body, as to
-    HEAD, ends with its head. A connection carries a request
-    that `request_id` names only once: a late duplicate of its first response would look
-    like the second.
+    HEAD, ends with its head. A connection carries a request that `request_id` names
+    only once: a late duplicate of its first response would look like the second.
     """
 
     exchange_id: int
@@ -321,12 +320,12 @@
     def _connect(self, exchange: Exchange) -> bool:
         """Open the connection, or report the failure and return False."""
         try:
-            opened = self._open(self._address)
-            opened.connected.settimeout(None)
-            opened.connected.setsockopt(
+            self._opened = self._open(self._address)
+            connected = self._opened.connected
+            connected.settimeout(None)
+            connected.setsockopt(
                 socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
             )
-            self._opened = opened
         except (OSError, OleanderhitchError) as error:
             _fail(exchange, False, f"could not connect: {error}")
             return False
--- a/oleanderhitch/process/reachability/task.py
+++ b/oleanderhitch/process/reachability/task.py
@@ -82,6 +82,7 @@
             outcome = _judge(error)
             dependencies.reachability.send(AttemptEnded(way, endpoint, outcome))
             if isinstance(error, TunnelUnconfirmedError):
+                log.info("host does not confirm ends", address=error.relay)
                 untried.append(Through(error.relay, confirms_ends=False))
             elif outcome is not AttemptOutcome.UNUSABLE:
                 break
