Kept the fault of an unreadable response, not the error

Cause: an error that the parser keeps refers to the bytes by its traceback, up to 64 KiB for each failed response until the next garbage collection. It came in with the parser's kept error.

Change: the parser keeps what is wrong as text.

The test failed before:

FAILED test_parsing.py::test_unreadable_bytes_are_not_kept AssertionError: assert 15 == 13 (references to the bytes)

--- a/oleanderhitch/connection/http/endpoint.py
+++ b/oleanderhitch/connection/http/endpoint.py
@@ -362,8 +362,8 @@
             raise ResponseParseError("responses take too much memory")
         if state.has_ended and not state.parser.is_between_responses:
             state.has_surplus_bytes = True
-        if state.parser.error is not None and not state.has_ended:
-            raise state.parser.error
+        if state.parser.fault is not None and not state.has_ended:
+            raise ResponseParseError(state.parser.fault)
         if state.exchange.flow is not None and not state.has_ended:
             state.exchange.flow.wait()
         n_reads += 1
--- a/oleanderhitch/connection/http/parsing.py
+++ b/oleanderhitch/connection/http/parsing.py
@@ -348,12 +348,13 @@
         self._has_too_many_headers = False
         self._body: list[bytes] = []
         self._parts: list[ParsedPart] = []
-        self._error: ResponseParseError | None = None
+        # An error itself would keep the bytes, by its traceback.
+        self._fault: str | None = None
 
     @property
-    def error(self) -> ResponseParseError | None:
-        """The error in the bytes after the last valid part, if any."""
-        return self._error
+    def fault(self) -> str | None:
+        """What is wrong with the bytes after the last valid part, if anything."""
+        return self._fault
 
     @property
     def is_between_responses(self) -> bool:
@@ -363,12 +364,12 @@
     def feed(self, data: bytes) -> list[ParsedPart]:
         """Return the parts that the bytes complete.
 
-        If the bytes are invalid, the parts before the error are returned and `error` is
+        If the bytes are invalid, the parts before the error are returned and `fault` is
         set. ResponseParseError is raised if no part precedes the error.
         """
-        if self._error is not None:
+        if self._fault is not None:
             # After an upgrade, the library would go on with whatever comes next.
-            raise self._error
+            raise ResponseParseError(self._fault)
         self._n_bytes_without_body += len(data)
         try:
             self._parser.feed_data(data)
@@ -379,9 +380,9 @@
                     f"the number of headers exceeds {N_RESPONSE_HEADERS_LIMIT}"
                 ) from None
             # An upgrade is an error too: no request here offers one.
-            self._error = ResponseParseError(f"not HTTP/1.1: {error!r}")
+            self._fault = f"not HTTP/1.1: {error!r}"
             if not self._parts and not self._body:
-                raise self._error from None
+                raise ResponseParseError(self._fault) from None
         if self._n_bytes_without_body > RESPONSE_HEAD_LIMIT_BYTES:
             raise ResponseParseError(
                 f"what is not the body exceeds {RESPONSE_HEAD_LIMIT_BYTES} bytes"
--- a/tests/connection/http/test_parsing.py
+++ b/tests/connection/http/test_parsing.py
@@ -1,5 +1,8 @@
 """Guard against request smuggling, oversized requests and misparsed responses."""
 
+import sys
+from contextlib import suppress
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -244,11 +247,24 @@
     """Return the valid parts, and the error beside them."""
     parser = make_response_parser()
     assert parser.feed(data)
-    assert parser.error is not None
+    assert parser.fault is not None
     with pytest.raises(ResponseParseError):
         parser.feed(b"\r\n")
 
 
+# Guards against memory that failed responses hold until the next garbage collection.
+@pytest.mark.parametrize("data", [b"nonsense\r\n\r\n", b"HTTP/1.1 200 OK\r\n\x00"])
+def test_unreadable_bytes_are_not_kept(data: bytes) -> None:
+    """Keep what is wrong with the bytes, and not the frames that found it."""
+    parser = make_response_parser()
+    n_references = sys.getrefcount(data)
+    for _ in range(2):
+        with suppress(ResponseParseError):
+            parser.feed(data)
+    assert parser.fault is not None
+    assert sys.getrefcount(data) == n_references
+
+
 # Guards against an endpoint whose head never ends, which would fill the memory of the
 # entry host until the deadline of the request.
 def test_endless_head_of_a_response_is_rejected() -> None:
